--- /dev/null
+++ b/Makefile
@@ -0,0 +1,64 @@
+# Thin layer over CMake. `make help` lists the targets.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'test/*.[ch]' 'test/*.cc' 'tools/*.[ch]' 'tools/*.cc')
+C_SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.c')
+
+.PHONY: all setup build test test-asan lint format fuzz demo demo-up replay bench capacity install clean help
+
+all: build
+
+help:
+	@echo "build test test-asan lint format fuzz demo demo-up replay bench capacity install clean"
+
+setup:
+	@./tools/setup
+
+$(BUILD)/build.ninja: CMakeLists.txt test/CMakeLists.txt tools/CMakeLists.txt
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DKB_WERROR=ON > /dev/null
+
+build: setup $(BUILD)/build.ninja
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure -j 4 --timeout 300
+
+test-asan: setup
+	@cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DKB_SANITIZE=ON > /dev/null
+	@cmake --build build-asan -j $(JOBS)
+	@cd build-asan && ctest --output-on-failure -j 4 --timeout 600
+
+format:
+	@clang-format -i $(SOURCES)
+
+lint: build
+	@clang-format --dry-run --Werror $(SOURCES)
+	@./tools/check-layers
+	@clang-tidy -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option $(C_SOURCES) 2> /dev/null
+
+fuzz: setup
+	@cmake -S . -B build-fuzz -G Ninja -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ -DKB_FUZZ=ON > /dev/null
+	@cmake --build build-fuzz -j $(JOBS) --target fuzz_msg fuzz_settings
+	@./build-fuzz/bin/fuzz_msg -seed=1 -runs=200000 -max_len=512 test/fuzz/corpus-msg
+	@./build-fuzz/bin/fuzz_settings -seed=1 -runs=100000 -max_len=512 test/fuzz/corpus-settings
+
+demo: build
+	@$(BUILD)/bin/kbdemo
+
+demo-up: build
+	@$(BUILD)/bin/kbdemo --stay
+
+replay: build
+	@$(BUILD)/bin/kbreplay --json $(BUILD)/replay.json
+
+bench: build
+	@$(BUILD)/bin/kbbench --json $(BUILD)/bench.json
+
+capacity: bench
+	@./tools/capacity $(BUILD)/bench.json docs/CAPACITY.md
+
+install: build
+	@cmake --install $(BUILD)
+
+clean:
+	@rm -rf build build-asan build-fuzz
--- /dev/null
+++ b/src/cli/cli_defs.h
@@ -0,0 +1,76 @@
+/// @file cli_defs.h
+/// What the subcommands of the operators' tool share.
+#ifndef KB_CLI_CLI_DEFS_H
+#define KB_CLI_CLI_DEFS_H
+
+#include "protocol/cfgdoc.h"
+#include "transport/kv.h"
+
+/// Exit codes, documented in knapweedbay(1).
+enum
+{
+  CLI_OK = 0,
+  CLI_CONFLICT = 1,    ///< Another operator's change differs; see the output.
+  CLI_BAD_INPUT = 2,   ///< The command line or a file is wrong.
+  CLI_UNAVAILABLE = 3, ///< Nothing was changed: a service did not answer.
+  CLI_UNKNOWN = 4,     ///< The change may have taken effect; run it again.
+};
+
+enum
+{
+  CLI_ADDRESS_BYTES = 64,
+  CLI_MAX_DAEMONS = 64,
+};
+
+typedef struct
+{
+  char kv_address[CLI_ADDRESS_BYTES];
+  uint16_t kv_port;
+  char daemons[CLI_MAX_DAEMONS][CLI_ADDRESS_BYTES]; ///< "ip:port"
+  uint32_t daemon_count;
+  char key[160];
+  char folder[512];
+  bool is_json;
+  bool is_watch;
+  uv_loop_t loop;
+  tmr_service_t timers;
+  htc_client_t http;
+  kvc_client_t kv;
+} cli_t;
+
+/// A value read from the store.
+typedef struct
+{
+  kb_status_t status;
+  bool exists;
+  kb_buf_t value;
+  uint64_t mod_revision;
+} cli_value_t;
+
+// cli_net.c
+void cli_net_init (cli_t *cli);
+cli_value_t cli_kv_get (cli_t *cli, const char *key);
+kb_status_t cli_kv_put (cli_t *cli, const char *key, kb_slice_t value);
+kb_status_t cli_kv_cas (cli_t *cli, const char *key, uint64_t expected,
+                        kb_slice_t value);
+/// One HTTP call to a daemon.
+/// @return  The HTTP status, or 0 when it did not answer.
+int cli_http (cli_t *cli, const char *daemon, const char *method,
+              const char *path, kb_buf_t *body);
+void cli_sleep_ms (uint64_t delay_ms);
+/// Split "ip:port".
+bool cli_parse_address (const char *text, char *address, uint16_t *port);
+
+// cli_config.c
+int cli_check (cli_t *cli);
+int cli_apply (cli_t *cli);
+int cli_pull (cli_t *cli);
+int cli_diff (cli_t *cli);
+
+// cli_status.c
+int cli_status (cli_t *cli);
+int cli_drain (cli_t *cli);
+int cli_keygen (cli_t *cli);
+int cli_hash_key (cli_t *cli);
+
+#endif
--- /dev/null
+++ b/src/coordination/slots.c
@@ -0,0 +1,153 @@
+#include "coordination/slots.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include "state/buf.h"
+
+void
+slt_table_init (slt_table_t *table, uint32_t cap)
+{
+  *table = (slt_table_t){ .cap = cap };
+  table->slots = kb_alloc (cap * sizeof *table->slots);
+}
+
+void
+slt_table_finish (slt_table_t *table)
+{
+  kb_map_finish (&table->by_key);
+  free (table->slots);
+  table->slots = NULL;
+}
+
+slt_slot_t *
+slt_find (slt_table_t *table, uint64_t key)
+{
+  return kb_map_get (&table->by_key, key);
+}
+
+bool
+slt_has_free (const slt_table_t *table)
+{
+  return table->len < table->cap;
+}
+
+slt_slot_t *
+slt_begin_load (slt_table_t *table, uint64_t key, uint64_t now_us)
+{
+  assert (slt_find (table, key) == NULL);
+  if (!slt_has_free (table))
+    return NULL;
+  slt_slot_t *slot = NULL;
+  for (uint32_t i = 0; slot == NULL; i++)
+    if (table->slots[i].key == 0)
+      slot = &table->slots[i];
+  *slot = (slt_slot_t){ .key = key,
+                        .state = SLT_LOADING,
+                        .credit = table->floor + 1,
+                        .used_us = now_us,
+                        .state_us = now_us };
+  table->len++;
+  kb_map_put (&table->by_key, key, slot);
+  return slot;
+}
+
+void
+slt_forget (slt_table_t *table, uint64_t key)
+{
+  slt_slot_t *slot = kb_map_remove (&table->by_key, key);
+  if (slot == NULL)
+    return;
+  *slot = (slt_slot_t){ 0 };
+  table->len--;
+}
+
+void
+slt_end_load (slt_table_t *table, uint64_t key, bool is_loaded,
+              uint64_t now_us)
+{
+  slt_slot_t *slot = slt_find (table, key);
+  if (slot == NULL || slot->state != SLT_LOADING)
+    return;
+  if (!is_loaded)
+    {
+      slt_forget (table, key);
+      return;
+    }
+  slot->state = SLT_RESIDENT;
+  slot->state_us = now_us;
+}
+
+void
+slt_end_unload (slt_table_t *table, uint64_t key, bool is_unloaded,
+                uint64_t now_us)
+{
+  slt_slot_t *slot = slt_find (table, key);
+  if (slot == NULL || slot->state != SLT_UNLOADING)
+    return;
+  if (is_unloaded)
+    {
+      slt_forget (table, key);
+      return;
+    }
+  slot->state = SLT_RESIDENT;
+  slot->state_us = now_us;
+}
+
+static bool
+victim_is_better (const slt_table_t *table, const slt_slot_t *a,
+                  const slt_slot_t *b)
+{
+  if (table->is_lru || a->credit == b->credit)
+    return a->used_us < b->used_us;
+  return a->credit < b->credit;
+}
+
+slt_slot_t *
+slt_choose_victim (slt_table_t *table,
+                   bool (*is_wanted) (void *arg, uint64_t key), void *arg)
+{
+  slt_slot_t *best = NULL;
+  for (uint32_t i = 0; i < table->cap; i++)
+    {
+      slt_slot_t *slot = &table->slots[i];
+      // Evicting a pinned adapter would cut or corrupt the request that runs
+      // with it; the pin is taken before the engine is asked to run.
+      if (slot->key == 0 || slot->state != SLT_RESIDENT || slot->pins > 0)
+        continue;
+      if (is_wanted != NULL && !slot->is_draining
+          && is_wanted (arg, slot->key))
+        continue;
+      if (best == NULL || victim_is_better (table, slot, best))
+        best = slot;
+    }
+  return best;
+}
+
+void
+slt_begin_unload (slt_table_t *table, slt_slot_t *slot, uint64_t now_us)
+{
+  assert (slot->pins == 0 && slot->state == SLT_RESIDENT);
+  slot->state = SLT_UNLOADING;
+  slot->state_us = now_us;
+  if (slot->credit > table->floor)
+    table->floor = slot->credit;
+}
+
+void
+slt_pin (slt_table_t *table, slt_slot_t *slot, uint64_t now_us)
+{
+  assert (slot->state == SLT_RESIDENT);
+  slot->pins++;
+  slot->used_us = now_us;
+  double renewed = slot->credit + 1;
+  slot->credit = renewed > table->floor + 1 ? renewed : table->floor + 1;
+}
+
+void
+slt_unpin (slt_table_t *table, slt_slot_t *slot, uint64_t now_us)
+{
+  assert (slot->pins > 0);
+  slot->pins--;
+  slot->used_us = now_us;
+}
--- /dev/null
+++ b/src/daemon/agent.c
@@ -0,0 +1,421 @@
+/// @file agent.c
+/// Wiring of the agent role: messages, membership, the pump and the drain.
+#include "daemon/agent.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/agent_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  TICK_MS = 100,
+  POLL_MS = 1000,
+  PAUSE_MS = 2000, ///< A tick this late means that the process stood still.
+  PEER_SILENCE_MS = 6000,
+  CLAIM_EXPIRE_TICKS = 50,
+  HANDOVER_ENTRIES = 2,
+  EXIT_FLUSH_MS = 200,
+};
+
+void
+agt_pump (agt_agent_t *agent)
+{
+  if (!agent->is_engine_up || !agent->is_reconciled)
+    return;
+  for (;;)
+    {
+      bool may_order = !agent->order.is_busy && !agent->is_fence_in_doubt;
+      sch_action_t action = sch_next (&agent->queue, tmr_now_us (),
+                                      may_order && agent->wish.is_granted);
+      if (action.kind == SCH_RUN)
+        {
+          agt_run_start (agent, (agt_request_t *)action.item);
+          continue;
+        }
+      if (action.kind == SCH_LOAD)
+        agt_engine_load (agent, action.adapter);
+      else if (action.kind == SCH_EVICT)
+        agt_engine_unload (agent, action.adapter);
+      break;
+    }
+  agt_gate_update (agent);
+}
+
+static agt_peer_t *
+peer_find (agt_agent_t *agent, kb_slice_t name)
+{
+  uint64_t id = kb_hash (name.ptr, name.len_bytes, 0);
+  for (uint32_t i = 0; i < agent->peer_count; i++)
+    if (agent->peers[i].id == id)
+      return &agent->peers[i];
+  return NULL;
+}
+
+/// A place for a new peer; the one silent longest gives way.
+static agt_peer_t *
+peer_place (agt_agent_t *agent)
+{
+  if (agent->peer_count < AGT_MAX_PEERS)
+    return &agent->peers[agent->peer_count++];
+  agt_peer_t *oldest = &agent->peers[0];
+  for (uint32_t i = 1; i < agent->peer_count; i++)
+    if (agent->peers[i].heard_ms < oldest->heard_ms)
+      oldest = &agent->peers[i];
+  return oldest;
+}
+
+static void
+resident_pack (agt_agent_t *agent, kb_buf_t *out)
+{
+  for (uint32_t i = 0; i < agent->slots.cap; i++)
+    if (agent->slots.slots[i].key != 0
+        && agent->slots.slots[i].state == SLT_RESIDENT)
+      kb_buf_append (out, &agent->slots.slots[i].key, sizeof (uint64_t));
+}
+
+static void
+send_hello (agt_agent_t *agent, kb_slice_t peer)
+{
+  const set_settings_t *s = &agent->daemon->settings;
+  kb_buf_t resident = { 0 };
+  resident_pack (agent, &resident);
+  msg_t msg = { .type = MSG_HELLO };
+  msg.hello
+      = (msg_hello_t){ .name = kb_slice_str (s->name),
+                       .role = SET_ROLE_AGENT,
+                       .incarnation = agent->daemon->incarnation,
+                       .failure_domain = kb_slice_str (s->failure_domain),
+                       .service = kb_slice_str (s->service),
+                       .is_plain = agt_is_plain (agent),
+                       .slots = (uint64_t)s->slots,
+                       .max_batch = (uint64_t)s->max_batch,
+                       .revision = agent->revision,
+                       .state = agent->state,
+                       .memory_since_wall_ms = agent->memory_since_wall_ms,
+                       .is_reply = 1,
+                       .resident = kb_buf_slice (&resident) };
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+  kb_buf_finish (&resident);
+}
+
+static void
+note_revision (agt_agent_t *agent, uint64_t revision)
+{
+  if (revision <= agent->revision)
+    return;
+  agent->revision = revision;
+  agent->revision_since_ms = tmr_now_ms ();
+}
+
+static void
+on_hello (agt_agent_t *agent, kb_slice_t from, const msg_hello_t *hello)
+{
+  agt_peer_t *peer = peer_find (agent, from);
+  if (peer == NULL)
+    {
+      peer = peer_place (agent);
+      *peer = (agt_peer_t){
+        .id = kb_hash (from.ptr, from.len_bytes, 0),
+      };
+      kb_slice_copy (from, peer->name, sizeof peer->name);
+      log_write (LOG_INFO, "member", "Entry %s is connected.", peer->name);
+    }
+  else if (peer->incarnation != hello->incarnation)
+    agt_run_peer_lost (agent, peer->id);
+  peer->incarnation = hello->incarnation;
+  peer->heard_ms = tmr_now_ms ();
+  note_revision (agent, hello->revision);
+  send_hello (agent, from);
+}
+
+static void
+pong_fill (agt_agent_t *agent, uint64_t stamp_us, msg_t *msg)
+{
+  *msg = (msg_t){ .type = MSG_PONG };
+  msg->pong = (msg_pong_t){ .stamp_us = stamp_us,
+                            .revision = agent->revision,
+                            .state = agent->state,
+                            .queue_len = agent->queue.waiting,
+                            .running = agent->queue.running,
+                            .expected_wait_ms = agt_expected_wait_ms (agent),
+                            .stall_us_total = agent->stall_us_total,
+                            .fill_permille
+                            = agent->fill_ticks == 0
+                                  ? 0
+                                  : agent->fill_sum * 1000 / agent->fill_ticks
+                                        / agent->queue.options.max_batch };
+}
+
+static void
+on_ping (agt_agent_t *agent, kb_slice_t from, const msg_ping_t *ping)
+{
+  note_revision (agent, ping->revision);
+  if (ping->target_count > 0)
+    agent->target_count = (uint32_t)ping->target_count;
+  msg_t msg;
+  pong_fill (agent, ping->stamp_us, &msg);
+  lnk_link_send (&agent->daemon->link, from, &msg);
+}
+
+static void
+on_recover (agt_agent_t *agent, kb_slice_t from, const msg_recover_t *recover)
+{
+  uint64_t epochs[CLM_SHARDS];
+  if (recover->epochs.len_bytes != sizeof epochs)
+    return;
+  memcpy (epochs, recover->epochs.ptr, sizeof epochs);
+  kb_buf_t records = { 0 };
+  clm_runner_recover (&agent->claims, epochs, agent->daemon->settings.name,
+                      agent->daemon->incarnation, &records);
+  msg_t msg = { .type = MSG_RECORDS };
+  msg.records
+      = (msg_records_t){ .id = recover->id,
+                         .is_last = 1,
+                         .purpose = MSG_RECORDS_REBUILD,
+                         .memory_since_wall_ms = agent->memory_since_wall_ms,
+                         .records = kb_buf_slice (&records) };
+  lnk_link_send (&agent->daemon->link, from, &msg);
+  kb_buf_finish (&records);
+}
+
+static void
+link_on_message (lnk_link_t *link, kb_slice_t from, const msg_t *msg)
+{
+  agt_agent_t *agent = ((dmn_daemon_t *)link->owner)->role_state;
+  agt_peer_t *peer = peer_find (agent, from);
+  if (peer != NULL)
+    peer->heard_ms = tmr_now_ms ();
+  switch (msg->type)
+    {
+    case MSG_HELLO:
+      on_hello (agent, from, &msg->hello);
+      break;
+    case MSG_PING:
+      on_ping (agent, from, &msg->ping);
+      break;
+    case MSG_DISPATCH:
+      agt_run_accept (agent, from, &msg->dispatch);
+      break;
+    case MSG_CANCEL:
+      agt_run_cancel (agent, msg->cancel.attempt);
+      break;
+    case MSG_REVOKE:
+      agt_run_revoke (agent, from, &msg->revoke);
+      break;
+    case MSG_RECOVER:
+      on_recover (agent, from, &msg->recover);
+      break;
+    case MSG_GATE_GRANT:
+      agt_gate_granted (agent, msg->gate_grant.id);
+      break;
+    default:
+      MET_INC ("knapweedbay_inner_dropped_total", "reason=\"unexpected\"");
+    }
+}
+
+/// An entry that is lost would leave its idempotent work running for nobody.
+static void
+check_peers (agt_agent_t *agent, uint64_t now)
+{
+  for (uint32_t i = 0; i < agent->peer_count; i++)
+    {
+      agt_peer_t *peer = &agent->peers[i];
+      if (peer->inflight == 0 || now - peer->heard_ms < PEER_SILENCE_MS)
+        continue;
+      log_write (LOG_WARN, "member", "Entry %s is silent with %u requests.",
+                 peer->name, peer->inflight);
+      agt_run_peer_lost (agent, peer->id);
+    }
+}
+
+static void
+sample_fill (agt_agent_t *agent)
+{
+  if (agent->queue.running == 0 && agent->queue.waiting == 0)
+    return;
+  agent->fill_sum += agent->queue.running;
+  agent->fill_ticks++;
+}
+
+static void
+exit_now (void *arg)
+{
+  agt_agent_t *agent = arg;
+  dmn_exit (agent->daemon,
+            agent->queue.running == 0 ? DMN_EXIT_OK : DMN_EXIT_CUT);
+}
+
+static void
+exit_after_flush (void *arg)
+{
+  agt_agent_t *agent = arg;
+  tmr_after (&agent->daemon->timers, &agent->exit_timer, EXIT_FLUSH_MS,
+             exit_now, agent);
+}
+
+/// Give the memory of claims to entries, so that a rebuild during the window
+/// still sees it.
+static void
+hand_over (agt_agent_t *agent)
+{
+  uint64_t epochs[CLM_SHARDS];
+  for (uint32_t i = 0; i < CLM_SHARDS; i++)
+    epochs[i] = 1;
+  kb_buf_t records = { 0 };
+  clm_runner_recover (&agent->claims, epochs, agent->daemon->settings.name,
+                      agent->daemon->incarnation, &records);
+  msg_t msg = { .type = MSG_RECORDS };
+  msg.records
+      = (msg_records_t){ .is_last = 1,
+                         .purpose = MSG_RECORDS_INHERIT,
+                         .memory_since_wall_ms = agent->memory_since_wall_ms,
+                         .records = kb_buf_slice (&records) };
+  uint32_t sent = 0;
+  for (uint32_t i = 0; i < agent->peer_count && sent < HANDOVER_ENTRIES; i++)
+    if (dmn_send (agent->daemon, agent->peers[i].name, &msg) == KB_OK)
+      sent++;
+  kb_buf_finish (&records);
+  if (sent > 0)
+    agt_fence_leave (agent, exit_after_flush);
+  else
+    exit_after_flush (agent);
+}
+
+static void
+check_drain (agt_agent_t *agent, uint64_t now)
+{
+  if (agent->state != MSG_STATE_LEAVING || agent->is_leaving_said)
+    return;
+  uint64_t limit = (uint64_t)agent->daemon->settings.drain_limit_ms;
+  bool is_late = now - agent->drain_started_ms > limit;
+  if (agent->queue.running > 0 && !is_late)
+    return;
+  if (agent->queue.running > 0)
+    log_write (LOG_ERROR, "daemon",
+               "The drain limit is reached with %u requests running.",
+               agent->queue.running);
+  agent->is_leaving_said = true;
+  hand_over (agent);
+}
+
+static void
+tick (void *arg)
+{
+  agt_agent_t *agent = arg;
+  uint64_t now = tmr_now_ms ();
+  if (agent->tick_ms != 0 && now - agent->tick_ms > PAUSE_MS
+      && !agt_is_plain (agent))
+    {
+      log_write (LOG_WARN, "fence",
+                 "The process stood still for %" PRIu64
+                 " ms; checking ownership.",
+                 now - agent->tick_ms);
+      agt_fence_check (agent);
+    }
+  agent->tick_ms = now;
+  agt_run_expire (agent);
+  check_peers (agent, now);
+  sample_fill (agent);
+  if (++agent->ticks % CLAIM_EXPIRE_TICKS == 0)
+    clm_runner_expire (&agent->claims, now);
+  agt_pump (agent);
+  check_drain (agent, now);
+}
+
+static void
+poll (void *arg)
+{
+  agt_engine_poll (arg);
+}
+
+static void
+on_drain (dmn_daemon_t *daemon)
+{
+  agt_agent_t *agent = daemon->role_state;
+  agent->state = MSG_STATE_LEAVING;
+  agent->drain_started_ms = tmr_now_ms ();
+  // Entries learn it at once and send nothing new; what waits goes back to
+  // them, since they can place it elsewhere sooner than it would start here.
+  msg_t msg;
+  pong_fill (agent, 0, &msg);
+  for (uint32_t i = 0; i < agent->peer_count; i++)
+    dmn_send (daemon, agent->peers[i].name, &msg);
+  agt_run_refuse_all (agent, "the target is leaving");
+}
+
+static void
+on_request (dmn_daemon_t *daemon, hts_request_t *request)
+{
+  dmn_reply_error (request, 404, "not_run", "an agent has no such page", 0);
+}
+
+static void
+on_abort (dmn_daemon_t *daemon, hts_request_t *request)
+{
+}
+
+static bool
+is_ready (dmn_daemon_t *daemon)
+{
+  agt_agent_t *agent = daemon->role_state;
+  return agent->is_engine_up && agent->is_reconciled;
+}
+
+static void
+write_status (dmn_daemon_t *daemon, kb_buf_t *out)
+{
+  agt_agent_t *agent = daemon->role_state;
+  msg_t pong;
+  pong_fill (agent, 0, &pong);
+  kb_buf_printf (
+      out,
+      ",\"service\":\"%s\",\"revision\":%" PRIu64 ",\"queue\":%" PRIu64
+      ",\"running\":%" PRIu64 ",\"slots_used\":%u,\"slots\":%u,"
+      "\"stall_ms_total\":%" PRIu64 ",\"step_fill\":%.3f,\"fence\":%" PRIu64
+      ",\"registered\":%s,\"engine_up\":%s,\"attempts_remembered\":%u",
+      daemon->settings.service, agent->revision, pong.pong.queue_len,
+      pong.pong.running, agent->slots.len, agent->slots.cap,
+      agent->stall_us_total / 1000, (double)pong.pong.fill_permille / 1000,
+      agent->fence, agent->is_fence_known ? "true" : "false",
+      agent->is_engine_up ? "true" : "false", agent->claims.by_attempt.len);
+}
+
+static const dmn_role_t agent_role
+    = { on_request, on_abort, on_drain, is_ready, write_status };
+static const lnk_events_t link_events = { link_on_message, NULL };
+
+kb_status_t
+agt_start (dmn_daemon_t *daemon, kb_error_t *error)
+{
+  static agt_agent_t agent;
+  const set_settings_t *s = &daemon->settings;
+  agent.daemon = daemon;
+  agent.state = MSG_STATE_LIVE;
+  kb_status_t status
+      = dmn_init (daemon, &agent_role, &link_events, &agent, error);
+  if (status != KB_OK)
+    return status;
+  slt_table_init (&agent.slots, (uint32_t)s->slots);
+  sch_options_t options;
+  sch_options_default (&options);
+  options.max_batch = (uint32_t)s->max_batch;
+  options.stall_weight = s->stall_weight;
+  options.efficiency_weight = s->efficiency_weight;
+  sch_queue_init (&agent.queue, &agent.slots, &options);
+  clm_runner_init (&agent.claims, (uint32_t)s->claim_limit,
+                   (uint64_t)s->claim_window_ms,
+                   (uint64_t)s->answer_cache_bytes);
+  lim_bucket_init (&agent.own_share, s->load_rate_per_s, 1, tmr_now_ms ());
+  eng_openai_init (&agent.engine, &daemon->http, s->target_address,
+                   (uint16_t)s->target_port, s->target_order_token,
+                   (uint64_t)s->load_timeout_ms);
+  agt_fence_start (&agent);
+  agt_engine_poll (&agent);
+  tmr_every (&daemon->timers, &agent.tick, TICK_MS, tick, &agent);
+  tmr_every (&daemon->timers, &agent.poll, POLL_MS, poll, &agent);
+  return KB_OK;
+}
--- /dev/null
+++ b/src/daemon/agent_defs.h
@@ -0,0 +1,177 @@
+/// @file agent_defs.h
+/// State of the agent role, shared by its files.
+#ifndef KB_DAEMON_AGENT_DEFS_H
+#define KB_DAEMON_AGENT_DEFS_H
+
+#include "coordination/claim_runner.h"
+#include "coordination/sched.h"
+#include "daemon/daemon.h"
+#include "transport/engine.h"
+#include "transport/trace.h"
+
+enum
+{
+  AGT_MAX_PEERS = 512,
+  AGT_NAME_BYTES = CLM_NAME_BYTES,
+  AGT_MODEL_BYTES = 272,
+};
+
+/// An entry that said hello.
+typedef struct
+{
+  char name[AGT_NAME_BYTES];
+  uint64_t id;
+  uint64_t incarnation;
+  uint64_t heard_ms;
+  uint64_t revision;
+  uint32_t inflight; ///< Its requests here.
+} agt_peer_t;
+
+typedef struct agt_agent agt_agent_t;
+
+/// One attempt at this target.
+typedef struct
+{
+  sch_item_t item; ///< First, so that an item is its request.
+  agt_agent_t *agent;
+  uint64_t attempt;
+  uint64_t claim_key;
+  uint64_t flags;
+  uint64_t peer; ///< Id of the entry that sent it.
+  char peer_name[AGT_NAME_BYTES];
+  char model[AGT_MODEL_BYTES]; ///< "adapter@version".
+  char *source;
+  char *method;
+  char *path;
+  kb_buf_t body;
+  trc_context_t trace;
+  char traceparent[TRC_PARENT_BYTES];
+  uint64_t version;
+
+  eng_run_t *run;
+  kb_buf_t answer; ///< Unary: the whole answer. Stream: not yet split.
+  kb_buf_t kept;   ///< Keyed stream: what was sent, for re-sends.
+  char content_type[64];
+  int http_status;
+  uint64_t seq;
+  bool is_whole; ///< The end mark of a stream was seen.
+  bool is_wrong_model;
+  uint32_t reruns; ///< Times the engine did not know the adapter.
+  uint64_t arrived_us;
+  uint64_t arrived_wall_us;
+  uint64_t started_us;
+  uint64_t load_us; ///< Time spent waiting for its adapter's load.
+  uint64_t not_resident_since_us; ///< Zero when it does not wait for a load.
+} agt_request_t;
+
+/// Name and source of an adapter the agent knows by hash.
+typedef struct
+{
+  char model[AGT_MODEL_BYTES];
+} agt_model_t;
+
+/// The order to the engine that is under way; one at a time.
+typedef struct
+{
+  bool is_busy;
+  bool is_load;
+  uint64_t adapter;
+  uint64_t started_us;
+} agt_order_t;
+
+/// The wish for a load that stands at the gate.
+typedef struct
+{
+  bool is_asked;
+  bool is_granted;
+  bool is_own_share; ///< Granted by the fallback; nothing to give back.
+  uint64_t id;
+  uint64_t asked_ms; ///< First asked, for the fallback.
+  uint64_t sent_ms;  ///< Last sent.
+  char gate[AGT_NAME_BYTES];
+} agt_wish_t;
+
+struct agt_agent
+{
+  dmn_daemon_t *daemon;
+  eng_engine_t engine;
+  slt_table_t slots;
+  sch_queue_t queue;
+  clm_runner_t claims;
+  kb_map_t requests; ///< By attempt.
+  kb_map_t models;   ///< By adapter hash: agt_model_t.
+  agt_peer_t peers[AGT_MAX_PEERS];
+  uint32_t peer_count;
+  msg_state_t state;
+  bool is_engine_up;
+  bool is_reconciled; ///< The engine's list was compared at least once.
+  char engine_incarnation[64];
+  agt_order_t order;
+  agt_wish_t wish;
+  lim_bucket_t own_share;
+  uint32_t target_count; ///< Engines in the region, as entries tell.
+  uint64_t fence;
+  uint64_t fence_mod_revision;
+  bool is_fence_known;    ///< Registered at the key-value service.
+  bool is_fence_in_doubt; ///< The process was paused; check before orders.
+  uint64_t memory_since_wall_ms;
+  uint64_t revision; ///< Highest configuration revision heard of.
+  uint64_t revision_since_ms;
+  uint64_t tick_ms;
+  double service_ms; ///< Moving average of a run.
+  uint64_t stall_us_total;
+  uint64_t fill_sum;   ///< Running requests summed over ticks.
+  uint64_t fill_ticks; ///< Ticks with work.
+  uint64_t drain_started_ms;
+  bool is_leaving_said;
+  tmr_sub_t tick;
+  tmr_sub_t poll;
+  tmr_sub_t retry_fence;
+  tmr_sub_t exit_timer;
+  tmr_fn_t on_left; ///< Called when the roster entry says "left".
+  uint32_t ticks;
+};
+
+/// Do whatever can be done now: start runs, loads and evictions.
+void agt_pump (agt_agent_t *agent);
+
+// agent_run.c
+/// Take a dispatched attempt or refuse it.
+void agt_run_accept (agt_agent_t *agent, kb_slice_t peer,
+                     const msg_dispatch_t *dispatch);
+void agt_run_start (agt_agent_t *agent, agt_request_t *request);
+/// End an attempt that waits, with a proof that it did not run.
+void agt_run_refuse (agt_request_t *request, const char *reason,
+                     uint64_t retry_after_ms);
+void agt_run_cancel (agt_agent_t *agent, uint64_t attempt);
+void agt_run_revoke (agt_agent_t *agent, kb_slice_t peer,
+                     const msg_revoke_t *revoke);
+/// Refuse what waits past its deadline.
+void agt_run_expire (agt_agent_t *agent);
+/// Refuse everything that waits.
+void agt_run_refuse_all (agt_agent_t *agent, const char *reason);
+/// An entry is lost: stop its idempotent work, nobody waits for it.
+void agt_run_peer_lost (agt_agent_t *agent, uint64_t peer);
+/// @return  Expected wait of new work, milliseconds.
+uint64_t agt_expected_wait_ms (const agt_agent_t *agent);
+bool agt_is_plain (const agt_agent_t *agent);
+
+// agent_engine.c
+void agt_engine_load (agt_agent_t *agent, uint64_t adapter);
+void agt_engine_unload (agt_agent_t *agent, uint64_t adapter);
+/// Ask the engine's list and reconcile the slot table with it.
+void agt_engine_poll (agt_agent_t *agent);
+/// Keep the wish at the load gate in step with what is wanted.
+void agt_gate_update (agt_agent_t *agent);
+void agt_gate_granted (agt_agent_t *agent, uint64_t id);
+void agt_gate_give_back (agt_agent_t *agent);
+
+// agent_fence.c
+/// Take a fencing number, retrying in the background.
+void agt_fence_start (agt_agent_t *agent);
+/// After a pause: is this process still the owner of its target?
+void agt_fence_check (agt_agent_t *agent);
+/// At the end of a drain: say that the memory was handed over.
+void agt_fence_leave (agt_agent_t *agent, tmr_fn_t done);
+
+#endif
--- /dev/null
+++ b/src/daemon/agent_run.c
@@ -0,0 +1,758 @@
+/// @file agent_run.c
+/// One attempt at the target: admission, run, answer.
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/agent_defs.h"
+#include "protocol/openai.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  PART_MAX_BYTES = 262144,
+  ANSWER_MAX_BYTES = 16 << 20,
+  STREAM_PENDING_MAX_BYTES = 1 << 20,
+  RERUN_LIMIT = 3,
+  STALE_REVISION_MS = 3000,
+  REFUSE_RETRY_MS = 1000,
+  HTTP_NOT_FOUND = 404,
+};
+
+bool
+agt_is_plain (const agt_agent_t *agent)
+{
+  return strcmp (agent->daemon->settings.target_kind, "plain") == 0;
+}
+
+uint64_t
+agt_expected_wait_ms (const agt_agent_t *agent)
+{
+  const sch_queue_t *q = &agent->queue;
+  uint32_t batch = q->options.max_batch;
+  if (q->running + q->waiting < batch)
+    return 0;
+  return (uint64_t)((double)(q->waiting + 1) * agent->service_ms / batch);
+}
+
+/// Fill the load figures that go back on every reply.
+static void
+end_fill_load (const agt_agent_t *agent, uint64_t adapter, msg_end_t *end)
+{
+  slt_slot_t *slot
+      = adapter == 0 ? NULL : slt_find ((slt_table_t *)&agent->slots, adapter);
+  end->queue_len = agent->queue.waiting;
+  end->running = agent->queue.running;
+  end->expected_wait_ms = agt_expected_wait_ms (agent);
+  end->is_resident = slot != NULL && slot->state == SLT_RESIDENT;
+  end->demand_permille = adapter == 0
+                             ? 0
+                             : sch_demand (&agent->queue, adapter) * 1000ULL
+                                   / agent->queue.options.max_batch;
+  end->revision = agent->revision;
+  end->state = agent->state;
+}
+
+static void
+count_outcome (msg_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case MSG_OUTCOME_DONE:
+      MET_INC ("knapweedbay_attempts_total", "outcome=\"done\"");
+      break;
+    case MSG_OUTCOME_NOT_RUN:
+      MET_INC ("knapweedbay_attempts_total", "outcome=\"not_run\"");
+      break;
+    case MSG_OUTCOME_RAN_FAILED:
+      MET_INC ("knapweedbay_attempts_total", "outcome=\"ran_failed\"");
+      break;
+    default:
+      MET_INC ("knapweedbay_attempts_total", "outcome=\"unknown\"");
+    }
+}
+
+/// Refuse an attempt that was never taken in.
+static void
+refuse_dispatch (agt_agent_t *agent, kb_slice_t peer,
+                 const msg_dispatch_t *dispatch, const char *reason,
+                 uint64_t retry_after_ms, msg_outcome_t outcome)
+{
+  msg_t msg = { .type = MSG_END };
+  msg.end = (msg_end_t){ .attempt = dispatch->attempt,
+                         .outcome = outcome,
+                         .retry_after_ms = retry_after_ms,
+                         .reason = kb_slice_str (reason),
+                         .version = dispatch->version,
+                         .adapter = dispatch->adapter };
+  end_fill_load (agent, 0, &msg.end);
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+  count_outcome (outcome);
+}
+
+static void
+send_part (agt_request_t *r, kb_slice_t data, bool is_first)
+{
+  msg_t msg = { .type = MSG_PART };
+  msg.part
+      = (msg_part_t){ .attempt = r->attempt,
+                      .seq = r->seq++,
+                      .http_status = is_first ? (uint64_t)r->http_status : 0,
+                      .content_type
+                      = kb_slice_str (is_first ? r->content_type : ""),
+                      .data = data };
+  dmn_send (r->agent->daemon, r->peer_name, &msg);
+}
+
+static void
+send_parts (agt_request_t *r, kb_slice_t data)
+{
+  bool is_first = r->seq == 0;
+  while (data.len_bytes > PART_MAX_BYTES)
+    {
+      send_part (r, (kb_slice_t){ data.ptr, PART_MAX_BYTES }, is_first);
+      is_first = false;
+      data.ptr += PART_MAX_BYTES;
+      data.len_bytes -= PART_MAX_BYTES;
+    }
+  send_part (r, data, is_first);
+}
+
+static agt_peer_t *
+peer_of (agt_request_t *r)
+{
+  for (uint32_t i = 0; i < r->agent->peer_count; i++)
+    if (r->agent->peers[i].id == r->peer)
+      return &r->agent->peers[i];
+  return NULL;
+}
+
+static void
+request_free (agt_request_t *r)
+{
+  agt_peer_t *peer = peer_of (r);
+  if (peer != NULL && peer->inflight > 0)
+    peer->inflight--;
+  kb_map_remove (&r->agent->requests, r->attempt);
+  free (r->source);
+  free (r->method);
+  free (r->path);
+  kb_buf_finish (&r->body);
+  kb_buf_finish (&r->answer);
+  kb_buf_finish (&r->kept);
+  free (r);
+}
+
+static void
+export_spans (agt_request_t *r, uint64_t now_us, const char *outcome)
+{
+  uint64_t started = r->started_us != 0 ? r->started_us : now_us;
+  trc_context_t queue = trc_child (&r->trace, dmn_random ());
+  trc_export (&queue, "agent.queue", r->arrived_wall_us,
+              started - r->arrived_us, outcome);
+  if (r->load_us > 0)
+    {
+      trc_context_t load = trc_child (&queue, dmn_random ());
+      trc_export (&load, "adapter.load", r->arrived_wall_us, r->load_us,
+                  outcome);
+    }
+  if (r->started_us == 0)
+    return;
+  trc_context_t run = trc_child (&r->trace, dmn_random ());
+  trc_export (&run, "engine.run",
+              r->arrived_wall_us + (started - r->arrived_us), now_us - started,
+              outcome);
+}
+
+/// Send the end of an attempt and release it. It must be off the queue.
+static void
+request_end (agt_request_t *r, msg_outcome_t outcome, const char *reason,
+             uint64_t retry_after_ms)
+{
+  static const char *const names[]
+      = { "", "done", "not_run", "ran_failed", "unknown" };
+  agt_agent_t *agent = r->agent;
+  uint64_t now_us = tmr_now_us ();
+  static const clm_run_state_t run_states[]
+      = { 0, CLM_RUN_DONE, CLM_RUN_VOIDED, CLM_RUN_FAILED, CLM_RUN_FAILED };
+  clm_runner_note (&agent->claims, r->attempt, run_states[outcome],
+                   tmr_now_ms ());
+  msg_t msg = { .type = MSG_END };
+  msg.end = (msg_end_t){ .attempt = r->attempt,
+                         .seq = r->seq,
+                         .outcome = outcome,
+                         .http_status = (uint64_t)r->http_status,
+                         .retry_after_ms = retry_after_ms,
+                         .queue_us = (r->started_us ? r->started_us : now_us)
+                                     - r->arrived_us,
+                         .load_us = r->load_us,
+                         .run_us = r->started_us ? now_us - r->started_us : 0,
+                         .version = r->version,
+                         .adapter = kb_slice_str (r->model),
+                         .reason = kb_slice_str (reason) };
+  end_fill_load (agent, r->item.adapter, &msg.end);
+  dmn_send (agent->daemon, r->peer_name, &msg);
+  count_outcome (outcome);
+  export_spans (r, now_us, names[outcome]);
+  request_free (r);
+}
+
+void
+agt_run_refuse (agt_request_t *r, const char *reason, uint64_t retry_after_ms)
+{
+  sch_remove (&r->agent->queue, &r->item);
+  request_end (r, MSG_OUTCOME_NOT_RUN, reason, retry_after_ms);
+}
+
+/// Waiting for the adapter's load ends now.
+static void
+request_stop_stall (agt_request_t *r, uint64_t now_us)
+{
+  if (r->not_resident_since_us == 0)
+    return;
+  r->load_us += now_us - r->not_resident_since_us;
+  r->agent->stall_us_total += now_us - r->not_resident_since_us;
+  r->not_resident_since_us = 0;
+}
+
+static void
+run_over (agt_request_t *r)
+{
+  agt_agent_t *agent = r->agent;
+  uint64_t now_us = tmr_now_us ();
+  r->run = NULL;
+  sch_note_end (&agent->queue, &r->item, now_us);
+  double took_ms = (double)(now_us - r->started_us) / 1000;
+  agent->service_ms = agent->service_ms * 0.9 + took_ms * 0.1;
+}
+
+static void
+run_on_head (void *arg, int http_status, kb_slice_t content_type)
+{
+  agt_request_t *r = arg;
+  r->http_status = http_status;
+  kb_slice_copy (content_type, r->content_type, sizeof r->content_type);
+}
+
+static bool
+request_is_stream (const agt_request_t *r)
+{
+  return (r->flags & MSG_FLAG_STREAM) != 0 && r->http_status == 200
+         && strncmp (r->content_type, "text/event-stream", 17) == 0;
+}
+
+/// Check one event of a stream: the end mark, or a chunk that must name the
+/// adapter and version the request named.
+static bool
+event_is_good (agt_request_t *r, kb_slice_t event)
+{
+  const char prefix[] = "data:";
+  if (event.len_bytes < sizeof prefix - 1
+      || memcmp (event.ptr, prefix, sizeof prefix - 1) != 0)
+    return true; // A comment or another field.
+  event.ptr += sizeof prefix - 1;
+  event.len_bytes -= sizeof prefix - 1;
+  while (event.len_bytes > 0 && event.ptr[0] == ' ')
+    {
+      event.ptr++;
+      event.len_bytes--;
+    }
+  if (kb_slice_equal (event, kb_slice_str ("[DONE]")))
+    {
+      r->is_whole = true;
+      return true;
+    }
+  return oai_answer_check (event, r->model) == KB_OK;
+}
+
+/// Forward the whole events that have arrived.
+static void
+stream_forward (agt_request_t *r)
+{
+  size_t taken = 0;
+  while (!r->is_wrong_model)
+    {
+      char *start = r->answer.ptr + taken;
+      size_t left = r->answer.len_bytes - taken;
+      char *end = left > 1 ? memmem (start, left, "\n\n", 2) : NULL;
+      if (end == NULL)
+        break;
+      if (!event_is_good (r, (kb_slice_t){ start, (uint32_t)(end - start) }))
+        {
+          r->is_wrong_model = true;
+          break;
+        }
+      taken += (size_t)(end - start) + 2;
+    }
+  if (taken == 0)
+    return;
+  kb_slice_t ready = { r->answer.ptr, (uint32_t)taken };
+  if (r->claim_key != 0 && r->kept.len_bytes + taken <= ANSWER_MAX_BYTES)
+    kb_buf_append (&r->kept, ready.ptr, taken);
+  send_parts (r, ready);
+  kb_buf_consume (&r->answer, taken);
+}
+
+static void
+run_fail (agt_request_t *r, msg_outcome_t outcome, const char *reason)
+{
+  agt_agent_t *agent = r->agent;
+  run_over (r);
+  request_end (r, outcome, reason, 0);
+  agt_pump (agent);
+}
+
+static void
+run_on_body (void *arg, kb_slice_t bytes)
+{
+  agt_request_t *r = arg;
+  kb_buf_append (&r->answer, bytes.ptr, bytes.len_bytes);
+  size_t limit = ANSWER_MAX_BYTES;
+  if (request_is_stream (r))
+    {
+      stream_forward (r);
+      limit = STREAM_PENDING_MAX_BYTES;
+    }
+  if (!r->is_wrong_model && r->answer.len_bytes <= limit)
+    return;
+  r->agent->engine.vtable->cancel (&r->agent->engine, r->run);
+  run_fail (r, MSG_OUTCOME_RAN_FAILED,
+            r->is_wrong_model ? "the engine answered for another model"
+                              : "the answer is too large");
+}
+
+/// The engine does not know the adapter, though the table says it does: it
+/// restarted cold. Its protocol refuses such a request before any work, so
+/// the request goes back to the queue and the adapter is loaded again.
+static void
+run_again_after_cold (agt_request_t *r)
+{
+  agt_agent_t *agent = r->agent;
+  run_over (r);
+  slt_slot_t *slot = slt_find (&agent->slots, r->item.adapter);
+  if (slot != NULL && slot->pins == 0 && slot->state == SLT_RESIDENT)
+    slt_forget (&agent->slots, r->item.adapter);
+  MET_INC ("knapweedbay_cold_reruns_total", "");
+  r->reruns++;
+  r->started_us = 0;
+  r->http_status = 0;
+  kb_buf_clear (&r->answer);
+  r->not_resident_since_us = tmr_now_us ();
+  sch_add (&agent->queue, &r->item);
+  agt_engine_poll (agent);
+  agt_pump (agent);
+}
+
+static void
+run_finish_stream (agt_request_t *r)
+{
+  agt_agent_t *agent = r->agent;
+  if (!r->is_whole || r->answer.len_bytes > 0)
+    {
+      run_fail (r, MSG_OUTCOME_RAN_FAILED, "the engine cut its stream");
+      return;
+    }
+  run_over (r);
+  if (r->claim_key != 0)
+    clm_runner_keep_answer (&agent->claims, r->attempt, r->content_type,
+                            kb_buf_slice (&r->kept));
+  request_end (r, MSG_OUTCOME_DONE, "", 0);
+  agt_pump (agent);
+}
+
+static void
+run_finish_whole (agt_request_t *r)
+{
+  agt_agent_t *agent = r->agent;
+  kb_slice_t answer = kb_buf_slice (&r->answer);
+  bool is_model_answer
+      = (r->flags & MSG_FLAG_PLAIN) == 0 && r->http_status == 200;
+  if (is_model_answer && oai_answer_check (answer, r->model) != KB_OK)
+    {
+      run_fail (r, MSG_OUTCOME_RAN_FAILED,
+                "the engine's answer is cut or names another model");
+      return;
+    }
+  run_over (r);
+  send_parts (r, answer);
+  if (r->claim_key != 0 && r->http_status == 200)
+    clm_runner_keep_answer (&agent->claims, r->attempt, r->content_type,
+                            answer);
+  bool is_done = r->http_status < 500;
+  request_end (r, is_done ? MSG_OUTCOME_DONE : MSG_OUTCOME_RAN_FAILED,
+               is_done ? "" : "the target answered with an error", 0);
+  agt_pump (agent);
+}
+
+static void
+run_on_end (void *arg, htc_end_t end)
+{
+  agt_request_t *r = arg;
+  agt_agent_t *agent = r->agent;
+  if (end == HTC_END_NOT_SENT)
+    {
+      agent->is_engine_up = false;
+      run_fail (r, MSG_OUTCOME_NOT_RUN, "the target refuses connections");
+      return;
+    }
+  if (end != HTC_END_WHOLE)
+    {
+      run_fail (r, MSG_OUTCOME_UNKNOWN,
+                end == HTC_END_TIMEOUT ? "the target is silent"
+                                       : "the connection to the target broke");
+      return;
+    }
+  bool is_unknown_model
+      = r->http_status == HTTP_NOT_FOUND && (r->flags & MSG_FLAG_PLAIN) == 0;
+  if (is_unknown_model && r->reruns < RERUN_LIMIT)
+    run_again_after_cold (r);
+  else if (request_is_stream (r))
+    run_finish_stream (r);
+  else
+    run_finish_whole (r);
+}
+
+static const eng_run_events_t run_events
+    = { run_on_head, run_on_body, run_on_end };
+
+void
+agt_run_start (agt_agent_t *agent, agt_request_t *r)
+{
+  uint64_t now_us = tmr_now_us ();
+  request_stop_stall (r, now_us);
+  sch_note_run (&agent->queue, &r->item, now_us);
+  clm_runner_note (&agent->claims, r->attempt, CLM_RUN_STARTED, tmr_now_ms ());
+  r->started_us = now_us;
+  eng_run_request_t request
+      = { .method = r->method,
+          .path = r->path,
+          .body = kb_buf_slice (&r->body),
+          .traceparent = r->traceparent,
+          .idle_timeout_ms
+          = (uint64_t)agent->daemon->settings.engine_idle_timeout_ms };
+  r->run
+      = agent->engine.vtable->run (&agent->engine, &request, &run_events, r);
+}
+
+static agt_peer_t *
+peer_find (agt_agent_t *agent, kb_slice_t name)
+{
+  uint64_t id = kb_hash (name.ptr, name.len_bytes, 0);
+  for (uint32_t i = 0; i < agent->peer_count; i++)
+    if (agent->peers[i].id == id)
+      return &agent->peers[i];
+  return NULL;
+}
+
+static agt_request_t *
+request_new (agt_agent_t *agent, agt_peer_t *peer, const msg_dispatch_t *d)
+{
+  agt_request_t *r = kb_alloc (sizeof *r);
+  uint64_t now_us = tmr_now_us ();
+  r->agent = agent;
+  r->attempt = d->attempt;
+  r->claim_key = d->claim_key;
+  r->flags = d->flags;
+  r->peer = peer->id;
+  snprintf (r->peer_name, sizeof r->peer_name, "%s", peer->name);
+  r->version = d->version;
+  if ((d->flags & MSG_FLAG_PLAIN) == 0)
+    snprintf (r->model, sizeof r->model, "%.*s@%" PRIu64,
+              (int)d->adapter.len_bytes, d->adapter.ptr, d->version);
+  r->source = kb_slice_dup (d->source);
+  r->method = kb_slice_dup (d->method);
+  r->path = kb_slice_dup (d->path);
+  kb_buf_append (&r->body, d->body.ptr, d->body.len_bytes);
+  uint64_t random[2] = { dmn_random (), dmn_random () };
+  r->trace = trc_begin (d->traceparent, random);
+  trc_write_parent (&r->trace, r->traceparent);
+  r->arrived_us = now_us;
+  r->arrived_wall_us = tmr_wall_ms () * 1000;
+  r->item = (sch_item_t){
+    .adapter
+    = r->model[0] == '\0' ? 0 : kb_hash (r->model, strlen (r->model), 0) | 1,
+    .partner = kb_hash (d->partner.ptr, d->partner.len_bytes, 0),
+    .priority_class
+    = (uint8_t)(d->priority_class < SCH_CLASSES ? d->priority_class
+                                                : SCH_CLASSES - 1),
+    .weight = (uint32_t)d->weight,
+    .cost = (uint32_t)d->max_tokens,
+    .enqueued_us = now_us,
+    .deadline_us = now_us + d->deadline_ms * 1000
+  };
+  peer->inflight++;
+  kb_map_put (&agent->requests, r->attempt, r);
+  return r;
+}
+
+static void
+model_remember (agt_agent_t *agent, const agt_request_t *r)
+{
+  if (r->item.adapter == 0
+      || kb_map_get (&agent->models, r->item.adapter) != NULL)
+    return;
+  agt_model_t *model = kb_alloc (sizeof *model);
+  snprintf (model->model, sizeof model->model, "%s", r->model);
+  kb_map_put (&agent->models, r->item.adapter, model);
+}
+
+/// The kept answer of a key that ran here.
+static void
+answer_fetch (agt_agent_t *agent, kb_slice_t peer, const msg_dispatch_t *d)
+{
+  clm_run_t *run = clm_runner_find_key (&agent->claims, d->claim_key);
+  if (run == NULL || run->state != CLM_RUN_DONE || run->answer == NULL)
+    {
+      refuse_dispatch (agent, peer, d, "the answer is no longer kept", 0,
+                       MSG_OUTCOME_RAN_FAILED);
+      return;
+    }
+  msg_t msg = { .type = MSG_PART };
+  msg.part = (msg_part_t){ .attempt = d->attempt,
+                           .http_status = 200,
+                           .content_type = kb_slice_str (run->content_type),
+                           .data = { run->answer, run->answer_bytes } };
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+  msg = (msg_t){ .type = MSG_END };
+  msg.end = (msg_end_t){ .attempt = d->attempt,
+                         .seq = 1,
+                         .outcome = MSG_OUTCOME_DONE,
+                         .http_status = 200,
+                         .version = d->version,
+                         .adapter = d->adapter,
+                         .reason = kb_slice_str ("kept answer") };
+  end_fill_load (agent, 0, &msg.end);
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+}
+
+/// The worst waiting request, if the new one is of a better class.
+static agt_request_t *
+worse_than (agt_agent_t *agent, uint64_t priority_class)
+{
+  for (int c = SCH_CLASSES - 1; c > (int)priority_class; c--)
+    {
+      if (agent->queue.waiting_by_class[c] == 0)
+        continue;
+      for (sch_group_t *g = agent->queue.active; g != NULL; g = g->next)
+        if (g->tails[c] != NULL)
+          return (agt_request_t *)g->tails[c];
+    }
+  return NULL;
+}
+
+/// @return  Why the attempt cannot be taken, or NULL.
+static const char *
+admission_refusal (agt_agent_t *agent, const msg_dispatch_t *d,
+                   uint64_t *retry_after_ms)
+{
+  *retry_after_ms = REFUSE_RETRY_MS;
+  if (agent->state == MSG_STATE_LEAVING)
+    return "the target is leaving";
+  if (!agent->is_engine_up)
+    return "the target does not answer";
+  // An entry that was cut off keeps dispatching by an old configuration. It
+  // gets the time that a change may take everywhere, then no more.
+  if (d->revision < agent->revision
+      && tmr_now_ms () - agent->revision_since_ms > STALE_REVISION_MS)
+    return "the entry's configuration is stale";
+  if (agent->queue.waiting >= (uint32_t)agent->daemon->settings.queue_limit)
+    {
+      agt_request_t *worse = worse_than (agent, d->priority_class);
+      if (worse == NULL)
+        {
+          *retry_after_ms = agt_expected_wait_ms (agent);
+          return "the queue is full";
+        }
+      agt_run_refuse (worse, "the queue is full of better classes",
+                      agt_expected_wait_ms (agent));
+    }
+  return NULL;
+}
+
+static const char *
+claim_refusal (clm_admit_t admit)
+{
+  switch (admit)
+    {
+    case CLM_ADMIT_VOIDED:
+      return "the attempt was revoked";
+    case CLM_ADMIT_STALE_EPOCH:
+      return "the grant is of a former owner";
+    case CLM_ADMIT_FULL:
+      return "too many attempts are remembered";
+    default:
+      return NULL;
+    }
+}
+
+static void
+note_revision (agt_agent_t *agent, uint64_t revision)
+{
+  if (revision <= agent->revision)
+    return;
+  agent->revision = revision;
+  agent->revision_since_ms = tmr_now_ms ();
+}
+
+void
+agt_run_accept (agt_agent_t *agent, kb_slice_t peer_name,
+                const msg_dispatch_t *d)
+{
+  agt_peer_t *peer = peer_find (agent, peer_name);
+  if (peer == NULL || d->attempt == 0)
+    {
+      refuse_dispatch (agent, peer_name, d, "say hello first", REFUSE_RETRY_MS,
+                       MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  note_revision (agent, d->revision);
+  if (d->flags & MSG_FLAG_FETCH)
+    {
+      answer_fetch (agent, peer_name, d);
+      return;
+    }
+  uint64_t retry_after_ms;
+  const char *refusal = admission_refusal (agent, d, &retry_after_ms);
+  if (refusal != NULL)
+    {
+      refuse_dispatch (agent, peer_name, d, refusal, retry_after_ms,
+                       MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  if (d->claim_key != 0 && !agent->is_fence_known)
+    {
+      // An agent that no new owner can find on the roster must not run keyed
+      // work: its memory would be missing from a rebuild.
+      refuse_dispatch (agent, peer_name, d, "the agent is not registered yet",
+                       REFUSE_RETRY_MS, MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  clm_admit_t admit
+      = clm_runner_admit (&agent->claims, d->attempt, d->claim_key,
+                          d->claim_digest, d->claim_epoch, tmr_now_ms ());
+  if (admit == CLM_ADMIT_ALREADY)
+    {
+      MET_INC ("knapweedbay_duplicates_stopped_total", "");
+      refuse_dispatch (agent, peer_name, d, "this key or attempt ran here", 0,
+                       MSG_OUTCOME_UNKNOWN);
+      return;
+    }
+  if (admit != CLM_ADMIT_OK)
+    {
+      refuse_dispatch (agent, peer_name, d, claim_refusal (admit),
+                       REFUSE_RETRY_MS, MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  agt_request_t *r = request_new (agent, peer, d);
+  model_remember (agent, r);
+  slt_slot_t *slot = r->item.adapter == 0
+                         ? NULL
+                         : slt_find (&agent->slots, r->item.adapter);
+  bool is_resident = slot != NULL && slot->state == SLT_RESIDENT;
+  if (r->item.adapter != 0 && !is_resident)
+    r->not_resident_since_us = r->arrived_us;
+  sch_add (&agent->queue, &r->item);
+  // Refusing now leaves the caller time to try elsewhere; waiting until the
+  // deadline would not.
+  uint64_t wait_ms = agt_expected_wait_ms (agent);
+  if (wait_ms > d->deadline_ms)
+    {
+      agt_run_refuse (r, "the deadline cannot be met", wait_ms);
+      return;
+    }
+  agt_pump (agent);
+}
+
+void
+agt_run_cancel (agt_agent_t *agent, uint64_t attempt)
+{
+  agt_request_t *r = kb_map_get (&agent->requests, attempt);
+  if (r == NULL)
+    return;
+  if (!r->item.is_running)
+    {
+      agt_run_refuse (r, "cancelled by the entry", 0);
+      return;
+    }
+  // A call that may not be repeated must not be left half done: it finishes,
+  // and its outcome is remembered for a re-send.
+  if ((r->flags & MSG_FLAG_IDEMPOTENT) == 0)
+    return;
+  agent->engine.vtable->cancel (&agent->engine, r->run);
+  run_fail (r, MSG_OUTCOME_RAN_FAILED, "cancelled by the entry");
+}
+
+void
+agt_run_revoke (agt_agent_t *agent, kb_slice_t peer, const msg_revoke_t *v)
+{
+  msg_t msg = { .type = MSG_REVOKED };
+  msg.revoked
+      = (msg_revoked_t){ .attempt = v->attempt, .claim_key = v->claim_key };
+  if (v->incarnation != agent->daemon->incarnation)
+    {
+      // The attempt went to a process that is no more; that this one does
+      // not know it proves nothing.
+      msg.revoked.state = MSG_REVOKED_FOREIGN;
+      lnk_link_send (&agent->daemon->link, peer, &msg);
+      return;
+    }
+  switch (clm_runner_revoke (&agent->claims, v->attempt, tmr_now_ms ()))
+    {
+    case CLM_RUN_VOIDED:
+      msg.revoked.state = MSG_REVOKED_VOIDED;
+      break;
+    case CLM_RUN_DONE:
+      msg.revoked.state = MSG_REVOKED_DONE;
+      break;
+    case CLM_RUN_FAILED:
+      msg.revoked.state = MSG_REVOKED_FAILED;
+      break;
+    default:
+      msg.revoked.state = MSG_REVOKED_RUNNING;
+    }
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+}
+
+void
+agt_run_expire (agt_agent_t *agent)
+{
+  uint64_t now_us = tmr_now_us ();
+  sch_item_t *item;
+  while ((item = sch_first_late (&agent->queue, now_us)) != NULL)
+    agt_run_refuse ((agt_request_t *)item, "the deadline passed in the queue",
+                    REFUSE_RETRY_MS);
+}
+
+void
+agt_run_refuse_all (agt_agent_t *agent, const char *reason)
+{
+  while (agent->queue.active != NULL)
+    {
+      sch_group_t *group = agent->queue.active;
+      sch_item_t *first = NULL;
+      for (int c = 0; c < SCH_CLASSES && first == NULL; c++)
+        first = group->heads[c];
+      agt_run_refuse ((agt_request_t *)first, reason, REFUSE_RETRY_MS);
+    }
+}
+
+void
+agt_run_peer_lost (agt_agent_t *agent, uint64_t peer)
+{
+  uint64_t attempts[64];
+  uint32_t count;
+  do
+    {
+      count = 0;
+      uint32_t at = 0;
+      agt_request_t *r;
+      while (count < 64 && (r = kb_map_next (&agent->requests, &at)) != NULL)
+        if (r->peer == peer
+            && (!r->item.is_running || (r->flags & MSG_FLAG_IDEMPOTENT)))
+          attempts[count++] = r->attempt;
+      for (uint32_t i = 0; i < count; i++)
+        agt_run_cancel (agent, attempts[i]);
+    }
+  while (count == 64);
+}
--- /dev/null
+++ b/src/daemon/entry.c
@@ -0,0 +1,295 @@
+/// @file entry.c
+/// Wiring of the entry role: messages, ticks, the load gate, the drain.
+#include "daemon/entry.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "daemon/entry_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  TICK_MS = 100,
+  GATE_TICK_MS = 20,
+  FORGET_ADAPTERS_TICKS = 100,
+  ADAPTER_IDLE_MS = 3600000,
+  EXIT_FLUSH_MS = 200,
+};
+
+static void
+gate_pump (ent_entry_t *entry)
+{
+  const gat_wish_t *wish;
+  while ((wish = gat_next (&entry->gate, tmr_now_us ())) != NULL)
+    {
+      ent_vm_t *vm = kb_map_get (&entry->vms, wish->agent);
+      msg_t msg = { .type = MSG_GATE_GRANT };
+      msg.gate_grant.id = wish->id;
+      if (vm == NULL || dmn_send (entry->daemon, vm->name, &msg) != KB_OK)
+        gat_done (&entry->gate, wish->agent, wish->id);
+    }
+}
+
+static void
+on_gate_ask (ent_entry_t *entry, ent_vm_t *vm, const msg_gate_ask_t *ask)
+{
+  gat_ask (&entry->gate, vm->id, ask->id, (uint8_t)ask->priority_class,
+           (uint32_t)ask->waiting, tmr_now_us ());
+  gate_pump (entry);
+}
+
+static void
+on_announce (ent_entry_t *entry, kb_slice_t from, const msg_announce_t *a)
+{
+  ent_config_heard (entry, a->revision, from);
+}
+
+/// Messages that need a known sender.
+static void
+dispatch_from_vm (ent_entry_t *entry, ent_vm_t *vm, const msg_t *msg)
+{
+  switch (msg->type)
+    {
+    case MSG_PONG:
+      ent_members_pong (entry, vm, &msg->pong);
+      break;
+    case MSG_PART:
+      ent_request_part (entry, &msg->part);
+      break;
+    case MSG_END:
+      ent_request_end (entry, kb_slice_str (vm->name), &msg->end);
+      break;
+    case MSG_REVOKED:
+      ent_request_revoked (entry, &msg->revoked);
+      break;
+    case MSG_GATE_ASK:
+      on_gate_ask (entry, vm, &msg->gate_ask);
+      break;
+    case MSG_GATE_DONE:
+      gat_done (&entry->gate, vm->id, msg->gate_done.id);
+      gate_pump (entry);
+      break;
+    default:
+      MET_INC ("knapweedbay_inner_dropped_total", "reason=\"unexpected\"");
+    }
+}
+
+static void
+link_on_message (lnk_link_t *link, kb_slice_t from, const msg_t *msg)
+{
+  ent_entry_t *entry = ((dmn_daemon_t *)link->owner)->role_state;
+  ent_vm_t *vm = ent_vm_find (entry, from);
+  if (vm != NULL)
+    mem_vm_note_heard (&vm->mem, MEM_SAYS_NOTHING, tmr_now_ms ());
+  switch (msg->type)
+    {
+    case MSG_HELLO:
+      ent_members_hello (entry, from, &msg->hello);
+      break;
+    case MSG_PING:
+      ent_members_ping (entry, from, &msg->ping);
+      break;
+    case MSG_ANNOUNCE:
+      on_announce (entry, from, &msg->announce);
+      break;
+    case MSG_CONFIG_PULL:
+      ent_config_on_pull (entry, from, &msg->config_pull);
+      break;
+    case MSG_CONFIG_PART:
+      ent_config_on_part (entry, from, &msg->config_part);
+      break;
+    case MSG_CLAIM:
+      ent_claims_on_claim (entry, from, &msg->claim);
+      break;
+    case MSG_CLAIM_REPLY:
+      ent_claims_on_reply (entry, &msg->claim_reply);
+      break;
+    case MSG_CLAIM_NOTE:
+      ent_claims_on_note (entry, &msg->claim_note);
+      break;
+    case MSG_RECORDS:
+      ent_claims_on_records (entry, from, &msg->records);
+      break;
+    case MSG_RECOVER:
+      ent_claims_on_recover (entry, from, &msg->recover);
+      break;
+    default:
+      if (vm != NULL)
+        dispatch_from_vm (entry, vm, msg);
+      else
+        MET_INC ("knapweedbay_inner_dropped_total", "reason=\"no_hello\"");
+    }
+}
+
+static void
+link_on_disconnect (lnk_link_t *link, const char *address)
+{
+  ent_entry_t *entry = ((dmn_daemon_t *)link->owner)->role_state;
+  uint64_t key = kb_hash (address, strlen (address), 0) | 1;
+  ent_vm_t *vm = kb_map_get (&entry->vm_of_address, key);
+  if (vm == NULL)
+    return;
+  mem_vm_note_disconnect (&vm->mem);
+  ent_vm_update (entry, vm);
+  gat_drop_agent (&entry->gate, vm->id);
+}
+
+static void
+exit_now (void *arg)
+{
+  ent_entry_t *entry = arg;
+  dmn_exit (entry->daemon,
+            entry->request_count == 0 ? DMN_EXIT_OK : DMN_EXIT_CUT);
+}
+
+static void
+check_drain (ent_entry_t *entry, uint64_t now)
+{
+  if (!entry->daemon->is_draining || entry->exit_timer.heap_at != 0)
+    return;
+  uint64_t limit = (uint64_t)entry->daemon->settings.drain_limit_ms;
+  bool is_late = now - entry->drain_started_ms > limit;
+  bool is_done = entry->request_count == 0 && entry->is_handed_over;
+  if (!is_done && !is_late)
+    return;
+  if (!is_done)
+    log_write (LOG_ERROR, "daemon",
+               "The drain limit is reached with %u requests in progress.",
+               entry->request_count);
+  tmr_after (&entry->daemon->timers, &entry->exit_timer, EXIT_FLUSH_MS,
+             exit_now, entry);
+}
+
+static void
+tick (void *arg)
+{
+  ent_entry_t *entry = arg;
+  uint64_t now = tmr_now_ms ();
+  entry->ticks++;
+  ent_members_tick (entry, now);
+  ent_config_tick (entry, now);
+  ent_claims_tick (entry, now);
+  if (entry->ticks % FORGET_ADAPTERS_TICKS == 0 && now > ADAPTER_IDLE_MS)
+    rt_forget_idle (&entry->routes, now - ADAPTER_IDLE_MS);
+  met_set (met_counter ("knapweedbay_requests_in_progress", ""),
+           entry->request_count);
+  check_drain (entry, now);
+}
+
+static void
+gate_tick (void *arg)
+{
+  gate_pump (arg);
+}
+
+static void
+on_drain (dmn_daemon_t *daemon)
+{
+  ent_entry_t *entry = daemon->role_state;
+  entry->drain_started_ms = tmr_now_ms ();
+  ent_claims_hand_over (entry);
+}
+
+static void
+on_request (dmn_daemon_t *daemon, hts_request_t *request)
+{
+  ent_http_request (daemon->role_state, request);
+}
+
+static void
+on_abort (dmn_daemon_t *daemon, hts_request_t *request)
+{
+  if (request->owner != NULL)
+    ent_request_abort (request->owner);
+}
+
+static bool
+is_ready (dmn_daemon_t *daemon)
+{
+  ent_entry_t *entry = daemon->role_state;
+  return entry->config.current != NULL && entry->config.has_evidence;
+}
+
+static void
+write_vm (const ent_vm_t *vm, bool is_first, kb_buf_t *out)
+{
+  static const char *const states[] = { "down", "leaving", "up", "gone" };
+  kb_buf_printf (
+      out,
+      "%s{\"name\":\"%s\",\"role\":\"%s\",\"failure_domain\":\"%s\","
+      "\"service\":\"%s\",\"state\":\"%s\",\"revision\":%" PRIu64
+      ",\"queue\":%" PRIu64 ",\"running\":%" PRIu64
+      ",\"inflight\":%u,\"stall_ms_total\":%" PRIu64 ",\"step_fill\":%.3f}",
+      is_first ? "" : ",", vm->name, vm->is_entry ? "entry" : "agent",
+      vm->domain, vm->service, states[vm->state], vm->revision,
+      vm->report.queue_len, vm->report.running, vm->inflight,
+      vm->report.stall_us_total / 1000,
+      (double)vm->report.fill_permille / 1000);
+}
+
+static void
+write_status (dmn_daemon_t *daemon, kb_buf_t *out)
+{
+  ent_entry_t *entry = daemon->role_state;
+  const cfg_config_t *config = entry->config.current;
+  kb_buf_printf (out,
+                 ",\"revision\":%" PRIu64
+                 ",\"adapters\":%u,\"requests\":%u,\"shards_owned\":%u,"
+                 "\"claims\":%u,\"watcher\":%s,\"gate_wishes\":%u,\"vms\":[",
+                 ent_revision (entry), config ? config->adapter_count : 0,
+                 entry->request_count, ent_claims_owned (entry),
+                 entry->owner.records.len,
+                 entry->config.is_watcher ? "true" : "false", entry->gate.len);
+  uint32_t at = 0;
+  bool is_first = true;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    {
+      write_vm (vm, is_first, out);
+      is_first = false;
+    }
+  kb_buf_append_str (out, "]");
+}
+
+static const dmn_role_t entry_role
+    = { on_request, on_abort, on_drain, is_ready, write_status };
+static const lnk_events_t link_events
+    = { link_on_message, link_on_disconnect };
+
+kb_status_t
+ent_start (dmn_daemon_t *daemon, kb_error_t *error)
+{
+  enum
+  {
+    RETRY_MOST = 100,
+    GRANT_HOLD_US = 30000000
+  };
+  static ent_entry_t entry;
+  const set_settings_t *s = &daemon->settings;
+  entry.daemon = daemon;
+  entry.started_ms = tmr_now_ms ();
+  entry.mem_options
+      = (mem_options_t){ .silence_ms = (uint64_t)s->silence_ms,
+                         .gone_after_ms = (uint64_t)s->vm_gone_after_ms };
+  rt_options_t route_options;
+  rt_options_default (&route_options);
+  rt_table_init (&entry.routes, &route_options);
+  lim_retry_init (&entry.retries, 0.2, RETRY_MOST);
+  clm_owner_init (&entry.owner, (uint32_t)s->claim_limit,
+                  (uint64_t)s->claim_window_ms);
+  gat_options_t gate_options = { .rate_per_s = s->load_rate_per_s,
+                                 .concurrency = (uint32_t)s->load_concurrency,
+                                 .hold_limit_us = GRANT_HOLD_US };
+  gat_gate_init (&entry.gate, &gate_options, tmr_now_us ());
+  kb_status_t status
+      = dmn_init (daemon, &entry_role, &link_events, &entry, error);
+  if (status != KB_OK)
+    return status;
+  ent_members_start (&entry);
+  tmr_every (&daemon->timers, &entry.tick, TICK_MS, tick, &entry);
+  tmr_every (&daemon->timers, &entry.gate_timer, GATE_TICK_MS, gate_tick,
+             &entry);
+  return KB_OK;
+}
--- /dev/null
+++ b/src/daemon/entry_claims.c
@@ -0,0 +1,661 @@
+/// @file entry_claims.c
+/// Shard ownership at an entry: the shard map, takeovers, rebuilds and the
+/// claim messages. The decisions are in coordination/claim_owner.c.
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/entry_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  SETTLE_MS = 1500, ///< Wait after the start before shards are taken.
+  ASK_AGAIN_MS = 500,
+  EXPIRE_TICKS = 50,
+};
+
+static const char map_key[] = "kb/w/claims";
+
+static const char *
+own_name (const ent_entry_t *entry)
+{
+  return entry->daemon->settings.name;
+}
+
+static bool
+is_own (const ent_entry_t *entry, const ent_shard_t *shard)
+{
+  return shard->incarnation == entry->daemon->incarnation
+         && strcmp (shard->owner, own_name (entry)) == 0;
+}
+
+uint32_t
+ent_claims_owned (const ent_entry_t *entry)
+{
+  uint32_t owned = 0;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    owned += entry->owner.shards[s].state == CLM_SHARD_READY;
+  return owned;
+}
+
+static void
+map_write (const ent_shard_t *shards, kb_buf_t *out)
+{
+  kb_buf_append_str (out, "{\"shards\":[");
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    kb_buf_printf (
+        out, "%s{\"o\":\"%s\",\"i\":\"%016" PRIx64 "\",\"e\":%" PRIu64 "}",
+        s > 0 ? "," : "", shards[s].owner, shards[s].incarnation,
+        shards[s].epoch);
+  kb_buf_append_str (out, "]}");
+}
+
+static bool
+map_parse (kb_slice_t text, ent_shard_t *out)
+{
+  struct json_object *doc;
+  if (jsn_parse_text ("claims", text, &doc, NULL) != KB_OK)
+    return false;
+  struct json_object *list = jsn_get (doc, "shards");
+  bool is_good = json_object_is_type (list, json_type_array)
+                 && json_object_array_length (list) == CLM_SHARDS;
+  for (uint32_t s = 0; is_good && s < CLM_SHARDS; s++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, s);
+      snprintf (out[s].owner, sizeof out[s].owner, "%s",
+                jsn_str (item, "o", ""));
+      out[s].incarnation = strtoull (jsn_str (item, "i", "0"), NULL, 16);
+      out[s].epoch = (uint64_t)jsn_int (item, "e", 0);
+    }
+  json_object_put (doc);
+  return is_good;
+}
+
+static void
+merge_packed (ent_entry_t *entry, kb_slice_t records,
+              const clm_shard_state_t wanted)
+{
+  clm_record_t record;
+  uint64_t now = tmr_now_ms ();
+  while (clm_record_unpack (&records, &record))
+    if (entry->owner.shards[clm_shard (record.key)].state == wanted)
+      clm_owner_merge (&entry->owner, &record, now);
+}
+
+/// The former owner named us and sent its records before: the shard goes on
+/// without a rebuild.
+static bool
+shard_inherit (ent_entry_t *entry, uint32_t s)
+{
+  if (!entry->has_handover[s])
+    return false;
+  clm_owner_begin_rebuild (&entry->owner, s, entry->shards[s].epoch);
+  merge_packed (entry, kb_buf_slice (&entry->handover[s]),
+                CLM_SHARD_REBUILDING);
+  clm_owner_end_rebuild (&entry->owner, s, true, tmr_now_ms ());
+  kb_buf_finish (&entry->handover[s]);
+  entry->has_handover[s] = false;
+  return true;
+}
+
+void
+ent_claims_map_item (ent_entry_t *entry, const kvc_item_t *item)
+{
+  if (item->mod_revision == 0
+      || item->mod_revision <= entry->shards_mod_revision)
+    return;
+  if (!map_parse (item->value, entry->shards))
+    return;
+  entry->shards_mod_revision = item->mod_revision;
+  entry->is_map_known = true;
+  uint32_t lost = 0;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    {
+      clm_shard_t *shard = &entry->owner.shards[s];
+      if (is_own (entry, &entry->shards[s]))
+        {
+          if (shard->state == CLM_SHARD_FOREIGN)
+            shard_inherit (entry, s);
+          continue;
+        }
+      // Somebody took the shard over while this process stood still. Its
+      // grants die by their epoch; its table must go as well.
+      if (shard->state != CLM_SHARD_FOREIGN)
+        {
+          kb_buf_t dropped = { 0 };
+          clm_owner_release_shard (&entry->owner, s, &dropped);
+          kb_buf_finish (&dropped);
+          lost++;
+        }
+    }
+  if (lost > 0)
+    log_write (LOG_WARN, "claims", "%u shards were taken over by others.",
+               lost);
+}
+
+/// Whether the owner of a shard can never answer again. A timer alone never
+/// says so: its grants are fenced by the epoch, and a live owner is left
+/// alone.
+static bool
+owner_is_gone (ent_entry_t *entry, const ent_shard_t *shard, uint64_t now)
+{
+  if (shard->owner[0] == '\0')
+    return true;
+  if (strcmp (shard->owner, own_name (entry)) == 0)
+    return shard->incarnation != entry->daemon->incarnation;
+  ent_vm_t *vm = ent_vm_find (entry, kb_slice_str (shard->owner));
+  if (vm == NULL)
+    return entry->is_list_known
+           && now - entry->started_ms > entry->mem_options.gone_after_ms;
+  if (vm->state == MEM_GONE)
+    return true;
+  return vm->state == MEM_UP && vm->mem.incarnation != shard->incarnation;
+}
+
+static void rebuild_start (ent_entry_t *entry, const uint64_t *epochs);
+
+/// A compare-and-swap of the map under way.
+typedef struct
+{
+  ent_entry_t *entry;
+  ent_shard_t wanted[CLM_SHARDS];
+  uint64_t taken[CLM_SHARDS]; ///< New epochs; zero: not taken.
+} take_call_t;
+
+static void
+take_read_back (void *arg, kb_status_t status, const kvc_item_t *items,
+                uint32_t count)
+{
+  take_call_t *call = arg;
+  ent_entry_t *entry = call->entry;
+  entry->is_map_busy = false;
+  if (status == KB_OK && count > 0)
+    {
+      ent_claims_map_item (entry, &items[0]);
+      uint64_t epochs[CLM_SHARDS] = { 0 };
+      bool has_any = false;
+      for (uint32_t s = 0; s < CLM_SHARDS; s++)
+        if (call->taken[s] != 0 && is_own (entry, &entry->shards[s])
+            && entry->shards[s].epoch == call->taken[s])
+          {
+            epochs[s] = call->taken[s];
+            has_any = true;
+          }
+      if (has_any)
+        rebuild_start (entry, epochs);
+    }
+  free (call);
+}
+
+/// Won, lost or unknown: the map itself tells, by our name, incarnation and
+/// epoch in it.
+static void
+take_done (void *arg, kb_status_t status, const kvc_item_t *items,
+           uint32_t count)
+{
+  take_call_t *call = arg;
+  ent_entry_t *entry = call->entry;
+  if (status == KB_EUNAVAIL)
+    {
+      entry->is_map_busy = false;
+      free (call);
+      return;
+    }
+  kvc_get (&entry->daemon->kv, map_key, take_read_back, call);
+}
+
+/// Take the shards whose owner is gone and that fall to this entry.
+static void
+take_shards (ent_entry_t *entry, uint64_t now)
+{
+  take_call_t *call = kb_alloc (sizeof *call);
+  call->entry = entry;
+  memcpy (call->wanted, entry->shards, sizeof call->wanted);
+  bool has_any = false;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    {
+      bool is_lost_handover
+          = is_own (entry, &entry->shards[s])
+            && entry->owner.shards[s].state == CLM_SHARD_FOREIGN;
+      if (!is_lost_handover && !owner_is_gone (entry, &entry->shards[s], now))
+        continue;
+      const char *chosen = ent_members_choose (entry, s + 1, true);
+      if (strcmp (chosen, own_name (entry)) != 0)
+        continue;
+      ent_shard_t *wanted = &call->wanted[s];
+      snprintf (wanted->owner, sizeof wanted->owner, "%s", own_name (entry));
+      wanted->incarnation = entry->daemon->incarnation;
+      wanted->epoch++;
+      call->taken[s] = wanted->epoch;
+      has_any = true;
+    }
+  if (!has_any)
+    {
+      free (call);
+      return;
+    }
+  entry->is_map_busy = true;
+  kb_buf_t value = { 0 };
+  map_write (call->wanted, &value);
+  kvc_cas (&entry->daemon->kv, map_key, entry->shards_mod_revision,
+           kb_buf_slice (&value), take_done, call);
+  kb_buf_finish (&value);
+}
+
+static void
+rebuild_add_source (ent_rebuild_t *b, const char *name, bool is_entry,
+                    bool has_left)
+{
+  b->sources
+      = kb_realloc (b->sources, (b->source_count + 1) * sizeof *b->sources);
+  ent_rebuild_source_t *source = &b->sources[b->source_count++];
+  *source
+      = (ent_rebuild_source_t){ .is_entry = is_entry, .has_left = has_left };
+  snprintf (source->name, sizeof source->name, "%s", name);
+}
+
+static void
+rebuild_read_roster_item (ent_entry_t *entry, const kvc_item_t *item)
+{
+  struct json_object *record = NULL;
+  jsn_parse_text ("roster", item->value, &record, NULL);
+  const char *name = item->key + strlen ("kb/roster/");
+  bool has_left = strcmp (jsn_str (record, "state", ""), "left") == 0;
+  rebuild_add_source (&entry->rebuild, name, false, has_left);
+  json_object_put (record);
+}
+
+static void
+roster_got (void *arg, kb_status_t status, const kvc_item_t *items,
+            uint32_t count)
+{
+  ent_entry_t *entry = arg;
+  ent_rebuild_t *b = &entry->rebuild;
+  if (status != KB_OK || !b->is_active)
+    return; // The tick asks again.
+  b->source_count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    rebuild_read_roster_item (entry, &items[i]);
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    if (vm->is_entry && vm->state == MEM_UP)
+      rebuild_add_source (b, vm->name, true, false);
+  b->is_roster_known = true;
+  b->asked_ms = 0;
+}
+
+static void
+rebuild_start (ent_entry_t *entry, const uint64_t *epochs)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    if (epochs[s] != 0)
+      {
+        clm_owner_begin_rebuild (&entry->owner, s, epochs[s]);
+        b->epochs[s] = epochs[s];
+      }
+  b->is_active = true;
+  b->is_roster_known = false;
+  b->is_whole = true;
+  b->id = dmn_random () | 1;
+  b->started_ms = tmr_now_ms ();
+  b->asked_ms = b->started_ms;
+  kvc_range (&entry->daemon->kv, "kb/roster/", roster_got, entry);
+}
+
+/// @return  True when nothing more can come from this source.
+static bool
+source_is_settled (ent_entry_t *entry, ent_rebuild_source_t *source,
+                   uint64_t now)
+{
+  if (source->is_done || source->has_left)
+    return true;
+  ent_vm_t *vm = ent_vm_find (entry, kb_slice_str (source->name));
+  bool is_gone = vm == NULL ? entry->is_list_known
+                                  && now - entry->rebuild.started_ms
+                                         > entry->mem_options.gone_after_ms
+                            : vm->state == MEM_GONE;
+  if (!is_gone)
+    return false;
+  // Its memory is lost together with the former owner's.
+  if (!source->is_entry)
+    entry->rebuild.is_whole = false;
+  return true;
+}
+
+static void
+rebuild_ask (ent_entry_t *entry)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  msg_t msg = { .type = MSG_RECOVER };
+  msg.recover = (msg_recover_t){
+    .id = b->id, .epochs = { (const char *)b->epochs, sizeof b->epochs }
+  };
+  for (uint32_t i = 0; i < b->source_count; i++)
+    if (!b->sources[i].is_done)
+      dmn_send (entry->daemon, b->sources[i].name, &msg);
+}
+
+static void
+rebuild_tick (ent_entry_t *entry, uint64_t now)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  if (!b->is_roster_known)
+    {
+      if (now - b->asked_ms > ASK_AGAIN_MS)
+        {
+          b->asked_ms = now;
+          kvc_range (&entry->daemon->kv, "kb/roster/", roster_got, entry);
+        }
+      return;
+    }
+  bool is_settled = true;
+  for (uint32_t i = 0; i < b->source_count; i++)
+    is_settled &= source_is_settled (entry, &b->sources[i], now);
+  if (!is_settled)
+    {
+      if (now - b->asked_ms > ASK_AGAIN_MS)
+        {
+          b->asked_ms = now;
+          rebuild_ask (entry);
+        }
+      return;
+    }
+  uint32_t count = 0;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    if (b->epochs[s] != 0)
+      {
+        clm_owner_end_rebuild (&entry->owner, s, b->is_whole, now);
+        count++;
+      }
+  log_write (b->is_whole ? LOG_INFO : LOG_WARN, "claims",
+             "Owner of %u more shards after %" PRIu64 " ms%s.", count,
+             now - b->started_ms,
+             b->is_whole ? "" : "; unseen keys are unknown for a window");
+  free (b->sources);
+  *b = (ent_rebuild_t){ 0 };
+}
+
+static void
+expire (ent_entry_t *entry, uint64_t now)
+{
+  clm_owner_expire (&entry->owner, now);
+  for (uint32_t i = entry->inherited_count; i > 0; i--)
+    {
+      ent_inherited_t *item = &entry->inherited[i - 1];
+      if (now < item->expires_ms)
+        continue;
+      free (item->bytes);
+      *item = entry->inherited[--entry->inherited_count];
+    }
+}
+
+void
+ent_claims_tick (ent_entry_t *entry, uint64_t now_ms)
+{
+  met_set (met_counter ("knapweedbay_claim_shards_owned", ""),
+           ent_claims_owned (entry));
+  met_set (met_counter ("knapweedbay_claims_remembered", ""),
+           entry->owner.records.len);
+  if (entry->ticks % EXPIRE_TICKS == 0)
+    expire (entry, now_ms);
+  if (entry->rebuild.is_active)
+    {
+      rebuild_tick (entry, now_ms);
+      return;
+    }
+  bool may_take = entry->is_map_known && !entry->is_map_busy
+                  && !entry->daemon->is_draining && entry->is_list_known
+                  && now_ms - entry->started_ms > SETTLE_MS
+                  && entry->ticks % 10 == 0;
+  if (may_take)
+    take_shards (entry, now_ms);
+}
+
+void
+ent_claim_send (ent_request_t *r)
+{
+  ent_entry_t *entry = r->entry;
+  uint32_t s = clm_shard (r->claim_key);
+  clm_claim_t claim = { .key = r->claim_key,
+                        .digest = r->claim_digest,
+                        .attempt = r->attempt,
+                        .voided_attempt = r->voided_attempt,
+                        .incarnation = r->vm_incarnation,
+                        .runner = r->vm->name };
+  if (entry->owner.shards[s].state != CLM_SHARD_FOREIGN
+      || is_own (entry, &entry->shards[s])
+      || entry->shards[s].owner[0] == '\0')
+    {
+      clm_answer_t answer
+          = clm_owner_claim (&entry->owner, &claim, tmr_now_ms ());
+      const clm_record_t *record = answer.record;
+      ent_request_claimed (
+          r, answer.verdict, answer.epoch, record ? record->attempt : 0,
+          record ? record->incarnation : 0,
+          record ? record->state : CLM_GRANTED, record ? record->runner : "");
+      return;
+    }
+  msg_t msg = { .type = MSG_CLAIM };
+  msg.claim = (msg_claim_t){ .id = r->attempt,
+                             .claim_key = claim.key,
+                             .digest = claim.digest,
+                             .attempt = claim.attempt,
+                             .voided_attempt = claim.voided_attempt,
+                             .incarnation = claim.incarnation,
+                             .runner = kb_slice_str (claim.runner) };
+  if (dmn_send (entry->daemon, entry->shards[s].owner, &msg) != KB_OK)
+    ent_request_claimed (r, CLM_VERDICT_NOT_OWNER, 0, 0, 0, CLM_GRANTED, "");
+}
+
+static clm_state_t
+state_of_outcome (uint64_t outcome)
+{
+  return outcome >= CLM_GRANTED && outcome <= CLM_RELEASED
+             ? (clm_state_t)outcome
+             : CLM_UNKNOWN;
+}
+
+void
+ent_claim_note (ent_request_t *r, clm_state_t state)
+{
+  ent_entry_t *entry = r->entry;
+  uint32_t s = clm_shard (r->claim_key);
+  uint64_t attempt = r->attempt != 0 ? r->attempt : r->voided_attempt;
+  if (entry->owner.shards[s].state != CLM_SHARD_FOREIGN)
+    {
+      clm_owner_note (&entry->owner, r->claim_key, attempt, state,
+                      tmr_now_ms ());
+      return;
+    }
+  // A lost note costs a question to the runner later, no promise.
+  msg_t msg = { .type = MSG_CLAIM_NOTE };
+  msg.claim_note = (msg_claim_note_t){ .claim_key = r->claim_key,
+                                       .attempt = attempt,
+                                       .outcome = state };
+  dmn_send (entry->daemon, entry->shards[s].owner, &msg);
+}
+
+void
+ent_claims_on_claim (ent_entry_t *entry, kb_slice_t from, const msg_claim_t *m)
+{
+  char runner[CLM_NAME_BYTES];
+  kb_slice_copy (m->runner, runner, sizeof runner);
+  clm_claim_t claim = { .key = m->claim_key,
+                        .digest = m->digest,
+                        .attempt = m->attempt,
+                        .voided_attempt = m->voided_attempt,
+                        .incarnation = m->incarnation,
+                        .runner = runner };
+  if (claim.key == 0)
+    return;
+  clm_answer_t answer = clm_owner_claim (&entry->owner, &claim, tmr_now_ms ());
+  const clm_record_t *record = answer.record;
+  msg_t msg = { .type = MSG_CLAIM_REPLY };
+  msg.claim_reply
+      = (msg_claim_reply_t){ .id = m->id,
+                             .verdict = answer.verdict,
+                             .epoch = answer.epoch,
+                             .attempt = record ? record->attempt : 0,
+                             .incarnation = record ? record->incarnation : 0,
+                             .outcome = record ? record->state : 0,
+                             .runner
+                             = kb_slice_str (record ? record->runner : "") };
+  lnk_link_send (&entry->daemon->link, from, &msg);
+}
+
+void
+ent_claims_on_reply (ent_entry_t *entry, const msg_claim_reply_t *reply)
+{
+  ent_request_t *r = kb_map_get (&entry->by_attempt, reply->id);
+  if (r == NULL || r->stage != ENT_CLAIMING)
+    return;
+  char runner[CLM_NAME_BYTES];
+  kb_slice_copy (reply->runner, runner, sizeof runner);
+  tmr_cancel (&entry->daemon->timers, &r->retry);
+  ent_request_claimed (r, (clm_verdict_t)reply->verdict, reply->epoch,
+                       reply->attempt, reply->incarnation,
+                       state_of_outcome (reply->outcome), runner);
+}
+
+void
+ent_claims_on_note (ent_entry_t *entry, const msg_claim_note_t *note)
+{
+  clm_owner_note (&entry->owner, note->claim_key, note->attempt,
+                  state_of_outcome (note->outcome), tmr_now_ms ());
+}
+
+static void
+inherit_keep (ent_entry_t *entry, kb_slice_t records)
+{
+  if (entry->inherited_count == ENT_MAX_INHERITED || records.len_bytes == 0)
+    return;
+  entry->inherited[entry->inherited_count++] = (ent_inherited_t){
+    .bytes = kb_slice_dup (records),
+    .len_bytes = records.len_bytes,
+    .expires_ms
+    = tmr_now_ms () + (uint64_t)entry->daemon->settings.claim_window_ms
+  };
+}
+
+static void
+handover_keep (ent_entry_t *entry, const msg_records_t *records)
+{
+  if (records->id >= CLM_SHARDS)
+    return;
+  kb_buf_t *kept = &entry->handover[records->id];
+  kb_buf_clear (kept);
+  kb_buf_append (kept, records->records.ptr, records->records.len_bytes);
+  entry->has_handover[records->id] = true;
+}
+
+static void
+rebuild_take (ent_entry_t *entry, kb_slice_t from,
+              const msg_records_t *records)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  if (!b->is_active || records->id != b->id)
+    return;
+  merge_packed (entry, records->records, CLM_SHARD_REBUILDING);
+  for (uint32_t i = 0; i < b->source_count; i++)
+    {
+      ent_rebuild_source_t *source = &b->sources[i];
+      if (source->is_done
+          || !kb_slice_equal (kb_slice_str (source->name), from))
+        continue;
+      source->is_done = true;
+      uint64_t window = (uint64_t)entry->daemon->settings.claim_window_ms;
+      // A runner that lost its memory within the window cannot tell what it
+      // ran before, and the former owner cannot either.
+      if (!source->is_entry
+          && records->memory_since_wall_ms + window > tmr_wall_ms ())
+        b->is_whole = false;
+    }
+}
+
+void
+ent_claims_on_records (ent_entry_t *entry, kb_slice_t from,
+                       const msg_records_t *records)
+{
+  switch (records->purpose)
+    {
+    case MSG_RECORDS_INHERIT:
+      inherit_keep (entry, records->records);
+      break;
+    case MSG_RECORDS_HANDOVER:
+      handover_keep (entry, records);
+      break;
+    default:
+      rebuild_take (entry, from, records);
+    }
+}
+
+void
+ent_claims_on_recover (ent_entry_t *entry, kb_slice_t from,
+                       const msg_recover_t *recover)
+{
+  kb_buf_t all = { 0 };
+  for (uint32_t i = 0; i < entry->inherited_count; i++)
+    kb_buf_append (&all, entry->inherited[i].bytes,
+                   entry->inherited[i].len_bytes);
+  msg_t msg = { .type = MSG_RECORDS };
+  msg.records = (msg_records_t){ .id = recover->id,
+                                 .is_last = 1,
+                                 .purpose = MSG_RECORDS_REBUILD,
+                                 .records = kb_buf_slice (&all) };
+  lnk_link_send (&entry->daemon->link, from, &msg);
+  kb_buf_finish (&all);
+}
+
+static void
+handover_done (void *arg, kb_status_t status, const kvc_item_t *items,
+               uint32_t count)
+{
+  ent_entry_t *entry = arg;
+  entry->is_handed_over = true;
+  log_write (LOG_INFO, "claims", "Shards were handed over (%s).",
+             kb_status_name (status));
+}
+
+void
+ent_claims_hand_over (ent_entry_t *entry)
+{
+  ent_shard_t wanted[CLM_SHARDS];
+  memcpy (wanted, entry->shards, sizeof wanted);
+  bool has_any = false;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    {
+      const char *next = ent_members_choose (entry, s + 1, false);
+      bool is_certain
+          = entry->owner.shards[s].state == CLM_SHARD_READY
+            && entry->owner.shards[s].uncertain_until_ms < tmr_now_ms ();
+      if (!is_own (entry, &entry->shards[s]) || next == NULL || !is_certain)
+        continue;
+      ent_vm_t *vm = ent_vm_find (entry, kb_slice_str (next));
+      kb_buf_t records = { 0 };
+      clm_owner_release_shard (&entry->owner, s, &records);
+      msg_t msg = { .type = MSG_RECORDS };
+      msg.records = (msg_records_t){ .id = s,
+                                     .is_last = 1,
+                                     .purpose = MSG_RECORDS_HANDOVER,
+                                     .records = kb_buf_slice (&records) };
+      dmn_send (entry->daemon, next, &msg);
+      kb_buf_finish (&records);
+      snprintf (wanted[s].owner, sizeof wanted[s].owner, "%s", next);
+      wanted[s].incarnation = vm->mem.incarnation;
+      has_any = true;
+    }
+  if (!has_any)
+    {
+      entry->is_handed_over = true;
+      return;
+    }
+  kb_buf_t value = { 0 };
+  map_write (wanted, &value);
+  kvc_cas (&entry->daemon->kv, map_key, entry->shards_mod_revision,
+           kb_buf_slice (&value), handover_done, entry);
+  kb_buf_finish (&value);
+}
--- /dev/null
+++ b/src/daemon/entry_http.c
@@ -0,0 +1,400 @@
+/// @file entry_http.c
+/// The callers' side: checks a request and turns it into an ent_request_t.
+#include <inttypes.h>
+#include <openssl/sha.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/entry_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  HTTP_BAD_REQUEST = 400,
+  HTTP_UNAUTHORIZED = 401,
+  HTTP_NOT_FOUND = 404,
+  HTTP_METHOD = 405,
+  HTTP_TOO_MANY = 429,
+  HTTP_UNAVAILABLE = 503,
+  INFLIGHT_RETRY_MS = 1000,
+  KEY_MAX_BYTES = 255,
+};
+
+/// A refusal on its way to the caller.
+typedef struct
+{
+  int http_status;
+  uint64_t retry_after_ms;
+  char message[256];
+} refusal_t;
+
+static bool
+refuse (refusal_t *refusal, int http_status, const char *format, ...)
+{
+  refusal->http_status = http_status;
+  va_list args;
+  va_start (args, format);
+  vsnprintf (refusal->message, sizeof refusal->message, format, args);
+  va_end (args);
+  return false;
+}
+
+static bool
+has_prefix (kb_slice_t text, const char *prefix)
+{
+  size_t len = strlen (prefix);
+  return text.len_bytes >= len && memcmp (text.ptr, prefix, len) == 0;
+}
+
+static bool
+parse_bool (kb_slice_t text, bool fallback)
+{
+  if (kb_slice_equal (text, kb_slice_str ("true")))
+    return true;
+  if (kb_slice_equal (text, kb_slice_str ("false")))
+    return false;
+  return fallback;
+}
+
+/// A header that stands twice could be read one way here and another way
+/// behind, so it is refused.
+static bool
+check_single_headers (hts_request_t *http, refusal_t *refusal)
+{
+  static const char *const single[] = { "authorization",
+                                        "idempotency-key",
+                                        "x-knapweedbay-idempotent",
+                                        "x-knapweedbay-deadline-ms",
+                                        "content-length",
+                                        "traceparent" };
+  for (size_t i = 0; i < sizeof single / sizeof single[0]; i++)
+    if (hts_request_header_count (http, single[i]) > 1)
+      return refuse (refusal, HTTP_BAD_REQUEST,
+                     "header \"%s\" stands more than once", single[i]);
+  return true;
+}
+
+static const cfg_partner_t *
+authenticate (ent_entry_t *entry, hts_request_t *http)
+{
+  kb_slice_t header = hts_request_header (http, "authorization");
+  const char bearer[] = "Bearer ";
+  if (!has_prefix (header, bearer))
+    return NULL;
+  size_t skip = sizeof bearer - 1;
+  uint8_t digest[SHA256_DIGEST_LENGTH];
+  SHA256 ((const unsigned char *)header.ptr + skip, header.len_bytes - skip,
+          digest);
+  return cfg_partner_find (entry->config.current, digest);
+}
+
+static ent_partner_t *
+partner_limits (ent_entry_t *entry, const cfg_partner_t *partner)
+{
+  uint64_t id = kb_hash (partner->name, strlen (partner->name), 0) | 1;
+  ent_partner_t *limits = kb_map_get (&entry->partners, id);
+  if (limits == NULL)
+    {
+      limits = kb_alloc (sizeof *limits);
+      limits->id = id;
+      lim_bucket_init (&limits->bucket, partner->rate_per_s,
+                       partner->rate_per_s < 1 ? 1 : partner->rate_per_s,
+                       tmr_now_ms ());
+      kb_map_put (&entry->partners, id, limits);
+    }
+  // The configuration may have changed since.
+  limits->bucket.rate_per_s = partner->rate_per_s;
+  limits->bucket.burst = partner->rate_per_s < 1 ? 1 : partner->rate_per_s;
+  return limits;
+}
+
+static bool
+check_limits (ent_entry_t *entry, const cfg_partner_t *partner,
+              ent_partner_t *limits, refusal_t *refusal)
+{
+  if (entry->request_count >= (uint32_t)entry->daemon->settings.max_inflight)
+    {
+      refusal->retry_after_ms = INFLIGHT_RETRY_MS;
+      return refuse (refusal, HTTP_UNAVAILABLE, "the entry is full");
+    }
+  if (partner->max_inflight > 0 && limits->inflight >= partner->max_inflight)
+    {
+      refusal->retry_after_ms = INFLIGHT_RETRY_MS;
+      return refuse (refusal, HTTP_TOO_MANY,
+                     "partner \"%s\" has %u requests in progress",
+                     partner->name, limits->inflight);
+    }
+  if (!lim_bucket_take (&limits->bucket, tmr_now_ms (),
+                        &refusal->retry_after_ms))
+    return refuse (refusal, HTTP_TOO_MANY, "partner \"%s\" exceeds its rate",
+                   partner->name);
+  return true;
+}
+
+static bool
+read_deadline (ent_entry_t *entry, hts_request_t *http, ent_request_t *r,
+               refusal_t *refusal)
+{
+  const set_settings_t *s = &entry->daemon->settings;
+  uint64_t deadline = (uint64_t)s->default_deadline_ms;
+  kb_slice_t header = hts_request_header (http, "x-knapweedbay-deadline-ms");
+  if (header.len_bytes > 0)
+    {
+      char text[24];
+      char *end;
+      kb_slice_copy (header, text, sizeof text);
+      deadline = strtoull (text, &end, 10);
+      if (*end != '\0' || deadline == 0)
+        return refuse (refusal, HTTP_BAD_REQUEST,
+                       "\"x-knapweedbay-deadline-ms\" must be a number");
+    }
+  if (deadline > (uint64_t)s->max_deadline_ms)
+    deadline = (uint64_t)s->max_deadline_ms;
+  r->deadline_at_ms = tmr_now_ms () + deadline;
+  return true;
+}
+
+/// Repeatability and the idempotency key.
+static bool
+read_idempotency (hts_request_t *http, bool service_default, ent_request_t *r,
+                  refusal_t *refusal)
+{
+  bool is_idempotent = parse_bool (
+      hts_request_header (http, "x-knapweedbay-idempotent"), service_default);
+  if (is_idempotent)
+    r->flags |= MSG_FLAG_IDEMPOTENT;
+  kb_slice_t key = hts_request_header (http, "idempotency-key");
+  if (key.len_bytes == 0)
+    return true;
+  if (key.len_bytes > KEY_MAX_BYTES)
+    return refuse (refusal, HTTP_BAD_REQUEST,
+                   "\"idempotency-key\" is longer than %d bytes",
+                   KEY_MAX_BYTES);
+  uint64_t partner = kb_hash (r->partner, strlen (r->partner), 0);
+  r->claim_key = kb_hash (key.ptr, key.len_bytes, partner) | 1;
+  uint64_t seed = kb_hash (r->path, strlen (r->path), partner);
+  r->claim_digest = kb_hash (http->body.ptr, http->body.len_bytes, seed);
+  return true;
+}
+
+static bool
+read_completion (ent_entry_t *entry, const cfg_partner_t *partner,
+                 hts_request_t *http, ent_request_t *r, refusal_t *refusal)
+{
+  kb_error_t error = { 0 };
+  oai_request_t parsed;
+  struct json_object *doc;
+  if (oai_request_parse (http->body, &parsed, &doc, &error) != KB_OK)
+    return refuse (refusal, HTTP_BAD_REQUEST, "%s", error.message);
+  const cfg_config_t *config = entry->config.current;
+  const cfg_adapter_t *adapter
+      = cfg_adapter_find (config, kb_slice_str (parsed.adapter));
+  if (adapter == NULL)
+    {
+      json_object_put (doc);
+      return refuse (refusal, HTTP_NOT_FOUND, "unknown adapter \"%s\"",
+                     parsed.adapter);
+    }
+  r->version = parsed.version != 0 ? parsed.version : adapter->current;
+  const cfg_version_t *version = cfg_version_find (adapter, r->version);
+  if (version == NULL)
+    {
+      json_object_put (doc);
+      return refuse (refusal, HTTP_NOT_FOUND,
+                     "adapter \"%s\" has no version %" PRIu32, parsed.adapter,
+                     r->version);
+    }
+  const cfg_service_t *service = &config->services[adapter->service];
+  snprintf (r->service, sizeof r->service, "%s", service->name);
+  snprintf (r->adapter, sizeof r->adapter, "%s", adapter->name);
+  snprintf (r->model, sizeof r->model, "%s@%" PRIu32, adapter->name,
+            r->version);
+  r->adapter_id = kb_hash (r->model, strlen (r->model), 0) | 1;
+  r->source = kb_strdup (version->source);
+  r->max_tokens = parsed.max_tokens;
+  r->priority_class
+      = cfg_priority_class (config, partner, kb_slice_str (service->name),
+                            kb_slice_str (adapter->name));
+  r->flags |= parsed.is_stream ? MSG_FLAG_STREAM : 0;
+  oai_request_rewrite (doc, r->model, r->priority_class, &r->body);
+  json_object_put (doc);
+  return read_idempotency (http, service->is_idempotent, r, refusal);
+}
+
+/// "/v1/services/NAME/rest": the rest goes to the target.
+static bool
+read_plain (ent_entry_t *entry, const cfg_partner_t *partner,
+            hts_request_t *http, ent_request_t *r, refusal_t *refusal)
+{
+  const char prefix[] = "/v1/services/";
+  kb_slice_t rest = http->path;
+  rest.ptr += sizeof prefix - 1;
+  rest.len_bytes -= (uint32_t)(sizeof prefix - 1);
+  const char *slash = memchr (rest.ptr, '/', rest.len_bytes);
+  kb_slice_t name = rest;
+  if (slash != NULL)
+    name.len_bytes = (uint32_t)(slash - rest.ptr);
+  const cfg_config_t *config = entry->config.current;
+  const cfg_service_t *service = cfg_service_find (config, name);
+  if (service == NULL || !service->is_plain)
+    return refuse (refusal, HTTP_NOT_FOUND, "unknown plain service \"%.*s\"",
+                   (int)name.len_bytes, name.ptr);
+  snprintf (r->service, sizeof r->service, "%s", service->name);
+  r->flags |= MSG_FLAG_PLAIN;
+  free (r->path);
+  r->path = slash == NULL ? kb_strdup ("/")
+                          : kb_slice_dup ((kb_slice_t){
+                              slash, rest.len_bytes - name.len_bytes });
+  kb_buf_append (&r->body, http->body.ptr, http->body.len_bytes);
+  r->priority_class
+      = cfg_priority_class (config, partner, name, (kb_slice_t){ "", 0 });
+  // Reading calls may be repeated by their method; others as configured.
+  bool is_reading = kb_slice_equal (http->method, kb_slice_str ("GET"))
+                    || kb_slice_equal (http->method, kb_slice_str ("HEAD"));
+  return read_idempotency (http, is_reading || service->is_idempotent, r,
+                           refusal);
+}
+
+static bool
+read_request (ent_entry_t *entry, const cfg_partner_t *partner,
+              hts_request_t *http, ent_request_t *r, refusal_t *refusal)
+{
+  snprintf (r->partner, sizeof r->partner, "%s", partner->name);
+  r->weight = partner->weight;
+  r->method = kb_slice_dup (http->method);
+  r->path = kb_slice_dup (http->path);
+  if (!read_deadline (entry, http, r, refusal))
+    return false;
+  bool is_good = has_prefix (http->path, "/v1/services/")
+                     ? read_plain (entry, partner, http, r, refusal)
+                     : read_completion (entry, partner, http, r, refusal);
+  r->service_id = kb_hash (r->service, strlen (r->service), 0) | 1;
+  return is_good;
+}
+
+static void
+request_discard (ent_request_t *r)
+{
+  free (r->source);
+  free (r->method);
+  free (r->path);
+  kb_buf_finish (&r->body);
+  free (r);
+}
+
+static void
+reply_refusal (hts_request_t *http, const refusal_t *refusal)
+{
+  MET_INC ("knapweedbay_requests_total", "outcome=\"refused\"");
+  dmn_reply_error (http, refusal->http_status, "not_run", refusal->message,
+                   refusal->retry_after_ms);
+}
+
+static void
+handle_work (ent_entry_t *entry, hts_request_t *http)
+{
+  refusal_t refusal = { 0 };
+  if (entry->daemon->is_draining)
+    {
+      refuse (&refusal, HTTP_UNAVAILABLE, "this entry is shutting down");
+      refusal.retry_after_ms = 1;
+      reply_refusal (http, &refusal);
+      return;
+    }
+  if (entry->config.current == NULL)
+    {
+      refuse (&refusal, HTTP_UNAVAILABLE, "no configuration is in force yet");
+      refusal.retry_after_ms = INFLIGHT_RETRY_MS;
+      reply_refusal (http, &refusal);
+      return;
+    }
+  const cfg_partner_t *partner = NULL;
+  if (check_single_headers (http, &refusal))
+    {
+      partner = authenticate (entry, http);
+      if (partner == NULL)
+        refuse (&refusal, HTTP_UNAUTHORIZED,
+                "the partner key is missing or unknown");
+    }
+  ent_partner_t *limits
+      = partner == NULL ? NULL : partner_limits (entry, partner);
+  if (limits == NULL || !check_limits (entry, partner, limits, &refusal))
+    {
+      reply_refusal (http, &refusal);
+      return;
+    }
+  ent_request_t *r = kb_alloc (sizeof *r);
+  r->entry = entry;
+  if (!read_request (entry, partner, http, r, &refusal))
+    {
+      request_discard (r);
+      reply_refusal (http, &refusal);
+      return;
+    }
+  r->http = http;
+  http->owner = r;
+  r->limits = limits;
+  limits->inflight++;
+  r->arrived_us = tmr_now_us ();
+  r->arrived_wall_us = tmr_wall_ms () * 1000;
+  uint64_t random[2] = { dmn_random (), dmn_random () };
+  r->trace = trc_begin (hts_request_header (http, "traceparent"), random);
+  ent_request_start (r);
+}
+
+static void
+reply_models (ent_entry_t *entry, hts_request_t *http)
+{
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{\"object\":\"list\",\"data\":[");
+  const cfg_config_t *config = entry->config.current;
+  bool is_first = true;
+  for (uint32_t i = 0; config != NULL && i < config->adapter_count; i++)
+    {
+      const cfg_adapter_t *a = &config->adapters[i];
+      for (uint32_t v = 0; v < a->version_count; v++)
+        {
+          kb_buf_printf (&body,
+                         "%s{\"id\":\"%s@%" PRIu32
+                         "\",\"object\":\"model\",\"current\":%s}",
+                         is_first ? "" : ",", a->name, a->versions[v].number,
+                         a->versions[v].number == a->current ? "true"
+                                                             : "false");
+          is_first = false;
+        }
+    }
+  kb_buf_append_str (&body, "]}\n");
+  hts_reply (http, 200, "application/json", kb_buf_slice (&body));
+  kb_buf_finish (&body);
+}
+
+static bool
+path_is (const hts_request_t *http, const char *path)
+{
+  return kb_slice_equal (http->path, kb_slice_str (path));
+}
+
+void
+ent_http_request (ent_entry_t *entry, hts_request_t *http)
+{
+  if (path_is (http, "/v1/models"))
+    {
+      reply_models (entry, http);
+      return;
+    }
+  bool is_completion = path_is (http, "/v1/completions")
+                       || path_is (http, "/v1/chat/completions");
+  if (!is_completion && !has_prefix (http->path, "/v1/services/"))
+    {
+      dmn_reply_error (http, HTTP_NOT_FOUND, "not_run", "no such page", 0);
+      return;
+    }
+  if (is_completion && !kb_slice_equal (http->method, kb_slice_str ("POST")))
+    {
+      dmn_reply_error (http, HTTP_METHOD, "not_run", "use POST", 0);
+      return;
+    }
+  handle_work (entry, http);
+}
--- /dev/null
+++ b/src/daemon/entry_members.c
@@ -0,0 +1,366 @@
+/// @file entry_members.c
+/// Membership as an entry sees it: the platform's list, hellos, pings.
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/entry_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+#include "transport/plist.h"
+
+enum
+{
+  PING_BUSY_MS = 1000,  ///< To a target that has work of ours.
+  PING_IDLE_MS = 15000, ///< To any other daemon.
+  DOWN_GRACE_MS = 1000, ///< A connection may flap this long.
+  DOWN_FINAL_MS = 5000,
+};
+
+ent_vm_t *
+ent_vm_find (ent_entry_t *entry, kb_slice_t name)
+{
+  return kb_map_get (&entry->vms, kb_hash (name.ptr, name.len_bytes, 0) | 1);
+}
+
+static ent_vm_t *
+vm_get (ent_entry_t *entry, kb_slice_t name)
+{
+  ent_vm_t *vm = ent_vm_find (entry, name);
+  if (vm != NULL)
+    return vm;
+  vm = kb_alloc (sizeof *vm);
+  kb_slice_copy (name, vm->name, sizeof vm->name);
+  vm->id = kb_hash (name.ptr, name.len_bytes, 0) | 1;
+  vm->route = RT_NONE;
+  kb_map_put (&entry->vms, vm->id, vm);
+  return vm;
+}
+
+static rt_state_t
+route_state (mem_state_t state)
+{
+  switch (state)
+    {
+    case MEM_UP:
+      return RT_UP;
+    case MEM_LEAVING:
+      return RT_LEAVING;
+    default:
+      return RT_DOWN;
+    }
+}
+
+void
+ent_vm_update (ent_entry_t *entry, ent_vm_t *vm)
+{
+  uint64_t now = tmr_now_ms ();
+  mem_state_t state = mem_vm_state (&vm->mem, &entry->mem_options, now);
+  if (state != vm->state)
+    {
+      static const char *const names[] = { "down", "leaving", "up", "gone" };
+      log_write (LOG_INFO, "member", "%s is %s.", vm->name, names[state]);
+      bool is_down = state == MEM_DOWN || state == MEM_GONE;
+      vm->down_ms = is_down ? (vm->down_ms ? vm->down_ms : now) : 0;
+      vm->state = state;
+    }
+  if (vm->route == RT_NONE)
+    return;
+  rt_target_set_state (&entry->routes, vm->route, route_state (state));
+  if (state == MEM_GONE)
+    {
+      rt_target_remove (&entry->routes, vm->route);
+      vm->route = RT_NONE;
+    }
+}
+
+static void
+hello_fill (ent_entry_t *entry, bool is_reply, msg_t *msg)
+{
+  const set_settings_t *s = &entry->daemon->settings;
+  *msg = (msg_t){ .type = MSG_HELLO };
+  msg->hello
+      = (msg_hello_t){ .name = kb_slice_str (s->name),
+                       .role = SET_ROLE_ENTRY,
+                       .incarnation = entry->daemon->incarnation,
+                       .failure_domain = kb_slice_str (s->failure_domain),
+                       .revision = ent_revision (entry),
+                       .state = entry->daemon->is_draining ? MSG_STATE_LEAVING
+                                                           : MSG_STATE_LIVE,
+                       .is_reply = is_reply };
+}
+
+static void
+vm_add_route (ent_entry_t *entry, ent_vm_t *vm, const msg_hello_t *hello)
+{
+  kb_slice_copy (hello->service, vm->service, sizeof vm->service);
+  uint64_t service = kb_hash (vm->service, strlen (vm->service), 0) | 1;
+  uint64_t domain = kb_hash (vm->domain, strlen (vm->domain), 0);
+  vm->route = rt_target_add (&entry->routes, vm->id, service, domain,
+                             (uint32_t)hello->max_batch);
+  if (vm->route == RT_NONE)
+    log_write (LOG_ERROR, "member", "No place for target %s.", vm->name);
+}
+
+void
+ent_members_hello (ent_entry_t *entry, kb_slice_t from,
+                   const msg_hello_t *hello)
+{
+  ent_vm_t *vm = vm_get (entry, from);
+  uint64_t now = tmr_now_ms ();
+  uint64_t former = vm->mem.incarnation;
+  bool was_silent = vm->mem.says == MEM_SAYS_NOTHING;
+  mem_says_t says
+      = hello->state == MSG_STATE_LEAVING ? MEM_SAYS_LEAVING : MEM_SAYS_LIVE;
+  bool is_new = mem_vm_note_hello (&vm->mem, hello->incarnation, says, now);
+  vm->is_entry = hello->role == SET_ROLE_ENTRY;
+  vm->revision = hello->revision;
+  vm->memory_since_wall_ms = hello->memory_since_wall_ms;
+  kb_slice_copy (hello->failure_domain, vm->domain, sizeof vm->domain);
+  if (!vm->is_entry)
+    vm_add_route (entry, vm, hello);
+  if (is_new && former != 0 && !vm->is_entry)
+    {
+      log_write (LOG_WARN, "member", "%s was restarted.", vm->name);
+      clm_owner_runner_lost (&entry->owner, vm->name, former, now);
+      ent_request_vm_lost (entry, vm, true);
+      if (vm->route != RT_NONE)
+        rt_note_cold (&entry->routes, vm->route);
+    }
+  else if (was_silent && !vm->is_entry)
+    ent_request_vm_back (entry, vm);
+  ent_vm_update (entry, vm);
+  ent_config_heard (entry, hello->revision,
+                    vm->is_entry ? from : (kb_slice_t){ "", 0 });
+  if (hello->is_reply)
+    return;
+  msg_t msg;
+  hello_fill (entry, true, &msg);
+  lnk_link_send (&entry->daemon->link, from, &msg);
+}
+
+void
+ent_members_ping (ent_entry_t *entry, kb_slice_t from, const msg_ping_t *ping)
+{
+  ent_config_heard (entry, ping->revision, from);
+  msg_t msg = { .type = MSG_PONG };
+  msg.pong
+      = (msg_pong_t){ .stamp_us = ping->stamp_us,
+                      .revision = ent_revision (entry),
+                      .state = entry->daemon->is_draining ? MSG_STATE_LEAVING
+                                                          : MSG_STATE_LIVE };
+  lnk_link_send (&entry->daemon->link, from, &msg);
+}
+
+void
+ent_members_pong (ent_entry_t *entry, ent_vm_t *vm, const msg_pong_t *pong)
+{
+  vm->report = *pong;
+  vm->revision = pong->revision;
+  if (vm->route != RT_NONE)
+    rt_note_load (&entry->routes, vm->route, (uint32_t)pong->queue_len,
+                  (uint32_t)pong->running, (uint32_t)pong->expected_wait_ms,
+                  tmr_now_ms ());
+  if (pong->state == MSG_STATE_LEAVING)
+    vm->mem.says = MEM_SAYS_LEAVING;
+  ent_vm_update (entry, vm);
+  ent_config_heard (entry, pong->revision,
+                    vm->is_entry ? kb_slice_str (vm->name)
+                                 : (kb_slice_t){ "", 0 });
+}
+
+static bool
+is_self (const ent_entry_t *entry, const char *name)
+{
+  return strcmp (name, entry->daemon->settings.name) == 0;
+}
+
+/// Of two entries the one with the smaller name opens the connection, so that
+/// there is one connection between them and not two under one name.
+static bool
+connects_to (const ent_entry_t *entry, const pls_vm_t *vm, bool is_entry)
+{
+  return !is_entry || strcmp (entry->daemon->settings.name, vm->name) < 0;
+}
+
+static void
+vm_connect (ent_entry_t *entry, ent_vm_t *vm, const pls_vm_t *listed)
+{
+  const set_settings_t *s = &entry->daemon->settings;
+  if (vm->is_connecting && strcmp (vm->address, listed->address) == 0)
+    return;
+  if (vm->is_connecting)
+    {
+      lnk_link_disconnect (&entry->daemon->link, vm->address);
+      kb_map_remove (&entry->vm_of_address,
+                     kb_hash (vm->address, strlen (vm->address), 0) | 1);
+    }
+  snprintf (vm->address, sizeof vm->address, "%s", listed->address);
+  const char *key = vm->is_entry ? s->curve_entry_key : s->curve_agent_key;
+  vm->is_connecting
+      = lnk_link_connect (&entry->daemon->link, vm->address, key) == KB_OK;
+  kb_map_put (&entry->vm_of_address,
+              kb_hash (vm->address, strlen (vm->address), 0) | 1, vm);
+}
+
+static void
+note_listed (ent_entry_t *entry, const pls_vm_t *listed)
+{
+  if (is_self (entry, listed->name))
+    return;
+  ent_vm_t *vm = vm_get (entry, kb_slice_str (listed->name));
+  bool is_entry = strcmp (listed->role, "entry") == 0;
+  vm->is_entry = is_entry;
+  if (vm->domain[0] == '\0')
+    snprintf (vm->domain, sizeof vm->domain, "%s", listed->failure_domain);
+  mem_vm_note_listed (
+      &vm->mem, listed->is_leaving ? MEM_LISTED_LEAVING : MEM_LISTED_LIVE,
+      tmr_now_ms ());
+  if (connects_to (entry, listed, is_entry))
+    vm_connect (entry, vm, listed);
+  ent_vm_update (entry, vm);
+}
+
+static bool
+list_has (const pls_vm_t *vms, uint32_t count, const char *name)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (vms[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+static void
+list_done (void *arg, const pls_vm_t *vms, uint32_t count)
+{
+  ent_entry_t *entry = arg;
+  if (vms == NULL)
+    {
+      // A list that cannot be read says nothing about any VM.
+      MET_INC ("knapweedbay_list_failures_total", "");
+      return;
+    }
+  entry->is_list_known = true;
+  for (uint32_t i = 0; i < count; i++)
+    note_listed (entry, &vms[i]);
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    if (!list_has (vms, count, vm->name))
+      {
+        mem_vm_note_listed (&vm->mem, MEM_LISTED_ABSENT, tmr_now_ms ());
+        ent_vm_update (entry, vm);
+      }
+}
+
+static void
+list_poll (void *arg)
+{
+  ent_entry_t *entry = arg;
+  const set_settings_t *s = &entry->daemon->settings;
+  pls_read (&entry->daemon->http, s->list_address, (uint16_t)s->list_port,
+            (uint64_t)s->kv_timeout_ms, list_done, entry);
+}
+
+void
+ent_members_start (ent_entry_t *entry)
+{
+  list_poll (entry);
+  tmr_every (&entry->daemon->timers, &entry->list_timer,
+             (uint64_t)entry->daemon->settings.list_poll_ms, list_poll, entry);
+}
+
+static void
+vm_say_hello (ent_entry_t *entry, ent_vm_t *vm)
+{
+  msg_t msg;
+  hello_fill (entry, false, &msg);
+  dmn_send (entry->daemon, vm->name, &msg);
+}
+
+static void
+vm_ping (ent_entry_t *entry, ent_vm_t *vm, uint64_t now)
+{
+  uint64_t period = vm->inflight > 0 ? PING_BUSY_MS : PING_IDLE_MS;
+  uint64_t since_heard = now - vm->mem.heard_ms;
+  bool is_due = now - vm->ping_ms >= period
+                && (since_heard >= period || vm->mem.pinged_ms != 0);
+  if (!is_due)
+    return;
+  vm->ping_ms = now;
+  msg_t msg = { .type = MSG_PING };
+  msg.ping = (msg_ping_t){ .stamp_us = tmr_now_us (),
+                           .revision = ent_revision (entry),
+                           .target_count = entry->routes.by_id.len };
+  dmn_send (entry->daemon, vm->name, &msg);
+  if (vm->mem.pinged_ms == 0)
+    vm->mem.pinged_ms = now;
+}
+
+static void
+vm_tick (ent_entry_t *entry, ent_vm_t *vm, uint64_t now)
+{
+  ent_vm_update (entry, vm);
+  if (vm->mem.says == MEM_SAYS_NOTHING && vm->is_connecting)
+    vm_say_hello (entry, vm);
+  else if (vm->mem.says != MEM_SAYS_NOTHING)
+    vm_ping (entry, vm, now);
+  if (vm->down_ms == 0 || vm->is_entry || vm->inflight == 0)
+    return;
+  if (now - vm->down_ms > DOWN_FINAL_MS)
+    ent_request_vm_lost (entry, vm, true);
+  else if (now - vm->down_ms > DOWN_GRACE_MS)
+    ent_request_vm_lost (entry, vm, false);
+}
+
+/// Drop VMs that are gone for good.
+static void
+forget_gone (ent_entry_t *entry)
+{
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    if (vm->state == MEM_GONE && vm->inflight == 0)
+      break;
+  if (vm == NULL)
+    return;
+  if (vm->is_connecting)
+    lnk_link_disconnect (&entry->daemon->link, vm->address);
+  kb_map_remove (&entry->vm_of_address,
+                 kb_hash (vm->address, strlen (vm->address), 0) | 1);
+  clm_owner_runner_lost (&entry->owner, vm->name, vm->mem.incarnation,
+                         tmr_now_ms ());
+  kb_map_remove (&entry->vms, vm->id);
+  free (vm);
+}
+
+void
+ent_members_tick (ent_entry_t *entry, uint64_t now_ms)
+{
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    vm_tick (entry, vm, now_ms);
+  forget_gone (entry);
+}
+
+const char *
+ent_members_choose (ent_entry_t *entry, uint64_t key, bool with_self)
+{
+  const char *own = entry->daemon->settings.name;
+  const char *best = with_self ? own : NULL;
+  uint64_t own_id = kb_hash (own, strlen (own), 0) | 1;
+  uint64_t best_weight = with_self ? kb_hash (&own_id, sizeof own_id, key) : 0;
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    {
+      if (!vm->is_entry || vm->state != MEM_UP)
+        continue;
+      uint64_t weight = kb_hash (&vm->id, sizeof vm->id, key);
+      if (best != NULL && weight <= best_weight)
+        continue;
+      best = vm->name;
+      best_weight = weight;
+    }
+  return best;
+}
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,85 @@
+/// @file main.c
+/// Entry file of knapweedbayd: reads the command line and the settings and
+/// starts the role.
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/agent.h"
+#include "daemon/daemon.h"
+#include "daemon/entry.h"
+
+static const char version_text[] = "knapweedbayd 0.1.0";
+
+static int
+run_role (const char *path, bool only_check)
+{
+  static dmn_daemon_t daemon;
+  kb_error_t error = { 0 };
+  if (set_load_file (path, &daemon.settings, &error) != KB_OK)
+    {
+      fprintf (stderr, "knapweedbayd: %s\n", error.message);
+      return DMN_EXIT_SETTINGS;
+    }
+  if (only_check)
+    {
+      printf ("%s: ok\n", path);
+      return DMN_EXIT_OK;
+    }
+  kb_status_t status = daemon.settings.role == SET_ROLE_ENTRY
+                           ? ent_start (&daemon, &error)
+                           : agt_start (&daemon, &error);
+  if (status != KB_OK)
+    {
+      fprintf (stderr, "knapweedbayd: %s\n", error.message);
+      return status == KB_EINVAL ? DMN_EXIT_SETTINGS : DMN_EXIT_START;
+    }
+  return dmn_run (&daemon);
+}
+
+static void
+print_reference (void)
+{
+  kb_buf_t out = { 0 };
+  set_write_reference (&out);
+  fputs (out.ptr, stdout);
+  kb_buf_finish (&out);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "show this help");
+  struct arg_lit *version = arg_lit0 ("V", "version", "show the version");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check", "check the settings and stop");
+  struct arg_lit *reference
+      = arg_lit0 (NULL, "settings-reference", "print all settings");
+  struct arg_file *settings = arg_file0 (NULL, NULL, "SETTINGS",
+                                         "settings file, JSON with comments");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, version, check, reference, settings, end };
+  int errors = arg_parse (argc, argv, table);
+  int code = DMN_EXIT_OK;
+  if (help->count > 0)
+    {
+      printf ("Usage: knapweedbayd");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-24s %s\n");
+    }
+  else if (version->count > 0)
+    puts (version_text);
+  else if (reference->count > 0)
+    print_reference ();
+  else if (errors > 0 || settings->count == 0)
+    {
+      arg_print_errors (stderr, end, "knapweedbayd");
+      fprintf (stderr, "Usage: knapweedbayd");
+      arg_print_syntax (stderr, table, "\n");
+      code = DMN_EXIT_SETTINGS;
+    }
+  else
+    code = run_role (settings->filename[0], check->count > 0);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return code;
+}
--- /dev/null
+++ b/src/protocol/cfgbuild.h
@@ -0,0 +1,18 @@
+/// @file cfgbuild.h
+/// Builds the configuration in force from the merged document and checks
+/// every reference in it.
+#ifndef KB_PROTOCOL_CFGBUILD_H
+#define KB_PROTOCOL_CFGBUILD_H
+
+#include "protocol/json.h"
+#include "state/config.h"
+
+/// @param merged   Object with the sections services, adapters, partners and
+///                 rules.
+/// @param origins  Hash of section and item to the file that set it, for
+///                 messages.
+kb_status_t cfgb_build (struct json_object *merged, const kb_map_t *origins,
+                        uint64_t revision, cfg_config_t *out,
+                        kb_error_t *error);
+
+#endif
--- /dev/null
+++ b/src/protocol/json.c
@@ -0,0 +1,282 @@
+#include "protocol/json.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "state/map.h"
+
+enum
+{
+  JSON_MAX_DEPTH = 32,
+  JSON_FILE_MAX_BYTES = 16 << 20
+};
+
+static uint32_t
+json_line_at (kb_slice_t text, size_t offset)
+{
+  uint32_t line = 1;
+  for (size_t i = 0; i < offset && i < text.len_bytes; i++)
+    if (text.ptr[i] == '\n')
+      line++;
+  return line;
+}
+
+/// State of the scan for doubled keys.
+typedef struct
+{
+  kb_slice_t text;
+  size_t at;
+  kb_map_t keys;    ///< Hash of object serial and key.
+  uint64_t serials; ///< Objects seen.
+  uint64_t serial[JSON_MAX_DEPTH + 1];
+  bool is_object[JSON_MAX_DEPTH + 1];
+  uint32_t depth;
+} json_scan_t;
+
+static void
+scan_skip_comment (json_scan_t *s)
+{
+  const char *p = s->text.ptr;
+  if (s->at + 1 >= s->text.len_bytes)
+    {
+      s->at++;
+      return;
+    }
+  if (p[s->at + 1] == '/')
+    {
+      while (s->at < s->text.len_bytes && p[s->at] != '\n')
+        s->at++;
+      return;
+    }
+  s->at += 2;
+  while (s->at + 1 < s->text.len_bytes
+         && !(p[s->at] == '*' && p[s->at + 1] == '/'))
+    s->at++;
+  s->at += 2;
+}
+
+/// @return  The content of the string literal that starts at `at`.
+static kb_slice_t
+scan_string (json_scan_t *s)
+{
+  size_t start = ++s->at;
+  while (s->at < s->text.len_bytes && s->text.ptr[s->at] != '"')
+    s->at += s->text.ptr[s->at] == '\\' ? 2 : 1;
+  size_t end = s->at < s->text.len_bytes ? s->at : s->text.len_bytes;
+  s->at++;
+  return (kb_slice_t){ s->text.ptr + start, (uint32_t)(end - start) };
+}
+
+static bool
+scan_is_key (json_scan_t *s)
+{
+  size_t look = s->at;
+  while (look < s->text.len_bytes
+         && (s->text.ptr[look] == ' ' || s->text.ptr[look] == '\t'
+             || s->text.ptr[look] == '\n' || s->text.ptr[look] == '\r'))
+    look++;
+  return look < s->text.len_bytes && s->text.ptr[look] == ':';
+}
+
+/// @return  False when the key stands twice in its object.
+static bool
+scan_add_key (json_scan_t *s, kb_slice_t key)
+{
+  uint64_t hash = kb_hash (key.ptr, key.len_bytes, s->serial[s->depth]) | 1;
+  if (kb_map_get (&s->keys, hash) != NULL)
+    return false;
+  kb_map_put (&s->keys, hash, s);
+  return true;
+}
+
+static bool
+scan_open (json_scan_t *s, bool is_object)
+{
+  if (s->depth == JSON_MAX_DEPTH)
+    return false;
+  s->depth++;
+  s->serial[s->depth] = ++s->serials;
+  s->is_object[s->depth] = is_object;
+  return true;
+}
+
+/// Look for a doubled key in a text that json-c has already accepted.
+static kb_status_t
+json_check_keys (const char *name, kb_slice_t text, kb_error_t *error)
+{
+  json_scan_t s = { .text = text };
+  kb_status_t status = KB_OK;
+  while (s.at < text.len_bytes && status == KB_OK)
+    {
+      char c = text.ptr[s.at];
+      if (c == '/')
+        scan_skip_comment (&s);
+      else if (c == '"')
+        {
+          size_t start = s.at;
+          kb_slice_t key = scan_string (&s);
+          if (s.depth > 0 && s.is_object[s.depth] && scan_is_key (&s)
+              && !scan_add_key (&s, key))
+            status = kb_error_set (
+                error, KB_EINVAL, "%s:%u: key \"%.*s\" stands twice", name,
+                json_line_at (text, start), (int)key.len_bytes, key.ptr);
+        }
+      else
+        {
+          if ((c == '{' || c == '[') && !scan_open (&s, c == '{'))
+            status = kb_error_set (error, KB_EINVAL, "%s:%u: nested too deep",
+                                   name, json_line_at (text, s.at));
+          if ((c == '}' || c == ']') && s.depth > 0)
+            s.depth--;
+          s.at++;
+        }
+    }
+  kb_map_finish (&s.keys);
+  return status;
+}
+
+kb_status_t
+jsn_parse_text (const char *name, kb_slice_t text, struct json_object **out,
+                kb_error_t *error)
+{
+  *out = NULL;
+  struct json_tokener *tok = json_tokener_new_ex (JSON_MAX_DEPTH);
+  struct json_object *obj
+      = json_tokener_parse_ex (tok, text.ptr, (int)text.len_bytes);
+  enum json_tokener_error parse_error = json_tokener_get_error (tok);
+  size_t end = json_tokener_get_parse_end (tok);
+  json_tokener_free (tok);
+  if (parse_error != json_tokener_success)
+    {
+      const char *reason = parse_error == json_tokener_continue
+                               ? "the text ends too early"
+                               : json_tokener_error_desc (parse_error);
+      json_object_put (obj);
+      return kb_error_set (error, KB_EINVAL, "%s:%u: %s", name,
+                           json_line_at (text, end), reason);
+    }
+  for (size_t i = end; i < text.len_bytes; i++)
+    {
+      char c = text.ptr[i];
+      if (c == '/')
+        {
+          json_scan_t rest = { .text = text, .at = i };
+          scan_skip_comment (&rest);
+          i = rest.at - 1;
+          continue;
+        }
+      if (c == ' ' || c == '\n' || c == '\r' || c == '\t')
+        continue;
+      json_object_put (obj);
+      return kb_error_set (error, KB_EINVAL,
+                           "%s:%u: something stands after the document", name,
+                           json_line_at (text, i));
+    }
+  kb_status_t status = json_check_keys (name, text, error);
+  if (status != KB_OK)
+    {
+      json_object_put (obj);
+      return status;
+    }
+  *out = obj;
+  return KB_OK;
+}
+
+kb_status_t
+jsn_read_file (const char *path, size_t max_bytes, kb_buf_t *out,
+               kb_error_t *error)
+{
+  FILE *file = fopen (path, "rb");
+  if (file == NULL)
+    return kb_error_set (error, KB_ENOTFOUND, "%s: %s", path,
+                         strerror (errno));
+  char part[4096];
+  size_t got;
+  while ((got = fread (part, 1, sizeof part, file)) > 0
+         && out->len_bytes <= max_bytes)
+    kb_buf_append (out, part, got);
+  fclose (file);
+  if (out->len_bytes > max_bytes)
+    return kb_error_set (error, KB_ELIMIT, "%s: larger than %zu bytes", path,
+                         max_bytes);
+  return KB_OK;
+}
+
+kb_status_t
+jsn_parse_file (const char *path, struct json_object **out, kb_error_t *error)
+{
+  kb_buf_t text;
+  kb_buf_init (&text);
+  *out = NULL;
+  kb_status_t status = jsn_read_file (path, JSON_FILE_MAX_BYTES, &text, error);
+  if (status == KB_OK)
+    status = jsn_parse_text (path, kb_buf_slice (&text), out, error);
+  kb_buf_finish (&text);
+  return status;
+}
+
+struct json_object *
+jsn_get (struct json_object *obj, const char *key)
+{
+  struct json_object *value = NULL;
+  if (obj == NULL || !json_object_is_type (obj, json_type_object))
+    return NULL;
+  json_object_object_get_ex (obj, key, &value);
+  return value;
+}
+
+const char *
+jsn_str (struct json_object *obj, const char *key, const char *fallback)
+{
+  struct json_object *value = jsn_get (obj, key);
+  if (value == NULL || !json_object_is_type (value, json_type_string))
+    return fallback;
+  return json_object_get_string (value);
+}
+
+int64_t
+jsn_int (struct json_object *obj, const char *key, int64_t fallback)
+{
+  struct json_object *value = jsn_get (obj, key);
+  if (value == NULL || !json_object_is_type (value, json_type_int))
+    return fallback;
+  return json_object_get_int64 (value);
+}
+
+double
+jsn_num (struct json_object *obj, const char *key, double fallback)
+{
+  struct json_object *value = jsn_get (obj, key);
+  if (value == NULL
+      || !(json_object_is_type (value, json_type_int)
+           || json_object_is_type (value, json_type_double)))
+    return fallback;
+  return json_object_get_double (value);
+}
+
+bool
+jsn_bool (struct json_object *obj, const char *key, bool fallback)
+{
+  struct json_object *value = jsn_get (obj, key);
+  if (value == NULL || !json_object_is_type (value, json_type_boolean))
+    return fallback;
+  return json_object_get_boolean (value);
+}
+
+void
+jsn_append_quoted (kb_buf_t *out, kb_slice_t text)
+{
+  kb_buf_append (out, "\"", 1);
+  for (uint32_t i = 0; i < text.len_bytes; i++)
+    {
+      unsigned char c = (unsigned char)text.ptr[i];
+      if (c == '"' || c == '\\')
+        kb_buf_printf (out, "\\%c", c);
+      else if (c < 0x20)
+        kb_buf_printf (out, "\\u%04x", c);
+      else
+        kb_buf_append (out, &c, 1);
+    }
+  kb_buf_append (out, "\"", 1);
+}
--- /dev/null
+++ b/src/protocol/msg_defs.h
@@ -0,0 +1,299 @@
+/// @file msg_defs.h
+/// Typed messages of the inner protocol. Slices of a decoded message point
+/// into the buffer that was decoded. Times ending in _ms are durations unless
+/// the name says wall.
+#ifndef KB_PROTOCOL_MSG_DEFS_H
+#define KB_PROTOCOL_MSG_DEFS_H
+
+#include <stdint.h>
+
+#include "state/buf.h"
+
+typedef enum
+{
+  MSG_HELLO = 1,
+  MSG_PING,
+  MSG_PONG,
+  MSG_DISPATCH,
+  MSG_PART,
+  MSG_END,
+  MSG_CANCEL,
+  MSG_REVOKE,
+  MSG_REVOKED,
+  MSG_CLAIM,
+  MSG_CLAIM_REPLY,
+  MSG_CLAIM_NOTE,
+  MSG_RECOVER,
+  MSG_RECORDS,
+  MSG_GATE_ASK,
+  MSG_GATE_GRANT,
+  MSG_GATE_DONE,
+  MSG_ANNOUNCE,
+  MSG_CONFIG_PULL,
+  MSG_CONFIG_PART,
+  MSG_TYPE_END,
+} msg_type_t;
+
+/// What is known of an attempt once it is over.
+typedef enum
+{
+  MSG_OUTCOME_DONE = 1,   ///< The whole answer was produced.
+  MSG_OUTCOME_NOT_RUN,    ///< Proved: it did not and will not run.
+  MSG_OUTCOME_RAN_FAILED, ///< It started and failed.
+  MSG_OUTCOME_UNKNOWN,    ///< It may have run.
+} msg_outcome_t;
+
+/// State of a daemon as it tells its peers.
+typedef enum
+{
+  MSG_STATE_LIVE = 1,
+  MSG_STATE_LEAVING,
+  MSG_STATE_STARTING,
+} msg_state_t;
+
+/// Bits of msg_dispatch_t.flags.
+enum
+{
+  MSG_FLAG_IDEMPOTENT = 1,
+  MSG_FLAG_STREAM = 2,
+  MSG_FLAG_PLAIN = 4,
+  MSG_FLAG_CHAT = 8,
+  MSG_FLAG_FETCH = 16, ///< Only the kept answer of `claim_key`; never run.
+};
+
+typedef struct
+{
+  kb_slice_t name;
+  uint64_t role; ///< set_role_t
+  uint64_t incarnation;
+  kb_slice_t failure_domain;
+  kb_slice_t service;
+  uint64_t is_plain;
+  uint64_t slots;
+  uint64_t max_batch;
+  uint64_t revision;
+  uint64_t state;
+  uint64_t memory_since_wall_ms; ///< Claims run before this are forgotten.
+  uint64_t is_reply;
+  kb_slice_t resident; ///< Packed 64-bit hashes of the resident adapters.
+} msg_hello_t;
+
+typedef struct
+{
+  uint64_t stamp_us;
+  uint64_t revision;
+  uint64_t target_count; ///< Engines the sender sees; divides the load rate.
+} msg_ping_t;
+
+typedef struct
+{
+  uint64_t stamp_us;
+  uint64_t revision;
+  uint64_t state;
+  uint64_t queue_len;
+  uint64_t running;
+  uint64_t expected_wait_ms;
+  uint64_t stall_us_total;
+  uint64_t fill_permille;
+} msg_pong_t;
+
+typedef struct
+{
+  uint64_t attempt;
+  uint64_t claim_key; ///< Zero: no idempotency key.
+  uint64_t claim_digest;
+  uint64_t claim_epoch;
+  uint64_t deadline_ms; ///< Time left.
+  uint64_t flags;
+  uint64_t priority_class; ///< Lower is served first.
+  uint64_t weight;
+  uint64_t revision;
+  uint64_t version;
+  uint64_t max_tokens;
+  kb_slice_t partner;
+  kb_slice_t adapter;
+  kb_slice_t source;
+  kb_slice_t method;
+  kb_slice_t path;
+  kb_slice_t body;
+  kb_slice_t traceparent;
+} msg_dispatch_t;
+
+typedef struct
+{
+  uint64_t attempt;
+  uint64_t seq;
+  uint64_t http_status; ///< Of the answer's head; zero on later parts.
+  kb_slice_t content_type;
+  kb_slice_t data;
+} msg_part_t;
+
+typedef struct
+{
+  uint64_t attempt;
+  uint64_t seq; ///< Number of parts that came before.
+  uint64_t outcome;
+  uint64_t http_status;
+  uint64_t retry_after_ms;
+  uint64_t queue_len;
+  uint64_t running;
+  uint64_t expected_wait_ms;
+  uint64_t demand_permille; ///< Work for this adapter by engine capacity.
+  uint64_t is_resident;
+  uint64_t queue_us;
+  uint64_t load_us;
+  uint64_t run_us;
+  uint64_t revision;
+  uint64_t state;
+  uint64_t version;
+  kb_slice_t adapter;
+  kb_slice_t reason;
+} msg_end_t;
+
+typedef struct
+{
+  uint64_t attempt;
+} msg_cancel_t;
+
+typedef struct
+{
+  uint64_t attempt;
+  uint64_t claim_key;
+  uint64_t incarnation; ///< Of the agent that the attempt was sent to.
+} msg_revoke_t;
+
+/// Answer to a revocation.
+typedef enum
+{
+  MSG_REVOKED_VOIDED = 1, ///< It has not run and cannot start any more.
+  MSG_REVOKED_RUNNING,
+  MSG_REVOKED_DONE,
+  MSG_REVOKED_FAILED,
+  MSG_REVOKED_FOREIGN, ///< Sent to an earlier incarnation: it may have run.
+} msg_revoked_state_t;
+
+typedef struct
+{
+  uint64_t attempt;
+  uint64_t claim_key;
+  uint64_t state;
+} msg_revoked_t;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t claim_key;
+  uint64_t digest;
+  uint64_t attempt;
+  uint64_t voided_attempt; ///< An earlier attempt proved not run, or zero.
+  uint64_t incarnation;    ///< Of the runner.
+  kb_slice_t runner;
+} msg_claim_t;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t verdict; ///< clm_verdict_t
+  uint64_t epoch;
+  uint64_t attempt;     ///< The attempt that holds the claim.
+  uint64_t incarnation; ///< Of its runner.
+  uint64_t outcome;     ///< Of the attempt, or zero while it is not known.
+  kb_slice_t runner;
+} msg_claim_reply_t;
+
+typedef struct
+{
+  uint64_t claim_key;
+  uint64_t attempt;
+  uint64_t outcome;
+} msg_claim_note_t;
+
+typedef struct
+{
+  uint64_t id;       ///< Of this rebuild; comes back on the records.
+  kb_slice_t epochs; ///< A 64-bit epoch for each shard; zero: not this one.
+} msg_recover_t;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t is_last;
+  uint64_t purpose; ///< msg_records_purpose_t
+  uint64_t memory_since_wall_ms;
+  kb_slice_t records; ///< Packed claim records.
+} msg_records_t;
+
+/// Why records are sent.
+typedef enum
+{
+  MSG_RECORDS_REBUILD = 1, ///< Answer to msg_recover_t.
+  MSG_RECORDS_HANDOVER,    ///< From an owner to the next one.
+  MSG_RECORDS_INHERIT,     ///< From an agent that stops to an entry.
+} msg_records_purpose_t;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t waiting;
+  uint64_t priority_class;
+} msg_gate_ask_t;
+
+typedef struct
+{
+  uint64_t id;
+} msg_gate_grant_t;
+
+typedef struct
+{
+  uint64_t id;
+} msg_gate_done_t;
+
+typedef struct
+{
+  uint64_t revision;
+} msg_announce_t;
+
+typedef struct
+{
+  uint64_t have_revision;
+  kb_slice_t digests; ///< Packed 16-byte digests wanted; empty asks the head.
+} msg_config_pull_t;
+
+typedef struct
+{
+  uint64_t revision;
+  uint64_t is_head;
+  kb_slice_t digest;
+  kb_slice_t data;
+} msg_config_part_t;
+
+/// Any message.
+typedef struct
+{
+  msg_type_t type;
+  union
+  {
+    msg_hello_t hello;
+    msg_ping_t ping;
+    msg_pong_t pong;
+    msg_dispatch_t dispatch;
+    msg_part_t part;
+    msg_end_t end;
+    msg_cancel_t cancel;
+    msg_revoke_t revoke;
+    msg_revoked_t revoked;
+    msg_claim_t claim;
+    msg_claim_reply_t claim_reply;
+    msg_claim_note_t claim_note;
+    msg_recover_t recover;
+    msg_records_t records;
+    msg_gate_ask_t gate_ask;
+    msg_gate_grant_t gate_grant;
+    msg_gate_done_t gate_done;
+    msg_announce_t announce;
+    msg_config_pull_t config_pull;
+    msg_config_part_t config_part;
+  };
+} msg_t;
+
+#endif
--- /dev/null
+++ b/src/state/buf.c
@@ -0,0 +1,150 @@
+#include "state/buf.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <xxhash.h>
+
+enum
+{
+  BUF_MIN_BYTES = 256
+};
+
+void *
+kb_alloc (size_t bytes)
+{
+  void *ptr = calloc (1, bytes == 0 ? 1 : bytes);
+  if (ptr == NULL)
+    abort ();
+  return ptr;
+}
+
+void *
+kb_realloc (void *ptr, size_t bytes)
+{
+  void *grown = realloc (ptr, bytes);
+  if (grown == NULL)
+    abort ();
+  return grown;
+}
+
+char *
+kb_strdup (const char *text)
+{
+  return kb_slice_dup (kb_slice_str (text));
+}
+
+char *
+kb_slice_dup (kb_slice_t slice)
+{
+  char *copy = kb_alloc ((size_t)slice.len_bytes + 1);
+  if (slice.len_bytes > 0)
+    memcpy (copy, slice.ptr, slice.len_bytes);
+  return copy;
+}
+
+void
+kb_slice_copy (kb_slice_t slice, char *out, size_t out_bytes)
+{
+  size_t len = slice.len_bytes;
+  if (len >= out_bytes)
+    len = out_bytes - 1;
+  if (len > 0)
+    memcpy (out, slice.ptr, len);
+  out[len] = '\0';
+}
+
+void
+kb_buf_init (kb_buf_t *buf)
+{
+  *buf = (kb_buf_t){ 0 };
+}
+
+void
+kb_buf_finish (kb_buf_t *buf)
+{
+  free (buf->ptr);
+  kb_buf_init (buf);
+}
+
+void
+kb_buf_clear (kb_buf_t *buf)
+{
+  buf->len_bytes = 0;
+}
+
+static void
+buf_reserve (kb_buf_t *buf, size_t need_bytes)
+{
+  if (need_bytes <= buf->cap_bytes)
+    return;
+  size_t cap = buf->cap_bytes == 0 ? BUF_MIN_BYTES : buf->cap_bytes;
+  while (cap < need_bytes)
+    cap *= 2;
+  buf->ptr = kb_realloc (buf->ptr, cap);
+  buf->cap_bytes = cap;
+}
+
+void
+kb_buf_append (kb_buf_t *buf, const void *bytes, size_t len_bytes)
+{
+  buf_reserve (buf, buf->len_bytes + len_bytes + 1);
+  if (len_bytes > 0)
+    memcpy (buf->ptr + buf->len_bytes, bytes, len_bytes);
+  buf->len_bytes += len_bytes;
+  buf->ptr[buf->len_bytes] = '\0';
+}
+
+void
+kb_buf_append_str (kb_buf_t *buf, const char *text)
+{
+  kb_buf_append (buf, text, strlen (text));
+}
+
+void
+kb_buf_printf (kb_buf_t *buf, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  va_list again;
+  va_copy (again, args);
+  int need = vsnprintf (NULL, 0, format, args);
+  va_end (args);
+  buf_reserve (buf, buf->len_bytes + (size_t)need + 1);
+  vsnprintf (buf->ptr + buf->len_bytes, (size_t)need + 1, format, again);
+  va_end (again);
+  buf->len_bytes += (size_t)need;
+}
+
+void
+kb_buf_consume (kb_buf_t *buf, size_t len_bytes)
+{
+  if (len_bytes >= buf->len_bytes)
+    {
+      buf->len_bytes = 0;
+      return;
+    }
+  memmove (buf->ptr, buf->ptr + len_bytes, buf->len_bytes - len_bytes);
+  buf->len_bytes -= len_bytes;
+  buf->ptr[buf->len_bytes] = '\0';
+}
+
+void
+kb_buf_swap (kb_buf_t *a, kb_buf_t *b)
+{
+  kb_buf_t held = *a;
+  *a = *b;
+  *b = held;
+}
+
+kb_slice_t
+kb_buf_slice (const kb_buf_t *buf)
+{
+  return (kb_slice_t){ buf->ptr, (uint32_t)buf->len_bytes };
+}
+
+uint64_t
+kb_hash (const void *bytes, size_t len_bytes, uint64_t seed)
+{
+  return XXH3_64bits_withSeed (bytes, len_bytes, seed);
+}
--- /dev/null
+++ b/src/state/buf.h
@@ -0,0 +1,67 @@
+/// @file buf.h
+/// Byte slices and a growing byte buffer.
+#ifndef KB_STATE_BUF_H
+#define KB_STATE_BUF_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stddef.h>
+#include <string.h>
+
+/// A view of bytes owned by someone else.
+typedef struct
+{
+  const char *ptr;
+  uint32_t len_bytes;
+} kb_slice_t;
+
+/// A growing byte buffer; always terminated by a zero byte beyond `len_bytes`
+/// once something was appended.
+typedef struct
+{
+  char *ptr;
+  size_t len_bytes;
+  size_t cap_bytes;
+} kb_buf_t;
+
+/// @return  A slice over a zero-terminated string.
+static inline kb_slice_t
+kb_slice_str (const char *text)
+{
+  return (kb_slice_t){ text, (uint32_t)strlen (text) };
+}
+
+static inline bool
+kb_slice_equal (kb_slice_t a, kb_slice_t b)
+{
+  return a.len_bytes == b.len_bytes
+         && (a.len_bytes == 0 || memcmp (a.ptr, b.ptr, a.len_bytes) == 0);
+}
+
+/// Copy a slice into a fixed array, cut to fit, zero-terminated.
+void kb_slice_copy (kb_slice_t slice, char *out, size_t out_bytes);
+
+void kb_buf_init (kb_buf_t *buf);
+void kb_buf_finish (kb_buf_t *buf);
+void kb_buf_clear (kb_buf_t *buf);
+void kb_buf_append (kb_buf_t *buf, const void *bytes, size_t len_bytes);
+void kb_buf_append_str (kb_buf_t *buf, const char *text);
+void kb_buf_printf (kb_buf_t *buf, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/// Remove bytes from the front.
+void kb_buf_consume (kb_buf_t *buf, size_t len_bytes);
+/// Exchange the contents of two buffers.
+void kb_buf_swap (kb_buf_t *a, kb_buf_t *b);
+kb_slice_t kb_buf_slice (const kb_buf_t *buf);
+
+/// Allocation that ends the process when memory is exhausted: a daemon that
+/// cannot allocate cannot keep any promise, and its VM is replaceable.
+void *kb_alloc (size_t bytes);
+void *kb_realloc (void *ptr, size_t bytes);
+char *kb_strdup (const char *text);
+char *kb_slice_dup (kb_slice_t slice);
+
+/// 64-bit non-cryptographic hash.
+uint64_t kb_hash (const void *bytes, size_t len_bytes, uint64_t seed);
+
+#endif
--- /dev/null
+++ b/src/state/config.c
@@ -0,0 +1,104 @@
+#include "state/config.h"
+
+#include <stdlib.h>
+
+void
+cfg_config_finish (cfg_config_t *config)
+{
+  for (uint32_t i = 0; i < config->service_count; i++)
+    {
+      free (config->services[i].name);
+      free (config->services[i].base_model);
+    }
+  for (uint32_t i = 0; i < config->adapter_count; i++)
+    {
+      cfg_adapter_t *a = &config->adapters[i];
+      for (uint32_t v = 0; v < a->version_count; v++)
+        free (a->versions[v].source);
+      free (a->versions);
+      free (a->name);
+    }
+  for (uint32_t i = 0; i < config->partner_count; i++)
+    free (config->partners[i].name);
+  for (uint32_t i = 0; i < config->rule_count; i++)
+    {
+      free (config->rules[i].name);
+      free (config->rules[i].partner);
+      free (config->rules[i].service);
+      free (config->rules[i].adapter_prefix);
+    }
+  free (config->services);
+  free (config->adapters);
+  free (config->partners);
+  free (config->rules);
+  kb_map_finish (&config->adapter_by_name);
+  *config = (cfg_config_t){ 0 };
+}
+
+const cfg_service_t *
+cfg_service_find (const cfg_config_t *config, kb_slice_t name)
+{
+  for (uint32_t i = 0; i < config->service_count; i++)
+    if (kb_slice_equal (kb_slice_str (config->services[i].name), name))
+      return &config->services[i];
+  return NULL;
+}
+
+const cfg_adapter_t *
+cfg_adapter_find (const cfg_config_t *config, kb_slice_t name)
+{
+  const cfg_adapter_t *adapter = kb_map_get (
+      &config->adapter_by_name, kb_hash (name.ptr, name.len_bytes, 0) | 1);
+  if (adapter == NULL || !kb_slice_equal (kb_slice_str (adapter->name), name))
+    return NULL;
+  return adapter;
+}
+
+const cfg_version_t *
+cfg_version_find (const cfg_adapter_t *adapter, uint32_t number)
+{
+  for (uint32_t i = 0; i < adapter->version_count; i++)
+    if (adapter->versions[i].number == number)
+      return &adapter->versions[i];
+  return NULL;
+}
+
+const cfg_partner_t *
+cfg_partner_find (const cfg_config_t *config, const uint8_t *key_digest)
+{
+  for (uint32_t i = 0; i < config->partner_count; i++)
+    if (memcmp (config->partners[i].key_digest, key_digest,
+                CFG_KEY_DIGEST_BYTES)
+        == 0)
+      return &config->partners[i];
+  return NULL;
+}
+
+static bool
+rule_matches (const char *wanted, kb_slice_t value)
+{
+  return wanted[0] == '\0' || kb_slice_equal (kb_slice_str (wanted), value);
+}
+
+static bool
+prefix_matches (const char *prefix, kb_slice_t value)
+{
+  size_t len = strlen (prefix);
+  return len <= value.len_bytes && memcmp (prefix, value.ptr, len) == 0;
+}
+
+uint8_t
+cfg_priority_class (const cfg_config_t *config, const cfg_partner_t *partner,
+                    kb_slice_t service, kb_slice_t adapter)
+{
+  kb_slice_t partner_name = kb_slice_str (partner->name);
+  for (uint32_t i = 0; i < config->rule_count; i++)
+    {
+      const cfg_rule_t *rule = &config->rules[i];
+      if (rule_matches (rule->partner, partner_name)
+          && rule_matches (rule->service, service)
+          && prefix_matches (rule->adapter_prefix, adapter))
+        return rule->priority_class;
+    }
+  return partner->priority_class;
+}
--- /dev/null
+++ b/src/state/config.h
@@ -0,0 +1,93 @@
+/// @file config.h
+/// The operators' configuration in force: services, adapters, partners and
+/// priority rules. Immutable once built.
+#ifndef KB_STATE_CONFIG_H
+#define KB_STATE_CONFIG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/buf.h"
+#include "state/map.h"
+#include "state/status.h"
+
+enum
+{
+  CFG_KEY_DIGEST_BYTES = 32, ///< SHA-256 of a partner's bearer key.
+  CFG_CLASSES = 8,
+};
+
+typedef struct
+{
+  char *name;
+  bool is_plain;
+  char *base_model; ///< Engines only.
+  /// Whether a call that does not say so may be repeated.
+  bool is_idempotent;
+} cfg_service_t;
+
+typedef struct
+{
+  uint32_t number;
+  char *source; ///< Where the weight store keeps it.
+} cfg_version_t;
+
+typedef struct
+{
+  char *name;
+  uint32_t service; ///< Index into services.
+  uint32_t current; ///< Version used when a request names none.
+  uint32_t version_count;
+  cfg_version_t *versions; ///< Ordered by number.
+} cfg_adapter_t;
+
+typedef struct
+{
+  char *name;
+  uint8_t key_digest[CFG_KEY_DIGEST_BYTES];
+  uint8_t priority_class; ///< 0 is served first.
+  uint32_t weight;
+  uint32_t max_inflight; ///< Zero: no limit.
+  double rate_per_s;     ///< Zero: no limit.
+} cfg_partner_t;
+
+/// Overrides a partner's class for some of its requests.
+typedef struct
+{
+  char *name;
+  char *partner;        ///< Empty: any.
+  char *service;        ///< Empty: any.
+  char *adapter_prefix; ///< Empty: any.
+  uint8_t priority_class;
+} cfg_rule_t;
+
+typedef struct
+{
+  uint64_t revision;
+  cfg_service_t *services;
+  uint32_t service_count;
+  cfg_adapter_t *adapters;
+  uint32_t adapter_count;
+  cfg_partner_t *partners;
+  uint32_t partner_count;
+  cfg_rule_t *rules; ///< In the order of their names; the first match wins.
+  uint32_t rule_count;
+  kb_map_t adapter_by_name;
+} cfg_config_t;
+
+/// Release everything; the struct itself is the caller's.
+void cfg_config_finish (cfg_config_t *config);
+const cfg_service_t *cfg_service_find (const cfg_config_t *config,
+                                       kb_slice_t name);
+const cfg_adapter_t *cfg_adapter_find (const cfg_config_t *config,
+                                       kb_slice_t name);
+const cfg_version_t *cfg_version_find (const cfg_adapter_t *adapter,
+                                       uint32_t number);
+const cfg_partner_t *cfg_partner_find (const cfg_config_t *config,
+                                       const uint8_t *key_digest);
+/// The priority class of a request.
+uint8_t cfg_priority_class (const cfg_config_t *config,
+                            const cfg_partner_t *partner, kb_slice_t service,
+                            kb_slice_t adapter);
+
+#endif
--- /dev/null
+++ b/src/transport/engine.c
@@ -0,0 +1,233 @@
+#include "transport/engine.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "protocol/json.h"
+
+enum
+{
+  ENG_ANSWER_MAX_BYTES = 4 << 20,
+  ENG_LIST_TIMEOUT_MS = 3000
+};
+
+/// A call that is not a run.
+typedef struct
+{
+  eng_order_done_t done;
+  eng_list_done_t list_done;
+  void *arg;
+  kb_buf_t answer;
+} engine_call_t;
+
+struct eng_run
+{
+  const eng_run_events_t *events;
+  void *arg;
+  htc_call_t *call;
+};
+
+static void
+call_on_head (htc_call_t *http, int http_status, kb_slice_t content_type)
+{
+}
+
+static void
+call_on_body (htc_call_t *http, kb_slice_t bytes)
+{
+  engine_call_t *call = http->owner;
+  if (call->answer.len_bytes + bytes.len_bytes < ENG_ANSWER_MAX_BYTES)
+    kb_buf_append (&call->answer, bytes.ptr, bytes.len_bytes);
+}
+
+static kb_status_t
+order_status (htc_call_t *http, htc_end_t end)
+{
+  enum
+  {
+    HTTP_CONFLICT = 409,
+    HTTP_PRECONDITION_FAILED = 412
+  };
+  if (end == HTC_END_NOT_SENT)
+    return KB_EUNAVAIL;
+  if (end != HTC_END_WHOLE)
+    return KB_EUNKNOWN;
+  if (http->http_status == 200)
+    return KB_OK;
+  if (http->http_status == HTTP_CONFLICT
+      || http->http_status == HTTP_PRECONDITION_FAILED)
+    return KB_ECONFLICT;
+  return KB_EINVAL;
+}
+
+static void
+order_on_end (htc_call_t *http, htc_end_t end)
+{
+  engine_call_t *call = http->owner;
+  call->done (call->arg, order_status (http, end));
+  kb_buf_finish (&call->answer);
+  free (call);
+}
+
+static const htc_events_t order_events
+    = { call_on_head, call_on_body, order_on_end };
+
+static void
+order_start (eng_engine_t *engine, const char *path, kb_buf_t *body,
+             uint64_t fence, eng_order_done_t done, void *arg)
+{
+  engine_call_t *call = kb_alloc (sizeof *call);
+  call->done = done;
+  call->arg = arg;
+  char headers[320];
+  snprintf (headers, sizeof headers,
+            "content-type: application/json\r\nx-fencing-number: %" PRIu64
+            "\r\nauthorization: Bearer %s\r\n",
+            fence, engine->order_token);
+  htc_call_start (engine->http, &order_events, call, engine->address,
+                  engine->port, "POST", path, headers, kb_buf_slice (body),
+                  engine->load_timeout_ms);
+  kb_buf_finish (body);
+}
+
+static void
+openai_load (eng_engine_t *engine, const char *model, const char *source,
+             uint64_t fence, eng_order_done_t done, void *arg)
+{
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{\"lora_name\":");
+  jsn_append_quoted (&body, kb_slice_str (model));
+  kb_buf_append_str (&body, ",\"lora_path\":");
+  jsn_append_quoted (&body, kb_slice_str (source));
+  kb_buf_append_str (&body, "}");
+  order_start (engine, "/v1/load_lora_adapter", &body, fence, done, arg);
+}
+
+static void
+openai_unload (eng_engine_t *engine, const char *model, uint64_t fence,
+               eng_order_done_t done, void *arg)
+{
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{\"lora_name\":");
+  jsn_append_quoted (&body, kb_slice_str (model));
+  kb_buf_append_str (&body, "}");
+  order_start (engine, "/v1/unload_lora_adapter", &body, fence, done, arg);
+}
+
+static void
+list_report (engine_call_t *call, struct json_object *doc)
+{
+  struct json_object *data = jsn_get (doc, "data");
+  size_t count = json_object_is_type (data, json_type_array)
+                     ? json_object_array_length (data)
+                     : 0;
+  const char **models = kb_alloc ((count + 1) * sizeof *models);
+  uint32_t used = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *id = jsn_str (json_object_array_get_idx (data, i), "id", "");
+      if (strchr (id, '@') != NULL)
+        models[used++] = id;
+    }
+  call->list_done (call->arg, KB_OK, models, used,
+                   jsn_str (doc, "incarnation", ""));
+  free (models);
+}
+
+static void
+list_on_end (htc_call_t *http, htc_end_t end)
+{
+  engine_call_t *call = http->owner;
+  struct json_object *doc = NULL;
+  if (end == HTC_END_WHOLE && http->http_status == 200)
+    jsn_parse_text ("models", kb_buf_slice (&call->answer), &doc, NULL);
+  if (doc != NULL)
+    list_report (call, doc);
+  else
+    call->list_done (call->arg, KB_EUNAVAIL, NULL, 0, "");
+  json_object_put (doc);
+  kb_buf_finish (&call->answer);
+  free (call);
+}
+
+static const htc_events_t list_events
+    = { call_on_head, call_on_body, list_on_end };
+
+static void
+openai_list (eng_engine_t *engine, eng_list_done_t done, void *arg)
+{
+  engine_call_t *call = kb_alloc (sizeof *call);
+  call->list_done = done;
+  call->arg = arg;
+  htc_call_start (engine->http, &list_events, call, engine->address,
+                  engine->port, "GET", "/v1/models", "", (kb_slice_t){ "", 0 },
+                  ENG_LIST_TIMEOUT_MS);
+}
+
+static void
+run_on_head (htc_call_t *http, int http_status, kb_slice_t content_type)
+{
+  eng_run_t *run = http->owner;
+  run->events->on_head (run->arg, http_status, content_type);
+}
+
+static void
+run_on_body (htc_call_t *http, kb_slice_t bytes)
+{
+  eng_run_t *run = http->owner;
+  run->events->on_body (run->arg, bytes);
+}
+
+static void
+run_on_end (htc_call_t *http, htc_end_t end)
+{
+  eng_run_t *run = http->owner;
+  run->events->on_end (run->arg, end);
+  free (run);
+}
+
+static const htc_events_t run_events
+    = { run_on_head, run_on_body, run_on_end };
+
+static eng_run_t *
+openai_run (eng_engine_t *engine, const eng_run_request_t *request,
+            const eng_run_events_t *events, void *arg)
+{
+  eng_run_t *run = kb_alloc (sizeof *run);
+  run->events = events;
+  run->arg = arg;
+  char headers[160];
+  snprintf (headers, sizeof headers,
+            "content-type: application/json\r\ntraceparent: %s\r\n",
+            request->traceparent);
+  run->call
+      = htc_call_start (engine->http, &run_events, run, engine->address,
+                        engine->port, request->method, request->path, headers,
+                        request->body, request->idle_timeout_ms);
+  return run;
+}
+
+static void
+openai_cancel (eng_engine_t *engine, eng_run_t *run)
+{
+  htc_call_cancel (run->call);
+  free (run);
+}
+
+static const eng_vtable_t openai_vtable
+    = { openai_load, openai_unload, openai_list, openai_run, openai_cancel };
+
+void
+eng_openai_init (eng_engine_t *engine, htc_client_t *http, const char *address,
+                 uint16_t port, const char *order_token,
+                 uint64_t load_timeout_ms)
+{
+  *engine = (eng_engine_t){ .vtable = &openai_vtable,
+                            .http = http,
+                            .port = port,
+                            .load_timeout_ms = load_timeout_ms };
+  snprintf (engine->address, sizeof engine->address, "%s", address);
+  snprintf (engine->order_token, sizeof engine->order_token, "%s",
+            order_token);
+}
--- /dev/null
+++ b/src/transport/httpc.c
@@ -0,0 +1,214 @@
+#include "transport/httpc.h"
+
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <stdlib.h>
+
+enum
+{
+  HTC_IO_TIMEOUT_MS = 3600000
+};
+
+typedef struct
+{
+  h2o_http1client_ctx_t ctx;
+  h2o_multithread_queue_t *queue;
+  h2o_multithread_receiver_t receiver;
+  h2o_timeout_t io_timeout;
+} client_impl_t;
+
+void
+htc_client_init (htc_client_t *client, uv_loop_t *loop, tmr_service_t *timers)
+{
+  client_impl_t *impl = kb_alloc (sizeof *impl);
+  impl->queue = h2o_multithread_create_queue (loop);
+  h2o_multithread_register_receiver (impl->queue, &impl->receiver,
+                                     h2o_hostinfo_getaddr_receiver);
+  h2o_timeout_init (loop, &impl->io_timeout, HTC_IO_TIMEOUT_MS);
+  impl->ctx.loop = loop;
+  impl->ctx.getaddr_receiver = &impl->receiver;
+  impl->ctx.io_timeout = &impl->io_timeout;
+  *client = (htc_client_t){ .loop = loop, .timers = timers, .impl = impl };
+}
+
+void
+htc_client_finish (htc_client_t *client)
+{
+  client_impl_t *impl = client->impl;
+  h2o_multithread_unregister_receiver (impl->queue, &impl->receiver);
+  h2o_multithread_destroy_queue (impl->queue);
+  h2o_timeout_dispose (client->loop, &impl->io_timeout);
+  free (impl);
+  client->impl = NULL;
+}
+
+static void
+call_free (htc_call_t *call)
+{
+  tmr_cancel (call->client->timers, &call->timer);
+  kb_buf_finish (&call->request);
+  free (call->iovec);
+  free (call);
+}
+
+/// End the call. h2o closes the connection itself after an error or an end.
+static void
+call_end (htc_call_t *call, htc_end_t end)
+{
+  call->is_ended = true;
+  if (call->is_starting)
+    return;
+  call->events->on_end (call, end);
+  call_free (call);
+}
+
+static void
+call_fail_later (void *arg)
+{
+  htc_call_t *call = arg;
+  call->events->on_end (call, HTC_END_NOT_SENT);
+  call_free (call);
+}
+
+static void
+call_expire (void *arg)
+{
+  htc_call_t *call = arg;
+  h2o_http1client_cancel (call->h2o_client);
+  call_end (call, call->is_sent ? HTC_END_TIMEOUT : HTC_END_NOT_SENT);
+}
+
+static void
+call_touch (htc_call_t *call)
+{
+  tmr_after (call->client->timers, &call->timer, call->idle_timeout_ms,
+             call_expire, call);
+}
+
+static int
+on_body (h2o_http1client_t *client, const char *errstr)
+{
+  htc_call_t *call = client->data;
+  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+    {
+      call_end (call, HTC_END_BROKEN);
+      return -1;
+    }
+  call_touch (call);
+  h2o_buffer_t *input = client->sock->input;
+  if (input->size > 0)
+    {
+      kb_slice_t bytes = { input->bytes, (uint32_t)input->size };
+      call->is_in_callback = true;
+      call->events->on_body (call, bytes);
+      call->is_in_callback = false;
+      h2o_buffer_consume (&client->sock->input, input->size);
+    }
+  if (call->is_cancelled)
+    {
+      call_free (call);
+      return -1;
+    }
+  if (errstr == h2o_http1client_error_is_eos)
+    call_end (call, HTC_END_WHOLE);
+  return 0;
+}
+
+static h2o_http1client_body_cb
+on_head (h2o_http1client_t *client, const char *errstr, int minor_version,
+         int status, h2o_iovec_t msg, h2o_header_t *headers,
+         size_t num_headers, int rlen)
+{
+  htc_call_t *call = client->data;
+  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+    {
+      call_end (call, HTC_END_BROKEN);
+      return NULL;
+    }
+  call_touch (call);
+  kb_slice_t type = { "", 0 };
+  for (size_t i = 0; i < num_headers; i++)
+    if (h2o_lcstris (headers[i].name->base, headers[i].name->len,
+                     H2O_STRLIT ("content-type")))
+      type = (kb_slice_t){ headers[i].value.base,
+                           (uint32_t)headers[i].value.len };
+  call->http_status = status;
+  call->is_in_callback = true;
+  call->events->on_head (call, status, type);
+  call->is_in_callback = false;
+  if (call->is_cancelled)
+    {
+      call_free (call);
+      return NULL;
+    }
+  if (errstr == h2o_http1client_error_is_eos)
+    {
+      call_end (call, HTC_END_WHOLE);
+      return NULL;
+    }
+  return on_body;
+}
+
+static h2o_http1client_head_cb
+on_connect (h2o_http1client_t *client, const char *errstr,
+            h2o_iovec_t **reqbufs, size_t *reqbufcnt, int *method_is_head)
+{
+  htc_call_t *call = client->data;
+  if (errstr != NULL)
+    {
+      call_end (call, HTC_END_NOT_SENT);
+      return NULL;
+    }
+  call->is_sent = true;
+  h2o_iovec_t *vec = kb_alloc (sizeof *vec);
+  *vec = h2o_iovec_init (call->request.ptr, call->request.len_bytes);
+  call->iovec = vec;
+  *reqbufs = vec;
+  *reqbufcnt = 1;
+  *method_is_head = 0;
+  return on_head;
+}
+
+htc_call_t *
+htc_call_start (htc_client_t *client, const htc_events_t *events, void *owner,
+                const char *address, uint16_t port, const char *method,
+                const char *path, const char *extra_headers, kb_slice_t body,
+                uint64_t idle_timeout_ms)
+{
+  htc_call_t *call = kb_alloc (sizeof *call);
+  call->events = events;
+  call->owner = owner;
+  call->client = client;
+  call->idle_timeout_ms = idle_timeout_ms;
+  kb_buf_printf (&call->request,
+                 "%s %s HTTP/1.1\r\nhost: %s:%u\r\nconnection: close\r\n"
+                 "content-length: %u\r\n%s\r\n",
+                 method, path, address, port, body.len_bytes, extra_headers);
+  kb_buf_append (&call->request, body.ptr, body.len_bytes);
+  call_touch (call);
+  client_impl_t *impl = client->impl;
+  h2o_http1client_t *h2o_client = NULL;
+  call->is_starting = true;
+  h2o_http1client_connect (&h2o_client, call, &impl->ctx,
+                           h2o_iovec_init (address, strlen (address)), port, 0,
+                           on_connect);
+  call->h2o_client = h2o_client;
+  call->is_starting = false;
+  // h2o reports a lack of descriptors before it returns; the owner has not
+  // even stored the call by then, so the end is reported on the next turn.
+  if (call->is_ended)
+    tmr_after (client->timers, &call->timer, 0, call_fail_later, call);
+  return call;
+}
+
+void
+htc_call_cancel (htc_call_t *call)
+{
+  if (call->is_in_callback)
+    {
+      call->is_cancelled = true;
+      return;
+    }
+  h2o_http1client_cancel (call->h2o_client);
+  call_free (call);
+}
--- /dev/null
+++ b/src/transport/httpd.c
@@ -0,0 +1,376 @@
+#include "transport/httpd.h"
+
+#include <errno.h>
+#include <h2o.h>
+#include <openssl/ssl.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "transport/metrics.h"
+
+enum
+{
+  HTS_BACKLOG = 1024,
+  HTS_HANGUP_CHECK_MS = 500
+};
+
+typedef struct
+{
+  h2o_globalconf_t config;
+  h2o_context_t ctx;
+  h2o_accept_ctx_t accept_ctx;
+  uv_tcp_t listener;
+  uint64_t max_connections;
+  uint64_t connections;
+} server_impl_t;
+
+typedef struct
+{
+  h2o_handler_t super;
+  hts_server_t *server;
+} server_handler_t;
+
+typedef struct
+{
+  h2o_generator_t super;
+  hts_request_t *request;
+} stream_generator_t;
+
+/// Lives in h2o's pool; its disposal tells that h2o let go of the request.
+typedef struct
+{
+  hts_request_t *request;
+} request_anchor_t;
+
+static void
+request_free (hts_request_t *request)
+{
+  tmr_cancel (request->server->timers, &request->hangup_timer);
+  kb_buf_finish (&request->out);
+  kb_buf_finish (&request->sending);
+  free (request);
+}
+
+static void
+anchor_dispose (void *arg)
+{
+  request_anchor_t *anchor = arg;
+  hts_request_t *request = anchor->request;
+  if (!request->is_finished)
+    request->server->events->on_abort (request);
+  request_free (request);
+}
+
+static int
+request_fd (hts_request_t *request)
+{
+  h2o_req_t *req = request->impl;
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+  return sock == NULL ? -1 : h2o_socket_get_fd (sock);
+}
+
+/// h2o does not read from a connection while its request is being answered,
+/// so a caller that hung up would hold an engine until the answer is ready.
+static void
+request_check_hangup (void *arg)
+{
+  hts_request_t *request = arg;
+  h2o_req_t *req = request->impl;
+  int fd = request_fd (request);
+  char byte;
+  ssize_t got = fd < 0 ? 1 : recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  bool is_gone = got == 0
+                 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK
+                     && errno != EINTR);
+  if (!is_gone || request->is_finished || request->is_cut)
+    return;
+  request->is_cut = true;
+  tmr_cancel (request->server->timers, &request->hangup_timer);
+  request->server->events->on_abort (request);
+  request->is_finished = true;
+  if (request->is_streaming)
+    {
+      if (!request->is_busy)
+        h2o_send (req, NULL, 0, H2O_SEND_STATE_ERROR);
+      return;
+    }
+  req->http1_is_persistent = 0;
+  req->res.status = 499;
+  req->res.reason = "Client Closed Request";
+  h2o_send_inline (req, H2O_STRLIT (""));
+}
+
+static int
+handler_on_req (h2o_handler_t *self, h2o_req_t *req)
+{
+  hts_server_t *server = ((server_handler_t *)self)->server;
+  hts_request_t *request = kb_alloc (sizeof *request);
+  request->server = server;
+  request->impl = req;
+  request->method
+      = (kb_slice_t){ req->method.base, (uint32_t)req->method.len };
+  request->path = (kb_slice_t){ req->path.base, (uint32_t)req->path.len };
+  request->body = (kb_slice_t){ req->entity.base, (uint32_t)req->entity.len };
+  request_anchor_t *anchor
+      = h2o_mem_alloc_shared (&req->pool, sizeof *anchor, anchor_dispose);
+  anchor->request = request;
+  tmr_every (server->timers, &request->hangup_timer, HTS_HANGUP_CHECK_MS,
+             request_check_hangup, request);
+  server->events->on_request (server, request);
+  return 0;
+}
+
+static void
+listener_closed (uv_handle_t *handle)
+{
+  free (handle);
+}
+
+static void
+connection_closed (void *data)
+{
+  server_impl_t *impl = data;
+  impl->connections--;
+}
+
+static void
+on_accept (uv_stream_t *listener, int status)
+{
+  if (status != 0)
+    return;
+  server_impl_t *impl = listener->data;
+  uv_tcp_t *conn = h2o_mem_alloc (sizeof *conn);
+  uv_tcp_init (listener->loop, conn);
+  if (uv_accept (listener, (uv_stream_t *)conn) != 0)
+    {
+      uv_close ((uv_handle_t *)conn, listener_closed);
+      return;
+    }
+  if (impl->connections >= impl->max_connections)
+    {
+      MET_INC ("knapweedbay_http_refused_connections_total", "");
+      uv_close ((uv_handle_t *)conn, listener_closed);
+      return;
+    }
+  uv_tcp_nodelay (conn, 1);
+  h2o_socket_t *sock
+      = h2o_uv_socket_create ((uv_stream_t *)conn, (uv_close_cb)free);
+  impl->connections++;
+  sock->on_close.cb = connection_closed;
+  sock->on_close.data = impl;
+  h2o_accept (&impl->accept_ctx, sock);
+}
+
+static kb_status_t
+server_set_tls (server_impl_t *impl, const hts_options_t *options,
+                kb_error_t *error)
+{
+  SSL_CTX *ssl = SSL_CTX_new (TLS_server_method ());
+  SSL_CTX_set_min_proto_version (ssl, TLS1_2_VERSION);
+  if (SSL_CTX_use_certificate_chain_file (ssl, options->certificate_file) != 1)
+    return kb_error_set (error, KB_EINVAL, "%s: not a PEM certificate",
+                         options->certificate_file);
+  if (SSL_CTX_use_PrivateKey_file (ssl, options->key_file, SSL_FILETYPE_PEM)
+      != 1)
+    return kb_error_set (error, KB_EINVAL, "%s: not a PEM key",
+                         options->key_file);
+  impl->accept_ctx.ssl_ctx = ssl;
+  return KB_OK;
+}
+
+kb_status_t
+hts_server_init (hts_server_t *server, uv_loop_t *loop, tmr_service_t *timers,
+                 const hts_events_t *events, void *owner,
+                 const hts_options_t *options, kb_error_t *error)
+{
+  *server = (hts_server_t){
+    .events = events, .owner = owner, .loop = loop, .timers = timers
+  };
+  server_impl_t *impl = kb_alloc (sizeof *impl);
+  server->impl = impl;
+  impl->max_connections = options->max_connections;
+  h2o_config_init (&impl->config);
+  impl->config.max_request_entity_size = options->max_body_bytes;
+  impl->config.http1.req_timeout = options->read_timeout_ms;
+  impl->config.server_name = h2o_iovec_init (H2O_STRLIT ("knapweedbay"));
+  h2o_hostconf_t *host = h2o_config_register_host (
+      &impl->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  h2o_pathconf_t *path = h2o_config_register_path (host, "/", 0);
+  server_handler_t *handler = (server_handler_t *)h2o_create_handler (
+      path, sizeof (server_handler_t));
+  handler->super.on_req = handler_on_req;
+  handler->server = server;
+  h2o_context_init (&impl->ctx, loop, &impl->config);
+  impl->accept_ctx.ctx = &impl->ctx;
+  impl->accept_ctx.hosts = impl->config.hosts;
+  if (options->certificate_file != NULL && options->certificate_file[0])
+    {
+      kb_status_t status = server_set_tls (impl, options, error);
+      if (status != KB_OK)
+        return status;
+    }
+  struct sockaddr_in addr;
+  if (uv_ip4_addr (options->address, options->port, &addr) != 0)
+    return kb_error_set (error, KB_EINVAL, "\"%s\" is not an IP number",
+                         options->address);
+  uv_tcp_init (loop, &impl->listener);
+  impl->listener.data = impl;
+  int code = uv_tcp_bind (&impl->listener, (struct sockaddr *)&addr, 0);
+  if (code == 0)
+    code = uv_listen ((uv_stream_t *)&impl->listener, HTS_BACKLOG, on_accept);
+  if (code != 0)
+    return kb_error_set (error, KB_ESYS, "cannot listen on %s:%u: %s",
+                         options->address, options->port, uv_strerror (code));
+  int size = sizeof addr;
+  uv_tcp_getsockname (&impl->listener, (struct sockaddr *)&addr, &size);
+  server->port = ntohs (addr.sin_port);
+  return KB_OK;
+}
+
+void
+hts_server_stop (hts_server_t *server)
+{
+  server_impl_t *impl = server->impl;
+  if (!uv_is_closing ((uv_handle_t *)&impl->listener))
+    uv_close ((uv_handle_t *)&impl->listener, NULL);
+}
+
+uint32_t
+hts_request_header_count (hts_request_t *request, const char *name)
+{
+  h2o_req_t *req = request->impl;
+  uint32_t count = 0;
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      h2o_header_t *h = &req->headers.entries[i];
+      if (h2o_lcstris (h->name->base, h->name->len, name, strlen (name)))
+        count++;
+    }
+  return count;
+}
+
+kb_slice_t
+hts_request_header (hts_request_t *request, const char *name)
+{
+  h2o_req_t *req = request->impl;
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      h2o_header_t *h = &req->headers.entries[i];
+      if (h2o_lcstris (h->name->base, h->name->len, name, strlen (name)))
+        return (kb_slice_t){ h->value.base, (uint32_t)h->value.len };
+    }
+  return (kb_slice_t){ "", 0 };
+}
+
+void
+hts_response_header (hts_request_t *request, const char *name,
+                     kb_slice_t value)
+{
+  h2o_req_t *req = request->impl;
+  h2o_iovec_t n = h2o_strdup (&req->pool, name, strlen (name));
+  h2o_iovec_t v = h2o_strdup (&req->pool, value.ptr, value.len_bytes);
+  h2o_add_header_by_str (&req->pool, &req->res.headers, n.base, n.len, 0, NULL,
+                         v.base, v.len);
+}
+
+static void
+response_begin (hts_request_t *request, int http_status,
+                const char *content_type)
+{
+  h2o_req_t *req = request->impl;
+  req->res.status = http_status;
+  req->res.reason = http_status == 200 ? "OK" : "Status";
+  hts_response_header (request, "content-type", kb_slice_str (content_type));
+}
+
+void
+hts_reply (hts_request_t *request, int http_status, const char *content_type,
+           kb_slice_t body)
+{
+  h2o_req_t *req = request->impl;
+  request->is_finished = true;
+  tmr_cancel (request->server->timers, &request->hangup_timer);
+  response_begin (request, http_status, content_type);
+  req->res.content_length = body.len_bytes;
+  h2o_send_inline (req, body.ptr, body.len_bytes);
+}
+
+static void
+stream_flush (hts_request_t *request)
+{
+  h2o_req_t *req = request->impl;
+  if (request->is_busy)
+    return;
+  if (request->is_cut)
+    {
+      h2o_send (req, NULL, 0, H2O_SEND_STATE_ERROR);
+      return;
+    }
+  if (request->out.len_bytes == 0 && !request->is_finishing)
+    return;
+  kb_buf_clear (&request->sending);
+  kb_buf_swap (&request->out, &request->sending);
+  h2o_iovec_t vec
+      = h2o_iovec_init (request->sending.ptr, request->sending.len_bytes);
+  request->is_busy = true;
+  h2o_send (req, &vec, vec.len > 0 ? 1 : 0,
+            request->is_finishing ? H2O_SEND_STATE_FINAL
+                                  : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+static void
+stream_proceed (h2o_generator_t *self, h2o_req_t *req)
+{
+  hts_request_t *request = ((stream_generator_t *)self)->request;
+  request->is_busy = false;
+  stream_flush (request);
+}
+
+static void
+stream_stop (h2o_generator_t *self, h2o_req_t *req)
+{
+  hts_request_t *request = ((stream_generator_t *)self)->request;
+  if (request->is_finished)
+    return;
+  request->server->events->on_abort (request);
+  request->is_finished = true;
+}
+
+void
+hts_stream_begin (hts_request_t *request, int http_status,
+                  const char *content_type)
+{
+  h2o_req_t *req = request->impl;
+  response_begin (request, http_status, content_type);
+  stream_generator_t *generator
+      = h2o_mem_alloc_pool (&req->pool, sizeof *generator);
+  *generator
+      = (stream_generator_t){ { stream_proceed, stream_stop }, request };
+  request->generator = generator;
+  request->is_streaming = true;
+  h2o_start_response (req, &generator->super);
+}
+
+void
+hts_stream_write (hts_request_t *request, kb_slice_t bytes)
+{
+  kb_buf_append (&request->out, bytes.ptr, bytes.len_bytes);
+  stream_flush (request);
+}
+
+void
+hts_stream_end (hts_request_t *request, bool is_whole)
+{
+  request->is_finished = true;
+  tmr_cancel (request->server->timers, &request->hangup_timer);
+  request->is_finishing = is_whole;
+  request->is_cut = !is_whole;
+  stream_flush (request);
+}
+
+size_t
+hts_stream_pending (const hts_request_t *request)
+{
+  return request->out.len_bytes
+         + (request->is_busy ? request->sending.len_bytes : 0);
+}
--- /dev/null
+++ b/src/transport/kv.c
@@ -0,0 +1,375 @@
+#include "transport/kv.h"
+
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "protocol/json.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  KVC_ANSWER_MAX_BYTES = 64 << 20,
+  KVC_BURST = 128,
+  KVC_WATCH_IDLE_MS = 86400000
+};
+
+/// One call in progress.
+typedef struct
+{
+  kvc_client_t *client;
+  kvc_done_t done;
+  void *arg;
+  kb_buf_t answer;
+  bool is_cas;
+} kv_call_t;
+
+struct kvc_watch
+{
+  kvc_client_t *client;
+  const kvc_watch_events_t *events;
+  void *arg;
+  htc_call_t *call;
+  kb_buf_t line;
+};
+
+void
+kvc_client_init (kvc_client_t *client, htc_client_t *http, const char *address,
+                 uint16_t port, uint64_t timeout_ms, double ceiling_per_s)
+{
+  *client
+      = (kvc_client_t){ .http = http, .port = port, .timeout_ms = timeout_ms };
+  snprintf (client->address, sizeof client->address, "%s", address);
+  lim_bucket_init (&client->bucket, ceiling_per_s, KVC_BURST, tmr_now_ms ());
+}
+
+static void
+append_base64 (kb_buf_t *out, kb_slice_t bytes)
+{
+  size_t need = 4 * (((size_t)bytes.len_bytes + 2) / 3) + 1;
+  char *text = kb_alloc (need);
+  int len = EVP_EncodeBlock ((unsigned char *)text,
+                             (const unsigned char *)bytes.ptr,
+                             (int)bytes.len_bytes);
+  kb_buf_append (out, text, (size_t)len);
+  free (text);
+}
+
+static bool
+append_decoded (kb_buf_t *out, const char *text)
+{
+  size_t len = strlen (text);
+  if (len % 4 != 0)
+    return false;
+  unsigned char *bytes = kb_alloc (len / 4 * 3 + 1);
+  int got = EVP_DecodeBlock (bytes, (const unsigned char *)text, (int)len);
+  if (got >= 0)
+    {
+      if (len > 0 && text[len - 1] == '=')
+        got--;
+      if (len > 1 && text[len - 2] == '=')
+        got--;
+      kb_buf_append (out, bytes, (size_t)got);
+    }
+  free (bytes);
+  return got >= 0;
+}
+
+static void
+append_member (kb_buf_t *out, const char *name, kb_slice_t bytes)
+{
+  kb_buf_printf (out, "\"%s\":\"", name);
+  append_base64 (out, bytes);
+  kb_buf_append_str (out, "\"");
+}
+
+/// The end of the range of keys with a prefix: its last byte plus one.
+static void
+append_range (kb_buf_t *out, const char *prefix)
+{
+  char end[KVC_KEY_BYTES];
+  snprintf (end, sizeof end, "%s", prefix);
+  end[strlen (end) - 1]++;
+  append_member (out, "key", kb_slice_str (prefix));
+  kb_buf_append_str (out, ",");
+  append_member (out, "range_end", kb_slice_str (end));
+}
+
+static uint64_t
+jsn_u64 (struct json_object *obj, const char *key)
+{
+  struct json_object *value = jsn_get (obj, key);
+  return value == NULL ? 0
+                       : strtoull (json_object_get_string (value), NULL, 10);
+}
+
+/// Read one kv object; its value is appended to `values`.
+static bool
+item_parse (struct json_object *kv, kvc_item_t *out, kb_buf_t *value)
+{
+  kb_buf_t key;
+  kb_buf_init (&key);
+  bool is_good = append_decoded (&key, jsn_str (kv, "key", ""))
+                 && append_decoded (value, jsn_str (kv, "value", ""));
+  *out = (kvc_item_t){ .mod_revision = jsn_u64 (kv, "mod_revision") };
+  if (is_good)
+    kb_slice_copy (kb_buf_slice (&key), out->key, sizeof out->key);
+  out->value = kb_buf_slice (value);
+  kb_buf_finish (&key);
+  return is_good;
+}
+
+static void
+call_report_items (kv_call_t *call, struct json_object *kvs)
+{
+  uint32_t count = json_object_is_type (kvs, json_type_array)
+                       ? (uint32_t)json_object_array_length (kvs)
+                       : 0;
+  kvc_item_t *items = kb_alloc (count * sizeof *items);
+  kb_buf_t *values = kb_alloc (count * sizeof *values);
+  kb_status_t status = KB_OK;
+  for (uint32_t i = 0; i < count; i++)
+    if (!item_parse (json_object_array_get_idx (kvs, i), &items[i],
+                     &values[i]))
+      status = KB_EINVAL;
+  call->done (call->arg, status, items, status == KB_OK ? count : 0);
+  for (uint32_t i = 0; i < count; i++)
+    kb_buf_finish (&values[i]);
+  free (values);
+  free (items);
+}
+
+static void
+call_report (kv_call_t *call, int http_status)
+{
+  struct json_object *doc = NULL;
+  if (http_status == 200)
+    jsn_parse_text ("kv", kb_buf_slice (&call->answer), &doc, NULL);
+  if (doc == NULL)
+    {
+      // An answer that cannot be read proves nothing about the write.
+      call->done (call->arg, call->is_cas ? KB_EUNKNOWN : KB_EUNAVAIL, NULL,
+                  0);
+      return;
+    }
+  if (call->is_cas)
+    call->done (call->arg,
+                jsn_bool (doc, "succeeded", false) ? KB_OK : KB_ECONFLICT,
+                NULL, 0);
+  else
+    call_report_items (call, jsn_get (doc, "kvs"));
+  json_object_put (doc);
+}
+
+static void
+call_on_head (htc_call_t *http, int http_status, kb_slice_t content_type)
+{
+}
+
+static void
+call_on_body (htc_call_t *http, kb_slice_t bytes)
+{
+  kv_call_t *call = http->owner;
+  if (call->answer.len_bytes + bytes.len_bytes < KVC_ANSWER_MAX_BYTES)
+    kb_buf_append (&call->answer, bytes.ptr, bytes.len_bytes);
+}
+
+static void
+call_on_end (htc_call_t *http, htc_end_t end)
+{
+  kv_call_t *call = http->owner;
+  if (end == HTC_END_WHOLE)
+    call_report (call, http->http_status);
+  else
+    {
+      MET_INC ("knapweedbay_kv_failures_total", "");
+      bool is_unknown = call->is_cas && end != HTC_END_NOT_SENT;
+      call->done (call->arg, is_unknown ? KB_EUNKNOWN : KB_EUNAVAIL, NULL, 0);
+    }
+  kb_buf_finish (&call->answer);
+  free (call);
+}
+
+static const htc_events_t call_events
+    = { call_on_head, call_on_body, call_on_end };
+
+static void
+call_start (kvc_client_t *client, const char *path, kb_buf_t *body,
+            bool is_cas, kvc_done_t done, void *arg)
+{
+  uint64_t retry_after_ms;
+  if (!lim_bucket_take (&client->bucket, tmr_now_ms (), &retry_after_ms))
+    {
+      // A thousand daemons that start or lose their watch together would
+      // exceed the service's rate; each stays below its own ceiling and the
+      // caller tries again after its backoff.
+      MET_INC ("knapweedbay_kv_held_back_total", "");
+      done (arg, KB_EUNAVAIL, NULL, 0);
+      kb_buf_finish (body);
+      return;
+    }
+  kv_call_t *call = kb_alloc (sizeof *call);
+  call->client = client;
+  call->done = done;
+  call->arg = arg;
+  call->is_cas = is_cas;
+  htc_call_start (client->http, &call_events, call, client->address,
+                  client->port, "POST", path,
+                  "content-type: application/json\r\n", kb_buf_slice (body),
+                  client->timeout_ms);
+  kb_buf_finish (body);
+}
+
+void
+kvc_get (kvc_client_t *client, const char *key, kvc_done_t done, void *arg)
+{
+  MET_INC ("knapweedbay_kv_calls_total", "kind=\"read\"");
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{");
+  append_member (&body, "key", kb_slice_str (key));
+  kb_buf_append_str (&body, "}");
+  call_start (client, "/v3/kv/range", &body, false, done, arg);
+}
+
+void
+kvc_range (kvc_client_t *client, const char *prefix, kvc_done_t done,
+           void *arg)
+{
+  MET_INC ("knapweedbay_kv_calls_total", "kind=\"read\"");
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{");
+  append_range (&body, prefix);
+  kb_buf_append_str (&body, "}");
+  call_start (client, "/v3/kv/range", &body, false, done, arg);
+}
+
+void
+kvc_put (kvc_client_t *client, const char *key, kb_slice_t value,
+         kvc_done_t done, void *arg)
+{
+  MET_INC ("knapweedbay_kv_calls_total", "kind=\"write\"");
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{");
+  append_member (&body, "key", kb_slice_str (key));
+  kb_buf_append_str (&body, ",");
+  append_member (&body, "value", value);
+  kb_buf_append_str (&body, "}");
+  call_start (client, "/v3/kv/put", &body, false, done, arg);
+}
+
+void
+kvc_cas (kvc_client_t *client, const char *key, uint64_t expected,
+         kb_slice_t value, kvc_done_t done, void *arg)
+{
+  MET_INC ("knapweedbay_kv_calls_total", "kind=\"write\"");
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{\"compare\":[{");
+  append_member (&body, "key", kb_slice_str (key));
+  kb_buf_printf (&body,
+                 ",\"target\":\"MOD\",\"result\":\"EQUAL\","
+                 "\"mod_revision\":\"%llu\"}],\"success\":[{\"request_put\":{",
+                 (unsigned long long)expected);
+  append_member (&body, "key", kb_slice_str (key));
+  kb_buf_append_str (&body, ",");
+  append_member (&body, "value", value);
+  kb_buf_append_str (&body, "}}],\"failure\":[]}");
+  call_start (client, "/v3/kv/txn", &body, true, done, arg);
+}
+
+static void
+watch_report_event (kvc_watch_t *watch, struct json_object *event)
+{
+  kvc_item_t item;
+  kb_buf_t value;
+  kb_buf_init (&value);
+  if (item_parse (jsn_get (event, "kv"), &item, &value))
+    {
+      if (strcmp (jsn_str (event, "type", "PUT"), "DELETE") == 0)
+        item.mod_revision = 0;
+      watch->events->on_item (watch->arg, &item);
+    }
+  kb_buf_finish (&value);
+}
+
+static void
+watch_report_line (kvc_watch_t *watch, kb_slice_t line)
+{
+  struct json_object *doc;
+  if (jsn_parse_text ("watch", line, &doc, NULL) != KB_OK)
+    return;
+  struct json_object *events = jsn_get (jsn_get (doc, "result"), "events");
+  size_t count = json_object_is_type (events, json_type_array)
+                     ? json_object_array_length (events)
+                     : 0;
+  for (size_t i = 0; i < count; i++)
+    watch_report_event (watch, json_object_array_get_idx (events, i));
+  json_object_put (doc);
+}
+
+static void
+watch_on_body (htc_call_t *call, kb_slice_t bytes)
+{
+  kvc_watch_t *watch = call->owner;
+  kb_buf_append (&watch->line, bytes.ptr, bytes.len_bytes);
+  char *eol;
+  while (watch->line.len_bytes > 0
+         && (eol = memchr (watch->line.ptr, '\n', watch->line.len_bytes))
+                != NULL)
+    {
+      size_t len = (size_t)(eol - watch->line.ptr);
+      watch_report_line (watch,
+                         (kb_slice_t){ watch->line.ptr, (uint32_t)len });
+      kb_buf_consume (&watch->line, len + 1);
+    }
+}
+
+static void
+watch_free (kvc_watch_t *watch)
+{
+  kb_buf_finish (&watch->line);
+  free (watch);
+}
+
+static void
+watch_on_end (htc_call_t *call, htc_end_t end)
+{
+  kvc_watch_t *watch = call->owner;
+  MET_INC ("knapweedbay_kv_watches_lost_total", "");
+  met_add (met_counter ("knapweedbay_kv_watches_open", ""), -1);
+  watch->events->on_lost (watch->arg);
+  watch_free (watch);
+}
+
+static const htc_events_t watch_call_events
+    = { call_on_head, watch_on_body, watch_on_end };
+
+kvc_watch_t *
+kvc_watch_start (kvc_client_t *client, const char *prefix,
+                 const kvc_watch_events_t *events, void *arg)
+{
+  MET_INC ("knapweedbay_kv_calls_total", "kind=\"watch\"");
+  met_add (met_counter ("knapweedbay_kv_watches_open", ""), 1);
+  kvc_watch_t *watch = kb_alloc (sizeof *watch);
+  watch->client = client;
+  watch->events = events;
+  watch->arg = arg;
+  kb_buf_t body = { 0 };
+  kb_buf_append_str (&body, "{\"create_request\":{");
+  append_range (&body, prefix);
+  kb_buf_append_str (&body, "}}");
+  watch->call = htc_call_start (
+      client->http, &watch_call_events, watch, client->address, client->port,
+      "POST", "/v3/watch", "content-type: application/json\r\n",
+      kb_buf_slice (&body), KVC_WATCH_IDLE_MS);
+  kb_buf_finish (&body);
+  return watch;
+}
+
+void
+kvc_watch_stop (kvc_watch_t *watch)
+{
+  htc_call_cancel (watch->call);
+  met_add (met_counter ("knapweedbay_kv_watches_open", ""), -1);
+  watch_free (watch);
+}
--- /dev/null
+++ b/test/fakes/fake.c
@@ -0,0 +1,107 @@
+#include "fake.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+uv_loop_t fk_loop;
+tmr_service_t fk_timers;
+static const fk_role_t *fk_role;
+
+void
+fk_reply (hts_request_t *request, int http_status, const kb_buf_t *body)
+{
+  hts_reply (request, http_status, "application/json", kb_buf_slice (body));
+}
+
+void
+fk_reply_text (hts_request_t *request, int http_status, const char *text)
+{
+  hts_reply (request, http_status, "application/json", kb_slice_str (text));
+}
+
+void
+fk_cut (hts_request_t *request)
+{
+  hts_stream_begin (request, 200, "application/json");
+  hts_stream_end (request, false);
+}
+
+bool
+fk_path_is (const hts_request_t *request, const char *path)
+{
+  return kb_slice_equal (request->path, kb_slice_str (path));
+}
+
+struct json_object *
+fk_body (const hts_request_t *request)
+{
+  struct json_object *doc = NULL;
+  jsn_parse_text ("request", request->body, &doc, NULL);
+  return doc;
+}
+
+static void
+on_request (hts_server_t *server, hts_request_t *request)
+{
+  if (!fk_path_is (request, "/fault"))
+    {
+      fk_role->on_request (request);
+      return;
+    }
+  struct json_object *faults = fk_body (request);
+  fk_role->on_fault (faults);
+  json_object_put (faults);
+  fk_reply_text (request, 200, "{}");
+}
+
+static void
+on_abort (hts_request_t *request)
+{
+  fk_role->on_abort (request);
+}
+
+static const hts_events_t events = { on_request, on_abort };
+
+static const fk_role_t *
+role_find (const char *name)
+{
+  if (strcmp (name, "engine") == 0)
+    return &fk_engine;
+  if (strcmp (name, "kv") == 0)
+    return &fk_kv;
+  if (strcmp (name, "list") == 0)
+    return &fk_list;
+  return strcmp (name, "plain") == 0 ? &fk_plain : NULL;
+}
+
+int
+main (int argc, char **argv)
+{
+  fk_role = argc > 1 ? role_find (argv[1]) : NULL;
+  if (fk_role == NULL)
+    {
+      fprintf (stderr, "Usage: kbfake engine|kv|list|plain [PORT]\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  uv_loop_init (&fk_loop);
+  tmr_service_init (&fk_timers, &fk_loop);
+  static hts_server_t server;
+  hts_options_t options = { .address = "127.0.0.1",
+                            .port = (uint16_t)(argc > 2 ? atoi (argv[2]) : 0),
+                            .max_body_bytes = 64 << 20,
+                            .read_timeout_ms = 60000,
+                            .max_connections = 100000 };
+  kb_error_t error = { 0 };
+  if (hts_server_init (&server, &fk_loop, &fk_timers, &events, NULL, &options,
+                       &error)
+      != KB_OK)
+    {
+      fprintf (stderr, "kbfake: %s\n", error.message);
+      return 1;
+    }
+  printf ("ready name=%s role=fake http=%u inner=0\n", argv[1], server.port);
+  fflush (stdout);
+  return uv_run (&fk_loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/test/system/path_test.cc
@@ -0,0 +1,153 @@
+// The whole path through real processes, without faults.
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "cluster.h"
+
+using kb::Answer;
+using kb::Cluster;
+using kb::ClusterOptions;
+
+class PathTest : public ::testing::Test
+{
+protected:
+  static void
+  SetUpTestSuite ()
+  {
+    cluster = new Cluster (ClusterOptions{});
+    cluster->start ();
+  }
+  static void
+  TearDownTestSuite ()
+  {
+    delete cluster;
+    cluster = nullptr;
+  }
+  static Cluster *cluster;
+};
+Cluster *PathTest::cluster;
+
+TEST_F (PathTest, WholeAnswerFromNamedVersion)
+{
+  Answer answer = cluster->complete (0, "a1@2", "hello");
+  ASSERT_EQ (answer.status, 200) << answer.body;
+  EXPECT_EQ (Cluster::text_of (answer),
+             Cluster::expected_text ("a1@2", "hello", 8));
+  EXPECT_EQ (answer.headers["x-knapweedbay-model"], "a1@2");
+  EXPECT_EQ (answer.headers["x-knapweedbay-outcome"], "done");
+}
+
+TEST_F (PathTest, BareAdapterUsesCurrentVersion)
+{
+  Answer answer = cluster->complete (1, "a2", "bare");
+  ASSERT_EQ (answer.status, 200) << answer.body;
+  EXPECT_EQ (answer.headers["x-knapweedbay-model"], "a2@1");
+}
+
+TEST_F (PathTest, StreamEndsWithMark)
+{
+  Answer answer = cluster->complete (0, "a3@1", "streamed", {}, 12, true);
+  ASSERT_EQ (answer.status, 200) << answer.body;
+  EXPECT_TRUE (answer.whole);
+  EXPECT_EQ (Cluster::text_of_stream (answer),
+             Cluster::expected_text ("a3@1", "streamed", 12));
+}
+
+TEST_F (PathTest, PlainServiceIsRouted)
+{
+  Answer answer = kb::http_call ("POST", cluster->entries[0].process.http_port,
+                                 "/v1/services/map-query/cells?x=1", "cell-7",
+                                 { "Authorization: Bearer kavango-key" });
+  ASSERT_EQ (answer.status, 200) << answer.body;
+  EXPECT_NE (answer.body.find ("/cells?x=1"), std::string::npos);
+  EXPECT_EQ (cluster->runs_of ("cell-7"), 1);
+}
+
+TEST_F (PathTest, UnknownNamesAreNamed)
+{
+  Answer answer = cluster->complete (0, "nobody@1", "x");
+  EXPECT_EQ (answer.status, 404);
+  EXPECT_NE (answer.body.find ("nobody"), std::string::npos);
+  answer = cluster->complete (0, "a1@9", "x");
+  EXPECT_EQ (answer.status, 404);
+  EXPECT_NE (answer.body.find ("no version 9"), std::string::npos);
+  answer = cluster->complete (0, "a1@x", "x");
+  EXPECT_EQ (answer.status, 400);
+  answer = cluster->complete (0, "a1@1", "x", {}, 8, false, "wrong-key");
+  EXPECT_EQ (answer.status, 401);
+  EXPECT_EQ (answer.headers["x-knapweedbay-outcome"], "not_run");
+}
+
+TEST_F (PathTest, BadBodiesAreRefused)
+{
+  int port = cluster->entries[0].process.http_port;
+  kb::Headers auth = { "Authorization: Bearer kavango-key" };
+  Answer answer
+      = kb::http_call ("POST", port, "/v1/completions", "{\"model\":", auth);
+  EXPECT_EQ (answer.status, 400);
+  EXPECT_NE (answer.body.find ("ends too early"), std::string::npos);
+  std::string large (2 << 20, 'x');
+  answer = kb::http_call ("POST", port, "/v1/completions", large, auth);
+  EXPECT_EQ (answer.status, 413);
+  kb::Headers twice = { "Authorization: Bearer kavango-key",
+                        "Idempotency-Key: a", "Idempotency-Key: b" };
+  answer = kb::http_call ("POST", port, "/v1/completions",
+                          "{\"model\":\"a1\"}", twice);
+  EXPECT_EQ (answer.status, 400);
+  EXPECT_NE (answer.body.find ("more than once"), std::string::npos);
+}
+
+TEST_F (PathTest, PagesOfEveryDaemon)
+{
+  int port = cluster->entries[0].process.http_port;
+  EXPECT_EQ (kb::http_call ("GET", port, "/healthz").status, 200);
+  EXPECT_EQ (kb::http_call ("GET", port, "/v1/status").status, 401);
+  EXPECT_EQ (kb::http_call ("POST", port, "/v1/drain").status, 401);
+  Answer models = kb::http_call ("GET", port, "/v1/models");
+  EXPECT_NE (models.body.find ("\"a39@2\""), std::string::npos);
+  EXPECT_NE (kb::http_call ("GET", port, "/metrics")
+                 .body.find ("knapweedbay_requests_total"),
+             std::string::npos);
+}
+
+// A planner's script sends the same upload twice because the first answer was
+// slow to come. The second send must not run it again: it gets the answer of
+// the first. The key is the same; through the other entry as well.
+TEST_F (PathTest, ResentKeyGetsKeptAnswer)
+{
+  kb::Headers key = { "Idempotency-Key: upload-17" };
+  Answer first = cluster->complete (0, "a4@1", "upload-17", key);
+  ASSERT_EQ (first.status, 200) << first.body;
+  for (int entry = 0; entry < 2; entry++)
+    {
+      Answer again = cluster->complete (entry, "a4@1", "upload-17", key);
+      EXPECT_EQ (again.status, 200) << again.body;
+      EXPECT_EQ (again.body, first.body);
+    }
+  EXPECT_EQ (cluster->runs_of ("upload-17"), 1);
+  Answer other = cluster->complete (0, "a4@1", "another body", key);
+  EXPECT_EQ (other.status, 422);
+  EXPECT_EQ (cluster->runs_of ("another body"), 0);
+}
+
+// Two sends of one key race through both entries. Only one may run; the other
+// is told that it runs, or gets its answer.
+TEST_F (PathTest, RacingSendsRunOnce)
+{
+  Answer answers[2];
+  std::thread threads[2];
+  for (int i = 0; i < 2; i++)
+    threads[i] = std::thread ([i, &answers] {
+      answers[i] = cluster->complete (i, "a5@1", "race",
+                                      { "Idempotency-Key: race" }, 100);
+    });
+  for (auto &thread : threads)
+    thread.join ();
+  int done = (answers[0].status == 200) + (answers[1].status == 200);
+  EXPECT_GE (done, 1);
+  for (auto &answer : answers)
+    EXPECT_TRUE (answer.status == 200 || answer.status == 409)
+        << answer.status << answer.body;
+  EXPECT_EQ (cluster->runs_of ("race"), 1);
+}
