fix(sched): count only better or equal classes in the expected wait

Cause: under a 10x burst of uploads the early refusal compared the whole queue with a request's deadline, although class 0 overtakes all of it, and a better class waited two seconds before a slot full of worse work was drained.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -348,16 +348,35 @@
   return group_head (group)->priority_class <= wanted->priority_class;
 }
 
+/// Whether a slot may be drained for a load, and how long its adapter has
+/// had it by then.
+static bool
+slot_may_drain (const sch_queue_t *queue, const slt_slot_t *slot,
+                const sch_action_t *load, uint64_t now_us)
+{
+  sch_group_t *group = group_find (queue, slot->key);
+  bool is_wanted = group != NULL && group->waiting > 0;
+  uint8_t its_class
+      = is_wanted ? group_head (group)->priority_class : SCH_CLASSES;
+  if (its_class < load->priority_class)
+    return false;
+  // Work of a worse class gives way at once; equals share by time.
+  if (its_class > load->priority_class)
+    return true;
+  return now_us - load->item->enqueued_us >= queue->options.drain_after_us
+         && now_us - slot->state_us >= queue->options.drain_after_us;
+}
+
 /// Without a bound, popular adapters that always have work would keep every
-/// slot pinned and a rare adapter's request would wait for ever. The resident
-/// adapter that was given its slot longest ago stops taking new work; its
-/// slot comes free when its running requests end.
+/// slot pinned and a rare adapter's request would wait for ever. One resident
+/// adapter stops taking new work, and its slot comes free when its running
+/// requests end: the one of the worst class, then the one that has had its
+/// slot longest.
 static void
 drain_one (sch_queue_t *queue, const sch_action_t *load, uint64_t now_us)
 {
-  if (now_us - load->item->enqueued_us < queue->options.drain_after_us)
-    return;
-  slt_slot_t *oldest = NULL;
+  slt_slot_t *best = NULL;
+  uint8_t best_class = 0;
   for (uint32_t i = 0; i < queue->slots->cap; i++)
     {
       slt_slot_t *slot = &queue->slots->slots[i];
@@ -365,17 +384,23 @@
         continue;
       if (slot->is_draining || slot->state != SLT_RESIDENT)
         return; // Room is already on its way.
+      if (!slot_may_drain (queue, slot, load, now_us))
+        continue;
       sch_group_t *group = group_find (queue, slot->key);
-      if (group != NULL && group->waiting > 0
-          && group_head (group)->priority_class < load->priority_class)
+      uint8_t its_class = group != NULL && group->waiting > 0
+                              ? group_head (group)->priority_class
+                              : SCH_CLASSES;
+      if (best != NULL
+          && (its_class < best_class
+              || (its_class == best_class
+                  && slot->state_us >= best->state_us)))
         continue;
-      if (oldest == NULL || slot->state_us < oldest->state_us)
-        oldest = slot;
+      best = slot;
+      best_class = its_class;
     }
-  if (oldest == NULL
-      || now_us - oldest->state_us < queue->options.drain_after_us)
+  if (best == NULL)
     return;
-  oldest->is_draining = true;
+  best->is_draining = true;
   queue->has_draining = true;
 }
 
@@ -506,6 +531,19 @@
   group->retry_load_us = now_us + ((uint64_t)LOAD_BACKOFF_US << shift);
 }
 
+uint64_t
+sch_expected_wait_ms (const sch_queue_t *queue, uint8_t priority_class,
+                      double service_ms)
+{
+  uint32_t ahead = 0;
+  for (int c = 0; c < SCH_CLASSES && c <= priority_class; c++)
+    ahead += queue->waiting_by_class[c];
+  uint32_t batch = queue->options.max_batch;
+  if (queue->running + ahead < batch)
+    return 0;
+  return (uint64_t)((ahead + 1) * service_ms / batch);
+}
+
 uint32_t
 sch_demand (const sch_queue_t *queue, uint64_t adapter)
 {
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -117,6 +117,11 @@
                           uint64_t now_us);
 void sch_note_load_end (sch_queue_t *queue, uint64_t adapter, bool is_loaded,
                         uint64_t now_us);
+/// @param service_ms  Expected time of one run.
+/// @return  Expected wait of new work of a class, milliseconds: only what is
+///          served before it counts.
+uint64_t sch_expected_wait_ms (const sch_queue_t *queue,
+                               uint8_t priority_class, double service_ms);
 /// @return  Requests of this adapter that wait or run.
 uint32_t sch_demand (const sch_queue_t *queue, uint64_t adapter);
 /// @return  How often in a row the load of this adapter failed.
--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -141,7 +141,8 @@
                             .state = agent->state,
                             .queue_len = agent->queue.waiting,
                             .running = agent->queue.running,
-                            .expected_wait_ms = agt_expected_wait_ms (agent),
+                            .expected_wait_ms
+                            = agt_expected_wait_ms (agent, SCH_CLASSES - 1),
                             .stall_us_total = agent->stall_us_total,
                             .fill_permille
                             = agent->fill_ticks == 0
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -152,8 +152,9 @@
 void agt_run_refuse_all (agt_agent_t *agent, const char *reason);
 /// An entry is lost: stop its idempotent work, nobody waits for it.
 void agt_run_peer_lost (agt_agent_t *agent, uint64_t peer);
-/// @return  Expected wait of new work, milliseconds.
-uint64_t agt_expected_wait_ms (const agt_agent_t *agent);
+/// @return  Expected wait of new work of a class, milliseconds.
+uint64_t agt_expected_wait_ms (const agt_agent_t *agent,
+                               uint8_t priority_class);
 bool agt_is_plain (const agt_agent_t *agent);
 
 // agent_engine.c
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -27,13 +27,10 @@
 }
 
 uint64_t
-agt_expected_wait_ms (const agt_agent_t *agent)
+agt_expected_wait_ms (const agt_agent_t *agent, uint8_t priority_class)
 {
-  const sch_queue_t *q = &agent->queue;
-  uint32_t batch = q->options.max_batch;
-  if (q->running + q->waiting < batch)
-    return 0;
-  return (uint64_t)((double)(q->waiting + 1) * agent->service_ms / batch);
+  return sch_expected_wait_ms (&agent->queue, priority_class,
+                               agent->service_ms);
 }
 
 /// Fill the load figures that go back on every reply.
@@ -44,7 +41,7 @@
       = adapter == 0 ? NULL : slt_find ((slt_table_t *)&agent->slots, adapter);
   end->queue_len = agent->queue.waiting;
   end->running = agent->queue.running;
-  end->expected_wait_ms = agt_expected_wait_ms (agent);
+  end->expected_wait_ms = agt_expected_wait_ms (agent, SCH_CLASSES - 1);
   end->is_resident = slot != NULL && slot->state == SLT_RESIDENT;
   end->demand_permille = adapter == 0
                              ? 0
@@ -561,11 +558,12 @@
       agt_request_t *worse = worse_than (agent, d->priority_class);
       if (worse == NULL)
         {
-          *retry_after_ms = agt_expected_wait_ms (agent);
+          *retry_after_ms
+              = agt_expected_wait_ms (agent, (uint8_t)d->priority_class);
           return "the queue is full";
         }
       agt_run_refuse (worse, "the queue is full of better classes",
-                      agt_expected_wait_ms (agent));
+                      agt_expected_wait_ms (agent, SCH_CLASSES - 1));
     }
   return NULL;
 }
@@ -655,7 +653,7 @@
   sch_add (&agent->queue, &r->item);
   // Refusing now leaves the caller time to try elsewhere; waiting until the
   // deadline would not.
-  uint64_t wait_ms = agt_expected_wait_ms (agent);
+  uint64_t wait_ms = agt_expected_wait_ms (agent, r->item.priority_class);
   if (wait_ms > d->deadline_ms)
     {
       agt_run_refuse (r, "the deadline cannot be met", wait_ms);
--- a/tools/replay/sim.c
+++ b/tools/replay/sim.c
@@ -223,13 +223,10 @@
 }
 
 static uint64_t
-expected_wait_ms (const engine_t *engine)
+expected_wait_ms (const engine_t *engine, uint8_t priority_class)
 {
-  const sch_queue_t *q = &engine->queue;
-  if (q->running + q->waiting < q->options.max_batch)
-    return 0;
-  return (uint64_t)((q->waiting + 1) * engine->service_ms
-                    / q->options.max_batch);
+  return sch_expected_wait_ms (&engine->queue, priority_class,
+                               engine->service_ms);
 }
 
 static void
@@ -237,7 +234,8 @@
 {
   engine_t *engine = &s->engines[e];
   rt_note_load (&s->routes[entry], (uint16_t)e, engine->queue.waiting,
-                engine->queue.running, (uint32_t)expected_wait_ms (engine),
+                engine->queue.running,
+                (uint32_t)expected_wait_ms (engine, RPL_CLASSES),
                 s->now_us / 1000);
 }
 
@@ -272,7 +270,7 @@
 {
   engine_t *engine = &s->engines[job->engine];
   const rpl_request_t *r = job->request;
-  uint64_t wait_us = expected_wait_ms (engine) * 1000;
+  uint64_t wait_us = expected_wait_ms (engine, r->priority_class) * 1000;
   bool is_hopeless = s->now_us + wait_us > r->at_us + r->deadline_us;
   bool is_refused = !engine->is_up || engine->queue.waiting >= QUEUE_LIMIT
                     || (s->policy == RPL_OURS && is_hopeless);
