fix(claims): close two double runs found by exploring the protocol

Cause: the explorer (all interleavings of two senders, a paused and a new owner, two runners, with loss, delay and a restart) reached two runs of one key, twice: 1. a grant is delayed, another sender has the attempt voided and runs, the runner restarts and forgets both, the old grant is dispatched to it. A dispatch now names the incarnation it is meant for; another one refuses. 2. a runner heard in a rebuild restarts, forgets the raised epoch and takes a former owner's grant. A runner now reads the shard map after it registered and before it takes keyed work; a takeover swaps the map before it reads the roster, so one of the two sees the other.

--- a/src/coordination/claim_runner.c
+++ b/src/coordination/claim_runner.c
@@ -171,13 +171,19 @@
     }
 }
 
+void
+clm_runner_raise_epoch (clm_runner_t *runner, uint32_t shard, uint64_t epoch)
+{
+  if (epoch > runner->epochs[shard])
+    runner->epochs[shard] = epoch;
+}
+
 void
 clm_runner_recover (clm_runner_t *runner, const uint64_t *epochs,
                     const char *name, uint64_t incarnation, kb_buf_t *records)
 {
   for (uint32_t s = 0; s < CLM_SHARDS; s++)
-    if (epochs[s] > runner->epochs[s])
-      runner->epochs[s] = epochs[s];
+    clm_runner_raise_epoch (runner, s, epochs[s]);
   uint32_t at = 0;
   clm_run_t *run;
   while ((run = kb_map_next (&runner->by_key, &at)) != NULL)
--- a/src/coordination/claim_runner.h
+++ b/src/coordination/claim_runner.h
@@ -83,6 +83,9 @@
 void clm_runner_recover (clm_runner_t *runner, const uint64_t *epochs,
                          const char *name, uint64_t incarnation,
                          kb_buf_t *records);
+/// Refuse grants below this epoch from now on; a lower one changes nothing.
+void clm_runner_raise_epoch (clm_runner_t *runner, uint32_t shard,
+                             uint64_t epoch);
 void clm_runner_expire (clm_runner_t *runner, uint64_t now_ms);
 
 #endif
--- a/src/daemon/agent_fence.c
+++ b/src/daemon/agent_fence.c
@@ -10,6 +10,7 @@
 
 #include "daemon/agent_defs.h"
 #include "protocol/json.h"
+#include "protocol/shardmap.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -45,6 +46,30 @@
              agent);
 }
 
+/// The last step of the registration: learn the epochs in force. A takeover
+/// swaps the map first and reads the roster after, so it either finds this
+/// incarnation on the roster and asks it, or its epoch is in the map read
+/// here. Without this a restarted agent would take a former owner's grant.
+static void
+epochs_got (void *arg, kb_status_t status, const kvc_item_t *items,
+            uint32_t count)
+{
+  agt_agent_t *agent = arg;
+  shm_shard_t shards[SHM_SHARDS];
+  bool is_read
+      = status == KB_OK && (count == 0 || shm_parse (items[0].value, shards));
+  if (!is_read)
+    {
+      fence_retry (agent);
+      return;
+    }
+  for (uint32_t s = 0; count > 0 && s < SHM_SHARDS; s++)
+    clm_runner_raise_epoch (&agent->claims, s, shards[s].epoch);
+  agent->is_fence_known = true;
+  log_write (LOG_INFO, "fence", "Registered with number %" PRIu64 ".",
+             agent->fence);
+}
+
 static void
 fence_written (void *arg, kb_status_t status, const kvc_item_t *items,
                uint32_t count)
@@ -57,9 +82,7 @@
       fence_retry (agent);
       return;
     }
-  agent->is_fence_known = true;
-  log_write (LOG_INFO, "fence", "Registered with number %" PRIu64 ".",
-             agent->fence);
+  kvc_get (&agent->daemon->kv, SHM_KEY, epochs_got, agent);
 }
 
 /// The former incarnation left gracefully: its memory of claims went to the
@@ -92,8 +115,8 @@
   if (strcmp (jsn_str (former, "incarnation", ""), own) == 0)
     {
       agent->fence = (uint64_t)jsn_int (former, "fence", 0);
-      agent->is_fence_known = true;
       json_object_put (former);
+      kvc_get (&agent->daemon->kv, SHM_KEY, epochs_got, agent);
       return;
     }
   uint64_t last = (uint64_t)jsn_int (former, "fence", 0);
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -618,6 +618,15 @@
                        MSG_OUTCOME_NOT_RUN);
       return;
     }
+  // A delayed grant may be dispatched after this target restarted. Its attempt
+  // may have been voided at the former incarnation, and the key may have run
+  // there; this one remembers neither.
+  if (d->incarnation != agent->daemon->incarnation)
+    {
+      refuse_dispatch (agent, peer_name, d, "the target was restarted", 0,
+                       MSG_OUTCOME_NOT_RUN);
+      return;
+    }
   if (d->claim_key != 0 && !agent->is_fence_known)
     {
       // An agent that no new owner can find on the roster must not run keyed
--- a/src/daemon/entry_claims.c
+++ b/src/daemon/entry_claims.c
@@ -16,7 +16,8 @@
   EXPIRE_TICKS = 50,
 };
 
-static const char map_key[] = "kb/w/claims";
+_Static_assert ((int)SHM_SHARDS == (int)CLM_SHARDS,
+                "the map and the protocol cut keys into the same shards");
 
 static const char *
 own_name (const ent_entry_t *entry)
@@ -25,7 +26,7 @@
 }
 
 static bool
-is_own (const ent_entry_t *entry, const ent_shard_t *shard)
+is_own (const ent_entry_t *entry, const shm_shard_t *shard)
 {
   return shard->incarnation == entry->daemon->incarnation
          && strcmp (shard->owner, own_name (entry)) == 0;
@@ -40,39 +41,6 @@
   return owned;
 }
 
-static void
-map_write (const ent_shard_t *shards, kb_buf_t *out)
-{
-  kb_buf_append_str (out, "{\"shards\":[");
-  for (uint32_t s = 0; s < CLM_SHARDS; s++)
-    kb_buf_printf (
-        out, "%s{\"o\":\"%s\",\"i\":\"%016" PRIx64 "\",\"e\":%" PRIu64 "}",
-        s > 0 ? "," : "", shards[s].owner, shards[s].incarnation,
-        shards[s].epoch);
-  kb_buf_append_str (out, "]}");
-}
-
-static bool
-map_parse (kb_slice_t text, ent_shard_t *out)
-{
-  struct json_object *doc;
-  if (jsn_parse_text ("claims", text, &doc, NULL) != KB_OK)
-    return false;
-  struct json_object *list = jsn_get (doc, "shards");
-  bool is_good = json_object_is_type (list, json_type_array)
-                 && json_object_array_length (list) == CLM_SHARDS;
-  for (uint32_t s = 0; is_good && s < CLM_SHARDS; s++)
-    {
-      struct json_object *item = json_object_array_get_idx (list, s);
-      snprintf (out[s].owner, sizeof out[s].owner, "%s",
-                jsn_str (item, "o", ""));
-      out[s].incarnation = strtoull (jsn_str (item, "i", "0"), NULL, 16);
-      out[s].epoch = (uint64_t)jsn_int (item, "e", 0);
-    }
-  json_object_put (doc);
-  return is_good;
-}
-
 static void
 merge_packed (ent_entry_t *entry, kb_slice_t records,
               const clm_shard_state_t wanted)
@@ -106,7 +74,7 @@
   if (item->mod_revision == 0
       || item->mod_revision <= entry->shards_mod_revision)
     return;
-  if (!map_parse (item->value, entry->shards))
+  if (!shm_parse (item->value, entry->shards))
     return;
   entry->shards_mod_revision = item->mod_revision;
   entry->is_map_known = true;
@@ -139,7 +107,7 @@
 /// says so: its grants are fenced by the epoch, and a live owner is left
 /// alone.
 static bool
-owner_is_gone (ent_entry_t *entry, const ent_shard_t *shard, uint64_t now)
+owner_is_gone (ent_entry_t *entry, const shm_shard_t *shard, uint64_t now)
 {
   if (shard->owner[0] == '\0')
     return true;
@@ -160,7 +128,7 @@
 typedef struct
 {
   ent_entry_t *entry;
-  ent_shard_t wanted[CLM_SHARDS];
+  shm_shard_t wanted[CLM_SHARDS];
   uint64_t taken[CLM_SHARDS]; ///< New epochs; zero: not taken.
 } take_call_t;
 
@@ -203,7 +171,7 @@
       free (call);
       return;
     }
-  kvc_get (&entry->daemon->kv, map_key, take_read_back, call);
+  kvc_get (&entry->daemon->kv, SHM_KEY, take_read_back, call);
 }
 
 /// Take the shards whose owner is gone and that fall to this entry.
@@ -224,7 +192,7 @@
       const char *chosen = ent_members_choose (entry, s + 1, true);
       if (strcmp (chosen, own_name (entry)) != 0)
         continue;
-      ent_shard_t *wanted = &call->wanted[s];
+      shm_shard_t *wanted = &call->wanted[s];
       snprintf (wanted->owner, sizeof wanted->owner, "%s", own_name (entry));
       wanted->incarnation = entry->daemon->incarnation;
       wanted->epoch++;
@@ -238,8 +206,8 @@
     }
   entry->is_map_busy = true;
   kb_buf_t value = { 0 };
-  map_write (call->wanted, &value);
-  kvc_cas (&entry->daemon->kv, map_key, entry->shards_mod_revision,
+  shm_write (call->wanted, &value);
+  kvc_cas (&entry->daemon->kv, SHM_KEY, entry->shards_mod_revision,
            kb_buf_slice (&value), take_done, call);
   kb_buf_finish (&value);
 }
@@ -623,7 +591,7 @@
 void
 ent_claims_hand_over (ent_entry_t *entry)
 {
-  ent_shard_t wanted[CLM_SHARDS];
+  shm_shard_t wanted[CLM_SHARDS];
   memcpy (wanted, entry->shards, sizeof wanted);
   bool has_any = false;
   for (uint32_t s = 0; s < CLM_SHARDS; s++)
@@ -654,8 +622,8 @@
       return;
     }
   kb_buf_t value = { 0 };
-  map_write (wanted, &value);
-  kvc_cas (&entry->daemon->kv, map_key, entry->shards_mod_revision,
+  shm_write (wanted, &value);
+  kvc_cas (&entry->daemon->kv, SHM_KEY, entry->shards_mod_revision,
            kb_buf_slice (&value), handover_done, entry);
   kb_buf_finish (&value);
 }
--- a/src/daemon/entry_config.c
+++ b/src/daemon/entry_config.c
@@ -284,7 +284,7 @@
   ent_entry_t *entry = arg;
   if (strcmp (item->key, "kb/w/head") == 0 && item->mod_revision != 0)
     head_arrived (entry, item->value, "");
-  else if (strcmp (item->key, "kb/w/claims") == 0)
+  else if (strcmp (item->key, SHM_KEY) == 0)
     ent_claims_map_item (entry, item);
 }
 
@@ -323,7 +323,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       has_head |= strcmp (items[i].key, "kb/w/head") == 0;
-      has_map |= strcmp (items[i].key, "kb/w/claims") == 0;
+      has_map |= strcmp (items[i].key, SHM_KEY) == 0;
       watch_on_item (entry, &items[i]);
     }
   if (!has_head)
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -10,6 +10,7 @@
 #include "daemon/daemon.h"
 #include "protocol/cfgdoc.h"
 #include "protocol/openai.h"
+#include "protocol/shardmap.h"
 #include "transport/trace.h"
 
 enum
@@ -117,14 +118,6 @@
   tmr_sub_t retry;
 } ent_request_t;
 
-/// Owner of one shard, as the map in the key-value service says.
-typedef struct
-{
-  char owner[ENT_NAME_BYTES];
-  uint64_t incarnation;
-  uint64_t epoch;
-} ent_shard_t;
-
 /// One member of the roster that a rebuild waits for.
 typedef struct
 {
@@ -192,7 +185,7 @@
   ent_config_t config;
 
   clm_owner_t owner;
-  ent_shard_t shards[CLM_SHARDS];
+  shm_shard_t shards[CLM_SHARDS];
   uint64_t shards_mod_revision;
   bool is_map_known;
   bool is_map_busy;
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -249,6 +249,7 @@
     .revision = ent_revision (entry),
     .version = r->version,
     .max_tokens = r->max_tokens,
+    .incarnation = r->vm_incarnation,
     .partner = kb_slice_str (r->partner),
     .adapter = kb_slice_str (r->adapter),
     .source = kb_slice_str (r->source == NULL ? "" : r->source),
