fix(outcomes): keep refusals true, see lost agents at once

The most an earlier attempt may have done is now kept, and decides. (WrongModelNeverReachesTheCaller) - No disconnect was ever reported: a ZeroMQ pipe signals its descriptor only to a reader that has found it empty before. One first read cures it.

--- a/src/daemon/agent_engine.c
+++ b/src/daemon/agent_engine.c
@@ -265,7 +265,11 @@
   msg.gate_ask = (msg_gate_ask_t){ .id = wish->id,
                                    .waiting = wanted->waiting,
                                    .priority_class = wanted->priority_class };
-  dmn_send (agent->daemon, wish->gate, &msg);
+  // A gate that cannot be reached gives way to the next entry at once.
+  if (dmn_send (agent->daemon, wish->gate, &msg) == KB_OK)
+    return;
+  gate->heard_ms = 0;
+  wish->sent_ms = 0;
 }
 
 /// Without a reachable gate each agent keeps to its share of the rate.
@@ -285,6 +289,10 @@
   if (!lim_bucket_take (&agent->own_share, now, &retry_after_ms))
     return;
   MET_INC ("knapweedbay_loads_own_share_total", "");
+  // It counts as lost until it is heard again, so that the next load does not
+  // wait for it as well.
+  if (gate != NULL)
+    gate->heard_ms = 0;
   wish->is_granted = true;
   wish->is_own_share = true;
 }
--- a/src/daemon/entry_claims.c
+++ b/src/daemon/entry_claims.c
@@ -16,8 +16,8 @@
   EXPIRE_TICKS = 50,
 };
 
-_Static_assert ((int)SHM_SHARDS == (int)CLM_SHARDS,
-                "the map and the protocol cut keys into the same shards");
+_Static_assert((int)SHM_SHARDS == (int)CLM_SHARDS,
+               "the map and the protocol cut keys into the same shards");
 
 static const char *
 own_name (const ent_entry_t *entry)
--- a/src/daemon/entry_config.c
+++ b/src/daemon/entry_config.c
@@ -2,6 +2,7 @@
 /// The configuration in force at an entry: watch, fetch by digest, adopt only
 /// higher revisions, pass on to other entries.
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -87,16 +88,22 @@
   return is_good ? KB_OK : KB_EINVAL;
 }
 
+/// Tell the other entries, and the agents, which refuse what is dispatched by
+/// an older configuration.
 static void
 announce (ent_entry_t *entry)
 {
-  msg_t msg = { .type = MSG_ANNOUNCE };
-  msg.announce.revision = ent_revision (entry);
+  msg_t to_entry = { .type = MSG_ANNOUNCE };
+  to_entry.announce.revision = ent_revision (entry);
+  msg_t to_agent = { .type = MSG_PING };
+  to_agent.ping = (msg_ping_t){ .stamp_us = tmr_now_us (),
+                                .revision = ent_revision (entry),
+                                .target_count = entry->routes.by_id.len };
   uint32_t at = 0;
   ent_vm_t *vm;
   while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
-    if (vm->is_entry && vm->state == MEM_UP)
-      dmn_send (entry->daemon, vm->name, &msg);
+    if (vm->state == MEM_UP)
+      dmn_send (entry->daemon, vm->name, vm->is_entry ? &to_entry : &to_agent);
 }
 
 static void
@@ -142,6 +149,9 @@
   c->has_evidence = true;
   fetch_stop (c);
   chunks_trim (c);
+  // The parse needs several times the memory of what it builds; without the
+  // trim the peak stays resident for the life of the process.
+  malloc_trim (0);
   log_write (LOG_INFO, "config",
              "Revision %" PRIu64 " is in force with %u adapters.",
              built.revision, built.adapter_count);
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -96,6 +96,9 @@
   uint64_t voided_attempt;
   uint64_t holder_attempt; ///< Of an earlier request with the same key.
   bool is_claimed;         ///< The owner granted `attempt`.
+  /// The most an earlier attempt may have done; a later refusal must not call
+  /// the request "not run".
+  msg_outcome_t earlier;
   uint32_t tries;
   uint32_t claim_tries;
   uint16_t excluded[ENT_MAX_TRIES];
--- a/src/daemon/entry_members.c
+++ b/src/daemon/entry_members.c
@@ -280,7 +280,10 @@
 static void
 vm_ping (ent_entry_t *entry, ent_vm_t *vm, uint64_t now)
 {
-  uint64_t period = vm->inflight > 0 ? PING_BUSY_MS : PING_IDLE_MS;
+  // Absence from the list alone proves nothing; a quick answer settles it.
+  bool is_doubtful = vm->mem.listed == MEM_LISTED_ABSENT;
+  uint64_t period
+      = vm->inflight > 0 || is_doubtful ? PING_BUSY_MS : PING_IDLE_MS;
   uint64_t since_heard = now - vm->mem.heard_ms;
   bool is_due = now - vm->ping_ms >= period
                 && (since_heard >= period || vm->mem.pinged_ms != 0);
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -103,16 +103,6 @@
   request_free (r);
 }
 
-static void
-fail_not_run (ent_request_t *r, const char *message, uint64_t retry_after_ms)
-{
-  MET_INC ("knapweedbay_requests_total", "outcome=\"not_run\"");
-  if (r->is_claimed)
-    ent_claim_note (r, CLM_RELEASED);
-  request_fail (r, HTTP_UNAVAILABLE, "not_run", message,
-                retry_after_ms > 0 ? retry_after_ms : RETRY_DEFAULT_MS);
-}
-
 static void
 fail_unknown (ent_request_t *r, const char *message)
 {
@@ -131,6 +121,27 @@
   request_fail (r, HTTP_BAD_GATEWAY, "ran_failed", message, 0);
 }
 
+static void
+fail_not_run (ent_request_t *r, const char *message, uint64_t retry_after_ms)
+{
+  // An earlier attempt ran or may have run. Only this last one did not.
+  if (r->earlier == MSG_OUTCOME_RAN_FAILED)
+    {
+      fail_ran (r, message);
+      return;
+    }
+  if (r->earlier == MSG_OUTCOME_UNKNOWN)
+    {
+      fail_unknown (r, message);
+      return;
+    }
+  MET_INC ("knapweedbay_requests_total", "outcome=\"not_run\"");
+  if (r->is_claimed)
+    ent_claim_note (r, CLM_RELEASED);
+  request_fail (r, HTTP_UNAVAILABLE, "not_run", message,
+                retry_after_ms > 0 ? retry_after_ms : RETRY_DEFAULT_MS);
+}
+
 static bool
 request_may_repeat (const ent_request_t *r)
 {
@@ -220,6 +231,8 @@
       return;
     }
   MET_INC ("knapweedbay_retries_total", "");
+  if (r->earlier != MSG_OUTCOME_UNKNOWN)
+    r->earlier = ran ? MSG_OUTCOME_RAN_FAILED : MSG_OUTCOME_UNKNOWN;
   exclude_target (r);
   request_drop_attempt (r);
   request_leave_vm (r);
--- a/src/transport/link.c
+++ b/src/transport/link.c
@@ -317,6 +317,10 @@
   link->monitor = zmq_socket (link->context, ZMQ_PAIR);
   zmq_connect (link->monitor, "inproc://monitor");
   poll_start (link, &link->monitor_poll, link->monitor, monitor_readable);
+  // A pipe signals its descriptor only to a reader that has found it empty
+  // before. Without this first read no disconnect was ever reported, and a
+  // killed agent was noticed by an unanswered ping, seconds later.
+  monitor_readable (&link->monitor_poll, 0, 0);
   poll_start (link, &link->poll, link->socket, link_readable);
   uv_check_init (loop, &link->check);
   link->check.data = link;
--- /dev/null
+++ b/test/system/config_test.cc
@@ -0,0 +1,257 @@
+// Configuration: apply, races of operators, lost answers, outages, spreading.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+#include "cluster.h"
+
+using kb::Answer;
+using kb::Cluster;
+using kb::ClusterOptions;
+
+namespace
+{
+
+void
+write_file (const std::string &path, const std::string &text)
+{
+  std::ofstream (path) << text;
+}
+
+std::string
+kv_of (Cluster &c)
+{
+  return "127.0.0.1:" + std::to_string (c.kv.http_port);
+}
+
+std::string
+copy_of (Cluster &c, const std::string &name)
+{
+  std::string dir = c.dir + "/" + name;
+  std::string command = "cp -r '" + c.config_dir + "' '" + dir + "'";
+  EXPECT_EQ (system (command.c_str ()), 0);
+  return dir;
+}
+
+int
+apply_dir (Cluster &c, const std::string &dir, std::string *output = nullptr)
+{
+  return c.cli ({ "apply", "--kv", kv_of (c), dir }, output);
+}
+
+int64_t
+revision (Cluster &c, int entry)
+{
+  return c.status_int (c.entries[(size_t)entry].process, "revision");
+}
+
+std::string
+adapter_file (const std::string &name)
+{
+  return "{\"adapters\":{\"" + name
+         + "\":{\"service\":\"report\",\"versions\":{\"1\":\"ws://x\"}}}}";
+}
+
+} // namespace
+
+// A change must be in force on every daemon within three seconds, and a
+// request for the new adapter must then be served through any entry.
+TEST (Config, ChangeIsInForceEverywhere)
+{
+  ClusterOptions o;
+  o.entries = 4;
+  Cluster c (o);
+  c.start ();
+  write_file (c.config_dir + "/30-new.json", adapter_file ("fresh"));
+  ASSERT_EQ (c.apply (), 0);
+  auto begin = std::chrono::steady_clock::now ();
+  ASSERT_TRUE (Cluster::wait_until (
+      [&] {
+        for (int i = 0; i < 4; i++)
+          if (revision (c, i) != 2)
+            return false;
+        return true;
+      },
+      3000));
+  auto took = std::chrono::duration_cast<std::chrono::milliseconds> (
+      std::chrono::steady_clock::now () - begin);
+  printf ("in force on 4 entries after %lld ms\n", (long long)took.count ());
+  for (int i = 0; i < 4; i++)
+    EXPECT_EQ (c.complete (i, "fresh@1", "x").status, 200);
+  for (auto &t : c.targets)
+    EXPECT_TRUE (Cluster::wait_until (
+        [&] { return c.status_int (t.agent, "revision") == 2; }, 3000));
+}
+
+// Two operators start from the same base and change the same file. The second
+// apply must be refused and name the file; the first change stays.
+TEST (Config, SecondOfTwoRacingOperatorsIsRefused)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  std::string a = copy_of (c, "op-a");
+  std::string b = copy_of (c, "op-b");
+  write_file (a + "/30-x.json", adapter_file ("from-a"));
+  write_file (b + "/30-x.json", adapter_file ("from-b"));
+  EXPECT_EQ (apply_dir (c, a), 0);
+  std::string output;
+  EXPECT_EQ (apply_dir (c, b, &output), 1);
+  EXPECT_NE (output.find ("30-x.json"), std::string::npos) << output;
+  EXPECT_TRUE (
+      Cluster::wait_until ([&] { return revision (c, 0) == 2; }, 3000));
+  EXPECT_EQ (c.complete (0, "from-a@1", "x").status, 200);
+  EXPECT_EQ (c.complete (0, "from-b@1", "x").status, 404);
+}
+
+// Two operators change different files. Both changes hold, in either order,
+// although neither folder has the other's change.
+TEST (Config, ChangesOfDifferentFilesBothHold)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  std::string a = copy_of (c, "op-a");
+  std::string b = copy_of (c, "op-b");
+  write_file (a + "/30-a.json", adapter_file ("from-a"));
+  write_file (b + "/31-b.json", adapter_file ("from-b"));
+  EXPECT_EQ (apply_dir (c, b), 0);
+  EXPECT_EQ (apply_dir (c, a), 0);
+  // The first operator applies again from the old folder: nothing is undone.
+  EXPECT_EQ (apply_dir (c, b), 0);
+  ASSERT_TRUE (
+      Cluster::wait_until ([&] { return revision (c, 0) >= 3; }, 3000));
+  EXPECT_EQ (c.complete (0, "from-a@1", "x").status, 200);
+  EXPECT_EQ (c.complete (0, "from-b@1", "x").status, 200);
+  std::string output;
+  EXPECT_EQ (c.cli ({ "pull", "--kv", kv_of (c), b }, &output), 0);
+  EXPECT_NE (output.find ("30-a.json: updated"), std::string::npos) << output;
+}
+
+// The store takes the swap and its answer is lost. The tool must recognise
+// its own change and not apply it twice.
+TEST (Config, LostAnswerOfTheSwapIsRecognised)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  c.fault (c.kv, "{\"lose_cas\":2}"); // The chunk's write and the swap.
+  write_file (c.config_dir + "/30-x.json", adapter_file ("lost"));
+  std::string output;
+  EXPECT_EQ (c.apply (&output), 0) << output;
+  EXPECT_TRUE (
+      Cluster::wait_until ([&] { return revision (c, 0) == 2; }, 3000));
+  EXPECT_EQ (revision (c, 0), 2);
+  EXPECT_EQ (c.apply (&output), 0);
+  EXPECT_NE (output.find ("nothing to apply"), std::string::npos) << output;
+}
+
+// The store is down: apply says so and changes nothing. Requests go on, and
+// an entry that restarts cold gets the configuration from its peer.
+TEST (Config, OutageAndColdEntry)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  c.fault (c.kv, "{\"down\":true}");
+  EXPECT_EQ (c.complete (0, "a1@1", "x").status, 200);
+  int http = c.entries[1].process.http_port;
+  int inner = c.entries[1].process.inner_port;
+  Cluster::kill_process (c.entries[1].process, SIGKILL);
+  c.start_entry (c.entries[1], http, inner);
+  EXPECT_TRUE (
+      Cluster::wait_until ([&] { return revision (c, 1) == 1; }, 10000));
+  EXPECT_TRUE (Cluster::wait_until (
+      [&] { return c.complete (1, "a2@1", "cold").status == 200; }, 10000));
+}
+
+// An entry stands still while a change is made. When it wakes it must take
+// the change over and never fall back.
+TEST (Config, PausedEntryCatchesUp)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  Cluster::kill_process (c.entries[1].process, SIGSTOP);
+  write_file (c.config_dir + "/30-x.json", adapter_file ("while-paused"));
+  ASSERT_EQ (c.apply (), 0);
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  Cluster::kill_process (c.entries[1].process, SIGCONT);
+  EXPECT_TRUE (
+      Cluster::wait_until ([&] { return revision (c, 1) == 2; }, 3000));
+  EXPECT_EQ (c.complete (1, "while-paused@1", "x").status, 200);
+}
+
+// A version is deleted while a request runs with it: the request finishes.
+TEST (Config, DeletedVersionFinishesItsRequests)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  Answer answer;
+  std::thread t (
+      [&] { answer = c.complete (0, "a1@2", "old", {}, 500, true); });
+  std::this_thread::sleep_for (std::chrono::milliseconds (200));
+  write_file (c.config_dir + "/30-x.json",
+              "{\"adapters\":{\"a1\":{\"service\":\"report\",\"versions\":"
+              "{\"1\":\"ws://a1/1\"}}}}");
+  ASSERT_EQ (c.apply (), 0);
+  ASSERT_TRUE (
+      Cluster::wait_until ([&] { return revision (c, 0) == 2; }, 3000));
+  EXPECT_EQ (c.complete (0, "a1@2", "new").status, 404);
+  t.join ();
+  EXPECT_EQ (Cluster::text_of_stream (answer),
+             Cluster::expected_text ("a1@2", "old", 500));
+}
+
+// Thirteen thousand adapters do not fit one value of the store. One adapter
+// is then changed: only a small part may travel.
+TEST (Config, ThirteenThousandAdapters)
+{
+  ClusterOptions o;
+  o.adapters = 13000;
+  Cluster c (o);
+  c.start ();
+  EXPECT_EQ (c.complete (0, "a12999@2", "x").status, 200);
+  std::string name = "knapweedbay_config_bytes_total";
+  int64_t before = c.metric (c.entries[0].process, name);
+  write_file (c.config_dir + "/30-x.json", adapter_file ("one-more"));
+  ASSERT_EQ (c.apply (), 0);
+  ASSERT_TRUE (
+      Cluster::wait_until ([&] { return revision (c, 0) == 2; }, 3000));
+  int64_t moved = c.metric (c.entries[0].process, name) - before;
+  printf ("full copy %lld bytes, one change %lld bytes, resident %lld\n",
+          (long long)before, (long long)moved,
+          (long long)c.metric (c.entries[0].process,
+                               "knapweedbay_resident_bytes"));
+  EXPECT_LT (moved, before / 20);
+  json_object *stats = c.stats (c.kv);
+  json_object *too_large = nullptr;
+  json_object_object_get_ex (stats, "too_large", &too_large);
+  EXPECT_EQ (json_object_get_int (too_large), 0);
+  json_object_put (stats);
+}
+
+TEST (Config, ToolReportsBadInput)
+{
+  Cluster c (ClusterOptions{});
+  c.write_config ();
+  std::string output;
+  EXPECT_EQ (c.cli ({ "check", c.config_dir }, &output), 0) << output;
+  write_file (c.config_dir + "/40-over.json",
+              "{\"adapters\":{\"a1\":{\"service\":\"report\","
+              "\"versions\":{\"3\":\"ws://y\"}}}}");
+  EXPECT_EQ (c.cli ({ "check", c.config_dir }, &output), 0);
+  EXPECT_NE (
+      output.find ("adapters.a1: 40-over.json overrides 20-adapters.json"),
+      std::string::npos)
+      << output;
+  write_file (c.config_dir + "/50-bad.json",
+              "{\"rules\":{\"r\":{\"partner\":\"nobody\",\"class\":1}}}");
+  EXPECT_EQ (c.cli ({ "check", c.config_dir }, &output), 2);
+  EXPECT_NE (output.find ("50-bad.json: rules.r: unknown partner \"nobody\""),
+             std::string::npos)
+      << output;
+  write_file (c.config_dir + "/50-bad.json", "{\n\"rules\": {,}\n}");
+  EXPECT_EQ (c.cli ({ "check", c.config_dir }, &output), 2);
+  EXPECT_NE (output.find ("50-bad.json:2"), std::string::npos) << output;
+  EXPECT_EQ (c.cli ({ "apply", "--kv", "127.0.0.1:1", c.config_dir }), 2);
+  EXPECT_EQ (c.cli ({ "frobnicate" }, &output), 2);
+}
--- /dev/null
+++ b/tools/demo.cc
@@ -0,0 +1,219 @@
+/// @file demo.cc
+/// kbdemo: a small site of real processes under mixed load. Every answer is
+/// checked for adapter, version, wholeness and single run.
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstring>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "cluster.h"
+
+namespace
+{
+
+constexpr int kRequests = 1200;
+constexpr int kWorkers = 24;
+
+/// Figures of one kind of request.
+struct Tally
+{
+  int sent = 0;
+  int done = 0;
+  int refused = 0;
+  int differences = 0;
+  std::vector<double> seconds;
+};
+
+struct Job
+{
+  std::string kind;
+  std::string partner;
+  std::string model;
+  std::string prompt;
+  int tokens;
+  bool stream;
+  bool keyed;
+  bool plain;
+};
+
+Job
+make_job (int i, std::mt19937 &rng)
+{
+  static const char *const partners[] = { "kavango", "skjamynd", "officer" };
+  Job job;
+  job.partner = partners[rng () % 3];
+  // A few adapters are popular, most are rare.
+  int adapter = rng () % 4 != 0 ? (int)(rng () % 5) : (int)(rng () % 40);
+  job.model = "a" + std::to_string (adapter) + "@"
+              + std::to_string (1 + (int)(rng () % 2));
+  job.prompt = "demo-" + std::to_string (i);
+  job.tokens = 4 + (int)(rng () % 24);
+  int kind = (int)(rng () % 10);
+  job.plain = kind == 0;
+  job.stream = kind >= 1 && kind <= 4;
+  job.keyed = kind == 5 || kind == 6;
+  job.kind = job.plain    ? "plain"
+             : job.stream ? "streamed"
+             : job.keyed  ? "keyed, sent twice"
+                          : "unary";
+  return job;
+}
+
+bool
+is_refused (kb::Answer &answer)
+{
+  return answer.headers["x-knapweedbay-outcome"] == "not_run";
+}
+
+/// @return  0 done, 1 refused, 2 a difference.
+int
+run_job (kb::Cluster &c, const Job &job, int entry)
+{
+  std::string key = job.partner + "-key";
+  if (job.plain)
+    {
+      kb::Answer answer
+          = kb::http_call ("POST", c.entries[(size_t)entry].process.http_port,
+                           "/v1/services/map-query/cells", job.prompt,
+                           { "Authorization: Bearer " + key });
+      if (answer.status == 200 && answer.whole)
+        return answer.body.find ("\"count\":1") != std::string::npos ? 0 : 2;
+      return is_refused (answer) ? 1 : 2;
+    }
+  kb::Headers headers;
+  if (job.keyed)
+    headers.push_back ("Idempotency-Key: " + job.prompt);
+  kb::Answer answer = c.complete (entry, job.model, job.prompt, headers,
+                                  job.tokens, job.stream, key);
+  if (answer.status != 200)
+    return is_refused (answer) ? 1 : 2;
+  std::string text = job.stream ? kb::Cluster::text_of_stream (answer)
+                                : kb::Cluster::text_of (answer);
+  bool is_right = answer.whole
+                  && text
+                         == kb::Cluster::expected_text (job.model, job.prompt,
+                                                        job.tokens)
+                  && answer.headers["x-knapweedbay-model"] == job.model;
+  if (is_right && job.keyed)
+    {
+      kb::Answer again = c.complete (1 - entry, job.model, job.prompt, headers,
+                                     job.tokens, false, key);
+      is_right = again.status == 200 && again.body == answer.body;
+    }
+  return is_right ? 0 : 2;
+}
+
+int
+run_load (kb::Cluster &c)
+{
+  std::map<std::string, Tally> tallies;
+  std::mutex mutex;
+  std::mt19937 rng (7);
+  std::vector<Job> jobs;
+  for (int i = 0; i < kRequests; i++)
+    jobs.push_back (make_job (i, rng));
+  std::vector<int> results (jobs.size ());
+  std::atomic<size_t> next{ 0 };
+  std::vector<std::thread> workers;
+  for (int w = 0; w < kWorkers; w++)
+    workers.emplace_back ([&, w] {
+      size_t i;
+      while ((i = next++) < jobs.size ())
+        {
+          auto begin = std::chrono::steady_clock::now ();
+          int result = run_job (c, jobs[i], w % 2);
+          double took = std::chrono::duration<double> (
+                            std::chrono::steady_clock::now () - begin)
+                            .count ();
+          std::lock_guard<std::mutex> lock (mutex);
+          Tally &t = tallies[jobs[i].kind];
+          results[i] = result;
+          t.sent++;
+          t.done += result == 0;
+          t.refused += result == 1;
+          t.differences += result == 2;
+          t.seconds.push_back (took);
+        }
+    });
+  for (auto &worker : workers)
+    worker.join ();
+  int differences = 0;
+  for (size_t i = 0; i < jobs.size (); i++)
+    {
+      int runs = i % 10 == 0 ? c.runs_of (jobs[i].prompt) : -1;
+      if (runs >= 0 && runs != (results[i] == 0 ? 1 : runs))
+        {
+          printf ("%s ran %d times\n", jobs[i].prompt.c_str (), runs);
+          differences++;
+        }
+    }
+  printf ("%-18s %6s %6s %8s %12s %9s %9s\n", "kind", "sent", "done",
+          "refused", "differences", "p50 ms", "p99 ms");
+  for (auto &[kind, t] : tallies)
+    {
+      std::sort (t.seconds.begin (), t.seconds.end ());
+      printf ("%-18s %6d %6d %8d %12d %9.1f %9.1f\n", kind.c_str (), t.sent,
+              t.done, t.refused, t.differences,
+              t.seconds[t.seconds.size () / 2] * 1000,
+              t.seconds[t.seconds.size () * 99 / 100] * 1000);
+      differences += t.differences;
+    }
+  int64_t evicted = c.stat_sum ("evicted_in_use");
+  printf ("loads %lld, evicted in use %lld, differences %d\n",
+          (long long)c.stat_sum ("loads"), (long long)evicted, differences);
+  return differences + (int)evicted;
+}
+
+void
+stay (kb::Cluster &c)
+{
+  for (auto &e : c.entries)
+    printf ("%s http://127.0.0.1:%d\n", e.name.c_str (), e.process.http_port);
+  printf ("\ncurl -s http://127.0.0.1:%d/v1/completions -H 'Authorization: "
+          "Bearer kavango-key' -d '{\"model\":\"a1\",\"prompt\":\"hello\","
+          "\"max_tokens\":4}'\n\n"
+          "build/bin/knapweedbay status --daemon 127.0.0.1:%d --key "
+          "operator-key\n\nCtrl-C ends it.\n",
+          c.entries[0].process.http_port, c.entries[0].process.http_port);
+  fflush (stdout);
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGTERM);
+  int signal;
+  sigwait (&set, &signal);
+}
+
+} // namespace
+
+int
+main (int argc, char **argv)
+{
+  bool is_staying = argc > 1 && strcmp (argv[1], "--stay") == 0;
+  if (is_staying)
+    {
+      sigset_t set;
+      sigemptyset (&set);
+      sigaddset (&set, SIGINT);
+      sigaddset (&set, SIGTERM);
+      pthread_sigmask (SIG_BLOCK, &set, nullptr);
+    }
+  kb::ClusterOptions options;
+  kb::Cluster c (options);
+  c.start ();
+  printf ("2 entries, 4 engines, 1 plain service, 40 adapters, 3 partners\n");
+  if (is_staying)
+    {
+      stay (c);
+      return 0;
+    }
+  int differences = run_load (c);
+  return differences == 0 ? 0 : 1;
+}
