perf(config): build the configuration in an arena

Cause: its strings lay between the parse's short-lived objects, so no page of the parse could go back.

--- a/src/daemon/entry_config.c
+++ b/src/daemon/entry_config.c
@@ -269,6 +269,7 @@
       return;
     }
   c->has_evidence = true;
+  met_add (met_counter ("knapweedbay_config_bytes_total", ""), text.len_bytes);
   if (head.revision > c->heard_revision)
     c->heard_revision = head.revision;
   // Adopting only higher revisions is what keeps a change from being undone
--- a/src/protocol/cfgbuild.c
+++ b/src/protocol/cfgbuild.c
@@ -78,9 +78,9 @@
   if (strcmp (kind, "engine") != 0 && strcmp (kind, "plain") != 0)
     return item_error (b, "\"kind\" must be engine or plain, not", kind);
   cfg_service_t *s = &b->config->services[b->config->service_count++];
-  s->name = kb_strdup (b->item);
+  s->name = cfg_strdup (b->config, b->item);
   s->is_plain = strcmp (kind, "plain") == 0;
-  s->base_model = kb_strdup (jsn_str (obj, "base_model", "base"));
+  s->base_model = cfg_strdup (b->config, jsn_str (obj, "base_model", "base"));
   s->is_idempotent = jsn_bool (obj, "idempotent", !s->is_plain);
   return KB_OK;
 }
@@ -99,8 +99,9 @@
   if (!json_object_is_type (versions, json_type_object)
       || json_object_object_length (versions) == 0)
     return item_error (b, "needs at least one version", "");
-  a->versions = kb_alloc ((size_t)json_object_object_length (versions)
-                          * sizeof *a->versions);
+  a->versions
+      = cfg_alloc (b->config, (size_t)json_object_object_length (versions)
+                                  * sizeof *a->versions);
   json_object_object_foreach (versions, number, value)
   {
     char *end;
@@ -113,7 +114,7 @@
     if (source == NULL)
       return item_error (b, "no source for version", number);
     a->versions[a->version_count++]
-        = (cfg_version_t){ (uint32_t)n, kb_strdup (source) };
+        = (cfg_version_t){ (uint32_t)n, cfg_strdup (b->config, source) };
   }
   qsort (a->versions, a->version_count, sizeof *a->versions, version_compare);
   return KB_OK;
@@ -130,7 +131,7 @@
   if (strchr (b->item, '@') != NULL)
     return item_error (b, "a name must not contain \"@\"", "");
   cfg_adapter_t *a = &b->config->adapters[b->config->adapter_count++];
-  a->name = kb_strdup (b->item);
+  a->name = cfg_strdup (b->config, b->item);
   const char *service = jsn_str (obj, "service", "");
   const cfg_service_t *s
       = cfg_service_find (b->config, kb_slice_str (service));
@@ -180,7 +181,7 @@
   if (status != KB_OK)
     return status;
   cfg_partner_t *p = &b->config->partners[b->config->partner_count++];
-  p->name = kb_strdup (b->item);
+  p->name = cfg_strdup (b->config, b->item);
   if (!parse_hex (jsn_str (obj, "key_sha256", NULL), p->key_digest,
                   CFG_KEY_DIGEST_BYTES))
     return item_error (b, "\"key_sha256\" must be 64 hex digits", "");
@@ -222,10 +223,11 @@
   if (status != KB_OK)
     return status;
   cfg_rule_t *r = &b->config->rules[b->config->rule_count++];
-  r->name = kb_strdup (b->item);
-  r->partner = kb_strdup (jsn_str (obj, "partner", ""));
-  r->service = kb_strdup (jsn_str (obj, "service", ""));
-  r->adapter_prefix = kb_strdup (jsn_str (obj, "adapter_prefix", ""));
+  r->name = cfg_strdup (b->config, b->item);
+  r->partner = cfg_strdup (b->config, jsn_str (obj, "partner", ""));
+  r->service = cfg_strdup (b->config, jsn_str (obj, "service", ""));
+  r->adapter_prefix
+      = cfg_strdup (b->config, jsn_str (obj, "adapter_prefix", ""));
   if (r->partner[0] != '\0' && !partner_exists (b->config, r->partner))
     return item_error (b, "unknown partner", r->partner);
   if (r->service[0] != '\0'
@@ -274,13 +276,14 @@
             uint64_t revision, cfg_config_t *out, kb_error_t *error)
 {
   *out = (cfg_config_t){ .revision = revision };
-  out->services
-      = kb_alloc (section_len (merged, "services") * sizeof *out->services);
-  out->adapters
-      = kb_alloc (section_len (merged, "adapters") * sizeof *out->adapters);
-  out->partners
-      = kb_alloc (section_len (merged, "partners") * sizeof *out->partners);
-  out->rules = kb_alloc (section_len (merged, "rules") * sizeof *out->rules);
+  out->services = cfg_alloc (out, section_len (merged, "services")
+                                      * sizeof *out->services);
+  out->adapters = cfg_alloc (out, section_len (merged, "adapters")
+                                      * sizeof *out->adapters);
+  out->partners = cfg_alloc (out, section_len (merged, "partners")
+                                      * sizeof *out->partners);
+  out->rules
+      = cfg_alloc (out, section_len (merged, "rules") * sizeof *out->rules);
   build_t b = { .origins = origins, .config = out, .error = error };
   kb_status_t status;
   if ((status = build_section (&b, merged, "services", build_service)) != KB_OK
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -2,35 +2,55 @@
 
 #include <stdlib.h>
 
-void
-cfg_config_finish (cfg_config_t *config)
+enum
 {
-  for (uint32_t i = 0; i < config->service_count; i++)
-    {
-      free (config->services[i].name);
-      free (config->services[i].base_model);
-    }
-  for (uint32_t i = 0; i < config->adapter_count; i++)
+  BLOCK_BYTES = 256 << 10, ///< Above the size that malloc maps on its own.
+  ALIGN_BYTES = 8
+};
+
+struct cfg_block
+{
+  cfg_block_t *next;
+  size_t used_bytes;
+  size_t cap_bytes;
+  char bytes[];
+};
+
+void *
+cfg_alloc (cfg_config_t *config, size_t bytes)
+{
+  cfg_block_t *block = config->arena.blocks;
+  bytes = (bytes + ALIGN_BYTES - 1) / ALIGN_BYTES * ALIGN_BYTES;
+  if (block == NULL || block->cap_bytes - block->used_bytes < bytes)
     {
-      cfg_adapter_t *a = &config->adapters[i];
-      for (uint32_t v = 0; v < a->version_count; v++)
-        free (a->versions[v].source);
-      free (a->versions);
-      free (a->name);
+      size_t cap = bytes > BLOCK_BYTES ? bytes : BLOCK_BYTES;
+      block = kb_alloc (sizeof *block + cap);
+      block->cap_bytes = cap;
+      block->next = config->arena.blocks;
+      config->arena.blocks = block;
     }
-  for (uint32_t i = 0; i < config->partner_count; i++)
-    free (config->partners[i].name);
-  for (uint32_t i = 0; i < config->rule_count; i++)
+  void *place = block->bytes + block->used_bytes;
+  block->used_bytes += bytes;
+  return place;
+}
+
+char *
+cfg_strdup (cfg_config_t *config, const char *text)
+{
+  size_t bytes = strlen (text) + 1;
+  return memcpy (cfg_alloc (config, bytes), text, bytes);
+}
+
+void
+cfg_config_finish (cfg_config_t *config)
+{
+  cfg_block_t *block = config->arena.blocks;
+  while (block != NULL)
     {
-      free (config->rules[i].name);
-      free (config->rules[i].partner);
-      free (config->rules[i].service);
-      free (config->rules[i].adapter_prefix);
+      cfg_block_t *next = block->next;
+      free (block);
+      block = next;
     }
-  free (config->services);
-  free (config->adapters);
-  free (config->partners);
-  free (config->rules);
   kb_map_finish (&config->adapter_by_name);
   *config = (cfg_config_t){ 0 };
 }
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -17,6 +17,16 @@
   CFG_CLASSES = 8,
 };
 
+/// Memory of a configuration's strings and small arrays. Large blocks of its
+/// own keep them apart from the short-lived objects of the parse, so that the
+/// parse's memory can go back to the system.
+typedef struct cfg_block cfg_block_t;
+
+typedef struct
+{
+  cfg_block_t *blocks;
+} cfg_arena_t;
+
 typedef struct
 {
   char *name;
@@ -73,8 +83,12 @@
   cfg_rule_t *rules; ///< In the order of their names; the first match wins.
   uint32_t rule_count;
   kb_map_t adapter_by_name;
+  cfg_arena_t arena;
 } cfg_config_t;
 
+/// Zeroed memory that lives as long as the configuration.
+void *cfg_alloc (cfg_config_t *config, size_t bytes);
+char *cfg_strdup (cfg_config_t *config, const char *text);
 /// Release everything; the struct itself is the caller's.
 void cfg_config_finish (cfg_config_t *config);
 const cfg_service_t *cfg_service_find (const cfg_config_t *config,
