--- a/src/daemon/entry_members.c
+++ b/src/daemon/entry_members.c
@@ -10,7 +10,7 @@
 
 enum
 {
-  PING_BUSY_MS = 1000,  ///< To a target that has work of ours.
+  PING_BUSY_MS = 2000,  ///< To a target that has work of ours.
   PING_IDLE_MS = 15000, ///< To any other daemon.
   DOWN_GRACE_MS = 1000, ///< A connection may flap this long.
   DOWN_FINAL_MS = 5000,
--- /dev/null
+++ b/tools/fleet.cc
@@ -0,0 +1,266 @@
+/// @file fleet.cc
+/// kbfleet: slopes that need real processes: memory, control bytes, processor
+/// time and key-value calls by fleet size, and the latency the path adds.
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "cluster.h"
+
+namespace
+{
+
+FILE *json;
+bool has_row;
+
+void
+row (const std::string &name, double value)
+{
+  printf ("%-48s %14.2f\n", name.c_str (), value);
+  fflush (stdout);
+  if (json != nullptr)
+    fprintf (json, "%s\n \"%s\": %.4f", has_row ? "," : "", name.c_str (),
+             value);
+  has_row = true;
+}
+
+double
+cpu_seconds (const kb::Process &p)
+{
+  std::ifstream in ("/proc/" + std::to_string (p.pid) + "/stat");
+  std::string text ((std::istreambuf_iterator<char> (in)),
+                    std::istreambuf_iterator<char> ());
+  std::istringstream fields (text.substr (text.rfind (')') + 2));
+  std::string skip;
+  for (int i = 0; i < 11; i++)
+    fields >> skip;
+  double user;
+  double system;
+  fields >> user >> system;
+  return (user + system) / (double)sysconf (_SC_CLK_TCK);
+}
+
+double
+rss_mb (kb::Cluster &c, const kb::Process &p)
+{
+  return (double)c.metric (p, "knapweedbay_resident_bytes") / (1 << 20);
+}
+
+double
+inner_bytes (kb::Cluster &c, const kb::Process &p)
+{
+  return (
+      double)(c.metric (p, "knapweedbay_inner_bytes_total{way=\"in\"}")
+              + c.metric (p, "knapweedbay_inner_bytes_total{way=\"out\"}"));
+}
+
+double
+kv_stat (kb::Cluster &c, const char *name)
+{
+  json_object *doc = c.stats (c.kv);
+  json_object *value = nullptr;
+  json_object_object_get_ex (doc, name, &value);
+  double number = (double)json_object_get_int64 (value);
+  json_object_put (doc);
+  return number;
+}
+
+void
+sleep_s (double seconds)
+{
+  std::this_thread::sleep_for (
+      std::chrono::milliseconds ((int)(seconds * 1000)));
+}
+
+double
+percentile (std::vector<double> values, double share)
+{
+  std::sort (values.begin (), values.end ());
+  return values[(size_t)(share * (double)(values.size () - 1))];
+}
+
+/// Idle cost of a fleet.
+void
+measure_idle (int entries, int engines, int adapters)
+{
+  kb::ClusterOptions o;
+  o.entries = entries;
+  o.engines = engines;
+  o.plains = 0;
+  o.adapters = adapters;
+  kb::Cluster c (o);
+  c.start ();
+  sleep_s (2);
+  constexpr double kSeconds = 16; // One idle ping period and a little more.
+  const kb::Process &e = c.entries[0].process;
+  const kb::Process &a = c.targets[0].agent;
+  double e_bytes = inner_bytes (c, e);
+  double a_bytes = inner_bytes (c, a);
+  double e_cpu = cpu_seconds (e);
+  double a_cpu = cpu_seconds (a);
+  double reads = kv_stat (c, "reads");
+  double writes = kv_stat (c, "writes");
+  sleep_s (kSeconds);
+  std::string at = "_" + std::to_string (entries) + "e_"
+                   + std::to_string (engines) + "a"
+                   + (adapters > 1000 ? "_" + std::to_string (adapters) : "");
+  row ("idle_entry_rss_mb" + at, rss_mb (c, e));
+  row ("idle_agent_rss_mb" + at, rss_mb (c, a));
+  row ("idle_entry_bytes_per_s" + at,
+       (inner_bytes (c, e) - e_bytes) / kSeconds);
+  row ("idle_agent_bytes_per_s" + at,
+       (inner_bytes (c, a) - a_bytes) / kSeconds);
+  row ("idle_entry_cpu_percent" + at,
+       (cpu_seconds (e) - e_cpu) / kSeconds * 100);
+  row ("idle_agent_cpu_percent" + at,
+       (cpu_seconds (a) - a_cpu) / kSeconds * 100);
+  row ("idle_kv_reads_per_s" + at, (kv_stat (c, "reads") - reads) / kSeconds);
+  row ("idle_kv_writes_per_s" + at,
+       (kv_stat (c, "writes") - writes) / kSeconds);
+  row ("idle_kv_watches" + at, kv_stat (c, "open_watches"));
+}
+
+/// Latency added by the path to a plain service, side by side in one run.
+void
+measure_latency (kb::Cluster &c)
+{
+  std::vector<double> direct;
+  std::vector<double> path;
+  kb::Headers auth = { "Authorization: Bearer kavango-key" };
+  for (int i = 0; i < 1500; i++)
+    {
+      std::string body = "lat" + std::to_string (i);
+      direct.push_back (
+          kb::http_call ("POST", c.targets.back ().fake.http_port, "/x", body)
+              .seconds);
+      path.push_back (kb::http_call ("POST", c.entries[0].process.http_port,
+                                     "/v1/services/map-query/x", body + "p",
+                                     auth)
+                          .seconds);
+    }
+  row ("latency_direct_p50_ms", percentile (direct, 0.5) * 1000);
+  row ("latency_direct_p99_ms", percentile (direct, 0.99) * 1000);
+  row ("latency_path_p50_ms", percentile (path, 0.5) * 1000);
+  row ("latency_path_p99_ms", percentile (path, 0.99) * 1000);
+}
+
+/// Processor time of entry and agent for each request at full speed.
+void
+measure_throughput (kb::Cluster &c)
+{
+  std::atomic<int> done{ 0 };
+  std::atomic<bool> is_over{ false };
+  double e_cpu = cpu_seconds (c.entries[0].process);
+  double a_cpu = cpu_seconds (c.targets.back ().agent);
+  std::vector<std::thread> threads;
+  for (int w = 0; w < 32; w++)
+    threads.emplace_back ([&] {
+      kb::Headers auth = { "Authorization: Bearer kavango-key" };
+      while (!is_over)
+        done += kb::http_call ("POST", c.entries[0].process.http_port,
+                               "/v1/services/map-query/x", "t", auth)
+                    .status
+                == 200;
+    });
+  sleep_s (3);
+  is_over = true;
+  for (auto &t : threads)
+    t.join ();
+  row ("throughput_requests_per_s", done / 3.0);
+  row ("entry_cpu_us_per_request",
+       (cpu_seconds (c.entries[0].process) - e_cpu) / done * 1e6);
+  row ("agent_cpu_us_per_request",
+       (cpu_seconds (c.targets.back ().agent) - a_cpu) / done * 1e6);
+}
+
+/// Processor time for each streamed token.
+void
+measure_stream (kb::Cluster &c)
+{
+  for (auto &t : c.targets)
+    if (!t.is_plain)
+      c.fault (t.fake, "{\"step_ms\":4}");
+  double e_cpu = cpu_seconds (c.entries[0].process);
+  double a_cpu = 0;
+  for (auto &t : c.targets)
+    a_cpu -= cpu_seconds (t.agent);
+  std::vector<std::thread> threads;
+  std::atomic<int> tokens{ 0 };
+  for (int w = 0; w < 24; w++)
+    threads.emplace_back ([&c, &tokens, w] {
+      for (int i = 0; i < 4; i++)
+        {
+          kb::Answer answer = c.complete (
+              0, "a" + std::to_string (w % 8) + "@1", "s", {}, 300, true);
+          tokens += answer.whole ? 300 : 0;
+        }
+    });
+  for (auto &t : threads)
+    t.join ();
+  for (auto &t : c.targets)
+    a_cpu += cpu_seconds (t.agent);
+  row ("stream_tokens", tokens);
+  row ("entry_cpu_us_per_token",
+       (cpu_seconds (c.entries[0].process) - e_cpu) / tokens * 1e6);
+  row ("agent_cpu_us_per_token", a_cpu / tokens * 1e6);
+}
+
+/// Resident growth of an entry and its engines' agents over many requests.
+void
+measure_soak (kb::Cluster &c)
+{
+  double e_before = rss_mb (c, c.entries[0].process);
+  double a_before = rss_mb (c, c.targets.back ().agent);
+  std::vector<std::thread> threads;
+  for (int w = 0; w < 16; w++)
+    threads.emplace_back ([&c] {
+      kb::Headers auth = { "Authorization: Bearer kavango-key" };
+      for (int i = 0; i < 1000; i++)
+        kb::http_call ("POST", c.entries[0].process.http_port,
+                       "/v1/services/map-query/x", "s", auth);
+    });
+  for (auto &t : threads)
+    t.join ();
+  row ("soak_requests", 16000);
+  row ("soak_entry_growth_mb", rss_mb (c, c.entries[0].process) - e_before);
+  row ("soak_agent_growth_mb", rss_mb (c, c.targets.back ().agent) - a_before);
+}
+
+} // namespace
+
+int
+main (int argc, char **argv)
+{
+  json = argc > 2 && strcmp (argv[1], "--json") == 0 ? fopen (argv[2], "w")
+                                                     : nullptr;
+  if (json != nullptr)
+    fprintf (json, "{");
+  {
+    kb::ClusterOptions o;
+    o.entries = 1;
+    kb::Cluster c (o);
+    c.start ();
+    measure_latency (c);
+    measure_throughput (c);
+    measure_stream (c);
+    measure_soak (c);
+  }
+  measure_idle (1, 10, 40);
+  measure_idle (1, 60, 40);
+  measure_idle (2, 10, 40);
+  measure_idle (8, 10, 40);
+  measure_idle (1, 10, 13000);
+  if (json != nullptr)
+    {
+      fprintf (json, "\n}\n");
+      fclose (json);
+    }
+  return 0;
+}
