refactor(claims): name runners by hash, ask again for lost claims

A claim record holds its runner's name as a hash: smaller on the wire, no copying. A claim whose answer is lost is asked again after 200 ms by the same attempt instead of waiting for the request's deadline. The gate's timer runs only while a grant waits for the store's rate.

--- a/src/coordination/claim_defs.h
+++ b/src/coordination/claim_defs.h
@@ -18,7 +18,6 @@
 enum
 {
   CLM_SHARDS = 64,
-  CLM_NAME_BYTES = 48,
 };
 
 /// What is known of a claimed key.
@@ -40,7 +39,7 @@
   uint64_t incarnation; ///< Of the runner.
   uint64_t changed_ms;  ///< Local time of the last change.
   clm_state_t state;
-  char runner[CLM_NAME_BYTES];
+  uint64_t runner; ///< Hash of the runner's name.
 } clm_record_t;
 
 /// Answer of an owner to a claim.
--- a/src/coordination/claim_owner.c
+++ b/src/coordination/claim_owner.c
@@ -1,45 +1,43 @@
 #include "coordination/claim_owner.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 
+enum
+{
+  RECORD_WORDS = 5,
+  RECORD_BYTES = RECORD_WORDS * 8 + 1
+};
+
 void
 clm_record_pack (const clm_record_t *record, kb_buf_t *out)
 {
-  uint64_t words[4]
-      = { record->key, record->digest, record->attempt, record->incarnation };
-  uint8_t tail[2] = { (uint8_t)record->state,
-                      (uint8_t)strnlen (record->runner, CLM_NAME_BYTES - 1) };
+  uint64_t words[RECORD_WORDS]
+      = { record->key, record->digest, record->attempt, record->incarnation,
+          record->runner };
+  uint8_t state = (uint8_t)record->state;
   kb_buf_append (out, words, sizeof words);
-  kb_buf_append (out, tail, sizeof tail);
-  kb_buf_append (out, record->runner, tail[1]);
+  kb_buf_append (out, &state, sizeof state);
 }
 
 bool
 clm_record_unpack (kb_slice_t *in, clm_record_t *out)
 {
-  enum
-  {
-    FIXED_BYTES = 4 * 8 + 2
-  };
   *out = (clm_record_t){ 0 };
-  if (in->len_bytes < FIXED_BYTES)
+  if (in->len_bytes < RECORD_BYTES)
     return false;
-  uint64_t words[4];
+  uint64_t words[RECORD_WORDS];
   memcpy (words, in->ptr, sizeof words);
-  uint8_t state = (uint8_t)in->ptr[32];
-  uint8_t name_len = (uint8_t)in->ptr[33];
-  if (state < CLM_GRANTED || state > CLM_RELEASED || name_len >= CLM_NAME_BYTES
-      || words[0] == 0 || in->len_bytes < (uint32_t)FIXED_BYTES + name_len)
+  uint8_t state = (uint8_t)in->ptr[sizeof words];
+  if (state < CLM_GRANTED || state > CLM_RELEASED || words[0] == 0)
     return false;
-  out->key = words[0];
-  out->digest = words[1];
-  out->attempt = words[2];
-  out->incarnation = words[3];
-  out->state = (clm_state_t)state;
-  memcpy (out->runner, in->ptr + FIXED_BYTES, name_len);
-  in->ptr += FIXED_BYTES + name_len;
-  in->len_bytes -= (uint32_t)FIXED_BYTES + name_len;
+  *out = (clm_record_t){ .key = words[0],
+                         .digest = words[1],
+                         .attempt = words[2],
+                         .incarnation = words[3],
+                         .runner = words[4],
+                         .state = (clm_state_t)state };
+  in->ptr += RECORD_BYTES;
+  in->len_bytes -= RECORD_BYTES;
   return true;
 }
 
@@ -68,7 +66,7 @@
   record->incarnation = claim->incarnation;
   record->changed_ms = now_ms;
   record->state = CLM_GRANTED;
-  snprintf (record->runner, sizeof record->runner, "%s", claim->runner);
+  record->runner = claim->runner;
 }
 
 static clm_verdict_t
@@ -144,14 +142,14 @@
 }
 
 void
-clm_owner_runner_lost (clm_owner_t *owner, const char *runner,
+clm_owner_runner_lost (clm_owner_t *owner, uint64_t runner,
                        uint64_t incarnation, uint64_t now_ms)
 {
   uint32_t at = 0;
   clm_record_t *record;
   while ((record = kb_map_next (&owner->records, &at)) != NULL)
     if (record->state == CLM_GRANTED && record->incarnation == incarnation
-        && strcmp (record->runner, runner) == 0)
+        && record->runner == runner)
       {
         record->state = CLM_UNKNOWN;
         record->changed_ms = now_ms;
--- a/src/coordination/claim_owner.h
+++ b/src/coordination/claim_owner.h
@@ -38,7 +38,7 @@
   uint64_t attempt;
   uint64_t voided_attempt; ///< Proved not run, or zero.
   uint64_t incarnation;
-  const char *runner;
+  uint64_t runner;
 } clm_claim_t;
 
 typedef struct
@@ -57,7 +57,7 @@
 void clm_owner_note (clm_owner_t *owner, uint64_t key, uint64_t attempt,
                      clm_state_t state, uint64_t now_ms);
 /// Every granted claim at a lost runner becomes unknown.
-void clm_owner_runner_lost (clm_owner_t *owner, const char *runner,
+void clm_owner_runner_lost (clm_owner_t *owner, uint64_t runner,
                             uint64_t incarnation, uint64_t now_ms);
 /// Take a shard over; it answers CLM_VERDICT_REBUILDING until ready.
 void clm_owner_begin_rebuild (clm_owner_t *owner, uint32_t shard,
--- a/src/coordination/claim_runner.c
+++ b/src/coordination/claim_runner.c
@@ -180,7 +180,7 @@
 
 void
 clm_runner_recover (clm_runner_t *runner, const uint64_t *epochs,
-                    const char *name, uint64_t incarnation, kb_buf_t *records)
+                    uint64_t name, uint64_t incarnation, kb_buf_t *records)
 {
   for (uint32_t s = 0; s < CLM_SHARDS; s++)
     clm_runner_raise_epoch (runner, s, epochs[s]);
@@ -194,8 +194,8 @@
                               .digest = run->digest,
                               .attempt = run->attempt,
                               .incarnation = incarnation,
+                              .runner = name,
                               .state = run_claim_state (run->state) };
-      snprintf (record.runner, sizeof record.runner, "%s", name);
       clm_record_pack (&record, records);
     }
 }
--- a/src/coordination/claim_runner.h
+++ b/src/coordination/claim_runner.h
@@ -79,9 +79,9 @@
                              const char *content_type, kb_slice_t answer);
 /// Raise the epochs of the shards named and append their records.
 /// @param epochs  CLM_SHARDS values; zero leaves a shard alone.
-/// @param name    Own name for the records.
+/// @param name    Hash of the own name, for the records.
 void clm_runner_recover (clm_runner_t *runner, const uint64_t *epochs,
-                         const char *name, uint64_t incarnation,
+                         uint64_t name, uint64_t incarnation,
                          kb_buf_t *records);
 /// Refuse grants below this epoch from now on; a lower one changes nothing.
 void clm_runner_raise_epoch (clm_runner_t *runner, uint32_t shard,
--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -170,7 +170,7 @@
     return;
   memcpy (epochs, recover->epochs.ptr, sizeof epochs);
   kb_buf_t records = { 0 };
-  clm_runner_recover (&agent->claims, epochs, agent->daemon->settings.name,
+  clm_runner_recover (&agent->claims, epochs, dmn_own_id (agent->daemon),
                       agent->daemon->incarnation, &records);
   msg_t msg = { .type = MSG_RECORDS };
   msg.records
@@ -267,7 +267,7 @@
   for (uint32_t i = 0; i < CLM_SHARDS; i++)
     epochs[i] = 1;
   kb_buf_t records = { 0 };
-  clm_runner_recover (&agent->claims, epochs, agent->daemon->settings.name,
+  clm_runner_recover (&agent->claims, epochs, dmn_own_id (agent->daemon),
                       agent->daemon->incarnation, &records);
   msg_t msg = { .type = MSG_RECORDS };
   msg.records
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -23,6 +23,18 @@
   return daemon->attempt_base | ++daemon->attempt_count;
 }
 
+uint64_t
+dmn_name_id (kb_slice_t name)
+{
+  return kb_hash (name.ptr, name.len_bytes, 0) | 1;
+}
+
+uint64_t
+dmn_own_id (const dmn_daemon_t *daemon)
+{
+  return dmn_name_id (kb_slice_str (daemon->settings.name));
+}
+
 kb_status_t
 dmn_send (dmn_daemon_t *daemon, const char *peer, const msg_t *msg)
 {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -67,6 +67,10 @@
 uint64_t dmn_random (void);
 /// A new attempt id, unique over daemons and restarts.
 uint64_t dmn_attempt_id (dmn_daemon_t *daemon);
+/// @return  Hash of the daemon's name, as others know it.
+uint64_t dmn_own_id (const dmn_daemon_t *daemon);
+/// @return  Hash of a daemon's name.
+uint64_t dmn_name_id (kb_slice_t name);
 /// Send to a peer by name.
 kb_status_t dmn_send (dmn_daemon_t *daemon, const char *peer,
                       const msg_t *msg);
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -12,12 +12,19 @@
 enum
 {
   TICK_MS = 100,
-  GATE_TICK_MS = 20,
   FORGET_ADAPTERS_TICKS = 100,
   ADAPTER_IDLE_MS = 3600000,
   EXIT_FLUSH_MS = 200,
 };
 
+static void gate_pump (ent_entry_t *entry);
+
+static void
+gate_tick (void *arg)
+{
+  gate_pump (arg);
+}
+
 static void
 gate_pump (ent_entry_t *entry)
 {
@@ -30,6 +37,10 @@
       if (vm == NULL || dmn_send (entry->daemon, vm->name, &msg) != KB_OK)
         gat_done (&entry->gate, wish->agent, wish->id);
     }
+  uint64_t wait_us = gat_wait_us (&entry->gate, tmr_now_us ());
+  if (wait_us > 0)
+    tmr_after (&entry->daemon->timers, &entry->gate_timer, wait_us / 1000 + 1,
+               gate_tick, entry);
 }
 
 static void
@@ -171,6 +182,7 @@
   ent_members_tick (entry, now);
   ent_config_tick (entry, now);
   ent_claims_tick (entry, now);
+  gate_pump (entry); // Grants whose holders died expire here.
   if (entry->ticks % FORGET_ADAPTERS_TICKS == 0 && now > ADAPTER_IDLE_MS)
     rt_forget_idle (&entry->routes, now - ADAPTER_IDLE_MS);
   met_set (met_counter ("knapweedbay_requests_in_progress", ""),
@@ -178,12 +190,6 @@
   check_drain (entry, now);
 }
 
-static void
-gate_tick (void *arg)
-{
-  gate_pump (arg);
-}
-
 static void
 on_drain (dmn_daemon_t *daemon)
 {
@@ -289,7 +295,5 @@
     return status;
   ent_members_start (&entry);
   tmr_every (&daemon->timers, &entry.tick, TICK_MS, tick, &entry);
-  tmr_every (&daemon->timers, &entry.gate_timer, GATE_TICK_MS, gate_tick,
-             &entry);
   return KB_OK;
 }
--- a/src/daemon/entry_claims.c
+++ b/src/daemon/entry_claims.c
@@ -393,7 +393,7 @@
                         .attempt = r->attempt,
                         .voided_attempt = r->voided_attempt,
                         .incarnation = r->vm_incarnation,
-                        .runner = r->vm->name };
+                        .runner = r->vm->id };
   if (entry->owner.shards[s].state != CLM_SHARD_FOREIGN
       || is_own (entry, &entry->shards[s])
       || entry->shards[s].owner[0] == '\0')
@@ -404,7 +404,7 @@
       ent_request_claimed (
           r, answer.verdict, answer.epoch, record ? record->attempt : 0,
           record ? record->incarnation : 0,
-          record ? record->state : CLM_GRANTED, record ? record->runner : "");
+          record ? record->state : CLM_GRANTED, record ? record->runner : 0);
       return;
     }
   msg_t msg = { .type = MSG_CLAIM };
@@ -414,9 +414,10 @@
                              .attempt = claim.attempt,
                              .voided_attempt = claim.voided_attempt,
                              .incarnation = claim.incarnation,
-                             .runner = kb_slice_str (claim.runner) };
-  if (dmn_send (entry->daemon, entry->shards[s].owner, &msg) != KB_OK)
-    ent_request_claimed (r, CLM_VERDICT_NOT_OWNER, 0, 0, 0, CLM_GRANTED, "");
+                             .runner = claim.runner };
+  // A lost claim or answer is asked again; the owner knows the attempt.
+  (void)dmn_send (entry->daemon, entry->shards[s].owner, &msg);
+  ent_request_claimed (r, CLM_VERDICT_NOT_OWNER, 0, 0, 0, CLM_GRANTED, 0);
 }
 
 static clm_state_t
@@ -450,14 +451,12 @@
 void
 ent_claims_on_claim (ent_entry_t *entry, kb_slice_t from, const msg_claim_t *m)
 {
-  char runner[CLM_NAME_BYTES];
-  kb_slice_copy (m->runner, runner, sizeof runner);
   clm_claim_t claim = { .key = m->claim_key,
                         .digest = m->digest,
                         .attempt = m->attempt,
                         .voided_attempt = m->voided_attempt,
                         .incarnation = m->incarnation,
-                        .runner = runner };
+                        .runner = m->runner };
   if (claim.key == 0)
     return;
   clm_answer_t answer = clm_owner_claim (&entry->owner, &claim, tmr_now_ms ());
@@ -470,8 +469,7 @@
                              .attempt = record ? record->attempt : 0,
                              .incarnation = record ? record->incarnation : 0,
                              .outcome = record ? record->state : 0,
-                             .runner
-                             = kb_slice_str (record ? record->runner : "") };
+                             .runner = record ? record->runner : 0 };
   lnk_link_send (&entry->daemon->link, from, &msg);
 }
 
@@ -481,12 +479,10 @@
   ent_request_t *r = kb_map_get (&entry->by_attempt, reply->id);
   if (r == NULL || r->stage != ENT_CLAIMING)
     return;
-  char runner[CLM_NAME_BYTES];
-  kb_slice_copy (reply->runner, runner, sizeof runner);
   tmr_cancel (&entry->daemon->timers, &r->retry);
   ent_request_claimed (r, (clm_verdict_t)reply->verdict, reply->epoch,
                        reply->attempt, reply->incarnation,
-                       state_of_outcome (reply->outcome), runner);
+                       state_of_outcome (reply->outcome), reply->runner);
 }
 
 void
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -15,7 +15,7 @@
 
 enum
 {
-  ENT_NAME_BYTES = CLM_NAME_BYTES,
+  ENT_NAME_BYTES = 48,
   ENT_MAX_TRIES = 6,
   ENT_MODEL_BYTES = 272,
   ENT_MAX_INHERITED = 64,
@@ -225,7 +225,7 @@
 void ent_request_claimed (ent_request_t *r, clm_verdict_t verdict,
                           uint64_t epoch, uint64_t holder,
                           uint64_t incarnation, clm_state_t state,
-                          const char *runner);
+                          uint64_t runner);
 /// A target is down, or back under another incarnation.
 /// @param is_final  Its earlier incarnation can not answer any more.
 void ent_request_vm_lost (ent_entry_t *entry, ent_vm_t *vm, bool is_final);
--- a/src/daemon/entry_members.c
+++ b/src/daemon/entry_members.c
@@ -19,7 +19,7 @@
 ent_vm_t *
 ent_vm_find (ent_entry_t *entry, kb_slice_t name)
 {
-  return kb_map_get (&entry->vms, kb_hash (name.ptr, name.len_bytes, 0) | 1);
+  return kb_map_get (&entry->vms, dmn_name_id (name));
 }
 
 static ent_vm_t *
@@ -30,7 +30,7 @@
     return vm;
   vm = kb_alloc (sizeof *vm);
   kb_slice_copy (name, vm->name, sizeof vm->name);
-  vm->id = kb_hash (name.ptr, name.len_bytes, 0) | 1;
+  vm->id = dmn_name_id (name);
   vm->route = RT_NONE;
   kb_map_put (&entry->vms, vm->id, vm);
   return vm;
@@ -121,7 +121,7 @@
   if (is_new && former != 0 && !vm->is_entry)
     {
       log_write (LOG_WARN, "member", "%s was restarted.", vm->name);
-      clm_owner_runner_lost (&entry->owner, vm->name, former, now);
+      clm_owner_runner_lost (&entry->owner, vm->id, former, now);
       ent_request_vm_lost (entry, vm, true);
       if (vm->route != RT_NONE)
         rt_note_cold (&entry->routes, vm->route);
@@ -330,7 +330,7 @@
     lnk_link_disconnect (&entry->daemon->link, vm->address);
   kb_map_remove (&entry->vm_of_address,
                  kb_hash (vm->address, strlen (vm->address), 0) | 1);
-  clm_owner_runner_lost (&entry->owner, vm->name, vm->mem.incarnation,
+  clm_owner_runner_lost (&entry->owner, vm->id, vm->mem.incarnation,
                          tmr_now_ms ());
   kb_map_remove (&entry->vms, vm->id);
   free (vm);
@@ -351,7 +351,7 @@
 {
   const char *own = entry->daemon->settings.name;
   const char *best = with_self ? own : NULL;
-  uint64_t own_id = kb_hash (own, strlen (own), 0) | 1;
+  uint64_t own_id = dmn_own_id (entry->daemon);
   uint64_t best_weight = with_self ? kb_hash (&own_id, sizeof own_id, key) : 0;
   uint32_t at = 0;
   ent_vm_t *vm;
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -16,8 +16,8 @@
   RUNNING_RETRY_MS = 1000,
   ANSWER_MAX_BYTES = 16 << 20,
   STREAM_PENDING_MAX_BYTES = 4 << 20,
-  CLAIM_RETRY_MS = 150,
-  CLAIM_MAX_TRIES = 20,
+  CLAIM_RETRY_MS = 200, ///< Also the patience for one answer.
+  CLAIM_MAX_TRIES = 15,
   HTTP_CONFLICT = 409,
   HTTP_UNPROCESSABLE = 422,
   HTTP_BAD_GATEWAY = 502,
@@ -372,10 +372,10 @@
 
 /// Where an earlier request with the same key ran or runs.
 static bool
-holder_use (ent_request_t *r, const char *runner, uint64_t incarnation)
+holder_use (ent_request_t *r, uint64_t runner, uint64_t incarnation)
 {
   request_leave_vm (r);
-  ent_vm_t *vm = ent_vm_find (r->entry, kb_slice_str (runner));
+  ent_vm_t *vm = kb_map_get (&r->entry->vms, runner);
   bool is_same = vm != NULL && vm->mem.incarnation == incarnation
                  && (vm->state == MEM_UP || vm->state == MEM_LEAVING);
   if (!is_same)
@@ -414,7 +414,7 @@
 
 static void
 after_held (ent_request_t *r, clm_verdict_t verdict, uint64_t holder,
-            uint64_t incarnation, clm_state_t state, const char *runner)
+            uint64_t incarnation, clm_state_t state, uint64_t runner)
 {
   if (verdict == CLM_VERDICT_FINISHED && state == CLM_FAILED)
     {
@@ -438,7 +438,7 @@
 void
 ent_request_claimed (ent_request_t *r, clm_verdict_t verdict, uint64_t epoch,
                      uint64_t holder, uint64_t incarnation, clm_state_t state,
-                     const char *runner)
+                     uint64_t runner)
 {
   switch (verdict)
     {
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -188,7 +188,7 @@
   uint64_t attempt;
   uint64_t voided_attempt; ///< An earlier attempt proved not run, or zero.
   uint64_t incarnation;    ///< Of the runner.
-  kb_slice_t runner;
+  uint64_t runner;         ///< Hash of its name.
 } msg_claim_t;
 
 typedef struct
@@ -199,7 +199,7 @@
   uint64_t attempt;     ///< The attempt that holds the claim.
   uint64_t incarnation; ///< Of its runner.
   uint64_t outcome;     ///< Of the attempt, or zero while it is not known.
-  kb_slice_t runner;
+  uint64_t runner;      ///< Hash of its name.
 } msg_claim_reply_t;
 
 typedef struct
--- a/test/unit/claim_test.cc
+++ b/test/unit/claim_test.cc
@@ -22,7 +22,7 @@
 constexpr uint64_t kWindow = 1000;
 
 clm_claim_t
-make_claim (uint64_t attempt, const char *runner, uint64_t voided = 0,
+make_claim (uint64_t attempt, uint64_t runner, uint64_t voided = 0,
             uint64_t digest = kDigest)
 {
   clm_claim_t claim = {};
@@ -60,40 +60,40 @@
 
 TEST_F (OwnerTest, GrantsOnceAndRepeatsForTheSameAttempt)
 {
-  EXPECT_EQ (verdict (make_claim (1, "r1")), CLM_VERDICT_GRANTED);
-  EXPECT_EQ (verdict (make_claim (1, "r1")), CLM_VERDICT_GRANTED);
-  EXPECT_EQ (verdict (make_claim (2, "r2")), CLM_VERDICT_HELD);
+  EXPECT_EQ (verdict (make_claim (1, 1)), CLM_VERDICT_GRANTED);
+  EXPECT_EQ (verdict (make_claim (1, 1)), CLM_VERDICT_GRANTED);
+  EXPECT_EQ (verdict (make_claim (2, 2)), CLM_VERDICT_HELD);
 }
 
 TEST_F (OwnerTest, AnotherBodyIsAMismatch)
 {
-  EXPECT_EQ (verdict (make_claim (1, "r1")), CLM_VERDICT_GRANTED);
-  EXPECT_EQ (verdict (make_claim (2, "r1", 0, 78)), CLM_VERDICT_MISMATCH);
+  EXPECT_EQ (verdict (make_claim (1, 1)), CLM_VERDICT_GRANTED);
+  EXPECT_EQ (verdict (make_claim (2, 1, 0, 78)), CLM_VERDICT_MISMATCH);
 }
 
 TEST_F (OwnerTest, VoidedAttemptFreesTheKey)
 {
-  EXPECT_EQ (verdict (make_claim (1, "r1")), CLM_VERDICT_GRANTED);
-  EXPECT_EQ (verdict (make_claim (2, "r2", 1)), CLM_VERDICT_GRANTED);
+  EXPECT_EQ (verdict (make_claim (1, 1)), CLM_VERDICT_GRANTED);
+  EXPECT_EQ (verdict (make_claim (2, 2, 1)), CLM_VERDICT_GRANTED);
   // A proof about an attempt that no longer holds the key frees nothing.
-  EXPECT_EQ (verdict (make_claim (3, "r3", 1)), CLM_VERDICT_HELD);
+  EXPECT_EQ (verdict (make_claim (3, 3, 1)), CLM_VERDICT_HELD);
 }
 
 TEST_F (OwnerTest, LateNoteOfAReplacedAttemptIsIgnored)
 {
-  verdict (make_claim (1, "r1"));
-  verdict (make_claim (2, "r2", 1));
+  verdict (make_claim (1, 1));
+  verdict (make_claim (2, 2, 1));
   clm_owner_note (&owner, kKey, 1, CLM_RELEASED, 2);
-  EXPECT_EQ (verdict (make_claim (3, "r3")), CLM_VERDICT_HELD);
+  EXPECT_EQ (verdict (make_claim (3, 3)), CLM_VERDICT_HELD);
 }
 
 // An agent crashes with a claim. Its key must answer "unknown" and never run
 // again, however often it is re-sent within the window.
 TEST_F (OwnerTest, LostRunnerMakesItsClaimsUnknown)
 {
-  verdict (make_claim (1, "r1"));
-  clm_owner_runner_lost (&owner, "r1", 5, 2);
-  EXPECT_EQ (verdict (make_claim (2, "r2")), CLM_VERDICT_UNKNOWN);
+  verdict (make_claim (1, 1));
+  clm_owner_runner_lost (&owner, 1, 5, 2);
+  EXPECT_EQ (verdict (make_claim (2, 2)), CLM_VERDICT_UNKNOWN);
 }
 
 // Owner and runner are lost together. The new owner does not see the key and
@@ -101,24 +101,23 @@
 TEST_F (OwnerTest, UnseenKeyIsUnknownAfterDoubleLoss)
 {
   clm_owner_begin_rebuild (&owner, clm_shard (kKey), 4);
-  EXPECT_EQ (verdict (make_claim (1, "r1")), CLM_VERDICT_REBUILDING);
+  EXPECT_EQ (verdict (make_claim (1, 1)), CLM_VERDICT_REBUILDING);
   clm_owner_end_rebuild (&owner, clm_shard (kKey), false, 100);
-  EXPECT_EQ (verdict (make_claim (1, "r1"), 100 + kWindow - 1),
+  EXPECT_EQ (verdict (make_claim (1, 1), 100 + kWindow - 1),
              CLM_VERDICT_UNKNOWN);
-  EXPECT_EQ (verdict (make_claim (1, "r1"), 100 + kWindow),
-             CLM_VERDICT_GRANTED);
+  EXPECT_EQ (verdict (make_claim (1, 1), 100 + kWindow), CLM_VERDICT_GRANTED);
 }
 
 TEST_F (OwnerTest, FullTableRefusesAndExpiryMakesRoom)
 {
   for (uint64_t i = 0; i < 100; i++)
     {
-      clm_claim_t claim = make_claim (i + 1, "r1");
+      clm_claim_t claim = make_claim (i + 1, 1);
       claim.key = kKey + i * 2;
       EXPECT_EQ (verdict (claim), CLM_VERDICT_GRANTED);
       clm_owner_note (&owner, claim.key, i + 1, CLM_DONE, 1);
     }
-  clm_claim_t claim = make_claim (1000, "r1");
+  clm_claim_t claim = make_claim (1000, 1);
   claim.key = kKey + 1000;
   EXPECT_EQ (verdict (claim), CLM_VERDICT_FULL);
   clm_owner_expire (&owner, kWindow + 2);
@@ -127,21 +126,21 @@
 
 TEST_F (OwnerTest, ReleasedShardMovesWithItsRecords)
 {
-  verdict (make_claim (1, "r1"));
+  verdict (make_claim (1, 1));
   kb_buf_t records = {};
   clm_owner_release_shard (&owner, clm_shard (kKey), &records);
-  EXPECT_EQ (verdict (make_claim (2, "r2")), CLM_VERDICT_NOT_OWNER);
+  EXPECT_EQ (verdict (make_claim (2, 2)), CLM_VERDICT_NOT_OWNER);
   clm_owner_begin_rebuild (&owner, clm_shard (kKey), 3);
   kb_slice_t rest = kb_buf_slice (&records);
   clm_record_t record;
   ASSERT_TRUE (clm_record_unpack (&rest, &record));
-  EXPECT_STREQ (record.runner, "r1");
+  EXPECT_EQ (record.runner, 1u);
   EXPECT_FALSE (clm_record_unpack (&rest, &record));
   rest = kb_buf_slice (&records);
   clm_record_unpack (&rest, &record);
   clm_owner_merge (&owner, &record, 2);
   clm_owner_end_rebuild (&owner, clm_shard (kKey), true, 2);
-  EXPECT_EQ (verdict (make_claim (2, "r2"), 3), CLM_VERDICT_HELD);
+  EXPECT_EQ (verdict (make_claim (2, 2), 3), CLM_VERDICT_HELD);
   kb_buf_finish (&records);
 }
 
@@ -197,7 +196,7 @@
   uint64_t epochs[CLM_SHARDS] = {};
   epochs[clm_shard (kKey)] = 7;
   kb_buf_t records = {};
-  clm_runner_recover (&runner, epochs, "r1", 5, &records);
+  clm_runner_recover (&runner, epochs, 1, 5, &records);
   EXPECT_EQ (records.len_bytes, 0u);
   EXPECT_EQ (clm_runner_admit (&runner, 1, kKey, kDigest, 6, 1),
              CLM_ADMIT_STALE_EPOCH);
--- a/test/unit/document_test.cc
+++ b/test/unit/document_test.cc
@@ -248,9 +248,9 @@
   EXPECT_EQ (back.revision, 7u);
   EXPECT_TRUE (doc_head_has_change (&back, 99));
   EXPECT_EQ (back.folder.files[0].chunk_count, b.files[0].chunk_count);
+  doc_head_finish (&back);
   EXPECT_EQ (doc_head_parse (slice ("{\"revision\":1}"), &back, &error),
              KB_EINVAL);
-  doc_head_finish (&back);
   kb_buf_finish (&out);
   doc_folder_finish (&a);
   doc_folder_finish (&b);
--- a/tools/bench.c
+++ b/tools/bench.c
@@ -213,7 +213,7 @@
                              .digest = 1ULL << 60,
                              .attempt = 1ULL << 40,
                              .incarnation = 1ULL << 60,
-                             .runner = kb_slice_str ("engine-123") };
+                             .runner = 1ULL << 60 };
   bench_message ("claim", &msg);
 }
 
@@ -255,7 +255,7 @@
       clm_claim_t claim = { .key = i * 0x9E3779B97F4A7C15ULL | 1,
                             .digest = i,
                             .attempt = i,
-                            .runner = "engine-123" };
+                            .runner = 123 };
       clm_owner_claim (&owner, &claim, 1);
     }
   row ("claim_owner_ns", (double)(tmr_now_us () - start) * 1000 / KEYS, "ns");
@@ -274,7 +274,7 @@
     epochs[i] = 2;
   kb_buf_t records = { 0 };
   start = tmr_now_us ();
-  clm_runner_recover (&runner, epochs, "engine-123", 1, &records);
+  clm_runner_recover (&runner, epochs, 123, 1, &records);
   row ("claim_recover_ns", (double)(tmr_now_us () - start) * 1000 / KEYS,
        "ns");
   row ("claim_record_wire_bytes", (double)records.len_bytes / KEYS, "B");
