perf(claims,config): one entry assigns shards, watchers announce changes

Each entry took its own shards by swapping one map value against all others, one winner a second: more than 20 s. Now one entry assigns all vacant shards in one swap, and the others step in after a few seconds; owners rebuild under the epoch the map gives them. A handover raises the epoch too, so that lost records end in a safe rebuild.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'test/*.[ch]' 'test/*.cc' 'tools/*.[ch]' 'tools/*.cc')
 C_SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.c')
 
-.PHONY: all setup build test test-asan lint format fuzz demo demo-up replay bench capacity install clean help
+.PHONY: all setup build test test-asan lint format fuzz demo demo-up replay bench capacity plots install clean help
 
 all: build
 
@@ -58,6 +58,9 @@
 	@$(BUILD)/bin/kbfleet --json $(BUILD)/fleet.json
 	@./tools/capacity $(BUILD)/bench.json $(BUILD)/fleet.json docs/CAPACITY.md
 
+plots: replay
+	@./tools/plots $(BUILD)
+
 install: build
 	@cmake --install $(BUILD)
 
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -55,6 +55,8 @@
 on_announce (ent_entry_t *entry, kb_slice_t from, const msg_announce_t *a)
 {
   ent_config_heard (entry, a->revision, from);
+  if (a->map_revision > entry->shards_mod_revision)
+    ent_claims_read_map (entry);
 }
 
 /// Messages that need a known sender.
--- a/src/daemon/entry_claims.c
+++ b/src/daemon/entry_claims.c
@@ -14,6 +14,10 @@
   SETTLE_MS = 1500, ///< Wait after the start before shards are taken.
   ASK_AGAIN_MS = 500,
   EXPIRE_TICKS = 50,
+  MAP_TICKS = 5,
+  MAP_READ_PAUSE_MS = 200,
+  ASSIGNER_KEY = 0x61737369, ///< Seed of the choice of the assigner.
+  ASSIGN_PATIENCE_MS = 3000,
 };
 
 _Static_assert((int)SHM_SHARDS == (int)CLM_SHARDS,
@@ -124,94 +128,132 @@
 
 static void rebuild_start (ent_entry_t *entry, const uint64_t *epochs);
 
-/// A compare-and-swap of the map under way.
-typedef struct
-{
-  ent_entry_t *entry;
-  shm_shard_t wanted[CLM_SHARDS];
-  uint64_t taken[CLM_SHARDS]; ///< New epochs; zero: not taken.
-} take_call_t;
-
 static void
-take_read_back (void *arg, kb_status_t status, const kvc_item_t *items,
-                uint32_t count)
+map_got (void *arg, kb_status_t status, const kvc_item_t *items,
+         uint32_t count)
 {
-  take_call_t *call = arg;
-  ent_entry_t *entry = call->entry;
+  ent_entry_t *entry = arg;
   entry->is_map_busy = false;
   if (status == KB_OK && count > 0)
-    {
-      ent_claims_map_item (entry, &items[0]);
-      uint64_t epochs[CLM_SHARDS] = { 0 };
-      bool has_any = false;
-      for (uint32_t s = 0; s < CLM_SHARDS; s++)
-        if (call->taken[s] != 0 && is_own (entry, &entry->shards[s])
-            && entry->shards[s].epoch == call->taken[s])
-          {
-            epochs[s] = call->taken[s];
-            has_any = true;
-          }
-      if (has_any)
-        rebuild_start (entry, epochs);
-    }
-  free (call);
+    ent_claims_map_item (entry, &items[0]);
+}
+
+void
+ent_claims_read_map (ent_entry_t *entry)
+{
+  uint64_t now = tmr_now_ms ();
+  if (entry->is_map_busy || now - entry->map_read_ms < MAP_READ_PAUSE_MS)
+    return;
+  entry->is_map_busy = true;
+  entry->map_read_ms = now;
+  kvc_get (&entry->daemon->kv, SHM_KEY, map_got, entry);
+}
+
+/// Tell the other entries that the map changed; most do not watch it.
+static void
+map_announce (ent_entry_t *entry)
+{
+  msg_t msg = { .type = MSG_ANNOUNCE };
+  msg.announce
+      = (msg_announce_t){ .revision = ent_revision (entry),
+                          .map_revision = entry->shards_mod_revision + 1 };
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    if (vm->is_entry && vm->state == MEM_UP)
+      dmn_send (entry->daemon, vm->name, &msg);
 }
 
-/// Won, lost or unknown: the map itself tells, by our name, incarnation and
-/// epoch in it.
+/// Won, lost or unknown: the map itself tells.
 static void
-take_done (void *arg, kb_status_t status, const kvc_item_t *items,
-           uint32_t count)
+assign_done (void *arg, kb_status_t status, const kvc_item_t *items,
+             uint32_t count)
 {
-  take_call_t *call = arg;
-  ent_entry_t *entry = call->entry;
+  ent_entry_t *entry = arg;
+  entry->is_map_busy = false;
   if (status == KB_EUNAVAIL)
-    {
-      entry->is_map_busy = false;
-      free (call);
-      return;
-    }
-  kvc_get (&entry->daemon->kv, SHM_KEY, take_read_back, call);
+    return;
+  if (status == KB_OK)
+    map_announce (entry);
+  ent_claims_read_map (entry);
+}
+
+static uint64_t
+entry_incarnation (ent_entry_t *entry, const char *name)
+{
+  if (strcmp (name, own_name (entry)) == 0)
+    return entry->daemon->incarnation;
+  return ent_vm_find (entry, kb_slice_str (name))->mem.incarnation;
+}
+
+/// One entry gives out all shards without a living owner in one swap. Were
+/// each to take its own, N entries would swap one value against each other:
+/// fifty needed more than twenty seconds. The others step in when it does not.
+static bool
+is_assigner (ent_entry_t *entry, uint64_t now)
+{
+  const char *chosen = ent_members_choose (entry, ASSIGNER_KEY, true);
+  if (strcmp (chosen, own_name (entry)) == 0)
+    return true;
+  return entry->vacant_since_ms != 0
+         && now - entry->vacant_since_ms
+                > ASSIGN_PATIENCE_MS + dmn_random () % ASSIGN_PATIENCE_MS;
 }
 
-/// Take the shards whose owner is gone and that fall to this entry.
 static void
-take_shards (ent_entry_t *entry, uint64_t now)
+assign_shards (ent_entry_t *entry, uint64_t now)
 {
-  take_call_t *call = kb_alloc (sizeof *call);
-  call->entry = entry;
-  memcpy (call->wanted, entry->shards, sizeof call->wanted);
-  bool has_any = false;
+  shm_shard_t wanted[CLM_SHARDS];
+  memcpy (wanted, entry->shards, sizeof wanted);
+  uint32_t vacant = 0;
   for (uint32_t s = 0; s < CLM_SHARDS; s++)
     {
-      bool is_lost_handover
-          = is_own (entry, &entry->shards[s])
-            && entry->owner.shards[s].state == CLM_SHARD_FOREIGN;
-      if (!is_lost_handover && !owner_is_gone (entry, &entry->shards[s], now))
-        continue;
-      const char *chosen = ent_members_choose (entry, s + 1, true);
-      if (strcmp (chosen, own_name (entry)) != 0)
+      if (!owner_is_gone (entry, &entry->shards[s], now))
         continue;
-      shm_shard_t *wanted = &call->wanted[s];
-      snprintf (wanted->owner, sizeof wanted->owner, "%s", own_name (entry));
-      wanted->incarnation = entry->daemon->incarnation;
-      wanted->epoch++;
-      call->taken[s] = wanted->epoch;
-      has_any = true;
+      const char *next = ent_members_choose (entry, s + 1, true);
+      snprintf (wanted[s].owner, sizeof wanted[s].owner, "%s", next);
+      wanted[s].incarnation = entry_incarnation (entry, next);
+      wanted[s].epoch++;
+      vacant++;
     }
-  if (!has_any)
+  if (vacant == 0)
     {
-      free (call);
+      entry->vacant_since_ms = 0;
       return;
     }
+  if (entry->vacant_since_ms == 0)
+    entry->vacant_since_ms = now;
+  if (!is_assigner (entry, now))
+    return;
   entry->is_map_busy = true;
   kb_buf_t value = { 0 };
-  shm_write (call->wanted, &value);
+  shm_write (wanted, &value);
   kvc_cas (&entry->daemon->kv, SHM_KEY, entry->shards_mod_revision,
-           kb_buf_slice (&value), take_done, call);
+           kb_buf_slice (&value), assign_done, entry);
   kb_buf_finish (&value);
 }
 
+static void rebuild_start (ent_entry_t *entry, const uint64_t *epochs);
+
+/// Shards that the map gives to this entry and whose records did not come
+/// from the former owner are rebuilt from the runners.
+static void
+adopt_shards (ent_entry_t *entry)
+{
+  uint64_t epochs[CLM_SHARDS] = { 0 };
+  bool has_any = false;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    if (is_own (entry, &entry->shards[s])
+        && entry->owner.shards[s].state == CLM_SHARD_FOREIGN
+        && !shard_inherit (entry, s))
+      {
+        epochs[s] = entry->shards[s].epoch;
+        has_any = true;
+      }
+  if (has_any)
+    rebuild_start (entry, epochs);
+}
+
 static void
 rebuild_add_source (ent_rebuild_t *b, const char *name, bool is_entry,
                     bool has_left)
@@ -375,12 +417,14 @@
       rebuild_tick (entry, now_ms);
       return;
     }
-  bool may_take = entry->is_map_known && !entry->is_map_busy
-                  && !entry->daemon->is_draining && entry->is_list_known
-                  && now_ms - entry->started_ms > SETTLE_MS
-                  && entry->ticks % 10 == 0;
-  if (may_take)
-    take_shards (entry, now_ms);
+  if (entry->daemon->is_draining || entry->ticks % MAP_TICKS != 0)
+    return;
+  adopt_shards (entry);
+  bool may_assign = entry->is_map_known && !entry->is_map_busy
+                    && entry->is_list_known
+                    && now_ms - entry->started_ms > SETTLE_MS;
+  if (may_assign)
+    assign_shards (entry, now_ms);
 }
 
 void
@@ -580,6 +624,8 @@
 {
   ent_entry_t *entry = arg;
   entry->is_handed_over = true;
+  if (status == KB_OK)
+    map_announce (entry);
   log_write (LOG_INFO, "claims", "Shards were handed over (%s).",
              kb_status_name (status));
 }
@@ -610,6 +656,9 @@
       kb_buf_finish (&records);
       snprintf (wanted[s].owner, sizeof wanted[s].owner, "%s", next);
       wanted[s].incarnation = vm->mem.incarnation;
+      // With a new epoch a rebuild is safe as well, should the records be
+      // lost on their way: grants of ours that are still under way die then.
+      wanted[s].epoch++;
       has_any = true;
     }
   if (!has_any)
--- a/src/daemon/entry_config.c
+++ b/src/daemon/entry_config.c
@@ -16,6 +16,8 @@
   FETCH_TIMEOUT_MS = 3000,
   POLL_WATCHER_MS = 10000,
   POLL_OTHER_MS = 60000,
+  PULL_PAUSE_MS = 100, ///< One peer is asked at a time.
+  BEHIND_MS = 700,
   BACKOFF_MIN_MS = 100,
   BACKOFF_MAX_MS = 5000,
 };
@@ -88,8 +90,8 @@
   return is_good ? KB_OK : KB_EINVAL;
 }
 
-/// Tell the other entries, and the agents, which refuse what is dispatched by
-/// an older configuration.
+/// Tell the other entries, if this one watches the store, and the agents,
+/// which refuse what is dispatched by an older configuration.
 static void
 announce (ent_entry_t *entry)
 {
@@ -102,7 +104,7 @@
   uint32_t at = 0;
   ent_vm_t *vm;
   while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
-    if (vm->state == MEM_UP)
+    if (vm->state == MEM_UP && (!vm->is_entry || entry->config.is_watcher))
       dmn_send (entry->daemon, vm->name, vm->is_entry ? &to_entry : &to_agent);
 }
 
@@ -256,6 +258,15 @@
   kb_buf_finish (&digests);
 }
 
+static void
+note_heard (ent_config_t *c, uint64_t revision)
+{
+  if (revision <= c->heard_revision)
+    return;
+  c->heard_revision = revision;
+  c->heard_ms = tmr_now_ms ();
+}
+
 /// A head arrived from the store or a peer.
 static void
 head_arrived (ent_entry_t *entry, kb_slice_t text, const char *from_peer)
@@ -270,8 +281,7 @@
     }
   c->has_evidence = true;
   met_add (met_counter ("knapweedbay_config_bytes_total", ""), text.len_bytes);
-  if (head.revision > c->heard_revision)
-    c->heard_revision = head.revision;
+  note_heard (c, head.revision);
   // Adopting only higher revisions is what keeps a change from being undone
   // by a daemon that comes back with old data or by a lagging read.
   bool is_older = head.revision <= ent_revision (entry)
@@ -422,13 +432,15 @@
 ent_config_heard (ent_entry_t *entry, uint64_t revision, kb_slice_t peer)
 {
   ent_config_t *c = &entry->config;
-  if (revision > c->heard_revision)
-    c->heard_revision = revision;
+  note_heard (c, revision);
   ent_vm_t *vm = peer.len_bytes > 0 ? ent_vm_find (entry, peer) : NULL;
   if (vm != NULL)
     vm->revision = revision;
-  if (revision <= ent_revision (entry) || c->is_fetching || vm == NULL)
+  uint64_t now = tmr_now_ms ();
+  if (revision <= ent_revision (entry) || c->is_fetching || vm == NULL
+      || now - c->pulled_ms < PULL_PAUSE_MS)
     return;
+  c->pulled_ms = now;
   msg_t msg = { .type = MSG_CONFIG_PULL };
   msg.config_pull.have_revision = ent_revision (entry);
   lnk_link_send (&entry->daemon->link, peer, &msg);
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -165,6 +165,8 @@
   char from_peer[ENT_NAME_BYTES]; ///< Empty: from the store.
   uint64_t fetch_started_ms;
   uint64_t heard_revision; ///< Highest one heard of.
+  uint64_t heard_ms;       ///< When it was first heard of.
+  uint64_t pulled_ms;      ///< When a peer was last asked.
   kvc_watch_t *watch;
   uint64_t watch_retry_ms;
   uint64_t backoff_ms;
@@ -192,6 +194,8 @@
   uint64_t shards_mod_revision;
   bool is_map_known;
   bool is_map_busy;
+  uint64_t map_read_ms;
+  uint64_t vacant_since_ms; ///< Since when some shard has no owner.
   ent_rebuild_t rebuild;
   kb_buf_t handover[CLM_SHARDS]; ///< Received, until the map names us.
   bool has_handover[CLM_SHARDS];
@@ -252,6 +256,8 @@
 // entry_claims.c
 void ent_claims_tick (ent_entry_t *entry, uint64_t now_ms);
 void ent_claims_map_item (ent_entry_t *entry, const kvc_item_t *item);
+/// Read the shard map, unless it was read just now.
+void ent_claims_read_map (ent_entry_t *entry);
 /// Claim for the request's present attempt.
 void ent_claim_send (ent_request_t *r);
 void ent_claim_note (ent_request_t *r, clm_state_t state);
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -366,6 +366,9 @@
       fail_not_run (r, "the owner of this key is not available", 0);
       return;
     }
+  // The owner that the map names has not answered as one: the map is old.
+  if (r->claim_tries > 1)
+    ent_claims_read_map (r->entry);
   tmr_after (&r->entry->daemon->timers, &r->retry, CLAIM_RETRY_MS, claim_retry,
              r);
 }
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -96,7 +96,8 @@
                        N (gate_ask, priority_class) } },
   [MSG_GATE_GRANT] = { "gate_grant", 1, { N (gate_grant, id) } },
   [MSG_GATE_DONE] = { "gate_done", 1, { N (gate_done, id) } },
-  [MSG_ANNOUNCE] = { "announce", 1, { N (announce, revision) } },
+  [MSG_ANNOUNCE]
+  = { "announce", 2, { N (announce, revision), N (announce, map_revision) } },
   [MSG_CONFIG_PULL]
   = { "config_pull",
       2,
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -252,6 +252,7 @@
 typedef struct
 {
   uint64_t revision;
+  uint64_t map_revision; ///< Of the shard map; zero: says nothing.
 } msg_announce_t;
 
 typedef struct
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -86,17 +86,22 @@
 
 Answer
 http_call (const std::string &method, int port, const std::string &path,
-           const std::string &body, const Headers &headers, long timeout_ms)
+           const std::string &body, const Headers &headers, long timeout_ms,
+           bool tls)
 {
   Answer answer;
   CURL *curl = curl_easy_init ();
-  std::string url = "http://127.0.0.1:" + std::to_string (port) + path;
+  std::string url = std::string (tls ? "https" : "http")
+                    + "://127.0.0.1:" + std::to_string (port) + path;
   curl_slist *list = nullptr;
   for (const auto &header : headers)
     list = curl_slist_append (list, header.c_str ());
   list = curl_slist_append (list, "Expect:");
   curl_easy_setopt (curl, CURLOPT_URL, url.c_str ());
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  // The test's own certificate is signed by itself.
+  curl_easy_setopt (curl, CURLOPT_SSL_VERIFYPEER, 0L);
+  curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, method.c_str ());
   if (method != "GET")
     {
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -40,7 +40,7 @@
 /// Blocking HTTP call.
 Answer http_call (const std::string &method, int port, const std::string &path,
                   const std::string &body = "", const Headers &headers = {},
-                  long timeout_ms = 20000);
+                  long timeout_ms = 20000, bool tls = false);
 
 /// One target: stand-in, agent and their names.
 struct Target
--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -233,6 +233,52 @@
   row ("soak_agent_growth_mb", rss_mb (c, c.targets.back ().agent) - a_before);
 }
 
+/// One change of one adapter, spread over many entries.
+void
+measure_spread (int entries)
+{
+  kb::ClusterOptions o;
+  o.entries = entries;
+  o.engines = 1;
+  o.plains = 0;
+  o.adapters = 1300;
+  kb::Cluster c (o);
+  c.start ();
+  sleep_s (3);
+  auto config_bytes = [&c] {
+    double total = 0;
+    for (auto &e : c.entries)
+      total += (double)c.metric (e.process, "knapweedbay_config_bytes_total");
+    return total;
+  };
+  double bytes = config_bytes ();
+  double reads = kv_stat (c, "reads");
+  double writes = kv_stat (c, "writes");
+  std::ofstream (c.config_dir + "/30-x.json")
+      << "{\"adapters\":{\"x\":{\"service\":\"report\",\"versions\":{"
+         "\"1\":\"ws://x\"}}}}";
+  if (c.apply () != 0)
+    return;
+  auto begin = std::chrono::steady_clock::now ();
+  bool is_everywhere = kb::Cluster::wait_until (
+      [&c] {
+        for (auto &e : c.entries)
+          if (c.metric (e.process, "knapweedbay_config_revision") != 2)
+            return false;
+        return true;
+      },
+      10000);
+  double took = std::chrono::duration<double> (
+                    std::chrono::steady_clock::now () - begin)
+                    .count ();
+  std::string at = "_" + std::to_string (entries);
+  row ("spread_ms" + at, is_everywhere ? took * 1000 : -1);
+  row ("spread_bytes_per_entry" + at, (config_bytes () - bytes) / entries);
+  row ("spread_kv_reads" + at, kv_stat (c, "reads") - reads);
+  row ("spread_kv_writes" + at, kv_stat (c, "writes") - writes);
+  row ("spread_kv_watches" + at, kv_stat (c, "open_watches"));
+}
+
 } // namespace
 
 int
@@ -242,6 +288,12 @@
                                                      : nullptr;
   if (json != nullptr)
     fprintf (json, "{");
+  if (argc > 1 && strcmp (argv[1], "--spread") == 0)
+    {
+      for (int entries : { 10, 50, 200 })
+        measure_spread (entries);
+      return 0;
+    }
   {
     kb::ClusterOptions o;
     o.entries = 1;
@@ -257,6 +309,8 @@
   measure_idle (2, 10, 40);
   measure_idle (8, 10, 40);
   measure_idle (1, 10, 13000);
+  for (int entries : { 10, 50, 200 })
+    measure_spread (entries);
   if (json != nullptr)
     {
       fprintf (json, "\n}\n");
