--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -45,8 +45,8 @@
   agt_gate_update (agent);
 }
 
-static agt_peer_t *
-peer_find (agt_agent_t *agent, kb_slice_t name)
+agt_peer_t *
+agt_peer_find (agt_agent_t *agent, kb_slice_t name)
 {
   uint64_t id = kb_hash (name.ptr, name.len_bytes, 0);
   for (uint32_t i = 0; i < agent->peer_count; i++)
@@ -102,8 +102,8 @@
   kb_buf_finish (&resident);
 }
 
-static void
-note_revision (agt_agent_t *agent, uint64_t revision)
+void
+agt_note_revision (agt_agent_t *agent, uint64_t revision)
 {
   if (revision <= agent->revision)
     return;
@@ -114,7 +114,7 @@
 static void
 on_hello (agt_agent_t *agent, kb_slice_t from, const msg_hello_t *hello)
 {
-  agt_peer_t *peer = peer_find (agent, from);
+  agt_peer_t *peer = agt_peer_find (agent, from);
   if (peer == NULL)
     {
       peer = peer_place (agent);
@@ -128,7 +128,7 @@
     agt_run_peer_lost (agent, peer->id);
   peer->incarnation = hello->incarnation;
   peer->heard_ms = tmr_now_ms ();
-  note_revision (agent, hello->revision);
+  agt_note_revision (agent, hello->revision);
   send_hello (agent, from);
 }
 
@@ -154,7 +154,7 @@
 static void
 on_ping (agt_agent_t *agent, kb_slice_t from, const msg_ping_t *ping)
 {
-  note_revision (agent, ping->revision);
+  agt_note_revision (agent, ping->revision);
   if (ping->target_count > 0)
     agent->target_count = (uint32_t)ping->target_count;
   msg_t msg;
@@ -187,7 +187,7 @@
 link_on_message (lnk_link_t *link, kb_slice_t from, const msg_t *msg)
 {
   agt_agent_t *agent = ((dmn_daemon_t *)link->owner)->role_state;
-  agt_peer_t *peer = peer_find (agent, from);
+  agt_peer_t *peer = agt_peer_find (agent, from);
   if (peer != NULL)
     peer->heard_ms = tmr_now_ms ();
   switch (msg->type)
--- /dev/null
+++ b/src/daemon/agent_admit.c
@@ -0,0 +1,253 @@
+/// @file agent_admit.c
+/// Admission of dispatched attempts: what is refused, with which proof, and
+/// what is taken into the queue.
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/agent_defs.h"
+#include "transport/metrics.h"
+
+enum
+{
+  STALE_REVISION_MS = 3000,
+  REFUSE_RETRY_MS = 1000,
+};
+
+/// Refuse an attempt that was never taken in.
+static void
+refuse_dispatch (agt_agent_t *agent, kb_slice_t peer,
+                 const msg_dispatch_t *dispatch, const char *reason,
+                 uint64_t retry_after_ms, msg_outcome_t outcome)
+{
+  msg_t msg = { .type = MSG_END };
+  msg.end = (msg_end_t){ .attempt = dispatch->attempt,
+                         .outcome = outcome,
+                         .retry_after_ms = retry_after_ms,
+                         .reason = kb_slice_str (reason),
+                         .version = dispatch->version,
+                         .adapter = dispatch->adapter };
+  agt_end_fill_load (agent, 0, &msg.end);
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+  agt_count_outcome (outcome);
+}
+
+static agt_request_t *
+request_new (agt_agent_t *agent, agt_peer_t *peer, const msg_dispatch_t *d)
+{
+  agt_request_t *r = kb_alloc (sizeof *r);
+  uint64_t now_us = tmr_now_us ();
+  r->agent = agent;
+  r->attempt = d->attempt;
+  r->claim_key = d->claim_key;
+  r->flags = d->flags;
+  r->peer = peer->id;
+  snprintf (r->peer_name, sizeof r->peer_name, "%s", peer->name);
+  r->version = d->version;
+  if ((d->flags & MSG_FLAG_PLAIN) == 0)
+    snprintf (r->model, sizeof r->model, "%.*s@%" PRIu64,
+              (int)d->adapter.len_bytes, d->adapter.ptr, d->version);
+  r->source = kb_slice_dup (d->source);
+  r->method = kb_slice_dup (d->method);
+  r->path = kb_slice_dup (d->path);
+  kb_buf_append (&r->body, d->body.ptr, d->body.len_bytes);
+  uint64_t random[2] = { dmn_random (), dmn_random () };
+  r->trace = trc_begin (d->traceparent, random);
+  trc_write_parent (&r->trace, r->traceparent);
+  r->arrived_us = now_us;
+  r->arrived_wall_us = tmr_wall_ms () * 1000;
+  r->item = (sch_item_t){
+    .adapter
+    = r->model[0] == '\0' ? 0 : kb_hash (r->model, strlen (r->model), 0) | 1,
+    .partner = kb_hash (d->partner.ptr, d->partner.len_bytes, 0),
+    .priority_class
+    = (uint8_t)(d->priority_class < SCH_CLASSES ? d->priority_class
+                                                : SCH_CLASSES - 1),
+    .weight = (uint32_t)d->weight,
+    .cost = (uint32_t)d->max_tokens,
+    .enqueued_us = now_us,
+    .deadline_us = now_us + d->deadline_ms * 1000
+  };
+  peer->inflight++;
+  kb_map_put (&agent->requests, r->attempt, r);
+  return r;
+}
+
+static void
+model_remember (agt_agent_t *agent, const agt_request_t *r)
+{
+  if (r->item.adapter == 0
+      || kb_map_get (&agent->models, r->item.adapter) != NULL)
+    return;
+  agt_model_t *model = kb_alloc (sizeof *model);
+  snprintf (model->model, sizeof model->model, "%s", r->model);
+  kb_map_put (&agent->models, r->item.adapter, model);
+}
+
+/// The kept answer of a key that ran here.
+static void
+answer_fetch (agt_agent_t *agent, kb_slice_t peer, const msg_dispatch_t *d)
+{
+  clm_run_t *run = clm_runner_find_key (&agent->claims, d->claim_key);
+  if (run == NULL || run->state != CLM_RUN_DONE || run->answer == NULL)
+    {
+      refuse_dispatch (agent, peer, d, "the answer is no longer kept", 0,
+                       MSG_OUTCOME_RAN_FAILED);
+      return;
+    }
+  msg_t msg = { .type = MSG_PART };
+  msg.part = (msg_part_t){ .attempt = d->attempt,
+                           .http_status = 200,
+                           .content_type = kb_slice_str (run->content_type),
+                           .data = { run->answer, run->answer_bytes } };
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+  msg = (msg_t){ .type = MSG_END };
+  msg.end = (msg_end_t){ .attempt = d->attempt,
+                         .seq = 1,
+                         .outcome = MSG_OUTCOME_DONE,
+                         .http_status = 200,
+                         .version = d->version,
+                         .adapter = d->adapter,
+                         .reason = kb_slice_str ("kept answer") };
+  agt_end_fill_load (agent, 0, &msg.end);
+  lnk_link_send (&agent->daemon->link, peer, &msg);
+}
+
+/// The worst waiting request, if the new one is of a better class.
+static agt_request_t *
+worse_than (agt_agent_t *agent, uint64_t priority_class)
+{
+  for (int c = SCH_CLASSES - 1; c > (int)priority_class; c--)
+    {
+      if (agent->queue.waiting_by_class[c] == 0)
+        continue;
+      for (sch_group_t *g = agent->queue.active; g != NULL; g = g->next)
+        if (g->tails[c] != NULL)
+          return (agt_request_t *)g->tails[c];
+    }
+  return NULL;
+}
+
+/// @return  Why the attempt cannot be taken, or NULL.
+static const char *
+admission_refusal (agt_agent_t *agent, const msg_dispatch_t *d,
+                   uint64_t *retry_after_ms)
+{
+  *retry_after_ms = REFUSE_RETRY_MS;
+  if (agent->state == MSG_STATE_LEAVING)
+    return "the target is leaving";
+  if (!agent->is_engine_up)
+    return "the target does not answer";
+  // An entry that was cut off keeps dispatching by an old configuration. It
+  // gets the time that a change may take everywhere, then no more.
+  if (d->revision < agent->revision
+      && tmr_now_ms () - agent->revision_since_ms > STALE_REVISION_MS)
+    return "the entry's configuration is stale";
+  if (agent->queue.waiting >= (uint32_t)agent->daemon->settings.queue_limit)
+    {
+      agt_request_t *worse = worse_than (agent, d->priority_class);
+      if (worse == NULL)
+        {
+          *retry_after_ms
+              = agt_expected_wait_ms (agent, (uint8_t)d->priority_class);
+          return "the queue is full";
+        }
+      agt_run_refuse (worse, "the queue is full of better classes",
+                      agt_expected_wait_ms (agent, SCH_CLASSES - 1));
+    }
+  return NULL;
+}
+
+static const char *
+claim_refusal (clm_admit_t admit)
+{
+  switch (admit)
+    {
+    case CLM_ADMIT_VOIDED:
+      return "the attempt was revoked";
+    case CLM_ADMIT_STALE_EPOCH:
+      return "the grant is of a former owner";
+    case CLM_ADMIT_FULL:
+      return "too many attempts are remembered";
+    default:
+      return NULL;
+    }
+}
+
+void
+agt_run_accept (agt_agent_t *agent, kb_slice_t peer_name,
+                const msg_dispatch_t *d)
+{
+  agt_peer_t *peer = agt_peer_find (agent, peer_name);
+  if (peer == NULL || d->attempt == 0)
+    {
+      refuse_dispatch (agent, peer_name, d, "say hello first", REFUSE_RETRY_MS,
+                       MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  agt_note_revision (agent, d->revision);
+  if (d->flags & MSG_FLAG_FETCH)
+    {
+      answer_fetch (agent, peer_name, d);
+      return;
+    }
+  uint64_t retry_after_ms;
+  const char *refusal = admission_refusal (agent, d, &retry_after_ms);
+  if (refusal != NULL)
+    {
+      refuse_dispatch (agent, peer_name, d, refusal, retry_after_ms,
+                       MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  // A delayed grant may be dispatched after this target restarted. Its attempt
+  // may have been voided at the former incarnation, and the key may have run
+  // there; this one remembers neither.
+  if (d->incarnation != agent->daemon->incarnation)
+    {
+      refuse_dispatch (agent, peer_name, d, "the target was restarted", 0,
+                       MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  if (d->claim_key != 0 && !agent->is_fence_known)
+    {
+      // An agent that no new owner can find on the roster must not run keyed
+      // work: its memory would be missing from a rebuild.
+      refuse_dispatch (agent, peer_name, d, "the agent is not registered yet",
+                       REFUSE_RETRY_MS, MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  clm_admit_t admit
+      = clm_runner_admit (&agent->claims, d->attempt, d->claim_key,
+                          d->claim_digest, d->claim_epoch, tmr_now_ms ());
+  if (admit == CLM_ADMIT_ALREADY)
+    {
+      MET_INC ("knapweedbay_duplicates_stopped_total", "");
+      refuse_dispatch (agent, peer_name, d, "this key or attempt ran here", 0,
+                       MSG_OUTCOME_UNKNOWN);
+      return;
+    }
+  if (admit != CLM_ADMIT_OK)
+    {
+      refuse_dispatch (agent, peer_name, d, claim_refusal (admit),
+                       REFUSE_RETRY_MS, MSG_OUTCOME_NOT_RUN);
+      return;
+    }
+  agt_request_t *r = request_new (agent, peer, d);
+  model_remember (agent, r);
+  slt_slot_t *slot = r->item.adapter == 0
+                         ? NULL
+                         : slt_find (&agent->slots, r->item.adapter);
+  bool is_resident = slot != NULL && slot->state == SLT_RESIDENT;
+  if (r->item.adapter != 0 && !is_resident)
+    r->not_resident_since_us = r->arrived_us;
+  sch_add (&agent->queue, &r->item);
+  // Refusing now leaves the caller time to try elsewhere; waiting until the
+  // deadline would not.
+  uint64_t wait_ms = agt_expected_wait_ms (agent, r->item.priority_class);
+  if (wait_ms > d->deadline_ms)
+    {
+      agt_run_refuse (r, "the deadline cannot be met", wait_ms);
+      return;
+    }
+  agt_pump (agent);
+}
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -135,10 +135,22 @@
 /// Do whatever can be done now: start runs, loads and evictions.
 void agt_pump (agt_agent_t *agent);
 
-// agent_run.c
+// agent.c
+/// @return  The entry of that name, or NULL before its hello.
+agt_peer_t *agt_peer_find (agt_agent_t *agent, kb_slice_t name);
+/// Some daemon is at this configuration revision.
+void agt_note_revision (agt_agent_t *agent, uint64_t revision);
+
+// agent_admit.c
 /// Take a dispatched attempt or refuse it.
 void agt_run_accept (agt_agent_t *agent, kb_slice_t peer,
                      const msg_dispatch_t *dispatch);
+
+// agent_run.c
+/// Fill the load figures that go back on every reply.
+void agt_end_fill_load (const agt_agent_t *agent, uint64_t adapter,
+                        msg_end_t *end);
+void agt_count_outcome (msg_outcome_t outcome);
 void agt_run_start (agt_agent_t *agent, agt_request_t *request);
 /// End an attempt that waits, with a proof that it did not run.
 void agt_run_refuse (agt_request_t *request, const char *reason,
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -224,17 +224,40 @@
 void ent_request_part (ent_entry_t *entry, const msg_part_t *part);
 void ent_request_end (ent_entry_t *entry, kb_slice_t from,
                       const msg_end_t *end);
+/// A target is down, or back under another incarnation.
+/// @param is_final  Its earlier incarnation can not answer any more.
+void ent_request_vm_lost (ent_entry_t *entry, ent_vm_t *vm, bool is_final);
+/// A target is connected again in the same incarnation: settle what is there.
+void ent_request_vm_back (ent_entry_t *entry, ent_vm_t *vm);
+
+// entry_request.c, for entry_keyed.c
+/// End a request that has no whole answer.
+void ent_request_fail (ent_request_t *r, int http_status, const char *outcome,
+                       const char *message, uint64_t retry_after_ms);
+/// The same with "not run", unless an earlier attempt may have run.
+void ent_request_fail_not_run (ent_request_t *r, const char *message,
+                               uint64_t retry_after_ms);
+void ent_request_drop_attempt (ent_request_t *r);
+void ent_request_leave_vm (ent_request_t *r);
+/// Choose a target and begin an attempt there.
+void ent_request_next (ent_request_t *r);
+/// Send the present attempt to its target.
+void ent_request_dispatch (ent_request_t *r);
+/// The attempt is over and certainly did not run.
+void ent_request_after_not_run (ent_request_t *r, const char *reason,
+                                uint64_t retry_after_ms);
+/// The attempt is over and may have run.
+/// @param ran  Whether it certainly ran.
+void ent_request_after_unknown (ent_request_t *r, const char *reason,
+                                bool ran);
+
+// entry_keyed.c
 void ent_request_revoked (ent_entry_t *entry, const msg_revoked_t *revoked);
 /// The answer of a claim owner, local or remote.
 void ent_request_claimed (ent_request_t *r, clm_verdict_t verdict,
                           uint64_t epoch, uint64_t holder,
                           uint64_t incarnation, clm_state_t state,
                           uint64_t runner);
-/// A target is down, or back under another incarnation.
-/// @param is_final  Its earlier incarnation can not answer any more.
-void ent_request_vm_lost (ent_entry_t *entry, ent_vm_t *vm, bool is_final);
-/// A target is connected again in the same incarnation: settle what is there.
-void ent_request_vm_back (ent_entry_t *entry, ent_vm_t *vm);
 
 // entry_members.c
 ent_vm_t *ent_vm_find (ent_entry_t *entry, kb_slice_t name);
@@ -253,11 +276,20 @@
 const char *ent_members_choose (ent_entry_t *entry, uint64_t key,
                                 bool with_self);
 
-// entry_claims.c
+// entry_shards.c
+/// Whether the map names this entry and incarnation.
+bool ent_shard_is_own (const ent_entry_t *entry, const shm_shard_t *shard);
 void ent_claims_tick (ent_entry_t *entry, uint64_t now_ms);
 void ent_claims_map_item (ent_entry_t *entry, const kvc_item_t *item);
 /// Read the shard map, unless it was read just now.
 void ent_claims_read_map (ent_entry_t *entry);
+void ent_claims_on_records (ent_entry_t *entry, kb_slice_t from,
+                            const msg_records_t *records);
+/// Hand all shards to other entries.
+void ent_claims_hand_over (ent_entry_t *entry);
+uint32_t ent_claims_owned (const ent_entry_t *entry);
+
+// entry_claims.c
 /// Claim for the request's present attempt.
 void ent_claim_send (ent_request_t *r);
 void ent_claim_note (ent_request_t *r, clm_state_t state);
@@ -265,13 +297,8 @@
                           const msg_claim_t *claim);
 void ent_claims_on_reply (ent_entry_t *entry, const msg_claim_reply_t *reply);
 void ent_claims_on_note (ent_entry_t *entry, const msg_claim_note_t *note);
-void ent_claims_on_records (ent_entry_t *entry, kb_slice_t from,
-                            const msg_records_t *records);
 void ent_claims_on_recover (ent_entry_t *entry, kb_slice_t from,
                             const msg_recover_t *recover);
-/// Hand all shards to other entries.
-void ent_claims_hand_over (ent_entry_t *entry);
-uint32_t ent_claims_owned (const ent_entry_t *entry);
 
 // entry_config.c
 void ent_config_tick (ent_entry_t *entry, uint64_t now_ms);
--- /dev/null
+++ b/src/daemon/entry_keyed.c
@@ -0,0 +1,195 @@
+/// @file entry_keyed.c
+/// The stages that only requests with an idempotency key pass: waiting for
+/// the owner of the key, asking the runner of an earlier attempt, fetching a
+/// kept answer.
+#include "daemon/entry_defs.h"
+#include "transport/metrics.h"
+
+enum
+{
+  RETRY_DEFAULT_MS = 1000,
+  RUNNING_RETRY_MS = 1000,
+  CLAIM_RETRY_MS = 200, ///< Also the patience for one answer.
+  CLAIM_MAX_TRIES = 15,
+  HTTP_CONFLICT = 409,
+  HTTP_UNPROCESSABLE = 422,
+  HTTP_BAD_GATEWAY = 502,
+  HTTP_GATEWAY_TIMEOUT = 504,
+};
+
+static void
+claim_retry (void *arg)
+{
+  ent_claim_send (arg);
+}
+
+static void
+claim_again_later (ent_request_t *r)
+{
+  if (++r->claim_tries > CLAIM_MAX_TRIES)
+    {
+      ent_request_leave_vm (r);
+      ent_request_fail_not_run (r, "the owner of this key is not available",
+                                0);
+      return;
+    }
+  // The owner that the map names has not answered as one: the map is old.
+  if (r->claim_tries > 1)
+    ent_claims_read_map (r->entry);
+  tmr_after (&r->entry->daemon->timers, &r->retry, CLAIM_RETRY_MS, claim_retry,
+             r);
+}
+
+/// Where an earlier request with the same key ran or runs.
+static bool
+holder_use (ent_request_t *r, uint64_t runner, uint64_t incarnation)
+{
+  ent_request_leave_vm (r);
+  ent_vm_t *vm = kb_map_get (&r->entry->vms, runner);
+  bool is_same = vm != NULL && vm->mem.incarnation == incarnation
+                 && (vm->state == MEM_UP || vm->state == MEM_LEAVING);
+  if (!is_same)
+    return false;
+  r->vm = vm;
+  vm->inflight++;
+  r->vm_incarnation = incarnation;
+  return true;
+}
+
+static void
+fetch_answer (ent_request_t *r)
+{
+  MET_INC ("knapweedbay_resends_answered_total", "");
+  r->stage = ENT_FETCHING;
+  r->is_claimed = false;
+  ent_request_dispatch (r);
+}
+
+static void
+revoke_holder (ent_request_t *r, uint64_t holder)
+{
+  r->stage = ENT_REVOKING;
+  r->holder_attempt = holder;
+  msg_t msg = { .type = MSG_REVOKE };
+  msg.revoke = (msg_revoke_t){ .attempt = holder,
+                               .claim_key = r->claim_key,
+                               .incarnation = r->vm_incarnation };
+  // The answer names the holder's attempt; it comes back to this request.
+  kb_map_put (&r->entry->by_attempt, r->attempt, r);
+  if (dmn_send (r->entry->daemon, r->vm->name, &msg) != KB_OK)
+    ent_request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
+                      "the target of the earlier request is not reachable",
+                      RETRY_DEFAULT_MS);
+}
+
+static void
+after_held (ent_request_t *r, clm_verdict_t verdict, uint64_t holder,
+            uint64_t incarnation, clm_state_t state, uint64_t runner)
+{
+  if (verdict == CLM_VERDICT_FINISHED && state == CLM_FAILED)
+    {
+      ent_request_fail (r, HTTP_BAD_GATEWAY, "ran_failed",
+                        "an earlier request with this key ran and failed", 0);
+      return;
+    }
+  if (!holder_use (r, runner, incarnation))
+    {
+      ent_request_fail (
+          r, HTTP_GATEWAY_TIMEOUT, "unknown",
+          "the target of an earlier request with this key is lost", 0);
+      return;
+    }
+  if (verdict == CLM_VERDICT_FINISHED)
+    fetch_answer (r);
+  else
+    revoke_holder (r, holder);
+}
+
+void
+ent_request_claimed (ent_request_t *r, clm_verdict_t verdict, uint64_t epoch,
+                     uint64_t holder, uint64_t incarnation, clm_state_t state,
+                     uint64_t runner)
+{
+  switch (verdict)
+    {
+    case CLM_VERDICT_GRANTED:
+      r->is_claimed = true;
+      r->epoch = epoch;
+      r->voided_attempt = 0;
+      ent_request_dispatch (r);
+      break;
+    case CLM_VERDICT_HELD:
+    case CLM_VERDICT_FINISHED:
+      after_held (r, verdict, holder, incarnation, state, runner);
+      break;
+    case CLM_VERDICT_MISMATCH:
+      ent_request_fail (r, HTTP_UNPROCESSABLE, "not_run",
+                        "this idempotency key was used with another request",
+                        0);
+      break;
+    case CLM_VERDICT_UNKNOWN:
+      ent_request_fail (
+          r, HTTP_GATEWAY_TIMEOUT, "unknown",
+          "a request with this key may have run and its outcome is "
+          "lost",
+          0);
+      break;
+    case CLM_VERDICT_FULL:
+      ent_request_leave_vm (r);
+      ent_request_fail_not_run (r, "too many idempotency keys are remembered",
+                                0);
+      break;
+    default:
+      claim_again_later (r);
+    }
+}
+
+void
+ent_request_revoked (ent_entry_t *entry, const msg_revoked_t *revoked)
+{
+  ent_request_t *r = kb_map_get (&entry->by_attempt, revoked->attempt);
+  if (r != NULL && r->stage == ENT_SENT)
+    {
+      // Settling an attempt of our own after a lost connection.
+      if (revoked->state == MSG_REVOKED_VOIDED)
+        ent_request_after_not_run (r, "the connection to the target was lost",
+                                   0);
+      else if (revoked->state != MSG_REVOKED_RUNNING)
+        ent_request_after_unknown (r, "the answer was lost with a connection",
+                                   revoked->state != MSG_REVOKED_FOREIGN);
+      return;
+    }
+  for (r = entry->requests; r != NULL; r = r->next)
+    if (r->stage == ENT_REVOKING && r->holder_attempt == revoked->attempt
+        && r->claim_key == revoked->claim_key)
+      break;
+  if (r == NULL)
+    return;
+  switch (revoked->state)
+    {
+    case MSG_REVOKED_VOIDED:
+      // The earlier attempt cannot start any more: the key is free.
+      r->voided_attempt = revoked->attempt;
+      r->holder_attempt = 0;
+      ent_request_drop_attempt (r);
+      ent_request_leave_vm (r);
+      ent_request_next (r);
+      break;
+    case MSG_REVOKED_RUNNING:
+      ent_request_fail (r, HTTP_CONFLICT, "running",
+                        "a request with this key is running",
+                        RUNNING_RETRY_MS);
+      break;
+    case MSG_REVOKED_DONE:
+      fetch_answer (r);
+      break;
+    case MSG_REVOKED_FAILED:
+      ent_request_fail (r, HTTP_BAD_GATEWAY, "ran_failed",
+                        "an earlier request with this key ran and failed", 0);
+      break;
+    default:
+      ent_request_fail (
+          r, HTTP_GATEWAY_TIMEOUT, "unknown",
+          "the target of an earlier request with this key is lost", 0);
+    }
+}
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -16,27 +16,21 @@
   RUNNING_RETRY_MS = 1000,
   ANSWER_MAX_BYTES = 16 << 20,
   STREAM_PENDING_MAX_BYTES = 4 << 20,
-  CLAIM_RETRY_MS = 200, ///< Also the patience for one answer.
-  CLAIM_MAX_TRIES = 15,
-  HTTP_CONFLICT = 409,
-  HTTP_UNPROCESSABLE = 422,
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
   HTTP_GATEWAY_TIMEOUT = 504,
 };
 
-static void request_next_attempt (ent_request_t *r);
-
-static void
-request_drop_attempt (ent_request_t *r)
+void
+ent_request_drop_attempt (ent_request_t *r)
 {
   if (r->attempt != 0)
     kb_map_remove (&r->entry->by_attempt, r->attempt);
   r->attempt = 0;
 }
 
-static void
-request_leave_vm (ent_request_t *r)
+void
+ent_request_leave_vm (ent_request_t *r)
 {
   if (r->vm != NULL && r->vm->inflight > 0)
     r->vm->inflight--;
@@ -47,8 +41,8 @@
 request_free (ent_request_t *r)
 {
   ent_entry_t *entry = r->entry;
-  request_drop_attempt (r);
-  request_leave_vm (r);
+  ent_request_drop_attempt (r);
+  ent_request_leave_vm (r);
   tmr_cancel (&entry->daemon->timers, &r->deadline);
   tmr_cancel (&entry->daemon->timers, &r->retry);
   if (r->limits != NULL)
@@ -83,9 +77,9 @@
 }
 
 /// The final answer when there is no whole one.
-static void
-request_fail (ent_request_t *r, int http_status, const char *outcome,
-              const char *message, uint64_t retry_after_ms)
+void
+ent_request_fail (ent_request_t *r, int http_status, const char *outcome,
+                  const char *message, uint64_t retry_after_ms)
 {
   request_trace_end (r, outcome);
   if (r->http != NULL)
@@ -109,7 +103,7 @@
   MET_INC ("knapweedbay_requests_total", "outcome=\"unknown\"");
   if (r->is_claimed)
     ent_claim_note (r, CLM_UNKNOWN);
-  request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown", message, 0);
+  ent_request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown", message, 0);
 }
 
 static void
@@ -118,11 +112,12 @@
   MET_INC ("knapweedbay_requests_total", "outcome=\"ran_failed\"");
   if (r->is_claimed)
     ent_claim_note (r, CLM_FAILED);
-  request_fail (r, HTTP_BAD_GATEWAY, "ran_failed", message, 0);
+  ent_request_fail (r, HTTP_BAD_GATEWAY, "ran_failed", message, 0);
 }
 
-static void
-fail_not_run (ent_request_t *r, const char *message, uint64_t retry_after_ms)
+void
+ent_request_fail_not_run (ent_request_t *r, const char *message,
+                          uint64_t retry_after_ms)
 {
   // An earlier attempt ran or may have run. Only this last one did not.
   if (r->earlier == MSG_OUTCOME_RAN_FAILED)
@@ -138,8 +133,8 @@
   MET_INC ("knapweedbay_requests_total", "outcome=\"not_run\"");
   if (r->is_claimed)
     ent_claim_note (r, CLM_RELEASED);
-  request_fail (r, HTTP_UNAVAILABLE, "not_run", message,
-                retry_after_ms > 0 ? retry_after_ms : RETRY_DEFAULT_MS);
+  ent_request_fail (r, HTTP_UNAVAILABLE, "not_run", message,
+                    retry_after_ms > 0 ? retry_after_ms : RETRY_DEFAULT_MS);
 }
 
 static bool
@@ -166,11 +161,12 @@
   if (r->stage != ENT_SENT)
     {
       if (r->stage == ENT_CLAIMING && r->holder_attempt == 0)
-        fail_not_run (r, "the deadline passed before it was placed", 0);
+        ent_request_fail_not_run (
+            r, "the deadline passed before it was placed", 0);
       else
-        request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
-                      "the earlier request with this key did not answer",
-                      RUNNING_RETRY_MS);
+        ent_request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
+                          "the earlier request with this key did not answer",
+                          RUNNING_RETRY_MS);
       return;
     }
   send_cancel (r);
@@ -193,13 +189,14 @@
 
 /// The attempt is over and certainly did not run: try elsewhere if that can
 /// help, else tell the caller at once.
-static void
-after_not_run (ent_request_t *r, const char *reason, uint64_t retry_after_ms)
+void
+ent_request_after_not_run (ent_request_t *r, const char *reason,
+                           uint64_t retry_after_ms)
 {
   exclude_target (r);
   r->voided_attempt = r->attempt;
-  request_drop_attempt (r);
-  request_leave_vm (r);
+  ent_request_drop_attempt (r);
+  ent_request_leave_vm (r);
   snprintf (r->reason, sizeof r->reason, "%s", reason);
   r->retry_after_ms = retry_after_ms;
   // Both callers that hung up and late requests end here: another attempt
@@ -207,17 +204,17 @@
   if (r->http == NULL || request_is_late (r) || r->tries >= ENT_MAX_TRIES
       || !lim_retry_take (&r->entry->retries))
     {
-      fail_not_run (r, r->reason, retry_after_ms);
+      ent_request_fail_not_run (r, r->reason, retry_after_ms);
       return;
     }
   MET_INC ("knapweedbay_retries_total", "");
-  request_next_attempt (r);
+  ent_request_next (r);
 }
 
 /// The attempt may have run. Only work that may be repeated, and of which the
 /// caller has seen nothing, is tried again.
-static void
-after_unknown (ent_request_t *r, const char *reason, bool ran)
+void
+ent_request_after_unknown (ent_request_t *r, const char *reason, bool ran)
 {
   bool may_retry = r->http != NULL && request_may_repeat (r)
                    && !request_is_late (r) && r->tries < ENT_MAX_TRIES
@@ -234,16 +231,16 @@
   if (r->earlier != MSG_OUTCOME_UNKNOWN)
     r->earlier = ran ? MSG_OUTCOME_RAN_FAILED : MSG_OUTCOME_UNKNOWN;
   exclude_target (r);
-  request_drop_attempt (r);
-  request_leave_vm (r);
+  ent_request_drop_attempt (r);
+  ent_request_leave_vm (r);
   kb_buf_clear (&r->answer);
   r->next_seq = 0;
   r->is_gap = false;
-  request_next_attempt (r);
+  ent_request_next (r);
 }
 
-static void
-send_dispatch (ent_request_t *r)
+void
+ent_request_dispatch (ent_request_t *r)
 {
   ent_entry_t *entry = r->entry;
   uint64_t now = tmr_now_ms ();
@@ -282,19 +279,19 @@
       mem_vm_note_disconnect (&r->vm->mem);
       ent_vm_update (entry, r->vm);
       if (r->stage == ENT_FETCHING)
-        request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
-                      "the target that holds the answer is not reachable",
-                      RETRY_DEFAULT_MS);
+        ent_request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
+                          "the target that holds the answer is not reachable",
+                          RETRY_DEFAULT_MS);
       else
-        after_not_run (r, "the target is not reachable", 0);
+        ent_request_after_not_run (r, "the target is not reachable", 0);
       return;
     }
   if (r->vm->route != RT_NONE && r->stage == ENT_SENT)
     rt_note_sent (&entry->routes, r->vm->route, r->adapter_id);
 }
 
-static void
-request_next_attempt (ent_request_t *r)
+void
+ent_request_next (ent_request_t *r)
 {
   ent_entry_t *entry = r->entry;
   uint16_t index
@@ -302,8 +299,9 @@
                    r->excluded_count, tmr_now_ms (), dmn_random ());
   if (index == RT_NONE)
     {
-      fail_not_run (r, r->reason[0] ? r->reason : "no target is available",
-                    r->retry_after_ms);
+      ent_request_fail_not_run (
+          r, r->reason[0] ? r->reason : "no target is available",
+          r->retry_after_ms);
       return;
     }
   r->vm = kb_map_get (&entry->vms, entry->routes.targets[index].id);
@@ -318,7 +316,7 @@
       ent_claim_send (r);
       return;
     }
-  send_dispatch (r);
+  ent_request_dispatch (r);
 }
 
 void
@@ -335,7 +333,7 @@
   uint64_t left = r->deadline_at_ms > now ? r->deadline_at_ms - now : 0;
   tmr_after (&entry->daemon->timers, &r->deadline, left + DEADLINE_GRACE_MS,
              deadline_passed, r);
-  request_next_attempt (r);
+  ent_request_next (r);
 }
 
 void
@@ -351,177 +349,6 @@
   request_free (r);
 }
 
-static void
-claim_retry (void *arg)
-{
-  ent_claim_send (arg);
-}
-
-static void
-claim_again_later (ent_request_t *r)
-{
-  if (++r->claim_tries > CLAIM_MAX_TRIES)
-    {
-      request_leave_vm (r);
-      fail_not_run (r, "the owner of this key is not available", 0);
-      return;
-    }
-  // The owner that the map names has not answered as one: the map is old.
-  if (r->claim_tries > 1)
-    ent_claims_read_map (r->entry);
-  tmr_after (&r->entry->daemon->timers, &r->retry, CLAIM_RETRY_MS, claim_retry,
-             r);
-}
-
-/// Where an earlier request with the same key ran or runs.
-static bool
-holder_use (ent_request_t *r, uint64_t runner, uint64_t incarnation)
-{
-  request_leave_vm (r);
-  ent_vm_t *vm = kb_map_get (&r->entry->vms, runner);
-  bool is_same = vm != NULL && vm->mem.incarnation == incarnation
-                 && (vm->state == MEM_UP || vm->state == MEM_LEAVING);
-  if (!is_same)
-    return false;
-  r->vm = vm;
-  vm->inflight++;
-  r->vm_incarnation = incarnation;
-  return true;
-}
-
-static void
-fetch_answer (ent_request_t *r)
-{
-  MET_INC ("knapweedbay_resends_answered_total", "");
-  r->stage = ENT_FETCHING;
-  r->is_claimed = false;
-  send_dispatch (r);
-}
-
-static void
-revoke_holder (ent_request_t *r, uint64_t holder)
-{
-  r->stage = ENT_REVOKING;
-  r->holder_attempt = holder;
-  msg_t msg = { .type = MSG_REVOKE };
-  msg.revoke = (msg_revoke_t){ .attempt = holder,
-                               .claim_key = r->claim_key,
-                               .incarnation = r->vm_incarnation };
-  // The answer names the holder's attempt; it comes back to this request.
-  kb_map_put (&r->entry->by_attempt, r->attempt, r);
-  if (dmn_send (r->entry->daemon, r->vm->name, &msg) != KB_OK)
-    request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
-                  "the target of the earlier request is not reachable",
-                  RETRY_DEFAULT_MS);
-}
-
-static void
-after_held (ent_request_t *r, clm_verdict_t verdict, uint64_t holder,
-            uint64_t incarnation, clm_state_t state, uint64_t runner)
-{
-  if (verdict == CLM_VERDICT_FINISHED && state == CLM_FAILED)
-    {
-      request_fail (r, HTTP_BAD_GATEWAY, "ran_failed",
-                    "an earlier request with this key ran and failed", 0);
-      return;
-    }
-  if (!holder_use (r, runner, incarnation))
-    {
-      request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
-                    "the target of an earlier request with this key is lost",
-                    0);
-      return;
-    }
-  if (verdict == CLM_VERDICT_FINISHED)
-    fetch_answer (r);
-  else
-    revoke_holder (r, holder);
-}
-
-void
-ent_request_claimed (ent_request_t *r, clm_verdict_t verdict, uint64_t epoch,
-                     uint64_t holder, uint64_t incarnation, clm_state_t state,
-                     uint64_t runner)
-{
-  switch (verdict)
-    {
-    case CLM_VERDICT_GRANTED:
-      r->is_claimed = true;
-      r->epoch = epoch;
-      r->voided_attempt = 0;
-      send_dispatch (r);
-      break;
-    case CLM_VERDICT_HELD:
-    case CLM_VERDICT_FINISHED:
-      after_held (r, verdict, holder, incarnation, state, runner);
-      break;
-    case CLM_VERDICT_MISMATCH:
-      request_fail (r, HTTP_UNPROCESSABLE, "not_run",
-                    "this idempotency key was used with another request", 0);
-      break;
-    case CLM_VERDICT_UNKNOWN:
-      request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
-                    "a request with this key may have run and its outcome is "
-                    "lost",
-                    0);
-      break;
-    case CLM_VERDICT_FULL:
-      request_leave_vm (r);
-      fail_not_run (r, "too many idempotency keys are remembered", 0);
-      break;
-    default:
-      claim_again_later (r);
-    }
-}
-
-void
-ent_request_revoked (ent_entry_t *entry, const msg_revoked_t *revoked)
-{
-  ent_request_t *r = kb_map_get (&entry->by_attempt, revoked->attempt);
-  if (r != NULL && r->stage == ENT_SENT)
-    {
-      // Settling an attempt of our own after a lost connection.
-      if (revoked->state == MSG_REVOKED_VOIDED)
-        after_not_run (r, "the connection to the target was lost", 0);
-      else if (revoked->state != MSG_REVOKED_RUNNING)
-        after_unknown (r, "the answer was lost with a connection",
-                       revoked->state != MSG_REVOKED_FOREIGN);
-      return;
-    }
-  for (r = entry->requests; r != NULL; r = r->next)
-    if (r->stage == ENT_REVOKING && r->holder_attempt == revoked->attempt
-        && r->claim_key == revoked->claim_key)
-      break;
-  if (r == NULL)
-    return;
-  switch (revoked->state)
-    {
-    case MSG_REVOKED_VOIDED:
-      // The earlier attempt cannot start any more: the key is free.
-      r->voided_attempt = revoked->attempt;
-      r->holder_attempt = 0;
-      request_drop_attempt (r);
-      request_leave_vm (r);
-      request_next_attempt (r);
-      break;
-    case MSG_REVOKED_RUNNING:
-      request_fail (r, HTTP_CONFLICT, "running",
-                    "a request with this key is running", RUNNING_RETRY_MS);
-      break;
-    case MSG_REVOKED_DONE:
-      fetch_answer (r);
-      break;
-    case MSG_REVOKED_FAILED:
-      request_fail (r, HTTP_BAD_GATEWAY, "ran_failed",
-                    "an earlier request with this key ran and failed", 0);
-      break;
-    default:
-      request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
-                    "the target of an earlier request with this key is lost",
-                    0);
-    }
-}
-
 static void
 add_answer_headers (ent_request_t *r)
 {
@@ -667,8 +494,8 @@
       if (end->outcome == MSG_OUTCOME_DONE && is_whole)
         finish_done (r);
       else
-        request_fail (r, 410, "done", "it ran; its answer is no longer kept",
-                      0);
+        ent_request_fail (r, 410, "done",
+                          "it ran; its answer is no longer kept", 0);
       return;
     }
   switch (end->outcome)
@@ -677,16 +504,16 @@
       if (is_whole)
         finish_done (r);
       else
-        after_unknown (r, "part of the answer was lost", true);
+        ent_request_after_unknown (r, "part of the answer was lost", true);
       break;
     case MSG_OUTCOME_NOT_RUN:
-      after_not_run (r, reason, end->retry_after_ms);
+      ent_request_after_not_run (r, reason, end->retry_after_ms);
       break;
     case MSG_OUTCOME_RAN_FAILED:
-      after_unknown (r, reason, true);
+      ent_request_after_unknown (r, reason, true);
       break;
     default:
-      after_unknown (r, reason, false);
+      ent_request_after_unknown (r, reason, false);
     }
 }
 
@@ -712,10 +539,11 @@
   while ((r = first_at_vm (entry, vm, !is_final)) != NULL)
     {
       if (r->stage == ENT_SENT)
-        after_unknown (r, "the target was lost while it ran", false);
+        ent_request_after_unknown (r, "the target was lost while it ran",
+                                   false);
       else
-        request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
-                      "the target of the earlier request was lost", 0);
+        ent_request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
+                          "the target of the earlier request was lost", 0);
     }
 }
 
--- /dev/null
+++ b/src/daemon/entry_shards.c
@@ -0,0 +1,549 @@
+/// @file entry_shards.c
+/// Shard ownership at an entry: the shard map, assignment, rebuilds and
+/// handovers. The decisions are in coordination/claim_owner.c.
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon/entry_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  SETTLE_MS = 1500, ///< Wait after the start before shards are taken.
+  ASK_AGAIN_MS = 500,
+  EXPIRE_TICKS = 50,
+  MAP_TICKS = 5,
+  MAP_READ_PAUSE_MS = 200,
+  ASSIGNER_KEY = 0x61737369, ///< Seed of the choice of the assigner.
+  ASSIGN_PATIENCE_MS = 3000,
+};
+
+_Static_assert((int)SHM_SHARDS == (int)CLM_SHARDS,
+               "the map and the protocol cut keys into the same shards");
+
+static const char *
+own_name (const ent_entry_t *entry)
+{
+  return entry->daemon->settings.name;
+}
+
+bool
+ent_shard_is_own (const ent_entry_t *entry, const shm_shard_t *shard)
+{
+  return shard->incarnation == entry->daemon->incarnation
+         && strcmp (shard->owner, own_name (entry)) == 0;
+}
+
+uint32_t
+ent_claims_owned (const ent_entry_t *entry)
+{
+  uint32_t owned = 0;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    owned += entry->owner.shards[s].state == CLM_SHARD_READY;
+  return owned;
+}
+
+static void
+merge_packed (ent_entry_t *entry, kb_slice_t records,
+              const clm_shard_state_t wanted)
+{
+  clm_record_t record;
+  uint64_t now = tmr_now_ms ();
+  while (clm_record_unpack (&records, &record))
+    if (entry->owner.shards[clm_shard (record.key)].state == wanted)
+      clm_owner_merge (&entry->owner, &record, now);
+}
+
+/// The former owner named us and sent its records before: the shard goes on
+/// without a rebuild.
+static bool
+shard_inherit (ent_entry_t *entry, uint32_t s)
+{
+  if (!entry->has_handover[s])
+    return false;
+  clm_owner_begin_rebuild (&entry->owner, s, entry->shards[s].epoch);
+  merge_packed (entry, kb_buf_slice (&entry->handover[s]),
+                CLM_SHARD_REBUILDING);
+  clm_owner_end_rebuild (&entry->owner, s, true, tmr_now_ms ());
+  kb_buf_finish (&entry->handover[s]);
+  entry->has_handover[s] = false;
+  return true;
+}
+
+void
+ent_claims_map_item (ent_entry_t *entry, const kvc_item_t *item)
+{
+  if (item->mod_revision == 0
+      || item->mod_revision <= entry->shards_mod_revision)
+    return;
+  if (!shm_parse (item->value, entry->shards))
+    return;
+  entry->shards_mod_revision = item->mod_revision;
+  entry->is_map_known = true;
+  uint32_t lost = 0;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    {
+      clm_shard_t *shard = &entry->owner.shards[s];
+      if (ent_shard_is_own (entry, &entry->shards[s]))
+        {
+          if (shard->state == CLM_SHARD_FOREIGN)
+            shard_inherit (entry, s);
+          continue;
+        }
+      // Somebody took the shard over while this process stood still. Its
+      // grants die by their epoch; its table must go as well.
+      if (shard->state != CLM_SHARD_FOREIGN)
+        {
+          kb_buf_t dropped = { 0 };
+          clm_owner_release_shard (&entry->owner, s, &dropped);
+          kb_buf_finish (&dropped);
+          lost++;
+        }
+    }
+  if (lost > 0)
+    log_write (LOG_WARN, "claims", "%u shards were taken over by others.",
+               lost);
+}
+
+/// Whether the owner of a shard can never answer again. A timer alone never
+/// says so: its grants are fenced by the epoch, and a live owner is left
+/// alone.
+static bool
+owner_is_gone (ent_entry_t *entry, const shm_shard_t *shard, uint64_t now)
+{
+  if (shard->owner[0] == '\0')
+    return true;
+  if (strcmp (shard->owner, own_name (entry)) == 0)
+    return shard->incarnation != entry->daemon->incarnation;
+  ent_vm_t *vm = ent_vm_find (entry, kb_slice_str (shard->owner));
+  if (vm == NULL)
+    return entry->is_list_known
+           && now - entry->started_ms > entry->mem_options.gone_after_ms;
+  if (vm->state == MEM_GONE)
+    return true;
+  return vm->state == MEM_UP && vm->mem.incarnation != shard->incarnation;
+}
+
+static void rebuild_start (ent_entry_t *entry, const uint64_t *epochs);
+
+static void
+map_got (void *arg, kb_status_t status, const kvc_item_t *items,
+         uint32_t count)
+{
+  ent_entry_t *entry = arg;
+  entry->is_map_busy = false;
+  if (status == KB_OK && count > 0)
+    ent_claims_map_item (entry, &items[0]);
+}
+
+void
+ent_claims_read_map (ent_entry_t *entry)
+{
+  uint64_t now = tmr_now_ms ();
+  if (entry->is_map_busy || now - entry->map_read_ms < MAP_READ_PAUSE_MS)
+    return;
+  entry->is_map_busy = true;
+  entry->map_read_ms = now;
+  kvc_get (&entry->daemon->kv, SHM_KEY, map_got, entry);
+}
+
+/// Tell the other entries that the map changed; most do not watch it.
+static void
+map_announce (ent_entry_t *entry)
+{
+  msg_t msg = { .type = MSG_ANNOUNCE };
+  msg.announce
+      = (msg_announce_t){ .revision = ent_revision (entry),
+                          .map_revision = entry->shards_mod_revision + 1 };
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    if (vm->is_entry && vm->state == MEM_UP)
+      dmn_send (entry->daemon, vm->name, &msg);
+}
+
+/// Won, lost or unknown: the map itself tells.
+static void
+assign_done (void *arg, kb_status_t status, const kvc_item_t *items,
+             uint32_t count)
+{
+  ent_entry_t *entry = arg;
+  entry->is_map_busy = false;
+  if (status == KB_EUNAVAIL)
+    return;
+  if (status == KB_OK)
+    map_announce (entry);
+  ent_claims_read_map (entry);
+}
+
+static uint64_t
+entry_incarnation (ent_entry_t *entry, const char *name)
+{
+  if (strcmp (name, own_name (entry)) == 0)
+    return entry->daemon->incarnation;
+  return ent_vm_find (entry, kb_slice_str (name))->mem.incarnation;
+}
+
+/// One entry gives out all shards without a living owner in one swap. Were
+/// each to take its own, N entries would swap one value against each other:
+/// fifty needed more than twenty seconds. The others step in when it does not.
+static bool
+is_assigner (ent_entry_t *entry, uint64_t now)
+{
+  const char *chosen = ent_members_choose (entry, ASSIGNER_KEY, true);
+  if (strcmp (chosen, own_name (entry)) == 0)
+    return true;
+  return entry->vacant_since_ms != 0
+         && now - entry->vacant_since_ms
+                > ASSIGN_PATIENCE_MS + dmn_random () % ASSIGN_PATIENCE_MS;
+}
+
+static void
+assign_shards (ent_entry_t *entry, uint64_t now)
+{
+  shm_shard_t wanted[CLM_SHARDS];
+  memcpy (wanted, entry->shards, sizeof wanted);
+  uint32_t vacant = 0;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    {
+      if (!owner_is_gone (entry, &entry->shards[s], now))
+        continue;
+      const char *next = ent_members_choose (entry, s + 1, true);
+      snprintf (wanted[s].owner, sizeof wanted[s].owner, "%s", next);
+      wanted[s].incarnation = entry_incarnation (entry, next);
+      wanted[s].epoch++;
+      vacant++;
+    }
+  if (vacant == 0)
+    {
+      entry->vacant_since_ms = 0;
+      return;
+    }
+  if (entry->vacant_since_ms == 0)
+    entry->vacant_since_ms = now;
+  if (!is_assigner (entry, now))
+    return;
+  entry->is_map_busy = true;
+  kb_buf_t value = { 0 };
+  shm_write (wanted, &value);
+  kvc_cas (&entry->daemon->kv, SHM_KEY, entry->shards_mod_revision,
+           kb_buf_slice (&value), assign_done, entry);
+  kb_buf_finish (&value);
+}
+
+static void rebuild_start (ent_entry_t *entry, const uint64_t *epochs);
+
+/// Shards that the map gives to this entry and whose records did not come
+/// from the former owner are rebuilt from the runners.
+static void
+adopt_shards (ent_entry_t *entry)
+{
+  uint64_t epochs[CLM_SHARDS] = { 0 };
+  bool has_any = false;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    if (ent_shard_is_own (entry, &entry->shards[s])
+        && entry->owner.shards[s].state == CLM_SHARD_FOREIGN
+        && !shard_inherit (entry, s))
+      {
+        epochs[s] = entry->shards[s].epoch;
+        has_any = true;
+      }
+  if (has_any)
+    rebuild_start (entry, epochs);
+}
+
+static void
+rebuild_add_source (ent_rebuild_t *b, const char *name, bool is_entry,
+                    bool has_left)
+{
+  b->sources
+      = kb_realloc (b->sources, (b->source_count + 1) * sizeof *b->sources);
+  ent_rebuild_source_t *source = &b->sources[b->source_count++];
+  *source
+      = (ent_rebuild_source_t){ .is_entry = is_entry, .has_left = has_left };
+  snprintf (source->name, sizeof source->name, "%s", name);
+}
+
+static void
+rebuild_read_roster_item (ent_entry_t *entry, const kvc_item_t *item)
+{
+  struct json_object *record = NULL;
+  jsn_parse_text ("roster", item->value, &record, NULL);
+  const char *name = item->key + strlen ("kb/roster/");
+  bool has_left = strcmp (jsn_str (record, "state", ""), "left") == 0;
+  rebuild_add_source (&entry->rebuild, name, false, has_left);
+  json_object_put (record);
+}
+
+static void
+roster_got (void *arg, kb_status_t status, const kvc_item_t *items,
+            uint32_t count)
+{
+  ent_entry_t *entry = arg;
+  ent_rebuild_t *b = &entry->rebuild;
+  if (status != KB_OK || !b->is_active)
+    return; // The tick asks again.
+  b->source_count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    rebuild_read_roster_item (entry, &items[i]);
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    if (vm->is_entry && vm->state == MEM_UP)
+      rebuild_add_source (b, vm->name, true, false);
+  b->is_roster_known = true;
+  b->asked_ms = 0;
+}
+
+static void
+rebuild_start (ent_entry_t *entry, const uint64_t *epochs)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    if (epochs[s] != 0)
+      {
+        clm_owner_begin_rebuild (&entry->owner, s, epochs[s]);
+        b->epochs[s] = epochs[s];
+      }
+  b->is_active = true;
+  b->is_roster_known = false;
+  b->is_whole = true;
+  b->id = dmn_random () | 1;
+  b->started_ms = tmr_now_ms ();
+  b->asked_ms = b->started_ms;
+  kvc_range (&entry->daemon->kv, "kb/roster/", roster_got, entry);
+}
+
+/// @return  True when nothing more can come from this source.
+static bool
+source_is_settled (ent_entry_t *entry, ent_rebuild_source_t *source,
+                   uint64_t now)
+{
+  if (source->is_done || source->has_left)
+    return true;
+  ent_vm_t *vm = ent_vm_find (entry, kb_slice_str (source->name));
+  bool is_gone = vm == NULL ? entry->is_list_known
+                                  && now - entry->rebuild.started_ms
+                                         > entry->mem_options.gone_after_ms
+                            : vm->state == MEM_GONE;
+  if (!is_gone)
+    return false;
+  // Its memory is lost together with the former owner's.
+  if (!source->is_entry)
+    entry->rebuild.is_whole = false;
+  return true;
+}
+
+static void
+rebuild_ask (ent_entry_t *entry)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  msg_t msg = { .type = MSG_RECOVER };
+  msg.recover = (msg_recover_t){
+    .id = b->id, .epochs = { (const char *)b->epochs, sizeof b->epochs }
+  };
+  for (uint32_t i = 0; i < b->source_count; i++)
+    if (!b->sources[i].is_done)
+      dmn_send (entry->daemon, b->sources[i].name, &msg);
+}
+
+static void
+rebuild_tick (ent_entry_t *entry, uint64_t now)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  if (!b->is_roster_known)
+    {
+      if (now - b->asked_ms > ASK_AGAIN_MS)
+        {
+          b->asked_ms = now;
+          kvc_range (&entry->daemon->kv, "kb/roster/", roster_got, entry);
+        }
+      return;
+    }
+  bool is_settled = true;
+  for (uint32_t i = 0; i < b->source_count; i++)
+    is_settled &= source_is_settled (entry, &b->sources[i], now);
+  if (!is_settled)
+    {
+      if (now - b->asked_ms > ASK_AGAIN_MS)
+        {
+          b->asked_ms = now;
+          rebuild_ask (entry);
+        }
+      return;
+    }
+  uint32_t count = 0;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    if (b->epochs[s] != 0)
+      {
+        clm_owner_end_rebuild (&entry->owner, s, b->is_whole, now);
+        count++;
+      }
+  log_write (b->is_whole ? LOG_INFO : LOG_WARN, "claims",
+             "Owner of %u more shards after %" PRIu64 " ms%s.", count,
+             now - b->started_ms,
+             b->is_whole ? "" : "; unseen keys are unknown for a window");
+  free (b->sources);
+  *b = (ent_rebuild_t){ 0 };
+}
+
+static void
+expire (ent_entry_t *entry, uint64_t now)
+{
+  clm_owner_expire (&entry->owner, now);
+  for (uint32_t i = entry->inherited_count; i > 0; i--)
+    {
+      ent_inherited_t *item = &entry->inherited[i - 1];
+      if (now < item->expires_ms)
+        continue;
+      free (item->bytes);
+      *item = entry->inherited[--entry->inherited_count];
+    }
+}
+
+void
+ent_claims_tick (ent_entry_t *entry, uint64_t now_ms)
+{
+  met_set (met_counter ("knapweedbay_claim_shards_owned", ""),
+           ent_claims_owned (entry));
+  met_set (met_counter ("knapweedbay_claims_remembered", ""),
+           entry->owner.records.len);
+  if (entry->ticks % EXPIRE_TICKS == 0)
+    expire (entry, now_ms);
+  if (entry->rebuild.is_active)
+    {
+      rebuild_tick (entry, now_ms);
+      return;
+    }
+  if (entry->daemon->is_draining || entry->ticks % MAP_TICKS != 0)
+    return;
+  adopt_shards (entry);
+  bool may_assign = entry->is_map_known && !entry->is_map_busy
+                    && entry->is_list_known
+                    && now_ms - entry->started_ms > SETTLE_MS;
+  if (may_assign)
+    assign_shards (entry, now_ms);
+}
+
+static void
+inherit_keep (ent_entry_t *entry, kb_slice_t records)
+{
+  if (entry->inherited_count == ENT_MAX_INHERITED || records.len_bytes == 0)
+    return;
+  entry->inherited[entry->inherited_count++] = (ent_inherited_t){
+    .bytes = kb_slice_dup (records),
+    .len_bytes = records.len_bytes,
+    .expires_ms
+    = tmr_now_ms () + (uint64_t)entry->daemon->settings.claim_window_ms
+  };
+}
+
+static void
+handover_keep (ent_entry_t *entry, const msg_records_t *records)
+{
+  if (records->id >= CLM_SHARDS)
+    return;
+  kb_buf_t *kept = &entry->handover[records->id];
+  kb_buf_clear (kept);
+  kb_buf_append (kept, records->records.ptr, records->records.len_bytes);
+  entry->has_handover[records->id] = true;
+}
+
+static void
+rebuild_take (ent_entry_t *entry, kb_slice_t from,
+              const msg_records_t *records)
+{
+  ent_rebuild_t *b = &entry->rebuild;
+  if (!b->is_active || records->id != b->id)
+    return;
+  merge_packed (entry, records->records, CLM_SHARD_REBUILDING);
+  for (uint32_t i = 0; i < b->source_count; i++)
+    {
+      ent_rebuild_source_t *source = &b->sources[i];
+      if (source->is_done
+          || !kb_slice_equal (kb_slice_str (source->name), from))
+        continue;
+      source->is_done = true;
+      uint64_t window = (uint64_t)entry->daemon->settings.claim_window_ms;
+      // A runner that lost its memory within the window cannot tell what it
+      // ran before, and the former owner cannot either.
+      if (!source->is_entry
+          && records->memory_since_wall_ms + window > tmr_wall_ms ())
+        b->is_whole = false;
+    }
+}
+
+void
+ent_claims_on_records (ent_entry_t *entry, kb_slice_t from,
+                       const msg_records_t *records)
+{
+  switch (records->purpose)
+    {
+    case MSG_RECORDS_INHERIT:
+      inherit_keep (entry, records->records);
+      break;
+    case MSG_RECORDS_HANDOVER:
+      handover_keep (entry, records);
+      break;
+    default:
+      rebuild_take (entry, from, records);
+    }
+}
+
+static void
+handover_done (void *arg, kb_status_t status, const kvc_item_t *items,
+               uint32_t count)
+{
+  ent_entry_t *entry = arg;
+  entry->is_handed_over = true;
+  if (status == KB_OK)
+    map_announce (entry);
+  log_write (LOG_INFO, "claims", "Shards were handed over (%s).",
+             kb_status_name (status));
+}
+
+void
+ent_claims_hand_over (ent_entry_t *entry)
+{
+  shm_shard_t wanted[CLM_SHARDS];
+  memcpy (wanted, entry->shards, sizeof wanted);
+  bool has_any = false;
+  for (uint32_t s = 0; s < CLM_SHARDS; s++)
+    {
+      const char *next = ent_members_choose (entry, s + 1, false);
+      bool is_certain
+          = entry->owner.shards[s].state == CLM_SHARD_READY
+            && entry->owner.shards[s].uncertain_until_ms < tmr_now_ms ();
+      if (!ent_shard_is_own (entry, &entry->shards[s]) || next == NULL
+          || !is_certain)
+        continue;
+      ent_vm_t *vm = ent_vm_find (entry, kb_slice_str (next));
+      kb_buf_t records = { 0 };
+      clm_owner_release_shard (&entry->owner, s, &records);
+      msg_t msg = { .type = MSG_RECORDS };
+      msg.records = (msg_records_t){ .id = s,
+                                     .is_last = 1,
+                                     .purpose = MSG_RECORDS_HANDOVER,
+                                     .records = kb_buf_slice (&records) };
+      dmn_send (entry->daemon, next, &msg);
+      kb_buf_finish (&records);
+      snprintf (wanted[s].owner, sizeof wanted[s].owner, "%s", next);
+      wanted[s].incarnation = vm->mem.incarnation;
+      // With a new epoch a rebuild is safe as well, should the records be
+      // lost on their way: grants of ours that are still under way die then.
+      wanted[s].epoch++;
+      has_any = true;
+    }
+  if (!has_any)
+    {
+      entry->is_handed_over = true;
+      return;
+    }
+  kb_buf_t value = { 0 };
+  shm_write (wanted, &value);
+  kvc_cas (&entry->daemon->kv, SHM_KEY, entry->shards_mod_revision,
+           kb_buf_slice (&value), handover_done, entry);
+  kb_buf_finish (&value);
+}
