fix(claims): merge inherited memory, confirm it, refuse an emptied store

Cause, found by claim_failure_test (several failures together): - A new owner asked all other entries for the memory of replaced agents, but did not merge what it held itself: keys that had run at replaced agents ran again after a takeover.

--- a/src/cli/cli_config.c
+++ b/src/cli/cli_config.c
@@ -427,6 +427,19 @@
       doc_head_finish (&stored.head);
       return code;
     }
+  if (stored.head.revision < a->base.revision)
+    {
+      // A store that lost its content looks as if others had removed every
+      // file, and merging with it would apply an empty configuration.
+      fprintf (stderr,
+               "knapweedbay: the store is at revision %" PRIu64
+               ", older than this folder's base %" PRIu64
+               "; remove %s to apply the folder anew\n",
+               stored.head.revision, a->base.revision, base_name);
+      a->is_over = true;
+      doc_head_finish (&stored.head);
+      return CLI_CONFLICT;
+    }
   doc_folder_t merged;
   code = merge_with_store (cli, &a->local, &a->base, &stored, &merged);
   if (code != CLI_OK)
--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -19,6 +19,7 @@
   CLAIM_EXPIRE_TICKS = 50,
   HANDOVER_ENTRIES = 2,
   EXIT_FLUSH_MS = 200,
+  HANDOVER_PATIENCE_MS = 1500,
 };
 
 void
@@ -183,6 +184,8 @@
   kb_buf_finish (&records);
 }
 
+static void on_records (agt_agent_t *agent, const msg_records_t *records);
+
 static void
 link_on_message (lnk_link_t *link, kb_slice_t from, const msg_t *msg)
 {
@@ -210,6 +213,9 @@
     case MSG_RECOVER:
       on_recover (agent, from, &msg->recover);
       break;
+    case MSG_RECORDS:
+      on_records (agent, &msg->records);
+      break;
     case MSG_GATE_GRANT:
       agt_gate_granted (agent, msg->gate_grant.id);
       break;
@@ -280,10 +286,21 @@
     if (dmn_send (agent->daemon, agent->peers[i].name, &msg) == KB_OK)
       sent++;
   kb_buf_finish (&records);
-  if (sent > 0)
-    agt_fence_leave (agent, exit_after_flush);
-  else
-    exit_after_flush (agent);
+  // Unless an entry confirms it, the roster must not call this a graceful
+  // leave: the next incarnation would claim a memory that nobody has.
+  tmr_after (&agent->daemon->timers, &agent->exit_timer,
+             sent > 0 ? HANDOVER_PATIENCE_MS : 0, exit_after_flush, agent);
+}
+
+static void
+on_records (agt_agent_t *agent, const msg_records_t *records)
+{
+  if (records->purpose != MSG_RECORDS_INHERIT || !agent->is_leaving_said
+      || agent->is_memory_kept)
+    return;
+  agent->is_memory_kept = true;
+  tmr_cancel (&agent->daemon->timers, &agent->exit_timer);
+  agt_fence_leave (agent, exit_after_flush);
 }
 
 static void
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -124,6 +124,7 @@
   uint64_t fill_ticks; ///< Ticks with work.
   uint64_t drain_started_ms;
   bool is_leaving_said;
+  bool is_memory_kept; ///< An entry confirmed the memory of claims.
   tmr_sub_t tick;
   tmr_sub_t poll;
   tmr_sub_t retry_fence;
--- a/src/daemon/entry_shards.c
+++ b/src/daemon/entry_shards.c
@@ -307,6 +307,13 @@
         clm_owner_begin_rebuild (&entry->owner, s, epochs[s]);
         b->epochs[s] = epochs[s];
       }
+  // What agents that stopped gave to this entry; the other entries are asked
+  // for theirs. Without it a key that ran at a replaced agent ran again.
+  for (uint32_t i = 0; i < entry->inherited_count; i++)
+    merge_packed (entry,
+                  (kb_slice_t){ entry->inherited[i].bytes,
+                                entry->inherited[i].len_bytes },
+                  CLM_SHARD_REBUILDING);
   b->is_active = true;
   b->is_roster_known = false;
   b->is_whole = true;
@@ -427,10 +434,18 @@
     assign_shards (entry, now_ms);
 }
 
+/// Keep the memory of an agent that stops, and say so: it counts as handed
+/// over only when an entry has confirmed it.
 static void
-inherit_keep (ent_entry_t *entry, kb_slice_t records)
+inherit_keep (ent_entry_t *entry, kb_slice_t from, kb_slice_t records)
 {
-  if (entry->inherited_count == ENT_MAX_INHERITED || records.len_bytes == 0)
+  if (entry->inherited_count == ENT_MAX_INHERITED)
+    return;
+  msg_t ack = { .type = MSG_RECORDS };
+  ack.records
+      = (msg_records_t){ .is_last = 1, .purpose = MSG_RECORDS_INHERIT };
+  lnk_link_send (&entry->daemon->link, from, &ack);
+  if (records.len_bytes == 0)
     return;
   entry->inherited[entry->inherited_count++] = (ent_inherited_t){
     .bytes = kb_slice_dup (records),
@@ -482,7 +497,7 @@
   switch (records->purpose)
     {
     case MSG_RECORDS_INHERIT:
-      inherit_keep (entry, records->records);
+      inherit_keep (entry, from, records->records);
       break;
     case MSG_RECORDS_HANDOVER:
       handover_keep (entry, records);
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -408,6 +408,12 @@
                               + dir);
 }
 
+Process
+Cluster::start_service (const std::string &role, const std::string &name)
+{
+  return spawn (name, { bin_dir () + "/kbfake", role });
+}
+
 void
 Cluster::fault (const Process &process, const std::string &json)
 {
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -97,6 +97,8 @@
   std::string config_dir; ///< Configuration folder.
 
   void start ();
+  /// Another stand-in: "kv" or "list". The caller ends it.
+  Process start_service (const std::string &role, const std::string &name);
   void start_entry (EntryNode &entry, int http_port = 0, int inner_port = 0);
   void start_agent (Target &target, int inner_port = 0);
   void start_fake (Target &target, int port = 0);
--- a/test/system/config_test.cc
+++ b/test/system/config_test.cc
@@ -229,6 +229,29 @@
   json_object_put (stats);
 }
 
+// The store lost its content. To the folder's base it looks as if another
+// operator had removed every file; an apply must not make that so.
+TEST (Config, EmptiedStoreIsNotTakenForRemovals)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  kb::Process empty = c.start_service ("kv", "kv2");
+  std::string output;
+  EXPECT_EQ (
+      c.cli ({ "apply", "--kv",
+               "127.0.0.1:" + std::to_string (empty.http_port), c.config_dir },
+             &output),
+      1);
+  EXPECT_NE (output.find ("older than this folder's base"), std::string::npos)
+      << output;
+  json_object *stats = c.stats (empty);
+  json_object *writes = nullptr;
+  json_object_object_get_ex (stats, "writes", &writes);
+  EXPECT_EQ (json_object_get_int (writes), 0);
+  json_object_put (stats);
+  Cluster::kill_process (empty, SIGKILL);
+}
+
 TEST (Config, ToolReportsBadInput)
 {
   Cluster c (ClusterOptions{});
--- a/tools/bench.c
+++ b/tools/bench.c
@@ -87,7 +87,6 @@
     {
       row ("route_adapter_bytes", bytes, "B");
       row ("route_fixed_bytes", (double)fixed, "B");
-      row ("vm_bytes", 700, "B (size of the record, rounded up)");
     }
   rt_table_finish (table);
   free (table);
--- a/tools/fleet.cc
+++ b/tools/fleet.cc
@@ -288,6 +288,15 @@
                                                      : nullptr;
   if (json != nullptr)
     fprintf (json, "{");
+  if (argc > 1 && strcmp (argv[1], "--stream") == 0)
+    {
+      kb::ClusterOptions o;
+      o.entries = 1;
+      kb::Cluster c (o);
+      c.start ();
+      measure_stream (c);
+      return 0;
+    }
   if (argc > 1 && strcmp (argv[1], "--spread") == 0)
     {
       for (int entries : { 10, 50, 200 })
