--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -341,10 +341,12 @@
   write_text (config_dir + "/20-adapters.json", a.str ());
 }
 
-int
-Cluster::cli (const std::vector<std::string> &args, std::string *output)
+/// Run one of the programs. @return its exit code.
+static int
+run_program (const char *name, const std::vector<std::string> &args,
+             std::string *output)
 {
-  std::string command = bin_dir () + "/knapweedbay";
+  std::string command = bin_dir () + "/" + name;
   for (const auto &arg : args)
     command += " '" + arg + "'";
   command += " 2>&1";
@@ -360,6 +362,18 @@
   return WEXITSTATUS (code);
 }
 
+int
+Cluster::cli (const std::vector<std::string> &args, std::string *output)
+{
+  return run_program ("knapweedbay", args, output);
+}
+
+int
+Cluster::check_settings (const std::string &path, std::string *output)
+{
+  return run_program ("knapweedbayd", { "--check", path }, output);
+}
+
 int
 Cluster::apply (std::string *output)
 {
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -110,6 +110,8 @@
   int cli (const std::vector<std::string> &args,
            std::string *output = nullptr);
   int apply (std::string *output = nullptr);
+  /// Have the daemon check a settings file. @return its exit code.
+  int check_settings (const std::string &path, std::string *output);
   void fault (const Process &process, const std::string &json);
   json_object *stats (const Process &process);
   /// Runs over all engines (or plain services) of a prompt or body.
--- a/test/system/config_test.cc
+++ b/test/system/config_test.cc
@@ -252,6 +252,20 @@
   Cluster::kill_process (empty, SIGKILL);
 }
 
+TEST (Config, SamplesOfBothSitesAreValid)
+{
+  Cluster c (ClusterOptions{});
+  for (const char *site : { "kavango", "skjamynd" })
+    {
+      std::string dir = std::string (KB_SOURCE_DIR) + "/etc/" + site;
+      std::string output;
+      EXPECT_EQ (c.cli ({ "check", dir + "/config" }, &output), 0) << output;
+      for (const char *role : { "entry", "agent" })
+        EXPECT_EQ (c.check_settings (dir + "/" + role + ".json", &output), 0)
+            << output;
+    }
+}
+
 TEST (Config, ToolReportsBadInput)
 {
   Cluster c (ClusterOptions{});
