--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -348,16 +348,23 @@
   return group_head (group)->priority_class <= wanted->priority_class;
 }
 
-/// Whether a slot may be drained for a load, and how long its adapter has
-/// had it by then.
+/// Class of the best work that waits for a slot's adapter; SCH_CLASSES, worse
+/// than any, when none waits.
+static uint8_t
+slot_class (const sch_queue_t *queue, const slt_slot_t *slot)
+{
+  const sch_group_t *group = group_find (queue, slot->key);
+  if (group == NULL || group->waiting == 0)
+    return SCH_CLASSES;
+  return group_head (group)->priority_class;
+}
+
+/// Whether a slot may be drained for a load.
 static bool
 slot_may_drain (const sch_queue_t *queue, const slt_slot_t *slot,
                 const sch_action_t *load, uint64_t now_us)
 {
-  sch_group_t *group = group_find (queue, slot->key);
-  bool is_wanted = group != NULL && group->waiting > 0;
-  uint8_t its_class
-      = is_wanted ? group_head (group)->priority_class : SCH_CLASSES;
+  uint8_t its_class = slot_class (queue, slot);
   if (its_class < load->priority_class)
     return false;
   // Work of a worse class gives way at once; equals share by time.
@@ -386,10 +393,7 @@
         return; // Room is already on its way.
       if (!slot_may_drain (queue, slot, load, now_us))
         continue;
-      sch_group_t *group = group_find (queue, slot->key);
-      uint8_t its_class = group != NULL && group->waiting > 0
-                              ? group_head (group)->priority_class
-                              : SCH_CLASSES;
+      uint8_t its_class = slot_class (queue, slot);
       if (best != NULL
           && (its_class < best_class
               || (its_class == best_class
@@ -419,9 +423,7 @@
 next_load (sch_queue_t *queue, uint64_t now_us)
 {
   sch_action_t load = sch_wanted_load (queue, now_us);
-  if (queue->loading >= queue->options.max_loads)
-    return (sch_action_t){ .kind = SCH_IDLE };
-  if (load.kind == SCH_IDLE)
+  if (load.kind == SCH_IDLE || queue->loading >= queue->options.max_loads)
     return (sch_action_t){ .kind = SCH_IDLE };
   if (slt_has_free (queue->slots))
     return load;
--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -73,17 +73,6 @@
   return r;
 }
 
-static void
-model_remember (agt_agent_t *agent, const agt_request_t *r)
-{
-  if (r->item.adapter == 0
-      || kb_map_get (&agent->models, r->item.adapter) != NULL)
-    return;
-  agt_model_t *model = kb_alloc (sizeof *model);
-  snprintf (model->model, sizeof model->model, "%s", r->model);
-  kb_map_put (&agent->models, r->item.adapter, model);
-}
-
 /// The kept answer of a key that ran here.
 static void
 answer_fetch (agt_agent_t *agent, kb_slice_t peer, const msg_dispatch_t *d)
@@ -233,7 +222,8 @@
       return;
     }
   agt_request_t *r = request_new (agent, peer, d);
-  model_remember (agent, r);
+  if (r->item.adapter != 0)
+    agt_model_remember (agent, r->model);
   slt_slot_t *slot = r->item.adapter == 0
                          ? NULL
                          : slt_find (&agent->slots, r->item.adapter);
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -171,6 +171,9 @@
 bool agt_is_plain (const agt_agent_t *agent);
 
 // agent_engine.c
+/// Keep the name of an adapter that holds a slot or has requests.
+/// @return  Its hash.
+uint64_t agt_model_remember (agt_agent_t *agent, const char *name);
 void agt_engine_load (agt_agent_t *agent, uint64_t adapter);
 void agt_engine_unload (agt_agent_t *agent, uint64_t adapter);
 /// Ask the engine's list and reconcile the slot table with it.
--- a/src/daemon/agent_engine.c
+++ b/src/daemon/agent_engine.c
@@ -24,8 +24,8 @@
   return model == NULL ? "" : model->model;
 }
 
-static uint64_t
-model_remember (agt_agent_t *agent, const char *name)
+uint64_t
+agt_model_remember (agt_agent_t *agent, const char *name)
 {
   uint64_t adapter = kb_hash (name, strlen (name), 0) | 1;
   if (kb_map_get (&agent->models, adapter) == NULL)
@@ -172,7 +172,7 @@
     }
   for (uint32_t i = 0; i < count; i++)
     {
-      uint64_t adapter = model_remember (agent, models[i]);
+      uint64_t adapter = agt_model_remember (agent, models[i]);
       uint64_t now_us = tmr_now_us ();
       if (slt_find (&agent->slots, adapter) != NULL
           || slt_begin_load (&agent->slots, adapter, now_us) == NULL)
--- a/src/daemon/entry_shards.c
+++ b/src/daemon/entry_shards.c
@@ -45,14 +45,15 @@
   return owned;
 }
 
+/// Merge records into the shards that are being rebuilt.
 static void
-merge_packed (ent_entry_t *entry, kb_slice_t records,
-              const clm_shard_state_t wanted)
+merge_packed (ent_entry_t *entry, kb_slice_t records)
 {
   clm_record_t record;
   uint64_t now = tmr_now_ms ();
   while (clm_record_unpack (&records, &record))
-    if (entry->owner.shards[clm_shard (record.key)].state == wanted)
+    if (entry->owner.shards[clm_shard (record.key)].state
+        == CLM_SHARD_REBUILDING)
       clm_owner_merge (&entry->owner, &record, now);
 }
 
@@ -64,8 +65,7 @@
   if (!entry->has_handover[s])
     return false;
   clm_owner_begin_rebuild (&entry->owner, s, entry->shards[s].epoch);
-  merge_packed (entry, kb_buf_slice (&entry->handover[s]),
-                CLM_SHARD_REBUILDING);
+  merge_packed (entry, kb_buf_slice (&entry->handover[s]));
   clm_owner_end_rebuild (&entry->owner, s, true, tmr_now_ms ());
   kb_buf_finish (&entry->handover[s]);
   entry->has_handover[s] = false;
@@ -310,10 +310,8 @@
   // What agents that stopped gave to this entry; the other entries are asked
   // for theirs. Without it a key that ran at a replaced agent ran again.
   for (uint32_t i = 0; i < entry->inherited_count; i++)
-    merge_packed (entry,
-                  (kb_slice_t){ entry->inherited[i].bytes,
-                                entry->inherited[i].len_bytes },
-                  CLM_SHARD_REBUILDING);
+    merge_packed (entry, (kb_slice_t){ entry->inherited[i].bytes,
+                                       entry->inherited[i].len_bytes });
   b->is_active = true;
   b->is_roster_known = false;
   b->is_whole = true;
@@ -473,7 +471,7 @@
   ent_rebuild_t *b = &entry->rebuild;
   if (!b->is_active || records->id != b->id)
     return;
-  merge_packed (entry, records->records, CLM_SHARD_REBUILDING);
+  merge_packed (entry, records->records);
   for (uint32_t i = 0; i < b->source_count; i++)
     {
       ent_rebuild_source_t *source = &b->sources[i];
