--- /dev/null
+++ b/src/coordination/admit.h
@@ -0,0 +1,136 @@
+/// @file admit.h
+/// What a sidecar decides for its engine: which waiting request gets a place,
+/// which adapter is fetched or dropped, and what is declined. No I/O; reports
+/// and time are arguments, actions are handed out one by one.
+#ifndef KB_COORDINATION_ADMIT_H
+#define KB_COORDINATION_ADMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/buf.h"
+#include "state/map.h"
+
+enum
+{
+  ADM_NAME_BYTES = 160,
+};
+
+typedef enum
+{
+  ADM_ABSENT,
+  ADM_COMING, ///< An order to fetch it was accepted.
+  ADM_HELD,
+} adm_state_t;
+
+/// One adapter that was asked for or is held.
+typedef struct
+{
+  uint64_t key;
+  char name[ADM_NAME_BYTES]; ///< "model/adapter".
+  adm_state_t state;
+  uint32_t version; ///< Held.
+  uint32_t wanted;  ///< Oldest that may serve; zero: any.
+  uint32_t pins;    ///< Places granted with it.
+  uint32_t waiting;
+  uint64_t used_ms; ///< Last request for it.
+  uint64_t held_ms; ///< Last seen held.
+  double heat;      ///< Decayed count of requests.
+  uint64_t heat_ms;
+  uint64_t mark;    ///< The report that listed it last.
+  uint64_t retry_ms; ///< Not ordered again before this.
+} adm_adapter_t;
+
+/// One request for a place.
+typedef struct adm_ask
+{
+  uint64_t id;    ///< Of the gateway.
+  uint64_t owner; ///< Hash of the gateway.
+  adm_adapter_t *adapter; ///< NULL: the model itself.
+  uint32_t priority;
+  uint32_t tokens; ///< Memory it will need.
+  uint64_t arrived_ms;
+  uint64_t due_ms;       ///< Of no more use after this.
+  uint64_t objective_ms; ///< Its first event is late after this.
+  uint64_t load_from_ms; ///< When it began to wait for a load; zero: not.
+  uint64_t granted_ms;   ///< Zero: waiting.
+  struct adm_ask *next;
+  struct adm_ask *prev;
+} adm_ask_t;
+
+typedef struct
+{
+  uint32_t slots;
+  uint32_t kv_tokens;
+  uint32_t adapter_slots;
+  uint32_t max_coming; ///< Adapters on their way at one time.
+} adm_options_t;
+
+typedef struct
+{
+  adm_options_t options;
+  kb_map_t adapters;
+  kb_map_t asks;     ///< By id and owner.
+  adm_ask_t *first;  ///< Waiting, oldest first.
+  adm_ask_t *last;
+  uint32_t waiting;
+  uint32_t granted;
+  uint64_t granted_tokens;
+  uint32_t held;
+  uint32_t coming;
+  uint64_t report_mark;
+  bool is_open; ///< The engine is up, holds its model and stays.
+} adm_table_t;
+
+typedef enum
+{
+  ADM_DO_NOTHING,
+  ADM_DO_GRANT,
+  ADM_DO_DECLINE,
+  ADM_DO_LOAD,
+  ADM_DO_UNLOAD,
+} adm_kind_t;
+
+typedef struct
+{
+  adm_kind_t kind;
+  adm_ask_t *ask;
+  adm_adapter_t *adapter;
+  const char *reason;
+  uint64_t retry_after_ms;
+} adm_action_t;
+
+void adm_table_init (adm_table_t *table, const adm_options_t *options);
+void adm_table_finish (adm_table_t *table);
+/// Find or add an adapter.
+adm_adapter_t *adm_adapter_need (adm_table_t *table, uint64_t key,
+                                 kb_slice_t name);
+/// A newer version must serve from now on; an older word changes nothing.
+void adm_adapter_want (adm_adapter_t *adapter, uint32_t version);
+/// Add a waiting request.
+/// @return  NULL when the gateway repeats an id.
+adm_ask_t *adm_ask_add (adm_table_t *table, const adm_ask_t *ask);
+adm_ask_t *adm_ask_find (adm_table_t *table, uint64_t owner, uint64_t id);
+/// Forget a request, waiting or granted.
+void adm_ask_remove (adm_table_t *table, adm_ask_t *ask);
+/// Forget all requests of a gateway that is gone.
+void adm_owner_gone (adm_table_t *table, uint64_t owner);
+/// Take over what a report lists: begin, each adapter, end.
+void adm_report_begin (adm_table_t *table);
+void adm_report_adapter (adm_table_t *table, uint64_t key, kb_slice_t name,
+                         uint32_t version, bool is_coming, uint64_t now_ms);
+void adm_report_end (adm_table_t *table);
+/// An order to load was accepted.
+void adm_load_begun (adm_table_t *table, adm_adapter_t *adapter,
+                     uint64_t now_ms);
+void adm_unload_done (adm_table_t *table, adm_adapter_t *adapter);
+/// An order failed; wait a little before it is given again.
+void adm_order_failed (adm_adapter_t *adapter, uint64_t now_ms);
+/// What to do next. Grants and declines are done by the call; the caller
+/// removes a declined request after it told the gateway.
+/// @param may_order  Whether an order can be given now.
+adm_action_t adm_next (adm_table_t *table, bool may_order, uint64_t now_ms);
+/// @return  Whether a request of this adapter can start now.
+bool adm_adapter_is_fit (const adm_adapter_t *adapter);
+
+#endif
--- /dev/null
+++ b/src/coordination/place.c
@@ -0,0 +1,94 @@
+#include "coordination/place.h"
+
+#include "state/buf.h"
+
+/// Targets that an adapter is brought to first, by rendezvous weight. The
+/// same few targets over and over, so that their memory still holds it when
+/// it comes back.
+enum
+{
+  HOME_RANKS = 2,
+};
+
+void
+plc_costs_default (plc_costs_t *costs)
+{
+  *costs = (plc_costs_t){
+    // A full batch slows each token by about a third and doubles the wait for
+    // a first one.
+    .full_ms = 900,
+    .wait_ms = 2000,
+    .load_ms = 300,
+    .home_load_ms = 80,
+    .coming_ms = 60,
+    .far_ms = 4,
+    .failure_ms = 1500,
+  };
+}
+
+uint64_t
+plc_weight (uint64_t adapter, uint64_t target)
+{
+  uint64_t pair[2] = { adapter, target };
+  return kb_hash (pair, sizeof pair, 0);
+}
+
+/// @return  How many usable views weigh more for this adapter.
+static uint32_t
+rank_of (const plc_view_t *views, uint32_t count, uint64_t adapter,
+         uint32_t at)
+{
+  uint64_t weight = plc_weight (adapter, views[at].key);
+  uint32_t rank = 0;
+  for (uint32_t i = 0; i < count && rank < HOME_RANKS; i++)
+    if (i != at && plc_weight (adapter, views[i].key) > weight)
+      rank++;
+  return rank;
+}
+
+static double
+holding_cost (const plc_costs_t *costs, const plc_view_t *views,
+              uint32_t count, uint64_t adapter, uint32_t at)
+{
+  switch (views[at].holding)
+    {
+    case PLC_HELD:
+    case PLC_NOT_NEEDED:
+      return 0;
+    case PLC_COMING:
+      return costs->coming_ms;
+    case PLC_ABSENT:
+      break;
+    }
+  uint32_t rank = rank_of (views, count, adapter, at);
+  if (rank == 0)
+    return costs->home_load_ms;
+  double step = (costs->load_ms - costs->home_load_ms) / HOME_RANKS;
+  return costs->home_load_ms + step * (rank < HOME_RANKS ? rank : HOME_RANKS);
+}
+
+int32_t
+plc_choose (const plc_costs_t *costs, const plc_view_t *views, uint32_t count,
+            uint64_t adapter)
+{
+  int32_t best = PLC_NONE;
+  double best_cost = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const plc_view_t *v = &views[i];
+      if (!v->is_usable)
+        continue;
+      double slots = v->slots > 0 ? v->slots : 1;
+      double cost = costs->full_ms * v->busy / slots
+                    + costs->wait_ms * v->waiting / slots
+                    + costs->failure_ms * v->failures
+                    + (v->is_near ? 0 : costs->far_ms)
+                    + holding_cost (costs, views, count, adapter, i);
+      if (best == PLC_NONE || cost < best_cost)
+        {
+          best = (int32_t)i;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/src/coordination/place.h
@@ -0,0 +1,58 @@
+/// @file place.h
+/// Choice of a target for one relayed request: where its adapter is held or
+/// cheap to bring, weighed against load, distance and recent failures. No
+/// I/O; what is known of each target is an argument.
+#ifndef KB_COORDINATION_PLACE_H
+#define KB_COORDINATION_PLACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// What a target is known to hold of the adapter asked for.
+typedef enum
+{
+  PLC_ABSENT,
+  PLC_COMING,
+  PLC_HELD,
+  PLC_NOT_NEEDED, ///< The request names no adapter.
+} plc_holding_t;
+
+/// One candidate.
+typedef struct
+{
+  uint64_t key; ///< Stable over restarts of the target.
+  bool is_usable;
+  bool is_near; ///< In the failure domain of this gateway.
+  plc_holding_t holding;
+  uint32_t slots;
+  uint32_t busy;    ///< Places taken, with own requests since the report.
+  uint32_t waiting; ///< Requests that wait there.
+  double failures;  ///< Recent share of failed requests, 0 to 1.
+} plc_view_t;
+
+/// Costs in milliseconds of delay expected.
+typedef struct
+{
+  double full_ms;      ///< Delay by a full batch against an empty one.
+  double wait_ms;      ///< Each waiting request, per slot.
+  double load_ms;      ///< An adapter from the weight store.
+  double home_load_ms; ///< An adapter at the target that held it before.
+  double coming_ms;    ///< The rest of a load that is under way.
+  double far_ms;       ///< Another failure domain.
+  double failure_ms;   ///< A target all of whose requests fail.
+} plc_costs_t;
+
+enum
+{
+  PLC_NONE = -1,
+};
+
+void plc_costs_default (plc_costs_t *costs);
+/// @param adapter  Hash of the adapter, or of the request for plain targets.
+/// @return         Index of the cheapest usable view, or PLC_NONE.
+int32_t plc_choose (const plc_costs_t *costs, const plc_view_t *views,
+                    uint32_t count, uint64_t adapter);
+/// @return  Weight of a target in the rendezvous ranking of an adapter.
+uint64_t plc_weight (uint64_t adapter, uint64_t target);
+
+#endif
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -4,37 +4,71 @@
 #include <argtable2.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "daemon/agent.h"
 #include "daemon/daemon.h"
 #include "daemon/entry.h"
+#include "gateway/gateway.h"
+#include "platform.h"
+#include "sidecar/sidecar.h"
 
 static const char version_text[] = "knapweedbayd 0.1.0";
 
 static int
-run_role (const char *path, bool only_check)
+report_failure (kb_status_t status, const kb_error_t *error)
+{
+  fprintf (stderr, "knapweedbayd: %s\n", error->message);
+  return status == KB_EINVAL ? DMN_EXIT_SETTINGS : DMN_EXIT_START;
+}
+
+/// The product's own interface.
+static int
+run_openai_role (const set_settings_t *settings)
 {
   static dmn_daemon_t daemon;
   kb_error_t error = { 0 };
-  if (set_load_file (path, &daemon.settings, &error) != KB_OK)
+  daemon.settings = *settings;
+  kb_status_t status = settings->role == SET_ROLE_ENTRY
+                           ? ent_start (&daemon, &error)
+                           : agt_start (&daemon, &error);
+  return status == KB_OK ? dmn_run (&daemon)
+                         : report_failure (status, &error);
+}
+
+/// Requests are passed on by the conventions of a deployment.
+static int
+run_relay_role (const set_settings_t *settings, const char *path)
+{
+  kb_error_t error = { 0 };
+  if (settings->role == SET_ROLE_ENTRY)
     {
-      fprintf (stderr, "knapweedbayd: %s\n", error.message);
-      return DMN_EXIT_SETTINGS;
+      gtw_gateway_t *gateway
+          = gtw_gateway_start (settings, path, &plt_deployment, &error);
+      return gateway != NULL ? gtw_gateway_run (gateway)
+                             : report_failure (error.status, &error);
     }
+  scr_sidecar_t *sidecar
+      = scr_sidecar_start (settings, path, &plt_deployment, &error);
+  return sidecar != NULL ? scr_sidecar_run (sidecar)
+                         : report_failure (error.status, &error);
+}
+
+static int
+run_role (const char *path, bool only_check)
+{
+  static set_settings_t settings;
+  kb_error_t error = { 0 };
+  if (set_load_file (path, &settings, &error) != KB_OK)
+    return report_failure (KB_EINVAL, &error);
   if (only_check)
     {
       printf ("%s: ok\n", path);
       return DMN_EXIT_OK;
     }
-  kb_status_t status = daemon.settings.role == SET_ROLE_ENTRY
-                           ? ent_start (&daemon, &error)
-                           : agt_start (&daemon, &error);
-  if (status != KB_OK)
-    {
-      fprintf (stderr, "knapweedbayd: %s\n", error.message);
-      return status == KB_EINVAL ? DMN_EXIT_SETTINGS : DMN_EXIT_START;
-    }
-  return dmn_run (&daemon);
+  return strcmp (settings.interface, "relay") == 0
+             ? run_relay_role (&settings, path)
+             : run_openai_role (&settings);
 }
 
 static void
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,182 @@
+#include "gateway/gateway.h"
+
+#include <stdlib.h>
+
+#include "gateway/gateway_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  MS_PER_S = 1000,
+  /// Before SIGKILL comes: the rest goes to closing in order.
+  EXIT_MARGIN_MS = 400,
+  /// The balancer sends no new connections after two misses, a second apart.
+  LEAST_STOP_MS = 2600,
+  STOP_CHECK_MS = 100,
+};
+
+static void
+source_on_config (void *owner, svc_config_t *config, kb_slice_t document)
+{
+  gtw_take_config (owner, config, document, "store");
+}
+
+static void
+source_on_target (void *owner, const src_target_t *target)
+{
+  gtw_target_told (owner, target);
+}
+
+static void
+source_on_target_gone (void *owner, kb_slice_t id)
+{
+  gtw_target_gone (owner, id);
+}
+
+static void
+source_on_version (void *owner, const src_version_t *version)
+{
+  gtw_take_version (owner, version->model, version->adapter,
+                    version->version);
+}
+
+static void
+source_on_targets_known (void *owner)
+{
+  gtw_gateway_t *gateway = owner;
+  gateway->are_targets_known = true;
+}
+
+static void
+source_on_reachable (void *owner, bool is_reachable)
+{
+  log_event_t line;
+  if (log_begin (&line, is_reachable ? LOG_INFO : LOG_WARN, "gateway",
+                 is_reachable ? "store_regained" : "store_lost"))
+    log_end (&line);
+  met_set (met_counter ("knapweedbay_store_reachable", ""), is_reachable);
+}
+
+static const src_events_t source_events = {
+  .on_config = source_on_config,
+  .on_target = source_on_target,
+  .on_target_gone = source_on_target_gone,
+  .on_version = source_on_version,
+  .on_targets_known = source_on_targets_known,
+  .on_reachable = source_on_reachable,
+};
+
+static bool
+is_ready (const gtw_gateway_t *gateway)
+{
+  return gateway->config != NULL && gateway->are_targets_known
+         && gateway->stop_ms == 0;
+}
+
+static int
+answer_ready (void *owner, kb_slice_t path, kb_buf_t *body)
+{
+  return is_ready (owner) ? 200 : 503;
+}
+
+static void
+gateway_tick (void *arg)
+{
+  gtw_gateway_t *gateway = arg;
+  gtw_clients_check (gateway);
+  gtw_targets_tick (gateway);
+}
+
+/// Exit once nothing is under way, or shortly before the process is killed.
+static void
+check_stop (void *arg)
+{
+  gtw_gateway_t *gateway = arg;
+  uint64_t stopped_ms = gtw_now_ms (gateway) - gateway->stop_ms;
+  uint64_t grace_ms = (uint64_t)(gateway->host.settings.grace_s * MS_PER_S);
+  if (stopped_ms >= LEAST_STOP_MS)
+    gtw_clients_close_idle (gateway);
+  bool is_idle = gateway->client_count == 0 && stopped_ms >= LEAST_STOP_MS;
+  if (is_idle || stopped_ms + EXIT_MARGIN_MS >= grace_ms)
+    hst_host_exit (&gateway->host, 0);
+}
+
+static void
+gateway_on_stop (hst_host_t *host)
+{
+  gtw_gateway_t *gateway = (gtw_gateway_t *)host;
+  gateway->stop_ms = gtw_now_ms (gateway);
+  tmr_every (&host->timers, &gateway->exit_timer, STOP_CHECK_MS, check_stop,
+             gateway);
+}
+
+static void
+gateway_on_reload (hst_host_t *host)
+{
+  gtw_gateway_t *gateway = (gtw_gateway_t *)host;
+  gateway->budget_count = 0;
+}
+
+static void
+gateway_on_metrics (hst_host_t *host)
+{
+  const gtw_gateway_t *gateway = (const gtw_gateway_t *)host;
+  met_set (met_counter ("knapweedbay_clients", ""), gateway->client_count);
+  met_set (met_counter ("knapweedbay_requests_open", ""),
+           gateway->request_count);
+  met_set (met_counter ("knapweedbay_targets", ""), gateway->targets.len);
+  met_set (met_counter ("knapweedbay_config_revision", ""),
+           gateway->config == NULL ? 0 : (int64_t)gateway->config->revision);
+  met_set (met_counter ("knapweedbay_ready", ""), is_ready (gateway));
+}
+
+static const hst_role_t gateway_role = { gtw_on_message, gateway_on_stop,
+                                         gateway_on_reload,
+                                         gateway_on_metrics };
+
+static kb_status_t
+open_ready_page (gtw_gateway_t *gateway, kb_error_t *error)
+{
+  const set_settings_t *s = &gateway->host.settings;
+  struct sockaddr_in address;
+  if (h1_parse_address (kb_slice_str (s->ready_address), &address) != KB_OK)
+    return kb_error_set (error, KB_EINVAL,
+                         "\"ready_address\": \"%s\" is not \"ip:port\"",
+                         s->ready_address);
+  return pgs_server_init (&gateway->ready_page, &gateway->host.loop, &address,
+                          answer_ready, gateway, error);
+}
+
+gtw_gateway_t *
+gtw_gateway_start (const set_settings_t *settings, const char *path,
+                   const dpl_deployment_t *deployment, kb_error_t *error)
+{
+  gtw_gateway_t *gateway = kb_alloc (sizeof *gateway);
+  *gateway = (gtw_gateway_t){ .host.settings = *settings,
+                              .deployment = deployment,
+                              .dialect = deployment->dialect,
+                              .gateway_count = 1 };
+  plc_costs_default (&gateway->costs);
+  if (hst_host_init (&gateway->host, &gateway_role, gateway, path,
+                     settings->name, error)
+      != KB_OK)
+    return NULL;
+  // Ids of places differ from those of the process before this one.
+  gateway->next_place = gateway->host.incarnation >> 24 << 20;
+  gateway->source
+      = deployment->make_source (&gateway->host.pool, settings, error);
+  if (gateway->source == NULL || open_ready_page (gateway, error) != KB_OK
+      || gtw_listen (gateway, error) != KB_OK)
+    return NULL;
+  gateway->source->vtable->start (gateway->source, &source_events, gateway);
+  tmr_every (&gateway->host.timers, &gateway->tick, GTW_TICK_MS, gateway_tick,
+             gateway);
+  return gateway;
+}
+
+int
+gtw_gateway_run (gtw_gateway_t *gateway)
+{
+  return hst_host_run (&gateway->host);
+}
--- /dev/null
+++ b/src/gateway/gateway_answer.c
@@ -0,0 +1,443 @@
+/// @file gateway_answer.c
+/// A request at a target: what is sent, what of the answer is passed on, and
+/// what a broken answer means. An answer is passed on only as far as it is
+/// certainly whole events or a whole body of this very request.
+#include <stdlib.h>
+
+#include "gateway/gateway_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_REDIRECT = 300,
+  HTTP_SERVER_ERROR = 500,
+  HTTP_BAD_GATEWAY = 502,
+  HTTP_UNAVAILABLE = 503,
+  HTTP_GATEWAY_TIMEOUT = 504,
+  CONNECT_TIMEOUT_MS = 400,
+  /// A request that may not run twice goes out on a connection that was in
+  /// use this recently: a reset of an old one would leave its fate unknown.
+  FRESH_IDLE_MS = 1000,
+  /// Answers up to this size are passed on whole, so that a broken one can
+  /// still be asked for again.
+  HOLD_BYTES = 65536,
+  /// A caller that reads slower than the target writes.
+  PAUSE_BYTES = 262144,
+  /// A target of safe requests that is silent for this many objectives is
+  /// asked no longer; its own slowest tenth answers well within two.
+  SILENT_OBJECTIVES = 3,
+  /// Longest silence between two events of a stream that may be resumed.
+  STREAM_SILENCE_MS = 1200,
+  /// Silence before the first event of such a stream.
+  FIRST_SILENCE_MS = 2000,
+  MAX_ENGINE_PRIORITY = 9,
+};
+
+static void answer_broken (gtw_request_t *r, bool was_sent,
+                           const char *reason);
+
+static bool
+is_idempotent (const gtw_request_t *r)
+{
+  return r->kind == SVC_KIND_SAFE
+         || (r->kind == SVC_KIND_STREAM && r->is_resumable);
+}
+
+static void
+log_attempt (const gtw_request_t *r, const char *event, const char *reason)
+{
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", event))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "reason", reason);
+  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
+  log_int (&line, "send", r->sends);
+  log_int (&line, "runs", r->runs);
+  log_int (&line, "last_event", (int64_t)r->last_event);
+  log_int (&line, "ms", (int64_t)(gtw_now_ms (r->gateway) - r->arrived_ms));
+  log_end (&line);
+}
+
+/// The request will not be tried again.
+static void
+answer_give_up (gtw_request_t *r, const char *reason)
+{
+  if (r->fate == GTW_NOT_RUN && !r->is_head_written)
+    gtw_request_refuse (r, reason, r->retry_after_ms);
+  else
+    gtw_request_fail (r, HTTP_BAD_GATEWAY, reason);
+}
+
+/// Try elsewhere if the request may, and the budget allows one more arrival.
+static void
+answer_retry (gtw_request_t *r, const char *reason)
+{
+  gtw_request_exclude (r);
+  gtw_request_leave_target (r);
+  kb_buf_clear (&r->held);
+  r->reason = reason;
+  if (!r->is_head_written)
+    kb_buf_clear (&r->head);
+  bool may_run = r->fate == GTW_NOT_RUN || is_idempotent (r);
+  if (!may_run || r->runs >= r->max_attempts + (r->fate == GTW_NOT_RUN))
+    {
+      answer_give_up (r, reason);
+      return;
+    }
+  gtw_request_next (r);
+}
+
+/// No whole answer came.
+static void
+answer_broken (gtw_request_t *r, bool was_sent, const char *reason)
+{
+  log_attempt (r, "attempt_broken", reason);
+  gtw_target_note (r->gateway, r->target, false);
+  if (was_sent)
+    r->fate = GTW_MAY_HAVE_RUN;
+  else
+    r->runs--;
+  answer_retry (r, reason);
+}
+
+static void
+answer_silent (void *arg)
+{
+  gtw_request_t *r = arg;
+  MET_INC ("knapweedbay_silent_targets_total", "");
+  answer_broken (r, true, "silent_target");
+}
+
+/// Arm the limit on a target's silence; only a request that may be sent again
+/// has one, all others wait for their timeout.
+static void
+arm_silence (gtw_request_t *r)
+{
+  if (!is_idempotent (r) || r->runs >= r->max_attempts)
+    return;
+  uint64_t limit_ms = STREAM_SILENCE_MS;
+  if (r->kind == SVC_KIND_SAFE)
+    limit_ms = SILENT_OBJECTIVES * (r->objective_ms - r->arrived_ms);
+  else if (!r->has_event)
+    limit_ms = FIRST_SILENCE_MS;
+  tmr_after (&r->gateway->host.timers, &r->silence, limit_ms, answer_silent,
+             r);
+}
+
+/// Pass bytes of the body on.
+static void
+pass (gtw_request_t *r, kb_slice_t bytes)
+{
+  gtw_client_t *client = r->client;
+  if (!r->is_head_written)
+    {
+      r->is_head_written = true;
+      r->stage = GTW_PASSING;
+      // Head and first bytes in one packet.
+      if (r->is_chunked && bytes.len_bytes > 0)
+        kb_buf_printf (&r->head, "%x\r\n", bytes.len_bytes);
+      kb_buf_append (&r->head, bytes.ptr, bytes.len_bytes);
+      if (r->is_chunked && bytes.len_bytes > 0)
+        kb_buf_append (&r->head, "\r\n", 2);
+      h1_conn_write (&client->conn, r->head.ptr, r->head.len_bytes);
+      kb_buf_finish (&r->head);
+      kb_buf_init (&r->head);
+    }
+  else if (r->is_chunked)
+    h1_conn_write_chunk (&client->conn, bytes);
+  else
+    h1_conn_write (&client->conn, bytes.ptr, bytes.len_bytes);
+  if (client->conn.unsent_bytes > PAUSE_BYTES)
+    xch_pause (&r->exchange);
+}
+
+/// @return  The number in an "id:" line of an event, or false.
+static bool
+event_id (kb_slice_t event, uint64_t *out)
+{
+  const char *at = event.ptr;
+  const char *end = event.ptr + event.len_bytes;
+  while (at < end)
+    {
+      const char *line_end = memchr (at, '\n', (size_t)(end - at));
+      if (line_end == NULL)
+        line_end = end;
+      if (line_end - at > 3 && memcmp (at, "id:", 3) == 0)
+        {
+          *out = strtoull (at + 3, NULL, 10);
+          return true;
+        }
+      at = line_end + 1;
+    }
+  return false;
+}
+
+/// @return  Length of the first whole event, or zero.
+static size_t
+event_length (const char *bytes, size_t len_bytes)
+{
+  for (size_t i = 1; i < len_bytes; i++)
+    {
+      if (bytes[i] != '\n')
+        continue;
+      if (bytes[i - 1] == '\n')
+        return i + 1;
+      if (i >= 3 && bytes[i - 1] == '\r' && bytes[i - 2] == '\n')
+        return i + 1;
+    }
+  return 0;
+}
+
+/// Pass on all whole events. A target may stop within one, and the rest of
+/// the stream then comes from another target, which begins with a whole one.
+static void
+pass_events (gtw_request_t *r)
+{
+  size_t at = 0;
+  size_t from = 0;
+  for (;;)
+    {
+      size_t len = event_length (r->held.ptr + at, r->held.len_bytes - at);
+      if (len == 0)
+        break;
+      uint64_t id;
+      kb_slice_t event = { r->held.ptr + at, (uint32_t)len };
+      bool has_id = event_id (event, &id);
+      if (has_id && r->has_event && id <= r->last_event)
+        {
+          // Sent before, by the target that was resumed from.
+          if (at > from)
+            pass (r, (kb_slice_t){ r->held.ptr + from, (uint32_t)(at - from) });
+          at += len;
+          from = at;
+          continue;
+        }
+      if (has_id)
+        {
+          r->has_event = true;
+          r->last_event = id;
+        }
+      at += len;
+    }
+  if (at > from)
+    {
+      if (r->first_event_ms == 0)
+        r->first_event_ms = gtw_now_ms (r->gateway);
+      pass (r, (kb_slice_t){ r->held.ptr + from, (uint32_t)(at - from) });
+      arm_silence (r);
+    }
+  kb_buf_consume (&r->held, at);
+}
+
+static bool
+is_promise_status (int http_status)
+{
+  return http_status == 408 || http_status == 421 || http_status == 429
+         || http_status == HTTP_UNAVAILABLE;
+}
+
+/// A target said that it did not run the request.
+static void
+answer_not_run (gtw_request_t *r, const rly_answer_t *answer)
+{
+  log_attempt (r, "attempt_not_run", "target_refused");
+  MET_INC ("knapweedbay_attempts_not_run_total", "");
+  r->runs--;
+  if (answer->retry_after_ms > r->retry_after_ms)
+    r->retry_after_ms = answer->retry_after_ms;
+  gtw_target_note (r->gateway, r->target, true);
+  answer_retry (r, "target_refused");
+}
+
+/// Whether an answer is a target's own and whole as far as its head tells.
+static bool
+is_sound (const gtw_request_t *r, const rly_answer_t *answer)
+{
+  if (answer->is_encoded)
+    return false;
+  return answer->has_seal || r->http_status >= HTTP_REDIRECT;
+}
+
+static void
+write_head (gtw_request_t *r, const h1_conn_t *conn)
+{
+  const h1_conn_t *caller = &r->client->conn;
+  bool has_body = caller->parser.method != HTTP_HEAD
+                  && r->http_status != 204 && r->http_status != 304;
+  bool is_modern = caller->parser.http_minor >= 1;
+  bool has_length = h1_head_count (&conn->head, "content-length") > 0
+                    && !r->is_stream_answer;
+  if (!is_modern && !has_length)
+    r->client->is_last = true;
+  rly_framing_t framing = { .is_chunked = has_body && is_modern && !has_length,
+                            .is_last = gtw_client_is_last (r->client) };
+  r->is_chunked = framing.is_chunked;
+  kb_buf_clear (&r->head);
+  r->gateway->dialect->write_answer (conn, &framing, &r->head);
+}
+
+static void
+answer_on_head (xch_t *x)
+{
+  gtw_request_t *r = x->owner;
+  const h1_conn_t *conn = xch_conn (x);
+  rly_answer_t answer;
+  r->gateway->dialect->read_answer (conn, &answer);
+  // An answer of an earlier request on this connection that came late.
+  if (answer.attempt_id.len_bytes > 0
+      && !kb_slice_equal (answer.attempt_id, kb_slice_str (r->attempt_id)))
+    {
+      MET_INC ("knapweedbay_stray_answers_total", "");
+      xch_skip (x);
+      return;
+    }
+  r->http_status = conn->parser.status_code;
+  r->is_unframed = h1_body_is_unframed (conn);
+  if (answer.is_not_run && r->http_status >= 400)
+    {
+      answer_not_run (r, &answer);
+      return;
+    }
+  if (!is_sound (r, &answer) || is_promise_status (r->http_status))
+    {
+      answer_broken (r, true, "unsound_answer");
+      return;
+    }
+  bool is_good = r->http_status >= HTTP_OK && r->http_status < HTTP_REDIRECT;
+  if (r->is_head_written && !is_good)
+    {
+      answer_broken (r, true, "resume_failed");
+      return;
+    }
+  if (r->is_head_written)
+    return;
+  r->is_stream_answer = r->kind == SVC_KIND_STREAM && is_good;
+  write_head (r, conn);
+}
+
+static void
+answer_on_body (xch_t *x, kb_slice_t bytes)
+{
+  gtw_request_t *r = x->owner;
+  kb_buf_append (&r->held, bytes.ptr, bytes.len_bytes);
+  if (r->is_stream_answer)
+    pass_events (r);
+  else if (r->is_head_written || r->held.len_bytes > HOLD_BYTES)
+    {
+      pass (r, kb_buf_slice (&r->held));
+      kb_buf_clear (&r->held);
+    }
+}
+
+/// The answer is passed on whole.
+static void
+answer_finish (gtw_request_t *r)
+{
+  static const char last_chunk[] = "0\r\n\r\n";
+  gtw_client_t *client = r->client;
+  pass (r, kb_buf_slice (&r->held));
+  if (r->is_chunked)
+    h1_conn_write (&client->conn, last_chunk, sizeof last_chunk - 1);
+  gtw_target_note (r->gateway, r->target,
+                   r->http_status < HTTP_SERVER_ERROR);
+  MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
+  gtw_log_request (r, "answered", r->http_status);
+  gtw_request_end (r);
+  gtw_client_answered (client, true);
+}
+
+static void
+answer_on_done (xch_t *x)
+{
+  gtw_request_t *r = x->owner;
+  bool is_error = r->http_status >= HTTP_SERVER_ERROR;
+  bool may_repeat = r->kind == SVC_KIND_SAFE && r->runs < r->max_attempts
+                    && !r->is_head_written;
+  if (is_error && may_repeat)
+    {
+      // A target's own failure counts as run; a safe request may run again.
+      r->fate = GTW_MAY_HAVE_RUN;
+      log_attempt (r, "attempt_failed", "target_error");
+      gtw_target_note (r->gateway, r->target, false);
+      gtw_request_exclude (r);
+      gtw_request_leave_target (r);
+      kb_buf_clear (&r->held);
+      kb_buf_clear (&r->head);
+      r->reason = "target_error";
+      gtw_request_next (r);
+      return;
+    }
+  if (r->is_stream_answer && r->held.len_bytes > 0)
+    {
+      // It ended within an event: not the whole stream.
+      answer_broken (r, true, "cut_event");
+      return;
+    }
+  answer_finish (r);
+}
+
+static void
+answer_on_fail (xch_t *x, xch_fail_t fail)
+{
+  static const char *const names[] = { "not_sent", "reset", "malformed" };
+  answer_broken (x->owner, fail != XCH_NOT_SENT, names[fail]);
+}
+
+static const xch_events_t answer_events
+    = { answer_on_head, answer_on_body, answer_on_done, answer_on_fail };
+
+static void
+describe_forward (const gtw_request_t *r, rly_forward_t *out)
+{
+  uint64_t now_ms = gtw_now_ms (r->gateway);
+  uint64_t end_ms
+      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+  uint32_t priority = r->priority;
+  if (priority > MAX_ENGINE_PRIORITY)
+    priority = MAX_ENGINE_PRIORITY;
+  *out = (rly_forward_t){
+    .deadline_ms = end_ms > now_ms ? end_ms - now_ms : 1,
+    .instance = kb_slice_str (r->target->told.id),
+    .adapter_version = r->granted_version,
+    .priority = r->is_engine ? (int32_t)priority : -1,
+    .is_resume = r->has_event,
+    .resume_after = r->last_event,
+    .body_bytes = r->body.len_bytes,
+  };
+}
+
+void
+gtw_answer_send (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  if (r->sends > 0 && !gtw_budget_take (gateway, r->service))
+    {
+      MET_INC ("knapweedbay_retries_out_of_budget_total", "");
+      gtw_request_leave_target (r);
+      answer_give_up (r, "retry_budget");
+      return;
+    }
+  if (r->sends == 0)
+    gtw_budget_note_first (gateway, r->service);
+  rly_forward_t forward;
+  describe_forward (r, &forward);
+  kb_buf_t head = { 0 };
+  gateway->dialect->write_request (&r->client->conn, &forward, &head);
+  xch_request_t request
+      = { .head = kb_buf_slice (&head),
+          .body = kb_buf_slice (&r->body),
+          .max_idle_ms = is_idempotent (r) ? XCH_ANY_IDLE : FRESH_IDLE_MS,
+          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .expects_no_body
+          = r->client->conn.parser.method == HTTP_HEAD };
+  r->stage = r->is_head_written ? GTW_PASSING : GTW_SENT;
+  r->sends++;
+  r->runs++;
+  r->sent_ms = gtw_now_ms (gateway);
+  xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
+  kb_buf_finish (&head);
+  arm_silence (r);
+}
--- /dev/null
+++ b/src/gateway/gateway_client.c
@@ -0,0 +1,304 @@
+/// @file gateway_client.c
+/// Callers' connections: limits on what they send and how long they take, and
+/// one request after the other.
+#include <stdlib.h>
+
+#include "gateway/gateway_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  BACKLOG = 511,
+  HTTP_BAD_REQUEST = 400,
+  HTTP_TIMEOUT = 408,
+  HTTP_TOO_LARGE = 413,
+  HTTP_HEADER_TOO_LARGE = 431,
+  /// Before a configuration is known.
+  DEFAULT_HEADER_BYTES = 16384,
+};
+
+static void
+client_write_refusal (gtw_client_t *client, int http_status,
+                      const char *reason, uint64_t retry_after_ms)
+{
+  rly_refusal_t refusal = { .http_status = http_status,
+                            .attempt_id = kb_slice_str (client->refusal_id),
+                            .retry_after_ms = retry_after_ms,
+                            .is_last = client->is_last,
+                            .reason = reason };
+  kb_buf_t out = { 0 };
+  client->gateway->dialect->write_refusal (&refusal, &out);
+  h1_conn_write (&client->conn, out.ptr, out.len_bytes);
+  kb_buf_finish (&out);
+  log_event_t line;
+  if (log_begin (&line, LOG_INFO, "gateway", "request_refused"))
+    {
+      log_text (&line, "id", client->refusal_id);
+      log_int (&line, "status", http_status);
+      log_text (&line, "reason", reason);
+      log_end (&line);
+    }
+}
+
+/// Refuse and end the connection: what still comes in is not a request.
+static void
+client_refuse_and_close (gtw_client_t *client, int http_status,
+                         const char *reason)
+{
+  client->is_last = true;
+  client->head_ms = gtw_now_ms (client->gateway);
+  client_write_refusal (client, http_status, reason, 0);
+  h1_conn_drain (&client->conn);
+}
+
+bool
+gtw_client_is_last (gtw_client_t *client)
+{
+  // A caller must not send its next request to a process that stops.
+  if (client->gateway->stop_ms > 0)
+    client->is_last = true;
+  return client->is_last;
+}
+
+void
+gtw_client_answered (gtw_client_t *client, bool is_whole)
+{
+  client->request = NULL;
+  client->head_ms = gtw_now_ms (client->gateway);
+  if (!is_whole)
+    h1_conn_close (&client->conn, true);
+  else if (client->is_last)
+    h1_conn_drain (&client->conn);
+  else
+    h1_conn_next (&client->conn);
+}
+
+static void
+client_on_head (h1_conn_t *conn)
+{
+  gtw_client_t *client = (gtw_client_t *)conn;
+  static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  client->refusal_status = 0;
+  client->refusal_id[0] = '\0';
+  client->head_ms = gtw_now_ms (client->gateway);
+  client->is_last = !http_should_keep_alive (&conn->parser);
+  client->request = gtw_request_begin (client);
+  if (client->refusal_status == HTTP_TOO_LARGE
+      || client->refusal_status == HTTP_BAD_REQUEST)
+    {
+      client_refuse_and_close (client, client->refusal_status,
+                               client->refusal_reason);
+      return;
+    }
+  if (client->request != NULL
+      && h1_has_token (h1_head_get (&conn->head, "expect"), "100-continue"))
+    h1_conn_write (conn, go_on, sizeof go_on - 1);
+}
+
+static void
+client_on_body (h1_conn_t *conn, kb_slice_t bytes)
+{
+  gtw_client_t *client = (gtw_client_t *)conn;
+  gtw_request_t *r = client->request;
+  if (r == NULL || conn->is_draining)
+    return;
+  client->head_ms = gtw_now_ms (client->gateway);
+  kb_buf_append (&r->body, bytes.ptr, bytes.len_bytes);
+  if (r->body.len_bytes <= client->gateway->config->limits.max_body_bytes)
+    return;
+  gtw_request_end (r);
+  client->request = NULL;
+  client_refuse_and_close (client, HTTP_TOO_LARGE, "the body is too large");
+}
+
+static void
+client_on_message (h1_conn_t *conn)
+{
+  enum
+  {
+    NO_CONFIG_RETRY_MS = 500,
+  };
+  gtw_client_t *client = (gtw_client_t *)conn;
+  if (conn->is_draining)
+    return;
+  if (client->request != NULL)
+    {
+      gtw_request_start (client->request);
+      return;
+    }
+  bool may_come_back = client->refusal_status == 503;
+  gtw_client_is_last (client);
+  client_write_refusal (client, client->refusal_status, client->refusal_reason,
+                        may_come_back ? NO_CONFIG_RETRY_MS : 0);
+  gtw_client_answered (client, true);
+}
+
+static void
+client_on_end (h1_conn_t *conn, h1_end_t end)
+{
+  gtw_client_t *client = (gtw_client_t *)conn;
+  if (client->request != NULL)
+    {
+      gtw_request_end (client->request);
+      client->request = NULL;
+    }
+  bool is_answerable = !conn->is_draining && !conn->is_held;
+  if (end == H1_END_MALFORMED && is_answerable)
+    client_refuse_and_close (client, HTTP_BAD_REQUEST,
+                             "the request is malformed");
+  else if (end == H1_END_HEADER_SIZE && is_answerable)
+    client_refuse_and_close (client, HTTP_HEADER_TOO_LARGE,
+                             "the header fields are too large");
+  else
+    h1_conn_close (conn, false);
+}
+
+static void
+client_on_closed (h1_conn_t *conn)
+{
+  gtw_client_t *client = (gtw_client_t *)conn;
+  gtw_gateway_t *gateway = client->gateway;
+  if (client->prev != NULL)
+    client->prev->next = client->next;
+  else
+    gateway->clients = client->next;
+  if (client->next != NULL)
+    client->next->prev = client->prev;
+  gateway->client_count--;
+  free (client);
+}
+
+static void
+client_on_drained (h1_conn_t *conn)
+{
+  gtw_client_t *client = (gtw_client_t *)conn;
+  if (client->request != NULL)
+    xch_resume (&client->request->exchange);
+}
+
+static const h1_events_t client_events = {
+  .on_head = client_on_head,
+  .on_body = client_on_body,
+  .on_message = client_on_message,
+  .on_end = client_on_end,
+  .on_closed = client_on_closed,
+  .on_drained = client_on_drained,
+};
+
+static void
+gateway_on_connection (uv_stream_t *listener, int status)
+{
+  gtw_gateway_t *gateway = listener->data;
+  if (status != 0)
+    {
+      log_write (LOG_WARN, "gateway", "A connection was not taken: %s.",
+                 uv_strerror (status));
+      return;
+    }
+  gtw_client_t *client = kb_alloc (sizeof *client);
+  uint32_t max_header_bytes = gateway->config == NULL
+                                  ? DEFAULT_HEADER_BYTES
+                                  : gateway->config->limits.max_header_bytes;
+  kb_status_t accepted
+      = h1_conn_accept (&client->conn, &gateway->host.loop, listener,
+                        &client_events, client, max_header_bytes);
+  client->gateway = gateway;
+  client->request = NULL;
+  client->refusal_status = 0;
+  client->refusal_id[0] = '\0';
+  client->is_last = false;
+  client->head_ms = gtw_now_ms (gateway);
+  client->prev = NULL;
+  client->next = gateway->clients;
+  if (client->next != NULL)
+    client->next->prev = client;
+  gateway->clients = client;
+  gateway->client_count++;
+  if (accepted != KB_OK)
+    h1_conn_close (&client->conn, false);
+}
+
+/// When the caller's time for what it is doing ends; zero: no limit.
+static uint64_t
+client_limit_ms (const gtw_client_t *client)
+{
+  enum
+  {
+    DRAIN_MS = 1000,
+  };
+  const svc_config_t *config = client->gateway->config;
+  const h1_conn_t *conn = &client->conn;
+  if (conn->is_draining)
+    return client->head_ms + DRAIN_MS;
+  if (config == NULL || conn->is_held)
+    return 0;
+  bool is_head_open = conn->is_in_message && client->request == NULL
+                      && client->refusal_status == 0;
+  return is_head_open ? conn->began_ms + config->limits.header_timeout_ms
+                      : client->head_ms + config->limits.idle_timeout_ms;
+}
+
+static void
+client_check (gtw_client_t *client, uint64_t now_ms)
+{
+  uint64_t limit_ms = client_limit_ms (client);
+  if (client->conn.is_closing || limit_ms == 0 || now_ms < limit_ms)
+    return;
+  bool is_in_message = client->conn.is_in_message;
+  if (!is_in_message || client->conn.is_draining)
+    {
+      h1_conn_close (&client->conn, false);
+      return;
+    }
+  if (client->request != NULL)
+    {
+      gtw_request_end (client->request);
+      client->request = NULL;
+    }
+  client_refuse_and_close (client, HTTP_TIMEOUT,
+                           "the request did not arrive in time");
+}
+
+void
+gtw_clients_check (gtw_gateway_t *gateway)
+{
+  uint64_t now_ms = gtw_now_ms (gateway);
+  gtw_client_t *next;
+  for (gtw_client_t *client = gateway->clients; client != NULL; client = next)
+    {
+      next = client->next;
+      client_check (client, now_ms);
+    }
+}
+
+void
+gtw_clients_close_idle (gtw_gateway_t *gateway)
+{
+  for (gtw_client_t *client = gateway->clients; client != NULL;
+       client = client->next)
+    if (client->request == NULL && !client->conn.is_in_message
+        && !client->conn.is_draining)
+      h1_conn_drain (&client->conn);
+}
+
+kb_status_t
+gtw_listen (gtw_gateway_t *gateway, kb_error_t *error)
+{
+  const set_settings_t *s = &gateway->host.settings;
+  struct sockaddr_in address;
+  if (h1_parse_address (kb_slice_str (s->public_address), &address) != KB_OK)
+    return kb_error_set (error, KB_EINVAL,
+                         "\"public_address\": \"%s\" is not \"ip:port\"",
+                         s->public_address);
+  uv_tcp_init (&gateway->host.loop, &gateway->listener);
+  gateway->listener.data = gateway;
+  int code = uv_tcp_bind (&gateway->listener, (struct sockaddr *)&address, 0);
+  if (code == 0)
+    code = uv_listen ((uv_stream_t *)&gateway->listener, BACKLOG,
+                      gateway_on_connection);
+  if (code != 0)
+    return kb_error_set (error, KB_ESYS, "cannot listen on %s: %s",
+                         s->public_address, uv_strerror (code));
+  return KB_OK;
+}
--- /dev/null
+++ b/src/gateway/gateway_defs.h
@@ -0,0 +1,261 @@
+/// @file gateway_defs.h
+/// State of the gateway, shared by its files.
+#ifndef KB_GATEWAY_GATEWAY_DEFS_H
+#define KB_GATEWAY_GATEWAY_DEFS_H
+
+#include "coordination/budget.h"
+#include "coordination/place.h"
+#include "gateway/gateway.h"
+#include "gateway/source.h"
+#include "relay/host.h"
+#include "relay/versions.h"
+#include "transport/relay.h"
+
+enum
+{
+  GTW_TICK_MS = 200, ///< Checks of callers, targets and links.
+  GTW_MAX_TRIES = 8,
+  GTW_ID_BYTES = 64,
+  GTW_MAX_BUDGETS = 16, ///< Services; the rest share the last one.
+};
+
+typedef struct gtw_request gtw_request_t;
+typedef struct gtw_client gtw_client_t;
+
+/// A target, listed or still in use.
+typedef struct
+{
+  src_target_t told; ///< Last entry of the list.
+  uint64_t key;      ///< Hash of its id.
+  uint64_t place_key; ///< Hash of its address: the same after a restart.
+  xch_peer_t peer;
+  bool is_listed;
+  uint32_t active;  ///< Requests of this gateway there.
+  double failures;  ///< Recent share of failures, 0 to 1.
+  uint64_t failed_ms; ///< When the share was last updated.
+
+  // Sidecar of an engine.
+  bool is_linked;
+  char link[64]; ///< Name of its sidecar on the inner links.
+  uint64_t linked_ms;
+  uint64_t heard_ms; ///< Zero: never.
+  uint64_t incarnation;
+  uint64_t sidecar_revision;
+  uint64_t sidecar_versions;
+  msg_engine_condition_t condition;
+  char instance[GTW_ID_BYTES];
+  uint32_t slots;
+  uint32_t granted;
+  uint32_t waiting;
+  uint32_t asked_since; ///< Own requests since that report.
+  msg_engine_adapter_t *adapters;
+  uint32_t adapter_count;
+} gtw_target_t;
+
+/// Where a request stands.
+typedef enum
+{
+  GTW_READING, ///< Its body is not whole.
+  GTW_ASKING,  ///< Waits for a place.
+  GTW_SENT,    ///< At a target, nothing passed on yet.
+  GTW_PASSING, ///< The answer is being passed on.
+  GTW_PAUSED,  ///< Waits to try again.
+} gtw_stage_t;
+
+/// What is known of the attempts so far.
+typedef enum
+{
+  GTW_NOT_RUN,     ///< Proved: no target has run it.
+  GTW_MAY_HAVE_RUN,
+} gtw_fate_t;
+
+/// One request of a caller.
+struct gtw_request
+{
+  gtw_gateway_t *gateway;
+  gtw_client_t *client;
+  gtw_request_t *next;
+  gtw_request_t *prev;
+  gtw_stage_t stage;
+  gtw_fate_t fate;
+  char attempt_id[GTW_ID_BYTES];
+
+  // Copied from the route, which may change under way.
+  char route[GTW_ID_BYTES];
+  char service[GTW_ID_BYTES];
+  svc_kind_t kind;
+  bool is_resumable;
+  bool is_engine;
+  uint32_t max_attempts;
+  uint32_t priority;
+  uint64_t objective_ms;
+  uint64_t revision; ///< Of the configuration that routed it.
+
+  rly_request_t said;
+  char adapter_name[EGN_KEY_BYTES];
+  uint64_t adapter_key; ///< Zero: none.
+  kb_buf_t body;
+  uint64_t arrived_ms;
+  uint64_t deadline_ms; ///< Moment; of no more use to the caller.
+  uint64_t timeout_ms;  ///< Moment; the route's bound.
+  uint64_t sent_ms;
+
+  gtw_target_t *target; ///< Asked or sent to.
+  uint64_t place_id;    ///< Zero: no place asked for.
+  bool has_place;
+  uint64_t place_ms;    ///< When it was asked for.
+  uint64_t load_us;     ///< Waited for a load.
+  uint32_t granted_version;
+  uint64_t tried[GTW_MAX_TRIES]; ///< Keys of targets that failed.
+  uint32_t tried_count;
+  uint32_t runs;   ///< Targets that may have begun it.
+  uint32_t sends;  ///< Times it was sent.
+  xch_t exchange;
+  tmr_sub_t timer;   ///< Deadline and timeout.
+  tmr_sub_t silence; ///< No answer, no event, or a pause.
+
+  // The answer.
+  int http_status;
+  bool is_stream_answer;
+  bool is_head_written;
+  bool is_chunked;
+  bool is_unframed; ///< The target's answer ends with its connection.
+  kb_buf_t head;
+  kb_buf_t held;   ///< Not passed on yet: a part of an event or of a body.
+  uint64_t last_event;
+  bool has_event;
+  uint64_t first_event_ms;
+  uint64_t retry_after_ms; ///< Longest that a target asked for.
+  const char *reason;      ///< Of the last failure.
+};
+
+/// A caller's connection.
+struct gtw_client
+{
+  h1_conn_t conn; ///< First.
+  gtw_gateway_t *gateway;
+  gtw_client_t *next;
+  gtw_client_t *prev;
+  gtw_request_t *request;
+  int refusal_status; ///< Answer once the body is in; zero: none.
+  const char *refusal_reason;
+  char refusal_id[GTW_ID_BYTES];
+  bool is_last;     ///< Closes after the present answer.
+  uint64_t head_ms; ///< Last progress: a head, a piece of a body, an answer.
+};
+
+/// The retry budget of one service.
+typedef struct
+{
+  char service[SRC_NAME_BYTES];
+  bud_budget_t budget;
+} gtw_budget_t;
+
+struct gtw_gateway
+{
+  hst_host_t host; ///< First.
+  const dpl_deployment_t *deployment;
+  const rly_dialect_t *dialect;
+  src_source_t *source;
+  uv_tcp_t listener;
+  pgs_server_t ready_page;
+  svc_config_t *config;
+  kb_buf_t document;
+  ver_table_t versions;
+  kb_map_t targets; ///< By key of the id.
+  kb_map_t links;   ///< By hash of the sidecar's name.
+  bool are_targets_known;
+  gtw_client_t *clients;
+  uint32_t client_count;
+  gtw_request_t *requests;
+  uint32_t request_count;
+  kb_map_t places; ///< Requests by place id.
+  uint64_t next_place;
+  gtw_budget_t budgets[GTW_MAX_BUDGETS];
+  uint32_t budget_count;
+  plc_costs_t costs;
+  uint32_t gateway_count; ///< As sidecars see it.
+  uint64_t stop_ms;       ///< When the stop began; zero: it did not.
+  tmr_sub_t tick;
+  tmr_sub_t exit_timer;
+};
+
+static inline uint64_t
+gtw_now_ms (const gtw_gateway_t *gateway)
+{
+  return hst_now_ms (&gateway->host);
+}
+
+// gateway_client.c
+kb_status_t gtw_listen (gtw_gateway_t *gateway, kb_error_t *error);
+/// The request's answer is complete, or was cut.
+void gtw_client_answered (gtw_client_t *client, bool is_whole);
+/// Whether the answer about to be written is the last on its connection.
+bool gtw_client_is_last (gtw_client_t *client);
+/// End connections whose caller takes too long.
+void gtw_clients_check (gtw_gateway_t *gateway);
+/// Close idle connections, at the end of a stop.
+void gtw_clients_close_idle (gtw_gateway_t *gateway);
+
+// gateway_request.c
+/// A whole head arrived.
+/// @return  NULL when it is refused; the client then holds the refusal.
+gtw_request_t *gtw_request_begin (gtw_client_t *client);
+/// Its body is whole.
+void gtw_request_start (gtw_request_t *r);
+/// The caller is gone, or the answer is whole: stop work and free it.
+void gtw_request_end (gtw_request_t *r);
+/// Choose a target and ask or send.
+void gtw_request_next (gtw_request_t *r);
+/// Answer with a failure of the system's own.
+void gtw_request_fail (gtw_request_t *r, int http_status, const char *reason);
+/// Answer "not run" with a time to come back.
+void gtw_request_refuse (gtw_request_t *r, const char *reason,
+                         uint64_t retry_after_ms);
+/// The present target is not to be tried again for this request.
+void gtw_request_exclude (gtw_request_t *r);
+/// Give a place back and leave the target.
+void gtw_request_leave_target (gtw_request_t *r);
+void gtw_request_granted (gtw_gateway_t *gateway,
+                          const msg_place_grant_t *grant, gtw_target_t *from);
+void gtw_request_declined (gtw_gateway_t *gateway,
+                           const msg_place_decline_t *decline);
+/// The sidecar that was asked is gone or restarted.
+void gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target);
+void gtw_log_request (const gtw_request_t *r, const char *outcome,
+                      int http_status);
+
+// gateway_answer.c
+/// Send to the present target.
+void gtw_answer_send (gtw_request_t *r);
+
+// gateway_budget.c
+void gtw_budget_note_first (gtw_gateway_t *gateway, const char *service);
+bool gtw_budget_take (gtw_gateway_t *gateway, const char *service);
+
+// gateway_targets.c
+void gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told);
+void gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id);
+/// @return  The target to use for a request, or NULL.
+gtw_target_t *gtw_target_choose (gtw_gateway_t *gateway,
+                                 const gtw_request_t *r);
+/// @return  How many listed targets a service has.
+uint32_t gtw_targets_count (const gtw_gateway_t *gateway, const char *service);
+/// Note the end of a request at a target.
+void gtw_target_note (gtw_gateway_t *gateway, gtw_target_t *target,
+                      bool is_good);
+/// Free targets that are gone and idle, keep links alive.
+void gtw_targets_tick (gtw_gateway_t *gateway);
+
+// gateway_links.c
+void gtw_on_message (hst_host_t *host, kb_slice_t peer, const msg_t *msg);
+void gtw_tell_sidecar (gtw_gateway_t *gateway, gtw_target_t *target);
+/// Tell all sidecars what changed here.
+void gtw_tell_all (gtw_gateway_t *gateway);
+/// Put a configuration in force if it is newer.
+void gtw_take_config (gtw_gateway_t *gateway, svc_config_t *config,
+                      kb_slice_t document, const char *from);
+void gtw_take_version (gtw_gateway_t *gateway, kb_slice_t model,
+                       kb_slice_t adapter, uint32_t version);
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway_links.c
@@ -0,0 +1,229 @@
+/// @file gateway_links.c
+/// What gateways and sidecars tell each other, and the configuration and
+/// versions that are passed on through sidecars to gateways which the store
+/// does not serve.
+#include <stdlib.h>
+
+#include "gateway/gateway_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  /// Sidecars that get a new document from each gateway; they pass it on.
+  DOCUMENT_COPIES = 2,
+};
+
+static uint64_t
+revision_of (const gtw_gateway_t *gateway)
+{
+  return gateway->config == NULL ? 0 : gateway->config->revision;
+}
+
+void
+gtw_tell_sidecar (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  msg_t msg = { .type = MSG_GATEWAY_STATE,
+                .gateway_state
+                = { .incarnation = gateway->host.incarnation,
+                    .revision = revision_of (gateway),
+                    .versions_known = gateway->versions.changes,
+                    .engine_count
+                    = gtw_targets_count (gateway, target->told.service) } };
+  if (hst_send (&gateway->host, target->link, &msg) != KB_OK)
+    MET_INC ("knapweedbay_sidecar_unreached_total", "");
+}
+
+static void
+give_document (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  msg_t msg = { .type = MSG_DOCUMENT,
+                .document = { .revision = revision_of (gateway),
+                              .data = kb_buf_slice (&gateway->document) } };
+  hst_send (&gateway->host, target->link, &msg);
+}
+
+static void
+give_version (gtw_gateway_t *gateway, gtw_target_t *target,
+              const ver_item_t *item)
+{
+  msg_t msg = { .type = MSG_ADAPTER_VERSION,
+                .adapter_version
+                = { .version = item->version,
+                    .model = kb_slice_str (item->model),
+                    .adapter = kb_slice_str (item->adapter) } };
+  hst_send (&gateway->host, target->link, &msg);
+}
+
+/// Give a sidecar what it lacks.
+static void
+help_sidecar (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  if (target->sidecar_revision < revision_of (gateway))
+    give_document (gateway, target);
+  if (target->sidecar_versions >= gateway->versions.changes)
+    return;
+  uint32_t at = 0;
+  for (const ver_item_t *item = kb_map_next (&gateway->versions.items, &at);
+       item != NULL; item = kb_map_next (&gateway->versions.items, &at))
+    give_version (gateway, target, item);
+}
+
+void
+gtw_tell_all (gtw_gateway_t *gateway)
+{
+  uint32_t given = 0;
+  uint32_t at = 0;
+  for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    {
+      if (!t->is_linked || t->heard_ms == 0)
+        continue;
+      if (given < DOCUMENT_COPIES
+          && t->sidecar_revision < revision_of (gateway))
+        {
+          give_document (gateway, t);
+          given++;
+        }
+      gtw_tell_sidecar (gateway, t);
+    }
+}
+
+void
+gtw_take_config (gtw_gateway_t *gateway, svc_config_t *config,
+                 kb_slice_t document, const char *from)
+{
+  // A late or repeated document must not bring an older configuration back.
+  if (gateway->config != NULL && config->revision <= gateway->config->revision)
+    {
+      svc_config_free (config);
+      return;
+    }
+  svc_config_free (gateway->config);
+  gateway->config = config;
+  kb_buf_clear (&gateway->document);
+  kb_buf_append (&gateway->document, document.ptr, document.len_bytes);
+  log_event_t line;
+  if (log_begin (&line, LOG_INFO, "config", "config_in_force"))
+    {
+      log_int (&line, "revision", (int64_t)config->revision);
+      log_int (&line, "routes", config->route_count);
+      log_text (&line, "from", from);
+      log_end (&line);
+    }
+  gtw_targets_tick (gateway);
+  gtw_tell_all (gateway);
+}
+
+void
+gtw_take_version (gtw_gateway_t *gateway, kb_slice_t model, kb_slice_t adapter,
+                  uint32_t version)
+{
+  const ver_item_t *item
+      = ver_learn (&gateway->versions, model, adapter, version);
+  if (item == NULL)
+    return;
+  log_event_t line;
+  if (log_begin (&line, LOG_INFO, "config", "adapter_version"))
+    {
+      log_str (&line, "adapter", adapter);
+      log_int (&line, "version", version);
+      log_end (&line);
+    }
+  uint32_t at = 0;
+  for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    if (t->is_linked && t->heard_ms > 0)
+      give_version (gateway, t, item);
+}
+
+static void
+copy_adapters (gtw_target_t *target, kb_slice_t packed)
+{
+  uint32_t count = packed.len_bytes / (uint32_t)sizeof *target->adapters;
+  target->adapters = kb_realloc (target->adapters,
+                                 (count + 1) * sizeof *target->adapters);
+  memcpy (target->adapters, packed.ptr, count * sizeof *target->adapters);
+  target->adapter_count = count;
+}
+
+static void
+take_engine_state (gtw_gateway_t *gateway, gtw_target_t *target,
+                   const msg_engine_state_t *state)
+{
+  bool is_restarted = target->heard_ms > 0 && target->incarnation != 0
+                      && target->incarnation != state->incarnation;
+  bool is_first = target->heard_ms == 0;
+  target->heard_ms = gtw_now_ms (gateway);
+  target->incarnation = state->incarnation;
+  target->sidecar_revision = state->revision;
+  target->sidecar_versions = state->versions_known;
+  target->condition = (msg_engine_condition_t)state->condition;
+  target->slots = (uint32_t)state->slots;
+  target->granted = (uint32_t)state->granted;
+  target->waiting = (uint32_t)state->waiting;
+  target->asked_since = 0;
+  if (state->gateway_count > 0)
+    gateway->gateway_count = (uint32_t)state->gateway_count;
+  kb_slice_copy (state->instance, target->instance, sizeof target->instance);
+  copy_adapters (target, state->adapters);
+  if (is_first || is_restarted)
+    gtw_tell_sidecar (gateway, target);
+  help_sidecar (gateway, target);
+  if (is_restarted)
+    gtw_requests_sidecar_lost (gateway, target);
+}
+
+static void
+take_document (gtw_gateway_t *gateway, const msg_document_t *given,
+               const char *from)
+{
+  if (given->revision <= revision_of (gateway))
+    return;
+  kb_error_t error = { 0 };
+  svc_config_t *config
+      = gateway->deployment->decode_config (given->data, &error);
+  if (config == NULL)
+    {
+      log_write (LOG_ERROR, "config", "A passed on document is ignored: %s.",
+                 error.message);
+      return;
+    }
+  gtw_take_config (gateway, config, given->data, from);
+}
+
+void
+gtw_on_message (hst_host_t *host, kb_slice_t peer, const msg_t *msg)
+{
+  gtw_gateway_t *gateway = (gtw_gateway_t *)host;
+  uint64_t key = kb_hash (peer.ptr, peer.len_bytes, 0) | 1;
+  gtw_target_t *target = kb_map_get (&gateway->links, key);
+  if (target == NULL)
+    {
+      MET_INC ("knapweedbay_inner_dropped_total", "reason=\"unknown_peer\"");
+      return;
+    }
+  switch (msg->type)
+    {
+    case MSG_ENGINE_STATE:
+      take_engine_state (gateway, target, &msg->engine_state);
+      break;
+    case MSG_PLACE_GRANT:
+      gtw_request_granted (gateway, &msg->place_grant, target);
+      break;
+    case MSG_PLACE_DECLINE:
+      gtw_request_declined (gateway, &msg->place_decline);
+      break;
+    case MSG_DOCUMENT:
+      take_document (gateway, &msg->document, target->link);
+      break;
+    case MSG_ADAPTER_VERSION:
+      gtw_take_version (gateway, msg->adapter_version.model,
+                        msg->adapter_version.adapter,
+                        (uint32_t)msg->adapter_version.version);
+      break;
+    default:
+      MET_INC ("knapweedbay_inner_dropped_total", "reason=\"unexpected\"");
+      break;
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_request.c
@@ -0,0 +1,421 @@
+/// @file gateway_request.c
+/// The life of a request: checks, choice of a target, the place at an engine,
+/// and the ways in which it ends without a target's answer.
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "gateway/gateway_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  HTTP_BAD_REQUEST = 400,
+  HTTP_NOT_FOUND = 404,
+  HTTP_TOO_LARGE = 413,
+  HTTP_BAD_GATEWAY = 502,
+  HTTP_UNAVAILABLE = 503,
+  HTTP_GATEWAY_TIMEOUT = 504,
+  /// Of a request that names no deadline.
+  DEFAULT_DEADLINE_MS = 60000,
+  /// Requests that need longer than this to end are not begun any more once a
+  /// stop has gone on for so long.
+  STOP_REFUSE_MS = 3000,
+  /// A target can do nothing useful in less.
+  LEAST_TIME_MS = 20,
+  /// Callers come back after at least this, spread over as much again.
+  RETRY_AFTER_MS = 300,
+  STOP_RETRY_AFTER_MS = 100,
+};
+
+static gtw_request_t *
+refuse_head (gtw_client_t *client, int http_status, const char *reason)
+{
+  client->refusal_status = http_status;
+  client->refusal_reason = reason;
+  return NULL;
+}
+
+static void
+request_link (gtw_gateway_t *gateway, gtw_request_t *r)
+{
+  r->next = gateway->requests;
+  if (r->next != NULL)
+    r->next->prev = r;
+  gateway->requests = r;
+  gateway->request_count++;
+}
+
+static void
+request_unlink (gtw_gateway_t *gateway, gtw_request_t *r)
+{
+  if (r->prev != NULL)
+    r->prev->next = r->next;
+  else
+    gateway->requests = r->next;
+  if (r->next != NULL)
+    r->next->prev = r->prev;
+  gateway->request_count--;
+}
+
+static void
+request_copy_route (gtw_request_t *r, const svc_route_t *route)
+{
+  const svc_config_t *config = r->gateway->config;
+  const char *service = svc_route_pick (route, (uint64_t)rand ());
+  const svc_service_t *known = svc_service_find (config, service);
+  snprintf (r->route, sizeof r->route, "%s", route->name);
+  snprintf (r->service, sizeof r->service, "%s", service);
+  r->is_engine = known != NULL && known->is_engine;
+  r->kind = route->kind;
+  r->is_resumable = route->is_resumable;
+  r->max_attempts = route->max_attempts;
+  r->priority = route->priority;
+  r->objective_ms = r->arrived_ms + route->objective_ms;
+  r->timeout_ms = r->arrived_ms + route->timeout_ms;
+  r->revision = config->revision;
+}
+
+static void
+request_copy_said (gtw_request_t *r, const rly_request_t *said)
+{
+  r->said = *said;
+  kb_slice_copy (said->attempt_id, r->attempt_id, sizeof r->attempt_id);
+  uint64_t deadline_ms
+      = said->deadline_ms > 0 ? said->deadline_ms : DEFAULT_DEADLINE_MS;
+  r->deadline_ms = r->arrived_ms + deadline_ms;
+  if (said->adapter.len_bytes > 0)
+    r->adapter_key = ver_key (said->model, said->adapter, r->adapter_name,
+                              sizeof r->adapter_name);
+}
+
+gtw_request_t *
+gtw_request_begin (gtw_client_t *client)
+{
+  gtw_gateway_t *gateway = client->gateway;
+  const h1_conn_t *conn = &client->conn;
+  rly_request_t said;
+  kb_error_t error = { 0 };
+  if (!h1_request_is_proper (conn))
+    return refuse_head (client, HTTP_BAD_REQUEST, "the request is ambiguous");
+  kb_status_t status
+      = gateway->dialect->read_request (&conn->head, &said, &error);
+  if (status != KB_OK)
+    return refuse_head (client, HTTP_BAD_REQUEST, "a header field is wrong");
+  kb_slice_copy (said.attempt_id, client->refusal_id,
+                 sizeof client->refusal_id);
+  if (gateway->config == NULL)
+    return refuse_head (client, HTTP_UNAVAILABLE, "no configuration yet");
+  if (conn->parser.content_length != UINT64_MAX
+      && conn->parser.content_length > gateway->config->limits.max_body_bytes)
+    return refuse_head (client, HTTP_TOO_LARGE, "the body is too large");
+  const svc_route_t *route
+      = svc_route_find (gateway->config, h1_head_get (&conn->head, "host"),
+                        h1_head_target (&conn->head));
+  if (route == NULL)
+    return refuse_head (client, HTTP_NOT_FOUND, "no route");
+  uint64_t now_ms = gtw_now_ms (gateway);
+  if (gateway->stop_ms > 0 && now_ms - gateway->stop_ms > STOP_REFUSE_MS)
+    return refuse_head (client, HTTP_UNAVAILABLE, "this process stops");
+  gtw_request_t *r = kb_alloc (sizeof *r);
+  *r = (gtw_request_t){ .gateway = gateway,
+                        .client = client,
+                        .arrived_ms = now_ms,
+                        .reason = "" };
+  request_copy_route (r, route);
+  request_copy_said (r, &said);
+  request_link (gateway, r);
+  return r;
+}
+
+void
+gtw_log_request (const gtw_request_t *r, const char *outcome, int http_status)
+{
+  uint64_t now_ms = gtw_now_ms (r->gateway);
+  bool is_good = http_status >= 200 && http_status < 300;
+  log_event_t line;
+  if (!log_begin (&line, is_good ? LOG_INFO : LOG_WARN, "gateway",
+                  "request_end"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "outcome", outcome);
+  log_int (&line, "status", http_status);
+  log_text (&line, "reason", r->reason);
+  log_text (&line, "route", r->route);
+  log_text (&line, "service", r->service);
+  log_int (&line, "revision", (int64_t)r->revision);
+  log_text (&line, "adapter", r->adapter_name);
+  log_int (&line, "version", r->granted_version);
+  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
+  log_int (&line, "sends", r->sends);
+  log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
+  log_int (&line, "first_ms",
+           r->first_event_ms == 0 ? -1
+                                  : (int64_t)(r->first_event_ms
+                                              - r->arrived_ms));
+  log_int (&line, "load_us", (int64_t)r->load_us);
+  log_int (&line, "left_ms", (int64_t)(r->deadline_ms - now_ms));
+  log_end (&line);
+}
+
+static void
+request_log_step (const gtw_request_t *r, const char *event,
+                  const char *reason)
+{
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", event))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "reason", reason);
+  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
+  log_int (&line, "list_age_ms",
+           r->target == NULL || r->target->heard_ms == 0
+               ? -1
+               : (int64_t)(gtw_now_ms (r->gateway) - r->target->heard_ms));
+  log_int (&line, "sends", r->sends);
+  log_end (&line);
+}
+
+static void
+release_place (gtw_request_t *r)
+{
+  if (r->place_id == 0)
+    return;
+  kb_map_remove (&r->gateway->places, r->place_id);
+  msg_t msg = { .type = MSG_PLACE_RELEASE,
+                .place_release = { .id = r->place_id } };
+  // A sidecar that can not be reached forgets the place with this gateway.
+  if (r->target != NULL)
+    hst_send (&r->gateway->host, r->target->link, &msg);
+  r->place_id = 0;
+  r->has_place = false;
+}
+
+void
+gtw_request_leave_target (gtw_request_t *r)
+{
+  tmr_cancel (&r->gateway->host.timers, &r->silence);
+  xch_cancel (&r->exchange);
+  release_place (r);
+  if (r->target != NULL)
+    r->target->active--;
+  r->target = NULL;
+}
+
+void
+gtw_request_end (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  gtw_request_leave_target (r);
+  tmr_cancel (&gateway->host.timers, &r->timer);
+  request_unlink (gateway, r);
+  kb_buf_finish (&r->body);
+  kb_buf_finish (&r->head);
+  kb_buf_finish (&r->held);
+  free (r);
+}
+
+static void
+request_answer_own (gtw_request_t *r, int http_status, const char *reason,
+                    uint64_t retry_after_ms)
+{
+  gtw_client_t *client = r->client;
+  r->reason = reason;
+  gtw_log_request (r, http_status == HTTP_UNAVAILABLE ? "refused" : "failed",
+                   http_status);
+  bool is_cut = r->is_head_written;
+  if (!is_cut)
+    {
+      rly_refusal_t refusal = { .http_status = http_status,
+                                .attempt_id = kb_slice_str (r->attempt_id),
+                                .retry_after_ms = retry_after_ms,
+                                .is_last = gtw_client_is_last (client),
+                                .reason = reason };
+      kb_buf_t out = { 0 };
+      r->gateway->dialect->write_refusal (&refusal, &out);
+      h1_conn_write (&client->conn, out.ptr, out.len_bytes);
+      kb_buf_finish (&out);
+    }
+  gtw_request_end (r);
+  gtw_client_answered (client, !is_cut);
+}
+
+void
+gtw_request_fail (gtw_request_t *r, int http_status, const char *reason)
+{
+  MET_INC ("knapweedbay_requests_total", "outcome=\"failed\"");
+  request_answer_own (r, http_status, reason, 0);
+}
+
+void
+gtw_request_refuse (gtw_request_t *r, const char *reason,
+                    uint64_t retry_after_ms)
+{
+  // "Not run" is a promise: whatever may have begun ends as a failure.
+  if (r->fate != GTW_NOT_RUN || r->is_head_written)
+    {
+      gtw_request_fail (r, HTTP_BAD_GATEWAY, reason);
+      return;
+    }
+  MET_INC ("knapweedbay_requests_total", "outcome=\"refused\"");
+  if (retry_after_ms < RETRY_AFTER_MS)
+    retry_after_ms = r->gateway->stop_ms > 0 ? STOP_RETRY_AFTER_MS
+                                             : RETRY_AFTER_MS;
+  // Callers that were refused together do not come back together.
+  retry_after_ms += (uint64_t)rand () % retry_after_ms;
+  request_answer_own (r, HTTP_UNAVAILABLE, reason, retry_after_ms);
+}
+
+static void
+request_late (void *arg)
+{
+  gtw_request_t *r = arg;
+  if (r->stage == GTW_ASKING || r->stage == GTW_PAUSED)
+    gtw_request_refuse (r, "timeout_unsent", 0);
+  else
+    gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
+}
+
+void
+gtw_request_start (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  uint64_t now_ms = gtw_now_ms (gateway);
+  uint64_t end_ms
+      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+  tmr_after (&gateway->host.timers, &r->timer,
+             end_ms > now_ms ? end_ms - now_ms : 0, request_late, r);
+  gtw_request_next (r);
+}
+
+void
+gtw_request_exclude (gtw_request_t *r)
+{
+  if (r->target != NULL && r->tried_count < GTW_MAX_TRIES)
+    r->tried[r->tried_count++] = r->target->key;
+}
+
+/// @return  Output tokens to expect, as far as the caller knows.
+static uint32_t
+output_tokens_of (const rly_request_t *said)
+{
+  uint32_t likely = said->likely_tokens;
+  return likely > 0 && likely < said->output_tokens ? likely
+                                                    : said->output_tokens;
+}
+
+static void
+request_ask (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  uint64_t now_ms = gtw_now_ms (gateway);
+  r->stage = GTW_ASKING;
+  r->place_id = ++gateway->next_place;
+  r->place_ms = now_ms;
+  r->has_place = false;
+  kb_map_put (&gateway->places, r->place_id, r);
+  uint64_t end_ms
+      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+  msg_t msg
+      = { .type = MSG_PLACE_ASK,
+          .place_ask
+          = { .id = r->place_id,
+              .priority = r->priority,
+              .prompt_tokens = r->said.prompt_tokens,
+              .output_tokens = output_tokens_of (&r->said),
+              .left_ms = end_ms > now_ms ? end_ms - now_ms : 0,
+              .objective_ms
+              = r->objective_ms > now_ms ? r->objective_ms - now_ms : 0,
+              .version = ver_newest (&gateway->versions, r->adapter_key),
+              .model = r->said.model,
+              .adapter = r->said.adapter } };
+  r->target->asked_since++;
+  if (hst_send (&gateway->host, r->target->link, &msg) == KB_OK)
+    return;
+  r->target->condition = MSG_ENGINE_DOWN;
+  gtw_request_exclude (r);
+  gtw_request_leave_target (r);
+  gtw_request_next (r);
+}
+
+void
+gtw_request_next (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  uint64_t now_ms = gtw_now_ms (gateway);
+  if (now_ms + LEAST_TIME_MS >= r->deadline_ms)
+    {
+      gtw_request_refuse (r, "no_time_left", 0);
+      return;
+    }
+  gtw_target_t *target
+      = r->tried_count < GTW_MAX_TRIES ? gtw_target_choose (gateway, r) : NULL;
+  if (target == NULL)
+    {
+      gtw_request_refuse (r, r->reason[0] == '\0' ? "no_target" : r->reason,
+                          r->retry_after_ms);
+      return;
+    }
+  r->target = target;
+  target->active++;
+  if (r->is_engine)
+    request_ask (r);
+  else
+    gtw_answer_send (r);
+}
+
+void
+gtw_request_granted (gtw_gateway_t *gateway, const msg_place_grant_t *grant,
+                     gtw_target_t *from)
+{
+  gtw_request_t *r = kb_map_get (&gateway->places, grant->id);
+  if (r == NULL || r->target != from || r->stage != GTW_ASKING)
+    {
+      // The request went elsewhere; the place must not stay taken.
+      msg_t msg = { .type = MSG_PLACE_RELEASE,
+                    .place_release = { .id = grant->id } };
+      hst_send (&gateway->host, from->link, &msg);
+      return;
+    }
+  r->has_place = true;
+  r->granted_version = (uint32_t)grant->version;
+  r->load_us += grant->load_us;
+  gtw_answer_send (r);
+}
+
+void
+gtw_request_declined (gtw_gateway_t *gateway,
+                      const msg_place_decline_t *decline)
+{
+  gtw_request_t *r = kb_map_get (&gateway->places, decline->id);
+  if (r == NULL || r->stage != GTW_ASKING)
+    return;
+  char reason[48];
+  kb_slice_copy (decline->reason, reason, sizeof reason);
+  request_log_step (r, "place_declined", reason);
+  r->reason = "declined";
+  if (decline->retry_after_ms > r->retry_after_ms)
+    r->retry_after_ms = decline->retry_after_ms;
+  kb_map_remove (&gateway->places, r->place_id);
+  r->place_id = 0;
+  gtw_request_exclude (r);
+  gtw_request_leave_target (r);
+  gtw_request_next (r);
+}
+
+void
+gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  gtw_request_t *next;
+  for (gtw_request_t *r = gateway->requests; r != NULL; r = next)
+    {
+      next = r->next;
+      if (r->target != target || r->stage != GTW_ASKING)
+        continue;
+      request_log_step (r, "place_lost", "sidecar_lost");
+      r->reason = "sidecar_lost";
+      gtw_request_exclude (r);
+      gtw_request_leave_target (r);
+      gtw_request_next (r);
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_targets.c
@@ -0,0 +1,306 @@
+/// @file gateway_targets.c
+/// Targets as this gateway knows them: the list, what their sidecars say, and
+/// how requests fared there.
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "gateway/gateway_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  MAX_CANDIDATES = 1024,
+  MAX_IDLE_CONNECTIONS = 24,
+  /// A sidecar says something at least every 400 ms.
+  SIDECAR_SILENT_MS = 1300,
+  /// A new link is given this long for its first word.
+  LINK_FIRST_MS = 1500,
+  TELL_MS = 1000,
+  /// Half-life of the share of failures: a target that recovered is used
+  /// fully again after a few seconds, without any request having to probe it.
+  FAILURE_HALF_MS = 2500,
+};
+
+/// Weight of the newest request in the share of failures.
+static const double FAILURE_WEIGHT = 0.25;
+
+static uint64_t
+id_key (kb_slice_t id)
+{
+  return kb_hash (id.ptr, id.len_bytes, 0) | 1;
+}
+
+static uint64_t
+address_key (const struct sockaddr_in *address)
+{
+  uint64_t parts[2] = { address->sin_addr.s_addr, address->sin_port };
+  return kb_hash (parts, sizeof parts, 0) | 1;
+}
+
+static bool
+is_engine_service (const gtw_gateway_t *gateway, const char *service)
+{
+  const svc_service_t *known = gateway->config == NULL
+                                   ? NULL
+                                   : svc_service_find (gateway->config, service);
+  return known != NULL && known->is_engine;
+}
+
+/// Open the link to the sidecar beside an engine.
+static void
+target_link (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  if (target->is_linked || !target->is_listed
+      || !is_engine_service (gateway, target->told.service))
+    return;
+  char ip[INET_ADDRSTRLEN];
+  char address[80];
+  uv_ip4_name (&target->told.address, ip, sizeof ip);
+  snprintf (target->link, sizeof target->link, "%s:%d", ip,
+            (int)gateway->host.settings.inner_port);
+  snprintf (address, sizeof address, "tcp://%s", target->link);
+  gtw_target_t *present
+      = kb_map_get (&gateway->links, id_key (kb_slice_str (target->link)));
+  if (present != NULL && present != target)
+    // An earlier incarnation of the engine beside the same sidecar.
+    present->is_linked = false;
+  else
+    lnk_link_connect (&gateway->host.link, address, "");
+  kb_map_put (&gateway->links, id_key (kb_slice_str (target->link)), target);
+  target->is_linked = true;
+  target->linked_ms = gtw_now_ms (gateway);
+  target->heard_ms = 0;
+}
+
+static void
+target_unlink (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  if (!target->is_linked)
+    return;
+  char address[80];
+  snprintf (address, sizeof address, "tcp://%s", target->link);
+  lnk_link_disconnect (&gateway->host.link, address);
+  kb_map_remove (&gateway->links, id_key (kb_slice_str (target->link)));
+  target->is_linked = false;
+  target->heard_ms = 0;
+  target->condition = MSG_ENGINE_DOWN;
+}
+
+static void
+log_target (const gtw_target_t *target, const char *event)
+{
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", event))
+    return;
+  log_text (&line, "target", target->told.id);
+  log_text (&line, "service", target->told.service);
+  log_text (&line, "failure_domain", target->told.domain);
+  log_int (&line, "active", target->active);
+  log_end (&line);
+}
+
+static gtw_target_t *
+target_add (gtw_gateway_t *gateway, const src_target_t *told, uint64_t key)
+{
+  gtw_target_t *target = kb_alloc (sizeof *target);
+  *target = (gtw_target_t){ .told = *told,
+                            .key = key,
+                            .place_key = address_key (&told->address),
+                            .condition = MSG_ENGINE_DOWN,
+                            .is_listed = true };
+  xch_peer_init (&target->peer, &gateway->host.pool, &told->address,
+                 MAX_IDLE_CONNECTIONS);
+  kb_map_put (&gateway->targets, key, target);
+  log_target (target, "target_listed");
+  return target;
+}
+
+void
+gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told)
+{
+  uint64_t key = id_key (kb_slice_str (told->id));
+  gtw_target_t *target = kb_map_get (&gateway->targets, key);
+  if (target == NULL)
+    target = target_add (gateway, told, key);
+  if (told->is_leaving && !target->told.is_leaving)
+    log_target (target, "target_leaving");
+  target->told = *told;
+  target->is_listed = true;
+  target_link (gateway, target);
+}
+
+void
+gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id)
+{
+  gtw_target_t *target = kb_map_get (&gateway->targets, id_key (id));
+  if (target == NULL || !target->is_listed)
+    return;
+  target->is_listed = false;
+  log_target (target, "target_gone");
+  xch_peer_finish (&target->peer);
+}
+
+uint32_t
+gtw_targets_count (const gtw_gateway_t *gateway, const char *service)
+{
+  uint32_t count = 0;
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    count += t->is_listed && strcmp (t->told.service, service) == 0;
+  return count;
+}
+
+static double
+failures_at (const gtw_target_t *target, uint64_t now_ms)
+{
+  double failures = target->failures;
+  uint64_t age_ms = now_ms - target->failed_ms;
+  while (age_ms >= FAILURE_HALF_MS && failures > 0.001)
+    {
+      failures /= 2;
+      age_ms -= FAILURE_HALF_MS;
+    }
+  return failures;
+}
+
+void
+gtw_target_note (gtw_gateway_t *gateway, gtw_target_t *target, bool is_good)
+{
+  uint64_t now_ms = gtw_now_ms (gateway);
+  double present = failures_at (target, now_ms);
+  target->failures
+      = present * (1 - FAILURE_WEIGHT) + (is_good ? 0 : FAILURE_WEIGHT);
+  target->failed_ms = now_ms;
+}
+
+static bool
+was_tried (const gtw_request_t *r, const gtw_target_t *target)
+{
+  for (uint32_t i = 0; i < r->tried_count; i++)
+    if (r->tried[i] == target->key)
+      return true;
+  return false;
+}
+
+static bool
+is_usable (const gtw_request_t *r, const gtw_target_t *target)
+{
+  if (!target->is_listed || target->told.is_leaving || was_tried (r, target))
+    return false;
+  return !r->is_engine
+         || (target->is_linked && target->condition == MSG_ENGINE_READY);
+}
+
+static plc_holding_t
+holding_of (const gtw_request_t *r, const gtw_target_t *target,
+            uint32_t newest)
+{
+  if (r->adapter_key == 0)
+    return PLC_NOT_NEEDED;
+  for (uint32_t i = 0; i < target->adapter_count; i++)
+    {
+      const msg_engine_adapter_t *a = &target->adapters[i];
+      if (a->key != r->adapter_key)
+        continue;
+      if (a->is_coming)
+        return PLC_COMING;
+      return a->version >= newest ? PLC_HELD : PLC_ABSENT;
+    }
+  return PLC_ABSENT;
+}
+
+static void
+describe (const gtw_gateway_t *gateway, const gtw_request_t *r,
+          const gtw_target_t *target, uint32_t newest, plc_view_t *out)
+{
+  *out = (plc_view_t){
+    .key = target->place_key,
+    .is_usable = is_usable (r, target),
+    .is_near = strcmp (target->told.domain,
+                       gateway->host.settings.failure_domain)
+               == 0,
+    .holding = r->is_engine ? holding_of (r, target, newest) : PLC_NOT_NEEDED,
+    .slots = r->is_engine && target->slots > 0 ? target->slots
+                                               : target->told.slots,
+    .busy = r->is_engine ? target->granted + target->asked_since
+                         : target->active,
+    .waiting = r->is_engine ? target->waiting : 0,
+    .failures = failures_at (target, gtw_now_ms (gateway)),
+  };
+}
+
+gtw_target_t *
+gtw_target_choose (gtw_gateway_t *gateway, const gtw_request_t *r)
+{
+  static plc_view_t views[MAX_CANDIDATES];
+  static gtw_target_t *targets[MAX_CANDIDATES];
+  uint32_t count = 0;
+  uint32_t newest = ver_newest (&gateway->versions, r->adapter_key);
+  uint32_t at = 0;
+  for (gtw_target_t *t = kb_map_next (&gateway->targets, &at);
+       t != NULL && count < MAX_CANDIDATES;
+       t = kb_map_next (&gateway->targets, &at))
+    {
+      if (strcmp (t->told.service, r->service) != 0 || !t->is_listed)
+        continue;
+      describe (gateway, r, t, newest, &views[count]);
+      targets[count++] = t;
+    }
+  uint64_t key = r->adapter_key != 0 ? r->adapter_key : (uint64_t)rand ();
+  int32_t best = plc_choose (&gateway->costs, views, count, key);
+  return best == PLC_NONE ? NULL : targets[best];
+}
+
+/// A sidecar that fell silent: its VM is gone, or the connection carries
+/// nothing any more while new ones would.
+static void
+check_sidecar (gtw_gateway_t *gateway, gtw_target_t *target, uint64_t now_ms)
+{
+  uint64_t since_ms
+      = target->heard_ms > 0 ? target->heard_ms : target->linked_ms;
+  uint64_t limit_ms = target->heard_ms > 0 ? SIDECAR_SILENT_MS : LINK_FIRST_MS;
+  if (now_ms - since_ms < limit_ms)
+    return;
+  if (target->heard_ms > 0)
+    log_target (target, "sidecar_lost");
+  target_unlink (gateway, target);
+  target_link (gateway, target);
+  gtw_requests_sidecar_lost (gateway, target);
+}
+
+static void
+target_free (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  target_unlink (gateway, target);
+  kb_map_remove (&gateway->targets, target->key);
+  xch_peer_finish (&target->peer);
+  free (target->adapters);
+  free (target);
+}
+
+void
+gtw_targets_tick (gtw_gateway_t *gateway)
+{
+  uint64_t now_ms = gtw_now_ms (gateway);
+  bool is_tell_time
+      = now_ms / TELL_MS != (now_ms - GTW_TICK_MS) / TELL_MS;
+  uint32_t at = 0;
+  for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    {
+      if (!t->is_listed && t->active == 0 && t->peer.open_count == 0)
+        {
+          target_free (gateway, t);
+          // Removal moves entries; the rest has its turn at the next tick.
+          return;
+        }
+      target_link (gateway, t);
+      if (!t->is_linked)
+        continue;
+      check_sidecar (gateway, t, now_ms);
+      if (is_tell_time)
+        gtw_tell_sidecar (gateway, t);
+    }
+}
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -106,6 +106,47 @@
                         4,
                         { N (config_part, revision), N (config_part, is_head),
                           S (config_part, digest), S (config_part, data) } },
+  [MSG_GATEWAY_STATE]
+  = { "gateway_state",
+      4,
+      { N (gateway_state, incarnation), N (gateway_state, revision),
+        N (gateway_state, versions_known),
+        N (gateway_state, engine_count) } },
+  [MSG_ENGINE_STATE]
+  = { "engine_state",
+      10,
+      { N (engine_state, incarnation), N (engine_state, revision),
+        N (engine_state, versions_known), N (engine_state, condition),
+        N (engine_state, slots), N (engine_state, granted),
+        N (engine_state, waiting), N (engine_state, gateway_count),
+        S (engine_state, instance), S (engine_state, adapters) } },
+  [MSG_PLACE_ASK]
+  = { "place_ask",
+      9,
+      { N (place_ask, id), N (place_ask, priority),
+        N (place_ask, prompt_tokens), N (place_ask, output_tokens),
+        N (place_ask, left_ms), N (place_ask, objective_ms),
+        N (place_ask, version), S (place_ask, model),
+        S (place_ask, adapter) } },
+  [MSG_PLACE_GRANT] = { "place_grant",
+                        4,
+                        { N (place_grant, id), N (place_grant, version),
+                          N (place_grant, load_us),
+                          S (place_grant, instance) } },
+  [MSG_PLACE_DECLINE]
+  = { "place_decline",
+      3,
+      { N (place_decline, id), N (place_decline, retry_after_ms),
+        S (place_decline, reason) } },
+  [MSG_PLACE_RELEASE]
+  = { "place_release", 1, { N (place_release, id) } },
+  [MSG_DOCUMENT]
+  = { "document", 2, { N (document, revision), S (document, data) } },
+  [MSG_ADAPTER_VERSION]
+  = { "adapter_version",
+      3,
+      { N (adapter_version, version), S (adapter_version, model),
+        S (adapter_version, adapter) } },
 };
 #undef N
 #undef S
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -31,6 +31,14 @@
   MSG_ANNOUNCE,
   MSG_CONFIG_PULL,
   MSG_CONFIG_PART,
+  MSG_GATEWAY_STATE,
+  MSG_ENGINE_STATE,
+  MSG_PLACE_ASK,
+  MSG_PLACE_GRANT,
+  MSG_PLACE_DECLINE,
+  MSG_PLACE_RELEASE,
+  MSG_DOCUMENT,
+  MSG_ADAPTER_VERSION,
   MSG_TYPE_END,
 } msg_type_t;
 
@@ -269,6 +277,96 @@
   kb_slice_t data;
 } msg_config_part_t;
 
+/// A gateway to a sidecar: on connecting, when something changes, and as its
+/// heartbeat.
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t revision;       ///< Of the configuration it has in force.
+  uint64_t versions_known; ///< How many adapter versions it knows.
+  uint64_t engine_count;   ///< Engines of the sidecar's service it sees.
+} msg_gateway_state_t;
+
+/// How an engine can be used, as its sidecar sees it.
+typedef enum
+{
+  MSG_ENGINE_DOWN = 1, ///< No report, or no model yet.
+  MSG_ENGINE_READY,
+  MSG_ENGINE_LEAVING,
+} msg_engine_condition_t;
+
+/// A sidecar to the gateways: heartbeat and load.
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t revision;
+  uint64_t versions_known;
+  uint64_t condition; ///< msg_engine_condition_t
+  uint64_t slots;
+  uint64_t granted; ///< Places given, or held by runs.
+  uint64_t waiting; ///< Requests that wait for a place or a load.
+  uint64_t gateway_count;
+  kb_slice_t instance; ///< Incarnation of the engine, or empty.
+  kb_slice_t adapters; ///< Packed msg_engine_adapter_t.
+} msg_engine_state_t;
+
+/// One adapter that an engine holds or fetches.
+typedef struct
+{
+  uint64_t key;
+  uint32_t version;
+  uint32_t is_coming;
+} msg_engine_adapter_t;
+
+/// A gateway asks for a place at the engine.
+typedef struct
+{
+  uint64_t id;
+  uint64_t priority;      ///< Lower is more urgent.
+  uint64_t prompt_tokens;
+  uint64_t output_tokens; ///< As far as known.
+  uint64_t left_ms;       ///< Until the answer is of no more use.
+  uint64_t objective_ms;  ///< Until a first event is late.
+  uint64_t version;       ///< Oldest that may serve it.
+  kb_slice_t model;
+  kb_slice_t adapter; ///< Empty: the model itself.
+} msg_place_ask_t;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t version; ///< Of the adapter held.
+  uint64_t load_us; ///< Time spent waiting for a load.
+  kb_slice_t instance;
+} msg_place_grant_t;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t retry_after_ms;
+  kb_slice_t reason;
+} msg_place_decline_t;
+
+/// The place is free again, or no longer wanted.
+typedef struct
+{
+  uint64_t id;
+} msg_place_release_t;
+
+/// The configuration document, passed on for daemons that can not read it.
+typedef struct
+{
+  uint64_t revision;
+  kb_slice_t data;
+} msg_document_t;
+
+typedef struct
+{
+  uint64_t version;
+  kb_slice_t model;
+  kb_slice_t adapter;
+} msg_adapter_version_t;
+
 /// Any message.
 typedef struct
 {
@@ -295,6 +393,14 @@
     msg_announce_t announce;
     msg_config_pull_t config_pull;
     msg_config_part_t config_part;
+    msg_gateway_state_t gateway_state;
+    msg_engine_state_t engine_state;
+    msg_place_ask_t place_ask;
+    msg_place_grant_t place_grant;
+    msg_place_decline_t place_decline;
+    msg_place_release_t place_release;
+    msg_document_t document;
+    msg_adapter_version_t adapter_version;
   };
 } msg_t;
 
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -46,6 +46,9 @@
 static const set_row_t rows[] = {
   { "role", KIND_TEXT, offsetof (set_settings_t, role_name), "", 0, 0, 0,
     "`entry` or `agent`; required" },
+  ROW_TEXT (interface, "openai",
+            "`openai`: the product's own; `relay`: requests are passed on as "
+            "they are, by the conventions of the deployment"),
   ROW_TEXT (name, "", "unique name of this daemon or target; required"),
   ROW_TEXT (failure_domain, "", "failure domain of this VM; required"),
   ROW_TEXT (listen_address, "127.0.0.1", "IP number to listen on"),
@@ -115,6 +118,26 @@
            "a daemon whose ping is unanswered this long is down, ms"),
   ROW_NUM (kv_calls_per_s, 5, 0.01, 10000,
            "ceiling of this daemon's key-value calls a second"),
+  ROW_TEXT (public_address, "",
+            "relay entry: \"ip:port\" that callers connect to"),
+  ROW_TEXT (ready_address, "", "relay entry: \"ip:port\" of the ready page"),
+  ROW_TEXT (store_address, "",
+            "relay entry: \"ip:port\" of the deployment's store"),
+  ROW_TEXT (engine_address, "",
+            "relay agent: \"ip:port\" of the engine beside it"),
+  ROW_INT (metrics_port, 0, 0, 65535,
+           "relay: port of the metrics page; 0: none"),
+  ROW_NUM (grace_s, 8, 0.5, 86400,
+           "relay: time between SIGTERM and SIGKILL, s"),
+  ROW_NUM (retry_ratio, 0.2, 0, 10,
+           "relay entry: repeats allowed for each request, all entries"),
+  ROW_NUM (retry_window_s, 10, 1, 3600,
+           "relay entry: window of the retry budget, s"),
+  ROW_NUM (retry_slack, 50, 0, 100000,
+           "relay entry: repeats allowed beyond the ratio, all entries"),
+  ROW_INT (memory_mb, 256, 8, 1048576, "relay: memory of this process, MB"),
+  ROW_INT (log_lines_per_s, 200, 1, 100000,
+           "relay: most log lines a second"),
   ROW_INT (vm_gone_after_ms, 10000, 100, 3600000,
            "a VM absent from the list and silent this long is gone, ms"),
 };
@@ -277,6 +300,11 @@
   if (s->failure_domain[0] == '\0')
     return kb_error_set (error, KB_EINVAL,
                          "%s: \"failure_domain\" is required", file);
+  if (strcmp (s->interface, "openai") != 0
+      && strcmp (s->interface, "relay") != 0)
+    return kb_error_set (error, KB_EINVAL,
+                         "%s: \"interface\" must be \"openai\" or \"relay\"",
+                         file);
   if (s->role == SET_ROLE_AGENT && s->service[0] == '\0')
     return kb_error_set (error, KB_EINVAL,
                          "%s: \"service\" is required for an agent", file);
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -27,6 +27,7 @@
 typedef struct
 {
   set_text_t role_name;
+  set_text_t interface; ///< How callers and targets are spoken to.
   set_role_t role;
   set_text_t name;
   set_text_t failure_domain;
@@ -78,6 +79,18 @@
   int64_t claim_limit;
   int64_t answer_cache_bytes;
   int64_t drain_limit_ms;
+  set_text_t public_address;
+  set_text_t ready_address;
+  set_text_t store_address;
+  set_text_t engine_address;
+  int64_t metrics_port;
+  double grace_s;
+  double retry_ratio;
+  double retry_window_s;
+  double retry_slack;
+  int64_t memory_mb;
+  int64_t log_lines_per_s;
+
   int64_t vm_gone_after_ms;
   int64_t silence_ms;
   double kv_calls_per_s;
--- /dev/null
+++ b/src/relay/host.h
@@ -0,0 +1,60 @@
+/// @file host.h
+/// What both relay roles share: the loop and the services on it, signals,
+/// settings that are read again, the metrics page, and the log.
+#ifndef KB_RELAY_HOST_H
+#define KB_RELAY_HOST_H
+
+#include "protocol/settings.h"
+#include "transport/exchange.h"
+#include "transport/link.h"
+#include "transport/pages.h"
+
+typedef struct hst_host hst_host_t;
+
+/// What a role provides.
+typedef struct
+{
+  void (*on_message) (hst_host_t *host, kb_slice_t peer, const msg_t *msg);
+  /// SIGTERM or SIGINT, once.
+  void (*on_stop) (hst_host_t *host);
+  /// The settings were read again and are good.
+  void (*on_reload) (hst_host_t *host);
+  /// Set gauges before the metrics are written.
+  void (*on_metrics) (hst_host_t *host);
+} hst_role_t;
+
+struct hst_host
+{
+  const hst_role_t *role;
+  void *state;
+  const char *settings_path;
+  set_settings_t settings;
+  uv_loop_t loop;
+  tmr_service_t timers;
+  xch_pool_t pool;
+  lnk_link_t link;
+  pgs_server_t metrics;
+  uv_signal_t signals[3];
+  tmr_sub_t flush_timer;
+  tmr_sub_t reload_timer;
+  uint64_t settings_stamp; ///< Of the file, to see it change.
+  uint64_t incarnation;
+  bool is_stopping;
+  int exit_code;
+};
+
+/// @param link_name  Name of this process on the inner links.
+kb_status_t hst_host_init (hst_host_t *host, const hst_role_t *role,
+                           void *state, const char *settings_path,
+                           const char *link_name, kb_error_t *error);
+int hst_host_run (hst_host_t *host);
+void hst_host_exit (hst_host_t *host, int exit_code);
+/// Send to a peer.
+kb_status_t hst_send (hst_host_t *host, const char *peer, const msg_t *msg);
+static inline uint64_t
+hst_now_ms (const hst_host_t *host)
+{
+  return uv_now (&host->loop);
+}
+
+#endif
--- /dev/null
+++ b/src/relay/versions.h
@@ -0,0 +1,35 @@
+/// @file versions.h
+/// The newest version known of each adapter. Versions only rise, so that a
+/// late or repeated word can not bring an older one back.
+#ifndef KB_RELAY_VERSIONS_H
+#define KB_RELAY_VERSIONS_H
+
+#include "state/map.h"
+#include "sidecar/engine.h"
+
+/// One adapter's version.
+typedef struct
+{
+  uint64_t key; ///< egn_adapter_key
+  uint32_t version;
+  char model[EGN_NAME_BYTES];
+  char adapter[EGN_NAME_BYTES];
+} ver_item_t;
+
+typedef struct
+{
+  kb_map_t items;
+  uint64_t changes; ///< Sum of all versions: equal sums, equal knowledge.
+} ver_table_t;
+
+void ver_table_finish (ver_table_t *table);
+/// @return  The item when it is newer than what was known, or NULL.
+const ver_item_t *ver_learn (ver_table_t *table, kb_slice_t model,
+                             kb_slice_t adapter, uint32_t version);
+/// @return  Zero when no version is known.
+uint32_t ver_newest (const ver_table_t *table, uint64_t key);
+/// Key of "model/adapter"; the full name goes to `name`.
+uint64_t ver_key (kb_slice_t model, kb_slice_t adapter, char *name,
+                  size_t name_bytes);
+
+#endif
--- /dev/null
+++ b/src/state/service.c
@@ -0,0 +1,135 @@
+#include "state/service.h"
+
+#include <stdlib.h>
+#include <strings.h>
+
+static int
+route_compare (const void *a, const void *b)
+{
+  const svc_route_t *left = a;
+  const svc_route_t *right = b;
+  int by_host = strcasecmp (left->host, right->host);
+  if (by_host != 0)
+    return by_host;
+  size_t left_bytes = strlen (left->prefix);
+  size_t right_bytes = strlen (right->prefix);
+  if (left_bytes != right_bytes)
+    return left_bytes > right_bytes ? -1 : 1;
+  return strcmp (left->prefix, right->prefix);
+}
+
+void
+svc_config_seal (svc_config_t *config)
+{
+  if (config->route_count > 0)
+    qsort (config->routes, config->route_count, sizeof *config->routes,
+           route_compare);
+}
+
+static void
+route_finish (svc_route_t *route)
+{
+  free (route->name);
+  free (route->host);
+  free (route->prefix);
+  for (uint32_t i = 0; i < route->share_count; i++)
+    free (route->shares[i].service);
+}
+
+static void
+service_finish (svc_service_t *service)
+{
+  free (service->name);
+  free (service->health_path);
+  for (uint32_t i = 0; i < service->model_count; i++)
+    free (service->models[i].name);
+}
+
+void
+svc_config_free (svc_config_t *config)
+{
+  if (config == NULL)
+    return;
+  for (uint32_t i = 0; i < config->route_count; i++)
+    route_finish (&config->routes[i]);
+  for (uint32_t i = 0; i < config->service_count; i++)
+    service_finish (&config->services[i]);
+  free (config->routes);
+  free (config->services);
+  free (config);
+}
+
+static int
+host_compare (kb_slice_t host, const char *text)
+{
+  size_t len = strlen (text);
+  size_t least = host.len_bytes < len ? host.len_bytes : len;
+  int by_bytes = strncasecmp (host.ptr, text, least);
+  if (by_bytes != 0)
+    return by_bytes;
+  return host.len_bytes == len ? 0 : host.len_bytes < len ? -1 : 1;
+}
+
+/// @return  Index of the first route whose host is not below `host`.
+static uint32_t
+routes_lower_bound (const svc_config_t *config, kb_slice_t host)
+{
+  uint32_t low = 0;
+  uint32_t high = config->route_count;
+  while (low < high)
+    {
+      uint32_t middle = (low + high) / 2;
+      if (host_compare (host, config->routes[middle].host) > 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+const svc_route_t *
+svc_route_find (const svc_config_t *config, kb_slice_t host, kb_slice_t path)
+{
+  const char *colon
+      = host.len_bytes == 0 ? NULL : memchr (host.ptr, ':', host.len_bytes);
+  if (colon != NULL)
+    host.len_bytes = (uint32_t)(colon - host.ptr);
+  for (uint32_t i = routes_lower_bound (config, host);
+       i < config->route_count
+       && host_compare (host, config->routes[i].host) == 0;
+       i++)
+    {
+      const svc_route_t *route = &config->routes[i];
+      size_t len = strlen (route->prefix);
+      if (path.len_bytes >= len && memcmp (path.ptr, route->prefix, len) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+const char *
+svc_route_pick (const svc_route_t *route, uint64_t draw)
+{
+  uint64_t total = 0;
+  for (uint32_t i = 0; i < route->share_count; i++)
+    total += route->shares[i].weight;
+  if (total == 0)
+    return route->share_count > 0 ? route->shares[0].service : NULL;
+  uint64_t at = draw % total;
+  for (uint32_t i = 0; i < route->share_count; i++)
+    {
+      if (at < route->shares[i].weight)
+        return route->shares[i].service;
+      at -= route->shares[i].weight;
+    }
+  return route->shares[0].service;
+}
+
+const svc_service_t *
+svc_service_find (const svc_config_t *config, const char *name)
+{
+  for (uint32_t i = 0; i < config->service_count; i++)
+    if (strcmp (config->services[i].name, name) == 0)
+      return &config->services[i];
+  return NULL;
+}
--- /dev/null
+++ b/src/state/service.h
@@ -0,0 +1,105 @@
+/// @file service.h
+/// Routes, services and limits in force, as values: what a configuration
+/// says, whatever document it was decoded from.
+#ifndef KB_STATE_SERVICE_H
+#define KB_STATE_SERVICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/buf.h"
+
+enum
+{
+  SVC_MAX_SPLIT = 8,
+  SVC_MAX_MODELS = 8,
+};
+
+/// What may be repeated.
+typedef enum
+{
+  SVC_KIND_SAFE,   ///< May run more than once.
+  SVC_KIND_UNSAFE, ///< Runs at most once.
+  SVC_KIND_STREAM, ///< A series of events; at most once unless resumable.
+} svc_kind_t;
+
+/// A share of a route's requests.
+typedef struct
+{
+  char *service;
+  uint32_t weight;
+} svc_share_t;
+
+typedef struct
+{
+  char *name;
+  char *host;
+  char *prefix; ///< Begins and ends with a slash.
+  svc_kind_t kind;
+  uint32_t timeout_ms;   ///< Longest time a caller is kept waiting.
+  uint32_t objective_ms; ///< Whole answer, or first event of a stream.
+  uint32_t max_attempts; ///< Targets that one request may be sent to.
+  uint32_t priority;     ///< Lower is more urgent.
+  bool is_resumable;
+  svc_share_t shares[SVC_MAX_SPLIT];
+  uint32_t share_count;
+} svc_route_t;
+
+/// A model that an engine service offers.
+typedef struct
+{
+  char *name;
+  double size_mb;
+  double adapter_size_mb;
+  uint32_t load_ms;
+} svc_model_t;
+
+typedef struct
+{
+  char *name;
+  char *health_path;
+  uint32_t max_connections; ///< A target accepts from all callers together.
+  bool is_engine;           ///< The rest applies to engines only.
+  uint32_t slots;
+  uint32_t kv_tokens; ///< Memory for running requests and kept prompts.
+  double memory_mb;   ///< For models and adapters.
+  uint32_t adapter_slots;
+  double model_loads_per_s; ///< From the weight store, all engines together.
+  svc_model_t models[SVC_MAX_MODELS];
+  uint32_t model_count;
+} svc_service_t;
+
+/// Bounds on what a caller may send and how long it may take.
+typedef struct
+{
+  uint32_t max_header_bytes;
+  uint32_t max_body_bytes;
+  uint32_t header_timeout_ms;
+  uint32_t idle_timeout_ms;
+} svc_limits_t;
+
+typedef struct
+{
+  uint64_t revision;
+  svc_route_t *routes; ///< By host, then longest prefix first.
+  uint32_t route_count;
+  svc_service_t *services;
+  uint32_t service_count;
+  svc_limits_t limits;
+} svc_config_t;
+
+/// Order the routes; call once after decoding.
+void svc_config_seal (svc_config_t *config);
+void svc_config_free (svc_config_t *config);
+/// @param host  Without regard to case; a port is ignored.
+/// @param path  With or without a query.
+/// @return      The route with the longest prefix, or NULL.
+const svc_route_t *svc_route_find (const svc_config_t *config, kb_slice_t host,
+                                   kb_slice_t path);
+/// Pick a service by the weights of the route's shares.
+/// @param draw  A number that is uniform over all requests.
+const char *svc_route_pick (const svc_route_t *route, uint64_t draw);
+const svc_service_t *svc_service_find (const svc_config_t *config,
+                                       const char *name);
+
+#endif
--- /dev/null
+++ b/src/transport/call.c
@@ -0,0 +1,112 @@
+#include "transport/call.h"
+
+#include <arpa/inet.h>
+
+enum
+{
+  /// Largest answer: a page of the store is about 1 MB.
+  MAX_ANSWER_BYTES = 8 << 20,
+  CONNECT_TIMEOUT_MS = 1000,
+};
+
+static void
+call_finish (cal_call_t *call, kb_status_t status)
+{
+  tmr_cancel (call->timers, &call->timer);
+  xch_cancel (&call->exchange);
+  call->is_active = false;
+  kb_buf_t body = { 0 };
+  kb_buf_swap (&body, &call->body);
+  cal_result_t result = { .status = status,
+                          .http_status = call->http_status,
+                          .body = kb_buf_slice (&body),
+                          .instance = kb_slice_str (call->instance) };
+  call->done (call->arg, &result);
+  kb_buf_finish (&body);
+}
+
+static void
+call_on_head (xch_t *x)
+{
+  cal_call_t *call = x->owner;
+  const h1_conn_t *conn = xch_conn (x);
+  call->http_status = conn->parser.status_code;
+  if (call->instance_header != NULL)
+    kb_slice_copy (h1_head_get (&conn->head, call->instance_header),
+                   call->instance, sizeof call->instance);
+}
+
+static void
+call_on_body (xch_t *x, kb_slice_t bytes)
+{
+  cal_call_t *call = x->owner;
+  kb_buf_append (&call->body, bytes.ptr, bytes.len_bytes);
+  if (call->body.len_bytes > MAX_ANSWER_BYTES)
+    call_finish (call, KB_EUNKNOWN);
+}
+
+static void
+call_on_done (xch_t *x)
+{
+  call_finish (x->owner, KB_OK);
+}
+
+static void
+call_on_fail (xch_t *x, xch_fail_t fail)
+{
+  call_finish (x->owner, fail == XCH_NOT_SENT ? KB_EUNAVAIL : KB_EUNKNOWN);
+}
+
+static void
+call_late (void *arg)
+{
+  call_finish (arg, KB_EUNKNOWN);
+}
+
+static const xch_events_t call_events
+    = { call_on_head, call_on_body, call_on_done, call_on_fail };
+
+void
+cal_call_start (cal_call_t *call, xch_peer_t *peer,
+                const cal_request_t *request, cal_done_t done, void *arg)
+{
+  kb_buf_finish (&call->body);
+  *call = (cal_call_t){ .timers = peer->pool->timers,
+                        .instance_header = request->instance_header,
+                        .done = done,
+                        .arg = arg,
+                        .is_active = true };
+  char host[INET_ADDRSTRLEN];
+  uv_ip4_name (&peer->address, host, sizeof host);
+  kb_buf_t head = { 0 };
+  kb_buf_printf (&head, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n", request->method,
+                 request->path, host, ntohs (peer->address.sin_port));
+  if (request->extra_headers != NULL)
+    kb_buf_append_str (&head, request->extra_headers);
+  if (request->json_body.len_bytes > 0)
+    kb_buf_printf (&head,
+                   "Content-Type: application/json\r\n"
+                   "Content-Length: %u\r\n",
+                   request->json_body.len_bytes);
+  else if (request->method[0] != 'G')
+    kb_buf_append_str (&head, "Content-Length: 0\r\n");
+  kb_buf_append_str (&head, "\r\n");
+  xch_request_t sent = { .head = kb_buf_slice (&head),
+                         .body = request->json_body,
+                         .max_idle_ms = XCH_ANY_IDLE,
+                         .connect_timeout_ms = CONNECT_TIMEOUT_MS };
+  xch_start (&call->exchange, peer, &call_events, call, &sent);
+  kb_buf_finish (&head);
+  tmr_after (call->timers, &call->timer, request->timeout_ms, call_late, call);
+}
+
+void
+cal_call_cancel (cal_call_t *call)
+{
+  if (!call->is_active)
+    return;
+  tmr_cancel (call->timers, &call->timer);
+  xch_cancel (&call->exchange);
+  kb_buf_finish (&call->body);
+  call->is_active = false;
+}
--- /dev/null
+++ b/src/transport/h1.c
@@ -0,0 +1,602 @@
+#include "transport/h1.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+enum
+{
+  READ_BUFFER_BYTES = 65536,
+  /// Unacknowledged data or probes for this long end the connection. Peers
+  /// are a few ms away; losses of a few packets are repeated within 1 s.
+  SILENT_PEER_MS = 3000,
+  KEEPALIVE_IDLE_S = 2,
+  KEEPALIVE_STEP_S = 1,
+  KEEPALIVE_PROBES = 2,
+};
+
+/// One loop, one thread: a read buffer is used up before the next read.
+static char read_buffer[READ_BUFFER_BYTES];
+
+static const h1_field_t *
+head_last_field (const h1_head_t *head)
+{
+  return &head->fields[head->field_count - 1];
+}
+
+static void
+head_clear (h1_head_t *head)
+{
+  kb_buf_clear (&head->bytes);
+  head->target_bytes = 0;
+  head->field_count = 0;
+  head->wire_bytes = 0;
+  head->is_value = false;
+  head->is_done = false;
+}
+
+kb_slice_t
+h1_field_name (const h1_head_t *head, uint32_t at)
+{
+  const h1_field_t *f = &head->fields[at];
+  return (kb_slice_t){ head->bytes.ptr + f->name_at, f->name_bytes };
+}
+
+kb_slice_t
+h1_field_value (const h1_head_t *head, uint32_t at)
+{
+  const h1_field_t *f = &head->fields[at];
+  return (kb_slice_t){ head->bytes.ptr + f->value_at, f->value_bytes };
+}
+
+kb_slice_t
+h1_head_target (const h1_head_t *head)
+{
+  return (kb_slice_t){ head->bytes.ptr, head->target_bytes };
+}
+
+bool
+h1_name_is (kb_slice_t name, const char *text)
+{
+  return name.len_bytes == strlen (text)
+         && strncasecmp (name.ptr, text, name.len_bytes) == 0;
+}
+
+kb_slice_t
+h1_head_get (const h1_head_t *head, const char *name)
+{
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (h1_name_is (h1_field_name (head, i), name))
+      return h1_field_value (head, i);
+  return (kb_slice_t){ NULL, 0 };
+}
+
+uint32_t
+h1_head_count (const h1_head_t *head, const char *name)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (h1_name_is (h1_field_name (head, i), name))
+      count++;
+  return count;
+}
+
+bool
+h1_has_token (kb_slice_t value, const char *token)
+{
+  size_t want = strlen (token);
+  uint32_t at = 0;
+  while (at < value.len_bytes)
+    {
+      while (at < value.len_bytes
+             && (value.ptr[at] == ' ' || value.ptr[at] == '\t'
+                 || value.ptr[at] == ','))
+        at++;
+      uint32_t end = at;
+      while (end < value.len_bytes && value.ptr[end] != ','
+             && value.ptr[end] != ' ' && value.ptr[end] != '\t')
+        end++;
+      if (end - at == want && strncasecmp (value.ptr + at, token, want) == 0)
+        return true;
+      at = end;
+      while (at < value.len_bytes && value.ptr[at] != ',')
+        at++;
+    }
+  return false;
+}
+
+static bool
+name_is_token (kb_slice_t name)
+{
+  static const char punctuation[] = "!#$%&'*+-.^_`|~";
+  if (name.len_bytes == 0)
+    return false;
+  for (uint32_t i = 0; i < name.len_bytes; i++)
+    {
+      char c = name.ptr[i];
+      bool is_plain = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z')
+                      || (c >= 'A' && c <= 'Z');
+      if (!is_plain && (c == '\0' || strchr (punctuation, c) == NULL))
+        return false;
+    }
+  return true;
+}
+
+bool
+h1_request_is_proper (const h1_conn_t *conn)
+{
+  const h1_head_t *head = &conn->head;
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (!name_is_token (h1_field_name (head, i)))
+      return false;
+  if (head->target_bytes == 0 || head->bytes.ptr[0] != '/')
+    return false;
+  if (conn->parser.http_major != 1 || h1_head_count (head, "host") != 1)
+    return false;
+  // Two readers that disagree on where a body ends see different requests on
+  // one connection; what lies behind the body would run as another caller's
+  // request. Only one plain statement of the length is accepted.
+  uint32_t lengths = h1_head_count (head, "content-length");
+  uint32_t codings = h1_head_count (head, "transfer-encoding");
+  if (lengths + codings > 1)
+    return false;
+  if (codings == 1)
+    return conn->parser.http_minor >= 1
+           && h1_name_is (h1_head_get (head, "transfer-encoding"), "chunked");
+  return true;
+}
+
+bool
+h1_body_is_unframed (const h1_conn_t *conn)
+{
+  return h1_head_count (&conn->head, "content-length") == 0
+         && h1_head_count (&conn->head, "transfer-encoding") == 0;
+}
+
+kb_status_t
+h1_parse_address (kb_slice_t text, struct sockaddr_in *out)
+{
+  char copy[64];
+  kb_slice_copy (text, copy, sizeof copy);
+  char *colon = strrchr (copy, ':');
+  if (colon == NULL)
+    return KB_EINVAL;
+  *colon = '\0';
+  int port = atoi (colon + 1);
+  if (port <= 0 || port > UINT16_MAX)
+    return KB_EINVAL;
+  return uv_ip4_addr (copy, port, out) == 0 ? KB_OK : KB_EINVAL;
+}
+
+static void
+conn_end (h1_conn_t *conn, h1_end_t end)
+{
+  if (conn->is_ended || conn->is_closing)
+    return;
+  conn->is_ended = true;
+  h1_conn_pause (conn);
+  conn->events->on_end (conn, end);
+}
+
+static int
+parse_begin (http_parser *parser)
+{
+  h1_conn_t *conn = parser->data;
+  head_clear (&conn->head);
+  conn->is_in_message = true;
+  conn->began_ms = uv_now (conn->tcp.loop);
+  return 0;
+}
+
+static int
+parse_target (http_parser *parser, const char *at, size_t len_bytes)
+{
+  h1_conn_t *conn = parser->data;
+  kb_buf_append (&conn->head.bytes, at, len_bytes);
+  conn->head.target_bytes += (uint32_t)len_bytes;
+  return 0;
+}
+
+static int
+parse_name (http_parser *parser, const char *at, size_t len_bytes)
+{
+  h1_head_t *head = &((h1_conn_t *)parser->data)->head;
+  if (head->is_done)
+    return 0;
+  if (head->is_value || head->field_count == 0)
+    {
+      if (head->field_count == H1_MAX_FIELDS)
+        {
+          ((h1_conn_t *)parser->data)->is_oversized = true;
+          return -1;
+        }
+      head->fields[head->field_count++] = (h1_field_t){
+        .name_at = (uint32_t)head->bytes.len_bytes,
+        .value_at = (uint32_t)head->bytes.len_bytes,
+      };
+      head->is_value = false;
+    }
+  kb_buf_append (&head->bytes, at, len_bytes);
+  h1_field_t *field = (h1_field_t *)head_last_field (head);
+  field->name_bytes += (uint32_t)len_bytes;
+  field->value_at = (uint32_t)head->bytes.len_bytes;
+  return 0;
+}
+
+static int
+parse_value (http_parser *parser, const char *at, size_t len_bytes)
+{
+  h1_head_t *head = &((h1_conn_t *)parser->data)->head;
+  if (head->is_done)
+    return 0;
+  head->is_value = true;
+  kb_buf_append (&head->bytes, at, len_bytes);
+  ((h1_field_t *)head_last_field (head))->value_bytes += (uint32_t)len_bytes;
+  return 0;
+}
+
+/// @return  1 tells the parser that the message has no body.
+static int
+parse_head_end (http_parser *parser)
+{
+  h1_conn_t *conn = parser->data;
+  if (conn->is_client && parser->status_code >= 100
+      && parser->status_code < 200)
+    return 0;
+  conn->head.is_done = true;
+  conn->events->on_head (conn);
+  if (conn->is_closing || conn->is_ended)
+    return -1;
+  return conn->is_client && conn->expects_no_body ? 1 : 0;
+}
+
+static int
+parse_body (http_parser *parser, const char *at, size_t len_bytes)
+{
+  h1_conn_t *conn = parser->data;
+  conn->events->on_body (conn, (kb_slice_t){ at, (uint32_t)len_bytes });
+  return conn->is_closing || conn->is_ended ? -1 : 0;
+}
+
+static int
+parse_message_end (http_parser *parser)
+{
+  h1_conn_t *conn = parser->data;
+  if (conn->is_client && parser->status_code >= 100
+      && parser->status_code < 200)
+    return 0;
+  conn->is_in_message = false;
+  conn->is_held = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parse_settings = {
+  .on_message_begin = parse_begin,
+  .on_url = parse_target,
+  .on_header_field = parse_name,
+  .on_header_value = parse_value,
+  .on_headers_complete = parse_head_end,
+  .on_body = parse_body,
+  .on_message_complete = parse_message_end,
+};
+
+static bool
+head_is_too_long (h1_conn_t *conn, size_t len_bytes)
+{
+  bool is_head_open = conn->parser.nread > 0;
+  return conn->max_header_bytes > 0 && is_head_open
+         && conn->parser.nread > conn->max_header_bytes && len_bytes > 0;
+}
+
+/// Parse what stands in `bytes`; what lies behind a complete message is kept
+/// for h1_conn_next.
+static void
+conn_parse (h1_conn_t *conn, const char *bytes, size_t len_bytes)
+{
+  conn->is_parsing = true;
+  size_t used
+      = http_parser_execute (&conn->parser, &parse_settings, bytes, len_bytes);
+  conn->is_parsing = false;
+  if (conn->is_closing || conn->is_ended)
+    return;
+  if (conn->is_held)
+    {
+      if (used < len_bytes)
+        kb_buf_append (&conn->ahead, bytes + used, len_bytes - used);
+      conn->events->on_message (conn);
+      return;
+    }
+  if (conn->is_oversized || head_is_too_long (conn, len_bytes))
+    conn_end (conn, H1_END_HEADER_SIZE);
+  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK
+           || conn->parser.upgrade != 0)
+    conn_end (conn, H1_END_MALFORMED);
+}
+
+static void
+conn_read_eof (h1_conn_t *conn)
+{
+  // An answer without a length ends with the connection; the parser concludes
+  // it when it sees the end.
+  if (conn->is_in_message && !conn->is_held)
+    {
+      http_parser_execute (&conn->parser, &parse_settings, NULL, 0);
+      if (conn->is_held)
+        conn->events->on_message (conn);
+    }
+  conn_end (conn, H1_END_EOF);
+}
+
+static void
+conn_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  *buf = uv_buf_init (read_buffer, sizeof read_buffer);
+}
+
+static void
+conn_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+  h1_conn_t *conn = stream->data;
+  if (got == UV_EOF)
+    conn_read_eof (conn);
+  else if (got < 0)
+    conn_end (conn, H1_END_RESET);
+  else if (got > 0 && conn->is_draining)
+    return;
+  else if (got > 0 && conn->is_held)
+    {
+      kb_buf_append (&conn->ahead, buf->base, (size_t)got);
+      if (conn->is_client || conn->ahead.len_bytes > H1_MAX_AHEAD_BYTES)
+        conn_end (conn, H1_END_MALFORMED);
+    }
+  else if (got > 0)
+    conn_parse (conn, buf->base, (size_t)got);
+}
+
+void
+h1_conn_pause (h1_conn_t *conn)
+{
+  if (!conn->is_reading)
+    return;
+  conn->is_reading = false;
+  uv_read_stop ((uv_stream_t *)&conn->tcp);
+}
+
+void
+h1_conn_resume (h1_conn_t *conn)
+{
+  if (conn->is_reading || conn->is_closing || conn->is_ended)
+    return;
+  conn->is_reading = true;
+  uv_read_start ((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+}
+
+/// Connections may stop carrying packets without any sign. Unacknowledged
+/// data and unanswered probes then end them, in about four seconds.
+static void
+conn_set_options (h1_conn_t *conn)
+{
+  uv_tcp_nodelay (&conn->tcp, 1);
+  uv_os_fd_t fd;
+  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0)
+    return;
+  int on = 1;
+  int idle_s = KEEPALIVE_IDLE_S;
+  int step_s = KEEPALIVE_STEP_S;
+  int probes = KEEPALIVE_PROBES;
+  unsigned timeout_ms = SILENT_PEER_MS;
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &step_s, sizeof step_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+              sizeof timeout_ms);
+}
+
+static void
+conn_init (h1_conn_t *conn, uv_loop_t *loop, const h1_events_t *events,
+           void *owner, bool is_client)
+{
+  *conn = (h1_conn_t){ .events = events,
+                       .owner = owner,
+                       .is_client = is_client };
+  uv_tcp_init (loop, &conn->tcp);
+  conn->tcp.data = conn;
+  http_parser_init (&conn->parser, is_client ? HTTP_RESPONSE : HTTP_REQUEST);
+  conn->parser.data = conn;
+}
+
+kb_status_t
+h1_conn_accept (h1_conn_t *conn, uv_loop_t *loop, uv_stream_t *listener,
+                const h1_events_t *events, void *owner,
+                uint32_t max_header_bytes)
+{
+  conn_init (conn, loop, events, owner, false);
+  conn->max_header_bytes = max_header_bytes;
+  if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0)
+    return KB_ESYS;
+  conn_set_options (conn);
+  h1_conn_resume (conn);
+  return KB_OK;
+}
+
+static void
+conn_connected (uv_connect_t *connect, int status)
+{
+  h1_conn_t *conn = connect->data;
+  if (conn->is_closing)
+    return;
+  if (status == 0)
+    {
+      conn_set_options (conn);
+      h1_conn_resume (conn);
+    }
+  conn->events->on_connect (conn, status == 0);
+}
+
+kb_status_t
+h1_conn_connect (h1_conn_t *conn, uv_loop_t *loop,
+                 const struct sockaddr_in *address, const h1_events_t *events,
+                 void *owner)
+{
+  conn_init (conn, loop, events, owner, true);
+  conn->connect.data = conn;
+  int code = uv_tcp_connect (&conn->connect, &conn->tcp,
+                             (const struct sockaddr *)address, conn_connected);
+  return code == 0 ? KB_OK : KB_EUNAVAIL;
+}
+
+typedef struct
+{
+  uv_write_t req;
+  h1_conn_t *conn;
+  size_t len_bytes;
+  char bytes[];
+} h1_write_t;
+
+static void
+conn_written (uv_write_t *req, int status)
+{
+  h1_write_t *write = (h1_write_t *)req;
+  h1_conn_t *conn = write->conn;
+  conn->unsent_bytes -= write->len_bytes;
+  free (write);
+  if (conn->is_closing)
+    return;
+  if (status != 0)
+    conn_end (conn, H1_END_RESET);
+  else if (conn->unsent_bytes == 0 && conn->events->on_drained != NULL)
+    conn->events->on_drained (conn);
+}
+
+bool
+h1_conn_write (h1_conn_t *conn, const void *bytes, size_t len_bytes)
+{
+  if (conn->is_closing || len_bytes == 0)
+    return !conn->is_closing;
+  size_t done = 0;
+  if (conn->unsent_bytes == 0)
+    {
+      uv_buf_t buf = uv_buf_init ((char *)bytes, (unsigned)len_bytes);
+      int wrote = uv_try_write ((uv_stream_t *)&conn->tcp, &buf, 1);
+      if (wrote > 0)
+        done = (size_t)wrote;
+      else if (wrote != UV_EAGAIN && wrote < 0)
+        return false;
+    }
+  if (done == len_bytes)
+    return true;
+  size_t left = len_bytes - done;
+  h1_write_t *write = kb_alloc (sizeof *write + left);
+  write->conn = conn;
+  write->len_bytes = left;
+  memcpy (write->bytes, (const char *)bytes + done, left);
+  uv_buf_t buf = uv_buf_init (write->bytes, (unsigned)left);
+  conn->unsent_bytes += left;
+  if (uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written)
+      == 0)
+    return true;
+  conn->unsent_bytes -= left;
+  free (write);
+  return false;
+}
+
+bool
+h1_conn_write_chunk (h1_conn_t *conn, kb_slice_t bytes)
+{
+  if (bytes.len_bytes == 0)
+    return true;
+  // One write a chunk: each costs a system call and a packet.
+  char head[16];
+  int head_bytes = snprintf (head, sizeof head, "%x\r\n", bytes.len_bytes);
+  size_t total = (size_t)head_bytes + bytes.len_bytes + 2;
+  char small[4096];
+  char *out = total <= sizeof small ? small : kb_alloc (total);
+  memcpy (out, head, (size_t)head_bytes);
+  memcpy (out + head_bytes, bytes.ptr, bytes.len_bytes);
+  memcpy (out + total - 2, "\r\n", 2);
+  bool is_taken = h1_conn_write (conn, out, total);
+  if (out != small)
+    free (out);
+  return is_taken;
+}
+
+void
+h1_conn_next (h1_conn_t *conn)
+{
+  if (conn->is_closing || conn->is_ended || !conn->is_held)
+    return;
+  conn->is_held = false;
+  http_parser_pause (&conn->parser, 0);
+  if (conn->ahead.len_bytes == 0)
+    return;
+  kb_buf_t bytes = { 0 };
+  kb_buf_swap (&bytes, &conn->ahead);
+  conn_parse (conn, bytes.ptr, bytes.len_bytes);
+  kb_buf_finish (&bytes);
+}
+
+static void
+conn_drained (uv_shutdown_t *req, int status)
+{
+  free (req);
+}
+
+void
+h1_conn_drain (h1_conn_t *conn)
+{
+  if (conn->is_closing || conn->is_draining)
+    return;
+  conn->is_draining = true;
+  conn->is_ended = false;
+  uv_shutdown_t *req = kb_alloc (sizeof *req);
+  if (uv_shutdown (req, (uv_stream_t *)&conn->tcp, conn_drained) != 0)
+    free (req);
+  h1_conn_resume (conn);
+}
+
+static void
+conn_closed (uv_handle_t *handle)
+{
+  h1_conn_t *conn = handle->data;
+  kb_buf_finish (&conn->head.bytes);
+  kb_buf_finish (&conn->ahead);
+  conn->events->on_closed (conn);
+}
+
+static void
+conn_shut (uv_shutdown_t *req, int status)
+{
+  uv_handle_t *handle = (uv_handle_t *)req->handle;
+  free (req);
+  if (!uv_is_closing (handle))
+    uv_close (handle, conn_closed);
+}
+
+void
+h1_conn_close (h1_conn_t *conn, bool is_abort)
+{
+  if (conn->is_closing)
+    return;
+  h1_conn_pause (conn);
+  conn->is_closing = true;
+  if (is_abort)
+    {
+      if (uv_tcp_close_reset (&conn->tcp, conn_closed) != 0)
+        uv_close ((uv_handle_t *)&conn->tcp, conn_closed);
+      return;
+    }
+  if (conn->unsent_bytes > 0)
+    {
+      uv_shutdown_t *req = kb_alloc (sizeof *req);
+      if (uv_shutdown (req, (uv_stream_t *)&conn->tcp, conn_shut) == 0)
+        return;
+      free (req);
+    }
+  uv_close ((uv_handle_t *)&conn->tcp, conn_closed);
+}
--- /dev/null
+++ b/src/transport/pages.c
@@ -0,0 +1,104 @@
+#include "transport/pages.h"
+
+#include <stdlib.h>
+
+enum
+{
+  BACKLOG = 64,
+  MAX_HEADER_BYTES = 8192,
+};
+
+typedef struct
+{
+  h1_conn_t conn; ///< First.
+  pgs_server_t *server;
+} pgs_client_t;
+
+static void
+client_on_head (h1_conn_t *conn)
+{
+}
+
+static void
+client_on_body (h1_conn_t *conn, kb_slice_t bytes)
+{
+}
+
+static void
+client_on_message (h1_conn_t *conn)
+{
+  pgs_client_t *client = (pgs_client_t *)conn;
+  kb_buf_t body = { 0 };
+  kb_buf_t answer = { 0 };
+  int http_status = client->server->answer (
+      client->server->owner, h1_head_target (&conn->head), &body);
+  bool is_last = !http_should_keep_alive (&conn->parser);
+  kb_buf_printf (&answer,
+                 "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
+                 "Content-Length: %zu\r\n%s\r\n",
+                 http_status, http_status_str ((enum http_status)http_status),
+                 body.len_bytes, is_last ? "Connection: close\r\n" : "");
+  kb_buf_append (&answer, body.ptr, body.len_bytes);
+  h1_conn_write (conn, answer.ptr, answer.len_bytes);
+  kb_buf_finish (&body);
+  kb_buf_finish (&answer);
+  if (is_last)
+    h1_conn_close (conn, false);
+  else
+    h1_conn_next (conn);
+}
+
+static void
+client_on_end (h1_conn_t *conn, h1_end_t end)
+{
+  h1_conn_close (conn, false);
+}
+
+static void
+client_on_closed (h1_conn_t *conn)
+{
+  free (conn);
+}
+
+static const h1_events_t client_events = {
+  .on_head = client_on_head,
+  .on_body = client_on_body,
+  .on_message = client_on_message,
+  .on_end = client_on_end,
+  .on_closed = client_on_closed,
+};
+
+static void
+server_on_connection (uv_stream_t *listener, int status)
+{
+  pgs_server_t *server = listener->data;
+  if (status != 0)
+    return;
+  pgs_client_t *client = kb_alloc (sizeof *client);
+  kb_status_t accepted
+      = h1_conn_accept (&client->conn, server->loop, listener, &client_events,
+                        client, MAX_HEADER_BYTES);
+  client->server = server;
+  if (accepted != KB_OK)
+    h1_conn_close (&client->conn, false);
+}
+
+kb_status_t
+pgs_server_init (pgs_server_t *server, uv_loop_t *loop,
+                 const struct sockaddr_in *address, pgs_answer_t answer,
+                 void *owner, kb_error_t *error)
+{
+  *server
+      = (pgs_server_t){ .loop = loop, .answer = answer, .owner = owner };
+  uv_tcp_init (loop, &server->listener);
+  server->listener.data = server;
+  int code = uv_tcp_bind (&server->listener, (const struct sockaddr *)address,
+                          0);
+  if (code == 0)
+    code = uv_listen ((uv_stream_t *)&server->listener, BACKLOG,
+                      server_on_connection);
+  if (code != 0)
+    return kb_error_set (error, KB_ESYS, "cannot listen for pages: %s",
+                         uv_strerror (code));
+  return KB_OK;
+}
