feat(admit): bound the prompts read at one time, decline stale adapters in use

Cause: pauses above 300 ms came from whole engines standing still while several long prompts were read in a row; load stalls of 1 to 2 s from a replacement order that waits for its runs and holds all later loads back.

--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -13,8 +13,26 @@
   /// Adapters remembered that are neither held nor asked for.
   MAX_REMEMBERED = 4096,
   DECLINE_RETRY_MS = 400,
+  /// Prompts being read delay every running stream: an event waits for several
+  /// steps, each with a piece of a prompt. Reading at most this much at one
+  /// time keeps the pause between two events below 300 ms; without the limit
+  /// 5 % of the streams of a calm day paused for longer.
+  READING_LIMIT_MS = 160,
+  /// A request that does not fit is not overtaken for longer than this, so
+  /// that large prompts are not starved by small ones.
+  OVERTAKE_MS = 100,
+  /// Samples of the reading rate with less than this say nothing.
+  RATE_LEAST_TOKENS = 2000,
+  RATE_LEAST_MS = 20,
 };
 
+/// Reading rate before anything was measured, and bounds of a measured one,
+/// in tokens a millisecond.
+static const double RATE_DEFAULT = 35;
+static const double RATE_LEAST = 4;
+static const double RATE_MOST = 400;
+static const double RATE_WEIGHT = 0.05;
+
 /// Part of the memory that is given out. Output lengths are guesses that are
 /// off by half and more; a run that outgrows the rest preempts another one,
 /// which is then read anew.
@@ -23,7 +41,8 @@
 void
 adm_table_init (adm_table_t *table, const adm_options_t *options)
 {
-  *table = (adm_table_t){ .options = *options };
+  *table = (adm_table_t){ .options = *options,
+                          .tokens_per_ms = RATE_DEFAULT };
 }
 
 void
@@ -130,6 +149,7 @@
   else
     table->first = ask;
   table->last = ask;
+  table->waiting_tokens += ask->prompt_tokens;
   table->waiting++;
   if (ask->adapter != NULL)
     ask->adapter->waiting++;
@@ -148,6 +168,7 @@
     table->last = ask->prev;
   ask->next = NULL;
   ask->prev = NULL;
+  table->waiting_tokens -= ask->prompt_tokens;
   table->waiting--;
   if (ask->adapter != NULL)
     ask->adapter->waiting--;
@@ -173,9 +194,43 @@
   return ask;
 }
 
+static void
+reading_end (adm_table_t *table, adm_ask_t *ask)
+{
+  if (!ask->is_reading)
+    return;
+  ask->is_reading = false;
+  table->reading_tokens -= ask->prompt_tokens;
+}
+
+void
+adm_ask_begun (adm_table_t *table, adm_ask_t *ask, uint64_t now_ms)
+{
+  if (!ask->is_reading)
+    return;
+  reading_end (table, ask);
+  uint64_t took_ms = now_ms - ask->granted_ms;
+  if (ask->ahead_tokens < RATE_LEAST_TOKENS || took_ms < RATE_LEAST_MS)
+    return;
+  double rate = (double)ask->ahead_tokens / (double)took_ms;
+  if (rate < RATE_LEAST)
+    rate = RATE_LEAST;
+  if (rate > RATE_MOST)
+    rate = RATE_MOST;
+  table->tokens_per_ms += RATE_WEIGHT * (rate - table->tokens_per_ms);
+}
+
+uint64_t
+adm_backlog_us (const adm_table_t *table)
+{
+  double tokens = (double)(table->reading_tokens + table->waiting_tokens);
+  return (uint64_t)(tokens * 1000 / table->tokens_per_ms);
+}
+
 void
 adm_ask_remove (adm_table_t *table, adm_ask_t *ask)
 {
+  reading_end (table, ask);
   kb_map_remove (&table->asks, ask_key (ask->owner, ask->id));
   if (ask->granted_ms == 0)
     waiting_remove (table, ask);
@@ -221,7 +276,8 @@
   if (is_coming)
     {
       table->coming++;
-      if (is_listed && adapter->state == ADM_HELD)
+      adapter->is_replacing = is_listed && adapter->state == ADM_HELD;
+      if (adapter->is_replacing)
         return;
       adapter->state = ADM_COMING;
     }
@@ -229,6 +285,7 @@
     {
       table->held++;
       adapter->state = ADM_HELD;
+      adapter->is_replacing = false;
       adapter->version = version;
       adapter->held_ms = now_ms;
     }
@@ -252,6 +309,8 @@
   adapter->retry_ms = now_ms + ORDER_RETRY_MS;
   if (adapter->state == ADM_ABSENT)
     adapter->state = ADM_COMING;
+  else if (adapter->state == ADM_HELD)
+    adapter->is_replacing = true;
 }
 
 void
@@ -274,8 +333,12 @@
   if (table->granted >= table->options.slots)
     return false;
   uint64_t limit = (uint64_t)(MEMORY_PART * table->options.kv_tokens);
-  return table->options.kv_tokens == 0 || table->granted == 0
-         || table->granted_tokens + ask->tokens <= limit;
+  bool has_memory = table->options.kv_tokens == 0 || table->granted == 0
+                    || table->granted_tokens + ask->tokens <= limit;
+  double reading = (double)(table->reading_tokens + ask->prompt_tokens);
+  return has_memory
+         && (table->reading_tokens == 0
+             || reading <= READING_LIMIT_MS * table->tokens_per_ms);
 }
 
 /// Whether `a` is to be served before `b`; both wait, `a` longer.
@@ -287,32 +350,55 @@
 
 /// The most urgent request whose adapter is there and which fits.
 static adm_ask_t *
-choose_grant (adm_table_t *table)
+choose_grant (adm_table_t *table, uint64_t now_ms)
 {
   adm_ask_t *best = NULL;
   for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
-    if (adm_adapter_is_fit (ask->adapter) && has_place (table, ask)
-        && (best == NULL || !is_before (best, ask)))
-      best = ask;
+    {
+      if (!adm_adapter_is_fit (ask->adapter))
+        continue;
+      if (has_place (table, ask))
+        {
+          if (best == NULL || !is_before (best, ask))
+            best = ask;
+        }
+      else if (now_ms - ask->arrived_ms > OVERTAKE_MS
+               && (best == NULL || !is_before (best, ask)))
+        return best != NULL && is_before (best, ask) ? best : NULL;
+    }
   return best;
 }
 
-static adm_ask_t *
-choose_decline (adm_table_t *table, uint64_t now_ms)
+/// A version that runs still use is replaced only when they end. Until then
+/// no other adapter of this engine is fetched; another engine fetches the new
+/// version in a fraction of that time.
+static bool
+is_stale_in_use (const adm_adapter_t *adapter)
 {
-  for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
-    if (!table->is_open || now_ms + LEAST_RUN_MS >= ask->due_ms)
-      return ask;
-  return NULL;
+  return adapter != NULL && adapter->state == ADM_HELD
+         && adapter->version < adapter->wanted && adapter->pins > 0
+         && !adapter->is_replacing;
+}
+
+static const char *
+decline_reason (const adm_table_t *table, const adm_ask_t *ask,
+                uint64_t now_ms)
+{
+  if (!table->is_open)
+    return "engine_closed";
+  if (now_ms + LEAST_RUN_MS >= ask->due_ms)
+    return "no_time_left";
+  return is_stale_in_use (ask->adapter) ? "version_changes" : NULL;
 }
 
 static bool
 needs_load (const adm_adapter_t *adapter, uint64_t now_ms)
 {
-  if (adapter == NULL || adapter->retry_ms > now_ms)
+  if (adapter == NULL || adapter->retry_ms > now_ms || adapter->is_replacing)
     return false;
   return adapter->state == ADM_ABSENT
-         || (adapter->state == ADM_HELD && adapter->version < adapter->wanted);
+         || (adapter->state == ADM_HELD && adapter->version < adapter->wanted
+             && adapter->pins == 0);
 }
 
 /// The adapter whose load serves the most urgent request that waits for one.
@@ -327,19 +413,6 @@
   return best == NULL ? NULL : best->adapter;
 }
 
-/// A held adapter without runs that is wanted in a newer version: fetched
-/// ahead of the next request for it.
-static adm_adapter_t *
-choose_refresh (adm_table_t *table, uint64_t now_ms)
-{
-  uint32_t at = 0;
-  for (adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
-       a = kb_map_next (&table->adapters, &at))
-    if (a->state == ADM_HELD && needs_load (a, now_ms))
-      return a;
-  return NULL;
-}
-
 /// The held adapter that is least likely to be asked for again.
 static adm_adapter_t *
 choose_victim (adm_table_t *table, uint64_t now_ms)
@@ -355,7 +428,8 @@
       if (a->state != ADM_HELD || a->pins > 0 || a->waiting > 0
           || a->retry_ms > now_ms)
         continue;
-      double heat = heat_at (a, now_ms);
+      bool is_stale = a->version < a->wanted;
+      double heat = is_stale ? -1 : heat_at (a, now_ms);
       if (best == NULL || heat < best_heat
           || (heat == best_heat && a->used_ms < best->used_ms))
         {
@@ -373,8 +447,6 @@
   if (table->coming >= table->options.max_coming)
     return none;
   adm_adapter_t *adapter = choose_load (table, now_ms);
-  if (adapter == NULL)
-    adapter = choose_refresh (table, now_ms);
   if (adapter == NULL)
     return none;
   bool is_replacement = adapter->state == ADM_HELD;
@@ -390,20 +462,25 @@
 adm_action_t
 adm_next (adm_table_t *table, bool may_order, uint64_t now_ms)
 {
-  adm_ask_t *late = choose_decline (table, now_ms);
-  if (late != NULL)
-    return (adm_action_t){ .kind = ADM_DO_DECLINE,
-                           .ask = late,
-                           .reason
-                           = table->is_open ? "no_time_left" : "engine_closed",
-                           .retry_after_ms = DECLINE_RETRY_MS };
-  adm_ask_t *ask = table->is_open ? choose_grant (table) : NULL;
+  for (adm_ask_t *late = table->first; late != NULL; late = late->next)
+    {
+      const char *reason = decline_reason (table, late, now_ms);
+      if (reason != NULL)
+        return (adm_action_t){ .kind = ADM_DO_DECLINE,
+                               .ask = late,
+                               .reason = reason,
+                               .retry_after_ms = DECLINE_RETRY_MS };
+    }
+  adm_ask_t *ask = table->is_open ? choose_grant (table, now_ms) : NULL;
   if (ask != NULL)
     {
       waiting_remove (table, ask);
       ask->granted_ms = now_ms > 0 ? now_ms : 1;
       table->granted++;
       table->granted_tokens += ask->tokens;
+      table->reading_tokens += ask->prompt_tokens;
+      ask->is_reading = true;
+      ask->ahead_tokens = table->reading_tokens;
       if (ask->adapter != NULL)
         ask->adapter->pins++;
       return (adm_action_t){ .kind = ADM_DO_GRANT, .ask = ask };
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -37,6 +37,7 @@
   uint64_t held_ms; ///< Last seen held.
   double heat;      ///< Decayed count of requests.
   uint64_t heat_ms;
+  bool is_replacing; ///< Held, and a newer version is on its way.
   uint64_t mark;    ///< The report that listed it last.
   uint64_t retry_ms; ///< Not ordered again before this.
 } adm_adapter_t;
@@ -49,11 +50,14 @@
   adm_adapter_t *adapter; ///< NULL: the model itself.
   uint32_t priority;
   uint32_t tokens; ///< Memory it will need.
+  uint32_t prompt_tokens;
   uint64_t arrived_ms;
   uint64_t due_ms;       ///< Of no more use after this.
   uint64_t objective_ms; ///< Its first event is late after this.
   uint64_t load_from_ms; ///< When it began to wait for a load; zero: not.
   uint64_t granted_ms;   ///< Zero: waiting.
+  bool is_reading;       ///< Granted; its prompt is not read yet.
+  uint64_t ahead_tokens; ///< Prompts to be read with it, at its grant.
   struct adm_ask *next;
   struct adm_ask *prev;
 } adm_ask_t;
@@ -76,6 +80,9 @@
   uint32_t waiting;
   uint32_t granted;
   uint64_t granted_tokens;
+  uint64_t reading_tokens; ///< Prompts granted and not read yet.
+  uint64_t waiting_tokens; ///< Prompts of waiting requests.
+  double tokens_per_ms;    ///< Prompts the engine reads, as measured.
   uint32_t held;
   uint32_t coming;
   uint64_t report_mark;
@@ -113,6 +120,10 @@
 adm_ask_t *adm_ask_find (adm_table_t *table, uint64_t owner, uint64_t id);
 /// Forget a request, waiting or granted.
 void adm_ask_remove (adm_table_t *table, adm_ask_t *ask);
+/// The first event of a granted request came.
+void adm_ask_begun (adm_table_t *table, adm_ask_t *ask, uint64_t now_ms);
+/// @return  Time to read the prompts of all requests here, in microseconds.
+uint64_t adm_backlog_us (const adm_table_t *table);
 /// Forget all requests of a gateway that is gone.
 void adm_owner_gone (adm_table_t *table, uint64_t owner);
 /// Take over what a report lists: begin, each adapter, end.
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -80,7 +80,7 @@
         continue;
       double slots = v->slots > 0 ? v->slots : 1;
       double cost = costs->full_ms * v->busy / slots
-                    + costs->wait_ms * v->waiting / slots
+                    + costs->wait_ms * v->waiting / slots + v->backlog_ms
                     + costs->failure_ms * v->failures
                     + (v->is_near ? 0 : costs->far_ms)
                     + holding_cost (costs, views, count, adapter, i);
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -27,6 +27,7 @@
   uint32_t slots;
   uint32_t busy;    ///< Places taken, with own requests since the report.
   uint32_t waiting; ///< Requests that wait there.
+  double backlog_ms; ///< Time to read the prompts that are there.
   double failures;  ///< Recent share of failed requests, 0 to 1.
 } plc_view_t;
 
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -224,8 +224,15 @@
     }
   if (at > from)
     {
+      uint64_t now_ms = gtw_now_ms (r->gateway);
+      if (!r->is_begun)
+        gtw_request_begun (r);
+      r->is_begun = true;
       if (r->first_event_ms == 0)
-        r->first_event_ms = gtw_now_ms (r->gateway);
+        r->first_event_ms = now_ms;
+      else if (now_ms - r->passed_ms > r->longest_gap_ms)
+        r->longest_gap_ms = now_ms - r->passed_ms;
+      r->passed_ms = now_ms;
       pass (r, (kb_slice_t){ r->held.ptr + from, (uint32_t)(at - from) });
       arm_silence (r);
     }
@@ -436,6 +443,7 @@
   r->stage = r->is_head_written ? GTW_PASSING : GTW_SENT;
   r->sends++;
   r->runs++;
+  r->is_begun = false;
   r->sent_ms = gtw_now_ms (gateway);
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
   kb_buf_finish (&head);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -48,6 +48,9 @@
   uint32_t granted;
   uint32_t waiting;
   uint32_t asked_since; ///< Own requests since that report.
+  double asked_tokens;  ///< Their prompts.
+  double backlog_ms;    ///< Time to read the prompts there.
+  double tokens_per_ms; ///< Prompts that it reads.
   msg_engine_adapter_t *adapters;
   uint32_t adapter_count;
 } gtw_target_t;
@@ -118,6 +121,7 @@
   int http_status;
   bool is_stream_answer;
   bool is_head_written;
+  bool is_begun; ///< The present target sent an event.
   bool is_chunked;
   bool is_unframed; ///< The target's answer ends with its connection.
   kb_buf_t head;
@@ -125,6 +129,8 @@
   uint64_t last_event;
   bool has_event;
   uint64_t first_event_ms;
+  uint64_t passed_ms;      ///< When events were last passed on.
+  uint64_t longest_gap_ms; ///< Between events, for the log.
   uint64_t retry_after_ms; ///< Longest that a target asked for.
   const char *reason;      ///< Of the last failure.
 };
@@ -220,6 +226,8 @@
                           const msg_place_grant_t *grant, gtw_target_t *from);
 void gtw_request_declined (gtw_gateway_t *gateway,
                            const msg_place_decline_t *decline);
+/// The first event came: tell the sidecar that the prompt is read.
+void gtw_request_begun (gtw_request_t *r);
 /// The sidecar that was asked is gone or restarted.
 void gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target);
 void gtw_log_request (const gtw_request_t *r, const char *outcome,
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -163,6 +163,9 @@
   target->granted = (uint32_t)state->granted;
   target->waiting = (uint32_t)state->waiting;
   target->asked_since = 0;
+  target->asked_tokens = 0;
+  target->backlog_ms = (double)state->backlog_us / 1000;
+  target->tokens_per_ms = (double)state->tokens_per_s / 1000;
   if (state->gateway_count > 0)
     gateway->gateway_count = (uint32_t)state->gateway_count;
   kb_slice_copy (state->instance, target->instance, sizeof target->instance);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -153,6 +153,7 @@
            r->first_event_ms == 0 ? -1
                                   : (int64_t)(r->first_event_ms
                                               - r->arrived_ms));
+  log_int (&line, "gap_ms", (int64_t)r->longest_gap_ms);
   log_int (&line, "load_us", (int64_t)r->load_us);
   log_int (&line, "left_ms", (int64_t)(r->deadline_ms - now_ms));
   log_end (&line);
@@ -330,6 +331,7 @@
               .model = r->said.model,
               .adapter = r->said.adapter } };
   r->target->asked_since++;
+  r->target->asked_tokens += r->said.prompt_tokens;
   if (hst_send (&gateway->host, r->target->link, &msg) == KB_OK)
     return;
   r->target->condition = MSG_ENGINE_DOWN;
@@ -403,6 +405,16 @@
   gtw_request_next (r);
 }
 
+void
+gtw_request_begun (gtw_request_t *r)
+{
+  if (r->place_id == 0)
+    return;
+  msg_t msg = { .type = MSG_PLACE_BEGUN,
+                .place_begun = { .id = r->place_id } };
+  hst_send (&r->gateway->host, r->target->link, &msg);
+}
+
 void
 gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target)
 {
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -211,6 +211,14 @@
   return PLC_ABSENT;
 }
 
+/// Time to read the prompts at an engine, with own ones since its report.
+static double
+backlog_of (const gtw_target_t *target)
+{
+  double rate = target->tokens_per_ms > 0 ? target->tokens_per_ms : 1;
+  return target->backlog_ms + target->asked_tokens / rate;
+}
+
 static void
 describe (const gtw_gateway_t *gateway, const gtw_request_t *r,
           const gtw_target_t *target, uint32_t newest, plc_view_t *out)
@@ -227,6 +235,7 @@
     .busy = r->is_engine ? target->granted + target->asked_since
                          : target->active,
     .waiting = r->is_engine ? target->waiting : 0,
+    .backlog_ms = r->is_engine ? backlog_of (target) : 0,
     .failures = failures_at (target, gtw_now_ms (gateway)),
   };
 }
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -114,11 +114,12 @@
         N (gateway_state, engine_count) } },
   [MSG_ENGINE_STATE]
   = { "engine_state",
-      10,
+      12,
       { N (engine_state, incarnation), N (engine_state, revision),
         N (engine_state, versions_known), N (engine_state, condition),
         N (engine_state, slots), N (engine_state, granted),
         N (engine_state, waiting), N (engine_state, gateway_count),
+        N (engine_state, backlog_us), N (engine_state, tokens_per_s),
         S (engine_state, instance), S (engine_state, adapters) } },
   [MSG_PLACE_ASK]
   = { "place_ask",
@@ -140,6 +141,7 @@
         S (place_decline, reason) } },
   [MSG_PLACE_RELEASE]
   = { "place_release", 1, { N (place_release, id) } },
+  [MSG_PLACE_BEGUN] = { "place_begun", 1, { N (place_begun, id) } },
   [MSG_DOCUMENT]
   = { "document", 2, { N (document, revision), S (document, data) } },
   [MSG_ADAPTER_VERSION]
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -37,6 +37,7 @@
   MSG_PLACE_GRANT,
   MSG_PLACE_DECLINE,
   MSG_PLACE_RELEASE,
+  MSG_PLACE_BEGUN,
   MSG_DOCUMENT,
   MSG_ADAPTER_VERSION,
   MSG_TYPE_END,
@@ -306,6 +307,8 @@
   uint64_t granted; ///< Places given, or held by runs.
   uint64_t waiting; ///< Requests that wait for a place or a load.
   uint64_t gateway_count;
+  uint64_t backlog_us; ///< Time to read the prompts that are accepted.
+  uint64_t tokens_per_s; ///< Prompt tokens the engine reads.
   kb_slice_t instance; ///< Incarnation of the engine, or empty.
   kb_slice_t adapters; ///< Packed msg_engine_adapter_t.
 } msg_engine_state_t;
@@ -353,6 +356,12 @@
   uint64_t id;
 } msg_place_release_t;
 
+/// The first event came: the prompt is read.
+typedef struct
+{
+  uint64_t id;
+} msg_place_begun_t;
+
 /// The configuration document, passed on for daemons that can not read it.
 typedef struct
 {
@@ -399,6 +408,7 @@
     msg_place_grant_t place_grant;
     msg_place_decline_t place_decline;
     msg_place_release_t place_release;
+    msg_place_begun_t place_begun;
     msg_document_t document;
     msg_adapter_version_t adapter_version;
   };
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -30,6 +30,7 @@
   /// faster, because all engines share the weight store.
   MAX_COMING = 3,
   EXIT_MS = 250,
+  MS_PER_S = 1000,
 };
 
 static void sidecar_pump (scr_sidecar_t *s);
@@ -95,6 +96,9 @@
                     .granted = s->table.granted,
                     .waiting = s->table.waiting,
                     .gateway_count = s->gateway_count,
+                    .backlog_us = adm_backlog_us (&s->table),
+                    .tokens_per_s
+                    = (uint64_t)(s->table.tokens_per_ms * MS_PER_S),
                     .instance = kb_slice_str (s->instance),
                     .adapters = kb_buf_slice (&adapters) } };
   for (uint32_t i = 0; i < s->gateway_count; i++)
@@ -322,6 +326,7 @@
                     .priority = (uint32_t)given->priority,
                     .tokens = (uint32_t)(given->prompt_tokens
                                          + given->output_tokens),
+                    .prompt_tokens = (uint32_t)given->prompt_tokens,
                     .arrived_ms = now_ms,
                     .due_ms = now_ms + given->left_ms,
                     .objective_ms = now_ms + given->objective_ms };
@@ -351,6 +356,16 @@
   sidecar_pump (s);
 }
 
+static void
+take_begun (scr_sidecar_t *s, kb_slice_t peer, uint64_t id)
+{
+  adm_ask_t *ask = adm_ask_find (&s->table, name_id (peer), id);
+  if (ask == NULL)
+    return;
+  adm_ask_begun (&s->table, ask, now_ms_of (s));
+  sidecar_pump (s);
+}
+
 static void
 sidecar_on_message (hst_host_t *host, kb_slice_t peer, const msg_t *msg)
 {
@@ -366,6 +381,9 @@
     case MSG_PLACE_RELEASE:
       take_release (s, peer, msg->place_release.id);
       break;
+    case MSG_PLACE_BEGUN:
+      take_begun (s, peer, msg->place_begun.id);
+      break;
     case MSG_DOCUMENT:
       take_document (s, &msg->document);
       help_all (s);
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -338,11 +338,27 @@
   *buf = uv_buf_init (read_buffer, sizeof read_buffer);
 }
 
+/// libuv reports the end of the stream when a hang-up is polled behind the
+/// last bytes, also where the hang-up is a reset. An answer without a length
+/// would then look whole though its sender crashed within it. The socket
+/// itself still knows: a read gives the pending error instead of zero bytes.
+static bool
+conn_was_reset (h1_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0)
+    return true;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 static void
 conn_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
   h1_conn_t *conn = stream->data;
-  if (got == UV_EOF)
+  if (got == UV_EOF && conn_was_reset (conn))
+    conn_end (conn, H1_END_RESET);
+  else if (got == UV_EOF)
     conn_read_eof (conn);
   else if (got < 0)
     conn_end (conn, H1_END_RESET);
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -182,8 +182,8 @@
   if (pid == 0)
     {
       dup2 (out[1], STDOUT_FILENO);
-      int log = open (process.log_path.c_str (), O_CREAT | O_WRONLY | O_APPEND,
-                      0600);
+      int log = open ((dir + "/" + name + ".err").c_str (),
+                      O_CREAT | O_WRONLY | O_APPEND, 0600);
       dup2 (log, STDERR_FILENO);
       for (int fd = 3; fd < 256; fd++)
         close (fd);
@@ -196,21 +196,31 @@
     }
   close (out[1]);
   process.pid = pid;
+  // Log lines may stand before the line that names the ports.
   std::string line;
   char c;
-  while (read (out[0], &c, 1) == 1 && c != '\n')
-    line += c;
-  size_t http = line.find ("http=");
+  size_t http = std::string::npos;
+  while (http == std::string::npos && read (out[0], &c, 1) == 1)
+    {
+      if (c != '\n')
+        {
+          line += c;
+          continue;
+        }
+      http = line.find ("http=");
+      if (http == std::string::npos)
+        line.clear ();
+    }
   size_t inner = line.find ("inner=");
   if (http == std::string::npos)
     throw std::runtime_error (name + " did not start: " + line);
   process.http_port = atoi (line.c_str () + http + 5);
   process.inner_port = atoi (line.c_str () + inner + 6);
-  // Spans may follow on standard output; keep the pipe drained.
+  // The log and spans follow on standard output; keep the pipe drained.
   int fd = out[0];
-  std::string span_path = dir + "/" + name + ".out";
+  std::string span_path = process.log_path;
   std::thread ([fd, span_path] {
-    std::ofstream sink (span_path);
+    std::ofstream sink (span_path, std::ios::app);
     char buffer[4096];
     ssize_t got;
     while ((got = read (fd, buffer, sizeof buffer)) > 0)
