--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -32,6 +32,9 @@
 static const double RATE_LEAST = 4;
 static const double RATE_MOST = 400;
 static const double RATE_WEIGHT = 0.05;
+/// Fetch of an adapter from the weight store before one was measured.
+static const double LOAD_DEFAULT_MS = 250;
+static const double LOAD_WEIGHT = 0.2;
 
 /// Part of the memory that is given out. Output lengths are guesses that are
 /// off by half and more; a run that outgrows the rest preempts another one,
@@ -42,7 +45,8 @@
 adm_table_init (adm_table_t *table, const adm_options_t *options)
 {
   *table = (adm_table_t){ .options = *options,
-                          .tokens_per_ms = RATE_DEFAULT };
+                          .tokens_per_ms = RATE_DEFAULT,
+                          .load_ms = LOAD_DEFAULT_MS };
 }
 
 void
@@ -139,6 +143,49 @@
   return kb_map_get (&table->asks, ask_key (owner, id));
 }
 
+/// Whether its fetch takes a turn at the weight store.
+static bool
+is_cold_load (const adm_adapter_t *adapter)
+{
+  return adapter->held_ms == 0 || adapter->version < adapter->wanted;
+}
+
+static bool
+waits_for_cold_load (const adm_adapter_t *adapter)
+{
+  return adapter->waiting > 0 && adapter->state == ADM_ABSENT
+         && is_cold_load (adapter);
+}
+
+uint64_t
+adm_load_wait_ms (const adm_table_t *table, const adm_adapter_t *adapter)
+{
+  if (adm_adapter_is_fit (adapter) || adapter->waiting > 0
+      || adapter->state == ADM_COMING || !is_cold_load (adapter))
+    return 0;
+  uint32_t ahead = table->cold_coming;
+  uint32_t at = 0;
+  for (const adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
+       a = kb_map_next (&table->adapters, &at))
+    ahead += waits_for_cold_load (a);
+  uint32_t lanes = table->options.max_cold > 0 ? table->options.max_cold : 1;
+  return (uint64_t)((ahead / lanes + 1) * table->load_ms);
+}
+
+void
+adm_engine_restarted (adm_table_t *table)
+{
+  uint32_t at = 0;
+  for (adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
+       a = kb_map_next (&table->adapters, &at))
+    {
+      a->held_ms = 0;
+      a->ordered_ms = 0;
+      a->state = ADM_ABSENT;
+      a->is_replacing = false;
+    }
+}
+
 static void
 waiting_append (adm_table_t *table, adm_ask_t *ask)
 {
@@ -264,6 +311,20 @@
   table->report_mark++;
   table->held = 0;
   table->coming = 0;
+  table->cold_coming = 0;
+}
+
+/// A fetch that was ordered has arrived.
+static void
+note_arrival (adm_table_t *table, adm_adapter_t *adapter, uint64_t now_ms)
+{
+  if (adapter->ordered_ms == 0)
+    return;
+  if (adapter->is_cold)
+    table->load_ms += LOAD_WEIGHT
+                      * ((double)(now_ms - adapter->ordered_ms)
+                         - table->load_ms);
+  adapter->ordered_ms = 0;
 }
 
 void
@@ -276,6 +337,7 @@
   if (is_coming)
     {
       table->coming++;
+      table->cold_coming += adapter->is_cold;
       adapter->is_replacing = is_listed && adapter->state == ADM_HELD;
       if (adapter->is_replacing)
         return;
@@ -284,6 +346,7 @@
   else
     {
       table->held++;
+      note_arrival (table, adapter, now_ms);
       adapter->state = ADM_HELD;
       adapter->is_replacing = false;
       adapter->version = version;
@@ -305,7 +368,10 @@
 void
 adm_load_begun (adm_table_t *table, adm_adapter_t *adapter, uint64_t now_ms)
 {
+  adapter->is_cold = is_cold_load (adapter);
+  adapter->ordered_ms = now_ms;
   table->coming++;
+  table->cold_coming += adapter->is_cold;
   adapter->retry_ms = now_ms + ORDER_RETRY_MS;
   if (adapter->state == ADM_ABSENT)
     adapter->state = ADM_COMING;
@@ -401,6 +467,14 @@
              && adapter->pins == 0);
 }
 
+/// Whether a fetch may begin beside those under way.
+static bool
+has_load_lane (const adm_table_t *table, const adm_adapter_t *adapter)
+{
+  return !is_cold_load (adapter)
+         || table->cold_coming < table->options.max_cold;
+}
+
 /// The adapter whose load serves the most urgent request that waits for one.
 static adm_adapter_t *
 choose_load (adm_table_t *table, uint64_t now_ms)
@@ -408,6 +482,7 @@
   adm_ask_t *best = NULL;
   for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
     if (needs_load (ask->adapter, now_ms)
+        && has_load_lane (table, ask->adapter)
         && (best == NULL || !is_before (best, ask)))
       best = ask;
   return best == NULL ? NULL : best->adapter;
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -34,7 +34,9 @@
   uint32_t pins;    ///< Places granted with it.
   uint32_t waiting;
   uint64_t used_ms; ///< Last request for it.
-  uint64_t held_ms; ///< Last seen held.
+  uint64_t held_ms; ///< Last seen held; zero: never by this incarnation.
+  uint64_t ordered_ms; ///< When its fetch was accepted; zero: not under way.
+  bool is_cold;        ///< The fetch under way is from the weight store.
   double heat;      ///< Decayed count of requests.
   uint64_t heat_ms;
   bool is_replacing; ///< Held, and a newer version is on its way.
@@ -67,7 +69,8 @@
   uint32_t slots;
   uint32_t kv_tokens;
   uint32_t adapter_slots;
-  uint32_t max_coming; ///< Adapters on their way at one time.
+  uint32_t max_cold; ///< Adapters on their way from the weight store.
+  uint32_t max_coming; ///< All adapters on their way.
 } adm_options_t;
 
 typedef struct
@@ -85,6 +88,9 @@
   double tokens_per_ms;    ///< Prompts the engine reads, as measured.
   uint32_t held;
   uint32_t coming;
+  uint32_t cold_coming;  ///< Of these, from the weight store.
+  uint32_t cold_waiting; ///< Adapters asked for that wait for such a fetch.
+  double load_ms;        ///< Time of such a fetch, as measured.
   uint64_t report_mark;
   bool is_open; ///< The engine is up, holds its model and stays.
 } adm_table_t;
@@ -120,6 +126,11 @@
 adm_ask_t *adm_ask_find (adm_table_t *table, uint64_t owner, uint64_t id);
 /// Forget a request, waiting or granted.
 void adm_ask_remove (adm_table_t *table, adm_ask_t *ask);
+/// @return  Time until an adapter asked for now would be held, milliseconds.
+uint64_t adm_load_wait_ms (const adm_table_t *table,
+                           const adm_adapter_t *adapter);
+/// The engine restarted: nothing is held in its memory any more.
+void adm_engine_restarted (adm_table_t *table);
 /// The first event of a granted request came.
 void adm_ask_begun (adm_table_t *table, adm_ask_t *ask, uint64_t now_ms);
 /// @return  Time to read the prompts of all requests here, in microseconds.
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -18,8 +18,8 @@
     // a first one.
     .full_ms = 900,
     .wait_ms = 2000,
-    .load_ms = 300,
-    .home_load_ms = 80,
+    .load_ms = 900,
+    .home_load_ms = 60,
     .coming_ms = 60,
     .far_ms = 4,
     .failure_ms = 1500,
@@ -60,11 +60,15 @@
     case PLC_ABSENT:
       break;
     }
-  uint32_t rank = rank_of (views, count, adapter, at);
-  if (rank == 0)
-    return costs->home_load_ms;
-  double step = (costs->load_ms - costs->home_load_ms) / HOME_RANKS;
-  return costs->home_load_ms + step * (rank < HOME_RANKS ? rank : HOME_RANKS);
+  switch (rank_of (views, count, adapter, at))
+    {
+    case 0:
+      return costs->home_load_ms;
+    case 1:
+      return (costs->home_load_ms + costs->load_ms) / 2;
+    default:
+      return costs->load_ms;
+    }
 }
 
 int32_t
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -13,7 +13,7 @@
 
 enum
 {
-  GTW_TICK_MS = 200, ///< Checks of callers, targets and links.
+  GTW_TICK_MS = 100, ///< Checks of callers, targets and links.
   GTW_MAX_TRIES = 8,
   GTW_ID_BYTES = 64,
   GTW_MAX_BUDGETS = 16, ///< Services; the rest share the last one.
@@ -101,6 +101,7 @@
   uint64_t arrived_ms;
   uint64_t deadline_ms; ///< Moment; of no more use to the caller.
   uint64_t timeout_ms;  ///< Moment; the route's bound.
+  uint64_t first_due_ms; ///< Moment; a first event is of no use after it.
   uint64_t sent_ms;
 
   gtw_target_t *target; ///< Asked or sent to.
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -26,6 +26,12 @@
   /// Callers come back after at least this, spread over as much again.
   RETRY_AFTER_MS = 300,
   STOP_RETRY_AFTER_MS = 100,
+  /// Callers abandon a stream without a first event after four objectives or
+  /// two seconds, whichever is longer.
+  PATIENCE_OBJECTIVES = 4,
+  PATIENCE_LEAST_MS = 2000,
+  /// Time for the prompt to be read and the first event to travel.
+  PATIENCE_MARGIN_MS = 250,
 };
 
 static gtw_request_t *
@@ -76,6 +82,22 @@
   r->revision = config->revision;
 }
 
+/// @return  The moment until which a caller waits for a first byte.
+static uint64_t
+first_due_ms (const gtw_request_t *r)
+{
+  uint64_t end_ms
+      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+  if (r->kind != SVC_KIND_STREAM)
+    return end_ms;
+  uint64_t patience_ms
+      = PATIENCE_OBJECTIVES * (r->objective_ms - r->arrived_ms);
+  if (patience_ms < PATIENCE_LEAST_MS)
+    patience_ms = PATIENCE_LEAST_MS;
+  uint64_t due_ms = r->arrived_ms + patience_ms - PATIENCE_MARGIN_MS;
+  return due_ms < end_ms ? due_ms : end_ms;
+}
+
 static void
 request_copy_said (gtw_request_t *r, const rly_request_t *said)
 {
@@ -84,6 +106,7 @@
   uint64_t deadline_ms
       = said->deadline_ms > 0 ? said->deadline_ms : DEFAULT_DEADLINE_MS;
   r->deadline_ms = r->arrived_ms + deadline_ms;
+  r->first_due_ms = first_due_ms (r);
   if (said->adapter.len_bytes > 0)
     r->adapter_key = ver_key (said->model, said->adapter, r->adapter_name,
                               sizeof r->adapter_name);
@@ -315,8 +338,6 @@
   r->place_ms = now_ms;
   r->has_place = false;
   kb_map_put (&gateway->places, r->place_id, r);
-  uint64_t end_ms
-      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
   msg_t msg
       = { .type = MSG_PLACE_ASK,
           .place_ask
@@ -324,7 +345,8 @@
               .priority = r->priority,
               .prompt_tokens = r->said.prompt_tokens,
               .output_tokens = output_tokens_of (&r->said),
-              .left_ms = end_ms > now_ms ? end_ms - now_ms : 0,
+              .left_ms
+              = r->first_due_ms > now_ms ? r->first_due_ms - now_ms : 0,
               .objective_ms
               = r->objective_ms > now_ms ? r->objective_ms - now_ms : 0,
               .version = ver_newest (&gateway->versions, r->adapter_key),
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -309,7 +309,9 @@
       if (!t->is_linked)
         continue;
       check_sidecar (gateway, t, now_ms);
-      if (is_tell_time)
+      // Until the link is up nothing reaches the sidecar; say it again soon,
+      // or a restarted fleet stays without engines for a second.
+      if (is_tell_time || t->heard_ms == 0)
         gtw_tell_sidecar (gateway, t);
     }
 }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -26,9 +26,11 @@
   MODEL_RETRY_AT_HAND_MS = 1000,
   DEFAULT_SLOTS = 16,
   DEFAULT_ADAPTER_SLOTS = 8,
-  /// An engine fetches at most four adapters at one time. Fewer leave each
-  /// faster, because all engines share the weight store.
-  MAX_COMING = 3,
+  /// An engine takes at most four adapters at one time. From the weight
+  /// store, which serves about one for each engine at full speed, one at a
+  /// time arrives sooner than several that share its rate.
+  MAX_COMING = 4,
+  MAX_COLD = 1,
   EXIT_MS = 250,
   MS_PER_S = 1000,
 };
@@ -340,6 +342,12 @@
       adm_adapter_want (ask.adapter, (uint32_t)given->version);
       if (!adm_adapter_is_fit (ask.adapter))
         ask.load_from_ms = now_ms;
+      uint64_t wait_ms = adm_load_wait_ms (&s->table, ask.adapter);
+      if (wait_ms > given->objective_ms && wait_ms > s->table.load_ms)
+        {
+          decline (s, peer, given->id, "load_queue", wait_ms);
+          return;
+        }
     }
   if (adm_ask_add (&s->table, &ask) == NULL)
     return;
@@ -574,6 +582,7 @@
     {
       // Another incarnation: it knows nothing of the orders before.
       s->model_ordered_ms = 0;
+      adm_engine_restarted (&s->table);
       snprintf (s->instance, sizeof s->instance, "%s", report->instance);
       state_changed (s);
     }
@@ -720,6 +729,7 @@
                         .condition = MSG_ENGINE_DOWN };
   adm_options_t options = { .slots = DEFAULT_SLOTS,
                             .adapter_slots = DEFAULT_ADAPTER_SLOTS,
+                            .max_cold = MAX_COLD,
                             .max_coming = MAX_COMING };
   adm_table_init (&s->table, &options);
   // Gateways know a sidecar by the address of its VM alone.
