--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -24,6 +24,8 @@
   /// Samples of the reading rate with less than this say nothing.
   RATE_LEAST_TOKENS = 2000,
   RATE_LEAST_MS = 20,
+  /// Waiting this long counts as much as one more waiting request.
+  WAIT_VALUE_MS = 300,
 };
 
 /// Reading rate before anything was measured, and bounds of a measured one,
@@ -35,6 +37,8 @@
 /// Fetch of an adapter from the weight store before one was measured.
 static const double LOAD_DEFAULT_MS = 250;
 static const double LOAD_WEIGHT = 0.2;
+/// Weight of a recent request against a waiting one when fetches are ordered.
+static const double HEAT_VALUE = 0.5;
 
 /// Part of the memory that is given out. Output lengths are guesses that are
 /// off by half and more; a run that outgrows the rest preempts another one,
@@ -157,19 +161,55 @@
          && is_cold_load (adapter);
 }
 
+/// @return  Time until a fetch behind `ahead` others has arrived.
+static uint64_t
+turns_ms (const adm_table_t *table, uint32_t ahead)
+{
+  uint32_t lanes = table->options.max_cold > 0 ? table->options.max_cold : 1;
+  return (uint64_t)((ahead / lanes + 1) * table->load_ms);
+}
+
+/// What a fetch of an adapter is worth: the requests that wait for it now, and
+/// those that will come while it is held.
+static double
+load_value (const adm_adapter_t *adapter, uint64_t now_ms)
+{
+  return adapter->waiting + HEAT_VALUE * heat_at (adapter, now_ms);
+}
+
+void
+adm_adapter_asked (adm_adapter_t *adapter, uint64_t now_ms)
+{
+  adapter->heat = heat_at (adapter, now_ms) + 1;
+  adapter->heat_ms = now_ms;
+  adapter->used_ms = now_ms;
+}
+
 uint64_t
-adm_load_wait_ms (const adm_table_t *table, const adm_adapter_t *adapter)
+adm_load_wait_ms (const adm_table_t *table, const adm_adapter_t *adapter,
+                  uint64_t now_ms)
 {
   if (adm_adapter_is_fit (adapter) || adapter->waiting > 0
       || adapter->state == ADM_COMING || !is_cold_load (adapter))
     return 0;
   uint32_t ahead = table->cold_coming;
+  double value = load_value (adapter, now_ms) + 1;
+  uint32_t at = 0;
+  for (const adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
+       a = kb_map_next (&table->adapters, &at))
+    ahead += waits_for_cold_load (a) && load_value (a, now_ms) >= value;
+  return turns_ms (table, ahead);
+}
+
+uint64_t
+adm_new_load_wait_ms (const adm_table_t *table)
+{
+  uint32_t ahead = table->cold_coming;
   uint32_t at = 0;
   for (const adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
        a = kb_map_next (&table->adapters, &at))
     ahead += waits_for_cold_load (a);
-  uint32_t lanes = table->options.max_cold > 0 ? table->options.max_cold : 1;
-  return (uint64_t)((ahead / lanes + 1) * table->load_ms);
+  return turns_ms (table, ahead);
 }
 
 void
@@ -231,13 +271,6 @@
   *ask = *given;
   kb_map_put (&table->asks, key, ask);
   waiting_append (table, ask);
-  adm_adapter_t *adapter = ask->adapter;
-  if (adapter != NULL)
-    {
-      adapter->heat = heat_at (adapter, ask->arrived_ms) + 1;
-      adapter->heat_ms = ask->arrived_ms;
-      adapter->used_ms = ask->arrived_ms;
-    }
   return ask;
 }
 
@@ -475,17 +508,31 @@
          || table->cold_coming < table->options.max_cold;
 }
 
-/// The adapter whose load serves the most urgent request that waits for one.
+/// The waiting adapter whose fetch serves most; one held before comes first,
+/// because it takes no turn at the weight store.
 static adm_adapter_t *
 choose_load (adm_table_t *table, uint64_t now_ms)
 {
-  adm_ask_t *best = NULL;
+  adm_adapter_t *best = NULL;
+  double best_value = 0;
   for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
-    if (needs_load (ask->adapter, now_ms)
-        && has_load_lane (table, ask->adapter)
-        && (best == NULL || !is_before (best, ask)))
-      best = ask;
-  return best == NULL ? NULL : best->adapter;
+    {
+      adm_adapter_t *a = ask->adapter;
+      if (a == best || !needs_load (a, now_ms) || !has_load_lane (table, a))
+        continue;
+      if (!is_cold_load (a))
+        return a;
+      double value = load_value (a, now_ms);
+      // A request that waited long is served before a more popular one, so
+      // that rare adapters are not passed over for ever.
+      value += (double)(now_ms - ask->arrived_ms) / WAIT_VALUE_MS;
+      if (best == NULL || value > best_value)
+        {
+          best = a;
+          best_value = value;
+        }
+    }
+  return best;
 }
 
 /// The held adapter that is least likely to be asked for again.
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -128,7 +128,11 @@
 void adm_ask_remove (adm_table_t *table, adm_ask_t *ask);
 /// @return  Time until an adapter asked for now would be held, milliseconds.
 uint64_t adm_load_wait_ms (const adm_table_t *table,
-                           const adm_adapter_t *adapter);
+                           const adm_adapter_t *adapter, uint64_t now_ms);
+/// @return  The same for an adapter that was never asked for.
+uint64_t adm_new_load_wait_ms (const adm_table_t *table);
+/// A request for it came, whether or not it is let in.
+void adm_adapter_asked (adm_adapter_t *adapter, uint64_t now_ms);
 /// The engine restarted: nothing is held in its memory any more.
 void adm_engine_restarted (adm_table_t *table);
 /// The first event of a granted request came.
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -18,8 +18,9 @@
     // a first one.
     .full_ms = 900,
     .wait_ms = 2000,
-    .load_ms = 900,
-    .home_load_ms = 60,
+    .first_rank_ms = 0,
+    .second_rank_ms = 300,
+    .other_rank_ms = 600,
     .coming_ms = 60,
     .far_ms = 4,
     .failure_ms = 1500,
@@ -63,11 +64,11 @@
   switch (rank_of (views, count, adapter, at))
     {
     case 0:
-      return costs->home_load_ms;
+      return views[at].load_wait_ms + costs->first_rank_ms;
     case 1:
-      return (costs->home_load_ms + costs->load_ms) / 2;
+      return views[at].load_wait_ms + costs->second_rank_ms;
     default:
-      return costs->load_ms;
+      return views[at].load_wait_ms + costs->other_rank_ms;
     }
 }
 
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -28,6 +28,7 @@
   uint32_t busy;    ///< Places taken, with own requests since the report.
   uint32_t waiting; ///< Requests that wait there.
   double backlog_ms; ///< Time to read the prompts that are there.
+  double load_wait_ms; ///< Until an adapter new to it would be held.
   double failures;  ///< Recent share of failed requests, 0 to 1.
 } plc_view_t;
 
@@ -36,8 +37,12 @@
 {
   double full_ms;      ///< Delay by a full batch against an empty one.
   double wait_ms;      ///< Each waiting request, per slot.
-  double load_ms;      ///< An adapter from the weight store.
-  double home_load_ms; ///< An adapter at the target that held it before.
+  /// Beyond the wait for a fetch, by rank of the target for the adapter: a
+  /// target that held it before has it again in a tenth of the time, and one
+  /// more target that holds it takes a place from another adapter.
+  double first_rank_ms;
+  double second_rank_ms;
+  double other_rank_ms;
   double coming_ms;    ///< The rest of a load that is under way.
   double far_ms;       ///< Another failure domain.
   double failure_ms;   ///< A target all of whose requests fail.
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -407,7 +407,9 @@
     priority = MAX_ENGINE_PRIORITY;
   *out = (rly_forward_t){
     .deadline_ms = end_ms > now_ms ? end_ms - now_ms : 1,
-    .instance = kb_slice_str (r->target->told.id),
+    .instance = kb_slice_str (r->is_engine && r->granted_instance[0] != '\0'
+                                  ? r->granted_instance
+                                  : r->target->told.id),
     .adapter_version = r->granted_version,
     .priority = r->is_engine ? (int32_t)priority : -1,
     .is_resume = r->has_event,
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -50,6 +50,7 @@
   uint32_t asked_since; ///< Own requests since that report.
   double asked_tokens;  ///< Their prompts.
   double backlog_ms;    ///< Time to read the prompts there.
+  double load_wait_ms;  ///< Until an adapter new to it would be held.
   double tokens_per_ms; ///< Prompts that it reads.
   msg_engine_adapter_t *adapters;
   uint32_t adapter_count;
@@ -110,6 +111,7 @@
   uint64_t place_ms;    ///< When it was asked for.
   uint64_t load_us;     ///< Waited for a load.
   uint32_t granted_version;
+  char granted_instance[GTW_ID_BYTES]; ///< Empty: as listed.
   uint64_t tried[GTW_MAX_TRIES]; ///< Keys of targets that failed.
   uint32_t tried_count;
   uint32_t runs;   ///< Targets that may have begun it.
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -26,6 +26,9 @@
   /// Callers come back after at least this, spread over as much again.
   RETRY_AFTER_MS = 300,
   STOP_RETRY_AFTER_MS = 100,
+  /// No target of a service can be used: engines that restart need about a
+  /// second to load their model.
+  DOWN_RETRY_AFTER_MS = 1200,
   /// Callers abandon a stream without a first event after four objectives or
   /// two seconds, whichever is longer.
   PATIENCE_OBJECTIVES = 4,
@@ -376,8 +379,10 @@
       = r->tried_count < GTW_MAX_TRIES ? gtw_target_choose (gateway, r) : NULL;
   if (target == NULL)
     {
-      gtw_request_refuse (r, r->reason[0] == '\0' ? "no_target" : r->reason,
-                          r->retry_after_ms);
+      bool is_service_down = r->reason[0] == '\0';
+      gtw_request_refuse (r, is_service_down ? "no_target" : r->reason,
+                          is_service_down ? DOWN_RETRY_AFTER_MS
+                                          : r->retry_after_ms);
       return;
     }
   r->target = target;
@@ -403,6 +408,8 @@
     }
   r->has_place = true;
   r->granted_version = (uint32_t)grant->version;
+  kb_slice_copy (grant->instance, r->granted_instance,
+                 sizeof r->granted_instance);
   r->load_us += grant->load_us;
   gtw_answer_send (r);
 }
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -235,6 +235,7 @@
     .busy = r->is_engine ? target->granted + target->asked_since
                          : target->active,
     .waiting = r->is_engine ? target->waiting : 0,
+    .load_wait_ms = target->load_wait_ms,
     .backlog_ms = r->is_engine ? backlog_of (target) : 0,
     .failures = failures_at (target, gtw_now_ms (gateway)),
   };
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -114,12 +114,13 @@
         N (gateway_state, engine_count) } },
   [MSG_ENGINE_STATE]
   = { "engine_state",
-      12,
+      13,
       { N (engine_state, incarnation), N (engine_state, revision),
         N (engine_state, versions_known), N (engine_state, condition),
         N (engine_state, slots), N (engine_state, granted),
         N (engine_state, waiting), N (engine_state, gateway_count),
         N (engine_state, backlog_us), N (engine_state, tokens_per_s),
+        N (engine_state, load_wait_ms),
         S (engine_state, instance), S (engine_state, adapters) } },
   [MSG_PLACE_ASK]
   = { "place_ask",
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -309,6 +309,7 @@
   uint64_t gateway_count;
   uint64_t backlog_us; ///< Time to read the prompts that are accepted.
   uint64_t tokens_per_s; ///< Prompt tokens the engine reads.
+  uint64_t load_wait_ms; ///< Until an adapter new to it would be held.
   kb_slice_t instance; ///< Incarnation of the engine, or empty.
   kb_slice_t adapters; ///< Packed msg_engine_adapter_t.
 } msg_engine_state_t;
--- a/src/sidecar/engine.h
+++ b/src/sidecar/engine.h
@@ -36,7 +36,6 @@
 /// What an engine says of itself.
 typedef struct
 {
-  char instance[EGN_NAME_BYTES]; ///< Empty when it does not say.
   bool is_leaving;
   uint64_t leaves_in_ms; ///< Zero: not said.
   uint64_t seq;          ///< Orders accepted since its start.
@@ -80,6 +79,9 @@
                                    const egn_report_t *report);
 typedef void (*egn_order_done_t) (void *arg, egn_order_end_t end);
 
+/// @param instance  Incarnation of the engine, or empty when it did not say.
+typedef void (*egn_identity_done_t) (void *arg, kb_slice_t instance);
+
 typedef struct egn_engine egn_engine_t;
 
 typedef struct
@@ -89,6 +91,8 @@
   /// One order at a time.
   void (*order) (egn_engine_t *engine, const egn_order_t *order,
                  egn_order_done_t done, void *arg);
+  /// Ask which incarnation answers; reports may not say.
+  void (*identify) (egn_engine_t *engine, egn_identity_done_t done, void *arg);
 } egn_vtable_t;
 
 struct egn_engine
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -32,6 +32,7 @@
   MAX_COMING = 4,
   MAX_COLD = 1,
   EXIT_MS = 250,
+  IDENTIFY_RETRY_MS = 1000,
   MS_PER_S = 1000,
 };
 
@@ -101,6 +102,7 @@
                     .backlog_us = adm_backlog_us (&s->table),
                     .tokens_per_s
                     = (uint64_t)(s->table.tokens_per_ms * MS_PER_S),
+                    .load_wait_ms = adm_new_load_wait_ms (&s->table),
                     .instance = kb_slice_str (s->instance),
                     .adapters = kb_buf_slice (&adapters) } };
   for (uint32_t i = 0; i < s->gateway_count; i++)
@@ -342,7 +344,8 @@
       adm_adapter_want (ask.adapter, (uint32_t)given->version);
       if (!adm_adapter_is_fit (ask.adapter))
         ask.load_from_ms = now_ms;
-      uint64_t wait_ms = adm_load_wait_ms (&s->table, ask.adapter);
+      uint64_t wait_ms = adm_load_wait_ms (&s->table, ask.adapter, now_ms);
+      adm_adapter_asked (ask.adapter, now_ms);
       if (wait_ms > given->objective_ms && wait_ms > s->table.load_ms)
         {
           decline (s, peer, given->id, "load_queue", wait_ms);
@@ -575,17 +578,60 @@
 }
 
 static void
-take_report (scr_sidecar_t *s, const egn_report_t *report)
+identity_done (void *arg, kb_slice_t instance)
 {
-  if (report->instance[0] != '\0'
-      && strcmp (report->instance, s->instance) != 0)
+  scr_sidecar_t *s = arg;
+  s->is_identifying = false;
+  if (instance.len_bytes == 0)
+    return;
+  kb_slice_copy (instance, s->instance, sizeof s->instance);
+  log_event_t line;
+  if (log_begin (&line, LOG_INFO, "sidecar", "engine_identified"))
     {
-      // Another incarnation: it knows nothing of the orders before.
-      s->model_ordered_ms = 0;
-      adm_engine_restarted (&s->table);
-      snprintf (s->instance, sizeof s->instance, "%s", report->instance);
-      state_changed (s);
+      log_text (&line, "instance", s->instance);
+      log_end (&line);
+    }
+  state_changed (s);
+}
+
+/// Requests and orders name the incarnation that they are for. The list tells
+/// it a second or more after a restart; the engine itself at once.
+static void
+identify_engine (scr_sidecar_t *s)
+{
+  uint64_t now_ms = now_ms_of (s);
+  if (s->instance[0] != '\0' || s->is_identifying
+      || (s->identified_ms > 0 && now_ms - s->identified_ms < IDENTIFY_RETRY_MS))
+    return;
+  s->is_identifying = true;
+  s->identified_ms = now_ms;
+  s->engine->vtable->identify (s->engine, identity_done, s);
+}
+
+static void
+engine_restarted (scr_sidecar_t *s)
+{
+  log_event_t line;
+  if (log_begin (&line, LOG_WARN, "sidecar", "engine_restarted"))
+    {
+      log_text (&line, "instance", s->instance);
+      log_int (&line, "granted", s->table.granted);
+      log_end (&line);
     }
+  s->model_ordered_ms = 0;
+  s->instance[0] = '\0';
+  s->identified_ms = 0;
+  adm_engine_restarted (&s->table);
+  state_changed (s);
+}
+
+static void
+take_report (scr_sidecar_t *s, const egn_report_t *report)
+{
+  // A restart clears the count of orders and everything that was held.
+  if (s->has_report
+      && (report->seq < s->seq || (s->is_model_held && report->model_count == 0)))
+    engine_restarted (s);
   s->has_report = true;
   s->report_failures = 0;
   s->seq = report->seq;
@@ -605,6 +651,8 @@
   adm_report_end (&s->table);
   if (held != s->table.held || coming != s->table.coming)
     state_changed (s);
+  if (s->is_model_held)
+    identify_engine (s);
   if (report->is_leaving)
     set_condition (s, MSG_ENGINE_LEAVING);
   else
@@ -620,6 +668,9 @@
     take_report (s, report);
   else if (++s->report_failures >= REPORT_FAILURES)
     {
+      // A crashed engine comes back as another incarnation.
+      if (s->has_report)
+        engine_restarted (s);
       s->has_report = false;
       set_condition (s, MSG_ENGINE_DOWN);
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -43,7 +43,9 @@
   bool is_calling; ///< A report or an order is under way.
   bool has_report;
   msg_engine_condition_t condition;
-  char instance[EGN_NAME_BYTES];
+  char instance[EGN_NAME_BYTES]; ///< Empty: not known yet.
+  bool is_identifying;
+  uint64_t identified_ms; ///< When it was last asked for.
   uint64_t seq;
   bool is_model_held;
   bool is_engine_busy;
