--- /dev/null
+++ b/test/unit/admit_test.cc
@@ -0,0 +1,277 @@
+// What a sidecar decides: places, fetches, versions, and what it declines.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "coordination/admit.h"
+}
+
+namespace
+{
+
+kb_slice_t
+slice (const std::string &text)
+{
+  return kb_slice_t{ text.data (), (uint32_t)text.size () };
+}
+
+class AdmitTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    adm_options_t options = {};
+    options.slots = 4;
+    options.kv_tokens = 100000;
+    options.adapter_slots = 2;
+    options.max_cold = 1;
+    options.max_coming = 4;
+    adm_table_init (&table, &options);
+    table.is_open = true;
+  }
+  void
+  TearDown () override
+  {
+    adm_table_finish (&table);
+  }
+  static uint64_t
+  key_of (const std::string &name)
+  {
+    return kb_hash (name.data (), name.size (), 0) | 1;
+  }
+  adm_adapter_t *
+  adapter (const std::string &name)
+  {
+    return adm_adapter_need (&table, key_of (name), slice (name));
+  }
+  adm_ask_t *
+  ask (uint64_t id, const std::string &name, uint64_t now_ms = 0,
+       uint32_t priority = 1, uint32_t prompt = 100, uint64_t due_ms = 100000)
+  {
+    adm_ask_t given = {};
+    given.id = id;
+    given.owner = 7;
+    given.adapter = name.empty () ? nullptr : adapter (name);
+    given.priority = priority;
+    given.tokens = prompt + 100;
+    given.prompt_tokens = prompt;
+    given.arrived_ms = now_ms;
+    given.due_ms = due_ms;
+    given.objective_ms = now_ms + 800;
+    if (given.adapter != nullptr)
+      adm_adapter_asked (given.adapter, now_ms);
+    return adm_ask_add (&table, &given);
+  }
+  /// What the engine lists: names with versions.
+  void
+  report (const std::vector<std::pair<std::string, uint32_t>> &held,
+          const std::vector<std::string> &coming = {}, uint64_t now_ms = 0)
+  {
+    adm_report_begin (&table);
+    for (const auto &[name, version] : held)
+      adm_report_adapter (&table, key_of (name), slice (name), version, false,
+                          now_ms);
+    for (const auto &name : coming)
+      adm_report_adapter (&table, key_of (name), slice (name), 1, true, now_ms);
+    adm_report_end (&table);
+  }
+  adm_action_t
+  next (uint64_t now_ms = 0)
+  {
+    return adm_next (&table, true, now_ms);
+  }
+  adm_table_t table;
+};
+
+TEST_F (AdmitTest, GrantsWhatIsHeldAndPinsIt)
+{
+  report ({ { "m/a", 1 } });
+  ask (1, "m/a");
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_DO_GRANT);
+  EXPECT_EQ (action.ask->id, 1u);
+  EXPECT_EQ (adapter ("m/a")->pins, 1u);
+  adm_ask_remove (&table, action.ask);
+  EXPECT_EQ (adapter ("m/a")->pins, 0u);
+  EXPECT_EQ (table.granted, 0u);
+}
+
+TEST_F (AdmitTest, FetchesWhatIsAskedForAndThenGrants)
+{
+  ask (1, "m/a");
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_DO_LOAD);
+  adm_load_begun (&table, action.adapter, 0);
+  EXPECT_EQ (next ().kind, ADM_DO_NOTHING);
+  report ({ { "m/a", 1 } }, {}, 250);
+  EXPECT_EQ (next (250).kind, ADM_DO_GRANT);
+}
+
+// A caller's stream breaks off in the middle: its adapter was dropped to make
+// room for another one while the stream was still running.
+TEST_F (AdmitTest, NeverDropsAnAdapterThatServes)
+{
+  report ({ { "m/a", 1 }, { "m/b", 1 } });
+  ask (1, "m/a");
+  ASSERT_EQ (next ().kind, ADM_DO_GRANT);
+  ask (2, "m/b");
+  adm_action_t second = next ();
+  ASSERT_EQ (second.kind, ADM_DO_GRANT);
+  ask (3, "m/c");
+  EXPECT_EQ (next ().kind, ADM_DO_NOTHING);
+  adm_ask_remove (&table, second.ask);
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_DO_UNLOAD);
+  EXPECT_STREQ (action.adapter->name, "m/b");
+}
+
+// An operator names a new version of an adapter that is in use. Every other
+// request of that engine then stalls for seconds: the order to replace it
+// waits for its runs and holds all later fetches back.
+TEST_F (AdmitTest, StaleAdapterInUseIsDeclinedNotReplaced)
+{
+  report ({ { "m/a", 1 } });
+  ask (1, "m/a");
+  adm_action_t run = next ();
+  ASSERT_EQ (run.kind, ADM_DO_GRANT);
+  adm_adapter_want (adapter ("m/a"), 2);
+  ask (2, "m/a");
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_DO_DECLINE);
+  EXPECT_STREQ (action.reason, "version_changes");
+  adm_ask_remove (&table, action.ask);
+  adm_ask_remove (&table, run.ask);
+  ask (3, "m/a");
+  action = next ();
+  ASSERT_EQ (action.kind, ADM_DO_LOAD);
+  adm_load_begun (&table, action.adapter, 0);
+  // Ordered once, however often it is asked for meanwhile.
+  EXPECT_EQ (next (1000).kind, ADM_DO_NOTHING);
+  report ({ { "m/a", 2 } }, {}, 1000);
+  EXPECT_EQ (next (1000).kind, ADM_DO_GRANT);
+}
+
+TEST_F (AdmitTest, AnOlderWordOfAVersionChangesNothing)
+{
+  adm_adapter_want (adapter ("m/a"), 5);
+  adm_adapter_want (adapter ("m/a"), 3);
+  report ({ { "m/a", 4 } });
+  ask (1, "m/a");
+  EXPECT_EQ (next ().kind, ADM_DO_LOAD);
+}
+
+// All streams of an engine stand still for half a second at one moment:
+// several long prompts were let in together and are read in a row.
+TEST_F (AdmitTest, BoundsThePromptsReadAtOneTime)
+{
+  ask (1, "", 0, 1, 5000);
+  ask (2, "", 0, 1, 5000);
+  ask (3, "", 0, 1, 500);
+  adm_action_t first = next ();
+  ASSERT_EQ (first.kind, ADM_DO_GRANT);
+  EXPECT_EQ (first.ask->id, 1u);
+  // The long one waits, the short one fits beside the first.
+  adm_action_t second = next ();
+  ASSERT_EQ (second.kind, ADM_DO_GRANT);
+  EXPECT_EQ (second.ask->id, 3u);
+  EXPECT_EQ (next ().kind, ADM_DO_NOTHING);
+  adm_ask_begun (&table, first.ask, 140);
+  adm_action_t third = next (140);
+  ASSERT_EQ (third.kind, ADM_DO_GRANT);
+  EXPECT_EQ (third.ask->id, 2u);
+}
+
+// Long prompts are served far less often than short ones: each time room
+// comes free, a short one that arrived later takes it.
+TEST_F (AdmitTest, ALongPromptIsNotOvertakenForEver)
+{
+  ask (1, "", 0, 1, 4000);
+  ASSERT_EQ (next ().kind, ADM_DO_GRANT);
+  ask (2, "", 0, 1, 5000);
+  ask (3, "", 150, 1, 100);
+  EXPECT_EQ (next (150).kind, ADM_DO_NOTHING);
+}
+
+TEST_F (AdmitTest, MoreUrgentRequestsComeFirst)
+{
+  ask (1, "", 0, 2);
+  ask (2, "", 0, 0);
+  EXPECT_EQ (next ().ask->id, 2u);
+}
+
+TEST_F (AdmitTest, KeepsWithinSlotsAndMemory)
+{
+  table.options.kv_tokens = 1000;
+  ask (1, "", 0, 1, 600);
+  ask (2, "", 0, 1, 600);
+  ASSERT_EQ (next ().kind, ADM_DO_GRANT);
+  EXPECT_EQ (next ().kind, ADM_DO_NOTHING);
+}
+
+TEST_F (AdmitTest, DeclinesWhatCannotBeInTime)
+{
+  ask (1, "", 0, 1, 100, 500);
+  table.options.slots = 0;
+  EXPECT_EQ (next (100).kind, ADM_DO_NOTHING);
+  adm_action_t action = next (450);
+  ASSERT_EQ (action.kind, ADM_DO_DECLINE);
+  EXPECT_STREQ (action.reason, "no_time_left");
+}
+
+TEST_F (AdmitTest, DeclinesAllWhenTheEngineIsClosed)
+{
+  ask (1, "");
+  table.is_open = false;
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_DO_DECLINE);
+  EXPECT_STREQ (action.reason, "engine_closed");
+}
+
+TEST_F (AdmitTest, WaitForAFetchCountsWhatIsServedBefore)
+{
+  adm_ask_t *one = ask (1, "m/a");
+  ask (2, "m/a");
+  ASSERT_NE (one, nullptr);
+  // Two requests wait for the first adapter; a new one comes behind it.
+  EXPECT_EQ (adm_load_wait_ms (&table, adapter ("m/b"), 0), 500u);
+  // A popular one would be fetched before it.
+  for (int i = 0; i < 20; i++)
+    adm_adapter_asked (adapter ("m/c"), 0);
+  EXPECT_EQ (adm_load_wait_ms (&table, adapter ("m/c"), 0), 250u);
+}
+
+// An engine crashes and comes back empty. Its sidecar believes that adapters
+// held before come back in a tenth of the time, and lets too many wait.
+TEST_F (AdmitTest, ARestartForgetsWhatWasHeld)
+{
+  report ({ { "m/a", 1 } }, {}, 1);
+  report ({}, {}, 2);
+  EXPECT_EQ (adm_load_wait_ms (&table, adapter ("m/a"), 0), 0u);
+  adm_engine_restarted (&table);
+  EXPECT_GT (adm_load_wait_ms (&table, adapter ("m/a"), 0), 0u);
+}
+
+TEST_F (AdmitTest, AGatewayThatIsGoneGivesItsPlacesBack)
+{
+  ask (1, "");
+  ASSERT_EQ (next ().kind, ADM_DO_GRANT);
+  ask (2, "");
+  adm_owner_gone (&table, 7);
+  EXPECT_EQ (table.granted, 0u);
+  EXPECT_EQ (table.waiting, 0u);
+  EXPECT_EQ (table.reading_tokens, 0u);
+  EXPECT_EQ (table.waiting_tokens, 0u);
+}
+
+TEST_F (AdmitTest, ARepeatedIdIsIgnored)
+{
+  EXPECT_NE (ask (1, ""), nullptr);
+  EXPECT_EQ (ask (1, ""), nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/platform_test.cc
@@ -0,0 +1,314 @@
+// The platform's documents and heads, decoded into the product's types.
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C"
+{
+#include "dialect.h"
+#include "document.h"
+#include "engine.h"
+}
+
+namespace
+{
+
+kb_slice_t
+slice (const std::string &text)
+{
+  return kb_slice_t{ text.data (), (uint32_t)text.size () };
+}
+
+const char kConfig[] = R"({"Version":7,"Routes":[
+ {"Name":"r1","Host":"a.example","Prefix":"/x/","Kind":"streaming",
+  "TimeoutMs":15000,"TargetLatencyMs":1000,"Priority":0,"Service":"s1",
+  "MaxAttempts":1,"Resumable":false,"GapTargetMs":300},
+ {"Name":"r2","Host":"a.example","Prefix":"/x/y/","Kind":"safe",
+  "TimeoutMs":800,"TrafficSplit":[{"Service":"s1","Weight":90},
+  {"Service":"s2","Weight":10}],"MaxAttempts":2}],
+ "Services":[{"Name":"s1","HealthPath":"/health","MaxConns":630,
+  "Engine":{"Slots":128,"KvCapacity":192854,"Models":[{"Name":"m",
+  "WeightsMb":16100.0,"LoadTimeS":0.6,"AdapterSizeMb":14.0}],
+  "WeightsMb":16900.0,"AdapterSlots":36,"LoadsPerS":4.4}},
+  {"Name":"s2","HealthPath":"/health","MaxConns":110}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,
+  "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+TEST (Document, ConfigurationIsTyped)
+{
+  kb_error_t error = {};
+  svc_config_t *config = doc_decode_platform_config (slice (kConfig), &error);
+  ASSERT_NE (config, nullptr) << error.message;
+  EXPECT_EQ (config->revision, 7u);
+  const svc_route_t *route
+      = svc_route_find (config, slice ("A.example:80"), slice ("/x/y/z?q=1"));
+  ASSERT_NE (route, nullptr);
+  EXPECT_STREQ (route->name, "r2");
+  EXPECT_EQ (route->kind, SVC_KIND_SAFE);
+  EXPECT_STREQ (svc_route_pick (route, 89), "s1");
+  EXPECT_STREQ (svc_route_pick (route, 90), "s2");
+  route = svc_route_find (config, slice ("a.example"), slice ("/x/z"));
+  ASSERT_NE (route, nullptr);
+  EXPECT_STREQ (route->name, "r1");
+  EXPECT_EQ (svc_route_find (config, slice ("a.example"), slice ("/x")),
+             nullptr);
+  EXPECT_EQ (svc_route_find (config, slice ("b.example"), slice ("/x/")),
+             nullptr);
+  const svc_service_t *service = svc_service_find (config, "s1");
+  ASSERT_NE (service, nullptr);
+  EXPECT_TRUE (service->is_engine);
+  EXPECT_EQ (service->adapter_slots, 36u);
+  EXPECT_EQ (service->models[0].load_ms, 600u);
+  EXPECT_EQ (config->limits.idle_timeout_ms, 15000u);
+  svc_config_free (config);
+}
+
+TEST (Document, ABadConfigurationNamesPlaceAndReason)
+{
+  kb_error_t error = {};
+  EXPECT_EQ (doc_decode_platform_config (slice ("{\"Version\":1"), &error),
+             nullptr);
+  EXPECT_NE (std::string (error.message).find ("configuration"),
+             std::string::npos);
+  std::string odd = kConfig;
+  odd.replace (odd.find ("streaming"), 9, "something");
+  EXPECT_EQ (doc_decode_platform_config (slice (odd), &error), nullptr);
+  EXPECT_NE (std::string (error.message).find ("r1"), std::string::npos);
+  EXPECT_NE (std::string (error.message).find ("something"),
+             std::string::npos);
+}
+
+TEST (Document, TargetsAndVersions)
+{
+  kb_error_t error = {};
+  src_target_t target;
+  ASSERT_EQ (doc_decode_target ("i-1",
+                                slice (R"({"Service":"s1",
+    "Address":"10.128.0.9:8080","Zone":"d1","Slots":128,"State":"draining"})"),
+                                &target, &error),
+             KB_OK);
+  EXPECT_STREQ (target.domain, "d1");
+  EXPECT_TRUE (target.is_leaving);
+  EXPECT_NE (doc_decode_target ("i-1", slice (R"({"Service":"s1"})"), &target,
+                                &error),
+             KB_OK);
+  doc_version_t version;
+  ASSERT_EQ (doc_decode_version (
+                 "op/version/m.a1",
+                 slice (R"({"Model":"m","Adapter":"a1","Version":3})"),
+                 &version, &error),
+             KB_OK);
+  EXPECT_EQ (version.version, 3u);
+  EXPECT_NE (doc_decode_version ("k", slice ("{}"), &version, &error), KB_OK);
+}
+
+TEST (Report, ListsWhatIsHeldAndComing)
+{
+  kb_error_t error = {};
+  auto report = std::make_unique<egn_report_t> ();
+  ASSERT_EQ (plt_report_decode (
+                 slice (R"({"Models":[{"Name":"m","Version":1,
+    "Adapters":["a1@2","a2@1"]}],"Coming":["m/a3@1"],"Busy":false,"Seq":9,
+    "Queued":1,"Running":12,"KvUsed":41000,"KvTotal":90000,
+    "State":"draining","RemainingMs":1500,
+    "AtHand":{"InMemory":["m"],"OnDisk":[]}})"),
+                 report.get (), &error),
+             KB_OK);
+  EXPECT_TRUE (report->is_leaving);
+  EXPECT_EQ (report->leaves_in_ms, 1500u);
+  EXPECT_EQ (report->seq, 9u);
+  ASSERT_EQ (report->adapter_count, 3u);
+  EXPECT_STREQ (report->adapters[0].name, "m/a1");
+  EXPECT_EQ (report->adapters[0].version, 2u);
+  EXPECT_STREQ (report->adapters[2].name, "m/a3");
+  EXPECT_TRUE (report->adapters[2].is_coming);
+  EXPECT_EQ (report->at_hand_count, 1u);
+  EXPECT_NE (plt_report_decode (slice ("[1"), report.get (), &error), KB_OK);
+}
+
+/// A parsed head, without a socket.
+class DialectTest : public ::testing::Test
+{
+protected:
+  void
+  parse (const std::string &text, bool is_answer = false)
+  {
+    conn = {};
+    http_parser_init (&conn.parser, is_answer ? HTTP_RESPONSE : HTTP_REQUEST);
+    size_t line_end = text.find ("\r\n");
+    std::string line = text.substr (0, line_end);
+    if (is_answer)
+      conn.parser.status_code = (unsigned)atoi (line.c_str () + 9);
+    else
+      {
+        size_t from = line.find (' ') + 1;
+        std::string target = line.substr (from, line.rfind (' ') - from);
+        kb_buf_append (&conn.head.bytes, target.data (), target.size ());
+        conn.head.target_bytes = (uint32_t)target.size ();
+        conn.parser.method = line[0] == 'P' ? HTTP_POST : HTTP_GET;
+      }
+    conn.parser.http_major = 1;
+    conn.parser.http_minor = 1;
+    size_t at = line_end + 2;
+    while (at < text.size ())
+      {
+        size_t end = text.find ("\r\n", at);
+        size_t colon = text.find (": ", at);
+        h1_field_t field = {};
+        field.name_at = (uint32_t)conn.head.bytes.len_bytes;
+        field.name_bytes = (uint32_t)(colon - at);
+        kb_buf_append (&conn.head.bytes, text.data () + at, colon - at);
+        field.value_at = (uint32_t)conn.head.bytes.len_bytes;
+        field.value_bytes = (uint32_t)(end - colon - 2);
+        kb_buf_append (&conn.head.bytes, text.data () + colon + 2,
+                       end - colon - 2);
+        conn.head.fields[conn.head.field_count++] = field;
+        at = end + 2;
+      }
+  }
+  void
+  TearDown () override
+  {
+    kb_buf_finish (&conn.head.bytes);
+  }
+  std::string
+  written_request (const rly_forward_t &forward)
+  {
+    kb_buf_t out = {};
+    plt_dialect.write_request (&conn, &forward, &out);
+    std::string text (out.ptr, out.len_bytes);
+    kb_buf_finish (&out);
+    return text;
+  }
+  h1_conn_t conn;
+};
+
+const char kRequest[] = "POST /p/2f HTTP/1.1\r\n"
+                        "Host: a.example\r\n"
+                        "X-Knapweedbay-Attempt-Id: 9c41\r\n"
+                        "X-Knapweedbay-Model: m/a7\r\n"
+                        "X-Knapweedbay-Token-Counts: 1460,80\r\n"
+                        "X-Knapweedbay-Prompt-Prefix: 5c:800,91:410,e4:250\r\n"
+                        "X-Knapweedbay-Deadline-Ms: 12000\r\n"
+                        "X-Knapweedbay-Hold: h1\r\n"
+                        "X-Knapweedbay-Pin-Ms: 900\r\n"
+                        "X-Knapweedbay-Kv-Backup: 10.0.0.1:1\r\n"
+                        "Kv-From: 10.0.0.1:1/x\r\n"
+                        "X-Knapweedbay-Expect-Instance: i-9\r\n"
+                        "X-Knapweedbay-Request-Priority: 0\r\n"
+                        "Connection: keep-alive, X-Odd\r\n"
+                        "X-Odd: 1\r\n"
+                        "X-Kept: 2\r\n"
+                        "Content-Length: 3\r\n";
+
+TEST_F (DialectTest, RequestIsTyped)
+{
+  parse (kRequest);
+  rly_request_t said;
+  kb_error_t error = {};
+  ASSERT_EQ (plt_dialect.read_request (&conn.head, &said, &error), KB_OK);
+  EXPECT_EQ (std::string (said.attempt_id.ptr, said.attempt_id.len_bytes),
+             "9c41");
+  EXPECT_EQ (std::string (said.model.ptr, said.model.len_bytes), "m");
+  EXPECT_EQ (std::string (said.adapter.ptr, said.adapter.len_bytes), "a7");
+  EXPECT_EQ (said.prompt_tokens, 1460u);
+  EXPECT_EQ (said.output_tokens, 80u);
+  EXPECT_EQ (said.deadline_ms, 12000u);
+  EXPECT_EQ (std::string (said.last_part.ptr, said.last_part.len_bytes), "e4");
+  EXPECT_FALSE (said.is_resume);
+}
+
+// A caller names memory of another caller's run, or pins memory for itself:
+// only the system may set these fields, so none of them reaches a target.
+TEST_F (DialectTest, SystemFieldsOfACallerAreDropped)
+{
+  parse (kRequest);
+  rly_forward_t forward = {};
+  forward.deadline_ms = 500;
+  forward.priority = -1;
+  forward.body_bytes = 3;
+  std::string text = written_request (forward);
+  for (const char *name : { "Hold", "Pin-Ms", "Kv-Backup", "Kv-From",
+                            "Expect-Instance", "Request-Priority", "X-Odd",
+                            "Connection", "12000" })
+    EXPECT_EQ (text.find (name), std::string::npos) << name;
+  EXPECT_NE (text.find ("X-Kept: 2\r\n"), std::string::npos);
+  EXPECT_NE (text.find ("X-Knapweedbay-Attempt-Id: 9c41\r\n"),
+             std::string::npos);
+  EXPECT_NE (text.find ("X-Knapweedbay-Deadline-Ms: 500\r\n"),
+             std::string::npos);
+  EXPECT_NE (text.find ("Content-Length: 3\r\n\r\n"), std::string::npos);
+  EXPECT_EQ (text.compare (0, 20, "POST /p/2f HTTP/1.1\r"), 0);
+}
+
+TEST_F (DialectTest, ForwardedFieldsAreWritten)
+{
+  parse (kRequest);
+  rly_forward_t forward = {};
+  forward.deadline_ms = 500;
+  forward.instance = kb_slice_str ("i-7");
+  forward.adapter_version = 4;
+  forward.priority = 2;
+  forward.is_resume = true;
+  forward.resume_after = 17;
+  std::string text = written_request (forward);
+  EXPECT_NE (text.find ("Expect-Instance: i-7\r\n"), std::string::npos);
+  EXPECT_NE (text.find ("Expect-Version: 4\r\n"), std::string::npos);
+  EXPECT_NE (text.find ("Request-Priority: 2\r\n"), std::string::npos);
+  EXPECT_NE (text.find ("Last-Event-Id: 17\r\n"), std::string::npos);
+}
+
+TEST_F (DialectTest, MalformedFieldsAreRefused)
+{
+  rly_request_t said;
+  kb_error_t error = {};
+  parse ("GET / HTTP/1.1\r\nHost: a\r\n");
+  EXPECT_NE (plt_dialect.read_request (&conn.head, &said, &error), KB_OK);
+  kb_buf_finish (&conn.head.bytes);
+  parse ("GET / HTTP/1.1\r\nX-Knapweedbay-Attempt-Id: 1\r\n"
+         "X-Knapweedbay-Deadline-Ms: 1e3\r\n");
+  EXPECT_NE (plt_dialect.read_request (&conn.head, &said, &error), KB_OK);
+  EXPECT_NE (std::string (error.message).find ("Deadline"),
+             std::string::npos);
+}
+
+TEST_F (DialectTest, AnswersAreTyped)
+{
+  parse ("HTTP/1.1 503 X\r\nX-Knapweedbay-Not-Executed: 1\r\n"
+         "Retry-After: 0.25\r\n",
+         true);
+  rly_answer_t answer;
+  plt_dialect.read_answer (&conn, &answer);
+  EXPECT_TRUE (answer.is_not_run);
+  EXPECT_FALSE (answer.has_seal);
+  EXPECT_EQ (answer.retry_after_ms, 250u);
+  kb_buf_finish (&conn.head.bytes);
+  parse ("HTTP/1.1 200 OK\r\nX-Knapweedbay-Server-Seal: s\r\n"
+         "Content-Encoding: gzip\r\n",
+         true);
+  plt_dialect.read_answer (&conn, &answer);
+  EXPECT_TRUE (answer.has_seal);
+  EXPECT_TRUE (answer.is_encoded);
+  EXPECT_FALSE (answer.is_not_run);
+}
+
+TEST_F (DialectTest, AmbiguousLengthsAreNotProper)
+{
+  parse ("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+         "Transfer-Encoding: chunked\r\n");
+  EXPECT_FALSE (h1_request_is_proper (&conn));
+  kb_buf_finish (&conn.head.bytes);
+  parse ("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n");
+  EXPECT_FALSE (h1_request_is_proper (&conn));
+  kb_buf_finish (&conn.head.bytes);
+  parse ("POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n");
+  EXPECT_FALSE (h1_request_is_proper (&conn));
+  kb_buf_finish (&conn.head.bytes);
+  parse ("POST / HTTP/1.1\r\nHost: a\r\nHost: b\r\n");
+  EXPECT_FALSE (h1_request_is_proper (&conn));
+  kb_buf_finish (&conn.head.bytes);
+  parse ("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n");
+  EXPECT_TRUE (h1_request_is_proper (&conn));
+}
+
+} // namespace
