--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -34,7 +34,6 @@
   kb_buf_clear (&head->bytes);
   head->target_bytes = 0;
   head->field_count = 0;
-  head->wire_bytes = 0;
   head->is_value = false;
   head->is_done = false;
 }
@@ -239,6 +238,23 @@
   return 0;
 }
 
+/// The head so far, as it stands on the wire; the parser counts only now and
+/// then.
+static bool
+head_is_too_long (const h1_conn_t *conn)
+{
+  enum
+  {
+    FIELD_MARKS_BYTES = 4, ///< ": " and the line end.
+    START_MARKS_BYTES = 16, ///< Method, version, line end.
+  };
+  const h1_head_t *head = &conn->head;
+  size_t wire_bytes = head->bytes.len_bytes
+                      + FIELD_MARKS_BYTES * (size_t)head->field_count
+                      + START_MARKS_BYTES;
+  return conn->max_header_bytes > 0 && wire_bytes > conn->max_header_bytes;
+}
+
 /// @return  1 tells the parser that the message has no body.
 static int
 parse_head_end (http_parser *parser)
@@ -247,6 +263,11 @@
   if (conn->is_client && parser->status_code >= 100
       && parser->status_code < 200)
     return 0;
+  if (head_is_too_long (conn))
+    {
+      conn->is_oversized = true;
+      return -1;
+    }
   conn->head.is_done = true;
   conn->events->on_head (conn);
   if (conn->is_closing || conn->is_ended)
@@ -285,14 +306,6 @@
   .on_message_complete = parse_message_end,
 };
 
-static bool
-head_is_too_long (h1_conn_t *conn, size_t len_bytes)
-{
-  bool is_head_open = conn->parser.nread > 0;
-  return conn->max_header_bytes > 0 && is_head_open
-         && conn->parser.nread > conn->max_header_bytes && len_bytes > 0;
-}
-
 /// Parse what stands in `bytes`; what lies behind a complete message is kept
 /// for h1_conn_next.
 static void
@@ -311,7 +324,8 @@
       conn->events->on_message (conn);
       return;
     }
-  if (conn->is_oversized || head_is_too_long (conn, len_bytes))
+  bool is_head_open = conn->is_in_message && !conn->head.is_done;
+  if (conn->is_oversized || (is_head_open && head_is_too_long (conn)))
     conn_end (conn, H1_END_HEADER_SIZE);
   else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK
            || conn->parser.upgrade != 0)
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -37,7 +37,6 @@
   uint32_t target_bytes; ///< The request target stands first in `bytes`.
   h1_field_t fields[H1_MAX_FIELDS];
   uint32_t field_count;
-  uint32_t wire_bytes; ///< Size on the wire so far.
   bool is_value;       ///< The last piece read belonged to a value.
   bool is_done;        ///< Complete; fields behind a chunked body are ignored.
 } h1_head_t;
--- /dev/null
+++ b/test/relay/site.cc
@@ -0,0 +1,326 @@
+#include "site.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace relay
+{
+
+static std::string
+binary ()
+{
+  const char *dir = getenv ("KB_BIN_DIR");
+  return std::string (dir != nullptr ? dir : KB_DEFAULT_BIN_DIR)
+         + "/knapweedbayd";
+}
+
+bool
+Site::wait_for (const std::function<bool ()> &condition, int timeout_ms)
+{
+  auto end = std::chrono::steady_clock::now ()
+             + std::chrono::milliseconds (timeout_ms);
+  while (!condition ())
+    {
+      if (std::chrono::steady_clock::now () > end)
+        return false;
+      std::this_thread::sleep_for (std::chrono::milliseconds (20));
+    }
+  return true;
+}
+
+void
+Site::write_settings (const Daemon &daemon, const std::string &members,
+                      const Store &its_store)
+{
+  std::ofstream (daemon.settings_path)
+      << "// for a test\n{\"interface\":\"relay\",\"name\":\"" << daemon.name
+      << "\",\"failure_domain\":\"d1\",\"inner_port\":" << inner_port_
+      << ",\"grace_s\":6,\"store_address\":\"" << its_store.address () << "\","
+      << members << "}\n";
+}
+
+void
+Site::put (const std::string &key, const std::string &value)
+{
+  store.put (key, value);
+  far_store.put (key, value);
+}
+
+void
+Site::remove (const std::string &key)
+{
+  store.remove (key);
+  far_store.remove (key);
+}
+
+static Daemon
+make_daemon (const std::string &dir, const std::string &name)
+{
+  Daemon daemon;
+  daemon.name = name;
+  daemon.settings_path = dir + "/" + name + ".json";
+  daemon.log_path = dir + "/" + name + ".log";
+  return daemon;
+}
+
+Site::Site (int engine_count, int plain_count, int gateway_count)
+{
+  char pattern[] = "/tmp/kb-relay-XXXXXX";
+  dir = mkdtemp (pattern);
+  inner_port_ = free_port ("127.0.1.1");
+  write_config (1);
+  for (int i = 0; i < engine_count; i++)
+    {
+      Engine e;
+      e.ip = "127.0.1." + std::to_string (i + 1);
+      e.target = std::make_unique<Target> (e.ip, "i-e" + std::to_string (i),
+                                           true);
+      e.sidecar = make_daemon (dir, "sidecar" + std::to_string (i));
+      write_settings (e.sidecar, "\"role\":\"agent\",\"service\":\"models\","
+                                 "\"listen_address\":\""
+                                     + e.ip + "\",\"engine_address\":\""
+                                     + e.target->address () + "\"",
+                      store);
+      engines.push_back (std::move (e));
+      list_engine (engines.size () - 1);
+      start (&engines.back ().sidecar);
+    }
+  for (int i = 0; i < plain_count; i++)
+    {
+      plain.push_back (std::make_unique<Target> (
+          "127.0.0.1", "i-p" + std::to_string (i), false));
+      list_plain (plain.size () - 1);
+    }
+  for (int i = 0; i < gateway_count; i++)
+    {
+      Gateway g;
+      g.address = "127.0.0.1:" + std::to_string (free_port ("127.0.0.1"));
+      g.ready = "127.0.0.1:" + std::to_string (free_port ("127.0.0.1"));
+      g.daemon = make_daemon (dir, "gateway" + std::to_string (i));
+      write_settings (g.daemon, "\"role\":\"entry\",\"public_address\":\""
+                                    + g.address + "\",\"ready_address\":\""
+                                    + g.ready + "\"",
+                      i > 0 && i == gateway_count - 1 ? far_store : store);
+      gateways.push_back (g);
+      start (&gateways.back ().daemon);
+    }
+}
+
+Site::~Site ()
+{
+  for (auto &g : gateways)
+    stop (&g.daemon, SIGKILL);
+  for (auto &e : engines)
+    stop (&e.sidecar, SIGKILL);
+  if (getenv ("KB_KEEP_LOGS") == nullptr)
+    std::filesystem::remove_all (dir);
+}
+
+void
+Site::start (Daemon *daemon)
+{
+  daemon->pid = fork ();
+  if (daemon->pid != 0)
+    return;
+  int log = open (daemon->log_path.c_str (), O_CREAT | O_WRONLY | O_APPEND,
+                  0600);
+  dup2 (log, STDOUT_FILENO);
+  dup2 (log, STDERR_FILENO);
+  for (int fd = 3; fd < 512; fd++)
+    close (fd);
+  execl (binary ().c_str (), "knapweedbayd", daemon->settings_path.c_str (),
+         nullptr);
+  _exit (127);
+}
+
+void
+Site::stop (Daemon *daemon, int signal)
+{
+  if (daemon->pid == 0)
+    return;
+  kill (daemon->pid, signal);
+  kill (daemon->pid, SIGCONT);
+  waitpid (daemon->pid, nullptr, 0);
+  daemon->pid = 0;
+}
+
+void
+Site::restart (Daemon *daemon, int signal)
+{
+  stop (daemon, signal);
+  start (daemon);
+}
+
+void
+Site::write_config (int version, const std::string &extra_route,
+                    int stream_timeout_ms)
+{
+  std::string timeout = std::to_string (stream_timeout_ms);
+  auto stream_route = [&] (const char *name, const char *resumable,
+                           int attempts, int priority) {
+    return std::string ("{\"Name\":\"") + name
+           + "\",\"Host\":\"a.example\",\"Prefix\":\"/" + name
+           + "/\",\"Kind\":\"streaming\",\"TimeoutMs\":" + timeout
+           + ",\"TargetLatencyMs\":800,\"Priority\":"
+           + std::to_string (priority)
+           + ",\"Service\":\"models\",\"MaxAttempts\":"
+           + std::to_string (attempts) + ",\"Resumable\":" + resumable
+           + ",\"GapTargetMs\":300}";
+  };
+  auto plain_route = [] (const char *name, const char *kind, int attempts) {
+    return std::string ("{\"Name\":\"") + name
+           + "\",\"Host\":\"a.example\",\"Prefix\":\"/" + name
+           + "/\",\"Kind\":\"" + kind
+           + "\",\"TimeoutMs\":2000,\"TargetLatencyMs\":150,\"Priority\":2,"
+             "\"Service\":\"maps\",\"MaxAttempts\":"
+           + std::to_string (attempts) + "}";
+  };
+  put (
+      "op/config",
+      "{\"Version\":" + std::to_string (version) + ",\"Routes\":["
+          + stream_route ("resume", "true", 2, 1) + ","
+          + stream_route ("once", "false", 1, 0) + ","
+          + plain_route ("plain", "safe", 2) + ","
+          + plain_route ("unsafe", "unsafe", 1) + extra_route
+          + "],\"Services\":[{\"Name\":\"models\",\"HealthPath\":\"/health\","
+            "\"MaxConns\":100,\"Engine\":{\"Slots\":8,\"KvCapacity\":100000,"
+            "\"Models\":[{\"Name\":\"m\",\"WeightsMb\":100,\"LoadTimeS\":0.1,"
+            "\"AdapterSizeMb\":1}],\"WeightsMb\":200,\"AdapterSlots\":4,"
+            "\"LoadsPerS\":4}},{\"Name\":\"maps\",\"HealthPath\":\"/health\","
+            "\"MaxConns\":100}],\"Limits\":{\"MaxHeaderBytes\":4096,"
+            "\"MaxBodyBytes\":65536,\"HeaderTimeoutMs\":600,"
+            "\"IdleTimeoutMs\":3000}}");
+}
+
+void
+Site::list_engine (size_t at, const std::string &state)
+{
+  Target &target = *engines[at].target;
+  put ("servers/" + target.id (),
+             "{\"Service\":\"models\",\"Address\":\"" + target.address ()
+                 + "\",\"Zone\":\"d1\",\"Slots\":8,\"State\":\"" + state
+                 + "\"}");
+}
+
+void
+Site::list_plain (size_t at, const std::string &state)
+{
+  Target &target = *plain[at];
+  put ("servers/" + target.id (),
+             "{\"Service\":\"maps\",\"Address\":\"" + target.address ()
+                 + "\",\"Zone\":\"d1\",\"Slots\":6,\"State\":\"" + state
+                 + "\"}");
+}
+
+int
+Site::ready_status (size_t gateway)
+{
+  auto connection = dial (gateways[gateway].ready);
+  if (connection == nullptr)
+    return 0;
+  connection->write ("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  return connection->read_answer (1000).status;
+}
+
+bool
+Site::wait_ready ()
+{
+  for (size_t i = 0; i < gateways.size (); i++)
+    if (!wait_for ([&] { return ready_status (i) == 200; }))
+      return false;
+  // Every gateway reaches every engine: each serves a stream of its own.
+  for (size_t i = 0; !engines.empty () && i < gateways.size (); i++)
+    if (!wait_for ([&] {
+          return send_call (gateways[i], stream_call ("warm", "")).status
+                 == 200;
+        }))
+      return false;
+  return true;
+}
+
+std::vector<std::string>
+Site::log_lines (const Daemon &daemon, const std::vector<std::string> &texts)
+{
+  std::vector<std::string> found;
+  std::ifstream log (daemon.log_path);
+  std::string line;
+  while (std::getline (log, line))
+    {
+      bool has_all = true;
+      for (const auto &text : texts)
+        has_all = has_all && line.find (text) != std::string::npos;
+      if (has_all)
+        found.push_back (line);
+    }
+  return found;
+}
+
+int
+Site::runs_of (const std::string &attempt_id)
+{
+  int sum = 0;
+  for (auto &e : engines)
+    sum += e.target->runs_of (attempt_id);
+  for (auto &p : plain)
+    sum += p->runs_of (attempt_id);
+  return sum;
+}
+
+std::string
+Call::text () const
+{
+  std::string out = method + " " + path
+                    + " HTTP/1.1\r\nHost: a.example\r\n"
+                      "X-Knapweedbay-Attempt-Id: "
+                    + id + "\r\nX-Knapweedbay-Deadline-Ms: "
+                    + std::to_string (deadline_ms) + "\r\n" + headers;
+  if (!body.empty ())
+    out += "Content-Length: " + std::to_string (body.size ()) + "\r\n";
+  return out + "\r\n" + body;
+}
+
+Call
+stream_call (const std::string &id, const std::string &adapter,
+             bool is_resumable)
+{
+  Call call;
+  call.path = is_resumable ? "/resume/x" : "/once/x";
+  call.method = "POST";
+  call.id = id;
+  call.headers = "X-Knapweedbay-Model: m"
+                 + (adapter.empty () ? "" : "/" + adapter)
+                 + "\r\nX-Knapweedbay-Token-Counts: 100,50\r\n"
+                   "X-Knapweedbay-Prompt-Prefix: aa:50,bb:50\r\n";
+  call.body = "a prompt";
+  return call;
+}
+
+Message
+send_call (const Gateway &gateway, const Call &call)
+{
+  auto connection = dial (gateway.address);
+  if (connection == nullptr || !connection->write (call.text ()))
+    return Message ();
+  return connection->read_answer ();
+}
+
+std::vector<int>
+event_ids (const std::string &body)
+{
+  std::vector<int> ids;
+  size_t at = 0;
+  while ((at = body.find ("id: ", at)) != std::string::npos)
+    {
+      ids.push_back (atoi (body.c_str () + at + 4));
+      at += 4;
+    }
+  return ids;
+}
+
+} // namespace relay
--- /dev/null
+++ b/test/relay/site.h
@@ -0,0 +1,100 @@
+/// @file site.h
+/// A small site for tests of the relay roles: the real daemon as separate
+/// processes on loopback addresses, before stand-ins of store and targets.
+#ifndef KB_TEST_RELAY_SITE_H
+#define KB_TEST_RELAY_SITE_H
+
+#include <memory>
+
+#include "store_standin.h"
+#include "target_standin.h"
+
+namespace relay
+{
+
+/// A daemon that this test started and ends.
+struct Daemon
+{
+  std::string name;
+  std::string settings_path;
+  std::string log_path;
+  pid_t pid = 0;
+};
+
+struct Engine
+{
+  std::string ip;
+  std::unique_ptr<Target> target;
+  Daemon sidecar;
+};
+
+struct Gateway
+{
+  std::string address; ///< For callers.
+  std::string ready;
+  Daemon daemon;
+};
+
+class Site
+{
+public:
+  /// The last of several gateways reads `far_store`, which shows the same.
+  explicit Site (int engines = 2, int plain = 2, int gateways = 1);
+  /// Write to both stores.
+  void put (const std::string &key, const std::string &value);
+  void remove (const std::string &key);
+  ~Site ();
+  /// Wait until a condition holds.
+  static bool wait_for (const std::function<bool ()> &condition,
+                        int timeout_ms = 8000);
+  /// The configuration as the operator writes it; `extra` adds members.
+  void write_config (int version, const std::string &extra_route = "",
+                     int stream_timeout_ms = 8000);
+  void list_engine (size_t at, const std::string &state = "ready");
+  void list_plain (size_t at, const std::string &state = "ready");
+  /// Kill and start again.
+  void restart (Daemon *daemon, int signal);
+  void start (Daemon *daemon);
+  void stop (Daemon *daemon, int signal);
+  bool wait_ready ();
+  int ready_status (size_t gateway = 0);
+  /// Lines of a daemon's log that hold all these texts.
+  static std::vector<std::string>
+  log_lines (const Daemon &daemon, const std::vector<std::string> &texts);
+  int runs_of (const std::string &attempt_id);
+
+  std::string dir;
+  Store store;
+  Store far_store; ///< The store as the last of several gateways sees it.
+  std::vector<Engine> engines;
+  std::vector<std::unique_ptr<Target>> plain;
+  std::vector<Gateway> gateways;
+
+private:
+  void write_settings (const Daemon &daemon, const std::string &members,
+                       const Store &store);
+  int inner_port_;
+};
+
+/// A request as a caller writes it.
+struct Call
+{
+  std::string path = "/plain/x";
+  std::string method = "GET";
+  std::string id;
+  std::string headers; ///< Lines each ended by CRLF.
+  std::string body;
+  int deadline_ms = 6000;
+  std::string text () const;
+};
+
+Call stream_call (const std::string &id, const std::string &adapter,
+                  bool is_resumable = true);
+/// Send on a new connection and read the answer.
+Message send_call (const Gateway &gateway, const Call &call);
+/// Ids of the events in a body, in order.
+std::vector<int> event_ids (const std::string &body);
+
+} // namespace relay
+
+#endif
--- /dev/null
+++ b/test/relay/store_standin.cc
@@ -0,0 +1,169 @@
+#include "store_standin.h"
+
+#include <openssl/evp.h>
+
+namespace relay
+{
+
+static std::string
+base64 (const std::string &bytes)
+{
+  std::string out (4 * ((bytes.size () + 2) / 3) + 1, '\0');
+  int len = EVP_EncodeBlock ((unsigned char *)out.data (),
+                             (const unsigned char *)bytes.data (),
+                             (int)bytes.size ());
+  out.resize ((size_t)len);
+  return out;
+}
+
+static std::map<std::string, std::string>
+parse_query (const std::string &target)
+{
+  std::map<std::string, std::string> query;
+  size_t at = target.find ('?');
+  while (at != std::string::npos)
+    {
+      size_t end = target.find ('&', at + 1);
+      std::string pair = target.substr (
+          at + 1, end == std::string::npos ? end : end - at - 1);
+      size_t equals = pair.find ('=');
+      query[pair.substr (0, equals)] = pair.substr (equals + 1);
+      at = end;
+    }
+  return query;
+}
+
+void
+Store::put (const std::string &key, const std::string &value)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  items_[key] = { value, ++revision_, false };
+  changed_.notify_all ();
+}
+
+void
+Store::remove (const std::string &key)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  items_[key] = { "", ++revision_, true };
+  changed_.notify_all ();
+}
+
+void
+Store::set_mode (Mode mode)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  mode_ = mode;
+  cuts_++;
+  changed_.notify_all ();
+}
+
+void
+Store::compact ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  compacted_ = ++revision_;
+  cuts_++;
+  changed_.notify_all ();
+}
+
+std::string
+Store::item_json (const std::string &key, const Item &item)
+{
+  std::string head = "{\"Key\":\"" + key
+                     + "\",\"Revision\":" + std::to_string (item.revision);
+  if (item.is_gone)
+    return head + ",\"Tombstone\":true}";
+  return head + ",\"Value\":\"" + base64 (item.value) + "\",\"Lease\":0}";
+}
+
+std::string
+Store::range (const std::map<std::string, std::string> &query)
+{
+  const std::string &prefix = query.at ("Prefix");
+  std::string after = query.count ("after") > 0 ? query.at ("after") : "";
+  std::string list;
+  int count = 0;
+  bool is_truncated = false;
+  for (const auto &[key, item] : items_)
+    {
+      if (key.compare (0, prefix.size (), prefix) != 0 || key <= after
+          || item.is_gone)
+        continue;
+      if (count == page_items)
+        {
+          is_truncated = true;
+          break;
+        }
+      list += (count++ > 0 ? "," : "") + item_json (key, item);
+    }
+  return "{\"items\":[" + list
+         + "],\"Truncated\":" + (is_truncated ? "true" : "false")
+         + ",\"AsOf\":" + std::to_string (revision_) + "}";
+}
+
+std::string
+Store::changes (const std::string &prefix, int64_t after)
+{
+  std::string list;
+  for (const auto &[key, item] : items_)
+    if (item.revision > after && key.compare (0, prefix.size (), prefix) == 0)
+      list += (list.empty () ? "" : ",") + item_json (key, item);
+  return list;
+}
+
+bool
+Store::serve_watch (Connection &connection,
+                    const std::map<std::string, std::string> &query)
+{
+  std::unique_lock<std::mutex> lock (mutex_);
+  int64_t after = atoll (query.at ("after").c_str ());
+  int64_t cuts = cuts_;
+  auto end = std::chrono::steady_clock::now ()
+             + std::chrono::milliseconds (atoi (query.at ("WaitMs").c_str ()));
+  std::string list;
+  while ((list = changes (query.at ("Prefix"), after)).empty ()
+         && cuts == cuts_ && !is_stopping_
+         && changed_.wait_until (lock, end) != std::cv_status::timeout)
+    ;
+  if (after < compacted_)
+    return connection.write (answer (410, "", "{}"));
+  if (cuts != cuts_)
+    return false;
+  return connection.write (json_answer ("{\"events\":[" + list + "],\"AsOf\":"
+                                        + std::to_string (revision_) + "}"));
+}
+
+bool
+Store::serve (Connection &connection, const Message &request)
+{
+  calls++;
+  Mode mode;
+  {
+    std::unique_lock<std::mutex> lock (mutex_);
+    mode = mode_;
+    int64_t cuts = cuts_;
+    while (mode_ == SILENT && cuts == cuts_ && !is_stopping_)
+      changed_.wait (lock);
+  }
+  if (mode == SILENT)
+    return false;
+  if (mode == RESET)
+    {
+      connection.reset ();
+      return false;
+    }
+  if (mode == BUSY)
+    return connection.write (answer (503, "", "{}"));
+  auto query = parse_query (request.target ());
+  if (request.target ().compare (0, 9, "/kv-watch") == 0)
+    return serve_watch (connection, query);
+  std::string body;
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    body = range (query);
+  }
+  return connection.write (json_answer (body));
+}
+
+} // namespace relay
--- /dev/null
+++ b/test/relay/store_standin.h
@@ -0,0 +1,66 @@
+/// @file store_standin.h
+/// Stand-in of the platform's metadata store: ranges with pages and watches,
+/// with switches for outages, a forgotten history and slow answers.
+#ifndef KB_TEST_RELAY_STORE_STANDIN_H
+#define KB_TEST_RELAY_STORE_STANDIN_H
+
+#include <condition_variable>
+
+#include "http_peer.h"
+
+namespace relay
+{
+
+class Store : public Server
+{
+public:
+  enum Mode
+  {
+    WELL,
+    BUSY,   ///< 503
+    RESET,  ///< Connections are reset.
+    SILENT, ///< No answer.
+  };
+  explicit Store (const std::string &ip = "127.0.0.1") : Server (ip)
+  {
+    start ();
+  }
+  ~Store () override
+  {
+    set_mode (BUSY);
+    stop ();
+  }
+  void put (const std::string &key, const std::string &value);
+  void remove (const std::string &key);
+  void set_mode (Mode mode);
+  /// Forget the history: watches behind the present revision get 410, and
+  /// those that wait are cut.
+  void compact ();
+  std::atomic<int> calls{ 0 };
+  std::atomic<int> page_items{ 3 };
+
+private:
+  struct Item
+  {
+    std::string value;
+    int64_t revision = 0;
+    bool is_gone = false;
+  };
+  bool serve (Connection &connection, const Message &request) override;
+  bool serve_watch (Connection &connection,
+                    const std::map<std::string, std::string> &query);
+  std::string range (const std::map<std::string, std::string> &query);
+  std::string changes (const std::string &prefix, int64_t after);
+  static std::string item_json (const std::string &key, const Item &item);
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Item> items_; ///< With those that are gone.
+  int64_t revision_ = 1;
+  int64_t compacted_ = 0;
+  int64_t cuts_ = 0;
+  Mode mode_ = WELL;
+};
+
+} // namespace relay
+
+#endif
--- /dev/null
+++ b/test/relay/target_standin.cc
@@ -0,0 +1,298 @@
+#include "target_standin.h"
+
+#include <algorithm>
+
+namespace relay
+{
+
+using Clock = std::chrono::steady_clock;
+
+static void
+sleep_ms (int ms)
+{
+  std::this_thread::sleep_for (std::chrono::milliseconds (ms));
+}
+
+/// Value of a member in flat JSON, without quotes.
+static std::string
+member (const std::string &json, const std::string &name)
+{
+  size_t at = json.find ("\"" + name + "\":");
+  if (at == std::string::npos)
+    return "";
+  at += name.size () + 3;
+  if (json[at] == '"')
+    return json.substr (at + 1, json.find ('"', at + 1) - at - 1);
+  return json.substr (at, json.find_first_of (",}", at) - at);
+}
+
+void
+Target::fail_next (std::vector<Fault> faults)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  faults_ = faults;
+}
+
+void
+Target::restart (const std::string &id)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  id_ = id;
+  adapters_.clear ();
+  has_model_ = false;
+  seq_ = 0;
+}
+
+void
+Target::set_leaving (bool is_leaving)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  is_leaving_ = is_leaving;
+}
+
+int
+Target::runs_of (const std::string &attempt_id)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return runs_[attempt_id];
+}
+
+int
+Target::runs ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  int sum = 0;
+  for (const auto &[id, count] : runs_)
+    sum += count;
+  return sum;
+}
+
+std::vector<Message>
+Target::requests ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return requests_;
+}
+
+int
+Target::loads ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return loads_;
+}
+
+size_t
+Target::most_held ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return most_held_;
+}
+
+std::string
+Target::report ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::string held;
+  std::string coming;
+  for (const auto &[name, adapter] : adapters_)
+    {
+      std::string text = name + "@" + std::to_string (adapter.version);
+      if (adapter.ready <= Clock::now ())
+        held += (held.empty () ? "\"" : ",\"") + text + "\"";
+      else
+        coming += (coming.empty () ? "\"m/" : ",\"m/") + text + "\"";
+    }
+  std::string models
+      = has_model_
+            ? "{\"Name\":\"m\",\"Version\":1,\"Adapters\":[" + held + "]}"
+            : "";
+  return "{\"Stage\":\"colocated\",\"Models\":[" + models + "],\"Coming\":["
+         + coming + "],\"Busy\":false,\"Seq\":" + std::to_string (seq_)
+         + ",\"Queued\":0,\"Running\":0,\"State\":\""
+         + (is_leaving_ ? "draining" : "ready") + "\"}";
+}
+
+/// @return  The HTTP status of the order.
+int
+Target::carry_out (const std::string &body)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::string expected = member (body, "Expected");
+  if (!expected.empty () && atoll (expected.c_str ()) != seq_)
+    return 409;
+  seq_++;
+  std::string name = member (body, "Adapter");
+  bool is_load = member (body, "Operation") == "load";
+  if (name.empty ())
+    {
+      has_model_ = is_load;
+      return 202;
+    }
+  if (!is_load)
+    {
+      adapters_.erase (name);
+      return 200;
+    }
+  adapters_[name]
+      = { newest_version, Clock::now () + std::chrono::milliseconds (load_ms) };
+  loads_++;
+  most_held_ = std::max (most_held_, adapters_.size ());
+  return 202;
+}
+
+bool
+Target::serve_order (Connection &connection, const Message &request)
+{
+  int delay_ms = late_order_ms;
+  if (delay_ms == 0)
+    return connection.write (answer (carry_out (request.body), "", "{}"));
+  sleep_ms (delay_ms);
+  carry_out (request.body);
+  return false;
+}
+
+std::string
+Target::head_of (const Message &request, bool has_seal)
+{
+  std::string head = "X-Knapweedbay-Attempt-Id: "
+                     + request.header ("x-knapweedbay-attempt-id") + "\r\n";
+  if (has_seal)
+    head += "X-Knapweedbay-Server-Seal: seal-" + id () + "\r\n";
+  return head;
+}
+
+/// Refuse what is for another incarnation, or an adapter that is not held.
+/// @return  Whether it was refused.
+bool
+Target::refuse (Connection &connection, const Message &request)
+{
+  std::string expected = request.header ("x-knapweedbay-expect-instance");
+  std::string model = request.header ("x-knapweedbay-model");
+  std::string version = request.header ("x-knapweedbay-expect-version");
+  bool is_refused = false;
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    is_refused = !expected.empty () && expected != id_;
+    size_t slash = model.find ('/');
+    if (is_engine_ && slash != std::string::npos)
+      {
+        auto it = adapters_.find (model.substr (slash + 1));
+        is_refused = is_refused || it == adapters_.end ()
+                     || it->second.ready > Clock::now ()
+                     || (!version.empty ()
+                         && atoi (version.c_str ()) != it->second.version);
+      }
+    is_refused = is_refused || (is_engine_ && !has_model_);
+  }
+  if (is_refused)
+    connection.write (answer (
+        421, "X-Knapweedbay-Instance-Id: " + id () + "\r\n", "misdirected"));
+  return is_refused;
+}
+
+bool
+Target::stream (Connection &connection, const Message &request, Fault fault)
+{
+  connection.write ("HTTP/1.1 200 OK\r\n" + head_of (request, true)
+                    + "Content-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n");
+  int from = atoi (request.header ("last-event-id").c_str ());
+  for (int i = from + 1; i <= events; i++)
+    {
+      sleep_ms (event_ms);
+      if (connection.peer_is_gone (0))
+        {
+          abandoned++;
+          return false;
+        }
+      std::string event
+          = "id: " + std::to_string (i) + "\ndata: e" + std::to_string (i)
+            + "\n\n";
+      if (fault == Fault::CUT_WITHIN_EVENT && i == from + 3)
+        {
+          connection.write (chunk (event.substr (0, event.size () / 2)));
+          sleep_ms (20);
+          connection.reset ();
+          return false;
+        }
+      connection.write (chunk (event));
+    }
+  return connection.write ("0\r\n\r\n");
+}
+
+bool
+Target::run (Connection &connection, const Message &request, Fault fault)
+{
+  static const std::string body = "{\"map\":\"a body of some length\"}";
+  std::string head = head_of (request, fault != Fault::NO_SEAL);
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    runs_[request.header ("x-knapweedbay-attempt-id")]++;
+  }
+  switch (fault)
+    {
+    case Fault::RESET_BEFORE_ANSWER:
+      connection.reset ();
+      return false;
+    case Fault::HANG:
+      connection.peer_is_gone (10000);
+      return false;
+    case Fault::BARE_503:
+      return connection.write (answer (503, head, "busy"));
+    case Fault::ERROR_500:
+      return connection.write (answer (500, head, "failed"));
+    case Fault::STRAY_FIRST:
+      connection.write (answer (200,
+                                "X-Knapweedbay-Attempt-Id: another\r\n"
+                                "X-Knapweedbay-Server-Seal: s\r\n",
+                                "not for you"));
+      break;
+    case Fault::CUT_UNFRAMED:
+    case Fault::END_UNFRAMED:
+      connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n"
+                        + body.substr (0, fault == Fault::END_UNFRAMED
+                                              ? body.size ()
+                                              : body.size () / 2));
+      if (fault == Fault::CUT_UNFRAMED)
+        connection.reset ();
+      return false;
+    default:
+      break;
+    }
+  if (is_engine_)
+    return stream (connection, request, fault);
+  connection.write (answer (200, head, body));
+  if (fault == Fault::EXTRA_AFTER)
+    connection.write (answer (200, head, "a second answer"));
+  return true;
+}
+
+bool
+Target::serve (Connection &connection, const Message &request)
+{
+  if (request.target () == "/report")
+    return connection.write (json_answer (report ()));
+  if (request.target () == "/health")
+    return connection.write (
+        answer (200, "X-Knapweedbay-Instance-Id: " + id () + "\r\n", ""));
+  if (request.target () == "/order")
+    return serve_order (connection, request);
+  Fault fault = Fault::NONE;
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    requests_.push_back (request);
+    if (!faults_.empty ())
+      {
+        fault = faults_.front ();
+        faults_.erase (faults_.begin ());
+      }
+  }
+  if (refuse (connection, request))
+    return true;
+  if (fault == Fault::NOT_RUN)
+    return connection.write (
+        answer (503, "X-Knapweedbay-Not-Executed: 1\r\n", "full"));
+  return run (connection, request, fault);
+}
+
+} // namespace relay
--- /dev/null
+++ b/test/relay/target_standin.h
@@ -0,0 +1,100 @@
+/// @file target_standin.h
+/// Stand-in of the platform's targets: a model engine with adapters, orders
+/// and streams, or a plain service; with switches for what goes wrong.
+#ifndef KB_TEST_RELAY_TARGET_STANDIN_H
+#define KB_TEST_RELAY_TARGET_STANDIN_H
+
+#include <chrono>
+#include <set>
+
+#include "http_peer.h"
+
+namespace relay
+{
+
+/// What a target does with a request, next time.
+enum class Fault
+{
+  NONE,
+  RESET_BEFORE_ANSWER, ///< It runs; the connection is reset.
+  CUT_WITHIN_EVENT,    ///< Reset in the middle of the third event.
+  CUT_UNFRAMED,        ///< No length; reset within the body.
+  END_UNFRAMED,        ///< No length; closed in order at the end.
+  NOT_RUN,             ///< 503 with the word that it did not run.
+  BARE_503,            ///< 503 without it.
+  ERROR_500,
+  STRAY_FIRST, ///< Another request's answer comes before the right one.
+  NO_SEAL,
+  HANG,
+  EXTRA_AFTER, ///< A second answer right after the right one.
+};
+
+class Target : public Server
+{
+public:
+  /// @param is_engine  Else a plain service.
+  Target (const std::string &ip, const std::string &id, bool is_engine)
+      : Server (ip), id_ (id), is_engine_ (is_engine)
+  {
+    start ();
+  }
+  ~Target () override { stop (); }
+  std::string
+  id ()
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    return id_;
+  }
+  /// Faults of the next requests, one each.
+  void fail_next (std::vector<Fault> faults);
+  /// Come back as another incarnation, empty.
+  void restart (const std::string &id);
+  void set_leaving (bool is_leaving);
+  /// How often a request ran here.
+  int runs_of (const std::string &attempt_id);
+  int runs ();
+  std::vector<Message> requests ();
+  /// Adapter loads that were carried out, and the most held at one time.
+  int loads ();
+  size_t most_held ();
+  std::atomic<int> event_ms{ 2 };
+  std::atomic<int> events{ 10 };
+  std::atomic<int> load_ms{ 20 };
+  std::atomic<int> newest_version{ 1 };
+  /// Orders get no answer and are carried out this much later; zero: not so.
+  std::atomic<int> late_order_ms{ 0 };
+  /// Streams whose caller went away before the end.
+  std::atomic<int> abandoned{ 0 };
+  std::atomic<size_t> adapter_slots{ 4 };
+
+private:
+  struct Adapter
+  {
+    int version = 0;
+    std::chrono::steady_clock::time_point ready;
+  };
+  bool serve (Connection &connection, const Message &request) override;
+  bool serve_order (Connection &connection, const Message &request);
+  int carry_out (const std::string &body);
+  std::string report ();
+  bool run (Connection &connection, const Message &request, Fault fault);
+  bool stream (Connection &connection, const Message &request, Fault fault);
+  std::string head_of (const Message &request, bool has_seal);
+  bool refuse (Connection &connection, const Message &request);
+  std::mutex mutex_;
+  std::string id_;
+  bool is_engine_;
+  bool is_leaving_ = false;
+  std::map<std::string, Adapter> adapters_;
+  bool has_model_ = true;
+  int64_t seq_ = 0;
+  int loads_ = 0;
+  size_t most_held_ = 0;
+  std::vector<Fault> faults_;
+  std::map<std::string, int> runs_;
+  std::vector<Message> requests_;
+};
+
+} // namespace relay
+
+#endif
