perf(relay): pass configurations on by turns, adapter lists only when they change

Cause: at a new configuration every gateway sent it to every sidecar and back (25 by 46), which filled links of 10 Mbit/s for 0.8 s; all streams paused at that moment. Seen in new stream_paused lines: every gateway at once, every engine, also with processor time not counted.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -33,6 +33,8 @@
   /// Silence before the first event of such a stream.
   FIRST_SILENCE_MS = 2000,
   MAX_ENGINE_PRIORITY = 9,
+  /// Pauses of a stream from here on are logged.
+  LOGGED_GAP_MS = 300,
 };
 
 static void answer_broken (gtw_request_t *r, bool was_sent,
@@ -191,6 +193,24 @@
   return 0;
 }
 
+/// Remember a pause between events, and log one that a caller notices.
+static void
+note_gap (gtw_request_t *r, uint64_t gap_ms)
+{
+  r->longest_gap_ms = gap_ms;
+  log_event_t line;
+  if (gap_ms < LOGGED_GAP_MS
+      || !log_begin (&line, LOG_INFO, "gateway", "stream_paused"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "target", r->target->told.id);
+  log_int (&line, "gap_ms", (int64_t)gap_ms);
+  log_int (&line, "backlog_ms", (int64_t)r->target->backlog_ms);
+  log_int (&line, "granted", r->target->granted);
+  log_int (&line, "sends", r->sends);
+  log_end (&line);
+}
+
 /// Pass on all whole events. A target may stop within one, and the rest of
 /// the stream then comes from another target, which begins with a whole one.
 static void
@@ -231,7 +251,7 @@
       if (r->first_event_ms == 0)
         r->first_event_ms = now_ms;
       else if (now_ms - r->passed_ms > r->longest_gap_ms)
-        r->longest_gap_ms = now_ms - r->passed_ms;
+        note_gap (r, now_ms - r->passed_ms);
       r->passed_ms = now_ms;
       pass (r, (kb_slice_t){ r->held.ptr + from, (uint32_t)(at - from) });
       arm_silence (r);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -52,6 +52,7 @@
   double backlog_ms;    ///< Time to read the prompts there.
   double load_wait_ms;  ///< Until an adapter new to it would be held.
   double tokens_per_ms; ///< Prompts that it reads.
+  uint64_t list_stamp; ///< Of these adapters, as the sidecar names them.
   msg_engine_adapter_t *adapters;
   uint32_t adapter_count;
 } gtw_target_t;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "gateway/gateway_defs.h"
+#include "relay/turn.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -29,7 +30,8 @@
                     .revision = revision_of (gateway),
                     .versions_known = gateway->versions.changes,
                     .engine_count
-                    = gtw_targets_count (gateway, target->told.service) } };
+                    = gtw_targets_count (gateway, target->told.service),
+                    .list_stamp = target->list_stamp } };
   if (hst_send (&gateway->host, target->link, &msg) != KB_OK)
     MET_INC ("knapweedbay_sidecar_unreached_total", "");
 }
@@ -59,6 +61,9 @@
 static void
 help_sidecar (gtw_gateway_t *gateway, gtw_target_t *target)
 {
+  if (!trn_is_mine (gateway->host.incarnation, target->place_key,
+                    gateway->gateway_count, gtw_now_ms (gateway)))
+    return;
   if (target->sidecar_revision < revision_of (gateway))
     give_document (gateway, target);
   if (target->sidecar_versions >= gateway->versions.changes)
@@ -134,7 +139,7 @@
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
     if (t->is_linked && t->heard_ms > 0)
-      give_version (gateway, t, item);
+      help_sidecar (gateway, t);
 }
 
 static void
@@ -147,6 +152,21 @@
   target->adapter_count = count;
 }
 
+/// A list is sent when it changed; without one, the stamp tells whether the
+/// list from before still holds. A stamp that does not fit is told back, and
+/// the list comes with the next word.
+static void
+take_adapter_list (gtw_target_t *target, const msg_engine_state_t *state)
+{
+  if (state->adapters.len_bytes == 0
+      && target->list_stamp == state->list_stamp)
+    return;
+  copy_adapters (target, state->adapters);
+  uint64_t stamp
+      = kb_hash (state->adapters.ptr, state->adapters.len_bytes, 1) | 1;
+  target->list_stamp = stamp == state->list_stamp ? stamp : 0;
+}
+
 static void
 take_engine_state (gtw_gateway_t *gateway, gtw_target_t *target,
                    const msg_engine_state_t *state)
@@ -170,7 +190,7 @@
   if (state->gateway_count > 0)
     gateway->gateway_count = (uint32_t)state->gateway_count;
   kb_slice_copy (state->instance, target->instance, sizeof target->instance);
-  copy_adapters (target, state->adapters);
+  take_adapter_list (target, state);
   if (is_first || is_restarted)
     gtw_tell_sidecar (gateway, target);
   help_sidecar (gateway, target);
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -71,6 +71,7 @@
   target->is_linked = true;
   target->linked_ms = gtw_now_ms (gateway);
   target->heard_ms = 0;
+  target->list_stamp = 0;
 }
 
 static void
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -286,6 +286,7 @@
   uint64_t revision;       ///< Of the configuration it has in force.
   uint64_t versions_known; ///< How many adapter versions it knows.
   uint64_t engine_count;   ///< Engines of the sidecar's service it sees.
+  uint64_t list_stamp;     ///< Of the adapter list it has from this sidecar.
 } msg_gateway_state_t;
 
 /// How an engine can be used, as its sidecar sees it.
@@ -311,7 +312,8 @@
   uint64_t tokens_per_s; ///< Prompt tokens the engine reads.
   uint64_t load_wait_ms; ///< Until an adapter new to it would be held.
   kb_slice_t instance; ///< Incarnation of the engine, or empty.
-  kb_slice_t adapters; ///< Packed msg_engine_adapter_t.
+  uint64_t list_stamp; ///< Of the adapters it holds; changes with them.
+  kb_slice_t adapters; ///< Packed msg_engine_adapter_t; empty: as told before.
 } msg_engine_state_t;
 
 /// One adapter that an engine holds or fetches.
--- /dev/null
+++ b/src/relay/turn.h
@@ -0,0 +1,32 @@
+/// @file turn.h
+/// Who of many passes something on that all of them have. Without turns every
+/// gateway would send a new configuration to every sidecar and back, which
+/// filled 10 Mbit/s links of a fleet of 25 by 46 for 0.8 s, and every stream
+/// with them.
+#ifndef KB_RELAY_TURN_H
+#define KB_RELAY_TURN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/buf.h"
+
+enum
+{
+  TRN_PERIOD_MS = 400, ///< Turns change, so that one who lacks it is replaced.
+  TRN_AT_ONCE = 2,     ///< How many have their turn at one time, about.
+};
+
+/// @param own     Hash of the one that would pass it on.
+/// @param peer    Hash of the one that lacks it.
+/// @param sharers How many could pass it on.
+static inline bool
+trn_is_mine (uint64_t own, uint64_t peer, uint32_t sharers, uint64_t now_ms)
+{
+  if (sharers <= TRN_AT_ONCE)
+    return true;
+  uint64_t parts[3] = { own, peer, now_ms / TRN_PERIOD_MS };
+  return kb_hash (parts, sizeof parts, 0) % sharers < TRN_AT_ONCE;
+}
+
+#endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "relay/turn.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -17,6 +18,9 @@
   REPORT_FAILURES = 2,
   /// Shortest time between two words of load to the gateways.
   TELL_MS = 100,
+  /// The same for each gateway, so that the messages of a large fleet grow
+  /// with its size, not with its square.
+  TELL_PER_GATEWAY_MS = 8,
   /// Heartbeat when nothing changes; gateways give up after three.
   HEARTBEAT_MS = 400,
   GATEWAY_GONE_MS = 5000,
@@ -32,6 +36,8 @@
   MAX_COMING = 4,
   MAX_COLD = 1,
   EXIT_MS = 250,
+  /// A gateway that reads the store itself has a new configuration by then.
+  HELP_AFTER_MS = 300,
   IDENTIFY_RETRY_MS = 1000,
   MS_PER_S = 1000,
 };
@@ -84,7 +90,19 @@
 }
 
 static void
-tell_state (scr_sidecar_t *s)
+tell_gateway (scr_sidecar_t *s, scr_gateway_t *gateway, msg_t *msg,
+              kb_slice_t adapters)
+{
+  msg_engine_state_t *state = &msg->engine_state;
+  bool is_list_known = gateway->list_stamp == state->list_stamp;
+  state->adapters = is_list_known ? (kb_slice_t){ NULL, 0 } : adapters;
+  gateway->list_stamp = state->list_stamp;
+  send_to (s, gateway, msg);
+}
+
+/// Tell one gateway, or all.
+static void
+tell_state (scr_sidecar_t *s, scr_gateway_t *only)
 {
   kb_buf_t adapters = { 0 };
   pack_adapters (s, &adapters);
@@ -104,10 +122,15 @@
                     = (uint64_t)(s->table.tokens_per_ms * MS_PER_S),
                     .load_wait_ms = adm_new_load_wait_ms (&s->table),
                     .instance = kb_slice_str (s->instance),
-                    .adapters = kb_buf_slice (&adapters) } };
-  for (uint32_t i = 0; i < s->gateway_count; i++)
-    send_to (s, &s->gateways[i], &msg);
+                    .list_stamp
+                    = kb_hash (adapters.ptr, adapters.len_bytes, 1) | 1 } };
+  if (only != NULL)
+    tell_gateway (s, only, &msg, kb_buf_slice (&adapters));
+  for (uint32_t i = 0; only == NULL && i < s->gateway_count; i++)
+    tell_gateway (s, &s->gateways[i], &msg, kb_buf_slice (&adapters));
   kb_buf_finish (&adapters);
+  if (only != NULL)
+    return;
   s->told_ms = now_ms_of (s);
   s->is_state_due = false;
 }
@@ -115,7 +138,7 @@
 static void
 tell_on_time (void *arg)
 {
-  tell_state (arg);
+  tell_state (arg, NULL);
 }
 
 /// Tell the gateways soon; changes close together go out as one.
@@ -126,8 +149,13 @@
     return;
   s->is_state_due = true;
   uint64_t since_ms = now_ms_of (s) - s->told_ms;
+  uint64_t pause_ms = TELL_PER_GATEWAY_MS * s->gateway_count;
+  if (pause_ms < TELL_MS)
+    pause_ms = TELL_MS;
+  if (pause_ms > HEARTBEAT_MS)
+    pause_ms = HEARTBEAT_MS;
   tmr_after (&s->host.timers, &s->tell_timer,
-             since_ms >= TELL_MS ? 0 : TELL_MS - since_ms, tell_on_time, s);
+             since_ms >= pause_ms ? 0 : pause_ms - since_ms, tell_on_time, s);
 }
 
 static void
@@ -188,6 +216,7 @@
   s->config = config;
   kb_buf_clear (&s->document);
   kb_buf_append (&s->document, given->data.ptr, given->data.len_bytes);
+  s->document_ms = now_ms_of (s);
   apply_config (s);
   log_event_t line;
   if (log_begin (&line, LOG_INFO, "config", "config_in_force"))
@@ -219,11 +248,17 @@
   send_to (s, gateway, &msg);
 }
 
-/// Pass on what a gateway lacks: it may be cut off from the store.
+/// Pass on what a gateway lacks: it may be cut off from the store. Most read
+/// it there themselves, a moment later than the first one.
 static void
 help_gateway (scr_sidecar_t *s, const scr_gateway_t *gateway)
 {
-  if (s->config != NULL && gateway->revision < s->config->revision)
+  uint64_t now_ms = now_ms_of (s);
+  uint64_t own = name_id (kb_slice_str (s->host.settings.name));
+  if (!trn_is_mine (own, gateway->id, s->engine_count, now_ms))
+    return;
+  if (s->config != NULL && gateway->revision < s->config->revision
+      && now_ms - s->document_ms >= HELP_AFTER_MS)
     give_document (s, gateway);
   if (gateway->versions_known >= s->versions.changes)
     return;
@@ -233,13 +268,6 @@
     give_version (s, gateway, item);
 }
 
-static void
-help_all (scr_sidecar_t *s)
-{
-  for (uint32_t i = 0; i < s->gateway_count; i++)
-    help_gateway (s, &s->gateways[i]);
-}
-
 static void
 take_version (scr_sidecar_t *s, const msg_adapter_version_t *given)
 {
@@ -258,9 +286,6 @@
       log_int (&line, "version", item->version);
       log_end (&line);
     }
-  for (uint32_t i = 0; i < s->gateway_count; i++)
-    if (s->gateways[i].versions_known < s->versions.changes)
-      give_version (s, &s->gateways[i], item);
 }
 
 static scr_gateway_t *
@@ -293,12 +318,13 @@
   gateway->incarnation = state->incarnation;
   gateway->revision = state->revision;
   gateway->versions_known = state->versions_known;
+  gateway->list_stamp = state->list_stamp;
   gateway->heard_ms = now_ms_of (s);
   s->engine_count = (uint32_t)state->engine_count;
   help_gateway (s, gateway);
   if (is_new)
     {
-      tell_state (s);
+      tell_state (s, gateway);
       sidecar_pump (s);
     }
 }
@@ -397,7 +423,6 @@
       break;
     case MSG_DOCUMENT:
       take_document (s, &msg->document);
-      help_all (s);
       sidecar_pump (s);
       break;
     case MSG_ADAPTER_VERSION:
@@ -721,7 +746,7 @@
       *gateway = s->gateways[--s->gateway_count];
     }
   if (now_ms - s->told_ms >= HEARTBEAT_MS)
-    tell_state (s);
+    tell_state (s, NULL);
   sidecar_pump (s);
 }
 
@@ -738,7 +763,7 @@
 {
   scr_sidecar_t *s = (scr_sidecar_t *)host;
   s->table.is_open = false;
-  tell_state (s);
+  tell_state (s, NULL);
   sidecar_pump (s);
   tmr_after (&host->timers, &s->exit_timer, EXIT_MS, sidecar_exit, s);
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -24,6 +24,7 @@
   uint64_t incarnation;
   uint64_t revision;
   uint64_t versions_known;
+  uint64_t list_stamp; ///< Of the adapter list it was sent last.
   uint64_t heard_ms;
 } scr_gateway_t;
 
@@ -36,6 +37,7 @@
   ver_table_t versions;
   svc_config_t *config;
   kb_buf_t document;
+  uint64_t document_ms; ///< When it came.
   scr_gateway_t gateways[SCR_MAX_GATEWAYS];
   uint32_t gateway_count;
   uint32_t engine_count; ///< Of the service, as gateways see it.
