--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -17,7 +17,7 @@
   /// steps, each with a piece of a prompt. Reading at most this much at one
   /// time keeps the pause between two events below 300 ms; without the limit
   /// 5 % of the streams of a calm day paused for longer.
-  READING_LIMIT_MS = 160,
+  READING_LIMIT_MS = 120,
   /// A request that does not fit is not overtaken for longer than this, so
   /// that large prompts are not starved by small ones.
   OVERTAKE_MS = 100,
