feat(logs): print one request's story, latency histograms, resumes that wait

knapweedbay logs --id ID joins the lines of several processes; histograms of whole answers, first events, places and loads stand on the metrics page.

--- a/src/cli/cli_defs.h
+++ b/src/cli/cli_defs.h
@@ -20,6 +20,7 @@
 {
   CLI_ADDRESS_BYTES = 64,
   CLI_MAX_DAEMONS = 64,
+  CLI_MAX_FILES = 512,
 };
 
 typedef struct
@@ -30,6 +31,9 @@
   uint32_t daemon_count;
   char key[160];
   char folder[512];
+  const char *request_id;
+  const char *files[CLI_MAX_FILES];
+  uint32_t file_count;
   bool is_json;
   bool is_watch;
   uv_loop_t loop;
@@ -73,4 +77,7 @@
 int cli_keygen (cli_t *cli);
 int cli_hash_key (cli_t *cli);
 
+// cli_logs.c
+int cli_logs (cli_t *cli);
+
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -34,6 +34,8 @@
     false, false, false },
   { "hash-key", "print a partner key in the form of the configuration",
     cli_hash_key, false, false, false, true },
+  { "logs", "print one request's story from the logs of several processes",
+    cli_logs, false, false, false, false },
 };
 
 enum
@@ -77,6 +79,7 @@
   struct arg_str *kv;
   struct arg_str *daemon;
   struct arg_str *key;
+  struct arg_str *id;
   struct arg_file *folder;
   struct arg_end *end;
 } options_t;
@@ -93,6 +96,14 @@
         return usage_error ("a configuration folder is required");
       snprintf (cli.folder, sizeof cli.folder, "%s", o->folder->filename[0]);
     }
+  if (command->run == cli_logs)
+    {
+      if (o->id->count == 0)
+        return usage_error ("--id of the request is required");
+      cli.request_id = o->id->sval[0];
+      for (int i = 0; i < o->folder->count; i++)
+        cli.files[cli.file_count++] = o->folder->filename[i];
+    }
   if (command->needs_kv
       && (o->kv->count == 0
           || !cli_parse_address (o->kv->sval[0], cli.kv_address,
@@ -139,11 +150,14 @@
     .daemon
     = arg_strn (NULL, "daemon", "IP:PORT", 0, CLI_MAX_DAEMONS, "daemon"),
     .key = arg_str0 (NULL, "key", "KEY", "operator or partner key"),
-    .folder = arg_file0 (NULL, NULL, "FOLDER", "configuration folder"),
+    .id = arg_str0 (NULL, "id", "ID", "logs: id of the request"),
+    .folder = arg_filen (NULL, NULL, "FOLDER|LOG", 0, CLI_MAX_FILES,
+                         "configuration folder; logs: files to read, or "
+                         "standard input"),
     .end = arg_end (8),
   };
   void *table[]
-      = { o.help, o.json, o.watch, o.kv, o.daemon, o.key, o.folder, o.end };
+      = { o.help, o.json, o.watch, o.kv, o.daemon, o.key, o.id, o.folder, o.end };
   int errors = arg_parse (argc - 1, argv + 1, table);
   int code = CLI_OK;
   if (o.help->count > 0)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -122,13 +122,7 @@
 gateway_on_metrics (hst_host_t *host)
 {
   const gtw_gateway_t *gateway = (const gtw_gateway_t *)host;
-  met_set (met_counter ("knapweedbay_clients", ""), gateway->client_count);
-  met_set (met_counter ("knapweedbay_requests_open", ""),
-           gateway->request_count);
-  met_set (met_counter ("knapweedbay_targets", ""), gateway->targets.len);
-  met_set (met_counter ("knapweedbay_config_revision", ""),
-           gateway->config == NULL ? 0 : (int64_t)gateway->config->revision);
-  met_set (met_counter ("knapweedbay_ready", ""), is_ready (gateway));
+  gtw_set_gauges (gateway, is_ready (gateway));
 }
 
 static const hst_role_t gateway_role = { gtw_on_message, gateway_on_stop,
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -371,7 +371,7 @@
   gtw_target_note (r->gateway, r->target,
                    r->http_status < HTTP_SERVER_ERROR);
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
-  gtw_log_request (r, "answered", r->http_status);
+  gtw_request_log (r, "answered", r->http_status);
   gtw_request_end (r);
   gtw_client_answered (client, true);
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -234,7 +234,8 @@
 void gtw_request_begun (gtw_request_t *r);
 /// The sidecar that was asked is gone or restarted.
 void gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target);
-void gtw_log_request (const gtw_request_t *r, const char *outcome,
+/// Log and count the end of a request.
+void gtw_request_log (const gtw_request_t *r, const char *outcome,
                       int http_status);
 
 // gateway_answer.c
@@ -245,6 +246,11 @@
 void gtw_budget_note_first (gtw_gateway_t *gateway, const char *service);
 bool gtw_budget_take (gtw_gateway_t *gateway, const char *service);
 
+// gateway_metrics.c
+void gtw_observe_end (const gtw_request_t *r, int http_status);
+void gtw_observe_grant (const gtw_request_t *r);
+void gtw_set_gauges (const gtw_gateway_t *gateway, bool is_ready);
+
 // gateway_targets.c
 void gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told);
 void gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -85,9 +85,10 @@
   r->revision = config->revision;
 }
 
-/// @return  The moment until which a caller waits for a first byte.
+/// @return  The moment until which a caller waits for the next byte, when the
+///          last one came at `from_ms`.
 static uint64_t
-first_due_ms (const gtw_request_t *r)
+patience_end_ms (const gtw_request_t *r, uint64_t from_ms)
 {
   uint64_t end_ms
       = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
@@ -97,10 +98,16 @@
       = PATIENCE_OBJECTIVES * (r->objective_ms - r->arrived_ms);
   if (patience_ms < PATIENCE_LEAST_MS)
     patience_ms = PATIENCE_LEAST_MS;
-  uint64_t due_ms = r->arrived_ms + patience_ms - PATIENCE_MARGIN_MS;
+  uint64_t due_ms = from_ms + patience_ms - PATIENCE_MARGIN_MS;
   return due_ms < end_ms ? due_ms : end_ms;
 }
 
+static uint64_t
+left_of (uint64_t moment_ms, uint64_t now_ms)
+{
+  return moment_ms > now_ms ? moment_ms - now_ms : 0;
+}
+
 static void
 request_copy_said (gtw_request_t *r, const rly_request_t *said)
 {
@@ -109,7 +116,7 @@
   uint64_t deadline_ms
       = said->deadline_ms > 0 ? said->deadline_ms : DEFAULT_DEADLINE_MS;
   r->deadline_ms = r->arrived_ms + deadline_ms;
-  r->first_due_ms = first_due_ms (r);
+  r->first_due_ms = patience_end_ms (r, r->arrived_ms);
   if (said->adapter.len_bytes > 0)
     r->adapter_key = ver_key (said->model, said->adapter, r->adapter_name,
                               sizeof r->adapter_name);
@@ -155,8 +162,9 @@
 }
 
 void
-gtw_log_request (const gtw_request_t *r, const char *outcome, int http_status)
+gtw_request_log (const gtw_request_t *r, const char *outcome, int http_status)
 {
+  gtw_observe_end (r, http_status);
   uint64_t now_ms = gtw_now_ms (r->gateway);
   bool is_good = http_status >= 200 && http_status < 300;
   log_event_t line;
@@ -248,7 +256,7 @@
 {
   gtw_client_t *client = r->client;
   r->reason = reason;
-  gtw_log_request (r, http_status == HTTP_UNAVAILABLE ? "refused" : "failed",
+  gtw_request_log (r, http_status == HTTP_UNAVAILABLE ? "refused" : "failed",
                    http_status);
   bool is_cut = r->is_head_written;
   if (!is_cut)
@@ -341,6 +349,13 @@
   r->place_ms = now_ms;
   r->has_place = false;
   kb_map_put (&gateway->places, r->place_id, r);
+  // A stream that was broken off is late in any case; what counts then is
+  // that it goes on before its caller leaves.
+  uint64_t due_ms = r->has_event ? patience_end_ms (r, r->passed_ms)
+                                 : r->first_due_ms;
+  uint64_t objective_ms = r->has_event || r->objective_ms <= now_ms
+                              ? due_ms
+                              : r->objective_ms;
   msg_t msg
       = { .type = MSG_PLACE_ASK,
           .place_ask
@@ -348,10 +363,8 @@
               .priority = r->priority,
               .prompt_tokens = r->said.prompt_tokens,
               .output_tokens = output_tokens_of (&r->said),
-              .left_ms
-              = r->first_due_ms > now_ms ? r->first_due_ms - now_ms : 0,
-              .objective_ms
-              = r->objective_ms > now_ms ? r->objective_ms - now_ms : 0,
+              .left_ms = left_of (due_ms, now_ms),
+              .objective_ms = left_of (objective_ms, now_ms),
               .version = ver_newest (&gateway->versions, r->adapter_key),
               .model = r->said.model,
               .adapter = r->said.adapter } };
@@ -406,6 +419,7 @@
       hst_send (&gateway->host, from->link, &msg);
       return;
     }
+  gtw_observe_grant (r);
   r->has_place = true;
   r->granted_version = (uint32_t)grant->version;
   kb_slice_copy (grant->instance, r->granted_instance,
--- a/src/transport/metrics.h
+++ b/src/transport/metrics.h
@@ -33,7 +33,29 @@
 {
   counter->value = value;
 }
-/// Append every counter as Prometheus text.
+enum
+{
+  /// Two buckets for each doubling of milliseconds, up to about 65 s.
+  MET_BUCKETS = 34,
+  MET_MAX_HISTOGRAMS = 32,
+};
+
+/// Latencies in log-linear buckets.
+typedef struct
+{
+  const char *name;   ///< Constant metric name.
+  const char *labels; ///< Constant label text without braces, or "".
+  uint64_t buckets[MET_BUCKETS];
+  uint64_t count;
+  uint64_t sum_ms;
+} met_histogram_t;
+
+/// Find or create a histogram; as met_counter.
+met_histogram_t *met_histogram (const char *name, const char *labels);
+void met_observe (met_histogram_t *histogram, uint64_t value_ms);
+/// @return  Upper bound of a bucket in milliseconds.
+uint64_t met_bucket_bound_ms (uint32_t bucket);
+/// Append every counter and histogram as Prometheus text.
 void met_write (kb_buf_t *out);
 /// Increase a counter looked up once at this place.
 #define MET_INC(name, labels)                                                 \
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -123,14 +123,14 @@
 }
 
 void
-Site::start (Daemon *daemon)
+Site::start (Daemon *daemon, int stdout_fd)
 {
   daemon->pid = fork ();
   if (daemon->pid != 0)
     return;
   int log = open (daemon->log_path.c_str (), O_CREAT | O_WRONLY | O_APPEND,
                   0600);
-  dup2 (log, STDOUT_FILENO);
+  dup2 (stdout_fd >= 0 ? stdout_fd : log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
   for (int fd = 3; fd < 512; fd++)
     close (fd);
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -54,7 +54,8 @@
   void list_plain (size_t at, const std::string &state = "ready");
   /// Kill and start again.
   void restart (Daemon *daemon, int signal);
-  void start (Daemon *daemon);
+  /// @param stdout_fd  Where its log goes; its log file when negative.
+  void start (Daemon *daemon, int stdout_fd = -1);
   void stop (Daemon *daemon, int signal);
   bool wait_ready ();
   int ready_status (size_t gateway = 0);
