--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -203,7 +203,7 @@
   log_text (&line, "id", r->attempt_id);
   log_text (&line, "reason", reason);
   log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
-  log_int (&line, "list_age_ms",
+  log_int (&line, "word_age_ms",
            r->target == NULL || r->target->heard_ms == 0
                ? -1
                : (int64_t)(gtw_now_ms (r->gateway) - r->target->heard_ms));
@@ -211,6 +211,29 @@
   log_end (&line);
 }
 
+/// The choice of a target, with what was known of it.
+static void
+log_choice (const gtw_request_t *r)
+{
+  const gtw_target_t *t = r->target;
+  log_event_t line;
+  if (!log_begin (&line, LOG_DEBUG, "gateway", "target_chosen"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "target", t->told.id);
+  log_int (&line, "word_age_ms",
+           t->heard_ms == 0
+               ? -1
+               : (int64_t)(gtw_now_ms (r->gateway) - t->heard_ms));
+  log_int (&line, "granted", t->granted);
+  log_int (&line, "waiting", t->waiting);
+  log_int (&line, "backlog_ms", (int64_t)t->backlog_ms);
+  log_int (&line, "load_wait_ms", (int64_t)t->load_wait_ms);
+  log_int (&line, "active", t->active);
+  log_int (&line, "tried", r->tried_count);
+  log_end (&line);
+}
+
 static void
 release_place (gtw_request_t *r)
 {
@@ -367,7 +390,8 @@
               .objective_ms = left_of (objective_ms, now_ms),
               .version = ver_newest (&gateway->versions, r->adapter_key),
               .model = r->said.model,
-              .adapter = r->said.adapter } };
+              .adapter = r->said.adapter,
+              .attempt = kb_slice_str (r->attempt_id) } };
   r->target->asked_since++;
   r->target->asked_tokens += r->said.prompt_tokens;
   if (hst_send (&gateway->host, r->target->link, &msg) == KB_OK)
@@ -400,6 +424,7 @@
     }
   r->target = target;
   target->active++;
+  log_choice (r);
   if (r->is_engine)
     request_ask (r);
   else
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -336,6 +336,7 @@
   uint64_t version;       ///< Oldest that may serve it.
   kb_slice_t model;
   kb_slice_t adapter; ///< Empty: the model itself.
+  kb_slice_t attempt; ///< The caller's id of the request, for the log.
 } msg_place_ask_t;
 
 typedef struct
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -342,11 +342,31 @@
   MET_INC ("knapweedbay_places_declined_total", "");
 }
 
+/// Why a request got no place, with what decided it.
+static void
+log_decline (const scr_sidecar_t *s, kb_slice_t attempt, const char *reason,
+             uint64_t wait_ms)
+{
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "sidecar", "place_refused"))
+    return;
+  log_str (&line, "id", attempt);
+  log_text (&line, "reason", reason);
+  log_int (&line, "wait_ms", (int64_t)wait_ms);
+  log_int (&line, "fetch_ms", (int64_t)s->table.load_ms);
+  log_int (&line, "fetches", s->table.coming);
+  log_int (&line, "waiting", s->table.waiting);
+  log_int (&line, "granted", s->table.granted);
+  log_int (&line, "backlog_ms", (int64_t)(adm_backlog_us (&s->table) / 1000));
+  log_end (&line);
+}
+
 static void
 take_ask (scr_sidecar_t *s, kb_slice_t peer, const msg_place_ask_t *given)
 {
   if (s->condition != MSG_ENGINE_READY || s->host.is_stopping)
     {
+      log_decline (s, given->attempt, "engine_closed", 0);
       decline (s, peer, given->id, "engine_closed", 0);
       return;
     }
@@ -374,6 +394,7 @@
       adm_adapter_asked (ask.adapter, now_ms);
       if (wait_ms > given->objective_ms && wait_ms > s->table.load_ms)
         {
+          log_decline (s, given->attempt, "load_queue", wait_ms);
           decline (s, peer, given->id, "load_queue", wait_ms);
           return;
         }
