perf(admit,place): learn the reading rate by regression, long prompts to quiet engines

The time to a first event has a fixed part (40 ms on one site), so the rate was taken as half of what it is there, and one limit meant 2,400 tokens on one site and 3,600 on the other. Chosen: regression, 65 ms, backlog twice, long prompts to quiet engines.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -156,8 +156,8 @@
                          "standard input"),
     .end = arg_end (8),
   };
-  void *table[]
-      = { o.help, o.json, o.watch, o.kv, o.daemon, o.key, o.id, o.folder, o.end };
+  void *table[] = { o.help, o.json, o.watch,  o.kv, o.daemon,
+                    o.key,  o.id,   o.folder, o.end };
   int errors = arg_parse (argc - 1, argv + 1, table);
   int code = CLI_OK;
   if (o.help->count > 0)
--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "coordination/place.h"
+
 enum
 {
   /// Half-life of the request count that decides what is dropped.
@@ -15,15 +17,13 @@
   DECLINE_RETRY_MS = 400,
   /// Prompts being read delay every running stream: an event waits for several
   /// steps, each with a piece of a prompt. Reading at most this much at one
-  /// time keeps the pause between two events below 300 ms; without the limit
-  /// 5 % of the streams of a calm day paused for longer.
-  READING_LIMIT_MS = 120,
+  /// time keeps the pause between two events below 300 ms; without a limit
+  /// 5 % of the streams of a calm day paused for longer. Lower limits keep
+  /// prompts waiting: see docs/design/admission-and-placing.md.
+  READING_LIMIT_MS = 65,
   /// A request that does not fit is not overtaken for longer than this, so
   /// that large prompts are not starved by small ones.
   OVERTAKE_MS = 100,
-  /// Samples of the reading rate with less than this say nothing.
-  RATE_LEAST_TOKENS = 2000,
-  RATE_LEAST_MS = 20,
   /// Waiting this long counts as much as one more waiting request.
   WAIT_VALUE_MS = 300,
 };
@@ -33,7 +33,12 @@
 static const double RATE_DEFAULT = 35;
 static const double RATE_LEAST = 4;
 static const double RATE_MOST = 400;
-static const double RATE_WEIGHT = 0.05;
+/// Weight of the newest sample: about the last fifty count.
+static const double RATE_WEIGHT = 0.02;
+/// The regression before any sample: prompts of 1,000 tokens, spread as
+/// widely.
+static const double PRIOR_TOKENS = 1000;
+static const double PRIOR_FIXED_MS = 50;
 /// Fetch of an adapter from the weight store before one was measured.
 static const double LOAD_DEFAULT_MS = 250;
 static const double LOAD_WEIGHT = 0.2;
@@ -48,9 +53,16 @@
 void
 adm_table_init (adm_table_t *table, const adm_options_t *options)
 {
-  *table = (adm_table_t){ .options = *options,
-                          .tokens_per_ms = RATE_DEFAULT,
-                          .load_ms = LOAD_DEFAULT_MS };
+  *table = (adm_table_t){
+    .options = *options,
+    .tokens_per_ms = RATE_DEFAULT,
+    .first_events
+    = { .mean_tokens = PRIOR_TOKENS,
+        .mean_ms = PRIOR_TOKENS / RATE_DEFAULT + PRIOR_FIXED_MS,
+        .variance = PRIOR_TOKENS * PRIOR_TOKENS,
+        .covariance = PRIOR_TOKENS * PRIOR_TOKENS / RATE_DEFAULT },
+    .load_ms = LOAD_DEFAULT_MS
+  };
 }
 
 void
@@ -95,8 +107,8 @@
   for (adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
        a = kb_map_next (&table->adapters, &at))
     {
-      bool is_needed = a->state != ADM_ABSENT || a->waiting > 0
-                       || a->pins > 0 || a->wanted > 0;
+      bool is_needed = a->state != ADM_ABSENT || a->waiting > 0 || a->pins > 0
+                       || a->wanted > 0;
       if (is_needed)
         kb_map_put (&kept, a->key, a);
       else
@@ -131,7 +143,8 @@
 adm_adapter_is_fit (const adm_adapter_t *adapter)
 {
   return adapter == NULL
-         || (adapter->state == ADM_HELD && adapter->version >= adapter->wanted);
+         || (adapter->state == ADM_HELD
+             && adapter->version >= adapter->wanted);
 }
 
 static uint64_t
@@ -226,6 +239,15 @@
     }
 }
 
+/// What reading a prompt costs, in tokens of a short one: attention grows with
+/// the square of the length.
+static uint64_t
+reading_cost (const adm_ask_t *ask)
+{
+  uint64_t tokens = ask->prompt_tokens;
+  return tokens + tokens * tokens / PLC_SQUARE_TOKENS;
+}
+
 static void
 waiting_append (adm_table_t *table, adm_ask_t *ask)
 {
@@ -236,7 +258,7 @@
   else
     table->first = ask;
   table->last = ask;
-  table->waiting_tokens += ask->prompt_tokens;
+  table->waiting_tokens += reading_cost (ask);
   table->waiting++;
   if (ask->adapter != NULL)
     ask->adapter->waiting++;
@@ -255,7 +277,7 @@
     table->last = ask->prev;
   ask->next = NULL;
   ask->prev = NULL;
-  table->waiting_tokens -= ask->prompt_tokens;
+  table->waiting_tokens -= reading_cost (ask);
   table->waiting--;
   if (ask->adapter != NULL)
     ask->adapter->waiting--;
@@ -280,7 +302,29 @@
   if (!ask->is_reading)
     return;
   ask->is_reading = false;
-  table->reading_tokens -= ask->prompt_tokens;
+  table->reading_tokens -= reading_cost (ask);
+}
+
+/// Take one sample of the time to a first event.
+static void
+learn_rate (adm_table_t *table, double tokens, double took_ms)
+{
+  adm_line_t *line = &table->first_events;
+  double tokens_off = tokens - line->mean_tokens;
+  double ms_off = took_ms - line->mean_ms;
+  line->mean_tokens += RATE_WEIGHT * tokens_off;
+  line->mean_ms += RATE_WEIGHT * ms_off;
+  line->variance = (1 - RATE_WEIGHT)
+                   * (line->variance + RATE_WEIGHT * tokens_off * tokens_off);
+  line->covariance = (1 - RATE_WEIGHT)
+                     * (line->covariance + RATE_WEIGHT * tokens_off * ms_off);
+  double rate
+      = line->covariance > 0 ? line->variance / line->covariance : RATE_MOST;
+  if (rate < RATE_LEAST)
+    rate = RATE_LEAST;
+  if (rate > RATE_MOST)
+    rate = RATE_MOST;
+  table->tokens_per_ms = rate;
 }
 
 void
@@ -289,15 +333,8 @@
   if (!ask->is_reading)
     return;
   reading_end (table, ask);
-  uint64_t took_ms = now_ms - ask->granted_ms;
-  if (ask->ahead_tokens < RATE_LEAST_TOKENS || took_ms < RATE_LEAST_MS)
-    return;
-  double rate = (double)ask->ahead_tokens / (double)took_ms;
-  if (rate < RATE_LEAST)
-    rate = RATE_LEAST;
-  if (rate > RATE_MOST)
-    rate = RATE_MOST;
-  table->tokens_per_ms += RATE_WEIGHT * (rate - table->tokens_per_ms);
+  learn_rate (table, (double)ask->ahead_tokens,
+              (double)(now_ms - ask->granted_ms));
 }
 
 uint64_t
@@ -354,9 +391,9 @@
   if (adapter->ordered_ms == 0)
     return;
   if (adapter->is_cold)
-    table->load_ms += LOAD_WEIGHT
-                      * ((double)(now_ms - adapter->ordered_ms)
-                         - table->load_ms);
+    table->load_ms
+        += LOAD_WEIGHT
+           * ((double)(now_ms - adapter->ordered_ms) - table->load_ms);
   adapter->ordered_ms = 0;
 }
 
@@ -434,7 +471,7 @@
   uint64_t limit = (uint64_t)(MEMORY_PART * table->options.kv_tokens);
   bool has_memory = table->options.kv_tokens == 0 || table->granted == 0
                     || table->granted_tokens + ask->tokens <= limit;
-  double reading = (double)(table->reading_tokens + ask->prompt_tokens);
+  double reading = (double)(table->reading_tokens + reading_cost (ask));
   return has_memory
          && (table->reading_tokens == 0
              || reading <= READING_LIMIT_MS * table->tokens_per_ms);
@@ -600,7 +637,7 @@
       ask->granted_ms = now_ms > 0 ? now_ms : 1;
       table->granted++;
       table->granted_tokens += ask->tokens;
-      table->reading_tokens += ask->prompt_tokens;
+      table->reading_tokens += reading_cost (ask);
       ask->is_reading = true;
       ask->ahead_tokens = table->reading_tokens;
       if (ask->adapter != NULL)
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -33,22 +33,22 @@
   uint32_t wanted;  ///< Oldest that may serve; zero: any.
   uint32_t pins;    ///< Places granted with it.
   uint32_t waiting;
-  uint64_t used_ms; ///< Last request for it.
-  uint64_t held_ms; ///< Last seen held; zero: never by this incarnation.
+  uint64_t used_ms;    ///< Last request for it.
+  uint64_t held_ms;    ///< Last seen held; zero: never by this incarnation.
   uint64_t ordered_ms; ///< When its fetch was accepted; zero: not under way.
   bool is_cold;        ///< The fetch under way is from the weight store.
-  double heat;      ///< Decayed count of requests.
+  double heat;         ///< Decayed count of requests.
   uint64_t heat_ms;
   bool is_replacing; ///< Held, and a newer version is on its way.
-  uint64_t mark;    ///< The report that listed it last.
+  uint64_t mark;     ///< The report that listed it last.
   uint64_t retry_ms; ///< Not ordered again before this.
 } adm_adapter_t;
 
 /// One request for a place.
 typedef struct adm_ask
 {
-  uint64_t id;    ///< Of the gateway.
-  uint64_t owner; ///< Hash of the gateway.
+  uint64_t id;            ///< Of the gateway.
+  uint64_t owner;         ///< Hash of the gateway.
   adm_adapter_t *adapter; ///< NULL: the model itself.
   uint32_t priority;
   uint32_t tokens; ///< Memory it will need.
@@ -69,16 +69,27 @@
   uint32_t slots;
   uint32_t kv_tokens;
   uint32_t adapter_slots;
-  uint32_t max_cold; ///< Adapters on their way from the weight store.
+  uint32_t max_cold;   ///< Adapters on their way from the weight store.
   uint32_t max_coming; ///< All adapters on their way.
 } adm_options_t;
 
+/// Weighted regression of the time to a first event on the tokens read before
+/// it. The slope is the reading rate; the rest, which may be as long as the
+/// reading, is the same for every prompt.
+typedef struct
+{
+  double mean_tokens;
+  double mean_ms;
+  double variance;
+  double covariance;
+} adm_line_t;
+
 typedef struct
 {
   adm_options_t options;
   kb_map_t adapters;
-  kb_map_t asks;     ///< By id and owner.
-  adm_ask_t *first;  ///< Waiting, oldest first.
+  kb_map_t asks;    ///< By id and owner.
+  adm_ask_t *first; ///< Waiting, oldest first.
   adm_ask_t *last;
   uint32_t waiting;
   uint32_t granted;
@@ -86,6 +97,7 @@
   uint64_t reading_tokens; ///< Prompts granted and not read yet.
   uint64_t waiting_tokens; ///< Prompts of waiting requests.
   double tokens_per_ms;    ///< Prompts the engine reads, as measured.
+  adm_line_t first_events; ///< What that is measured by.
   uint32_t held;
   uint32_t coming;
   uint32_t cold_coming;  ///< Of these, from the weight store.
--- a/src/coordination/budget.h
+++ b/src/coordination/budget.h
@@ -16,7 +16,7 @@
 typedef struct
 {
   double ratio;
-  double slack;       ///< Of the whole fleet.
+  double slack; ///< Of the whole fleet.
   uint32_t window_ms;
 } bud_options_t;
 
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -8,6 +8,10 @@
 enum
 {
   HOME_RANKS = 2,
+  /// Reading for this long pauses no stream noticeably; for as long as the
+  /// second, an event comes 300 ms after the one before.
+  PAUSE_FREE_MS = 90,
+  PAUSE_FULL_MS = 220,
 };
 
 void
@@ -16,13 +20,9 @@
   *costs = (plc_costs_t){
     // A full batch slows each token by about a third and doubles the wait for
     // a first one.
-    .full_ms = 900,
-    .wait_ms = 2000,
-    .first_rank_ms = 0,
-    .second_rank_ms = 300,
-    .other_rank_ms = 600,
-    .coming_ms = 60,
-    .far_ms = 4,
+    .full_ms = 900,     .wait_ms = 2000,       .backlog = 2,
+    .first_rank_ms = 0, .second_rank_ms = 300, .other_rank_ms = 600,
+    .coming_ms = 60,    .far_ms = 4,           .paused_stream_ms = 80,
     .failure_ms = 1500,
   };
 }
@@ -72,9 +72,27 @@
     }
 }
 
+/// A prompt that is read for long pauses every stream of its engine beyond
+/// what their callers accept; an engine with few streams loses less, also when
+/// the adapter has to be fetched there.
+static double
+pause_cost (const plc_costs_t *costs, const plc_view_t *v,
+            uint32_t prompt_tokens)
+{
+  if (v->tokens_per_ms <= 0)
+    return 0;
+  double tokens = prompt_tokens;
+  double reading_ms
+      = (tokens + tokens * tokens / PLC_SQUARE_TOKENS) / v->tokens_per_ms;
+  double part = (reading_ms - PAUSE_FREE_MS) / (PAUSE_FULL_MS - PAUSE_FREE_MS);
+  if (part <= 0)
+    return 0;
+  return costs->paused_stream_ms * v->busy * (part < 1 ? part : 1);
+}
+
 int32_t
 plc_choose (const plc_costs_t *costs, const plc_view_t *views, uint32_t count,
-            uint64_t adapter)
+            const plc_request_t *request)
 {
   int32_t best = PLC_NONE;
   double best_cost = 0;
@@ -85,10 +103,12 @@
         continue;
       double slots = v->slots > 0 ? v->slots : 1;
       double cost = costs->full_ms * v->busy / slots
-                    + costs->wait_ms * v->waiting / slots + v->backlog_ms
+                    + costs->wait_ms * v->waiting / slots
+                    + costs->backlog * v->backlog_ms
                     + costs->failure_ms * v->failures
                     + (v->is_near ? 0 : costs->far_ms)
-                    + holding_cost (costs, views, count, adapter, i);
+                    + pause_cost (costs, v, request->prompt_tokens)
+                    + holding_cost (costs, views, count, request->adapter, i);
       if (best == PLC_NONE || cost < best_cost)
         {
           best = (int32_t)i;
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -25,39 +25,55 @@
   bool is_near; ///< In the failure domain of this gateway.
   plc_holding_t holding;
   uint32_t slots;
-  uint32_t busy;    ///< Places taken, with own requests since the report.
-  uint32_t waiting; ///< Requests that wait there.
-  double backlog_ms; ///< Time to read the prompts that are there.
-  double load_wait_ms; ///< Until an adapter new to it would be held.
-  double failures;  ///< Recent share of failed requests, 0 to 1.
+  uint32_t busy;        ///< Places taken, with own requests since the report.
+  uint32_t waiting;     ///< Requests that wait there.
+  double tokens_per_ms; ///< Prompt tokens that it reads; zero: not known.
+  double backlog_ms;    ///< Time to read the prompts that are there.
+  double load_wait_ms;  ///< Until an adapter new to it would be held.
+  double failures;      ///< Recent share of failed requests, 0 to 1.
 } plc_view_t;
 
 /// Costs in milliseconds of delay expected.
 typedef struct
 {
-  double full_ms;      ///< Delay by a full batch against an empty one.
-  double wait_ms;      ///< Each waiting request, per slot.
+  double full_ms; ///< Delay by a full batch against an empty one.
+  double wait_ms; ///< Each waiting request, per slot.
+  /// Each ms that the prompts there take to read: they are not read without
+  /// breaks, so that streams go on between them.
+  double backlog;
   /// Beyond the wait for a fetch, by rank of the target for the adapter: a
   /// target that held it before has it again in a tenth of the time, and one
   /// more target that holds it takes a place from another adapter.
   double first_rank_ms;
   double second_rank_ms;
   double other_rank_ms;
-  double coming_ms;    ///< The rest of a load that is under way.
-  double far_ms;       ///< Another failure domain.
-  double failure_ms;   ///< A target all of whose requests fail.
+  double coming_ms; ///< The rest of a load that is under way.
+  double far_ms;    ///< Another failure domain.
+  /// Each stream that a long prompt would pause, when the pause is full.
+  double paused_stream_ms;
+  double failure_ms; ///< A target all of whose requests fail.
 } plc_costs_t;
 
 enum
 {
   PLC_NONE = -1,
+  /// A prompt of this many tokens takes twice the time of as many tokens in
+  /// short prompts: attention grows with the square of the length. From the
+  /// sheets of both sites' engines.
+  PLC_SQUARE_TOKENS = 22000,
 };
 
 void plc_costs_default (plc_costs_t *costs);
-/// @param adapter  Hash of the adapter, or of the request for plain targets.
-/// @return         Index of the cheapest usable view, or PLC_NONE.
+/// What is to be placed.
+typedef struct
+{
+  uint64_t adapter; ///< Hash of the adapter, or of the request if plain.
+  uint32_t prompt_tokens;
+} plc_request_t;
+
+/// @return  Index of the cheapest usable view, or PLC_NONE.
 int32_t plc_choose (const plc_costs_t *costs, const plc_view_t *views,
-                    uint32_t count, uint64_t adapter);
+                    uint32_t count, const plc_request_t *request);
 /// @return  Weight of a target in the rendezvous ranking of an adapter.
 uint64_t plc_weight (uint64_t adapter, uint64_t target);
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -32,8 +32,7 @@
   kb_status_t status = settings->role == SET_ROLE_ENTRY
                            ? ent_start (&daemon, &error)
                            : agt_start (&daemon, &error);
-  return status == KB_OK ? dmn_run (&daemon)
-                         : report_failure (status, &error);
+  return status == KB_OK ? dmn_run (&daemon) : report_failure (status, &error);
 }
 
 /// Requests are passed on by the conventions of a deployment.
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -37,8 +37,7 @@
 static void
 source_on_version (void *owner, const src_version_t *version)
 {
-  gtw_take_version (owner, version->model, version->adapter,
-                    version->version);
+  gtw_take_version (owner, version->model, version->adapter, version->version);
 }
 
 static void
@@ -125,9 +124,9 @@
   gtw_set_gauges (gateway, is_ready (gateway));
 }
 
-static const hst_role_t gateway_role = { gtw_on_message, gateway_on_stop,
-                                         gateway_on_reload,
-                                         gateway_on_metrics };
+static const hst_role_t gateway_role
+    = { gtw_on_message, gateway_on_stop, gateway_on_reload,
+        gateway_on_metrics };
 
 static kb_status_t
 open_ready_page (gtw_gateway_t *gateway, kb_error_t *error)
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -230,7 +230,8 @@
         {
           // Sent before, by the target that was resumed from.
           if (at > from)
-            pass (r, (kb_slice_t){ r->held.ptr + from, (uint32_t)(at - from) });
+            pass (r,
+                  (kb_slice_t){ r->held.ptr + from, (uint32_t)(at - from) });
           at += len;
           from = at;
           continue;
@@ -292,8 +293,8 @@
 write_head (gtw_request_t *r, const h1_conn_t *conn)
 {
   const h1_conn_t *caller = &r->client->conn;
-  bool has_body = caller->parser.method != HTTP_HEAD
-                  && r->http_status != 204 && r->http_status != 304;
+  bool has_body = caller->parser.method != HTTP_HEAD && r->http_status != 204
+                  && r->http_status != 304;
   bool is_modern = caller->parser.http_minor >= 1;
   bool has_length = h1_head_count (&conn->head, "content-length") > 0
                     && !r->is_stream_answer;
@@ -368,8 +369,7 @@
   pass (r, kb_buf_slice (&r->held));
   if (r->is_chunked)
     h1_conn_write (&client->conn, last_chunk, sizeof last_chunk - 1);
-  gtw_target_note (r->gateway, r->target,
-                   r->http_status < HTTP_SERVER_ERROR);
+  gtw_target_note (r->gateway, r->target, r->http_status < HTTP_SERVER_ERROR);
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
   gtw_request_log (r, "answered", r->http_status);
   gtw_request_end (r);
@@ -460,8 +460,7 @@
           .body = kb_buf_slice (&r->body),
           .max_idle_ms = is_idempotent (r) ? XCH_ANY_IDLE : FRESH_IDLE_MS,
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-          .expects_no_body
-          = r->client->conn.parser.method == HTTP_HEAD };
+          .expects_no_body = r->client->conn.parser.method == HTTP_HEAD };
   r->stage = r->is_head_written ? GTW_PASSING : GTW_SENT;
   r->sends++;
   r->runs++;
--- a/src/gateway/gateway_budget.c
+++ b/src/gateway/gateway_budget.c
@@ -34,6 +34,6 @@
 bool
 gtw_budget_take (gtw_gateway_t *gateway, const char *service)
 {
-  return bud_take_repeat (budget_of (gateway, service),
-                          gateway->gateway_count, gtw_now_ms (gateway));
+  return bud_take_repeat (budget_of (gateway, service), gateway->gateway_count,
+                          gtw_now_ms (gateway));
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -25,13 +25,13 @@
 /// A target, listed or still in use.
 typedef struct
 {
-  src_target_t told; ///< Last entry of the list.
-  uint64_t key;      ///< Hash of its id.
+  src_target_t told;  ///< Last entry of the list.
+  uint64_t key;       ///< Hash of its id.
   uint64_t place_key; ///< Hash of its address: the same after a restart.
   xch_peer_t peer;
   bool is_listed;
-  uint32_t active;  ///< Requests of this gateway there.
-  double failures;  ///< Recent share of failures, 0 to 1.
+  uint32_t active;    ///< Requests of this gateway there.
+  double failures;    ///< Recent share of failures, 0 to 1.
   uint64_t failed_ms; ///< When the share was last updated.
 
   // Sidecar of an engine.
@@ -52,7 +52,7 @@
   double backlog_ms;    ///< Time to read the prompts there.
   double load_wait_ms;  ///< Until an adapter new to it would be held.
   double tokens_per_ms; ///< Prompts that it reads.
-  uint64_t list_stamp; ///< Of these adapters, as the sidecar names them.
+  uint64_t list_stamp;  ///< Of these adapters, as the sidecar names them.
   msg_engine_adapter_t *adapters;
   uint32_t adapter_count;
 } gtw_target_t;
@@ -70,7 +70,7 @@
 /// What is known of the attempts so far.
 typedef enum
 {
-  GTW_NOT_RUN,     ///< Proved: no target has run it.
+  GTW_NOT_RUN, ///< Proved: no target has run it.
   GTW_MAY_HAVE_RUN,
 } gtw_fate_t;
 
@@ -101,22 +101,22 @@
   uint64_t adapter_key; ///< Zero: none.
   kb_buf_t body;
   uint64_t arrived_ms;
-  uint64_t deadline_ms; ///< Moment; of no more use to the caller.
-  uint64_t timeout_ms;  ///< Moment; the route's bound.
+  uint64_t deadline_ms;  ///< Moment; of no more use to the caller.
+  uint64_t timeout_ms;   ///< Moment; the route's bound.
   uint64_t first_due_ms; ///< Moment; a first event is of no use after it.
   uint64_t sent_ms;
 
   gtw_target_t *target; ///< Asked or sent to.
   uint64_t place_id;    ///< Zero: no place asked for.
   bool has_place;
-  uint64_t place_ms;    ///< When it was asked for.
-  uint64_t load_us;     ///< Waited for a load.
+  uint64_t place_ms; ///< When it was asked for.
+  uint64_t load_us;  ///< Waited for a load.
   uint32_t granted_version;
   char granted_instance[GTW_ID_BYTES]; ///< Empty: as listed.
-  uint64_t tried[GTW_MAX_TRIES]; ///< Keys of targets that failed.
+  uint64_t tried[GTW_MAX_TRIES];       ///< Keys of targets that failed.
   uint32_t tried_count;
-  uint32_t runs;   ///< Targets that may have begun it.
-  uint32_t sends;  ///< Times it was sent.
+  uint32_t runs;  ///< Targets that may have begun it.
+  uint32_t sends; ///< Times it was sent.
   xch_t exchange;
   tmr_sub_t timer;   ///< Deadline and timeout.
   tmr_sub_t silence; ///< No answer, no event, or a pause.
@@ -129,7 +129,7 @@
   bool is_chunked;
   bool is_unframed; ///< The target's answer ends with its connection.
   kb_buf_t head;
-  kb_buf_t held;   ///< Not passed on yet: a part of an event or of a body.
+  kb_buf_t held; ///< Not passed on yet: a part of an event or of a body.
   uint64_t last_event;
   bool has_event;
   uint64_t first_event_ms;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -25,13 +25,12 @@
 gtw_tell_sidecar (gtw_gateway_t *gateway, gtw_target_t *target)
 {
   msg_t msg = { .type = MSG_GATEWAY_STATE,
-                .gateway_state
-                = { .incarnation = gateway->host.incarnation,
-                    .revision = revision_of (gateway),
-                    .versions_known = gateway->versions.changes,
-                    .engine_count
-                    = gtw_targets_count (gateway, target->told.service),
-                    .list_stamp = target->list_stamp } };
+                .gateway_state = { .incarnation = gateway->host.incarnation,
+                                   .revision = revision_of (gateway),
+                                   .versions_known = gateway->versions.changes,
+                                   .engine_count = gtw_targets_count (
+                                       gateway, target->told.service),
+                                   .list_stamp = target->list_stamp } };
   if (hst_send (&gateway->host, target->link, &msg) != KB_OK)
     MET_INC ("knapweedbay_sidecar_unreached_total", "");
 }
@@ -49,11 +48,11 @@
 give_version (gtw_gateway_t *gateway, gtw_target_t *target,
               const ver_item_t *item)
 {
-  msg_t msg = { .type = MSG_ADAPTER_VERSION,
-                .adapter_version
-                = { .version = item->version,
-                    .model = kb_slice_str (item->model),
-                    .adapter = kb_slice_str (item->adapter) } };
+  msg_t msg
+      = { .type = MSG_ADAPTER_VERSION,
+          .adapter_version = { .version = item->version,
+                               .model = kb_slice_str (item->model),
+                               .adapter = kb_slice_str (item->adapter) } };
   hst_send (&gateway->host, target->link, &msg);
 }
 
@@ -146,8 +145,8 @@
 copy_adapters (gtw_target_t *target, kb_slice_t packed)
 {
   uint32_t count = packed.len_bytes / (uint32_t)sizeof *target->adapters;
-  target->adapters = kb_realloc (target->adapters,
-                                 (count + 1) * sizeof *target->adapters);
+  target->adapters
+      = kb_realloc (target->adapters, (count + 1) * sizeof *target->adapters);
   memcpy (target->adapters, packed.ptr, count * sizeof *target->adapters);
   target->adapter_count = count;
 }
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -25,9 +25,9 @@
 {
   uint64_t now_ms = gtw_now_ms (r->gateway);
   bool is_good = http_status >= 200 && http_status < 300;
-  met_observe (met_histogram ("knapweedbay_request_ms",
-                              whole_labels[r->kind][is_good]),
-               now_ms - r->arrived_ms);
+  met_observe (
+      met_histogram ("knapweedbay_request_ms", whole_labels[r->kind][is_good]),
+      now_ms - r->arrived_ms);
   if (r->first_event_ms > 0)
     met_observe (
         met_histogram ("knapweedbay_first_event_ms", kind_labels[r->kind]),
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -151,10 +151,9 @@
   if (gateway->stop_ms > 0 && now_ms - gateway->stop_ms > STOP_REFUSE_MS)
     return refuse_head (client, HTTP_UNAVAILABLE, "this process stops");
   gtw_request_t *r = kb_alloc (sizeof *r);
-  *r = (gtw_request_t){ .gateway = gateway,
-                        .client = client,
-                        .arrived_ms = now_ms,
-                        .reason = "" };
+  *r = (gtw_request_t){
+    .gateway = gateway, .client = client, .arrived_ms = now_ms, .reason = ""
+  };
   request_copy_route (r, route);
   request_copy_said (r, &said);
   request_link (gateway, r);
@@ -184,9 +183,9 @@
   log_int (&line, "sends", r->sends);
   log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
   log_int (&line, "first_ms",
-           r->first_event_ms == 0 ? -1
-                                  : (int64_t)(r->first_event_ms
-                                              - r->arrived_ms));
+           r->first_event_ms == 0
+               ? -1
+               : (int64_t)(r->first_event_ms - r->arrived_ms));
   log_int (&line, "gap_ms", (int64_t)r->longest_gap_ms);
   log_int (&line, "load_us", (int64_t)r->load_us);
   log_int (&line, "left_ms", (int64_t)(r->deadline_ms - now_ms));
@@ -240,8 +239,8 @@
   if (r->place_id == 0)
     return;
   kb_map_remove (&r->gateway->places, r->place_id);
-  msg_t msg = { .type = MSG_PLACE_RELEASE,
-                .place_release = { .id = r->place_id } };
+  msg_t msg
+      = { .type = MSG_PLACE_RELEASE, .place_release = { .id = r->place_id } };
   // A sidecar that can not be reached forgets the place with this gateway.
   if (r->target != NULL)
     hst_send (&r->gateway->host, r->target->link, &msg);
@@ -317,8 +316,8 @@
     }
   MET_INC ("knapweedbay_requests_total", "outcome=\"refused\"");
   if (retry_after_ms < RETRY_AFTER_MS)
-    retry_after_ms = r->gateway->stop_ms > 0 ? STOP_RETRY_AFTER_MS
-                                             : RETRY_AFTER_MS;
+    retry_after_ms
+        = r->gateway->stop_ms > 0 ? STOP_RETRY_AFTER_MS : RETRY_AFTER_MS;
   // Callers that were refused together do not come back together.
   retry_after_ms += (uint64_t)rand () % retry_after_ms;
   request_answer_own (r, HTTP_UNAVAILABLE, reason, retry_after_ms);
@@ -374,24 +373,22 @@
   kb_map_put (&gateway->places, r->place_id, r);
   // A stream that was broken off is late in any case; what counts then is
   // that it goes on before its caller leaves.
-  uint64_t due_ms = r->has_event ? patience_end_ms (r, r->passed_ms)
-                                 : r->first_due_ms;
-  uint64_t objective_ms = r->has_event || r->objective_ms <= now_ms
-                              ? due_ms
-                              : r->objective_ms;
-  msg_t msg
-      = { .type = MSG_PLACE_ASK,
-          .place_ask
-          = { .id = r->place_id,
-              .priority = r->priority,
-              .prompt_tokens = r->said.prompt_tokens,
-              .output_tokens = output_tokens_of (&r->said),
-              .left_ms = left_of (due_ms, now_ms),
-              .objective_ms = left_of (objective_ms, now_ms),
-              .version = ver_newest (&gateway->versions, r->adapter_key),
-              .model = r->said.model,
-              .adapter = r->said.adapter,
-              .attempt = kb_slice_str (r->attempt_id) } };
+  uint64_t due_ms
+      = r->has_event ? patience_end_ms (r, r->passed_ms) : r->first_due_ms;
+  uint64_t objective_ms
+      = r->has_event || r->objective_ms <= now_ms ? due_ms : r->objective_ms;
+  msg_t msg = { .type = MSG_PLACE_ASK,
+                .place_ask
+                = { .id = r->place_id,
+                    .priority = r->priority,
+                    .prompt_tokens = r->said.prompt_tokens,
+                    .output_tokens = output_tokens_of (&r->said),
+                    .left_ms = left_of (due_ms, now_ms),
+                    .objective_ms = left_of (objective_ms, now_ms),
+                    .version = ver_newest (&gateway->versions, r->adapter_key),
+                    .model = r->said.model,
+                    .adapter = r->said.adapter,
+                    .attempt = kb_slice_str (r->attempt_id) } };
   r->target->asked_since++;
   r->target->asked_tokens += r->said.prompt_tokens;
   if (hst_send (&gateway->host, r->target->link, &msg) == KB_OK)
@@ -478,8 +475,8 @@
 {
   if (r->place_id == 0)
     return;
-  msg_t msg = { .type = MSG_PLACE_BEGUN,
-                .place_begun = { .id = r->place_id } };
+  msg_t msg
+      = { .type = MSG_PLACE_BEGUN, .place_begun = { .id = r->place_id } };
   hst_send (&r->gateway->host, r->target->link, &msg);
 }
 
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -41,9 +41,9 @@
 static bool
 is_engine_service (const gtw_gateway_t *gateway, const char *service)
 {
-  const svc_service_t *known = gateway->config == NULL
-                                   ? NULL
-                                   : svc_service_find (gateway->config, service);
+  const svc_service_t *known
+      = gateway->config == NULL ? NULL
+                                : svc_service_find (gateway->config, service);
   return known != NULL && known->is_engine;
 }
 
@@ -227,15 +227,15 @@
   *out = (plc_view_t){
     .key = target->place_key,
     .is_usable = is_usable (r, target),
-    .is_near = strcmp (target->told.domain,
-                       gateway->host.settings.failure_domain)
-               == 0,
+    .is_near
+    = strcmp (target->told.domain, gateway->host.settings.failure_domain) == 0,
     .holding = r->is_engine ? holding_of (r, target, newest) : PLC_NOT_NEEDED,
-    .slots = r->is_engine && target->slots > 0 ? target->slots
-                                               : target->told.slots,
-    .busy = r->is_engine ? target->granted + target->asked_since
-                         : target->active,
+    .slots
+    = r->is_engine && target->slots > 0 ? target->slots : target->told.slots,
+    .busy
+    = r->is_engine ? target->granted + target->asked_since : target->active,
     .waiting = r->is_engine ? target->waiting : 0,
+    .tokens_per_ms = r->is_engine ? target->tokens_per_ms : 0,
     .load_wait_ms = target->load_wait_ms,
     .backlog_ms = r->is_engine ? backlog_of (target) : 0,
     .failures = failures_at (target, gtw_now_ms (gateway)),
@@ -260,7 +260,9 @@
       targets[count++] = t;
     }
   uint64_t key = r->adapter_key != 0 ? r->adapter_key : (uint64_t)rand ();
-  int32_t best = plc_choose (&gateway->costs, views, count, key);
+  plc_request_t request
+      = { .adapter = key, .prompt_tokens = r->said.prompt_tokens };
+  int32_t best = plc_choose (&gateway->costs, views, count, &request);
   return best == PLC_NONE ? NULL : targets[best];
 }
 
@@ -295,8 +297,7 @@
 gtw_targets_tick (gtw_gateway_t *gateway)
 {
   uint64_t now_ms = gtw_now_ms (gateway);
-  bool is_tell_time
-      = now_ms / TELL_MS != (now_ms - GTW_TICK_MS) / TELL_MS;
+  bool is_tell_time = now_ms / TELL_MS != (now_ms - GTW_TICK_MS) / TELL_MS;
   uint32_t at = 0;
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -62,7 +62,6 @@
 
 /// Decode a configuration document.
 /// @return  NULL with the place and reason in `error`.
-typedef svc_config_t *(*src_decode_t) (kb_slice_t document,
-                                       kb_error_t *error);
+typedef svc_config_t *(*src_decode_t) (kb_slice_t document, kb_error_t *error);
 
 #endif
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -308,11 +308,11 @@
   uint64_t granted; ///< Places given, or held by runs.
   uint64_t waiting; ///< Requests that wait for a place or a load.
   uint64_t gateway_count;
-  uint64_t backlog_us; ///< Time to read the prompts that are accepted.
+  uint64_t backlog_us;   ///< Time to read the prompts that are accepted.
   uint64_t tokens_per_s; ///< Prompt tokens the engine reads.
   uint64_t load_wait_ms; ///< Until an adapter new to it would be held.
-  kb_slice_t instance; ///< Incarnation of the engine, or empty.
-  uint64_t list_stamp; ///< Of the adapters it holds; changes with them.
+  kb_slice_t instance;   ///< Incarnation of the engine, or empty.
+  uint64_t list_stamp;   ///< Of the adapters it holds; changes with them.
   kb_slice_t adapters; ///< Packed msg_engine_adapter_t; empty: as told before.
 } msg_engine_state_t;
 
@@ -328,7 +328,7 @@
 typedef struct
 {
   uint64_t id;
-  uint64_t priority;      ///< Lower is more urgent.
+  uint64_t priority; ///< Lower is more urgent.
   uint64_t prompt_tokens;
   uint64_t output_tokens; ///< As far as known.
   uint64_t left_ms;       ///< Until the answer is of no more use.
--- a/src/relay/host.c
+++ b/src/relay/host.c
@@ -40,7 +40,8 @@
   log_level_t level;
   if (log_level_parse (host->settings.log_level, &level) == KB_OK)
     log_level_set (level);
-  log_configure (host->settings.name, (uint32_t)host->settings.log_lines_per_s);
+  log_configure (host->settings.name,
+                 (uint32_t)host->settings.log_lines_per_s);
 }
 
 /// Read the settings again; a file that is not proper leaves the present ones
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -106,24 +106,23 @@
 {
   kb_buf_t adapters = { 0 };
   pack_adapters (s, &adapters);
-  msg_t msg = { .type = MSG_ENGINE_STATE,
-                .engine_state
-                = { .incarnation = s->host.incarnation,
-                    .revision = s->config == NULL ? 0 : s->config->revision,
-                    .versions_known = s->versions.changes,
-                    .condition = s->host.is_stopping ? MSG_ENGINE_LEAVING
-                                                     : s->condition,
-                    .slots = s->table.options.slots,
-                    .granted = s->table.granted,
-                    .waiting = s->table.waiting,
-                    .gateway_count = s->gateway_count,
-                    .backlog_us = adm_backlog_us (&s->table),
-                    .tokens_per_s
-                    = (uint64_t)(s->table.tokens_per_ms * MS_PER_S),
-                    .load_wait_ms = adm_new_load_wait_ms (&s->table),
-                    .instance = kb_slice_str (s->instance),
-                    .list_stamp
-                    = kb_hash (adapters.ptr, adapters.len_bytes, 1) | 1 } };
+  msg_t msg = {
+    .type = MSG_ENGINE_STATE,
+    .engine_state
+    = { .incarnation = s->host.incarnation,
+        .revision = s->config == NULL ? 0 : s->config->revision,
+        .versions_known = s->versions.changes,
+        .condition = s->host.is_stopping ? MSG_ENGINE_LEAVING : s->condition,
+        .slots = s->table.options.slots,
+        .granted = s->table.granted,
+        .waiting = s->table.waiting,
+        .gateway_count = s->gateway_count,
+        .backlog_us = adm_backlog_us (&s->table),
+        .tokens_per_s = (uint64_t)(s->table.tokens_per_ms * MS_PER_S),
+        .load_wait_ms = adm_new_load_wait_ms (&s->table),
+        .instance = kb_slice_str (s->instance),
+        .list_stamp = kb_hash (adapters.ptr, adapters.len_bytes, 1) | 1 }
+  };
   if (only != NULL)
     tell_gateway (s, only, &msg, kb_buf_slice (&adapters));
   for (uint32_t i = 0; only == NULL && i < s->gateway_count; i++)
@@ -240,11 +239,11 @@
 give_version (scr_sidecar_t *s, const scr_gateway_t *gateway,
               const ver_item_t *item)
 {
-  msg_t msg = { .type = MSG_ADAPTER_VERSION,
-                .adapter_version
-                = { .version = item->version,
-                    .model = kb_slice_str (item->model),
-                    .adapter = kb_slice_str (item->adapter) } };
+  msg_t msg
+      = { .type = MSG_ADAPTER_VERSION,
+          .adapter_version = { .version = item->version,
+                               .model = kb_slice_str (item->model),
+                               .adapter = kb_slice_str (item->adapter) } };
   send_to (s, gateway, &msg);
 }
 
@@ -271,9 +270,8 @@
 static void
 take_version (scr_sidecar_t *s, const msg_adapter_version_t *given)
 {
-  const ver_item_t *item = ver_learn (&s->versions, given->model,
-                                      given->adapter,
-                                      (uint32_t)given->version);
+  const ver_item_t *item = ver_learn (
+      &s->versions, given->model, given->adapter, (uint32_t)given->version);
   if (item == NULL)
     return;
   adm_adapter_t *adapter = kb_map_get (&s->table.adapters, item->key);
@@ -371,20 +369,19 @@
       return;
     }
   uint64_t now_ms = now_ms_of (s);
-  adm_ask_t ask = { .id = given->id,
-                    .owner = name_id (peer),
-                    .priority = (uint32_t)given->priority,
-                    .tokens = (uint32_t)(given->prompt_tokens
-                                         + given->output_tokens),
-                    .prompt_tokens = (uint32_t)given->prompt_tokens,
-                    .arrived_ms = now_ms,
-                    .due_ms = now_ms + given->left_ms,
-                    .objective_ms = now_ms + given->objective_ms };
+  adm_ask_t ask
+      = { .id = given->id,
+          .owner = name_id (peer),
+          .priority = (uint32_t)given->priority,
+          .tokens = (uint32_t)(given->prompt_tokens + given->output_tokens),
+          .prompt_tokens = (uint32_t)given->prompt_tokens,
+          .arrived_ms = now_ms,
+          .due_ms = now_ms + given->left_ms,
+          .objective_ms = now_ms + given->objective_ms };
   if (given->adapter.len_bytes > 0)
     {
       char name[EGN_KEY_BYTES];
-      uint64_t key
-          = ver_key (given->model, given->adapter, name, sizeof name);
+      uint64_t key = ver_key (given->model, given->adapter, name, sizeof name);
       ask.adapter = adm_adapter_need (&s->table, key, kb_slice_str (name));
       adm_adapter_want (ask.adapter, ver_newest (&s->versions, key));
       adm_adapter_want (ask.adapter, (uint32_t)given->version);
@@ -462,8 +459,9 @@
   const scr_gateway_t *gateway = gateway_find (s, ask->owner);
   if (gateway == NULL)
     return;
-  uint64_t load_us
-      = ask->load_from_ms == 0 ? 0 : (ask->granted_ms - ask->load_from_ms) * 1000;
+  uint64_t load_us = ask->load_from_ms == 0
+                         ? 0
+                         : (ask->granted_ms - ask->load_from_ms) * 1000;
   msg_t msg
       = { .type = MSG_PLACE_GRANT,
           .place_grant
@@ -540,8 +538,7 @@
   egn_order_t order = { .is_load = kind == ADM_DO_LOAD,
                         .model = model,
                         .adapter = slash + 1,
-                        .version
-                        = kind == ADM_DO_LOAD ? adapter->wanted : 0,
+                        .version = kind == ADM_DO_LOAD ? adapter->wanted : 0,
                         .expected_seq = s->seq,
                         .instance = s->instance };
   s->order_kind = kind;
@@ -606,8 +603,8 @@
       || report->is_leaving || s->is_calling)
     return;
   const char *model = service->models[0].name;
-  uint64_t pause_ms = is_at_hand (report, model) ? MODEL_RETRY_AT_HAND_MS
-                                                 : MODEL_RETRY_MS;
+  uint64_t pause_ms
+      = is_at_hand (report, model) ? MODEL_RETRY_AT_HAND_MS : MODEL_RETRY_MS;
   uint64_t now_ms = now_ms_of (s);
   if (s->model_ordered_ms > 0 && now_ms - s->model_ordered_ms < pause_ms)
     return;
@@ -647,7 +644,8 @@
 {
   uint64_t now_ms = now_ms_of (s);
   if (s->instance[0] != '\0' || s->is_identifying
-      || (s->identified_ms > 0 && now_ms - s->identified_ms < IDENTIFY_RETRY_MS))
+      || (s->identified_ms > 0
+          && now_ms - s->identified_ms < IDENTIFY_RETRY_MS))
     return;
   s->is_identifying = true;
   s->identified_ms = now_ms;
@@ -676,7 +674,8 @@
 {
   // A restart clears the count of orders and everything that was held.
   if (s->has_report
-      && (report->seq < s->seq || (s->is_model_held && report->model_count == 0)))
+      && (report->seq < s->seq
+          || (s->is_model_held && report->model_count == 0)))
     engine_restarted (s);
   s->has_report = true;
   s->report_failures = 0;
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -18,10 +18,10 @@
 {
   h1_conn_t conn; ///< First, so that a connection is its line.
   xch_peer_t *peer;
-  xch_t *x;          ///< The exchange under way; NULL when idle.
-  xch_line_t *next;  ///< In the idle list.
-  kb_buf_t to_send;  ///< Until the connection is made.
-  tmr_sub_t timer;   ///< Connect timeout, or a failure to be reported.
+  xch_t *x;         ///< The exchange under way; NULL when idle.
+  xch_line_t *next; ///< In the idle list.
+  kb_buf_t to_send; ///< Until the connection is made.
+  tmr_sub_t timer;  ///< Connect timeout, or a failure to be reported.
   uint64_t idle_since_ms;
   uint64_t lifetime_ms;
   bool is_sent;
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -245,7 +245,7 @@
 {
   enum
   {
-    FIELD_MARKS_BYTES = 4, ///< ": " and the line end.
+    FIELD_MARKS_BYTES = 4,  ///< ": " and the line end.
     START_MARKS_BYTES = 16, ///< Method, version, line end.
   };
   const h1_head_t *head = &conn->head;
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -37,8 +37,8 @@
   uint32_t target_bytes; ///< The request target stands first in `bytes`.
   h1_field_t fields[H1_MAX_FIELDS];
   uint32_t field_count;
-  bool is_value;       ///< The last piece read belonged to a value.
-  bool is_done;        ///< Complete; fields behind a chunked body are ignored.
+  bool is_value; ///< The last piece read belonged to a value.
+  bool is_done;  ///< Complete; fields behind a chunked body are ignored.
 } h1_head_t;
 
 /// Why a connection ended.
@@ -86,7 +86,7 @@
   bool is_in_message; ///< Between the first byte of a message and its end.
   bool is_parsing;
   bool is_closing;
-  bool is_ended;       ///< on_end was called.
+  bool is_ended;        ///< on_end was called.
   bool expects_no_body; ///< Client side: answer to HEAD.
   bool is_oversized;
   bool is_draining; ///< Discards what still comes in.
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -225,8 +225,8 @@
 log_int (log_event_t *line, const char *name, int64_t value)
 {
   char piece[96];
-  int len = snprintf (piece, sizeof piece, ",\"%s\":%lld", name,
-                      (long long)value);
+  int len
+      = snprintf (piece, sizeof piece, ",\"%s\":%lld", name, (long long)value);
   line_append (line, piece, (size_t)len);
 }
 
@@ -242,8 +242,7 @@
     rates_turn (now.tv_sec);
   if (!rate_take (level, event))
     return false;
-  int64_t wall_ms
-      = (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+  int64_t wall_ms = (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
   line->is_cut = false;
   line->len_bytes = (uint32_t)snprintf (
       line->text, sizeof line->text,
@@ -257,8 +256,8 @@
 log_end (log_event_t *line)
 {
   if (line->is_cut)
-    line->len_bytes += (uint32_t)sprintf (line->text + line->len_bytes,
-                                          ",\"cut\":true");
+    line->len_bytes
+        += (uint32_t)sprintf (line->text + line->len_bytes, ",\"cut\":true");
   line->text[line->len_bytes++] = '}';
   line->text[line->len_bytes++] = '\n';
   buffer_add (line->text, line->len_bytes);
--- a/src/transport/metrics.c
+++ b/src/transport/metrics.c
@@ -69,8 +69,8 @@
                        (unsigned long long)met_bucket_bound_ms (i),
                        (unsigned long long)below);
     }
-  kb_buf_printf (out, "%s_bucket{%s%sle=\"+Inf\"} %llu\n", h->name,
-                 h->labels, comma, (unsigned long long)h->count);
+  kb_buf_printf (out, "%s_bucket{%s%sle=\"+Inf\"} %llu\n", h->name, h->labels,
+                 comma, (unsigned long long)h->count);
   kb_buf_printf (out, "%s_sum{%s} %llu\n%s_count{%s} %llu\n", h->name,
                  h->labels, (unsigned long long)h->sum_ms, h->name, h->labels,
                  (unsigned long long)h->count);
--- a/src/transport/pages.c
+++ b/src/transport/pages.c
@@ -88,12 +88,11 @@
                  const struct sockaddr_in *address, pgs_answer_t answer,
                  void *owner, kb_error_t *error)
 {
-  *server
-      = (pgs_server_t){ .loop = loop, .answer = answer, .owner = owner };
+  *server = (pgs_server_t){ .loop = loop, .answer = answer, .owner = owner };
   uv_tcp_init (loop, &server->listener);
   server->listener.data = server;
-  int code = uv_tcp_bind (&server->listener, (const struct sockaddr *)address,
-                          0);
+  int code
+      = uv_tcp_bind (&server->listener, (const struct sockaddr *)address, 0);
   if (code == 0)
     code = uv_listen ((uv_stream_t *)&server->listener, BACKLOG,
                       server_on_connection);
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -39,8 +39,8 @@
 {
   kb_slice_t attempt_id; ///< Empty: not echoed.
   bool has_seal;
-  bool is_not_run;  ///< The target declares that the request did not run.
-  bool is_encoded;  ///< The body was altered on the way.
+  bool is_not_run; ///< The target declares that the request did not run.
+  bool is_encoded; ///< The body was altered on the way.
   uint64_t retry_after_ms;
 } rly_answer_t;
 
--- a/test/relay/http_peer.h
+++ b/test/relay/http_peer.h
@@ -19,7 +19,7 @@
 
 struct Message
 {
-  std::string start; ///< Request line or status line.
+  std::string start;                          ///< Request line or status line.
   std::map<std::string, std::string> headers; ///< Names in lower case.
   std::string body;
   int status = 0; ///< Of an answer; zero: none came.
