--- a/test/relay/explain_test.cc
+++ b/test/relay/explain_test.cc
@@ -94,8 +94,7 @@
   ASSERT_TRUE (site.wait_ready ());
   EXPECT_EQ (send_call (site.gateways[0], stream_call ("old1", "a1")).status,
              200);
-  site.put ("op/version/m.a1",
-            R "({" Model ":" m "," Adapter ":" a1 "," Version ":2})");
+  site.put ("op/version/m.a1", R"({"Model":"m","Adapter":"a1","Version":2})");
   site.engines[0].target->newest_version = 2;
   std::string out = story_with (site, "old1", "request_end");
   EXPECT_NE (out.find ("version=1"), std::string::npos) << out;
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -358,8 +358,7 @@
              200);
   for (auto &e : site.engines)
     e.target->newest_version = 2;
-  site.put ("op/version/m.a1",
-            R "({" Model ":" m "," Adapter ":" a1 "," Version ":2})");
+  site.put ("op/version/m.a1", R"({"Model":"m","Adapter":"a1","Version":2})");
   ASSERT_TRUE (Site::wait_for ([&] {
     return !Site::log_lines (site.gateways[0].daemon,
                              { "adapter_version", "\"version\":2" })
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -68,7 +68,7 @@
   Store store;
   Store far_store; ///< The store as the last of several gateways sees it.
   std::vector<Engine> engines;
-  std::vector<std::unique_ptr<Target> > plain;
+  std::vector<std::unique_ptr<Target>> plain;
   std::vector<Gateway> gateways;
 
 private:
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -69,7 +69,7 @@
   }
   /// What the engine lists: names with versions.
   void
-  report (const std::vector<std::pair<std::string, uint32_t> > &held,
+  report (const std::vector<std::pair<std::string, uint32_t>> &held,
           const std::vector<std::string> &coming = {}, uint64_t now_ms = 0)
   {
     adm_report_begin (&table);
--- a/test/unit/document_test.cc
+++ b/test/unit/document_test.cc
@@ -119,7 +119,7 @@
 }
 
 std::string
-build_error (const std::vector<std::pair<std::string, std::string> > &files,
+build_error (const std::vector<std::pair<std::string, std::string>> &files,
              cfg_config_t *out = nullptr)
 {
   doc_folder_t folder = {};
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -31,12 +31,8 @@
   "WeightsMb":16100.0,"LoadTimeS":0.6,"AdapterSizeMb":14.0}],
   "WeightsMb":16900.0,"AdapterSlots":36,"LoadsPerS":4.4}},
   {"Name":"s2","HealthPath":"/health","MaxConns":110}],
- "Limits":
-{
-  "MaxHeaderBytes" : 16384, "MaxBodyBytes" : 4194304, "HeaderTimeoutMs" : 3000,
-      "IdleTimeoutMs" : 15000
-}
-})";
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,
+  "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
 
 TEST (Document, ConfigurationIsTyped)
 {
@@ -86,54 +82,46 @@
 {
   kb_error_t error = {};
   src_target_t target;
-  ASSERT_EQ (doc_decode_target ("i-1",
-                                slice (R"({"Service":"s1",
-    "Address":"10.128.0.9:8080","Zone":"d1","Slots":128,"State":"draining"
-})"),
+  ASSERT_EQ (doc_decode_target ("i-1", slice (R"({"Service":"s1",
+    "Address":"10.128.0.9:8080","Zone":"d1","Slots":128,"State":"draining"})"),
                                 &target, &error),
              KB_OK);
-EXPECT_STREQ (target.domain, "d1");
-EXPECT_TRUE (target.is_leaving);
-EXPECT_NE (doc_decode_target ("i-1", slice (R "({" Service ":" s1 "})"),
-                              &target, &error),
-           KB_OK);
-doc_version_t version;
-ASSERT_EQ (doc_decode_version ("op/version/m.a1",
-                               slice (R "({" Model ":" m "," Adapter ":" a1
-                                        "," Version ":3})"),
-                               &version, &error),
-           KB_OK);
-EXPECT_EQ (version.version, 3u);
-EXPECT_NE (doc_decode_version ("k", slice ("{}"), &version, &error), KB_OK);
+  EXPECT_STREQ (target.domain, "d1");
+  EXPECT_TRUE (target.is_leaving);
+  EXPECT_NE (doc_decode_target ("i-1", slice (R"({"Service":"s1"})"), &target,
+                                &error),
+             KB_OK);
+  doc_version_t version;
+  ASSERT_EQ (doc_decode_version (
+                 "op/version/m.a1",
+                 slice (R"({"Model":"m","Adapter":"a1","Version":3})"),
+                 &version, &error),
+             KB_OK);
+  EXPECT_EQ (version.version, 3u);
+  EXPECT_NE (doc_decode_version ("k", slice ("{}"), &version, &error), KB_OK);
 }
 
 TEST (Report, ListsWhatIsHeldAndComing)
 {
   kb_error_t error = {};
   auto report = std::make_unique<egn_report_t> ();
-  ASSERT_EQ (plt_report_decode (
-                 slice (R"({"Models":[{"Name":"m","Version":1,
-    "Adapters":["a1@2","a2@1"]
-}],"Coming":["m/a3@1"],"Busy":false,"Seq":9,
+  ASSERT_EQ (plt_report_decode (slice (R"({"Models":[{"Name":"m","Version":1,
+    "Adapters":["a1@2","a2@1"]}],"Coming":["m/a3@1"],"Busy":false,"Seq":9,
     "Queued":1,"Running":12,"KvUsed":41000,"KvTotal":90000,
     "State":"draining","RemainingMs":1500,
-    "AtHand":
-{
-  "InMemory" : ["m"], "OnDisk" : []
-}
-})"),
-                 report.get (), &error),
+    "AtHand":{"InMemory":["m"],"OnDisk":[]}})"),
+                                report.get (), &error),
              KB_OK);
-EXPECT_TRUE (report->is_leaving);
-EXPECT_EQ (report->leaves_in_ms, 1500u);
-EXPECT_EQ (report->seq, 9u);
-ASSERT_EQ (report->adapter_count, 3u);
-EXPECT_STREQ (report->adapters[0].name, "m/a1");
-EXPECT_EQ (report->adapters[0].version, 2u);
-EXPECT_STREQ (report->adapters[2].name, "m/a3");
-EXPECT_TRUE (report->adapters[2].is_coming);
-EXPECT_EQ (report->at_hand_count, 1u);
-EXPECT_NE (plt_report_decode (slice ("[1"), report.get (), &error), KB_OK);
+  EXPECT_TRUE (report->is_leaving);
+  EXPECT_EQ (report->leaves_in_ms, 1500u);
+  EXPECT_EQ (report->seq, 9u);
+  ASSERT_EQ (report->adapter_count, 3u);
+  EXPECT_STREQ (report->adapters[0].name, "m/a1");
+  EXPECT_EQ (report->adapters[0].version, 2u);
+  EXPECT_STREQ (report->adapters[2].name, "m/a3");
+  EXPECT_TRUE (report->adapters[2].is_coming);
+  EXPECT_EQ (report->at_hand_count, 1u);
+  EXPECT_NE (plt_report_decode (slice ("[1"), report.get (), &error), KB_OK);
 }
 
 /// A parsed head, without a socket.
--- a/test/unit/sched_test.cc
+++ b/test/unit/sched_test.cc
@@ -58,7 +58,7 @@
   sch_options_t options;
   slt_table_t slots;
   sch_queue_t queue;
-  std::vector<std::unique_ptr<sch_item_t> > items;
+  std::vector<std::unique_ptr<sch_item_t>> items;
 };
 
 TEST_F (SchedTest, BetterClassRunsFirst)
