fix(places): make good what is lost with a link

Cause: grants and releases that were lost with a connection kept places taken for ever; an idle engine then refused everybody. Each word of an entry now names the places it has open, and the agent releases, grants again or declines what differs.

--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -362,17 +362,39 @@
 }
 
 void
-adm_owner_gone (adm_table_t *table, uint64_t owner)
+adm_compare_begin (adm_table_t *table)
 {
+  table->compare_mark++;
+}
+
+void
+adm_compare_keep (adm_table_t *table, adm_ask_t *ask)
+{
+  ask->compared = table->compare_mark;
+}
+
+uint32_t
+adm_compare_end (adm_table_t *table, uint64_t owner)
+{
+  uint32_t forgotten = 0;
   uint32_t at = 0;
   for (adm_ask_t *ask = kb_map_next (&table->asks, &at); ask != NULL;
        ask = kb_map_next (&table->asks, &at))
-    if (ask->owner == owner)
+    if (ask->owner == owner && ask->compared != table->compare_mark)
       {
         adm_ask_remove (table, ask);
+        forgotten++;
         // Removal moves entries; begin again.
         at = 0;
       }
+  return forgotten;
+}
+
+void
+adm_owner_gone (adm_table_t *table, uint64_t owner)
+{
+  adm_compare_begin (table);
+  adm_compare_end (table, owner);
 }
 
 void
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -58,6 +58,7 @@
   uint64_t objective_ms; ///< Its first event is late after this.
   uint64_t load_from_ms; ///< When it began to wait for a load; zero: not.
   uint64_t granted_ms;   ///< Zero: waiting.
+  uint64_t compared;     ///< The comparison that named it last.
   bool is_reading;       ///< Granted; its prompt is not read yet.
   uint64_t ahead_tokens; ///< Prompts to be read with it, at its grant.
   struct adm_ask *next;
@@ -104,6 +105,7 @@
   uint32_t cold_waiting; ///< Adapters asked for that wait for such a fetch.
   double load_ms;        ///< Time of such a fetch, as measured.
   uint64_t report_mark;
+  uint64_t compare_mark;
   bool is_open; ///< The engine is up, holds its model and stays.
 } adm_table_t;
 
@@ -151,6 +153,13 @@
 void adm_ask_begun (adm_table_t *table, adm_ask_t *ask, uint64_t now_ms);
 /// @return  Time to read the prompts of all requests here, in microseconds.
 uint64_t adm_backlog_us (const adm_table_t *table);
+/// Begin to compare with what a gateway says it has open.
+void adm_compare_begin (adm_table_t *table);
+/// The gateway has this one open.
+void adm_compare_keep (adm_table_t *table, adm_ask_t *ask);
+/// Forget what the gateway did not name.
+/// @return  How many were forgotten.
+uint32_t adm_compare_end (adm_table_t *table, uint64_t owner);
 /// Forget all requests of a gateway that is gone.
 void adm_owner_gone (adm_table_t *table, uint64_t owner);
 /// Take over what a report lists: begin, each adapter, end.
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -39,6 +39,7 @@
   char link[64]; ///< Name of its sidecar on the inner links.
   uint64_t linked_ms;
   uint64_t heard_ms; ///< Zero: never.
+  uint64_t told_ms;  ///< Last word to it.
   uint64_t incarnation;
   uint64_t sidecar_revision;
   uint64_t sidecar_versions;
@@ -232,6 +233,10 @@
                            const msg_place_decline_t *decline);
 /// The first event came: tell the sidecar that the prompt is read.
 void gtw_request_begun (gtw_request_t *r);
+/// Whether a request waits longer than usual for a word of this sidecar: its
+/// question or the answer may be lost.
+bool gtw_requests_wait_for (const gtw_gateway_t *gateway,
+                            const gtw_target_t *target);
 /// The sidecar that was asked is gone or restarted.
 void gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target);
 /// Log and count the end of a request.
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -21,18 +21,36 @@
   return gateway->config == NULL ? 0 : gateway->config->revision;
 }
 
+static void
+pack_places (const gtw_gateway_t *gateway, const gtw_target_t *target,
+             kb_buf_t *out)
+{
+  for (const gtw_request_t *r = gateway->requests; r != NULL; r = r->next)
+    {
+      if (r->target != target || r->place_id == 0)
+        continue;
+      msg_place_ref_t ref = { .id = r->place_id, .is_granted = r->has_place };
+      kb_buf_append (out, &ref, sizeof ref);
+    }
+}
+
 void
 gtw_tell_sidecar (gtw_gateway_t *gateway, gtw_target_t *target)
 {
+  kb_buf_t places = { 0 };
+  pack_places (gateway, target, &places);
+  target->told_ms = gtw_now_ms (gateway);
   msg_t msg = { .type = MSG_GATEWAY_STATE,
                 .gateway_state = { .incarnation = gateway->host.incarnation,
                                    .revision = revision_of (gateway),
                                    .versions_known = gateway->versions.changes,
                                    .engine_count = gtw_targets_count (
                                        gateway, target->told.service),
-                                   .list_stamp = target->list_stamp } };
+                                   .list_stamp = target->list_stamp,
+                                   .places = kb_buf_slice (&places) } };
   if (hst_send (&gateway->host, target->link, &msg) != KB_OK)
     MET_INC ("knapweedbay_sidecar_unreached_total", "");
+  kb_buf_finish (&places);
 }
 
 static void
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -33,6 +33,9 @@
   /// two seconds, whichever is longer.
   PATIENCE_OBJECTIVES = 4,
   PATIENCE_LEAST_MS = 2000,
+  /// A place asked for and not granted by then may be one that was never
+  /// heard of.
+  UNANSWERED_MS = 350,
   /// Time for the prompt to be read and the first event to travel.
   PATIENCE_MARGIN_MS = 250,
 };
@@ -480,6 +483,18 @@
   hst_send (&r->gateway->host, r->target->link, &msg);
 }
 
+bool
+gtw_requests_wait_for (const gtw_gateway_t *gateway,
+                       const gtw_target_t *target)
+{
+  uint64_t now_ms = gtw_now_ms (gateway);
+  for (const gtw_request_t *r = gateway->requests; r != NULL; r = r->next)
+    if (r->target == target && r->stage == GTW_ASKING
+        && now_ms - r->place_ms > UNANSWERED_MS)
+      return true;
+  return false;
+}
+
 void
 gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target)
 {
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -17,6 +17,9 @@
   /// A new link is given this long for its first word.
   LINK_FIRST_MS = 1500,
   TELL_MS = 1000,
+  /// While a request waits for a place, its sidecar is told this often which
+  /// places are open, so that a lost message is made good.
+  TELL_AGAIN_MS = 300,
   /// Half-life of the share of failures: a target that recovered is used
   /// fully again after a few seconds, without any request having to probe it.
   FAILURE_HALF_MS = 2500,
@@ -314,7 +317,9 @@
       check_sidecar (gateway, t, now_ms);
       // Until the link is up nothing reaches the sidecar; say it again soon,
       // or a restarted fleet stays without engines for a second.
-      if (is_tell_time || t->heard_ms == 0)
+      bool is_answer_due = now_ms - t->told_ms > TELL_AGAIN_MS
+                           && gtw_requests_wait_for (gateway, t);
+      if (is_tell_time || t->heard_ms == 0 || is_answer_due)
         gtw_tell_sidecar (gateway, t);
     }
 }
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -108,10 +108,10 @@
                           S (config_part, digest), S (config_part, data) } },
   [MSG_GATEWAY_STATE]
   = { "gateway_state",
-      5,
+      6,
       { N (gateway_state, incarnation), N (gateway_state, revision),
         N (gateway_state, versions_known), N (gateway_state, engine_count),
-        N (gateway_state, list_stamp) } },
+        N (gateway_state, list_stamp), S (gateway_state, places) } },
   [MSG_ENGINE_STATE]
   = { "engine_state",
       14,
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -287,8 +287,18 @@
   uint64_t versions_known; ///< How many adapter versions it knows.
   uint64_t engine_count;   ///< Engines of the sidecar's service it sees.
   uint64_t list_stamp;     ///< Of the adapter list it has from this sidecar.
+  /// Packed msg_place_ref_t of all places that it asked this sidecar for and
+  /// has not released.
+  kb_slice_t places;
 } msg_gateway_state_t;
 
+/// One place as its gateway knows it.
+typedef struct
+{
+  uint64_t id;
+  uint64_t is_granted;
+} msg_place_ref_t;
+
 /// How an engine can be used, as its sidecar sees it.
 typedef enum
 {
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -125,6 +125,9 @@
             "relay entry: \"ip:port\" of the deployment's store"),
   ROW_TEXT (engine_address, "",
             "relay agent: \"ip:port\" of the engine beside it"),
+  ROW_TEXT (advertised_address, "",
+            "relay agent: IP number under which entries reach it; empty: "
+            "`listen_address`"),
   ROW_INT (metrics_port, 0, 0, 65535,
            "relay: port of the metrics page; 0: none"),
   ROW_NUM (grace_s, 8, 0.5, 86400,
@@ -136,8 +139,7 @@
   ROW_NUM (retry_slack, 50, 0, 100000,
            "relay entry: repeats allowed beyond the ratio, all entries"),
   ROW_INT (memory_mb, 256, 8, 1048576, "relay: memory of this process, MB"),
-  ROW_INT (log_lines_per_s, 200, 1, 100000,
-           "relay: most log lines a second"),
+  ROW_INT (log_lines_per_s, 200, 1, 100000, "relay: most log lines a second"),
   ROW_INT (vm_gone_after_ms, 10000, 100, 3600000,
            "a VM absent from the list and silent this long is gone, ms"),
 };
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -83,6 +83,7 @@
   set_text_t ready_address;
   set_text_t store_address;
   set_text_t engine_address;
+  set_text_t advertised_address;
   int64_t metrics_port;
   double grace_s;
   double retry_ratio;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -301,6 +301,76 @@
   return gateway;
 }
 
+static void
+decline (scr_sidecar_t *s, kb_slice_t peer, uint64_t id, const char *reason,
+         uint64_t retry_after_ms)
+{
+  msg_t msg = { .type = MSG_PLACE_DECLINE,
+                .place_decline = { .id = id,
+                                   .retry_after_ms = retry_after_ms,
+                                   .reason = kb_slice_str (reason) } };
+  if (lnk_link_send (&s->host.link, peer, &msg) != KB_OK)
+    MET_INC ("knapweedbay_gateway_unreached_total", "");
+  MET_INC ("knapweedbay_places_declined_total", "");
+}
+
+static void
+grant (scr_sidecar_t *s, const adm_ask_t *ask)
+{
+  const scr_gateway_t *gateway = gateway_find (s, ask->owner);
+  if (gateway == NULL)
+    return;
+  uint64_t load_us = ask->load_from_ms == 0
+                         ? 0
+                         : (ask->granted_ms - ask->load_from_ms) * 1000;
+  msg_t msg
+      = { .type = MSG_PLACE_GRANT,
+          .place_grant
+          = { .id = ask->id,
+              .version = ask->adapter == NULL ? 0 : ask->adapter->version,
+              .load_us = load_us,
+              .instance = kb_slice_str (s->instance) } };
+  send_to (s, gateway, &msg);
+  MET_INC ("knapweedbay_places_granted_total", "");
+}
+
+/// A message that is lost with a connection must not keep a place taken, nor
+/// a request waiting. What a gateway says it has open is compared with what is
+/// known here; messages of one connection stay in order, so whatever it does
+/// not name was released, and whatever is not known here was never heard.
+static void
+reconcile_places (scr_sidecar_t *s, kb_slice_t peer, kb_slice_t packed)
+{
+  uint64_t owner = name_id (peer);
+  uint32_t made_good = 0;
+  adm_compare_begin (&s->table);
+  for (uint32_t at = 0; at + sizeof (msg_place_ref_t) <= packed.len_bytes;
+       at += sizeof (msg_place_ref_t))
+    {
+      msg_place_ref_t ref;
+      memcpy (&ref, packed.ptr + at, sizeof ref);
+      adm_ask_t *ask = adm_ask_find (&s->table, owner, ref.id);
+      if (ask != NULL)
+        adm_compare_keep (&s->table, ask);
+      if (ref.is_granted || (ask != NULL && ask->granted_ms == 0))
+        continue;
+      if (ask != NULL)
+        grant (s, ask);
+      else
+        decline (s, peer, ref.id, "not_heard", 0);
+      made_good++;
+    }
+  uint32_t released = adm_compare_end (&s->table, owner);
+  log_event_t line;
+  if (made_good + released == 0
+      || !log_begin (&line, LOG_INFO, "sidecar", "places_reconciled"))
+    return;
+  log_str (&line, "gateway", peer);
+  log_int (&line, "answered", made_good);
+  log_int (&line, "released", released);
+  log_end (&line);
+}
+
 static void
 take_gateway_state (scr_sidecar_t *s, kb_slice_t peer,
                     const msg_gateway_state_t *state)
@@ -320,24 +390,10 @@
   gateway->heard_ms = now_ms_of (s);
   s->engine_count = (uint32_t)state->engine_count;
   help_gateway (s, gateway);
+  reconcile_places (s, peer, state->places);
   if (is_new)
-    {
-      tell_state (s, gateway);
-      sidecar_pump (s);
-    }
-}
-
-static void
-decline (scr_sidecar_t *s, kb_slice_t peer, uint64_t id, const char *reason,
-         uint64_t retry_after_ms)
-{
-  msg_t msg = { .type = MSG_PLACE_DECLINE,
-                .place_decline = { .id = id,
-                                   .retry_after_ms = retry_after_ms,
-                                   .reason = kb_slice_str (reason) } };
-  if (lnk_link_send (&s->host.link, peer, &msg) != KB_OK)
-    MET_INC ("knapweedbay_gateway_unreached_total", "");
-  MET_INC ("knapweedbay_places_declined_total", "");
+    tell_state (s, gateway);
+  sidecar_pump (s);
 }
 
 /// Why a request got no place, with what decided it.
@@ -453,26 +509,6 @@
     }
 }
 
-static void
-grant (scr_sidecar_t *s, const adm_ask_t *ask)
-{
-  const scr_gateway_t *gateway = gateway_find (s, ask->owner);
-  if (gateway == NULL)
-    return;
-  uint64_t load_us = ask->load_from_ms == 0
-                         ? 0
-                         : (ask->granted_ms - ask->load_from_ms) * 1000;
-  msg_t msg
-      = { .type = MSG_PLACE_GRANT,
-          .place_grant
-          = { .id = ask->id,
-              .version = ask->adapter == NULL ? 0 : ask->adapter->version,
-              .load_us = load_us,
-              .instance = kb_slice_str (s->instance) } };
-  send_to (s, gateway, &msg);
-  MET_INC ("knapweedbay_places_granted_total", "");
-}
-
 static const char *
 order_end_name (egn_order_end_t end)
 {
@@ -830,7 +866,10 @@
   adm_table_init (&s->table, &options);
   // Gateways know a sidecar by the address of its VM alone.
   char link_name[SET_TEXT_BYTES + 16];
-  snprintf (link_name, sizeof link_name, "%s:%d", settings->listen_address,
+  bool is_advertised = settings->advertised_address[0] != '\0';
+  snprintf (link_name, sizeof link_name, "%s:%d",
+            is_advertised ? settings->advertised_address
+                          : settings->listen_address,
             (int)settings->inner_port);
   if (hst_host_init (&s->host, &sidecar_role, s, path, link_name, error)
       != KB_OK)
--- /dev/null
+++ b/test/relay/proxy.cc
@@ -0,0 +1,161 @@
+#include "proxy.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <vector>
+
+namespace relay
+{
+
+static sockaddr_in
+make_address (const std::string &ip, int port)
+{
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons ((uint16_t)port);
+  inet_pton (AF_INET, ip.c_str (), &address.sin_addr);
+  return address;
+}
+
+static void
+set_nodelay (int fd)
+{
+  int on = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+Proxy::Proxy (const std::string &listen_ip, int listen_port,
+              const std::string &target_ip, int target_port)
+    : target_ip_ (target_ip), target_port_ (target_port)
+{
+  listener_ = socket (AF_INET, SOCK_STREAM, 0);
+  int on = 1;
+  setsockopt (listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = make_address (listen_ip, listen_port);
+  if (bind (listener_, (sockaddr *)&address, sizeof address) != 0
+      || listen (listener_, 128) != 0)
+    throw std::runtime_error ("proxy cannot listen on " + listen_ip);
+  socklen_t size = sizeof address;
+  getsockname (listener_, (sockaddr *)&address, &size);
+  port_ = ntohs (address.sin_port);
+  thread_ = std::thread ([this] { loop (); });
+}
+
+Proxy::~Proxy ()
+{
+  is_stopping_ = true;
+  thread_.join ();
+  for (auto &pair : pairs_)
+    end (&pair, false);
+  close (listener_);
+}
+
+void
+Proxy::reset_all ()
+{
+  wants_reset_ = true;
+}
+
+void
+Proxy::silence_present ()
+{
+  wants_silence_ = true;
+}
+
+void
+Proxy::end (Pair *pair, bool is_reset)
+{
+  linger hard = { 1, 0 };
+  for (int fd : { pair->near_fd, pair->far_fd })
+    {
+      if (is_reset)
+        setsockopt (fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+      close (fd);
+    }
+}
+
+void
+Proxy::accept_one ()
+{
+  int near_fd = accept (listener_, nullptr, nullptr);
+  if (near_fd < 0)
+    return;
+  int far_fd = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = make_address (target_ip_, target_port_);
+  if (connect (far_fd, (sockaddr *)&address, sizeof address) != 0)
+    {
+      Pair failed = { near_fd, far_fd, false };
+      end (&failed, true);
+      return;
+    }
+  set_nodelay (near_fd);
+  set_nodelay (far_fd);
+  pairs_.push_back ({ near_fd, far_fd, false });
+}
+
+/// @return  False when the pair is over.
+bool
+Proxy::pump (Pair *pair, bool is_forward)
+{
+  char bytes[16384];
+  int from = is_forward ? pair->near_fd : pair->far_fd;
+  int to = is_forward ? pair->far_fd : pair->near_fd;
+  ssize_t n = recv (from, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (n <= 0)
+    {
+      end (pair, n < 0);
+      return false;
+    }
+  Path path = path_;
+  if (pair->is_silent || path == Path::SILENT
+      || (path == Path::ONE_WAY && !is_forward))
+    return true;
+  int delay_ms = delay_ms_;
+  if (delay_ms > 0)
+    usleep ((useconds_t)delay_ms * 1000);
+  return send (to, bytes, (size_t)n, MSG_NOSIGNAL) == n
+         || (end (pair, true), false);
+}
+
+void
+Proxy::loop ()
+{
+  while (!is_stopping_)
+    {
+      if (wants_reset_.exchange (false))
+        {
+          for (auto &pair : pairs_)
+            end (&pair, true);
+          pairs_.clear ();
+        }
+      if (wants_silence_.exchange (false))
+        for (auto &pair : pairs_)
+          pair.is_silent = true;
+      std::vector<pollfd> fds = { { listener_, POLLIN, 0 } };
+      for (const auto &pair : pairs_)
+        {
+          fds.push_back ({ pair.near_fd, POLLIN, 0 });
+          fds.push_back ({ pair.far_fd, POLLIN, 0 });
+        }
+      if (poll (fds.data (), fds.size (), 20) <= 0)
+        continue;
+      size_t at = 1;
+      for (auto it = pairs_.begin (); it != pairs_.end (); at += 2)
+        {
+          bool is_alive = fds[at].revents == 0 || pump (&*it, true);
+          is_alive
+              = is_alive && (fds[at + 1].revents == 0 || pump (&*it, false));
+          it = is_alive ? std::next (it) : pairs_.erase (it);
+        }
+      if (fds[0].revents != 0)
+        accept_one ();
+    }
+}
+
+} // namespace relay
--- /dev/null
+++ b/test/relay/proxy.h
@@ -0,0 +1,76 @@
+/// @file proxy.h
+/// A loopback proxy that delays, silences, cuts one way or resets the
+/// connections through it.
+#ifndef KB_TEST_RELAY_PROXY_H
+#define KB_TEST_RELAY_PROXY_H
+
+#include <atomic>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace relay
+{
+
+enum class Path
+{
+  OPEN,
+  SILENT,  ///< Takes bytes and passes none on, either way.
+  ONE_WAY, ///< Answers do not come back.
+};
+
+class Proxy
+{
+public:
+  Proxy (const std::string &listen_ip, int listen_port,
+         const std::string &target_ip, int target_port);
+  ~Proxy ();
+  void
+  set_path (Path path)
+  {
+    path_ = path;
+  }
+  /// Each piece is held this long.
+  void
+  set_delay_ms (int delay_ms)
+  {
+    delay_ms_ = delay_ms;
+  }
+  /// Reset every connection now.
+  void reset_all ();
+  /// Present connections carry nothing any more; new ones work.
+  void silence_present ();
+  int
+  port () const
+  {
+    return port_;
+  }
+
+private:
+  struct Pair
+  {
+    int near_fd;
+    int far_fd;
+    bool is_silent;
+  };
+  void loop ();
+  void accept_one ();
+  bool pump (Pair *pair, bool is_forward);
+  void end (Pair *pair, bool is_reset);
+  std::string target_ip_;
+  int target_port_;
+  int port_ = 0;
+  int listener_;
+  std::atomic<Path> path_{ Path::OPEN };
+  std::atomic<int> delay_ms_{ 0 };
+  std::atomic<bool> is_stopping_{ false };
+  std::atomic<bool> wants_reset_{ false };
+  std::atomic<bool> wants_silence_{ false };
+  std::list<Pair> pairs_;
+  std::thread thread_;
+};
+
+} // namespace relay
+
+#endif
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -484,6 +484,42 @@
   kill (site.engines[0].sidecar.pid, SIGCONT);
 }
 
+// The links between entries and agents go silent while streams begin and end.
+// Grants and releases are lost with them, places stay taken for ever, and
+// after a few such moments an idle engine refuses everybody.
+TEST (Relay, PlacesAreNotLostWithALink)
+{
+  Proxies proxies;
+  Site site (1, 0, 1, &proxies);
+  ASSERT_TRUE (site.wait_ready ());
+  std::atomic<bool> is_done{ false };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; i++)
+    callers.emplace_back ([&site, &is_done, i] {
+      for (int n = 0; !is_done; n++)
+        send_call (site.gateways[0],
+                   stream_call ("l" + std::to_string (i * 10000 + n), "a1"));
+    });
+  for (int i = 0; i < 4; i++)
+    {
+      std::this_thread::sleep_for (std::chrono::milliseconds (300));
+      proxies.agents[0]->silence_present ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (1700));
+    }
+  is_done = true;
+  for (auto &caller : callers)
+    caller.join ();
+  std::this_thread::sleep_for (std::chrono::milliseconds (1800));
+  int good = 0;
+  for (int i = 0; i < 10; i++)
+    {
+      Message m = send_call (site.gateways[0],
+                             stream_call ("k" + std::to_string (i), "a1"));
+      good += m.status == 200 && m.is_whole;
+    }
+  EXPECT_EQ (good, 10);
+}
+
 TEST (Relay, OwnAnswers)
 {
   Site site (0, 1);
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -41,8 +41,10 @@
   std::ofstream (daemon.settings_path)
       << "// for a test\n{\"interface\":\"relay\",\"name\":\"" << daemon.name
       << "\",\"failure_domain\":\"d1\",\"inner_port\":" << inner_port_
-      << ",\"grace_s\":6,\"store_address\":\"" << its_store.address () << "\","
-      << members << "}\n";
+      << ",\"grace_s\":6,\"store_address\":\""
+      << (proxies_ != nullptr ? proxies_->store (its_store.address ())
+                              : its_store.address ())
+      << "\"," << members << "}\n";
 }
 
 void
@@ -69,7 +71,52 @@
   return daemon;
 }
 
-Site::Site (int engine_count, int plain_count, int gateway_count)
+static std::string
+port_of (const std::string &address)
+{
+  return address.substr (address.find (':') + 1);
+}
+
+std::string
+Proxies::engine (const std::string &ip, const std::string &address,
+                 int inner_port)
+{
+  std::string &listed = by_address_[address];
+  if (!listed.empty ())
+    return listed;
+  // The agent is found at the listed IP number and the inner port.
+  std::string outer = ip;
+  outer.replace (0, 8, "127.0.2.");
+  all.push_back (std::make_unique<Proxy> (outer, 0, ip,
+                                          atoi (port_of (address).c_str ())));
+  listed = outer + ":" + std::to_string (all.back ()->port ());
+  all.push_back (std::make_unique<Proxy> (outer, inner_port, ip, inner_port));
+  agents.push_back (all.back ().get ());
+  return listed;
+}
+
+std::string
+Proxies::plain (const std::string &address)
+{
+  std::string &listed = by_address_[address];
+  if (listed.empty ())
+    {
+      all.push_back (std::make_unique<Proxy> (
+          "127.0.0.1", 0, "127.0.0.1", atoi (port_of (address).c_str ())));
+      listed = "127.0.0.1:" + std::to_string (all.back ()->port ());
+    }
+  return listed;
+}
+
+std::string
+Proxies::store (const std::string &address)
+{
+  return plain (address);
+}
+
+Site::Site (int engine_count, int plain_count, int gateway_count,
+            Proxies *proxies)
+    : proxies_ (proxies)
 {
   char pattern[] = "/tmp/kb-relay-XXXXXX";
   dir = mkdtemp (pattern);
@@ -82,11 +129,15 @@
       e.target
           = std::make_unique<Target> (e.ip, "i-e" + std::to_string (i), true);
       e.sidecar = make_daemon (dir, "sidecar" + std::to_string (i));
+      std::string advertised = e.ip;
+      if (proxies_ != nullptr)
+        advertised.replace (0, 8, "127.0.2.");
       write_settings (e.sidecar,
                       "\"role\":\"agent\",\"service\":\"models\","
-                      "\"listen_address\":\""
-                          + e.ip + "\",\"engine_address\":\""
-                          + e.target->address () + "\"",
+                      "\"advertised_address\":\""
+                          + advertised + "\",\"listen_address\":\"" + e.ip
+                          + "\",\"engine_address\":\"" + e.target->address ()
+                          + "\"",
                       store);
       engines.push_back (std::move (e));
       list_engine (engines.size () - 1);
@@ -202,8 +253,13 @@
 Site::list_engine (size_t at, const std::string &state)
 {
   Target &target = *engines[at].target;
+  std::string address
+      = proxies_ == nullptr
+            ? target.address ()
+            : proxies_->engine (engines[at].ip, target.address (),
+                                inner_port_);
   put ("servers/" + target.id (),
-       "{\"Service\":\"models\",\"Address\":\"" + target.address ()
+       "{\"Service\":\"models\",\"Address\":\"" + address
            + "\",\"Zone\":\"d1\",\"Slots\":8,\"State\":\"" + state + "\"}");
 }
 
@@ -211,8 +267,11 @@
 Site::list_plain (size_t at, const std::string &state)
 {
   Target &target = *plain[at];
+  std::string address = proxies_ == nullptr
+                            ? target.address ()
+                            : proxies_->plain (target.address ());
   put ("servers/" + target.id (),
-       "{\"Service\":\"maps\",\"Address\":\"" + target.address ()
+       "{\"Service\":\"maps\",\"Address\":\"" + address
            + "\",\"Zone\":\"d1\",\"Slots\":6,\"State\":\"" + state + "\"}");
 }
 
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 
+#include "proxy.h"
 #include "store_standin.h"
 #include "target_standin.h"
 
@@ -35,11 +36,28 @@
   Daemon daemon;
 };
 
+/// Puts a proxy on each way: to the store, to targets, to agents.
+class Proxies
+{
+public:
+  /// Address at which an engine and its agent are listed.
+  std::string engine (const std::string &ip, const std::string &address,
+                      int inner_port);
+  std::string plain (const std::string &address);
+  std::string store (const std::string &address);
+  std::vector<std::unique_ptr<Proxy>> all;
+  std::vector<Proxy *> agents; ///< Those of the inner links.
+
+private:
+  std::map<std::string, std::string> by_address_;
+};
+
 class Site
 {
 public:
   /// The last of several gateways reads `far_store`, which shows the same.
-  explicit Site (int engines = 2, int plain = 2, int gateways = 1);
+  explicit Site (int engines = 2, int plain = 2, int gateways = 1,
+                 Proxies *proxies = nullptr);
   /// Write to both stores.
   void put (const std::string &key, const std::string &value);
   void remove (const std::string &key);
@@ -75,6 +93,7 @@
   void write_settings (const Daemon &daemon, const std::string &members,
                        const Store &store);
   int inner_port_;
+  Proxies *proxies_;
 };
 
 /// A request as a caller writes it.
