--- a/src/cli/cli_config.c
+++ b/src/cli/cli_config.c
@@ -64,10 +64,10 @@
       != KB_OK)
     return fail (&error, CLI_BAD_INPUT);
   if (!is_quiet)
-    printf ("ok: %u files, %u services, %u adapters, %u partners, %u rules, "
+    printf ("ok: %u files, %u services, %u adapters, %u workspaces, %u rules, "
             "%u overrides\n",
             folder->len, config.service_count, config.adapter_count,
-            config.partner_count, config.rule_count, overrides);
+            config.workspace_count, config.rule_count, overrides);
   cfg_config_finish (&config);
   return CLI_OK;
 }
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -32,7 +32,7 @@
     false, true, true },
   { "keygen", "make a CURVE key pair for the settings", cli_keygen, false,
     false, false, false },
-  { "hash-key", "print a partner key in the form of the configuration",
+  { "hash-key", "print a workspace key in the form of the configuration",
     cli_hash_key, false, false, false, true },
   { "logs", "print one request's story from the logs of several processes",
     cli_logs, false, false, false, false },
@@ -149,7 +149,7 @@
     .kv = arg_str0 (NULL, "kv", "IP:PORT", "key-value service"),
     .daemon
     = arg_strn (NULL, "daemon", "IP:PORT", 0, CLI_MAX_DAEMONS, "daemon"),
-    .key = arg_str0 (NULL, "key", "KEY", "operator or partner key"),
+    .key = arg_str0 (NULL, "key", "KEY", "operator or workspace key"),
     .id = arg_str0 (NULL, "id", "ID", "logs: id of the request"),
     .folder = arg_filen (NULL, NULL, "FOLDER|LOG", 0, CLI_MAX_FILES,
                          "configuration folder; logs: files to read, or "
--- a/src/coordination/claim_defs.h
+++ b/src/coordination/claim_defs.h
@@ -34,7 +34,7 @@
 typedef struct
 {
   uint64_t key;
-  uint64_t digest; ///< Of partner and body; tells another body apart.
+  uint64_t digest; ///< Of workspace and body; tells another body apart.
   uint64_t attempt;
   uint64_t incarnation; ///< Of the runner.
   uint64_t changed_ms;  ///< Local time of the last change.
--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -101,35 +101,35 @@
   free (group);
 }
 
-static sch_partner_t *
-partner_get (sch_queue_t *queue, uint64_t partner)
+static sch_workspace_t *
+workspace_get (sch_queue_t *queue, uint64_t workspace)
 {
-  for (uint32_t i = 0; i < queue->partner_count; i++)
-    if (queue->partners[i].partner == partner)
-      return &queue->partners[i];
-  if (queue->partner_count < SCH_PARTNERS)
+  for (uint32_t i = 0; i < queue->workspace_count; i++)
+    if (queue->workspaces[i].workspace == workspace)
+      return &queue->workspaces[i];
+  if (queue->workspace_count < SCH_WORKSPACES)
     {
-      sch_partner_t *fresh = &queue->partners[queue->partner_count++];
-      *fresh = (sch_partner_t){ .partner = partner };
+      sch_workspace_t *fresh = &queue->workspaces[queue->workspace_count++];
+      *fresh = (sch_workspace_t){ .workspace = workspace };
       return fresh;
     }
-  return &queue->partners[partner % SCH_PARTNERS];
+  return &queue->workspaces[workspace % SCH_WORKSPACES];
 }
 
-/// Start-time fair queueing: a partner's items are spaced by cost over
-/// weight, and an idle partner starts at the present virtual time.
+/// Start-time fair queueing: a workspace's items are spaced by cost over
+/// weight, and an idle workspace starts at the present virtual time.
 static double
 item_tag (sch_queue_t *queue, const sch_item_t *item)
 {
   if (queue->options.is_naive)
     return (double)item->enqueued_us;
-  sch_partner_t *partner = partner_get (queue, item->partner);
+  sch_workspace_t *workspace = workspace_get (queue, item->workspace);
   uint8_t c = item->priority_class;
-  double start = partner->last_tag[c] > queue->virtual_time[c]
-                     ? partner->last_tag[c]
+  double start = workspace->last_tag[c] > queue->virtual_time[c]
+                     ? workspace->last_tag[c]
                      : queue->virtual_time[c];
   uint32_t weight = item->weight > 0 ? item->weight : 1;
-  partner->last_tag[c] = start + (double)(item->cost + 1) / weight;
+  workspace->last_tag[c] = start + (double)(item->cost + 1) / weight;
   return start;
 }
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -1,7 +1,7 @@
 /// @file sched.h
 /// Order of work at one engine: which waiting request runs next, which
 /// adapter is loaded next and what makes room for it. Priority class first,
-/// then weighted fairness between partners, then age. No I/O; the agent and
+/// then weighted fairness between workspaces, then age. No I/O; the agent and
 /// the replay drive it with their own clocks.
 #ifndef KB_COORDINATION_SCHED_H
 #define KB_COORDINATION_SCHED_H
@@ -11,14 +11,14 @@
 enum
 {
   SCH_CLASSES = 8,
-  SCH_PARTNERS = 256,
+  SCH_WORKSPACES = 256,
 };
 
 /// A request that waits or runs. The caller owns the memory and embeds it.
 typedef struct sch_item
 {
-  uint64_t adapter; ///< Hash of adapter and version; zero needs no slot.
-  uint64_t partner; ///< Hash of the partner's name.
+  uint64_t adapter;   ///< Hash of adapter and version; zero needs no slot.
+  uint64_t workspace; ///< Hash of the workspace's name.
   uint8_t priority_class;
   uint32_t weight;
   uint32_t cost; ///< Expected work, such as tokens.
@@ -73,12 +73,12 @@
   bool is_naive; ///< Baseline: strictly first come, head of line blocks.
 } sch_options_t;
 
-/// Per partner and class: the virtual time up to which it was served.
+/// Per workspace and class: the virtual time up to which it was served.
 typedef struct
 {
-  uint64_t partner;
+  uint64_t workspace;
   double last_tag[SCH_CLASSES];
-} sch_partner_t;
+} sch_workspace_t;
 
 typedef struct
 {
@@ -86,8 +86,8 @@
   slt_table_t *slots;
   kb_map_t groups;
   sch_group_t *active; ///< Groups with waiting work.
-  sch_partner_t partners[SCH_PARTNERS];
-  uint32_t partner_count;
+  sch_workspace_t workspaces[SCH_WORKSPACES];
+  uint32_t workspace_count;
   double virtual_time[SCH_CLASSES];
   uint32_t waiting;
   uint32_t running;
@@ -100,7 +100,7 @@
 void sch_queue_init (sch_queue_t *queue, slt_table_t *slots,
                      const sch_options_t *options);
 void sch_queue_finish (sch_queue_t *queue);
-/// Add a waiting item; its adapter, partner, class, weight, cost and times
+/// Add a waiting item; its adapter, workspace, class, weight, cost and times
 /// are set by the caller.
 void sch_add (sch_queue_t *queue, sch_item_t *item);
 /// Remove an item that still waits.
--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -59,7 +59,7 @@
   r->item = (sch_item_t){
     .adapter
     = r->model[0] == '\0' ? 0 : kb_hash (r->model, strlen (r->model), 0) | 1,
-    .partner = kb_hash (d->partner.ptr, d->partner.len_bytes, 0),
+    .workspace = kb_hash (d->workspace.ptr, d->workspace.len_bytes, 0),
     .priority_class
     = (uint8_t)(d->priority_class < SCH_CLASSES ? d->priority_class
                                                 : SCH_CLASSES - 1),
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -44,13 +44,13 @@
   msg_pong_t report;
 } ent_vm_t;
 
-/// Limits of one partner.
+/// Limits of one workspace.
 typedef struct
 {
   uint64_t id;
   uint32_t inflight;
   lim_bucket_t bucket;
-} ent_partner_t;
+} ent_workspace_t;
 
 typedef enum
 {
@@ -69,8 +69,8 @@
   struct ent_request *next;
   struct ent_request *prev;
 
-  char partner[ENT_NAME_BYTES];
-  ent_partner_t *limits;
+  char workspace[ENT_NAME_BYTES];
+  ent_workspace_t *limits;
   char service[ENT_NAME_BYTES];
   uint64_t service_id;
   char adapter[OAI_MODEL_BYTES];
@@ -184,7 +184,7 @@
   ent_request_t *requests;
   uint32_t request_count;
   kb_map_t by_attempt;
-  kb_map_t partners;
+  kb_map_t workspaces;
   lim_retry_t retries;
   gat_gate_t gate;
   ent_config_t config;
--- a/src/daemon/entry_http.c
+++ b/src/daemon/entry_http.c
@@ -76,7 +76,7 @@
   return true;
 }
 
-static const cfg_partner_t *
+static const cfg_workspace_t *
 authenticate (ent_entry_t *entry, hts_request_t *http)
 {
   kb_slice_t header = hts_request_header (http, "authorization");
@@ -87,49 +87,50 @@
   uint8_t digest[SHA256_DIGEST_LENGTH];
   SHA256 ((const unsigned char *)header.ptr + skip, header.len_bytes - skip,
           digest);
-  return cfg_partner_find (entry->config.current, digest);
+  return cfg_workspace_find (entry->config.current, digest);
 }
 
-static ent_partner_t *
-partner_limits (ent_entry_t *entry, const cfg_partner_t *partner)
+static ent_workspace_t *
+workspace_limits (ent_entry_t *entry, const cfg_workspace_t *workspace)
 {
-  uint64_t id = kb_hash (partner->name, strlen (partner->name), 0) | 1;
-  ent_partner_t *limits = kb_map_get (&entry->partners, id);
+  uint64_t id = kb_hash (workspace->name, strlen (workspace->name), 0) | 1;
+  ent_workspace_t *limits = kb_map_get (&entry->workspaces, id);
   if (limits == NULL)
     {
       limits = kb_alloc (sizeof *limits);
       limits->id = id;
-      lim_bucket_init (&limits->bucket, partner->rate_per_s,
-                       partner->rate_per_s < 1 ? 1 : partner->rate_per_s,
+      lim_bucket_init (&limits->bucket, workspace->rate_per_s,
+                       workspace->rate_per_s < 1 ? 1 : workspace->rate_per_s,
                        tmr_now_ms ());
-      kb_map_put (&entry->partners, id, limits);
+      kb_map_put (&entry->workspaces, id, limits);
     }
   // The configuration may have changed since.
-  limits->bucket.rate_per_s = partner->rate_per_s;
-  limits->bucket.burst = partner->rate_per_s < 1 ? 1 : partner->rate_per_s;
+  limits->bucket.rate_per_s = workspace->rate_per_s;
+  limits->bucket.burst = workspace->rate_per_s < 1 ? 1 : workspace->rate_per_s;
   return limits;
 }
 
 static bool
-check_limits (ent_entry_t *entry, const cfg_partner_t *partner,
-              ent_partner_t *limits, refusal_t *refusal)
+check_limits (ent_entry_t *entry, const cfg_workspace_t *workspace,
+              ent_workspace_t *limits, refusal_t *refusal)
 {
   if (entry->request_count >= (uint32_t)entry->daemon->settings.max_inflight)
     {
       refusal->retry_after_ms = INFLIGHT_RETRY_MS;
       return refuse (refusal, HTTP_UNAVAILABLE, "the entry is full");
     }
-  if (partner->max_inflight > 0 && limits->inflight >= partner->max_inflight)
+  if (workspace->max_inflight > 0
+      && limits->inflight >= workspace->max_inflight)
     {
       refusal->retry_after_ms = INFLIGHT_RETRY_MS;
       return refuse (refusal, HTTP_TOO_MANY,
-                     "partner \"%s\" has %u requests in progress",
-                     partner->name, limits->inflight);
+                     "workspace \"%s\" has %u requests in progress",
+                     workspace->name, limits->inflight);
     }
   if (!lim_bucket_take (&limits->bucket, tmr_now_ms (),
                         &refusal->retry_after_ms))
-    return refuse (refusal, HTTP_TOO_MANY, "partner \"%s\" exceeds its rate",
-                   partner->name);
+    return refuse (refusal, HTTP_TOO_MANY, "workspace \"%s\" exceeds its rate",
+                   workspace->name);
   return true;
 }
 
@@ -172,15 +173,15 @@
     return refuse (refusal, HTTP_BAD_REQUEST,
                    "\"idempotency-key\" is longer than %d bytes",
                    KEY_MAX_BYTES);
-  uint64_t partner = kb_hash (r->partner, strlen (r->partner), 0);
-  r->claim_key = kb_hash (key.ptr, key.len_bytes, partner) | 1;
-  uint64_t seed = kb_hash (r->path, strlen (r->path), partner);
+  uint64_t workspace = kb_hash (r->workspace, strlen (r->workspace), 0);
+  r->claim_key = kb_hash (key.ptr, key.len_bytes, workspace) | 1;
+  uint64_t seed = kb_hash (r->path, strlen (r->path), workspace);
   r->claim_digest = kb_hash (http->body.ptr, http->body.len_bytes, seed);
   return true;
 }
 
 static bool
-read_completion (ent_entry_t *entry, const cfg_partner_t *partner,
+read_completion (ent_entry_t *entry, const cfg_workspace_t *workspace,
                  hts_request_t *http, ent_request_t *r, refusal_t *refusal)
 {
   kb_error_t error = { 0 };
@@ -215,7 +216,7 @@
   r->source = kb_strdup (version->source);
   r->max_tokens = parsed.max_tokens;
   r->priority_class
-      = cfg_priority_class (config, partner, kb_slice_str (service->name),
+      = cfg_priority_class (config, workspace, kb_slice_str (service->name),
                             kb_slice_str (adapter->name));
   r->flags |= parsed.is_stream ? MSG_FLAG_STREAM : 0;
   oai_request_rewrite (doc, r->model, r->priority_class, &r->body);
@@ -225,7 +226,7 @@
 
 /// "/v1/services/NAME/rest": the rest goes to the target.
 static bool
-read_plain (ent_entry_t *entry, const cfg_partner_t *partner,
+read_plain (ent_entry_t *entry, const cfg_workspace_t *workspace,
             hts_request_t *http, ent_request_t *r, refusal_t *refusal)
 {
   const uint32_t skip = sizeof "/v1/services/" - 1;
@@ -247,7 +248,7 @@
                               slash, rest.len_bytes - name.len_bytes });
   kb_buf_append (&r->body, http->body.ptr, http->body.len_bytes);
   r->priority_class
-      = cfg_priority_class (config, partner, name, (kb_slice_t){ "", 0 });
+      = cfg_priority_class (config, workspace, name, (kb_slice_t){ "", 0 });
   // Reading calls may be repeated by their method; others as configured.
   bool is_reading = kb_slice_equal (http->method, kb_slice_str ("GET"))
                     || kb_slice_equal (http->method, kb_slice_str ("HEAD"));
@@ -256,18 +257,18 @@
 }
 
 static bool
-read_request (ent_entry_t *entry, const cfg_partner_t *partner,
+read_request (ent_entry_t *entry, const cfg_workspace_t *workspace,
               hts_request_t *http, ent_request_t *r, refusal_t *refusal)
 {
-  snprintf (r->partner, sizeof r->partner, "%s", partner->name);
-  r->weight = partner->weight;
+  snprintf (r->workspace, sizeof r->workspace, "%s", workspace->name);
+  r->weight = workspace->weight;
   r->method = kb_slice_dup (http->method);
   r->path = kb_slice_dup (http->path);
   if (!read_deadline (entry, http, r, refusal))
     return false;
   bool is_good = has_prefix (http->path, "/v1/services/")
-                     ? read_plain (entry, partner, http, r, refusal)
-                     : read_completion (entry, partner, http, r, refusal);
+                     ? read_plain (entry, workspace, http, r, refusal)
+                     : read_completion (entry, workspace, http, r, refusal);
   r->service_id = kb_hash (r->service, strlen (r->service), 0) | 1;
   return is_good;
 }
@@ -308,24 +309,24 @@
       reply_refusal (http, &refusal);
       return;
     }
-  const cfg_partner_t *partner = NULL;
+  const cfg_workspace_t *workspace = NULL;
   if (check_single_headers (http, &refusal))
     {
-      partner = authenticate (entry, http);
-      if (partner == NULL)
+      workspace = authenticate (entry, http);
+      if (workspace == NULL)
         refuse (&refusal, HTTP_UNAUTHORIZED,
-                "the partner key is missing or unknown");
+                "the workspace key is missing or unknown");
     }
-  ent_partner_t *limits
-      = partner == NULL ? NULL : partner_limits (entry, partner);
-  if (limits == NULL || !check_limits (entry, partner, limits, &refusal))
+  ent_workspace_t *limits
+      = workspace == NULL ? NULL : workspace_limits (entry, workspace);
+  if (limits == NULL || !check_limits (entry, workspace, limits, &refusal))
     {
       reply_refusal (http, &refusal);
       return;
     }
   ent_request_t *r = kb_alloc (sizeof *r);
   r->entry = entry;
-  if (!read_request (entry, partner, http, r, &refusal))
+  if (!read_request (entry, workspace, http, r, &refusal))
     {
       request_discard (r);
       reply_refusal (http, &refusal);
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -260,7 +260,7 @@
     .version = r->version,
     .max_tokens = r->max_tokens,
     .incarnation = r->vm_incarnation,
-    .partner = kb_slice_str (r->partner),
+    .workspace = kb_slice_str (r->workspace),
     .adapter = kb_slice_str (r->adapter),
     .source = kb_slice_str (r->source == NULL ? "" : r->source),
     .method = kb_slice_str (r->method),
--- a/src/protocol/cfgbuild.c
+++ b/src/protocol/cfgbuild.c
@@ -173,14 +173,14 @@
 }
 
 static kb_status_t
-build_partner (build_t *b, struct json_object *obj)
+build_workspace (build_t *b, struct json_object *obj)
 {
   static const char *const known[] = { "key_sha256",   "class",      "weight",
                                        "max_inflight", "rate_per_s", NULL };
   kb_status_t status = check_members (b, obj, known);
   if (status != KB_OK)
     return status;
-  cfg_partner_t *p = &b->config->partners[b->config->partner_count++];
+  cfg_workspace_t *p = &b->config->workspaces[b->config->workspace_count++];
   p->name = cfg_strdup (b->config, b->item);
   if (!parse_hex (jsn_str (obj, "key_sha256", NULL), p->key_digest,
                   CFG_KEY_DIGEST_BYTES))
@@ -206,10 +206,10 @@
 }
 
 static bool
-partner_exists (const cfg_config_t *config, const char *name)
+workspace_exists (const cfg_config_t *config, const char *name)
 {
-  for (uint32_t i = 0; i < config->partner_count; i++)
-    if (strcmp (config->partners[i].name, name) == 0)
+  for (uint32_t i = 0; i < config->workspace_count; i++)
+    if (strcmp (config->workspaces[i].name, name) == 0)
       return true;
   return false;
 }
@@ -218,18 +218,18 @@
 build_rule (build_t *b, struct json_object *obj)
 {
   static const char *const known[]
-      = { "partner", "service", "adapter_prefix", "class", NULL };
+      = { "workspace", "service", "adapter_prefix", "class", NULL };
   kb_status_t status = check_members (b, obj, known);
   if (status != KB_OK)
     return status;
   cfg_rule_t *r = &b->config->rules[b->config->rule_count++];
   r->name = cfg_strdup (b->config, b->item);
-  r->partner = cfg_strdup (b->config, jsn_str (obj, "partner", ""));
+  r->workspace = cfg_strdup (b->config, jsn_str (obj, "workspace", ""));
   r->service = cfg_strdup (b->config, jsn_str (obj, "service", ""));
   r->adapter_prefix
       = cfg_strdup (b->config, jsn_str (obj, "adapter_prefix", ""));
-  if (r->partner[0] != '\0' && !partner_exists (b->config, r->partner))
-    return item_error (b, "unknown partner", r->partner);
+  if (r->workspace[0] != '\0' && !workspace_exists (b->config, r->workspace))
+    return item_error (b, "unknown workspace", r->workspace);
   if (r->service[0] != '\0'
       && cfg_service_find (b->config, kb_slice_str (r->service)) == NULL)
     return item_error (b, "unknown service", r->service);
@@ -280,8 +280,8 @@
                                       * sizeof *out->services);
   out->adapters = cfg_alloc (out, section_len (merged, "adapters")
                                       * sizeof *out->adapters);
-  out->partners = cfg_alloc (out, section_len (merged, "partners")
-                                      * sizeof *out->partners);
+  out->workspaces = cfg_alloc (out, section_len (merged, "workspaces")
+                                        * sizeof *out->workspaces);
   out->rules
       = cfg_alloc (out, section_len (merged, "rules") * sizeof *out->rules);
   build_t b = { .origins = origins, .config = out, .error = error };
@@ -289,7 +289,7 @@
   if ((status = build_section (&b, merged, "services", build_service)) != KB_OK
       || (status = build_section (&b, merged, "adapters", build_adapter))
              != KB_OK
-      || (status = build_section (&b, merged, "partners", build_partner))
+      || (status = build_section (&b, merged, "workspaces", build_workspace))
              != KB_OK
       || (status = build_section (&b, merged, "rules", build_rule)) != KB_OK)
     {
--- a/src/protocol/cfgbuild.h
+++ b/src/protocol/cfgbuild.h
@@ -7,7 +7,7 @@
 #include "protocol/json.h"
 #include "state/config.h"
 
-/// @param merged   Object with the sections services, adapters, partners and
+/// @param merged   Object with the sections services, adapters, workspaces and
 ///                 rules.
 /// @param origins  Hash of section and item to the file that set it, for
 ///                 messages.
--- a/src/protocol/cfgdoc.c
+++ b/src/protocol/cfgdoc.c
@@ -315,7 +315,7 @@
 } merge_t;
 
 static const char *const sections[]
-    = { "services", "adapters", "partners", "rules" };
+    = { "services", "adapters", "workspaces", "rules" };
 
 static bool
 section_is_known (const char *name)
@@ -362,7 +362,7 @@
     if (!section_is_known (section))
       status = kb_error_set (error, KB_EINVAL,
                              "%s: unknown section \"%s\"; known are services, "
-                             "adapters, partners and rules",
+                             "adapters, workspaces and rules",
                              file->name, section);
     else if (!json_object_is_type (items, json_type_object))
       status = kb_error_set (error, KB_EINVAL, "%s: \"%s\" must be an object",
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -44,7 +44,7 @@
         N (dispatch, priority_class), N (dispatch, weight),
         N (dispatch, revision), N (dispatch, version),
         N (dispatch, max_tokens), N (dispatch, incarnation),
-        S (dispatch, partner), S (dispatch, adapter), S (dispatch, source),
+        S (dispatch, workspace), S (dispatch, adapter), S (dispatch, source),
         S (dispatch, method), S (dispatch, path), S (dispatch, body),
         S (dispatch, traceparent) } },
   [MSG_PART] = { "part",
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -120,7 +120,7 @@
   uint64_t version;
   uint64_t max_tokens;
   uint64_t incarnation; ///< Of the agent that the attempt was meant for.
-  kb_slice_t partner;
+  kb_slice_t workspace;
   kb_slice_t adapter;
   kb_slice_t source;
   kb_slice_t method;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -593,8 +593,10 @@
 {
   for (;;)
     {
+      // Without the configuration the places for adapters are not known; an
+      // engine that is ordered to hold more than it can crashes.
       bool may_order = !s->is_calling && s->has_report && !s->is_engine_busy
-                       && !s->host.is_stopping;
+                       && !s->host.is_stopping && s->config != NULL;
       adm_action_t action = adm_next (&s->table, may_order, now_ms_of (s));
       switch (action.kind)
         {
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -83,14 +83,14 @@
   return NULL;
 }
 
-const cfg_partner_t *
-cfg_partner_find (const cfg_config_t *config, const uint8_t *key_digest)
+const cfg_workspace_t *
+cfg_workspace_find (const cfg_config_t *config, const uint8_t *key_digest)
 {
-  for (uint32_t i = 0; i < config->partner_count; i++)
-    if (memcmp (config->partners[i].key_digest, key_digest,
+  for (uint32_t i = 0; i < config->workspace_count; i++)
+    if (memcmp (config->workspaces[i].key_digest, key_digest,
                 CFG_KEY_DIGEST_BYTES)
         == 0)
-      return &config->partners[i];
+      return &config->workspaces[i];
   return NULL;
 }
 
@@ -108,17 +108,18 @@
 }
 
 uint8_t
-cfg_priority_class (const cfg_config_t *config, const cfg_partner_t *partner,
-                    kb_slice_t service, kb_slice_t adapter)
+cfg_priority_class (const cfg_config_t *config,
+                    const cfg_workspace_t *workspace, kb_slice_t service,
+                    kb_slice_t adapter)
 {
-  kb_slice_t partner_name = kb_slice_str (partner->name);
+  kb_slice_t workspace_name = kb_slice_str (workspace->name);
   for (uint32_t i = 0; i < config->rule_count; i++)
     {
       const cfg_rule_t *rule = &config->rules[i];
-      if (rule_matches (rule->partner, partner_name)
+      if (rule_matches (rule->workspace, workspace_name)
           && rule_matches (rule->service, service)
           && prefix_matches (rule->adapter_prefix, adapter))
         return rule->priority_class;
     }
-  return partner->priority_class;
+  return workspace->priority_class;
 }
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -1,5 +1,5 @@
 /// @file config.h
-/// The operators' configuration in force: services, adapters, partners and
+/// The operators' configuration in force: services, adapters, workspaces and
 /// priority rules. Immutable once built.
 #ifndef KB_STATE_CONFIG_H
 #define KB_STATE_CONFIG_H
@@ -13,7 +13,7 @@
 
 enum
 {
-  CFG_KEY_DIGEST_BYTES = 32, ///< SHA-256 of a partner's bearer key.
+  CFG_KEY_DIGEST_BYTES = 32, ///< SHA-256 of a workspace's bearer key.
   CFG_CLASSES = 8,
 };
 
@@ -59,13 +59,13 @@
   uint32_t weight;
   uint32_t max_inflight; ///< Zero: no limit.
   double rate_per_s;     ///< Zero: no limit.
-} cfg_partner_t;
+} cfg_workspace_t;
 
-/// Overrides a partner's class for some of its requests.
+/// Overrides a workspace's class for some of its requests.
 typedef struct
 {
   char *name;
-  char *partner;        ///< Empty: any.
+  char *workspace;      ///< Empty: any.
   char *service;        ///< Empty: any.
   char *adapter_prefix; ///< Empty: any.
   uint8_t priority_class;
@@ -78,8 +78,8 @@
   uint32_t service_count;
   cfg_adapter_t *adapters;
   uint32_t adapter_count;
-  cfg_partner_t *partners;
-  uint32_t partner_count;
+  cfg_workspace_t *workspaces;
+  uint32_t workspace_count;
   cfg_rule_t *rules; ///< In the order of their names; the first match wins.
   uint32_t rule_count;
   kb_map_t adapter_by_name;
@@ -97,11 +97,11 @@
                                        kb_slice_t name);
 const cfg_version_t *cfg_version_find (const cfg_adapter_t *adapter,
                                        uint32_t number);
-const cfg_partner_t *cfg_partner_find (const cfg_config_t *config,
-                                       const uint8_t *key_digest);
+const cfg_workspace_t *cfg_workspace_find (const cfg_config_t *config,
+                                           const uint8_t *key_digest);
 /// The priority class of a request.
 uint8_t cfg_priority_class (const cfg_config_t *config,
-                            const cfg_partner_t *partner, kb_slice_t service,
-                            kb_slice_t adapter);
+                            const cfg_workspace_t *workspace,
+                            kb_slice_t service, kb_slice_t adapter);
 
 #endif
--- a/src/state/limit.h
+++ b/src/state/limit.h
@@ -1,5 +1,6 @@
 /// @file limit.h
-/// Partner limits and the retry budget of an entry: token buckets and counts.
+/// Workspace limits and the retry budget of an entry: token buckets and
+/// counts.
 #ifndef KB_STATE_LIMIT_H
 #define KB_STATE_LIMIT_H
 
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -520,6 +520,32 @@
   EXPECT_EQ (good, 10);
 }
 
+// An engine crashes after its agent was restarted: before the agent knew the
+// configuration again, it ordered more adapters than the engine can hold.
+TEST (Relay, ARestartedSidecarKeepsTheLimitsOfItsEngine)
+{
+  Site site (1, 0, 6);
+  ASSERT_TRUE (site.wait_ready ());
+  std::atomic<bool> is_done{ false };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; i++)
+    callers.emplace_back ([&site, &is_done, i] {
+      for (int n = 0; !is_done; n++)
+        send_call (site.gateways[(size_t)i % 6],
+                   stream_call ("z" + std::to_string (i * 10000 + n),
+                                "a" + std::to_string ((i + n) % 12)));
+    });
+  for (int i = 0; i < 8; i++)
+    {
+      std::this_thread::sleep_for (std::chrono::milliseconds (250));
+      site.restart (&site.engines[0].sidecar, SIGKILL);
+    }
+  is_done = true;
+  for (auto &caller : callers)
+    caller.join ();
+  EXPECT_LE (site.engines[0].target->most_held (), 4u);
+}
+
 TEST (Relay, OwnAnswers)
 {
   Site site (0, 1);
--- a/test/system/claim_failure_test.cc
+++ b/test/system/claim_failure_test.cc
@@ -193,7 +193,7 @@
       [&] { return c.complete (2, "a1@1", "early").status == 200; }));
   std::string file = c.config_dir + "/30-x.json";
   FILE *out = fopen (file.c_str (), "w");
-  fputs ("{\"rules\":{\"r\":{\"partner\":\"officer\",\"class\":1}}}", out);
+  fputs ("{\"rules\":{\"r\":{\"workspace\":\"officer\",\"class\":1}}}", out);
   fclose (out);
   ASSERT_EQ (c.apply (), 0);
   ASSERT_TRUE (Cluster::wait_until (
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -328,7 +328,7 @@
   s << "{\n // services of both kinds\n \"services\": {\n"
        "  \"report\": {\"kind\": \"engine\", \"base_model\": \"base\"},\n"
        "  \"map-query\": {\"kind\": \"plain\", \"idempotent\": false}\n },\n"
-       " \"partners\": {\n"
+       " \"workspaces\": {\n"
        "  \"kavango\": {\"key_sha256\": \""
     << sha256_hex ("kavango-key")
     << "\", \"class\": 2, \"weight\": 2},\n  \"skjamynd\": {\"key_sha256\": \""
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -128,7 +128,7 @@
   /// Wait for the end. @return its exit code, or -1.
   static int wait_exit (Process &process, int timeout_ms = 20000);
 
-  /// A completion. @param key partner key.
+  /// A completion. @param key workspace key.
   Answer complete (int entry, const std::string &model,
                    const std::string &prompt, const Headers &extra = {},
                    int tokens = 8, bool stream = false,
--- a/test/system/config_test.cc
+++ b/test/system/config_test.cc
@@ -281,10 +281,11 @@
       std::string::npos)
       << output;
   write_file (c.config_dir + "/50-bad.json",
-              "{\"rules\":{\"r\":{\"partner\":\"nobody\",\"class\":1}}}");
+              "{\"rules\":{\"r\":{\"workspace\":\"nobody\",\"class\":1}}}");
   EXPECT_EQ (c.cli ({ "check", c.config_dir }, &output), 2);
-  EXPECT_NE (output.find ("50-bad.json: rules.r: unknown partner \"nobody\""),
-             std::string::npos)
+  EXPECT_NE (
+      output.find ("50-bad.json: rules.r: unknown workspace \"nobody\""),
+      std::string::npos)
       << output;
   write_file (c.config_dir + "/50-bad.json", "{\n\"rules\": {,}\n}");
   EXPECT_EQ (c.cli ({ "check", c.config_dir }, &output), 2);
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -120,9 +120,9 @@
           "engine.run" };
   EXPECT_TRUE (Cluster::wait_until (
       [&] {
-        std::string all = read_file (c.dir + "/entry0.out");
+        std::string all = read_file (c.dir + "/entry0.log");
         for (auto &t : c.targets)
-          all += read_file (c.dir + "/" + t.name + ".out");
+          all += read_file (c.dir + "/" + t.name + ".log");
         std::istringstream lines (all);
         std::string line;
         std::set<std::string> found;
@@ -137,14 +137,14 @@
       3000));
 }
 
-// A partner exceeds its limits: it is told so (429, not run) with a time to
-// come back, and another partner is not touched.
-TEST (Edge, PartnerLimits)
+// A workspace exceeds its limits: it is told so (429, not run) with a time to
+// come back, and another workspace is not touched.
+TEST (Edge, WorkspaceLimits)
 {
   Cluster c (ClusterOptions{});
   c.start ();
   std::ofstream (c.config_dir + "/30-limit.json")
-      << "{\"partners\":{\"reseller\":{\"key_sha256\":\""
+      << "{\"workspaces\":{\"reseller\":{\"key_sha256\":\""
       << kb::sha256_hex ("reseller-key")
       << "\",\"class\":5,\"rate_per_s\":1}}}";
   ASSERT_EQ (c.apply (), 0);
--- a/test/unit/document_test.cc
+++ b/test/unit/document_test.cc
@@ -163,9 +163,10 @@
   EXPECT_EQ (
       build_error ({ { "1.json", "{\"services\":{\"s\":{\"kint\":1}}}" } }),
       "1.json: services.s: unknown member \"kint\"");
-  EXPECT_EQ (build_error ({ { "1.json", "{\"partners\":{\"p\":{\"key_sha256\":"
-                                        "\"zz\"}}}" } }),
-             "1.json: partners.p: \"key_sha256\" must be 64 hex digits");
+  EXPECT_EQ (
+      build_error ({ { "1.json", "{\"workspaces\":{\"p\":{\"key_sha256\":"
+                                 "\"zz\"}}}" } }),
+      "1.json: workspaces.p: \"key_sha256\" must be 64 hex digits");
 }
 
 TEST (Config, LaterFileOverridesAndNullRemoves)
@@ -193,20 +194,20 @@
 {
   cfg_config_t config = {};
   std::string key (64, '0');
-  ASSERT_EQ (
-      build_error (
-          { { "1.json", kService },
-            { "2.json", "{\"partners\":{\"p\":{\"key_sha256\":\"" + key
-                            + "\",\"class\":4}},\"rules\":{\"2\":{\"partner\":"
-                              "\"p\",\"class\":3},\"1\":{\"adapter_prefix\":"
-                              "\"map-\",\"class\":1}}}" } },
-          &config),
-      "ok");
+  ASSERT_EQ (build_error (
+                 { { "1.json", kService },
+                   { "2.json",
+                     "{\"workspaces\":{\"p\":{\"key_sha256\":\"" + key
+                         + "\",\"class\":4}},\"rules\":{\"2\":{\"workspace\":"
+                           "\"p\",\"class\":3},\"1\":{\"adapter_prefix\":"
+                           "\"map-\",\"class\":1}}}" } },
+                 &config),
+             "ok");
   kb_slice_t s = kb_slice_str ("s");
-  EXPECT_EQ (cfg_priority_class (&config, &config.partners[0], s,
+  EXPECT_EQ (cfg_priority_class (&config, &config.workspaces[0], s,
                                  kb_slice_str ("map-1")),
              1);
-  EXPECT_EQ (cfg_priority_class (&config, &config.partners[0], s,
+  EXPECT_EQ (cfg_priority_class (&config, &config.workspaces[0], s,
                                  kb_slice_str ("other")),
              3);
   cfg_config_finish (&config);
--- a/test/unit/sched_test.cc
+++ b/test/unit/sched_test.cc
@@ -34,12 +34,12 @@
   }
   sch_item_t *
   add (uint64_t adapter, uint8_t priority_class, uint64_t at_us = 0,
-       uint64_t partner = 1, uint32_t weight = 1)
+       uint64_t workspace = 1, uint32_t weight = 1)
   {
     auto item = std::make_unique<sch_item_t> ();
     *item = sch_item_t{};
     item->adapter = adapter;
-    item->partner = partner;
+    item->workspace = workspace;
     item->priority_class = priority_class;
     item->weight = weight;
     item->cost = 100;
@@ -165,7 +165,7 @@
     {
       sch_action_t action = sch_next (&queue, 1, true);
       ASSERT_EQ (action.kind, SCH_RUN);
-      heavy += action.item->partner == 1;
+      heavy += action.item->workspace == 1;
       sch_note_run (&queue, action.item, 1);
       sch_note_end (&queue, action.item, 1);
     }
--- a/tools/bench.c
+++ b/tools/bench.c
@@ -111,7 +111,7 @@
   for (uint32_t i = 0; i < waiting; i++)
     {
       items[i] = (sch_item_t){ .adapter = 1 + i % 40,
-                               .partner = i % 5,
+                               .workspace = i % 5,
                                .priority_class = (uint8_t)(i % 4),
                                .weight = 1,
                                .cost = 100,
@@ -184,7 +184,7 @@
   msg.dispatch = (msg_dispatch_t){ .attempt = 1ULL << 40,
                                    .deadline_ms = 60000,
                                    .revision = 1000,
-                                   .partner = kb_slice_str ("kavango"),
+                                   .workspace = kb_slice_str ("kavango"),
                                    .adapter = kb_slice_str ("adapter-1234"),
                                    .source = kb_slice_str ("ws://a/1"),
                                    .method = kb_slice_str ("POST"),
--- a/tools/demo.cc
+++ b/tools/demo.cc
@@ -34,7 +34,7 @@
 struct Job
 {
   std::string kind;
-  std::string partner;
+  std::string workspace;
   std::string model;
   std::string prompt;
   int tokens;
@@ -46,9 +46,9 @@
 Job
 make_job (int i, std::mt19937 &rng)
 {
-  static const char *const partners[] = { "kavango", "skjamynd", "officer" };
+  static const char *const workspaces[] = { "kavango", "skjamynd", "officer" };
   Job job;
-  job.partner = partners[rng () % 3];
+  job.workspace = workspaces[rng () % 3];
   // A few adapters are popular, most are rare.
   int adapter = rng () % 4 != 0 ? (int)(rng () % 5) : (int)(rng () % 40);
   job.model = "a" + std::to_string (adapter) + "@"
@@ -76,7 +76,7 @@
 int
 run_job (kb::Cluster &c, const Job &job, int entry)
 {
-  std::string key = job.partner + "-key";
+  std::string key = job.workspace + "-key";
   if (job.plain)
     {
       kb::Answer answer
@@ -208,7 +208,8 @@
   kb::ClusterOptions options;
   kb::Cluster c (options);
   c.start ();
-  printf ("2 entries, 4 engines, 1 plain service, 40 adapters, 3 partners\n");
+  printf (
+      "2 entries, 4 engines, 1 plain service, 40 adapters, 3 workspaces\n");
   if (is_staying)
     {
       stay (c);
--- a/tools/replay/replay.h
+++ b/tools/replay/replay.h
@@ -43,7 +43,7 @@
   uint32_t id;
   uint32_t adapter; ///< From 1.
   uint32_t version;
-  uint32_t partner;
+  uint32_t workspace;
   uint32_t weight;
   uint8_t priority_class;
   uint32_t tokens;
--- a/tools/replay/sim.c
+++ b/tools/replay/sim.c
@@ -900,7 +900,7 @@
       s.jobs[i].request = r;
       s.jobs[i].entry = i % trace->site.entries;
       s.jobs[i].item = (sch_item_t){ .adapter = adapter_key (r),
-                                     .partner = r->partner,
+                                     .workspace = r->workspace,
                                      .priority_class = r->priority_class,
                                      .weight = r->weight,
                                      .cost = r->tokens };
--- a/tools/replay/trace.c
+++ b/tools/replay/trace.c
@@ -12,12 +12,12 @@
 
 enum
 {
-  PARTNER_UPLOADS = 1,
-  PARTNER_PLANNER,
-  PARTNER_OFFICER,
-  PARTNER_RESELLER,
-  PARTNER_STUDIO,
-  PARTNER_SCHOOLS,
+  WORKSPACE_UPLOADS = 1,
+  WORKSPACE_PLANNER,
+  WORKSPACE_OFFICER,
+  WORKSPACE_RESELLER,
+  WORKSPACE_STUDIO,
+  WORKSPACE_SCHOOLS,
 };
 
 static void
@@ -123,7 +123,7 @@
   double from_s;
   double to_s;
   double rate_per_s;
-  uint32_t partner;
+  uint32_t workspace;
   uint32_t weight;
   uint8_t priority_class;
   double tokens;
@@ -145,7 +145,7 @@
         }
       rpl_request_t r = { .adapter = popularity_pick (popularity),
                           .version = 1,
-                          .partner = s->partner,
+                          .workspace = s->workspace,
                           .weight = s->weight,
                           .priority_class = s->priority_class,
                           .tokens = token_count (rng, s->tokens),
@@ -165,7 +165,7 @@
       rpl_request_t r
           = { .adapter = adapter,
               .version = 1 + (adapter % 3 == 0),
-              .partner = s->partner,
+              .workspace = s->workspace,
               .weight = s->weight,
               .priority_class = s->priority_class,
               .tokens = token_count (rng, s->tokens),
@@ -202,7 +202,7 @@
   trace->site.late_share[2] = 0.02;
   popularity_t popular;
   popularity_init (&popular, rng, trace->site.adapters, 1.3);
-  stream_t uploads = { 0, 600, 0.55, PARTNER_UPLOADS, 2, 4, 120, 240 };
+  stream_t uploads = { 0, 600, 0.55, WORKSPACE_UPLOADS, 2, 4, 120, 240 };
   for (double t = 0; t < uploads.to_s;
        t += gsl_ran_exponential (rng, 1 / uploads.rate_per_s))
     add_batch (trace, rng, 1 + (uint32_t)gsl_rng_uniform_int (rng, 3000),
@@ -211,11 +211,11 @@
     for (int i = 0; i < (int)(10 * burst); i++)
       add_batch (trace, rng, 1 + (uint32_t)gsl_rng_uniform_int (rng, 3000),
                  &uploads, 300 + i * 0.05, 40, 2);
-  stream_t planners = { 200, 600, 4, PARTNER_PLANNER, 4, 2, 90, 30 };
+  stream_t planners = { 200, 600, 4, WORKSPACE_PLANNER, 4, 2, 90, 30 };
   add_stream (trace, rng, &popular, &planners, flip_at_s);
-  stream_t officers = { 0, 600, 0.8, PARTNER_OFFICER, 8, 0, 80, 15 };
+  stream_t officers = { 0, 600, 0.8, WORKSPACE_OFFICER, 8, 0, 80, 15 };
   add_stream (trace, rng, &popular, &officers, 1e9);
-  stream_t reseller = { 0, 600, 3, PARTNER_RESELLER, 1, 5, 40, 60 };
+  stream_t reseller = { 0, 600, 3, WORKSPACE_RESELLER, 1, 5, 40, 60 };
   add_stream (trace, rng, &popular, &reseller, 1e9);
   popularity_finish (&popular);
 }
@@ -244,11 +244,11 @@
   trace->site.late_share[1] = 0.02;
   popularity_t popular;
   popularity_init (&popular, rng, trace->site.adapters, 1.4);
-  stream_t schools = { 0, 600, 18, PARTNER_SCHOOLS, 2, 3, 60, 60 };
+  stream_t schools = { 0, 600, 18, WORKSPACE_SCHOOLS, 2, 3, 60, 60 };
   add_stream (trace, rng, &popular, &schools, flip_at_s);
-  stream_t studio = { 0, 600, 5, PARTNER_STUDIO, 4, 1, 50, 30 };
+  stream_t studio = { 0, 600, 5, WORKSPACE_STUDIO, 4, 1, 50, 30 };
   add_stream (trace, rng, &popular, &studio, 1e9);
-  stream_t captions = { 0, 600, 0, PARTNER_STUDIO, 4, 2, 50, 60 };
+  stream_t captions = { 0, 600, 0, WORKSPACE_STUDIO, 4, 2, 50, 60 };
   for (double t = 60; t < 600; t += 90)
     {
       // One burst: about 60 developers, each with a few calls of one rare
@@ -341,10 +341,10 @@
     {
       const rpl_request_t *r = &trace->requests[i];
       fprintf (out,
-               "{\"t_ms\":%.3f,\"adapter\":%u,\"version\":%u,\"partner\":%u,"
+               "{\"t_ms\":%.3f,\"adapter\":%u,\"version\":%u,\"workspace\":%u,"
                "\"weight\":%u,\"class\":%u,\"tokens\":%u,"
                "\"deadline_ms\":%.3f}\n",
-               (double)r->at_us / 1000, r->adapter, r->version, r->partner,
+               (double)r->at_us / 1000, r->adapter, r->version, r->workspace,
                r->weight, r->priority_class, r->tokens,
                (double)r->deadline_us / 1000);
     }
@@ -398,7 +398,7 @@
   rpl_request_t r
       = { .adapter = (uint32_t)jsn_int (doc, "adapter", 0),
           .version = (uint32_t)jsn_int (doc, "version", 1),
-          .partner = (uint32_t)jsn_int (doc, "partner", 1),
+          .workspace = (uint32_t)jsn_int (doc, "workspace", 1),
           .weight = (uint32_t)jsn_int (doc, "weight", 1),
           .priority_class = (uint8_t)jsn_int (doc, "class", 4),
           .tokens = (uint32_t)jsn_int (doc, "tokens", 1),
