fix(sidecar): an unload that is only accepted makes no room yet

Cause: an unload waits for the runs of its adapter; the sidecar counted the place free at once and ordered the next load. Seen by a new test: an engine with 4 places held 12 adapters when it went on for callers that had left. After: at most 4. Also: lint covers platform/, checks that the platform's names stay there; the product's own deadline header collided with one of them and is now x-knapweedbay-timeout-ms.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Thin layer over CMake. `make help` lists the targets.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'test/*.[ch]' 'test/*.cc' 'tools/*.[ch]' 'tools/*.cc')
-C_SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.c')
+SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' 'test/*.cc' 'tools/*.[ch]' 'tools/*.cc')
+C_SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c')
 
 .PHONY: all setup build test test-asan lint format fuzz demo demo-up replay bench capacity plots install clean help
 
--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -179,7 +179,8 @@
 turns_ms (const adm_table_t *table, uint32_t ahead)
 {
   uint32_t lanes = table->options.max_cold > 0 ? table->options.max_cold : 1;
-  return (uint64_t)((ahead / lanes + 1) * table->load_ms);
+  uint32_t turns = ahead / lanes + 1;
+  return (uint64_t)(turns * table->load_ms);
 }
 
 /// What a fetch of an adapter is worth: the requests that wait for it now, and
@@ -480,7 +481,7 @@
 }
 
 void
-adm_order_failed (adm_adapter_t *adapter, uint64_t now_ms)
+adm_order_pending (adm_adapter_t *adapter, uint64_t now_ms)
 {
   adapter->retry_ms = now_ms + ORDER_RETRY_MS;
 }
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -171,8 +171,9 @@
 void adm_load_begun (adm_table_t *table, adm_adapter_t *adapter,
                      uint64_t now_ms);
 void adm_unload_done (adm_table_t *table, adm_adapter_t *adapter);
-/// An order failed; wait a little before it is given again.
-void adm_order_failed (adm_adapter_t *adapter, uint64_t now_ms);
+/// An order failed, or its effect is not there yet: wait a little before it is
+/// given again.
+void adm_order_pending (adm_adapter_t *adapter, uint64_t now_ms);
 /// What to do next. Grants and declines are done by the call; the caller
 /// removes a declined request after it told the gateway.
 /// @param may_order  Whether an order can be given now.
--- a/src/daemon/entry_http.c
+++ b/src/daemon/entry_http.c
@@ -66,7 +66,7 @@
   static const char *const single[] = { "authorization",
                                         "idempotency-key",
                                         "x-knapweedbay-idempotent",
-                                        "x-knapweedbay-deadline-ms",
+                                        "x-knapweedbay-timeout-ms",
                                         "content-length",
                                         "traceparent" };
   for (size_t i = 0; i < sizeof single / sizeof single[0]; i++)
@@ -140,7 +140,7 @@
 {
   const set_settings_t *s = &entry->daemon->settings;
   uint64_t deadline = (uint64_t)s->default_deadline_ms;
-  kb_slice_t header = hts_request_header (http, "x-knapweedbay-deadline-ms");
+  kb_slice_t header = hts_request_header (http, "x-knapweedbay-timeout-ms");
   if (header.len_bytes > 0)
     {
       char text[24];
@@ -149,7 +149,7 @@
       deadline = strtoull (text, &end, 10);
       if (*end != '\0' || deadline == 0)
         return refuse (refusal, HTTP_BAD_REQUEST,
-                       "\"x-knapweedbay-deadline-ms\" must be a number");
+                       "\"x-knapweedbay-timeout-ms\" must be a number");
     }
   if (deadline > (uint64_t)s->max_deadline_ms)
     deadline = (uint64_t)s->max_deadline_ms;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -543,9 +543,14 @@
   bool is_done = end == EGN_ORDER_ACCEPTED || end == EGN_ORDER_HOLDS;
   if (is_done)
     s->seq++;
-  if (adapter != NULL && !is_done)
-    adm_order_failed (adapter, now_ms_of (s));
-  else if (adapter != NULL && s->order_kind == ADM_DO_UNLOAD)
+  bool is_unload = s->order_kind == ADM_DO_UNLOAD;
+  // An unload that is only accepted keeps its room until the last run with it
+  // ends, which the report tells. An engine that is ordered to hold more than
+  // it has room for crashes.
+  bool is_pending = !is_done || (is_unload && end == EGN_ORDER_ACCEPTED);
+  if (adapter != NULL && is_pending)
+    adm_order_pending (adapter, now_ms_of (s));
+  else if (adapter != NULL && is_unload)
     adm_unload_done (&s->table, adapter);
   else if (adapter != NULL)
     adm_load_begun (&s->table, adapter, now_ms_of (s));
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -370,12 +370,11 @@
 conn_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
   h1_conn_t *conn = stream->data;
-  if (got == UV_EOF && conn_was_reset (conn))
+  bool is_reset = got < 0 && (got != UV_EOF || conn_was_reset (conn));
+  if (is_reset)
     conn_end (conn, H1_END_RESET);
-  else if (got == UV_EOF)
-    conn_read_eof (conn);
   else if (got < 0)
-    conn_end (conn, H1_END_RESET);
+    conn_read_eof (conn);
   else if (got > 0 && conn->is_draining)
     return;
   else if (got > 0 && conn->is_held)
@@ -542,14 +541,15 @@
   if (bytes.len_bytes == 0)
     return true;
   // One write a chunk: each costs a system call and a packet.
+  static const char line_end[2] = { '\r', '\n' };
   char head[16];
   int head_bytes = snprintf (head, sizeof head, "%x\r\n", bytes.len_bytes);
-  size_t total = (size_t)head_bytes + bytes.len_bytes + 2;
+  size_t total = (size_t)head_bytes + bytes.len_bytes + sizeof line_end;
   char small[4096];
   char *out = total <= sizeof small ? small : kb_alloc (total);
   memcpy (out, head, (size_t)head_bytes);
   memcpy (out + head_bytes, bytes.ptr, bytes.len_bytes);
-  memcpy (out + total - 2, "\r\n", 2);
+  memcpy (out + total - sizeof line_end, line_end, sizeof line_end);
   bool is_taken = h1_conn_write (conn, out, total);
   if (out != small)
     free (out);
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -546,6 +546,30 @@
   EXPECT_LE (site.engines[0].target->most_held (), 4u);
 }
 
+// An engine crashes with one adapter too many: callers left, their places were
+// given back, but the engine was still at work on them. The adapter that was
+// to make room was dropped only later.
+TEST (Relay, AnAdapterThatIsStillUsedMakesNoRoom)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.ignores_close = true;
+  engine.events = 200;
+  engine.event_ms = 5;
+  for (int i = 0; i < 12; i++)
+    {
+      auto connection = dial (site.gateways[0].address);
+      connection->write (
+          stream_call ("u" + std::to_string (i), "a" + std::to_string (i))
+              .text ());
+      connection->read_some (1500);
+      connection->close ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (60));
+    }
+  EXPECT_LE (engine.most_held (), 4u);
+}
+
 TEST (Relay, OwnAnswers)
 {
   Site site (0, 1);
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -130,11 +130,15 @@
     }
   if (!is_load)
     {
+      Adapter &adapter = adapters_[name];
+      adapter.is_leaving = adapter.users > 0;
+      if (adapter.is_leaving)
+        return 202;
       adapters_.erase (name);
       return 200;
     }
-  adapters_[name] = { newest_version,
-                      Clock::now () + std::chrono::milliseconds (load_ms) };
+  adapters_[name].version = newest_version;
+  adapters_[name].ready = Clock::now () + std::chrono::milliseconds (load_ms);
   loads_++;
   most_held_ = std::max (most_held_, adapters_.size ());
   return 202;
@@ -190,6 +194,23 @@
   return is_refused;
 }
 
+/// Count a stream of an adapter in or out.
+void
+Target::use (const Message &request, int change)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::string model = request.header ("x-knapweedbay-model");
+  size_t slash = model.find ('/');
+  auto it = slash == std::string::npos
+                ? adapters_.end ()
+                : adapters_.find (model.substr (slash + 1));
+  if (it == adapters_.end ())
+    return;
+  it->second.users += change;
+  if (it->second.is_leaving && it->second.users <= 0)
+    adapters_.erase (it);
+}
+
 bool
 Target::stream (Connection &connection, const Message &request, Fault fault)
 {
@@ -200,7 +221,7 @@
   for (int i = from + 1; i <= events; i++)
     {
       sleep_ms (event_ms);
-      if (connection.peer_is_gone (0))
+      if (!ignores_close && connection.peer_is_gone (0))
         {
           abandoned++;
           return false;
@@ -259,7 +280,12 @@
       break;
     }
   if (is_engine_)
-    return stream (connection, request, fault);
+    {
+      use (request, 1);
+      bool is_kept = stream (connection, request, fault);
+      use (request, -1);
+      return is_kept;
+    }
   connection.write (answer (200, head, body));
   if (fault == Fault::EXTRA_AFTER)
     connection.write (answer (200, head, "a second answer"));
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -65,12 +65,15 @@
   std::atomic<int> late_order_ms{ 0 };
   /// Streams whose caller went away before the end.
   std::atomic<int> abandoned{ 0 };
-  std::atomic<size_t> adapter_slots{ 4 };
+  /// Streams go on for a while after their caller is gone.
+  std::atomic<bool> ignores_close{ false };
 
 private:
   struct Adapter
   {
     int version = 0;
+    int users = 0;
+    bool is_leaving = false; ///< Dropped when its last stream ends.
     std::chrono::steady_clock::time_point ready;
   };
   bool serve (Connection &connection, const Message &request) override;
@@ -79,6 +82,7 @@
   std::string report ();
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
+  void use (const Message &request, int change);
   std::string head_of (const Message &request, bool has_seal);
   bool refuse (Connection &connection, const Message &request);
   std::mutex mutex_;
