--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "coordination/admit_defs.h"
 #include "coordination/place.h"
 
 enum
@@ -10,22 +11,8 @@
   HEAT_HALF_MS = 8000,
   /// Pause before an order that failed is given again.
   ORDER_RETRY_MS = 150,
-  /// Below this a request can not produce a first event any more.
-  LEAST_RUN_MS = 60,
   /// Adapters remembered that are neither held nor asked for.
   MAX_REMEMBERED = 4096,
-  DECLINE_RETRY_MS = 400,
-  /// Prompts being read delay every running stream: an event waits for several
-  /// steps, each with a piece of a prompt. Reading at most this much at one
-  /// time keeps the pause between two events below 300 ms; without a limit
-  /// 5 % of the streams of a calm day paused for longer. Lower limits keep
-  /// prompts waiting: see docs/design/admission-and-placing.md.
-  READING_LIMIT_MS = 65,
-  /// A request that does not fit is not overtaken for longer than this, so
-  /// that large prompts are not starved by small ones.
-  OVERTAKE_MS = 100,
-  /// Waiting this long counts as much as one more waiting request.
-  WAIT_VALUE_MS = 300,
 };
 
 /// Reading rate before anything was measured, and bounds of a measured one,
@@ -45,11 +32,6 @@
 /// Weight of a recent request against a waiting one when fetches are ordered.
 static const double HEAT_VALUE = 0.5;
 
-/// Part of the memory that is given out. Output lengths are guesses that are
-/// off by half and more; a run that outgrows the rest preempts another one,
-/// which is then read anew.
-static const double MEMORY_PART = 0.9;
-
 void
 adm_table_init (adm_table_t *table, const adm_options_t *options)
 {
@@ -80,8 +62,8 @@
   kb_map_finish (&table->adapters);
 }
 
-static double
-heat_at (const adm_adapter_t *adapter, uint64_t now_ms)
+double
+adm_heat_at (const adm_adapter_t *adapter, uint64_t now_ms)
 {
   double halves = (double)(now_ms - adapter->heat_ms) / HEAT_HALF_MS;
   double heat = adapter->heat;
@@ -161,8 +143,8 @@
 }
 
 /// Whether its fetch takes a turn at the weight store.
-static bool
-is_cold_load (const adm_adapter_t *adapter)
+bool
+adm_is_cold_load (const adm_adapter_t *adapter)
 {
   return adapter->held_ms == 0 || adapter->version < adapter->wanted;
 }
@@ -171,7 +153,7 @@
 waits_for_cold_load (const adm_adapter_t *adapter)
 {
   return adapter->waiting > 0 && adapter->state == ADM_ABSENT
-         && is_cold_load (adapter);
+         && adm_is_cold_load (adapter);
 }
 
 /// @return  Time until a fetch behind `ahead` others has arrived.
@@ -185,16 +167,16 @@
 
 /// What a fetch of an adapter is worth: the requests that wait for it now, and
 /// those that will come while it is held.
-static double
-load_value (const adm_adapter_t *adapter, uint64_t now_ms)
+double
+adm_load_value (const adm_adapter_t *adapter, uint64_t now_ms)
 {
-  return adapter->waiting + HEAT_VALUE * heat_at (adapter, now_ms);
+  return adapter->waiting + HEAT_VALUE * adm_heat_at (adapter, now_ms);
 }
 
 void
 adm_adapter_asked (adm_adapter_t *adapter, uint64_t now_ms)
 {
-  adapter->heat = heat_at (adapter, now_ms) + 1;
+  adapter->heat = adm_heat_at (adapter, now_ms) + 1;
   adapter->heat_ms = now_ms;
   adapter->used_ms = now_ms;
 }
@@ -204,14 +186,14 @@
                   uint64_t now_ms)
 {
   if (adm_adapter_is_fit (adapter) || adapter->waiting > 0
-      || adapter->state == ADM_COMING || !is_cold_load (adapter))
+      || adapter->state == ADM_COMING || !adm_is_cold_load (adapter))
     return 0;
   uint32_t ahead = table->cold_coming;
-  double value = load_value (adapter, now_ms) + 1;
+  double value = adm_load_value (adapter, now_ms) + 1;
   uint32_t at = 0;
   for (const adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
        a = kb_map_next (&table->adapters, &at))
-    ahead += waits_for_cold_load (a) && load_value (a, now_ms) >= value;
+    ahead += waits_for_cold_load (a) && adm_load_value (a, now_ms) >= value;
   return turns_ms (table, ahead);
 }
 
@@ -242,8 +224,8 @@
 
 /// What reading a prompt costs, in tokens of a short one: attention grows with
 /// the square of the length.
-static uint64_t
-reading_cost (const adm_ask_t *ask)
+uint64_t
+adm_reading_cost (const adm_ask_t *ask)
 {
   uint64_t tokens = ask->prompt_tokens;
   return tokens + tokens * tokens / PLC_SQUARE_TOKENS;
@@ -259,14 +241,14 @@
   else
     table->first = ask;
   table->last = ask;
-  table->waiting_tokens += reading_cost (ask);
+  table->waiting_tokens += adm_reading_cost (ask);
   table->waiting++;
   if (ask->adapter != NULL)
     ask->adapter->waiting++;
 }
 
-static void
-waiting_remove (adm_table_t *table, adm_ask_t *ask)
+void
+adm_waiting_remove (adm_table_t *table, adm_ask_t *ask)
 {
   if (ask->prev != NULL)
     ask->prev->next = ask->next;
@@ -278,7 +260,7 @@
     table->last = ask->prev;
   ask->next = NULL;
   ask->prev = NULL;
-  table->waiting_tokens -= reading_cost (ask);
+  table->waiting_tokens -= adm_reading_cost (ask);
   table->waiting--;
   if (ask->adapter != NULL)
     ask->adapter->waiting--;
@@ -303,7 +285,7 @@
   if (!ask->is_reading)
     return;
   ask->is_reading = false;
-  table->reading_tokens -= reading_cost (ask);
+  table->reading_tokens -= adm_reading_cost (ask);
 }
 
 /// Take one sample of the time to a first event.
@@ -351,7 +333,7 @@
   reading_end (table, ask);
   kb_map_remove (&table->asks, ask_key (ask->owner, ask->id));
   if (ask->granted_ms == 0)
-    waiting_remove (table, ask);
+    adm_waiting_remove (table, ask);
   else
     {
       table->granted--;
@@ -461,7 +443,7 @@
 void
 adm_load_begun (adm_table_t *table, adm_adapter_t *adapter, uint64_t now_ms)
 {
-  adapter->is_cold = is_cold_load (adapter);
+  adapter->is_cold = adm_is_cold_load (adapter);
   adapter->ordered_ms = now_ms;
   table->coming++;
   table->cold_coming += adapter->is_cold;
@@ -485,189 +467,3 @@
 {
   adapter->retry_ms = now_ms + ORDER_RETRY_MS;
 }
-
-static bool
-has_place (const adm_table_t *table, const adm_ask_t *ask)
-{
-  if (table->granted >= table->options.slots)
-    return false;
-  uint64_t limit = (uint64_t)(MEMORY_PART * table->options.kv_tokens);
-  bool has_memory = table->options.kv_tokens == 0 || table->granted == 0
-                    || table->granted_tokens + ask->tokens <= limit;
-  double reading = (double)(table->reading_tokens + reading_cost (ask));
-  return has_memory
-         && (table->reading_tokens == 0
-             || reading <= READING_LIMIT_MS * table->tokens_per_ms);
-}
-
-/// Whether `a` is to be served before `b`; both wait, `a` longer.
-static bool
-is_before (const adm_ask_t *a, const adm_ask_t *b)
-{
-  return a->priority <= b->priority;
-}
-
-/// The most urgent request whose adapter is there and which fits.
-static adm_ask_t *
-choose_grant (adm_table_t *table, uint64_t now_ms)
-{
-  adm_ask_t *best = NULL;
-  for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
-    {
-      if (!adm_adapter_is_fit (ask->adapter))
-        continue;
-      if (has_place (table, ask))
-        {
-          if (best == NULL || !is_before (best, ask))
-            best = ask;
-        }
-      else if (now_ms - ask->arrived_ms > OVERTAKE_MS
-               && (best == NULL || !is_before (best, ask)))
-        return best != NULL && is_before (best, ask) ? best : NULL;
-    }
-  return best;
-}
-
-/// A version that runs still use is replaced only when they end. Until then
-/// no other adapter of this engine is fetched; another engine fetches the new
-/// version in a fraction of that time.
-static bool
-is_stale_in_use (const adm_adapter_t *adapter)
-{
-  return adapter != NULL && adapter->state == ADM_HELD
-         && adapter->version < adapter->wanted && adapter->pins > 0
-         && !adapter->is_replacing;
-}
-
-static const char *
-decline_reason (const adm_table_t *table, const adm_ask_t *ask,
-                uint64_t now_ms)
-{
-  if (!table->is_open)
-    return "engine_closed";
-  if (now_ms + LEAST_RUN_MS >= ask->due_ms)
-    return "no_time_left";
-  return is_stale_in_use (ask->adapter) ? "version_changes" : NULL;
-}
-
-static bool
-needs_load (const adm_adapter_t *adapter, uint64_t now_ms)
-{
-  if (adapter == NULL || adapter->retry_ms > now_ms || adapter->is_replacing)
-    return false;
-  return adapter->state == ADM_ABSENT
-         || (adapter->state == ADM_HELD && adapter->version < adapter->wanted
-             && adapter->pins == 0);
-}
-
-/// Whether a fetch may begin beside those under way.
-static bool
-has_load_lane (const adm_table_t *table, const adm_adapter_t *adapter)
-{
-  return !is_cold_load (adapter)
-         || table->cold_coming < table->options.max_cold;
-}
-
-/// The waiting adapter whose fetch serves most; one held before comes first,
-/// because it takes no turn at the weight store.
-static adm_adapter_t *
-choose_load (adm_table_t *table, uint64_t now_ms)
-{
-  adm_adapter_t *best = NULL;
-  double best_value = 0;
-  for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
-    {
-      adm_adapter_t *a = ask->adapter;
-      if (a == best || !needs_load (a, now_ms) || !has_load_lane (table, a))
-        continue;
-      if (!is_cold_load (a))
-        return a;
-      double value = load_value (a, now_ms);
-      // A request that waited long is served before a more popular one, so
-      // that rare adapters are not passed over for ever.
-      value += (double)(now_ms - ask->arrived_ms) / WAIT_VALUE_MS;
-      if (best == NULL || value > best_value)
-        {
-          best = a;
-          best_value = value;
-        }
-    }
-  return best;
-}
-
-/// The held adapter that is least likely to be asked for again.
-static adm_adapter_t *
-choose_victim (adm_table_t *table, uint64_t now_ms)
-{
-  adm_adapter_t *best = NULL;
-  double best_heat = 0;
-  uint32_t at = 0;
-  for (adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
-       a = kb_map_next (&table->adapters, &at))
-    {
-      // Unloading one that serves a request would hold the order back until
-      // the run ends, and the slot with it.
-      if (a->state != ADM_HELD || a->pins > 0 || a->waiting > 0
-          || a->retry_ms > now_ms)
-        continue;
-      bool is_stale = a->version < a->wanted;
-      double heat = is_stale ? -1 : heat_at (a, now_ms);
-      if (best == NULL || heat < best_heat
-          || (heat == best_heat && a->used_ms < best->used_ms))
-        {
-          best = a;
-          best_heat = heat;
-        }
-    }
-  return best;
-}
-
-static adm_action_t
-next_order (adm_table_t *table, uint64_t now_ms)
-{
-  adm_action_t none = { .kind = ADM_DO_NOTHING };
-  if (table->coming >= table->options.max_coming)
-    return none;
-  adm_adapter_t *adapter = choose_load (table, now_ms);
-  if (adapter == NULL)
-    return none;
-  bool is_replacement = adapter->state == ADM_HELD;
-  if (is_replacement
-      || table->held + table->coming < table->options.adapter_slots)
-    return (adm_action_t){ .kind = ADM_DO_LOAD, .adapter = adapter };
-  adm_adapter_t *victim = choose_victim (table, now_ms);
-  if (victim == NULL)
-    return none;
-  return (adm_action_t){ .kind = ADM_DO_UNLOAD, .adapter = victim };
-}
-
-adm_action_t
-adm_next (adm_table_t *table, bool may_order, uint64_t now_ms)
-{
-  for (adm_ask_t *late = table->first; late != NULL; late = late->next)
-    {
-      const char *reason = decline_reason (table, late, now_ms);
-      if (reason != NULL)
-        return (adm_action_t){ .kind = ADM_DO_DECLINE,
-                               .ask = late,
-                               .reason = reason,
-                               .retry_after_ms = DECLINE_RETRY_MS };
-    }
-  adm_ask_t *ask = table->is_open ? choose_grant (table, now_ms) : NULL;
-  if (ask != NULL)
-    {
-      waiting_remove (table, ask);
-      ask->granted_ms = now_ms > 0 ? now_ms : 1;
-      table->granted++;
-      table->granted_tokens += ask->tokens;
-      table->reading_tokens += reading_cost (ask);
-      ask->is_reading = true;
-      ask->ahead_tokens = table->reading_tokens;
-      if (ask->adapter != NULL)
-        ask->adapter->pins++;
-      return (adm_action_t){ .kind = ADM_DO_GRANT, .ask = ask };
-    }
-  if (may_order && table->is_open)
-    return next_order (table, now_ms);
-  return (adm_action_t){ .kind = ADM_DO_NOTHING };
-}
--- /dev/null
+++ b/src/coordination/admit_next.c
@@ -0,0 +1,212 @@
+/// @file admit_next.c
+/// What a sidecar does next: the order of grants, declines, fetches and drops.
+#include "coordination/admit_defs.h"
+
+enum
+{
+  /// Below this a request can not produce a first event any more.
+  LEAST_RUN_MS = 60,
+  DECLINE_RETRY_MS = 400,
+  /// Prompts being read delay every running stream: an event waits for several
+  /// steps, each with a piece of a prompt. Reading at most this much at one
+  /// time keeps the pause between two events below 300 ms; without a limit
+  /// 5 % of the streams of a calm day paused for longer. Lower limits keep
+  /// prompts waiting: see docs/design/admission-and-placing.md.
+  READING_LIMIT_MS = 65,
+  /// A request that does not fit is not overtaken for longer than this, so
+  /// that large prompts are not starved by small ones.
+  OVERTAKE_MS = 100,
+  /// Waiting this long counts as much as one more waiting request.
+  WAIT_VALUE_MS = 300,
+};
+
+/// Part of the memory that is given out. Output lengths are guesses that are
+/// off by half and more; a run that outgrows the rest preempts another one,
+/// which is then read anew.
+static const double MEMORY_PART = 0.9;
+
+static bool
+has_place (const adm_table_t *table, const adm_ask_t *ask)
+{
+  if (table->granted >= table->options.slots)
+    return false;
+  uint64_t limit = (uint64_t)(MEMORY_PART * table->options.kv_tokens);
+  bool has_memory = table->options.kv_tokens == 0 || table->granted == 0
+                    || table->granted_tokens + ask->tokens <= limit;
+  double reading = (double)(table->reading_tokens + adm_reading_cost (ask));
+  return has_memory
+         && (table->reading_tokens == 0
+             || reading <= READING_LIMIT_MS * table->tokens_per_ms);
+}
+
+/// Whether `a` is to be served before `b`; both wait, `a` longer.
+static bool
+is_before (const adm_ask_t *a, const adm_ask_t *b)
+{
+  return a->priority <= b->priority;
+}
+
+/// The most urgent request whose adapter is there and which fits.
+static adm_ask_t *
+choose_grant (adm_table_t *table, uint64_t now_ms)
+{
+  adm_ask_t *best = NULL;
+  for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
+    {
+      if (!adm_adapter_is_fit (ask->adapter))
+        continue;
+      if (has_place (table, ask))
+        {
+          if (best == NULL || !is_before (best, ask))
+            best = ask;
+        }
+      else if (now_ms - ask->arrived_ms > OVERTAKE_MS
+               && (best == NULL || !is_before (best, ask)))
+        return best != NULL && is_before (best, ask) ? best : NULL;
+    }
+  return best;
+}
+
+/// A version that runs still use is replaced only when they end. Until then
+/// no other adapter of this engine is fetched; another engine fetches the new
+/// version in a fraction of that time.
+static bool
+is_stale_in_use (const adm_adapter_t *adapter)
+{
+  return adapter != NULL && adapter->state == ADM_HELD
+         && adapter->version < adapter->wanted && adapter->pins > 0
+         && !adapter->is_replacing;
+}
+
+static const char *
+decline_reason (const adm_table_t *table, const adm_ask_t *ask,
+                uint64_t now_ms)
+{
+  if (!table->is_open)
+    return "engine_closed";
+  if (now_ms + LEAST_RUN_MS >= ask->due_ms)
+    return "no_time_left";
+  return is_stale_in_use (ask->adapter) ? "version_changes" : NULL;
+}
+
+static bool
+needs_load (const adm_adapter_t *adapter, uint64_t now_ms)
+{
+  if (adapter == NULL || adapter->retry_ms > now_ms || adapter->is_replacing)
+    return false;
+  return adapter->state == ADM_ABSENT
+         || (adapter->state == ADM_HELD && adapter->version < adapter->wanted
+             && adapter->pins == 0);
+}
+
+/// Whether a fetch may begin beside those under way.
+static bool
+has_load_lane (const adm_table_t *table, const adm_adapter_t *adapter)
+{
+  return !adm_is_cold_load (adapter)
+         || table->cold_coming < table->options.max_cold;
+}
+
+/// The waiting adapter whose fetch serves most; one held before comes first,
+/// because it takes no turn at the weight store.
+static adm_adapter_t *
+choose_load (adm_table_t *table, uint64_t now_ms)
+{
+  adm_adapter_t *best = NULL;
+  double best_value = 0;
+  for (adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
+    {
+      adm_adapter_t *a = ask->adapter;
+      if (a == best || !needs_load (a, now_ms) || !has_load_lane (table, a))
+        continue;
+      if (!adm_is_cold_load (a))
+        return a;
+      double value = adm_load_value (a, now_ms);
+      // A request that waited long is served before a more popular one, so
+      // that rare adapters are not passed over for ever.
+      value += (double)(now_ms - ask->arrived_ms) / WAIT_VALUE_MS;
+      if (best == NULL || value > best_value)
+        {
+          best = a;
+          best_value = value;
+        }
+    }
+  return best;
+}
+
+/// The held adapter that is least likely to be asked for again.
+static adm_adapter_t *
+choose_victim (adm_table_t *table, uint64_t now_ms)
+{
+  adm_adapter_t *best = NULL;
+  double best_heat = 0;
+  uint32_t at = 0;
+  for (adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
+       a = kb_map_next (&table->adapters, &at))
+    {
+      // Unloading one that serves a request would hold the order back until
+      // the run ends, and the slot with it.
+      if (a->state != ADM_HELD || a->pins > 0 || a->waiting > 0
+          || a->retry_ms > now_ms)
+        continue;
+      bool is_stale = a->version < a->wanted;
+      double heat = is_stale ? -1 : adm_heat_at (a, now_ms);
+      if (best == NULL || heat < best_heat
+          || (heat == best_heat && a->used_ms < best->used_ms))
+        {
+          best = a;
+          best_heat = heat;
+        }
+    }
+  return best;
+}
+
+static adm_action_t
+next_order (adm_table_t *table, uint64_t now_ms)
+{
+  adm_action_t none = { .kind = ADM_DO_NOTHING };
+  if (table->coming >= table->options.max_coming)
+    return none;
+  adm_adapter_t *adapter = choose_load (table, now_ms);
+  if (adapter == NULL)
+    return none;
+  bool is_replacement = adapter->state == ADM_HELD;
+  if (is_replacement
+      || table->held + table->coming < table->options.adapter_slots)
+    return (adm_action_t){ .kind = ADM_DO_LOAD, .adapter = adapter };
+  adm_adapter_t *victim = choose_victim (table, now_ms);
+  if (victim == NULL)
+    return none;
+  return (adm_action_t){ .kind = ADM_DO_UNLOAD, .adapter = victim };
+}
+
+adm_action_t
+adm_next (adm_table_t *table, bool may_order, uint64_t now_ms)
+{
+  for (adm_ask_t *late = table->first; late != NULL; late = late->next)
+    {
+      const char *reason = decline_reason (table, late, now_ms);
+      if (reason != NULL)
+        return (adm_action_t){ .kind = ADM_DO_DECLINE,
+                               .ask = late,
+                               .reason = reason,
+                               .retry_after_ms = DECLINE_RETRY_MS };
+    }
+  adm_ask_t *ask = table->is_open ? choose_grant (table, now_ms) : NULL;
+  if (ask != NULL)
+    {
+      adm_waiting_remove (table, ask);
+      ask->granted_ms = now_ms > 0 ? now_ms : 1;
+      table->granted++;
+      table->granted_tokens += ask->tokens;
+      table->reading_tokens += adm_reading_cost (ask);
+      ask->is_reading = true;
+      ask->ahead_tokens = table->reading_tokens;
+      if (ask->adapter != NULL)
+        ask->adapter->pins++;
+      return (adm_action_t){ .kind = ADM_DO_GRANT, .ask = ask };
+    }
+  if (may_order && table->is_open)
+    return next_order (table, now_ms);
+  return (adm_action_t){ .kind = ADM_DO_NOTHING };
+}
--- /dev/null
+++ b/src/sidecar/sidecar_tell.c
@@ -0,0 +1,135 @@
+/// @file sidecar_tell.c
+/// What a sidecar tells the gateways: condition, load, adapters.
+#include "sidecar/sidecar_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  /// Shortest time between two words of load to the gateways.
+  TELL_MS = 100,
+  /// The same for each gateway, so that the messages of a large fleet grow
+  /// with its size, not with its square.
+  TELL_PER_GATEWAY_MS = 8,
+  MS_PER_S = 1000,
+};
+
+scr_gateway_t *
+scr_gateway_find (scr_sidecar_t *s, uint64_t id)
+{
+  for (uint32_t i = 0; i < s->gateway_count; i++)
+    if (s->gateways[i].id == id)
+      return &s->gateways[i];
+  return NULL;
+}
+
+void
+scr_send (scr_sidecar_t *s, const scr_gateway_t *gateway, const msg_t *msg)
+{
+  if (hst_send (&s->host, gateway->name, msg) != KB_OK)
+    MET_INC ("knapweedbay_gateway_unreached_total", "");
+}
+
+static void
+pack_adapters (const scr_sidecar_t *s, kb_buf_t *out)
+{
+  uint32_t at = 0;
+  for (const adm_adapter_t *a = kb_map_next (&s->table.adapters, &at);
+       a != NULL; a = kb_map_next (&s->table.adapters, &at))
+    {
+      if (a->state == ADM_ABSENT)
+        continue;
+      msg_engine_adapter_t packed = { .key = a->key,
+                                      .version = a->version,
+                                      .is_coming = a->state == ADM_COMING };
+      kb_buf_append (out, &packed, sizeof packed);
+    }
+}
+
+static void
+tell_gateway (scr_sidecar_t *s, scr_gateway_t *gateway, msg_t *msg,
+              kb_slice_t adapters)
+{
+  msg_engine_state_t *state = &msg->engine_state;
+  bool is_list_known = gateway->list_stamp == state->list_stamp;
+  state->adapters = is_list_known ? (kb_slice_t){ NULL, 0 } : adapters;
+  gateway->list_stamp = state->list_stamp;
+  scr_send (s, gateway, msg);
+}
+
+/// Tell one gateway, or all.
+void
+scr_tell_state (scr_sidecar_t *s, scr_gateway_t *only)
+{
+  kb_buf_t adapters = { 0 };
+  pack_adapters (s, &adapters);
+  msg_t msg = {
+    .type = MSG_ENGINE_STATE,
+    .engine_state
+    = { .incarnation = s->host.incarnation,
+        .revision = s->config == NULL ? 0 : s->config->revision,
+        .versions_known = s->versions.changes,
+        .condition = s->host.is_stopping ? MSG_ENGINE_LEAVING : s->condition,
+        .slots = s->table.options.slots,
+        .granted = s->table.granted,
+        .waiting = s->table.waiting,
+        .gateway_count = s->gateway_count,
+        .backlog_us = adm_backlog_us (&s->table),
+        .tokens_per_s = (uint64_t)(s->table.tokens_per_ms * MS_PER_S),
+        .load_wait_ms = adm_new_load_wait_ms (&s->table),
+        .instance = kb_slice_str (s->instance),
+        .list_stamp = kb_hash (adapters.ptr, adapters.len_bytes, 1) | 1 }
+  };
+  if (only != NULL)
+    tell_gateway (s, only, &msg, kb_buf_slice (&adapters));
+  for (uint32_t i = 0; only == NULL && i < s->gateway_count; i++)
+    tell_gateway (s, &s->gateways[i], &msg, kb_buf_slice (&adapters));
+  kb_buf_finish (&adapters);
+  if (only != NULL)
+    return;
+  s->told_ms = scr_now_ms (s);
+  s->is_state_due = false;
+}
+
+static void
+tell_on_time (void *arg)
+{
+  scr_tell_state (arg, NULL);
+}
+
+/// Tell the gateways soon; changes close together go out as one.
+void
+scr_state_changed (scr_sidecar_t *s)
+{
+  if (s->is_state_due)
+    return;
+  s->is_state_due = true;
+  uint64_t since_ms = scr_now_ms (s) - s->told_ms;
+  uint64_t pause_ms = TELL_PER_GATEWAY_MS * s->gateway_count;
+  if (pause_ms < TELL_MS)
+    pause_ms = TELL_MS;
+  if (pause_ms > HEARTBEAT_MS)
+    pause_ms = HEARTBEAT_MS;
+  tmr_after (&s->host.timers, &s->tell_timer,
+             since_ms >= pause_ms ? 0 : pause_ms - since_ms, tell_on_time, s);
+}
+
+void
+scr_set_condition (scr_sidecar_t *s, msg_engine_condition_t condition)
+{
+  static const char *const names[] = { "?", "down", "ready", "leaving" };
+  if (s->condition == condition)
+    return;
+  log_event_t line;
+  if (log_begin (&line, LOG_INFO, "sidecar", "engine_condition"))
+    {
+      log_text (&line, "from", names[s->condition]);
+      log_text (&line, "to", names[condition]);
+      log_text (&line, "instance", s->instance);
+      log_int (&line, "granted", s->table.granted);
+      log_end (&line);
+    }
+  s->condition = condition;
+  s->table.is_open = condition == MSG_ENGINE_READY;
+  scr_state_changed (s);
+}
