--- /dev/null
+++ b/test/unit/log_test.cc
@@ -0,0 +1,147 @@
+// The structured log: proper lines, bounded volume, and writing that never
+// waits for a reader. Metrics: histograms as Prometheus text.
+#include <gtest/gtest.h>
+
+#include <json-c/json.h>
+#include <unistd.h>
+
+#include <string>
+
+extern "C"
+{
+#include "transport/log.h"
+#include "transport/metrics.h"
+}
+
+namespace
+{
+
+/// Standard output as a pipe for the time of a test.
+class LogTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    ASSERT_EQ (pipe (pipe_), 0);
+    fflush (stdout);
+    saved_ = dup (STDOUT_FILENO);
+    dup2 (pipe_[1], STDOUT_FILENO);
+    log_level_set (LOG_INFO);
+  }
+  void
+  TearDown () override
+  {
+    log_flush ();
+    dup2 (saved_, STDOUT_FILENO);
+    close (saved_);
+    close (pipe_[0]);
+    close (pipe_[1]);
+  }
+  std::string
+  written ()
+  {
+    log_flush ();
+    char bytes[65536];
+    ssize_t n = read (pipe_[0], bytes, sizeof bytes);
+    return n > 0 ? std::string (bytes, (size_t)n) : "";
+  }
+  int pipe_[2];
+  int saved_;
+};
+
+TEST_F (LogTest, LinesAreJsonWithAFixedOrder)
+{
+  log_configure ("node\"1", 1000);
+  log_event_t line;
+  ASSERT_TRUE (log_begin (&line, LOG_INFO, "part", "event"));
+  log_text (&line, "id", "a\"b\\c\n\x01");
+  log_int (&line, "n", -5);
+  log_end (&line);
+  log_configure ("node", 1000);
+  std::string text = written ();
+  EXPECT_EQ (text.find ("{\"ts\":"), 0u);
+  EXPECT_LT (text.find ("\"part\""), text.find ("\"event\""));
+  ASSERT_TRUE (log_begin (&line, LOG_INFO, "part", "event"));
+  log_text (&line, "id", "a\"b\\c\n\x01");
+  log_int (&line, "n", -5);
+  log_end (&line);
+  json_object *doc = json_tokener_parse (written ().c_str ());
+  ASSERT_NE (doc, nullptr);
+  json_object *value = nullptr;
+  ASSERT_TRUE (json_object_object_get_ex (doc, "id", &value));
+  EXPECT_STREQ (json_object_get_string (value), "a\"b\\c\n\x01");
+  ASSERT_TRUE (json_object_object_get_ex (doc, "n", &value));
+  EXPECT_EQ (json_object_get_int (value), -5);
+  json_object_put (doc);
+}
+
+TEST_F (LogTest, ALineThatIsTooLongStaysProper)
+{
+  log_configure ("node", 1000);
+  log_event_t line;
+  ASSERT_TRUE (log_begin (&line, LOG_INFO, "part", "long"));
+  for (int i = 0; i < 40; i++)
+    log_text (&line, ("f" + std::to_string (i)).c_str (),
+              std::string (200, 'x').c_str ());
+  log_end (&line);
+  json_object *doc = json_tokener_parse (written ().c_str ());
+  ASSERT_NE (doc, nullptr);
+  json_object *value = nullptr;
+  EXPECT_TRUE (json_object_object_get_ex (doc, "cut", &value));
+  json_object_put (doc);
+}
+
+// Thousands of successes a second hide the one failure that somebody looks
+// for: it was left out when the rate was used up.
+TEST_F (LogTest, WarningsAreNotCrowdedOut)
+{
+  log_configure ("node", 20);
+  uint64_t before = log_dropped ();
+  log_event_t line;
+  for (int i = 0; i < 200; i++)
+    if (log_begin (&line, LOG_INFO, "part", "success"))
+      log_end (&line);
+  ASSERT_TRUE (log_begin (&line, LOG_WARN, "part", "failure"));
+  log_end (&line);
+  EXPECT_GT (log_dropped (), before);
+  EXPECT_NE (written ().find ("failure"), std::string::npos);
+}
+
+// Nobody reads: the writer must not wait, and what it leaves out is counted.
+TEST_F (LogTest, AFullPipeIsNotWaitedFor)
+{
+  log_configure ("node", 100000);
+  uint64_t before = log_dropped ();
+  log_event_t line;
+  for (int i = 0; i < 5000; i++)
+    if (log_begin (&line, LOG_INFO, "part", "flood"))
+      {
+        log_text (&line, "text", std::string (100, 'x').c_str ());
+        log_end (&line);
+      }
+  EXPECT_GT (log_dropped (), before);
+}
+
+TEST (Metrics, HistogramsAreCumulative)
+{
+  met_histogram_t *h = met_histogram ("test_ms", "kind=\"a\"");
+  EXPECT_EQ (h, met_histogram ("test_ms", "kind=\"a\""));
+  for (uint64_t ms : { 1, 3, 90, 100000 })
+    met_observe (h, ms);
+  kb_buf_t out = {};
+  met_write (&out);
+  std::string text (out.ptr, out.len_bytes);
+  kb_buf_finish (&out);
+  EXPECT_NE (text.find ("test_ms_bucket{kind=\"a\",le=\"1\"} 1\n"),
+             std::string::npos)
+      << text;
+  EXPECT_NE (text.find ("test_ms_bucket{kind=\"a\",le=\"3\"} 2\n"),
+             std::string::npos);
+  EXPECT_NE (text.find ("test_ms_bucket{kind=\"a\",le=\"96\"} 3\n"),
+             std::string::npos);
+  EXPECT_NE (text.find ("le=\"+Inf\"} 4\n"), std::string::npos);
+  EXPECT_NE (text.find ("test_ms_count{kind=\"a\"} 4\n"), std::string::npos);
+}
+
+} // namespace
