fix(platform): members of another type do not end the process

json-c asserts that a list is one: a configuration or report whose list was something else ended the daemon (test first: platform_test MembersOfAnotherTypeAreNoReasonToEnd). A fuzzer for the platform's documents joins the others.

--- a/Makefile
+++ b/Makefile
@@ -38,10 +38,11 @@
 
 fuzz: setup
 	@cmake -S . -B build-fuzz -G Ninja -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ -DKB_FUZZ=ON > /dev/null
-	@cmake --build build-fuzz -j $(JOBS) --target fuzz_msg fuzz_settings
-	@mkdir -p build-fuzz/corpus-msg build-fuzz/corpus-settings
+	@cmake --build build-fuzz -j $(JOBS) --target fuzz_msg fuzz_settings fuzz_platform
+	@mkdir -p build-fuzz/corpus-msg build-fuzz/corpus-settings build-fuzz/corpus-platform
 	@./build-fuzz/bin/fuzz_msg -seed=1 -runs=200000 -max_len=512 build-fuzz/corpus-msg test/fuzz/corpus-msg
 	@./build-fuzz/bin/fuzz_settings -seed=1 -runs=100000 -max_len=512 build-fuzz/corpus-settings test/fuzz/corpus-settings
+	@./build-fuzz/bin/fuzz_platform -seed=1 -runs=100000 -max_len=1024 build-fuzz/corpus-platform test/fuzz/corpus-platform
 
 demo: build
 	@$(BUILD)/bin/kbdemo
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -280,3 +280,25 @@
     }
   kb_buf_append (out, "\"", 1);
 }
+
+struct json_object *
+jsn_list (struct json_object *obj, const char *key)
+{
+  struct json_object *member = jsn_get (obj, key);
+  return json_object_is_type (member, json_type_array) ? member : NULL;
+}
+
+size_t
+jsn_list_len (struct json_object *list)
+{
+  return list == NULL ? 0 : json_object_array_length (list);
+}
+
+const char *
+jsn_list_str (struct json_object *list, size_t at)
+{
+  struct json_object *item = json_object_array_get_idx (list, at);
+  return json_object_is_type (item, json_type_string)
+             ? json_object_get_string (item)
+             : "";
+}
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -31,6 +31,12 @@
 bool jsn_bool (struct json_object *obj, const char *key, bool fallback);
 double jsn_num (struct json_object *obj, const char *key, double fallback);
 struct json_object *jsn_get (struct json_object *obj, const char *key);
+/// @return  The member when it is a list, or NULL.
+struct json_object *jsn_list (struct json_object *obj, const char *key);
+/// @return  Elements of a list; zero for NULL.
+size_t jsn_list_len (struct json_object *list);
+/// @return  An element when it is a string, or "".
+const char *jsn_list_str (struct json_object *list, size_t at);
 
 /// Append a JSON string literal with its quotes.
 void jsn_append_quoted (kb_buf_t *out, kb_slice_t text);
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -78,6 +78,29 @@
              std::string::npos);
 }
 
+// The store hands out a document whose lists are no lists. The process that
+// reads it must keep the last good one, not end.
+TEST (Document, MembersOfAnotherTypeAreNoReasonToEnd)
+{
+  kb_error_t error = {};
+  EXPECT_EQ (doc_decode_platform_config (
+                 slice (R"({"Version":1,"Routes":{},"Services":[]})"), &error),
+             nullptr);
+  svc_config_t *config = doc_decode_platform_config (
+      slice (R"({"Version":1,"Routes":[{"Name":"r","Kind":"safe",
+      "Service":"s","TrafficSplit":7}],"Services":[{"Name":"s",
+      "Engine":{"Models":"m"}}],"Limits":[]})"),
+      &error);
+  EXPECT_NE (config, nullptr);
+  svc_config_free (config);
+  auto report = std::make_unique<egn_report_t> ();
+  EXPECT_EQ (plt_report_decode (
+                 slice (R"({"Models":[{"Name":"m","Adapters":[null,1]}],
+      "Coming":{},"AtHand":{"InMemory":[null]}})"),
+                 report.get (), &error),
+             KB_OK);
+}
+
 TEST (Document, TargetsAndVersions)
 {
   kb_error_t error = {};
