fix(gateway): an older entry does not take a sidecar's link back

Cause: after a loss of power the list names two incarnations beside one sidecar; they took its link from each other ten times a second, questions asked through one were declined as not heard. Test first: AnOldEntryDoesNotTakeTheLinkBack.

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -30,8 +30,9 @@
   uint64_t place_key; ///< Hash of its address: the same after a restart.
   xch_peer_t peer;
   bool is_listed;
-  uint32_t active;    ///< Requests of this gateway there.
-  double failures;    ///< Recent share of failures, 0 to 1.
+  uint64_t number; ///< Grows with each target: a later one is a newer entry.
+  uint32_t active; ///< Requests of this gateway there.
+  double failures; ///< Recent share of failures, 0 to 1.
   uint64_t failed_ms; ///< When the share was last updated.
 
   // Sidecar of an engine.
@@ -180,7 +181,8 @@
   uint32_t client_count;
   gtw_request_t *requests;
   uint32_t request_count;
-  kb_map_t places; ///< Requests by place id.
+  uint64_t target_number; ///< Of the newest target.
+  kb_map_t places;        ///< Requests by place id.
   uint64_t next_place;
   gtw_budget_t budgets[GTW_MAX_BUDGETS];
   uint32_t budget_count;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -27,7 +27,7 @@
 {
   for (const gtw_request_t *r = gateway->requests; r != NULL; r = r->next)
     {
-      if (r->target != target || r->place_id == 0)
+      if (r->place_id == 0 || strcmp (r->target->link, target->link) != 0)
         continue;
       msg_place_ref_t ref = { .id = r->place_id, .is_granted = r->has_place };
       kb_buf_append (out, &ref, sizeof ref);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -436,7 +436,8 @@
                      gtw_target_t *from)
 {
   gtw_request_t *r = kb_map_get (&gateway->places, grant->id);
-  if (r == NULL || r->target != from || r->stage != GTW_ASKING)
+  if (r == NULL || r->stage != GTW_ASKING
+      || strcmp (r->target->link, from->link) != 0)
     {
       // The request went elsewhere; the place must not stay taken.
       msg_t msg = { .type = MSG_PLACE_RELEASE,
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -50,6 +50,30 @@
   return known != NULL && known->is_engine;
 }
 
+/// The same sidecar looks after another incarnation: what it said last holds,
+/// and the engine can be used before its next word.
+static void
+take_over_link (gtw_target_t *target, gtw_target_t *from)
+{
+  target->heard_ms = from->heard_ms;
+  target->told_ms = from->told_ms;
+  target->incarnation = from->incarnation;
+  target->sidecar_revision = from->sidecar_revision;
+  target->sidecar_versions = from->sidecar_versions;
+  target->condition = from->condition;
+  target->slots = from->slots;
+  target->granted = from->granted;
+  target->waiting = from->waiting;
+  target->tokens_per_ms = from->tokens_per_ms;
+  target->list_stamp = from->list_stamp;
+  free (target->adapters);
+  target->adapters = from->adapters;
+  target->adapter_count = from->adapter_count;
+  from->adapters = NULL;
+  from->adapter_count = 0;
+  from->is_linked = false;
+}
+
 /// Open the link to the sidecar beside an engine.
 static void
 target_link (gtw_gateway_t *gateway, gtw_target_t *target)
@@ -65,16 +89,21 @@
   snprintf (address, sizeof address, "tcp://%s", target->link);
   gtw_target_t *present
       = kb_map_get (&gateway->links, id_key (kb_slice_str (target->link)));
-  if (present != NULL && present != target)
-    // An earlier incarnation of the engine beside the same sidecar.
-    present->is_linked = false;
-  else
-    lnk_link_connect (&gateway->host.link, address, "");
-  kb_map_put (&gateway->links, id_key (kb_slice_str (target->link)), target);
+  // After a restart the list names the engine's incarnations before and after
+  // it for a while. The older one must not take the link back: each would
+  // lose what was asked through the other.
+  if (present != NULL && present->is_listed
+      && present->number > target->number)
+    return;
   target->is_linked = true;
   target->linked_ms = gtw_now_ms (gateway);
   target->heard_ms = 0;
   target->list_stamp = 0;
+  if (present != NULL && present != target)
+    take_over_link (target, present);
+  else if (present == NULL)
+    lnk_link_connect (&gateway->host.link, address, "");
+  kb_map_put (&gateway->links, id_key (kb_slice_str (target->link)), target);
 }
 
 static void
@@ -112,6 +141,7 @@
                             .key = key,
                             .place_key = address_key (&told->address),
                             .condition = MSG_ENGINE_DOWN,
+                            .number = ++gateway->target_number,
                             .is_listed = true };
   xch_peer_init (&target->peer, &gateway->host.pool, &told->address,
                  MAX_IDLE_CONNECTIONS);
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -570,6 +570,33 @@
   EXPECT_LE (engine.most_held (), 4u);
 }
 
+// All engines come back after a loss of power, and for a second or two the
+// list names both their old and their new incarnations. Both are beside the
+// same agent; when they take its link from each other, what was asked through
+// one is not heard by the other, and requests are declined though engines are
+// free.
+TEST (Relay, AnOldEntryDoesNotTakeTheLinkBack)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  site.engines[0].target->restart ("i-again");
+  site.list_engine (0);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("n", "a1")).status == 200;
+  }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  int good = 0;
+  for (int i = 0; i < 40; i++)
+    good += send_call (site.gateways[0],
+                       stream_call ("o" + std::to_string (i), "a1"))
+                .status
+            == 200;
+  EXPECT_EQ (good, 40);
+  EXPECT_TRUE (
+      Site::log_lines (site.engines[0].sidecar, { "places_reconciled" })
+          .empty ());
+}
+
 TEST (Relay, OwnAnswers)
 {
   Site site (0, 1);
