--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -323,7 +323,6 @@
       return;
     }
   r->http_status = conn->parser.status_code;
-  r->is_unframed = h1_body_is_unframed (conn);
   if (answer.is_not_run && r->http_status >= 400)
     {
       answer_not_run (r, &answer);
@@ -465,7 +464,6 @@
   r->sends++;
   r->runs++;
   r->is_begun = false;
-  r->sent_ms = gtw_now_ms (gateway);
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
   kb_buf_finish (&head);
   arm_silence (r);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -66,7 +66,6 @@
   GTW_ASKING,  ///< Waits for a place.
   GTW_SENT,    ///< At a target, nothing passed on yet.
   GTW_PASSING, ///< The answer is being passed on.
-  GTW_PAUSED,  ///< Waits to try again.
 } gtw_stage_t;
 
 /// What is known of the attempts so far.
@@ -106,7 +105,6 @@
   uint64_t deadline_ms;  ///< Moment; of no more use to the caller.
   uint64_t timeout_ms;   ///< Moment; the route's bound.
   uint64_t first_due_ms; ///< Moment; a first event is of no use after it.
-  uint64_t sent_ms;
 
   gtw_target_t *target; ///< Asked or sent to.
   uint64_t place_id;    ///< Zero: no place asked for.
@@ -129,7 +127,6 @@
   bool is_head_written;
   bool is_begun; ///< The present target sent an event.
   bool is_chunked;
-  bool is_unframed; ///< The target's answer ends with its connection.
   kb_buf_t head;
   kb_buf_t held; ///< Not passed on yet: a part of an event or of a body.
   uint64_t last_event;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -330,7 +330,7 @@
 request_late (void *arg)
 {
   gtw_request_t *r = arg;
-  if (r->stage == GTW_ASKING || r->stage == GTW_PAUSED)
+  if (r->stage == GTW_ASKING)
     gtw_request_refuse (r, "timeout_unsent", 0);
   else
     gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -138,7 +138,6 @@
            "relay entry: window of the retry budget, s"),
   ROW_NUM (retry_slack, 50, 0, 100000,
            "relay entry: repeats allowed beyond the ratio, all entries"),
-  ROW_INT (memory_mb, 256, 8, 1048576, "relay: memory of this process, MB"),
   ROW_INT (log_lines_per_s, 200, 1, 100000, "relay: most log lines a second"),
   ROW_INT (vm_gone_after_ms, 10000, 100, 3600000,
            "a VM absent from the list and silent this long is gone, ms"),
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -89,7 +89,6 @@
   double retry_ratio;
   double retry_window_s;
   double retry_slack;
-  int64_t memory_mb;
   int64_t log_lines_per_s;
 
   int64_t vm_gone_after_ms;
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -25,7 +25,6 @@
   uint64_t idle_since_ms;
   uint64_t lifetime_ms;
   bool is_sent;
-  bool has_answer;
   bool expects_no_body;
 };
 
@@ -131,7 +130,6 @@
   xch_line_t *line = (xch_line_t *)conn;
   if (line->x == NULL)
     return;
-  line->has_answer = true;
   line->x->events->on_head (line->x);
 }
 
@@ -302,7 +300,6 @@
     }
   line->x = x;
   x->line = line;
-  line->has_answer = false;
   line->expects_no_body = request->expects_no_body;
   line->conn.expects_no_body = request->expects_no_body;
   h1_conn_next (&line->conn);
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -96,7 +96,7 @@
 {
   return x->line != NULL;
 }
-/// Valid from on_head to the last callback.
+/// Valid within on_head and on_body.
 const h1_conn_t *xch_conn (const xch_t *x);
 
 #endif
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -17,7 +17,6 @@
   uint32_t prompt_tokens;
   uint32_t output_tokens; ///< At most.
   uint32_t likely_tokens; ///< The caller's guess of the output; zero: none.
-  kb_slice_t last_part;   ///< Id of the prompt's last part, or empty.
   bool is_resume;         ///< Goes on behind an event it already has.
   uint64_t resume_after;
 } rly_request_t;
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -235,7 +235,6 @@
   EXPECT_EQ (said.prompt_tokens, 1460u);
   EXPECT_EQ (said.output_tokens, 80u);
   EXPECT_EQ (said.deadline_ms, 12000u);
-  EXPECT_EQ (std::string (said.last_part.ptr, said.last_part.len_bytes), "e4");
   EXPECT_FALSE (said.is_resume);
 }
 
