--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -250,6 +250,31 @@
   EXPECT_EQ (site.plain[1]->runs (), before);
 }
 
+// Several targets are taken away at one moment without a word before. They are
+// kept for a while, because entries of live ones may have lapsed; together
+// with the pause between two reads that must stay below 2 s.
+TEST (Relay, SeveralTargetsRemovedAtOnceGetNothingNewInTime)
+{
+  Site site (0, 4);
+  ASSERT_TRUE (site.wait_ready ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  // A change begins the pause; the removals fall into it.
+  site.list_plain (3);
+  std::this_thread::sleep_for (std::chrono::milliseconds (60));
+  for (size_t i = 0; i < 3; i++)
+    site.remove ("servers/" + site.plain[i]->id ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1800));
+  int before = 0;
+  for (size_t i = 0; i < 3; i++)
+    before += site.plain[i]->runs ();
+  for (int i = 0; i < 12; i++)
+    send_call (site.gateways[0], plain_call ("v" + std::to_string (i)));
+  int after = 0;
+  for (size_t i = 0; i < 3; i++)
+    after += site.plain[i]->runs ();
+  EXPECT_EQ (after, before);
+}
+
 // The store goes away, entries of live targets lapse meanwhile, and a reader
 // that takes the short list for the truth sends everything to one target.
 TEST (Relay, AnOutageOfTheStoreTakesNoTargetAway)
