fix(targets): take changes of the list in their order

Cause: removals of a batch were taken before its entries, so a target that came and went between two reads stayed listed for ever.

--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -275,6 +275,26 @@
   EXPECT_EQ (after, before);
 }
 
+// A target comes and goes between two reads. Its removal is read before it is
+// known, its entry after that, and it gets requests for ever.
+TEST (Relay, ATargetThatCameAndWentBetweenTwoReadsIsNotUsed)
+{
+  Site site (0, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  site.remove ("servers/" + site.plain[1]->id ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  site.list_plain (0);
+  std::this_thread::sleep_for (std::chrono::milliseconds (60));
+  site.plain[1]->restart ("i-brief");
+  site.list_plain (1);
+  site.remove ("servers/i-brief");
+  std::this_thread::sleep_for (std::chrono::milliseconds (1800));
+  int before = site.plain[1]->runs ();
+  for (int i = 0; i < 12; i++)
+    send_call (site.gateways[0], plain_call ("w" + std::to_string (i)));
+  EXPECT_EQ (site.plain[1]->runs (), before);
+}
+
 // The store goes away, entries of live targets lapse meanwhile, and a reader
 // that takes the short list for the truth sends everything to one target.
 TEST (Relay, AnOutageOfTheStoreTakesNoTargetAway)
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -38,6 +38,7 @@
 {
   std::lock_guard<std::mutex> lock (mutex_);
   items_[key] = { value, ++revision_, false };
+  history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
 }
 
@@ -46,6 +47,7 @@
 {
   std::lock_guard<std::mutex> lock (mutex_);
   items_[key] = { "", ++revision_, true };
+  history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
 }
 
@@ -106,7 +108,7 @@
 Store::changes (const std::string &prefix, int64_t after)
 {
   std::string list;
-  for (const auto &[key, item] : items_)
+  for (const auto &[key, item] : history_)
     if (item.revision > after && key.compare (0, prefix.size (), prefix) == 0)
       list += (list.empty () ? "" : ",") + item_json (key, item);
   return list;
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -55,6 +55,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Item> items_; ///< With those that are gone.
+  std::vector<std::pair<std::string, Item>> history_; ///< In order.
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
   int64_t cuts_ = 0;
