refactor(gateway): one place says when a request is of no more use

The earlier of deadline and timeout stood three times; a copy of the engine's incarnation was kept and never read.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -419,8 +419,7 @@
 describe_forward (const gtw_request_t *r, rly_forward_t *out)
 {
   uint64_t now_ms = gtw_now_ms (r->gateway);
-  uint64_t end_ms
-      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+  uint64_t end_ms = gtw_request_end_ms (r);
   uint32_t priority = r->priority;
   if (priority > MAX_ENGINE_PRIORITY)
     priority = MAX_ENGINE_PRIORITY;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -45,7 +45,6 @@
   uint64_t sidecar_revision;
   uint64_t sidecar_versions;
   msg_engine_condition_t condition;
-  char instance[GTW_ID_BYTES];
   uint32_t slots;
   uint32_t granted;
   uint32_t waiting;
@@ -190,6 +189,14 @@
   tmr_sub_t exit_timer;
 };
 
+/// @return  The moment at which a request is of no more use: its caller's
+///          deadline or the route's timeout.
+static inline uint64_t
+gtw_request_end_ms (const gtw_request_t *r)
+{
+  return r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+}
+
 static inline uint64_t
 gtw_now_ms (const gtw_gateway_t *gateway)
 {
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -206,7 +206,6 @@
   target->tokens_per_ms = (double)state->tokens_per_s / 1000;
   if (state->gateway_count > 0)
     gateway->gateway_count = (uint32_t)state->gateway_count;
-  kb_slice_copy (state->instance, target->instance, sizeof target->instance);
   take_adapter_list (target, state);
   if (is_first || is_restarted)
     gtw_tell_sidecar (gateway, target);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -93,8 +93,7 @@
 static uint64_t
 patience_end_ms (const gtw_request_t *r, uint64_t from_ms)
 {
-  uint64_t end_ms
-      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+  uint64_t end_ms = gtw_request_end_ms (r);
   if (r->kind != SVC_KIND_STREAM)
     return end_ms;
   uint64_t patience_ms
@@ -341,8 +340,7 @@
 {
   gtw_gateway_t *gateway = r->gateway;
   uint64_t now_ms = gtw_now_ms (gateway);
-  uint64_t end_ms
-      = r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
+  uint64_t end_ms = gtw_request_end_ms (r);
   tmr_after (&gateway->host.timers, &r->timer,
              end_ms > now_ms ? end_ms - now_ms : 0, request_late, r);
   gtw_request_next (r);
