fix(httpd): end refused uploads without a reset

Cause: h2o answers a body over the limit after its head and closes the socket with the rest unread; the kernel's reset discards the 413 at the caller. Ruled out: the test client (the reset is seen with a plain socket); reading the whole body first (an unbounded upload would hold memory). Before: ACallerThatIsStillSendingReadsItsRefusal fails each time (send -1, no 413).

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -6,12 +6,14 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "transport/linger.h"
 #include "transport/metrics.h"
 
 enum
 {
   HTS_BACKLOG = 1024,
-  HTS_HANGUP_CHECK_MS = 500
+  HTS_HANGUP_CHECK_MS = 500,
+  HTTP_TOO_LARGE = 413,
 };
 
 typedef struct
@@ -30,6 +32,14 @@
   hts_server_t *server;
 } server_handler_t;
 
+/// Called by h2o when it lets go of a request, before it closes its
+/// connection.
+typedef struct
+{
+  h2o_logger_t super;
+  hts_server_t *server;
+} end_observer_t;
+
 typedef struct
 {
   h2o_generator_t super;
@@ -62,9 +72,8 @@
 }
 
 static int
-request_fd (hts_request_t *request)
+request_fd (h2o_req_t *req)
 {
-  h2o_req_t *req = request->impl;
   h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
   return sock == NULL ? -1 : h2o_socket_get_fd (sock);
 }
@@ -76,7 +85,7 @@
 {
   hts_request_t *request = arg;
   h2o_req_t *req = request->impl;
-  int fd = request_fd (request);
+  int fd = request_fd (req);
   char byte;
   ssize_t got = fd < 0 ? 1 : recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   bool is_gone = got == 0
@@ -100,6 +109,16 @@
   h2o_send_inline (req, H2O_STRLIT (""));
 }
 
+/// h2o answers a body that is too large without reading it, and closes.
+static void
+observe_end (h2o_logger_t *self, h2o_req_t *req)
+{
+  hts_server_t *server = ((end_observer_t *)self)->server;
+  int fd = request_fd (req);
+  if (req->res.status == HTTP_TOO_LARGE && fd >= 0)
+    lng_take (server->loop, server->timers, fd);
+}
+
 static int
 handler_on_req (h2o_handler_t *self, h2o_req_t *req)
 {
@@ -200,6 +219,11 @@
       path, sizeof (server_handler_t));
   handler->super.on_req = handler_on_req;
   handler->server = server;
+  // Requests that h2o refuses itself belong to the fallback path.
+  end_observer_t *observer = (end_observer_t *)h2o_create_logger (
+      &host->fallback_path, sizeof (end_observer_t));
+  observer->super.log_access = observe_end;
+  observer->server = server;
   h2o_context_init (&impl->ctx, loop, &impl->config);
   impl->accept_ctx.ctx = &impl->ctx;
   impl->accept_ctx.hosts = impl->config.hosts;
--- a/test/system/path_test.cc
+++ b/test/system/path_test.cc
@@ -1,6 +1,10 @@
 // The whole path through real processes, without faults.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <thread>
 
 #include "cluster.h"
@@ -98,6 +102,39 @@
   EXPECT_NE (answer.body.find ("more than once"), std::string::npos);
 }
 
+// A crew uploads a batch that is too large on a slow line. The entry answers
+// 413 after the head and ends the connection, while the crew's client is still
+// sending. What arrives after the close must not be answered with a reset: it
+// would discard the 413 before the client reads it, and the batch would be
+// sent again and again.
+TEST_F (PathTest, ACallerThatIsStillSendingReadsItsRefusal)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons ((uint16_t)cluster->entries[0].process.http_port);
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  ASSERT_EQ (connect (fd, (sockaddr *)&address, sizeof address), 0);
+  std::string head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                     "Content-Length: 2097152\r\n\r\n";
+  send (fd, head.data (), head.size (), MSG_NOSIGNAL);
+  std::string piece (1 << 16, 'x');
+  for (int sent = 0; sent < 16; sent++)
+    {
+      std::this_thread::sleep_for (std::chrono::milliseconds (20));
+      EXPECT_EQ (send (fd, piece.data (), piece.size (), MSG_NOSIGNAL),
+                 (ssize_t)piece.size ());
+    }
+  std::string answer;
+  char bytes[4096];
+  ssize_t got;
+  while ((got = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    answer.append (bytes, (size_t)got);
+  EXPECT_EQ (got, 0) << strerror (errno);
+  EXPECT_EQ (answer.rfind ("HTTP/1.1 413", 0), 0u) << answer;
+  close (fd);
+}
+
 TEST_F (PathTest, PagesOfEveryDaemon)
 {
   int port = cluster->entries[0].process.http_port;
