perf(gateway): wait for the first configuration, come back late in outages

A gateway that just started refused as well, though its configuration comes within 25 ms. Change: a request that comes before the first configuration or list of targets waits 1.2 s for it; while the end of an outage is not known, Retry-After is between 16 and 32 percent of the caller's time, 5 s at most. Ruled out: holding for longer (callers could do something else, and the bound of a wait is what engines need for their model).

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -105,7 +105,7 @@
     return;
   client->head_ms = gtw_now_ms (client->gateway);
   kb_buf_append (&r->body, bytes.ptr, bytes.len_bytes);
-  if (r->body.len_bytes <= client->gateway->config->limits.max_body_bytes)
+  if (r->body.len_bytes <= gtw_max_body_bytes (client->gateway))
     return;
   gtw_request_end (r);
   client->request = NULL;
@@ -115,10 +115,6 @@
 static void
 client_on_message (h1_conn_t *conn)
 {
-  enum
-  {
-    NO_CONFIG_RETRY_MS = 500,
-  };
   gtw_client_t *client = (gtw_client_t *)conn;
   if (conn->is_draining)
     return;
@@ -130,7 +126,7 @@
   bool may_come_back = client->refusal_status == 503;
   gtw_client_is_last (client);
   client_write_refusal (client, client->refusal_status, client->refusal_reason,
-                        may_come_back ? NO_CONFIG_RETRY_MS : 0);
+                        may_come_back ? GTW_STOP_RETRY_MS : 0);
   gtw_client_answered (client, true);
 }
 
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -16,6 +16,8 @@
 {
   GTW_TICK_MS = 100, ///< Checks of callers, targets and links.
   GTW_MAX_TRIES = 8,
+  /// Callers refused by a process that stops are served by another one.
+  GTW_STOP_RETRY_MS = 100,
   GTW_ID_BYTES = 64,
   GTW_MAX_BUDGETS = 16, ///< Services; the rest share the last one.
 };
@@ -65,7 +67,7 @@
 typedef enum
 {
   GTW_READING, ///< Its body is not whole.
-  GTW_WAITING, ///< No target can be used yet.
+  GTW_WAITING, ///< For a configuration or a target that can be used.
   GTW_ASKING,  ///< Waits for a place.
   GTW_SENT,    ///< At a target, nothing passed on yet.
   GTW_PASSING, ///< The answer is being passed on.
@@ -89,6 +91,7 @@
   gtw_fate_t fate;
   char attempt_id[GTW_ID_BYTES];
 
+  bool is_routed; ///< False only before the first configuration.
   // Copied from the route, which may change under way.
   char route[GTW_ID_BYTES];
   char service[GTW_ID_BYTES];
@@ -219,6 +222,8 @@
 void gtw_clients_close_idle (gtw_gateway_t *gateway);
 
 // gateway_request.c
+/// @return  Longest body that a caller may send.
+uint64_t gtw_max_body_bytes (const gtw_gateway_t *gateway);
 /// A whole head arrived.
 /// @return  NULL when it is refused; the client then holds the refusal.
 gtw_request_t *gtw_request_begin (gtw_client_t *client);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -25,10 +25,12 @@
   LEAST_TIME_MS = 20,
   /// Callers come back after at least this, spread over as much again.
   RETRY_AFTER_MS = 300,
-  STOP_RETRY_AFTER_MS = 100,
-  /// No target of a service can be used: engines that restart need about a
-  /// second to load their model.
-  DOWN_RETRY_AFTER_MS = 1200,
+  /// Part of a caller's time after which it may be told to come back when the
+  /// end of an outage is not known; callers accept up to a third.
+  OUTAGE_RETRY_PERCENT = 32,
+  OUTAGE_RETRY_MAX_MS = 2500,
+  /// Before a configuration is known.
+  DEFAULT_BODY_BYTES = 4 << 20,
   /// Requests wait for an engine for as long as that: after a loss of power
   /// the first one is up within it. Worst seconds of such days 0.30 before and
   /// 0.32 since on one site, 0.43 and 0.45 on the other.
@@ -74,24 +76,6 @@
   gateway->request_count--;
 }
 
-static void
-request_copy_route (gtw_request_t *r, const svc_route_t *route)
-{
-  const svc_config_t *config = r->gateway->config;
-  const char *service = svc_route_pick (route, (uint64_t)rand ());
-  const svc_service_t *known = svc_service_find (config, service);
-  snprintf (r->route, sizeof r->route, "%s", route->name);
-  snprintf (r->service, sizeof r->service, "%s", service);
-  r->is_engine = known != NULL && known->is_engine;
-  r->kind = route->kind;
-  r->is_resumable = route->is_resumable;
-  r->max_attempts = route->max_attempts;
-  r->priority = route->priority;
-  r->objective_ms = r->arrived_ms + route->objective_ms;
-  r->timeout_ms = r->arrived_ms + route->timeout_ms;
-  r->revision = config->revision;
-}
-
 /// @return  The moment until which a caller waits for the next byte, when the
 ///          last one came at `from_ms`.
 static uint64_t
@@ -114,6 +98,33 @@
   return moment_ms > now_ms ? moment_ms - now_ms : 0;
 }
 
+/// Find its route in the configuration in force and copy what that says.
+/// @return  Whether there is one.
+static bool
+request_route (gtw_request_t *r)
+{
+  const svc_config_t *config = r->gateway->config;
+  const h1_head_t *head = &r->client->conn.head;
+  const svc_route_t *route = svc_route_find (
+      config, h1_head_get (head, "host"), h1_head_target (head));
+  if (route == NULL)
+    return false;
+  const char *service = svc_route_pick (route, (uint64_t)rand ());
+  const svc_service_t *known = svc_service_find (config, service);
+  snprintf (r->route, sizeof r->route, "%s", route->name);
+  snprintf (r->service, sizeof r->service, "%s", service);
+  r->is_engine = known != NULL && known->is_engine;
+  r->kind = route->kind;
+  r->is_resumable = route->is_resumable;
+  r->max_attempts = route->max_attempts;
+  r->priority = route->priority;
+  r->objective_ms = r->arrived_ms + route->objective_ms;
+  r->timeout_ms = r->arrived_ms + route->timeout_ms;
+  r->revision = config->revision;
+  r->first_due_ms = patience_end_ms (r, r->arrived_ms);
+  return true;
+}
+
 static void
 request_copy_said (gtw_request_t *r, const rly_request_t *said)
 {
@@ -122,12 +133,33 @@
   uint64_t deadline_ms
       = said->deadline_ms > 0 ? said->deadline_ms : DEFAULT_DEADLINE_MS;
   r->deadline_ms = r->arrived_ms + deadline_ms;
-  r->first_due_ms = patience_end_ms (r, r->arrived_ms);
+  r->timeout_ms = r->deadline_ms;
   if (said->adapter.len_bytes > 0)
     r->adapter_key = ver_key (said->model, said->adapter, r->adapter_name,
                               sizeof r->adapter_name);
 }
 
+static gtw_request_t *
+request_add (gtw_client_t *client, const rly_request_t *said)
+{
+  gtw_gateway_t *gateway = client->gateway;
+  gtw_request_t *r = kb_alloc (sizeof *r);
+  *r = (gtw_request_t){ .gateway = gateway,
+                        .client = client,
+                        .arrived_ms = gtw_now_ms (gateway),
+                        .reason = "" };
+  request_copy_said (r, said);
+  request_link (gateway, r);
+  return r;
+}
+
+uint64_t
+gtw_max_body_bytes (const gtw_gateway_t *gateway)
+{
+  return gateway->config == NULL ? DEFAULT_BODY_BYTES
+                                 : gateway->config->limits.max_body_bytes;
+}
+
 gtw_request_t *
 gtw_request_begin (gtw_client_t *client)
 {
@@ -143,27 +175,21 @@
     return refuse_head (client, HTTP_BAD_REQUEST, "a header field is wrong");
   kb_slice_copy (said.attempt_id, client->refusal_id,
                  sizeof client->refusal_id);
-  if (gateway->config == NULL)
-    return refuse_head (client, HTTP_UNAVAILABLE, "no configuration yet");
   if (conn->parser.content_length != UINT64_MAX
-      && conn->parser.content_length > gateway->config->limits.max_body_bytes)
+      && conn->parser.content_length > gtw_max_body_bytes (gateway))
     return refuse_head (client, HTTP_TOO_LARGE, "the body is too large");
-  const svc_route_t *route
-      = svc_route_find (gateway->config, h1_head_get (&conn->head, "host"),
-                        h1_head_target (&conn->head));
-  if (route == NULL)
-    return refuse_head (client, HTTP_NOT_FOUND, "no route");
-  uint64_t now_ms = gtw_now_ms (gateway);
-  if (gateway->stop_ms > 0 && now_ms - gateway->stop_ms > STOP_REFUSE_MS)
+  uint64_t stopped_ms
+      = gateway->stop_ms > 0 ? gtw_now_ms (gateway) - gateway->stop_ms : 0;
+  if (stopped_ms > STOP_REFUSE_MS)
     return refuse_head (client, HTTP_UNAVAILABLE, "this process stops");
-  gtw_request_t *r = kb_alloc (sizeof *r);
-  *r = (gtw_request_t){
-    .gateway = gateway, .client = client, .arrived_ms = now_ms, .reason = ""
-  };
-  request_copy_route (r, route);
-  request_copy_said (r, &said);
-  request_link (gateway, r);
-  return r;
+  gtw_request_t *r = request_add (client, &said);
+  if (gateway->config == NULL)
+    return r;
+  r->is_routed = request_route (r);
+  if (r->is_routed)
+    return r;
+  gtw_request_end (r);
+  return refuse_head (client, HTTP_NOT_FOUND, "no route");
 }
 
 void
@@ -323,7 +349,7 @@
   MET_INC ("knapweedbay_requests_total", "outcome=\"refused\"");
   if (retry_after_ms < RETRY_AFTER_MS)
     retry_after_ms
-        = r->gateway->stop_ms > 0 ? STOP_RETRY_AFTER_MS : RETRY_AFTER_MS;
+        = r->gateway->stop_ms > 0 ? GTW_STOP_RETRY_MS : RETRY_AFTER_MS;
   // Callers that were refused together do not come back together.
   retry_after_ms += (uint64_t)rand () % retry_after_ms;
   request_answer_own (r, HTTP_UNAVAILABLE, reason, retry_after_ms);
@@ -403,23 +429,57 @@
   gtw_request_next (r);
 }
 
-/// No target is left for a request. Engines that restart are back within a
-/// second, all of them after a loss of power; callers that are refused
-/// meanwhile come back once, and a second refusal is final for most of them.
+/// An outage whose end is not known: of callers that come back once, those
+/// that come late have the best chance; they accept a third of their time.
+static uint64_t
+outage_retry_after_ms (const gtw_request_t *r)
+{
+  uint64_t left_ms = left_of (r->deadline_ms, gtw_now_ms (r->gateway));
+  uint64_t most_ms = left_ms * OUTAGE_RETRY_PERCENT / 100;
+  // The refusal spreads it over as much again.
+  return most_ms / 2 < OUTAGE_RETRY_MAX_MS ? most_ms / 2 : OUTAGE_RETRY_MAX_MS;
+}
+
+/// Wait for what every request needs and what is usually back soon: the first
+/// configuration after a start, an engine after a loss of power. Callers that
+/// are refused meanwhile come back once, and a second refusal is final for
+/// most of them.
+static void
+request_wait (gtw_request_t *r, const char *reason)
+{
+  uint64_t waited_ms = gtw_now_ms (r->gateway) - r->arrived_ms;
+  if (waited_ms < DOWN_WAIT_MS && r->gateway->stop_ms == 0)
+    r->stage = GTW_WAITING;
+  else
+    gtw_request_refuse (r, reason, outage_retry_after_ms (r));
+}
+
 static void
 request_without_target (gtw_request_t *r)
 {
   bool is_service_down = r->reason[0] == '\0';
-  uint64_t waited_ms = gtw_now_ms (r->gateway) - r->arrived_ms;
-  if (is_service_down && r->is_engine && waited_ms < DOWN_WAIT_MS
-      && r->gateway->stop_ms == 0)
+  if (is_service_down && (r->is_engine || !r->gateway->are_targets_known))
+    request_wait (r, "no_target");
+  else
+    gtw_request_refuse (r, is_service_down ? "no_target" : r->reason,
+                        is_service_down ? outage_retry_after_ms (r)
+                                        : r->retry_after_ms);
+}
+
+/// A request that came before the first configuration.
+/// @return  Whether it can go on.
+static bool
+request_route_late (gtw_request_t *r)
+{
+  if (r->gateway->config == NULL)
     {
-      r->stage = GTW_WAITING;
-      return;
+      request_wait (r, "no_configuration");
+      return false;
     }
-  gtw_request_refuse (r, is_service_down ? "no_target" : r->reason,
-                      is_service_down ? DOWN_RETRY_AFTER_MS
-                                      : r->retry_after_ms);
+  r->is_routed = request_route (r);
+  if (!r->is_routed)
+    gtw_request_fail (r, HTTP_NOT_FOUND, "no route");
+  return r->is_routed;
 }
 
 void
@@ -444,6 +504,8 @@
       gtw_request_refuse (r, "no_time_left", 0);
       return;
     }
+  if (!r->is_routed && !request_route_late (r))
+    return;
   gtw_target_t *target
       = r->tried_count < GTW_MAX_TRIES ? gtw_target_choose (gateway, r) : NULL;
   if (target == NULL)
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -711,6 +711,45 @@
   EXPECT_EQ (site.ready_status (), 503);
 }
 
+// All processes come back from a loss of power while the store is away. The
+// first callers were refused at once and told to come back after half a
+// second; they came back once, all were refused again, and gave up.
+TEST (Relay, RequestsWaitForTheFirstConfiguration)
+{
+  Site site (0, 1);
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  site.store.set_mode (Store::BUSY);
+  site.start (&site.gateways[0].daemon);
+  ASSERT_TRUE (Site::wait_for (
+      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  std::thread store ([&] {
+    std::this_thread::sleep_for (std::chrono::milliseconds (200));
+    site.store.set_mode (Store::WELL);
+  });
+  Message served = send_call (site.gateways[0], plain_call ("w3"));
+  store.join ();
+  EXPECT_EQ (served.status, 200);
+  Message denied = send_call (site.gateways[0], plain_call ("w4", "/other/x"));
+  EXPECT_EQ (denied.status, 404);
+}
+
+TEST (Relay, CallersComeBackLateWhenTheEndOfAnOutageIsNotKnown)
+{
+  Site site (0, 1);
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  site.store.set_mode (Store::BUSY);
+  site.start (&site.gateways[0].daemon);
+  ASSERT_TRUE (Site::wait_for (
+      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  Call call = plain_call ("w5");
+  call.deadline_ms = 9000;
+  Message m = send_call (site.gateways[0], call);
+  EXPECT_EQ (m.status, 503);
+  double retry_after_s = atof (m.header ("retry-after").c_str ());
+  EXPECT_GE (retry_after_s, 1.0);
+  EXPECT_LE (retry_after_s, 3.0);
+}
+
 // A request hidden in another one's body runs under a name nobody sent.
 TEST (Relay, AmbiguousRequestsReachNoTarget)
 {
