--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 
 #include "coordination/admit_defs.h"
-#include "coordination/place.h"
 
 enum
 {
@@ -17,22 +16,6 @@
   FIRST_EVENT_MS = 120,
 };
 
-/// Reading rate before anything was measured, and bounds of a measured one,
-/// in tokens a millisecond.
-static const double RATE_DEFAULT = 35;
-static const double RATE_LEAST = 4;
-static const double RATE_MOST = 400;
-/// Weight of the newest sample: about the last fifty count.
-static const double RATE_WEIGHT = 0.02;
-/// Part of the reading rate that is given out. The rest of each step goes to
-/// the next tokens of streams: at 0.8 and more their events come late on the
-/// engines that pack seven or eight tokens into one, at 0.5 prompts wait for
-/// an engine that has time (docs/design/admission-and-placing.md).
-static const double READING_PART = 0.65;
-/// The regression before any sample: prompts of 1,000 tokens, spread as
-/// widely.
-static const double PRIOR_TOKENS = 1000;
-static const double PRIOR_FIXED_MS = 50;
 /// Fetch of an adapter from the weight store before one was measured.
 static const double LOAD_DEFAULT_MS = 250;
 static const double LOAD_WEIGHT = 0.2;
@@ -47,16 +30,8 @@
 void
 adm_table_init (adm_table_t *table, const adm_options_t *options)
 {
-  *table = (adm_table_t){
-    .options = *options,
-    .tokens_per_ms = RATE_DEFAULT,
-    .first_events
-    = { .mean_tokens = PRIOR_TOKENS,
-        .mean_ms = PRIOR_TOKENS / RATE_DEFAULT + PRIOR_FIXED_MS,
-        .variance = PRIOR_TOKENS * PRIOR_TOKENS,
-        .covariance = PRIOR_TOKENS * PRIOR_TOKENS / RATE_DEFAULT },
-    .load_ms = LOAD_DEFAULT_MS
-  };
+  *table = (adm_table_t){ .options = *options, .load_ms = LOAD_DEFAULT_MS };
+  rdg_reading_init (&table->reading);
 }
 
 void
@@ -239,15 +214,6 @@
     }
 }
 
-/// What reading a prompt costs, in tokens of a short one: attention grows with
-/// the square of the length.
-uint64_t
-adm_reading_cost (const adm_ask_t *ask)
-{
-  uint64_t tokens = ask->prompt_tokens;
-  return tokens + tokens * tokens / PLC_SQUARE_TOKENS;
-}
-
 static void
 waiting_append (adm_table_t *table, adm_ask_t *ask)
 {
@@ -258,7 +224,7 @@
   else
     table->first = ask;
   table->last = ask;
-  table->waiting_tokens += adm_reading_cost (ask);
+  table->waiting_cost += rdg_cost (ask->prompt_tokens);
   table->waiting++;
   adm_adapter_t *adapter = ask->adapter;
   if (adapter == NULL)
@@ -280,8 +246,12 @@
     table->last = ask->prev;
   ask->next = NULL;
   ask->prev = NULL;
-  table->waiting_tokens -= adm_reading_cost (ask);
   table->waiting--;
+  // Sums of fractions do not come back to zero by themselves.
+  table->waiting_cost
+      = table->waiting == 0
+            ? 0
+            : table->waiting_cost - rdg_cost (ask->prompt_tokens);
   if (ask->adapter != NULL)
     ask->adapter->waiting--;
 }
@@ -299,68 +269,28 @@
   return ask;
 }
 
-double
-adm_reading_left (const adm_table_t *table, uint64_t now_ms)
-{
-  double read = READING_PART * table->tokens_per_ms
-                * (double)(now_ms - table->read_ms);
-  return read < table->reading_tokens ? table->reading_tokens - read : 0;
-}
-
-/// Take one sample of the time to a first event.
-static void
-learn_rate (adm_table_t *table, double tokens, double took_ms)
-{
-  adm_line_t *line = &table->first_events;
-  double tokens_off = tokens - line->mean_tokens;
-  double ms_off = took_ms - line->mean_ms;
-  line->mean_tokens += RATE_WEIGHT * tokens_off;
-  line->mean_ms += RATE_WEIGHT * ms_off;
-  line->variance = (1 - RATE_WEIGHT)
-                   * (line->variance + RATE_WEIGHT * tokens_off * tokens_off);
-  line->covariance = (1 - RATE_WEIGHT)
-                     * (line->covariance + RATE_WEIGHT * tokens_off * ms_off);
-  double rate
-      = line->covariance > 0 ? line->variance / line->covariance : RATE_MOST;
-  if (rate < RATE_LEAST)
-    rate = RATE_LEAST;
-  if (rate > RATE_MOST)
-    rate = RATE_MOST;
-  table->tokens_per_ms = rate;
-}
-
 void
 adm_ask_begun (adm_table_t *table, adm_ask_t *ask, uint64_t now_ms)
 {
   if (!ask->is_reading)
     return;
   ask->is_reading = false;
-  learn_rate (table, ask->ahead_tokens, (double)(now_ms - ask->granted_ms));
+  rdg_learn (&table->reading, ask->ahead_tokens,
+             (double)(now_ms - ask->granted_ms));
 }
 
 uint64_t
 adm_backlog_us (const adm_table_t *table, uint64_t now_ms)
 {
-  double tokens
-      = adm_reading_left (table, now_ms) + (double)table->waiting_tokens;
-  return (uint64_t)(tokens * 1000 / table->tokens_per_ms);
-}
-
-/// A run that ends before its first event is not read any further.
-static void
-reading_end (adm_table_t *table, adm_ask_t *ask)
-{
-  if (!ask->is_reading)
-    return;
-  ask->is_reading = false;
-  double left = table->reading_tokens - (double)adm_reading_cost (ask);
-  table->reading_tokens = left > 0 ? left : 0;
+  double cost = rdg_left (&table->reading, now_ms) + table->waiting_cost;
+  return (uint64_t)(cost * 1000 / table->reading.tokens_per_ms);
 }
 
 void
 adm_ask_remove (adm_table_t *table, adm_ask_t *ask)
 {
-  reading_end (table, ask);
+  if (ask->is_reading)
+    rdg_take_back (&table->reading, rdg_cost (ask->prompt_tokens));
   kb_map_remove (&table->asks, ask_key (ask->owner, ask->id));
   if (ask->granted_ms == 0)
     adm_waiting_remove (table, ask);
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/reading.h"
 #include "state/buf.h"
 #include "state/map.h"
 
@@ -75,17 +76,6 @@
   uint32_t max_coming; ///< All adapters on their way.
 } adm_options_t;
 
-/// Weighted regression of the time to a first event on the tokens read before
-/// it. The slope is the reading rate; the rest, which may be as long as the
-/// reading, is the same for every prompt.
-typedef struct
-{
-  double mean_tokens;
-  double mean_ms;
-  double variance;
-  double covariance;
-} adm_line_t;
-
 typedef struct
 {
   adm_options_t options;
@@ -96,11 +86,8 @@
   uint32_t waiting;
   uint32_t granted;
   uint64_t granted_tokens;
-  double reading_tokens; ///< Of granted prompts, left to read at `read_ms`.
-  uint64_t read_ms;
-  uint64_t waiting_tokens; ///< Prompts of waiting requests.
-  double tokens_per_ms;    ///< Prompts the engine reads, as measured.
-  adm_line_t first_events; ///< What that is measured by.
+  rdg_reading_t reading; ///< Of granted prompts.
+  double waiting_cost;   ///< Prompts of waiting requests, as rdg_cost.
   uint32_t held;
   uint32_t coming;
   uint32_t cold_coming;  ///< Of these, from the weight store.
--- a/src/coordination/admit_defs.h
+++ b/src/coordination/admit_defs.h
@@ -13,12 +13,6 @@
                        uint64_t now_ms);
 /// Whether its fetch takes a turn at the weight store.
 bool adm_is_cold_load (const adm_adapter_t *adapter);
-/// What reading a prompt costs, in tokens of a short one: attention grows with
-/// the square of the length.
-uint64_t adm_reading_cost (const adm_ask_t *ask);
-/// @return  Tokens of granted prompts that the engine has not read yet, by the
-///          rate at which it may be given more.
-double adm_reading_left (const adm_table_t *table, uint64_t now_ms);
 /// Take a request out of those that wait.
 void adm_waiting_remove (adm_table_t *table, adm_ask_t *ask);
 
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -7,15 +7,6 @@
   /// Below this a request can not produce a first event any more.
   LEAST_RUN_MS = 60,
   DECLINE_RETRY_MS = 400,
-  /// Prompts being read delay every running stream: an event waits for several
-  /// steps, each with a piece of a prompt. What is given out at one time is at
-  /// most this much reading, and no more than the engine reads meanwhile is
-  /// added; without a limit 5 % of the streams of a calm day paused for over
-  /// 300 ms. What was given out is counted as read with time. Counted until
-  /// its first event it kept the engine idle for the fixed 40 ms of each first
-  /// event: mean worth of the heavy days 0.560 and 0.726 on the two small
-  /// sites, 0.593 and 0.736 so.
-  READING_LIMIT_MS = 45,
   /// A request that does not fit is not overtaken for longer than this, so
   /// that large prompts are not starved by small ones.
   OVERTAKE_MS = 100,
@@ -34,10 +25,8 @@
   uint64_t limit = (uint64_t)(MEMORY_PART * table->options.kv_tokens);
   bool has_memory = table->options.kv_tokens == 0 || table->granted == 0
                     || table->granted_tokens + ask->tokens <= limit;
-  double left = adm_reading_left (table, now_ms);
-  double reading = left + (double)adm_reading_cost (ask);
   return has_memory
-         && (left <= 0 || reading <= READING_LIMIT_MS * table->tokens_per_ms);
+         && rdg_fits (&table->reading, rdg_cost (ask->prompt_tokens), now_ms);
 }
 
 /// Whether `a` is to be served before `b`; both wait, `a` longer.
@@ -197,11 +186,9 @@
       ask->granted_ms = now_ms > 0 ? now_ms : 1;
       table->granted++;
       table->granted_tokens += ask->tokens;
-      table->reading_tokens
-          = adm_reading_left (table, now_ms) + (double)adm_reading_cost (ask);
-      table->read_ms = now_ms;
       ask->is_reading = true;
-      ask->ahead_tokens = table->reading_tokens;
+      ask->ahead_tokens
+          = rdg_give (&table->reading, rdg_cost (ask->prompt_tokens), now_ms);
       if (ask->adapter != NULL)
         ask->adapter->pins++;
       return (adm_action_t){ .kind = ADM_DO_GRANT, .ask = ask };
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -1,5 +1,6 @@
 #include "coordination/place.h"
 
+#include "coordination/reading.h"
 #include "state/buf.h"
 
 /// Targets that an adapter is brought to first, by rendezvous weight. The
@@ -116,9 +117,7 @@
 {
   if (v->tokens_per_ms <= 0)
     return 0;
-  double tokens = prompt_tokens;
-  double reading_ms
-      = (tokens + tokens * tokens / PLC_SQUARE_TOKENS) / v->tokens_per_ms;
+  double reading_ms = rdg_cost (prompt_tokens) / v->tokens_per_ms;
   double part = (reading_ms - PAUSE_FREE_MS) / (PAUSE_FULL_MS - PAUSE_FREE_MS);
   if (part <= 0)
     return 0;
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -63,10 +63,6 @@
 enum
 {
   PLC_NONE = -1,
-  /// A prompt of this many tokens takes twice the time of as many tokens in
-  /// short prompts: attention grows with the square of the length. From the
-  /// sheets of both sites' engines.
-  PLC_SQUARE_TOKENS = 22000,
 };
 
 void plc_costs_default (plc_costs_t *costs);
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -247,7 +247,7 @@
     {
       uint64_t now_ms = gtw_now_ms (r->gateway);
       if (!r->is_begun)
-        gtw_request_begun (r);
+        gtw_place_begun (r);
       r->is_begun = true;
       if (r->first_event_ms == 0)
         r->first_event_ms = now_ms;
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -287,14 +287,6 @@
     return kb_error_set (error, KB_EINVAL,
                          "\"public_address\": \"%s\" is not \"ip:port\"",
                          s->public_address);
-  uv_tcp_init (&gateway->host.loop, &gateway->listener);
-  gateway->listener.data = gateway;
-  int code = uv_tcp_bind (&gateway->listener, (struct sockaddr *)&address, 0);
-  if (code == 0)
-    code = uv_listen ((uv_stream_t *)&gateway->listener, BACKLOG,
-                      gateway_on_connection);
-  if (code != 0)
-    return kb_error_set (error, KB_ESYS, "cannot listen on %s: %s",
-                         s->public_address, uv_strerror (code));
-  return KB_OK;
+  return h1_listen (&gateway->host.loop, &gateway->listener, &address, BACKLOG,
+                    gateway_on_connection, gateway, error);
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -204,6 +204,13 @@
   return r->timeout_ms < r->deadline_ms ? r->timeout_ms : r->deadline_ms;
 }
 
+/// @return  Time until a moment, or zero when it has passed.
+static inline uint64_t
+gtw_left_ms (uint64_t moment_ms, uint64_t now_ms)
+{
+  return moment_ms > now_ms ? moment_ms - now_ms : 0;
+}
+
 static inline uint64_t
 gtw_now_ms (const gtw_gateway_t *gateway)
 {
@@ -244,21 +251,38 @@
 void gtw_request_exclude (gtw_request_t *r);
 /// Give a place back and leave the target.
 void gtw_request_leave_target (gtw_request_t *r);
-void gtw_request_granted (gtw_gateway_t *gateway,
-                          const msg_place_grant_t *grant, gtw_target_t *from);
-void gtw_request_declined (gtw_gateway_t *gateway,
-                           const msg_place_decline_t *decline);
+/// @return  The moment until which a caller waits for the next byte, when the
+///          last one came at `from_ms`.
+uint64_t gtw_request_patience_end_ms (const gtw_request_t *r,
+                                      uint64_t from_ms);
+
+// gateway_place.c
+/// Ask the sidecar of the present target for a place.
+void gtw_place_ask (gtw_request_t *r);
+/// Give the place back, or take the question back.
+void gtw_place_release (gtw_request_t *r);
+void gtw_place_granted (gtw_gateway_t *gateway, const msg_place_grant_t *grant,
+                        gtw_target_t *from);
+void gtw_place_declined (gtw_gateway_t *gateway,
+                         const msg_place_decline_t *decline);
 /// The first event came: tell the sidecar that the prompt is read.
-void gtw_request_begun (gtw_request_t *r);
+void gtw_place_begun (gtw_request_t *r);
 /// Whether a request waits longer than usual for a word of this sidecar: its
 /// question or the answer may be lost.
-bool gtw_requests_wait_for (const gtw_gateway_t *gateway,
-                            const gtw_target_t *target);
+bool gtw_places_wait_for (const gtw_gateway_t *gateway,
+                          const gtw_target_t *target);
 /// The sidecar that was asked is gone or restarted.
-void gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target);
+void gtw_places_lost (gtw_gateway_t *gateway, gtw_target_t *target);
+
+// gateway_log.c
 /// Log and count the end of a request.
 void gtw_request_log (const gtw_request_t *r, const char *outcome,
                       int http_status);
+/// Log a step between its beginning and its end.
+void gtw_log_step (const gtw_request_t *r, const char *event,
+                   const char *reason);
+/// Log the choice of a target, with what was known of it.
+void gtw_log_choice (const gtw_request_t *r);
 
 // gateway_answer.c
 /// Send to the present target.
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "gateway/gateway_defs.h"
+#include "relay/passing.h"
 #include "relay/turn.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -54,24 +55,10 @@
 }
 
 static void
-give_document (gtw_gateway_t *gateway, gtw_target_t *target)
+give_document (gtw_gateway_t *gateway, const gtw_target_t *target)
 {
-  msg_t msg = { .type = MSG_DOCUMENT,
-                .document = { .revision = revision_of (gateway),
-                              .data = kb_buf_slice (&gateway->document) } };
-  hst_send (&gateway->host, target->link, &msg);
-}
-
-static void
-give_version (gtw_gateway_t *gateway, gtw_target_t *target,
-              const ver_item_t *item)
-{
-  msg_t msg
-      = { .type = MSG_ADAPTER_VERSION,
-          .adapter_version = { .version = item->version,
-                               .model = kb_slice_str (item->model),
-                               .adapter = kb_slice_str (item->adapter) } };
-  hst_send (&gateway->host, target->link, &msg);
+  psn_give_document (&gateway->host, target->link, revision_of (gateway),
+                     &gateway->document);
 }
 
 /// Give a sidecar what it lacks.
@@ -83,12 +70,8 @@
     return;
   if (target->sidecar_revision < revision_of (gateway))
     give_document (gateway, target);
-  if (target->sidecar_versions >= gateway->versions.changes)
-    return;
-  uint32_t at = 0;
-  for (const ver_item_t *item = kb_map_next (&gateway->versions.items, &at);
-       item != NULL; item = kb_map_next (&gateway->versions.items, &at))
-    give_version (gateway, target, item);
+  if (target->sidecar_versions < gateway->versions.changes)
+    psn_give_versions (&gateway->host, target->link, &gateway->versions);
 }
 
 void
@@ -228,7 +211,7 @@
     gtw_tell_sidecar (gateway, target);
   help_sidecar (gateway, target);
   if (is_restarted)
-    gtw_requests_sidecar_lost (gateway, target);
+    gtw_places_lost (gateway, target);
 }
 
 static void
@@ -266,10 +249,10 @@
       take_engine_state (gateway, target, &msg->engine_state);
       break;
     case MSG_PLACE_GRANT:
-      gtw_request_granted (gateway, &msg->place_grant, target);
+      gtw_place_granted (gateway, &msg->place_grant, target);
       break;
     case MSG_PLACE_DECLINE:
-      gtw_request_declined (gateway, &msg->place_decline);
+      gtw_place_declined (gateway, &msg->place_decline);
       break;
     case MSG_DOCUMENT:
       take_document (gateway, &msg->document, target->link);
--- /dev/null
+++ b/src/gateway/gateway_log.c
@@ -0,0 +1,78 @@
+/// @file gateway_log.c
+/// Log lines about one request.
+#include "gateway/gateway_defs.h"
+#include "transport/log.h"
+
+/// @return  Age of what its sidecar said last, or -1 when it said nothing.
+static int64_t
+word_age_ms (const gtw_request_t *r)
+{
+  if (r->target == NULL || r->target->heard_ms == 0)
+    return -1;
+  return (int64_t)(gtw_now_ms (r->gateway) - r->target->heard_ms);
+}
+
+void
+gtw_request_log (const gtw_request_t *r, const char *outcome, int http_status)
+{
+  gtw_observe_end (r, http_status);
+  uint64_t now_ms = gtw_now_ms (r->gateway);
+  bool is_good = http_status >= 200 && http_status < 300;
+  log_event_t line;
+  if (!log_begin (&line, is_good ? LOG_INFO : LOG_WARN, "gateway",
+                  "request_end"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "outcome", outcome);
+  log_int (&line, "status", http_status);
+  log_text (&line, "reason", r->reason);
+  log_text (&line, "route", r->route);
+  log_text (&line, "service", r->service);
+  log_int (&line, "revision", (int64_t)r->revision);
+  log_text (&line, "adapter", r->adapter_name);
+  log_int (&line, "version", r->granted_version);
+  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
+  log_int (&line, "sends", r->sends);
+  log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
+  log_int (&line, "first_ms",
+           r->first_event_ms == 0
+               ? -1
+               : (int64_t)(r->first_event_ms - r->arrived_ms));
+  log_int (&line, "gap_ms", (int64_t)r->longest_gap_ms);
+  log_int (&line, "load_us", (int64_t)r->load_us);
+  log_int (&line, "left_ms", (int64_t)(r->deadline_ms - now_ms));
+  log_end (&line);
+}
+
+void
+gtw_log_step (const gtw_request_t *r, const char *event, const char *reason)
+{
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", event))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "reason", reason);
+  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
+  log_int (&line, "word_age_ms", word_age_ms (r));
+  log_int (&line, "sends", r->sends);
+  log_end (&line);
+}
+
+void
+gtw_log_choice (const gtw_request_t *r)
+{
+  const gtw_target_t *t = r->target;
+  log_event_t line;
+  if (!log_begin (&line, LOG_DEBUG, "gateway", "target_chosen"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "target", t->told.id);
+  log_int (&line, "word_age_ms", word_age_ms (r));
+  log_int (&line, "granted", t->granted);
+  log_int (&line, "waiting", t->waiting);
+  log_int (&line, "backlog_ms", (int64_t)t->backlog_ms);
+  log_int (&line, "load_wait_ms", (int64_t)t->load_wait_ms);
+  log_int (&line, "active", t->active);
+  log_int (&line, "tried", r->tried_count);
+  log_end (&line);
+}
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -1,6 +1,6 @@
 /// @file gateway_request.c
-/// The life of a request: checks, choice of a target, the place at an engine,
-/// and the ways in which it ends without a target's answer.
+/// The life of a request: checks, its route, the choice of a target, and the
+/// ways in which it ends without a target's answer.
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -39,9 +39,6 @@
   /// two seconds, whichever is longer.
   PATIENCE_OBJECTIVES = 4,
   PATIENCE_LEAST_MS = 2000,
-  /// A place asked for and not granted by then may be one that was never
-  /// heard of.
-  UNANSWERED_MS = 350,
   /// Time for the prompt to be read and the first event to travel.
   PATIENCE_MARGIN_MS = 250,
 };
@@ -76,10 +73,8 @@
   gateway->request_count--;
 }
 
-/// @return  The moment until which a caller waits for the next byte, when the
-///          last one came at `from_ms`.
-static uint64_t
-patience_end_ms (const gtw_request_t *r, uint64_t from_ms)
+uint64_t
+gtw_request_patience_end_ms (const gtw_request_t *r, uint64_t from_ms)
 {
   uint64_t end_ms = gtw_request_end_ms (r);
   if (r->kind != SVC_KIND_STREAM)
@@ -92,12 +87,6 @@
   return due_ms < end_ms ? due_ms : end_ms;
 }
 
-static uint64_t
-left_of (uint64_t moment_ms, uint64_t now_ms)
-{
-  return moment_ms > now_ms ? moment_ms - now_ms : 0;
-}
-
 /// Find its route in the configuration in force and copy what that says.
 /// @return  Whether there is one.
 static bool
@@ -121,7 +110,7 @@
   r->objective_ms = r->arrived_ms + route->objective_ms;
   r->timeout_ms = r->arrived_ms + route->timeout_ms;
   r->revision = config->revision;
-  r->first_due_ms = patience_end_ms (r, r->arrived_ms);
+  r->first_due_ms = gtw_request_patience_end_ms (r, r->arrived_ms);
   return true;
 }
 
@@ -192,100 +181,12 @@
   return refuse_head (client, HTTP_NOT_FOUND, "no route");
 }
 
-void
-gtw_request_log (const gtw_request_t *r, const char *outcome, int http_status)
-{
-  gtw_observe_end (r, http_status);
-  uint64_t now_ms = gtw_now_ms (r->gateway);
-  bool is_good = http_status >= 200 && http_status < 300;
-  log_event_t line;
-  if (!log_begin (&line, is_good ? LOG_INFO : LOG_WARN, "gateway",
-                  "request_end"))
-    return;
-  log_text (&line, "id", r->attempt_id);
-  log_text (&line, "outcome", outcome);
-  log_int (&line, "status", http_status);
-  log_text (&line, "reason", r->reason);
-  log_text (&line, "route", r->route);
-  log_text (&line, "service", r->service);
-  log_int (&line, "revision", (int64_t)r->revision);
-  log_text (&line, "adapter", r->adapter_name);
-  log_int (&line, "version", r->granted_version);
-  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
-  log_int (&line, "sends", r->sends);
-  log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
-  log_int (&line, "first_ms",
-           r->first_event_ms == 0
-               ? -1
-               : (int64_t)(r->first_event_ms - r->arrived_ms));
-  log_int (&line, "gap_ms", (int64_t)r->longest_gap_ms);
-  log_int (&line, "load_us", (int64_t)r->load_us);
-  log_int (&line, "left_ms", (int64_t)(r->deadline_ms - now_ms));
-  log_end (&line);
-}
-
-static void
-request_log_step (const gtw_request_t *r, const char *event,
-                  const char *reason)
-{
-  log_event_t line;
-  if (!log_begin (&line, LOG_INFO, "gateway", event))
-    return;
-  log_text (&line, "id", r->attempt_id);
-  log_text (&line, "reason", reason);
-  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
-  log_int (&line, "word_age_ms",
-           r->target == NULL || r->target->heard_ms == 0
-               ? -1
-               : (int64_t)(gtw_now_ms (r->gateway) - r->target->heard_ms));
-  log_int (&line, "sends", r->sends);
-  log_end (&line);
-}
-
-/// The choice of a target, with what was known of it.
-static void
-log_choice (const gtw_request_t *r)
-{
-  const gtw_target_t *t = r->target;
-  log_event_t line;
-  if (!log_begin (&line, LOG_DEBUG, "gateway", "target_chosen"))
-    return;
-  log_text (&line, "id", r->attempt_id);
-  log_text (&line, "target", t->told.id);
-  log_int (&line, "word_age_ms",
-           t->heard_ms == 0
-               ? -1
-               : (int64_t)(gtw_now_ms (r->gateway) - t->heard_ms));
-  log_int (&line, "granted", t->granted);
-  log_int (&line, "waiting", t->waiting);
-  log_int (&line, "backlog_ms", (int64_t)t->backlog_ms);
-  log_int (&line, "load_wait_ms", (int64_t)t->load_wait_ms);
-  log_int (&line, "active", t->active);
-  log_int (&line, "tried", r->tried_count);
-  log_end (&line);
-}
-
-static void
-release_place (gtw_request_t *r)
-{
-  if (r->place_id == 0)
-    return;
-  kb_map_remove (&r->gateway->places, r->place_id);
-  msg_t msg
-      = { .type = MSG_PLACE_RELEASE, .place_release = { .id = r->place_id } };
-  // A sidecar that can not be reached forgets the place with this gateway.
-  if (r->target != NULL)
-    hst_send (&r->gateway->host, r->target->link, &msg);
-  r->place_id = 0;
-  r->has_place = false;
-}
-
 void
 gtw_request_leave_target (gtw_request_t *r)
 {
   tmr_cancel (&r->gateway->host.timers, &r->silence);
   xch_cancel (&r->exchange);
-  release_place (r);
+  gtw_place_release (r);
   if (r->target != NULL)
     r->target->active--;
   r->target = NULL;
@@ -383,58 +284,12 @@
     r->tried[r->tried_count++] = r->target->key;
 }
 
-/// @return  Output tokens to expect, as far as the caller knows.
-static uint32_t
-output_tokens_of (const rly_request_t *said)
-{
-  uint32_t likely = said->likely_tokens;
-  return likely > 0 && likely < said->output_tokens ? likely
-                                                    : said->output_tokens;
-}
-
-static void
-request_ask (gtw_request_t *r)
-{
-  gtw_gateway_t *gateway = r->gateway;
-  uint64_t now_ms = gtw_now_ms (gateway);
-  r->stage = GTW_ASKING;
-  r->place_id = ++gateway->next_place;
-  r->place_ms = now_ms;
-  r->has_place = false;
-  kb_map_put (&gateway->places, r->place_id, r);
-  // A stream that was broken off is late in any case; what counts then is
-  // that it goes on before its caller leaves, so it is as urgent as a new one.
-  uint64_t due_ms
-      = r->has_event ? patience_end_ms (r, r->passed_ms) : r->first_due_ms;
-  uint64_t objective_ms = r->has_event ? due_ms : r->objective_ms;
-  msg_t msg = { .type = MSG_PLACE_ASK,
-                .place_ask
-                = { .id = r->place_id,
-                    .priority = r->priority,
-                    .prompt_tokens = r->said.prompt_tokens,
-                    .output_tokens = output_tokens_of (&r->said),
-                    .left_ms = left_of (due_ms, now_ms),
-                    .objective_ms = left_of (objective_ms, now_ms),
-                    .version = ver_newest (&gateway->versions, r->adapter_key),
-                    .model = r->said.model,
-                    .adapter = r->said.adapter,
-                    .attempt = kb_slice_str (r->attempt_id) } };
-  r->target->asked_since++;
-  r->target->asked_tokens += r->said.prompt_tokens;
-  if (hst_send (&gateway->host, r->target->link, &msg) == KB_OK)
-    return;
-  r->target->condition = MSG_ENGINE_DOWN;
-  gtw_request_exclude (r);
-  gtw_request_leave_target (r);
-  gtw_request_next (r);
-}
-
 /// An outage whose end is not known: of callers that come back once, those
 /// that come late have the best chance; they accept a third of their time.
 static uint64_t
 outage_retry_after_ms (const gtw_request_t *r)
 {
-  uint64_t left_ms = left_of (r->deadline_ms, gtw_now_ms (r->gateway));
+  uint64_t left_ms = gtw_left_ms (r->deadline_ms, gtw_now_ms (r->gateway));
   uint64_t most_ms = left_ms * OUTAGE_RETRY_PERCENT / 100;
   // The refusal spreads it over as much again.
   return most_ms / 2 < OUTAGE_RETRY_MAX_MS ? most_ms / 2 : OUTAGE_RETRY_MAX_MS;
@@ -448,10 +303,14 @@
 request_wait (gtw_request_t *r, const char *reason)
 {
   uint64_t waited_ms = gtw_now_ms (r->gateway) - r->arrived_ms;
-  if (waited_ms < DOWN_WAIT_MS && r->gateway->stop_ms == 0)
-    r->stage = GTW_WAITING;
-  else
-    gtw_request_refuse (r, reason, outage_retry_after_ms (r));
+  if (waited_ms >= DOWN_WAIT_MS || r->gateway->stop_ms > 0)
+    {
+      gtw_request_refuse (r, reason, outage_retry_after_ms (r));
+      return;
+    }
+  if (r->stage != GTW_WAITING)
+    gtw_log_step (r, "request_waits", reason);
+  r->stage = GTW_WAITING;
 }
 
 static void
@@ -515,91 +374,9 @@
     }
   r->target = target;
   target->active++;
-  log_choice (r);
+  gtw_log_choice (r);
   if (r->is_engine)
-    request_ask (r);
+    gtw_place_ask (r);
   else
     gtw_answer_send (r);
 }
-
-void
-gtw_request_granted (gtw_gateway_t *gateway, const msg_place_grant_t *grant,
-                     gtw_target_t *from)
-{
-  gtw_request_t *r = kb_map_get (&gateway->places, grant->id);
-  if (r == NULL || r->stage != GTW_ASKING
-      || strcmp (r->target->link, from->link) != 0)
-    {
-      // The request went elsewhere; the place must not stay taken.
-      msg_t msg = { .type = MSG_PLACE_RELEASE,
-                    .place_release = { .id = grant->id } };
-      hst_send (&gateway->host, from->link, &msg);
-      return;
-    }
-  gtw_observe_grant (r);
-  r->has_place = true;
-  r->granted_version = (uint32_t)grant->version;
-  kb_slice_copy (grant->instance, r->granted_instance,
-                 sizeof r->granted_instance);
-  r->load_us += grant->load_us;
-  gtw_answer_send (r);
-}
-
-void
-gtw_request_declined (gtw_gateway_t *gateway,
-                      const msg_place_decline_t *decline)
-{
-  gtw_request_t *r = kb_map_get (&gateway->places, decline->id);
-  if (r == NULL || r->stage != GTW_ASKING)
-    return;
-  char reason[48];
-  kb_slice_copy (decline->reason, reason, sizeof reason);
-  request_log_step (r, "place_declined", reason);
-  r->reason = "declined";
-  if (decline->retry_after_ms > r->retry_after_ms)
-    r->retry_after_ms = decline->retry_after_ms;
-  kb_map_remove (&gateway->places, r->place_id);
-  r->place_id = 0;
-  gtw_request_exclude (r);
-  gtw_request_leave_target (r);
-  gtw_request_next (r);
-}
-
-void
-gtw_request_begun (gtw_request_t *r)
-{
-  if (r->place_id == 0)
-    return;
-  msg_t msg
-      = { .type = MSG_PLACE_BEGUN, .place_begun = { .id = r->place_id } };
-  hst_send (&r->gateway->host, r->target->link, &msg);
-}
-
-bool
-gtw_requests_wait_for (const gtw_gateway_t *gateway,
-                       const gtw_target_t *target)
-{
-  uint64_t now_ms = gtw_now_ms (gateway);
-  for (const gtw_request_t *r = gateway->requests; r != NULL; r = r->next)
-    if (r->target == target && r->stage == GTW_ASKING
-        && now_ms - r->place_ms > UNANSWERED_MS)
-      return true;
-  return false;
-}
-
-void
-gtw_requests_sidecar_lost (gtw_gateway_t *gateway, gtw_target_t *target)
-{
-  gtw_request_t *next;
-  for (gtw_request_t *r = gateway->requests; r != NULL; r = next)
-    {
-      next = r->next;
-      if (r->target != target || r->stage != GTW_ASKING)
-        continue;
-      request_log_step (r, "place_lost", "sidecar_lost");
-      r->reason = "sidecar_lost";
-      gtw_request_exclude (r);
-      gtw_request_leave_target (r);
-      gtw_request_next (r);
-    }
-}
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -320,7 +320,7 @@
     log_target (target, "sidecar_lost");
   target_unlink (gateway, target);
   target_link (gateway, target);
-  gtw_requests_sidecar_lost (gateway, target);
+  gtw_places_lost (gateway, target);
 }
 
 static void
@@ -356,7 +356,7 @@
       // Until the link is up nothing reaches the sidecar; say it again soon,
       // or a restarted fleet stays without engines for a second.
       bool is_answer_due = now_ms - t->told_ms > TELL_AGAIN_MS
-                           && gtw_requests_wait_for (gateway, t);
+                           && gtw_places_wait_for (gateway, t);
       if (is_tell_time || t->heard_ms == 0 || is_answer_due)
         gtw_tell_sidecar (gateway, t);
     }
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -132,6 +132,8 @@
            "relay: port of the metrics page; 0: none"),
   ROW_NUM (grace_s, 8, 0.5, 86400,
            "relay: time between SIGTERM and SIGKILL, s"),
+  ROW_INT (leave_bound_ms, 2000, 500, 60000,
+           "relay entry: a leaving target gets nothing new after this"),
   ROW_NUM (retry_ratio, 0.2, 0, 10,
            "relay entry: repeats allowed for each request, all entries"),
   ROW_NUM (retry_window_s, 10, 1, 3600,
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -86,6 +86,7 @@
   set_text_t advertised_address;
   int64_t metrics_port;
   double grace_s;
+  int64_t leave_bound_ms;
   double retry_ratio;
   double retry_window_s;
   double retry_slack;
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -1,6 +1,7 @@
 /// @file sidecar_links.c
 /// Messages of the gateways: configuration and versions that are passed on,
 /// and places that are asked for, granted, declined and released.
+#include "relay/passing.h"
 #include "relay/turn.h"
 #include "sidecar/sidecar_defs.h"
 #include "transport/log.h"
@@ -61,27 +62,6 @@
   scr_state_changed (s);
 }
 
-static void
-give_document (scr_sidecar_t *s, const scr_gateway_t *gateway)
-{
-  msg_t msg = { .type = MSG_DOCUMENT,
-                .document = { .revision = s->config->revision,
-                              .data = kb_buf_slice (&s->document) } };
-  scr_send (s, gateway, &msg);
-}
-
-static void
-give_version (scr_sidecar_t *s, const scr_gateway_t *gateway,
-              const ver_item_t *item)
-{
-  msg_t msg
-      = { .type = MSG_ADAPTER_VERSION,
-          .adapter_version = { .version = item->version,
-                               .model = kb_slice_str (item->model),
-                               .adapter = kb_slice_str (item->adapter) } };
-  scr_send (s, gateway, &msg);
-}
-
 /// Pass on what a gateway lacks: it may be cut off from the store. Most read
 /// it there themselves, a moment later than the first one.
 static void
@@ -93,13 +73,10 @@
     return;
   if (s->config != NULL && gateway->revision < s->config->revision
       && now_ms - s->document_ms >= HELP_AFTER_MS)
-    give_document (s, gateway);
-  if (gateway->versions_known >= s->versions.changes)
-    return;
-  uint32_t at = 0;
-  for (const ver_item_t *item = kb_map_next (&s->versions.items, &at);
-       item != NULL; item = kb_map_next (&s->versions.items, &at))
-    give_version (s, gateway, item);
+    psn_give_document (&s->host, gateway->name, s->config->revision,
+                       &s->document);
+  if (gateway->versions_known < s->versions.changes)
+    psn_give_versions (&s->host, gateway->name, &s->versions);
 }
 
 static void
--- a/src/sidecar/sidecar_tell.c
+++ b/src/sidecar/sidecar_tell.c
@@ -89,7 +89,7 @@
         .waiting = s->table.waiting,
         .gateway_count = s->gateway_count,
         .backlog_us = adm_backlog_us (&s->table, scr_now_ms (s)),
-        .tokens_per_s = (uint64_t)(s->table.tokens_per_ms * MS_PER_S),
+        .tokens_per_s = (uint64_t)(s->table.reading.tokens_per_ms * MS_PER_S),
         .load_wait_ms = adm_new_load_wait_ms (&s->table, scr_now_ms (s)),
         .instance = kb_slice_str (s->instance),
         .list_stamp = kb_hash (adapters.ptr, adapters.len_bytes, 1) | 1 }
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -305,6 +305,24 @@
   conn->parser.data = conn;
 }
 
+kb_status_t
+h1_listen (uv_loop_t *loop, uv_tcp_t *listener,
+           const struct sockaddr_in *address, int backlog,
+           uv_connection_cb on_connection, void *data, kb_error_t *error)
+{
+  uv_tcp_init (loop, listener);
+  listener->data = data;
+  int code = uv_tcp_bind (listener, (const struct sockaddr *)address, 0);
+  if (code == 0)
+    code = uv_listen ((uv_stream_t *)listener, backlog, on_connection);
+  if (code == 0)
+    return KB_OK;
+  char ip[INET_ADDRSTRLEN];
+  uv_ip4_name (address, ip, sizeof ip);
+  return kb_error_set (error, KB_ESYS, "cannot listen on %s:%d: %s", ip,
+                       (int)ntohs (address->sin_port), uv_strerror (code));
+}
+
 kb_status_t
 h1_conn_accept (h1_conn_t *conn, uv_loop_t *loop, uv_stream_t *listener,
                 const h1_events_t *events, void *owner,
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -92,6 +92,11 @@
   bool is_draining; ///< Discards what still comes in.
 };
 
+/// Open a listening socket; `on_connection` gets `data` as its handle's data.
+kb_status_t h1_listen (uv_loop_t *loop, uv_tcp_t *listener,
+                       const struct sockaddr_in *address, int backlog,
+                       uv_connection_cb on_connection, void *data,
+                       kb_error_t *error);
 /// Begin on an accepted connection.
 /// @return  KB_ESYS when the connection could not be accepted.
 kb_status_t h1_conn_accept (h1_conn_t *conn, uv_loop_t *loop,
--- a/src/transport/pages.c
+++ b/src/transport/pages.c
@@ -89,15 +89,6 @@
                  void *owner, kb_error_t *error)
 {
   *server = (pgs_server_t){ .loop = loop, .answer = answer, .owner = owner };
-  uv_tcp_init (loop, &server->listener);
-  server->listener.data = server;
-  int code
-      = uv_tcp_bind (&server->listener, (const struct sockaddr *)address, 0);
-  if (code == 0)
-    code = uv_listen ((uv_stream_t *)&server->listener, BACKLOG,
-                      server_on_connection);
-  if (code != 0)
-    return kb_error_set (error, KB_ESYS, "cannot listen for pages: %s",
-                         uv_strerror (code));
-  return KB_OK;
+  return h1_listen (loop, &server->listener, address, BACKLOG,
+                    server_on_connection, server, error);
 }
--- /dev/null
+++ b/test/relay/relay_failure_test.cc
@@ -0,0 +1,412 @@
+// The relay roles before stand-ins that fail: targets that leave or restart,
+// the store, sidecars and links.
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include <fstream>
+
+#include "site.h"
+
+namespace relay
+{
+namespace
+{
+
+// A target that is leaving gets new requests until it is gone, and they are
+// lost with it.
+TEST (Relay, ALeavingTargetGetsNothingNew)
+{
+  Site site;
+  ASSERT_TRUE (site.wait_ready ());
+  site.list_plain (0, "draining");
+  site.engines[0].target->set_leaving (true);
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  int before = site.plain[0]->runs () + site.engines[0].target->runs ();
+  for (int i = 0; i < 10; i++)
+    {
+      std::string id = "d" + std::to_string (i);
+      EXPECT_EQ (send_call (site.gateways[0], plain_call (id)).status, 200);
+      EXPECT_EQ (
+          send_call (site.gateways[0], stream_call ("s" + id, "a1")).status,
+          200);
+    }
+  EXPECT_EQ (site.plain[0]->runs () + site.engines[0].target->runs (), before);
+}
+
+TEST (Relay, ARemovedTargetGetsNothingNew)
+{
+  Site site (0, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  site.remove ("servers/" + site.plain[1]->id ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  int before = site.plain[1]->runs ();
+  for (int i = 0; i < 10; i++)
+    send_call (site.gateways[0], plain_call ("g" + std::to_string (i)));
+  EXPECT_EQ (site.plain[1]->runs (), before);
+}
+
+// Several targets are taken away at one moment without a word before. They are
+// kept for a while, because entries of live ones may have lapsed; together
+// with the pause between two reads that must stay below 2 s.
+TEST (Relay, SeveralTargetsRemovedAtOnceGetNothingNewInTime)
+{
+  Site site (0, 4);
+  ASSERT_TRUE (site.wait_ready ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  // A change begins the pause; the removals fall into it.
+  site.list_plain (3);
+  std::this_thread::sleep_for (std::chrono::milliseconds (60));
+  for (size_t i = 0; i < 3; i++)
+    site.remove ("servers/" + site.plain[i]->id ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1800));
+  int before = 0;
+  for (size_t i = 0; i < 3; i++)
+    before += site.plain[i]->runs ();
+  for (int i = 0; i < 12; i++)
+    send_call (site.gateways[0], plain_call ("v" + std::to_string (i)));
+  int after = 0;
+  for (size_t i = 0; i < 3; i++)
+    after += site.plain[i]->runs ();
+  EXPECT_EQ (after, before);
+}
+
+// A target comes and goes between two reads. Its removal is read before it is
+// known, its entry after that, and it gets requests for ever.
+TEST (Relay, ATargetThatCameAndWentBetweenTwoReadsIsNotUsed)
+{
+  Site site (0, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  site.remove ("servers/" + site.plain[1]->id ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  site.list_plain (0);
+  std::this_thread::sleep_for (std::chrono::milliseconds (60));
+  site.plain[1]->restart ("i-brief");
+  site.list_plain (1);
+  site.remove ("servers/i-brief");
+  std::this_thread::sleep_for (std::chrono::milliseconds (1800));
+  int before = site.plain[1]->runs ();
+  for (int i = 0; i < 12; i++)
+    send_call (site.gateways[0], plain_call ("w" + std::to_string (i)));
+  EXPECT_EQ (site.plain[1]->runs (), before);
+}
+
+// The store goes away, entries of live targets lapse meanwhile, and a reader
+// that takes the short list for the truth sends everything to one target.
+TEST (Relay, AnOutageOfTheStoreTakesNoTargetAway)
+{
+  Site site (1, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  site.store.set_mode (Store::RESET);
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (
+          send_call (site.gateways[0], plain_call ("a" + std::to_string (i)))
+              .status,
+          200);
+      std::this_thread::sleep_for (std::chrono::milliseconds (100));
+    }
+  for (auto &p : site.plain)
+    site.remove ("servers/" + p->id ());
+  site.store.set_mode (Store::WELL);
+  std::this_thread::sleep_for (std::chrono::milliseconds (1200));
+  for (size_t i = 0; i < 2; i++)
+    site.list_plain (i);
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (
+          send_call (site.gateways[0], plain_call ("b" + std::to_string (i)))
+              .status,
+          200);
+      std::this_thread::sleep_for (std::chrono::milliseconds (100));
+    }
+}
+
+// The store turns one gateway away and serves the other. The one that is
+// turned away goes on with old routes for as long as that lasts.
+TEST (Relay, AGatewayCutOffFromTheStoreLearnsThroughSidecars)
+{
+  Site site (1, 1, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  site.far_store.set_mode (Store::SILENT);
+  site.write_config (5, ",{\"Name\":\"new\",\"Host\":\"a.example\","
+                        "\"Prefix\":\"/new/\",\"Kind\":\"safe\","
+                        "\"TimeoutMs\":2000,\"Service\":\"maps\","
+                        "\"MaxAttempts\":1}");
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[1], plain_call ("q", "/new/x")).status
+           == 200;
+  }));
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (
+                site.gateways[1].daemon,
+                { "config_in_force", "\"revision\":5", "127.0.1.1:" })
+                .empty ();
+  }));
+}
+
+// The store forgets its history while the configuration changes; a reader
+// that only waits for changes never hears of it.
+TEST (Relay, AForgottenHistoryIsReadAnew)
+{
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.store.set_mode (Store::SILENT);
+  site.write_config (6, ",{\"Name\":\"new\",\"Host\":\"a.example\","
+                        "\"Prefix\":\"/new/\",\"Kind\":\"safe\","
+                        "\"TimeoutMs\":2000,\"Service\":\"maps\","
+                        "\"MaxAttempts\":1}");
+  site.store.compact ();
+  site.store.set_mode (Store::WELL);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], plain_call ("h", "/new/x")).status
+           == 200;
+  }));
+}
+
+TEST (Relay, ABadConfigurationLeavesTheLastGoodOneInForce)
+{
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.put ("op/config", "{\"Version\":9,\"Routes\":[");
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "op/config", "last good" })
+                .empty ();
+  }));
+  EXPECT_EQ (send_call (site.gateways[0], plain_call ("k")).status, 200);
+  site.write_config (8);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "config_in_force", "\"revision\":8" })
+                .empty ();
+  }));
+  // An older version never comes back.
+  site.write_config (7);
+  std::this_thread::sleep_for (std::chrono::milliseconds (300));
+  EXPECT_TRUE (Site::log_lines (site.gateways[0].daemon,
+                                { "config_in_force", "\"revision\":7" })
+                   .empty ());
+}
+
+// A new version of an adapter is named, and captions go on being written by
+// the old one.
+TEST (Relay, ANewerAdapterVersionServesFromThenOn)
+{
+  Site site;
+  ASSERT_TRUE (site.wait_ready ());
+  EXPECT_EQ (send_call (site.gateways[0], stream_call ("v1", "a1")).status,
+             200);
+  for (auto &e : site.engines)
+    e.target->newest_version = 2;
+  site.put ("op/version/m.a1", R"({"Model":"m","Adapter":"a1","Version":2})");
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "adapter_version", "\"version\":2" })
+                .empty ();
+  }));
+  Message m = send_call (site.gateways[0], stream_call ("v2", "a1"));
+  EXPECT_EQ (m.status, 200);
+  bool was_asked_for = false;
+  for (auto &e : site.engines)
+    for (const auto &r : e.target->requests ())
+      if (r.header ("x-knapweedbay-attempt-id") == "v2")
+        was_asked_for = r.header ("x-knapweedbay-expect-version") == "2";
+  EXPECT_TRUE (was_asked_for);
+}
+
+// An engine crashes: it was ordered to hold more adapters than it can, by
+// orders that got no answer and were carried out seconds later.
+TEST (Relay, LateOrdersNeverOverfillAnEngine)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  site.engines[0].target->late_order_ms = 700;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; i++)
+    callers.emplace_back ([&site, i] {
+      send_call (site.gateways[0], stream_call ("t" + std::to_string (i),
+                                                "b" + std::to_string (i)));
+    });
+  for (auto &caller : callers)
+    caller.join ();
+  site.engines[0].target->late_order_ms = 0;
+  for (int i = 0; i < 8; i++)
+    send_call (site.gateways[0], stream_call ("w" + std::to_string (i),
+                                              "b" + std::to_string (i)));
+  EXPECT_LE (site.engines[0].target->most_held (), 4u);
+  EXPECT_GT (site.engines[0].target->loads (), 0);
+}
+
+// An engine comes back empty under a new name; until the list says so, every
+// request to it is refused by the incarnation it names.
+TEST (Relay, ARestartedEngineGetsItsModelBackAndServes)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  EXPECT_EQ (send_call (site.gateways[0], stream_call ("e1", "a1")).status,
+             200);
+  site.engines[0].target->restart ("i-again");
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("e2", "a1")).status
+           == 200;
+  }));
+}
+
+TEST (Relay, AKilledSidecarIsReplacedWithoutLosingStreams)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  site.engines[0].target->events = 100;
+  site.engines[0].target->event_ms = 10;
+  auto connection = dial (site.gateways[0].address);
+  connection->write (stream_call ("m1", "a1").text ());
+  EXPECT_NE (connection->read_some (5000), "");
+  site.restart (&site.engines[0].sidecar, SIGKILL);
+  std::string rest;
+  while (rest.find ("0\r\n\r\n") == std::string::npos)
+    {
+      std::string more = connection->read_some (3000);
+      if (more.empty ())
+        break;
+      rest += more;
+    }
+  EXPECT_NE (rest.find ("id: 100\n"), std::string::npos);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("m2", "a1")).status
+           == 200;
+  }));
+}
+
+// A sidecar is paused: its connections stay open and carry nothing. Requests
+// that asked it for a place must go to another engine, not wait for it.
+TEST (Relay, APausedSidecarIsNotWaitedFor)
+{
+  Site site;
+  ASSERT_TRUE (site.wait_ready ());
+  kill (site.engines[0].sidecar.pid, SIGSTOP);
+  for (int i = 0; i < 6; i++)
+    {
+      Message m = send_call (
+          site.gateways[0],
+          stream_call ("f" + std::to_string (i), "c" + std::to_string (i)));
+      EXPECT_EQ (m.status, 200);
+    }
+  kill (site.engines[0].sidecar.pid, SIGCONT);
+}
+
+// The links between entries and agents go silent while streams begin and end.
+// Grants and releases are lost with them, places stay taken for ever, and
+// after a few such moments an idle engine refuses everybody.
+TEST (Relay, PlacesAreNotLostWithALink)
+{
+  Proxies proxies;
+  Site site (1, 0, 1, &proxies);
+  ASSERT_TRUE (site.wait_ready ());
+  std::atomic<bool> is_done{ false };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; i++)
+    callers.emplace_back ([&site, &is_done, i] {
+      for (int n = 0; !is_done; n++)
+        send_call (site.gateways[0],
+                   stream_call ("l" + std::to_string (i * 10000 + n), "a1"));
+    });
+  for (int i = 0; i < 4; i++)
+    {
+      std::this_thread::sleep_for (std::chrono::milliseconds (300));
+      proxies.agents[0]->silence_present ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (1700));
+    }
+  is_done = true;
+  for (auto &caller : callers)
+    caller.join ();
+  std::this_thread::sleep_for (std::chrono::milliseconds (1800));
+  int good = 0;
+  for (int i = 0; i < 10; i++)
+    {
+      Message m = send_call (site.gateways[0],
+                             stream_call ("k" + std::to_string (i), "a1"));
+      good += m.status == 200 && m.is_whole;
+    }
+  EXPECT_EQ (good, 10);
+}
+
+// An engine crashes after its agent was restarted: before the agent knew the
+// configuration again, it ordered more adapters than the engine can hold.
+TEST (Relay, ARestartedSidecarKeepsTheLimitsOfItsEngine)
+{
+  Site site (1, 0, 6);
+  ASSERT_TRUE (site.wait_ready ());
+  std::atomic<bool> is_done{ false };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; i++)
+    callers.emplace_back ([&site, &is_done, i] {
+      for (int n = 0; !is_done; n++)
+        send_call (site.gateways[(size_t)i % 6],
+                   stream_call ("z" + std::to_string (i * 10000 + n),
+                                "a" + std::to_string ((i + n) % 12)));
+    });
+  for (int i = 0; i < 8; i++)
+    {
+      std::this_thread::sleep_for (std::chrono::milliseconds (250));
+      site.restart (&site.engines[0].sidecar, SIGKILL);
+    }
+  is_done = true;
+  for (auto &caller : callers)
+    caller.join ();
+  EXPECT_LE (site.engines[0].target->most_held (), 4u);
+}
+
+// An engine crashes with one adapter too many: callers left, their places were
+// given back, but the engine was still at work on them. The adapter that was
+// to make room was dropped only later.
+TEST (Relay, AnAdapterThatIsStillUsedMakesNoRoom)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.ignores_close = true;
+  engine.events = 200;
+  engine.event_ms = 5;
+  for (int i = 0; i < 12; i++)
+    {
+      auto connection = dial (site.gateways[0].address);
+      connection->write (
+          stream_call ("u" + std::to_string (i), "a" + std::to_string (i))
+              .text ());
+      connection->read_some (1500);
+      connection->close ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (60));
+    }
+  EXPECT_LE (engine.most_held (), 4u);
+}
+
+// All engines come back after a loss of power, and for a second or two the
+// list names both their old and their new incarnations. Both are beside the
+// same agent; when they take its link from each other, what was asked through
+// one is not heard by the other, and requests are declined though engines are
+// free.
+TEST (Relay, AnOldEntryDoesNotTakeTheLinkBack)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  site.engines[0].target->restart ("i-again");
+  site.list_engine (0);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("n", "a1")).status == 200;
+  }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  int good = 0;
+  for (int i = 0; i < 40; i++)
+    good += send_call (site.gateways[0],
+                       stream_call ("o" + std::to_string (i), "a1"))
+                .status
+            == 200;
+  EXPECT_EQ (good, 40);
+  EXPECT_TRUE (
+      Site::log_lines (site.engines[0].sidecar, { "places_reconciled" })
+          .empty ());
+}
+
+} // namespace
+} // namespace relay
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <numeric>
 
 namespace relay
 {
@@ -367,6 +368,23 @@
   return connection->read_answer ();
 }
 
+std::vector<int>
+up_to (int last)
+{
+  std::vector<int> ids ((size_t)last);
+  std::iota (ids.begin (), ids.end (), 1);
+  return ids;
+}
+
+Call
+plain_call (const std::string &id, const std::string &path)
+{
+  Call call;
+  call.id = id;
+  call.path = path;
+  return call;
+}
+
 std::vector<int>
 event_ids (const std::string &body)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -112,6 +112,9 @@
                   bool is_resumable = true);
 /// Send on a new connection and read the answer.
 Message send_call (const Gateway &gateway, const Call &call);
+Call plain_call (const std::string &id, const std::string &path = "/plain/x");
+/// The numbers from 1 to `last`: ids of a whole stream.
+std::vector<int> up_to (int last);
 /// Ids of the events in a body, in order.
 std::vector<int> event_ids (const std::string &body);
 
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -345,8 +345,8 @@
   adm_owner_gone (&table, 7);
   EXPECT_EQ (table.granted, 0u);
   EXPECT_EQ (table.waiting, 0u);
-  EXPECT_EQ (table.reading_tokens, 0);
-  EXPECT_EQ (table.waiting_tokens, 0u);
+  EXPECT_EQ (table.reading.given_tokens, 0);
+  EXPECT_EQ (table.waiting_cost, 0);
 }
 
 TEST_F (AdmitTest, ARepeatedIdIsIgnored)
--- a/test/unit/load_test.cc
+++ b/test/unit/load_test.cc
@@ -183,7 +183,7 @@
     v.slots = e.table.options.slots;
     v.busy = e.table.granted;
     v.waiting = e.table.waiting;
-    v.tokens_per_ms = e.table.tokens_per_ms;
+    v.tokens_per_ms = e.table.reading.tokens_per_ms;
     v.backlog_ms = (double)adm_backlog_us (&e.table, now_) / 1000;
     v.load_wait_ms = (double)adm_new_load_wait_ms (&e.table, now_);
     auto *a
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -6,6 +6,7 @@
 extern "C"
 {
 #include "dialect.h"
+#include "directory.h"
 #include "document.h"
 #include "engine.h"
 }
@@ -330,4 +331,14 @@
   EXPECT_TRUE (h1_request_is_proper (&conn));
 }
 
+// Each entry of a large fleet read the list as often as a small site needs it,
+// although its bound for leaving targets is longer. The longer pause must
+// leave room for what else delays the word.
+TEST (Directory, TheListIsReadAsOftenAsTheBoundNeeds)
+{
+  EXPECT_EQ (dir_target_pause_ms (2000), 700u);
+  EXPECT_EQ (dir_target_pause_ms (3000), 1050u);
+  EXPECT_EQ (dir_target_pause_ms (60000), 1200u);
+}
+
 } // namespace
--- /dev/null
+++ b/test/unit/reading_test.cc
@@ -0,0 +1,58 @@
+// The pace of prompts, and the reading rate as it is learnt.
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "coordination/reading.h"
+}
+
+namespace
+{
+
+class ReadingTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    rdg_reading_init (&reading);
+  }
+  rdg_reading_t reading;
+};
+
+TEST_F (ReadingTest, LongPromptsCostMoreThanTheirTokens)
+{
+  EXPECT_NEAR (rdg_cost (100), 100, 1);
+  EXPECT_GT (rdg_cost (8000), 10000);
+}
+
+// However long a prompt is, it is read once the engine has read all others.
+TEST_F (ReadingTest, AnyPromptFitsWhenNothingIsLeft)
+{
+  EXPECT_TRUE (rdg_fits (&reading, 50000, 0));
+  rdg_give (&reading, 50000, 0);
+  EXPECT_FALSE (rdg_fits (&reading, 10, 100));
+  EXPECT_TRUE (rdg_fits (&reading, 50000, 10000));
+}
+
+TEST_F (ReadingTest, WhatIsTakenBackMakesRoom)
+{
+  rdg_give (&reading, 1500, 0);
+  EXPECT_FALSE (rdg_fits (&reading, 1500, 0));
+  rdg_take_back (&reading, 1500);
+  EXPECT_TRUE (rdg_fits (&reading, 1500, 0));
+}
+
+// Engines of one site add 40 ms to every first event. Taken as a ratio of
+// tokens and time, the rate was half too low there.
+TEST_F (ReadingTest, AFixedPartOfFirstEventsIsNotTakenForReading)
+{
+  for (int i = 0; i < 400; i++)
+    {
+      double tokens = 200 + i % 10 * 300;
+      rdg_learn (&reading, tokens, 40 + tokens / 20);
+    }
+  EXPECT_NEAR (reading.tokens_per_ms, 20, 1);
+}
+
+} // namespace
