--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,12 @@
 SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' 'test/*.cc' 'tools/*.[ch]' 'tools/*.cc')
 C_SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c')
 
-.PHONY: all setup build test test-asan lint format fuzz demo demo-up replay bench capacity plots install clean help
+.PHONY: all setup build test test-asan lint format fuzz soak demo demo-up replay bench capacity plots install clean help
 
 all: build
 
 help:
-	@echo "build test test-asan lint format fuzz demo demo-up replay bench capacity install clean"
+	@echo "build test test-asan lint format fuzz soak demo demo-up replay bench capacity install clean"
 
 setup:
 	@./tools/setup
@@ -44,6 +44,15 @@
 	@./build-fuzz/bin/fuzz_settings -seed=1 -runs=100000 -max_len=512 build-fuzz/corpus-settings test/fuzz/corpus-settings
 	@./build-fuzz/bin/fuzz_platform -seed=1 -runs=100000 -max_len=1024 build-fuzz/corpus-platform test/fuzz/corpus-platform
 
+# Seeds 1 to SEEDS, or FIRST to SEEDS, each with SECONDS of faults.
+FIRST ?= 1
+SEEDS ?= 50
+SECONDS ?= 6
+ENGINES ?= 3
+soak: build
+	@KB_SOAK_SEEDS=$(FIRST)-$(SEEDS) KB_SOAK_S=$(SECONDS) KB_SOAK_ENGINES=$(ENGINES) \
+	  $(BUILD)/bin/soak_test --gtest_filter=Soak.PromisesHoldUnderFaults
+
 demo: build
 	@$(BUILD)/bin/kbdemo
 
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -88,6 +88,13 @@
   return most_held_;
 }
 
+std::set<std::string>
+Target::orderers ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return orderers_;
+}
+
 std::string
 Target::report ()
 {
@@ -117,6 +124,7 @@
 Target::carry_out (const std::string &body)
 {
   std::lock_guard<std::mutex> lock (mutex_);
+  orderers_.insert (member (body, "Holder") + "/" + member (body, "Fence"));
   std::string expected = member (body, "Expected");
   if (!expected.empty () && atoll (expected.c_str ()) != seq_)
     return 409;
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -57,6 +57,8 @@
   /// Adapter loads that were carried out, and the most held at one time.
   int loads ();
   size_t most_held ();
+  /// Holder and fencing number of all orders.
+  std::set<std::string> orderers ();
   std::atomic<int> event_ms{ 2 };
   std::atomic<int> events{ 10 };
   std::atomic<int> load_ms{ 20 };
@@ -94,6 +96,7 @@
   int64_t seq_ = 0;
   int loads_ = 0;
   size_t most_held_ = 0;
+  std::set<std::string> orderers_;
   std::vector<Fault> faults_;
   std::map<std::string, int> runs_;
   std::vector<Message> requests_;
--- /dev/null
+++ b/test/soak/checks.cc
@@ -0,0 +1,236 @@
+// What must hold, from what callers and targets saw.
+#include "soak.h"
+
+#include <signal.h>
+
+namespace relay
+{
+
+namespace
+{
+
+constexpr int kEventsOfAStream = 10;
+constexpr int kRecoveryCalls = 20;
+constexpr int kLeastRecovered = 15;
+/// Bounds of the settings that the daemons run with.
+constexpr int kLeaveBoundMs = 2000;
+constexpr int kVersionBoundMs = 5000;
+constexpr double kRetryRatio = 0.2;
+constexpr double kRetrySlack = 50;
+constexpr int kRetryWindowMs = 10000;
+
+bool
+is_promise_of_no_run (int status)
+{
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+} // namespace
+
+void
+Soak::violate (const std::string &attempt_id, const std::string &text)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  violations_.push_back ({ attempt_id, text });
+}
+
+std::string
+Soak::report () const
+{
+  std::string text
+      = "seed " + std::to_string (seed_) + ", plan:\n" + describe (plan_);
+  if (violations_.empty ())
+    return text;
+  const Violation &first = violations_.front ();
+  text += std::to_string (violations_.size ()) + " violations, the first: "
+          + first.attempt_id + " " + first.text + "\n";
+  if (first.attempt_id.empty ())
+    return text;
+  std::vector<const Daemon *> daemons;
+  for (const auto &g : site_.gateways)
+    daemons.push_back (&g.daemon);
+  for (const auto &e : site_.engines)
+    daemons.push_back (&e.sidecar);
+  for (const Daemon *daemon : daemons)
+    for (const auto &line :
+         Site::log_lines (*daemon, { "\"id\":\"" + first.attempt_id + "\"" }))
+      text += "  " + daemon->name + " " + line + "\n";
+  return text;
+}
+
+void
+Soak::check_record (const Record &record)
+{
+  const Message &m = record.answer;
+  int runs = site_.runs_of (record.id);
+  std::string status = " status " + std::to_string (m.status);
+  if (!record.may_repeat && runs > 1)
+    violate (record.id, "ran " + std::to_string (runs) + " times," + status);
+  if (!record.may_repeat && runs > 0 && is_promise_of_no_run (m.status))
+    violate (record.id, "ran, and its caller was told that it did not");
+  if (m.status == 404 || m.status == 400 || m.status == 413)
+    violate (record.id, "a proper request was denied," + status);
+  if (m.status != 200)
+    return;
+  if (m.header ("x-knapweedbay-attempt-id") != record.id)
+    violate (record.id, "got the answer of another request");
+  if (m.header ("x-knapweedbay-server-seal").empty ())
+    violate (record.id, "an answer that no target gave");
+  if (record.is_stream)
+    check_stream (record);
+  else if (m.is_whole && m.body.find ("some length\"}") == std::string::npos)
+    violate (record.id, "half a body looks whole: " + m.body);
+}
+
+void
+Soak::check_stream (const Record &record)
+{
+  std::vector<int> ids = event_ids (record.answer.body);
+  for (size_t i = 0; i < ids.size (); i++)
+    if (ids[i] != (int)i + 1)
+      {
+        violate (record.id, "event " + std::to_string (ids[i]) + " at place "
+                                + std::to_string (i + 1));
+        break;
+      }
+  if (record.answer.is_whole && (int)ids.size () != kEventsOfAStream)
+    violate (record.id, "half a stream looks whole");
+}
+
+/// Room for adapters is never exceeded, one process alone gives orders under
+/// one fencing number, and a request runs with the adapter it named.
+void
+Soak::check_engines ()
+{
+  std::map<std::string, std::string> named;
+  for (const auto &record : records_)
+    named[record.id] = record.adapter;
+  for (auto &e : site_.engines)
+    {
+      if (e.target->most_held () > 4)
+        violate ("", e.sidecar.name + ": more adapters than there is room");
+      if (e.target->orderers ().size () > 1)
+        violate ("", e.sidecar.name + ": its engine saw several orderers");
+      for (const Message &request : e.target->requests ())
+        {
+          std::string id = request.header ("x-knapweedbay-attempt-id");
+          auto it = named.find (id);
+          if (it != named.end ()
+              && request.header ("x-knapweedbay-model") != "m/" + it->second)
+            violate (id, "sent for another adapter");
+        }
+    }
+}
+
+void
+Soak::check_repeats ()
+{
+  std::map<std::string, int> arrivals;
+  for (int i = 0; i < size_.engines + size_.plain; i++)
+    for (const Message &request : target_at (i).requests ())
+      arrivals[request.header ("x-knapweedbay-attempt-id")]++;
+  double repeats = 0;
+  for (const auto &[id, count] : arrivals)
+    repeats += count - 1;
+  int length_ms = plan_.empty () ? 0 : plan_.back ().at_ms;
+  double windows = 2 + length_ms / kRetryWindowMs;
+  // Two services have a budget each.
+  double most
+      = kRetryRatio * (double)records_.size () + 2 * kRetrySlack * windows;
+  if (repeats > most)
+    violate ("", std::to_string (repeats) + " repeats of "
+                     + std::to_string (arrivals.size ()) + " requests");
+}
+
+void
+Soak::check_recovery ()
+{
+  int good = 0;
+  for (int i = 0; i < kRecoveryCalls; i++)
+    {
+      Message m = send_call (site_.gateways[(size_t)(i % size_.gateways)],
+                             stream_call ("after" + std::to_string (i),
+                                          "a" + std::to_string (i % 12)));
+      good += m.status == 200 && m.is_whole;
+    }
+  if (good < kLeastRecovered)
+    violate ("after0", "after the last fault " + std::to_string (good) + " of "
+                           + std::to_string (kRecoveryCalls)
+                           + " requests are served");
+}
+
+void
+Soak::check_configuration ()
+{
+  write_config ();
+  for (size_t i = 0; i < site_.gateways.size (); i++)
+    {
+      Call call;
+      call.id = "last" + std::to_string (i);
+      call.path = "/v" + std::to_string (config_version_) + "/";
+      bool is_served = Site::wait_for (
+          [&] { return send_call (site_.gateways[i], call).status == 200; },
+          kLeaveBoundMs);
+      if (!is_served)
+        violate (call.id, "a new configuration is not in force in time");
+    }
+}
+
+void
+Soak::check_version ()
+{
+  name_version (0);
+  std::string newest = std::to_string (adapter_version_);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kVersionBoundMs));
+  for (int i = 0; i < 6; i++)
+    {
+      std::string id = "version" + std::to_string (i);
+      send_call (site_.gateways[(size_t)(i % size_.gateways)],
+                 stream_call (id, "a0"));
+      for (auto &e : site_.engines)
+        for (const Message &request : e.target->requests ())
+          if (request.header ("x-knapweedbay-attempt-id") == id
+              && request.header ("x-knapweedbay-expect-version") != newest)
+            violate (id, "sent for an older version of its adapter");
+    }
+}
+
+void
+Soak::check_leaving ()
+{
+  site_.list_plain (1, "draining");
+  std::this_thread::sleep_for (std::chrono::milliseconds (kLeaveBoundMs));
+  for (int i = 0; i < 10; i++)
+    {
+      Call call;
+      call.id = "leaving" + std::to_string (i);
+      send_call (site_.gateways[(size_t)(i % size_.gateways)], call);
+      if (site_.plain[1]->runs_of (call.id) > 0)
+        violate (call.id, "went to a target that leaves");
+    }
+  site_.list_plain (1);
+}
+
+void
+Soak::check_graceful_stop ()
+{
+  for (auto &e : site_.engines)
+    e.target->event_ms = 60;
+  std::vector<std::future<Message>> streams;
+  for (int i = 0; i < 6; i++)
+    streams.push_back (std::async (std::launch::async, [this, i] {
+      return send_call (site_.gateways[0],
+                        stream_call ("stop" + std::to_string (i),
+                                     "a" + std::to_string (i % 3), false));
+    }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (250));
+  site_.stop (&site_.gateways[0].daemon, SIGTERM);
+  for (size_t i = 0; i < streams.size (); i++)
+    {
+      Message m = streams[i].get ();
+      if (m.status == 0 || !m.is_whole)
+        violate ("stop" + std::to_string (i), "cut by a graceful stop");
+    }
+}
+
+} // namespace relay
--- /dev/null
+++ b/test/soak/soak.h
@@ -0,0 +1,98 @@
+/// @file soak.h
+/// One soak run: the real daemons as separate processes on loopback, a plan of
+/// faults from outside them, callers that never stop, and checks of what
+/// callers and targets saw.
+#ifndef KB_TEST_SOAK_SOAK_H
+#define KB_TEST_SOAK_SOAK_H
+
+#include <future>
+
+#include "plan.h"
+#include "site.h"
+
+namespace relay
+{
+
+/// What a caller saw of one request.
+struct Record
+{
+  std::string id;
+  std::string adapter; ///< Empty: none.
+  bool is_stream = false;
+  bool may_repeat = false;
+  Message answer;
+};
+
+struct Violation
+{
+  std::string attempt_id; ///< Empty: of no single request.
+  std::string text;
+};
+
+struct SoakSize
+{
+  int engines = 3;
+  int plain = 2;
+  int gateways = 2;
+  int callers = 8;
+};
+
+class Soak
+{
+public:
+  Soak (uint64_t seed, int length_ms, const SoakSize &size = {});
+  /// @return  What was violated, in the order in which it was found.
+  const std::vector<Violation> &play ();
+  /// Seed, plan, first violation, and the log lines of its request.
+  std::string report () const;
+
+private:
+  // soak.cc
+  void inject ();
+  void begin (const Step &step);
+  void end (const Step &step);
+  void restart (Daemon &daemon, int signal);
+  void signal_to (Daemon &daemon, int signal);
+  void write_config ();
+  void name_version (int adapter);
+  void fail_target (const Step &step);
+  void restart_engine (int who);
+  void heal ();
+  void call_loop (int caller);
+  void probe_loop ();
+  Daemon &daemon_at (int who);
+  Target &target_at (int who);
+  Proxy &proxy_at (int who);
+
+  // checks.cc
+  void violate (const std::string &attempt_id, const std::string &text);
+  void check_record (const Record &record);
+  void check_stream (const Record &record);
+  void check_engines ();
+  void check_repeats ();
+  void check_recovery ();
+  void check_configuration ();
+  void check_version ();
+  void check_leaving ();
+  void check_graceful_stop ();
+
+  uint64_t seed_;
+  SoakSize size_;
+  std::vector<Step> plan_;
+  Proxies proxies_;
+  Site site_;
+  std::atomic<bool> is_done_{ false };
+  std::mutex mutex_; ///< Of all below.
+  std::vector<Record> records_;
+  std::vector<Violation> violations_;
+  std::set<Daemon *> restarting_;
+  std::vector<std::future<void>> restarts_;
+  std::string probe_routes_;
+  int config_version_ = 10;
+  int adapter_version_ = 1;
+  int incarnation_ = 0;
+};
+
+} // namespace relay
+
+#endif
