perf(admit): fetch lanes by how long fetches take

Cause: each sidecar had one fetch under way. Change: lanes.c opens one more lane after ten fetches at full speed, three at most, and closes a third of them when one is slowed. Ruled out: a fixed number (on the small sites the store is pressed, and three each made requests wait 1.2 s instead of 0.5 s).

--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -16,9 +16,6 @@
   FIRST_EVENT_MS = 120,
 };
 
-/// Fetch of an adapter from the weight store before one was measured.
-static const double LOAD_DEFAULT_MS = 250;
-static const double LOAD_WEIGHT = 0.2;
 /// Weight of a recent request against a waiting one when fetches are ordered.
 static const double HEAT_VALUE = 0.5;
 /// What a request that is late anyway counts against one in time. A fetch that
@@ -30,7 +27,8 @@
 void
 adm_table_init (adm_table_t *table, const adm_options_t *options)
 {
-  *table = (adm_table_t){ .options = *options, .load_ms = LOAD_DEFAULT_MS };
+  *table = (adm_table_t){ .options = *options };
+  lns_lanes_init (&table->lanes, options->max_cold);
   rdg_reading_init (&table->reading);
 }
 
@@ -143,22 +141,13 @@
          && adm_is_cold_load (adapter);
 }
 
-/// @return  Time until a fetch behind `ahead` others has arrived.
-static uint64_t
-turns_ms (const adm_table_t *table, uint32_t ahead)
-{
-  uint32_t lanes = table->options.max_cold > 0 ? table->options.max_cold : 1;
-  uint32_t turns = ahead / lanes + 1;
-  return (uint64_t)(turns * table->load_ms);
-}
-
 /// What a fetch of an adapter is worth: the requests that wait for it now, and
 /// those that will come while it is held.
 double
 adm_load_value (const adm_table_t *table, const adm_adapter_t *adapter,
                 uint64_t now_ms)
 {
-  bool is_timely = now_ms + (uint64_t)table->load_ms + FIRST_EVENT_MS
+  bool is_timely = now_ms + (uint64_t)table->lanes.fetch_ms + FIRST_EVENT_MS
                    <= adapter->objective_ms;
   return adapter->waiting * (is_timely ? 1 : LATE_VALUE)
          + HEAT_VALUE * adm_heat_at (adapter, now_ms);
@@ -186,7 +175,7 @@
        a = kb_map_next (&table->adapters, &at))
     ahead += waits_for_cold_load (a)
              && adm_load_value (table, a, now_ms) >= value;
-  return turns_ms (table, ahead);
+  return lns_wait_ms (&table->lanes, ahead);
 }
 
 uint64_t
@@ -197,7 +186,7 @@
   for (const adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
        a = kb_map_next (&table->adapters, &at))
     ahead += waits_for_cold_load (a) && adm_load_value (table, a, now_ms) >= 1;
-  return turns_ms (table, ahead);
+  return lns_wait_ms (&table->lanes, ahead);
 }
 
 void
@@ -356,9 +345,7 @@
   if (adapter->ordered_ms == 0)
     return;
   if (adapter->is_cold)
-    table->load_ms
-        += LOAD_WEIGHT
-           * ((double)(now_ms - adapter->ordered_ms) - table->load_ms);
+    lns_learn (&table->lanes, (double)(now_ms - adapter->ordered_ms));
   adapter->ordered_ms = 0;
 }
 
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/lanes.h"
 #include "coordination/reading.h"
 #include "state/buf.h"
 #include "state/map.h"
@@ -72,7 +73,7 @@
   uint32_t slots;
   uint32_t kv_tokens;
   uint32_t adapter_slots;
-  uint32_t max_cold;   ///< Adapters on their way from the weight store.
+  uint32_t max_cold;   ///< Most adapters on their way from the weight store.
   uint32_t max_coming; ///< All adapters on their way.
 } adm_options_t;
 
@@ -92,7 +93,7 @@
   uint32_t coming;
   uint32_t cold_coming;  ///< Of these, from the weight store.
   uint32_t cold_waiting; ///< Adapters asked for that wait for such a fetch.
-  double load_ms;        ///< Time of such a fetch, as measured.
+  lns_lanes_t lanes;     ///< For fetches from the weight store.
   uint64_t report_mark;
   uint64_t compare_mark;
   bool is_open; ///< The engine is up, holds its model and stays.
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -94,7 +94,7 @@
 has_load_lane (const adm_table_t *table, const adm_adapter_t *adapter)
 {
   return !adm_is_cold_load (adapter)
-         || table->cold_coming < table->options.max_cold;
+         || table->cold_coming < lns_count (&table->lanes);
 }
 
 /// The waiting adapter whose fetch serves most; one held before comes first,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -11,11 +11,10 @@
   GATEWAY_GONE_MS = 5000,
   DEFAULT_SLOTS = 16,
   DEFAULT_ADAPTER_SLOTS = 8,
-  /// An engine takes at most four adapters at one time. From the weight
-  /// store, which serves about one for each engine at full speed, one at a
-  /// time arrives sooner than several that share its rate.
+  /// An engine takes at most four adapters at one time; one place stays for an
+  /// adapter that it held before and has again in a tenth of the time.
   MAX_COMING = 4,
-  MAX_COLD = 1,
+  MAX_COLD = 3,
   EXIT_MS = 250,
 };
 
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -219,7 +219,7 @@
   log_str (&line, "id", attempt);
   log_text (&line, "reason", reason);
   log_int (&line, "wait_ms", (int64_t)wait_ms);
-  log_int (&line, "fetch_ms", (int64_t)s->table.load_ms);
+  log_int (&line, "fetch_ms", (int64_t)s->table.lanes.fetch_ms);
   log_int (&line, "fetches", s->table.coming);
   log_int (&line, "waiting", s->table.waiting);
   log_int (&line, "granted", s->table.granted);
@@ -260,7 +260,7 @@
       adm_adapter_asked (ask.adapter, now_ms);
       uint64_t limit_ms
           = given->objective_ms > 0 ? given->objective_ms : given->left_ms;
-      if (wait_ms > limit_ms && wait_ms > s->table.load_ms)
+      if (wait_ms > limit_ms && wait_ms > s->table.lanes.fetch_ms)
         {
           log_decline (s, given->attempt, "load_queue", wait_ms);
           scr_decline (s, peer, given->id, "load_queue", wait_ms);
--- a/test/unit/load_test.cc
+++ b/test/unit/load_test.cc
@@ -91,7 +91,7 @@
     options.slots = 128;
     options.kv_tokens = 190000;
     options.adapter_slots = 36;
-    options.max_cold = 1;
+    options.max_cold = 3;
     options.max_coming = 4;
     for (auto &e : engines_)
       {
@@ -467,8 +467,8 @@
           o.stall_s);
 }
 
-// Measured by this test: in time 0.402 plain and 0.914 ours, callers that left
-// 0.432 and 0.000, fetches 1,292 and 1,024. The assertions leave some room.
+// Measured by this test: in time 0.402 plain and 0.920 ours, callers that left
+// 0.432 and 0.000, fetches 1,292 and 1,020. The assertions leave some room.
 TEST (Load, CallersGetMoreThanFromThePlainVersion)
 {
   Outcome plain = Site (true).play ();
