test(platform,sidecar): two tests that fail without their guards

ATargetThatCameAndWentBetweenTwoReadsIsNotUsed and ARestartedSidecarKeeps- TheLimitsOfItsEngine pass without the guards they are for, because real processes rarely produce the order of events. They stay; DirectoryTest plays the batch itself, and sidecar_test speaks to a real sidecar as its gateway. Seen failing: with removals taken before entries, ATargetThatCameAndWentInOne- BatchIsGone; without the check for a configuration, OrdersNothingBeforeItKnows- TheLimits (8 loads, 8 adapters in 4 places).

--- /dev/null
+++ b/test/relay/sidecar_test.cc
@@ -0,0 +1,113 @@
+// A real sidecar before a stand-in of its engine, with this test as its
+// gateway: what comes in an order that real gateways rarely produce.
+#include <gtest/gtest.h>
+
+#include "site.h"
+
+extern "C"
+{
+#include "transport/link.h"
+}
+
+namespace relay
+{
+namespace
+{
+
+kb_slice_t
+slice (const std::string &text)
+{
+  return kb_slice_t{ text.data (), (uint32_t)text.size () };
+}
+
+class SidecarTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    peer = site.engines[0].ip + ":" + std::to_string (site.inner_port ());
+    uv_loop_init (&loop);
+    events.on_message = [] (lnk_link_t *its, kb_slice_t, const msg_t *msg) {
+      auto *test = (SidecarTest *)its->owner;
+      test->grants += msg->type == MSG_PLACE_GRANT;
+      test->is_heard = test->is_heard || msg->type == MSG_ENGINE_STATE;
+    };
+    lnk_options_t options = {};
+    options.name = "gateway";
+    kb_error_t error = {};
+    ASSERT_EQ (lnk_link_init (&link, &loop, &events, this, &options, &error),
+               KB_OK);
+    ASSERT_EQ (lnk_link_connect (&link, ("tcp://" + peer).c_str (), ""),
+               KB_OK);
+    msg_t hello = {};
+    hello.type = MSG_GATEWAY_STATE;
+    hello.gateway_state.incarnation = 1;
+    hello.gateway_state.engine_count = 1;
+    ASSERT_TRUE (run_until ([&] {
+      if (!is_heard)
+        lnk_link_send (&link, slice (peer), &hello);
+      return is_heard;
+    }));
+  }
+  bool
+  run_until (const std::function<bool ()> &condition, int timeout_ms = 5000)
+  {
+    return Site::wait_for (
+        [&] {
+          uv_run (&loop, UV_RUN_NOWAIT);
+          return condition ();
+        },
+        timeout_ms);
+  }
+  void
+  ask (uint64_t id, const std::string &adapter)
+  {
+    msg_t msg = {};
+    msg.type = MSG_PLACE_ASK;
+    msg.place_ask.id = id;
+    msg.place_ask.prompt_tokens = 50;
+    msg.place_ask.output_tokens = 10;
+    msg.place_ask.left_ms = 5000;
+    msg.place_ask.objective_ms = 4000;
+    msg.place_ask.model = slice ("m");
+    msg.place_ask.adapter = slice (adapter);
+    msg.place_ask.attempt = slice ("x");
+    lnk_link_send (&link, slice (peer), &msg);
+  }
+  Site site{ 1, 0, 0 };
+  std::string peer;
+  uv_loop_t loop;
+  lnk_events_t events = {};
+  lnk_link_t link = {};
+  bool is_heard = false;
+  int grants = 0;
+};
+
+// A sidecar restarts while callers wait, and a gateway's question overtakes
+// the configuration. It does not know yet how many adapters its engine has
+// room for; an engine that is ordered to hold more crashes, with all its
+// streams.
+TEST_F (SidecarTest, OrdersNothingBeforeItKnowsTheLimits)
+{
+  // Until the engine's first report every question is declined.
+  ASSERT_TRUE (run_until ([&] {
+    return !Site::log_lines (site.engines[0].sidecar,
+                             { "engine_condition", "\"to\":\"ready\"" })
+                .empty ();
+  }));
+  for (uint64_t id = 1; id <= 8; id++)
+    ask (id, "a" + std::to_string (id));
+  run_until ([] { return false; }, 600);
+  EXPECT_EQ (site.engines[0].target->loads (), 0);
+  msg_t document = {};
+  document.type = MSG_DOCUMENT;
+  document.document.revision = 1;
+  document.document.data = slice (site.config);
+  lnk_link_send (&link, slice (peer), &document);
+  EXPECT_TRUE (run_until ([&] { return grants >= 4; }));
+  EXPECT_LE (site.engines[0].target->most_held (), 4u);
+}
+
+} // namespace
+} // namespace relay
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -234,8 +234,7 @@
              "\"Service\":\"maps\",\"MaxAttempts\":"
            + std::to_string (attempts) + "}";
   };
-  put ("op/config",
-       "{\"Version\":" + std::to_string (version) + ",\"Routes\":["
+  config = "{\"Version\":" + std::to_string (version) + ",\"Routes\":["
            + stream_route ("resume", "true", 2, 1) + ","
            + stream_route ("once", "false", 1, 0) + ","
            + plain_route ("plain", "safe", 2) + ","
@@ -247,7 +246,8 @@
              "\"LoadsPerS\":4}},{\"Name\":\"maps\",\"HealthPath\":\"/health\","
              "\"MaxConns\":100}],\"Limits\":{\"MaxHeaderBytes\":4096,"
              "\"MaxBodyBytes\":65536,\"HeaderTimeoutMs\":600,"
-             "\"IdleTimeoutMs\":3000}}");
+             "\"IdleTimeoutMs\":3000}}";
+  put ("op/config", config);
 }
 
 void
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -81,8 +81,14 @@
   static std::vector<std::string>
   log_lines (const Daemon &daemon, const std::vector<std::string> &texts);
   int runs_of (const std::string &attempt_id);
+  int
+  inner_port () const
+  {
+    return inner_port_;
+  }
 
   std::string dir;
+  std::string config; ///< As it was written last.
   Store store;
   Store far_store; ///< The store as the last of several gateways sees it.
   std::vector<Engine> engines;
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 extern "C"
 {
@@ -341,4 +342,97 @@
   EXPECT_EQ (dir_target_pause_ms (60000), 1200u);
 }
 
+class DirectoryTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    uv_loop_init (&loop);
+    tmr_service_init (&timers, &loop);
+    pool.loop = &loop;
+    pool.timers = &timers;
+    sockaddr_in address = {};
+    dir_directory_init (&directory, &pool, &address, 2000);
+    events.on_target = [] (void *owner, const src_target_t *target) {
+      ((DirectoryTest *)owner)
+          ->told.push_back (std::string ("+") + target->id);
+    };
+    events.on_target_gone = [] (void *owner, kb_slice_t id) {
+      ((DirectoryTest *)owner)
+          ->told.push_back ("-" + std::string (id.ptr, id.len_bytes));
+    };
+    directory.events = &events;
+    directory.owner = this;
+  }
+  void
+  TearDown () override
+  {
+    for (auto &item : items)
+      kb_buf_finish (&item.value);
+    directory.source.vtable->stop (&directory.source);
+  }
+  void
+  change (const char *id, bool is_gone)
+  {
+    sto_item_t item = {};
+    snprintf (item.key, sizeof item.key, "servers/%s", id);
+    item.is_gone = is_gone;
+    if (!is_gone)
+      kb_buf_append_str (&item.value,
+                         "{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\","
+                         "\"Zone\":\"z\",\"Slots\":6}");
+    items.push_back (item);
+  }
+  void
+  take ()
+  {
+    sto_result_t changes = {};
+    changes.items = items.data ();
+    changes.item_count = (uint32_t)items.size ();
+    dir_take_target_changes (&directory, &changes);
+  }
+  uv_loop_t loop;
+  tmr_service_t timers;
+  xch_pool_t pool = {};
+  dir_directory_t directory;
+  src_events_t events = {};
+  std::vector<sto_item_t> items;
+  std::vector<std::string> told;
+};
+
+// A target that restarts twice within one pause of the list comes and goes in
+// one batch of changes. When removals were taken before entries it stayed
+// listed for good, and requests went to an address that another service used.
+TEST_F (DirectoryTest, ATargetThatCameAndWentInOneBatchIsGone)
+{
+  change ("i-1", false);
+  change ("i-1", true);
+  take ();
+  EXPECT_EQ (told, (std::vector<std::string>{ "+i-1", "-i-1" }));
+}
+
+TEST_F (DirectoryTest, ATargetThatWentAndCameInOneBatchIsListed)
+{
+  change ("i-1", false);
+  take ();
+  items[0].is_gone = true;
+  change ("i-1", false);
+  take ();
+  EXPECT_EQ (told, (std::vector<std::string>{ "+i-1", "+i-1" }));
+}
+
+// Entries that lapse together while the targets live are back within 2 s.
+TEST_F (DirectoryTest, ManyThatVanishTogetherAreKeptForAWhile)
+{
+  for (const char *id : { "i-1", "i-2", "i-3" })
+    change (id, false);
+  take ();
+  told.clear ();
+  for (auto &item : items)
+    item.is_gone = true;
+  take ();
+  EXPECT_TRUE (told.empty ());
+}
+
 } // namespace
