fix(gateway): keep to the route's timeout after a wait for the configuration

Cause: the limit of a request is armed when it arrives; one that came before the first configuration has no route yet, and kept the limit of its caller. Found by reading. Ruled out: routes that change under way (copied when the request is routed).

--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -266,14 +266,18 @@
     gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
 }
 
+static void
+request_arm_end (gtw_request_t *r)
+{
+  uint64_t left_ms
+      = gtw_left_ms (gtw_request_end_ms (r), gtw_now_ms (r->gateway));
+  tmr_after (&r->gateway->host.timers, &r->timer, left_ms, request_late, r);
+}
+
 void
 gtw_request_start (gtw_request_t *r)
 {
-  gtw_gateway_t *gateway = r->gateway;
-  uint64_t now_ms = gtw_now_ms (gateway);
-  uint64_t end_ms = gtw_request_end_ms (r);
-  tmr_after (&gateway->host.timers, &r->timer,
-             end_ms > now_ms ? end_ms - now_ms : 0, request_late, r);
+  request_arm_end (r);
   gtw_request_next (r);
 }
 
@@ -337,8 +341,12 @@
     }
   r->is_routed = request_route (r);
   if (!r->is_routed)
-    gtw_request_fail (r, HTTP_NOT_FOUND, "no route");
-  return r->is_routed;
+    {
+      gtw_request_fail (r, HTTP_NOT_FOUND, "no route");
+      return false;
+    }
+  request_arm_end (r);
+  return true;
 }
 
 void
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -320,6 +320,32 @@
   EXPECT_EQ (denied.status, 404);
 }
 
+// A request waits for the first configuration, and its target then hangs. Its
+// route allows 2 s; armed before the route was known, the limit was the 9 s
+// that the caller would have waited.
+TEST (Relay, ARequestThatWaitedKeepsToItsRoutesTimeout)
+{
+  Site site (0, 1);
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  site.store.set_mode (Store::BUSY);
+  site.start (&site.gateways[0].daemon);
+  ASSERT_TRUE (Site::wait_for (
+      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  std::thread store ([&] {
+    std::this_thread::sleep_for (std::chrono::milliseconds (200));
+    site.store.set_mode (Store::WELL);
+  });
+  site.plain[0]->fail_next ({ Fault::HANG });
+  Call call = plain_call ("w6", "/unsafe/x");
+  call.deadline_ms = 9000;
+  auto before = std::chrono::steady_clock::now ();
+  Message m = send_call (site.gateways[0], call);
+  auto took = std::chrono::steady_clock::now () - before;
+  store.join ();
+  EXPECT_EQ (m.status, 504);
+  EXPECT_LT (took, std::chrono::seconds (5));
+}
+
 TEST (Relay, CallersComeBackLateWhenTheEndOfAnOutageIsNotKnown)
 {
   Site site (0, 1);
