--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -320,6 +320,39 @@
   EXPECT_EQ (denied.status, 404);
 }
 
+// Requests without a route wait for the first configuration with all others.
+// Their 404 frees them, and the next request of the same connection took the
+// memory; what was still done for the first was done to the second: it was
+// sent twice, or the process crashed with all its streams.
+TEST (Relay, RequestsWithoutARouteThatWaitedAreDeniedOnce)
+{
+  constexpr int kConnections = 20;
+  Site site (0, 1);
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  site.store.set_mode (Store::BUSY);
+  site.start (&site.gateways[0].daemon);
+  ASSERT_TRUE (Site::wait_for (
+      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  std::vector<std::unique_ptr<Connection>> connections;
+  for (int i = 0; i < kConnections; i++)
+    {
+      std::string number = std::to_string (i);
+      connections.push_back (dial (site.gateways[0].address));
+      connections.back ()->write (
+          plain_call ("n" + number, "/other/x").text ()
+          + plain_call ("u" + number, "/unsafe/x").text ());
+    }
+  std::this_thread::sleep_for (std::chrono::milliseconds (150));
+  site.store.set_mode (Store::WELL);
+  for (int i = 0; i < kConnections; i++)
+    {
+      EXPECT_EQ (connections[(size_t)i]->read_answer ().status, 404) << i;
+      EXPECT_EQ (connections[(size_t)i]->read_answer ().status, 200) << i;
+      EXPECT_EQ (site.runs_of ("u" + std::to_string (i)), 1) << i;
+    }
+  EXPECT_EQ (site.ready_status (), 200);
+}
+
 // A request waits for the first configuration, and its target then hangs. Its
 // route allows 2 s; armed before the route was known, the limit was the 9 s
 // that the caller would have waited.
