--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -286,14 +286,21 @@
   EXPECT_EQ (m.header ("x-knapweedbay-server-seal"), "");
 }
 
-TEST (Relay, NoConfigurationIsNoReasonForNotFound)
+/// The gateway starts while the store is away: it has no configuration.
+void
+restart_without_store (Site &site)
 {
-  Site site (0, 1);
   site.stop (&site.gateways[0].daemon, SIGKILL);
   site.store.set_mode (Store::BUSY);
   site.start (&site.gateways[0].daemon);
   ASSERT_TRUE (Site::wait_for (
       [&] { return dial (site.gateways[0].address) != nullptr; }));
+}
+
+TEST (Relay, NoConfigurationIsNoReasonForNotFound)
+{
+  Site site (0, 1);
+  restart_without_store (site);
   EXPECT_EQ (send_call (site.gateways[0], plain_call ("x")).status, 503);
   EXPECT_EQ (site.ready_status (), 503);
 }
@@ -304,11 +311,7 @@
 TEST (Relay, RequestsWaitForTheFirstConfiguration)
 {
   Site site (0, 1);
-  site.stop (&site.gateways[0].daemon, SIGKILL);
-  site.store.set_mode (Store::BUSY);
-  site.start (&site.gateways[0].daemon);
-  ASSERT_TRUE (Site::wait_for (
-      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  restart_without_store (site);
   std::thread store ([&] {
     std::this_thread::sleep_for (std::chrono::milliseconds (200));
     site.store.set_mode (Store::WELL);
@@ -328,11 +331,7 @@
 {
   constexpr int kConnections = 20;
   Site site (0, 1);
-  site.stop (&site.gateways[0].daemon, SIGKILL);
-  site.store.set_mode (Store::BUSY);
-  site.start (&site.gateways[0].daemon);
-  ASSERT_TRUE (Site::wait_for (
-      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  restart_without_store (site);
   std::vector<std::unique_ptr<Connection>> connections;
   for (int i = 0; i < kConnections; i++)
     {
@@ -359,11 +358,7 @@
 TEST (Relay, ARequestThatWaitedKeepsToItsRoutesTimeout)
 {
   Site site (0, 1);
-  site.stop (&site.gateways[0].daemon, SIGKILL);
-  site.store.set_mode (Store::BUSY);
-  site.start (&site.gateways[0].daemon);
-  ASSERT_TRUE (Site::wait_for (
-      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  restart_without_store (site);
   std::thread store ([&] {
     std::this_thread::sleep_for (std::chrono::milliseconds (200));
     site.store.set_mode (Store::WELL);
@@ -382,11 +377,7 @@
 TEST (Relay, CallersComeBackLateWhenTheEndOfAnOutageIsNotKnown)
 {
   Site site (0, 1);
-  site.stop (&site.gateways[0].daemon, SIGKILL);
-  site.store.set_mode (Store::BUSY);
-  site.start (&site.gateways[0].daemon);
-  ASSERT_TRUE (Site::wait_for (
-      [&] { return dial (site.gateways[0].address) != nullptr; }));
+  restart_without_store (site);
   Call call = plain_call ("w5");
   call.deadline_ms = 9000;
   Message m = send_call (site.gateways[0], call);
