--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -364,11 +364,11 @@
 {
   gtw_request_t *r = x->owner;
   bool is_error = r->http_status >= HTTP_SERVER_ERROR;
-  bool may_repeat = r->kind == SVC_KIND_SAFE && r->runs < r->max_attempts
-                    && !r->is_head_written;
+  bool may_repeat
+      = is_idempotent (r) && r->runs < r->max_attempts && !r->is_head_written;
   if (is_error && may_repeat)
     {
-      // A target's own failure counts as run; a safe request may run again.
+      // A target's own failure counts as run; an idempotent one may run again.
       r->fate = GTW_MAY_HAVE_RUN;
       gtw_log_attempt (r, "attempt_failed", "target_error");
       gtw_target_note (r->gateway, r->target, false);
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -166,6 +166,38 @@
   EXPECT_GT (resumed, 0);
 }
 
+// Engines answer part of their streams with 500 while their reports look well.
+// A stream that may be resumed may run again from its beginning; its caller
+// got the 500 though another engine would have served it.
+TEST (Relay, AStreamThatAnEngineFailsRunsAtAnother)
+{
+  Site site (2, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  site.engines[0].target->fail_next (std::vector<Fault> (8, Fault::ERROR_500));
+  int failed = 0;
+  for (int i = 0; i < 8; i++)
+    {
+      std::string id = "g" + std::to_string (i);
+      Message m = send_call (site.gateways[0],
+                             stream_call (id, "a" + std::to_string (i)));
+      EXPECT_EQ (m.status, 200) << id;
+      EXPECT_EQ (event_ids (m.body), up_to (10)) << id;
+      failed += site.engines[0].target->runs_of (id);
+    }
+  EXPECT_GT (failed, 0);
+}
+
+TEST (Relay, AStreamThatMayNotRunTwiceGetsItsEnginesFailure)
+{
+  Site site (2, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  for (auto &e : site.engines)
+    e.target->fail_next ({ Fault::ERROR_500 });
+  Message m = send_call (site.gateways[0], stream_call ("h1", "a1", false));
+  EXPECT_EQ (m.status, 500);
+  EXPECT_EQ (site.runs_of ("h1"), 1);
+}
+
 TEST (Relay, AStreamThatMayNotRunTwiceIsCutNotRepeated)
 {
   Site site;
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -422,6 +422,18 @@
   EXPECT_EQ (told, (std::vector<std::string>{ "+i-1", "+i-1" }));
 }
 
+// Several targets are taken away at once, and their bound for leaving is
+// short. The time for which they are kept must fit in it, with the pause
+// before it.
+TEST_F (DirectoryTest, ManyThatVanishTogetherGoWithinTheirBound)
+{
+  EXPECT_EQ (dir_mass_return_ms (3000), 800u);
+  EXPECT_EQ (dir_mass_return_ms (2000), 800u);
+  for (uint64_t bound_ms : { 500, 1000, 1500, 2000 })
+    EXPECT_LE (dir_mass_return_ms (bound_ms) + dir_target_pause_ms (bound_ms),
+               bound_ms * 3 / 4);
+}
+
 // Entries that lapse together while the targets live are back within 2 s.
 TEST_F (DirectoryTest, ManyThatVanishTogetherAreKeptForAWhile)
 {
