--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -138,9 +138,9 @@
            == 200;
   }));
   EXPECT_TRUE (Site::wait_for ([&] {
-    return !Site::log_lines (
-                site.gateways[1].daemon,
-                { "config_in_force", "\"revision\":5", "127.0.1.1:" })
+    return !Site::log_lines (site.gateways[1].daemon,
+                             { "config_in_force", "\"revision\":5",
+                               site.engines[0].ip + ":" })
                 .empty ();
   }));
 }
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -13,6 +13,9 @@
 namespace relay
 {
 
+/// Last part of the first gateway's address; engines come before it.
+static constexpr int kGatewayHost = 200;
+
 static std::string
 binary ()
 {
@@ -21,6 +24,26 @@
          + "/knapweedbayd";
 }
 
+/// A port that is chosen for a daemon is free until another process takes it,
+/// and sites of several test programs run at one time. Each process has
+/// loopback addresses of its own, so that none can.
+/// @param net  0 for daemons and targets, 1 for proxies before them.
+static std::string
+own_ip (int net, int host)
+{
+  constexpr int kNets = 100;
+  int pid = getpid ();
+  return "127." + std::to_string (10 + net * kNets + pid / 256 % kNets) + "."
+         + std::to_string (pid % 256) + "." + std::to_string (host);
+}
+
+/// Address of the proxy before an engine's.
+static std::string
+outer_ip (const std::string &ip)
+{
+  return own_ip (1, atoi (ip.c_str () + ip.rfind ('.') + 1));
+}
+
 bool
 Site::wait_for (const std::function<bool ()> &condition, int timeout_ms)
 {
@@ -86,8 +109,7 @@
   if (!listed.empty ())
     return listed;
   // The agent is found at the listed IP number and the inner port.
-  std::string outer = ip;
-  outer.replace (0, 8, "127.0.2.");
+  std::string outer = outer_ip (ip);
   all.push_back (std::make_unique<Proxy> (outer, 0, ip,
                                           atoi (port_of (address).c_str ())));
   listed = outer + ":" + std::to_string (all.back ()->port ());
@@ -121,18 +143,16 @@
 {
   char pattern[] = "/tmp/kb-relay-XXXXXX";
   dir = mkdtemp (pattern);
-  inner_port_ = free_port ("127.0.1.1");
+  inner_port_ = free_port (own_ip (0, 1));
   write_config (1);
   for (int i = 0; i < engine_count; i++)
     {
       Engine e;
-      e.ip = "127.0.1." + std::to_string (i + 1);
+      e.ip = own_ip (0, i + 1);
       e.target
           = std::make_unique<Target> (e.ip, "i-e" + std::to_string (i), true);
       e.sidecar = make_daemon (dir, "sidecar" + std::to_string (i));
-      std::string advertised = e.ip;
-      if (proxies_ != nullptr)
-        advertised.replace (0, 8, "127.0.2.");
+      std::string advertised = proxies_ == nullptr ? e.ip : outer_ip (e.ip);
       write_settings (e.sidecar,
                       "\"role\":\"agent\",\"service\":\"models\","
                       "\"advertised_address\":\""
@@ -153,8 +173,9 @@
   for (int i = 0; i < gateway_count; i++)
     {
       Gateway g;
-      g.address = "127.0.0.1:" + std::to_string (free_port ("127.0.0.1"));
-      g.ready = "127.0.0.1:" + std::to_string (free_port ("127.0.0.1"));
+      std::string ip = own_ip (0, kGatewayHost + i);
+      g.address = ip + ":" + std::to_string (free_port (ip));
+      g.ready = ip + ":" + std::to_string (free_port (ip));
       g.daemon = make_daemon (dir, "gateway" + std::to_string (i));
       write_settings (g.daemon,
                       "\"role\":\"entry\",\"public_address\":\"" + g.address
