fix(test): the soak again asks that somebody was served

The rewritten soak had lost the check that at least one request was served whole; a run in which nobody is served holds every other promise.

--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -82,6 +82,17 @@
     violate (record.id, "half a body looks whole: " + m.body);
 }
 
+/// A run in which nobody was served would hold every other promise.
+void
+Soak::check_served ()
+{
+  for (const auto &record : records_)
+    if (record.answer.status == 200 && record.answer.is_whole)
+      return;
+  violate ("", "none of " + std::to_string (records_.size ())
+                   + " requests was served whole");
+}
+
 void
 Soak::check_stream (const Record &record)
 {
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -69,6 +69,7 @@
   is_done_ = true;
   for (auto &thread : threads)
     thread.join ();
+  check_served ();
   for (const auto &record : records_)
     check_record (record);
   check_engines ();
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -66,6 +66,7 @@
 
   // checks.cc
   void violate (const std::string &attempt_id, const std::string &text);
+  void check_served ();
   void check_record (const Record &record);
   void check_stream (const Record &record);
   void check_engines ();
