--- /dev/null
+++ b/test/unit/service_test.cc
@@ -0,0 +1,54 @@
+// What a configuration says of a service, as values.
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "state/service.h"
+}
+
+namespace
+{
+
+svc_service_t
+engine_service (uint32_t slots, double memory_mb, double model_mb,
+                double adapter_mb)
+{
+  svc_service_t service = {};
+  service.is_engine = true;
+  service.adapter_slots = slots;
+  service.memory_mb = memory_mb;
+  service.model_count = 1;
+  service.models[0].size_mb = model_mb;
+  service.models[0].adapter_size_mb = adapter_mb;
+  return service;
+}
+
+// A user sees streams break off whenever many adapters are in demand. The
+// configuration grants an engine 60 adapter slots, but 900 MB beside its
+// model; the 46th adapter of 20 MB is ordered, the engine runs out of memory
+// and crashes. Cause: only the slots were counted.
+TEST (Service, MemoryBoundsTheAdaptersOfAnEngine)
+{
+  svc_service_t service = engine_service (60, 17000, 16100, 20);
+  EXPECT_EQ (svc_service_adapter_places (&service), 45u);
+}
+
+TEST (Service, SlotsBoundTheAdaptersWhereMemoryIsPlenty)
+{
+  svc_service_t service = engine_service (6, 35200, 34300, 40);
+  EXPECT_EQ (svc_service_adapter_places (&service), 6u);
+}
+
+TEST (Service, AModelThatFillsTheMemoryLeavesNoPlace)
+{
+  svc_service_t service = engine_service (6, 34000, 34300, 40);
+  EXPECT_EQ (svc_service_adapter_places (&service), 0u);
+}
+
+TEST (Service, WithoutSizesTheSlotsCount)
+{
+  svc_service_t service = engine_service (6, 0, 0, 0);
+  EXPECT_EQ (svc_service_adapter_places (&service), 6u);
+}
+
+} // namespace
