--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -76,6 +76,8 @@
     return "engine_closed";
   if (now_ms + LEAST_RUN_MS >= ask->due_ms)
     return "no_time_left";
+  if (ask->adapter != NULL && table->options.adapter_slots == 0)
+    return "no_adapter_room";
   return is_stale_in_use (ask->adapter) ? "version_changes" : NULL;
 }
 
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -30,8 +30,9 @@
     return;
   s->table.options.slots = service->slots;
   s->table.options.kv_tokens = service->kv_tokens;
-  if (service->adapter_slots > 0)
-    s->table.options.adapter_slots = service->adapter_slots;
+  // An engine that is ordered to hold more than its slots or its memory
+  // crashes, and with it all that it runs.
+  s->table.options.adapter_slots = svc_service_adapter_places (service);
 }
 
 static void
--- a/src/state/service.c
+++ b/src/state/service.c
@@ -133,3 +133,18 @@
       return &config->services[i];
   return NULL;
 }
+
+uint32_t
+svc_service_adapter_places (const svc_service_t *service)
+{
+  uint32_t places = service->adapter_slots;
+  if (service->model_count == 0)
+    return places;
+  const svc_model_t *model = &service->models[0];
+  // Zero: the configuration does not bound the memory.
+  if (service->memory_mb <= 0 || model->adapter_size_mb <= 0)
+    return places;
+  double room_mb = service->memory_mb - model->size_mb;
+  double fitting = room_mb > 0 ? room_mb / model->adapter_size_mb : 0;
+  return fitting < places ? (uint32_t)fitting : places;
+}
--- a/src/state/service.h
+++ b/src/state/service.h
@@ -101,5 +101,8 @@
 const char *svc_route_pick (const svc_route_t *route, uint64_t draw);
 const svc_service_t *svc_service_find (const svc_config_t *config,
                                        const char *name);
+/// @return  Adapters of its first model that an engine of the service may hold
+///          beside that model: as many as it has slots and memory for.
+uint32_t svc_service_adapter_places (const svc_service_t *service);
 
 #endif
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -349,6 +349,17 @@
   EXPECT_EQ (table.waiting_cost, 0);
 }
 
+// A model that fills its engine leaves no place for an adapter. A caller that
+// asks for one would wait until its patience ends for what can not come.
+TEST_F (AdmitTest, WithoutPlacesForAdaptersRequestsAreDeclinedAtOnce)
+{
+  table.options.adapter_slots = 0;
+  ask (1, "m/a");
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_DO_DECLINE);
+  EXPECT_STREQ (action.reason, "no_adapter_room");
+}
+
 TEST_F (AdmitTest, ARepeatedIdIsIgnored)
 {
   EXPECT_NE (ask (1, ""), nullptr);
