--- /dev/null
+++ b/src/coordination/rto.c
@@ -0,0 +1,59 @@
+#include "coordination/rto.h"
+
+#include <math.h>
+
+/// Weights of RFC 6298: an eighth for the mean, a quarter for the deviation,
+/// of which the timeout is four above the mean.
+static const double MEAN_WEIGHT = 0.125;
+static const double DEVIATION_WEIGHT = 0.25;
+static const double DEVIATIONS = 4;
+
+enum
+{
+  /// An answer that is lost says nothing of the time that answers take; from
+  /// the third lost one in a row on the peer is taken to have become slower.
+  UNANSWERED_FREE = 2,
+};
+
+void
+rto_init (rto_timeout_t *timeout, uint32_t least_ms, uint32_t most_ms)
+{
+  *timeout = (rto_timeout_t){ .least_ms = least_ms, .most_ms = most_ms };
+}
+
+void
+rto_answered (rto_timeout_t *timeout, uint64_t took_ms)
+{
+  double took = (double)took_ms;
+  timeout->unanswered = 0;
+  if (timeout->mean_ms <= 0)
+    {
+      timeout->mean_ms = took > 0 ? took : 1;
+      timeout->deviation_ms = took / 2;
+      return;
+    }
+  timeout->deviation_ms
+      += DEVIATION_WEIGHT
+         * (fabs (took - timeout->mean_ms) - timeout->deviation_ms);
+  timeout->mean_ms += MEAN_WEIGHT * (took - timeout->mean_ms);
+}
+
+void
+rto_unanswered (rto_timeout_t *timeout)
+{
+  timeout->unanswered++;
+}
+
+uint32_t
+rto_ms (const rto_timeout_t *timeout)
+{
+  if (timeout->mean_ms <= 0)
+    return timeout->most_ms;
+  double ms = timeout->mean_ms + DEVIATIONS * timeout->deviation_ms;
+  if (ms < timeout->least_ms)
+    ms = timeout->least_ms;
+  for (uint32_t i = UNANSWERED_FREE;
+       i < timeout->unanswered && ms < timeout->most_ms; i++)
+    ms *= 2;
+  return ms < timeout->most_ms ? (uint32_t)ms : timeout->most_ms;
+}
--- a/src/sidecar/engine.h
+++ b/src/sidecar/engine.h
@@ -62,6 +62,7 @@
   uint32_t version;      ///< Of the adapter; zero: the newest.
   uint64_t expected_seq; ///< The order is void at any other.
   const char *instance;  ///< Incarnation that it is for, or "".
+  uint32_t timeout_ms;   ///< Without an answer by then its end is unknown.
 } egn_order_t;
 
 typedef enum
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -16,6 +16,10 @@
   MAX_COMING = 4,
   MAX_COLD = 3,
   EXIT_MS = 250,
+  /// An order is answered within a millisecond or two, or, when its answer is
+  /// lost, never. The longest leaves room for a VM whose processor is starved.
+  ORDER_TIMEOUT_LEAST_MS = 30,
+  ORDER_TIMEOUT_MOST_MS = 400,
 };
 
 /// Forget gateways that fell silent, and say that this process lives.
@@ -105,6 +109,7 @@
                             .max_cold = MAX_COLD,
                             .max_coming = MAX_COMING };
   adm_table_init (&s->table, &options);
+  rto_init (&s->order_timeout, ORDER_TIMEOUT_LEAST_MS, ORDER_TIMEOUT_MOST_MS);
   // Gateways know a sidecar by the address of its VM alone.
   char link_name[SET_TEXT_BYTES + 16];
   bool is_advertised = settings->advertised_address[0] != '\0';
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -4,6 +4,7 @@
 #define KB_SIDECAR_SIDECAR_DEFS_H
 
 #include "coordination/admit.h"
+#include "coordination/rto.h"
 #include "relay/host.h"
 #include "relay/versions.h"
 #include "sidecar/sidecar.h"
@@ -56,6 +57,8 @@
   /// The order under way.
   adm_kind_t order_kind;
   uint64_t order_adapter; ///< Key; zero: the model.
+  uint64_t ordered_ms;
+  rto_timeout_t order_timeout;
   bool is_state_due;
   uint64_t told_ms;
   tmr_sub_t poll_timer;
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -24,6 +24,8 @@
   PACE_MS = 10,
 };
 
+static void order_done (void *arg, egn_order_end_t end);
+
 static const char *
 order_end_name (egn_order_end_t end)
 {
@@ -48,11 +50,36 @@
   log_end (&line);
 }
 
+/// Learn how long answers take. An order whose answer is lost holds all later
+/// ones back until its timeout: with 400 ms always and a third of the answers
+/// lost, an engine brought one adapter a second instead of three.
+static void
+note_order_time (scr_sidecar_t *s, egn_order_end_t end)
+{
+  if (end == EGN_ORDER_UNKNOWN)
+    rto_unanswered (&s->order_timeout);
+  else if (end != EGN_ORDER_NOT_SENT)
+    rto_answered (&s->order_timeout, scr_now_ms (s) - s->ordered_ms);
+}
+
+/// Give an order; one at a time.
+static void
+give_order (scr_sidecar_t *s, egn_order_t *order)
+{
+  order->expected_seq = s->seq;
+  order->instance = s->instance;
+  order->timeout_ms = rto_ms (&s->order_timeout);
+  s->ordered_ms = scr_now_ms (s);
+  s->is_calling = true;
+  s->engine->vtable->order (s->engine, order, order_done, s);
+}
+
 static void
 order_done (void *arg, egn_order_end_t end)
 {
   scr_sidecar_t *s = arg;
   s->is_calling = false;
+  note_order_time (s, end);
   adm_adapter_t *adapter = kb_map_get (&s->table.adapters, s->order_adapter);
   log_order (s, adapter, end);
   bool is_done = end == EGN_ORDER_ACCEPTED || end == EGN_ORDER_HOLDS;
@@ -63,6 +90,10 @@
   // ends, which the report tells. An engine that is ordered to hold more than
   // it has room for crashes.
   bool is_pending = !is_done || (is_unload && end == EGN_ORDER_ACCEPTED);
+  // The report that follows tells whether an order without an answer was
+  // accepted; if not, it is given again at once.
+  if (end == EGN_ORDER_UNKNOWN)
+    adapter = NULL;
   if (adapter != NULL && is_pending)
     adm_order_pending (adapter, scr_now_ms (s));
   else if (adapter != NULL && is_unload)
@@ -94,17 +125,14 @@
   egn_order_t order = { .is_load = kind == ADM_DO_LOAD,
                         .model = model,
                         .adapter = slash + 1,
-                        .version = kind == ADM_DO_LOAD ? adapter->wanted : 0,
-                        .expected_seq = s->seq,
-                        .instance = s->instance };
+                        .version = kind == ADM_DO_LOAD ? adapter->wanted : 0 };
   s->order_kind = kind;
   s->order_adapter = adapter->key;
-  s->is_calling = true;
   if (kind == ADM_DO_LOAD)
     MET_INC ("knapweedbay_orders_total", "operation=\"load\"");
   else
     MET_INC ("knapweedbay_orders_total", "operation=\"unload\"");
-  s->engine->vtable->order (s->engine, &order, order_done, s);
+  give_order (s, &order);
 }
 
 static void
@@ -193,13 +221,9 @@
   s->model_ordered_ms = now_ms;
   s->order_kind = ADM_DO_LOAD;
   s->order_adapter = 0;
-  s->is_calling = true;
-  egn_order_t order = { .is_load = true,
-                        .model = model,
-                        .expected_seq = s->seq,
-                        .instance = s->instance };
+  egn_order_t order = { .is_load = true, .model = model };
   MET_INC ("knapweedbay_orders_total", "operation=\"load_model\"");
-  s->engine->vtable->order (s->engine, &order, order_done, s);
+  give_order (s, &order);
 }
 
 static void
