perf(pace): give prompts out at a pace learned from event gaps

One rule fits all three: the mean gap at full pace is a third of the accepted pause; each agent learns the gap from the streams that end.

--- a/src/coordination/reading.c
+++ b/src/coordination/reading.c
@@ -27,11 +27,6 @@
 /// widely.
 static const double PRIOR_TOKENS = 1000;
 static const double PRIOR_FIXED_MS = 50;
-/// Part of the reading rate that is given out. The rest of each step goes to
-/// the next tokens of streams: at 0.8 and more their events come late on the
-/// engines that pack seven or eight tokens into one, at 0.5 prompts wait for
-/// an engine that has time (docs/design/admission-and-placing.md).
-static const double GIVEN_PART = 0.65;
 
 void
 rdg_reading_init (rdg_reading_t *reading)
@@ -44,6 +39,7 @@
         .covariance = PRIOR_TOKENS * PRIOR_TOKENS / RATE_DEFAULT },
     .tokens_per_ms = RATE_DEFAULT,
   };
+  pce_pace_init (&reading->pace);
 }
 
 double
@@ -56,7 +52,7 @@
 double
 rdg_left (const rdg_reading_t *reading, uint64_t now_ms)
 {
-  double read = GIVEN_PART * reading->tokens_per_ms
+  double read = pce_part (&reading->pace) * reading->tokens_per_ms
                 * (double)(now_ms - reading->given_ms);
   return read < reading->given_tokens ? reading->given_tokens - read : 0;
 }
@@ -73,6 +69,7 @@
 {
   reading->given_tokens = rdg_left (reading, now_ms) + cost;
   reading->given_ms = now_ms;
+  pce_note_reading (&reading->pace, cost / reading->tokens_per_ms, now_ms);
   return reading->given_tokens;
 }
 
--- a/src/coordination/reading.h
+++ b/src/coordination/reading.h
@@ -7,6 +7,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/pace.h"
+
 /// Weighted regression of the time to a first event on the tokens read before
 /// it. The slope is the reading rate; the rest, which may be as long as the
 /// reading, is the same for every prompt.
@@ -24,6 +26,7 @@
   double tokens_per_ms; ///< As measured.
   double given_tokens;  ///< Given out and left to read at `given_ms`.
   uint64_t given_ms;
+  pce_pace_t pace;
 } rdg_reading_t;
 
 void rdg_reading_init (rdg_reading_t *reading);
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -202,6 +202,7 @@
 {
   size_t at = 0;
   size_t from = 0;
+  uint32_t events = 0;
   for (;;)
     {
       size_t len = event_length (r->held.ptr + at, r->held.len_bytes - at);
@@ -220,6 +221,7 @@
           from = at;
           continue;
         }
+      events++;
       if (has_id)
         {
           r->has_event = true;
@@ -235,8 +237,12 @@
       r->is_begun = true;
       if (r->first_event_ms == 0)
         r->first_event_ms = now_ms;
-      else if (now_ms - r->passed_ms > r->longest_gap_ms)
-        note_gap (r, now_ms - r->passed_ms);
+      else
+        {
+          r->gap_count += events;
+          if (now_ms - r->passed_ms > r->longest_gap_ms)
+            note_gap (r, now_ms - r->passed_ms);
+        }
       r->passed_ms = now_ms;
       pass (r, (kb_slice_t){ r->held.ptr + from, (uint32_t)(at - from) });
       arm_silence (r);
@@ -355,6 +361,7 @@
   gtw_target_note (r->gateway, r->target, r->http_status < HTTP_SERVER_ERROR);
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
   gtw_request_log (r, "answered", r->http_status);
+  r->is_whole = true;
   gtw_request_end (r);
   gtw_client_answered (client, true);
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -140,6 +140,8 @@
   uint64_t first_event_ms;
   uint64_t passed_ms;      ///< When events were last passed on.
   uint64_t longest_gap_ms; ///< Between events, for the log.
+  uint32_t gap_count;      ///< Events after those that came first.
+  bool is_whole;           ///< All of the answer was passed on.
   uint64_t retry_after_ms; ///< Longest that a target asked for.
   const char *reason;      ///< Of the last failure.
 };
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -18,6 +18,11 @@
   kb_map_remove (&r->gateway->places, r->place_id);
   msg_t msg
       = { .type = MSG_PLACE_RELEASE, .place_release = { .id = r->place_id } };
+  if (r->is_whole && r->sends == 1)
+    {
+      msg.place_release.gaps = r->gap_count;
+      msg.place_release.gaps_ms = r->passed_ms - r->first_event_ms;
+    }
   // A sidecar that can not be reached forgets the place with this gateway.
   if (r->target != NULL)
     hst_send (&r->gateway->host, r->target->link, &msg);
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -140,7 +140,10 @@
       3,
       { N (place_decline, id), N (place_decline, retry_after_ms),
         S (place_decline, reason) } },
-  [MSG_PLACE_RELEASE] = { "place_release", 1, { N (place_release, id) } },
+  [MSG_PLACE_RELEASE] = { "place_release",
+                          3,
+                          { N (place_release, id), N (place_release, gaps),
+                            N (place_release, gaps_ms) } },
   [MSG_PLACE_BEGUN] = { "place_begun", 1, { N (place_begun, id) } },
   [MSG_DOCUMENT]
   = { "document", 2, { N (document, revision), S (document, data) } },
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -376,6 +376,8 @@
 typedef struct
 {
   uint64_t id;
+  uint64_t gaps;    ///< Between events of its stream; zero: not whole.
+  uint64_t gaps_ms; ///< From its first event to its last.
 } msg_place_release_t;
 
 /// The first event came: the prompt is read.
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -33,6 +33,8 @@
   // An engine that is ordered to hold more than its slots or its memory
   // crashes, and with it all that it runs.
   s->table.options.adapter_slots = svc_service_adapter_places (service);
+  pce_accept (&s->table.reading.pace,
+              svc_service_gap_target_ms (s->config, service->name));
 }
 
 static void
@@ -274,11 +276,14 @@
 }
 
 static void
-take_release (scr_sidecar_t *s, kb_slice_t peer, uint64_t id)
+take_release (scr_sidecar_t *s, kb_slice_t peer,
+              const msg_place_release_t *given)
 {
-  adm_ask_t *ask = adm_ask_find (&s->table, scr_name_id (peer), id);
+  adm_ask_t *ask = adm_ask_find (&s->table, scr_name_id (peer), given->id);
   if (ask == NULL)
     return;
+  pce_note_stream (&s->table.reading.pace, (uint32_t)given->gaps,
+                   given->gaps_ms, scr_now_ms (s));
   adm_ask_remove (&s->table, ask);
   scr_pump (s);
 }
@@ -306,7 +311,7 @@
       take_ask (s, peer, &msg->place_ask);
       break;
     case MSG_PLACE_RELEASE:
-      take_release (s, peer, msg->place_release.id);
+      take_release (s, peer, &msg->place_release);
       break;
     case MSG_PLACE_BEGUN:
       take_begun (s, peer, msg->place_begun.id);
--- a/src/state/service.c
+++ b/src/state/service.c
@@ -148,3 +148,28 @@
   double fitting = room_mb > 0 ? room_mb / model->adapter_size_mb : 0;
   return fitting < places ? (uint32_t)fitting : places;
 }
+
+static bool
+route_leads_to (const svc_route_t *route, const char *service)
+{
+  for (uint32_t i = 0; i < route->share_count; i++)
+    if (strcmp (route->shares[i].service, service) == 0)
+      return true;
+  return false;
+}
+
+uint32_t
+svc_service_gap_target_ms (const svc_config_t *config, const char *service)
+{
+  uint32_t least_ms = 0;
+  for (uint32_t i = 0; i < config->route_count; i++)
+    {
+      const svc_route_t *route = &config->routes[i];
+      uint32_t target_ms = route->gap_target_ms;
+      if (target_ms == 0 || !route_leads_to (route, service))
+        continue;
+      if (least_ms == 0 || target_ms < least_ms)
+        least_ms = target_ms;
+    }
+  return least_ms;
+}
--- a/src/state/service.h
+++ b/src/state/service.h
@@ -41,6 +41,7 @@
   uint32_t max_attempts; ///< Targets that one request may be sent to.
   uint32_t priority;     ///< Lower is more urgent.
   bool is_resumable;
+  uint32_t gap_target_ms; ///< Longest pause between events; zero: not said.
   svc_share_t shares[SVC_MAX_SPLIT];
   uint32_t share_count;
 } svc_route_t;
@@ -104,5 +105,9 @@
 /// @return  Adapters of its first model that an engine of the service may hold
 ///          beside that model: as many as it has slots and memory for.
 uint32_t svc_service_adapter_places (const svc_service_t *service);
+/// @return  Longest pause between two events that all callers of a service
+///          accept; zero when no route says.
+uint32_t svc_service_gap_target_ms (const svc_config_t *config,
+                                    const char *service);
 
 #endif
--- a/test/unit/service_test.cc
+++ b/test/unit/service_test.cc
@@ -51,4 +51,23 @@
   EXPECT_EQ (svc_service_adapter_places (&service), 6u);
 }
 
+TEST (Service, TheShortestPauseThatCallersAcceptCounts)
+{
+  svc_route_t routes[3] = {};
+  char engines[] = "engines";
+  char plain[] = "plain";
+  uint32_t targets_ms[] = { 400, 300, 0 };
+  for (int i = 0; i < 3; i++)
+    {
+      routes[i].share_count = 1;
+      routes[i].shares[0].service = engines;
+      routes[i].gap_target_ms = targets_ms[i];
+    }
+  svc_config_t config = {};
+  config.routes = routes;
+  config.route_count = 3;
+  EXPECT_EQ (svc_service_gap_target_ms (&config, engines), 300u);
+  EXPECT_EQ (svc_service_gap_target_ms (&config, plain), 0u);
+}
+
 } // namespace
