--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -163,6 +163,23 @@
   adapter->used_ms = now_ms;
 }
 
+/// Adapters whose fetch would begin before one of this value.
+static uint32_t
+fetches_ahead (const adm_table_t *table, double value, uint64_t now_ms)
+{
+  double ahead = table->cold_coming;
+  // Each of an adapter's requests counts its part: thousands of adapters are
+  // remembered, of which few wait.
+  for (const adm_ask_t *ask = table->first; ask != NULL; ask = ask->next)
+    {
+      const adm_adapter_t *a = ask->adapter;
+      if (a != NULL && waits_for_cold_load (a)
+          && adm_load_value (table, a, now_ms) >= value)
+        ahead += 1.0 / a->waiting;
+    }
+  return (uint32_t)(ahead + 0.5);
+}
+
 uint64_t
 adm_load_wait_ms (const adm_table_t *table, const adm_adapter_t *adapter,
                   uint64_t now_ms)
@@ -170,25 +187,14 @@
   if (adm_adapter_is_fit (adapter) || adapter->waiting > 0
       || adapter->state == ADM_COMING || !adm_is_cold_load (adapter))
     return 0;
-  uint32_t ahead = table->cold_coming;
   double value = adm_load_value (table, adapter, now_ms) + 1;
-  uint32_t at = 0;
-  for (const adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
-       a = kb_map_next (&table->adapters, &at))
-    ahead += waits_for_cold_load (a)
-             && adm_load_value (table, a, now_ms) >= value;
-  return lns_wait_ms (&table->lanes, ahead);
+  return lns_wait_ms (&table->lanes, fetches_ahead (table, value, now_ms));
 }
 
 uint64_t
 adm_new_load_wait_ms (const adm_table_t *table, uint64_t now_ms)
 {
-  uint32_t ahead = table->cold_coming;
-  uint32_t at = 0;
-  for (const adm_adapter_t *a = kb_map_next (&table->adapters, &at); a != NULL;
-       a = kb_map_next (&table->adapters, &at))
-    ahead += waits_for_cold_load (a) && adm_load_value (table, a, now_ms) >= 1;
-  return lns_wait_ms (&table->lanes, ahead);
+  return lns_wait_ms (&table->lanes, fetches_ahead (table, 1, now_ms));
 }
 
 void
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -144,10 +144,20 @@
 /// @return  Time until an adapter asked for now would be held, milliseconds.
 uint64_t adm_load_wait_ms (const adm_table_t *table,
                            const adm_adapter_t *adapter, uint64_t now_ms);
-/// @return  Predicted time to the first event of a request that arrives now,
-///          milliseconds.
-uint64_t adm_first_event_ms (const adm_table_t *table, const adm_ask_t *ask,
+/// What a request that arrives now has to expect.
+typedef struct
+{
+  uint64_t load_ms;  ///< Until its adapter is held.
+  uint64_t first_ms; ///< Until its first event.
+} adm_forecast_t;
+
+adm_forecast_t adm_forecast (const adm_table_t *table, const adm_ask_t *ask,
                              uint64_t now_ms);
+/// Why a request that arrives now is to be declined at once: it would wait for
+/// a fetch until it is late, or be late while others have taken everything.
+/// @return  NULL when it is to wait here.
+const char *adm_refusal (const adm_table_t *table, const adm_ask_t *ask,
+                         const adm_forecast_t *forecast, uint64_t now_ms);
 /// @return  Whether requests in time have taken all there was for a while, so
 ///          that none is left for late ones.
 bool adm_is_pressed (const adm_table_t *table, uint64_t now_ms);
--- a/src/coordination/admit_forecast.c
+++ b/src/coordination/admit_forecast.c
@@ -1,6 +1,8 @@
 /// @file admit_forecast.c
 /// What a sidecar expects: when a request's first event would come, whether it
 /// can be in time, and whether there is capacity for late ones.
+#include <math.h>
+
 #include "coordination/admit_defs.h"
 
 enum
@@ -92,27 +94,39 @@
     {
       double freed_per_ms = (double)table->granted_tokens / table->held_for_ms;
       double memory_ms = over / freed_per_ms;
-      wait_ms = memory_ms > wait_ms ? memory_ms : wait_ms;
+      wait_ms = fmax (wait_ms, memory_ms);
     }
   return wait_ms;
 }
 
-uint64_t
-adm_first_event_ms (const adm_table_t *table, const adm_ask_t *ask,
-                    uint64_t now_ms)
+adm_forecast_t
+adm_forecast (const adm_table_t *table, const adm_ask_t *ask, uint64_t now_ms)
 {
+  adm_forecast_t forecast = { 0 };
+  if (ask->adapter != NULL)
+    forecast.load_ms = adm_load_wait_ms (table, ask->adapter, now_ms);
   double rate = table->reading.tokens_per_ms;
   double pace = rate * pce_part (&table->reading.pace);
   double wait_ms = cost_ahead (table, ask, now_ms) / pace;
-  double place_ms = place_wait_ms (table, ask);
-  if (place_ms > wait_ms)
-    wait_ms = place_ms;
-  if (ask->adapter != NULL)
-    {
-      double load_ms = (double)adm_load_wait_ms (table, ask->adapter, now_ms);
-      if (load_ms > wait_ms)
-        wait_ms = load_ms;
-    }
-  return (uint64_t)(wait_ms + rdg_cost (ask->prompt_tokens) / rate)
-         + FIRST_EVENT_MS;
+  wait_ms = fmax (wait_ms, place_wait_ms (table, ask));
+  wait_ms = fmax (wait_ms, (double)forecast.load_ms);
+  wait_ms += rdg_cost (ask->prompt_tokens) / rate;
+  forecast.first_ms = (uint64_t)wait_ms + FIRST_EVENT_MS;
+  return forecast;
+}
+
+const char *
+adm_refusal (const adm_table_t *table, const adm_ask_t *ask,
+             const adm_forecast_t *forecast, uint64_t now_ms)
+{
+  bool can_be_timely = ask->objective_ms > now_ms;
+  uint64_t limit_ms = (can_be_timely ? ask->objective_ms : ask->due_ms);
+  limit_ms = limit_ms > now_ms ? limit_ms - now_ms : 0;
+  if (forecast->load_ms > limit_ms
+      && forecast->load_ms > (uint64_t)table->lanes.fetch_ms)
+    return "load_queue";
+  if (can_be_timely && forecast->first_ms > limit_ms
+      && adm_is_pressed (table, now_ms))
+    return "late_under_load";
+  return NULL;
 }
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -259,23 +259,15 @@
       adm_adapter_want (ask.adapter, (uint32_t)given->version);
       if (!adm_adapter_is_fit (ask.adapter))
         ask.load_from_ms = now_ms;
-      uint64_t wait_ms = adm_load_wait_ms (&s->table, ask.adapter, now_ms);
-      adm_adapter_asked (ask.adapter, now_ms);
-      uint64_t limit_ms
-          = given->objective_ms > 0 ? given->objective_ms : given->left_ms;
-      if (wait_ms > limit_ms && wait_ms > s->table.lanes.fetch_ms)
-        {
-          log_decline (s, given->attempt, "load_queue", wait_ms);
-          scr_decline (s, peer, given->id, "load_queue", wait_ms);
-          return;
-        }
     }
-  uint64_t first_ms = adm_first_event_ms (&s->table, &ask, now_ms);
-  if (given->objective_ms > 0 && now_ms + first_ms > ask.objective_ms
-      && adm_is_pressed (&s->table, now_ms))
+  adm_forecast_t forecast = adm_forecast (&s->table, &ask, now_ms);
+  const char *reason = adm_refusal (&s->table, &ask, &forecast, now_ms);
+  if (ask.adapter != NULL)
+    adm_adapter_asked (ask.adapter, now_ms);
+  if (reason != NULL)
     {
-      log_decline (s, given->attempt, "late_under_load", first_ms);
-      scr_decline (s, peer, given->id, "late_under_load", first_ms);
+      log_decline (s, given->attempt, reason, forecast.first_ms);
+      scr_decline (s, peer, given->id, reason, forecast.first_ms);
       return;
     }
   if (adm_ask_add (&s->table, &ask) == NULL)
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -425,16 +425,16 @@
   probe.prompt_tokens = 350;
   probe.priority = 1;
   probe.objective_ms = 800;
-  uint64_t alone_ms = adm_first_event_ms (&table, &probe, 0);
+  uint64_t alone_ms = adm_forecast (&table, &probe, 0).first_ms;
   // Its own reading at 35 tokens a millisecond, and the way to its caller.
   EXPECT_NEAR ((double)alone_ms, 70, 5);
   for (uint64_t id = 1; id <= 10; id++)
     ask (id, "", 0, 1, 350);
   // Ten more at 0.65 of that rate.
-  EXPECT_NEAR ((double)adm_first_event_ms (&table, &probe, 0), 70 + 154, 8);
+  EXPECT_NEAR ((double)adm_forecast (&table, &probe, 0).first_ms, 70 + 154, 8);
   // What is less urgent is not ahead.
   probe.priority = 0;
-  EXPECT_EQ (adm_first_event_ms (&table, &probe, 0), alone_ms);
+  EXPECT_EQ (adm_forecast (&table, &probe, 0).first_ms, alone_ms);
 }
 
 TEST_F (AdmitTest, PredictsTheWaitForAFullBatch)
@@ -450,7 +450,7 @@
   probe.priority = 1;
   probe.objective_ms = 5000;
   // Two places, each held for a second: one is free in half of that.
-  EXPECT_NEAR ((double)adm_first_event_ms (&table, &probe, 100), 560, 10);
+  EXPECT_NEAR ((double)adm_forecast (&table, &probe, 100).first_ms, 560, 10);
 }
 
 // A model that fills its engine leaves no place for an adapter. A caller that
