--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -168,9 +168,9 @@
 
 // A crowded engine makes no event of a stream for longer than a second: it has
 // put the run back for more urgent ones. Its own VM says that it is well. The
-// stream was cut there and was to go on elsewhere, where a crowd waits as well:
-// no place came before the caller's patience ended, and the caller lost a
-// stream that its engine would have finished.
+// stream was cut there and was to go on elsewhere, where a crowd waits as
+// well: no place came before the caller's patience ended, and the caller lost
+// a stream that its engine would have finished.
 TEST (Relay, APausedStreamOfALiveEngineIsNotCut)
 {
   Site site;
