--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,12 @@
 SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' 'test/*.[ch]' 'test/*.cc' 'tools/*.[ch]' 'tools/*.cc')
 C_SOURCES = $(shell git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c')
 
-.PHONY: all setup build test test-asan lint format fuzz soak demo demo-up replay bench capacity plots install clean help
+.PHONY: all setup build test test-asan lint format fuzz soak demo demo-up replay bench capacity plots lab install clean help
 
 all: build
 
 help:
-	@echo "build test test-asan lint format fuzz soak demo demo-up replay bench capacity install clean"
+	@echo "build test test-asan lint format fuzz soak demo demo-up replay bench capacity lab install clean"
 
 setup:
 	@./tools/setup
@@ -62,6 +62,12 @@
 replay: build
 	@$(BUILD)/bin/kbreplay --json $(BUILD)/replay.json
 
+# Drawn deployments through the decisions; AGAINST= compares with another
+# build's build/lab.json, tools/plot-load draws both.
+LAB_SEEDS ?= 8
+lab: build
+	@$(BUILD)/bin/kblab --seeds $(LAB_SEEDS) --json $(BUILD)/lab.json $(if $(AGAINST),--against $(AGAINST))
+
 bench: build
 	@$(BUILD)/bin/kbbench --json $(BUILD)/bench.json
 
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -61,6 +61,7 @@
   uint64_t objective_ms; ///< Its first event is late after this.
   uint64_t load_from_ms; ///< When it began to wait for a load; zero: not.
   uint64_t granted_ms;   ///< Zero: waiting.
+  uint64_t forecast_ms;  ///< Moment of its first event, as it was expected.
   uint64_t compared;     ///< The comparison that named it last.
   bool is_reading;       ///< Granted; its first event has not come yet.
   double ahead_tokens;   ///< Prompts to be read with it, at its grant.
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -16,6 +16,7 @@
   MAX_COMING = 4,
   MAX_COLD = 3,
   EXIT_MS = 250,
+  PERCENT = 100,
   /// An order is answered within a millisecond or two, or, when its answer is
   /// lost, never. The longest leaves room for a VM whose processor is starved.
   ORDER_TIMEOUT_LEAST_MS = 30,
@@ -87,6 +88,10 @@
   met_set (met_counter ("knapweedbay_adapters", "state=\"coming\""),
            s->table.coming);
   met_set (met_counter ("knapweedbay_engine_condition", ""), s->condition);
+  met_set (met_counter ("knapweedbay_pace_percent", ""),
+           (int64_t)(PERCENT * pce_part (&s->table.reading.pace)));
+  met_set (met_counter ("knapweedbay_engine_pressed", ""),
+           adm_is_pressed (&s->table, scr_now_ms (s)));
   met_set (met_counter ("knapweedbay_gateways", ""), s->gateway_count);
   met_set (met_counter ("knapweedbay_config_revision", ""),
            s->config == NULL ? 0 : (int64_t)s->config->revision);
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -270,6 +270,7 @@
       scr_decline (s, peer, given->id, reason, forecast.first_ms);
       return;
     }
+  ask.forecast_ms = now_ms + forecast.first_ms;
   if (adm_ask_add (&s->table, &ask) == NULL)
     return;
   scr_pump (s);
@@ -289,12 +290,27 @@
   scr_pump (s);
 }
 
+/// How wrong the forecast was that let a request in.
+static void
+observe_forecast (const adm_ask_t *ask, uint64_t now_ms)
+{
+  static const char name[] = "knapweedbay_forecast_error_ms";
+  if (now_ms >= ask->forecast_ms)
+    met_observe (met_histogram (name, "came=\"later\""),
+                 now_ms - ask->forecast_ms);
+  else
+    met_observe (met_histogram (name, "came=\"earlier\""),
+                 ask->forecast_ms - now_ms);
+}
+
 static void
 take_begun (scr_sidecar_t *s, kb_slice_t peer, uint64_t id)
 {
   adm_ask_t *ask = adm_ask_find (&s->table, scr_name_id (peer), id);
   if (ask == NULL)
     return;
+  if (ask->is_reading)
+    observe_forecast (ask, scr_now_ms (s));
   adm_ask_begun (&s->table, ask, scr_now_ms (s));
   scr_pump (s);
 }
--- a/test/relay/explain_test.cc
+++ b/test/relay/explain_test.cc
@@ -112,6 +112,24 @@
   EXPECT_NE (out.find ("version=2"), std::string::npos) << out;
 }
 
+// An operator sees callers refused and asks whether the forecast that refuses
+// them is right. The agent's metrics page says how far off it was.
+TEST (Explain, TheErrorOfTheForecastIsOnTheMetricsPage)
+{
+  Site site;
+  ASSERT_TRUE (site.wait_ready ());
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ (send_call (site.gateways[0],
+                          stream_call ("f" + std::to_string (i), "a1"))
+                   .status,
+               200);
+  std::string pages;
+  for (auto &engine : site.engines)
+    pages += metrics_of (engine);
+  EXPECT_NE (pages.find ("knapweedbay_forecast_error_ms"), std::string::npos);
+  EXPECT_NE (pages.find ("knapweedbay_pace_percent 65"), std::string::npos);
+}
+
 TEST (Explain, AnUnknownIdIsSaidSo)
 {
   Site site (0, 1);
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -152,13 +152,16 @@
       e.target
           = std::make_unique<Target> (e.ip, "i-e" + std::to_string (i), true);
       e.sidecar = make_daemon (dir, "sidecar" + std::to_string (i));
+      int metrics_port = free_port (e.ip);
+      e.metrics = e.ip + ":" + std::to_string (metrics_port);
       std::string advertised = proxies_ == nullptr ? e.ip : outer_ip (e.ip);
       write_settings (e.sidecar,
                       "\"role\":\"agent\",\"service\":\"models\","
                       "\"advertised_address\":\""
                           + advertised + "\",\"listen_address\":\"" + e.ip
                           + "\",\"engine_address\":\"" + e.target->address ()
-                          + "\"",
+                          + "\",\"metrics_port\":"
+                          + std::to_string (metrics_port),
                       store);
       engines.push_back (std::move (e));
       list_engine (engines.size () - 1);
@@ -389,6 +392,16 @@
   return connection->read_answer ();
 }
 
+std::string
+metrics_of (const Engine &engine)
+{
+  auto connection = dial (engine.metrics);
+  if (connection == nullptr
+      || !connection->write ("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"))
+    return "";
+  return connection->read_answer ().body;
+}
+
 std::vector<int>
 up_to (int last)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -26,6 +26,7 @@
 {
   std::string ip;
   std::unique_ptr<Target> target;
+  std::string metrics; ///< Address of its agent's metrics page.
   Daemon sidecar;
 };
 
@@ -119,6 +120,8 @@
 /// Send on a new connection and read the answer.
 Message send_call (const Gateway &gateway, const Call &call);
 Call plain_call (const std::string &id, const std::string &path = "/plain/x");
+/// The metrics page of an engine's agent.
+std::string metrics_of (const Engine &engine);
 /// The numbers from 1 to `last`: ids of a whole stream.
 std::vector<int> up_to (int last);
 /// Ids of the events in a body, in order.
