fix(gateway): a broken stream waits for an engine that is not up yet

The new test, with the other engine's agent started 0.3 s late, fails without the change. Ruled out: the retry budget (one repeat), the forecast's refusals (nothing waits), the longer wait for live engines (the engine broke off).

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -313,6 +313,10 @@
 ///          engine serves.
 bool gtw_target_is_alive (const gtw_gateway_t *gateway,
                           const gtw_target_t *target);
+/// @return  Whether an engine that was not tried for a request is listed and
+///          does not serve yet.
+bool gtw_target_may_come (const gtw_gateway_t *gateway,
+                          const gtw_request_t *r);
 /// @return  How many listed targets a service has.
 uint32_t gtw_targets_count (const gtw_gateway_t *gateway, const char *service);
 /// Note the end of a request at a target.
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -306,7 +306,8 @@
 static void
 request_wait (gtw_request_t *r, const char *reason)
 {
-  uint64_t waited_ms = gtw_now_ms (r->gateway) - r->arrived_ms;
+  uint64_t from_ms = r->has_event ? r->passed_ms : r->arrived_ms;
+  uint64_t waited_ms = gtw_now_ms (r->gateway) - from_ms;
   if (waited_ms >= DOWN_WAIT_MS || r->gateway->stop_ms > 0)
     {
       gtw_request_refuse (r, reason, outage_retry_after_ms (r));
@@ -317,9 +318,23 @@
   r->stage = GTW_WAITING;
 }
 
+/// A stream that was broken off waits for an engine that is not up yet: the
+/// other way is to cut it. Seen when the only other engine's agent was just
+/// being started.
+static bool
+may_resume_later (const gtw_request_t *r)
+{
+  return r->has_event && gtw_target_may_come (r->gateway, r);
+}
+
 static void
 request_without_target (gtw_request_t *r)
 {
+  if (may_resume_later (r))
+    {
+      request_wait (r, r->reason);
+      return;
+    }
   bool is_service_down = r->reason[0] == '\0';
   if (is_service_down && (r->is_engine || !r->gateway->are_targets_known))
     request_wait (r, "no_target");
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -249,6 +249,19 @@
   return !r->is_late || holding != PLC_ABSENT;
 }
 
+bool
+gtw_target_may_come (const gtw_gateway_t *gateway, const gtw_request_t *r)
+{
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    if (r->is_engine && t->is_listed && !t->told.is_leaving
+        && strcmp (t->told.service, r->service) == 0 && !was_tried (r, t)
+        && !is_usable (r, t))
+      return true;
+  return false;
+}
+
 static plc_holding_t
 holding_of (const gtw_request_t *r, const gtw_target_t *target,
             uint32_t newest)
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -166,6 +166,29 @@
   EXPECT_GT (resumed, 0);
 }
 
+// An engine breaks a stream off while the only other one's agent is being
+// restarted. Nobody could take the stream over at that moment, and it was cut,
+// though its caller waits for seconds and the agent is back within one.
+TEST (Relay, ABrokenStreamWaitsForAnEngineToResumeAt)
+{
+  Site site;
+  ASSERT_TRUE (site.wait_ready ());
+  site.stop (&site.engines[1].sidecar, SIGKILL);
+  // The gateway takes a silent agent for lost after 1.3 s.
+  std::this_thread::sleep_for (std::chrono::milliseconds (1600));
+  site.engines[0].target->fail_next ({ Fault::CUT_WITHIN_EVENT });
+  std::thread later ([&site] {
+    std::this_thread::sleep_for (std::chrono::milliseconds (300));
+    site.start (&site.engines[1].sidecar);
+  });
+  Message m = send_call (site.gateways[0], stream_call ("w1", "a1"));
+  later.join ();
+  EXPECT_EQ (m.status, 200);
+  EXPECT_TRUE (m.is_whole);
+  EXPECT_EQ (event_ids (m.body), up_to (10));
+  EXPECT_EQ (site.runs_of ("w1"), 2);
+}
+
 // A crowded engine makes no event of a stream for longer than a second: it has
 // put the run back for more urgent ones. Its own VM says that it is well. The
 // stream was cut there and was to go on elsewhere, where a crowd waits as
