--- a/tools/lab/main.cc
+++ b/tools/lab/main.cc
@@ -35,18 +35,10 @@
   int count = 0;
 };
 
+/// The smallest part in time of any group of callers.
+template <typename Key>
 double
-worst_of (const std::map<std::string, lab::Share> &shares)
-{
-  double worst = 1;
-  for (auto &[name, s] : shares)
-    if (s.asked > 0)
-      worst = std::min (worst, (double)s.in_time / s.asked);
-  return worst;
-}
-
-double
-worst_of (const std::map<int, lab::Share> &shares)
+worst_of (const std::map<Key, lab::Share> &shares)
 {
   double worst = 1;
   for (auto &[name, s] : shares)
