--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -123,6 +123,7 @@
 {
   const gtw_gateway_t *gateway = (const gtw_gateway_t *)host;
   gtw_set_gauges (gateway, is_ready (gateway));
+  gateway->source->vtable->set_gauges (gateway->source);
 }
 
 static const hst_role_t gateway_role
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -53,6 +53,8 @@
   void (*start) (src_source_t *source, const src_events_t *events,
                  void *owner);
   void (*stop) (src_source_t *source);
+  /// Set the gauges of the metrics page.
+  void (*set_gauges) (src_source_t *source);
 } src_vtable_t;
 
 struct src_source
