--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -145,6 +145,65 @@
   }));
 }
 
+const char kNewRoute[] = ",{\"Name\":\"new\",\"Host\":\"a.example\","
+                         "\"Prefix\":\"/new/\",\"Kind\":\"safe\","
+                         "\"TimeoutMs\":2000,\"Service\":\"maps\","
+                         "\"MaxAttempts\":1}";
+
+/// The gateway follows the operator's keys: its next read of them waits.
+void
+wait_for_revision (Site &site, int revision)
+{
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "config_in_force",
+                               "\"revision\":" + std::to_string (revision) })
+                .empty ();
+  }));
+}
+
+// A route that was added is refused for seconds after the store came back from
+// a silence. The gateway's read was sent, the store fell silent with it, came
+// back, and the change was confirmed; the gateway went on waiting for that
+// read, 6.5 s from its start. Evidence: store_read_failed with waited_ms of
+// 6500, while other reads of the store were answered.
+TEST (Relay, AChangeAfterASilenceOfTheStoreHoldsSoon)
+{
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.write_config (4);
+  wait_for_revision (site, 4);
+  site.store.mute ("");
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  site.store.unmute ();
+  site.write_config (5, kNewRoute);
+  EXPECT_TRUE (Site::wait_for (
+      [&] {
+        return send_call (site.gateways[0], plain_call ("s", "/new/x")).status
+               == 200;
+      },
+      4000));
+}
+
+// As before, but the store is well all the time: only the connection on which
+// the gateway waits for changes has gone silent, and new ones work.
+TEST (Relay, AChangeHoldsThoughTheWaitingConnectionIsSilent)
+{
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.write_config (4);
+  wait_for_revision (site, 4);
+  site.store.mute ("op/");
+  site.store.unmute ();
+  site.write_config (5, kNewRoute);
+  EXPECT_TRUE (Site::wait_for (
+      [&] {
+        return send_call (site.gateways[0], plain_call ("s", "/new/x")).status
+               == 200;
+      },
+      4000));
+}
+
 // The store forgets its history while the configuration changes; a reader
 // that only waits for changes never hears of it.
 TEST (Relay, AForgottenHistoryIsReadAnew)
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -69,6 +69,37 @@
   changed_.notify_all ();
 }
 
+void
+Store::mute (const std::string &prefix)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  muted_prefix_ = prefix;
+  is_mute_ = true;
+  mutes_++;
+  changed_.notify_all ();
+}
+
+void
+Store::unmute ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  is_mute_ = false;
+}
+
+bool
+Store::is_muted (const std::string &prefix) const
+{
+  return prefix.compare (0, muted_prefix_.size (), muted_prefix_) == 0;
+}
+
+bool
+Store::swallow (Connection &connection)
+{
+  while (!is_stopping_ && !connection.peer_is_gone (50))
+    ;
+  return false;
+}
+
 std::string
 Store::item_json (const std::string &key, const Item &item)
 {
@@ -121,13 +152,19 @@
   std::unique_lock<std::mutex> lock (mutex_);
   int64_t after = atoll (query.at ("after").c_str ());
   int64_t cuts = cuts_;
+  int64_t mutes = mutes_;
   auto end = std::chrono::steady_clock::now ()
              + std::chrono::milliseconds (atoi (query.at ("WaitMs").c_str ()));
   std::string list;
   while ((list = changes (query.at ("Prefix"), after)).empty ()
-         && cuts == cuts_ && !is_stopping_
+         && cuts == cuts_ && mutes == mutes_ && !is_stopping_
          && changed_.wait_until (lock, end) != std::cv_status::timeout)
     ;
+  if (mutes != mutes_ && is_muted (query.at ("Prefix")))
+    {
+      lock.unlock ();
+      return swallow (connection);
+    }
   if (after < compacted_)
     return connection.write (answer (410, "", "{}"));
   if (cuts != cuts_)
@@ -158,6 +195,14 @@
   if (mode == BUSY)
     return connection.write (answer (503, "", "{}"));
   auto query = parse_query (request.target ());
+  {
+    std::unique_lock<std::mutex> lock (mutex_);
+    if (is_mute_ && is_muted (query.at ("Prefix")))
+      {
+        lock.unlock ();
+        return swallow (connection);
+      }
+  }
   if (request.target ().compare (0, 9, "/kv-watch") == 0)
     return serve_watch (connection, query);
   std::string body;
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -36,6 +36,11 @@
   /// Forget the history: watches behind the present revision get 410, and
   /// those that wait are cut.
   void compact ();
+  /// Take the reads on a prefix that wait now, and until unmute those that
+  /// come, and never answer them: their connections stay open and silent also
+  /// when the store is well again.
+  void mute (const std::string &prefix);
+  void unmute ();
   std::atomic<int> calls{ 0 };
   std::atomic<int> page_items{ 3 };
 
@@ -51,6 +56,9 @@
                     const std::map<std::string, std::string> &query);
   std::string range (const std::map<std::string, std::string> &query);
   std::string changes (const std::string &prefix, int64_t after);
+  bool is_muted (const std::string &prefix) const;
+  /// Hold a connection without a word until its client closes it.
+  bool swallow (Connection &connection);
   static std::string item_json (const std::string &key, const Item &item);
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -59,6 +67,9 @@
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
   int64_t cuts_ = 0;
+  int64_t mutes_ = 0;
+  std::string muted_prefix_; ///< Of the last mute.
+  bool is_mute_ = false;
   Mode mode_ = WELL;
 };
 
