--- /dev/null
+++ b/src/coordination/roster.c
@@ -0,0 +1,139 @@
+#include "coordination/roster.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "state/buf.h"
+
+enum
+{
+  /// Many targets that vanish at one moment, without a gap seen here, are
+  /// more likely lapsed than gone. They are kept for as long, and for this
+  /// part of the bound for leaving targets at most.
+  MASS_RETURN_MS = 800,
+  MASS_RETURN_PERCENT = 40,
+  MASS_COUNT = 3,
+};
+
+static uint64_t
+entry_key (const char *id)
+{
+  return kb_hash (id, strlen (id), 0) | 1;
+}
+
+uint64_t
+ros_mass_return_ms (uint64_t leave_bound_ms)
+{
+  uint64_t return_ms = leave_bound_ms * MASS_RETURN_PERCENT / 100;
+  return return_ms < MASS_RETURN_MS ? return_ms : MASS_RETURN_MS;
+}
+
+void
+ros_init (ros_roster_t *roster, uint64_t leave_bound_ms)
+{
+  *roster = (ros_roster_t){ .mass_return_ms
+                            = ros_mass_return_ms (leave_bound_ms) };
+}
+
+void
+ros_finish (ros_roster_t *roster)
+{
+  uint32_t at = 0;
+  for (ros_entry_t *entry = kb_map_next (&roster->entries, &at); entry != NULL;
+       entry = kb_map_next (&roster->entries, &at))
+    free (entry);
+  kb_map_finish (&roster->entries);
+}
+
+bool
+ros_list (ros_roster_t *roster, const char *id)
+{
+  uint64_t key = entry_key (id);
+  ros_entry_t *entry = kb_map_get (&roster->entries, key);
+  bool is_new = entry == NULL;
+  if (is_new)
+    {
+      entry = kb_alloc (sizeof *entry);
+      *entry = (ros_entry_t){ 0 };
+      snprintf (entry->id, sizeof entry->id, "%s", id);
+      kb_map_put (&roster->entries, key, entry);
+    }
+  entry->remove_at_ms = 0;
+  entry->range_mark = roster->range_count;
+  return is_new;
+}
+
+uint64_t
+ros_removal_ms (const ros_roster_t *roster, uint32_t vanished,
+                uint64_t lapsed_until_ms, uint64_t now_ms)
+{
+  uint64_t at_ms = now_ms;
+  if (vanished >= MASS_COUNT)
+    at_ms += roster->mass_return_ms;
+  return lapsed_until_ms > at_ms ? lapsed_until_ms : at_ms;
+}
+
+void
+ros_unlist (ros_roster_t *roster, const char *id, uint64_t remove_at_ms)
+{
+  ros_entry_t *entry = kb_map_get (&roster->entries, entry_key (id));
+  if (entry != NULL && entry->remove_at_ms == 0)
+    entry->remove_at_ms = remove_at_ms;
+}
+
+void
+ros_range_begin (ros_roster_t *roster)
+{
+  roster->range_count++;
+}
+
+static bool
+is_missing (const ros_roster_t *roster, const ros_entry_t *entry)
+{
+  return entry->range_mark != roster->range_count && entry->remove_at_ms == 0;
+}
+
+void
+ros_range_end (ros_roster_t *roster, uint64_t lapsed_until_ms, uint64_t now_ms)
+{
+  uint32_t vanished = 0;
+  uint32_t at = 0;
+  for (ros_entry_t *entry = kb_map_next (&roster->entries, &at); entry != NULL;
+       entry = kb_map_next (&roster->entries, &at))
+    vanished += is_missing (roster, entry);
+  uint64_t remove_at_ms
+      = ros_removal_ms (roster, vanished, lapsed_until_ms, now_ms);
+  at = 0;
+  for (ros_entry_t *entry = kb_map_next (&roster->entries, &at); entry != NULL;
+       entry = kb_map_next (&roster->entries, &at))
+    if (is_missing (roster, entry))
+      entry->remove_at_ms = remove_at_ms;
+}
+
+bool
+ros_take_gone (ros_roster_t *roster, uint64_t now_ms, char id[INC_ID_BYTES])
+{
+  uint32_t at = 0;
+  for (ros_entry_t *entry = kb_map_next (&roster->entries, &at); entry != NULL;
+       entry = kb_map_next (&roster->entries, &at))
+    {
+      if (entry->remove_at_ms == 0 || entry->remove_at_ms > now_ms)
+        continue;
+      snprintf (id, INC_ID_BYTES, "%s", entry->id);
+      kb_map_remove (&roster->entries, entry_key (entry->id));
+      free (entry);
+      return true;
+    }
+  return false;
+}
+
+bool
+ros_is_pending (const ros_roster_t *roster)
+{
+  uint32_t at = 0;
+  for (const ros_entry_t *entry = kb_map_next (&roster->entries, &at);
+       entry != NULL; entry = kb_map_next (&roster->entries, &at))
+    if (entry->remove_at_ms > 0)
+      return true;
+  return false;
+}
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -17,6 +17,9 @@
   HTTP_UNAVAILABLE = 503,
   HTTP_GATEWAY_TIMEOUT = 504,
   CONNECT_TIMEOUT_MS = 400,
+  /// How far clocks of two VMs are apart without a fault: what was sent this
+  /// close to a birth may run at either incarnation and is left alone.
+  CLOCK_SLACK_MS = 500,
   /// A request that may not run twice goes out on a connection that was in
   /// use this recently: a reset of an old one would leave its fate unknown.
   FRESH_IDLE_MS = 1000,
@@ -215,7 +218,7 @@
       || !log_begin (&line, LOG_INFO, "gateway", "stream_paused"))
     return;
   log_text (&line, "id", r->attempt_id);
-  log_text (&line, "target", r->target->told.id);
+  log_text (&line, "target", r->target->told.who.id);
   log_int (&line, "gap_ms", (int64_t)gap_ms);
   log_int (&line, "backlog_ms", (int64_t)r->target->backlog_ms);
   log_int (&line, "granted", r->target->granted);
@@ -446,7 +449,7 @@
     .deadline_ms = end_ms > now_ms ? end_ms - now_ms : 1,
     .instance = kb_slice_str (r->is_engine && r->granted_instance[0] != '\0'
                                   ? r->granted_instance
-                                  : r->target->told.id),
+                                  : r->target->told.who.id),
     .adapter_version = r->granted_version,
     .priority = r->is_engine ? (int32_t)priority : -1,
     .is_resume = r->has_event,
@@ -480,9 +483,40 @@
           .expects_no_body = r->client->conn.parser.method == HTTP_HEAD };
   r->stage = r->is_head_written ? GTW_PASSING : GTW_SENT;
   r->sends++;
+  r->sent_ms = gtw_now_ms (gateway);
   r->runs++;
   r->is_begun = false;
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
   kb_buf_finish (&head);
   arm_silence (r);
 }
+
+/// @return  How long nothing has been heard of an attempt.
+static uint64_t
+quiet_ms (const gtw_request_t *r)
+{
+  uint64_t heard_ms = r->passed_ms > r->sent_ms ? r->passed_ms : r->sent_ms;
+  return gtw_now_ms (r->gateway) - heard_ms;
+}
+
+/// What was sent to an incarnation before it ended will not be answered; its
+/// connections may be silent, behind a cut, and callers would wait for their
+/// timeout. What was sent after the birth of the next one runs there, since
+/// both bear one id, and goes on.
+void
+gtw_answer_target_ended (gtw_gateway_t *gateway, const gtw_target_t *target,
+                         uint64_t born_ms)
+{
+  uint64_t wall_ms = tmr_wall_ms ();
+  uint64_t age_ms
+      = CLOCK_SLACK_MS + (wall_ms > born_ms ? wall_ms - born_ms : 0);
+  gtw_request_t *next;
+  for (gtw_request_t *r = gateway->requests; r != NULL; r = next)
+    {
+      next = r->next;
+      bool is_there = r->target == target
+                      && (r->stage == GTW_SENT || r->stage == GTW_PASSING);
+      if (is_there && quiet_ms (r) > age_ms)
+        answer_broken (r, true, "target_ended");
+    }
+}
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -28,9 +28,10 @@
 /// A target, listed or still in use.
 typedef struct
 {
-  src_target_t told;  ///< Last entry of the list.
-  uint64_t key;       ///< Hash of its id.
-  uint64_t place_key; ///< Hash of its address: the same after a restart.
+  src_target_t told;   ///< Last entry of the list.
+  inc_belief_t belief; ///< Which incarnation it is.
+  uint64_t key;        ///< Its number: of this incarnation alone.
+  uint64_t place_key;  ///< Hash of its address: the same after a restart.
   xch_peer_t peer;
   bool is_listed;
   uint64_t number; ///< Grows with each target: a later one is a newer entry.
@@ -59,8 +60,8 @@
   uint64_t list_stamp;  ///< Of these adapters, as the sidecar names them.
   msg_engine_adapter_t *adapters;
   uint32_t adapter_count;
-  rct_recent_t recent;    ///< Adapters that it held.
-  uint64_t recent_engine; ///< Hash of the incarnation that held them.
+  rct_recent_t recent; ///< Adapters that it held.
+  inc_t engine;        ///< What the sidecar's last word was about.
 } gtw_target_t;
 
 /// Where a request stands.
@@ -122,8 +123,9 @@
   char granted_instance[GTW_ID_BYTES]; ///< Empty: as listed.
   uint64_t tried[GTW_MAX_TRIES];       ///< Keys of targets that failed.
   uint32_t tried_count;
-  uint32_t runs;  ///< Targets that may have begun it.
-  uint32_t sends; ///< Times it was sent.
+  uint32_t runs;    ///< Targets that may have begun it.
+  uint32_t sends;   ///< Times it was sent.
+  uint64_t sent_ms; ///< When it was sent last.
   xch_t exchange;
   tmr_sub_t timer;   ///< Deadline and timeout.
   tmr_sub_t silence; ///< No answer, no event, or a pause.
@@ -180,7 +182,8 @@
   svc_config_t *config;
   kb_buf_t document;
   ver_table_t versions;
-  kb_map_t targets; ///< By key of the id.
+  kb_map_t targets; ///< By key, all incarnations.
+  kb_map_t present; ///< By hash of the id, the newest incarnation of each.
   kb_map_t links;   ///< By hash of the sidecar's name.
   bool are_targets_known;
   gtw_client_t *clients;
@@ -293,6 +296,10 @@
 // gateway_answer.c
 /// Send to the present target.
 void gtw_answer_send (gtw_request_t *r);
+/// Break off requests at an incarnation that has ended.
+/// @param born_ms  Unix time of the next one's start.
+void gtw_answer_target_ended (gtw_gateway_t *gateway,
+                              const gtw_target_t *target, uint64_t born_ms);
 
 // gateway_budget.c
 void gtw_budget_note_first (gtw_gateway_t *gateway, const char *service);
@@ -306,6 +313,16 @@
 // gateway_targets.c
 void gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told);
 void gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id);
+/// Another incarnation lives under a target's id: what was learnt of this one
+/// ends, and requests under way there are broken off.
+/// @param told  What takes its place.
+/// @return      The target of that incarnation.
+gtw_target_t *gtw_target_reborn (gtw_gateway_t *gateway, gtw_target_t *target,
+                                 const src_target_t *told);
+/// A word about an earlier incarnation came.
+/// @param from  "list", "sidecar" or "grant".
+void gtw_target_turn_away (const gtw_target_t *target, uint64_t born_ms,
+                           const char *from);
 /// @return  The target to use for a request, or NULL.
 gtw_target_t *gtw_target_choose (gtw_gateway_t *gateway,
                                  const gtw_request_t *r);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -149,14 +149,41 @@
 
 /// A restarted engine has lost the copies of what it held.
 static void
-take_engine_instance (gtw_target_t *target, kb_slice_t instance)
+take_engine_instance (gtw_target_t *target, const msg_engine_state_t *state)
 {
-  if (instance.len_bytes == 0)
+  if (state->instance.len_bytes == 0)
     return;
-  uint64_t engine = kb_hash (instance.ptr, instance.len_bytes, 0);
-  if (engine != target->recent_engine && target->recent_engine != 0)
+  inc_t engine = { .born_ms = state->born_ms };
+  kb_slice_copy (state->instance, engine.id, sizeof engine.id);
+  bool is_other = strcmp (engine.id, target->engine.id) != 0
+                  || engine.born_ms != target->engine.born_ms;
+  if (is_other && target->engine.id[0] != '\0')
     rct_recent_clear (&target->recent);
-  target->recent_engine = engine;
+  target->engine = engine;
+}
+
+/// Judge the birth that a sidecar names for its engine. It knows of a restart
+/// before the list does.
+/// @return  The target that the word is about, or NULL when it is about an
+///          earlier incarnation than the one that is known.
+static gtw_target_t *
+target_of_word (gtw_gateway_t *gateway, gtw_target_t *target,
+                const msg_engine_state_t *state)
+{
+  if (!kb_slice_equal (state->instance, kb_slice_str (target->told.who.id)))
+    return target;
+  src_target_t told = target->told;
+  told.who.born_ms = state->born_ms;
+  switch (inc_judge (&target->belief, state->born_ms))
+    {
+    case INC_STALE:
+      gtw_target_turn_away (target, state->born_ms, "sidecar");
+      return NULL;
+    case INC_ANOTHER:
+      return gtw_target_reborn (gateway, target, &told);
+    default:
+      return target;
+    }
 }
 
 /// A list is sent when it changed; without one, the stamp tells whether the
@@ -178,6 +205,9 @@
 take_engine_state (gtw_gateway_t *gateway, gtw_target_t *target,
                    const msg_engine_state_t *state)
 {
+  target = target_of_word (gateway, target, state);
+  if (target == NULL)
+    return;
   bool is_restarted = target->heard_ms > 0 && target->incarnation != 0
                       && target->incarnation != state->incarnation;
   bool is_first = target->heard_ms == 0;
@@ -196,7 +226,7 @@
   target->tokens_per_ms = (double)state->tokens_per_s / 1000;
   if (state->gateway_count > 0)
     gateway->gateway_count = (uint32_t)state->gateway_count;
-  take_engine_instance (target, state->instance);
+  take_engine_instance (target, state);
   take_adapter_list (target, state);
   if (is_first || is_restarted)
     gtw_tell_sidecar (gateway, target);
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -31,7 +31,7 @@
   log_int (&line, "revision", (int64_t)r->revision);
   log_text (&line, "adapter", r->adapter_name);
   log_int (&line, "version", r->granted_version);
-  log_text (&line, "target", r->target == NULL ? "" : r->target->told.id);
+  log_text (&line, "target", r->target == NULL ? "" : r->target->told.who.id);
   log_int (&line, "sends", r->sends);
   log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
   log_int (&line, "first_ms",
@@ -53,7 +53,7 @@
     return false;
   log_text (line, "id", r->attempt_id);
   log_text (line, "reason", reason);
-  log_text (line, "target", r->target == NULL ? "" : r->target->told.id);
+  log_text (line, "target", r->target == NULL ? "" : r->target->told.who.id);
   return true;
 }
 
@@ -89,7 +89,7 @@
   if (!log_begin (&line, LOG_DEBUG, "gateway", "target_chosen"))
     return;
   log_text (&line, "id", r->attempt_id);
-  log_text (&line, "target", t->told.id);
+  log_text (&line, "target", t->told.who.id);
   log_int (&line, "word_age_ms", word_age_ms (r));
   log_int (&line, "granted", t->granted);
   log_int (&line, "waiting", t->waiting);
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -77,6 +77,14 @@
   gtw_request_next (r);
 }
 
+/// A grant of an earlier incarnation: what it promised to hold is gone.
+static bool
+is_stale_grant (const msg_place_grant_t *grant, const gtw_target_t *from)
+{
+  return grant->born_ms > 0 && grant->born_ms < from->belief.born_ms
+         && kb_slice_equal (grant->instance, kb_slice_str (from->told.who.id));
+}
+
 void
 gtw_place_granted (gtw_gateway_t *gateway, const msg_place_grant_t *grant,
                    gtw_target_t *from)
@@ -91,6 +99,13 @@
       hst_send (&gateway->host, from->link, &msg);
       return;
     }
+  if (is_stale_grant (grant, from))
+    {
+      gtw_target_turn_away (from, grant->born_ms, "grant");
+      gtw_request_leave_target (r);
+      gtw_request_next (r);
+      return;
+    }
   gtw_observe_grant (r);
   r->has_place = true;
   r->granted_version = (uint32_t)grant->version;
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -30,6 +30,7 @@
 /// Weight of the newest request in the share of failures.
 static const double FAILURE_WEIGHT = 0.25;
 
+/// Key of an id or of a link's name.
 static uint64_t
 id_key (kb_slice_t id)
 {
@@ -52,16 +53,10 @@
   return known != NULL && known->is_engine;
 }
 
-/// The same sidecar looks after another incarnation: what it said last holds,
-/// and the engine can be used before its next word.
+/// What the sidecar said of its engine.
 static void
-take_over_link (gtw_target_t *target, gtw_target_t *from)
+take_over_engine (gtw_target_t *target, gtw_target_t *from)
 {
-  target->heard_ms = from->heard_ms;
-  target->told_ms = from->told_ms;
-  target->incarnation = from->incarnation;
-  target->sidecar_revision = from->sidecar_revision;
-  target->sidecar_versions = from->sidecar_versions;
   target->condition = from->condition;
   target->slots = from->slots;
   target->granted = from->granted;
@@ -73,11 +68,37 @@
   target->adapter_count = from->adapter_count;
   rct_recent_finish (&target->recent);
   target->recent = from->recent;
-  target->recent_engine = from->recent_engine;
+  target->engine = from->engine;
   from->recent = (rct_recent_t){ 0 };
   from->adapters = NULL;
   from->adapter_count = 0;
+}
+
+/// @return  Whether a sidecar's word was about the incarnation before.
+static bool
+is_of_before (const inc_t *engine, const gtw_target_t *next,
+              const gtw_target_t *before)
+{
+  uint64_t born_ms = next->told.who.born_ms;
+  if (strcmp (engine->id, next->told.who.id) == 0)
+    return engine->born_ms > 0 && born_ms > 0 && engine->born_ms != born_ms;
+  return strcmp (engine->id, before->told.who.id) == 0;
+}
+
+/// The same sidecar looks after another incarnation. What it said last holds,
+/// and the engine can be used before its next word, unless that was about the
+/// incarnation before: it said so, and what that one held is gone.
+static void
+take_over_link (gtw_target_t *target, gtw_target_t *from)
+{
+  target->heard_ms = from->heard_ms;
+  target->told_ms = from->told_ms;
+  target->incarnation = from->incarnation;
+  target->sidecar_revision = from->sidecar_revision;
+  target->sidecar_versions = from->sidecar_versions;
   from->is_linked = false;
+  if (!is_of_before (&from->engine, target, from))
+    take_over_engine (target, from);
 }
 
 /// Open the link to the sidecar beside an engine.
@@ -132,7 +153,8 @@
   log_event_t line;
   if (!log_begin (&line, LOG_INFO, "gateway", event))
     return;
-  log_text (&line, "target", target->told.id);
+  log_text (&line, "target", target->told.who.id);
+  log_int (&line, "born", (int64_t)target->belief.born_ms);
   log_text (&line, "service", target->told.service);
   log_text (&line, "failure_domain", target->told.domain);
   log_int (&line, "active", target->active);
@@ -140,29 +162,71 @@
 }
 
 static gtw_target_t *
-target_add (gtw_gateway_t *gateway, const src_target_t *told, uint64_t key)
+target_add (gtw_gateway_t *gateway, const src_target_t *told)
 {
   gtw_target_t *target = kb_alloc (sizeof *target);
+  uint64_t number = ++gateway->target_number;
   *target = (gtw_target_t){ .told = *told,
-                            .key = key,
+                            .belief = { .born_ms = told->who.born_ms },
+                            .key = number,
                             .place_key = address_key (&told->address),
                             .condition = MSG_ENGINE_DOWN,
-                            .number = ++gateway->target_number,
+                            .number = number,
                             .is_listed = true };
   xch_peer_init (&target->peer, &gateway->host.pool, &told->address,
                  MAX_IDLE_CONNECTIONS);
-  kb_map_put (&gateway->targets, key, target);
+  kb_map_put (&gateway->targets, target->key, target);
+  kb_map_put (&gateway->present, id_key (kb_slice_str (told->who.id)), target);
   log_target (target, "target_listed");
   return target;
 }
 
+void
+gtw_target_turn_away (const gtw_target_t *target, uint64_t born_ms,
+                      const char *from)
+{
+  MET_INC ("knapweedbay_stale_births_total", "");
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", "birth_stale"))
+    return;
+  log_text (&line, "target", target->told.who.id);
+  log_int (&line, "born", (int64_t)target->belief.born_ms);
+  log_int (&line, "told", (int64_t)born_ms);
+  log_text (&line, "from", from);
+  log_end (&line);
+}
+
+gtw_target_t *
+gtw_target_reborn (gtw_gateway_t *gateway, gtw_target_t *target,
+                   const src_target_t *told)
+{
+  log_target (target, "target_reborn");
+  target->is_listed = false;
+  xch_peer_finish (&target->peer);
+  gtw_target_t *next = target_add (gateway, told);
+  target_link (gateway, next);
+  gtw_answer_target_ended (gateway, target, told->who.born_ms);
+  return next;
+}
+
 void
 gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told)
 {
-  uint64_t key = id_key (kb_slice_str (told->id));
-  gtw_target_t *target = kb_map_get (&gateway->targets, key);
+  uint64_t key = id_key (kb_slice_str (told->who.id));
+  gtw_target_t *target = kb_map_get (&gateway->present, key);
   if (target == NULL)
-    target = target_add (gateway, told, key);
+    target = target_add (gateway, told);
+  switch (inc_judge (&target->belief, told->who.born_ms))
+    {
+    case INC_STALE:
+      gtw_target_turn_away (target, told->who.born_ms, "list");
+      return;
+    case INC_ANOTHER:
+      target = gtw_target_reborn (gateway, target, told);
+      break;
+    case INC_SAME:
+      break;
+    }
   if (told->is_leaving && !target->told.is_leaving)
     log_target (target, "target_leaving");
   target->told = *told;
@@ -173,7 +237,7 @@
 void
 gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id)
 {
-  gtw_target_t *target = kb_map_get (&gateway->targets, id_key (id));
+  gtw_target_t *target = kb_map_get (&gateway->present, id_key (id));
   if (target == NULL || !target->is_listed)
     return;
   target->is_listed = false;
@@ -361,6 +425,9 @@
 {
   target_unlink (gateway, target);
   kb_map_remove (&gateway->targets, target->key);
+  uint64_t id = id_key (kb_slice_str (target->told.who.id));
+  if (kb_map_get (&gateway->present, id) == target)
+    kb_map_remove (&gateway->present, id);
   xch_peer_finish (&target->peer);
   free (target->adapters);
   rct_recent_finish (&target->recent);
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -6,6 +6,7 @@
 
 #include <netinet/in.h>
 
+#include "state/incarnation.h"
 #include "state/service.h"
 #include "state/status.h"
 
@@ -17,7 +18,7 @@
 /// One target as it is listed.
 typedef struct
 {
-  char id[SRC_NAME_BYTES]; ///< Of its present incarnation.
+  inc_t who;
   char service[SRC_NAME_BYTES];
   char domain[SRC_NAME_BYTES];
   struct sockaddr_in address;
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -226,6 +226,13 @@
   return value;
 }
 
+bool
+jsn_has (struct json_object *obj, const char *key)
+{
+  return obj != NULL && json_object_is_type (obj, json_type_object)
+         && json_object_object_get_ex (obj, key, NULL);
+}
+
 const char *
 jsn_str (struct json_object *obj, const char *key, const char *fallback)
 {
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -30,6 +30,8 @@
 int64_t jsn_int (struct json_object *obj, const char *key, int64_t fallback);
 bool jsn_bool (struct json_object *obj, const char *key, bool fallback);
 double jsn_num (struct json_object *obj, const char *key, double fallback);
+/// @return  Whether the member is there, also when it is null.
+bool jsn_has (struct json_object *obj, const char *key);
 struct json_object *jsn_get (struct json_object *obj, const char *key);
 /// @return  The member when it is a list, or NULL.
 struct json_object *jsn_list (struct json_object *obj, const char *key);
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -321,7 +321,8 @@
   uint64_t backlog_us;   ///< Time to read the prompts that are accepted.
   uint64_t tokens_per_s; ///< Prompt tokens the engine reads.
   uint64_t load_wait_ms; ///< Until an adapter new to it would be held.
-  kb_slice_t instance;   ///< Incarnation of the engine, or empty.
+  kb_slice_t instance;   ///< Id of the engine, or empty.
+  uint64_t born_ms;      ///< Its birth; zero: not known.
   uint64_t list_stamp;   ///< Of the adapters it holds; changes with them.
   kb_slice_t adapters; ///< Packed msg_engine_adapter_t; empty: as told before.
 } msg_engine_state_t;
@@ -360,9 +361,10 @@
 typedef struct
 {
   uint64_t id;
-  uint64_t version; ///< Of the adapter held.
-  uint64_t load_us; ///< Time spent waiting for a load.
-  kb_slice_t instance;
+  uint64_t version;    ///< Of the adapter held.
+  uint64_t load_us;    ///< Time spent waiting for a load.
+  kb_slice_t instance; ///< Id of the engine, or empty.
+  uint64_t born_ms;    ///< Its birth; zero: not known.
 } msg_place_grant_t;
 
 typedef struct
--- a/src/sidecar/engine.h
+++ b/src/sidecar/engine.h
@@ -38,6 +38,7 @@
 {
   bool is_leaving;
   uint64_t leaves_in_ms; ///< Zero: not said.
+  uint64_t born_ms;      ///< Unix time of its start; zero: not said.
   uint64_t seq;          ///< Orders accepted since its start.
   bool is_busy;          ///< A model is being loaded or unloaded.
   uint32_t running;
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -8,6 +8,7 @@
 #include "relay/host.h"
 #include "relay/versions.h"
 #include "sidecar/sidecar.h"
+#include "state/incarnation.h"
 
 enum
 {
@@ -45,7 +46,7 @@
   bool is_calling; ///< A report or an order is under way.
   bool has_report;
   msg_engine_condition_t condition;
-  char instance[EGN_NAME_BYTES]; ///< Empty: not known yet.
+  inc_t who; ///< The engine; its id is empty until it is known.
   bool is_identifying;
   uint64_t identified_ms; ///< When it was last asked for.
   uint64_t seq;
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -67,7 +67,7 @@
 give_order (scr_sidecar_t *s, egn_order_t *order)
 {
   order->expected_seq = s->seq;
-  order->instance = s->instance;
+  order->instance = s->who.id;
   order->timeout_ms = rto_ms (&s->order_timeout);
   s->ordered_ms = scr_now_ms (s);
   s->is_calling = true;
@@ -233,11 +233,11 @@
   s->is_identifying = false;
   if (instance.len_bytes == 0)
     return;
-  kb_slice_copy (instance, s->instance, sizeof s->instance);
+  kb_slice_copy (instance, s->who.id, sizeof s->who.id);
   log_event_t line;
   if (log_begin (&line, LOG_INFO, "sidecar", "engine_identified"))
     {
-      log_text (&line, "instance", s->instance);
+      log_text (&line, "instance", s->who.id);
       log_end (&line);
     }
   scr_state_changed (s);
@@ -249,7 +249,7 @@
 identify_engine (scr_sidecar_t *s)
 {
   uint64_t now_ms = scr_now_ms (s);
-  if (s->instance[0] != '\0' || s->is_identifying
+  if (s->who.id[0] != '\0' || s->is_identifying
       || (s->identified_ms > 0
           && now_ms - s->identified_ms < IDENTIFY_RETRY_MS))
     return;
@@ -264,25 +264,40 @@
   log_event_t line;
   if (log_begin (&line, LOG_WARN, "sidecar", "engine_restarted"))
     {
-      log_text (&line, "instance", s->instance);
+      log_text (&line, "instance", s->who.id);
       log_int (&line, "granted", s->table.granted);
       log_end (&line);
     }
   s->model_ordered_ms = 0;
-  s->instance[0] = '\0';
+  s->who = (inc_t){ 0 };
   s->identified_ms = 0;
   adm_engine_restarted (&s->table);
   scr_state_changed (s);
 }
 
+/// A restart clears the count of orders and everything that was held. The
+/// birth tells it also when the engine is as far again as it was. A report is
+/// the engine's own and fresh, so that any other birth is a restart here, also
+/// an earlier one, of a clock that was stepped back; a report without a birth
+/// is about the incarnation that is known.
+static bool
+is_restarted (const scr_sidecar_t *s, const egn_report_t *report)
+{
+  if (!s->has_report)
+    return false;
+  bool is_reborn = report->born_ms > 0 && s->who.born_ms > 0
+                   && report->born_ms != s->who.born_ms;
+  return is_reborn || report->seq < s->seq
+         || (s->is_model_held && report->model_count == 0);
+}
+
 static void
 take_report (scr_sidecar_t *s, const egn_report_t *report)
 {
-  // A restart clears the count of orders and everything that was held.
-  if (s->has_report
-      && (report->seq < s->seq
-          || (s->is_model_held && report->model_count == 0)))
+  if (is_restarted (s, report))
     engine_restarted (s);
+  if (report->born_ms > 0)
+    s->who.born_ms = report->born_ms;
   s->has_report = true;
   s->report_failures = 0;
   s->seq = report->seq;
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -144,7 +144,8 @@
           = { .id = ask->id,
               .version = ask->adapter == NULL ? 0 : ask->adapter->version,
               .load_us = load_us,
-              .instance = kb_slice_str (s->instance) } };
+              .instance = kb_slice_str (s->who.id),
+              .born_ms = s->who.born_ms } };
   scr_send (s, gateway, &msg);
   MET_INC ("knapweedbay_places_granted_total", "");
 }
--- a/src/sidecar/sidecar_tell.c
+++ b/src/sidecar/sidecar_tell.c
@@ -91,7 +91,8 @@
         .backlog_us = adm_backlog_us (&s->table, scr_now_ms (s)),
         .tokens_per_s = (uint64_t)(s->table.reading.tokens_per_ms * MS_PER_S),
         .load_wait_ms = adm_new_load_wait_ms (&s->table, scr_now_ms (s)),
-        .instance = kb_slice_str (s->instance),
+        .instance = kb_slice_str (s->who.id),
+        .born_ms = s->who.born_ms,
         .list_stamp = kb_hash (adapters.ptr, adapters.len_bytes, 1) | 1 }
   };
   if (only != NULL)
@@ -139,7 +140,7 @@
     {
       log_text (&line, "from", names[s->condition]);
       log_text (&line, "to", names[condition]);
-      log_text (&line, "instance", s->instance);
+      log_text (&line, "instance", s->who.id);
       log_int (&line, "granted", s->table.granted);
       log_end (&line);
     }
--- a/src/transport/call.c
+++ b/src/transport/call.c
@@ -42,7 +42,7 @@
   cal_call_t *call = x->owner;
   kb_buf_append (&call->body, bytes.ptr, bytes.len_bytes);
   if (call->body.len_bytes > MAX_ANSWER_BYTES)
-    call_finish (call, KB_EUNKNOWN);
+    call_finish (call, KB_ELIMIT);
 }
 
 static void
--- a/src/transport/call.h
+++ b/src/transport/call.h
@@ -13,6 +13,7 @@
 {
   /// KB_OK: an answer came, whatever its status. KB_EUNAVAIL: certainly not
   /// sent. KB_EUNKNOWN: sent, no whole answer in time.
+  /// KB_ELIMIT: the answer is larger than a call takes.
   kb_status_t status;
   int http_status;
   kb_slice_t body;     ///< Gone after the callback.
--- a/src/transport/h1_head.c
+++ b/src/transport/h1_head.c
@@ -1,6 +1,7 @@
 /// @file h1_head.c
 /// Reading of message heads: fields, tokens, and what is too ambiguous to be
 /// relayed.
+#include <ctype.h>
 #include <stdlib.h>
 #include <strings.h>
 
@@ -133,8 +134,10 @@
   if (colon == NULL)
     return KB_EINVAL;
   *colon = '\0';
-  int port = atoi (colon + 1);
-  if (port <= 0 || port > UINT16_MAX)
+  char *end = NULL;
+  long port = strtol (colon + 1, &end, 10);
+  bool is_number = isdigit ((unsigned char)colon[1]) && *end == '\0';
+  if (!is_number || port <= 0 || port > UINT16_MAX)
     return KB_EINVAL;
-  return uv_ip4_addr (copy, port, out) == 0 ? KB_OK : KB_EINVAL;
+  return uv_ip4_addr (copy, (int)port, out) == 0 ? KB_OK : KB_EINVAL;
 }
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -297,6 +297,68 @@
   EXPECT_GT (site.engines[0].target->loads (), 0);
 }
 
+// An engine ends behind a cut and starts again under the id that it had, so
+// that nothing breaks the connection of a stream that ran there. Its caller
+// waits for the end of its patience, though the stream can not go on: the
+// engine knows nothing of it. The answer must not promise that it did not run.
+TEST (Relay, AStreamAtAnEngineThatIsBornAgainIsCut)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.fail_next ({ Fault::HANG });
+  Message answer;
+  std::thread caller ([&] {
+    answer = send_call (site.gateways[0], stream_call ("s1", "a1", false));
+  });
+  EXPECT_TRUE (Site::wait_for ([&] { return engine.runs_of ("s1") == 1; }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (900));
+  auto begin = std::chrono::steady_clock::now ();
+  engine.restart (engine.id ());
+  site.list_engine (0);
+  caller.join ();
+  auto took = std::chrono::steady_clock::now () - begin;
+  EXPECT_EQ (answer.status, 502);
+  EXPECT_LT (took, std::chrono::milliseconds (3500));
+  EXPECT_EQ (engine.runs_of ("s1"), 1);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("s2", "a1")).status
+           == 200;
+  }));
+}
+
+// A target starts again under its id, and an entry that it wrote before comes
+// late, once and again. It is served as it is now. When the older birth goes
+// on being told, the clock of its VM was stepped back, and it is used too.
+TEST (Relay, AnEntryOfAnEarlierBirthIsTurnedAway)
+{
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &target = *site.plain[0];
+  target.step_clock (60000);
+  target.restart (target.id ());
+  site.list_plain (0);
+  auto count = [&] (const char *event) {
+    return Site::log_lines (site.gateways[0].daemon, { event }).size ();
+  };
+  EXPECT_TRUE (Site::wait_for ([&] { return count ("target_reborn") == 1; }));
+  target.step_clock (-120000);
+  target.restart (target.id ());
+  for (int i = 0; i < 2; i++)
+    {
+      site.list_plain (0, i == 0 ? "draining" : "ready");
+      EXPECT_TRUE (Site::wait_for (
+          [&] { return count ("birth_stale") == (size_t)i + 1; }));
+      EXPECT_EQ (
+          send_call (site.gateways[0], plain_call ("b" + std::to_string (i)))
+              .status,
+          200);
+    }
+  site.list_plain (0);
+  EXPECT_TRUE (Site::wait_for ([&] { return count ("target_reborn") == 2; }));
+  EXPECT_EQ (send_call (site.gateways[0], plain_call ("b9")).status, 200);
+}
+
 // An engine comes back empty under a new name; until the list says so, every
 // request to it is refused by the incarnation it names.
 TEST (Relay, ARestartedEngineGetsItsModelBackAndServes)
--- /dev/null
+++ b/test/unit/incarnation_test.cc
@@ -0,0 +1,65 @@
+// Which life of a target a word is about.
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "state/incarnation.h"
+}
+
+namespace
+{
+
+TEST (Incarnation, ALaterBirthTakesItsPlace)
+{
+  inc_belief_t belief = {};
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_SAME);
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_SAME);
+  EXPECT_EQ (inc_judge (&belief, 2000), INC_ANOTHER);
+  EXPECT_EQ (belief.born_ms, 2000u);
+}
+
+// A word without a birth is about the incarnation that is known.
+TEST (Incarnation, AWordWithoutABirthChangesNothing)
+{
+  inc_belief_t belief = { .born_ms = 2000 };
+  EXPECT_EQ (inc_judge (&belief, 0), INC_SAME);
+  EXPECT_EQ (belief.born_ms, 2000u);
+}
+
+// A target crashed and started again. An entry that it wrote before comes
+// late, or a stale read brings it: it is turned away.
+TEST (Incarnation, AnOlderBirthIsTurnedAway)
+{
+  inc_belief_t belief = { .born_ms = 2000 };
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_STALE);
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_STALE);
+  EXPECT_EQ (inc_judge (&belief, 2000), INC_SAME);
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_STALE);
+  EXPECT_EQ (inc_judge (&belief, 1500), INC_STALE);
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_STALE);
+  EXPECT_EQ (belief.born_ms, 2000u);
+}
+
+// The clock of the target's VM was stepped back before it started again: its
+// birth is earlier than the one before, and it is the one that lives. Turned
+// away for good, the target would never be used again.
+TEST (Incarnation, AnOlderBirthThatInsistsIsBelieved)
+{
+  inc_belief_t belief = { .born_ms = 2000 };
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_STALE);
+  EXPECT_EQ (inc_judge (&belief, 0), INC_SAME);
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_STALE);
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_ANOTHER);
+  EXPECT_EQ (belief.born_ms, 1000u);
+  EXPECT_EQ (inc_judge (&belief, 1000), INC_SAME);
+}
+
+TEST (Incarnation, NumbersThatAreNoBirth)
+{
+  EXPECT_FALSE (inc_is_birth (0));
+  EXPECT_FALSE (inc_is_birth (-1));
+  EXPECT_FALSE (inc_is_birth (INT64_MAX));
+  EXPECT_TRUE (inc_is_birth (1785123800000));
+}
+
+} // namespace
