fix(sidecar): room is kept for orders that an earlier life of the engine got

An order without an answer is void once the count of orders that it expects has passed. An engine that starts again under its id counts anew, and took such an order when it came to the same count: five adapters in four places, and it crashes with its streams. The id told the lives apart before; now it does not. The sidecar keeps one place free for each such order until the count has passed or 15 s are over (platform: up to 12 s late).

--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -98,6 +98,7 @@
   double waiting_cost;   ///< Prompts of waiting requests, as rdg_cost.
   uint32_t held;
   uint32_t coming;
+  uint32_t reserved;     ///< Places kept free for late orders.
   uint32_t cold_coming;  ///< Of these, from the weight store.
   uint32_t cold_waiting; ///< Adapters asked for that wait for such a fetch.
   lns_lanes_t lanes;     ///< For fetches from the weight store.
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -208,7 +208,8 @@
 {
   bool is_replacement = adapter->state == ADM_HELD;
   if (is_replacement
-      || table->held + table->coming < table->options.adapter_slots)
+      || table->held + table->coming + table->reserved
+             < table->options.adapter_slots)
     return (adm_action_t){ .kind = ADM_DO_LOAD, .adapter = adapter };
   adm_adapter_t *victim = choose_victim (table, now_ms);
   if (victim == NULL)
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -4,6 +4,7 @@
 #define KB_SIDECAR_SIDECAR_DEFS_H
 
 #include "coordination/admit.h"
+#include "coordination/lateorder.h"
 #include "coordination/rto.h"
 #include "relay/host.h"
 #include "relay/versions.h"
@@ -60,6 +61,7 @@
   uint64_t order_adapter; ///< Key; zero: the model.
   uint64_t ordered_ms;
   rto_timeout_t order_timeout;
+  lto_orders_t late_orders; ///< Without an answer.
   bool is_state_due;
   uint64_t told_ms;
   tmr_sub_t poll_timer;
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -82,6 +82,9 @@
   note_order_time (s, end);
   adm_adapter_t *adapter = kb_map_get (&s->table.adapters, s->order_adapter);
   log_order (s, adapter, end);
+  bool is_fetch = s->order_kind == ADM_DO_LOAD && s->order_adapter != 0;
+  if (end == EGN_ORDER_UNKNOWN && is_fetch)
+    lto_note (&s->late_orders, s->seq, s->ordered_ms);
   bool is_done = end == EGN_ORDER_ACCEPTED || end == EGN_ORDER_HOLDS;
   if (is_done)
     s->seq++;
@@ -145,6 +148,7 @@
 void
 scr_pump (scr_sidecar_t *s)
 {
+  s->table.reserved = lto_reserved (&s->late_orders, s->seq, scr_now_ms (s));
   for (;;)
     {
       // Without the configuration the places for adapters are not known; an
@@ -271,6 +275,7 @@
   s->model_ordered_ms = 0;
   s->who = (inc_t){ 0 };
   s->identified_ms = 0;
+  lto_restarted (&s->late_orders);
   adm_engine_restarted (&s->table);
   scr_state_changed (s);
 }
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -297,6 +297,38 @@
   EXPECT_GT (site.engines[0].target->loads (), 0);
 }
 
+// An order gets no answer, and its engine starts again under its id: the order
+// is carried out later, at an engine that is full by then. It crashes with all
+// its streams. The id does not tell the two lives apart, and the count of
+// orders, which begins anew, is the same again at that moment.
+TEST (Relay, AnOrderToAnEarlierBirthNeverOverfillsAnEngine)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  // As many orders as bring its model and fill its four places.
+  engine.set_seq (5);
+  std::this_thread::sleep_for (std::chrono::milliseconds (900));
+  engine.late_order_ms = 2500;
+  Call first = stream_call ("s1", "a1");
+  first.deadline_ms = 300;
+  send_call (site.gateways[0], first);
+  ASSERT_GT (engine.waiting_orders, 0);
+  engine.late_order_ms = 0;
+  engine.restart (engine.id ());
+  site.list_engine (0);
+  for (int i = 0; i < 4; i++)
+    EXPECT_TRUE (Site::wait_for ([&] {
+      return send_call (site.gateways[0],
+                        stream_call ("s" + std::to_string (i + 2),
+                                     "b" + std::to_string (i)))
+                 .status
+             == 200;
+    }));
+  EXPECT_TRUE (Site::wait_for ([&] { return engine.waiting_orders == 0; }));
+  EXPECT_LE (engine.most_held (), 4u);
+}
+
 // An engine ends behind a cut and starts again under the id that it had, so
 // that nothing breaks the connection of a stream that ran there. Its caller
 // waits for the end of its patience, though the stream can not go on: the
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -72,6 +72,13 @@
   is_leaving_ = is_leaving;
 }
 
+void
+Target::set_seq (int64_t seq)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  seq_ = seq;
+}
+
 int
 Target::runs_of (const std::string &attempt_id)
 {
@@ -181,8 +188,10 @@
   int delay_ms = late_order_ms;
   if (delay_ms == 0)
     return connection.write (answer (carry_out (request.body), "", "{}"));
+  waiting_orders++;
   sleep_ms (delay_ms);
   carry_out (request.body);
+  waiting_orders--;
   return false;
 }
 
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -55,6 +55,8 @@
   /// The clock that stamps the births is set by this much.
   void step_clock (int64_t by_ms);
   void set_leaving (bool is_leaving);
+  /// Orders accepted so far, as it counts them.
+  void set_seq (int64_t seq);
   /// How often a request ran here.
   int runs_of (const std::string &attempt_id);
   int runs ();
@@ -70,6 +72,8 @@
   std::atomic<int> newest_version{ 1 };
   /// Orders get no answer and are carried out this much later; zero: not so.
   std::atomic<int> late_order_ms{ 0 };
+  /// Orders that were taken and are not carried out yet.
+  std::atomic<int> waiting_orders{ 0 };
   /// Streams whose caller went away before the end.
   std::atomic<int> abandoned{ 0 };
   /// Streams go on for a while after their caller is gone.
