--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -277,17 +277,18 @@
 /// An entry as a target writes it.
 static std::string
 entry_of (Target &target, const std::string &service,
-          const std::string &address, int slots, const std::string &state)
+          const std::string &address, int slots, const std::string &state,
+          int64_t born_shift_ms)
 {
   return "{\"Service\":\"" + service + "\",\"Address\":\"" + address
          + "\",\"Zone\":\"d1\",\"Version\":\"v1\",\"Slots\":"
          + std::to_string (slots) + ",\"State\":\"" + state
          + "\",\"ColdLeftMs\":0,\"Seq\":1,\"born\":"
-         + std::to_string (target.born_ms ()) + "}";
+         + std::to_string (target.born_ms () + born_shift_ms) + "}";
 }
 
 void
-Site::list_engine (size_t at, const std::string &state)
+Site::list_engine (size_t at, const std::string &state, int64_t born_shift_ms)
 {
   Target &target = *engines[at].target;
   std::string address
@@ -296,18 +297,18 @@
             : proxies_->engine (engines[at].ip, target.address (),
                                 inner_port_);
   put ("servers/" + target.id (),
-       entry_of (target, "models", address, 8, state));
+       entry_of (target, "models", address, 8, state, born_shift_ms));
 }
 
 void
-Site::list_plain (size_t at, const std::string &state)
+Site::list_plain (size_t at, const std::string &state, int64_t born_shift_ms)
 {
   Target &target = *plain[at];
   std::string address = proxies_ == nullptr
                             ? target.address ()
                             : proxies_->plain (target.address ());
   put ("servers/" + target.id (),
-       entry_of (target, "maps", address, 6, state));
+       entry_of (target, "maps", address, 6, state, born_shift_ms));
 }
 
 int
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -69,8 +69,11 @@
   /// The configuration as the operator writes it; `extra` adds members.
   void write_config (int version, const std::string &extra_route = "",
                      int stream_timeout_ms = 8000);
-  void list_engine (size_t at, const std::string &state = "ready");
-  void list_plain (size_t at, const std::string &state = "ready");
+  /// @param born_shift_ms  Added to the birth.
+  void list_engine (size_t at, const std::string &state = "ready",
+                    int64_t born_shift_ms = 0);
+  void list_plain (size_t at, const std::string &state = "ready",
+                   int64_t born_shift_ms = 0);
   /// Kill and start again.
   void restart (Daemon *daemon, int signal);
   /// @param stdout_fd  Where its log goes; its log file when negative.
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -31,7 +31,15 @@
   { "adapter_version", 0, 0 },
   { "failing_target", 0, 0 },
   { "restart_engine", 0, 0 },
+  { "target_born_again", 0, 0 },
+  { "late_entry", 0, 0 },
+  { "strange_entry", 50, 1500 },
+  { "store_mute", 50, 2500 },
 };
+// Seeds that failed keep the plan with which they failed, from the kinds that
+// there were.
+constexpr uint64_t kLastSeedOfFirstKinds = 2;
+constexpr int kFirstKinds = 15;
 constexpr int kLeastGapMs = 20;
 constexpr int kMostGapMs = 350;
 
@@ -45,13 +53,15 @@
     return std::uniform_int_distribution<> (low, high) (random);
   };
   std::vector<Step> plan;
+  int kinds
+      = seed <= kLastSeedOfFirstKinds ? kFirstKinds : (int)std::size (kKinds);
   int at_ms = 0;
   for (;;)
     {
       at_ms += draw (kLeastGapMs, kMostGapMs);
       Step step;
       step.at_ms = at_ms;
-      int kind = draw (0, (int)std::size (kKinds) - 1);
+      int kind = draw (0, kinds - 1);
       step.kind = (Kind)kind;
       step.for_ms = draw (kKinds[kind].least_ms, kKinds[kind].most_ms);
       step.who = draw (0, 1 << 20);
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -28,6 +28,10 @@
   ADAPTER_VERSION,
   FAILING_TARGET,
   RESTART_ENGINE,
+  TARGET_BORN_AGAIN, ///< Under its id.
+  LATE_ENTRY,        ///< Of a target's life before.
+  STRANGE_ENTRY,     ///< Another writer's, also in the place of a target's.
+  STORE_MUTE,        ///< Reads are taken and never answered, also later.
 };
 
 struct Step
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -177,6 +177,20 @@
     case Kind::RESTART_ENGINE:
       restart_engine (step.who);
       break;
+    case Kind::TARGET_BORN_AGAIN:
+      target_at (step.who).restart (target_at (step.who).id ());
+      list_target (step.who, 0);
+      break;
+    case Kind::LATE_ENTRY:
+      list_target (step.who, -1000 - step.how % 5000);
+      break;
+    case Kind::STRANGE_ENTRY:
+      write_strange_entry (step);
+      break;
+    case Kind::STORE_MUTE:
+      (step.who % 2 == 0 ? site_.store : site_.far_store)
+          .mute (step.how % 3 == 0 ? "op/" : "");
+      break;
     }
 }
 
@@ -199,6 +213,12 @@
       (step.who % 2 == 0 ? site_.store : site_.far_store)
           .set_mode (Store::WELL);
       break;
+    case Kind::STORE_MUTE:
+      (step.who % 2 == 0 ? site_.store : site_.far_store).unmute ();
+      break;
+    case Kind::STRANGE_ENTRY:
+      list_target (step.who, 0);
+      break;
     default:
       break;
     }
@@ -278,11 +298,40 @@
   site_.list_engine (at);
 }
 
+void
+Soak::list_target (int who, int64_t born_shift_ms)
+{
+  size_t at = (size_t)(who % (size_.engines + size_.plain));
+  if (at < site_.engines.size ())
+    site_.list_engine (at, "ready", born_shift_ms);
+  else
+    site_.list_plain (at - site_.engines.size (), "ready", born_shift_ms);
+}
+
+void
+Soak::write_strange_entry (const Step &step)
+{
+  static const std::string texts[]
+      = { "",
+          "{",
+          "7",
+          "{\"Service\":\"maps\"}",
+          std::string (100000, '['),
+          std::string ("\xff\x00\xfe", 3),
+          "{\"Service\":\"maps\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"d1\","
+          "\"Version\":\"v1\",\"Slots\":6,\"State\":\"warm\",\"Seq\":1}" };
+  bool is_in_place = step.how % 2 == 0;
+  std::string id = is_in_place ? target_at (step.who).id () : "stranger";
+  site_.put ("servers/" + id, texts[(size_t)step.how / 2 % std::size (texts)]);
+}
+
 void
 Soak::heal ()
 {
   site_.store.set_mode (Store::WELL);
   site_.far_store.set_mode (Store::WELL);
+  site_.store.unmute ();
+  site_.far_store.unmute ();
   for (auto &proxy : proxies_.all)
     {
       proxy->set_path (Path::OPEN);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -57,6 +57,9 @@
   void name_version (int adapter);
   void fail_target (const Step &step);
   void restart_engine (int who);
+  /// List a target as it is, or as it was before.
+  void list_target (int who, int64_t born_shift_ms);
+  void write_strange_entry (const Step &step);
   void heal ();
   void call_loop (int caller);
   void probe_loop ();
