--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -2,18 +2,39 @@
 /// decoding ends with a value or an error.
 #include <stddef.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "document.h"
 #include "engine.h"
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
+/// An entry under any key: the first line is its id.
+static void
+decode_keyed (kb_slice_t text, size_t most)
+{
+  char id[256];
+  const char *end = memchr (text.ptr, '\n', text.len_bytes);
+  size_t len = end == NULL ? 0 : (size_t)(end - text.ptr);
+  if (end == NULL || len > most)
+    return;
+  kb_slice_copy ((kb_slice_t){ text.ptr, (uint32_t)len }, id, sizeof id);
+  kb_slice_t document = { end + 1, (uint32_t)(text.len_bytes - len - 1) };
+  kb_error_t error = { 0 };
+  src_target_t target;
+  if (doc_decode_target (id, document, &target, &error) == KB_OK
+      && strcmp (id, target.who.id) != 0)
+    abort ();
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   enum
   {
     KINDS = 4,
+    KEYED = 0x80,
+    KEY_BYTES = 200,
   };
   if (size == 0)
     return 0;
@@ -22,6 +43,11 @@
   src_target_t target;
   doc_version_t version;
   static egn_report_t report;
+  if (data[0] >= KEYED)
+    {
+      decode_keyed (text, KEY_BYTES);
+      return 0;
+    }
   switch (data[0] % KINDS)
     {
     case 0:
