--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -17,9 +17,6 @@
   HTTP_UNAVAILABLE = 503,
   HTTP_GATEWAY_TIMEOUT = 504,
   CONNECT_TIMEOUT_MS = 400,
-  /// How far clocks of two VMs are apart without a fault: what was sent this
-  /// close to a birth may run at either incarnation and is left alone.
-  CLOCK_SLACK_MS = 500,
   /// A request that may not run twice goes out on a connection that was in
   /// use this recently: a reset of an old one would leave its fate unknown.
   FRESH_IDLE_MS = 1000,
@@ -491,32 +488,8 @@
   arm_silence (r);
 }
 
-/// @return  How long nothing has been heard of an attempt.
-static uint64_t
-quiet_ms (const gtw_request_t *r)
-{
-  uint64_t heard_ms = r->passed_ms > r->sent_ms ? r->passed_ms : r->sent_ms;
-  return gtw_now_ms (r->gateway) - heard_ms;
-}
-
-/// What was sent to an incarnation before it ended will not be answered; its
-/// connections may be silent, behind a cut, and callers would wait for their
-/// timeout. What was sent after the birth of the next one runs there, since
-/// both bear one id, and goes on.
 void
-gtw_answer_target_ended (gtw_gateway_t *gateway, const gtw_target_t *target,
-                         uint64_t born_ms)
+gtw_answer_cut (gtw_request_t *r, const char *reason)
 {
-  uint64_t wall_ms = tmr_wall_ms ();
-  uint64_t age_ms
-      = CLOCK_SLACK_MS + (wall_ms > born_ms ? wall_ms - born_ms : 0);
-  gtw_request_t *next;
-  for (gtw_request_t *r = gateway->requests; r != NULL; r = next)
-    {
-      next = r->next;
-      bool is_there = r->target == target
-                      && (r->stage == GTW_SENT || r->stage == GTW_PASSING);
-      if (is_there && quiet_ms (r) > age_ms)
-        answer_broken (r, true, "target_ended");
-    }
+  answer_broken (r, true, reason);
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -296,10 +296,8 @@
 // gateway_answer.c
 /// Send to the present target.
 void gtw_answer_send (gtw_request_t *r);
-/// Break off requests at an incarnation that has ended.
-/// @param born_ms  Unix time of the next one's start.
-void gtw_answer_target_ended (gtw_gateway_t *gateway,
-                              const gtw_target_t *target, uint64_t born_ms);
+/// Break off an attempt that will not be answered; it may have run.
+void gtw_answer_cut (gtw_request_t *r, const char *reason);
 
 // gateway_budget.c
 void gtw_budget_note_first (gtw_gateway_t *gateway, const char *service);
@@ -310,9 +308,7 @@
 void gtw_observe_grant (const gtw_request_t *r);
 void gtw_set_gauges (const gtw_gateway_t *gateway, bool is_ready);
 
-// gateway_targets.c
-void gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told);
-void gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id);
+// gateway_births.c
 /// Another incarnation lives under a target's id: what was learnt of this one
 /// ends, and requests under way there are broken off.
 /// @param told  What takes its place.
@@ -323,6 +319,15 @@
 /// @param from  "list", "sidecar" or "grant".
 void gtw_target_turn_away (const gtw_target_t *target, uint64_t born_ms,
                            const char *from);
+
+// gateway_targets.c
+gtw_target_t *gtw_target_add (gtw_gateway_t *gateway,
+                              const src_target_t *told);
+/// Open the link to the sidecar beside an engine.
+void gtw_target_link (gtw_gateway_t *gateway, gtw_target_t *target);
+void gtw_target_log (const gtw_target_t *target, const char *event);
+void gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told);
+void gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id);
 /// @return  The target to use for a request, or NULL.
 gtw_target_t *gtw_target_choose (gtw_gateway_t *gateway,
                                  const gtw_request_t *r);
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -102,8 +102,8 @@
 }
 
 /// Open the link to the sidecar beside an engine.
-static void
-target_link (gtw_gateway_t *gateway, gtw_target_t *target)
+void
+gtw_target_link (gtw_gateway_t *gateway, gtw_target_t *target)
 {
   if (target->is_linked || !target->is_listed
       || !is_engine_service (gateway, target->told.service))
@@ -147,8 +147,8 @@
   target->condition = MSG_ENGINE_DOWN;
 }
 
-static void
-log_target (const gtw_target_t *target, const char *event)
+void
+gtw_target_log (const gtw_target_t *target, const char *event)
 {
   log_event_t line;
   if (!log_begin (&line, LOG_INFO, "gateway", event))
@@ -161,8 +161,8 @@
   log_end (&line);
 }
 
-static gtw_target_t *
-target_add (gtw_gateway_t *gateway, const src_target_t *told)
+gtw_target_t *
+gtw_target_add (gtw_gateway_t *gateway, const src_target_t *told)
 {
   gtw_target_t *target = kb_alloc (sizeof *target);
   uint64_t number = ++gateway->target_number;
@@ -177,45 +177,17 @@
                  MAX_IDLE_CONNECTIONS);
   kb_map_put (&gateway->targets, target->key, target);
   kb_map_put (&gateway->present, id_key (kb_slice_str (told->who.id)), target);
-  log_target (target, "target_listed");
+  gtw_target_log (target, "target_listed");
   return target;
 }
 
-void
-gtw_target_turn_away (const gtw_target_t *target, uint64_t born_ms,
-                      const char *from)
-{
-  MET_INC ("knapweedbay_stale_births_total", "");
-  log_event_t line;
-  if (!log_begin (&line, LOG_INFO, "gateway", "birth_stale"))
-    return;
-  log_text (&line, "target", target->told.who.id);
-  log_int (&line, "born", (int64_t)target->belief.born_ms);
-  log_int (&line, "told", (int64_t)born_ms);
-  log_text (&line, "from", from);
-  log_end (&line);
-}
-
-gtw_target_t *
-gtw_target_reborn (gtw_gateway_t *gateway, gtw_target_t *target,
-                   const src_target_t *told)
-{
-  log_target (target, "target_reborn");
-  target->is_listed = false;
-  xch_peer_finish (&target->peer);
-  gtw_target_t *next = target_add (gateway, told);
-  target_link (gateway, next);
-  gtw_answer_target_ended (gateway, target, told->who.born_ms);
-  return next;
-}
-
 void
 gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told)
 {
   uint64_t key = id_key (kb_slice_str (told->who.id));
   gtw_target_t *target = kb_map_get (&gateway->present, key);
   if (target == NULL)
-    target = target_add (gateway, told);
+    target = gtw_target_add (gateway, told);
   switch (inc_judge (&target->belief, told->who.born_ms))
     {
     case INC_STALE:
@@ -228,10 +200,10 @@
       break;
     }
   if (told->is_leaving && !target->told.is_leaving)
-    log_target (target, "target_leaving");
+    gtw_target_log (target, "target_leaving");
   target->told = *told;
   target->is_listed = true;
-  target_link (gateway, target);
+  gtw_target_link (gateway, target);
 }
 
 void
@@ -241,7 +213,7 @@
   if (target == NULL || !target->is_listed)
     return;
   target->is_listed = false;
-  log_target (target, "target_gone");
+  gtw_target_log (target, "target_gone");
   xch_peer_finish (&target->peer);
 }
 
@@ -414,9 +386,9 @@
   if (now_ms - since_ms < limit_ms)
     return;
   if (target->heard_ms > 0)
-    log_target (target, "sidecar_lost");
+    gtw_target_log (target, "sidecar_lost");
   target_unlink (gateway, target);
-  target_link (gateway, target);
+  gtw_target_link (gateway, target);
   gtw_places_lost (gateway, target);
 }
 
@@ -449,7 +421,7 @@
           // Removal moves entries; the rest has its turn at the next tick.
           return;
         }
-      target_link (gateway, t);
+      gtw_target_link (gateway, t);
       if (!t->is_linked)
         continue;
       check_sidecar (gateway, t, now_ms);
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -13,6 +13,11 @@
 namespace
 {
 
+const char kNewRoute[] = ",{\"Name\":\"new\",\"Host\":\"a.example\","
+                         "\"Prefix\":\"/new/\",\"Kind\":\"safe\","
+                         "\"TimeoutMs\":2000,\"Service\":\"maps\","
+                         "\"MaxAttempts\":1}";
+
 // A target that is leaving gets new requests until it is gone, and they are
 // lost with it.
 TEST (Relay, ALeavingTargetGetsNothingNew)
@@ -129,10 +134,7 @@
   Site site (1, 1, 2);
   ASSERT_TRUE (site.wait_ready ());
   site.far_store.set_mode (Store::SILENT);
-  site.write_config (5, ",{\"Name\":\"new\",\"Host\":\"a.example\","
-                        "\"Prefix\":\"/new/\",\"Kind\":\"safe\","
-                        "\"TimeoutMs\":2000,\"Service\":\"maps\","
-                        "\"MaxAttempts\":1}");
+  site.write_config (5, kNewRoute);
   EXPECT_TRUE (Site::wait_for ([&] {
     return send_call (site.gateways[1], plain_call ("q", "/new/x")).status
            == 200;
@@ -145,10 +147,18 @@
   }));
 }
 
-const char kNewRoute[] = ",{\"Name\":\"new\",\"Host\":\"a.example\","
-                         "\"Prefix\":\"/new/\",\"Kind\":\"safe\","
-                         "\"TimeoutMs\":2000,\"Service\":\"maps\","
-                         "\"MaxAttempts\":1}";
+/// Write a route that is new, and see it served.
+void
+expect_new_route_soon (Site &site)
+{
+  site.write_config (5, kNewRoute);
+  EXPECT_TRUE (Site::wait_for (
+      [&] {
+        return send_call (site.gateways[0], plain_call ("s", "/new/x")).status
+               == 200;
+      },
+      4000));
+}
 
 /// The gateway follows the operator's keys: its next read of them waits.
 void
@@ -176,13 +186,7 @@
   site.store.mute ("");
   std::this_thread::sleep_for (std::chrono::milliseconds (500));
   site.store.unmute ();
-  site.write_config (5, kNewRoute);
-  EXPECT_TRUE (Site::wait_for (
-      [&] {
-        return send_call (site.gateways[0], plain_call ("s", "/new/x")).status
-               == 200;
-      },
-      4000));
+  expect_new_route_soon (site);
 }
 
 // As before, but the store is well all the time: only the connection on which
@@ -195,13 +199,7 @@
   wait_for_revision (site, 4);
   site.store.mute ("op/");
   site.store.unmute ();
-  site.write_config (5, kNewRoute);
-  EXPECT_TRUE (Site::wait_for (
-      [&] {
-        return send_call (site.gateways[0], plain_call ("s", "/new/x")).status
-               == 200;
-      },
-      4000));
+  expect_new_route_soon (site);
 }
 
 // The store forgets its history while the configuration changes; a reader
@@ -211,10 +209,7 @@
   Site site (0, 1);
   ASSERT_TRUE (site.wait_ready ());
   site.store.set_mode (Store::SILENT);
-  site.write_config (6, ",{\"Name\":\"new\",\"Host\":\"a.example\","
-                        "\"Prefix\":\"/new/\",\"Kind\":\"safe\","
-                        "\"TimeoutMs\":2000,\"Service\":\"maps\","
-                        "\"MaxAttempts\":1}");
+  site.write_config (6, kNewRoute);
   site.store.compact ();
   site.store.set_mode (Store::WELL);
   EXPECT_TRUE (Site::wait_for ([&] {
