fix(gateway,platform): leaving ends with the birth that said so; a birth once told is always told

An engine that had said that it leaves and started again under its id was not used until its next entry, though its agent knew of the new life (Relay.LeavingEndsWithTheBirthThatSaidSo fails without the change). An entry without a birth in the place of one that told it names no target.

--- a/src/coordination/roster.c
+++ b/src/coordination/roster.c
@@ -46,18 +46,27 @@
 }
 
 bool
-ros_list (ros_roster_t *roster, const char *id)
+ros_may_list (const ros_roster_t *roster, const inc_t *who)
 {
-  uint64_t key = entry_key (id);
+  const ros_entry_t *entry
+      = kb_map_get (&roster->entries, entry_key (who->id));
+  return entry == NULL || !entry->tells_birth || who->born_ms > 0;
+}
+
+bool
+ros_list (ros_roster_t *roster, const inc_t *who)
+{
+  uint64_t key = entry_key (who->id);
   ros_entry_t *entry = kb_map_get (&roster->entries, key);
   bool is_new = entry == NULL;
   if (is_new)
     {
       entry = kb_alloc (sizeof *entry);
       *entry = (ros_entry_t){ 0 };
-      snprintf (entry->id, sizeof entry->id, "%s", id);
+      snprintf (entry->id, sizeof entry->id, "%s", who->id);
       kb_map_put (&roster->entries, key, entry);
     }
+  entry->tells_birth = entry->tells_birth || who->born_ms > 0;
   entry->remove_at_ms = 0;
   entry->range_mark = roster->range_count;
   return is_new;
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -17,6 +17,7 @@
   char id[INC_ID_BYTES];
   uint64_t range_mark;   ///< The last whole range that held it.
   uint64_t remove_at_ms; ///< Zero: listed.
+  bool tells_birth;      ///< Its target does, so that each entry must.
 } ros_entry_t;
 
 typedef struct
@@ -31,7 +32,10 @@
 void ros_finish (ros_roster_t *roster);
 /// An entry names a target.
 /// @return  Whether its id was not known.
-bool ros_list (ros_roster_t *roster, const char *id);
+bool ros_list (ros_roster_t *roster, const inc_t *who);
+/// @return  Whether an entry may name a target: one that told its birth before
+///          tells it always.
+bool ros_may_list (const ros_roster_t *roster, const inc_t *who);
 /// @return  When targets that vanish now are taken as gone.
 /// @param vanished         How many vanish at this moment.
 /// @param lapsed_until_ms  Entries may have lapsed: kept until then.
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -173,6 +173,8 @@
     return target;
   src_target_t told = target->told;
   told.who.born_ms = state->born_ms;
+  // Whether the next life leaves is told by its own entry and its sidecar.
+  told.is_leaving = false;
   switch (inc_judge (&target->belief, state->born_ms))
     {
     case INC_STALE:
--- a/test/model/gateway.cc
+++ b/test/model/gateway.cc
@@ -120,7 +120,10 @@
   std::string id = id_of (item);
   if (item.value.is_bad)
     return false;
-  if (ros_list (&roster_, id.c_str ()))
+  inc_t who = {};
+  snprintf (who.id, sizeof who.id, "%s", id.c_str ());
+  who.born_ms = item.value.born_ms;
+  if (ros_list (&roster_, &who))
     flw_note_new_target (&follower_);
   inc_belief_t &belief = beliefs_[id];
   inc_belief_t before = belief;
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -354,6 +354,26 @@
   }));
 }
 
+// An engine says that it leaves, crashes, and starts again under its id. Its
+// agent knows of the new life before the list does; the leaving was the old
+// one's, and callers need not wait for the next entry.
+TEST (Relay, LeavingEndsWithTheBirthThatSaidSo)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  site.list_engine (0, "draining");
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon, { "target_leaving" })
+                .empty ();
+  }));
+  engine.restart (engine.id ());
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("s1", "a1")).status
+           == 200;
+  }));
+}
+
 // A target starts again under its id, and an entry that it wrote before comes
 // late, once and again. It is served as it is now. When the older birth goes
 // on being told, the clock of its VM was stepped back, and it is used too.
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -520,7 +520,7 @@
     items.push_back (item);
   }
   void
-  bad (const char *id, const char *text)
+  entry (const char *id, const char *text)
   {
     sto_item_t item = {};
     snprintf (item.key, sizeof item.key, "servers/%s", id);
@@ -590,9 +590,9 @@
 TEST_F (DirectoryTest, ABadEntryLeavesThoseBesideIt)
 {
   change ("i-1", false);
-  bad ("i-2", "{\"Service\":");
-  bad ("i-3", "");
-  bad ("i 4", "{}");
+  entry ("i-2", "{\"Service\":");
+  entry ("i-3", "");
+  entry ("i 4", "{}");
   change ("i-5", false);
   take ();
   EXPECT_EQ (told, (std::vector<std::string>{ "+i-1", "+i-5" }));
@@ -606,7 +606,7 @@
   change ("i-1", false);
   take ();
   begin_batch ();
-  bad ("i-1", "{\"Service\":7}");
+  entry ("i-1", "{\"Service\":7}");
   take ();
   EXPECT_EQ (told, (std::vector<std::string>{ "-i-1" }));
   begin_batch ();
@@ -614,12 +614,25 @@
   take ();
   EXPECT_EQ (told, (std::vector<std::string>{ "+i-1" }));
   begin_batch ();
-  bad ("i-1", "");
+  entry ("i-1", "");
   items.back ().is_unreadable = true;
   take ();
   EXPECT_EQ (told, (std::vector<std::string>{ "-i-1" }));
 }
 
+// A target that told its birth tells it always: an entry without one in its
+// place is another writer's.
+TEST_F (DirectoryTest, AnEntryThatLostItsBirthNamesNoTarget)
+{
+  entry ("i-1", kEntry);
+  take ();
+  EXPECT_EQ (told, (std::vector<std::string>{ "+i-1" }));
+  begin_batch ();
+  change ("i-1", false);
+  take ();
+  EXPECT_EQ (told, (std::vector<std::string>{ "-i-1" }));
+}
+
 // Entries that lapse together while the targets live are back within 2 s.
 TEST_F (DirectoryTest, ManyThatVanishTogetherAreKeptForAWhile)
 {
