--- a/test/relay/sidecar_test.cc
+++ b/test/relay/sidecar_test.cc
@@ -70,9 +70,9 @@
     msg.place_ask.output_tokens = 10;
     msg.place_ask.left_ms = 5000;
     msg.place_ask.objective_ms = 4000;
-    msg.place_ask.model = slice ("m");
+    msg.place_ask.model = kb_slice_str ("m");
     msg.place_ask.adapter = slice (adapter);
-    msg.place_ask.attempt = slice ("x");
+    msg.place_ask.attempt = kb_slice_str ("x");
     lnk_link_send (&link, slice (peer), &msg);
   }
   Site site{ 1, 0, 0 };
