fix(gateway): a birth puts no target back on the list

A target that was taken off the list and starts again was used on its agent's word, before the list named it (Relay.ABirthPutsNoTargetBackOnTheList).

--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -162,14 +162,15 @@
 }
 
 /// Judge the birth that a sidecar names for its engine. It knows of a restart
-/// before the list does.
+/// before the list does; who may be used is the list's to tell.
 /// @return  The target that the word is about, or NULL when it is about an
 ///          earlier incarnation than the one that is known.
 static gtw_target_t *
 target_of_word (gtw_gateway_t *gateway, gtw_target_t *target,
                 const msg_engine_state_t *state)
 {
-  if (!kb_slice_equal (state->instance, kb_slice_str (target->told.who.id)))
+  if (!target->is_listed
+      || !kb_slice_equal (state->instance, kb_slice_str (target->told.who.id)))
     return target;
   src_target_t told = target->told;
   told.who.born_ms = state->born_ms;
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -374,6 +374,31 @@
   }));
 }
 
+// A target is taken off the list while a stream still runs there, and starts
+// again under its id. Its agent tells of the new life, but only the list tells
+// who may be used: until it does, callers are refused.
+TEST (Relay, ABirthPutsNoTargetBackOnTheList)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 500;
+  std::thread caller (
+      [&] { send_call (site.gateways[0], stream_call ("s1", "a1")); });
+  EXPECT_TRUE (Site::wait_for ([&] { return engine.runs_of ("s1") == 1; }));
+  site.remove ("servers/" + engine.id ());
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon, { "target_gone" })
+                .empty ();
+  }));
+  engine.restart (engine.id ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (900));
+  EXPECT_EQ (send_call (site.gateways[0], stream_call ("s2", "a1")).status,
+             503);
+  EXPECT_EQ (engine.runs_of ("s2"), 0);
+  caller.join ();
+}
+
 // A target starts again under its id, and an entry that it wrote before comes
 // late, once and again. It is served as it is now. When the older birth goes
 // on being told, the clock of its VM was stepped back, and it is used too.
