--- a/test/relay/sidecar_test.cc
+++ b/test/relay/sidecar_test.cc
@@ -50,6 +50,13 @@
       return is_heard;
     }));
   }
+  void
+  TearDown () override
+  {
+    lnk_link_finish (&link);
+    uv_run (&loop, UV_RUN_DEFAULT);
+    EXPECT_EQ (uv_loop_close (&loop), 0);
+  }
   bool
   run_until (const std::function<bool ()> &condition, int timeout_ms = 5000)
   {
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -505,6 +505,9 @@
     for (auto &item : items)
       kb_buf_finish (&item.value);
     directory.source.vtable->stop (&directory.source);
+    tmr_service_finish (&timers);
+    uv_run (&loop, UV_RUN_DEFAULT);
+    EXPECT_EQ (uv_loop_close (&loop), 0);
   }
   void
   change (const char *id, bool is_gone)
