fix(sidecar): no room is kept for late orders that the engine turns away

An order names the id that it is for; an engine that came back under another id turns it away, and the place kept for it, one of five on some sites, was lost to callers for up to 15 s after each restart beside lost answers.

--- a/src/coordination/lateorder.h
+++ b/src/coordination/lateorder.h
@@ -22,6 +22,7 @@
 /// A load that got no answer.
 typedef struct
 {
+  uint64_t engine;   ///< Hash of the id that it was for; zero: of any.
   uint64_t expected; ///< Count of orders at which it is carried out.
   uint64_t sent_ms;
 } lto_order_t;
@@ -33,12 +34,17 @@
 } lto_orders_t;
 
 /// A load got no answer.
-void lto_note (lto_orders_t *orders, uint64_t expected, uint64_t now_ms);
+/// @param engine  Hash of the id that it names; zero: it names none.
+void lto_note (lto_orders_t *orders, uint64_t engine, uint64_t expected,
+               uint64_t now_ms);
 /// The engine started again.
 void lto_restarted (lto_orders_t *orders);
-/// @param seq  Orders that the engine has accepted since its start.
-/// @return     Adapters that it may yet be made to fetch.
-uint32_t lto_reserved (const lto_orders_t *orders, uint64_t seq,
-                       uint64_t now_ms);
+/// @param engine  Hash of the engine's id; zero: not known yet. An engine
+/// turns
+///                away orders that name another id.
+/// @param seq     Orders that it has accepted since its start.
+/// @return        Adapters that it may yet be made to fetch.
+uint32_t lto_reserved (const lto_orders_t *orders, uint64_t engine,
+                       uint64_t seq, uint64_t now_ms);
 
 #endif
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -50,6 +50,13 @@
   log_end (&line);
 }
 
+/// @return  Hash of the engine's id, or zero before it is known.
+static uint64_t
+engine_hash (const scr_sidecar_t *s)
+{
+  return s->who.id[0] == '\0' ? 0 : scr_name_id (kb_slice_str (s->who.id));
+}
+
 /// Learn how long answers take. An order whose answer is lost holds all later
 /// ones back until its timeout: with 400 ms always and a third of the answers
 /// lost, an engine brought one adapter a second instead of three.
@@ -84,7 +91,7 @@
   log_order (s, adapter, end);
   bool is_fetch = s->order_kind == ADM_DO_LOAD && s->order_adapter != 0;
   if (end == EGN_ORDER_UNKNOWN && is_fetch)
-    lto_note (&s->late_orders, s->seq, s->ordered_ms);
+    lto_note (&s->late_orders, engine_hash (s), s->seq, s->ordered_ms);
   bool is_done = end == EGN_ORDER_ACCEPTED || end == EGN_ORDER_HOLDS;
   if (is_done)
     s->seq++;
@@ -148,7 +155,8 @@
 void
 scr_pump (scr_sidecar_t *s)
 {
-  s->table.reserved = lto_reserved (&s->late_orders, s->seq, scr_now_ms (s));
+  s->table.reserved = lto_reserved (&s->late_orders, engine_hash (s), s->seq,
+                                    scr_now_ms (s));
   for (;;)
     {
       // Without the configuration the places for adapters are not known; an
