--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -505,6 +505,7 @@
     for (auto &item : items)
       kb_buf_finish (&item.value);
     directory.source.vtable->stop (&directory.source);
+    xch_peer_finish (&directory.store.peer);
     tmr_service_finish (&timers);
     uv_run (&loop, UV_RUN_DEFAULT);
     EXPECT_EQ (uv_loop_close (&loop), 0);
@@ -576,6 +577,44 @@
   EXPECT_EQ (told, (std::vector<std::string>{ "+i-1", "+i-1" }));
 }
 
+// Words of a peer that are about another store, come from the future, say
+// again what is known, or contradict themselves. Each would hide changes or
+// bring old ones back; belief stays as it was and the store is read next.
+TEST_F (DirectoryTest, BadWordsOfAPeerChangeNothing)
+{
+  struct Word
+  {
+    uint64_t revision;
+    uint64_t as_of;
+    const char *key;
+  };
+  const Word words[] = {
+    { 11, 2000000, "servers/i-1" }, // From the future.
+    { 10, 20, "servers/i-1" },      // Known before.
+    { 21, 20, "servers/i-1" },      // Beyond what it claims to know.
+    { 11, 20, "" },
+  };
+  for (const Word &word : words)
+    {
+      flw_follower_t &f = directory.follower;
+      flw_init (&f, 700, uv_now (&loop));
+      f.readers[FLW_BATCH].as_of = 10;
+      f.readers[FLW_BATCH].is_reading = true;
+      src_change_t change = { word.revision, kb_slice_str (word.key),
+                              kb_slice_str (kEntry), false };
+      src_changes_t changes = {};
+      changes.as_of = word.as_of;
+      changes.began_ms = uv_now (&loop);
+      changes.changes = &change;
+      changes.change_count = 1;
+      directory.source.vtable->on_changes (&directory.source, &changes);
+      EXPECT_TRUE (told.empty ()) << word.key << word.revision;
+      EXPECT_EQ (f.readers[FLW_BATCH].as_of, 10u);
+      EXPECT_TRUE (f.is_store_due);
+      directory.source.vtable->stop (&directory.source);
+    }
+}
+
 // Several targets are taken away at once, and their bound for leaving is
 // short. The time for which they are kept must fit in it, with the pause
 // before it.
