fix(gateway): many targets that go at once keep no word from sidecars

Cause: a tick freed one target that was off the list and then ended. After a loss of power 120 of them are dropped at one moment; for 12 s no sidecar was told anything, took its gateways for gone after 5 s, and gateways that heard nothing from it in turn gave their places up.

All unused targets are freed at once; a word is due by its own age, not by ticks that have to hit a second. Test: ManyTargetsThatGoKeepNoWordFromSidecars, which failed before (gateway_lost).

--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -431,31 +431,53 @@
   gateway->rated_ms = now_ms;
 }
 
+/// @return  A target that is off the list and no longer used, or NULL.
+static gtw_target_t *
+find_unused (const gtw_gateway_t *gateway)
+{
+  uint32_t at = 0;
+  for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    if (!t->is_listed && t->active == 0 && t->peer.open_count == 0)
+      return t;
+  return NULL;
+}
+
+/// All of them at once: after a loss of power the list drops hundreds, and
+/// what comes behind this in a tick, the word to each sidecar, may not wait.
+/// With one a tick, 120 of them kept every link silent for 12 s.
+static void
+free_unused (gtw_gateway_t *gateway)
+{
+  for (gtw_target_t *target = find_unused (gateway); target != NULL;
+       target = find_unused (gateway))
+    target_free (gateway, target);
+}
+
+static void
+tick_link (gtw_gateway_t *gateway, gtw_target_t *target, uint64_t now_ms)
+{
+  gtw_target_link (gateway, target);
+  if (!target->is_linked)
+    return;
+  check_sidecar (gateway, target, now_ms);
+  uint64_t silent_ms = now_ms - target->told_ms;
+  bool is_answer_due
+      = silent_ms > TELL_AGAIN_MS && gtw_places_wait_for (gateway, target);
+  // Until the link is up nothing reaches the sidecar; say it again soon, or a
+  // restarted fleet stays without engines for a second.
+  if (silent_ms >= TELL_MS || target->heard_ms == 0 || is_answer_due)
+    gtw_tell_sidecar (gateway, target);
+}
+
 void
 gtw_targets_tick (gtw_gateway_t *gateway)
 {
-  note_rate (gateway, gtw_now_ms (gateway));
   uint64_t now_ms = gtw_now_ms (gateway);
-  bool is_tell_time = now_ms / TELL_MS != (now_ms - GTW_TICK_MS) / TELL_MS;
+  note_rate (gateway, now_ms);
+  free_unused (gateway);
   uint32_t at = 0;
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
-    {
-      if (!t->is_listed && t->active == 0 && t->peer.open_count == 0)
-        {
-          target_free (gateway, t);
-          // Removal moves entries; the rest has its turn at the next tick.
-          return;
-        }
-      gtw_target_link (gateway, t);
-      if (!t->is_linked)
-        continue;
-      check_sidecar (gateway, t, now_ms);
-      // Until the link is up nothing reaches the sidecar; say it again soon,
-      // or a restarted fleet stays without engines for a second.
-      bool is_answer_due = now_ms - t->told_ms > TELL_AGAIN_MS
-                           && gtw_places_wait_for (gateway, t);
-      if (is_tell_time || t->heard_ms == 0 || is_answer_due)
-        gtw_tell_sidecar (gateway, t);
-    }
+    tick_link (gateway, t, now_ms);
 }
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -51,6 +51,35 @@
   EXPECT_EQ (site.plain[1]->runs (), before);
 }
 
+// After a loss of power the list drops a hundred targets of before at one
+// moment. A gateway that forgot one of them at each of its ticks told its
+// sidecars nothing meanwhile; after 5 s they took it for gone, and requests
+// lost the places that they had been promised, for another 7 s.
+TEST (Relay, ManyTargetsThatGoKeepNoWordFromSidecars)
+{
+  Site site (1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  auto key_of = [] (int i) { return "servers/i-gone" + std::to_string (i); };
+  for (int i = 0; i < 100; i++)
+    site.put (key_of (i), "{\"Service\":\"maps\",\"Address\":\"127.0.0.1:9\","
+                          "\"Zone\":\"d1\",\"Version\":\"v1\",\"Slots\":1,"
+                          "\"State\":\"draining\",\"ColdLeftMs\":0,\"Seq\":1,"
+                          "\"born\":1700000000000}");
+  auto count = [&] (const Daemon &daemon, const char *event) {
+    return Site::log_lines (daemon, { event }).size ();
+  };
+  const Daemon &gateway = site.gateways[0].daemon;
+  ASSERT_TRUE (Site::wait_for (
+      [&] { return count (gateway, "target_listed") >= 100; }));
+  for (int i = 0; i < 100; i++)
+    site.remove (key_of (i));
+  ASSERT_TRUE (
+      Site::wait_for ([&] { return count (gateway, "target_gone") >= 100; }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (7000));
+  EXPECT_EQ (count (site.engines[0].sidecar, "gateway_lost"), 0u);
+  EXPECT_EQ (count (gateway, "sidecar_lost"), 0u);
+}
+
 // Several targets are taken away at one moment without a word before. They are
 // kept for a while, because entries of live ones may have lapsed; together
 // with the pause between two reads that must stay below 2 s.
@@ -225,7 +254,8 @@
   site.put ("op/config", "{\"Version\":9,\"Routes\":[");
   EXPECT_TRUE (Site::wait_for ([&] {
     return !Site::log_lines (site.gateways[0].daemon,
-                             { "op/config", "last good" })
+                             { "entry_ignored", "\"key\":\"op/config\"",
+                               "\"reason\":\"configuration:1: " })
                 .empty ();
   }));
   EXPECT_EQ (send_call (site.gateways[0], plain_call ("k")).status, 200);
