refactor(gateway,transport,protocol): choice of a target, connections and text scanning in files of their own

Behaviour is the same, but for a lone slash behind a document, which was taken for a comment and is refused now.

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -353,9 +353,6 @@
 void gtw_target_log (const gtw_target_t *target, const char *event);
 void gtw_target_told (gtw_gateway_t *gateway, const src_target_t *told);
 void gtw_target_gone (gtw_gateway_t *gateway, kb_slice_t id);
-/// @return  The target to use for a request, or NULL.
-gtw_target_t *gtw_target_choose (gtw_gateway_t *gateway,
-                                 const gtw_request_t *r);
 /// @return  Whether a sidecar said something a moment ago.
 bool gtw_target_is_heard (const gtw_gateway_t *gateway,
                           const gtw_target_t *target);
@@ -363,15 +360,8 @@
 ///          engine serves.
 bool gtw_target_is_alive (const gtw_gateway_t *gateway,
                           const gtw_target_t *target);
-/// @return  Whether an engine that was not tried for a request is listed and
-///          does not serve yet.
-bool gtw_target_may_come (const gtw_gateway_t *gateway,
-                          const gtw_request_t *r);
 /// @return  How many listed targets a service has.
 uint32_t gtw_targets_count (const gtw_gateway_t *gateway, const char *service);
-/// Note the end of a request at a target.
-void gtw_target_note (gtw_gateway_t *gateway, gtw_target_t *target,
-                      bool is_good);
 /// Free targets that are gone and idle, keep links alive.
 void gtw_targets_tick (gtw_gateway_t *gateway);
 
@@ -380,6 +370,20 @@
 void gtw_peers_answered (gtw_gateway_t *gateway, const gtw_target_t *from,
                          const msg_changes_t *told);
 
+// gateway_choose.c
+/// @return  The target to use for a request, or NULL.
+gtw_target_t *gtw_target_choose (gtw_gateway_t *gateway,
+                                 const gtw_request_t *r);
+/// @return  Whether an engine that was not tried for a request is listed and
+///          does not serve yet.
+bool gtw_target_may_come (const gtw_gateway_t *gateway,
+                          const gtw_request_t *r);
+/// Note the end of a request at a target.
+void gtw_target_note (gtw_gateway_t *gateway, gtw_target_t *target,
+                      bool is_good);
+/// Follow the rate of requests for engines.
+void gtw_choose_tick (gtw_gateway_t *gateway, uint64_t now_ms);
+
 // gateway_links.c
 void gtw_on_message (hst_host_t *host, kb_slice_t peer, const msg_t *msg);
 void gtw_tell_sidecar (gtw_gateway_t *gateway, gtw_target_t *target);
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "protocol/json_scan.h"
 #include "state/map.h"
 
 enum
@@ -25,8 +26,7 @@
 /// State of the scan for doubled keys.
 typedef struct
 {
-  kb_slice_t text;
-  size_t at;
+  jsc_cursor_t cursor;
   kb_map_t keys;    ///< Hash of object serial and key.
   uint64_t serials; ///< Objects seen.
   uint64_t serial[JSON_MAX_DEPTH + 1];
@@ -34,49 +34,13 @@
   uint32_t depth;
 } json_scan_t;
 
-static void
-scan_skip_comment (json_scan_t *s)
-{
-  const char *p = s->text.ptr;
-  if (s->at + 1 >= s->text.len_bytes)
-    {
-      s->at++;
-      return;
-    }
-  if (p[s->at + 1] == '/')
-    {
-      while (s->at < s->text.len_bytes && p[s->at] != '\n')
-        s->at++;
-      return;
-    }
-  s->at += 2;
-  while (s->at + 1 < s->text.len_bytes
-         && !(p[s->at] == '*' && p[s->at + 1] == '/'))
-    s->at++;
-  s->at += 2;
-}
-
-/// @return  The content of the string literal that starts at `at`.
-static kb_slice_t
-scan_string (json_scan_t *s)
-{
-  size_t start = ++s->at;
-  while (s->at < s->text.len_bytes && s->text.ptr[s->at] != '"')
-    s->at += s->text.ptr[s->at] == '\\' ? 2 : 1;
-  size_t end = s->at < s->text.len_bytes ? s->at : s->text.len_bytes;
-  s->at++;
-  return (kb_slice_t){ s->text.ptr + start, (uint32_t)(end - start) };
-}
-
+/// @return  Whether the string before this place is a key.
 static bool
-scan_is_key (json_scan_t *s)
+scan_is_key (const json_scan_t *s)
 {
-  size_t look = s->at;
-  while (look < s->text.len_bytes
-         && (s->text.ptr[look] == ' ' || s->text.ptr[look] == '\t'
-             || s->text.ptr[look] == '\n' || s->text.ptr[look] == '\r'))
-    look++;
-  return look < s->text.len_bytes && s->text.ptr[look] == ':';
+  jsc_cursor_t look = s->cursor;
+  jsc_skip_space (&look);
+  return jsc_byte (&look) == ':';
 }
 
 /// @return  False when the key stands twice in its object.
@@ -105,17 +69,18 @@
 static kb_status_t
 json_check_keys (const char *name, kb_slice_t text, kb_error_t *error)
 {
-  json_scan_t s = { .text = text };
+  json_scan_t s = { .cursor = { .text = text } };
+  jsc_cursor_t *c = &s.cursor;
   kb_status_t status = KB_OK;
-  while (s.at < text.len_bytes && status == KB_OK)
+  while (!jsc_is_at_end (c) && status == KB_OK)
     {
-      char c = text.ptr[s.at];
-      if (c == '/')
-        scan_skip_comment (&s);
-      else if (c == '"')
+      char here = jsc_byte (c);
+      if (jsc_is_comment (c))
+        jsc_skip_comment (c);
+      else if (here == '"')
         {
-          size_t start = s.at;
-          kb_slice_t key = scan_string (&s);
+          size_t start = c->at;
+          kb_slice_t key = jsc_take_string (c);
           if (s.depth > 0 && s.is_object[s.depth] && scan_is_key (&s)
               && !scan_add_key (&s, key))
             status = kb_error_set (
@@ -124,12 +89,13 @@
         }
       else
         {
-          if ((c == '{' || c == '[') && !scan_open (&s, c == '{'))
+          bool opens = here == '{' || here == '[';
+          if (opens && !scan_open (&s, here == '{'))
             status = kb_error_set (error, KB_EINVAL, "%s:%u: nested too deep",
-                                   name, json_line_at (text, s.at));
-          if ((c == '}' || c == ']') && s.depth > 0)
+                                   name, json_line_at (text, c->at));
+          if ((here == '}' || here == ']') && s.depth > 0)
             s.depth--;
-          s.at++;
+          c->at++;
         }
     }
   kb_map_finish (&s.keys);
@@ -156,22 +122,14 @@
       return kb_error_set (error, KB_EINVAL, "%s:%u: %s", name,
                            json_line_at (text, end), reason);
     }
-  for (size_t i = end; i < text.len_bytes; i++)
+  jsc_cursor_t rest = { .text = text, .at = end };
+  jsc_skip_space (&rest);
+  if (!jsc_is_at_end (&rest))
     {
-      char c = text.ptr[i];
-      if (c == '/')
-        {
-          json_scan_t rest = { .text = text, .at = i };
-          scan_skip_comment (&rest);
-          i = rest.at - 1;
-          continue;
-        }
-      if (c == ' ' || c == '\n' || c == '\r' || c == '\t')
-        continue;
       json_object_put (obj);
       return kb_error_set (error, KB_EINVAL,
                            "%s:%u: something stands after the document", name,
-                           json_line_at (text, i));
+                           json_line_at (text, rest.at));
     }
   kb_status_t status = json_check_keys (name, text, error);
   if (status != KB_OK)
--- /dev/null
+++ b/src/protocol/json_scan.c
@@ -0,0 +1,54 @@
+#include "protocol/json_scan.h"
+
+bool
+jsc_is_comment (const jsc_cursor_t *c)
+{
+  if (jsc_byte (c) != '/' || c->at + 1 >= c->text.len_bytes)
+    return false;
+  char next = c->text.ptr[c->at + 1];
+  return next == '/' || next == '*';
+}
+
+void
+jsc_skip_comment (jsc_cursor_t *c)
+{
+  const char *p = c->text.ptr;
+  size_t len = c->text.len_bytes;
+  bool is_line = p[c->at + 1] == '/';
+  c->at += 2;
+  if (is_line)
+    {
+      while (c->at < len && p[c->at] != '\n')
+        c->at++;
+      return;
+    }
+  while (c->at + 1 < len && !(p[c->at] == '*' && p[c->at + 1] == '/'))
+    c->at++;
+  c->at += 2;
+}
+
+void
+jsc_skip_space (jsc_cursor_t *c)
+{
+  while (!jsc_is_at_end (c))
+    {
+      char here = jsc_byte (c);
+      if (jsc_is_comment (c))
+        jsc_skip_comment (c);
+      else if (here == ' ' || here == '\t' || here == '\n' || here == '\r')
+        c->at++;
+      else
+        return;
+    }
+}
+
+kb_slice_t
+jsc_take_string (jsc_cursor_t *c)
+{
+  size_t start = ++c->at;
+  while (!jsc_is_at_end (c) && jsc_byte (c) != '"')
+    c->at += jsc_byte (c) == '\\' ? 2 : 1;
+  size_t end = jsc_is_at_end (c) ? c->text.len_bytes : c->at;
+  c->at++;
+  return (kb_slice_t){ c->text.ptr + start, (uint32_t)(end - start) };
+}
--- a/src/protocol/json_walk.c
+++ b/src/protocol/json_walk.c
@@ -2,95 +2,24 @@
 
 #include <stdio.h>
 
-/// A place in a text that json-c may still refuse.
-typedef struct
-{
-  kb_slice_t text;
-  size_t at;
-} jsw_cursor_t;
-
-static bool
-is_at_end (const jsw_cursor_t *c)
-{
-  return c->at >= c->text.len_bytes;
-}
-
-static char
-char_at (const jsw_cursor_t *c)
-{
-  return is_at_end (c) ? '\0' : c->text.ptr[c->at];
-}
-
-static bool
-is_comment (const jsw_cursor_t *c)
-{
-  if (char_at (c) != '/' || c->at + 1 >= c->text.len_bytes)
-    return false;
-  char next = c->text.ptr[c->at + 1];
-  return next == '/' || next == '*';
-}
-
-static void
-skip_comment (jsw_cursor_t *c)
-{
-  const char *p = c->text.ptr;
-  size_t len = c->text.len_bytes;
-  bool is_line = c->at + 1 < len && p[c->at + 1] == '/';
-  c->at += 2;
-  if (is_line)
-    while (c->at < len && p[c->at] != '\n')
-      c->at++;
-  else
-    {
-      while (c->at + 1 < len && !(p[c->at] == '*' && p[c->at + 1] == '/'))
-        c->at++;
-      c->at += 2;
-    }
-}
-
-static void
-skip_space (jsw_cursor_t *c)
-{
-  while (!is_at_end (c))
-    {
-      char here = char_at (c);
-      if (is_comment (c))
-        skip_comment (c);
-      else if (here == ' ' || here == '\t' || here == '\n' || here == '\r')
-        c->at++;
-      else
-        return;
-    }
-}
-
-/// @return  The content of the string literal that starts here.
-static kb_slice_t
-take_string (jsw_cursor_t *c)
-{
-  size_t start = ++c->at;
-  while (!is_at_end (c) && char_at (c) != '"')
-    c->at += char_at (c) == '\\' ? 2 : 1;
-  size_t end = is_at_end (c) ? c->text.len_bytes : c->at;
-  c->at++;
-  return (kb_slice_t){ c->text.ptr + start, (uint32_t)(end - start) };
-}
+#include "protocol/json_scan.h"
 
 /// Move behind the value that starts here: to a comma or a closing bracket of
 /// what it stands in, or to the end.
 static void
-skip_value (jsw_cursor_t *c)
+skip_value (jsc_cursor_t *c)
 {
   uint32_t depth = 0;
-  while (!is_at_end (c))
+  while (!jsc_is_at_end (c))
     {
-      char here = char_at (c);
+      char here = jsc_byte (c);
       bool closes = here == '}' || here == ']';
       if (depth == 0 && (closes || here == ','))
         return;
       if (here == '"')
-        take_string (c);
-      else if (is_comment (c))
-        skip_comment (c);
+        jsc_take_string (c);
+      else if (jsc_is_comment (c))
+        jsc_skip_comment (c);
       else
         {
           depth += here == '{' || here == '[';
@@ -106,24 +35,24 @@
 static bool
 find_list (kb_slice_t text, const char *key, size_t *open, size_t *close)
 {
-  jsw_cursor_t c = { .text = text };
-  skip_space (&c);
-  if (char_at (&c) != '{')
+  jsc_cursor_t c = { .text = text };
+  jsc_skip_space (&c);
+  if (jsc_byte (&c) != '{')
     return false;
   do
     {
       c.at++;
-      skip_space (&c);
-      if (char_at (&c) != '"')
+      jsc_skip_space (&c);
+      if (jsc_byte (&c) != '"')
         return false;
-      kb_slice_t name = take_string (&c);
-      skip_space (&c);
-      if (char_at (&c) != ':')
+      kb_slice_t name = jsc_take_string (&c);
+      jsc_skip_space (&c);
+      if (jsc_byte (&c) != ':')
         return false;
       c.at++;
-      skip_space (&c);
+      jsc_skip_space (&c);
       *open = c.at;
-      bool is_list = char_at (&c) == '[';
+      bool is_list = jsc_byte (&c) == '[';
       skip_value (&c);
       // Spaces and comments may stand between the value and here.
       *close = c.at;
@@ -136,7 +65,7 @@
           return true;
         }
     }
-  while (char_at (&c) == ',');
+  while (jsc_byte (&c) == ',');
   return false;
 }
 
@@ -165,9 +94,9 @@
 walk_elements (const char *name, const char *key, kb_slice_t list,
                jsn_on_element_t on_element, void *arg, kb_error_t *error)
 {
-  jsw_cursor_t c = { .text = list };
-  skip_space (&c);
-  if (is_at_end (&c))
+  jsc_cursor_t c = { .text = list };
+  jsc_skip_space (&c);
+  if (jsc_is_at_end (&c))
     return KB_OK;
   for (uint32_t number = 1;; number++)
     {
@@ -177,9 +106,9 @@
       kb_slice_t text = { list.ptr + start, (uint32_t)(end - start) };
       kb_status_t status
           = walk_element (name, key, number, text, on_element, arg, error);
-      if (status != KB_OK || is_at_end (&c))
+      if (status != KB_OK || jsc_is_at_end (&c))
         return status;
-      if (char_at (&c) != ',')
+      if (jsc_byte (&c) != ',')
         return kb_error_set (error, KB_EINVAL,
                              "%s, %s %u: brackets do not match", name, key,
                              number);
