--- a/test/relay/sidecar_test.cc
+++ b/test/relay/sidecar_test.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include "transport/link.h"
+#include "transport/peerlink.h"
 }
 
 namespace relay
@@ -28,32 +28,29 @@
   {
     peer = site.engines[0].ip + ":" + std::to_string (site.inner_port ());
     uv_loop_init (&loop);
-    events.on_message = [] (lnk_link_t *its, kb_slice_t, const msg_t *msg) {
+    tmr_service_init (&timers, &loop);
+    events.on_message = [] (plk_link_t *its, kb_slice_t, const msg_t *msg) {
       auto *test = (SidecarTest *)its->owner;
       test->grants += msg->type == MSG_PLACE_GRANT;
       test->is_heard = test->is_heard || msg->type == MSG_ENGINE_STATE;
     };
-    lnk_options_t options = {};
-    options.name = "gateway";
-    kb_error_t error = {};
-    ASSERT_EQ (lnk_link_init (&link, &loop, &events, this, &options, &error),
-               KB_OK);
-    ASSERT_EQ (lnk_link_connect (&link, ("tcp://" + peer).c_str (), ""),
-               KB_OK);
+    plk_link_init (&link, &loop, &timers, &events, this, "gateway");
+    ASSERT_EQ (plk_link_connect (&link, peer.c_str ()), KB_OK);
     msg_t hello = {};
     hello.type = MSG_GATEWAY_STATE;
     hello.gateway_state.incarnation = 1;
     hello.gateway_state.engine_count = 1;
     ASSERT_TRUE (run_until ([&] {
       if (!is_heard)
-        lnk_link_send (&link, slice (peer), &hello);
+        plk_link_send (&link, slice (peer), &hello);
       return is_heard;
     }));
   }
   void
   TearDown () override
   {
-    lnk_link_finish (&link);
+    plk_link_finish (&link);
+    tmr_service_finish (&timers);
     uv_run (&loop, UV_RUN_DEFAULT);
     EXPECT_EQ (uv_loop_close (&loop), 0);
   }
@@ -80,13 +77,14 @@
     msg.place_ask.model = kb_slice_str ("m");
     msg.place_ask.adapter = slice (adapter);
     msg.place_ask.attempt = kb_slice_str ("x");
-    lnk_link_send (&link, slice (peer), &msg);
+    plk_link_send (&link, slice (peer), &msg);
   }
   Site site{ 1, 0, 0 };
   std::string peer;
   uv_loop_t loop;
-  lnk_events_t events = {};
-  lnk_link_t link = {};
+  tmr_service_t timers;
+  plk_events_t events = {};
+  plk_link_t link = {};
   bool is_heard = false;
   int grants = 0;
 };
@@ -111,7 +109,7 @@
   document.type = MSG_DOCUMENT;
   document.document.revision = 1;
   document.document.data = slice (site.config);
-  lnk_link_send (&link, slice (peer), &document);
+  plk_link_send (&link, slice (peer), &document);
   EXPECT_TRUE (run_until ([&] { return grants >= 4; }));
   EXPECT_LE (site.engines[0].target->most_held (), 4u);
 }
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -86,6 +86,17 @@
   {
     return adm_next (&table, true, now_ms);
   }
+  /// The engine has two slots, and two requests have them.
+  void
+  take_two_slots ()
+  {
+    table.options.slots = 2;
+    for (uint64_t id = 1; id <= 2; id++)
+      {
+        ask (id, "", 0, 1, 10);
+        ASSERT_EQ (next (0).kind, ADM_DO_GRANT);
+      }
+  }
   adm_table_t table;
 };
 
@@ -463,12 +474,7 @@
 
 TEST_F (AdmitTest, PredictsTheWaitForAFullBatch)
 {
-  table.options.slots = 2;
-  for (uint64_t id = 1; id <= 2; id++)
-    {
-      ask (id, "", 0, 1, 10);
-      ASSERT_EQ (next (0).kind, ADM_DO_GRANT);
-    }
+  ASSERT_NO_FATAL_FAILURE (take_two_slots ());
   adm_ask_t probe = {};
   probe.prompt_tokens = 10;
   probe.priority = 1;
@@ -481,12 +487,7 @@
 // first free place for a newcomer's lets it queue until it is late.
 TEST_F (AdmitTest, CountsWhoWaitsForAPlaceBeforeIt)
 {
-  table.options.slots = 2;
-  for (uint64_t id = 1; id <= 2; id++)
-    {
-      ask (id, "", 0, 1, 10);
-      ASSERT_EQ (next (0).kind, ADM_DO_GRANT);
-    }
+  ASSERT_NO_FATAL_FAILURE (take_two_slots ());
   for (uint64_t id = 3; id <= 5; id++)
     ask (id, "", 0, 1, 10);
   adm_ask_t probe = {};
@@ -503,12 +504,7 @@
 // request waits where it is.
 TEST_F (AdmitTest, ARequestIsSentOnWhenTheSlotsAreTakenForTooLong)
 {
-  table.options.slots = 2;
-  for (uint64_t id = 1; id <= 2; id++)
-    {
-      ask (id, "", 0, 1, 10);
-      ASSERT_EQ (next (0).kind, ADM_DO_GRANT);
-    }
+  ASSERT_NO_FATAL_FAILURE (take_two_slots ());
   adm_ask_t probe = {};
   probe.prompt_tokens = 10;
   probe.priority = 1;
