fix(protocol): a cursor over a document's text stays in it

Cause: after an escape or a comment that the end of a text cuts, the cursor stood behind the end, and the search for a list's closing bracket read one byte behind the text. Test: ACursorStaysInItsText, which failed before.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -16,10 +16,10 @@
 {
   /// With fewer gateways in a domain than this, a shared read saves no call.
   LEAST_SHARERS = 2,
-  MAX_DOMAINS = 64, ///< Counted; more are taken for as many.
-                    /// A sidecar that gave no answer is not asked for this
-                    /// long. Its VM may be slow, cut off or gone; asking costs
-                    /// a part of a pause each time.
+  /// Counted; more are taken for as many.
+  MAX_DOMAINS = 64,
+  /// A sidecar that gave no answer is not asked for this long. Its VM may be
+  /// slow, cut off or gone; asking costs a part of a pause each time.
   LEAVE_ALONE_MS = 5000,
 };
 
--- a/src/protocol/json_scan.c
+++ b/src/protocol/json_scan.c
@@ -1,5 +1,13 @@
 #include "protocol/json_scan.h"
 
+/// Move on, and not past the end: users read the byte before a place.
+static void
+advance (jsc_cursor_t *c, size_t bytes)
+{
+  size_t left = c->text.len_bytes - c->at;
+  c->at += bytes < left ? bytes : left;
+}
+
 bool
 jsc_is_comment (const jsc_cursor_t *c)
 {
@@ -15,7 +23,7 @@
   const char *p = c->text.ptr;
   size_t len = c->text.len_bytes;
   bool is_line = p[c->at + 1] == '/';
-  c->at += 2;
+  advance (c, 2);
   if (is_line)
     {
       while (c->at < len && p[c->at] != '\n')
@@ -24,7 +32,7 @@
     }
   while (c->at + 1 < len && !(p[c->at] == '*' && p[c->at + 1] == '/'))
     c->at++;
-  c->at += 2;
+  advance (c, 2);
 }
 
 void
@@ -45,10 +53,11 @@
 kb_slice_t
 jsc_take_string (jsc_cursor_t *c)
 {
-  size_t start = ++c->at;
+  advance (c, 1);
+  size_t start = c->at;
   while (!jsc_is_at_end (c) && jsc_byte (c) != '"')
-    c->at += jsc_byte (c) == '\\' ? 2 : 1;
-  size_t end = jsc_is_at_end (c) ? c->text.len_bytes : c->at;
-  c->at++;
+    advance (c, jsc_byte (c) == '\\' ? 2 : 1);
+  size_t end = c->at;
+  advance (c, 1);
   return (kb_slice_t){ c->text.ptr + start, (uint32_t)(end - start) };
 }
--- a/test/unit/json_walk_test.cc
+++ b/test/unit/json_walk_test.cc
@@ -8,6 +8,7 @@
 
 extern "C"
 {
+#include "protocol/json_scan.h"
 #include "protocol/json_walk.h"
 }
 
@@ -153,6 +154,25 @@
   EXPECT_GT (taken, 1000);
 }
 
+// A text ends within an escape, a literal or a comment. A cursor that passes
+// the end makes its user read behind the text.
+TEST (JsonWalk, ACursorStaysInItsText)
+{
+  const std::string texts[] = { kSample, "\"a\\", "\"", "/*", "/* *", "//" };
+  for (const std::string &whole_text : texts)
+    for (size_t len = 0; len <= whole_text.size (); len++)
+      for (size_t at = 0; at < len; at++)
+        {
+          jsc_cursor_t c = { { whole_text.data (), (uint32_t)len }, at };
+          jsc_cursor_t string = c;
+          jsc_take_string (&string);
+          EXPECT_LE (string.at, len);
+          if (jsc_is_comment (&c))
+            jsc_skip_comment (&c);
+          EXPECT_LE (c.at, len);
+        }
+}
+
 // The place of a fault is named by the element that holds it.
 TEST (JsonWalk, AnErrorNamesTheElement)
 {
