feat(gateway): lines of broken attempts tell caller, fingerprint and time since the first event

Which requests are the same one, sent again under another attempt id, was in no line, nor which had just begun at an engine when it ended. The hypotheses of the ended engines can not be told apart without both. The digest is worked out for these lines only.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -261,7 +261,10 @@
     {
       uint64_t now_ms = gtw_now_ms (r->gateway);
       if (!r->is_begun)
-        gtw_place_begun (r);
+        {
+          gtw_place_begun (r);
+          r->begun_ms = now_ms;
+        }
       r->is_begun = true;
       if (r->first_event_ms == 0)
         r->first_event_ms = now_ms;
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -182,6 +182,19 @@
   .on_drained = client_on_drained,
 };
 
+/// Noted at once: a connection that was reset does not tell it any more.
+static void
+client_name_caller (gtw_client_t *client)
+{
+  struct sockaddr_in address;
+  int len_bytes = sizeof address;
+  client->caller[0] = '\0';
+  if (uv_tcp_getpeername (&client->conn.tcp, (struct sockaddr *)&address,
+                          &len_bytes)
+      == 0)
+    uv_ip4_name (&address, client->caller, sizeof client->caller);
+}
+
 static void
 gateway_on_connection (uv_stream_t *listener, int status)
 {
@@ -201,6 +214,7 @@
                         &client_events, client, max_header_bytes);
   client->gateway = gateway;
   client->request = NULL;
+  client_name_caller (client);
   client->refusal_status = 0;
   client->refusal_id[0] = '\0';
   client->is_last = false;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -136,7 +136,8 @@
   int http_status;
   bool is_stream_answer;
   bool is_head_written;
-  bool is_begun; ///< The present target sent an event.
+  bool is_begun;     ///< The present target sent an event.
+  uint64_t begun_ms; ///< When it sent the first one.
   bool is_chunked;
   kb_buf_t head;
   kb_buf_t held; ///< Not passed on yet: a part of an event or of a body.
@@ -159,7 +160,8 @@
   gtw_client_t *next;
   gtw_client_t *prev;
   gtw_request_t *request;
-  int refusal_status; ///< Answer once the body is in; zero: none.
+  char caller[INET_ADDRSTRLEN]; ///< Address of its VM; empty: not known.
+  int refusal_status;           ///< Answer once the body is in; zero: none.
   const char *refusal_reason;
   char refusal_id[GTW_ID_BYTES];
   bool is_last;     ///< Closes after the present answer.
@@ -280,6 +282,8 @@
                          uint64_t retry_after_ms);
 /// The present target is not to be tried again for this request.
 void gtw_request_exclude (gtw_request_t *r);
+/// @return  What it has in common with the same request sent again.
+uint64_t gtw_request_fingerprint (const gtw_request_t *r);
 /// Give a place back and leave the target.
 void gtw_request_leave_target (gtw_request_t *r);
 /// @return  The moment until which a caller waits for the next byte, when the
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -1,6 +1,7 @@
 /// @file gateway_log.c
 /// Log lines about one request.
 #include "gateway/gateway_defs.h"
+#include "relay/fingerprint.h"
 #include "transport/log.h"
 
 /// @return  Age of what its sidecar said last, or -1 when it said nothing.
@@ -77,7 +78,14 @@
   log_int (&line, "send", r->sends);
   log_int (&line, "runs", r->runs);
   log_int (&line, "last_event", (int64_t)r->last_event);
-  log_int (&line, "ms", (int64_t)(gtw_now_ms (r->gateway) - r->arrived_ms));
+  uint64_t now_ms = gtw_now_ms (r->gateway);
+  log_int (&line, "begun_ms",
+           r->is_begun ? (int64_t)(now_ms - r->begun_ms) : -1);
+  log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
+  log_text (&line, "caller", r->client->caller);
+  char fingerprint[FPR_TEXT_BYTES];
+  fpr_text (gtw_request_fingerprint (r), fingerprint);
+  log_text (&line, "fingerprint", fingerprint);
   log_end (&line);
 }
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "gateway/gateway_defs.h"
+#include "relay/fingerprint.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -181,6 +182,19 @@
   return refuse_head (client, HTTP_NOT_FOUND, "no route");
 }
 
+uint64_t
+gtw_request_fingerprint (const gtw_request_t *r)
+{
+  const h1_conn_t *conn = &r->client->conn;
+  fpr_request_t parts
+      = { .caller = kb_slice_str (r->client->caller),
+          .host = h1_head_get (&conn->head, "host"),
+          .method = kb_slice_str (http_method_str (conn->parser.method)),
+          .path = h1_head_target (&conn->head),
+          .body = kb_buf_slice (&r->body) };
+  return fpr_of (&parts);
+}
+
 void
 gtw_request_leave_target (gtw_request_t *r)
 {
