--- a/test/relay/http_peer.cc
+++ b/test/relay/http_peer.cc
@@ -216,12 +216,15 @@
 }
 
 std::unique_ptr<Connection>
-dial (const std::string &text)
+dial (const std::string &text, const std::string &from)
 {
   size_t colon = text.find (':');
   sockaddr_in address = parse_address (text.substr (0, colon),
                                        atoi (text.c_str () + colon + 1));
   int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in own = parse_address (from.empty () ? "0.0.0.0" : from, 0);
+  if (!from.empty () && bind (fd, (sockaddr *)&own, sizeof own) != 0)
+    throw std::runtime_error ("cannot bind to " + from);
   if (connect (fd, (sockaddr *)&address, sizeof address) != 0)
     {
       close (fd);
@@ -232,15 +235,18 @@
   return std::make_unique<Connection> (fd);
 }
 
-Server::Server (const std::string &ip) : ip_ (ip)
+Server::Server (const std::string &ip) : ip_ (ip) { listen_at (0); }
+
+void
+Server::listen_at (int port)
 {
   listener_ = socket (AF_INET, SOCK_STREAM, 0);
   int on = 1;
   setsockopt (listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address = parse_address (ip, 0);
+  sockaddr_in address = parse_address (ip_, port);
   if (bind (listener_, (sockaddr *)&address, sizeof address) != 0
       || listen (listener_, 128) != 0)
-    throw std::runtime_error ("cannot listen on " + ip);
+    throw std::runtime_error ("cannot listen on " + ip_);
   socklen_t size = sizeof address;
   getsockname (listener_, (sockaddr *)&address, &size);
   port_ = ntohs (address.sin_port);
@@ -282,14 +288,53 @@
 }
 
 void
-Server::stop ()
+Server::reset_open ()
 {
-  if (is_stopping_.exchange (true))
+  std::lock_guard<std::mutex> lock (threads_mutex_);
+  for (int fd : open_)
+    {
+      linger at_once = { 1, 0 };
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      shutdown (fd, SHUT_RD);
+    }
+}
+
+void
+Server::end ()
+{
+  std::lock_guard<std::mutex> lock (life_mutex_);
+  if (has_ended_.exchange (true))
     return;
   shutdown (listener_, SHUT_RDWR);
-  if (acceptor_.joinable ())
-    acceptor_.join ();
+  acceptor_.join ();
   close (listener_);
+  reset_open ();
+}
+
+void
+Server::begin_again ()
+{
+  std::lock_guard<std::mutex> lock (life_mutex_);
+  if (!has_ended_)
+    return;
+  listen_at (port_);
+  has_ended_ = false;
+  start ();
+}
+
+void
+Server::stop ()
+{
+  if (is_stopping_.exchange (true))
+    return;
+  std::lock_guard<std::mutex> life (life_mutex_);
+  if (!has_ended_)
+    {
+      shutdown (listener_, SHUT_RDWR);
+      if (acceptor_.joinable ())
+        acceptor_.join ();
+      close (listener_);
+    }
   {
     std::lock_guard<std::mutex> lock (threads_mutex_);
     for (int fd : open_)
--- a/test/relay/http_peer.h
+++ b/test/relay/http_peer.h
@@ -72,7 +72,9 @@
 };
 
 /// Connect to "ip:port".
-std::unique_ptr<Connection> dial (const std::string &address);
+/// @param from  Own IP number, or empty.
+std::unique_ptr<Connection> dial (const std::string &address,
+                                  const std::string &from = "");
 
 /// A server; ends when it goes out of scope.
 class Server
@@ -86,6 +88,16 @@
     return ip_ + ":" + std::to_string (port_);
   }
   void stop ();
+  /// The process ends: all connections are reset, new ones refused. Harmless
+  /// when it has ended.
+  void end ();
+  /// Listen again at the same address.
+  void begin_again ();
+  bool
+  has_ended () const
+  {
+    return has_ended_;
+  }
 
 protected:
   void start ();
@@ -96,8 +108,12 @@
 
 private:
   void accept_loop ();
+  void listen_at (int port);
+  void reset_open ();
   std::string ip_;
   int port_ = 0;
+  std::atomic<bool> has_ended_{ false };
+  std::mutex life_mutex_;
   int listener_ = -1;
   std::thread acceptor_;
   std::mutex threads_mutex_;
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -311,6 +311,51 @@
        entry_of (target, "maps", address, 6, state, born_shift_ms));
 }
 
+void
+Site::begin_again (Target *target)
+{
+  remove ("servers/" + target->id ());
+  target->restart ("i-again" + std::to_string (incarnations_++));
+  target->begin_again ();
+}
+
+void
+Site::begin_ended_again ()
+{
+  for (size_t i = 0; i < engines.size (); i++)
+    if (engines[i].target->has_ended ())
+      {
+        begin_again (engines[i].target.get ());
+        list_engine (i);
+      }
+  for (size_t i = 0; i < plain.size (); i++)
+    if (plain[i]->has_ended ())
+      {
+        begin_again (plain[i].get ());
+        list_plain (i);
+      }
+}
+
+int
+Site::ends ()
+{
+  int sum = 0;
+  for (const Engine &engine : engines)
+    sum += engine.target->ends;
+  for (const auto &target : plain)
+    sum += target->ends;
+  return sum;
+}
+
+void
+Site::end_on (const std::string &text)
+{
+  for (const Engine &engine : engines)
+    engine.target->end_on (text);
+  for (const auto &target : plain)
+    target->end_on (text);
+}
+
 int
 Site::ready_status (size_t gateway)
 {
@@ -397,7 +442,7 @@
 Message
 send_call (const Gateway &gateway, const Call &call)
 {
-  auto connection = dial (gateway.address);
+  auto connection = dial (gateway.address, call.from);
   if (connection == nullptr || !connection->write (call.text ()))
     return Message ();
   return connection->read_answer ();
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -78,6 +78,12 @@
   void restart (Daemon *daemon, int signal);
   /// @param stdout_fd  Where its log goes; its log file when negative.
   void start (Daemon *daemon, int stdout_fd = -1);
+  /// Targets that a request ended are back as other incarnations.
+  void begin_ended_again ();
+  /// How often requests ended targets.
+  int ends ();
+  /// Requests whose path holds this text end the target that runs them.
+  void end_on (const std::string &text);
   void stop (Daemon *daemon, int signal);
   bool wait_ready ();
   int ready_status (size_t gateway = 0);
@@ -102,8 +108,10 @@
 private:
   void write_settings (const Daemon &daemon, const std::string &members,
                        const Store &store);
+  void begin_again (Target *target);
   int inner_port_;
   Proxies *proxies_;
+  int incarnations_ = 0;
 };
 
 /// A request as a caller writes it.
@@ -115,6 +123,7 @@
   std::string headers; ///< Lines each ended by CRLF.
   std::string body;
   int deadline_ms = 6000;
+  std::string from; ///< The caller's IP number; empty: any.
   std::string text () const;
 };
 
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -33,6 +33,21 @@
   faults_ = faults;
 }
 
+void
+Target::end_on (const std::string &text)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  end_on_ = text;
+}
+
+bool
+Target::is_fatal (const Message &request)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return !end_on_.empty ()
+         && request.target ().find (end_on_) != std::string::npos;
+}
+
 int64_t
 Target::wall_ms ()
 {
@@ -289,6 +304,13 @@
     std::lock_guard<std::mutex> lock (mutex_);
     runs_[request.header ("x-knapweedbay-attempt-id")]++;
   }
+  if (is_fatal (request))
+    {
+      sleep_ms (end_after_ms);
+      ends++;
+      end ();
+      return false;
+    }
   switch (fault)
     {
     case Fault::RESET_BEFORE_ANSWER:
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -55,6 +55,13 @@
   /// The clock that stamps the births is set by this much.
   void step_clock (int64_t by_ms);
   void set_leaving (bool is_leaving);
+  /// Requests whose path holds this text end the process a moment after they
+  /// began; empty: none does.
+  void end_on (const std::string &text);
+  /// How often such a request ended it.
+  std::atomic<int> ends{ 0 };
+  /// How long after the beginning.
+  std::atomic<int> end_after_ms{ 20 };
   /// Orders accepted so far, as it counts them.
   void set_seq (int64_t seq);
   /// How often a request ran here.
@@ -97,6 +104,7 @@
   void use (const Message &request, int change);
   std::string head_of (const Message &request, bool has_seal);
   bool refuse (Connection &connection, const Message &request);
+  bool is_fatal (const Message &request);
   std::mutex mutex_;
   std::string id_;
   bool is_engine_;
@@ -110,6 +118,7 @@
   size_t most_held_ = 0;
   std::set<std::string> orderers_;
   std::vector<Fault> faults_;
+  std::string end_on_;
   std::map<std::string, int> runs_;
   std::vector<Message> requests_;
 };
