--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -82,7 +82,7 @@
 }
 
 static adm_ask_t *
-choose_grant (adm_table_t *table, uint64_t now_ms)
+choose_fitting (adm_table_t *table, uint64_t now_ms)
 {
   adm_ask_t *first = next_in_turn (table, now_ms);
   if (first == NULL || has_place (table, first, now_ms))
@@ -92,6 +92,20 @@
   return most_urgent (table, true, now_ms);
 }
 
+static adm_ask_t *
+choose_grant (adm_table_t *table, uint64_t now_ms)
+{
+  if (adm_alone_is_kept (&table->alone, now_ms))
+    return NULL;
+  adm_ask_t *ask = choose_fitting (table, now_ms);
+  if (ask == NULL || !ask->is_alone
+      || adm_alone_is_quiet (&table->alone, now_ms))
+    return ask;
+  if (ask->alone_from_ms == 0)
+    ask->alone_from_ms = now_ms;
+  return NULL;
+}
+
 /// A version that runs still use is replaced only when they end. Until then
 /// no other adapter of this engine is fetched; another engine fetches the new
 /// version in a fraction of that time.
@@ -126,6 +140,8 @@
     return "no_time_left";
   if (is_hopeless (table, ask, now_ms))
     return "late_under_load";
+  if (adm_alone_is_over (ask, now_ms))
+    return "others_begin";
   if (ask->adapter != NULL && table->options.adapter_slots == 0)
     return "no_adapter_room";
   return is_stale_in_use (ask->adapter) ? "version_changes" : NULL;
@@ -267,6 +283,7 @@
       table->granted++;
       table->granted_tokens += ask->tokens;
       ask->is_reading = true;
+      adm_alone_granted (&table->alone, ask, now_ms);
       ask->ahead_tokens
           = rdg_give (&table->reading, rdg_cost (ask->prompt_tokens), now_ms);
       if (ask->adapter != NULL)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -84,6 +84,7 @@
 {
   gtw_gateway_t *gateway = arg;
   gtw_clients_check (gateway);
+  qrt_lapse (&gateway->quarantine, gtw_now_ms (gateway));
   gtw_targets_tick (gateway);
   gtw_requests_retry (gateway);
 }
@@ -153,6 +154,7 @@
                               .dialect = deployment->dialect,
                               .gateway_count = 1 };
   plc_costs_default (&gateway->costs);
+  qrt_table_init (&gateway->quarantine);
   if (hst_host_init (&gateway->host, &gateway_role, gateway, path,
                      settings->name, error)
       != KB_OK)
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -390,6 +390,8 @@
   if (r->is_chunked)
     h1_conn_write (&client->conn, last_chunk, sizeof last_chunk - 1);
   gtw_target_note (r->gateway, r->target, r->http_status < HTTP_SERVER_ERROR);
+  if (r->http_status < HTTP_SERVER_ERROR)
+    gtw_quarantine_note_served (r);
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
   gtw_request_log (r, "answered", r->http_status);
   r->is_whole = true;
@@ -431,6 +433,8 @@
 answer_on_fail (xch_t *x, xch_fail_t fail)
 {
   static const char *const names[] = { "not_sent", "reset", "malformed" };
+  if (fail == XCH_RESET)
+    gtw_quarantine_note_break (x->owner);
   answer_broken (x->owner, fail != XCH_NOT_SENT, names[fail]);
 }
 
@@ -462,6 +466,14 @@
 gtw_answer_send (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
+  // It may have waited for its place while targets ended under another send.
+  uint64_t hold_ms = 0;
+  if (gtw_quarantine_judge (r, &hold_ms) == QRT_HELD)
+    {
+      gtw_request_leave_target (r);
+      gtw_quarantine_refuse (r, hold_ms);
+      return;
+    }
   if (r->sends > 0 && !gtw_budget_take (gateway, r->service))
     {
       MET_INC ("knapweedbay_retries_out_of_budget_total", "");
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -5,6 +5,7 @@
 
 #include "coordination/budget.h"
 #include "coordination/place.h"
+#include "coordination/quarantine.h"
 #include "gateway/gateway.h"
 #include "gateway/recent.h"
 #include "gateway/source.h"
@@ -20,6 +21,7 @@
   GTW_STOP_RETRY_MS = 100,
   GTW_ID_BYTES = 64,
   GTW_MAX_BUDGETS = 16, ///< Services; the rest share the last one.
+  GTW_MAX_BREAKS = 256,
 };
 
 typedef struct gtw_request gtw_request_t;
@@ -62,8 +64,12 @@
   uint64_t list_stamp;  ///< Of these adapters, as the sidecar names them.
   msg_engine_adapter_t *adapters;
   uint32_t adapter_count;
-  rct_recent_t recent; ///< Adapters that it held.
-  inc_t engine;        ///< What the sidecar's last word was about.
+  rct_recent_t recent;       ///< Adapters that it held.
+  inc_t engine;              ///< What the sidecar's last word was about.
+  uint64_t quarantine_stamp; ///< Of what the sidecar knows.
+
+  uint64_t ended_ms; ///< When its process was found ended; zero: it was not.
+  bool is_probed;    ///< A connection is tried, to see whether it has.
 } gtw_target_t;
 
 /// Where a request stands.
@@ -110,6 +116,7 @@
   char adapter_name[EGN_KEY_BYTES];
   uint64_t adapter_key; ///< Zero: none.
   kb_buf_t body;
+  uint64_t fingerprint; ///< Zero: not worked out yet.
   uint64_t arrived_ms;
   uint64_t deadline_ms;  ///< Moment; of no more use to the caller.
   uint64_t timeout_ms;   ///< Moment; the route's bound.
@@ -120,6 +127,7 @@
   bool has_place;
   uint64_t place_ms; ///< When it was asked for.
   uint64_t load_us;  ///< Waited for a load.
+  bool begins_alone; ///< Targets ended under it; asked for and granted so.
   bool is_late;      ///< An engine had no time for it after its objective.
   uint32_t granted_version;
   char granted_instance[GTW_ID_BYTES]; ///< Empty: as listed.
@@ -175,6 +183,17 @@
   bud_budget_t budget;
 } gtw_budget_t;
 
+/// A request that broke off while it was beginning at a target. If the target
+/// has ended, it may be the cause.
+typedef struct
+{
+  uint64_t target;  ///< Key; zero: none.
+  uint64_t request; ///< Fingerprint.
+  uint64_t caller;  ///< Hash of its address.
+  uint64_t at_ms;
+  bool is_alone; ///< No other request was beginning there.
+} gtw_break_t;
+
 /// The question for changes of the store that is open at a sidecar.
 typedef struct
 {
@@ -199,7 +218,10 @@
   svc_config_t *config;
   kb_buf_t document;
   ver_table_t versions;
-  kb_map_t targets; ///< By key, all incarnations.
+  qrt_table_t quarantine;
+  gtw_break_t breaks[GTW_MAX_BREAKS]; ///< The newest, in a ring.
+  uint32_t break_count;               ///< Of all, ever.
+  kb_map_t targets;                   ///< By key, all incarnations.
   kb_map_t present; ///< By hash of the id, the newest incarnation of each.
   kb_map_t links;   ///< By hash of the sidecar's name.
   bool are_targets_known;
@@ -283,7 +305,8 @@
 /// The present target is not to be tried again for this request.
 void gtw_request_exclude (gtw_request_t *r);
 /// @return  What it has in common with the same request sent again.
-uint64_t gtw_request_fingerprint (const gtw_request_t *r);
+/// Of a request whose body is whole.
+uint64_t gtw_request_fingerprint (gtw_request_t *r);
 /// Give a place back and leave the target.
 void gtw_request_leave_target (gtw_request_t *r);
 /// @return  The moment until which a caller waits for the next byte, when the
@@ -317,8 +340,7 @@
 void gtw_log_step (const gtw_request_t *r, const char *event,
                    const char *reason);
 /// Log how one send to a target ended.
-void gtw_log_attempt (const gtw_request_t *r, const char *event,
-                      const char *reason);
+void gtw_log_attempt (gtw_request_t *r, const char *event, const char *reason);
 /// Log the choice of a target, with what was known of it.
 void gtw_log_choice (const gtw_request_t *r);
 
@@ -369,6 +391,28 @@
 /// Free targets that are gone and idle, keep links alive.
 void gtw_targets_tick (gtw_gateway_t *gateway);
 
+// gateway_quarantine.c
+/// @param hold_ms  How much longer it is held.
+qrt_verdict_t gtw_quarantine_judge (gtw_request_t *r, uint64_t *hold_ms);
+/// Answer a request that is held: it is not sent.
+void gtw_quarantine_refuse (gtw_request_t *r, uint64_t hold_ms);
+/// A request's connection to its target broke, or its caller left.
+void gtw_quarantine_note_break (gtw_request_t *r);
+/// The process of a target has ended.
+/// @param evidence  How that is known, for the log.
+void gtw_quarantine_target_ended (gtw_gateway_t *gateway, gtw_target_t *target,
+                                  const char *evidence);
+/// A request was answered whole by its target.
+void gtw_quarantine_note_served (gtw_request_t *r);
+/// A sidecar tells what it knows.
+void gtw_quarantine_take (gtw_gateway_t *gateway, kb_slice_t words);
+/// Give a sidecar what it lacks.
+void gtw_quarantine_help (gtw_gateway_t *gateway, const gtw_target_t *target);
+
+// gateway_probe.c
+/// Try to connect to a target, to see whether its process has ended.
+void gtw_probe_start (gtw_gateway_t *gateway, gtw_target_t *target);
+
 // gateway_peers.c
 void gtw_peers_init (gtw_gateway_t *gateway);
 void gtw_peers_answered (gtw_gateway_t *gateway, const gtw_target_t *from,
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -43,13 +43,15 @@
   pack_places (gateway, target, &places);
   target->told_ms = gtw_now_ms (gateway);
   msg_t msg = { .type = MSG_GATEWAY_STATE,
-                .gateway_state = { .incarnation = gateway->host.incarnation,
-                                   .revision = revision_of (gateway),
-                                   .versions_known = gateway->versions.changes,
-                                   .engine_count = gtw_targets_count (
-                                       gateway, target->told.service),
-                                   .list_stamp = target->list_stamp,
-                                   .places = kb_buf_slice (&places) } };
+                .gateway_state
+                = { .incarnation = gateway->host.incarnation,
+                    .revision = revision_of (gateway),
+                    .versions_known = gateway->versions.changes,
+                    .engine_count
+                    = gtw_targets_count (gateway, target->told.service),
+                    .list_stamp = target->list_stamp,
+                    .quarantine_stamp = qrt_stamp (&gateway->quarantine),
+                    .places = kb_buf_slice (&places) } };
   if (hst_send (&gateway->host, target->link, &msg) != KB_OK)
     MET_INC ("knapweedbay_sidecar_unreached_total", "");
   kb_buf_finish (&places);
@@ -105,6 +107,7 @@
     give_document (gateway, target);
   if (target->sidecar_versions < gateway->versions.changes)
     psn_give_versions (&gateway->host, target->link, &gateway->versions);
+  gtw_quarantine_help (gateway, target);
 }
 
 /// @return  How many sidecars are in the own failure domain.
@@ -198,19 +201,35 @@
                 target->adapters[i].version);
 }
 
+/// @return  Whether a sidecar speaks of another engine than before.
+static bool
+is_other_engine (const gtw_target_t *target, const msg_engine_state_t *state)
+{
+  return state->instance.len_bytes > 0 && target->engine.id[0] != '\0'
+         && (!kb_slice_equal (state->instance,
+                              kb_slice_str (target->engine.id))
+             || target->engine.born_ms != state->born_ms);
+}
+
+/// @return  Whether the engine that served at the last word has ended since.
+static bool
+says_engine_ended (const gtw_target_t *target, const msg_engine_state_t *state)
+{
+  bool is_down = target->condition == MSG_ENGINE_READY
+                 && state->condition == MSG_ENGINE_DOWN;
+  return is_down || is_other_engine (target, state);
+}
+
 /// A restarted engine has lost the copies of what it held.
 static void
 take_engine_instance (gtw_target_t *target, const msg_engine_state_t *state)
 {
   if (state->instance.len_bytes == 0)
     return;
-  inc_t engine = { .born_ms = state->born_ms };
-  kb_slice_copy (state->instance, engine.id, sizeof engine.id);
-  bool is_other = strcmp (engine.id, target->engine.id) != 0
-                  || engine.born_ms != target->engine.born_ms;
-  if (is_other && target->engine.id[0] != '\0')
+  if (is_other_engine (target, state))
     rct_recent_clear (&target->recent);
-  target->engine = engine;
+  target->engine.born_ms = state->born_ms;
+  kb_slice_copy (state->instance, target->engine.id, sizeof target->engine.id);
 }
 
 /// Judge the birth that a sidecar names for its engine. It knows of a restart
@@ -266,9 +285,13 @@
                       && target->incarnation != state->incarnation;
   bool is_first = target->heard_ms == 0;
   target->heard_ms = gtw_now_ms (gateway);
+  // A sidecar that has just started knows of no engine yet.
+  if (!is_first && !is_restarted && says_engine_ended (target, state))
+    gtw_quarantine_target_ended (gateway, target, "sidecar");
   target->incarnation = state->incarnation;
   target->sidecar_revision = state->revision;
   target->sidecar_versions = state->versions_known;
+  target->quarantine_stamp = state->quarantine_stamp;
   target->condition = (msg_engine_condition_t)state->condition;
   target->slots = (uint32_t)state->slots;
   target->granted = (uint32_t)state->granted;
@@ -332,6 +355,9 @@
     case MSG_CHANGES:
       gtw_peers_answered (gateway, target, &msg->changes);
       break;
+    case MSG_QUARANTINE:
+      gtw_quarantine_take (gateway, msg->quarantine.words);
+      break;
     case MSG_DOCUMENT:
       take_document (gateway, &msg->document, target->link);
       break;
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -70,7 +70,7 @@
 }
 
 void
-gtw_log_attempt (const gtw_request_t *r, const char *event, const char *reason)
+gtw_log_attempt (gtw_request_t *r, const char *event, const char *reason)
 {
   log_event_t line;
   if (!begin_step (&line, r, event, reason))
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -69,5 +69,9 @@
            gateway->config == NULL ? 0 : (int64_t)gateway->config->revision);
   met_set (met_counter ("knapweedbay_sidecar_word_age_ms", ""),
            (int64_t)oldest_sidecar_ms (gateway));
+  met_set (met_counter ("knapweedbay_quarantine_requests", "state=\"known\""),
+           gateway->quarantine.entries.len);
+  met_set (met_counter ("knapweedbay_quarantine_requests", "state=\"held\""),
+           qrt_count_held (&gateway->quarantine, gtw_now_ms (gateway)));
   met_set (met_counter ("knapweedbay_ready", ""), is_ready);
 }
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -65,6 +65,7 @@
                     .objective_ms = gtw_left_ms (objective_ms, now_ms),
                     .version = ver_newest (&gateway->versions, r->adapter_key),
                     .declined = r->tried_count,
+                    .is_alone = r->begins_alone,
                     .model = r->said.model,
                     .adapter = r->said.adapter,
                     .attempt = kb_slice_str (r->attempt_id) } };
@@ -109,6 +110,7 @@
     }
   gtw_observe_grant (r);
   r->has_place = true;
+  r->begins_alone = grant->is_alone != 0;
   r->granted_version = (uint32_t)grant->version;
   kb_slice_copy (grant->instance, r->granted_instance,
                  sizeof r->granted_instance);
--- /dev/null
+++ b/src/gateway/gateway_quarantine.c
@@ -0,0 +1,246 @@
+/// @file gateway_quarantine.c
+/// Requests under which targets ended (coordination/quarantine.h): who was
+/// beginning at a target when it ended, and what other daemons are told.
+#include "coordination/quarantine.h"
+#include "gateway/gateway_defs.h"
+#include "relay/fingerprint.h"
+#include "relay/passing.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+enum
+{
+  /// A target can end a moment after the first event: as BEGUN_MS of the
+  /// sidecar, which keeps others back for as long.
+  BEGUN_MS = 150,
+  /// Between the break of a connection and the proof that the target has
+  /// ended: two reports missed by the sidecar and its word, or two refused
+  /// connections.
+  EVIDENCE_MS = 2000,
+  /// Sidecars that are told at once; others hear it from gateways in turn.
+  FIRST_RECEIVERS = 3,
+};
+
+static uint64_t
+caller_of (const gtw_request_t *r)
+{
+  const char *caller = r->client->caller;
+  return kb_hash (caller, strlen (caller), 0) | 1;
+}
+
+qrt_verdict_t
+gtw_quarantine_judge (gtw_request_t *r, uint64_t *hold_ms)
+{
+  const qrt_table_t *table = &r->gateway->quarantine;
+  // The fingerprint is not worked out while nothing is known of any request.
+  if (table->entries.len == 0)
+    return QRT_FREE;
+  return qrt_judge (table, gtw_request_fingerprint (r), caller_of (r),
+                    gtw_now_ms (r->gateway), hold_ms);
+}
+
+void
+gtw_quarantine_refuse (gtw_request_t *r, uint64_t hold_ms)
+{
+  MET_INC ("knapweedbay_requests_held_total", "");
+  gtw_request_refuse (r, "quarantined", hold_ms);
+}
+
+static void
+give_all (gtw_gateway_t *gateway, const gtw_target_t *target)
+{
+  kb_buf_t words = { 0 };
+  qrt_pack (&gateway->quarantine, gtw_now_ms (gateway), &words);
+  psn_give_quarantine (&gateway->host, target->link, &words);
+  kb_buf_finish (&words);
+}
+
+void
+gtw_quarantine_help (gtw_gateway_t *gateway, const gtw_target_t *target)
+{
+  if (target->quarantine_stamp != qrt_stamp (&gateway->quarantine))
+    give_all (gateway, target);
+}
+
+/// Tell a few sidecars at once what changed about a request; they tell the
+/// other gateways. With each gateway telling all sidecars, an engine that ends
+/// in a fleet of hundreds would cost hundreds of messages for each request
+/// that was beginning there.
+static void
+tell_some (gtw_gateway_t *gateway, uint64_t request)
+{
+  kb_buf_t words = { 0 };
+  qrt_pack_one (&gateway->quarantine, request, gtw_now_ms (gateway), &words);
+  uint32_t told = 0;
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at);
+       t != NULL && told < FIRST_RECEIVERS;
+       t = kb_map_next (&gateway->targets, &at))
+    {
+      if (!gtw_target_is_heard (gateway, t))
+        continue;
+      psn_give_quarantine (&gateway->host, t->link, &words);
+      told++;
+    }
+  kb_buf_finish (&words);
+}
+
+void
+gtw_quarantine_take (gtw_gateway_t *gateway, kb_slice_t words)
+{
+  if (qrt_take (&gateway->quarantine, words, gtw_now_ms (gateway), NULL))
+    return;
+  MET_INC ("knapweedbay_inner_dropped_total", "reason=\"malformed\"");
+  log_write (LOG_WARN, "gateway",
+             "A word about requests that end targets is ignored.");
+}
+
+/// The same in all gateways.
+static uint64_t
+incarnation_hash (const gtw_target_t *target)
+{
+  const char *id = target->told.who.id;
+  return kb_hash (id, strlen (id), target->belief.born_ms) | 1;
+}
+
+static void
+log_suspect (const gtw_gateway_t *gateway, const gtw_target_t *target,
+             const gtw_break_t *broken, bool is_alone)
+{
+  uint64_t hold_ms = 0;
+  qrt_verdict_t verdict
+      = qrt_judge (&gateway->quarantine, broken->request, broken->caller,
+                   gtw_now_ms (gateway), &hold_ms);
+  static const char *const names[] = { "free", "alone", "held" };
+  log_event_t line;
+  if (!log_begin (&line, verdict == QRT_HELD ? LOG_WARN : LOG_INFO, "gateway",
+                  "request_suspected"))
+    return;
+  char fingerprint[FPR_TEXT_BYTES];
+  fpr_text (broken->request, fingerprint);
+  log_text (&line, "fingerprint", fingerprint);
+  log_text (&line, "target", target->told.who.id);
+  log_int (&line, "was_alone", is_alone);
+  log_text (&line, "verdict", names[verdict]);
+  log_int (&line, "hold_ms", (int64_t)hold_ms);
+  log_end (&line);
+}
+
+/// A target ended while this request was beginning there.
+static void
+suspect (gtw_gateway_t *gateway, const gtw_target_t *target,
+         const gtw_break_t *broken, bool is_alone)
+{
+  qrt_end_t end = { .target = incarnation_hash (target),
+                    .caller = broken->caller,
+                    .is_alone = is_alone };
+  if (!qrt_note_end (&gateway->quarantine, broken->request, &end,
+                     gtw_now_ms (gateway)))
+    return;
+  log_suspect (gateway, target, broken, is_alone);
+  tell_some (gateway, broken->request);
+}
+
+static bool
+is_of (const gtw_gateway_t *gateway, const gtw_break_t *broken,
+       const gtw_target_t *target)
+{
+  return broken->target == target->key
+         && gtw_now_ms (gateway) - broken->at_ms <= EVIDENCE_MS;
+}
+
+/// Beside a plain target no sidecar lets a request begin alone. One that was
+/// the only one of this gateway's there counts as if it had; others may have
+/// been there through other gateways, but not time and again.
+static bool
+is_only_one (const gtw_gateway_t *gateway, const gtw_target_t *target,
+             uint64_t request)
+{
+  for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
+    if (is_of (gateway, &gateway->breaks[i], target)
+        && gateway->breaks[i].request != request)
+      return false;
+  return true;
+}
+
+/// Whom the end of a target may be put down to, once it is certain.
+static uint32_t
+suspect_all (gtw_gateway_t *gateway, const gtw_target_t *target)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
+    {
+      gtw_break_t *broken = &gateway->breaks[i];
+      if (!is_of (gateway, broken, target))
+        continue;
+      bool is_alone = target->is_linked
+                          ? broken->is_alone
+                          : is_only_one (gateway, target, broken->request);
+      suspect (gateway, target, broken, is_alone);
+      count++;
+    }
+  for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
+    if (gateway->breaks[i].target == target->key)
+      gateway->breaks[i].target = 0;
+  return count;
+}
+
+void
+gtw_quarantine_target_ended (gtw_gateway_t *gateway, gtw_target_t *target,
+                             const char *evidence)
+{
+  // A target that leaves ends by itself.
+  if (target->ended_ms > 0 || target->told.is_leaving)
+    return;
+  target->ended_ms = gtw_now_ms (gateway);
+  uint32_t count = suspect_all (gateway, target);
+  MET_INC ("knapweedbay_targets_ended_total", "");
+  log_event_t line;
+  if (!log_begin (&line, LOG_WARN, "gateway", "target_ended"))
+    return;
+  log_text (&line, "target", target->told.who.id);
+  log_text (&line, "evidence", evidence);
+  log_int (&line, "suspects", count);
+  log_end (&line);
+}
+
+/// Whether a request was beginning at its target. What has run there for a
+/// while merely shared it.
+static bool
+is_beginning (const gtw_request_t *r)
+{
+  bool is_sent = r->stage == GTW_SENT || r->stage == GTW_PASSING;
+  if (!is_sent || r->target == NULL)
+    return false;
+  return !r->is_begun || gtw_now_ms (r->gateway) - r->begun_ms <= BEGUN_MS;
+}
+
+void
+gtw_quarantine_note_break (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  if (!is_beginning (r))
+    return;
+  gtw_target_t *target = r->target;
+  gtw_break_t broken = { .target = target->key,
+                         .request = gtw_request_fingerprint (r),
+                         .caller = caller_of (r),
+                         .at_ms = gtw_now_ms (gateway),
+                         .is_alone = r->begins_alone };
+  gateway->breaks[gateway->break_count++ % GTW_MAX_BREAKS] = broken;
+  // The proof came first.
+  if (target->ended_ms > 0)
+    suspect_all (gateway, target);
+  else if (!r->is_engine)
+    gtw_probe_start (gateway, target);
+}
+
+void
+gtw_quarantine_note_served (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  if (gateway->quarantine.entries.len > 0
+      && qrt_note_served (&gateway->quarantine, gtw_request_fingerprint (r),
+                          gtw_now_ms (gateway)))
+    tell_some (gateway, r->fingerprint);
+}
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -183,16 +183,20 @@
 }
 
 uint64_t
-gtw_request_fingerprint (const gtw_request_t *r)
+gtw_request_fingerprint (gtw_request_t *r)
 {
+  if (r->fingerprint != 0)
+    return r->fingerprint;
   const h1_conn_t *conn = &r->client->conn;
   fpr_request_t parts
-      = { .caller = kb_slice_str (r->client->caller),
-          .host = h1_head_get (&conn->head, "host"),
+      = { .host = h1_head_get (&conn->head, "host"),
           .method = kb_slice_str (http_method_str (conn->parser.method)),
           .path = h1_head_target (&conn->head),
+          .model = r->said.model,
+          .adapter = r->said.adapter,
           .body = kb_buf_slice (&r->body) };
-  return fpr_of (&parts);
+  r->fingerprint = fpr_of (&parts);
+  return r->fingerprint;
 }
 
 void
@@ -401,6 +405,14 @@
     }
   if (!r->is_routed && !request_route_late (r))
     return;
+  uint64_t hold_ms = 0;
+  qrt_verdict_t verdict = gtw_quarantine_judge (r, &hold_ms);
+  if (verdict == QRT_HELD)
+    {
+      gtw_quarantine_refuse (r, hold_ms);
+      return;
+    }
+  r->begins_alone = verdict == QRT_ALONE && r->is_engine;
   gtw_target_t *target
       = r->tried_count < GTW_MAX_TRIES ? gtw_target_choose (gateway, r) : NULL;
   if (target == NULL)
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -149,6 +149,18 @@
   log_end (&line);
 }
 
+/// Another incarnation is listed at an address: those before it have ended,
+/// however short the time was between them.
+static void
+end_those_before (gtw_gateway_t *gateway, const gtw_target_t *next)
+{
+  uint32_t at = 0;
+  for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    if (t != next && t->place_key == next->place_key)
+      gtw_quarantine_target_ended (gateway, t, "replaced");
+}
+
 gtw_target_t *
 gtw_target_add (gtw_gateway_t *gateway, const src_target_t *told)
 {
@@ -164,6 +176,7 @@
   kb_map_put (&gateway->targets, target->key, target);
   kb_map_put (&gateway->present, id_key (kb_slice_str (told->who.id)), target);
   gtw_target_log (target, "target_listed");
+  end_those_before (gateway, target);
   return target;
 }
 
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -108,13 +108,14 @@
                           S (config_part, digest), S (config_part, data) } },
   [MSG_GATEWAY_STATE]
   = { "gateway_state",
-      6,
+      7,
       { N (gateway_state, incarnation), N (gateway_state, revision),
         N (gateway_state, versions_known), N (gateway_state, engine_count),
-        N (gateway_state, list_stamp), S (gateway_state, places) } },
+        N (gateway_state, list_stamp), N (gateway_state, quarantine_stamp),
+        S (gateway_state, places) } },
   [MSG_ENGINE_STATE]
   = { "engine_state",
-      16,
+      17,
       { N (engine_state, incarnation), N (engine_state, revision),
         N (engine_state, versions_known), N (engine_state, condition),
         N (engine_state, slots), N (engine_state, granted),
@@ -122,20 +123,23 @@
         N (engine_state, backlog_us), N (engine_state, tokens_per_s),
         N (engine_state, load_wait_ms), N (engine_state, held_for_ms),
         S (engine_state, instance), N (engine_state, born_ms),
-        N (engine_state, list_stamp), S (engine_state, adapters) } },
+        N (engine_state, list_stamp), N (engine_state, quarantine_stamp),
+        S (engine_state, adapters) } },
   [MSG_PLACE_ASK]
   = { "place_ask",
-      11,
+      12,
       { N (place_ask, id), N (place_ask, priority),
         N (place_ask, prompt_tokens), N (place_ask, output_tokens),
         N (place_ask, left_ms), N (place_ask, objective_ms),
-        N (place_ask, version), N (place_ask, declined), S (place_ask, model),
-        S (place_ask, adapter), S (place_ask, attempt) } },
-  [MSG_PLACE_GRANT] = { "place_grant",
-                        5,
-                        { N (place_grant, id), N (place_grant, version),
-                          N (place_grant, load_us), S (place_grant, instance),
-                          N (place_grant, born_ms) } },
+        N (place_ask, version), N (place_ask, declined),
+        N (place_ask, is_alone), S (place_ask, model), S (place_ask, adapter),
+        S (place_ask, attempt) } },
+  [MSG_PLACE_GRANT]
+  = { "place_grant",
+      6,
+      { N (place_grant, id), N (place_grant, version),
+        N (place_grant, load_us), S (place_grant, instance),
+        N (place_grant, born_ms), N (place_grant, is_alone) } },
   [MSG_PLACE_DECLINE]
   = { "place_decline",
       3,
@@ -164,6 +168,7 @@
       { N (changes, id), N (changes, status), N (changes, as_of),
         N (changes, began_before_ms), N (changes, began_after_ms),
         N (changes, config_revision), S (changes, changes) } },
+  [MSG_QUARANTINE] = { "quarantine", 1, { S (quarantine, words) } },
 };
 #undef N
 #undef S
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -42,6 +42,7 @@
   MSG_ADAPTER_VERSION,
   MSG_CHANGES_ASK,
   MSG_CHANGES,
+  MSG_QUARANTINE,
   MSG_TYPE_END,
 } msg_type_t;
 
@@ -285,10 +286,11 @@
 typedef struct
 {
   uint64_t incarnation;
-  uint64_t revision;       ///< Of the configuration it has in force.
-  uint64_t versions_known; ///< How many adapter versions it knows.
-  uint64_t engine_count;   ///< Engines of the sidecar's service it sees.
-  uint64_t list_stamp;     ///< Of the adapter list it has from this sidecar.
+  uint64_t revision;         ///< Of the configuration it has in force.
+  uint64_t versions_known;   ///< How many adapter versions it knows.
+  uint64_t engine_count;     ///< Engines of the sidecar's service it sees.
+  uint64_t list_stamp;       ///< Of the adapter list it has from this sidecar.
+  uint64_t quarantine_stamp; ///< Of the requests it keeps from targets.
   /// Packed msg_place_ref_t of all places that it asked this sidecar for and
   /// has not released.
   kb_slice_t places;
@@ -320,13 +322,14 @@
   uint64_t granted; ///< Places given, or held by runs.
   uint64_t waiting; ///< Requests that wait for a place or a load.
   uint64_t gateway_count;
-  uint64_t backlog_us;   ///< Time to read the prompts that are accepted.
-  uint64_t tokens_per_s; ///< Prompt tokens the engine reads.
-  uint64_t load_wait_ms; ///< Until an adapter new to it would be held.
-  uint64_t held_for_ms;  ///< Mean time from a grant to its release.
-  kb_slice_t instance;   ///< Id of the engine, or empty.
-  uint64_t born_ms;      ///< Its birth; zero: not known.
-  uint64_t list_stamp;   ///< Of the adapters it holds; changes with them.
+  uint64_t backlog_us;       ///< Time to read the prompts that are accepted.
+  uint64_t tokens_per_s;     ///< Prompt tokens the engine reads.
+  uint64_t load_wait_ms;     ///< Until an adapter new to it would be held.
+  uint64_t held_for_ms;      ///< Mean time from a grant to its release.
+  kb_slice_t instance;       ///< Id of the engine, or empty.
+  uint64_t born_ms;          ///< Its birth; zero: not known.
+  uint64_t list_stamp;       ///< Of the adapters it holds; changes with them.
+  uint64_t quarantine_stamp; ///< Of what it knows of such requests.
   kb_slice_t adapters; ///< Packed msg_engine_adapter_t; empty: as told before.
 } msg_engine_state_t;
 
@@ -357,6 +360,7 @@
   uint64_t objective_ms;  ///< Until a first event is late.
   uint64_t version;       ///< Oldest that may serve it.
   uint64_t declined;      ///< Engines that declined it before.
+  uint64_t is_alone;      ///< It is to begin while no other request does.
   kb_slice_t model;
   kb_slice_t adapter; ///< Empty: the model itself.
   kb_slice_t attempt; ///< The caller's id of the request, for the log.
@@ -369,6 +373,7 @@
   uint64_t load_us;    ///< Time spent waiting for a load.
   kb_slice_t instance; ///< Id of the engine, or empty.
   uint64_t born_ms;    ///< Its birth; zero: not known.
+  uint64_t is_alone;   ///< No other request begins there meanwhile.
 } msg_place_grant_t;
 
 typedef struct
@@ -437,6 +442,12 @@
   kb_slice_t changes;       ///< Packed, see relay/changes.h.
 } msg_changes_t;
 
+/// Requests under which targets ended: what one daemon knows.
+typedef struct
+{
+  kb_slice_t words; ///< Packed, see coordination/quarantine.h.
+} msg_quarantine_t;
+
 /// Any message.
 typedef struct
 {
@@ -474,6 +485,7 @@
     msg_adapter_version_t adapter_version;
     msg_changes_ask_t changes_ask;
     msg_changes_t changes;
+    msg_quarantine_t quarantine;
   };
 } msg_t;
 
--- a/src/relay/fingerprint.c
+++ b/src/relay/fingerprint.c
@@ -23,10 +23,11 @@
   assert (digest != NULL);
   int status = EVP_DigestInit_ex (digest, EVP_sha256 (), NULL);
   assert (status == 1);
-  add_part (digest, request->caller);
   add_part (digest, request->host);
   add_part (digest, request->method);
   add_part (digest, request->path);
+  add_part (digest, request->model);
+  add_part (digest, request->adapter);
   add_part (digest, request->body);
   unsigned char bytes[EVP_MAX_MD_SIZE];
   status = EVP_DigestFinal_ex (digest, bytes, NULL);
--- a/src/relay/passing.h
+++ b/src/relay/passing.h
@@ -4,6 +4,7 @@
 #ifndef KB_RELAY_PASSING_H
 #define KB_RELAY_PASSING_H
 
+#include "coordination/quarantine.h"
 #include "relay/host.h"
 #include "relay/versions.h"
 
@@ -13,5 +14,8 @@
 /// Give every version that is known; the receiver takes what is newer.
 void psn_give_versions (hst_host_t *host, const char *peer,
                         const ver_table_t *versions);
+/// Give words of coordination/quarantine.h; nothing when there are none.
+void psn_give_quarantine (hst_host_t *host, const char *peer,
+                          const kb_buf_t *words);
 
 #endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -48,6 +48,7 @@
       adm_owner_gone (&s->table, gateway->id);
       *gateway = s->gateways[--s->gateway_count];
     }
+  qrt_lapse (&s->quarantine, now_ms);
   if (now_ms - s->told_ms >= TRN_HEARTBEAT_MS)
     scr_tell_state (s, NULL);
   scr_pump (s);
@@ -115,6 +116,7 @@
                             .max_cold = MAX_COLD,
                             .max_coming = MAX_COMING };
   adm_table_init (&s->table, &options);
+  qrt_table_init (&s->quarantine);
   rto_init (&s->order_timeout, ORDER_TIMEOUT_LEAST_MS, ORDER_TIMEOUT_MOST_MS);
   // Gateways know a sidecar by the address of its VM alone.
   char link_name[SET_TEXT_BYTES + 16];
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -5,6 +5,7 @@
 
 #include "coordination/admit.h"
 #include "coordination/lateorder.h"
+#include "coordination/quarantine.h"
 #include "coordination/rto.h"
 #include "relay/host.h"
 #include "relay/reader.h"
@@ -36,6 +37,7 @@
   src_decode_t decode;
   adm_table_t table;
   ver_table_t versions;
+  qrt_table_t quarantine; ///< Kept for gateways that start again.
   svc_config_t *config;
   kb_buf_t document;
   uint64_t document_ms; ///< When it came.
@@ -109,6 +111,14 @@
 void scr_share_ask (scr_sidecar_t *s, kb_slice_t peer,
                     const msg_changes_ask_t *given);
 
+// sidecar_quarantine.c
+/// A gateway tells of requests under which targets ended.
+void scr_quarantine_take (scr_sidecar_t *s, kb_slice_t peer, kb_slice_t words);
+/// Give a gateway what it lacks.
+/// @param stamp  Of what it knows.
+void scr_quarantine_help (scr_sidecar_t *s, const scr_gateway_t *gateway,
+                          uint64_t stamp);
+
 // sidecar_engine.c
 /// Do whatever can be done now: grant, decline, order.
 void scr_pump (scr_sidecar_t *s);
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -148,7 +148,8 @@
               .version = ask->adapter == NULL ? 0 : ask->adapter->version,
               .load_us = load_us,
               .instance = kb_slice_str (s->who.id),
-              .born_ms = s->who.born_ms } };
+              .born_ms = s->who.born_ms,
+              .is_alone = ask->is_alone } };
   scr_send (s, gateway, &msg);
   MET_INC ("knapweedbay_places_granted_total", "");
 }
@@ -209,6 +210,7 @@
   gateway->heard_ms = scr_now_ms (s);
   s->engine_count = (uint32_t)state->engine_count;
   help_gateway (s, gateway);
+  scr_quarantine_help (s, gateway, state->quarantine_stamp);
   reconcile_places (s, peer, state->places);
   if (is_new)
     scr_tell_state (s, gateway);
@@ -250,6 +252,7 @@
           .owner = scr_name_id (peer),
           .priority = (uint32_t)given->priority,
           .declined = (uint32_t)given->declined,
+          .is_alone = given->is_alone != 0,
           .tokens = (uint32_t)(given->prompt_tokens + given->output_tokens),
           .prompt_tokens = (uint32_t)given->prompt_tokens,
           .arrived_ms = now_ms,
@@ -341,6 +344,9 @@
     case MSG_CHANGES_ASK:
       scr_share_ask (s, peer, &msg->changes_ask);
       break;
+    case MSG_QUARANTINE:
+      scr_quarantine_take (s, peer, msg->quarantine.words);
+      break;
     case MSG_DOCUMENT:
       take_document (s, &msg->document);
       scr_pump (s);
--- a/src/sidecar/sidecar_tell.c
+++ b/src/sidecar/sidecar_tell.c
@@ -90,6 +90,7 @@
         .held_for_ms = (uint64_t)s->table.held_for_ms,
         .instance = kb_slice_str (s->who.id),
         .born_ms = s->who.born_ms,
+        .quarantine_stamp = qrt_stamp (&s->quarantine),
         .list_stamp = kb_hash (adapters.ptr, adapters.len_bytes, 1) | 1 }
   };
   if (only != NULL)
--- a/test/relay/repeat_failure_test.cc
+++ b/test/relay/repeat_failure_test.cc
@@ -91,5 +91,125 @@
   EXPECT_LE (send_more (site, fatal_plain, attempt, 12), kSendsAfterThird);
 }
 
+/// Send a request until it is held, through the first gateway.
+/// @return  Whether it is.
+bool
+hold (Site &site, Call (*call_of) (int))
+{
+  site.end_on ("/fatal");
+  for (int attempt = 1000; attempt < 1020; attempt++)
+    {
+      Message answer = send_call (site.gateways[0], call_of (attempt));
+      site.begin_ended_again ();
+      if (answer.status == 503 && answer.body == "quarantined")
+        return true;
+      std::this_thread::sleep_for (std::chrono::milliseconds (300));
+    }
+  return false;
+}
+
+/// @return  Whether a gateway holds a request within a time, asked again and
+///          again.
+bool
+is_held (const Gateway &gateway, Call (*call_of) (int), int timeout_ms)
+{
+  static int attempt = 2000;
+  return Site::wait_for (
+      [&] {
+        return send_call (gateway, call_of (attempt++)).body == "quarantined";
+      },
+      timeout_ms);
+}
+
+// The caller of a held request gets an answer at once, that it has not run and
+// when it may come back. Nobody else loses anything: its other requests, and
+// the same one of another caller, once it ends nothing any more.
+TEST (Repeat, AHeldRequestIsRefusedAtOnceAndNothingElseIs)
+{
+  Site site (5, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  ASSERT_TRUE (hold (site, fatal_stream));
+  site.end_on ("");
+  Message refused = send_call (site.gateways[0], fatal_stream (1));
+  EXPECT_EQ (refused.status, 503);
+  EXPECT_GT (atof (refused.header ("retry-after").c_str ()), 60);
+  EXPECT_EQ (site.runs_of ("fatal1"), 0);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("else", "a1")).status
+           == 200;
+  }));
+  Call same = fatal_stream (2);
+  same.from = "127.0.0.77";
+  EXPECT_EQ (send_call (site.gateways[0], same).status, 200);
+  EXPECT_EQ (send_call (site.gateways[0], plain_call ("p")).status, 200);
+}
+
+// An innocent request is sent again and again at the same moments as the one
+// that ends engines, to the only two engines, and shares each that ends. It
+// must be served as soon as the other one is held, and never refused for it.
+TEST (Repeat, ARequestThatSharedEnginesThatEndedIsServed)
+{
+  Site site (2, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.end_on ("/fatal");
+  for (const Engine &engine : site.engines)
+    engine.target->event_ms = 30;
+  int held = 0;
+  for (int round = 0; round < 14 && held < 2; round++)
+    {
+      Message fatal;
+      std::thread other (
+          [&] { fatal = send_call (site.gateways[0], fatal_stream (round)); });
+      Message innocent = send_call (
+          site.gateways[0],
+          stream_call ("innocent" + std::to_string (round), "a1"));
+      other.join ();
+      EXPECT_NE (innocent.body, "quarantined");
+      held += fatal.body == "quarantined";
+      site.begin_ended_again ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (700));
+    }
+  ASSERT_EQ (held, 2) << "the request that ends engines is not held";
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("innocent", "a1")).status
+           == 200;
+  }));
+}
+
+// The store is away, and entries start again: they have learnt nothing by
+// themselves, and the request would end three targets more through each.
+TEST (Repeat, AHoldOutlivesRestartsWhileTheStoreIsAway)
+{
+  Site site (5, 2, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  ASSERT_TRUE (hold (site, fatal_stream));
+  EXPECT_TRUE (is_held (site.gateways[1], fatal_stream, kContactMs))
+      << "the other gateway does not know it";
+  int before = site.ends ();
+  for (Gateway &gateway : site.gateways)
+    {
+      site.restart (&gateway.daemon, SIGKILL);
+      ASSERT_TRUE (
+          Site::wait_for ([&] { return dial (gateway.ready) != nullptr; }));
+      // The first answers may be that it has no configuration yet.
+      EXPECT_TRUE (is_held (gateway, fatal_stream, 4000));
+    }
+  // Agents that start again learn it from gateways, and tell it on.
+  for (Engine &engine : site.engines)
+    {
+      site.restart (&engine.sidecar, SIGKILL);
+      std::this_thread::sleep_for (std::chrono::milliseconds (600));
+    }
+  site.store.set_mode (Store::RESET);
+  site.far_store.set_mode (Store::RESET);
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  site.restart (&site.gateways[1].daemon, SIGKILL);
+  EXPECT_TRUE (is_held (site.gateways[0], fatal_stream, 1000));
+  site.store.set_mode (Store::WELL);
+  site.far_store.set_mode (Store::WELL);
+  EXPECT_TRUE (is_held (site.gateways[1], fatal_stream, 6000));
+  EXPECT_EQ (site.ends (), before);
+}
+
 } // namespace
 } // namespace relay
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -543,4 +543,63 @@
   EXPECT_EQ (ask (1, ""), nullptr);
 }
 
+// Engines ended under a request, and under others that were beginning there.
+// To tell which of them does it, it begins alone: what is beginning finishes
+// first, and nobody else is granted until a moment after its first event.
+TEST_F (AdmitTest, ASuspectBeginsAlone)
+{
+  ask (1, "", 1000);
+  adm_ask_t *running = next (1000).ask;
+  ASSERT_NE (running, nullptr);
+  adm_ask_t *suspect = ask (2, "", 1000, 0);
+  suspect->is_alone = true;
+  ask (3, "", 1000);
+  EXPECT_EQ (next (1010).kind, ADM_DO_NOTHING) << "another one is beginning";
+  adm_ask_begun (&table, running, 1020);
+  EXPECT_EQ (next (1100).kind, ADM_DO_NOTHING) << "it has just begun";
+  adm_action_t action = next (1170);
+  ASSERT_EQ (action.kind, ADM_DO_GRANT);
+  EXPECT_EQ (action.ask, suspect);
+  EXPECT_EQ (next (1300).kind, ADM_DO_NOTHING);
+  adm_ask_begun (&table, suspect, 1300);
+  EXPECT_EQ (next (1449).kind, ADM_DO_NOTHING);
+  EXPECT_EQ (next (1450).kind, ADM_DO_GRANT);
+}
+
+TEST_F (AdmitTest, ASuspectThatEndsGivesTheEngineBack)
+{
+  adm_ask_t *suspect = ask (1, "", 1000);
+  suspect->is_alone = true;
+  ask (2, "", 1000);
+  ASSERT_EQ (next (1000).ask, suspect);
+  EXPECT_EQ (next (1001).kind, ADM_DO_NOTHING);
+  adm_ask_remove (&table, suspect);
+  EXPECT_EQ (next (1002).kind, ADM_DO_GRANT);
+}
+
+// A request that hangs before its first event would keep a suspect waiting,
+// and the suspect all others: the engine would stand still.
+TEST_F (AdmitTest, ASuspectKeepsNobodyBackForLong)
+{
+  ask (1, "", 1000);
+  ASSERT_EQ (next (1000).kind, ADM_DO_GRANT);
+  ask (2, "", 1000, 0)->is_alone = true;
+  ask (3, "", 1000);
+  EXPECT_EQ (next (1100).kind, ADM_DO_NOTHING);
+  adm_action_t action = next (1601);
+  ASSERT_EQ (action.kind, ADM_DO_DECLINE);
+  EXPECT_STREQ (action.reason, "others_begin");
+  adm_ask_remove (&table, action.ask);
+  EXPECT_EQ (next (1602).kind, ADM_DO_GRANT);
+}
+
+TEST_F (AdmitTest, ASuspectThatHangsKeepsNobodyBackForLong)
+{
+  ask (1, "", 1000)->is_alone = true;
+  ASSERT_EQ (next (1000).kind, ADM_DO_GRANT);
+  ask (2, "", 1000);
+  EXPECT_EQ (next (1999).kind, ADM_DO_NOTHING);
+  EXPECT_EQ (next (2000).kind, ADM_DO_GRANT);
+}
+
 } // namespace
--- /dev/null
+++ b/test/unit/quarantine_test.cc
@@ -0,0 +1,270 @@
+// Which requests are kept from targets: what one end, two and three mean, what
+// others lose by it, what daemons tell each other, and what is forgotten.
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "coordination/quarantine.h"
+}
+
+namespace
+{
+
+constexpr uint64_t kRequest = 71;
+constexpr uint64_t kCaller = 5;
+constexpr uint64_t kOther = 6;
+
+class QuarantineTest : public ::testing::Test
+{
+protected:
+  QuarantineTest ()
+  {
+    qrt_table_init (&table_);
+    qrt_table_init (&peer_);
+  }
+  ~QuarantineTest () override
+  {
+    qrt_table_finish (&table_);
+    qrt_table_finish (&peer_);
+  }
+  bool
+  end (uint64_t target, bool is_alone = false, uint64_t caller = kCaller,
+       uint64_t request = kRequest)
+  {
+    qrt_end_t end = { target, caller, is_alone };
+    return qrt_note_end (&table_, request, &end, now_ms_);
+  }
+  qrt_verdict_t
+  judge (uint64_t caller = kCaller, uint64_t request = kRequest)
+  {
+    return qrt_judge (&table_, request, caller, now_ms_, &hold_ms_);
+  }
+  /// Tell all that one table knows to the other.
+  bool
+  pass_on (const qrt_table_t *from, qrt_table_t *to)
+  {
+    kb_buf_t words = {};
+    qrt_pack (from, now_ms_, &words);
+    bool is_taken = qrt_take (to, kb_buf_slice (&words), now_ms_, nullptr);
+    kb_buf_finish (&words);
+    return is_taken;
+  }
+  qrt_table_t table_;
+  qrt_table_t peer_;
+  uint64_t now_ms_ = 1000000;
+  uint64_t hold_ms_ = 0;
+};
+
+TEST_F (QuarantineTest, OneEndChangesNothing)
+{
+  end (1);
+  EXPECT_EQ (judge (), QRT_FREE);
+}
+
+TEST_F (QuarantineTest, AfterTwoEndsItBeginsAloneAfterAThirdAloneItIsHeld)
+{
+  end (1);
+  end (2);
+  EXPECT_EQ (judge (), QRT_ALONE);
+  end (3, true);
+  EXPECT_EQ (judge (), QRT_HELD);
+  EXPECT_EQ (hold_ms_, (uint64_t)QRT_HOLD_MS);
+}
+
+// A request shares a target with the one that ends it, three times over. It
+// has done nothing, and must not be refused for it.
+TEST_F (QuarantineTest, SharingTargetsThatEndHoldsNothing)
+{
+  for (uint64_t target = 1; target <= 9; target++)
+    end (target);
+  EXPECT_EQ (judge (), QRT_ALONE);
+  EXPECT_TRUE (qrt_note_served (&table_, kRequest, now_ms_));
+  EXPECT_EQ (judge (), QRT_FREE);
+}
+
+// Two gateways saw the same end, one of them knows that it was alone.
+TEST_F (QuarantineTest, AnEndCountsOnce)
+{
+  EXPECT_TRUE (end (1));
+  EXPECT_FALSE (end (1));
+  EXPECT_TRUE (end (1, true));
+  EXPECT_FALSE (end (1));
+  EXPECT_EQ (judge (), QRT_FREE);
+}
+
+// A caller sends what another one sends, and targets end under it. The other
+// one's is not refused.
+TEST_F (QuarantineTest, OneCallerHoldsNothingOfAnother)
+{
+  for (uint64_t target = 1; target <= 6; target++)
+    end (target, true);
+  EXPECT_EQ (judge (), QRT_HELD);
+  EXPECT_EQ (judge (kOther), QRT_ALONE);
+  EXPECT_EQ (judge (kCaller, kRequest + 1), QRT_FREE);
+}
+
+// The callers of one workspace are many VMs: each sends the request once.
+TEST_F (QuarantineTest, TwoCallersAloneHoldItForAll)
+{
+  end (1, false, 11);
+  end (2, false, 12);
+  end (3, true, 13);
+  EXPECT_EQ (judge (14), QRT_ALONE);
+  end (4, true, 14);
+  EXPECT_EQ (judge (15), QRT_HELD);
+}
+
+TEST_F (QuarantineTest, AHoldLapsesAndGrowsWithFurtherEnds)
+{
+  end (1);
+  end (2);
+  end (3, true);
+  now_ms_ += QRT_HOLD_MS;
+  EXPECT_EQ (judge (), QRT_ALONE);
+  end (4, true);
+  EXPECT_EQ (judge (), QRT_HELD);
+  EXPECT_EQ (hold_ms_, 2ULL * QRT_HOLD_MS);
+  now_ms_ += 4ULL * QRT_HOLD_MS;
+  EXPECT_EQ (judge (), QRT_FREE);
+  qrt_lapse (&table_, now_ms_);
+  EXPECT_EQ (table_.entries.len, 0u);
+  EXPECT_EQ (qrt_stamp (&table_), 0u);
+}
+
+TEST_F (QuarantineTest, SuspicionLapses)
+{
+  end (1);
+  end (2);
+  now_ms_ += QRT_HOLD_MS;
+  EXPECT_EQ (judge (), QRT_FREE);
+  qrt_lapse (&table_, now_ms_);
+  EXPECT_EQ (table_.entries.len, 0u);
+}
+
+// A caller sends thousands of different requests that end targets, so that
+// what is known of another one's is forgotten.
+TEST_F (QuarantineTest, OneCallerFillsNoMoreThanItsPart)
+{
+  end (1, true, kOther, kRequest);
+  end (2, true, kOther, kRequest);
+  end (3, true, kOther, kRequest);
+  for (uint64_t request = 1000; request < 4000; request++)
+    end (request, true, kCaller, request);
+  EXPECT_EQ (table_.entries.len, 1u + QRT_ENTRIES_PER_CALLER);
+  EXPECT_EQ (judge (kOther), QRT_HELD);
+}
+
+TEST_F (QuarantineTest, WhatIsRememberedIsBoundedAndHeldRequestsStayLongest)
+{
+  end (1, true);
+  end (2, true);
+  end (3, true);
+  for (uint64_t request = 1000; request < 4000; request++)
+    {
+      now_ms_++;
+      end (request, true, request, request);
+    }
+  EXPECT_EQ (table_.entries.len, (uint32_t)QRT_ENTRIES_MOST);
+  EXPECT_EQ (judge (), QRT_HELD);
+}
+
+TEST_F (QuarantineTest, WordsMergeInAnyOrder)
+{
+  end (1);
+  end (2);
+  ASSERT_TRUE (pass_on (&table_, &peer_));
+  qrt_end_t third = { 3, kCaller, 1 };
+  qrt_note_end (&peer_, kRequest, &third, now_ms_);
+  end (4);
+  EXPECT_NE (qrt_stamp (&table_), qrt_stamp (&peer_));
+  ASSERT_TRUE (pass_on (&table_, &peer_));
+  ASSERT_TRUE (pass_on (&peer_, &table_));
+  EXPECT_EQ (qrt_stamp (&table_), qrt_stamp (&peer_));
+  EXPECT_EQ (judge (), QRT_HELD);
+}
+
+// More ends than are kept: two daemons that met them in another order would
+// give each other what they know for ever.
+TEST_F (QuarantineTest, DaemonsKeepTheSameOfManyEnds)
+{
+  for (uint64_t target = 1; target <= 20; target++)
+    end (target, target % 3 == 0);
+  for (uint64_t target = 20; target >= 1; target--)
+    {
+      qrt_end_t end = { target, kCaller, target % 3 == 0 };
+      qrt_note_end (&peer_, kRequest, &end, now_ms_);
+    }
+  EXPECT_EQ (qrt_stamp (&table_), qrt_stamp (&peer_));
+}
+
+// A daemon that did not hear of the clearing tells the ends of before again.
+TEST_F (QuarantineTest, WhatWasClearedStaysCleared)
+{
+  end (1);
+  end (2);
+  ASSERT_TRUE (pass_on (&table_, &peer_));
+  qrt_note_served (&table_, kRequest, now_ms_);
+  ASSERT_TRUE (pass_on (&peer_, &table_));
+  EXPECT_EQ (judge (), QRT_FREE);
+  ASSERT_TRUE (pass_on (&table_, &peer_));
+  EXPECT_EQ (qrt_stamp (&table_), qrt_stamp (&peer_));
+}
+
+// What lapsed at one daemon comes back from another one that heard it later.
+TEST_F (QuarantineTest, AWordKeepsItsAge)
+{
+  end (1);
+  end (2);
+  now_ms_ += QRT_HOLD_MS - 10;
+  ASSERT_TRUE (pass_on (&table_, &peer_));
+  now_ms_ += 10;
+  qrt_lapse (&peer_, now_ms_);
+  EXPECT_EQ (peer_.entries.len, 0u);
+  // One that has lapsed is not taken at all.
+  ASSERT_TRUE (pass_on (&table_, &peer_));
+  EXPECT_EQ (peer_.entries.len, 0u);
+}
+
+TEST_F (QuarantineTest, WordsThatCanNotBeTrueAreIgnored)
+{
+  qrt_word_t good = {};
+  good.request = kRequest;
+  good.owner = kCaller;
+  good.end_count = 2;
+  good.ends[0] = { 1, kCaller, 1 };
+  good.ends[1] = { 2, kCaller, 0 };
+  auto take = [&] (const qrt_word_t &word, uint32_t len_bytes) {
+    return qrt_take (&table_, { (const char *)&word, len_bytes }, now_ms_,
+                     nullptr);
+  };
+  std::vector<qrt_word_t> bad (6, good);
+  bad[0].request = 0;
+  bad[1].end_count = QRT_ENDS_MOST + 1;
+  bad[2].end_count = 0;
+  bad[3].ends[0].target = 0;
+  bad[4].ends[0].is_alone = 2;
+  std::swap (bad[5].ends[0], bad[5].ends[1]);
+  for (const qrt_word_t &word : bad)
+    EXPECT_FALSE (take (word, sizeof word));
+  EXPECT_FALSE (take (good, sizeof good - 1));
+  EXPECT_EQ (table_.entries.len, 0u);
+  EXPECT_TRUE (take (good, sizeof good));
+  EXPECT_EQ (judge (), QRT_ALONE);
+}
+
+TEST_F (QuarantineTest, FreshWordsAreToldOnce)
+{
+  end (1);
+  kb_buf_t words = {};
+  qrt_pack (&table_, now_ms_, &words);
+  kb_buf_t fresh = {};
+  qrt_take (&peer_, kb_buf_slice (&words), now_ms_, &fresh);
+  EXPECT_EQ (fresh.len_bytes, sizeof (qrt_word_t));
+  kb_buf_clear (&fresh);
+  qrt_take (&peer_, kb_buf_slice (&words), now_ms_, &fresh);
+  EXPECT_EQ (fresh.len_bytes, 0u);
+  kb_buf_finish (&fresh);
+  kb_buf_finish (&words);
+}
+
+} // namespace
