test(relay): holds after a loss of power, and without agents

Both fail: what is known of a request that ends targets is in the memory of gateways and sidecars alone. The stand-in of the store takes leases and writes.

--- a/test/relay/repeat_failure_test.cc
+++ b/test/relay/repeat_failure_test.cc
@@ -211,5 +211,37 @@
   EXPECT_EQ (site.ends (), before);
 }
 
+// All daemons lose power at one moment, and with it all that they know. The
+// request comes again as soon as they are back.
+TEST (Repeat, AHoldOutlivesALossOfPowerOfAllDaemons)
+{
+  Site site (5, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  ASSERT_TRUE (hold (site, fatal_stream));
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  int before = site.ends ();
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  for (Engine &engine : site.engines)
+    site.stop (&engine.sidecar, SIGKILL);
+  for (Engine &engine : site.engines)
+    site.start (&engine.sidecar);
+  site.start (&site.gateways[0].daemon);
+  EXPECT_TRUE (is_held (site.gateways[0], fatal_stream, 6000));
+  EXPECT_EQ (site.ends (), before);
+}
+
+// Without engines there is no agent through which gateways could tell each
+// other; each would let the request end three targets.
+TEST (Repeat, GatewaysWithoutAgentsShareWhatTheyKnow)
+{
+  Site site (0, 6, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  site.end_on ("/fatal");
+  int attempt = send_until_ends (site, fatal_plain, 3);
+  ASSERT_GE (site.ends (), 3);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kContactMs));
+  EXPECT_LE (send_more (site, fatal_plain, attempt, 12), kSendsAfterThird);
+}
+
 } // namespace
 } // namespace relay
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -144,6 +144,8 @@
   char pattern[] = "/tmp/kb-relay-XXXXXX";
   dir = mkdtemp (pattern);
   inner_port_ = free_port (own_ip (0, 1));
+  store.mirror_to (&far_store);
+  far_store.mirror_to (&store);
   write_config (1);
   for (int i = 0; i < engine_count; i++)
     {
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -16,6 +16,30 @@
   return out;
 }
 
+static std::string
+unbase64 (const std::string &text)
+{
+  std::string out (text.size (), '\0');
+  int len = EVP_DecodeBlock ((unsigned char *)out.data (),
+                             (const unsigned char *)text.data (),
+                             (int)text.size ());
+  size_t padding = text.size () - text.find_last_not_of ('=') - 1;
+  out.resize ((size_t)len - padding);
+  return out;
+}
+
+/// @return  The text of a member, in JSON without escapes.
+static std::string
+text_member (const std::string &json, const std::string &name)
+{
+  std::string start = "\"" + name + "\":\"";
+  size_t at = json.find (start);
+  if (at == std::string::npos)
+    return "";
+  at += start.size ();
+  return json.substr (at, json.find ('"', at) - at);
+}
+
 static std::map<std::string, std::string>
 parse_query (const std::string &target)
 {
@@ -42,6 +66,37 @@
   changed_.notify_all ();
 }
 
+void
+Store::mirror_to (Store *other)
+{
+  mirror_ = other;
+}
+
+int
+Store::written (const std::string &prefix)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  int count = 0;
+  for (const auto &[key, item] : items_)
+    count += key.compare (0, prefix.size (), prefix) == 0 && !item.is_gone;
+  return count;
+}
+
+/// Leases never end here; a change holds one value.
+bool
+Store::serve_write (Connection &connection, const Message &request)
+{
+  writes++;
+  if (request.target () == "/kv-lease")
+    return connection.write (json_answer ("{\"Lease\":7,\"TtlMs\":600000}"));
+  std::string key = text_member (request.body, "Key");
+  std::string value = unbase64 (text_member (request.body, "Value"));
+  put (key, value);
+  if (mirror_ != nullptr)
+    mirror_->put (key, value);
+  return connection.write (json_answer ("{\"Revision\":2}"));
+}
+
 void
 Store::remove (const std::string &key)
 {
@@ -194,6 +249,8 @@
     }
   if (mode == BUSY)
     return connection.write (answer (503, "", "{}"));
+  if (request.method () == "POST")
+    return serve_write (connection, request);
   auto query = parse_query (request.target ());
   {
     std::unique_lock<std::mutex> lock (mutex_);
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -41,7 +41,13 @@
   /// when the store is well again.
   void mute (const std::string &prefix);
   void unmute ();
+  /// What daemons write here stands in another store as well.
+  void mirror_to (Store *other);
+  /// Values that daemons have written under a prefix and that stand now.
+  int written (const std::string &prefix);
   std::atomic<int> calls{ 0 };
+  /// Of these, those that change something.
+  std::atomic<int> writes{ 0 };
   std::atomic<int> page_items{ 3 };
 
 private:
@@ -54,6 +60,7 @@
   bool serve (Connection &connection, const Message &request) override;
   bool serve_watch (Connection &connection,
                     const std::map<std::string, std::string> &query);
+  bool serve_write (Connection &connection, const Message &request);
   std::string range (const std::map<std::string, std::string> &query);
   std::string changes (const std::string &prefix, int64_t after);
   bool is_muted (const std::string &prefix) const;
@@ -71,6 +78,7 @@
   std::string muted_prefix_; ///< Of the last mute.
   bool is_mute_ = false;
   Mode mode_ = WELL;
+  Store *mirror_ = nullptr;
 };
 
 } // namespace relay
