fix(gateway,platform): records of requests that end targets outlive all daemons

Callers saw a request that was held end engines again after all daemons had restarted at one moment (5 engines in the test), and gateways without a sidecar in common each let it end targets of their own (8 plain targets by 12 sends through 3 gateways; 3 are allowed). Cause: what is known of it was in the memory of daemons that tell each other through sidecars, and nowhere else. Now a gateway keeps a record at the platform of each request that may be held (two ends or more; from the first when no sidecar can be told), under a lease that lets it lapse. It is read with the changes that every gateway reads anyway. The records are no condition for anything: while the store is away the daemons tell each other, and the record is written later.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -106,6 +106,24 @@
   return QRT_HELD;
 }
 
+uint32_t
+qrt_ends (const qrt_table_t *table, uint64_t request)
+{
+  const qrt_entry_t *entry = kb_map_get (&table->entries, request);
+  return entry == NULL ? 0 : entry->word.end_count;
+}
+
+uint64_t
+qrt_lasts_ms (const qrt_table_t *table, uint64_t request, uint64_t now_ms)
+{
+  const qrt_entry_t *entry = kb_map_get (&table->entries, request);
+  if (entry == NULL)
+    return 0;
+  uint64_t age_ms = age_of (entry, now_ms);
+  uint64_t lapse_ms = lapse_of (&entry->word);
+  return lapse_ms > age_ms ? lapse_ms - age_ms : 0;
+}
+
 /// Drop an entry.
 static void
 entry_drop (qrt_table_t *table, qrt_entry_t *entry)
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -89,6 +89,11 @@
 /// @param hold_ms  How much longer it is held; may be NULL.
 qrt_verdict_t qrt_judge (const qrt_table_t *table, uint64_t request,
                          uint64_t caller, uint64_t now_ms, uint64_t *hold_ms);
+/// @return  Ends that are known of a request.
+uint32_t qrt_ends (const qrt_table_t *table, uint64_t request);
+/// @return  How much longer it is remembered.
+uint64_t qrt_lasts_ms (const qrt_table_t *table, uint64_t request,
+                       uint64_t now_ms);
 /// @return  Whether anything was new.
 bool qrt_note_end (qrt_table_t *table, uint64_t request, const qrt_end_t *end,
                    uint64_t now_ms);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -40,6 +40,12 @@
   gtw_take_version (owner, version->model, version->adapter, version->version);
 }
 
+static void
+source_on_record (void *owner, const src_record_t *record)
+{
+  gtw_keep_told (owner, record);
+}
+
 static void
 source_on_targets_known (void *owner)
 {
@@ -62,6 +68,7 @@
   .on_target = source_on_target,
   .on_target_gone = source_on_target_gone,
   .on_version = source_on_version,
+  .on_record = source_on_record,
   .on_targets_known = source_on_targets_known,
   .on_reachable = source_on_reachable,
 };
@@ -167,6 +174,7 @@
       || gtw_listen (gateway, error) != KB_OK)
     return NULL;
   gtw_peers_init (gateway);
+  gtw_keeps_init (gateway);
   gateway->source->vtable->set_peers (gateway->source, &gateway->peers.peers);
   gateway->source->vtable->start (gateway->source, &source_events, gateway);
   tmr_every (&gateway->host.timers, &gateway->tick, GTW_TICK_MS, gateway_tick,
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -22,6 +22,7 @@
   GTW_ID_BYTES = 64,
   GTW_MAX_BUDGETS = 16, ///< Services; the rest share the last one.
   GTW_MAX_BREAKS = 256,
+  GTW_MAX_KEEPS = 32,
 };
 
 typedef struct gtw_request gtw_request_t;
@@ -194,6 +195,18 @@
   bool is_alone; ///< No other request was beginning there.
 } gtw_break_t;
 
+/// What is kept at the platform of requests that targets ended under, so that
+/// it outlives a loss of power of all daemons.
+typedef struct
+{
+  gtw_gateway_t *gateway;
+  uint64_t due[GTW_MAX_KEEPS]; ///< Fingerprints, the oldest first.
+  uint32_t due_count;
+  uint64_t writing;  ///< Zero: nothing is.
+  uint64_t pause_ms; ///< Before the next try; zero: the last one went well.
+  tmr_sub_t timer;
+} gtw_keeps_t;
+
 /// The question for changes of the store that is open at a sidecar.
 typedef struct
 {
@@ -219,6 +232,7 @@
   kb_buf_t document;
   ver_table_t versions;
   qrt_table_t quarantine;
+  gtw_keeps_t keeps;
   gtw_break_t breaks[GTW_MAX_BREAKS]; ///< The newest, in a ring.
   uint32_t break_count;               ///< Of all, ever.
   kb_map_t targets;                   ///< By key, all incarnations.
@@ -409,6 +423,13 @@
 /// Give a sidecar what it lacks.
 void gtw_quarantine_help (gtw_gateway_t *gateway, const gtw_target_t *target);
 
+// gateway_keep.c
+void gtw_keeps_init (gtw_gateway_t *gateway);
+/// Keep at the platform what is known of a request now.
+void gtw_keep (gtw_gateway_t *gateway, uint64_t request);
+/// A record was read there.
+void gtw_keep_told (gtw_gateway_t *gateway, const src_record_t *record);
+
 // gateway_probe.c
 /// Try to connect to a target, to see whether its process has ended.
 void gtw_probe_start (gtw_gateway_t *gateway, gtw_target_t *target);
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -66,7 +66,8 @@
 /// other gateways. With each gateway telling all sidecars, an engine that ends
 /// in a fleet of hundreds would cost hundreds of messages for each request
 /// that was beginning there.
-static void
+/// @return  How many were told.
+static uint32_t
 tell_some (gtw_gateway_t *gateway, uint64_t request)
 {
   kb_buf_t words = { 0 };
@@ -83,6 +84,17 @@
       told++;
     }
   kb_buf_finish (&words);
+  return told;
+}
+
+/// What this gateway found out goes to others. Most requests are suspected
+/// once and never again; only those that may be held are kept at the platform,
+/// unless there is no sidecar that could tell the other gateways.
+static void
+spread (gtw_gateway_t *gateway, uint64_t request, bool may_be_held)
+{
+  if (tell_some (gateway, request) == 0 || may_be_held)
+    gtw_keep (gateway, request);
 }
 
 void
@@ -138,7 +150,8 @@
                      gtw_now_ms (gateway)))
     return;
   log_suspect (gateway, target, broken, is_alone);
-  tell_some (gateway, broken->request);
+  uint32_t ends = qrt_ends (&gateway->quarantine, broken->request);
+  spread (gateway, broken->request, ends >= QRT_ENDS_ALONE);
 }
 
 static bool
@@ -239,8 +252,10 @@
 gtw_quarantine_note_served (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
-  if (gateway->quarantine.entries.len > 0
-      && qrt_note_served (&gateway->quarantine, gtw_request_fingerprint (r),
-                          gtw_now_ms (gateway)))
-    tell_some (gateway, r->fingerprint);
+  if (gateway->quarantine.entries.len == 0)
+    return;
+  uint64_t request = gtw_request_fingerprint (r);
+  uint32_t ends = qrt_ends (&gateway->quarantine, request);
+  if (qrt_note_served (&gateway->quarantine, request, gtw_now_ms (gateway)))
+    spread (gateway, request, ends >= QRT_ENDS_ALONE);
 }
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -80,6 +80,17 @@
   uint32_t version;
 } src_version_t;
 
+/// Something of the system's own that is kept at the platform, where it
+/// outlives all daemons.
+typedef struct
+{
+  kb_slice_t key;
+  kb_slice_t value;
+} src_record_t;
+
+/// @param is_kept  False: it was not written, or that is not known.
+typedef void (*src_keep_done_t) (void *arg, bool is_kept);
+
 typedef struct
 {
   /// @param config    Owned by the receiver.
@@ -88,6 +99,8 @@
   void (*on_target) (void *owner, const src_target_t *target);
   void (*on_target_gone) (void *owner, kb_slice_t id);
   void (*on_version) (void *owner, const src_version_t *version);
+  /// A record is there, of this gateway or of another.
+  void (*on_record) (void *owner, const src_record_t *record);
   /// All targets that are listed now have been told.
   void (*on_targets_known) (void *owner);
   void (*on_reachable) (void *owner, bool is_reachable);
@@ -104,6 +117,10 @@
   void (*set_peers) (src_source_t *source, src_peers_t *peers);
   /// The answer to a question to the peers; NULL: none came in its time.
   void (*on_changes) (src_source_t *source, const src_changes_t *changes);
+  /// Keep a record for a while, in place of one with its key. One at a time;
+  /// `done` is called once, never from within this call.
+  void (*keep) (src_source_t *source, const src_record_t *record,
+                uint64_t lasts_ms, src_keep_done_t done, void *arg);
   /// Set the gauges of the metrics page.
   void (*set_gauges) (src_source_t *source);
 } src_vtable_t;
