test(soak): two requests that end targets are sent through all faults

One for engines, one for plain targets, every 200 ms through any gateway; the targets are back as other incarnations within 0.8 s. Once the faults are over and all daemons were undisturbed for 3 s, each may end three targets more.

The proof of an end may take 5 s: with something between gateway and target that takes connections, only the next incarnation tells it.

--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -14,9 +14,10 @@
   /// sidecar, which keeps others back for as long.
   BEGUN_MS = 150,
   /// Between the break of a connection and the proof that the target has
-  /// ended: two reports missed by the sidecar and its word, or two refused
-  /// connections.
-  EVIDENCE_MS = 2000,
+  /// ended. A sidecar's word or refused connections tell within a second;
+  /// where something before the target still takes connections, only the next
+  /// incarnation does, some seconds later.
+  EVIDENCE_MS = 5000,
   /// Sidecars that are told at once; others hear it from gateways in turn.
   FIRST_RECEIVERS = 3,
 };
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -18,6 +18,10 @@
 constexpr double kRetryRatio = 0.2;
 constexpr double kRetrySlack = 50;
 constexpr int kRetryWindowMs = 10000;
+/// A request under which this many targets ended reaches as many more at most,
+/// once all gateways are in touch.
+constexpr int kFatalEnds = 3;
+constexpr int kFatalCheckMs = 2500;
 
 bool
 is_promise_of_no_run (int status)
@@ -82,6 +86,34 @@
     violate (record.id, "half a body looks whole: " + m.body);
 }
 
+/// Called when all daemons have been undisturbed for a while, and before the
+/// callers stop.
+void
+Soak::check_fatal ()
+{
+  auto ends_of = [this] (int first, int count) {
+    int sum = 0;
+    for (int i = first; i < first + count; i++)
+      sum += target_at (i).ends;
+    return sum;
+  };
+  int engines = ends_of (0, size_.engines);
+  int plain = ends_of (size_.engines, size_.plain);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kFatalCheckMs));
+  int more_engines = ends_of (0, size_.engines) - engines;
+  int more_plain = ends_of (size_.engines, size_.plain) - plain;
+  if (engines >= kFatalEnds && more_engines > kFatalEnds)
+    violate ("", "a request that had ended " + std::to_string (engines)
+                     + " engines ended " + std::to_string (more_engines)
+                     + " more");
+  if (plain >= kFatalEnds && more_plain > kFatalEnds)
+    violate ("", "a request that had ended " + std::to_string (plain)
+                     + " plain targets ended " + std::to_string (more_plain)
+                     + " more");
+  printf ("ends: engines %d and %d, plain targets %d and %d\n", engines,
+          more_engines, plain, more_plain);
+}
+
 /// A run in which nobody was served would hold every other promise.
 void
 Soak::check_served ()
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -36,9 +36,6 @@
   { "strange_entry", 50, 1500 },
   { "store_mute", 50, 2500 },
 };
-// Seeds that failed keep the plan with which they failed, from the kinds that
-// there were.
-constexpr uint64_t kLastSeedOfFirstKinds = 2;
 constexpr int kFirstKinds = 15;
 constexpr int kLeastGapMs = 20;
 constexpr int kMostGapMs = 350;
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -43,6 +43,10 @@
   int how = 0; ///< Variant; taken modulo.
 };
 
+/// Seeds that failed keep what they failed with: the plan from the kinds that
+/// there were, and the callers.
+constexpr uint64_t kLastSeedOfFirstKinds = 2;
+
 /// @param length_ms  All faults begin and end within this.
 std::vector<Step> draw_plan (uint64_t seed, int length_ms);
 std::string describe (const Step &step);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -11,6 +11,11 @@
 {
 
 constexpr int kAdapters = 12;
+/// Pause of the caller whose requests end targets, and how many such pauses a
+/// target stays down.
+constexpr int kFatalPauseMs = 200;
+constexpr int kDownPauses = 4;
+constexpr int kFatalTimeoutMs = 1000;
 
 void
 sleep_until_ms (std::chrono::steady_clock::time_point start, int at_ms)
@@ -63,9 +68,14 @@
   for (int i = 0; i < size_.callers; i++)
     threads.emplace_back ([this, i] { call_loop (i); });
   threads.emplace_back ([this] { probe_loop (); });
+  bool has_fatal_caller = seed_ > kLastSeedOfFirstKinds;
+  if (has_fatal_caller)
+    threads.emplace_back ([this] { fatal_loop (); });
   inject ();
   heal ();
   std::this_thread::sleep_for (std::chrono::seconds (3));
+  if (has_fatal_caller)
+    check_fatal ();
   is_done_ = true;
   for (auto &thread : threads)
     thread.join ();
@@ -376,6 +386,32 @@
     }
 }
 
+/// Two requests that end each target that begins to run them are sent again
+/// and again, through any gateway; the targets are back after a moment.
+void
+Soak::fatal_loop ()
+{
+  std::mt19937_64 random (seed_);
+  site_.end_on ("/fatal");
+  for (int n = 0; !is_done_; n++)
+    {
+      std::string id = "fatal" + std::to_string (n);
+      Call call = stream_call (id, "a1");
+      call.path = "/resume/fatal";
+      if (n % 2 == 1)
+        call = plain_call (id, "/plain/fatal");
+      auto connection
+          = dial (site_.gateways[random () % site_.gateways.size ()].address);
+      if (connection != nullptr && connection->write (call.text ()))
+        connection->read_answer (kFatalTimeoutMs);
+      if (n % kDownPauses == 0)
+        site_.begin_ended_again ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (kFatalPauseMs));
+    }
+  site_.end_on ("");
+  site_.begin_ended_again ();
+}
+
 /// A process that served a route of some configuration never forgets it.
 void
 Soak::probe_loop ()
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -63,12 +63,14 @@
   void heal ();
   void call_loop (int caller);
   void probe_loop ();
+  void fatal_loop ();
   Daemon &daemon_at (int who);
   Target &target_at (int who);
   Proxy &proxy_at (int who);
 
   // checks.cc
   void violate (const std::string &attempt_id, const std::string &text);
+  void check_fatal ();
   void check_served ();
   void check_record (const Record &record);
   void check_stream (const Record &record);
