fix(sidecar): an engine rests from requests that begin alone

After one, an engine lets none begin alone for four times as long as it took; such a request is declined at once meanwhile and asks another engine.

--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -75,13 +75,18 @@
 /// Targets ended under some requests as these began there, and with them what
 /// others had there. Such a request begins alone: whether the engine ends
 /// under it then is its own doing. A short time after its first event counts
-/// as well, because an engine can end a moment after it began.
+/// as well, because an engine can end a moment after it began. An engine rests
+/// from this for a multiple of the time that it took, so that a caller who
+/// sends such requests without end keeps others back for a small part of the
+/// time only.
 typedef struct
 {
-  uint32_t beginning;   ///< Granted requests without a first event.
-  uint64_t begun_ms;    ///< When a first event came last.
-  const adm_ask_t *ask; ///< Begins alone; NULL: none does.
-  uint64_t until_ms;    ///< Nobody else is granted before this.
+  uint32_t beginning;     ///< Granted requests without a first event.
+  uint64_t begun_ms;      ///< When a first event came last.
+  const adm_ask_t *ask;   ///< Begins alone; NULL: none does.
+  uint64_t from_ms;       ///< Since when it has kept others back.
+  uint64_t until_ms;      ///< Nobody else is granted before this.
+  uint64_t rest_until_ms; ///< No other one begins alone before this.
 } adm_alone_t;
 
 /// Since when requests in time have wanted more of something than there is.
--- a/src/coordination/admit_alone.c
+++ b/src/coordination/admit_alone.c
@@ -14,6 +14,8 @@
   /// beginning finish. One of these may hang; after this it is declined, and
   /// another engine is asked.
   WAIT_MOST_MS = 500,
+  /// An engine rests from it for this many times as long as it took.
+  REST_PARTS = 4,
 };
 
 bool
@@ -30,10 +32,23 @@
 }
 
 bool
-adm_alone_is_over (const adm_ask_t *ask, uint64_t now_ms)
+adm_alone_is_over (const adm_alone_t *alone, const adm_ask_t *ask,
+                   uint64_t now_ms)
 {
-  return ask->is_alone && ask->alone_from_ms > 0
-         && now_ms - ask->alone_from_ms > WAIT_MOST_MS;
+  if (!ask->is_alone)
+    return false;
+  bool has_waited
+      = ask->alone_from_ms > 0 && now_ms - ask->alone_from_ms > WAIT_MOST_MS;
+  return has_waited || now_ms < alone->rest_until_ms;
+}
+
+/// Others are, or were, kept back for a while: rest from that.
+static void
+rest_after (adm_alone_t *alone, uint64_t from_ms, uint64_t until_ms)
+{
+  uint64_t rest_until_ms = until_ms + REST_PARTS * (until_ms - from_ms);
+  if (rest_until_ms > alone->rest_until_ms)
+    alone->rest_until_ms = rest_until_ms;
 }
 
 void
@@ -43,7 +58,9 @@
   if (!ask->is_alone)
     return;
   alone->ask = ask;
+  alone->from_ms = ask->alone_from_ms > 0 ? ask->alone_from_ms : now_ms;
   alone->until_ms = now_ms + KEPT_MOST_MS;
+  rest_after (alone, alone->from_ms, alone->until_ms);
 }
 
 void
@@ -51,14 +68,23 @@
 {
   alone->beginning--;
   alone->begun_ms = now_ms;
-  if (alone->ask == ask)
-    alone->until_ms = now_ms + BEGUN_MS;
+  if (alone->ask != ask)
+    return;
+  alone->ask = NULL;
+  if (now_ms >= alone->until_ms)
+    return;
+  alone->until_ms = now_ms + BEGUN_MS;
+  alone->rest_until_ms = 0;
+  rest_after (alone, alone->from_ms, alone->until_ms);
 }
 
 void
 adm_alone_removed (adm_alone_t *alone, const adm_ask_t *ask)
 {
   alone->beginning -= ask->is_reading;
+  // It was declined after it kept others back in vain.
+  if (ask->granted_ms == 0 && ask->alone_from_ms > 0)
+    rest_after (alone, ask->alone_from_ms, ask->alone_from_ms + WAIT_MOST_MS);
   if (alone->ask != ask)
     return;
   alone->ask = NULL;
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -140,7 +140,7 @@
     return "no_time_left";
   if (is_hopeless (table, ask, now_ms))
     return "late_under_load";
-  if (adm_alone_is_over (ask, now_ms))
+  if (adm_alone_is_over (&table->alone, ask, now_ms))
     return "others_begin";
   if (ask->adapter != NULL && table->options.adapter_slots == 0)
     return "no_adapter_room";
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -593,6 +593,43 @@
   EXPECT_EQ (next (1602).kind, ADM_DO_GRANT);
 }
 
+// A caller sends requests that are to begin alone without end, each of them
+// slow. They would keep all others from the engine.
+TEST_F (AdmitTest, SuspectsKeepOthersBackForAPartOfTheTime)
+{
+  uint64_t kept_ms = 0;
+  uint64_t id = 1;
+  adm_ask_t *suspect = nullptr;
+  uint64_t granted_ms = 0;
+  for (uint64_t now_ms = 1000; now_ms < 61000; now_ms += 10)
+    {
+      ask (id++, "", now_ms, 0)->is_alone = true;
+      adm_ask_t *other = ask (id++, "", now_ms);
+      bool is_granted = false;
+      adm_action_t action;
+      while ((action = next (now_ms)).kind != ADM_DO_NOTHING)
+        {
+          is_granted = is_granted || action.ask == other;
+          if (action.kind == ADM_DO_GRANT && action.ask->is_alone)
+            {
+              suspect = action.ask;
+              granted_ms = now_ms;
+              continue;
+            }
+          if (action.kind == ADM_DO_GRANT)
+            adm_ask_begun (&table, action.ask, now_ms);
+          adm_ask_remove (&table, action.ask);
+        }
+      kept_ms += is_granted ? 0 : 10;
+      if (suspect != nullptr && now_ms - granted_ms > 1200)
+        {
+          adm_ask_remove (&table, suspect);
+          suspect = nullptr;
+        }
+    }
+  EXPECT_LE (kept_ms, 15000u);
+}
+
 TEST_F (AdmitTest, ASuspectThatHangsKeepsNobodyBackForLong)
 {
   ask (1, "", 1000)->is_alone = true;
