--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -43,6 +43,7 @@
   bool is_hung;        ///< Accept and never answer a run.
   bool is_wrong_model; ///< Answer for another model.
   bool checks_fence;
+  char end_on[64]; ///< A prompt with this text ends the engine; empty: none.
 } faults = { .load_ms = 30, .step_ms = 2, .slots = 8, .checks_fence = true };
 
 static adapter_t adapters[ENGINE_MAX_ADAPTERS];
@@ -54,6 +55,14 @@
 static uint64_t evicted_in_use;
 static uint64_t stale_orders;
 static uint64_t over_slots;
+static uint64_t ends; ///< Times that a prompt ended it.
+
+enum
+{
+  END_AFTER_MS = 20,
+};
+
+static void run_end_engine (void *arg);
 
 static adapter_t *
 adapter_find (const char *name)
@@ -202,6 +211,11 @@
   http->owner = run;
   if (faults.is_hung)
     return;
+  if (faults.end_on[0] != '\0' && strstr (run->prompt, faults.end_on) != NULL)
+    {
+      tmr_after (&fk_timers, &run->timer, END_AFTER_MS, run_end_engine, run);
+      return;
+    }
   if (run->is_stream)
     hts_stream_begin (http, 200, "text/event-stream");
   uint64_t delay
@@ -328,13 +342,13 @@
   for (run_t *r = runs; r != NULL; r = r->next)
     running++;
   kb_buf_t body = { 0 };
-  kb_buf_printf (&body,
-                 "{\"loads\":%" PRIu64 ",\"evicted_in_use\":%" PRIu64
-                 ",\"stale_orders\":%" PRIu64 ",\"over_slots\":%" PRIu64
-                 ",\"running\":%u,\"runs\":%s}",
-                 loads, evicted_in_use, stale_orders, over_slots, running,
-                 run_counts == NULL ? "{}"
-                                    : json_object_to_json_string (run_counts));
+  kb_buf_printf (
+      &body,
+      "{\"loads\":%" PRIu64 ",\"evicted_in_use\":%" PRIu64
+      ",\"stale_orders\":%" PRIu64 ",\"over_slots\":%" PRIu64
+      ",\"ends\":%" PRIu64 ",\"running\":%u,\"runs\":%s}",
+      loads, evicted_in_use, stale_orders, over_slots, ends, running,
+      run_counts == NULL ? "{}" : json_object_to_json_string (run_counts));
   fk_reply (http, 200, &body);
   kb_buf_finish (&body);
 }
@@ -389,6 +403,14 @@
   incarnation = tmr_now_us ();
 }
 
+/// The process ends as soon as it has begun this run, and begins again.
+static void
+run_end_engine (void *arg)
+{
+  ends++;
+  engine_restart ();
+}
+
 static void
 engine_fault (struct json_object *f)
 {
@@ -401,6 +423,8 @@
   faults.is_hung = jsn_bool (f, "hung", faults.is_hung);
   faults.is_wrong_model = jsn_bool (f, "wrong_model", faults.is_wrong_model);
   faults.checks_fence = jsn_bool (f, "checks_fence", faults.checks_fence);
+  snprintf (faults.end_on, sizeof faults.end_on, "%s",
+            jsn_str (f, "end_on", faults.end_on));
   if (jsn_bool (f, "restart", false))
     engine_restart ();
 }
