fix(entry,agent): requests that end engines are kept from them in the own interface

Agents see who was beginning when their target ended, and tell all entries; an entry joins what they say, lets the request begin alone after two ends and holds it, for its workspace, after a third. An entry that starts again hears it with the agent's greeting.

The rule who may begin alone is a module of its own now, used by sidecars and agents.

--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -272,7 +272,7 @@
   if (!ask->is_reading)
     return;
   ask->is_reading = false;
-  adm_alone_begun (&table->alone, ask, now_ms);
+  aln_begun (&table->alone, &ask->alone, now_ms);
   rdg_learn (&table->reading, ask->ahead_tokens,
              (double)(now_ms - ask->granted_ms));
 }
@@ -296,7 +296,7 @@
 void
 adm_ask_remove (adm_table_t *table, adm_ask_t *ask)
 {
-  adm_alone_removed (&table->alone, ask);
+  aln_ended (&table->alone, &ask->alone);
   if (ask->is_reading)
     rdg_take_back (&table->reading, rdg_cost (ask->prompt_tokens));
   kb_map_remove (&table->asks, ask_key (ask->owner, ask->id));
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/alone.h"
 #include "coordination/lanes.h"
 #include "coordination/reading.h"
 #include "state/buf.h"
@@ -58,37 +59,19 @@
   uint32_t tokens;   ///< Memory it will need.
   uint32_t prompt_tokens;
   uint64_t arrived_ms;
-  uint64_t due_ms;        ///< Of no more use after this.
-  uint64_t objective_ms;  ///< Its first event is late after this.
-  uint64_t load_from_ms;  ///< When it began to wait for a load; zero: not.
-  uint64_t granted_ms;    ///< Zero: waiting.
-  uint64_t forecast_ms;   ///< Moment of its first event, as it was expected.
-  uint64_t compared;      ///< The comparison that named it last.
-  bool is_reading;        ///< Granted; its first event has not come yet.
-  bool is_alone;          ///< To begin while no other does.
-  uint64_t alone_from_ms; ///< Since when it keeps others back; zero: not.
-  double ahead_tokens;    ///< Prompts to be read with it, at its grant.
+  uint64_t due_ms;       ///< Of no more use after this.
+  uint64_t objective_ms; ///< Its first event is late after this.
+  uint64_t load_from_ms; ///< When it began to wait for a load; zero: not.
+  uint64_t granted_ms;   ///< Zero: waiting.
+  uint64_t forecast_ms;  ///< Moment of its first event, as it was expected.
+  uint64_t compared;     ///< The comparison that named it last.
+  bool is_reading;       ///< Granted; its first event has not come yet.
+  aln_request_t alone;   ///< Whether it is to begin alone.
+  double ahead_tokens;   ///< Prompts to be read with it, at its grant.
   struct adm_ask *next;
   struct adm_ask *prev;
 } adm_ask_t;
 
-/// Targets ended under some requests as these began there, and with them what
-/// others had there. Such a request begins alone: whether the engine ends
-/// under it then is its own doing. A short time after its first event counts
-/// as well, because an engine can end a moment after it began. An engine rests
-/// from this for a multiple of the time that it took, so that a caller who
-/// sends such requests without end keeps others back for a small part of the
-/// time only.
-typedef struct
-{
-  uint32_t beginning;     ///< Granted requests without a first event.
-  uint64_t begun_ms;      ///< When a first event came last.
-  const adm_ask_t *ask;   ///< Begins alone; NULL: none does.
-  uint64_t from_ms;       ///< Since when it has kept others back.
-  uint64_t until_ms;      ///< Nobody else is granted before this.
-  uint64_t rest_until_ms; ///< No other one begins alone before this.
-} adm_alone_t;
-
 /// Since when requests in time have wanted more of something than there is.
 typedef struct
 {
@@ -125,7 +108,7 @@
   double urgent_cost;    ///< Prompts granted past less urgent ones in time.
   adm_press_t grant_press;
   adm_press_t fetch_press;
-  adm_alone_t alone;
+  aln_gate_t alone;
   double held_for_ms; ///< Mean time from a grant to its release.
   uint64_t report_mark;
   uint64_t compare_mark;
--- a/src/coordination/admit_defs.h
+++ b/src/coordination/admit_defs.h
@@ -40,20 +40,6 @@
 /// that are off by half and more; a run that outgrows the rest preempts
 /// another one, which is then read anew.
 #define ADM_MEMORY_PART 0.9
-/// @return  Whether a request begins alone now, so that no other is granted.
-bool adm_alone_is_kept (const adm_alone_t *alone, uint64_t now_ms);
-/// @return  Whether nobody is beginning, so that one could begin alone.
-bool adm_alone_is_quiet (const adm_alone_t *alone, uint64_t now_ms);
-/// @return  Whether a request that is to begin alone can not: the engine rests
-///          from that, or it has kept others back for too long.
-bool adm_alone_is_over (const adm_alone_t *alone, const adm_ask_t *ask,
-                        uint64_t now_ms);
-/// Note each grant, each first event and each end of a request.
-void adm_alone_granted (adm_alone_t *alone, const adm_ask_t *ask,
-                        uint64_t now_ms);
-void adm_alone_begun (adm_alone_t *alone, const adm_ask_t *ask,
-                      uint64_t now_ms);
-void adm_alone_removed (adm_alone_t *alone, const adm_ask_t *ask);
 /// Take a request out of those that wait.
 void adm_waiting_remove (adm_table_t *table, adm_ask_t *ask);
 
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -95,15 +95,12 @@
 static adm_ask_t *
 choose_grant (adm_table_t *table, uint64_t now_ms)
 {
-  if (adm_alone_is_kept (&table->alone, now_ms))
+  if (aln_is_kept (&table->alone, now_ms))
     return NULL;
   adm_ask_t *ask = choose_fitting (table, now_ms);
-  if (ask == NULL || !ask->is_alone
-      || adm_alone_is_quiet (&table->alone, now_ms))
-    return ask;
-  if (ask->alone_from_ms == 0)
-    ask->alone_from_ms = now_ms;
-  return NULL;
+  bool may_start
+      = ask != NULL && aln_may_start (&table->alone, &ask->alone, now_ms);
+  return may_start ? ask : NULL;
 }
 
 /// A version that runs still use is replaced only when they end. Until then
@@ -140,7 +137,7 @@
     return "no_time_left";
   if (is_hopeless (table, ask, now_ms))
     return "late_under_load";
-  if (adm_alone_is_over (&table->alone, ask, now_ms))
+  if (aln_is_refused (&table->alone, &ask->alone, now_ms))
     return "others_begin";
   if (ask->adapter != NULL && table->options.adapter_slots == 0)
     return "no_adapter_room";
@@ -283,7 +280,7 @@
       table->granted++;
       table->granted_tokens += ask->tokens;
       ask->is_reading = true;
-      adm_alone_granted (&table->alone, ask, now_ms);
+      aln_started (&table->alone, &ask->alone, now_ms);
       ask->ahead_tokens
           = rdg_give (&table->reading, rdg_cost (ask->prompt_tokens), now_ms);
       if (ask->adapter != NULL)
--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -34,7 +34,10 @@
                                       may_order && agent->wish.is_granted);
       if (action.kind == SCH_RUN)
         {
-          agt_run_start (agent, (agt_request_t *)action.item);
+          agt_request_t *r = (agt_request_t *)action.item;
+          if (!aln_may_start (&agent->alone, &r->alone, tmr_now_ms ()))
+            break;
+          agt_run_start (agent, r);
           continue;
         }
       if (action.kind == SCH_LOAD)
@@ -131,6 +134,7 @@
   peer->heard_ms = tmr_now_ms ();
   agt_note_revision (agent, hello->revision);
   send_hello (agent, from);
+  agt_quarantine_tell (agent, peer);
 }
 
 static void
@@ -336,6 +340,7 @@
     }
   agent->tick_ms = now;
   agt_run_expire (agent);
+  agt_quarantine_expire (agent);
   check_peers (agent, now);
   sample_fill (agent);
   if (++agent->ticks % CLAIM_EXPIRE_TICKS == 0)
--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -44,6 +44,8 @@
   r->peer = peer->id;
   snprintf (r->peer_name, sizeof r->peer_name, "%s", peer->name);
   r->version = d->version;
+  r->fingerprint = d->fingerprint;
+  r->alone.is_alone = (d->flags & MSG_FLAG_ALONE) != 0;
   if ((d->flags & MSG_FLAG_PLAIN) == 0)
     snprintf (r->model, sizeof r->model, "%.*s@%" PRIu64,
               (int)d->adapter.len_bytes, d->adapter.ptr, d->version);
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -3,7 +3,9 @@
 #ifndef KB_DAEMON_AGENT_DEFS_H
 #define KB_DAEMON_AGENT_DEFS_H
 
+#include "coordination/alone.h"
 #include "coordination/claim_runner.h"
+#include "coordination/quarantine.h"
 #include "coordination/sched.h"
 #include "daemon/daemon.h"
 #include "transport/engine.h"
@@ -14,6 +16,7 @@
   AGT_MAX_PEERS = 512,
   AGT_NAME_BYTES = 48,
   AGT_MODEL_BYTES = 272,
+  AGT_MAX_BREAKS = 64,
 };
 
 /// An entry that said hello.
@@ -47,6 +50,8 @@
   trc_context_t trace;
   char traceparent[TRC_PARENT_BYTES];
   uint64_t version;
+  uint64_t fingerprint;
+  aln_request_t alone;
 
   eng_run_t *run;
   kb_buf_t answer; ///< Unary: the whole answer. Stream: not yet split.
@@ -60,7 +65,8 @@
   uint64_t arrived_us;
   uint64_t arrived_wall_us;
   uint64_t started_us;
-  uint64_t load_us; ///< Time spent waiting for its adapter's load.
+  uint64_t begun_ms; ///< When the first byte of its answer came; zero: none.
+  uint64_t load_us;  ///< Time spent waiting for its adapter's load.
   uint64_t not_resident_since_us; ///< Zero when it does not wait for a load.
 } agt_request_t;
 
@@ -91,6 +97,16 @@
   char gate[AGT_NAME_BYTES];
 } agt_wish_t;
 
+/// A run that broke off while it was beginning. If the target has ended, it
+/// may be the cause.
+typedef struct
+{
+  uint64_t request; ///< Fingerprint; zero: none.
+  uint64_t caller;  ///< Hash of its workspace.
+  uint64_t at_ms;
+  bool is_alone;
+} agt_break_t;
+
 struct agt_agent
 {
   dmn_daemon_t *daemon;
@@ -98,8 +114,13 @@
   slt_table_t slots;
   sch_queue_t queue;
   clm_runner_t claims;
-  kb_map_t requests; ///< By attempt.
-  kb_map_t models;   ///< By adapter hash: agt_model_t.
+  aln_gate_t alone;
+  qrt_table_t quarantine;             ///< Of ends of this target.
+  agt_break_t breaks[AGT_MAX_BREAKS]; ///< The newest, in a ring.
+  uint32_t break_count;
+  uint32_t end_count; ///< Ends of the target that were seen.
+  kb_map_t requests;  ///< By attempt.
+  kb_map_t models;    ///< By adapter hash: agt_model_t.
   agt_peer_t peers[AGT_MAX_PEERS];
   uint32_t peer_count;
   msg_state_t state;
@@ -170,6 +191,16 @@
                                uint8_t priority_class);
 bool agt_is_plain (const agt_agent_t *agent);
 
+// agent_quarantine.c
+/// A run's connection broke; whether the target ended is looked up next.
+void agt_quarantine_note_break (agt_request_t *r);
+/// The target has ended since its last good word.
+void agt_quarantine_target_ended (agt_agent_t *agent);
+/// Tell an entry all that is known here.
+void agt_quarantine_tell (agt_agent_t *agent, const agt_peer_t *peer);
+/// Refuse waiting requests that are to begin alone and can not.
+void agt_quarantine_expire (agt_agent_t *agent);
+
 // agent_engine.c
 /// Keep the name of an adapter that holds a slot or has requests.
 /// @return  Its hash.
--- a/src/daemon/agent_engine.c
+++ b/src/daemon/agent_engine.c
@@ -191,6 +191,7 @@
       if (agent->is_engine_up)
         log_write (LOG_WARN, "engine", "The engine does not answer.");
       agent->is_engine_up = false;
+      agt_quarantine_target_ended (agent);
       return;
     }
   bool is_cold = agent->engine_incarnation[0] != '\0'
@@ -199,6 +200,7 @@
     {
       log_write (LOG_WARN, "engine", "The engine restarted cold.");
       MET_INC ("knapweedbay_engine_restarts_total", "");
+      agt_quarantine_target_ended (agent);
     }
   snprintf (agent->engine_incarnation, sizeof agent->engine_incarnation, "%s",
             incarnation);
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -111,6 +111,7 @@
   agt_peer_t *peer = peer_of (r);
   if (peer != NULL && peer->inflight > 0)
     peer->inflight--;
+  aln_ended (&r->agent->alone, &r->alone);
   kb_map_remove (&r->agent->requests, r->attempt);
   free (r->source);
   free (r->method);
@@ -284,6 +285,11 @@
 run_on_body (void *arg, kb_slice_t bytes)
 {
   agt_request_t *r = arg;
+  if (r->begun_ms == 0)
+    {
+      r->begun_ms = tmr_now_ms ();
+      aln_begun (&r->agent->alone, &r->alone, r->begun_ms);
+    }
   kb_buf_append (&r->answer, bytes.ptr, bytes.len_bytes);
   size_t limit = ANSWER_MAX_BYTES;
   if (request_is_stream (r))
@@ -307,6 +313,7 @@
 {
   agt_agent_t *agent = r->agent;
   run_over (r);
+  aln_ended (&agent->alone, &r->alone);
   slt_slot_t *slot = slt_find (&agent->slots, r->item.adapter);
   if (slot != NULL && slot->pins == 0 && slot->state == SLT_RESIDENT)
     slt_forget (&agent->slots, r->item.adapter);
@@ -327,6 +334,7 @@
   agt_agent_t *agent = r->agent;
   if (!r->is_whole || r->answer.len_bytes > 0)
     {
+      agt_quarantine_note_break (r);
       run_fail (r, MSG_OUTCOME_RAN_FAILED, "the engine cut its stream");
       return;
     }
@@ -370,11 +378,14 @@
   if (end == HTC_END_NOT_SENT)
     {
       agent->is_engine_up = false;
+      agt_quarantine_target_ended (agent);
       run_fail (r, MSG_OUTCOME_NOT_RUN, "the target refuses connections");
       return;
     }
   if (end != HTC_END_WHOLE)
     {
+      if (end != HTC_END_TIMEOUT)
+        agt_quarantine_note_break (r);
       run_fail (r, MSG_OUTCOME_UNKNOWN,
                 end == HTC_END_TIMEOUT ? "the target is silent"
                                        : "the connection to the target broke");
@@ -401,6 +412,8 @@
   sch_note_run (&agent->queue, &r->item, now_us);
   clm_runner_note (&agent->claims, r->attempt, CLM_RUN_STARTED, tmr_now_ms ());
   r->started_us = now_us;
+  r->begun_ms = 0;
+  aln_started (&agent->alone, &r->alone, now_us / 1000);
   eng_run_request_t request
       = { .method = r->method,
           .path = r->path,
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -74,6 +74,9 @@
     case MSG_END:
       ent_request_end (entry, kb_slice_str (vm->name), &msg->end);
       break;
+    case MSG_QUARANTINE:
+      ent_quarantine_take (entry, msg->quarantine.words);
+      break;
     case MSG_REVOKED:
       ent_request_revoked (entry, &msg->revoked);
       break;
@@ -182,6 +185,7 @@
   uint64_t now = tmr_now_ms ();
   entry->ticks++;
   ent_members_tick (entry, now);
+  qrt_lapse (&entry->quarantine, now);
   ent_config_tick (entry, now);
   ent_claims_tick (entry, now);
   gate_pump (entry); // Grants whose holders died expire here.
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -6,6 +6,7 @@
 #include "coordination/claim_owner.h"
 #include "coordination/gate.h"
 #include "coordination/member.h"
+#include "coordination/quarantine.h"
 #include "coordination/route.h"
 #include "daemon/daemon.h"
 #include "protocol/cfgdoc.h"
@@ -81,6 +82,8 @@
   char *method;
   char *path;
   kb_buf_t body;
+  uint64_t fingerprint; ///< Zero: not worked out yet.
+  bool begins_alone;    ///< Targets ended under it.
   uint64_t flags;
   uint64_t priority_class;
   uint32_t weight;
@@ -186,6 +189,7 @@
   kb_map_t by_attempt;
   kb_map_t workspaces;
   lim_retry_t retries;
+  qrt_table_t quarantine;
   gat_gate_t gate;
   ent_config_t config;
 
@@ -230,6 +234,14 @@
 /// A target is connected again in the same incarnation: settle what is there.
 void ent_request_vm_back (ent_entry_t *entry, ent_vm_t *vm);
 
+// entry_quarantine.c
+/// An agent tells of requests under which its target ended.
+void ent_quarantine_take (ent_entry_t *entry, kb_slice_t words);
+/// @param hold_ms  How much longer it is held.
+qrt_verdict_t ent_quarantine_judge (ent_request_t *r, uint64_t *hold_ms);
+/// It was answered whole.
+void ent_quarantine_note_served (ent_request_t *r);
+
 // entry_request.c, for entry_keyed.c
 /// End a request that has no whole answer.
 void ent_request_fail (ent_request_t *r, int http_status, const char *outcome,
--- /dev/null
+++ b/src/daemon/entry_quarantine.c
@@ -0,0 +1,46 @@
+/// @file entry_quarantine.c
+/// Requests under which targets ended (coordination/quarantine.h), as agents
+/// tell of them. Each agent knows the ends of its own target, and tells all
+/// entries; together they are what an entry judges by.
+#include "daemon/entry_defs.h"
+#include "relay/fingerprint.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+
+static uint64_t
+fingerprint_of (ent_request_t *r)
+{
+  if (r->fingerprint != 0)
+    return r->fingerprint;
+  fpr_request_t parts = { .host = kb_slice_str (r->service),
+                          .method = kb_slice_str (r->method),
+                          .path = kb_slice_str (r->path),
+                          .model = kb_slice_str (r->model),
+                          .body = kb_buf_slice (&r->body) };
+  r->fingerprint = fpr_of (&parts);
+  return r->fingerprint;
+}
+
+qrt_verdict_t
+ent_quarantine_judge (ent_request_t *r, uint64_t *hold_ms)
+{
+  uint64_t caller = kb_hash (r->workspace, strlen (r->workspace), 0) | 1;
+  return qrt_judge (&r->entry->quarantine, fingerprint_of (r), caller,
+                    tmr_now_ms (), hold_ms);
+}
+
+void
+ent_quarantine_take (ent_entry_t *entry, kb_slice_t words)
+{
+  if (qrt_take (&entry->quarantine, words, tmr_now_ms (), NULL))
+    return;
+  MET_INC ("knapweedbay_inner_dropped_total", "reason=\"malformed\"");
+  log_write (LOG_WARN, "entry",
+             "A word about requests that end targets is ignored.");
+}
+
+void
+ent_quarantine_note_served (ent_request_t *r)
+{
+  qrt_note_served (&r->entry->quarantine, fingerprint_of (r), tmr_now_ms ());
+}
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -253,13 +253,15 @@
     .claim_digest = r->claim_digest,
     .claim_epoch = r->epoch,
     .deadline_ms = r->deadline_at_ms > now ? r->deadline_at_ms - now : 1,
-    .flags = r->flags | (r->stage == ENT_FETCHING ? MSG_FLAG_FETCH : 0),
+    .flags = r->flags | (r->stage == ENT_FETCHING ? MSG_FLAG_FETCH : 0)
+             | (r->begins_alone ? MSG_FLAG_ALONE : 0),
     .priority_class = r->priority_class,
     .weight = r->weight,
     .revision = ent_revision (entry),
     .version = r->version,
     .max_tokens = r->max_tokens,
     .incarnation = r->vm_incarnation,
+    .fingerprint = r->fingerprint,
     .workspace = kb_slice_str (r->workspace),
     .adapter = kb_slice_str (r->adapter),
     .source = kb_slice_str (r->source == NULL ? "" : r->source),
@@ -294,6 +296,16 @@
 ent_request_next (ent_request_t *r)
 {
   ent_entry_t *entry = r->entry;
+  uint64_t hold_ms = 0;
+  qrt_verdict_t verdict = ent_quarantine_judge (r, &hold_ms);
+  if (verdict == QRT_HELD)
+    {
+      MET_INC ("knapweedbay_requests_held_total", "");
+      ent_request_fail_not_run (r, "targets ended under this request",
+                                hold_ms);
+      return;
+    }
+  r->begins_alone = verdict == QRT_ALONE;
   uint16_t index
       = rt_choose (&entry->routes, r->service_id, r->adapter_id, r->excluded,
                    r->excluded_count, tmr_now_ms (), dmn_random ());
@@ -431,6 +443,7 @@
   MET_INC ("knapweedbay_requests_total", "outcome=\"done\"");
   if (r->is_claimed)
     ent_claim_note (r, CLM_DONE);
+  ent_quarantine_note_served (r);
   request_trace_end (r, "done");
   hts_request_t *http = r->http;
   if (http != NULL && r->is_delivering)
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -1,6 +1,7 @@
 /// @file gateway_quarantine.c
 /// Requests under which targets ended (coordination/quarantine.h): who was
 /// beginning at a target when it ended, and what other daemons are told.
+#include "coordination/alone.h"
 #include "coordination/quarantine.h"
 #include "gateway/gateway_defs.h"
 #include "relay/fingerprint.h"
@@ -10,9 +11,6 @@
 
 enum
 {
-  /// A target can end a moment after the first event: as BEGUN_MS of the
-  /// sidecar, which keeps others back for as long.
-  BEGUN_MS = 150,
   /// Between the break of a connection and the proof that the target has
   /// ended. A sidecar's word or refused connections tell within a second;
   /// where something before the target still takes connections, only the next
@@ -226,7 +224,7 @@
   bool is_sent = r->stage == GTW_SENT || r->stage == GTW_PASSING;
   if (!is_sent || r->target == NULL)
     return false;
-  return !r->is_begun || gtw_now_ms (r->gateway) - r->begun_ms <= BEGUN_MS;
+  return !r->is_begun || gtw_now_ms (r->gateway) - r->begun_ms <= ALN_BEGUN_MS;
 }
 
 void
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -71,6 +71,7 @@
   MSG_FLAG_PLAIN = 4,
   MSG_FLAG_CHAT = 8,
   MSG_FLAG_FETCH = 16, ///< Only the kept answer of `claim_key`; never run.
+  MSG_FLAG_ALONE = 32, ///< To begin while no other request does.
 };
 
 typedef struct
@@ -123,6 +124,7 @@
   uint64_t version;
   uint64_t max_tokens;
   uint64_t incarnation; ///< Of the agent that the attempt was meant for.
+  uint64_t fingerprint; ///< The same for a request that is sent again.
   kb_slice_t workspace;
   kb_slice_t adapter;
   kb_slice_t source;
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -149,7 +149,7 @@
               .load_us = load_us,
               .instance = kb_slice_str (s->who.id),
               .born_ms = s->who.born_ms,
-              .is_alone = ask->is_alone } };
+              .is_alone = ask->alone.is_alone } };
   scr_send (s, gateway, &msg);
   MET_INC ("knapweedbay_places_granted_total", "");
 }
@@ -252,7 +252,7 @@
           .owner = scr_name_id (peer),
           .priority = (uint32_t)given->priority,
           .declined = (uint32_t)given->declined,
-          .is_alone = given->is_alone != 0,
+          .alone.is_alone = given->is_alone != 0,
           .tokens = (uint32_t)(given->prompt_tokens + given->output_tokens),
           .prompt_tokens = (uint32_t)given->prompt_tokens,
           .arrived_ms = now_ms,
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -552,7 +552,7 @@
   adm_ask_t *running = next (1000).ask;
   ASSERT_NE (running, nullptr);
   adm_ask_t *suspect = ask (2, "", 1000, 0);
-  suspect->is_alone = true;
+  suspect->alone.is_alone = true;
   ask (3, "", 1000);
   EXPECT_EQ (next (1010).kind, ADM_DO_NOTHING) << "another one is beginning";
   adm_ask_begun (&table, running, 1020);
@@ -569,7 +569,7 @@
 TEST_F (AdmitTest, ASuspectThatEndsGivesTheEngineBack)
 {
   adm_ask_t *suspect = ask (1, "", 1000);
-  suspect->is_alone = true;
+  suspect->alone.is_alone = true;
   ask (2, "", 1000);
   ASSERT_EQ (next (1000).ask, suspect);
   EXPECT_EQ (next (1001).kind, ADM_DO_NOTHING);
@@ -583,7 +583,7 @@
 {
   ask (1, "", 1000);
   ASSERT_EQ (next (1000).kind, ADM_DO_GRANT);
-  ask (2, "", 1000, 0)->is_alone = true;
+  ask (2, "", 1000, 0)->alone.is_alone = true;
   ask (3, "", 1000);
   EXPECT_EQ (next (1100).kind, ADM_DO_NOTHING);
   adm_action_t action = next (1601);
@@ -603,14 +603,14 @@
   uint64_t granted_ms = 0;
   for (uint64_t now_ms = 1000; now_ms < 61000; now_ms += 10)
     {
-      ask (id++, "", now_ms, 0)->is_alone = true;
+      ask (id++, "", now_ms, 0)->alone.is_alone = true;
       adm_ask_t *other = ask (id++, "", now_ms);
       bool is_granted = false;
       adm_action_t action;
       while ((action = next (now_ms)).kind != ADM_DO_NOTHING)
         {
           is_granted = is_granted || action.ask == other;
-          if (action.kind == ADM_DO_GRANT && action.ask->is_alone)
+          if (action.kind == ADM_DO_GRANT && action.ask->alone.is_alone)
             {
               suspect = action.ask;
               granted_ms = now_ms;
@@ -632,7 +632,7 @@
 
 TEST_F (AdmitTest, ASuspectThatHangsKeepsNobodyBackForLong)
 {
-  ask (1, "", 1000)->is_alone = true;
+  ask (1, "", 1000)->alone.is_alone = true;
   ASSERT_EQ (next (1000).kind, ADM_DO_GRANT);
   ask (2, "", 1000);
   EXPECT_EQ (next (1999).kind, ADM_DO_NOTHING);
