fix(gateway): a request that hangs its engines is kept from them as well

Callers wait for their timeout, engine after engine: an engine under the request keeps its connections open and answers nothing until it is started again. Only broken connections were taken for a sign. What is silent at its limit or at the end of its caller's time counts as well now, if the sidecar finds its engine gone within 5 s of that.

An engine or plain target that was taken for ended and goes on, because its reports did not come for a while or it refused connections, is no longer taken for that once it says so or answers.

Left: a plain target that hangs can not be told from one behind a cut.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -122,6 +122,7 @@
   if (wait_for_live_engine (r))
     return;
   MET_INC ("knapweedbay_silent_targets_total", "");
+  gtw_quarantine_note_break (r);
   answer_broken (r, true, "silent_target");
 }
 
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -410,7 +410,8 @@
 qrt_verdict_t gtw_quarantine_judge (gtw_request_t *r, uint64_t *hold_ms);
 /// Answer a request that is held: it is not sent.
 void gtw_quarantine_refuse (gtw_request_t *r, uint64_t hold_ms);
-/// A request's connection to its target broke, or its caller left.
+/// A request's connection to its target broke, its target is silent, or its
+/// caller left.
 void gtw_quarantine_note_break (gtw_request_t *r);
 /// The process of a target has ended.
 /// @param evidence  How that is known, for the log.
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -220,6 +220,17 @@
   return is_down || is_other_engine (target, state);
 }
 
+/// @return  Whether an engine that was taken for ended goes on: its reports
+/// did
+///          not come for a while.
+static bool
+says_engine_lives (const gtw_target_t *target, const msg_engine_state_t *state)
+{
+  return state->condition == MSG_ENGINE_READY
+         && kb_slice_equal (state->instance,
+                            kb_slice_str (target->told.who.id));
+}
+
 /// A restarted engine has lost the copies of what it held.
 static void
 take_engine_instance (gtw_target_t *target, const msg_engine_state_t *state)
@@ -288,6 +299,8 @@
   // A sidecar that has just started knows of no engine yet.
   if (!is_first && !is_restarted && says_engine_ended (target, state))
     gtw_quarantine_target_ended (gateway, target, "sidecar");
+  else if (says_engine_lives (target, state))
+    target->ended_ms = 0;
   target->incarnation = state->incarnation;
   target->sidecar_revision = state->revision;
   target->sidecar_versions = state->versions_known;
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -251,6 +251,8 @@
 gtw_quarantine_note_served (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
+  // Whatever it was taken for: it lives.
+  r->target->ended_ms = 0;
   if (gateway->quarantine.entries.len == 0)
     return;
   uint64_t request = gtw_request_fingerprint (r);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -279,9 +279,12 @@
 {
   gtw_request_t *r = arg;
   if (r->stage == GTW_ASKING || r->stage == GTW_WAITING)
-    gtw_request_refuse (r, "timeout_unsent", 0);
-  else
-    gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
+    {
+      gtw_request_refuse (r, "timeout_unsent", 0);
+      return;
+    }
+  gtw_quarantine_note_break (r);
+  gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
 }
 
 static void
--- a/test/relay/explain_test.cc
+++ b/test/relay/explain_test.cc
@@ -136,7 +136,8 @@
   // Without a log there is no file to read.
   ASSERT_TRUE (site.wait_ready ());
   std::string out = story (site, "nobody");
-  EXPECT_NE (out.find ("no line names request nobody"), std::string::npos) << out;
+  EXPECT_NE (out.find ("no line names request nobody"), std::string::npos)
+      << out;
 }
 
 // Nobody reads the log. The pipe fills, and a process that waits for room in
--- a/test/relay/repeat_failure_test.cc
+++ b/test/relay/repeat_failure_test.cc
@@ -78,6 +78,21 @@
   EXPECT_LE (send_more (site, fatal_stream, attempt, 12), kSendsAfterThird);
 }
 
+// An engine does not end under the request, it hangs: connections stay open
+// and nothing is answered until it is started again.
+TEST (Repeat, ARequestThatHangsEnginesReachesFewAfterTheThird)
+{
+  Site site (6, 0, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  for (const Engine &engine : site.engines)
+    engine.target->hangs_on_end = true;
+  site.end_on ("/fatal");
+  int attempt = send_until_ends (site, fatal_stream, 3);
+  ASSERT_GE (site.ends (), 3);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kContactMs));
+  EXPECT_LE (send_more (site, fatal_stream, attempt, 6), kSendsAfterThird);
+}
+
 // The same with a plain service, beside whose targets no process of ours runs:
 // gateways alone can see what ended them.
 TEST (Repeat, ARequestThatEndsPlainTargetsReachesFewAfterTheThird)
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -319,13 +319,14 @@
   remove ("servers/" + target->id ());
   target->restart ("i-again" + std::to_string (incarnations_++));
   target->begin_again ();
+  target->is_hung = false;
 }
 
 void
 Site::begin_ended_again ()
 {
   for (size_t i = 0; i < engines.size (); i++)
-    if (engines[i].target->has_ended ())
+    if (engines[i].target->has_ended () || engines[i].target->is_hung)
       {
         begin_again (engines[i].target.get ());
         list_engine (i);
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -304,11 +304,18 @@
     std::lock_guard<std::mutex> lock (mutex_);
     runs_[request.header ("x-knapweedbay-attempt-id")]++;
   }
-  if (is_fatal (request))
+  if (is_fatal (request) && !is_hung)
     {
       sleep_ms (end_after_ms);
       ends++;
-      end ();
+      if (!hangs_on_end)
+        {
+          end ();
+          return false;
+        }
+      is_hung = true;
+      while (is_hung && !is_stopping_)
+        sleep_ms (10);
       return false;
     }
   switch (fault)
@@ -357,6 +364,8 @@
 bool
 Target::serve (Connection &connection, const Message &request)
 {
+  while (is_hung && !is_stopping_)
+    sleep_ms (10);
   if (request.target () == "/report")
     return connection.write (json_answer (report ()));
   if (request.target () == "/health")
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -60,6 +60,9 @@
   void end_on (const std::string &text);
   /// How often such a request ended it.
   std::atomic<int> ends{ 0 };
+  /// They hang it instead: connections stay open, and nothing answers.
+  std::atomic<bool> hangs_on_end{ false };
+  std::atomic<bool> is_hung{ false };
   /// How long after the beginning.
   std::atomic<int> end_after_ms{ 20 };
   /// Orders accepted so far, as it counts them.
--- /dev/null
+++ b/test/unit/fingerprint_test.cc
@@ -0,0 +1,73 @@
+// Which requests are the same one, sent again.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+extern "C"
+{
+#include "relay/fingerprint.h"
+}
+
+namespace
+{
+
+fpr_request_t
+request ()
+{
+  return { kb_slice_str ("a.example"), kb_slice_str ("POST"),
+           kb_slice_str ("/x/y"),      kb_slice_str ("m"),
+           kb_slice_str ("a1"),        kb_slice_str ("a prompt") };
+}
+
+TEST (Fingerprint, TheSameRequestHasTheSame)
+{
+  fpr_request_t first = request ();
+  std::string body = "a prompt";
+  fpr_request_t again = request ();
+  again.body = { body.data (), (uint32_t)body.size () };
+  EXPECT_EQ (fpr_of (&first), fpr_of (&again));
+  EXPECT_NE (fpr_of (&first), 0u);
+}
+
+TEST (Fingerprint, EachPartCounts)
+{
+  fpr_request_t plain = request ();
+  std::set<uint64_t> seen = { fpr_of (&plain) };
+  for (kb_slice_t fpr_request_t::*part :
+       { &fpr_request_t::host, &fpr_request_t::method, &fpr_request_t::path,
+         &fpr_request_t::model, &fpr_request_t::adapter,
+         &fpr_request_t::body })
+    {
+      fpr_request_t other = request ();
+      other.*part = kb_slice_str ("other");
+      EXPECT_TRUE (seen.insert (fpr_of (&other)).second);
+    }
+}
+
+// Bytes that move from the path into the body are another request.
+TEST (Fingerprint, PartsDoNotRunIntoEachOther)
+{
+  fpr_request_t first = request ();
+  first.path = kb_slice_str ("/x");
+  first.model = kb_slice_str ("yz");
+  fpr_request_t second = request ();
+  second.path = kb_slice_str ("/xy");
+  second.model = kb_slice_str ("z");
+  EXPECT_NE (fpr_of (&first), fpr_of (&second));
+}
+
+TEST (Fingerprint, EmptyPartsAreAllowed)
+{
+  fpr_request_t empty = {};
+  EXPECT_NE (fpr_of (&empty), 0u);
+}
+
+TEST (Fingerprint, TheTextIsHexadecimal)
+{
+  char text[FPR_TEXT_BYTES];
+  fpr_text (0x1f, text);
+  EXPECT_STREQ (text, "000000000000001f");
+}
+
+} // namespace
