fix(gateway): the same request under another adapter is the same one

The stated bound goes by path, caller and body. With the adapter in the fingerprint a request that comes under another one each time would end three targets under each. And a request that was alone at an end is not cleared when it is served elsewhere: it ends the targets of one kind and not of another.

--- a/src/daemon/entry_quarantine.c
+++ b/src/daemon/entry_quarantine.c
@@ -15,7 +15,6 @@
   fpr_request_t parts = { .host = kb_slice_str (r->service),
                           .method = kb_slice_str (r->method),
                           .path = kb_slice_str (r->path),
-                          .model = kb_slice_str (r->model),
                           .body = kb_buf_slice (&r->body) };
   r->fingerprint = fpr_of (&parts);
   return r->fingerprint;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -192,8 +192,6 @@
       = { .host = h1_head_get (&conn->head, "host"),
           .method = kb_slice_str (http_method_str (conn->parser.method)),
           .path = h1_head_target (&conn->head),
-          .model = r->said.model,
-          .adapter = r->said.adapter,
           .body = kb_buf_slice (&r->body) };
   r->fingerprint = fpr_of (&parts);
   return r->fingerprint;
--- a/src/relay/fingerprint.h
+++ b/src/relay/fingerprint.h
@@ -1,6 +1,6 @@
 /// @file fingerprint.h
 /// Which requests are the same one, sent again: those with the same host,
-/// method, path, adapter and body. Attempt ids differ each time.
+/// method, path and body. Attempt ids differ each time, and other fields may.
 #ifndef KB_RELAY_FINGERPRINT_H
 #define KB_RELAY_FINGERPRINT_H
 
@@ -11,8 +11,6 @@
   kb_slice_t host;
   kb_slice_t method;
   kb_slice_t path; ///< With its query.
-  kb_slice_t model;
-  kb_slice_t adapter;
   kb_slice_t body;
 } fpr_request_t;
 
--- a/test/unit/quarantine_test.cc
+++ b/test/unit/quarantine_test.cc
@@ -82,6 +82,17 @@
   EXPECT_EQ (judge (), QRT_FREE);
 }
 
+// A request ends the targets of one kind and is served by others. To be served
+// there must not let it go on elsewhere.
+TEST_F (QuarantineTest, WhatWasAloneAtAnEndIsNotCleared)
+{
+  end (1);
+  end (2, true);
+  EXPECT_FALSE (qrt_note_served (&table_, kRequest, now_ms_));
+  end (3);
+  EXPECT_EQ (judge (), QRT_HELD);
+}
+
 // Two gateways saw the same end, one of them knows that it was alone.
 TEST_F (QuarantineTest, AnEndCountsOnce)
 {
