fix(gateway): a request that is served between ends is never held

It was beginning somewhere at each end, also alone, and an answer no longer cleared it. Now a whole answer clears all. So that a prompt which ends engines under one adapter and is served under another is still held, it is watched with its adapter and without it, and the worse verdict holds. At plain targets only a request that had broken off before it was sent counts as alone: a hot one is at several that end at one moment.

The ends were known by the list alone, because something between takes connections; the answer of the next incarnation (421) tells it as well now.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -242,9 +242,7 @@
 qrt_note_served (qrt_table_t *table, uint64_t request, uint64_t now_ms)
 {
   qrt_entry_t *entry = kb_map_get (&table->entries, request);
-  // Ends at which it was alone come first.
-  if (entry == NULL || entry->word.end_count == 0
-      || entry->word.ends[0].is_alone)
+  if (entry == NULL || entry->word.end_count == 0)
     return false;
   entry->word.end_count = 0;
   entry->word.generation++;
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -97,8 +97,9 @@
 /// @return  Whether anything was new.
 bool qrt_note_end (qrt_table_t *table, uint64_t request, const qrt_end_t *end,
                    uint64_t now_ms);
-/// It was answered whole: the ends that it shared were not its doing. One at
-/// which it was alone was; what is known then lapses by time only.
+/// It was answered whole: the ends before were not its doing, or are over. A
+/// request that is sent all the time is beginning at most targets that end,
+/// and is served between two ends.
 /// @return  Whether anything was cleared.
 bool qrt_note_served (qrt_table_t *table, uint64_t request, uint64_t now_ms);
 /// Take what another daemon knows.
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -12,6 +12,7 @@
 {
   HTTP_OK = 200,
   HTTP_REDIRECT = 300,
+  HTTP_MISDIRECTED = 421,
   HTTP_SERVER_ERROR = 500,
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
@@ -285,8 +286,8 @@
 static bool
 is_promise_status (int http_status)
 {
-  return http_status == 408 || http_status == 421 || http_status == 429
-         || http_status == HTTP_UNAVAILABLE;
+  return http_status == 408 || http_status == HTTP_MISDIRECTED
+         || http_status == 429 || http_status == HTTP_UNAVAILABLE;
 }
 
 /// A target said that it did not run the request.
@@ -294,6 +295,10 @@
 answer_not_run (gtw_request_t *r, const rly_answer_t *answer)
 {
   gtw_log_attempt (r, "attempt_not_run", "target_refused");
+  // Another incarnation answers at its address; an engine says so for an
+  // adapter that it does not hold as well.
+  if (!r->is_engine && r->http_status == HTTP_MISDIRECTED)
+    gtw_quarantine_target_ended (r->gateway, r->target, "misdirected");
   MET_INC ("knapweedbay_attempts_not_run_total", "");
   r->runs--;
   if (answer->retry_after_ms > r->retry_after_ms)
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -25,6 +25,14 @@
   GTW_MAX_KEEPS = 32,
 };
 
+/// How much of a request makes it the same one (relay/fingerprint.h).
+enum
+{
+  GTW_WIDE,   ///< Under any adapter.
+  GTW_NARROW, ///< Under its adapter.
+  GTW_WIDTHS,
+};
+
 typedef struct gtw_request gtw_request_t;
 typedef struct gtw_client gtw_client_t;
 
@@ -117,7 +125,7 @@
   char adapter_name[EGN_KEY_BYTES];
   uint64_t adapter_key; ///< Zero: none.
   kb_buf_t body;
-  uint64_t fingerprint; ///< Zero: not worked out yet.
+  uint64_t fingerprints[GTW_WIDTHS]; ///< Zero: not worked out yet.
   uint64_t arrived_ms;
   uint64_t deadline_ms;  ///< Moment; of no more use to the caller.
   uint64_t timeout_ms;   ///< Moment; the route's bound.
@@ -128,8 +136,10 @@
   bool has_place;
   uint64_t place_ms; ///< When it was asked for.
   uint64_t load_us;  ///< Waited for a load.
-  bool begins_alone; ///< Targets ended under it; asked for and granted so.
-  bool is_late;      ///< An engine had no time for it after its objective.
+  /// At an engine: targets ended under it, it is to begin alone, and was
+  /// granted so. At a plain target: it broke off before.
+  bool begins_alone;
+  bool is_late; ///< An engine had no time for it after its objective.
   uint32_t granted_version;
   char granted_instance[GTW_ID_BYTES]; ///< Empty: as listed.
   uint64_t tried[GTW_MAX_TRIES];       ///< Keys of targets that failed.
@@ -188,12 +198,12 @@
 /// has ended, it may be the cause.
 typedef struct
 {
-  uint64_t target;  ///< Key; zero: none.
-  uint64_t request; ///< Fingerprint.
-  uint64_t caller;  ///< Hash of its address.
+  uint64_t target;               ///< Key; zero: none.
+  uint64_t requests[GTW_WIDTHS]; ///< Its fingerprints.
+  uint64_t caller;               ///< Hash of its address.
   uint64_t at_ms;
   bool is_plain; ///< The target is no engine.
-  bool is_alone; ///< Its sidecar let it begin alone.
+  bool is_alone; ///< gtw_request_t.begins_alone.
 } gtw_break_t;
 
 /// What is kept at the platform of requests that targets ended under, so that
@@ -321,7 +331,7 @@
 void gtw_request_exclude (gtw_request_t *r);
 /// Of a request whose body is whole.
 /// @return  The same for each time that the request is sent.
-uint64_t gtw_request_fingerprint (gtw_request_t *r);
+uint64_t gtw_request_fingerprint (gtw_request_t *r, int width);
 /// Give a place back and leave the target.
 void gtw_request_leave_target (gtw_request_t *r);
 /// @return  The moment until which a caller waits for the next byte, when the
@@ -409,6 +419,9 @@
 // gateway_quarantine.c
 /// @param hold_ms  How much longer it is held.
 qrt_verdict_t gtw_quarantine_judge (gtw_request_t *r, uint64_t *hold_ms);
+/// @return  Whether it broke off before while it was beginning at a target, as
+///          far as is known here.
+bool gtw_quarantine_has_broken (gtw_request_t *r);
 /// Answer a request that is held: it is not sent.
 void gtw_quarantine_refuse (gtw_request_t *r, uint64_t hold_ms);
 /// A request's connection to its target broke, its target is silent, or its
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -34,8 +34,33 @@
   // The fingerprint is not worked out while nothing is known of any request.
   if (table->entries.len == 0)
     return QRT_FREE;
-  return qrt_judge (table, gtw_request_fingerprint (r), caller_of (r),
-                    gtw_now_ms (r->gateway), hold_ms);
+  qrt_verdict_t worst = QRT_FREE;
+  for (int width = 0; width < GTW_WIDTHS; width++)
+    {
+      qrt_verdict_t verdict
+          = qrt_judge (table, gtw_request_fingerprint (r, width),
+                       caller_of (r), gtw_now_ms (r->gateway), hold_ms);
+      if (verdict > worst)
+        worst = verdict;
+    }
+  return worst;
+}
+
+bool
+gtw_quarantine_has_broken (gtw_request_t *r)
+{
+  const gtw_gateway_t *gateway = r->gateway;
+  if (gateway->quarantine.entries.len == 0 && gateway->break_count == 0)
+    return false;
+  uint64_t request = gtw_request_fingerprint (r, GTW_WIDE);
+  if (qrt_ends (&gateway->quarantine, request) > 0)
+    return true;
+  for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
+    if (gateway->breaks[i].target != 0
+        && gateway->breaks[i].requests[GTW_WIDE] == request
+        && gtw_now_ms (gateway) - gateway->breaks[i].at_ms <= EVIDENCE_MS)
+      return true;
+  return false;
 }
 
 void
@@ -119,8 +144,9 @@
              const gtw_break_t *broken, bool is_alone)
 {
   uint64_t hold_ms = 0;
+  uint64_t request = broken->requests[GTW_WIDE];
   qrt_verdict_t verdict
-      = qrt_judge (&gateway->quarantine, broken->request, broken->caller,
+      = qrt_judge (&gateway->quarantine, request, broken->caller,
                    gtw_now_ms (gateway), &hold_ms);
   static const char *const names[] = { "free", "alone", "held" };
   log_event_t line;
@@ -128,7 +154,7 @@
                   "request_suspected"))
     return;
   char fingerprint[FPR_TEXT_BYTES];
-  fpr_text (broken->request, fingerprint);
+  fpr_text (request, fingerprint);
   log_text (&line, "fingerprint", fingerprint);
   log_text (&line, "target", target->told.who.id);
   log_int (&line, "was_alone", is_alone);
@@ -145,12 +171,19 @@
   qrt_end_t end = { .target = incarnation_hash (target),
                     .caller = broken->caller,
                     .is_alone = is_alone };
-  if (!qrt_note_end (&gateway->quarantine, broken->request, &end,
-                     gtw_now_ms (gateway)))
-    return;
-  log_suspect (gateway, target, broken, is_alone);
-  uint32_t ends = qrt_ends (&gateway->quarantine, broken->request);
-  spread (gateway, broken->request, ends >= QRT_ENDS_ALONE);
+  bool is_new = false;
+  for (int width = 0; width < GTW_WIDTHS; width++)
+    {
+      uint64_t request = broken->requests[width];
+      if (!qrt_note_end (&gateway->quarantine, request, &end,
+                         gtw_now_ms (gateway)))
+        continue;
+      is_new = true;
+      uint32_t ends = qrt_ends (&gateway->quarantine, request);
+      spread (gateway, request, ends >= QRT_ENDS_ALONE);
+    }
+  if (is_new)
+    log_suspect (gateway, target, broken, is_alone);
 }
 
 static bool
@@ -161,18 +194,20 @@
          && gtw_now_ms (gateway) - broken->at_ms <= EVIDENCE_MS;
 }
 
-/// Beside a plain target no sidecar lets a request begin alone. One that was
-/// the only one of this gateway's there counts as if it had; others may have
-/// been there through other gateways, but not time and again.
+/// Beside a plain target no sidecar lets a request begin alone. One that had
+/// broken off before, and was the only one of this gateway's there, counts as
+/// if it had: others may have been there through other gateways, but not time
+/// and again. One that is sent all the time is at several targets that end at
+/// one moment; it had not broken off before any of them.
 static bool
 was_alone (const gtw_gateway_t *gateway, const gtw_target_t *target,
            const gtw_break_t *broken)
 {
-  if (!broken->is_plain)
+  if (!broken->is_plain || !broken->is_alone)
     return broken->is_alone;
   for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
     if (is_of (gateway, &gateway->breaks[i], target)
-        && gateway->breaks[i].request != broken->request)
+        && gateway->breaks[i].requests[GTW_WIDE] != broken->requests[GTW_WIDE])
       return false;
   return true;
 }
@@ -235,15 +270,16 @@
     return;
   gtw_target_t *target = r->target;
   gtw_break_t broken = { .target = target->key,
-                         .request = gtw_request_fingerprint (r),
                          .caller = caller_of (r),
                          .at_ms = gtw_now_ms (gateway),
                          .is_plain = !r->is_engine,
                          .is_alone = r->begins_alone };
+  for (int width = 0; width < GTW_WIDTHS; width++)
+    broken.requests[width] = gtw_request_fingerprint (r, width);
   // The proof came first: who else was there is looked through already.
   if (target->ended_ms > 0)
     {
-      suspect (gateway, target, &broken, broken.is_alone);
+      suspect (gateway, target, &broken, broken.is_alone && !broken.is_plain);
       return;
     }
   gateway->breaks[gateway->break_count++ % GTW_MAX_BREAKS] = broken;
@@ -259,8 +295,12 @@
   r->target->ended_ms = 0;
   if (gateway->quarantine.entries.len == 0)
     return;
-  uint64_t request = gtw_request_fingerprint (r);
-  uint32_t ends = qrt_ends (&gateway->quarantine, request);
-  if (qrt_note_served (&gateway->quarantine, request, gtw_now_ms (gateway)))
-    spread (gateway, request, ends >= QRT_ENDS_ALONE);
+  for (int width = 0; width < GTW_WIDTHS; width++)
+    {
+      uint64_t request = gtw_request_fingerprint (r, width);
+      uint32_t ends = qrt_ends (&gateway->quarantine, request);
+      if (qrt_note_served (&gateway->quarantine, request,
+                           gtw_now_ms (gateway)))
+        spread (gateway, request, ends >= QRT_ENDS_ALONE);
+    }
 }
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -183,18 +183,20 @@
 }
 
 uint64_t
-gtw_request_fingerprint (gtw_request_t *r)
+gtw_request_fingerprint (gtw_request_t *r, int width)
 {
-  if (r->fingerprint != 0)
-    return r->fingerprint;
+  if (r->fingerprints[width] != 0)
+    return r->fingerprints[width];
   const h1_conn_t *conn = &r->client->conn;
+  const char *adapter = width == GTW_NARROW ? r->adapter_name : "";
   fpr_request_t parts
       = { .host = h1_head_get (&conn->head, "host"),
           .method = kb_slice_str (http_method_str (conn->parser.method)),
           .path = h1_head_target (&conn->head),
+          .adapter = kb_slice_str (adapter),
           .body = kb_buf_slice (&r->body) };
-  r->fingerprint = fpr_of (&parts);
-  return r->fingerprint;
+  r->fingerprints[width] = fpr_of (&parts);
+  return r->fingerprints[width];
 }
 
 void
@@ -413,7 +415,8 @@
       gtw_quarantine_refuse (r, hold_ms);
       return;
     }
-  r->begins_alone = verdict == QRT_ALONE && r->is_engine;
+  r->begins_alone
+      = r->is_engine ? verdict == QRT_ALONE : gtw_quarantine_has_broken (r);
   gtw_target_t *target
       = r->tried_count < GTW_MAX_TRIES ? gtw_target_choose (gateway, r) : NULL;
   if (target == NULL)
--- a/src/relay/fingerprint.c
+++ b/src/relay/fingerprint.c
@@ -26,6 +26,7 @@
   add_part (digest, request->host);
   add_part (digest, request->method);
   add_part (digest, request->path);
+  add_part (digest, request->adapter);
   add_part (digest, request->body);
   unsigned char bytes[EVP_MAX_MD_SIZE];
   status = EVP_DigestFinal_ex (digest, bytes, NULL);
--- a/src/relay/fingerprint.h
+++ b/src/relay/fingerprint.h
@@ -1,6 +1,8 @@
 /// @file fingerprint.h
 /// Which requests are the same one, sent again: those with the same host,
 /// method, path and body. Attempt ids differ each time, and other fields may.
+/// With the adapter as well a request is narrower: the same prompt may end
+/// targets under one adapter and be served under another.
 #ifndef KB_RELAY_FINGERPRINT_H
 #define KB_RELAY_FINGERPRINT_H
 
@@ -10,7 +12,8 @@
 {
   kb_slice_t host;
   kb_slice_t method;
-  kb_slice_t path; ///< With its query.
+  kb_slice_t path;    ///< With its query.
+  kb_slice_t adapter; ///< "model/adapter"; empty: whatever it is.
   kb_slice_t body;
 } fpr_request_t;
 
