--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -496,6 +496,12 @@
       ((DirectoryTest *)owner)
           ->told.push_back ("-" + std::string (id.ptr, id.len_bytes));
     };
+    events.on_record = [] (void *owner, const src_record_t *record) {
+      ((DirectoryTest *)owner)
+          ->told.push_back (
+              std::string (record->key.ptr, record->key.len_bytes) + "="
+              + std::string (record->value.ptr, record->value.len_bytes));
+    };
     directory.events = &events;
     directory.owner = this;
   }
@@ -615,6 +621,28 @@
     }
 }
 
+// What the system keeps at the store comes with the changes of the list; what
+// others write there, and what has lapsed, is nothing of it.
+TEST_F (DirectoryTest, RecordsOfTheSystemAreTold)
+{
+  flw_follower_t &f = directory.follower;
+  flw_init (&f, 700, uv_now (&loop));
+  f.readers[FLW_BATCH].as_of = 10;
+  f.readers[FLW_BATCH].is_reading = true;
+  src_change_t list[] = {
+    { 11, kb_slice_str ("knapweedbay/ends/1"), kb_slice_str ("v"), false },
+    { 12, kb_slice_str ("knapweedbay/ends/2"), kb_slice_str (""), true },
+    { 13, kb_slice_str ("other/ends/3"), kb_slice_str ("v"), false },
+  };
+  src_changes_t changes = {};
+  changes.as_of = 20;
+  changes.began_ms = uv_now (&loop);
+  changes.changes = list;
+  changes.change_count = 3;
+  directory.source.vtable->on_changes (&directory.source, &changes);
+  EXPECT_EQ (told, (std::vector<std::string>{ "ends/1=v" }));
+}
+
 // Several targets are taken away at once, and their bound for leaving is
 // short. The time for which they are kept must fit in it, with the pause
 // before it.
