fix(gateway): what breaks off after an end says nothing of who was alone

Requests that are sent all the time broke off at the dead targets too, because something between takes connections for them, so that nobody was ever alone at an end. All connections of a process break at one moment; later ones are a consequence now, and what broke off before a good answer is forgotten.

--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -16,6 +16,8 @@
   /// where something before the target still takes connections, only the next
   /// incarnation does, some seconds later.
   EVIDENCE_MS = 5000,
+  /// All connections of a process break within this when it ends.
+  ONE_END_MS = 100,
   /// Sidecars that are told at once; others hear it from gateways in turn.
   FIRST_RECEIVERS = 3,
 };
@@ -198,7 +200,8 @@
 /// broken off before, and was the only one of this gateway's there, counts as
 /// if it had: others may have been there through other gateways, but not time
 /// and again. One that is sent all the time is at several targets that end at
-/// one moment; it had not broken off before any of them.
+/// one moment; it had not broken off before any of them. What breaks off later
+/// does so because the target has ended.
 static bool
 was_alone (const gtw_gateway_t *gateway, const gtw_target_t *target,
            const gtw_break_t *broken)
@@ -206,9 +209,13 @@
   if (!broken->is_plain || !broken->is_alone)
     return broken->is_alone;
   for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
-    if (is_of (gateway, &gateway->breaks[i], target)
-        && gateway->breaks[i].requests[GTW_WIDE] != broken->requests[GTW_WIDE])
-      return false;
+    {
+      const gtw_break_t *other = &gateway->breaks[i];
+      if (is_of (gateway, other, target)
+          && other->requests[GTW_WIDE] != broken->requests[GTW_WIDE]
+          && other->at_ms <= broken->at_ms + ONE_END_MS)
+        return false;
+    }
   return true;
 }
 
@@ -287,12 +294,25 @@
     gtw_probe_start (gateway, target);
 }
 
+/// A target answers: what broke off there before broke for another reason.
+static void
+forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target)
+{
+  uint64_t now_ms = gtw_now_ms (gateway);
+  for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
+    if (gateway->breaks[i].target == target->key
+        && now_ms - gateway->breaks[i].at_ms > ONE_END_MS)
+      gateway->breaks[i].target = 0;
+}
+
 void
 gtw_quarantine_note_served (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
   // Whatever it was taken for: it lives.
   r->target->ended_ms = 0;
+  if (gateway->break_count > 0)
+    forget_breaks (gateway, r->target);
   if (gateway->quarantine.entries.len == 0)
     return;
   for (int width = 0; width < GTW_WIDTHS; width++)
