fix(gateway,sidecar): one end of a request is no word for all daemons

On the large site twenty engines end at one moment, under hundreds of requests. Now a gateway tells a request with one end to three sidecars, the same ones that all gateways tell; these join what they hear and tell all gateways from two ends on.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -132,6 +132,22 @@
   free (entry);
 }
 
+/// Whether all daemons are to know it. Many requests are beginning at targets
+/// that end together, and most are suspected once and never again: passed on
+/// to all, their words would fill the links of a large fleet.
+static bool
+is_shared (const qrt_word_t *word)
+{
+  return word->end_count >= QRT_ENDS_ALONE || word->generation > 0;
+}
+
+/// How much is lost with a word.
+static int
+rank_of (const qrt_word_t *word)
+{
+  return is_proven (word) ? 2 : is_shared (word);
+}
+
 /// @return  The entry that is missed least: one that holds nothing before one
 ///          that does, the oldest first.
 /// @param owner  Of this caller alone; zero: of any.
@@ -145,10 +161,10 @@
     {
       if (owner != 0 && e->word.owner != owner)
         continue;
-      bool is_less = best == NULL
-                     || is_proven (&e->word) < is_proven (&best->word)
-                     || (is_proven (&e->word) == is_proven (&best->word)
-                         && e->since_ms < best->since_ms);
+      int rank = rank_of (&e->word);
+      int best_rank = best == NULL ? 0 : rank_of (&best->word);
+      bool is_less = best == NULL || rank < best_rank
+                     || (rank == best_rank && e->since_ms < best->since_ms);
       if (is_less)
         best = e;
     }
@@ -244,6 +260,11 @@
   qrt_entry_t *entry = kb_map_get (&table->entries, request);
   if (entry == NULL || entry->word.end_count == 0)
     return false;
+  if (!is_shared (&entry->word))
+    {
+      entry_drop (table, entry);
+      return false;
+    }
   entry->word.end_count = 0;
   entry->word.generation++;
   entry->since_ms = now_ms;
@@ -292,6 +313,16 @@
   return is_new;
 }
 
+static void
+entry_pack (const qrt_entry_t *entry, uint64_t now_ms, kb_buf_t *out)
+{
+  qrt_word_t word = entry->word;
+  word.age_ms = age_of (entry, now_ms);
+  memset (&word.ends[word.end_count], 0,
+          (QRT_ENDS_MOST - word.end_count) * sizeof *word.ends);
+  kb_buf_append (out, &word, sizeof word);
+}
+
 bool
 qrt_take (qrt_table_t *table, kb_slice_t words, uint64_t now_ms,
           kb_buf_t *fresh)
@@ -309,29 +340,22 @@
   for (uint32_t i = 0; i < count; i++)
     {
       memcpy (&word, words.ptr + i * sizeof word, sizeof word);
-      if (word_merge (table, &word, now_ms) && fresh != NULL)
-        qrt_pack_one (table, word.request, now_ms, fresh);
+      bool is_new = word_merge (table, &word, now_ms);
+      const qrt_entry_t *entry = kb_map_get (&table->entries, word.request);
+      if (is_new && fresh != NULL && is_shared (&entry->word))
+        entry_pack (entry, now_ms, fresh);
     }
   return true;
 }
 
-static void
-entry_pack (const qrt_entry_t *entry, uint64_t now_ms, kb_buf_t *out)
-{
-  qrt_word_t word = entry->word;
-  word.age_ms = age_of (entry, now_ms);
-  memset (&word.ends[word.end_count], 0,
-          (QRT_ENDS_MOST - word.end_count) * sizeof *word.ends);
-  kb_buf_append (out, &word, sizeof word);
-}
-
 void
 qrt_pack (const qrt_table_t *table, uint64_t now_ms, kb_buf_t *out)
 {
   uint32_t at = 0;
   for (const qrt_entry_t *e = next_entry (table, &at); e != NULL;
        e = next_entry (table, &at))
-    entry_pack (e, now_ms, out);
+    if (is_shared (&e->word))
+      entry_pack (e, now_ms, out);
 }
 
 void
@@ -351,12 +375,14 @@
   for (const qrt_entry_t *e = next_entry (table, &at); e != NULL;
        e = next_entry (table, &at))
     {
+      if (!is_shared (&e->word))
+        continue;
       // Entries come in any order.
       uint64_t seed = e->word.request + e->word.generation;
       stamp += kb_hash (e->word.ends, e->word.end_count * sizeof *e->word.ends,
                         seed);
     }
-  return table->entries.len == 0 ? 0 : stamp | 1;
+  return stamp == 0 ? 0 : stamp | 1;
 }
 
 void
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -100,20 +100,23 @@
 /// It was answered whole: the ends before were not its doing, or are over. A
 /// request that is sent all the time is beginning at most targets that end,
 /// and is served between two ends.
-/// @return  Whether anything was cleared.
+/// @return  Whether others are to know of it.
 bool qrt_note_served (qrt_table_t *table, uint64_t request, uint64_t now_ms);
 /// Take what another daemon knows.
-/// @param fresh  Entries that were new are appended as words to pass on; NULL:
-///               not wanted.
+/// @param fresh  What was new and all daemons are to know is appended as
+/// words;
+///               NULL: not wanted.
 /// @return       False: the bytes are no words, and nothing was taken.
 bool qrt_take (qrt_table_t *table, kb_slice_t words, uint64_t now_ms,
                kb_buf_t *fresh);
-/// Append everything as words.
+/// Append as words what all daemons are to know: requests with two ends or
+/// more, and what became of them.
 void qrt_pack (const qrt_table_t *table, uint64_t now_ms, kb_buf_t *out);
 /// Append the word of one request, if anything is known of it.
 void qrt_pack_one (const qrt_table_t *table, uint64_t request, uint64_t now_ms,
                    kb_buf_t *out);
-/// @return  A digest of all entries without their ages; zero: there are none.
+/// @return  A digest of what all daemons are to know, without ages; zero:
+///          nothing.
 uint64_t qrt_stamp (const qrt_table_t *table);
 /// Forget what has lapsed.
 void qrt_lapse (qrt_table_t *table, uint64_t now_ms);
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -88,10 +88,31 @@
     give_all (gateway, target);
 }
 
-/// Tell a few sidecars at once what changed about a request; they tell the
-/// other gateways. With each gateway telling all sidecars, an engine that ends
-/// in a fleet of hundreds would cost hundreds of messages for each request
-/// that was beginning there.
+/// @return  The sidecar that is heard and ranks highest for a request below a
+///          rank, or NULL.
+static const gtw_target_t *
+next_receiver (const gtw_gateway_t *gateway, uint64_t request, uint64_t *rank)
+{
+  const gtw_target_t *best = NULL;
+  uint64_t best_rank = 0;
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    {
+      uint64_t own = kb_hash (&t->place_key, sizeof t->place_key, request);
+      if (!gtw_target_is_heard (gateway, t) || own >= *rank
+          || own <= best_rank)
+        continue;
+      best = t;
+      best_rank = own;
+    }
+  *rank = best_rank;
+  return best;
+}
+
+/// Tell a few sidecars at once what changed about a request. All gateways tell
+/// the same ones, so that these can join what each of them saw, and tell all
+/// gateways once it matters.
 /// @return  How many were told.
 static uint32_t
 tell_some (gtw_gateway_t *gateway, uint64_t request)
@@ -99,13 +120,11 @@
   kb_buf_t words = { 0 };
   qrt_pack_one (&gateway->quarantine, request, gtw_now_ms (gateway), &words);
   uint32_t told = 0;
-  uint32_t at = 0;
-  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at);
+  uint64_t rank = UINT64_MAX;
+  for (const gtw_target_t *t = next_receiver (gateway, request, &rank);
        t != NULL && told < FIRST_RECEIVERS;
-       t = kb_map_next (&gateway->targets, &at))
+       t = next_receiver (gateway, request, &rank))
     {
-      if (!gtw_target_is_heard (gateway, t))
-        continue;
       psn_give_quarantine (&gateway->host, t->link, &words);
       told++;
     }
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -113,7 +113,7 @@
 
 // sidecar_quarantine.c
 /// A gateway tells of requests under which targets ended.
-void scr_quarantine_take (scr_sidecar_t *s, kb_slice_t peer, kb_slice_t words);
+void scr_quarantine_take (scr_sidecar_t *s, kb_slice_t words);
 /// Give a gateway what it lacks.
 /// @param stamp  Of what it knows.
 void scr_quarantine_help (scr_sidecar_t *s, const scr_gateway_t *gateway,
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -345,7 +345,7 @@
       scr_share_ask (s, peer, &msg->changes_ask);
       break;
     case MSG_QUARANTINE:
-      scr_quarantine_take (s, peer, msg->quarantine.words);
+      scr_quarantine_take (s, msg->quarantine.words);
       break;
     case MSG_DOCUMENT:
       take_document (s, &msg->document);
--- a/src/sidecar/sidecar_quarantine.c
+++ b/src/sidecar/sidecar_quarantine.c
@@ -14,19 +14,17 @@
   GIVERS_AT_START = 16,
 };
 
-/// The other gateways get what is new at once: the request may reach any of
-/// them next.
+/// All gateways get what is new at once, also the one that told: joined with
+/// what others saw it may say more.
 static void
-tell_others (scr_sidecar_t *s, kb_slice_t peer, const kb_buf_t *fresh)
+tell_all (scr_sidecar_t *s, const kb_buf_t *fresh)
 {
-  uint64_t from = scr_name_id (peer);
   for (uint32_t i = 0; i < s->gateway_count; i++)
-    if (s->gateways[i].id != from)
-      psn_give_quarantine (&s->host, s->gateways[i].name, fresh);
+    psn_give_quarantine (&s->host, s->gateways[i].name, fresh);
 }
 
 void
-scr_quarantine_take (scr_sidecar_t *s, kb_slice_t peer, kb_slice_t words)
+scr_quarantine_take (scr_sidecar_t *s, kb_slice_t words)
 {
   kb_buf_t fresh = { 0 };
   if (!qrt_take (&s->quarantine, words, scr_now_ms (s), &fresh))
@@ -35,7 +33,7 @@
       log_write (LOG_WARN, "sidecar",
                  "A word about requests that end targets is ignored.");
     }
-  tell_others (s, peer, &fresh);
+  tell_all (s, &fresh);
   kb_buf_finish (&fresh);
 }
 
