--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -348,6 +348,15 @@
   return true;
 }
 
+void
+qrt_pack_all (const qrt_table_t *table, uint64_t now_ms, kb_buf_t *out)
+{
+  uint32_t at = 0;
+  for (const qrt_entry_t *e = next_entry (table, &at); e != NULL;
+       e = next_entry (table, &at))
+    entry_pack (e, now_ms, out);
+}
+
 void
 qrt_pack (const qrt_table_t *table, uint64_t now_ms, kb_buf_t *out)
 {
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -112,6 +112,8 @@
 /// Append as words what all daemons are to know: requests with two ends or
 /// more, and what became of them.
 void qrt_pack (const qrt_table_t *table, uint64_t now_ms, kb_buf_t *out);
+/// Append everything as words, for those who join what several know.
+void qrt_pack_all (const qrt_table_t *table, uint64_t now_ms, kb_buf_t *out);
 /// Append the word of one request, if anything is known of it.
 void qrt_pack_one (const qrt_table_t *table, uint64_t request, uint64_t now_ms,
                    kb_buf_t *out);
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -44,7 +44,7 @@
 {
   kb_buf_t words = { 0 };
   qrt_lapse (&agent->quarantine, tmr_now_ms ());
-  qrt_pack (&agent->quarantine, tmr_now_ms (), &words);
+  qrt_pack_all (&agent->quarantine, tmr_now_ms (), &words);
   msg_t msg = { .type = MSG_QUARANTINE };
   msg.quarantine.words = kb_buf_slice (&words);
   if (words.len_bytes > 0)
