docs(gateway): two comments say what the code does now

One was broken by the formatter, one told the way before sidecars joined what gateways say. No code changes; the files' formatting and the build are checked.

--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -221,8 +221,7 @@
 }
 
 /// @return  Whether an engine that was taken for ended goes on: its reports
-/// did
-///          not come for a while.
+///          were late.
 static bool
 says_engine_lives (const gtw_target_t *target, const msg_engine_state_t *state)
 {
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -18,7 +18,7 @@
   EVIDENCE_MS = 5000,
   /// All connections of a process break within this when it ends.
   ONE_END_MS = 100,
-  /// Sidecars that are told at once; others hear it from gateways in turn.
+  /// Sidecars that are told at once, and join what gateways say.
   FIRST_RECEIVERS = 3,
 };
 
