feat(gateway): log what targets state of the requests they take

An operator could not tell a limit that nobody reads from one that is read and not kept: no line said what a target stated. Now target_limit does, with the gauge knapweedbay_targets_limited; a field without meaning is logged, counted, and changes nothing. Nothing is decided by it yet.

A limit holds until an answer to a later request states none: answers overtake each other. Zero is a limit; 421 may come from another incarnation and states nothing.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -325,6 +325,7 @@
       return;
     }
   r->http_status = conn->parser.status_code;
+  gtw_backpressure_note (r, &answer);
   if (answer.is_not_run && r->http_status >= 400)
     {
       answer_not_run (r, &answer);
@@ -478,6 +479,7 @@
   r->stage = r->is_head_written ? GTW_PASSING : GTW_SENT;
   r->sends++;
   r->sent_ms = gtw_now_ms (gateway);
+  r->sent_boot_ms = tmr_boot_ms ();
   r->runs++;
   r->is_begun = false;
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -3,6 +3,7 @@
 #ifndef KB_GATEWAY_GATEWAY_DEFS_H
 #define KB_GATEWAY_GATEWAY_DEFS_H
 
+#include "coordination/backpressure.h"
 #include "coordination/budget.h"
 #include "coordination/place.h"
 #include "coordination/quarantine.h"
@@ -87,6 +88,8 @@
   inc_t engine;              ///< What the sidecar's last word was about.
   uint64_t quarantine_stamp; ///< Of what the sidecar knows.
 
+  bkp_limit_t limit; ///< That it stated here, by the boot clock.
+
   uint64_t ended_ms; ///< When its process was found ended; zero: it was not.
   bool is_probed;    ///< A connection is tried, to see whether it has.
 } gtw_target_t;
@@ -158,9 +161,10 @@
   char granted_instance[GTW_ID_BYTES]; ///< Empty: as listed.
   uint64_t tried[GTW_MAX_TRIES];       ///< Keys of targets that failed.
   uint32_t tried_count;
-  uint32_t runs;    ///< Targets that may have begun it.
-  uint32_t sends;   ///< Times it was sent.
-  uint64_t sent_ms; ///< When it was sent last.
+  uint32_t runs;         ///< Targets that may have begun it.
+  uint32_t sends;        ///< Times it was sent.
+  uint64_t sent_ms;      ///< When it was sent last.
+  uint64_t sent_boot_ms; ///< The same by the boot clock.
   xch_t exchange;
   tmr_sub_t timer;   ///< Deadline and timeout.
   tmr_sub_t silence; ///< No answer, no event, or a pause.
@@ -410,6 +414,10 @@
 /// Break off an attempt that will not be answered; it may have run.
 void gtw_answer_cut (gtw_request_t *r, const char *reason);
 
+// gateway_backpressure.c
+/// Take what the present target says about itself in an answer's head.
+void gtw_backpressure_note (gtw_request_t *r, const rly_answer_t *answer);
+
 // gateway_budget.c
 void gtw_budget_note_first (gtw_gateway_t *gateway, const char *service);
 bool gtw_budget_take (gtw_gateway_t *gateway, const char *service);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -58,6 +58,17 @@
   return oldest_ms;
 }
 
+static uint32_t
+count_limited (const gtw_gateway_t *gateway)
+{
+  uint32_t count = 0;
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    count += t->is_listed && t->limit.is_limited;
+  return count;
+}
+
 void
 gtw_set_gauges (const gtw_gateway_t *gateway, bool is_ready)
 {
@@ -65,6 +76,8 @@
   met_set (met_counter ("knapweedbay_requests_open", ""),
            gateway->request_count);
   met_set (met_counter ("knapweedbay_targets", ""), gateway->targets.len);
+  met_set (met_counter ("knapweedbay_targets_limited", ""),
+           count_limited (gateway));
   met_set (met_counter ("knapweedbay_config_revision", ""),
            gateway->config == NULL ? 0 : (int64_t)gateway->config->revision);
   met_set (met_counter ("knapweedbay_sidecar_word_age_ms", ""),
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -45,6 +45,9 @@
   bool is_not_run; ///< The target declares that the request did not run.
   bool is_encoded; ///< The body was altered on the way.
   uint64_t retry_after_ms;
+  bool states_limit;
+  double limit_per_s;    ///< Requests that it takes from all callers together.
+  const char *malformed; ///< A field whose value is none; NULL: none.
 } rly_answer_t;
 
 /// An answer of this system's own.
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -447,6 +447,41 @@
   EXPECT_FALSE (answer.is_not_run);
 }
 
+TEST_F (DialectTest, ALimitIsADecimalNumberThatStandsThereOnce)
+{
+  auto read = [this] (const std::string &fields) {
+    kb_buf_finish (&conn.head.bytes);
+    parse ("HTTP/1.1 200 OK\r\n" + fields, true);
+    rly_answer_t answer;
+    plt_dialect.read_answer (&conn, &answer);
+    return answer;
+  };
+  EXPECT_FALSE (read ("X: 1\r\n").states_limit);
+  EXPECT_EQ (read ("X: 1\r\n").malformed, nullptr);
+  for (auto [text, per_s] : { std::pair ("4", 4.0),
+                              { "4.9", 4.9 },
+                              { " 0.25 ", 0.25 },
+                              { "0", 0.0 },
+                              { "7.", 7.0 },
+                              { ".5", 0.5 } })
+    {
+      rly_answer_t answer
+          = read (std::string ("server-limit: ") + text + "\r\n");
+      EXPECT_TRUE (answer.states_limit) << text;
+      EXPECT_DOUBLE_EQ (answer.limit_per_s, per_s) << text;
+    }
+  for (const char *text :
+       { "", "-4", "+4", "4x", "1e9", "0x4", "nan", "inf", ".", "4.5.6", "4,5",
+         "4 5", "99999999999999999999999999999999999" })
+    {
+      rly_answer_t answer
+          = read (std::string ("Server-Limit: ") + text + "\r\n");
+      EXPECT_FALSE (answer.states_limit) << text;
+      EXPECT_STREQ (answer.malformed, "Server-Limit") << text;
+    }
+  EXPECT_FALSE (read ("Server-Limit: 4\r\nServer-Limit: 9\r\n").states_limit);
+}
+
 TEST_F (DialectTest, AmbiguousLengthsAreNotProper)
 {
   parse ("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
