--- /dev/null
+++ b/test/relay/load.cc
@@ -0,0 +1,88 @@
+#include "load.h"
+
+#include <algorithm>
+
+namespace relay
+{
+
+using std::chrono::milliseconds;
+
+Load::Load (Site *site, Call (*call_of) (const std::string &id),
+            int callers_per_gateway, int pause_ms)
+    : call_of_ (call_of), pause_ms_ (pause_ms)
+{
+  for (size_t g = 0; g < site->gateways.size (); g++)
+    for (int i = 0; i < callers_per_gateway; i++)
+      threads_.emplace_back ([this, site, g, i] {
+        call (site->gateways[g],
+              "l" + std::to_string (g) + "-" + std::to_string (i) + "-");
+      });
+}
+
+void
+Load::call (const Gateway &gateway, const std::string &name)
+{
+  for (int n = 0; !is_ended_; n++)
+    {
+      note (send_call (gateway, call_of_ (name + std::to_string (n))));
+      std::this_thread::sleep_for (milliseconds (pause_ms_));
+    }
+}
+
+void
+Load::note (const Message &answer)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  bool is_refused = answer.status == 503 || answer.status == 429;
+  if (answer.status == 200)
+    counts_.answered++;
+  else if (is_refused)
+    counts_.refused++;
+  else
+    counts_.other++;
+  if (is_refused && atof (answer.header ("retry-after").c_str ()) <= 0)
+    counts_.untimed++;
+}
+
+Load::Counts
+Load::counts ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return counts_;
+}
+
+Load::Counts
+Load::stop ()
+{
+  is_ended_ = true;
+  for (std::thread &thread : threads_)
+    thread.join ();
+  threads_.clear ();
+  return counts ();
+}
+
+std::vector<Moment>
+arrivals_at (Target &target)
+{
+  std::vector<Moment> arrivals;
+  for (const Message &request : target.requests ())
+    arrivals.push_back (request.came);
+  std::sort (arrivals.begin (), arrivals.end ());
+  return arrivals;
+}
+
+int
+most_in (const std::vector<Moment> &arrivals, Moment from, int window_ms)
+{
+  size_t most = 0;
+  auto first = std::lower_bound (arrivals.begin (), arrivals.end (), from);
+  for (auto begin = first; begin != arrivals.end (); ++begin)
+    {
+      auto end = std::upper_bound (begin, arrivals.end (),
+                                   *begin + milliseconds (window_ms));
+      most = std::max (most, (size_t)(end - begin));
+    }
+  return (int)most;
+}
+
+} // namespace relay
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -210,11 +210,20 @@
   return false;
 }
 
+/// What it asks of its callers, in the head of each answer.
+std::string
+Target::statements ()
+{
+  double per_s = limit_per_s;
+  return per_s < 0 ? "" : "Server-Limit: " + std::to_string (per_s) + "\r\n";
+}
+
 std::string
 Target::head_of (const Message &request, bool has_seal)
 {
   std::string head = "X-Knapweedbay-Attempt-Id: "
                      + request.header ("x-knapweedbay-attempt-id") + "\r\n";
+  head += statements ();
   if (has_seal)
     head += "X-Knapweedbay-Server-Seal: seal-" + id () + "\r\n";
   return head;
@@ -245,7 +254,8 @@
   }
   if (is_refused)
     connection.write (answer (
-        421, "X-Knapweedbay-Instance-Id: " + id () + "\r\n", "misdirected"));
+        421, "X-Knapweedbay-Instance-Id: " + id () + "\r\n" + statements (),
+        "misdirected"));
   return is_refused;
 }
 
@@ -386,8 +396,8 @@
   if (refuse (connection, request))
     return true;
   if (fault == Fault::NOT_RUN)
-    return connection.write (
-        answer (503, "X-Knapweedbay-Not-Executed: 1\r\n", "full"));
+    return connection.write (answer (
+        503, "X-Knapweedbay-Not-Executed: 1\r\n" + statements (), "full"));
   return run (connection, request, fault);
 }
 
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -76,6 +76,8 @@
   size_t most_held ();
   /// Holder and fencing number of all orders.
   std::set<std::string> orderers ();
+  /// Requests a second that it says it takes; negative: it says nothing.
+  std::atomic<double> limit_per_s{ -1 };
   std::atomic<int> event_ms{ 2 };
   std::atomic<int> events{ 10 };
   std::atomic<int> load_ms{ 20 };
@@ -105,6 +107,7 @@
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
   void use (const Message &request, int change);
+  std::string statements ();
   std::string head_of (const Message &request, bool has_seal);
   bool refuse (Connection &connection, const Message &request);
   bool is_fatal (const Message &request);
--- /dev/null
+++ b/test/system/target_limit_test.cc
@@ -0,0 +1,117 @@
+// Targets that state how many requests a second they take, behind agents.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "cluster.h"
+
+using kb::Answer;
+using kb::Cluster;
+using kb::ClusterOptions;
+
+namespace
+{
+
+/// The limit binds from then on, over any window, with this tolerance.
+constexpr int kBindsAfterMs = 3000;
+constexpr int kWindowMs = 4000;
+constexpr double kLimitPerS = 5;
+
+int
+allowed ()
+{
+  return (int)(1.5 * kLimitPerS * kWindowMs / 1000) + 5;
+}
+
+void
+pause_ms (int ms)
+{
+  std::this_thread::sleep_for (std::chrono::milliseconds (ms));
+}
+
+/// All runs that a target counted.
+int
+runs_at (Cluster &c, const kb::Target &target)
+{
+  json_object *doc = c.stats (target.fake);
+  json_object *runs = nullptr;
+  int sum = 0;
+  if (json_object_object_get_ex (doc, "runs", &runs))
+    {
+      json_object_object_foreach (runs, prompt, count)
+      {
+        (void)prompt;
+        sum += json_object_get_int (count);
+      }
+    }
+  json_object_put (doc);
+  return sum;
+}
+
+/// Press the services, one of whose targets states a limit.
+void
+expect_limit_holds (Cluster &c, const kb::Target &limited,
+                    void (*send) (Cluster &c, int entry))
+{
+  c.fault (limited.fake,
+           "{\"limit_per_s\":" + std::to_string (kLimitPerS) + "}");
+  std::atomic<bool> is_ended{ false };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; i++)
+    callers.emplace_back ([&, i] {
+      while (!is_ended)
+        send (c, i % 2);
+    });
+  pause_ms (kBindsAfterMs);
+  int most = 0;
+  for (int i = 0; i < 2; i++)
+    {
+      int before = runs_at (c, limited);
+      pause_ms (kWindowMs);
+      most = std::max (most, runs_at (c, limited) - before);
+    }
+  is_ended = true;
+  for (std::thread &caller : callers)
+    caller.join ();
+  EXPECT_LE (most, allowed ());
+  EXPECT_GT (most, 0);
+}
+
+void
+complete (Cluster &c, int entry)
+{
+  c.complete (entry, "a1@1", "pressed");
+  pause_ms (5);
+}
+
+void
+call_plain (Cluster &c, int entry)
+{
+  kb::http_call ("POST", c.entries[(size_t)entry].process.http_port,
+                 "/v1/services/map-query/look", "pressed",
+                 { "Authorization: Bearer kavango-key" });
+  pause_ms (5);
+}
+
+// Guards against an agent that does not keep its engine's limit.
+TEST (TargetLimit, AnEngineGetsWhatItTakes)
+{
+  ClusterOptions options;
+  options.engines = 1;
+  Cluster c (options);
+  c.start ();
+  expect_limit_holds (c, c.targets[0], complete);
+}
+
+// Guards against the same at a plain target.
+TEST (TargetLimit, APlainTargetGetsWhatItTakes)
+{
+  ClusterOptions options;
+  options.engines = 1;
+  Cluster c (options);
+  c.start ();
+  expect_limit_holds (c, c.targets[1], call_plain);
+}
+
+} // namespace
