--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "coordination/alone.h"
+#include "coordination/backpressure.h"
 #include "coordination/lanes.h"
 #include "coordination/reading.h"
 #include "state/buf.h"
@@ -109,6 +110,7 @@
   adm_press_t grant_press;
   adm_press_t fetch_press;
   aln_gate_t alone;
+  bkp_meter_t meter;  ///< Of the requests that the engine takes.
   double held_for_ms; ///< Mean time from a grant to its release.
   uint64_t report_mark;
   uint64_t compare_mark;
--- a/src/coordination/admit_forecast.c
+++ b/src/coordination/admit_forecast.c
@@ -106,12 +106,11 @@
 /// Time until a slot and memory are free, when places are given back as fast
 /// as they were.
 static double
-place_wait_ms (const adm_table_t *table, const adm_ask_t *ask, uint64_t now_ms)
+room_wait_ms (const adm_table_t *table, const adm_ask_t *ask, uint32_t ahead)
 {
   if (table->granted == 0)
     return 0;
   double wait_ms = 0;
-  uint32_t ahead = count_ahead (table, ask, now_ms);
   if (table->granted + ahead >= table->options.slots)
     wait_ms = table->held_for_ms / table->granted
               * (table->granted + ahead + 1 - table->options.slots);
@@ -126,6 +125,15 @@
   return wait_ms;
 }
 
+/// Time until there is room, and the engine takes one more request.
+static double
+place_wait_ms (const adm_table_t *table, const adm_ask_t *ask, uint64_t now_ms)
+{
+  uint32_t ahead = count_ahead (table, ask, now_ms);
+  double limit_ms = (double)bkp_meter_wait_ms (&table->meter, ahead, now_ms);
+  return fmax (room_wait_ms (table, ask, ahead), limit_ms);
+}
+
 adm_forecast_t
 adm_forecast (const adm_table_t *table, const adm_ask_t *ask, uint64_t now_ms)
 {
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -15,7 +15,8 @@
 static bool
 has_place (const adm_table_t *table, const adm_ask_t *ask, uint64_t now_ms)
 {
-  if (table->granted >= table->options.slots)
+  if (table->granted >= table->options.slots
+      || bkp_meter_wait_ms (&table->meter, 0, now_ms) > 0)
     return false;
   uint64_t limit = (uint64_t)(ADM_MEMORY_PART * table->options.kv_tokens);
   bool has_memory = table->options.kv_tokens == 0 || table->granted == 0
@@ -277,6 +278,7 @@
       adm_waiting_remove (table, ask);
       note_turn (table, ask, now_ms);
       ask->granted_ms = now_ms > 0 ? now_ms : 1;
+      bkp_meter_start (&table->meter, now_ms);
       table->granted++;
       table->granted_tokens += ask->tokens;
       ask->is_reading = true;
--- a/src/coordination/backpressure.c
+++ b/src/coordination/backpressure.c
@@ -1,5 +1,16 @@
 #include "coordination/backpressure.h"
 
+const quo_tolerance_t bkp_limit_tolerance
+    = { .window_s = 4, .overshoot = 0.5, .slack = 5 };
+
+/// Least rate at which a target is used.
+static const double LEAST_PER_S = 0.1;
+/// A limit beyond is none.
+static const double MOST_PER_S = 1e6;
+/// Requests that may start at one moment, beside those of this time.
+static const double BURST = 1;
+static const double BURST_S = 0.25;
+
 static bool
 is_same (const bkp_limit_t *a, const bkp_limit_t *b)
 {
@@ -20,11 +31,43 @@
 bkp_limit_heard (bkp_limit_t *limit, double per_s, uint64_t sent_ms,
                  uint64_t now_ms)
 {
-  bkp_limit_t stated = { .is_limited = per_s >= 0,
-                         .per_s = per_s >= 0 ? per_s : 0,
+  bool is_limited = per_s >= 0 && per_s <= MOST_PER_S;
+  bkp_limit_t stated = { .is_limited = is_limited,
+                         .per_s = is_limited ? per_s : 0,
                          // An answer without a limit may have been overtaken
                          // by one that states it, but was not given before
                          // its request was sent.
-                         .at_ms = per_s >= 0 ? now_ms : sent_ms };
+                         .at_ms = is_limited ? now_ms : sent_ms };
   return bkp_limit_told (limit, &stated);
 }
+
+double
+bkp_limit_rate_per_s (const bkp_limit_t *limit)
+{
+  return limit->per_s > LEAST_PER_S ? limit->per_s : LEAST_PER_S;
+}
+
+bool
+bkp_meter_told (bkp_meter_t *meter, const bkp_limit_t *told, uint64_t now_ms)
+{
+  if (!bkp_limit_told (&meter->limit, told))
+    return false;
+  double per_s = told->is_limited ? bkp_limit_rate_per_s (&meter->limit) : 0;
+  if (meter->starts.rate_per_s <= 0)
+    lim_bucket_init (&meter->starts, per_s, BURST, now_ms);
+  lim_bucket_set_rate (&meter->starts, per_s, BURST + BURST_S * per_s, now_ms);
+  return true;
+}
+
+uint64_t
+bkp_meter_wait_ms (const bkp_meter_t *meter, uint32_t ahead, uint64_t now_ms)
+{
+  return lim_bucket_wait_ms (&meter->starts, ahead + 1.0, now_ms);
+}
+
+void
+bkp_meter_start (bkp_meter_t *meter, uint64_t now_ms)
+{
+  uint64_t wait_ms;
+  lim_bucket_take (&meter->starts, now_ms, &wait_ms);
+}
--- a/src/coordination/backpressure.h
+++ b/src/coordination/backpressure.h
@@ -9,6 +9,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/quota.h"
+#include "state/limit.h"
+
 /// How many requests a target takes from all callers together.
 typedef struct
 {
@@ -27,4 +30,30 @@
 /// @return  As above.
 bool bkp_limit_told (bkp_limit_t *limit, const bkp_limit_t *told);
 
+/// How far a target may get more than it takes, whatever fails: over 4 s, half
+/// as much again and five requests.
+extern const quo_tolerance_t bkp_limit_tolerance;
+/// @return  What a limited target may get a second. One that takes nothing is
+///          still asked now and then: it could not take the limit back.
+double bkp_limit_rate_per_s (const bkp_limit_t *limit);
+
+/// Keeps the limit of a target whose callers all pass through this process.
+typedef struct
+{
+  bkp_limit_t limit;
+  lim_bucket_t starts;
+} bkp_meter_t;
+
+/// Take what is known of the limit; an older word changes nothing.
+/// @param now_ms  Of the clock that tells when requests start.
+/// @return        As bkp_limit_told.
+bool bkp_meter_told (bkp_meter_t *meter, const bkp_limit_t *told,
+                     uint64_t now_ms);
+/// @param ahead  Requests that start before.
+/// @return       Time until one more request may start.
+uint64_t bkp_meter_wait_ms (const bkp_meter_t *meter, uint32_t ahead,
+                            uint64_t now_ms);
+/// A request starts.
+void bkp_meter_start (bkp_meter_t *meter, uint64_t now_ms);
+
 #endif
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -1,5 +1,7 @@
 #include "coordination/place.h"
 
+#include <math.h>
+
 #include "coordination/reading.h"
 #include "state/buf.h"
 
@@ -134,15 +136,16 @@
 }
 
 /// Time until a place is free for one more request, when places are given back
-/// as fast as they were. A batch with 12 slots and twelve more requests before
-/// it costs a whole run; engines that held an adapter in demand were waited
-/// for until the requests were late, while half of the others were nearly
-/// empty.
+/// as fast as they were, and its limit lets it start. A batch with 12 slots
+/// and twelve more requests before it costs a whole run; engines that held an
+/// adapter in demand were waited for until the requests were late, while half
+/// of the others were nearly empty.
 static double
 place_wait_ms (const plc_view_t *v, double slots)
 {
   double ahead = (double)v->busy + v->waiting + 1 - slots;
-  return ahead > 0 ? ahead * v->held_for_ms / slots : 0;
+  double slot_ms = ahead > 0 ? ahead * v->held_for_ms / slots : 0;
+  return fmax (slot_ms, v->start_wait_ms);
 }
 
 /// Where an adapter is there, each request is drawn for itself. Where it would
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -30,6 +30,7 @@
   uint32_t busy;        ///< Places taken, with own requests since the report.
   uint32_t waiting;     ///< Requests that wait there.
   double held_for_ms;   ///< Mean time that a place is taken; zero: not known.
+  double start_wait_ms; ///< Until it takes one more request, by its limit.
   double tokens_per_ms; ///< Prompt tokens that it reads; zero: not known.
   double backlog_ms;    ///< Time to read the prompts that are there.
   double load_wait_ms;  ///< Until an adapter new to it would be held.
--- a/src/coordination/quota_lend.c
+++ b/src/coordination/quota_lend.c
@@ -154,11 +154,12 @@
 /// When all have started again, how many they are is not known either: those
 /// behind a cut may use the lenders that the asker does not hear.
 static double
-part_of (qln_account_t *account, const qln_ask_t *ask, uint64_t now_ms)
+part_of (const qln_lender_t *lender, qln_account_t *account,
+         const qln_ask_t *ask, uint64_t now_ms)
 {
   double part = settled_part_of (account, ask, now_ms);
   bool is_lost = qlg_unknown_sum (&account->ledger, now_ms) > 0;
-  return is_lost ? fmin (part, ask->reach) : part;
+  return is_lost || lender->keeps_to_reach ? fmin (part, ask->reach) : part;
 }
 
 /// A lower limit holds from now on. What was lent under the higher one counts
@@ -368,7 +369,7 @@
   take_past (lender, account, ask, now_ms);
   if (is_new)
     begin_level (lender, account, now_ms);
-  double part = part_of (account, ask, now_ms);
+  double part = part_of (lender, account, ask, now_ms);
   funds_t funds = count_funds (lender, account, part, ask->least, now_ms);
   double left = funds.left;
   qln_grant_t grant = {
--- a/src/coordination/quota_lend.h
+++ b/src/coordination/quota_lend.h
@@ -45,6 +45,10 @@
   kb_map_t accounts; ///< By workspace.
   uint64_t life;     ///< Another one after a restart, and no other lender's.
   uint64_t born_ms;  ///< What was lent before is not known.
+  /// Never lend more than the part of all lenders that the asker hears.
+  /// Without it that holds for a window after all have started again, which
+  /// must be longer than a cut that hides half of the lenders.
+  bool keeps_to_reach;
 } qln_lender_t;
 
 typedef struct
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -93,7 +93,7 @@
   gtw_gateway_t *gateway = arg;
   for (gtw_request_t *r = gtw_quota_next_decided (gateway); r != NULL;
        r = gtw_quota_next_decided (gateway))
-    gtw_request_next (r);
+    gtw_request_decided (r);
 }
 
 static void
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -478,6 +478,7 @@
           .expects_no_body = r->client->conn.parser.method == HTTP_HEAD };
   r->stage = r->is_head_written ? GTW_PASSING : GTW_SENT;
   r->sends++;
+  r->is_permit_used = true;
   r->sent_ms = gtw_now_ms (gateway);
   r->sent_boot_ms = tmr_boot_ms ();
   r->runs++;
--- a/src/gateway/gateway_backpressure.c
+++ b/src/gateway/gateway_backpressure.c
@@ -48,7 +48,63 @@
       return;
     }
   double per_s = answer->states_limit ? answer->limit_per_s : -1;
-  if (bkp_limit_heard (&r->target->limit, per_s, r->sent_boot_ms,
-                       tmr_boot_ms ()))
-    log_limit (r);
+  if (!bkp_limit_heard (&r->target->limit, per_s, r->sent_boot_ms,
+                        tmr_boot_ms ()))
+    return;
+  log_limit (r);
+  // Its sidecar is to know with the next tick.
+  r->target->told_ms = 0;
+}
+
+static uint64_t
+subject_key (const gtw_target_t *target)
+{
+  enum
+  {
+    SEED = 1, ///< Keys of workspaces have another one.
+  };
+  uint64_t parts[2] = { 0, target->belief.born_ms };
+  const char *id = target->told.who.id;
+  parts[0] = kb_hash (id, strlen (id), SEED);
+  return kb_hash (parts, sizeof parts, SEED) | 1;
+}
+
+static void
+use_quota (gtw_request_t *r)
+{
+  const gtw_target_t *target = r->target;
+  gtw_subject_t subject
+      = { .key = subject_key (target),
+          .name = target->told.who.id,
+          .is_target = true,
+          .limit = { .rate_per_s = bkp_limit_rate_per_s (&target->limit) },
+          .revision = target->limit.at_ms };
+  gtw_quota_use (r, &r->permit, &subject, 1);
+}
+
+qsp_verdict_t
+gtw_backpressure_take (gtw_request_t *r)
+{
+  if (r->permit.quota == NULL && !r->target->limit.is_limited)
+    return QSP_SPENT;
+  if (r->permit.quota == NULL)
+    use_quota (r);
+  qsp_verdict_t verdict = gtw_quota_take (&r->permit);
+  // Another target may take it sooner than a lender is there.
+  if (verdict == QSP_WAITS && !gtw_quota_has_lender (&r->permit))
+    verdict = QSP_UNKNOWN;
+  uint64_t wait_ms = gtw_quota_wait_ms (&r->permit);
+  bool is_sooner = r->limit_wait_ms == 0 || wait_ms < r->limit_wait_ms;
+  if (verdict == QSP_OVER && is_sooner)
+    r->limit_wait_ms = wait_ms > 0 ? wait_ms : 1;
+  return verdict;
+}
+
+uint64_t
+gtw_backpressure_wait_ms (const gtw_gateway_t *gateway,
+                          const gtw_target_t *target)
+{
+  return target->limit.is_limited
+             ? gtw_quota_subject_wait_ms (gateway, subject_key (target))
+             : 0;
 }
--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -112,6 +112,16 @@
   return target->backlog_ms + target->asked_tokens / rate;
 }
 
+/// Time until a target takes one more request, by the limit that it stated.
+static double
+start_wait_of (const gtw_gateway_t *gateway, const gtw_request_t *r,
+               const gtw_target_t *target)
+{
+  if (!r->is_engine)
+    return (double)gtw_backpressure_wait_ms (gateway, target);
+  return target->start_wait_ms + target->asked_since * target->start_every_ms;
+}
+
 static void
 describe (const gtw_gateway_t *gateway, const gtw_request_t *r,
           const gtw_target_t *target, uint32_t newest, plc_view_t *out)
@@ -130,6 +140,7 @@
     = r->is_engine ? target->granted + target->asked_since : target->active,
     .waiting = r->is_engine ? target->waiting : 0,
     .held_for_ms = r->is_engine ? target->held_for_ms : 0,
+    .start_wait_ms = start_wait_of (gateway, r, target),
     .tokens_per_ms = r->is_engine ? target->tokens_per_ms : 0,
     .load_wait_ms = target->load_wait_ms,
     .backlog_ms = r->is_engine ? backlog_of (target) : 0,
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -75,13 +75,15 @@
   uint32_t slots;
   uint32_t granted;
   uint32_t waiting;
-  uint32_t asked_since; ///< Own requests since that report.
-  double asked_tokens;  ///< Their prompts.
-  double backlog_ms;    ///< Time to read the prompts there.
-  double load_wait_ms;  ///< Until an adapter new to it would be held.
-  double held_for_ms;   ///< Mean time that a place there is taken.
-  double tokens_per_ms; ///< Prompts that it reads.
-  uint64_t list_stamp;  ///< Of these adapters, as the sidecar names them.
+  uint32_t asked_since;  ///< Own requests since that report.
+  double asked_tokens;   ///< Their prompts.
+  double backlog_ms;     ///< Time to read the prompts there.
+  double load_wait_ms;   ///< Until an adapter new to it would be held.
+  double held_for_ms;    ///< Mean time that a place there is taken.
+  double start_wait_ms;  ///< Until one more may start, by its limit.
+  double start_every_ms; ///< Between two starts by its limit; zero: none.
+  double tokens_per_ms;  ///< Prompts that it reads.
+  uint64_t list_stamp;   ///< Of these adapters, as the sidecar names them.
   msg_engine_adapter_t *adapters;
   uint32_t adapter_count;
   rct_recent_t recent;       ///< Adapters that it held.
@@ -165,6 +167,10 @@
   uint32_t sends;        ///< Times it was sent.
   uint64_t sent_ms;      ///< When it was sent last.
   uint64_t sent_boot_ms; ///< The same by the boot clock.
+  bool is_permit_used;
+  gtw_charge_t permit;    ///< Of the limit that a plain target stated.
+  uint64_t limit_wait_ms; ///< Until a limited target takes one; zero: none was
+                          ///< asked.
   xch_t exchange;
   tmr_sub_t timer;   ///< Deadline and timeout.
   tmr_sub_t silence; ///< No answer, no event, or a pause.
@@ -271,10 +277,10 @@
   uint32_t client_count;
   gtw_request_t *requests;
   uint32_t request_count;
-  uint64_t newest_key;    ///< Of the newest target.
-  kb_map_t quotas;        ///< gtw_quota_t by the key of their workspace.
-  gtw_request_t *decided; ///< Wait for credit no longer.
-  tmr_fn_t on_decided;    ///< Goes on with them.
+  uint64_t newest_key;   ///< Of the newest target.
+  kb_map_t quotas;       ///< gtw_quota_t by the key of their workspace.
+  gtw_charge_t *decided; ///< Wait for credit no longer.
+  tmr_fn_t on_decided;   ///< Goes on with them.
   tmr_sub_t decided_timer;
   uint64_t heard_set;    ///< Hash of the sidecars that are heard.
   uint64_t heard_set_ms; ///< When it changed last.
@@ -355,6 +361,8 @@
 void gtw_request_end (gtw_request_t *r);
 /// Choose a target and ask or send.
 void gtw_request_next (gtw_request_t *r);
+/// Go on with a request that waits for credit no longer.
+void gtw_request_decided (gtw_request_t *r);
 /// Try again for all requests that found no usable target.
 void gtw_requests_retry (gtw_gateway_t *gateway);
 /// Answer with a failure of the system's own.
@@ -417,6 +425,12 @@
 // gateway_backpressure.c
 /// Take what the present target says about itself in an answer's head.
 void gtw_backpressure_note (gtw_request_t *r, const rly_answer_t *answer);
+/// Take a permit of the present target, which is plain, or learn what became
+/// of it.
+qsp_verdict_t gtw_backpressure_take (gtw_request_t *r);
+/// @return  Time until a plain target takes one more request.
+uint64_t gtw_backpressure_wait_ms (const gtw_gateway_t *gateway,
+                                   const gtw_target_t *target);
 
 // gateway_budget.c
 void gtw_budget_note_first (gtw_gateway_t *gateway, const char *service);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -36,6 +36,18 @@
     }
 }
 
+/// A limit of zero is told as the smallest one.
+static uint64_t
+limit_milli (const bkp_limit_t *limit)
+{
+  enum
+  {
+    MILLI = 1000,
+  };
+  uint64_t milli = (uint64_t)(limit->per_s * MILLI);
+  return limit->is_limited && milli == 0 ? 1 : milli;
+}
+
 void
 gtw_tell_sidecar (gtw_gateway_t *gateway, gtw_target_t *target)
 {
@@ -45,6 +57,7 @@
   gtw_quotas_pack_elsewhere (
       gateway, gtw_link_key (kb_slice_str (target->link)), &elsewhere);
   target->told_ms = gtw_now_ms (gateway);
+  const bkp_limit_t *limit = &target->limit;
   msg_t msg
       = { .type = MSG_GATEWAY_STATE,
           .gateway_state
@@ -57,6 +70,8 @@
               .quarantine_stamp = qrt_stamp (&gateway->quarantine),
               .gateway_peak = gateway->peak.count,
               .gateway_peak_age_ms = tmr_boot_ms () - gateway->peak.seen_ms,
+              .limit_milli = limit_milli (limit),
+              .limit_age_ms = tmr_boot_ms () - limit->at_ms,
               .lent_elsewhere = kb_buf_slice (&elsewhere),
               .places = kb_buf_slice (&places) } };
   if (hst_send (&gateway->host, target->link, &msg) != KB_OK)
@@ -323,6 +338,8 @@
   target->backlog_ms = (double)state->backlog_us / 1000;
   target->load_wait_ms = (double)state->load_wait_ms;
   target->held_for_ms = (double)state->held_for_ms;
+  target->start_wait_ms = (double)state->start_wait_ms;
+  target->start_every_ms = (double)state->start_every_ms;
   target->tokens_per_ms = (double)state->tokens_per_s / 1000;
   if (state->gateway_count > 0)
     gateway->gateway_count = (uint32_t)state->gateway_count;
--- a/src/gateway/gateway_quota.c
+++ b/src/gateway/gateway_quota.c
@@ -26,11 +26,18 @@
   uint64_t life; ///< Of the sidecar's process.
 } place_t;
 
-static gtw_request_t *
-request_of (qsp_waiter_t *waiter)
+static gtw_charge_t *
+charge_of (qsp_waiter_t *waiter)
 {
-  return (gtw_request_t *)((char *)waiter
-                           - offsetof (gtw_request_t, charge.waiter));
+  return (gtw_charge_t *)((char *)waiter - offsetof (gtw_charge_t, waiter));
+}
+
+/// Clocks of two VMs tell nothing to each other: of a target, the age of the
+/// limit is sent.
+static uint64_t
+revision_to_send (const gtw_quota_t *quota, const qln_ask_t *ask)
+{
+  return quota->is_of_target ? tmr_boot_ms () - ask->revision : ask->revision;
 }
 
 static void
@@ -42,8 +49,9 @@
   msg_t msg = { .type = MSG_QUOTA_ASK,
                 .quota_ask
                 = { .id = id,
-                    .workspace = ask->workspace,
-                    .revision = ask->revision,
+                    .subject = ask->workspace,
+                    .is_of_target = quota->is_of_target,
+                    .revision = revision_to_send (quota, ask),
                     .rate_milli = (uint64_t)(ask->limit.rate_per_s * MILLI),
                     .burst_milli = (uint64_t)(ask->limit.burst * MILLI),
                     .least_milli = (uint64_t)(ask->least * MILLI),
@@ -69,15 +77,15 @@
 note_decided (qsp_purse_t *purse, qsp_waiter_t *waiter, qsp_verdict_t verdict)
 {
   gtw_gateway_t *gateway = ((gtw_quota_t *)purse)->gateway;
-  gtw_request_t *r = request_of (waiter);
-  r->charge.verdict = verdict;
-  r->charge.taken_ms = tmr_boot_ms ();
-  r->charge.is_decided = true;
-  r->charge.next_decided = NULL;
-  gtw_request_t **at = &gateway->decided;
+  gtw_charge_t *charge = charge_of (waiter);
+  charge->verdict = verdict;
+  charge->taken_ms = tmr_boot_ms ();
+  charge->is_decided = true;
+  charge->next_decided = NULL;
+  gtw_charge_t **at = &gateway->decided;
   while (*at != NULL)
-    at = &(*at)->charge.next_decided;
-  *at = r;
+    at = &(*at)->next_decided;
+  *at = charge;
   tmr_after (&gateway->host.timers, &gateway->decided_timer, DECIDED_MS,
              gateway->on_decided, gateway);
 }
@@ -87,22 +95,22 @@
 gtw_request_t *
 gtw_quota_next_decided (gtw_gateway_t *gateway)
 {
-  gtw_request_t *r = gateway->decided;
-  if (r == NULL)
+  gtw_charge_t *charge = gateway->decided;
+  if (charge == NULL)
     return NULL;
-  gateway->decided = r->charge.next_decided;
-  r->charge.is_decided = false;
-  return r;
+  gateway->decided = charge->next_decided;
+  charge->is_decided = false;
+  return charge->request;
 }
 
 static void
-forget_decided (gtw_gateway_t *gateway, gtw_request_t *r)
+forget_decided (gtw_gateway_t *gateway, gtw_charge_t *charge)
 {
-  gtw_request_t **at = &gateway->decided;
-  while (*at != r)
-    at = &(*at)->charge.next_decided;
-  *at = r->charge.next_decided;
-  r->charge.is_decided = false;
+  gtw_charge_t **at = &gateway->decided;
+  while (*at != charge)
+    at = &(*at)->next_decided;
+  *at = charge->next_decided;
+  charge->is_decided = false;
 }
 
 static quo_tolerance_t
@@ -120,27 +128,29 @@
 }
 
 static bool
-is_young (const gtw_gateway_t *gateway)
+is_young (const gtw_gateway_t *gateway, const quo_tolerance_t *tolerance)
 {
-  quo_tolerance_t tolerance = tolerance_of (&gateway->host.settings);
-  return tmr_boot_ms () - gateway->born_ms < quo_window_ms (&tolerance);
+  return tmr_boot_ms () - gateway->born_ms < quo_window_ms (tolerance);
 }
 
 static gtw_quota_t *
-quota_open (gtw_gateway_t *gateway, const char *name)
+quota_open (gtw_gateway_t *gateway, const gtw_subject_t *subject)
 {
-  uint64_t workspace = workspace_key (name);
   gtw_quota_t *quota = kb_alloc (sizeof *quota);
-  *quota = (gtw_quota_t){ .gateway = gateway };
-  snprintf (quota->name, sizeof quota->name, "%s", name);
+  *quota = (gtw_quota_t){ .gateway = gateway,
+                          .is_of_target = subject->is_target };
+  snprintf (quota->name, sizeof quota->name, "%s", subject->name);
   qsp_options_t options
-      = { .workspace = workspace,
-          .tolerance = tolerance_of (&gateway->host.settings),
+      = { .workspace = subject->key,
+          .tolerance = subject->is_target
+                           ? bkp_limit_tolerance
+                           : tolerance_of (&gateway->host.settings),
           .first_id = gateway->host.incarnation >> 32,
-          .born_ms = gateway->born_ms,
-          .past = is_young (gateway) ? QLN_PAST_LOST : QLN_PAST_NONE };
+          .born_ms = gateway->born_ms };
+  options.past
+      = is_young (gateway, &options.tolerance) ? QLN_PAST_LOST : QLN_PAST_NONE;
   qsp_init (&quota->purse, &purse_events, gateway, &options, tmr_boot_ms ());
-  kb_map_put (&gateway->quotas, workspace, quota);
+  kb_map_put (&gateway->quotas, subject->key, quota);
   return quota;
 }
 
@@ -217,7 +227,7 @@
   if (!log_begin (&line, LOG_INFO, "gateway", "quota_lender"))
     return;
   const gtw_target_t *lender = kb_map_get (&gateway->links, first.link);
-  log_text (&line, "workspace", quota->name);
+  log_text (&line, quota->is_of_target ? "target" : "workspace", quota->name);
   log_text (&line, "sidecar", lender == NULL ? "" : lender->link);
   log_int (&line, "rate_per_s", (int64_t)quota->purse.limit.rate_per_s);
   log_int (&line, "burst", (int64_t)quota->purse.limit.burst);
@@ -225,34 +235,42 @@
 }
 
 void
-gtw_quota_charge (gtw_request_t *r, const wsp_workspace_t *workspace)
+gtw_quota_use (gtw_request_t *r, gtw_charge_t *charge,
+               const gtw_subject_t *subject, double amount)
 {
-  const wsp_limit_t *limit = &workspace->limit;
-  if (limit->rate_per_s <= 0)
-    return;
   gtw_gateway_t *gateway = r->gateway;
-  gtw_quota_t *quota
-      = kb_map_get (&gateway->quotas, workspace_key (workspace->name));
+  gtw_quota_t *quota = kb_map_get (&gateway->quotas, subject->key);
   bool is_new = quota == NULL;
   if (is_new)
-    quota = quota_open (gateway, workspace->name);
-  quo_limit_t told = { limit->rate_per_s, limit->burst };
-  qsp_set_limit (&quota->purse, &told, gateway->config->revision);
+    quota = quota_open (gateway, subject);
+  qsp_set_limit (&quota->purse, &subject->limit, subject->revision);
   if (is_new)
     follow_lender (quota, tmr_boot_ms ());
   quota->users++;
+  *charge = (gtw_charge_t){
+    .quota = quota, .request = r, .amount = amount, .verdict = QSP_WAITS
+  };
+}
+
+void
+gtw_quota_charge (gtw_request_t *r, const wsp_workspace_t *workspace)
+{
+  const wsp_limit_t *limit = &workspace->limit;
+  if (limit->rate_per_s <= 0)
+    return;
+  gtw_subject_t subject = { .key = workspace_key (workspace->name),
+                            .name = workspace->name,
+                            .limit = { limit->rate_per_s, limit->burst },
+                            .revision = r->gateway->config->revision };
   double tokens = r->said.states_tokens ? (double)r->said.prompt_tokens
                                               + (double)r->said.output_tokens
                                         : (double)limit->plain_tokens;
-  r->charge = (gtw_charge_t){ .quota = quota,
-                              .amount = limit->counts_tokens ? tokens : 1,
-                              .verdict = QSP_WAITS };
+  gtw_quota_use (r, &r->charge, &subject, limit->counts_tokens ? tokens : 1);
 }
 
 qsp_verdict_t
-gtw_quota_take (gtw_request_t *r)
+gtw_quota_take (gtw_charge_t *charge)
 {
-  gtw_charge_t *charge = &r->charge;
   if (charge->quota == NULL)
     return QSP_SPENT;
   if (charge->is_asked)
@@ -264,22 +282,34 @@
   return charge->verdict;
 }
 
+bool
+gtw_quota_has_lender (const gtw_charge_t *charge)
+{
+  return charge->quota->purse.lender.id != 0;
+}
+
+uint64_t
+gtw_quota_wait_ms (const gtw_charge_t *charge)
+{
+  return qsp_wait_ms (&charge->quota->purse, tmr_boot_ms ());
+}
+
 uint64_t
-gtw_quota_wait_ms (const gtw_request_t *r)
+gtw_quota_subject_wait_ms (const gtw_gateway_t *gateway, uint64_t subject)
 {
-  return qsp_wait_ms (&r->charge.quota->purse, tmr_boot_ms ());
+  const gtw_quota_t *quota = kb_map_get (&gateway->quotas, subject);
+  return quota == NULL ? 0 : qsp_wait_ms (&quota->purse, tmr_boot_ms ());
 }
 
 void
-gtw_quota_release (gtw_request_t *r, bool has_not_run)
+gtw_quota_release (gtw_charge_t *charge, bool has_not_run)
 {
-  gtw_charge_t *charge = &r->charge;
   gtw_quota_t *quota = charge->quota;
   if (quota == NULL)
     return;
   qsp_leave (&quota->purse, &charge->waiter);
   if (charge->is_decided)
-    forget_decided (r->gateway, r);
+    forget_decided (quota->gateway, charge);
   bool is_spent = charge->is_asked && charge->verdict == QSP_SPENT;
   if (is_spent && has_not_run)
     qsp_give_back (&quota->purse, charge->amount, charge->taken_ms);
@@ -290,7 +320,7 @@
 void
 gtw_quota_granted (gtw_gateway_t *gateway, const msg_quota_grant_t *given)
 {
-  gtw_quota_t *quota = kb_map_get (&gateway->quotas, given->workspace);
+  gtw_quota_t *quota = kb_map_get (&gateway->quotas, given->subject);
   if (quota == NULL)
     return;
   qln_grant_t grant = { .granted = (double)given->granted_milli / MILLI,
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -207,6 +207,7 @@
   tmr_cancel (&r->gateway->host.timers, &r->silence);
   xch_cancel (&r->exchange);
   gtw_place_release (r);
+  gtw_quota_release (&r->permit, !r->is_permit_used);
   if (r->target != NULL)
     r->target->active--;
   r->target = NULL;
@@ -217,7 +218,7 @@
 {
   gtw_gateway_t *gateway = r->gateway;
   bool was_sent = r->stage == GTW_SENT || r->stage == GTW_PASSING;
-  gtw_quota_release (r, r->is_refused || !was_sent);
+  gtw_quota_release (&r->charge, r->is_refused || !was_sent);
   gtw_request_leave_target (r);
   tmr_cancel (&gateway->host.timers, &r->timer);
   request_unlink (gateway, r);
@@ -364,6 +365,8 @@
   bool is_service_down = r->reason[0] == '\0';
   if (is_service_down && (r->is_engine || !r->gateway->are_targets_known))
     request_wait (r, "no_target");
+  else if (r->limit_wait_ms > 0)
+    gtw_request_refuse (r, "target_limit", r->limit_wait_ms);
   else
     gtw_request_refuse (r, is_service_down ? "no_target" : r->reason,
                         outage_retry_after_ms (r));
@@ -397,7 +400,7 @@
 static void
 request_refuse_over (gtw_request_t *r)
 {
-  uint64_t wait_ms = gtw_quota_wait_ms (r);
+  uint64_t wait_ms = gtw_quota_wait_ms (&r->charge);
   if (wait_ms < OVER_LEAST_MS)
     wait_ms = OVER_LEAST_MS;
   wait_ms += (uint64_t)rand () % (wait_ms / 2);
@@ -409,7 +412,7 @@
 static bool
 request_take_quota (gtw_request_t *r)
 {
-  switch (gtw_quota_take (r))
+  switch (gtw_quota_take (&r->charge))
     {
     case QSP_SPENT:
       return true;
@@ -438,6 +441,43 @@
     }
 }
 
+/// Send to a plain target, once its limit has room.
+static void
+request_send_plain (gtw_request_t *r)
+{
+  switch (gtw_backpressure_take (r))
+    {
+    case QSP_SPENT:
+      gtw_answer_send (r);
+      return;
+    case QSP_WAITS:
+      r->stage = GTW_BORROWING;
+      return;
+    case QSP_OVER:
+    case QSP_UNKNOWN:
+      break;
+    }
+  r->reason = "target_limit";
+  gtw_request_exclude (r);
+  gtw_request_leave_target (r);
+  gtw_request_next (r);
+}
+
+void
+gtw_request_decided (gtw_request_t *r)
+{
+  const gtw_target_t *target = r->target;
+  if (target == NULL)
+    gtw_request_next (r);
+  else if (target->is_listed && !target->told.is_leaving)
+    request_send_plain (r);
+  else
+    {
+      gtw_request_leave_target (r);
+      gtw_request_next (r);
+    }
+}
+
 void
 gtw_request_next (gtw_request_t *r)
 {
@@ -471,8 +511,9 @@
   r->target = target;
   target->active++;
   gtw_log_choice (r);
+  r->is_permit_used = false;
   if (r->is_engine)
     gtw_place_ask (r);
   else
-    gtw_answer_send (r);
+    request_send_plain (r);
 }
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -52,6 +52,8 @@
   target->granted = from->granted;
   target->waiting = from->waiting;
   target->held_for_ms = from->held_for_ms;
+  target->start_wait_ms = from->start_wait_ms;
+  target->start_every_ms = from->start_every_ms;
   target->tokens_per_ms = from->tokens_per_ms;
   target->list_stamp = from->list_stamp;
   free (target->adapters);
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -297,6 +297,9 @@
   uint64_t quarantine_stamp; ///< Of the requests it keeps from targets.
   uint64_t gateway_peak;     ///< Most gateways that were there of late.
   uint64_t gateway_peak_age_ms;
+  /// Requests that the engine stated to take in 1,000 s; zero: it stated none.
+  uint64_t limit_milli;
+  uint64_t limit_age_ms; ///< How old that is.
   /// Hashes of the workspaces for which it borrows from another sidecar,
   /// although this one would lend if that one did not, 64 bits each.
   kb_slice_t lent_elsewhere;
@@ -331,13 +334,15 @@
   uint64_t granted; ///< Places given, or held by runs.
   uint64_t waiting; ///< Requests that wait for a place or a load.
   uint64_t gateway_count;
-  uint64_t backlog_us;       ///< Time to read the prompts that are accepted.
-  uint64_t tokens_per_s;     ///< Prompt tokens the engine reads.
-  uint64_t load_wait_ms;     ///< Until an adapter new to it would be held.
-  uint64_t held_for_ms;      ///< Mean time from a grant to its release.
-  kb_slice_t instance;       ///< Id of the engine, or empty.
-  uint64_t born_ms;          ///< Its birth; zero: not known.
-  uint64_t list_stamp;       ///< Of the adapters it holds; changes with them.
+  uint64_t backlog_us;     ///< Time to read the prompts that are accepted.
+  uint64_t tokens_per_s;   ///< Prompt tokens the engine reads.
+  uint64_t load_wait_ms;   ///< Until an adapter new to it would be held.
+  uint64_t held_for_ms;    ///< Mean time from a grant to its release.
+  uint64_t start_wait_ms;  ///< Until one more request may start, by its limit.
+  uint64_t start_every_ms; ///< Between two starts by its limit; zero: none.
+  kb_slice_t instance;     ///< Id of the engine, or empty.
+  uint64_t born_ms;        ///< Its birth; zero: not known.
+  uint64_t list_stamp;     ///< Of the adapters it holds; changes with them.
   uint64_t quarantine_stamp; ///< Of what it knows of such requests.
   uint64_t gateway_peak;     ///< Most gateways that were there of late.
   uint64_t gateway_peak_age_ms;
@@ -459,13 +464,16 @@
   kb_slice_t words; ///< Packed, see coordination/quarantine.h.
 } msg_quarantine_t;
 
-/// A gateway asks a sidecar for credit of a workspace's quota. Amounts are in
-/// thousandths of its unit.
+/// A gateway asks a sidecar for credit of a quota, of a workspace or of a
+/// target that states a limit. Amounts are in thousandths of its unit.
 typedef struct
 {
   uint64_t id;
-  uint64_t workspace;  ///< Hash of its name.
-  uint64_t revision;   ///< Of the configuration that says the limit.
+  uint64_t subject;      ///< Hash of the workspace's name, or of the target.
+  uint64_t is_of_target; ///< Else of a workspace.
+  /// Of the configuration that says the limit; of a target's limit, its age in
+  /// milliseconds.
+  uint64_t revision;
   uint64_t rate_milli; ///< A second.
   uint64_t burst_milli;
   uint64_t least_milli; ///< For the first request that waits.
@@ -485,7 +493,7 @@
 typedef struct
 {
   uint64_t id;
-  uint64_t workspace;
+  uint64_t subject;
   uint64_t granted_milli;
   uint64_t lasts_ms; ///< From when it was asked for.
   uint64_t wait_ms;  ///< Until there is more; zero: as much as was wanted.
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -285,6 +285,8 @@
   s->identified_ms = 0;
   lto_restarted (&s->late_orders);
   adm_engine_restarted (&s->table);
+  bkp_limit_t none = { .at_ms = tmr_boot_ms () };
+  bkp_meter_told (&s->table.meter, &none, scr_now_ms (s));
   scr_state_changed (s);
 }
 
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -11,6 +11,7 @@
 {
   /// A gateway that reads the store itself has a new configuration by then.
   HELP_AFTER_MS = 300,
+  MILLI = 1000,
 };
 
 const svc_service_t *
@@ -191,6 +192,28 @@
   log_end (&line);
 }
 
+/// What the engine stated in an answer that this gateway passed on.
+static void
+take_limit (scr_sidecar_t *s, const msg_gateway_state_t *state)
+{
+  uint64_t now_ms = tmr_boot_ms ();
+  bkp_limit_t told
+      = { .is_limited = state->limit_milli > 0,
+          .per_s = (double)state->limit_milli / MILLI,
+          .at_ms
+          = now_ms > state->limit_age_ms ? now_ms - state->limit_age_ms : 0 };
+  if (!bkp_meter_told (&s->table.meter, &told, scr_now_ms (s)))
+    return;
+  scr_state_changed (s);
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "sidecar", "engine_limit"))
+    return;
+  log_int (&line, "is_limited", told.is_limited);
+  log_int (&line, "per_1000_s", (int64_t)state->limit_milli);
+  log_int (&line, "waiting", s->table.waiting);
+  log_end (&line);
+}
+
 static void
 take_gateway_state (scr_sidecar_t *s, kb_slice_t peer,
                     const msg_gateway_state_t *state)
@@ -212,6 +235,7 @@
   help_gateway (s, gateway);
   scr_quarantine_help (s, gateway, state->quarantine_stamp);
   scr_quota_take_state (s, gateway->id, state);
+  take_limit (s, state);
   reconcile_places (s, peer, state->places);
   if (is_new)
     scr_tell_state (s, gateway);
--- a/src/sidecar/sidecar_quota.c
+++ b/src/sidecar/sidecar_quota.c
@@ -1,5 +1,6 @@
 /// @file sidecar_quota.c
-/// Credit of workspaces' quotas that this sidecar lends to gateways.
+/// Credit that this sidecar lends to gateways: of workspaces' quotas, and of
+/// what plain targets take.
 #include "sidecar/sidecar_defs.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -17,6 +18,9 @@
                                 .overshoot = settings->quota_overshoot,
                                 .slack = settings->quota_slack };
   qln_init (&s->lender, &tolerance, s->host.incarnation, tmr_boot_ms ());
+  qln_init (&s->limits, &bkp_limit_tolerance, s->host.incarnation,
+            tmr_boot_ms ());
+  s->limits.keeps_to_reach = true;
   qof_init (&s->office, tmr_boot_ms ());
 }
 
@@ -42,13 +46,22 @@
   if (!log_begin (&line, LOG_WARN, "sidecar", "quota_ask_refused"))
     return;
   log_str (&line, "gateway", peer);
-  log_int (&line, "workspace", (int64_t)given->workspace);
+  log_int (&line, "subject", (int64_t)given->subject);
   log_int (&line, "rate_milli", (int64_t)given->rate_milli);
   log_int (&line, "least_milli", (int64_t)given->least_milli);
   log_int (&line, "want_milli", (int64_t)given->want_milli);
   log_end (&line);
 }
 
+/// When a target's limit was known to hold, by the own clock.
+static uint64_t
+revision_of (const msg_quota_ask_t *given, uint64_t now_ms)
+{
+  if (!given->is_of_target)
+    return given->revision;
+  return now_ms > given->revision ? now_ms - given->revision : 0;
+}
+
 static qln_ask_t
 ask_of (scr_sidecar_t *s, uint64_t gateway, const msg_quota_ask_t *given,
         uint64_t now_ms)
@@ -57,8 +70,8 @@
                  given->gateway_peak_age_ms, now_ms);
   uint32_t asker = qof_hear (&s->office, gateway, now_ms);
   return (qln_ask_t){
-    .workspace = given->workspace,
-    .revision = given->revision,
+    .workspace = given->subject,
+    .revision = revision_of (given, now_ms),
     .limit = { .rate_per_s = (double)given->rate_milli / MILLI,
                .burst = (double)given->burst_milli / MILLI },
     .least = (double)given->least_milli / MILLI,
@@ -72,7 +85,7 @@
     .uptime_ms = given->uptime_ms,
     .reach = (double)given->reach_milli / MILLI,
     .asker = asker,
-    .share = qof_share (&s->office, given->workspace, gateway, now_ms),
+    .share = qof_share (&s->office, given->subject, gateway, now_ms),
   };
 }
 
@@ -87,11 +100,12 @@
       return;
     }
   kb_buf_t ledger = { 0 };
-  qln_grant_t grant = qln_lend (&s->lender, &ask, &ledger, now_ms);
+  qln_lender_t *lender = given->is_of_target ? &s->limits : &s->lender;
+  qln_grant_t grant = qln_lend (lender, &ask, &ledger, now_ms);
   msg_t msg
       = { .type = MSG_QUOTA_GRANT,
           .quota_grant = { .id = given->id,
-                           .workspace = given->workspace,
+                           .subject = given->subject,
                            .granted_milli = (uint64_t)(grant.granted * MILLI),
                            .lasts_ms = grant.lasts_ms,
                            .wait_ms = grant.wait_ms,
--- a/src/sidecar/sidecar_tell.c
+++ b/src/sidecar/sidecar_tell.c
@@ -67,6 +67,16 @@
   scr_send (s, gateway, msg);
 }
 
+/// Time between two starts by the engine's limit; zero: it has none.
+static uint64_t
+start_every_ms (const scr_sidecar_t *s)
+{
+  const bkp_limit_t *limit = &s->table.meter.limit;
+  return limit->is_limited
+             ? (uint64_t)(MS_PER_S / bkp_limit_rate_per_s (limit))
+             : 0;
+}
+
 /// Tell one gateway, or all.
 void
 scr_tell_state (scr_sidecar_t *s, scr_gateway_t *only)
@@ -88,6 +98,9 @@
         .tokens_per_s = (uint64_t)(s->table.reading.tokens_per_ms * MS_PER_S),
         .load_wait_ms = adm_new_load_wait_ms (&s->table, scr_now_ms (s)),
         .held_for_ms = (uint64_t)s->table.held_for_ms,
+        .start_wait_ms = bkp_meter_wait_ms (&s->table.meter, s->table.waiting,
+                                            scr_now_ms (s)),
+        .start_every_ms = start_every_ms (s),
         .instance = kb_slice_str (s->who.id),
         .born_ms = s->who.born_ms,
         .quarantine_stamp = qrt_stamp (&s->quarantine),
--- a/src/state/buf.c
+++ b/src/state/buf.c
@@ -148,3 +148,19 @@
 {
   return XXH3_64bits_withSeed (bytes, len_bytes, seed);
 }
+
+bool
+kb_slice_decimal (kb_slice_t text, double *out)
+{
+  char digits[32];
+  if (text.len_bytes == 0 || text.len_bytes >= sizeof digits)
+    return false;
+  kb_slice_copy (text, digits, sizeof digits);
+  size_t whole = strspn (digits, "0123456789");
+  size_t point = digits[whole] == '.';
+  size_t part = strspn (digits + whole + point, "0123456789");
+  if (whole + part == 0 || whole + point + part != text.len_bytes)
+    return false;
+  *out = strtod (digits, NULL);
+  return true;
+}
--- a/src/state/limit.c
+++ b/src/state/limit.c
@@ -10,6 +10,40 @@
                             .filled_ms = now_ms };
 }
 
+enum
+{
+  MS_PER_S = 1000,
+};
+
+static double
+tokens_at (const lim_bucket_t *bucket, uint64_t now_ms)
+{
+  double added
+      = (double)(now_ms - bucket->filled_ms) * bucket->rate_per_s / MS_PER_S;
+  double tokens = bucket->tokens + added;
+  return tokens < bucket->burst ? tokens : bucket->burst;
+}
+
+uint64_t
+lim_bucket_wait_ms (const lim_bucket_t *bucket, double tokens, uint64_t now_ms)
+{
+  double lacking = tokens - tokens_at (bucket, now_ms);
+  if (bucket->rate_per_s <= 0 || lacking <= 0)
+    return 0;
+  return (uint64_t)(lacking * MS_PER_S / bucket->rate_per_s) + 1;
+}
+
+void
+lim_bucket_set_rate (lim_bucket_t *bucket, double rate_per_s, double burst,
+                     uint64_t now_ms)
+{
+  double tokens = tokens_at (bucket, now_ms);
+  *bucket = (lim_bucket_t){ .tokens = tokens < burst ? tokens : burst,
+                            .burst = burst,
+                            .rate_per_s = rate_per_s,
+                            .filled_ms = now_ms };
+}
+
 bool
 lim_bucket_take (lim_bucket_t *bucket, uint64_t now_ms,
                  uint64_t *retry_after_ms)
@@ -17,18 +51,14 @@
   *retry_after_ms = 0;
   if (bucket->rate_per_s <= 0)
     return true;
-  double add
-      = (double)(now_ms - bucket->filled_ms) / 1000 * bucket->rate_per_s;
-  bucket->tokens = bucket->tokens + add < bucket->burst ? bucket->tokens + add
-                                                        : bucket->burst;
+  bucket->tokens = tokens_at (bucket, now_ms);
   bucket->filled_ms = now_ms;
   if (bucket->tokens >= 1)
     {
       bucket->tokens -= 1;
       return true;
     }
-  *retry_after_ms
-      = (uint64_t)((1 - bucket->tokens) / bucket->rate_per_s * 1000) + 1;
+  *retry_after_ms = lim_bucket_wait_ms (bucket, 1, now_ms);
   return false;
 }
 
--- a/src/state/limit.h
+++ b/src/state/limit.h
@@ -22,6 +22,12 @@
 /// @param retry_after_ms  When refused: when a token will be there.
 bool lim_bucket_take (lim_bucket_t *bucket, uint64_t now_ms,
                       uint64_t *retry_after_ms);
+/// @return  Time until a number of tokens is there that may exceed the burst.
+uint64_t lim_bucket_wait_ms (const lim_bucket_t *bucket, double tokens,
+                             uint64_t now_ms);
+/// Go on at another rate with the tokens that are there.
+void lim_bucket_set_rate (lim_bucket_t *bucket, double rate_per_s,
+                          double burst, uint64_t now_ms);
 
 /// Retries may be at most a share of recent first attempts, so that overload
 /// is not multiplied by the attempts to escape it.
--- a/test/model/quota_model_test.cc
+++ b/test/model/quota_model_test.cc
@@ -8,6 +8,11 @@
 
 #include "quota_world.h"
 
+extern "C"
+{
+#include "coordination/backpressure.h"
+}
+
 namespace lab
 {
 namespace
@@ -132,6 +137,52 @@
   EXPECT_EQ (play_quota (o).broken, "");
 }
 
+/// What a plain target takes a second, from callers that want far more.
+QuotaOptions
+limited_target (double per_s, uint64_t seed)
+{
+  QuotaOptions o = pressed (seed);
+  o.limit = { per_s, 0 };
+  o.tolerance = bkp_limit_tolerance;
+  o.keeps_to_reach = true;
+  // Each request counts one.
+  o.mean_request = 0.25;
+  return o;
+}
+
+TEST (QuotaModel, ATargetGetsNoMoreThanItTakesWhateverFails)
+{
+  for (double per_s : { 0.1, 4.0, 40.0 })
+    {
+      double worst = 0;
+      for (uint64_t seed = 1; seed <= SCHEDULES / 3; seed++)
+        {
+          QuotaOutcome out = play_quota (limited_target (per_s, seed));
+          worst = std::max (worst, out.worst_window);
+          ASSERT_EQ (out.broken, "")
+              << per_s << " " << story_of (limited_target (per_s, seed));
+        }
+      printf ("%.1f a second: worst window %.3f of what is allowed\n", per_s,
+              worst);
+    }
+}
+
+TEST (QuotaModel, ATargetGetsMostOfWhatItTakes)
+{
+  for (auto [gateways, part] :
+       { std::pair (1u, 0.85), { 8u, 0.85 }, { 70u, 0.7 } })
+    {
+      QuotaOptions o = limited_target (4, 1);
+      o.gateways = gateways;
+      o.events.clear ();
+      QuotaOutcome out = play_quota (o);
+      printf ("%u gateways: %.0f of %.0f, %.0f bytes/s a pair\n", gateways,
+              out.admitted, 4.0 * (double)o.end_ms / 1000,
+              out.bytes / out.pair_seconds);
+      EXPECT_GE (out.admitted, part * 4 * (double)o.end_ms / 1000);
+    }
+}
+
 void
 expect_found (QuotaPlanted planted, uint32_t turns = 0)
 {
--- a/test/relay/limit_failure_test.cc
+++ b/test/relay/limit_failure_test.cc
@@ -1,6 +1,8 @@
 // Targets that state how many requests a second they take from all gateways.
 #include <gtest/gtest.h>
 
+#include <signal.h>
+
 #include "load.h"
 
 namespace relay
@@ -44,9 +46,13 @@
   Moment binds
       = std::chrono::steady_clock::now () + milliseconds (kBindsAfterMs);
   std::this_thread::sleep_for (milliseconds (kBindsAfterMs + 2 * kWindowMs));
-  load.stop ();
-  EXPECT_LE (most_in (arrivals_at (limited), binds, kWindowMs),
-             allowed (per_s));
+  Load::Counts counts = load.stop ();
+  int most = most_in (arrivals_at (limited), binds, kWindowMs);
+  printf ("%d of %d in %d ms\n", most, allowed (per_s), kWindowMs);
+  EXPECT_LE (most, allowed (per_s));
+  // It is used, and the other targets serve what it does not take.
+  EXPECT_GE (most, (int)(per_s * kWindowMs / 1000 / 2));
+  EXPECT_EQ (counts.refused + counts.other, 0);
 }
 
 // Guards against a limit of an engine that each gateway, or none, keeps.
@@ -63,5 +69,116 @@
   expect_limit_holds (site, *site.plain[0], plain, 5);
 }
 
+/// One after the other: the agent beside the limited engine, agents that lend
+/// permits, gateways, the store.
+void
+let_daemons_fail (Site &site)
+{
+  for (Engine &engine : site.engines)
+    {
+      site.restart (&engine.sidecar, SIGKILL);
+      std::this_thread::sleep_for (milliseconds (800));
+      kill (engine.sidecar.pid, SIGSTOP);
+      std::this_thread::sleep_for (milliseconds (1500));
+      kill (engine.sidecar.pid, SIGCONT);
+    }
+  for (Gateway &gateway : site.gateways)
+    {
+      site.restart (&gateway.daemon, SIGKILL);
+      std::this_thread::sleep_for (milliseconds (800));
+    }
+  site.store.set_mode (Store::SILENT);
+  std::this_thread::sleep_for (milliseconds (2500));
+  site.store.set_mode (Store::WELL);
+}
+
+// Guards against a limit that is forgotten with the daemons that know it.
+TEST (Limit, HoldsWhileDaemonsFail)
+{
+  constexpr double per_s = 5;
+  Site site (3, 3, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  Load streams (&site, stream, 4, 10);
+  Load calls (&site, plain, 4, 10);
+  site.engines[0].target->limit_per_s = per_s;
+  site.plain[0]->limit_per_s = per_s;
+  Moment binds
+      = std::chrono::steady_clock::now () + milliseconds (kBindsAfterMs);
+  std::this_thread::sleep_for (milliseconds (kBindsAfterMs));
+  let_daemons_fail (site);
+  streams.stop ();
+  calls.stop ();
+  EXPECT_LE (most_in (arrivals_at (*site.engines[0].target), binds, kWindowMs),
+             allowed (per_s));
+  EXPECT_LE (most_in (arrivals_at (*site.plain[0]), binds, kWindowMs),
+             allowed (per_s));
+}
+
+// Guards against a limit that outlives what the target says.
+TEST (Limit, IsOverWhenTheTargetStatesNone)
+{
+  Site site (2, 2, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  Load streams (&site, stream, 4, 10);
+  Load calls (&site, plain, 4, 10);
+  site.engines[0].target->limit_per_s = 2;
+  site.plain[0]->limit_per_s = 2;
+  std::this_thread::sleep_for (milliseconds (3000));
+  site.engines[0].target->limit_per_s = -1;
+  site.plain[0]->limit_per_s = -1;
+  std::this_thread::sleep_for (milliseconds (2000));
+  Moment lifted = std::chrono::steady_clock::now ();
+  std::this_thread::sleep_for (milliseconds (1500));
+  EXPECT_GT (most_in (arrivals_at (*site.engines[0].target), lifted, 1000),
+             20);
+  EXPECT_GT (most_in (arrivals_at (*site.plain[0]), lifted, 1000), 20);
+}
+
+// Guards against callers that wait, or learn no time, where no target takes
+// more.
+TEST (Limit, WhatNoTargetTakesIsRefusedAtOnceWithATime)
+{
+  Site site (2, 2, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  for (const Engine &engine : site.engines)
+    engine.target->limit_per_s = 2;
+  for (const auto &target : site.plain)
+    target->limit_per_s = 2;
+  for (auto call_of : { stream, plain })
+    {
+      Load load (&site, call_of, 4, 20);
+      std::this_thread::sleep_for (milliseconds (4000));
+      Load::Counts counts = load.stop ();
+      EXPECT_GT (counts.answered, 5);
+      EXPECT_GT (counts.refused, counts.answered);
+      EXPECT_EQ (counts.untimed, 0);
+      EXPECT_EQ (counts.other, 0);
+      // An engine's objective is 800 ms, a plain target's 150 ms.
+      EXPECT_LE (counts.longest_refused_ms, call_of == stream ? 1000 : 400);
+    }
+}
+
+// Guards against fields without meaning that change what is believed.
+TEST (Limit, AFieldWithoutMeaningIsToldAndChangesNothing)
+{
+  Site site (1, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.plain[0]->limit_per_s = 2;
+  send_call (site.gateways[0], plain ("a"));
+  site.plain[0]->limit_text = "plenty";
+  for (int i = 0; i < 40; i++)
+    {
+      send_call (site.gateways[0], plain ("b" + std::to_string (i)));
+      std::this_thread::sleep_for (milliseconds (50));
+    }
+  EXPECT_LE (arrivals_at (*site.plain[0]).size (), 12u);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (
+                site.gateways[0].daemon,
+                { "answer_field_ignored", "Server-Limit", "i-p0" })
+                .empty ();
+  }));
+}
+
 } // namespace
 } // namespace relay
--- a/test/relay/load.cc
+++ b/test/relay/load.cc
@@ -24,20 +24,29 @@
 {
   for (int n = 0; !is_ended_; n++)
     {
-      note (send_call (gateway, call_of_ (name + std::to_string (n))));
+      Moment began = std::chrono::steady_clock::now ();
+      Message answer
+          = send_call (gateway, call_of_ (name + std::to_string (n)));
+      auto took = std::chrono::steady_clock::now () - began;
+      note (answer,
+            (int)std::chrono::duration_cast<milliseconds> (took).count ());
       std::this_thread::sleep_for (milliseconds (pause_ms_));
     }
 }
 
 void
-Load::note (const Message &answer)
+Load::note (const Message &answer, int took_ms)
 {
   std::lock_guard<std::mutex> lock (mutex_);
   bool is_refused = answer.status == 503 || answer.status == 429;
   if (answer.status == 200)
     counts_.answered++;
   else if (is_refused)
-    counts_.refused++;
+    {
+      counts_.refused++;
+      counts_.longest_refused_ms
+          = std::max (counts_.longest_refused_ms, took_ms);
+    }
   else
     counts_.other++;
   if (is_refused && atof (answer.header ("retry-after").c_str ()) <= 0)
--- a/test/relay/load.h
+++ b/test/relay/load.h
@@ -17,8 +17,9 @@
   struct Counts
   {
     int answered = 0;
-    int refused = 0; ///< As not run.
-    int untimed = 0; ///< Of these, without a time to come back.
+    int refused = 0;            ///< As not run.
+    int untimed = 0;            ///< Of these, without a time to come back.
+    int longest_refused_ms = 0; ///< Until it was refused.
     int other = 0;
   };
   /// @param call_of   The call with an id.
@@ -31,7 +32,7 @@
 
 private:
   void call (const Gateway &gateway, const std::string &name);
-  void note (const Message &answer);
+  void note (const Message &answer, int took_ms);
   Call (*call_of_) (const std::string &id);
   int pause_ms_;
   std::atomic<bool> is_ended_{ false };
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -215,7 +215,11 @@
 Target::statements ()
 {
   double per_s = limit_per_s;
-  return per_s < 0 ? "" : "Server-Limit: " + std::to_string (per_s) + "\r\n";
+  const char *text = limit_text;
+  if (text == nullptr && per_s < 0)
+    return "";
+  return "Server-Limit: " + (text != nullptr ? text : std::to_string (per_s))
+         + "\r\n";
 }
 
 std::string
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -78,6 +78,8 @@
   std::set<std::string> orderers ();
   /// Requests a second that it says it takes; negative: it says nothing.
   std::atomic<double> limit_per_s{ -1 };
+  /// In place of it; NULL: nothing else is said.
+  std::atomic<const char *> limit_text{ nullptr };
   std::atomic<int> event_ms{ 2 };
   std::atomic<int> events{ 10 };
   std::atomic<int> load_ms{ 20 };
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -498,6 +498,49 @@
   EXPECT_NEAR ((double)adm_forecast (&table, &probe, 100).place_ms, 2000, 1);
 }
 
+/// The engine states a limit.
+void
+limit_starts (adm_table_t *table, double per_s, uint64_t now_ms)
+{
+  bkp_limit_t told
+      = { .is_limited = true, .per_s = per_s, .at_ms = now_ms + 1 };
+  bkp_meter_told (&table->meter, &told, now_ms);
+}
+
+// Guards against requests that waited already and go past a limit.
+TEST_F (AdmitTest, WhatWaitsKeepsToALimitThatIsStatedMeanwhile)
+{
+  table.options.slots = 1;
+  ask (1, "", 0, 1, 10);
+  ASSERT_EQ (next (0).kind, ADM_DO_GRANT);
+  for (uint64_t id = 2; id <= 6; id++)
+    ask (id, "", 0, 1, 10);
+  limit_starts (&table, 10, 100);
+  table.options.slots = 100;
+  int granted = 0;
+  for (uint64_t now_ms = 100; now_ms < 400; now_ms++)
+    granted += next (now_ms).kind == ADM_DO_GRANT;
+  EXPECT_EQ (granted, 3);
+}
+
+TEST_F (AdmitTest, ALimitCountsInTheForecast)
+{
+  limit_starts (&table, 10, 0);
+  for (uint64_t id = 1; id <= 5; id++)
+    ask (id, "", 0, 1, 10);
+  adm_ask_t probe = {};
+  probe.prompt_tokens = 10;
+  probe.priority = 1;
+  probe.objective_ms = 5000;
+  // One may start at once, five come before.
+  EXPECT_NEAR ((double)adm_forecast (&table, &probe, 0).place_ms, 500, 2);
+  // It is sent on at once where it would be late.
+  probe.objective_ms = 300;
+  adm_forecast_t forecast = adm_forecast (&table, &probe, 0);
+  EXPECT_STREQ (adm_refusal (&table, &probe, &forecast, 0),
+                "no_place_in_time");
+}
+
 // Engines that hold an adapter in demand have all slots taken, others are
 // nearly empty. Callers queued for 0.7 s and were then sent on, late; sent on
 // at once they are in time elsewhere. When several engines have no slot, a
--- a/test/unit/backpressure_test.cc
+++ b/test/unit/backpressure_test.cc
@@ -53,4 +53,84 @@
   EXPECT_TRUE (limit.is_limited);
 }
 
+TEST (Backpressure, ALimitBeyondWhatIsPossibleIsNone)
+{
+  bkp_limit_t limit = { 0 };
+  EXPECT_FALSE (bkp_limit_heard (&limit, 1e30, 1000, 1001));
+  EXPECT_FALSE (limit.is_limited);
+}
+
+class Meter : public ::testing::Test
+{
+protected:
+  void
+  tell (double per_s, uint64_t at_ms)
+  {
+    bkp_limit_t told
+        = { .is_limited = per_s >= 0, .per_s = per_s, .at_ms = at_ms };
+    bkp_meter_told (&meter_, &told, at_ms);
+  }
+  /// Start requests as soon as they may.
+  /// @return  How many in a time.
+  int
+  press (uint64_t from_ms, uint64_t for_ms)
+  {
+    int starts = 0;
+    for (uint64_t now_ms = from_ms; now_ms < from_ms + for_ms; now_ms++)
+      if (bkp_meter_wait_ms (&meter_, 0, now_ms) == 0)
+        {
+          bkp_meter_start (&meter_, now_ms);
+          starts++;
+        }
+    return starts;
+  }
+  bkp_meter_t meter_ = {};
+};
+
+TEST_F (Meter, WithoutALimitNothingWaits)
+{
+  EXPECT_EQ (press (1000, 100), 100);
+  EXPECT_EQ (bkp_meter_wait_ms (&meter_, 50, 2000), 0u);
+}
+
+TEST_F (Meter, InAnyWindowNoMoreThanTheRateAndALittleBeyond)
+{
+  for (double per_s : { 0.5, 4.0, 40.0, 200.0 })
+    {
+      tell (per_s, 1000);
+      EXPECT_LE (press (1000, 4000), 4.25 * per_s + 1);
+      // What was saved meanwhile is bounded.
+      EXPECT_LE (press (60000, 4000), 4.25 * per_s + 1);
+      EXPECT_GE (press (70000, 4000), (int)(4 * per_s) - 1);
+      meter_ = {};
+    }
+}
+
+TEST_F (Meter, TellsWhenOneMoreMayStart)
+{
+  tell (4, 1000);
+  press (1000, 1000);
+  uint64_t first_ms = bkp_meter_wait_ms (&meter_, 0, 2000);
+  EXPECT_LE (first_ms, 251u);
+  EXPECT_NEAR ((double)bkp_meter_wait_ms (&meter_, 4, 2000),
+               (double)first_ms + 1000, 2);
+}
+
+TEST_F (Meter, ATargetThatTakesNothingIsAskedNowAndThen)
+{
+  tell (0, 1000);
+  press (1000, 10);
+  int starts = press (2000, 60000);
+  EXPECT_GE (starts, 5);
+  EXPECT_LE (starts, 7);
+}
+
+TEST_F (Meter, ALimitThatIsLiftedHoldsNothingBack)
+{
+  tell (0.1, 1000);
+  press (1000, 100);
+  tell (-1, 2000);
+  EXPECT_EQ (press (2000, 100), 100);
+}
+
 } // namespace
--- a/test/unit/place_test.cc
+++ b/test/unit/place_test.cc
@@ -56,6 +56,14 @@
   EXPECT_EQ (choose ({}), PLC_NONE);
 }
 
+TEST_F (PlaceTest, ATargetThatTakesNoMoreNowComesLater)
+{
+  plc_view_t limited = view (1, PLC_HELD);
+  limited.start_wait_ms = 400;
+  EXPECT_EQ (choose ({ limited, view (2, PLC_HELD) }), 1);
+  EXPECT_EQ (choose ({ limited }), 0);
+}
+
 TEST_F (PlaceTest, PrefersTheHolder)
 {
   EXPECT_EQ (choose ({ view (1), view (2, PLC_HELD), view (3) }), 1);
--- a/test/unit/quota_test.cc
+++ b/test/unit/quota_test.cc
@@ -171,6 +171,20 @@
   EXPECT_GE (granted, 3000);
 }
 
+// Guards against two halves of a cut that each lend a short window's whole.
+TEST_F (Lender, ALenderThatKeepsToItsReachLendsThatPartAtAnyTime)
+{
+  lender_.keeps_to_reach = true;
+  double granted = 0;
+  for (uint64_t passed_ms = 0; passed_ms <= 5000; passed_ms += 100)
+    {
+      qln_ask_t ask = ask_for (0, 9000);
+      ask.reach = 0.5;
+      granted += lend (ask, kNow + passed_ms).granted;
+    }
+  EXPECT_LE (granted, 0.5 * kLent);
+}
+
 // A gateway starts while others go on: what they know counts.
 TEST_F (Lender, OneThatStartsAmongOthersTakesNothingAway)
 {
--- a/tools/lab/quota_faults.cc
+++ b/tools/lab/quota_faults.cc
@@ -13,6 +13,7 @@
   qln_finish (&s.lender);
   qof_finish (&s.office);
   qln_init (&s.lender, &o.tolerance, s.process.life, now);
+  s.lender.keeps_to_reach = o.keeps_to_reach;
   qof_init (&s.office, now);
   s.heard.assign (o.gateways, 0);
   s.used.assign (o.gateways, 0);
--- a/tools/lab/quota_world.cc
+++ b/tools/lab/quota_world.cc
@@ -17,6 +17,7 @@
       s.process.life = FIRST_LIFE * (i + 1);
       // The system is older than what is played.
       qln_init (&s.lender, &o.tolerance, s.process.life, 0);
+      s.lender.keeps_to_reach = o.keeps_to_reach;
       qof_init (&s.office, 0);
       s.heard.assign (o.gateways, 0);
       s.used.assign (o.gateways, 0);
