fix(agent): keep the limit that a target states

All requests of a target pass its agent, so a token bucket there keeps the limit; waiting work counts it in its expected wait, by which entries choose.

--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -22,6 +22,23 @@
   HANDOVER_PATIENCE_MS = 1500,
 };
 
+static void
+pump_again (void *arg)
+{
+  agt_pump (arg);
+}
+
+/// Whether the target takes no request now; if so, ask again when it does.
+static bool
+is_held_by_limit (agt_agent_t *agent)
+{
+  uint64_t wait_ms = bkp_meter_wait_ms (&agent->meter, 0, tmr_now_ms ());
+  if (wait_ms > 0)
+    tmr_after (&agent->daemon->timers, &agent->meter_timer, wait_ms,
+               pump_again, agent);
+  return wait_ms > 0;
+}
+
 void
 agt_pump (agt_agent_t *agent)
 {
@@ -35,7 +52,8 @@
       if (action.kind == SCH_RUN)
         {
           agt_request_t *r = (agt_request_t *)action.item;
-          if (!aln_may_start (&agent->alone, &r->alone, tmr_now_ms ()))
+          if (!aln_may_start (&agent->alone, &r->alone, tmr_now_ms ())
+              || is_held_by_limit (agent))
             break;
           agt_run_start (agent, r);
           continue;
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -4,6 +4,7 @@
 #define KB_DAEMON_AGENT_DEFS_H
 
 #include "coordination/alone.h"
+#include "coordination/backpressure.h"
 #include "coordination/claim_runner.h"
 #include "coordination/quarantine.h"
 #include "coordination/sched.h"
@@ -115,6 +116,8 @@
   sch_queue_t queue;
   clm_runner_t claims;
   aln_gate_t alone;
+  bkp_meter_t meter; ///< Of the requests that the target takes.
+  tmr_sub_t meter_timer;
   qrt_table_t quarantine;             ///< Of ends of this target.
   agt_break_t breaks[AGT_MAX_BREAKS]; ///< The newest, in a ring.
   uint32_t break_count;
@@ -191,6 +194,15 @@
                                uint8_t priority_class);
 bool agt_is_plain (const agt_agent_t *agent);
 
+// agent_backpressure.c
+/// Take what the target says about itself in the head of its answer.
+void agt_backpressure_note (agt_request_t *r, const eng_head_t *head);
+/// @return  Time until a new request of a class may start, by the limit.
+uint64_t agt_backpressure_wait_ms (const agt_agent_t *agent,
+                                   uint8_t priority_class);
+/// The target is another incarnation, which has stated nothing.
+void agt_backpressure_forget (agt_agent_t *agent);
+
 // agent_quarantine.c
 /// A run's connection broke; whether the target ended is looked up next.
 void agt_quarantine_note_break (agt_request_t *r);
--- a/src/daemon/agent_engine.c
+++ b/src/daemon/agent_engine.c
@@ -200,6 +200,7 @@
     {
       log_write (LOG_WARN, "engine", "The engine restarted cold.");
       MET_INC ("knapweedbay_engine_restarts_total", "");
+      agt_backpressure_forget (agent);
       agt_quarantine_target_ended (agent);
     }
   snprintf (agent->engine_incarnation, sizeof agent->engine_incarnation, "%s",
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -28,8 +28,10 @@
 uint64_t
 agt_expected_wait_ms (const agt_agent_t *agent, uint8_t priority_class)
 {
-  return sch_expected_wait_ms (&agent->queue, priority_class,
-                               agent->service_ms);
+  uint64_t wait_ms = sch_expected_wait_ms (&agent->queue, priority_class,
+                                           agent->service_ms);
+  uint64_t limit_ms = agt_backpressure_wait_ms (agent, priority_class);
+  return wait_ms > limit_ms ? wait_ms : limit_ms;
 }
 
 void
@@ -206,11 +208,12 @@
 }
 
 static void
-run_on_head (void *arg, int http_status, kb_slice_t content_type)
+run_on_head (void *arg, const eng_head_t *head)
 {
   agt_request_t *r = arg;
-  r->http_status = http_status;
-  kb_slice_copy (content_type, r->content_type, sizeof r->content_type);
+  r->http_status = head->http_status;
+  kb_slice_copy (head->content_type, r->content_type, sizeof r->content_type);
+  agt_backpressure_note (r, head);
 }
 
 static bool
@@ -410,6 +413,7 @@
   uint64_t now_us = tmr_now_us ();
   request_stop_stall (r, now_us);
   sch_note_run (&agent->queue, &r->item, now_us);
+  bkp_meter_start (&agent->meter, now_us / 1000);
   clm_runner_note (&agent->claims, r->attempt, CLM_RUN_STARTED, tmr_now_ms ());
   r->started_us = now_us;
   r->begun_ms = 0;
--- a/src/transport/engine.c
+++ b/src/transport/engine.c
@@ -165,11 +165,25 @@
                   ENG_LIST_TIMEOUT_MS);
 }
 
+static void
+read_limit (const htc_call_t *http, eng_head_t *head)
+{
+  static const char name[] = "x-request-limit-per-s";
+  kb_slice_t value = htc_call_header (http, name);
+  if (value.len_bytes == 0 || kb_slice_decimal (value, &head->limit_per_s))
+    return;
+  head->malformed = name;
+}
+
 static void
 run_on_head (htc_call_t *http, int http_status, kb_slice_t content_type)
 {
   eng_run_t *run = http->owner;
-  run->events->on_head (run->arg, http_status, content_type);
+  eng_head_t head = { .http_status = http_status,
+                      .content_type = content_type,
+                      .limit_per_s = -1 };
+  read_limit (http, &head);
+  run->events->on_head (run->arg, &head);
 }
 
 static void
--- a/src/transport/engine.h
+++ b/src/transport/engine.h
@@ -19,10 +19,20 @@
                                  const char *const *models, uint32_t count,
                                  const char *incarnation);
 
+/// Head of the answer to a run.
+typedef struct
+{
+  int http_status;
+  kb_slice_t content_type;
+  /// Requests a second that the target takes; negative: it states no limit.
+  double limit_per_s;
+  const char *malformed; ///< A field whose value is none; NULL: none.
+} eng_head_t;
+
 /// Callbacks of a run.
 typedef struct
 {
-  void (*on_head) (void *arg, int http_status, kb_slice_t content_type);
+  void (*on_head) (void *arg, const eng_head_t *head);
   void (*on_body) (void *arg, kb_slice_t bytes);
   /// The last callback.
   void (*on_end) (void *arg, htc_end_t end);
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -114,6 +114,18 @@
   return 0;
 }
 
+kb_slice_t
+htc_call_header (const htc_call_t *call, const char *name)
+{
+  const h2o_header_t *headers = call->headers;
+  for (size_t i = 0; i < call->header_count; i++)
+    if (h2o_lcstris (headers[i].name->base, headers[i].name->len, name,
+                     strlen (name)))
+      return (kb_slice_t){ headers[i].value.base,
+                           (uint32_t)headers[i].value.len };
+  return (kb_slice_t){ "", 0 };
+}
+
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *client, const char *errstr, int minor_version,
          int status, h2o_iovec_t msg, h2o_header_t *headers,
@@ -126,16 +138,14 @@
       return NULL;
     }
   call_touch (call);
-  kb_slice_t type = { "", 0 };
-  for (size_t i = 0; i < num_headers; i++)
-    if (h2o_lcstris (headers[i].name->base, headers[i].name->len,
-                     H2O_STRLIT ("content-type")))
-      type = (kb_slice_t){ headers[i].value.base,
-                           (uint32_t)headers[i].value.len };
   call->http_status = status;
+  call->headers = headers;
+  call->header_count = num_headers;
   call->is_in_callback = true;
-  call->events->on_head (call, status, type);
+  call->events->on_head (call, status, htc_call_header (call, "content-type"));
   call->is_in_callback = false;
+  call->headers = NULL;
+  call->header_count = 0;
   if (call->is_cancelled)
     {
       call_free (call);
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -38,6 +38,8 @@
   void *owner;
   htc_client_t *client;
   void *h2o_client;
+  const void *headers; ///< Of the answer, in h2o's form, during on_head.
+  size_t header_count;
   kb_buf_t request;
   void *iovec; ///< The request in h2o's form.
   tmr_sub_t timer;
@@ -69,6 +71,9 @@
                             const char *method, const char *path,
                             const char *extra_headers, kb_slice_t body,
                             uint64_t idle_timeout_ms);
+/// @return  The value of a field of the answer's head, or an empty slice; only
+///          within on_head.
+kb_slice_t htc_call_header (const htc_call_t *call, const char *name);
 /// Close the connection; on_end is not called.
 void htc_call_cancel (htc_call_t *call);
 
