feat(gateway): log that a target says it leaves

An operator could not tell leaving that nobody reads from leaving that is forgotten: no line said what an answer stated. Nothing is decided by it yet.

--- a/src/gateway/gateway_backpressure.c
+++ b/src/gateway/gateway_backpressure.c
@@ -32,6 +32,35 @@
   log_end (&line);
 }
 
+static void
+note_limit (gtw_request_t *r, const rly_answer_t *answer)
+{
+  double per_s = answer->states_limit ? answer->limit_per_s : -1;
+  if (answer->is_limit_malformed
+      || !bkp_limit_heard (&r->target->limit, per_s, r->sent_boot_ms,
+                           tmr_boot_ms ()))
+    return;
+  log_limit (r);
+  // Its sidecar is to know with the next tick.
+  r->target->told_ms = 0;
+}
+
+/// It holds for the incarnation; the list may tell it much later.
+static void
+note_leaving (gtw_request_t *r)
+{
+  if (r->target->states_leaving)
+    return;
+  r->target->states_leaving = true;
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", "target_states_leaving"))
+    return;
+  log_text (&line, "target", r->target->told.who.id);
+  log_int (&line, "is_listed_leaving", r->target->told.is_leaving);
+  log_text (&line, "id", r->attempt_id);
+  log_end (&line);
+}
+
 void
 gtw_backpressure_note (gtw_request_t *r, const rly_answer_t *answer)
 {
@@ -43,17 +72,10 @@
   if (r->http_status == HTTP_MISDIRECTED)
     return;
   if (answer->malformed != NULL)
-    {
-      log_malformed (r, answer->malformed);
-      return;
-    }
-  double per_s = answer->states_limit ? answer->limit_per_s : -1;
-  if (!bkp_limit_heard (&r->target->limit, per_s, r->sent_boot_ms,
-                        tmr_boot_ms ()))
-    return;
-  log_limit (r);
-  // Its sidecar is to know with the next tick.
-  r->target->told_ms = 0;
+    log_malformed (r, answer->malformed);
+  note_limit (r, answer);
+  if (answer->is_leaving)
+    note_leaving (r);
 }
 
 static uint64_t
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -46,7 +46,9 @@
   bool is_encoded; ///< The body was altered on the way.
   uint64_t retry_after_ms;
   bool states_limit;
-  double limit_per_s;    ///< Requests that it takes from all callers together.
+  double limit_per_s; ///< Requests that it takes from all callers together.
+  bool is_limit_malformed;
+  bool is_leaving;
   const char *malformed; ///< A field whose value is none; NULL: none.
 } rly_answer_t;
 
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -482,6 +482,29 @@
   EXPECT_FALSE (read ("Server-Limit: 4\r\nServer-Limit: 9\r\n").states_limit);
 }
 
+TEST_F (DialectTest, LeavingIsSaidByOne)
+{
+  auto read = [this] (const std::string &value) {
+    kb_buf_finish (&conn.head.bytes);
+    parse ("HTTP/1.1 200 OK\r\nserver-leaving: " + value
+               + "\r\nServer-Limit: 4\r\n",
+           true);
+    rly_answer_t answer;
+    plt_dialect.read_answer (&conn, &answer);
+    // A field without meaning takes nothing from the others.
+    EXPECT_TRUE (answer.states_limit) << value;
+    return answer;
+  };
+  EXPECT_TRUE (read ("1").is_leaving);
+  EXPECT_FALSE (read ("0").is_leaving);
+  EXPECT_EQ (read ("0").malformed, nullptr);
+  for (const char *value : { "", "yes", "11", "-1", "1.0" })
+    {
+      EXPECT_FALSE (read (value).is_leaving) << value;
+      EXPECT_STREQ (read (value).malformed, "Server-Leaving") << value;
+    }
+}
+
 TEST_F (DialectTest, AmbiguousLengthsAreNotProper)
 {
   parse ("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
