--- a/test/fakes/fake.c
+++ b/test/fakes/fake.c
@@ -9,6 +9,7 @@
 static const fk_role_t *fk_role;
 /// What it asks of its callers in each answer.
 static double limit_per_s = -1; ///< Negative: it states none.
+static bool says_leaving;
 
 void
 fk_reply (hts_request_t *request, int http_status, const kb_buf_t *body)
@@ -44,13 +45,15 @@
 }
 
 static void
-state_limit (hts_request_t *request)
+add_statements (hts_request_t *request)
 {
   char text[32];
   snprintf (text, sizeof text, "%.3f", limit_per_s);
   if (limit_per_s >= 0)
     hts_response_header (request, "x-request-limit-per-s",
                          kb_slice_str (text));
+  if (says_leaving)
+    hts_response_header (request, "x-leaving", kb_slice_str ("1"));
 }
 
 static void
@@ -58,12 +61,13 @@
 {
   if (!fk_path_is (request, "/fault"))
     {
-      state_limit (request);
+      add_statements (request);
       fk_role->on_request (request);
       return;
     }
   struct json_object *faults = fk_body (request);
   limit_per_s = jsn_num (faults, "limit_per_s", limit_per_s);
+  says_leaving = jsn_bool (faults, "says_leaving", says_leaving);
   fk_role->on_fault (faults);
   json_object_put (faults);
   fk_reply_text (request, 200, "{}");
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -216,10 +216,11 @@
 {
   double per_s = limit_per_s;
   const char *text = limit_text;
-  if (text == nullptr && per_s < 0)
-    return "";
-  return "Server-Limit: " + (text != nullptr ? text : std::to_string (per_s))
-         + "\r\n";
+  std::string out = says_leaving ? "Server-Leaving: 1\r\n" : "";
+  if (text != nullptr || per_s >= 0)
+    out += "Server-Limit: " + (text != nullptr ? text : std::to_string (per_s))
+           + "\r\n";
+  return out;
 }
 
 std::string
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -80,6 +80,8 @@
   std::atomic<double> limit_per_s{ -1 };
   /// In place of it; NULL: nothing else is said.
   std::atomic<const char *> limit_text{ nullptr };
+  /// Its answers say that it leaves; its report does not.
+  std::atomic<bool> says_leaving{ false };
   std::atomic<int> event_ms{ 2 };
   std::atomic<int> events{ 10 };
   std::atomic<int> load_ms{ 20 };
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -468,6 +468,24 @@
   return total;
 }
 
+int
+Cluster::runs_at (const Target &target)
+{
+  json_object *doc = stats (target.fake);
+  json_object *runs = nullptr;
+  int sum = 0;
+  if (json_object_object_get_ex (doc, "runs", &runs))
+    {
+      json_object_object_foreach (runs, prompt, count)
+      {
+        (void)prompt;
+        sum += json_object_get_int (count);
+      }
+    }
+  json_object_put (doc);
+  return sum;
+}
+
 int64_t
 Cluster::stat_sum (const char *name)
 {
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -116,6 +116,8 @@
   json_object *stats (const Process &process);
   /// Runs over all engines (or plain services) of a prompt or body.
   int runs_of (const std::string &prompt);
+  /// All runs that one target counted.
+  int runs_at (const Target &target);
   int64_t stat_sum (const char *name);
   /// Wait until the condition holds. @return false after the time.
   static bool wait_until (const std::function<bool ()> &condition,
--- /dev/null
+++ b/test/system/target_leaving_test.cc
@@ -0,0 +1,91 @@
+// Targets that say in their answers that they leave, behind agents.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "cluster.h"
+
+using kb::Answer;
+using kb::Cluster;
+using kb::ClusterOptions;
+
+namespace
+{
+
+/// New work that comes that much later reaches the target no more.
+constexpr int kBoundMs = 2000;
+
+void
+pause_ms (int ms)
+{
+  std::this_thread::sleep_for (std::chrono::milliseconds (ms));
+}
+
+/// Press the services, one of whose targets says that it leaves.
+void
+expect_nothing_after_bound (Cluster &c, const kb::Target &leaving,
+                            Answer (*send) (Cluster &c, int entry))
+{
+  std::atomic<bool> is_ended{ false };
+  std::atomic<int> failed{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4; i++)
+    callers.emplace_back ([&, i] {
+      while (!is_ended)
+        {
+          failed += send (c, i % 2).status != 200;
+          pause_ms (5);
+        }
+    });
+  pause_ms (1500);
+  EXPECT_GT (c.runs_at (leaving), 0);
+  c.fault (leaving.fake, "{\"says_leaving\":true}");
+  pause_ms (kBoundMs);
+  int before = c.runs_at (leaving);
+  pause_ms (1500);
+  EXPECT_EQ (c.runs_at (leaving) - before, 0);
+  is_ended = true;
+  for (std::thread &caller : callers)
+    caller.join ();
+  EXPECT_EQ (failed, 0);
+}
+
+Answer
+complete (Cluster &c, int entry)
+{
+  // Several adapters, so that both engines are used.
+  static std::atomic<int> n{ 0 };
+  return c.complete (entry, "a" + std::to_string (n++ % 8) + "@1", "pressed");
+}
+
+Answer
+call_plain (Cluster &c, int entry)
+{
+  return kb::http_call ("POST", c.entries[(size_t)entry].process.http_port,
+                        "/v1/services/map-query/look", "pressed",
+                        { "Authorization: Bearer kavango-key" });
+}
+
+// Guards against an agent that does not hear that its engine leaves.
+TEST (TargetLeaving, AnEngineThatSaysSoGetsNothingNew)
+{
+  ClusterOptions options;
+  options.engines = 2;
+  Cluster c (options);
+  c.start ();
+  expect_nothing_after_bound (c, c.targets[0], complete);
+}
+
+// Guards against the same at a plain target.
+TEST (TargetLeaving, APlainTargetThatSaysSoGetsNothingNew)
+{
+  ClusterOptions options;
+  options.engines = 1;
+  options.plains = 2;
+  Cluster c (options);
+  c.start ();
+  expect_nothing_after_bound (c, c.targets[1], call_plain);
+}
+
+} // namespace
--- a/test/system/target_limit_test.cc
+++ b/test/system/target_limit_test.cc
@@ -30,25 +30,6 @@
   std::this_thread::sleep_for (std::chrono::milliseconds (ms));
 }
 
-/// All runs that a target counted.
-int
-runs_at (Cluster &c, const kb::Target &target)
-{
-  json_object *doc = c.stats (target.fake);
-  json_object *runs = nullptr;
-  int sum = 0;
-  if (json_object_object_get_ex (doc, "runs", &runs))
-    {
-      json_object_object_foreach (runs, prompt, count)
-      {
-        (void)prompt;
-        sum += json_object_get_int (count);
-      }
-    }
-  json_object_put (doc);
-  return sum;
-}
-
 /// Press the services, one of whose targets states a limit.
 void
 expect_limit_holds (Cluster &c, const kb::Target &limited,
@@ -67,9 +48,9 @@
   int most = 0;
   for (int i = 0; i < 2; i++)
     {
-      int before = runs_at (c, limited);
+      int before = c.runs_at (limited);
       pause_ms (kWindowMs);
-      most = std::max (most, runs_at (c, limited) - before);
+      most = std::max (most, c.runs_at (limited) - before);
     }
   is_ended = true;
   for (std::thread &caller : callers)
