fix(relay): send nothing new to a target that says it leaves

Ruled out: that it was read and overwritten by the list (no drop in the sends after the first such answer).

Now it counts like the list's word wherever a target is chosen, for its incarnation, and the list does not take it back. The quarantine puts its end down to nobody.

--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -56,7 +56,8 @@
 static bool
 is_usable (const gtw_request_t *r, const gtw_target_t *target)
 {
-  if (!target->is_listed || target->told.is_leaving || was_tried (r, target))
+  if (!target->is_listed || gtw_target_is_leaving (target)
+      || was_tried (r, target))
     return false;
   return !r->is_engine
          || (target->is_linked && target->condition == MSG_ENGINE_READY);
@@ -76,7 +77,7 @@
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
-    if (r->is_engine && t->is_listed && !t->told.is_leaving
+    if (r->is_engine && t->is_listed && !gtw_target_is_leaving (t)
         && strcmp (t->told.service, r->service) == 0 && !was_tried (r, t)
         && !is_usable (r, t))
       return true;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -332,6 +332,14 @@
          && gtw_now_ms (gateway) - target->heard_ms < GTW_SIDECAR_LATE_MS;
 }
 
+/// @return  Whether a target takes no new request: by the list, or because it
+///          says so itself.
+static inline bool
+gtw_target_is_leaving (const gtw_target_t *target)
+{
+  return target->told.is_leaving || target->states_leaving;
+}
+
 /// Key of a sidecar's name in `links`.
 static inline uint64_t
 gtw_link_key (kb_slice_t name)
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -265,7 +265,7 @@
                              const char *evidence)
 {
   // A target that leaves ends by itself.
-  if (target->ended_ms > 0 || target->told.is_leaving)
+  if (target->ended_ms > 0 || gtw_target_is_leaving (target))
     return;
   target->ended_ms = gtw_now_ms (gateway);
   uint32_t count = suspect_all (gateway, target);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -469,7 +469,7 @@
   const gtw_target_t *target = r->target;
   if (target == NULL)
     gtw_request_next (r);
-  else if (target->is_listed && !target->told.is_leaving)
+  else if (target->is_listed && !gtw_target_is_leaving (target))
     request_send_plain (r);
   else
     {
--- a/test/relay/leaving_failure_test.cc
+++ b/test/relay/leaving_failure_test.cc
@@ -1,8 +1,6 @@
 // Targets that say in their answers that they leave, while the list does not.
 #include <gtest/gtest.h>
 
-#include <signal.h>
-
 #include "load.h"
 
 namespace relay
@@ -63,5 +61,64 @@
   expect_nothing_after_bound (site, *site.plain[0], plain);
 }
 
+// Guards against leaving that outlives the life that said so.
+TEST (Leaving, EndsWithTheBirthThatSaidSo)
+{
+  Site site (1, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.plain[0]->says_leaving = true;
+  send_call (site.gateways[0], plain ("heard"));
+  EXPECT_EQ (send_call (site.gateways[0], plain ("a")).status, 503);
+  site.plain[0]->says_leaving = false;
+  site.plain[0]->restart (site.plain[0]->id ());
+  site.list_plain (0);
+  EXPECT_TRUE (Site::wait_for (
+      [&] { return send_call (site.gateways[0], plain ("b")).status == 200; },
+      3000));
+}
+
+// Guards against an entry of the list that takes leaving back.
+TEST (Leaving, IsNotTakenBackByTheList)
+{
+  Site site (1, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.plain[0]->says_leaving = true;
+  send_call (site.gateways[0], plain ("heard"));
+  for (int i = 0; i < 5; i++)
+    {
+      site.list_plain (0);
+      std::this_thread::sleep_for (milliseconds (300));
+      Message answer
+          = send_call (site.gateways[0], plain ("n" + std::to_string (i)));
+      EXPECT_EQ (answer.status, 503);
+      EXPECT_GT (atof (answer.header ("retry-after").c_str ()), 0);
+    }
+  EXPECT_EQ (site.plain[0]->runs (), 1);
+}
+
+// Guards against retries and resumed streams that go to a target which leaves.
+TEST (Leaving, RetriesAndResumedStreamsGoElsewhere)
+{
+  Site site (3, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &leaving = *site.engines[0].target;
+  leaving.says_leaving = true;
+  ASSERT_TRUE (Site::wait_for ([&] {
+    send_call (site.gateways[0], stream ("heard"));
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "target_states_leaving" })
+                .empty ();
+  }));
+  int before = (int)leaving.requests ().size ();
+  for (int i = 0; i < 30; i++)
+    {
+      for (size_t e : { 1, 2 })
+        site.engines[e].target->fail_next (
+            { i % 2 == 0 ? Fault::CUT_WITHIN_EVENT : Fault::NOT_RUN });
+      send_call (site.gateways[0], stream ("s" + std::to_string (i)));
+    }
+  EXPECT_EQ ((int)leaving.requests ().size (), before);
+}
+
 } // namespace
 } // namespace relay
