fix(agent): give work back when the target says it leaves

It tells entries as it tells its own drain, and gives back what waits; entries take the word back when the agent does.

--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -116,7 +116,7 @@
                        .slots = (uint64_t)s->slots,
                        .max_batch = (uint64_t)s->max_batch,
                        .revision = agent->revision,
-                       .state = agent->state,
+                       .state = agt_state (agent),
                        .memory_since_wall_ms = agent->memory_since_wall_ms,
                        .is_reply = 1,
                        .resident = kb_buf_slice (&resident) };
@@ -161,7 +161,7 @@
   *msg = (msg_t){ .type = MSG_PONG };
   msg->pong = (msg_pong_t){ .stamp_us = stamp_us,
                             .revision = agent->revision,
-                            .state = agent->state,
+                            .state = agt_state (agent),
                             .queue_len = agent->queue.waiting,
                             .running = agent->queue.running,
                             .expected_wait_ms
@@ -174,6 +174,15 @@
                                         / agent->queue.options.max_batch };
 }
 
+static void
+tell_state (agt_agent_t *agent)
+{
+  msg_t msg;
+  pong_fill (agent, 0, &msg);
+  for (uint32_t i = 0; i < agent->peer_count; i++)
+    dmn_send (agent->daemon, agent->peers[i].name, &msg);
+}
+
 static void
 on_ping (agt_agent_t *agent, kb_slice_t from, const msg_ping_t *ping)
 {
@@ -342,6 +351,33 @@
   hand_over (agent);
 }
 
+/// Entries learn it at once and send nothing new; what waits goes back to
+/// them, since they can place it elsewhere sooner than it would start here.
+static void
+tell_leaving (agt_agent_t *agent)
+{
+  tell_state (agent);
+  agt_run_refuse_all (agent, "the target is leaving");
+}
+
+/// Follow whether the target says that it leaves. It has left, or goes on,
+/// when it has said nothing of it for a while.
+static void
+follow_leaving (agt_agent_t *agent)
+{
+  bool is_leaving = agt_backpressure_is_leaving (agent);
+  if (is_leaving == agent->is_target_leaving)
+    return;
+  agent->is_target_leaving = is_leaving;
+  log_write (LOG_INFO, "engine",
+             is_leaving ? "The target says that it leaves."
+                        : "The target says no more that it leaves.");
+  if (is_leaving)
+    tell_leaving (agent);
+  else
+    tell_state (agent);
+}
+
 static void
 tick (void *arg)
 {
@@ -357,6 +393,7 @@
       agt_fence_check (agent);
     }
   agent->tick_ms = now;
+  follow_leaving (agent);
   agt_run_expire (agent);
   agt_quarantine_expire (agent);
   check_peers (agent, now);
@@ -379,13 +416,7 @@
   agt_agent_t *agent = daemon->role_state;
   agent->state = MSG_STATE_LEAVING;
   agent->drain_started_ms = tmr_now_ms ();
-  // Entries learn it at once and send nothing new; what waits goes back to
-  // them, since they can place it elsewhere sooner than it would start here.
-  msg_t msg;
-  pong_fill (agent, 0, &msg);
-  for (uint32_t i = 0; i < agent->peer_count; i++)
-    dmn_send (daemon, agent->peers[i].name, &msg);
-  agt_run_refuse_all (agent, "the target is leaving");
+  tell_leaving (agent);
 }
 
 static void
--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -125,7 +125,7 @@
                    uint64_t *retry_after_ms)
 {
   *retry_after_ms = REFUSE_RETRY_MS;
-  if (agent->state == MSG_STATE_LEAVING)
+  if (agt_state (agent) == MSG_STATE_LEAVING)
     return "the target is leaving";
   if (!agent->is_engine_up)
     return "the target does not answer";
--- a/src/daemon/agent_backpressure.c
+++ b/src/daemon/agent_backpressure.c
@@ -8,6 +8,9 @@
 enum
 {
   US_PER_MS = 1000,
+  /// A plain target that has left and come back is not told apart from one
+  /// that leaves: one request finds out.
+  LEAVING_LASTS_MS = 60000,
 };
 
 void
@@ -42,9 +45,24 @@
   return bkp_meter_wait_ms (&agent->meter, ahead, tmr_now_ms ());
 }
 
+bool
+agt_backpressure_is_leaving (const agt_agent_t *agent)
+{
+  uint64_t said_ms = agent->engine.leaving_ms;
+  return said_ms > 0 && tmr_now_ms () - said_ms < LEAVING_LASTS_MS;
+}
+
+msg_state_t
+agt_state (const agt_agent_t *agent)
+{
+  return agt_backpressure_is_leaving (agent) ? MSG_STATE_LEAVING
+                                             : agent->state;
+}
+
 void
 agt_backpressure_forget (agt_agent_t *agent)
 {
+  agent->engine.leaving_ms = 0;
   bkp_limit_t none = { .at_ms = tmr_now_ms () };
   bkp_meter_told (&agent->meter, &none, none.at_ms);
 }
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -127,6 +127,7 @@
   agt_peer_t peers[AGT_MAX_PEERS];
   uint32_t peer_count;
   msg_state_t state;
+  bool is_target_leaving; ///< By its own word, as entries were told.
   bool is_engine_up;
   bool is_reconciled; ///< The engine's list was compared at least once.
   char engine_incarnation[64];
@@ -200,6 +201,10 @@
 /// @return  Time until a new request of a class may start, by the limit.
 uint64_t agt_backpressure_wait_ms (const agt_agent_t *agent,
                                    uint8_t priority_class);
+/// @return  Whether the target said a moment ago that it leaves.
+bool agt_backpressure_is_leaving (const agt_agent_t *agent);
+/// @return  What entries are told: this process leaves, or its target does.
+msg_state_t agt_state (const agt_agent_t *agent);
 /// The target is another incarnation, which has stated nothing.
 void agt_backpressure_forget (agt_agent_t *agent);
 
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -48,7 +48,7 @@
                              : sch_demand (&agent->queue, adapter) * 1000ULL
                                    / agent->queue.options.max_batch;
   end->revision = agent->revision;
-  end->state = agent->state;
+  end->state = agt_state (agent);
 }
 
 void
--- a/src/daemon/entry_members.c
+++ b/src/daemon/entry_members.c
@@ -162,6 +162,9 @@
                   tmr_now_ms ());
   if (pong->state == MSG_STATE_LEAVING)
     vm->mem.says = MEM_SAYS_LEAVING;
+  // Its target was leaving, and goes on in another life.
+  else if (vm->mem.says == MEM_SAYS_LEAVING)
+    vm->mem.says = MEM_SAYS_LIVE;
   ent_vm_update (entry, vm);
   ent_config_heard (entry, pong->revision,
                     vm->is_entry ? kb_slice_str (vm->name)
--- a/src/transport/engine.c
+++ b/src/transport/engine.c
@@ -15,6 +15,7 @@
 /// A call that is not a run.
 typedef struct
 {
+  eng_engine_t *engine;
   eng_order_done_t done;
   eng_list_done_t list_done;
   void *arg;
@@ -23,14 +24,25 @@
 
 struct eng_run
 {
+  eng_engine_t *engine;
   const eng_run_events_t *events;
   void *arg;
   htc_call_t *call;
 };
 
+static void
+note_leaving (eng_engine_t *engine, const htc_call_t *http)
+{
+  kb_slice_t value = htc_call_header (http, "x-leaving");
+  if (kb_slice_equal (value, kb_slice_str ("1")))
+    engine->leaving_ms = tmr_now_ms ();
+}
+
 static void
 call_on_head (htc_call_t *http, int http_status, kb_slice_t content_type)
 {
+  engine_call_t *call = http->owner;
+  note_leaving (call->engine, http);
 }
 
 static void
@@ -78,6 +90,7 @@
              uint64_t fence, eng_order_done_t done, void *arg)
 {
   engine_call_t *call = kb_alloc (sizeof *call);
+  call->engine = engine;
   call->done = done;
   call->arg = arg;
   char headers[320];
@@ -158,6 +171,7 @@
 openai_list (eng_engine_t *engine, eng_list_done_t done, void *arg)
 {
   engine_call_t *call = kb_alloc (sizeof *call);
+  call->engine = engine;
   call->list_done = done;
   call->arg = arg;
   htc_call_start (engine->http, &list_events, call, engine->address,
@@ -183,6 +197,7 @@
                       .content_type = content_type,
                       .limit_per_s = -1 };
   read_limit (http, &head);
+  note_leaving (run->engine, http);
   run->events->on_head (run->arg, &head);
 }
 
@@ -209,6 +224,7 @@
             const eng_run_events_t *events, void *arg)
 {
   eng_run_t *run = kb_alloc (sizeof *run);
+  run->engine = engine;
   run->events = events;
   run->arg = arg;
   char headers[160];
--- a/src/transport/engine.h
+++ b/src/transport/engine.h
@@ -69,6 +69,8 @@
   uint16_t port;
   char order_token[160];
   uint64_t load_timeout_ms;
+  uint64_t
+      leaving_ms; ///< When an answer last said that it leaves; zero: none.
 };
 
 /// An engine of the OpenAI-style protocol.
