feat(gateway): log that a target asks for a pause

No line said that a target which turned a request away wanted none for a while. Nothing is decided by it yet.

--- a/src/gateway/gateway_backpressure.c
+++ b/src/gateway/gateway_backpressure.c
@@ -61,12 +61,32 @@
   log_end (&line);
 }
 
+/// It turned a request away, and wants none for a while. Each such answer
+/// holds: a shorter pause does not end a longer one.
+static void
+note_pause (gtw_request_t *r, uint64_t pause_ms)
+{
+  uint64_t until_ms = tmr_boot_ms () + pause_ms;
+  if (until_ms <= r->target->paused_until_ms)
+    return;
+  r->target->paused_until_ms = until_ms;
+  MET_INC ("knapweedbay_target_pauses_total", "");
+  log_event_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", "target_paused"))
+    return;
+  log_text (&line, "target", r->target->told.who.id);
+  log_int (&line, "pause_ms", (int64_t)pause_ms);
+  log_text (&line, "id", r->attempt_id);
+  log_end (&line);
+}
+
 void
 gtw_backpressure_note (gtw_request_t *r, const rly_answer_t *answer)
 {
   enum
   {
     HTTP_MISDIRECTED = 421,
+    HTTP_UNAVAILABLE = 503,
   };
   // Another incarnation may answer so at its address.
   if (r->http_status == HTTP_MISDIRECTED)
@@ -76,6 +96,8 @@
   note_limit (r, answer);
   if (answer->is_leaving)
     note_leaving (r);
+  if (r->http_status == HTTP_UNAVAILABLE && answer->retry_after_ms > 0)
+    note_pause (r, answer->retry_after_ms);
 }
 
 static uint64_t
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -90,8 +90,9 @@
   inc_t engine;              ///< What the sidecar's last word was about.
   uint64_t quarantine_stamp; ///< Of what the sidecar knows.
 
-  bkp_limit_t limit;   ///< That it stated here, by the boot clock.
-  bool states_leaving; ///< It said in an answer that it leaves.
+  bkp_limit_t limit;        ///< That it stated here, by the boot clock.
+  bool states_leaving;      ///< It said in an answer that it leaves.
+  uint64_t paused_until_ms; ///< It wants no request before, by the boot clock.
 
   uint64_t ended_ms; ///< When its process was found ended; zero: it was not.
   bool is_probed;    ///< A connection is tried, to see whether it has.
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -505,6 +505,28 @@
     }
 }
 
+TEST_F (DialectTest, APauseIsInSeconds)
+{
+  auto read = [this] (const std::string &value) {
+    kb_buf_finish (&conn.head.bytes);
+    parse ("HTTP/1.1 503 X\r\nRetry-After: " + value + "\r\n", true);
+    rly_answer_t answer;
+    plt_dialect.read_answer (&conn, &answer);
+    return answer;
+  };
+  EXPECT_EQ (read ("3").retry_after_ms, 3000u);
+  EXPECT_EQ (read ("0").retry_after_ms, 0u);
+  EXPECT_EQ (read ("0.05").retry_after_ms, 50u);
+  EXPECT_EQ (read ("86400").retry_after_ms, 3600000u);
+  EXPECT_EQ (read ("3").malformed, nullptr);
+  for (const char *value : { "soon", "-3", "3s", "", "nan", "1e3",
+                             "Wed, 21 Oct 2026 07:28:00 GMT" })
+    {
+      EXPECT_EQ (read (value).retry_after_ms, 0u) << value;
+      EXPECT_STREQ (read (value).malformed, "retry-after") << value;
+    }
+}
+
 TEST_F (DialectTest, AmbiguousLengthsAreNotProper)
 {
   parse ("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
