--- a/test/fakes/fake.c
+++ b/test/fakes/fake.c
@@ -10,6 +10,8 @@
 /// What it asks of its callers in each answer.
 static double limit_per_s = -1; ///< Negative: it states none.
 static bool says_leaving;
+static double pause_s = -1; ///< Negative: it turns nothing away.
+uint64_t fk_turned_away;
 
 void
 fk_reply (hts_request_t *request, int http_status, const kb_buf_t *body)
@@ -56,6 +58,19 @@
     hts_response_header (request, "x-leaving", kb_slice_str ("1"));
 }
 
+bool
+fk_turn_away (hts_request_t *request)
+{
+  if (pause_s < 0)
+    return false;
+  fk_turned_away++;
+  char seconds[32];
+  snprintf (seconds, sizeof seconds, "%.3f", pause_s);
+  hts_response_header (request, "retry-after", kb_slice_str (seconds));
+  fk_reply_text (request, 503, "{\"error\":{\"message\":\"later\"}}");
+  return true;
+}
+
 static void
 on_request (hts_server_t *server, hts_request_t *request)
 {
@@ -67,6 +82,7 @@
     }
   struct json_object *faults = fk_body (request);
   limit_per_s = jsn_num (faults, "limit_per_s", limit_per_s);
+  pause_s = jsn_num (faults, "pause_s", pause_s);
   says_leaving = jsn_bool (faults, "says_leaving", says_leaving);
   fk_role->on_fault (faults);
   json_object_put (faults);
--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -186,6 +186,8 @@
 static void
 on_completion (hts_request_t *http)
 {
+  if (fk_turn_away (http))
+    return;
   struct json_object *doc = fk_body (http);
   const char *model = jsn_str (doc, "model", "");
   adapter_t *adapter = adapter_find (model);
@@ -342,13 +344,15 @@
   for (run_t *r = runs; r != NULL; r = r->next)
     running++;
   kb_buf_t body = { 0 };
-  kb_buf_printf (
-      &body,
-      "{\"loads\":%" PRIu64 ",\"evicted_in_use\":%" PRIu64
-      ",\"stale_orders\":%" PRIu64 ",\"over_slots\":%" PRIu64
-      ",\"ends\":%" PRIu64 ",\"running\":%u,\"runs\":%s}",
-      loads, evicted_in_use, stale_orders, over_slots, ends, running,
-      run_counts == NULL ? "{}" : json_object_to_json_string (run_counts));
+  kb_buf_printf (&body,
+                 "{\"loads\":%" PRIu64 ",\"evicted_in_use\":%" PRIu64
+                 ",\"stale_orders\":%" PRIu64 ",\"over_slots\":%" PRIu64
+                 ",\"ends\":%" PRIu64 ",\"turned_away\":%" PRIu64
+                 ",\"running\":%u,\"runs\":%s}",
+                 loads, evicted_in_use, stale_orders, over_slots, ends,
+                 fk_turned_away, running,
+                 run_counts == NULL ? "{}"
+                                    : json_object_to_json_string (run_counts));
   fk_reply (http, 200, &body);
   kb_buf_finish (&body);
 }
--- a/test/fakes/fake_plain.c
+++ b/test/fakes/fake_plain.c
@@ -52,12 +52,15 @@
   if (fk_path_is (http, "/stats"))
     {
       kb_buf_t body = { 0 };
-      kb_buf_printf (&body, "{\"runs\":%s}",
+      kb_buf_printf (&body, "{\"turned_away\":%llu,\"runs\":%s}",
+                     (unsigned long long)fk_turned_away,
                      json_object_to_json_string (calls));
       fk_reply (http, 200, &body);
       kb_buf_finish (&body);
       return;
     }
+  if (fk_turn_away (http))
+    return;
   char *key = kb_slice_dup (http->body);
   int64_t count = jsn_int (calls, key, 0) + 1;
   json_object_object_add (calls, key, json_object_new_int64 (count));
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -398,6 +398,13 @@
         faults_.erase (faults_.begin ());
       }
   }
+  double asked_s = pause_s;
+  if (asked_s >= 0)
+    return connection.write (
+        answer (503,
+                "X-Knapweedbay-Not-Executed: 1\r\nRetry-After: "
+                    + std::to_string (asked_s) + "\r\n" + statements (),
+                "later"));
   if (refuse (connection, request))
     return true;
   if (fault == Fault::NOT_RUN)
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -82,6 +82,9 @@
   std::atomic<const char *> limit_text{ nullptr };
   /// Its answers say that it leaves; its report does not.
   std::atomic<bool> says_leaving{ false };
+  /// It turns all requests away and asks for a pause of so long; negative:
+  /// not.
+  std::atomic<double> pause_s{ -1 };
   std::atomic<int> event_ms{ 2 };
   std::atomic<int> events{ 10 };
   std::atomic<int> load_ms{ 20 };
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -486,18 +486,24 @@
   return sum;
 }
 
+int64_t
+Cluster::stat_at (const Target &target, const char *name)
+{
+  json_object *doc = stats (target.fake);
+  json_object *value = nullptr;
+  int64_t out = 0;
+  if (json_object_object_get_ex (doc, name, &value))
+    out = json_object_get_int64 (value);
+  json_object_put (doc);
+  return out;
+}
+
 int64_t
 Cluster::stat_sum (const char *name)
 {
   int64_t total = 0;
   for (auto &t : targets)
-    {
-      json_object *doc = stats (t.fake);
-      json_object *value = nullptr;
-      if (json_object_object_get_ex (doc, name, &value))
-        total += json_object_get_int64 (value);
-      json_object_put (doc);
-    }
+    total += stat_at (t, name);
   return total;
 }
 
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -118,6 +118,7 @@
   int runs_of (const std::string &prompt);
   /// All runs that one target counted.
   int runs_at (const Target &target);
+  int64_t stat_at (const Target &target, const char *name);
   int64_t stat_sum (const char *name);
   /// Wait until the condition holds. @return false after the time.
   static bool wait_until (const std::function<bool ()> &condition,
--- /dev/null
+++ b/test/system/target_pause_test.cc
@@ -0,0 +1,99 @@
+// Targets that turn requests away and ask for a pause, behind agents.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "cluster.h"
+
+using kb::Answer;
+using kb::Cluster;
+using kb::ClusterOptions;
+
+namespace
+{
+
+/// Of the pause an agent may miss this much.
+constexpr int kHeardMs = 500;
+/// Requests that may come within the rest of it.
+constexpr int kWithinPause = 2;
+constexpr int kPauseMs = 3000;
+
+void
+pause_ms (int ms)
+{
+  std::this_thread::sleep_for (std::chrono::milliseconds (ms));
+}
+
+/// Press the services, one of whose targets turns everything away.
+void
+expect_pause_holds (Cluster &c, const kb::Target &pausing,
+                    Answer (*send) (Cluster &c, int entry))
+{
+  std::atomic<bool> is_ended{ false };
+  std::atomic<int> failed{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4; i++)
+    callers.emplace_back ([&, i] {
+      while (!is_ended)
+        {
+          failed += send (c, i % 2).status != 200;
+          pause_ms (5);
+        }
+    });
+  pause_ms (1500);
+  EXPECT_GT (c.runs_at (pausing), 0);
+  c.fault (pausing.fake, "{\"pause_s\":3}");
+  ASSERT_TRUE (Cluster::wait_until (
+      [&] { return c.stat_at (pausing, "turned_away") > 0; }));
+  pause_ms (kHeardMs);
+  int64_t before = c.stat_at (pausing, "turned_away");
+  pause_ms (kPauseMs - 2 * kHeardMs);
+  EXPECT_LE (c.stat_at (pausing, "turned_away") - before, kWithinPause);
+  is_ended = true;
+  for (std::thread &caller : callers)
+    caller.join ();
+  // Nothing else fails; whether that may run elsewhere is its service's
+  // matter.
+  EXPECT_LE (failed, c.stat_at (pausing, "turned_away"));
+}
+
+Answer
+complete (Cluster &c, int entry)
+{
+  // Several adapters, so that both engines are used.
+  static std::atomic<int> n{ 0 };
+  return c.complete (entry, "a" + std::to_string (n++ % 8) + "@1", "pressed");
+}
+
+Answer
+call_plain (Cluster &c, int entry)
+{
+  return kb::http_call ("POST", c.entries[(size_t)entry].process.http_port,
+                        "/v1/services/map-query/look", "pressed",
+                        { "Authorization: Bearer kavango-key" });
+}
+
+// Guards against an agent that goes on sending to an engine which asks for a
+// pause.
+TEST (TargetPause, AnEngineThatAsksForOneIsLeftAlone)
+{
+  ClusterOptions options;
+  options.engines = 2;
+  Cluster c (options);
+  c.start ();
+  expect_pause_holds (c, c.targets[0], complete);
+}
+
+// Guards against the same at a plain target.
+TEST (TargetPause, APlainTargetThatAsksForOneIsLeftAlone)
+{
+  ClusterOptions options;
+  options.engines = 1;
+  options.plains = 2;
+  Cluster c (options);
+  c.start ();
+  expect_pause_holds (c, c.targets[1], call_plain);
+}
+
+} // namespace
