fix(relay): leave a target alone for the pause it asks for

What callers saw: late and refused requests while three of nine engines turned everything away: each request found out anew, until the retry budget was spent (21 refused in 5 s, 16 of 100 requests sent twice or more).

Class: what a target says of itself is lost with the request.

Now the target is no candidate for this gateway until the pause ends; requests that wait for a place there go on to another engine.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -279,6 +279,12 @@
   if (answer->retry_after_ms > r->retry_after_ms)
     r->retry_after_ms = answer->retry_after_ms;
   gtw_target_note (r->gateway, r->target, true);
+  if (gtw_target_pause_ms (r->target) > 0 && !gtw_backpressure_may_go_on (r))
+    {
+      gtw_request_leave_target (r);
+      answer_give_up (r, "target_paused");
+      return;
+    }
   answer_retry (r, "target_refused");
 }
 
--- a/src/gateway/gateway_backpressure.c
+++ b/src/gateway/gateway_backpressure.c
@@ -5,6 +5,12 @@
 #include "transport/log.h"
 #include "transport/metrics.h"
 
+enum
+{
+  /// Targets that may ask for a pause because of one request.
+  PAUSES_MOST = 3,
+};
+
 static void
 log_limit (const gtw_request_t *r)
 {
@@ -152,3 +158,35 @@
              ? gtw_quota_subject_wait_ms (gateway, subject_key (target))
              : 0;
 }
+
+bool
+gtw_backpressure_may_go_on (gtw_request_t *r)
+{
+  return ++r->pauses < PAUSES_MOST;
+}
+
+/// Whether a target would be used if it asked for no pause.
+static bool
+is_there (const gtw_request_t *r, const gtw_target_t *target)
+{
+  if (!target->is_listed || gtw_target_is_leaving (target)
+      || strcmp (target->told.service, r->service) != 0)
+    return false;
+  return !r->is_engine || target->condition == MSG_ENGINE_READY;
+}
+
+uint64_t
+gtw_backpressure_back_ms (const gtw_request_t *r)
+{
+  const gtw_gateway_t *gateway = r->gateway;
+  uint64_t least_ms = r->limit_wait_ms;
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    {
+      uint64_t pause_ms = is_there (r, t) ? gtw_target_pause_ms (t) : 0;
+      if (pause_ms > 0 && (least_ms == 0 || pause_ms < least_ms))
+        least_ms = pause_ms;
+    }
+  return least_ms;
+}
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -171,6 +171,7 @@
   uint64_t sent_boot_ms; ///< The same by the boot clock.
   bool is_permit_used;
   gtw_charge_t permit;    ///< Of the limit that a plain target stated.
+  uint32_t pauses;        ///< Targets that turned it away and asked for one.
   uint64_t limit_wait_ms; ///< Until a limited target takes one; zero: none was
                           ///< asked.
   xch_t exchange;
@@ -341,6 +342,15 @@
   return target->told.is_leaving || target->states_leaving;
 }
 
+/// @return  How much longer a target wants no request from this gateway.
+static inline uint64_t
+gtw_target_pause_ms (const gtw_target_t *target)
+{
+  return target->paused_until_ms == 0
+             ? 0
+             : gtw_left_ms (target->paused_until_ms, tmr_boot_ms ());
+}
+
 /// Key of a sidecar's name in `links`.
 static inline uint64_t
 gtw_link_key (kb_slice_t name)
@@ -411,8 +421,11 @@
 /// question or the answer may be lost.
 bool gtw_places_wait_for (const gtw_gateway_t *gateway,
                           const gtw_target_t *target);
-/// The sidecar that was asked is gone or restarted.
-void gtw_places_lost (gtw_gateway_t *gateway, gtw_target_t *target);
+/// Requests that wait for a place at an engine go on to another one.
+/// @param reason  For the log: its sidecar is gone or was restarted, or the
+///                engine asks for a pause.
+void gtw_places_lost (gtw_gateway_t *gateway, gtw_target_t *target,
+                      const char *reason);
 
 // gateway_log.c
 /// Log and count the end of a request.
@@ -438,6 +451,13 @@
 /// Take a permit of the present target, which is plain, or learn what became
 /// of it.
 qsp_verdict_t gtw_backpressure_take (gtw_request_t *r);
+/// A target turned a request away and asked for a pause.
+/// @return  Whether it may try another target: a request that every target
+///          turns away so would shut all others out.
+bool gtw_backpressure_may_go_on (gtw_request_t *r);
+/// @return  Time until a target that could be used takes a request, after a
+///          pause or by its limit; zero: there is none.
+uint64_t gtw_backpressure_back_ms (const gtw_request_t *r);
 /// @return  Time until a plain target takes one more request.
 uint64_t gtw_backpressure_wait_ms (const gtw_gateway_t *gateway,
                                    const gtw_target_t *target);
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -349,7 +349,7 @@
     gtw_tell_sidecar (gateway, target);
   help_sidecar (gateway, target);
   if (is_restarted)
-    gtw_places_lost (gateway, target);
+    gtw_places_lost (gateway, target, "sidecar_lost");
 }
 
 static void
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -108,6 +108,13 @@
       gtw_request_next (r);
       return;
     }
+  // It turned another request away since this one asked.
+  if (gtw_target_pause_ms (r->target) > 0)
+    {
+      gtw_request_leave_target (r);
+      gtw_request_next (r);
+      return;
+    }
   gtw_observe_grant (r);
   r->has_place = true;
   r->begins_alone = grant->is_alone != 0;
@@ -160,7 +167,8 @@
 }
 
 void
-gtw_places_lost (gtw_gateway_t *gateway, gtw_target_t *target)
+gtw_places_lost (gtw_gateway_t *gateway, gtw_target_t *target,
+                 const char *reason)
 {
   gtw_request_t *next;
   for (gtw_request_t *r = gateway->requests; r != NULL; r = next)
@@ -168,8 +176,8 @@
       next = r->next;
       if (r->target != target || r->stage != GTW_ASKING)
         continue;
-      gtw_log_step (r, "place_lost", "sidecar_lost");
-      r->reason = "sidecar_lost";
+      gtw_log_step (r, "place_lost", reason);
+      r->reason = reason;
       gtw_request_exclude (r);
       gtw_request_leave_target (r);
       gtw_request_next (r);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -363,10 +363,12 @@
       return;
     }
   bool is_service_down = r->reason[0] == '\0';
-  if (is_service_down && (r->is_engine || !r->gateway->are_targets_known))
+  uint64_t back_ms = gtw_backpressure_back_ms (r);
+  if (back_ms > 0)
+    gtw_request_refuse (r, is_service_down ? "target_paused" : r->reason,
+                        back_ms);
+  else if (is_service_down && (r->is_engine || !r->gateway->are_targets_known))
     request_wait (r, "no_target");
-  else if (r->limit_wait_ms > 0)
-    gtw_request_refuse (r, "target_limit", r->limit_wait_ms);
   else
     gtw_request_refuse (r, is_service_down ? "no_target" : r->reason,
                         outage_retry_after_ms (r));
@@ -469,7 +471,8 @@
   const gtw_target_t *target = r->target;
   if (target == NULL)
     gtw_request_next (r);
-  else if (target->is_listed && !gtw_target_is_leaving (target))
+  else if (target->is_listed && !gtw_target_is_leaving (target)
+           && gtw_target_pause_ms (target) == 0)
     request_send_plain (r);
   else
     {
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -248,7 +248,7 @@
     gtw_target_log (target, "sidecar_lost");
   target_unlink (gateway, target);
   gtw_target_link (gateway, target);
-  gtw_places_lost (gateway, target);
+  gtw_places_lost (gateway, target, "sidecar_lost");
 }
 
 static void
@@ -295,6 +295,8 @@
   if (!target->is_linked)
     return;
   check_sidecar (gateway, target, now_ms);
+  if (gtw_target_pause_ms (target) > 0)
+    gtw_places_lost (gateway, target, "target_paused");
   uint64_t silent_ms = now_ms - target->told_ms;
   bool is_answer_due
       = silent_ms > TELL_AGAIN_MS && gtw_places_wait_for (gateway, target);
--- a/test/relay/pause_failure_test.cc
+++ b/test/relay/pause_failure_test.cc
@@ -32,30 +32,32 @@
   return plain_call (id);
 }
 
-/// When requests came that were turned away, by the gateway that sent them.
+/// When requests came, by the gateway that sent them.
 std::map<std::string, std::vector<Moment>>
-arrivals_by_gateway (Target &target)
+by_gateway (const std::vector<Message> &requests)
 {
-  std::map<std::string, std::vector<Moment>> arrivals;
-  for (const Message &request : target.requests ())
+  std::map<std::string, std::vector<Moment>> moments;
+  for (const Message &request : requests)
     {
       // Callers name their gateway in their ids.
       std::string id = request.header ("x-knapweedbay-attempt-id");
-      arrivals[id.substr (0, id.find ('-'))].push_back (request.came);
+      moments[id.substr (0, id.find ('-'))].push_back (request.came);
     }
-  for (auto &[gateway, moments] : arrivals)
-    std::sort (moments.begin (), moments.end ());
-  return arrivals;
+  for (auto &[gateway, of_gateway] : moments)
+    std::sort (of_gateway.begin (), of_gateway.end ());
+  return moments;
 }
 
 /// The most requests of a gateway within any pause that it was asked for.
 int
 most_within_pause (Target &target)
 {
+  auto arrivals = by_gateway (target.requests ());
   size_t most = 0;
-  for (const auto &[gateway, moments] : arrivals_by_gateway (target))
-    for (Moment asked : moments)
+  for (const auto &[gateway, asked_at] : by_gateway (target.turned_away ()))
+    for (Moment asked : asked_at)
       {
+        const auto &moments = arrivals[gateway];
         auto from = std::upper_bound (moments.begin (), moments.end (),
                                       asked + milliseconds (kHeardMs));
         auto to = std::lower_bound (from, moments.end (),
@@ -96,5 +98,94 @@
   expect_pauses_hold (site, *site.plain[0], plain);
 }
 
+// Guards against callers that wait, or learn no time, while all targets pause.
+TEST (Pause, WhatAllTargetsTurnAwayIsRefusedAtOnceWithATime)
+{
+  Site site (2, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  for (const Engine &engine : site.engines)
+    engine.target->pause_s = 5;
+  for (const auto &target : site.plain)
+    target->pause_s = 5;
+  for (auto call_of : { stream, plain })
+    {
+      send_call (site.gateways[0], call_of ("first"));
+      for (int i = 0; i < 10; i++)
+        {
+          Moment began = std::chrono::steady_clock::now ();
+          Message answer
+              = send_call (site.gateways[0], call_of (std::to_string (i)));
+          EXPECT_EQ (answer.status, 503);
+          EXPECT_LE (std::chrono::steady_clock::now () - began,
+                     milliseconds (300));
+          // Within the pause, and as much again so that not all come at once.
+          double after_s = atof (answer.header ("retry-after").c_str ());
+          EXPECT_GT (after_s, 2);
+          EXPECT_LE (after_s, 10);
+          EXPECT_EQ (site.runs_of (std::to_string (i)), 0);
+        }
+    }
+}
+
+// Guards against requests that asked for a place before the pause.
+TEST (Pause, WhatWaitsForAPlaceIsNotSentIntoIt)
+{
+  Site site (1, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.events = 100;
+  engine.event_ms = 10;
+  Load load (&site, stream, 16, 10);
+  // Eight run, as many wait.
+  std::this_thread::sleep_for (milliseconds (500));
+  engine.pause_s = kPauseS;
+  std::this_thread::sleep_for (milliseconds (kPauseMs + 2000));
+  load.stop ();
+  EXPECT_LE (most_within_pause (engine), kWithinPause);
+  EXPECT_FALSE (
+      Site::log_lines (site.gateways[0].daemon, { "target_paused" }).empty ());
+}
+
+// Guards against a pause that outlives the life that asked for it.
+TEST (Pause, EndsWithTheBirthThatAskedForIt)
+{
+  Site site (1, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.plain[0]->pause_s = 60;
+  EXPECT_EQ (send_call (site.gateways[0], plain ("a")).status, 503);
+  site.plain[0]->pause_s = -1;
+  EXPECT_EQ (send_call (site.gateways[0], plain ("b")).status, 503);
+  site.plain[0]->restart (site.plain[0]->id ());
+  site.list_plain (0);
+  EXPECT_TRUE (Site::wait_for (
+      [&] { return send_call (site.gateways[0], plain ("c")).status == 200; },
+      3000));
+}
+
+// Guards against one request that shuts all others out: each target turns it
+// away and asks for a pause.
+TEST (Pause, OneRequestPausesFewTargets)
+{
+  Site site (1, 8, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  // Room in the retry budget.
+  for (int i = 0; i < 20; i++)
+    send_call (site.gateways[0], plain ("w" + std::to_string (i)));
+  for (const auto &target : site.plain)
+    target->pause_on ("/plain/huge", 60);
+  EXPECT_EQ (
+      send_call (site.gateways[0], plain_call ("huge", "/plain/huge")).status,
+      503);
+  int paused = 0;
+  for (const auto &target : site.plain)
+    for (const Message &request : target->requests ())
+      paused += request.header ("x-knapweedbay-attempt-id") == "huge";
+  EXPECT_LE (paused, 3);
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (
+        send_call (site.gateways[0], plain ("o" + std::to_string (i))).status,
+        200);
+}
+
 } // namespace
 } // namespace relay
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -40,6 +40,25 @@
   end_on_ = text;
 }
 
+void
+Target::pause_on (const std::string &text, double seconds)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  pause_on_ = text;
+  pause_on_s_ = seconds;
+}
+
+/// @return  The pause that it asks for; negative: it serves the request.
+double
+Target::pause_for (const Message &request)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  bool is_unwanted
+      = !pause_on_.empty ()
+        && request.target ().find (pause_on_) != std::string::npos;
+  return is_unwanted ? pause_on_s_ : (double)pause_s;
+}
+
 bool
 Target::is_fatal (const Message &request)
 {
@@ -118,6 +137,13 @@
   return requests_;
 }
 
+std::vector<Message>
+Target::turned_away ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return turned_away_;
+}
+
 int
 Target::loads ()
 {
@@ -398,7 +424,12 @@
         faults_.erase (faults_.begin ());
       }
   }
-  double asked_s = pause_s;
+  double asked_s = pause_for (request);
+  if (asked_s >= 0)
+    {
+      std::lock_guard<std::mutex> lock (mutex_);
+      turned_away_.push_back (request);
+    }
   if (asked_s >= 0)
     return connection.write (
         answer (503,
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -58,6 +58,8 @@
   /// Requests whose path holds this text end the process a moment after they
   /// began; empty: none does.
   void end_on (const std::string &text);
+  /// Requests whose path holds this text are turned away with a pause.
+  void pause_on (const std::string &text, double seconds);
   /// How often such a request ended it.
   std::atomic<int> ends{ 0 };
   /// They hang it instead: connections stay open, and nothing answers.
@@ -71,6 +73,8 @@
   int runs_of (const std::string &attempt_id);
   int runs ();
   std::vector<Message> requests ();
+  /// Of these, those that were answered with a pause.
+  std::vector<Message> turned_away ();
   /// Adapter loads that were carried out, and the most held at one time.
   int loads ();
   size_t most_held ();
@@ -118,6 +122,7 @@
   std::string head_of (const Message &request, bool has_seal);
   bool refuse (Connection &connection, const Message &request);
   bool is_fatal (const Message &request);
+  double pause_for (const Message &request);
   std::mutex mutex_;
   std::string id_;
   bool is_engine_;
@@ -132,8 +137,11 @@
   std::set<std::string> orderers_;
   std::vector<Fault> faults_;
   std::string end_on_;
+  std::string pause_on_;
+  double pause_on_s_ = 0;
   std::map<std::string, int> runs_;
   std::vector<Message> requests_;
+  std::vector<Message> turned_away_;
 };
 
 } // namespace relay
