fix(agent): leave a target alone for the pause it asks for

The agent tells entries that its target takes nothing new, as it tells a drain, and takes that back when the pause ends; entries would spend their retries on it otherwise (seen: 83 to 124 calls failed in 3 s with a refusal for each alone).

Before: 33 and 493 requests within 2 s of a pause at an engine and a plain target, 2 allowed.

--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -30,9 +30,12 @@
 
 /// Whether the target takes no request now; if so, ask again when it does.
 static bool
-is_held_by_limit (agt_agent_t *agent)
+is_held_back (agt_agent_t *agent)
 {
   uint64_t wait_ms = bkp_meter_wait_ms (&agent->meter, 0, tmr_now_ms ());
+  uint64_t pause_ms = agt_backpressure_pause_ms (agent);
+  if (pause_ms > wait_ms)
+    wait_ms = pause_ms;
   if (wait_ms > 0)
     tmr_after (&agent->daemon->timers, &agent->meter_timer, wait_ms,
                pump_again, agent);
@@ -53,7 +56,7 @@
         {
           agt_request_t *r = (agt_request_t *)action.item;
           if (!aln_may_start (&agent->alone, &r->alone, tmr_now_ms ())
-              || is_held_by_limit (agent))
+              || is_held_back (agent))
             break;
           agt_run_start (agent, r);
           continue;
@@ -357,22 +360,21 @@
 tell_leaving (agt_agent_t *agent)
 {
   tell_state (agent);
-  agt_run_refuse_all (agent, "the target is leaving");
+  agt_run_refuse_all (agent, "the target takes nothing new");
 }
 
-/// Follow whether the target says that it leaves. It has left, or goes on,
-/// when it has said nothing of it for a while.
+/// Follow whether the target takes anything new. Entries would spend their
+/// retries on one that does not.
 static void
-follow_leaving (agt_agent_t *agent)
+follow_target (agt_agent_t *agent)
 {
-  bool is_leaving = agt_backpressure_is_leaving (agent);
-  if (is_leaving == agent->is_target_leaving)
+  bool is_closed = agt_backpressure_is_closed (agent);
+  if (is_closed == agent->is_target_closed)
     return;
-  agent->is_target_leaving = is_leaving;
-  log_write (LOG_INFO, "engine",
-             is_leaving ? "The target says that it leaves."
-                        : "The target says no more that it leaves.");
-  if (is_leaving)
+  agent->is_target_closed = is_closed;
+  log_write (LOG_INFO, "engine", "The target takes %s.",
+             is_closed ? "nothing new" : "work again");
+  if (is_closed)
     tell_leaving (agent);
   else
     tell_state (agent);
@@ -393,7 +395,7 @@
       agt_fence_check (agent);
     }
   agent->tick_ms = now;
-  follow_leaving (agent);
+  follow_target (agent);
   agt_run_expire (agent);
   agt_quarantine_expire (agent);
   check_peers (agent, now);
--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -125,6 +125,12 @@
                    uint64_t *retry_after_ms)
 {
   *retry_after_ms = REFUSE_RETRY_MS;
+  uint64_t pause_ms = agt_backpressure_pause_ms (agent);
+  if (pause_ms > 0)
+    {
+      *retry_after_ms = pause_ms;
+      return "the target asks for a pause";
+    }
   if (agt_state (agent) == MSG_STATE_LEAVING)
     return "the target is leaving";
   if (!agent->is_engine_up)
--- a/src/daemon/agent_backpressure.c
+++ b/src/daemon/agent_backpressure.c
@@ -13,17 +13,10 @@
   LEAVING_LASTS_MS = 60000,
 };
 
-void
-agt_backpressure_note (agt_request_t *r, const eng_head_t *head)
+static void
+note_limit (agt_request_t *r, const eng_head_t *head)
 {
   agt_agent_t *agent = r->agent;
-  if (head->malformed != NULL)
-    {
-      MET_INC ("knapweedbay_answer_fields_ignored_total", "");
-      log_write (LOG_WARN, "engine", "%s of an answer has no meaning.",
-                 head->malformed);
-      return;
-    }
   bkp_limit_t heard = agent->meter.limit;
   bool is_change = bkp_limit_heard (&heard, head->limit_per_s,
                                     r->started_us / US_PER_MS, tmr_now_ms ());
@@ -36,6 +29,45 @@
              heard.per_s);
 }
 
+/// A shorter pause does not end a longer one.
+static void
+note_pause (agt_agent_t *agent, uint64_t pause_ms)
+{
+  uint64_t until_ms = tmr_now_ms () + pause_ms;
+  if (until_ms <= agent->paused_until_ms)
+    return;
+  agent->paused_until_ms = until_ms;
+  MET_INC ("knapweedbay_target_pauses_total", "");
+  log_write (LOG_INFO, "engine", "The target asks for a pause of %llu ms.",
+             (unsigned long long)pause_ms);
+}
+
+void
+agt_backpressure_note (agt_request_t *r, const eng_head_t *head)
+{
+  enum
+  {
+    HTTP_UNAVAILABLE = 503,
+  };
+  if (head->malformed != NULL)
+    {
+      MET_INC ("knapweedbay_answer_fields_ignored_total", "");
+      log_write (LOG_WARN, "engine", "%s of an answer has no meaning.",
+                 head->malformed);
+    }
+  if (!head->is_limit_malformed)
+    note_limit (r, head);
+  if (head->http_status == HTTP_UNAVAILABLE && head->retry_after_ms > 0)
+    note_pause (r->agent, head->retry_after_ms);
+}
+
+uint64_t
+agt_backpressure_pause_ms (const agt_agent_t *agent)
+{
+  uint64_t now_ms = tmr_now_ms ();
+  return agent->paused_until_ms > now_ms ? agent->paused_until_ms - now_ms : 0;
+}
+
 uint64_t
 agt_backpressure_wait_ms (const agt_agent_t *agent, uint8_t priority_class)
 {
@@ -45,24 +77,30 @@
   return bkp_meter_wait_ms (&agent->meter, ahead, tmr_now_ms ());
 }
 
-bool
-agt_backpressure_is_leaving (const agt_agent_t *agent)
+static bool
+is_leaving (const agt_agent_t *agent)
 {
   uint64_t said_ms = agent->engine.leaving_ms;
   return said_ms > 0 && tmr_now_ms () - said_ms < LEAVING_LASTS_MS;
 }
 
+bool
+agt_backpressure_is_closed (const agt_agent_t *agent)
+{
+  return is_leaving (agent) || agt_backpressure_pause_ms (agent) > 0;
+}
+
 msg_state_t
 agt_state (const agt_agent_t *agent)
 {
-  return agt_backpressure_is_leaving (agent) ? MSG_STATE_LEAVING
-                                             : agent->state;
+  return agt_backpressure_is_closed (agent) ? MSG_STATE_LEAVING : agent->state;
 }
 
 void
 agt_backpressure_forget (agt_agent_t *agent)
 {
   agent->engine.leaving_ms = 0;
+  agent->paused_until_ms = 0;
   bkp_limit_t none = { .at_ms = tmr_now_ms () };
   bkp_meter_told (&agent->meter, &none, none.at_ms);
 }
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -116,7 +116,8 @@
   sch_queue_t queue;
   clm_runner_t claims;
   aln_gate_t alone;
-  bkp_meter_t meter; ///< Of the requests that the target takes.
+  bkp_meter_t meter;        ///< Of the requests that the target takes.
+  uint64_t paused_until_ms; ///< The target wants no request before.
   tmr_sub_t meter_timer;
   qrt_table_t quarantine;             ///< Of ends of this target.
   agt_break_t breaks[AGT_MAX_BREAKS]; ///< The newest, in a ring.
@@ -127,7 +128,7 @@
   agt_peer_t peers[AGT_MAX_PEERS];
   uint32_t peer_count;
   msg_state_t state;
-  bool is_target_leaving; ///< By its own word, as entries were told.
+  bool is_target_closed; ///< It takes nothing new, as entries were told.
   bool is_engine_up;
   bool is_reconciled; ///< The engine's list was compared at least once.
   char engine_incarnation[64];
@@ -198,12 +199,16 @@
 // agent_backpressure.c
 /// Take what the target says about itself in the head of its answer.
 void agt_backpressure_note (agt_request_t *r, const eng_head_t *head);
+/// @return  How much longer the target wants no request.
+uint64_t agt_backpressure_pause_ms (const agt_agent_t *agent);
 /// @return  Time until a new request of a class may start, by the limit.
 uint64_t agt_backpressure_wait_ms (const agt_agent_t *agent,
                                    uint8_t priority_class);
-/// @return  Whether the target said a moment ago that it leaves.
-bool agt_backpressure_is_leaving (const agt_agent_t *agent);
-/// @return  What entries are told: this process leaves, or its target does.
+/// @return  Whether the target takes nothing new: it said that it leaves, or
+///          asked for a pause.
+bool agt_backpressure_is_closed (const agt_agent_t *agent);
+/// @return  What entries are told: this process leaves, or its target takes
+///          nothing new.
 msg_state_t agt_state (const agt_agent_t *agent);
 /// The target is another incarnation, which has stated nothing.
 void agt_backpressure_forget (agt_agent_t *agent);
--- a/src/transport/engine.c
+++ b/src/transport/engine.c
@@ -186,9 +186,28 @@
   kb_slice_t value = htc_call_header (http, name);
   if (value.len_bytes == 0 || kb_slice_decimal (value, &head->limit_per_s))
     return;
+  head->is_limit_malformed = true;
   head->malformed = name;
 }
 
+static void
+read_retry_after (const htc_call_t *http, eng_head_t *head)
+{
+  enum
+  {
+    MS_PER_S = 1000,
+    MOST_S = 3600,
+  };
+  static const char name[] = "retry-after";
+  kb_slice_t value = htc_call_header (http, name);
+  double seconds = 0;
+  if (value.len_bytes > 0 && !kb_slice_decimal (value, &seconds))
+    head->malformed = name;
+  if (seconds > MOST_S)
+    seconds = MOST_S;
+  head->retry_after_ms = (uint64_t)(seconds * MS_PER_S);
+}
+
 static void
 run_on_head (htc_call_t *http, int http_status, kb_slice_t content_type)
 {
@@ -197,6 +216,7 @@
                       .content_type = content_type,
                       .limit_per_s = -1 };
   read_limit (http, &head);
+  read_retry_after (http, &head);
   note_leaving (run->engine, http);
   run->events->on_head (run->arg, &head);
 }
--- a/src/transport/engine.h
+++ b/src/transport/engine.h
@@ -26,7 +26,9 @@
   kb_slice_t content_type;
   /// Requests a second that the target takes; negative: it states no limit.
   double limit_per_s;
-  const char *malformed; ///< A field whose value is none; NULL: none.
+  bool is_limit_malformed;
+  uint64_t retry_after_ms; ///< Zero: not said.
+  const char *malformed;   ///< A field whose value is none; NULL: none.
 } eng_head_t;
 
 /// Callbacks of a run.
