test(soak): targets state limits, leave and ask for pauses amid the faults

Checked: over all gateways no target gets more than its limit allows, a gateway that was told sends nothing to a target that leaves, and at most two requests within a pause; unless one of the two was started again since.

Two mends of the soak itself: engines that restart and targets that were ended came back under the same names, i-again1 of both kinds, so that two targets shared one entry of the list (a gateway then seemed to send into a pause of the other one); what is turned away with a pause counts as not run for a workspace's quota. Logs that are kept are whole, and the report names their folder.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -64,7 +64,11 @@
 {
   std::ofstream (daemon.settings_path)
       << "// for a test\n{\"interface\":\"relay\",\"name\":\"" << daemon.name
-      << "\",\"failure_domain\":\"d1\",\"inner_port\":" << inner_port_
+      << "\",\"failure_domain\":\"d1\",\"inner_port\":"
+      << inner_port_
+      // Logs that are kept are to be whole.
+      << (getenv ("KB_KEEP_LOGS") != nullptr ? ",\"log_lines_per_s\":100000"
+                                             : "")
       << ",\"grace_s\":6,\"quota_window_s\":" << kQuotaWindowS
       << ",\"quota_overshoot\":" << kQuotaOvershoot
       << ",\"quota_slack\":" << kQuotaSlack << ",\"store_address\":\""
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -97,6 +97,45 @@
   adapters_.clear ();
   has_model_ = false;
   seq_ = 0;
+  restarts_.push_back (Clock::now ());
+  says_leaving = false;
+  pause_s = -1;
+  state_limit_locked (-1);
+}
+
+size_t
+Target::born_at (Clock::time_point moment)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  size_t life = 0;
+  while (life < restarts_.size () && restarts_[life] < moment)
+    life++;
+  return life;
+}
+
+void
+Target::state_limit_locked (double per_s)
+{
+  Clock::time_point now = Clock::now ();
+  if (limit_per_s >= 0 && !limits_.empty ())
+    limits_.back ().to = now;
+  if (per_s >= 0)
+    limits_.push_back ({ per_s, now, Clock::time_point::max () });
+  limit_per_s = per_s;
+}
+
+void
+Target::state_limit (double per_s)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  state_limit_locked (per_s);
+}
+
+std::vector<LimitSpan>
+Target::limits ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return limits_;
 }
 
 void
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -29,6 +29,14 @@
   EXTRA_AFTER, ///< A second answer right after the right one.
 };
 
+/// A limit that a target stated for a while.
+struct LimitSpan
+{
+  double per_s;
+  std::chrono::steady_clock::time_point from;
+  std::chrono::steady_clock::time_point to;
+};
+
 class Target : public Server
 {
 public:
@@ -47,11 +55,13 @@
   }
   /// Faults of the next requests, one each.
   void fail_next (std::vector<Fault> faults);
-  /// Come back as another incarnation, empty; under the same id with a later
-  /// birth.
+  /// Come back as another incarnation, empty, that states nothing; under the
+  /// same id with a later birth.
   void restart (const std::string &id);
   /// Unix milliseconds of its start.
   int64_t born_ms ();
+  /// Which of its lives it was in at a moment.
+  size_t born_at (std::chrono::steady_clock::time_point moment);
   /// The clock that stamps the births is set by this much.
   void step_clock (int64_t by_ms);
   void set_leaving (bool is_leaving);
@@ -82,6 +92,9 @@
   std::set<std::string> orderers ();
   /// Requests a second that it says it takes; negative: it says nothing.
   std::atomic<double> limit_per_s{ -1 };
+  /// Set it, and remember from when to when it held; negative: none any more.
+  void state_limit (double per_s);
+  std::vector<LimitSpan> limits ();
   /// In place of it; NULL: nothing else is said.
   std::atomic<const char *> limit_text{ nullptr };
   /// Its answers say that it leaves; its report does not.
@@ -137,6 +150,9 @@
   std::set<std::string> orderers_;
   std::vector<Fault> faults_;
   std::string end_on_;
+  void state_limit_locked (double per_s);
+  std::vector<LimitSpan> limits_;
+  std::vector<std::chrono::steady_clock::time_point> restarts_;
   std::string pause_on_;
   double pause_on_s_ = 0;
   std::map<std::string, int> runs_;
--- a/test/relay/workspaces.cc
+++ b/test/relay/workspaces.cc
@@ -51,8 +51,13 @@
 {
   std::vector<std::pair<std::chrono::steady_clock::time_point, int>> found;
   auto add = [&] (Target &target) {
+    // What was turned away with a pause has not run.
+    std::set<std::chrono::steady_clock::time_point> turned_away;
+    for (const Message &request : target.turned_away ())
+      turned_away.insert (request.came);
     for (const Message &request : target.requests ())
-      if (request.header ("x-knapweedbay-tenant") == workspace)
+      if (request.header ("x-knapweedbay-tenant") == workspace
+          && turned_away.count (request.came) == 0)
         found.emplace_back (request.came, tokens_in (request));
   };
   for (Engine &engine : site.engines)
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -1,6 +1,8 @@
 // What must hold, from what callers and targets saw.
 #include "soak.h"
 
+#include "load.h"
+
 #include <signal.h>
 
 namespace relay
@@ -22,6 +24,10 @@
 /// once all gateways are in touch.
 constexpr int kFatalEnds = 3;
 constexpr int kFatalCheckMs = 2500;
+/// A target's limit, as its statement binds.
+constexpr int kLimitBindsAfterMs = 3000;
+constexpr int kLimitWindowMs = 4000;
+constexpr int kLimitSlack = 5;
 
 bool
 is_promise_of_no_run (int status)
@@ -41,8 +47,9 @@
 std::string
 Soak::report () const
 {
-  std::string text
-      = "seed " + std::to_string (seed_) + ", plan:\n" + describe (plan_);
+  std::string text = "seed " + std::to_string (seed_) + ", logs in "
+                     + site_.dir + " if they are kept, plan:\n"
+                     + describe (plan_);
   if (violations_.empty ())
     return text;
   const Violation &first = violations_.front ();
@@ -133,6 +140,97 @@
       }
 }
 
+/// From all gateways together, once a target has stated its limit for a while.
+void
+Soak::check_limits ()
+{
+  for (int i = 0; i < size_.engines + size_.plain; i++)
+    for (const LimitSpan &limit : target_at (i).limits ())
+      {
+        int allowed
+            = (int)(1.5 * limit.per_s * kLimitWindowMs / 1000) + kLimitSlack;
+        auto binds
+            = limit.from + std::chrono::milliseconds (kLimitBindsAfterMs);
+        std::vector<Moment> arrivals;
+        for (Moment came : arrivals_at (target_at (i)))
+          if (came < limit.to)
+            arrivals.push_back (came);
+        int most = most_in (arrivals, binds, kLimitWindowMs);
+        if (most > allowed)
+          violate ("", "target " + std::to_string (i) + " got "
+                           + std::to_string (most) + " of "
+                           + std::to_string (allowed) + " in a window");
+      }
+}
+
+/// @return  A number that a line of a log holds.
+static int64_t
+number_in (const std::string &line, const std::string &name)
+{
+  size_t at = line.find ("\"" + name + "\":");
+  return at == std::string::npos
+             ? 0
+             : atoll (line.c_str () + at + name.size () + 3);
+}
+
+static std::string
+text_in (const std::string &line, const std::string &name)
+{
+  size_t at = line.find ("\"" + name + "\":\"");
+  if (at == std::string::npos)
+    return "";
+  at += name.size () + 4;
+  return line.substr (at, line.find ('"', at) - at);
+}
+
+/// What a target said to a gateway binds that one's later requests, unless it
+/// or the target was started again since.
+/// @param event    With which the gateway logs it.
+/// @param from_ms  It binds that much later.
+/// @param most     Requests that may come all the same.
+void
+Soak::check_told (const std::string &event, int from_ms, int most)
+{
+  auto wall = std::chrono::system_clock::now ();
+  auto steady = std::chrono::steady_clock::now ();
+  auto moment_of = [&] (const std::string &line) {
+    auto at = std::chrono::system_clock::time_point (
+        std::chrono::milliseconds (number_in (line, "ts")));
+    return steady - (wall - at);
+  };
+  std::map<std::string, std::string> sender;
+  for (const Record &record : records_)
+    sender[record.id] = record.gateway;
+  for (const Gateway &gateway : site_.gateways)
+    for (const auto &line :
+         Site::log_lines (gateway.daemon, { "\"event\":\"" + event + "\"" }))
+      {
+        Moment from = moment_of (line) + std::chrono::milliseconds (from_ms);
+        Moment to = Moment::max ();
+        int64_t pause_ms = number_in (line, "pause_ms");
+        if (pause_ms > 0)
+          to = moment_of (line) + std::chrono::milliseconds (pause_ms);
+        for (const auto &start :
+             Site::log_lines (gateway.daemon, { "\"event\":\"start\"" }))
+          if (moment_of (start) > moment_of (line))
+            to = std::min (to, moment_of (start));
+        int came = 0;
+        for (int i = 0; i < size_.engines + size_.plain; i++)
+          for (const Message &request : target_at (i).requests ())
+            came += request.header ("x-knapweedbay-expect-instance")
+                        == text_in (line, "target")
+                    && sender[request.header ("x-knapweedbay-attempt-id")]
+                           == gateway.daemon.name
+                    && request.came > from && request.came < to
+                    && target_at (i).born_at (request.came)
+                           == target_at (i).born_at (moment_of (line));
+        if (came > most)
+          violate (text_in (line, "id"),
+                   std::to_string (came) + " requests of "
+                       + gateway.daemon.name + " after " + line);
+      }
+}
+
 void
 Soak::check_quota ()
 {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -35,8 +35,12 @@
   { "late_entry", 0, 0 },
   { "strange_entry", 50, 1500 },
   { "store_mute", 50, 2500 },
+  { "stated_limit", 0, 0 },
+  { "stated_leaving", 0, 0 },
+  { "stated_pause", 200, 1500 },
 };
 constexpr int kFirstKinds = 15;
+constexpr int kKindsWithoutStatements = 19;
 constexpr int kLeastGapMs = 20;
 constexpr int kMostGapMs = 350;
 
@@ -50,8 +54,11 @@
     return std::uniform_int_distribution<> (low, high) (random);
   };
   std::vector<Step> plan;
-  int kinds
-      = seed <= kLastSeedOfFirstKinds ? kFirstKinds : (int)std::size (kKinds);
+  int kinds = (int)std::size (kKinds);
+  if (seed <= kLastSeedWithoutStatements)
+    kinds = kKindsWithoutStatements;
+  if (seed <= kLastSeedOfFirstKinds)
+    kinds = kFirstKinds;
   int at_ms = 0;
   for (;;)
     {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -32,6 +32,9 @@
   LATE_ENTRY,        ///< Of a target's life before.
   STRANGE_ENTRY,     ///< Another writer's, also in the place of a target's.
   STORE_MUTE,        ///< Reads are taken and never answered, also later.
+  STATED_LIMIT,      ///< By a target in its answers, until another life.
+  STATED_LEAVING,    ///< The same.
+  STATED_PAUSE,      ///< A target turns all requests away and asks for one.
 };
 
 struct Step
@@ -47,6 +50,7 @@
 /// there were, and the callers.
 constexpr uint64_t kLastSeedOfFirstKinds = 2;
 constexpr uint64_t kLastSeedWithoutWorkspaces = 300;
+constexpr uint64_t kLastSeedWithoutStatements = 400;
 
 /// @param length_ms  All faults begin and end within this.
 std::vector<Step> draw_plan (uint64_t seed, int length_ms);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -19,6 +19,11 @@
 /// A key is taken away after this part of the faults.
 constexpr int kKeyLastsParts = 3;
 constexpr int kWorkspaceCallers = 3;
+/// Bound of the settings that the daemons run with.
+constexpr int kLeaveBoundMs = 2000;
+/// Of a pause a gateway may miss this much, and send so many in the rest.
+constexpr int kPauseHeardMs = 500;
+constexpr int kWithinPause = 2;
 
 void
 sleep_until_ms (std::chrono::steady_clock::time_point start, int at_ms)
@@ -110,6 +115,9 @@
       check_key_taken_away ();
       check_quota ();
     }
+  check_limits ();
+  check_told ("target_states_leaving", kLeaveBoundMs, 0);
+  check_told ("target_paused", kPauseHeardMs, kWithinPause);
   for (const auto &record : records_)
     check_record (record);
   check_engines ();
@@ -236,6 +244,15 @@
       (step.who % 2 == 0 ? site_.store : site_.far_store)
           .mute (step.how % 3 == 0 ? "op/" : "");
       break;
+    case Kind::STATED_LIMIT:
+      target_at (step.who).state_limit (1 + step.how % 10);
+      break;
+    case Kind::STATED_LEAVING:
+      target_at (step.who).says_leaving = true;
+      break;
+    case Kind::STATED_PAUSE:
+      target_at (step.who).pause_s = 0.5 + 0.5 * (step.how % 6);
+      break;
     }
 }
 
@@ -264,6 +281,9 @@
     case Kind::STRANGE_ENTRY:
       list_target (step.who, 0);
       break;
+    case Kind::STATED_PAUSE:
+      target_at (step.who).pause_s = -1;
+      break;
     default:
       break;
     }
@@ -338,7 +358,8 @@
 {
   size_t at = (size_t)(who % size_.engines);
   site_.remove ("servers/" + site_.engines[at].target->id ());
-  site_.engines[at].target->restart ("i-again"
+  // No id that a target which ended comes back under.
+  site_.engines[at].target->restart ("i-new"
                                      + std::to_string (++incarnation_));
   site_.list_engine (at);
 }
@@ -370,9 +391,21 @@
   site_.put ("servers/" + id, texts[(size_t)step.how / 2 % std::size (texts)]);
 }
 
+void
+Soak::end_statements ()
+{
+  for (int i = 0; i < size_.engines + size_.plain; i++)
+    if (target_at (i).limit_per_s >= 0 || target_at (i).says_leaving)
+      {
+        target_at (i).restart (target_at (i).id ());
+        list_target (i, 0);
+      }
+}
+
 void
 Soak::heal ()
 {
+  end_statements ();
   site_.store.set_mode (Store::WELL);
   site_.far_store.set_mode (Store::WELL);
   site_.store.unmute ();
@@ -396,6 +429,7 @@
 {
   std::mt19937_64 random (seed_ * 1000 + (uint64_t)caller);
   std::unique_ptr<Connection> connection;
+  const Gateway *gateway = nullptr;
   for (int n = 0; !is_done_; n++)
     {
       Record record;
@@ -404,8 +438,11 @@
           &record);
       call.headers += key_line_;
       if (connection == nullptr)
-        connection = dial (
-            site_.gateways[random () % site_.gateways.size ()].address);
+        {
+          gateway = &site_.gateways[random () % site_.gateways.size ()];
+          connection = dial (gateway->address);
+        }
+      record.gateway = gateway->daemon.name;
       if (connection == nullptr || !connection->write (call.text ()))
         {
           connection.reset ();
@@ -487,8 +524,10 @@
           = "w" + std::to_string (caller) + "-" + std::to_string (n);
       Call call = any_call (random, id, &record);
       call.headers += key_line (key);
-      record.answer = send_call (
-          site_.gateways[random () % site_.gateways.size ()], call);
+      const Gateway &gateway
+          = site_.gateways[random () % site_.gateways.size ()];
+      record.gateway = gateway.daemon.name;
+      record.answer = send_call (gateway, call);
       std::lock_guard<std::mutex> lock (mutex_);
       records_.push_back (record);
     }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -21,6 +21,7 @@
 struct Record
 {
   std::string id;
+  std::string gateway; ///< Its name.
   std::string adapter; ///< Empty: none.
   bool is_stream = false;
   bool may_repeat = false;
@@ -65,6 +66,8 @@
   /// List a target as it is, or as it was before.
   void list_target (int who, int64_t born_shift_ms);
   void write_strange_entry (const Step &step);
+  /// What targets stated ends with their lives.
+  void end_statements ();
   void heal ();
   void call_loop (int caller);
   void probe_loop ();
@@ -81,6 +84,8 @@
   Message ask (int gateway, Call call);
   void check_fatal ();
   void check_key_taken_away ();
+  void check_limits ();
+  void check_told (const std::string &event, int from_ms, int most);
   void check_quota ();
   void check_served ();
   void check_record (const Record &record);
