fix(gateway): keep what an engine said when the list names its life later

An engine that restarts is known to its sidecar at once, and to the list a second or more later; until then requests reach the new incarnation through the entry of the old one. What it said meanwhile (a pause, leaving, a limit) was kept with the old entry and forgotten when the list named the new one. Class: what is learnt of an incarnation is bound to the entry that it came through.

What was said now names the incarnation that said it, belongs to the entry that holds the link to the sidecar, and goes over with the link if it is of the incarnation that is listed.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -279,7 +279,9 @@
   if (answer->retry_after_ms > r->retry_after_ms)
     r->retry_after_ms = answer->retry_after_ms;
   gtw_target_note (r->gateway, r->target, true);
-  if (gtw_target_pause_ms (r->target) > 0 && !gtw_backpressure_may_go_on (r))
+  bool asks_for_pause
+      = r->http_status == HTTP_UNAVAILABLE && answer->retry_after_ms > 0;
+  if (asks_for_pause && !gtw_backpressure_may_go_on (r))
     {
       gtw_request_leave_target (r);
       answer_give_up (r, "target_paused");
@@ -439,9 +441,7 @@
     priority = MAX_ENGINE_PRIORITY;
   *out = (rly_forward_t){
     .deadline_ms = end_ms > now_ms ? end_ms - now_ms : 1,
-    .instance = kb_slice_str (r->is_engine && r->granted_instance[0] != '\0'
-                                  ? r->granted_instance
-                                  : r->target->told.who.id),
+    .instance = kb_slice_str (gtw_request_addressee (r)->id),
     .workspace = kb_slice_str (r->workspace),
     .adapter_version = r->granted_version,
     .priority = r->is_engine ? (int32_t)priority : -1,
--- a/src/gateway/gateway_backpressure.c
+++ b/src/gateway/gateway_backpressure.c
@@ -12,15 +12,14 @@
 };
 
 static void
-log_limit (const gtw_request_t *r)
+log_limit (const gtw_request_t *r, const gtw_stated_t *stated)
 {
-  const gtw_target_t *target = r->target;
   log_event_t line;
   if (!log_begin (&line, LOG_INFO, "gateway", "target_limit"))
     return;
-  log_text (&line, "target", target->told.who.id);
-  log_int (&line, "is_limited", target->limit.is_limited);
-  log_int (&line, "per_1000_s", (int64_t)(target->limit.per_s * 1000));
+  log_text (&line, "target", stated->who.id);
+  log_int (&line, "is_limited", stated->limit.is_limited);
+  log_int (&line, "per_1000_s", (int64_t)(stated->limit.per_s * 1000));
   log_text (&line, "id", r->attempt_id);
   log_end (&line);
 }
@@ -33,35 +32,73 @@
   if (!log_begin (&line, LOG_WARN, "gateway", "answer_field_ignored"))
     return;
   log_text (&line, "id", r->attempt_id);
-  log_text (&line, "target", r->target->told.who.id);
+  log_text (&line, "target", gtw_request_addressee (r)->id);
   log_text (&line, "field", field);
   log_end (&line);
 }
 
+static bool
+is_same_life (const inc_t *a, const inc_t *b)
+{
+  bool is_other_birth
+      = a->born_ms > 0 && b->born_ms > 0 && a->born_ms != b->born_ms;
+  return strcmp (a->id, b->id) == 0 && !is_other_birth;
+}
+
+/// The target that is used at the address of the present one: of an engine the
+/// list may name two incarnations for a while, and its sidecar serves one.
+static gtw_target_t *
+target_in_use (const gtw_request_t *r)
+{
+  gtw_target_t *linked
+      = r->is_engine ? kb_map_get (
+            &r->gateway->links, gtw_link_key (kb_slice_str (r->target->link)))
+                     : NULL;
+  return linked != NULL ? linked : r->target;
+}
+
+/// @return  What the addressee of a request has said so far.
+static gtw_stated_t *
+stated_by_addressee (const gtw_request_t *r)
+{
+  gtw_stated_t *stated = &target_in_use (r)->stated;
+  const inc_t *who = gtw_request_addressee (r);
+  if (!is_same_life (&stated->who, who))
+    *stated = (gtw_stated_t){ .who = *who };
+  return stated;
+}
+
+void
+gtw_backpressure_take_over (gtw_target_t *target, const gtw_target_t *from)
+{
+  if (is_same_life (&from->stated.who, &target->told.who))
+    target->stated = from->stated;
+}
+
 static void
-note_limit (gtw_request_t *r, const rly_answer_t *answer)
+note_limit (gtw_request_t *r, gtw_stated_t *stated, const rly_answer_t *answer)
 {
   double per_s = answer->states_limit ? answer->limit_per_s : -1;
   if (answer->is_limit_malformed
-      || !bkp_limit_heard (&r->target->limit, per_s, r->sent_boot_ms,
+      || !bkp_limit_heard (&stated->limit, per_s, r->sent_boot_ms,
                            tmr_boot_ms ()))
     return;
-  log_limit (r);
+  log_limit (r, stated);
   // Its sidecar is to know with the next tick.
-  r->target->told_ms = 0;
+  target_in_use (r)->told_ms = 0;
 }
 
 /// It holds for the incarnation; the list may tell it much later.
 static void
-note_leaving (gtw_request_t *r)
+note_leaving (const gtw_request_t *r, gtw_stated_t *stated)
 {
-  if (r->target->states_leaving)
+  if (stated->is_leaving)
     return;
-  r->target->states_leaving = true;
+  stated->is_leaving = true;
   log_event_t line;
   if (!log_begin (&line, LOG_INFO, "gateway", "target_states_leaving"))
     return;
-  log_text (&line, "target", r->target->told.who.id);
+  log_text (&line, "target", stated->who.id);
   log_int (&line, "is_listed_leaving", r->target->told.is_leaving);
   log_text (&line, "id", r->attempt_id);
   log_end (&line);
@@ -70,17 +107,17 @@
 /// It turned a request away, and wants none for a while. Each such answer
 /// holds: a shorter pause does not end a longer one.
 static void
-note_pause (gtw_request_t *r, uint64_t pause_ms)
+note_pause (const gtw_request_t *r, gtw_stated_t *stated, uint64_t pause_ms)
 {
   uint64_t until_ms = tmr_boot_ms () + pause_ms;
-  if (until_ms <= r->target->paused_until_ms)
+  if (until_ms <= stated->paused_until_ms)
     return;
-  r->target->paused_until_ms = until_ms;
+  stated->paused_until_ms = until_ms;
   MET_INC ("knapweedbay_target_pauses_total", "");
   log_event_t line;
   if (!log_begin (&line, LOG_INFO, "gateway", "target_paused"))
     return;
-  log_text (&line, "target", r->target->told.who.id);
+  log_text (&line, "target", stated->who.id);
   log_int (&line, "pause_ms", (int64_t)pause_ms);
   log_text (&line, "id", r->attempt_id);
   log_end (&line);
@@ -99,11 +136,12 @@
     return;
   if (answer->malformed != NULL)
     log_malformed (r, answer->malformed);
-  note_limit (r, answer);
+  gtw_stated_t *stated = stated_by_addressee (r);
+  note_limit (r, stated, answer);
   if (answer->is_leaving)
-    note_leaving (r);
+    note_leaving (r, stated);
   if (r->http_status == HTTP_UNAVAILABLE && answer->retry_after_ms > 0)
-    note_pause (r, answer->retry_after_ms);
+    note_pause (r, stated, answer->retry_after_ms);
 }
 
 static uint64_t
@@ -127,15 +165,16 @@
       = { .key = subject_key (target),
           .name = target->told.who.id,
           .is_target = true,
-          .limit = { .rate_per_s = bkp_limit_rate_per_s (&target->limit) },
-          .revision = target->limit.at_ms };
+          .limit
+          = { .rate_per_s = bkp_limit_rate_per_s (&target->stated.limit) },
+          .revision = target->stated.limit.at_ms };
   gtw_quota_use (r, &r->permit, &subject, 1);
 }
 
 qsp_verdict_t
 gtw_backpressure_take (gtw_request_t *r)
 {
-  if (r->permit.quota == NULL && !r->target->limit.is_limited)
+  if (r->permit.quota == NULL && !r->target->stated.limit.is_limited)
     return QSP_SPENT;
   if (r->permit.quota == NULL)
     use_quota (r);
@@ -154,7 +193,7 @@
 gtw_backpressure_wait_ms (const gtw_gateway_t *gateway,
                           const gtw_target_t *target)
 {
-  return target->limit.is_limited
+  return target->stated.limit.is_limited
              ? gtw_quota_subject_wait_ms (gateway, subject_key (target))
              : 0;
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -47,6 +47,15 @@
 
 typedef struct gtw_client gtw_client_t;
 
+/// What a target said of itself in the heads of its answers.
+typedef struct
+{
+  inc_t who;         ///< The incarnation that said it.
+  bkp_limit_t limit; ///< By the boot clock.
+  bool is_leaving;
+  uint64_t paused_until_ms; ///< It wants no request before, by the boot clock.
+} gtw_stated_t;
+
 /// A target, listed or still in use.
 typedef struct
 {
@@ -90,9 +99,7 @@
   inc_t engine;              ///< What the sidecar's last word was about.
   uint64_t quarantine_stamp; ///< Of what the sidecar knows.
 
-  bkp_limit_t limit;        ///< That it stated here, by the boot clock.
-  bool states_leaving;      ///< It said in an answer that it leaves.
-  uint64_t paused_until_ms; ///< It wants no request before, by the boot clock.
+  gtw_stated_t stated;
 
   uint64_t ended_ms; ///< When its process was found ended; zero: it was not.
   bool is_probed;    ///< A connection is tried, to see whether it has.
@@ -162,8 +169,8 @@
   bool begins_alone;
   bool is_late; ///< An engine had no time for it after its objective.
   uint32_t granted_version;
-  char granted_instance[GTW_ID_BYTES]; ///< Empty: as listed.
-  uint64_t tried[GTW_MAX_TRIES];       ///< Keys of targets that failed.
+  inc_t granted; ///< The engine's incarnation; its id is empty: as listed.
+  uint64_t tried[GTW_MAX_TRIES]; ///< Keys of targets that failed.
   uint32_t tried_count;
   uint32_t runs;         ///< Targets that may have begun it.
   uint32_t sends;        ///< Times it was sent.
@@ -334,21 +341,29 @@
          && gtw_now_ms (gateway) - target->heard_ms < GTW_SIDECAR_LATE_MS;
 }
 
+/// @return  The incarnation that a request is sent to. A sidecar knows of a
+///          restart before the list does.
+static inline const inc_t *
+gtw_request_addressee (const gtw_request_t *r)
+{
+  bool is_granted = r->is_engine && r->granted.id[0] != '\0';
+  return is_granted ? &r->granted : &r->target->told.who;
+}
+
 /// @return  Whether a target takes no new request: by the list, or because it
 ///          says so itself.
 static inline bool
 gtw_target_is_leaving (const gtw_target_t *target)
 {
-  return target->told.is_leaving || target->states_leaving;
+  return target->told.is_leaving || target->stated.is_leaving;
 }
 
 /// @return  How much longer a target wants no request from this gateway.
 static inline uint64_t
 gtw_target_pause_ms (const gtw_target_t *target)
 {
-  return target->paused_until_ms == 0
-             ? 0
-             : gtw_left_ms (target->paused_until_ms, tmr_boot_ms ());
+  uint64_t until_ms = target->stated.paused_until_ms;
+  return until_ms == 0 ? 0 : gtw_left_ms (until_ms, tmr_boot_ms ());
 }
 
 /// Key of a sidecar's name in `links`.
@@ -451,6 +466,10 @@
 /// Take a permit of the present target, which is plain, or learn what became
 /// of it.
 qsp_verdict_t gtw_backpressure_take (gtw_request_t *r);
+/// The list names the incarnation of an engine that requests have reached
+/// already, at the address of the one before.
+void gtw_backpressure_take_over (gtw_target_t *target,
+                                 const gtw_target_t *from);
 /// A target turned a request away and asked for a pause.
 /// @return  Whether it may try another target: a request that every target
 ///          turns away so would shut all others out.
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -57,7 +57,7 @@
   gtw_quotas_pack_elsewhere (
       gateway, gtw_link_key (kb_slice_str (target->link)), &elsewhere);
   target->told_ms = gtw_now_ms (gateway);
-  const bkp_limit_t *limit = &target->limit;
+  const bkp_limit_t *limit = &target->stated.limit;
   msg_t msg
       = { .type = MSG_GATEWAY_STATE,
           .gateway_state
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -65,7 +65,7 @@
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
-    count += t->is_listed && t->limit.is_limited;
+    count += t->is_listed && t->stated.limit.is_limited;
   return count;
 }
 
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -109,7 +109,7 @@
       return;
     }
   // It turned another request away since this one asked.
-  if (gtw_target_pause_ms (r->target) > 0)
+  if (gtw_target_pause_ms (from) > 0)
     {
       gtw_request_leave_target (r);
       gtw_request_next (r);
@@ -119,8 +119,8 @@
   r->has_place = true;
   r->begins_alone = grant->is_alone != 0;
   r->granted_version = (uint32_t)grant->version;
-  kb_slice_copy (grant->instance, r->granted_instance,
-                 sizeof r->granted_instance);
+  kb_slice_copy (grant->instance, r->granted.id, sizeof r->granted.id);
+  r->granted.born_ms = grant->born_ms;
   r->load_us += grant->load_us;
   gtw_answer_send (r);
 }
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -89,6 +89,7 @@
   target->incarnation = from->incarnation;
   target->sidecar_revision = from->sidecar_revision;
   target->sidecar_versions = from->sidecar_versions;
+  gtw_backpressure_take_over (target, from);
   from->is_linked = false;
   if (!is_of_before (&from->engine, target, from))
     take_over_engine (target, from);
--- a/test/relay/pause_failure_test.cc
+++ b/test/relay/pause_failure_test.cc
@@ -50,7 +50,7 @@
 
 /// The most requests of a gateway within any pause that it was asked for.
 int
-most_within_pause (Target &target)
+most_within_pause (Target &target, int pause_ms = kPauseMs)
 {
   auto arrivals = by_gateway (target.requests ());
   size_t most = 0;
@@ -61,7 +61,7 @@
         auto from = std::upper_bound (moments.begin (), moments.end (),
                                       asked + milliseconds (kHeardMs));
         auto to = std::lower_bound (from, moments.end (),
-                                    asked + milliseconds (kPauseMs));
+                                    asked + milliseconds (pause_ms));
         most = std::max (most, (size_t)(to - from));
       }
   return (int)most;
@@ -162,6 +162,38 @@
       3000));
 }
 
+// Guards against a pause that is kept with a life which the list names late.
+TEST (Pause, HoldsThoughTheListNamesItsLifeLater)
+{
+  constexpr int long_pause_ms = 10000;
+  Site site (2, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.restart ("i-new");
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.engines[0].sidecar,
+                             { "engine_identified", "i-new" })
+                .empty ();
+  }));
+  engine.pause_s = long_pause_ms / 1000.0;
+  Load load (&site, stream, 16, 5);
+  ASSERT_TRUE (
+      Site::wait_for ([&] { return !engine.turned_away ().empty (); }));
+  std::this_thread::sleep_for (milliseconds (1000));
+  Moment listed = std::chrono::steady_clock::now ();
+  site.remove ("servers/i-e0");
+  site.list_engine (0);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "target_listed", "i-new" })
+                .empty ();
+  }));
+  std::this_thread::sleep_for (milliseconds (2000));
+  load.stop ();
+  EXPECT_LE (most_within_pause (engine, long_pause_ms), kWithinPause);
+  EXPECT_EQ (most_in (arrivals_at (engine), listed, 4000), 0);
+}
+
 // Guards against one request that shuts all others out: each target turns it
 // away and asks for a pause.
 TEST (Pause, OneRequestPausesFewTargets)
