fix(gateway): a request that crashes plain targets begins alone there

Cause: beside a plain target nobody lets a request begin alone; it counted as alone only when no other request of its gateway broke off with it. Ruled out: the messages between gateways (all knew all crashes), innocent requests (cleared by their next answer). Class: a proof that others' load can withhold.

Now the gateway keeps its own other requests from the target while a suspect begins there, with the gate that sidecars use (coordination/alone): half a second of waiting at most, others take another target.

Ruled out as a mend: holding after six crashes without proof. It would hold who merely shared six targets; quarantine_test SharingTargetsThatEndHoldsNothing forbids it.

The stand-in's work in hand ends with its process now, as it does with a real one.

--- /dev/null
+++ b/src/gateway/gateway_alone.c
@@ -0,0 +1,80 @@
+/// @file gateway_alone.c
+/// Requests that begin alone at a plain target, as far as this gateway sends
+/// there (coordination/alone.h). Engines have a sidecar that sees to it.
+#include "gateway/gateway_defs.h"
+
+enum
+{
+  /// Others leave a target to a request that waits there for this long.
+  RESERVED_MS = 500,
+};
+
+static bool
+is_reserved (const gtw_target_t *target, const gtw_request_t *r,
+             uint64_t now_ms)
+{
+  return target->reserved_by != r->number
+         && now_ms < target->reserved_until_ms;
+}
+
+bool
+gtw_alone_may_use (const gtw_request_t *r, const gtw_target_t *target)
+{
+  if (r->is_engine)
+    return true;
+  uint64_t now_ms = gtw_now_ms (r->gateway);
+  return !aln_is_kept (&target->alone, now_ms)
+         && !is_reserved (target, r, now_ms)
+         && !aln_is_refused (&target->alone, &r->alone, now_ms);
+}
+
+bool
+gtw_alone_is_anywhere (const gtw_request_t *r)
+{
+  const gtw_gateway_t *gateway = r->gateway;
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    if (t->is_listed && strcmp (t->told.service, r->service) == 0
+        && !gtw_alone_may_use (r, t))
+      return true;
+  return false;
+}
+
+bool
+gtw_alone_start (gtw_request_t *r)
+{
+  uint64_t now_ms = gtw_now_ms (r->gateway);
+  gtw_target_t *target = r->target;
+  if (!aln_may_start (&target->alone, &r->alone, now_ms))
+    {
+      target->reserved_by = r->number;
+      target->reserved_until_ms = now_ms + RESERVED_MS;
+      return false;
+    }
+  target->reserved_until_ms = 0;
+  aln_started (&target->alone, &r->alone, now_ms);
+  return true;
+}
+
+bool
+gtw_alone_has_waited (const gtw_request_t *r)
+{
+  return aln_is_refused (&r->target->alone, &r->alone,
+                         gtw_now_ms (r->gateway));
+}
+
+void
+gtw_alone_end (gtw_request_t *r)
+{
+  gtw_target_t *target = r->target;
+  if (r->is_engine || target == NULL)
+    return;
+  if (target->reserved_by == r->number)
+    target->reserved_until_ms = 0;
+  // Others have their turn as soon as it is answered.
+  if (r->is_whole && r->alone.is_alone)
+    aln_begun (&target->alone, &r->alone, gtw_now_ms (r->gateway));
+  aln_ended (&target->alone, &r->alone);
+  r->alone.waited_ms = 0;
+}
--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -57,7 +57,8 @@
 is_usable (const gtw_request_t *r, const gtw_target_t *target)
 {
   if (!target->is_listed || gtw_target_is_leaving (target)
-      || was_tried (r, target) || gtw_target_pause_ms (target) > 0)
+      || was_tried (r, target) || gtw_target_pause_ms (target) > 0
+      || !gtw_alone_may_use (r, target))
     return false;
   return !r->is_engine
          || (target->is_linked && target->condition == MSG_ENGINE_READY);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -3,6 +3,7 @@
 #ifndef KB_GATEWAY_GATEWAY_DEFS_H
 #define KB_GATEWAY_GATEWAY_DEFS_H
 
+#include "coordination/alone.h"
 #include "coordination/backpressure.h"
 #include "coordination/budget.h"
 #include "coordination/place.h"
@@ -100,6 +101,9 @@
   uint64_t quarantine_stamp; ///< Of what the sidecar knows.
 
   gtw_stated_t stated;
+  aln_gate_t alone;     ///< Of a plain target, as far as this gateway sends.
+  uint64_t reserved_by; ///< Number of a request that waits to begin alone.
+  uint64_t reserved_until_ms;
 
   uint64_t ended_ms; ///< When its process was found ended; zero: it was not.
   bool is_probed;    ///< A connection is tried, to see whether it has.
@@ -112,6 +116,7 @@
   GTW_WAITING,   ///< For a configuration or a target that can be used.
   GTW_BORROWING, ///< Waits for credit of its workspace's quota.
   GTW_ASKING,    ///< Waits for a place.
+  GTW_ISOLATING, ///< Waits until its plain target is quiet, to begin alone.
   GTW_SENT,      ///< At a target, nothing passed on yet.
   GTW_PASSING,   ///< The answer is being passed on.
 } gtw_stage_t;
@@ -130,6 +135,7 @@
   gtw_client_t *client;
   gtw_request_t *next;
   gtw_request_t *prev;
+  uint64_t number; ///< Of this gateway's requests.
   gtw_stage_t stage;
   gtw_fate_t fate;
   char attempt_id[GTW_ID_BYTES];
@@ -167,7 +173,8 @@
   /// At an engine: targets ended under it, it is to begin alone, and was
   /// granted so. At a plain target: it broke off before.
   bool begins_alone;
-  bool is_late; ///< An engine had no time for it after its objective.
+  aln_request_t alone; ///< At a plain target.
+  bool is_late;        ///< An engine had no time for it after its objective.
   uint32_t granted_version;
   inc_t granted; ///< The engine's incarnation; its id is empty: as listed.
   uint64_t tried[GTW_MAX_TRIES]; ///< Keys of targets that failed.
@@ -235,8 +242,9 @@
   uint64_t requests[GTW_WIDTHS]; ///< Its fingerprints.
   uint64_t caller;               ///< Hash of its address.
   uint64_t at_ms;
-  bool is_plain; ///< The target is no engine.
-  bool is_alone; ///< gtw_request_t.begins_alone.
+  bool is_plain;    ///< The target is no engine.
+  bool is_isolated; ///< This gateway had no other request there.
+  bool is_alone;    ///< gtw_request_t.begins_alone.
 } gtw_break_t;
 
 /// What is kept at the platform of requests that targets ended under, so that
@@ -287,10 +295,11 @@
   uint32_t client_count;
   gtw_request_t *requests;
   uint32_t request_count;
-  uint64_t newest_key;   ///< Of the newest target.
-  kb_map_t quotas;       ///< gtw_quota_t by the key of their workspace.
-  gtw_charge_t *decided; ///< Wait for credit no longer.
-  tmr_fn_t on_decided;   ///< Goes on with them.
+  uint64_t newest_number; ///< Of the newest request.
+  uint64_t newest_key;    ///< Of the newest target.
+  kb_map_t quotas;        ///< gtw_quota_t by the key of their workspace.
+  gtw_charge_t *decided;  ///< Wait for credit no longer.
+  tmr_fn_t on_decided;    ///< Goes on with them.
   tmr_sub_t decided_timer;
   uint64_t heard_set;    ///< Hash of the sidecars that are heard.
   uint64_t heard_set_ms; ///< When it changed last.
@@ -417,6 +426,21 @@
 uint64_t gtw_request_patience_end_ms (const gtw_request_t *r,
                                       uint64_t from_ms);
 
+// gateway_alone.c
+/// @return  Whether a request may go to a target now: no other one begins
+///          alone there, or is about to.
+bool gtw_alone_may_use (const gtw_request_t *r, const gtw_target_t *target);
+/// @return  Whether a target of its service is kept from it so.
+bool gtw_alone_is_anywhere (const gtw_request_t *r);
+/// Begin at the present target, which is plain.
+/// @return  False: it is to begin alone and has to wait; others leave the
+///          target to it.
+bool gtw_alone_start (gtw_request_t *r);
+/// @return  Whether it has waited for too long and is to begin elsewhere.
+bool gtw_alone_has_waited (const gtw_request_t *r);
+/// It leaves the present target.
+void gtw_alone_end (gtw_request_t *r);
+
 // gateway_access.c
 /// Judge the key of a request, and take over what its workspace says.
 gtw_refusal_t gtw_access_judge (gtw_request_t *r, const svc_route_t *route);
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -217,17 +217,18 @@
          && gtw_now_ms (gateway) - broken->at_ms <= EVIDENCE_MS;
 }
 
-/// Beside a plain target no sidecar lets a request begin alone. One that had
-/// broken off before, and was the only one of this gateway's there, counts as
-/// if it had: others may have been there through other gateways, but not time
-/// and again. One that is sent all the time is at several targets that end at
-/// one moment; it had not broken off before any of them. What breaks off later
-/// does so because the target has ended.
+/// Beside a plain target no sidecar lets a request begin alone. One that this
+/// gateway kept its others from, or that had broken off before and was the
+/// only one of this gateway's there, counts as if it had: others may have been
+/// there through other gateways, but not time and again. One that is sent all
+/// the time is at several targets that end at one moment; it had not broken
+/// off before any of them. What breaks off later does so because the target
+/// has ended.
 static bool
 was_alone (const gtw_gateway_t *gateway, const gtw_target_t *target,
            const gtw_break_t *broken)
 {
-  if (!broken->is_plain || !broken->is_alone)
+  if (!broken->is_plain || !broken->is_alone || broken->is_isolated)
     return broken->is_alone;
   for (uint32_t i = 0; i < GTW_MAX_BREAKS; i++)
     {
@@ -301,7 +302,8 @@
                          .caller = caller_of (r),
                          .at_ms = gtw_now_ms (gateway),
                          .is_plain = !r->is_engine,
-                         .is_alone = r->begins_alone };
+                         .is_isolated = r->alone.is_alone,
+                         .is_alone = r->begins_alone || r->alone.is_alone };
   for (int width = 0; width < GTW_WIDTHS; width++)
     broken.requests[width] = gtw_request_fingerprint (r, width);
   // The proof came first: who else was there is looked through already.
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -138,6 +138,7 @@
   gtw_request_t *r = kb_alloc (sizeof *r);
   *r = (gtw_request_t){ .gateway = gateway,
                         .client = client,
+                        .number = ++gateway->newest_number,
                         .arrived_ms = gtw_now_ms (gateway),
                         .reason = "" };
   request_copy_said (r, said);
@@ -208,6 +209,7 @@
   xch_cancel (&r->exchange);
   gtw_place_release (r);
   gtw_quota_release (&r->permit, !r->is_permit_used);
+  gtw_alone_end (r);
   if (r->target != NULL)
     r->target->active--;
   r->target = NULL;
@@ -367,6 +369,8 @@
   if (back_ms > 0)
     gtw_request_refuse (r, is_service_down ? "target_paused" : r->reason,
                         back_ms);
+  else if (gtw_alone_is_anywhere (r))
+    request_wait (r, "others_begin");
   else if (is_service_down && (r->is_engine || !r->gateway->are_targets_known))
     request_wait (r, "no_target");
   else
@@ -440,9 +444,26 @@
       next = r->next;
       if (r->stage == GTW_WAITING)
         gtw_request_next (r);
+      else if (r->stage == GTW_ISOLATING)
+        gtw_request_decided (r);
     }
 }
 
+/// Send to a plain target, once nobody else is there, if it begins alone.
+static void
+request_begin_plain (gtw_request_t *r)
+{
+  if (gtw_alone_has_waited (r))
+    {
+      gtw_request_leave_target (r);
+      gtw_request_next (r);
+    }
+  else if (gtw_alone_start (r))
+    gtw_answer_send (r);
+  else
+    r->stage = GTW_ISOLATING;
+}
+
 /// Send to a plain target, once its limit has room.
 static void
 request_send_plain (gtw_request_t *r)
@@ -450,7 +471,7 @@
   switch (gtw_backpressure_take (r))
     {
     case QSP_SPENT:
-      gtw_answer_send (r);
+      request_begin_plain (r);
       return;
     case QSP_WAITS:
       r->stage = GTW_BORROWING;
@@ -502,6 +523,7 @@
     }
   if (!request_take_quota (r))
     return;
+  r->alone.is_alone = !r->is_engine && verdict == QRT_ALONE;
   r->begins_alone
       = r->is_engine ? verdict == QRT_ALONE : gtw_quarantine_has_broken (r);
   gtw_target_t *target
--- a/test/relay/repeat_failure_test.cc
+++ b/test/relay/repeat_failure_test.cc
@@ -4,7 +4,7 @@
 
 #include <signal.h>
 
-#include "site.h"
+#include "load.h"
 
 namespace relay
 {
@@ -30,6 +30,12 @@
   return plain_call ("fatal" + std::to_string (attempt), "/plain/fatal");
 }
 
+Call
+fatal_unsafe (int attempt)
+{
+  return plain_call ("fatal" + std::to_string (attempt), "/unsafe/fatal");
+}
+
 /// Send until a number of targets ended.
 /// @param call_of  The call for an attempt.
 /// @return         The next attempt's number.
@@ -107,6 +113,47 @@
   expect_few_after_third (site, fatal_plain, 12);
 }
 
+Call
+other_plain (const std::string &id)
+{
+  // Each one is a request of its own.
+  return plain_call (id, "/plain/" + id);
+}
+
+Call
+another_plain (const std::string &id)
+{
+  return plain_call ("m" + id, "/plain/m" + id);
+}
+
+Call
+yet_another_plain (const std::string &id)
+{
+  return plain_call ("n" + id, "/plain/n" + id);
+}
+
+// Guards against a request that is never alone at the plain targets which it
+// ends, because others are always there.
+TEST (Repeat, ARequestThatEndsPressedPlainTargetsReachesFewAfterTheThird)
+{
+  Site site (1, 2, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  for (const auto &target : site.plain)
+    target->answer_ms = 120;
+  // Not all in step: there are others at each moment.
+  Load load (&site, other_plain, 12, 1);
+  Load more (&site, another_plain, 12, 13);
+  Load yet_more (&site, yet_another_plain, 12, 31);
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  expect_few_after_third (site, fatal_unsafe, 12);
+  // Others lose nothing by it once it is held.
+  int refused = load.counts ().refused;
+  int answered = load.counts ().answered;
+  std::this_thread::sleep_for (std::chrono::milliseconds (1000));
+  EXPECT_EQ (load.counts ().refused, refused);
+  EXPECT_GT (load.counts ().answered, answered);
+}
+
 /// Send a request until it is held, through the first gateway.
 /// @return  Whether it is.
 bool
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -435,6 +435,11 @@
       use (request, -1);
       return is_kept;
     }
+  int life = ends;
+  sleep_ms (answer_ms);
+  // What a process works on ends with it.
+  if (has_ended () || life != ends)
+    return false;
   connection.write (answer (200, head, body));
   if (fault == Fault::EXTRA_AFTER)
     connection.write (answer (200, head, "a second answer"));
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -102,6 +102,8 @@
   /// It turns all requests away and asks for a pause of so long; negative:
   /// not.
   std::atomic<double> pause_s{ -1 };
+  /// How long a plain target works on a request.
+  std::atomic<int> answer_ms{ 0 };
   std::atomic<int> event_ms{ 2 };
   std::atomic<int> events{ 10 };
   std::atomic<int> load_ms{ 20 };
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -22,8 +22,9 @@
   // is served between the ends of its engines, was held. 218: a store that was
   // away hid the ends of plain targets from the gateways. 231: what broke off
   // after the end of a plain target hid who had been alone there.
-  // 301: the first with workspaces.
-  std::vector<uint64_t> list = { 1, 2, 212, 218, 231, 301 };
+  // 301: the first with workspaces. 402: a request that ends plain targets was
+  // never alone at one, because others were always there.
+  std::vector<uint64_t> list = { 1, 2, 212, 218, 231, 301, 402 };
   const char *text = getenv ("KB_SOAK_SEEDS");
   if (text == nullptr)
     return list;
