test(relay): each site's stand-ins have addresses of their own

Stores and plain targets of all sites shared 127.0.0.1 and differed by port, so that a daemon of one site, left over or started beside it, could meet another site's stand-in at a port that was used again: a store stand-in got a request without Prefix, and a plain target got reads of a store. The stand-in of the store can answer with another service's body, or at once that nothing changed.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -15,6 +15,9 @@
 
 /// Last part of the first gateway's address; engines come before it.
 static constexpr int kGatewayHost = 200;
+static constexpr int kStoreHost = 240;
+static constexpr int kFarStoreHost = 241;
+static constexpr int kPlainHost = 242; ///< All plain targets; ports differ.
 
 static std::string
 binary ()
@@ -130,9 +133,11 @@
   std::string &listed = by_address_[address];
   if (listed.empty ())
     {
+      std::string ip = address.substr (0, address.find (':'));
+      std::string outer = outer_ip (ip);
       all.push_back (std::make_unique<Proxy> (
-          "127.0.0.1", 0, "127.0.0.1", atoi (port_of (address).c_str ())));
-      listed = "127.0.0.1:" + std::to_string (all.back ()->port ());
+          outer, 0, ip, atoi (port_of (address).c_str ())));
+      listed = outer + ":" + std::to_string (all.back ()->port ());
     }
   return listed;
 }
@@ -145,7 +150,8 @@
 
 Site::Site (int engine_count, int plain_count, int gateway_count,
             Proxies *proxies)
-    : proxies_ (proxies)
+    : store (own_ip (0, kStoreHost)), far_store (own_ip (0, kFarStoreHost)),
+      proxies_ (proxies)
 {
   char pattern[] = "/tmp/kb-relay-XXXXXX";
   dir = mkdtemp (pattern);
@@ -178,7 +184,7 @@
   for (int i = 0; i < plain_count; i++)
     {
       plain.push_back (std::make_unique<Target> (
-          "127.0.0.1", "i-p" + std::to_string (i), false));
+          own_ip (0, kPlainHost), "i-p" + std::to_string (i), false));
       list_plain (plain.size () - 1);
     }
   for (int i = 0; i < gateway_count; i++)
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -211,6 +211,8 @@
   auto end = std::chrono::steady_clock::now ()
              + std::chrono::milliseconds (atoi (query.at ("WaitMs").c_str ()));
   std::string list;
+  if (mode_ == HASTY)
+    end = std::chrono::steady_clock::now ();
   while ((list = changes (query.at ("Prefix"), after)).empty ()
          && cuts == cuts_ && mutes == mutes_ && !is_stopping_
          && changed_.wait_until (lock, end) != std::cv_status::timeout)
@@ -249,6 +251,8 @@
     }
   if (mode == BUSY)
     return connection.write (answer (503, "", "{}"));
+  if (mode == NONSENSE)
+    return connection.write (json_answer ("{\"map\":\"a body\"}"));
   if (request.method () == "POST")
     return serve_write (connection, request);
   auto query = parse_query (request.target ());
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -17,14 +17,13 @@
   enum Mode
   {
     WELL,
-    BUSY,   ///< 503
-    RESET,  ///< Connections are reset.
-    SILENT, ///< No answer.
+    BUSY,     ///< 503
+    RESET,    ///< Connections are reset.
+    SILENT,   ///< No answer.
+    NONSENSE, ///< 200 with another service's body.
+    HASTY,    ///< Waits for no changes: says at once that there are none.
   };
-  explicit Store (const std::string &ip = "127.0.0.1") : Server (ip)
-  {
-    start ();
-  }
+  explicit Store (const std::string &ip) : Server (ip) { start (); }
   ~Store () override
   {
     set_mode (BUSY);
