--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -125,6 +125,26 @@
   EXPECT_EQ (site.plain[1]->runs (), before);
 }
 
+// Guards against another service at the store's address whose answers are
+// taken for a store without changes.
+TEST (Relay, AnAnswerWithoutARevisionIsNoAnswerOfTheStore)
+{
+  Site site (1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.store.set_mode (Store::NONSENSE);
+  site.list_plain (0);
+  int before = site.store.calls;
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon, { "store_lost" })
+                .empty ();
+  }));
+  EXPECT_LE (site.store.calls - before, 60);
+  site.store.set_mode (Store::WELL);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], plain_call ("a")).status == 200;
+  }));
+}
+
 // The store goes away, entries of live targets lapse meanwhile, and a reader
 // that takes the short list for the truth sends everything to one target.
 TEST (Relay, AnOutageOfTheStoreTakesNoTargetAway)
