fix(follow): pause before a store that answers at once is asked again

The reader that waits for changes sends its next read as soon as one is answered. Such an answer is followed by the pauses of a refusal.

--- a/src/coordination/follow.c
+++ b/src/coordination/follow.c
@@ -49,6 +49,9 @@
   /// that has just started.
   SHARED_SLACK_PART = 4,
   SHARED_SLACK_LEAST_MS = 100,
+  /// The direct reader waits for changes. An answer sooner than this without
+  /// one is followed by a pause, or the reads would follow each other at once.
+  HASTY_MS = 100,
 };
 
 void
@@ -188,38 +191,43 @@
     direct_renew (f, now_ms);
 }
 
+/// @return  Pause before a store that refused, or had nothing to say, is asked
+///          again.
+static uint64_t
+backoff_ms (flw_reader_t *r, uint32_t random)
+{
+  uint64_t pause_ms = r->retry_ms / 2 + random % (r->retry_ms + 1);
+  r->retry_ms *= 2;
+  if (r->retry_ms > RETRY_MOST_MS)
+    r->retry_ms = RETRY_MOST_MS;
+  return pause_ms;
+}
+
 void
 flw_answered (flw_follower_t *f, flw_which_t which, uint64_t now_ms,
               uint64_t as_of, uint64_t config_revision, uint32_t random)
 {
   flw_reader_t *r = &f->readers[which];
   bool is_first = r->as_of == 0;
+  // The batch reader pauses after each answer in any case.
+  bool is_hasty = which == FLW_DIRECT && as_of <= r->as_of
+                  && now_ms - r->began_ms < HASTY_MS;
   r->is_reading = false;
   r->answered_ms = now_ms;
-  r->retry_ms = RETRY_FIRST_MS;
+  if (!is_hasty)
+    r->retry_ms = RETRY_FIRST_MS;
   r->is_slow = now_ms - r->began_ms > BATCH_WAIT_MS + SLACK_MS;
   r->silent_reads = 0;
   // A read that is answered late must not take the reader back.
   if (as_of > r->as_of)
     r->as_of = as_of;
-  r->due_ms = now_ms;
+  r->due_ms = is_hasty ? now_ms + backoff_ms (r, random) : now_ms;
   if (which == FLW_BATCH)
     batch_answered (f, now_ms, is_first, config_revision, random);
   else
     r->failed_since_ms = 0;
 }
 
-/// @return  Pause before a store that refused is asked again.
-static uint64_t
-backoff_ms (flw_reader_t *r, uint32_t random)
-{
-  uint64_t pause_ms = r->retry_ms / 2 + random % (r->retry_ms + 1);
-  r->retry_ms *= 2;
-  if (r->retry_ms > RETRY_MOST_MS)
-    r->retry_ms = RETRY_MOST_MS;
-  return pause_ms;
-}
-
 void
 flw_failed (flw_follower_t *f, flw_which_t which, uint64_t now_ms,
             flw_failure_t failure, uint32_t random)
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -125,6 +125,24 @@
   EXPECT_EQ (site.plain[1]->runs (), before);
 }
 
+// Guards against a store that is asked without a pause because it answers at
+// once that nothing has changed.
+TEST (Relay, AStoreThatAnswersAtOnceIsAskedWithPauses)
+{
+  Site site (1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.store.set_mode (Store::HASTY);
+  // Reads that wait end with a change.
+  site.list_plain (0);
+  int before = site.store.calls;
+  std::this_thread::sleep_for (std::chrono::milliseconds (2000));
+  EXPECT_LE (site.store.calls - before, 60);
+  site.store.set_mode (Store::WELL);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], plain_call ("a")).status == 200;
+  }));
+}
+
 // Guards against another service at the store's address whose answers are
 // taken for a store without changes.
 TEST (Relay, AnAnswerWithoutARevisionIsNoAnswerOfTheStore)
