--- a/src/transport/call.c
+++ b/src/transport/call.c
@@ -20,6 +20,7 @@
   cal_result_t result = { .status = status,
                           .http_status = call->http_status,
                           .body = kb_buf_slice (&body),
+                          .first_byte_ms = call->first_byte_ms,
                           .instance = kb_slice_str (call->instance) };
   call->done (call->arg, &result);
   kb_buf_finish (&body);
@@ -31,6 +32,8 @@
   cal_call_t *call = x->owner;
   const h1_conn_t *conn = xch_conn (x);
   call->http_status = conn->parser.status_code;
+  call->first_byte_ms
+      = (int64_t)(uv_now (call->timers->loop) - call->began_ms);
   if (call->instance_header != NULL)
     kb_slice_copy (h1_head_get (&conn->head, call->instance_header),
                    call->instance, sizeof call->instance);
@@ -73,6 +76,8 @@
   kb_buf_finish (&call->body);
   *call = (cal_call_t){ .timers = peer->pool->timers,
                         .instance_header = request->instance_header,
+                        .began_ms = uv_now (peer->pool->loop),
+                        .first_byte_ms = -1,
                         .done = done,
                         .arg = arg,
                         .is_active = true };
--- a/src/transport/call.h
+++ b/src/transport/call.h
@@ -16,7 +16,9 @@
   /// KB_ELIMIT: the answer is larger than a call takes.
   kb_status_t status;
   int http_status;
-  kb_slice_t body;     ///< Gone after the callback.
+  kb_slice_t body; ///< Gone after the callback; a part, if not KB_OK.
+  /// From the start to the first byte of the answer; negative: none came.
+  int64_t first_byte_ms;
   kb_slice_t instance; ///< Value of the header asked for, or empty.
 } cal_result_t;
 
@@ -32,6 +34,8 @@
   char instance[64];
   const char *instance_header;
   int http_status;
+  uint64_t began_ms;
+  int64_t first_byte_ms; ///< See cal_result_t.
   cal_done_t done;
   void *arg;
   bool is_active;
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -269,6 +269,21 @@
   expect_new_route_soon (site);
 }
 
+// Guards against a late configuration that no line tells apart from a gateway
+// which does not read.
+TEST (Relay, AReadThatBringsAConfigurationIsLogged)
+{
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.write_config (4);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "\"store_read\"", "\"from\":\"store\"",
+                               "\"bytes\":", "\"first_byte_ms\":" })
+                .empty ();
+  }));
+}
+
 // The store forgets its history while the configuration changes; a reader
 // that only waits for changes never hears of it.
 TEST (Relay, AForgottenHistoryIsReadAnew)
