--- a/test/model/world.cc
+++ b/test/model/world.cc
@@ -124,7 +124,7 @@
   config_ += draw_number (1, 4);
   value.config = config_;
   store_.put (kConfigKey, value);
-  config_acks_.emplace_back (now_ms_, config_);
+  config_acks_.push_back ({ now_ms_, config_, quiet_total_ms_ });
 }
 
 void
@@ -238,7 +238,8 @@
         store_.put ("servers/a-stranger", bad);
       break;
     case WORD_COMES_LATE:
-      stale_config_ = config_acks_.empty () ? 0 : config_acks_.front ().second;
+      stale_config_
+          = config_acks_.empty () ? 0 : config_acks_.front ().revision;
       break;
     case GATEWAY_APART:
       o.until_ms[3] = end_ms;
@@ -271,6 +272,10 @@
     store_.compact ();
   if (store_.trouble != Trouble::NONE || store_.is_quiet || was_quiet)
     store_disturbed_ms_ = now_ms_;
+  if (store_.trouble != Trouble::NONE)
+    store_away_ms_ = now_ms_;
+  if (store_.is_quiet)
+    quiet_total_ms_ += STEP_MS;
   for (; writes_due_ > 0 && is_well (); writes_due_--)
     operator_writes (false);
   for (auto &[at_ms, item] : late_writes_)
@@ -402,8 +407,8 @@
 {
   if (o.gateway->is_frozen || !o.gateway->admits_keys (now_ms_))
     return "";
-  for (const auto &[at_ms, revision] : config_acks_)
-    if (now_ms_ > at_ms + REVOKE_MS && o.gateway->config < revision)
+  for (const ConfigAck &ack : config_acks_)
+    if (now_ms_ > ack.at_ms + REVOKE_MS && o.gateway->config < ack.revision)
       return "a key that was taken away is let in";
   return "";
 }
@@ -415,6 +420,24 @@
   return o.gateway->admits_keys (now_ms_) ? "" : "a key that stays is refused";
 }
 
+/// While watches hear nothing the store still answers plain reads: that time
+/// stretches the bound of a change, and excuses nothing beyond it.
+std::string
+World::check_config (const Observed &o) const
+{
+  uint64_t calm_ms = std::max (o.disturbed_ms, store_away_ms_);
+  if (now_ms_ - calm_ms < CONTACT_MS || now_ms_ < CONTACT_MS)
+    return "";
+  for (const ConfigAck &ack : config_acks_)
+    {
+      uint64_t quiet_ms = quiet_total_ms_ - ack.quiet_total_ms;
+      if (now_ms_ >= ack.at_ms + APPLY_MS + quiet_ms
+          && o.gateway->config < ack.revision)
+        return "a confirmed configuration is not in force";
+    }
+  return "";
+}
+
 std::string
 World::check (Observed &o)
 {
@@ -434,11 +457,11 @@
       if (!broken.empty ())
         return broken;
     }
+  std::string late = check_config (o);
+  if (!late.empty ())
+    return late;
   if (now_ms_ - calm_ms < CONTACT_MS || now_ms_ < CONTACT_MS)
     return "";
-  for (const auto &[at_ms, revision] : config_acks_)
-    if (now_ms_ >= at_ms + APPLY_MS && g.config < revision)
-      return "a confirmed configuration is not in force";
   for (const auto &[at_ms, version] : version_acks_)
     if (now_ms_ >= at_ms + VERSION_MS && g.version () < version)
       return "a confirmed version is not in force";
--- a/test/model/world.h
+++ b/test/model/world.h
@@ -77,6 +77,7 @@
   void pass_on ();
   std::string check_keys (const Observed &o) const;
   std::string check_admitted (const Observed &o) const;
+  std::string check_config (const Observed &o) const;
   std::string check (Observed &o);
   std::string check_lapsed (Observed &o, const Target &target);
   std::string check_target (const Observed &o, const Target &target);
@@ -92,6 +93,8 @@
   bool is_alone_ = false; ///< The store was well for a while before it.
   uint64_t quiet_until_ms_ = 0;
   uint64_t store_disturbed_ms_ = 0;
+  uint64_t store_away_ms_ = 0;  ///< Last moment at which it served no reads.
+  uint64_t quiet_total_ms_ = 0; ///< How long watches have heard nothing.
   uint64_t store_back_ms_ = 0;
   bool leases_lapse_ = false;
   std::vector<Event> events_;
@@ -105,7 +108,13 @@
   uint64_t stale_config_ = 0; ///< A word that is passed on late.
   uint64_t config_ = 0;       ///< The operator's last.
   uint32_t version_ = 0;
-  std::vector<std::pair<uint64_t, uint64_t>> config_acks_;
+  struct ConfigAck
+  {
+    uint64_t at_ms;
+    uint64_t revision;
+    uint64_t quiet_total_ms; ///< When it was acknowledged.
+  };
+  std::vector<ConfigAck> config_acks_;
   std::vector<std::pair<uint64_t, uint32_t>> version_acks_;
   int writes_due_ = 0; ///< Configurations that wait for the store.
   std::vector<std::pair<uint64_t, Item>> late_writes_;
--- a/test/unit/follow_test.cc
+++ b/test/unit/follow_test.cc
@@ -13,7 +13,9 @@
 {
 
 /// A store that answers in `delay_ms`, but for a time in which it takes reads
-/// and never answers them, nor those that waited then.
+/// and never answers them, nor those that waited then. For another time
+/// reads that wait hear nothing; after it they are cut, and the history up to
+/// then is gone.
 class Timeline
 {
 public:
@@ -40,6 +42,8 @@
   uint64_t delay_ms = 4;
   uint64_t silent_from_ms = 0;
   uint64_t silent_to_ms = 0;
+  uint64_t quiet_from_ms = 0;
+  uint64_t quiet_to_ms = 0;
   bool is_refusing = false;
   uint64_t heartbeat_ms = 60;
   uint64_t revision = 1;
@@ -53,6 +57,7 @@
   {
     bool is_open = false;
     bool is_swallowed = false;
+    bool was_quiet = false;
     flw_read_t read;
     uint64_t sent_ms = 0;
   };
@@ -63,16 +68,25 @@
     return now_ms >= silent_from_ms && now_ms < silent_to_ms;
   }
 
+  bool
+  is_quiet () const
+  {
+    return now_ms >= quiet_from_ms && now_ms < quiet_to_ms;
+  }
+
   void
   step ()
   {
+    if (now_ms + 1 == quiet_to_ms)
+      forgotten_ = revision;
     if (heartbeat_ms > 0 && now_ms % heartbeat_ms == 0)
       revision++;
     for (int i = 0; i < FLW_READERS; i++)
       {
         play_read ((flw_which_t)i);
-        if (flw_take_lost (&f, FLW_DIRECT))
-          open_[FLW_DIRECT].is_open = false;
+        for (int k = 0; k < FLW_READERS; k++)
+          if (flw_take_lost (&f, (flw_which_t)k))
+            open_[k].is_open = false;
       }
     for (int i = 0; i < FLW_READERS; i++)
       send_due ((flw_which_t)i);
@@ -87,6 +101,7 @@
     ASSERT_FALSE (r.is_open);
     r.is_open = true;
     r.is_swallowed = is_silent ();
+    r.was_quiet = false;
     r.sent_ms = now_ms;
     reads++;
   }
@@ -106,9 +121,14 @@
     if (!r.is_open)
       return;
     r.is_swallowed |= is_silent ();
+    bool is_watch = r.read.after > 0;
+    r.was_quiet |= is_watch && is_quiet ();
+    bool is_cut = r.was_quiet && !is_quiet ();
+    if (is_watch && is_quiet () && now_ms - r.sent_ms < r.read.timeout_ms)
+      return;
     bool is_late = now_ms - r.sent_ms >= r.read.timeout_ms;
     bool is_due = !r.is_swallowed && now_ms - r.sent_ms >= delay_ms;
-    if (is_late || (is_refusing && is_due))
+    if (is_late || is_cut || (is_refusing && is_due))
       {
         r.is_open = false;
         flw_failed (&f, which, now_ms, FLW_NO_ANSWER, random_ ());
@@ -117,6 +137,11 @@
     if (!is_due || !has_news (which, r))
       return;
     r.is_open = false;
+    if (is_watch && r.read.after < forgotten_)
+      {
+        flw_failed (&f, which, now_ms, FLW_HISTORY_GONE, random_ ());
+        return;
+      }
     bool has_config = config_revision > r.read.after;
     flw_answered (&f, which, now_ms, revision,
                   has_config ? config_revision : 0, random_ ());
@@ -128,6 +153,7 @@
   }
 
   std::mt19937 random_;
+  uint64_t forgotten_ = 0; ///< The history up to here is gone.
   Read open_[FLW_READERS];
 };
 
@@ -157,6 +183,33 @@
   EXPECT_LT (worst_ms, (uint64_t)BOUND_MS);
 }
 
+// Guards against a change that is missed twice: by a read that a silence
+// swallowed, and by the one after it, because reads that wait hear nothing.
+TEST (Follow, AChangeIsKnownThoughWatchesHearNothingAfterASilence)
+{
+  enum
+  {
+    CONTACT_MS = 3000, ///< From the store's return until changes bind.
+    QUIET_MS = 1260,
+  };
+  uint64_t worst_ms = 0;
+  for (uint32_t seed = 1; seed <= 400; seed++)
+    {
+      Timeline t (seed);
+      t.silent_from_ms = 1000 + seed * 13 % 2000;
+      t.silent_to_ms = t.silent_from_ms + 50 + seed * 97 % 15000;
+      t.run_until (t.silent_to_ms);
+      t.change_config ();
+      uint64_t return_ms = t.now_ms;
+      t.quiet_from_ms = return_ms + 300 + seed * 7 % 1700;
+      t.quiet_to_ms = t.quiet_from_ms + QUIET_MS;
+      t.run_until (return_ms + 10000);
+      ASSERT_EQ (t.known_config, t.config_revision) << "seed " << seed;
+      worst_ms = std::max (worst_ms, t.known_since_ms - return_ms);
+    }
+  EXPECT_LT (worst_ms, (uint64_t)CONTACT_MS);
+}
+
 // As above on a store without a single target, where nothing ever changes.
 TEST (Follow, ASilenceShowsAlsoWithoutHeartbeats)
 {
