fix(follow): give up targets that lapsed before the entry is bound again

Cause: targets whose entries vanish in an outage are kept until 3 s after the start of the last read that failed, the earliest moment of the store's return: just as long as leaving binds nobody. The read's size has nothing to do with it.

--- a/src/coordination/follow.c
+++ b/src/coordination/follow.c
@@ -41,6 +41,9 @@
   /// From the store's return, which was at the start of the last read that
   /// failed at the earliest, until a daemon must be up to date again.
   CONTACT_MS = 3000,
+  /// A target that left is removed with the next sweep, and a request may be
+  /// on its way to it by then.
+  REMOVAL_MARGIN_MS = 100,
   /// While targets come back one by one, after a start or a gap, each pause is
   /// this short, and up to as much again: callers wait for the first ones, and
   /// after a loss of all power each engine is known 0.3 s earlier on average.
@@ -226,7 +229,7 @@
   f->known_ms = batch->began_ms;
   f->is_store_due = false;
   if (is_gap)
-    f->lapsed_until_ms = f->unanswered_ms + CONTACT_MS;
+    f->lapsed_until_ms = f->unanswered_ms + CONTACT_MS - REMOVAL_MARGIN_MS;
   if (is_gap || is_first)
     {
       f->returning_until_ms = now_ms + RETURN_MS;
--- a/test/unit/follow_test.cc
+++ b/test/unit/follow_test.cc
@@ -312,6 +312,29 @@
   EXPECT_GE (flw_lapsed_until_ms (&t.f), t.silent_to_ms + 2000);
 }
 
+// Guards against a target that left in an outage and gets a request that was
+// on its way while it was being removed.
+TEST (Follow, WhatLapsedInASilenceIsGivenUpBeforeTheContactIsOver)
+{
+  enum
+  {
+    CONTACT_MS = 3000,
+    ON_THE_WAY_MS = 100, ///< Of the removal, and of a request sent before it.
+  };
+  uint64_t latest_ms = 0;
+  for (uint32_t seed = 1; seed <= 400; seed++)
+    {
+      Timeline t (seed);
+      t.silent_from_ms = 4000 + seed * 13 % 2000;
+      t.silent_to_ms = t.silent_from_ms + 1500 + seed * 97 % 6000;
+      t.run_until (t.silent_to_ms + 2500);
+      ASSERT_GT (flw_lapsed_until_ms (&t.f), t.silent_to_ms);
+      latest_ms = std::max (latest_ms,
+                            flw_lapsed_until_ms (&t.f) - t.silent_to_ms);
+    }
+  EXPECT_LE (latest_ms, (uint64_t)(CONTACT_MS - ON_THE_WAY_MS));
+}
+
 // The history is forgotten: everything is read again, and the direct reader
 // goes on from there.
 TEST (Follow, AForgottenHistoryIsReadAgain)
