fix(store): wait for an answer that comes by pieces

What was seen: with 2,000 more routes and a change each 2 s, an entry on a link of 10 Mbit/s stayed behind by 8 s and more; the store counted as lost though it answered.

Cause: a read's timeout was for its whole answer. One that brings more than fits into it was given up while bytes came, and the next one began at the same revision, with more to bring.

--- a/src/transport/call.c
+++ b/src/transport/call.c
@@ -26,6 +26,25 @@
   kb_buf_finish (&body);
 }
 
+static void
+call_late (void *arg)
+{
+  call_finish (arg, KB_EUNKNOWN);
+}
+
+/// Bytes of the answer came: they are what shows that the peer lives.
+static void
+call_note_progress (cal_call_t *call)
+{
+  if (call->stall_ms == 0)
+    return;
+  uint64_t took_ms = uv_now (call->timers->loop) - call->began_ms;
+  uint64_t left_ms = call->most_ms > took_ms ? call->most_ms - took_ms : 0;
+  tmr_after (call->timers, &call->timer,
+             left_ms < call->stall_ms ? left_ms : call->stall_ms, call_late,
+             call);
+}
+
 static void
 call_on_head (xch_t *x)
 {
@@ -37,6 +56,7 @@
   if (call->instance_header != NULL)
     kb_slice_copy (h1_head_get (&conn->head, call->instance_header),
                    call->instance, sizeof call->instance);
+  call_note_progress (call);
 }
 
 static void
@@ -46,6 +66,8 @@
   kb_buf_append (&call->body, bytes.ptr, bytes.len_bytes);
   if (call->body.len_bytes > MAX_ANSWER_BYTES)
     call_finish (call, KB_ELIMIT);
+  else
+    call_note_progress (call);
 }
 
 static void
@@ -60,12 +82,6 @@
   call_finish (x->owner, fail == XCH_NOT_SENT ? KB_EUNAVAIL : KB_EUNKNOWN);
 }
 
-static void
-call_late (void *arg)
-{
-  call_finish (arg, KB_EUNKNOWN);
-}
-
 static const xch_events_t call_events
     = { call_on_head, call_on_body, call_on_done, call_on_fail };
 
@@ -77,6 +93,8 @@
   *call = (cal_call_t){ .timers = peer->pool->timers,
                         .instance_header = request->instance_header,
                         .began_ms = uv_now (peer->pool->loop),
+                        .stall_ms = request->stall_ms,
+                        .most_ms = request->most_ms,
                         .first_byte_ms = -1,
                         .done = done,
                         .arg = arg,
--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -269,6 +269,37 @@
   expect_new_route_soon (site);
 }
 
+// Guards against a read that is given up while its answer comes, and begun
+// again with more to bring.
+TEST (Relay, ALargeConfigurationOnASlowLinkIsTaken)
+{
+  enum
+  {
+    ROUTES = 1000,
+    DOCUMENT_MS = 2500,
+  };
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  std::string routes;
+  for (int i = 0; i < ROUTES; i++)
+    routes += ",{\"Name\":\"r" + std::to_string (i)
+              + "\",\"Host\":\"b.example\",\"Prefix\":\"/" + std::to_string (i)
+              + "/\",\"Kind\":\"safe\",\"TimeoutMs\":2000,"
+                "\"Service\":\"maps\",\"MaxAttempts\":1}";
+  site.store.bytes_per_s = (int)(routes.size () * 4 / 3) * 1000 / DOCUMENT_MS;
+  site.write_config (5, kNewRoute + routes);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (
+                site.gateways[0].daemon,
+                { "store_read\"", "\"prefix\":\"\"", "\"changes\":1," })
+                .empty ();
+  }));
+  EXPECT_EQ (send_call (site.gateways[0], plain_call ("l", "/new/x")).status,
+             200);
+  EXPECT_TRUE (
+      Site::log_lines (site.gateways[0].daemon, { "store_lost" }).empty ());
+}
+
 // Guards against a late configuration that no line tells apart from a gateway
 // which does not read.
 TEST (Relay, AReadThatBringsAConfigurationIsLogged)
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -155,6 +155,26 @@
   return false;
 }
 
+bool
+Store::deliver (Connection &connection, const std::string &bytes)
+{
+  const int pieces_per_s = 20;
+  size_t at = 0;
+  while (at < bytes.size () && !is_stopping_)
+    {
+      int pace = bytes_per_s;
+      size_t piece
+          = pace > 0 ? (size_t)(pace / pieces_per_s + 1) : bytes.size ();
+      if (!connection.write (bytes.substr (at, piece)))
+        return false;
+      at += piece;
+      if (at < bytes.size ())
+        std::this_thread::sleep_for (
+            std::chrono::milliseconds (1000 / pieces_per_s));
+    }
+  return true;
+}
+
 std::string
 Store::item_json (const std::string &key, const Item &item)
 {
@@ -226,8 +246,10 @@
     return connection.write (answer (410, "", "{}"));
   if (cuts != cuts_)
     return false;
-  return connection.write (json_answer ("{\"events\":[" + list + "],\"AsOf\":"
-                                        + std::to_string (revision_) + "}"));
+  std::string told = "{\"events\":[" + list
+                     + "],\"AsOf\":" + std::to_string (revision_) + "}";
+  lock.unlock ();
+  return deliver (connection, json_answer (told));
 }
 
 bool
@@ -271,7 +293,7 @@
     std::lock_guard<std::mutex> lock (mutex_);
     body = range (query);
   }
-  return connection.write (json_answer (body));
+  return deliver (connection, json_answer (body));
 }
 
 } // namespace relay
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -40,6 +40,8 @@
   /// when the store is well again.
   void mute (const std::string &prefix);
   void unmute ();
+  /// Answers come by pieces, so many bytes a second; zero: at once.
+  std::atomic<int> bytes_per_s{ 0 };
   /// What daemons write here stands in another store as well.
   void mirror_to (Store *other);
   /// Values that daemons have written under a prefix and that stand now.
@@ -63,6 +65,8 @@
   std::string range (const std::map<std::string, std::string> &query);
   std::string changes (const std::string &prefix, int64_t after);
   bool is_muted (const std::string &prefix) const;
+  /// Write an answer at the pace that is set.
+  bool deliver (Connection &connection, const std::string &bytes);
   /// Hold a connection without a word until its client closes it.
   bool swallow (Connection &connection);
   static std::string item_json (const std::string &key, const Item &item);
