--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -300,6 +300,31 @@
       Site::log_lines (site.gateways[0].daemon, { "store_lost" }).empty ());
 }
 
+// Guards against an answer that never ends, and keeps a reader for itself.
+TEST (Relay, AnAnswerThatTricklesIsGivenUp)
+{
+  Site site (0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.store.bytes_per_s = 1;
+  site.list_plain (0);
+  EXPECT_TRUE (Site::wait_for (
+      [&] {
+        return !Site::log_lines (site.gateways[0].daemon,
+                                 { "store_read_failed", "\"first_byte_ms\":" })
+                    .empty ();
+      },
+      12000));
+  EXPECT_TRUE (Site::log_lines (site.gateways[0].daemon,
+                                { "store_read_failed", "\"bytes\":0," })
+                   .empty ());
+  site.store.bytes_per_s = 0;
+  site.write_config (5, kNewRoute);
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], plain_call ("t", "/new/x")).status
+           == 200;
+  }));
+}
+
 // Guards against a late configuration that no line tells apart from a gateway
 // which does not read.
 TEST (Relay, AReadThatBringsAConfigurationIsLogged)
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -159,7 +159,9 @@
 Store::deliver (Connection &connection, const std::string &bytes)
 {
   const int pieces_per_s = 20;
-  size_t at = 0;
+  size_t at = bytes.find ("\r\n\r\n") + 4;
+  if (!connection.write (bytes.substr (0, at)))
+    return false;
   while (at < bytes.size () && !is_stopping_)
     {
       int pace = bytes_per_s;
