fix(sidecar): pass a large configuration on after the time of its bytes

Cause: a gateway that lacks a configuration for 0.3 s gets it from two sidecars at a time, others each 0.4 s. A document of 0.5 MB takes 0.4 s of such a link when nothing else is on it; from then on up to 20 Mbit/s of copies came in beside the gateway's own read, which took 6 s.

A sidecar now waits for 0.3 s and the time that the document's bytes take at 1.6 Mbit/s. SidecarTest.ALargeConfigurationIsPassedOnAfterTheTimeOfItsBytes failed before.

Ruled out as the cause: that both readers fetch each document.

--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -9,8 +9,12 @@
 
 enum
 {
-  /// A gateway that reads the store itself has a new configuration by then.
+  /// A gateway that reads the store itself has a new configuration by then:
+  /// what it takes on a free link, and the time of its bytes on one that is
+  /// slow or shared. Sent sooner, copies of a large one crowd out the
+  /// gateway's own.
   HELP_AFTER_MS = 300,
+  SLOW_LINK_BYTES_PER_MS = 200,
   MILLI = 1000,
 };
 
@@ -69,6 +73,14 @@
   scr_state_changed (s);
 }
 
+static bool
+is_help_due (const scr_sidecar_t *s, uint64_t now_ms)
+{
+  uint64_t after_ms
+      = HELP_AFTER_MS + s->document.len_bytes / SLOW_LINK_BYTES_PER_MS;
+  return now_ms - s->document_ms >= after_ms;
+}
+
 /// Pass on what a gateway lacks: it may be cut off from the store. Most read
 /// it there themselves, a moment later than the first one.
 static void
@@ -79,7 +91,7 @@
   if (!trn_is_mine (own, gateway->id, s->engine_count, now_ms))
     return;
   if (s->config != NULL && gateway->revision < s->config->revision
-      && now_ms - s->document_ms >= HELP_AFTER_MS)
+      && is_help_due (s, now_ms))
     psn_give_document (&s->host, gateway->name, s->config->revision,
                        &s->document);
   if (gateway->versions_known < s->versions.changes)
--- a/test/relay/sidecar_test.cc
+++ b/test/relay/sidecar_test.cc
@@ -33,19 +33,35 @@
       auto *test = (SidecarTest *)its->owner;
       test->grants += msg->type == MSG_PLACE_GRANT;
       test->is_heard = test->is_heard || msg->type == MSG_ENGINE_STATE;
+      test->documents += msg->type == MSG_DOCUMENT;
     };
     plk_link_init (&link, &loop, &timers, &events, this, "gateway");
     ASSERT_EQ (plk_link_connect (&link, peer.c_str ()), KB_OK);
-    msg_t hello = {};
-    hello.type = MSG_GATEWAY_STATE;
-    hello.gateway_state.incarnation = 1;
-    hello.gateway_state.engine_count = 1;
     ASSERT_TRUE (run_until ([&] {
       if (!is_heard)
-        plk_link_send (&link, slice (peer), &hello);
+        tell_state ();
       return is_heard;
     }));
   }
+  /// As a gateway that knows no configuration.
+  void
+  tell_state ()
+  {
+    msg_t hello = {};
+    hello.type = MSG_GATEWAY_STATE;
+    hello.gateway_state.incarnation = 1;
+    hello.gateway_state.engine_count = 1;
+    plk_link_send (&link, slice (peer), &hello);
+  }
+  void
+  give_document (const std::string &text)
+  {
+    msg_t document = {};
+    document.type = MSG_DOCUMENT;
+    document.document.revision = 1;
+    document.document.data = slice (text);
+    plk_link_send (&link, slice (peer), &document);
+  }
   void
   TearDown () override
   {
@@ -87,6 +103,7 @@
   plk_link_t link = {};
   bool is_heard = false;
   int grants = 0;
+  int documents = 0;
 };
 
 // A sidecar restarts while callers wait, and a gateway's question overtakes
@@ -105,14 +122,25 @@
     ask (id, "a" + std::to_string (id));
   run_until ([] { return false; }, 600);
   EXPECT_EQ (site.engines[0].target->loads (), 0);
-  msg_t document = {};
-  document.type = MSG_DOCUMENT;
-  document.document.revision = 1;
-  document.document.data = slice (site.config);
-  plk_link_send (&link, slice (peer), &document);
+  give_document (site.config);
   EXPECT_TRUE (run_until ([&] { return grants >= 4; }));
   EXPECT_LE (site.engines[0].target->most_held (), 4u);
 }
 
+// Guards against copies of a large configuration that crowd out the one which
+// a gateway is fetching itself.
+TEST_F (SidecarTest, ALargeConfigurationIsPassedOnAfterTheTimeOfItsBytes)
+{
+  std::string large = site.config;
+  large.insert (large.rfind ('}'), std::string (400000, ' '));
+  give_document (large);
+  auto is_given = [&] {
+    tell_state ();
+    return documents > 0;
+  };
+  EXPECT_FALSE (run_until (is_given, 1500));
+  EXPECT_TRUE (run_until (is_given));
+}
+
 } // namespace
 } // namespace relay
