fix(follow): go on waiting for changes when peers answer after a forgotten history

What callers would see: a change of the configuration a second late, for as long as the entry learns from a peer.

Cause: a direct reader whose history is gone leaves the whole to the batch reader and goes on from its next answer; an answer of a peer did not count as one.

Found by reading, while the class of the late configuration was looked for in peers' answers. Follow.APeersAnswerRenewsADirectReaderWhoseHistoryIsGone failed before.

--- a/src/coordination/follow.c
+++ b/src/coordination/follow.c
@@ -380,7 +380,8 @@
   // here: nothing is known less for it.
   if (as_of > batch->as_of)
     batch->as_of = as_of;
-  if (config_revision > f->readers[FLW_DIRECT].as_of)
+  const flw_reader_t *direct = &f->readers[FLW_DIRECT];
+  if (direct->as_of == 0 || config_revision > direct->as_of)
     direct_renew (f, now_ms);
   return true;
 }
--- a/test/unit/follow_test.cc
+++ b/test/unit/follow_test.cc
@@ -329,8 +329,8 @@
       t.silent_to_ms = t.silent_from_ms + 1500 + seed * 97 % 6000;
       t.run_until (t.silent_to_ms + 2500);
       ASSERT_GT (flw_lapsed_until_ms (&t.f), t.silent_to_ms);
-      latest_ms = std::max (latest_ms,
-                            flw_lapsed_until_ms (&t.f) - t.silent_to_ms);
+      latest_ms
+          = std::max (latest_ms, flw_lapsed_until_ms (&t.f) - t.silent_to_ms);
     }
   EXPECT_LE (latest_ms, (uint64_t)(CONTACT_MS - ON_THE_WAY_MS));
 }
@@ -448,4 +448,19 @@
   EXPECT_EQ (read.after, 14u);
 }
 
+// Guards against a direct reader that stands still after the history was
+// forgotten, because the batch reader's answers come from peers.
+TEST (Follow, APeersAnswerRenewsADirectReaderWhoseHistoryIsGone)
+{
+  uint64_t now_ms;
+  flw_follower_t f = calm_follower (&now_ms);
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, now_ms, &read));
+  flw_failed (&f, FLW_DIRECT, now_ms + 10, FLW_HISTORY_GONE, 0);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, now_ms + 10, &read));
+  ASSERT_TRUE (flw_shared_answered (&f, 5706, 5700, 14, 0, 0));
+  ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, 5706, &read));
+  EXPECT_EQ (read.after, 14u);
+}
+
 } // namespace
