fix(gateway): a lender is in office since no better sidecar was heard

Cause: a lender that has just come into office lends only the parts of those who ask, for 1.3 s, because another one may be in use. When it came into office was said by each entry that uses a workspace for the first time: since the set of sidecars that it hears changed last. Among 200 sidecars one always comes or goes, so that each first use, two a second for a workspace at 105 entries, put its lender back to nearly nothing.

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -74,7 +74,11 @@
   bool is_linked;
   char link[64]; ///< Name of its sidecar on the inner links.
   uint64_t linked_ms;
-  uint64_t heard_ms;      ///< Zero: never.
+  uint64_t heard_ms; ///< Zero: never.
+  /// Since when its sidecar is heard without a gap, and when it was heard no
+  /// more, by the boot clock; zero: it is not, or was not yet.
+  uint64_t heard_since_ms;
+  uint64_t unheard_ms;
   uint64_t ask_failed_ms; ///< It gave no changes of the store; zero: never.
   uint64_t told_ms;       ///< Last word to it.
   uint64_t incarnation;
@@ -301,13 +305,12 @@
   gtw_charge_t *decided;  ///< Wait for credit no longer.
   tmr_fn_t on_decided;    ///< Goes on with them.
   tmr_sub_t decided_timer;
-  uint64_t heard_set;    ///< Hash of the sidecars that are heard.
-  uint64_t heard_set_ms; ///< When it changed last.
-  uint64_t alone_ms; ///< When no sidecar was heard last, by the boot clock.
-  uint64_t born_ms;  ///< By the boot clock.
-  double reach;      ///< Part of the listed sidecars that is heard.
-  qof_peak_t peak;   ///< Of gateways, as sidecars tell it.
-  kb_map_t places;   ///< Requests by place id.
+  uint64_t unlinked_ms; ///< When a sidecar left the list last, as below.
+  uint64_t alone_ms;    ///< When no sidecar was heard last, by the boot clock.
+  uint64_t born_ms;     ///< By the boot clock.
+  double reach;         ///< Part of the listed sidecars that is heard.
+  qof_peak_t peak;      ///< Of gateways, as sidecars tell it.
+  kb_map_t places;      ///< Requests by place id.
   uint64_t next_place;
   gtw_budget_t budgets[GTW_MAX_BUDGETS];
   uint32_t budget_count;
--- a/src/gateway/gateway_quota.c
+++ b/src/gateway/gateway_quota.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "coordination/quota_rank.h"
 #include "gateway/gateway_defs.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -18,14 +19,6 @@
   SETTLE_MS = 500,
 };
 
-/// Where a sidecar stands in the order in which those of a workspace lend.
-typedef struct
-{
-  uint64_t link;
-  uint64_t rank;
-  uint64_t life; ///< Of the sidecar's process.
-} place_t;
-
 static gtw_charge_t *
 charge_of (qsp_waiter_t *waiter)
 {
@@ -154,45 +147,44 @@
   return quota;
 }
 
-/// Better ranks come first.
-static bool
-is_better (const place_t *a, const place_t *b)
-{
-  return a->rank > b->rank;
-}
-
-static place_t
+static qrk_place_t
 place_of (const gtw_gateway_t *gateway, const gtw_target_t *target,
           uint64_t workspace)
 {
-  return (place_t){
+  return (qrk_place_t){
     .link = gtw_link_key (kb_slice_str (target->link)),
     .rank = kb_hash (&target->place_key, sizeof target->place_key, workspace),
     .life = target->incarnation,
+    .heard_since_ms = target->heard_since_ms,
+    .silent_ms = target->unheard_ms,
   };
 }
 
 /// Find who lends and who would be next, of those that are heard.
-static void
-find_lenders (const gtw_gateway_t *gateway, uint64_t workspace, place_t *first,
-              place_t *second)
+static qrk_rank_t
+find_lenders (const gtw_gateway_t *gateway, uint64_t workspace,
+              uint64_t now_ms)
 {
-  *first = *second = (place_t){ 0 };
+  qrk_rank_t rank;
+  qrk_init (&rank, gateway->unlinked_ms);
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
     {
-      if (!t->is_linked || !gtw_target_is_heard (gateway, t))
+      qrk_place_t place = place_of (gateway, t, workspace);
+      if (t->is_linked && gtw_target_is_heard (gateway, t))
+        qrk_add (&rank, &place, now_ms);
+    }
+  at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    {
+      if (!t->is_linked || t->unheard_ms <= rank.changed_ms)
         continue;
-      place_t place = place_of (gateway, t, workspace);
-      if (first->link == 0 || is_better (&place, first))
-        {
-          *second = *first;
-          *first = place;
-        }
-      else if (second->link == 0 || is_better (&place, second))
-        *second = place;
+      qrk_place_t place = place_of (gateway, t, workspace);
+      qrk_note_silent (&rank, &place);
     }
+  return rank;
 }
 
 /// Sidecars are to know at once who borrows where.
@@ -208,21 +200,20 @@
 follow_lender (gtw_quota_t *quota, uint64_t now_ms)
 {
   gtw_gateway_t *gateway = quota->gateway;
-  place_t first;
-  place_t second;
-  find_lenders (gateway, quota->purse.workspace, &first, &second);
+  qrk_rank_t rank = find_lenders (gateway, quota->purse.workspace, now_ms);
+  qrk_place_t first = rank.first;
   if (now_ms - gateway->alone_ms < SETTLE_MS)
-    first = (place_t){ 0 };
+    first = (qrk_place_t){ 0 };
   uint64_t before = quota->purse.lender.id;
-  quota->next = second.link;
+  quota->next = rank.second.link;
   qsp_lender_t taken = { first.link, first.life };
   qsp_set_reach (&quota->purse, gateway->reach);
-  qsp_set_lender (&quota->purse, &taken, gateway->heard_set_ms,
+  qsp_set_lender (&quota->purse, &taken, qrk_first_since_ms (&rank),
                   gateway->peak.count, now_ms);
   if (before == first.link)
     return;
   tell_soon (gateway, before);
-  tell_soon (gateway, second.link);
+  tell_soon (gateway, quota->next);
   log_event_t line;
   if (!log_begin (&line, LOG_INFO, "gateway", "quota_lender"))
     return;
@@ -332,29 +323,35 @@
                   tmr_boot_ms ());
 }
 
-/// Note when another set of sidecars is heard: until then the same one lent.
 static void
-follow_heard_set (gtw_gateway_t *gateway, uint64_t now_ms)
+note_heard (gtw_target_t *target, bool is_heard, uint64_t now_ms)
+{
+  bool was_heard = target->heard_since_ms > 0;
+  if (is_heard == was_heard)
+    return;
+  target->heard_since_ms = is_heard ? now_ms : 0;
+  if (was_heard)
+    target->unheard_ms = now_ms;
+}
+
+/// Note which sidecars are heard, and since when.
+static void
+follow_heard (gtw_gateway_t *gateway, uint64_t now_ms)
 {
-  uint64_t set = 0;
   uint32_t linked = 0;
   uint32_t heard = 0;
   uint32_t at = 0;
-  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+  for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
     {
+      bool is_heard = t->is_linked && gtw_target_is_heard (gateway, t);
       linked += t->is_listed && t->is_linked;
-      if (!gtw_target_is_heard (gateway, t))
-        continue;
-      heard++;
-      set ^= kb_hash (&t->place_key, sizeof t->place_key, 0);
+      heard += is_heard;
+      note_heard (t, is_heard, now_ms);
     }
   gateway->reach = linked == 0 ? 0 : (double)heard / linked;
   if (heard == 0)
     gateway->alone_ms = now_ms;
-  if (set != gateway->heard_set)
-    gateway->heard_set_ms = now_ms;
-  gateway->heard_set = set;
 }
 
 /// @return  A quota that nobody needs any more, or NULL.
@@ -373,7 +370,7 @@
 gtw_quotas_tick (gtw_gateway_t *gateway)
 {
   uint64_t now_ms = tmr_boot_ms ();
-  follow_heard_set (gateway, now_ms);
+  follow_heard (gateway, now_ms);
   gtw_quota_t *idle = find_idle (gateway, now_ms);
   if (idle != NULL)
     {
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -85,6 +85,8 @@
 take_over_link (gtw_target_t *target, gtw_target_t *from)
 {
   target->heard_ms = from->heard_ms;
+  target->heard_since_ms = from->heard_since_ms;
+  target->unheard_ms = from->unheard_ms;
   target->told_ms = from->told_ms;
   target->incarnation = from->incarnation;
   target->sidecar_revision = from->sidecar_revision;
@@ -133,6 +135,8 @@
   kb_map_remove (&gateway->links, gtw_link_key (kb_slice_str (target->link)));
   target->is_linked = false;
   target->heard_ms = 0;
+  target->heard_since_ms = 0;
+  gateway->unlinked_ms = tmr_boot_ms ();
   target->condition = MSG_ENGINE_DOWN;
 }
 
