--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -125,8 +125,7 @@
   EXPECT_EQ (site.plain[1]->runs (), before);
 }
 
-// Guards against a store that is asked without a pause because it answers at
-// once that nothing has changed.
+// Guards against a store that is asked without a pause: it answers at once.
 TEST (Relay, AStoreThatAnswersAtOnceIsAskedWithPauses)
 {
   Site site (1, 1);
@@ -143,8 +142,7 @@
   }));
 }
 
-// Guards against another service at the store's address whose answers are
-// taken for a store without changes.
+// Guards against another service that is taken for a store without changes.
 TEST (Relay, AnAnswerWithoutARevisionIsNoAnswerOfTheStore)
 {
   Site site (1, 1);
@@ -269,8 +267,7 @@
   expect_new_route_soon (site);
 }
 
-// Guards against a read that is given up while its answer comes, and begun
-// again with more to bring.
+// Guards against a read that is given up while its answer comes.
 TEST (Relay, ALargeConfigurationOnASlowLinkIsTaken)
 {
   enum
@@ -325,8 +322,7 @@
   }));
 }
 
-// Guards against a late configuration that no line tells apart from a gateway
-// which does not read.
+// Guards against a gateway that hears nothing and seems not to read.
 TEST (Relay, AReadThatBringsAConfigurationIsLogged)
 {
   Site site (0, 1);
--- a/test/relay/sidecar_test.cc
+++ b/test/relay/sidecar_test.cc
@@ -127,8 +127,7 @@
   EXPECT_LE (site.engines[0].target->most_held (), 4u);
 }
 
-// Guards against copies of a large configuration that crowd out the one which
-// a gateway is fetching itself.
+// Guards against copies that crowd out what a gateway is fetching itself.
 TEST_F (SidecarTest, ALargeConfigurationIsPassedOnAfterTheTimeOfItsBytes)
 {
   std::string large = site.config;
--- a/test/unit/follow_test.cc
+++ b/test/unit/follow_test.cc
@@ -183,8 +183,7 @@
   EXPECT_LT (worst_ms, (uint64_t)BOUND_MS);
 }
 
-// Guards against a change that is missed twice: by a read that a silence
-// swallowed, and by the one after it, because reads that wait hear nothing.
+// Guards against a change that two reads in a row miss after a silence.
 TEST (Follow, AChangeIsKnownThoughWatchesHearNothingAfterASilence)
 {
   enum
@@ -312,8 +311,7 @@
   EXPECT_GE (flw_lapsed_until_ms (&t.f), t.silent_to_ms + 2000);
 }
 
-// Guards against a target that left in an outage and gets a request that was
-// on its way while it was being removed.
+// Guards against a target that left in an outage and is used past its bound.
 TEST (Follow, WhatLapsedInASilenceIsGivenUpBeforeTheContactIsOver)
 {
   enum
@@ -448,8 +446,7 @@
   EXPECT_EQ (read.after, 14u);
 }
 
-// Guards against a direct reader that stands still after the history was
-// forgotten, because the batch reader's answers come from peers.
+// Guards against a direct reader that stands still while peers answer.
 TEST (Follow, APeersAnswerRenewsADirectReaderWhoseHistoryIsGone)
 {
   uint64_t now_ms;
--- a/test/unit/quota_rank_test.cc
+++ b/test/unit/quota_rank_test.cc
@@ -44,8 +44,7 @@
   EXPECT_EQ (qrk_first_since_ms (&rank), 1000u);
 }
 
-// Guards against a lender that seems new to its workspaces whenever any other
-// sidecar comes or goes, and lends next to nothing in a large fleet.
+// Guards against a lender that seems new whenever another comes or goes.
 TEST (QuotaRank, OthersThatComeAndGoDoNotMakeTheFirstNew)
 {
   qrk_rank_t rank = three_heard ();
@@ -54,8 +53,7 @@
   EXPECT_EQ (qrk_first_since_ms (&rank), 1000u);
 }
 
-// Guards against two lenders that both lend all after the better one fell
-// silent, left the list, or came back.
+// Guards against two lenders that both lend all.
 TEST (QuotaRank, TheFirstIsNewSinceABetterOneWasThere)
 {
   qrk_rank_t rank = three_heard ();
