fix(gateway): keep what an unlisted target announced

Callers saw nothing; a target that had asked a gateway for a pause got 1 to 6 requests from it within the pause, 0.2 to 0.3 s after the list named it.

Cause: an unlisted target without requests and connections was freed at the next tick, and its announced pause, leaving and limit with it. An engine that restarts answers before the list names it, so its announcement is kept with the earlier entry. When a read of the store fell between the removal of that entry and the new one, nothing was left to inherit. A plain target whose own entry disappears and returns lost its announcements too.

Ruled out: grants of places asked for before the pause (none in those lines), and a late grant of the earlier incarnation.

Fix: an unlisted target is kept while an announcement is in force, 60 s at most, and a target takes over what its incarnation announced at its address.

--- a/src/gateway/gateway_backpressure.c
+++ b/src/gateway/gateway_backpressure.c
@@ -78,6 +78,13 @@
     target->advertised = from->advertised;
 }
 
+bool
+gtw_backpressure_is_in_force (const gtw_target_t *target)
+{
+  return target->advertised.is_leaving || target->advertised.limit.is_limited
+         || gtw_target_pause_ms (target) > 0;
+}
+
 static void
 apply_limit (gtw_request_t *r, gtw_advertised_t *stated,
              const rly_response_t *answer)
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -58,7 +58,8 @@
   uint64_t paused_until_ms; ///< Accepts no request before; boot clock.
 } gtw_advertised_t;
 
-/// A target that is listed or still has requests or connections.
+/// A target that is listed, still has requests or connections, or is
+/// remembered.
 typedef struct
 {
   src_target_t list_entry;   ///< Newest entry of the target list.
@@ -67,8 +68,9 @@
   uint64_t address_hash; ///< The same after a restart of the target.
   xch_peer_t peer;
   bool is_listed;
-  uint32_t active;          ///< Requests of this gateway at the target.
-  double failure_rate;      ///< Decaying share of failed requests, 0 to 1.
+  uint64_t unlisted_ms; ///< When its entry disappeared; zero: it is listed.
+  uint32_t active;      ///< Requests of this gateway at the target.
+  double failure_rate;  ///< Decaying share of failed requests, 0 to 1.
   uint64_t failure_rate_ms; ///< Last update of `failure_rate`.
 
   // Sidecar of an engine.
@@ -519,6 +521,9 @@
 /// Keep the advertised state when the list names the incarnation of an engine
 /// that requests already reached at the previous one's address.
 void gtw_backpressure_inherit (gtw_target_t *target, const gtw_target_t *from);
+/// @return  Whether a target asked for a pause that is not over, announced
+///          that it leaves, or announced a rate limit.
+bool gtw_backpressure_is_in_force (const gtw_target_t *target);
 /// Count a target that refused a request and requested a pause.
 /// @return  Whether the request may try another target. A request that every
 ///          target refuses in this way would pause all of them for everybody.
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -19,6 +19,9 @@
   /// While a request waits for a place, its sidecar is sent the open places
   /// this often, to recover from lost messages.
   STATE_RESEND_INTERVAL_MS = 300,
+  /// How long what an unlisted target announced is kept at most. Its entry may
+  /// return, or name the incarnation that announced it only now.
+  MAX_REMEMBERED_MS = 60000,
 };
 
 static uint64_t
@@ -155,15 +158,20 @@
 }
 
 /// Another incarnation is listed at an address, so the previous ones have
-/// ended, however short the time between them.
+/// ended, however short the time between them. One of them may have been used
+/// for requests that the new one answered.
 static void
-record_previous_ended (gtw_gateway_t *gateway, const gtw_target_t *next)
+apply_previous (gtw_gateway_t *gateway, gtw_target_t *next)
 {
   uint32_t at = 0;
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
-    if (t != next && t->address_hash == next->address_hash)
+    {
+      if (t == next || t->address_hash != next->address_hash)
+        continue;
+      gtw_backpressure_inherit (next, t);
       gtw_quarantine_record_target_end (gateway, t, "replaced");
+    }
 }
 
 gtw_target_t *
@@ -183,7 +191,7 @@
   kb_map_put (&gateway->newest_targets,
               id_key (kb_slice_str (listing->identity.id)), target);
   gtw_target_log_event (target, "target_listed");
-  record_previous_ended (gateway, target);
+  apply_previous (gateway, target);
   return target;
 }
 
@@ -209,6 +217,7 @@
     gtw_target_log_event (target, "target_leaving");
   target->list_entry = *listing;
   target->is_listed = true;
+  target->unlisted_ms = 0;
   gtw_target_open_link (gateway, target);
 }
 
@@ -219,6 +228,7 @@
   if (target == NULL || !target->is_listed)
     return;
   target->is_listed = false;
+  target->unlisted_ms = gtw_now_ms (gateway);
   gtw_target_log_event (target, "target_gone");
   xch_peer_finish (&target->peer);
 }
@@ -273,14 +283,27 @@
   free (target);
 }
 
-/// @return  An unlisted target without requests and connections, or NULL.
+/// Whether what an unlisted target announced may matter once its address is
+/// listed again: the entries of two incarnations may be read seconds apart,
+/// and its own entry may return.
+static bool
+is_remembered (const gtw_gateway_t *gateway, const gtw_target_t *target)
+{
+  return target->unlisted_ms > 0
+         && gtw_now_ms (gateway) - target->unlisted_ms < MAX_REMEMBERED_MS
+         && gtw_backpressure_is_in_force (target);
+}
+
+/// @return  An unlisted target without requests, connections and knowledge
+///          that is kept, or NULL.
 static gtw_target_t *
 find_unused (const gtw_gateway_t *gateway)
 {
   uint32_t at = 0;
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
-    if (!t->is_listed && t->active == 0 && t->peer.open_count == 0)
+    if (!t->is_listed && t->active == 0 && t->peer.open_count == 0
+        && !is_remembered (gateway, t))
       return t;
   return NULL;
 }
--- a/test/relay/pause_failure_test.cc
+++ b/test/relay/pause_failure_test.cc
@@ -198,6 +198,69 @@
   EXPECT_EQ (max_arrivals_in_window (arrivals_at (engine), listed, 4000), 0);
 }
 
+/// Remove the entry of a target and wait until the gateway has read the list
+/// without it.
+void
+unlist (Site &site, const std::string &id)
+{
+  site.remove ("servers/" + id);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon, { "target_gone", id })
+                .empty ();
+  }));
+  std::this_thread::sleep_for (milliseconds (400));
+}
+
+// Guards against a pause that is forgotten while the list names neither the
+// earlier incarnation of an engine nor the one that asked for it.
+TEST (Pause, HoldsThoughTheListNamesNoIncarnationForAWhile)
+{
+  constexpr int long_pause_ms = 10000;
+  Site site (2, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.restart ("i-new");
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.engines[0].sidecar,
+                             { "engine_identified", "i-new" })
+                .empty ();
+  }));
+  engine.pause_s = long_pause_ms / 1000.0;
+  Load load (&site, stream, 16, 5);
+  ASSERT_TRUE (
+      Site::wait_for ([&] { return !engine.refused_with_pause ().empty (); }));
+  std::this_thread::sleep_for (milliseconds (1000));
+  Moment unlisted = std::chrono::steady_clock::now ();
+  unlist (site, "i-e0");
+  site.list_engine (0);
+  std::this_thread::sleep_for (milliseconds (3000));
+  load.stop ();
+  EXPECT_LE (max_within_pause (engine, long_pause_ms), kMaxWithinPause);
+  EXPECT_EQ (max_arrivals_in_window (arrivals_at (engine), unlisted, 4000), 0);
+}
+
+// Guards against a pause that is forgotten when the entry of a plain target
+// disappears and returns.
+TEST (Pause, HoldsThoughAPlainTargetIsUnlistedForAWhile)
+{
+  constexpr int long_pause_ms = 10000;
+  Site site (1, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &target = *site.plain[0];
+  target.pause_s = long_pause_ms / 1000.0;
+  Load load (&site, plain, 16, 5);
+  ASSERT_TRUE (
+      Site::wait_for ([&] { return !target.refused_with_pause ().empty (); }));
+  std::this_thread::sleep_for (milliseconds (1000));
+  Moment unlisted = std::chrono::steady_clock::now ();
+  unlist (site, target.id ());
+  site.list_plain (0);
+  std::this_thread::sleep_for (milliseconds (3000));
+  load.stop ();
+  EXPECT_LE (max_within_pause (target, long_pause_ms), kMaxWithinPause);
+  EXPECT_EQ (max_arrivals_in_window (arrivals_at (target), unlisted, 4000), 0);
+}
+
 // Guards against one request that makes all targets unavailable to others:
 // each target refuses it and asks for a pause.
 TEST (Pause, OneRequestPausesFewTargets)
