fix(coordination): hold a request only for ends at which it was still alone

Cause: a request is held for the proof that it was alone when a target ended. The claim was made at its start and used at the end. Three ways made it false: - others are let in after a start alone has blocked them for 1 s; the claim stayed; - a sidecar that restarts does not know what is starting, and grants the next place alone; claims of before stayed as well; - after a start that ended without a first byte the target may be gone; until that is noticed the next request was let in alone.

Fix: the gate marks a start that another one joins, and the sidecar reports it (place_joined; older gateways drop the message). Links that are lost and sidecars that restart void the claims of what was granted before. Nothing starts alone in the first second of a sidecar, or after a broken start until the engine has answered a report that was asked for later. The own interface uses the same gate; its agent asks for the list after the break is counted.

--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -141,6 +141,8 @@
 {
   adm_action_kind_t kind;
   adm_request_t *request;  ///< Granted or declined.
+  adm_request_t *joined;   ///< Of a grant: the request that was starting alone
+                           ///< until now; NULL: none.
   adm_adapter_t *adapter;  ///< To load or unload.
   const char *reason;      ///< Of a decline.
   uint64_t retry_after_ms; ///< Of a decline: pause before a retry.
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -2,6 +2,8 @@
 /// Choice of a sidecar's next action: grants, declines, loads and unloads.
 #include "coordination/admit_defs.h"
 
+#include <stddef.h>
+
 enum
 {
   /// With less time left, a request cannot produce its first event.
@@ -275,6 +277,14 @@
   adm_saturation_update (&table->load_saturation, is_timely, fits, now_ms);
 }
 
+static adm_request_t *
+request_of_alone (aln_request_t *alone)
+{
+  return alone == NULL ? NULL
+                       : (adm_request_t *)((char *)alone
+                                           - offsetof (adm_request_t, alone));
+}
+
 adm_action_t
 adm_next_action (adm_table_t *table, bool may_order, uint64_t now_ms)
 {
@@ -301,12 +311,15 @@
       table->granted++;
       table->granted_kv_tokens += request->kv_tokens_needed;
       request->is_first_event_pending = true;
-      aln_started (&table->alone, &request->alone, now_ms);
+      aln_request_t *joined
+          = aln_started (&table->alone, &request->alone, now_ms);
       request->ahead_tokens = pfl_dispatch (
           &table->prefill, pfl_cost_tokens (request->prompt_tokens), now_ms);
       if (request->adapter != NULL)
         request->adapter->pins++;
-      return (adm_action_t){ .kind = ADM_ACTION_GRANT, .request = request };
+      return (adm_action_t){ .kind = ADM_ACTION_GRANT,
+                             .request = request,
+                             .joined = request_of_alone (joined) };
     }
   if (may_order && table->is_engine_ready)
     return next_order (table, now_ms);
--- a/src/coordination/alone.c
+++ b/src/coordination/alone.c
@@ -15,6 +15,24 @@
   COOLDOWN_FACTOR = 4,
 };
 
+void
+aln_gate_init_running (aln_gate_t *gate, uint64_t now_ms)
+{
+  *gate = (aln_gate_t){ .cooldown_until_ms = now_ms + MAX_BLOCK_MS };
+}
+
+void
+aln_confirm_alive (aln_gate_t *gate, uint32_t broken_starts)
+{
+  gate->confirmed_starts = broken_starts;
+}
+
+bool
+aln_is_still_alone (const aln_request_t *request)
+{
+  return request->is_alone && !request->has_company;
+}
+
 bool
 aln_is_exclusive (const aln_gate_t *gate, uint64_t now_ms)
 {
@@ -35,7 +53,8 @@
 {
   if (aln_is_exclusive (gate, now_ms))
     return false;
-  if (!request->is_alone || is_none_starting (gate, now_ms))
+  bool is_confirmed = gate->confirmed_starts == gate->broken_starts;
+  if (!request->is_alone || (is_confirmed && is_none_starting (gate, now_ms)))
     return true;
   if (request->waiting_since_ms == 0)
     request->waiting_since_ms = now_ms;
@@ -65,19 +84,43 @@
     gate->cooldown_until_ms = cooldown_until_ms;
 }
 
-void
+/// A request that ends targets only after a long time would otherwise be
+/// joined by others each time.
+static uint64_t
+max_block_ms (const aln_request_t *request)
+{
+  uint32_t patience = request->patience < ALN_MAX_PATIENCE ? request->patience
+                                                           : ALN_MAX_PATIENCE;
+  return (uint64_t)MAX_BLOCK_MS << patience;
+}
+
+/// @return  The request that was starting alone until now; NULL: none.
+static aln_request_t *
+exclusive_join (aln_gate_t *gate)
+{
+  aln_request_t *joined = gate->exclusive;
+  if (joined == NULL || joined->has_company)
+    return NULL;
+  joined->has_company = true;
+  return joined;
+}
+
+aln_request_t *
 aln_started (aln_gate_t *gate, aln_request_t *request, uint64_t now_ms)
 {
+  aln_request_t *joined = exclusive_join (gate);
   gate->starting++;
   request->is_starting = true;
+  request->has_company = false;
   if (!request->is_alone)
-    return;
+    return joined;
   gate->exclusive = request;
   gate->blocked_since_ms
       = request->waiting_since_ms > 0 ? request->waiting_since_ms : now_ms;
   request->waiting_since_ms = 0;
-  gate->blocked_until_ms = now_ms + MAX_BLOCK_MS;
+  gate->blocked_until_ms = now_ms + max_block_ms (request);
   cooldown_extend (gate, gate->blocked_since_ms, gate->blocked_until_ms);
+  return joined;
 }
 
 void
@@ -98,11 +141,19 @@
   cooldown_extend (gate, gate->blocked_since_ms, gate->blocked_until_ms);
 }
 
+void
+aln_answered (aln_gate_t *gate, aln_request_t *request)
+{
+  gate->starting -= request->is_starting;
+  request->is_starting = false;
+}
+
 void
 aln_ended (aln_gate_t *gate, aln_request_t *request)
 {
   bool has_started = request->is_starting || gate->exclusive == request;
   gate->starting -= request->is_starting;
+  gate->broken_starts += request->is_starting;
   request->is_starting = false;
   // It blocked others without having started.
   if (!has_started && request->waiting_since_ms > 0)
--- a/src/coordination/alone.h
+++ b/src/coordination/alone.h
@@ -8,6 +8,10 @@
 /// answer, because a target can end just after it. A start alone is
 /// followed by a cooldown of a multiple of its duration, so that a caller who
 /// keeps sending such requests blocks others for a small part of the time.
+///
+/// A start that ends without a first byte may have ended the target, or may
+/// still go on there. Until the target has proved that it is alive since, no
+/// request starts alone: it would be taken for the cause.
 #ifndef KB_COORDINATION_ALONE_H
 #define KB_COORDINATION_ALONE_H
 
@@ -18,12 +22,16 @@
 {
   /// A request counts as starting until this long after its first byte.
   ALN_STARTUP_MS = 150,
+  ALN_MAX_PATIENCE = 3,
 };
 
 /// State of one request.
 typedef struct
 {
   bool is_alone;             ///< Must start alone.
+  uint32_t patience;         ///< How often the time for which it may block
+                             ///< others is doubled.
+  bool has_company;          ///< Another one started before its first byte.
   bool is_starting;          ///< Started, no byte of its answer received.
   uint64_t waiting_since_ms; ///< When it began to block others; zero: not.
 } aln_request_t;
@@ -31,14 +39,25 @@
 /// Starts at one target.
 typedef struct
 {
-  uint32_t starting;              ///< Number of starting requests.
-  uint64_t first_byte_ms;         ///< When one last arrived; zero: never.
-  const aln_request_t *exclusive; ///< Starting alone; NULL: none.
-  uint64_t blocked_since_ms;      ///< When it began to block others.
-  uint64_t blocked_until_ms;      ///< No other request starts before this.
-  uint64_t cooldown_until_ms;     ///< No other one starts alone before this.
+  uint32_t starting;          ///< Number of starting requests.
+  uint64_t first_byte_ms;     ///< When one last arrived; zero: never.
+  aln_request_t *exclusive;   ///< Starting alone; NULL: none.
+  uint64_t blocked_since_ms;  ///< When it began to block others.
+  uint64_t blocked_until_ms;  ///< No other request starts before this.
+  uint64_t cooldown_until_ms; ///< No other one starts alone before this.
+  uint32_t broken_starts;     ///< Starts that ended without a first byte.
+  uint32_t confirmed_starts;  ///< Those after which it was alive.
 } aln_gate_t;
 
+/// Begin to watch a target at which requests of an earlier process may be
+/// starting: none starts alone for a while.
+void aln_gate_init_running (aln_gate_t *gate, uint64_t now_ms);
+/// The target has answered a question that was asked when the gate had this
+/// many broken starts.
+void aln_confirm_alive (aln_gate_t *gate, uint32_t broken_starts);
+/// @return  Whether a request started alone and no other one has started there
+///          before its first byte.
+bool aln_is_still_alone (const aln_request_t *request);
 /// @return  Whether the next queued request may start. One that must start
 ///          alone and may not yet blocks others from now on.
 bool aln_may_start (aln_gate_t *gate, aln_request_t *request, uint64_t now_ms);
@@ -48,11 +67,16 @@
 ///          this one is in its cooldown, or the request has waited too long.
 bool aln_is_refused (const aln_gate_t *gate, const aln_request_t *request,
                      uint64_t now_ms);
-/// Call these at each start, first byte and end, also at the end of a request
-/// that was still waiting.
-void aln_started (aln_gate_t *gate, aln_request_t *request, uint64_t now_ms);
+/// A request starts.
+/// @return  The request that was starting alone until now; NULL: none.
+aln_request_t *aln_started (aln_gate_t *gate, aln_request_t *request,
+                            uint64_t now_ms);
 void aln_first_byte (aln_gate_t *gate, aln_request_t *request,
                      uint64_t now_ms);
+/// A request that started among others was answered; its first byte was not
+/// reported.
+void aln_answered (aln_gate_t *gate, aln_request_t *request);
+/// Call this at each end, also of a request that was still waiting.
 void aln_ended (aln_gate_t *gate, aln_request_t *request);
 
 #endif
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -114,6 +114,13 @@
   return entry == NULL ? 0 : entry->record.end_count;
 }
 
+uint32_t
+qrt_patience (const qrt_table_t *table, uint64_t request)
+{
+  uint32_t ends = qrt_count_ends (table, request);
+  return ends > QRT_ENDS_ALONE ? ends - QRT_ENDS_ALONE : 0;
+}
+
 uint64_t
 qrt_remaining_ms (const qrt_table_t *table, uint64_t request, uint64_t now_ms)
 {
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -92,6 +92,9 @@
                          uint64_t caller, uint64_t now_ms, uint64_t *hold_ms);
 /// @return  Number of recorded ends of a request.
 uint32_t qrt_count_ends (const qrt_table_t *table, uint64_t request);
+/// @return  Number of ends beyond QRT_ENDS_ALONE: starts that were to be alone
+///          and proved nothing.
+uint32_t qrt_patience (const qrt_table_t *table, uint64_t request);
 /// @return  Time in ms until the record of a request expires; zero: none.
 uint64_t qrt_remaining_ms (const qrt_table_t *table, uint64_t request,
                            uint64_t now_ms);
--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -47,6 +47,7 @@
   r->version = dispatch->version;
   r->fingerprint = dispatch->fingerprint;
   r->alone.is_alone = (dispatch->flags & MSG_FLAG_ALONE) != 0;
+  r->alone.patience = qrt_patience (&agent->quarantine, r->fingerprint);
   if ((dispatch->flags & MSG_FLAG_PLAIN) == 0)
     snprintf (r->model, sizeof r->model, "%.*s@%" PRIu64,
               (int)dispatch->adapter.len_bytes, dispatch->adapter.ptr,
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -117,6 +117,9 @@
   sch_queue_t queue;
   clm_runner_t claims;
   aln_gate_t alone;
+  uint32_t lists_pending; ///< Requests for the engine's list without answer.
+  uint32_t listed_broken_starts; ///< Broken starts when the oldest of them was
+                                 ///< sent.
   bkp_meter_t meter;        ///< Enforces the target's stated request rate.
   uint64_t paused_until_ms; ///< End of the pause the target requested.
   tmr_timer_t meter_timer;
--- a/src/daemon/agent_engine.c
+++ b/src/daemon/agent_engine.c
@@ -188,6 +188,7 @@
            uint32_t count, const char *incarnation)
 {
   agt_agent_t *agent = arg;
+  agent->lists_pending--;
   if (status != KB_OK)
     {
       if (agent->is_engine_up)
@@ -216,18 +217,25 @@
       agent->is_reconciled = true;
     }
   agent->is_engine_up = true;
+  aln_confirm_alive (&agent->alone, agent->listed_broken_starts);
   agt_schedule_work (agent);
 }
 
 void
 agt_engine_poll (agt_agent_t *agent)
 {
+  // An answer to an earlier request proves nothing about later starts.
+  if (agent->lists_pending == 0)
+    agent->listed_broken_starts = agent->alone.broken_starts;
   if (agt_is_plain (agent))
     {
+      // A plain target has no list; its refused connections show its end.
       agent->is_engine_up = true;
       agent->is_reconciled = true;
+      aln_confirm_alive (&agent->alone, agent->listed_broken_starts);
       return;
     }
+  agent->lists_pending++;
   agent->engine.vtable->list (&agent->engine, poll_done, agent);
 }
 
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -36,7 +36,9 @@
       = (agt_broken_run_t){ .request = r->fingerprint,
                             .caller = r->item.workspace | 1,
                             .at_ms = now_ms,
-                            .is_alone = r->alone.is_alone };
+                            .is_alone = aln_is_still_alone (&r->alone) };
+  // The list is asked for once this start counts as broken.
+  aln_ended (&agent->alone, &r->alone);
   agt_engine_poll (agent);
 }
 
--- a/src/gateway/gateway_alone.c
+++ b/src/gateway/gateway_alone.c
@@ -75,6 +75,10 @@
   // Other requests may use the target as soon as this one is answered.
   if (r->is_complete && r->alone.is_alone)
     aln_first_byte (&target->alone, &r->alone, gtw_now_ms (r->gateway));
+  else if (r->is_complete)
+    aln_answered (&target->alone, &r->alone);
   aln_ended (&target->alone, &r->alone);
+  // Nothing shows here whether a plain target is alive.
+  aln_confirm_alive (&target->alone, target->alone.broken_starts);
   r->alone.waiting_since_ms = 0;
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -258,9 +258,10 @@
   uint64_t fingerprints[GTW_SCOPE_COUNT];
   uint64_t caller; ///< Hash of its workspace or address.
   uint64_t at_ms;
-  bool is_plain;    ///< The target is not an engine.
-  bool is_isolated; ///< This gateway had no other request there.
-  bool is_alone;    ///< gtw_request_t.is_alone_attempt, or isolated.
+  uint64_t place_id; ///< At an engine.
+  bool is_plain;     ///< The target is not an engine.
+  bool is_isolated;  ///< This gateway had no other request there.
+  bool is_alone;     ///< gtw_request_t.is_alone_attempt, or isolated.
 } gtw_broken_attempt_t;
 
 /// Writes records of requests during which targets ended to the platform's
@@ -582,6 +583,8 @@
 // gateway_quarantine.c
 /// @param hold_ms  Receives the remaining time for which it is held.
 qrt_verdict_t gtw_quarantine_check (gtw_request_t *r, uint64_t *hold_ms);
+/// @return  For a request that has to start alone: aln_request_t.patience.
+uint32_t gtw_quarantine_patience (gtw_request_t *r);
 /// @return  Whether an earlier attempt broke off while it was starting at a
 ///          target, as far as this gateway knows.
 bool gtw_quarantine_has_earlier_break (gtw_request_t *r);
@@ -590,6 +593,12 @@
 /// Record that an attempt broke off: the connection to the target broke, the
 /// target is silent, or the caller left.
 void gtw_quarantine_record_break (gtw_request_t *r);
+/// Another request has joined the one that started alone with this place.
+void gtw_quarantine_record_joined (gtw_gateway_t *gateway, uint64_t place_id);
+/// Whether requests at an engine are alone is not known any more: its sidecar
+/// has restarted or cannot be reached.
+void gtw_quarantine_forget_alone (gtw_gateway_t *gateway,
+                                  const gtw_target_t *target);
 /// @return  Whether attempts broke off at a target that may have ended, which
 ///          is not proved yet.
 bool gtw_quarantine_awaits_evidence (const gtw_gateway_t *gateway,
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -324,6 +324,8 @@
                       && target->sidecar_incarnation != 0
                       && target->sidecar_incarnation != state->incarnation;
   bool is_first = target->last_contact_ms == 0;
+  if (is_restarted)
+    gtw_quarantine_forget_alone (gateway, target);
   target->last_contact_ms = gtw_now_ms (gateway);
   // A sidecar that has just started does not know its engine yet.
   if (!is_first && !is_restarted && reports_engine_ended (target, state))
@@ -396,6 +398,9 @@
     case MSG_PLACE_GRANT:
       gtw_place_on_grant (gateway, &msg->place_grant, target);
       break;
+    case MSG_PLACE_JOINED:
+      gtw_quarantine_record_joined (gateway, msg->place_joined.id);
+      break;
     case MSG_PLACE_DECLINE:
       gtw_place_on_decline (gateway, &msg->place_decline);
       break;
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -51,6 +51,20 @@
   return worst;
 }
 
+uint32_t
+gtw_quarantine_patience (gtw_request_t *r)
+{
+  uint32_t patience = 0;
+  for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
+    {
+      uint32_t of_scope = qrt_patience (&r->gateway->quarantine,
+                                        gtw_request_fingerprint (r, scope));
+      if (of_scope > patience)
+        patience = of_scope;
+    }
+  return patience;
+}
+
 bool
 gtw_quarantine_has_earlier_break (gtw_request_t *r)
 {
@@ -319,13 +333,16 @@
   if (!is_starting (r))
     return;
   gtw_target_t *target = r->target;
+  bool is_isolated = r->alone.is_alone;
   gtw_broken_attempt_t broken
       = { .target = target->key,
           .caller = hash_caller (r),
           .at_ms = gtw_now_ms (gateway),
+          .place_id = r->place_id,
           .is_plain = !r->is_engine,
-          .is_isolated = r->alone.is_alone,
-          .is_alone = r->is_alone_attempt || r->alone.is_alone };
+          .is_isolated = is_isolated,
+          .is_alone = is_isolated ? aln_is_still_alone (&r->alone)
+                                  : r->is_alone_attempt };
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
     broken.fingerprints[scope] = gtw_request_fingerprint (r, scope);
   // The end was proved before; its other suspects are recorded already.
@@ -342,6 +359,27 @@
     gtw_probe_start (gateway, target);
 }
 
+void
+gtw_quarantine_record_joined (gtw_gateway_t *gateway, uint64_t place_id)
+{
+  gtw_request_t *r = kb_map_get (&gateway->requests_by_place, place_id);
+  if (r != NULL)
+    r->is_alone_attempt = false;
+  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+    if (gateway->broken_attempts[i].place_id == place_id)
+      gateway->broken_attempts[i].is_alone = false;
+}
+
+void
+gtw_quarantine_forget_alone (gtw_gateway_t *gateway,
+                             const gtw_target_t *target)
+{
+  for (gtw_request_t *r = gateway->requests; r != NULL; r = r->next)
+    if (r->is_engine && r->has_place
+        && strcmp (r->target->link, target->link) == 0)
+      r->is_alone_attempt = false;
+}
+
 /// A target that answers has not ended: earlier breaks had another cause.
 static void
 forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target)
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -529,6 +529,7 @@
   if (!request_acquire_credit (r))
     return;
   r->alone.is_alone = !r->is_engine && verdict == QRT_ALONE;
+  r->alone.patience = verdict == QRT_ALONE ? gtw_quarantine_patience (r) : 0;
   r->is_alone_attempt = r->is_engine ? verdict == QRT_ALONE
                                      : gtw_quarantine_has_earlier_break (r);
   gtw_target_t *target = r->excluded_target_count < GTW_MAX_EXCLUDED_TARGETS
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -134,6 +134,7 @@
 {
   if (!target->is_linked)
     return;
+  gtw_quarantine_forget_alone (gateway, target);
   plk_link_disconnect (&gateway->host.link, target->link);
   kb_map_remove (&gateway->links, gtw_link_key (kb_slice_str (target->link)));
   target->is_linked = false;
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -160,7 +160,7 @@
         UINT (place_request, prompt_tokens),
         UINT (place_request, output_tokens), UINT (place_request, left_ms),
         UINT (place_request, objective_ms), UINT (place_request, version),
-        UINT (place_request, decline_count), UINT (place_request, is_alone),
+        UINT (place_request, decline_count), UINT (place_request, alone_level),
         BYTES (place_request, model), BYTES (place_request, adapter),
         BYTES (place_request, attempt) } },
   [MSG_PLACE_GRANT]
@@ -220,6 +220,7 @@
         UINT (quota_grant, granted_milli), UINT (quota_grant, lasts_ms),
         UINT (quota_grant, wait_ms), UINT (quota_grant, is_pause),
         UINT (quota_grant, is_refused), BYTES (quota_grant, ledger) } },
+  [MSG_PLACE_JOINED] = { "place_joined", 1, { UINT (place_joined, id) } },
 };
 #undef UINT
 #undef BYTES
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -47,6 +47,7 @@
   MSG_QUARANTINE,
   MSG_QUOTA_REQUEST,
   MSG_QUOTA_GRANT,
+  MSG_PLACE_JOINED,
   MSG_TYPE_END,
 } msg_type_t;
 
@@ -394,7 +395,9 @@
   uint64_t objective_ms;  ///< Time until the first event is late.
   uint64_t version;       ///< Oldest adapter version that may serve it.
   uint64_t decline_count; ///< Number of engines that declined it.
-  uint64_t is_alone;      ///< Start while no other request is starting.
+  uint64_t alone_level;   ///< Zero, or start while no other request is
+                          ///< starting; one more for each doubling of the
+                          ///< time for which it may block others.
   kb_slice_t model;
   kb_slice_t adapter; ///< Empty: the base model.
   kb_slice_t attempt; ///< The caller's id of the request, for logging.
@@ -407,7 +410,8 @@
   uint64_t load_us;    ///< Time spent waiting for a load.
   kb_slice_t instance; ///< Instance id of the engine, or empty.
   uint64_t born_ms;    ///< Unix time of its start; zero: unknown.
-  uint64_t is_alone;   ///< No other request starts there meanwhile.
+  uint64_t is_alone;   ///< No other request starts there meanwhile, until
+                       ///< msg_place_joined_t says otherwise.
 } msg_place_grant_t;
 
 typedef struct
@@ -431,6 +435,13 @@
   uint64_t id;
 } msg_place_begun_t;
 
+/// Another request starts at the engine before the first event of one whose
+/// place was granted alone.
+typedef struct
+{
+  uint64_t id;
+} msg_place_joined_t;
+
 /// The configuration document, forwarded to daemons that cannot read it
 /// themselves.
 typedef struct
@@ -562,6 +573,7 @@
     msg_place_decline_t place_decline;
     msg_place_release_t place_release;
     msg_place_begun_t place_begun;
+    msg_place_joined_t place_joined;
     msg_document_t document;
     msg_adapter_version_t adapter_version;
     msg_changes_request_t changes_request;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -130,6 +130,7 @@
   if (hst_host_init (&s->host, &sidecar_role, s, path, link_name, error)
       != KB_OK)
     return NULL;
+  aln_gate_init_running (&s->table.alone, scr_now_ms (s));
   scr_quota_init (s);
   s->engine = deployment->make_engine (&s->host.pool, settings, error);
   // Without a store address it reads the store for no gateway.
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -49,7 +49,9 @@
   uint32_t gateway_count;
   uint32_t engine_count; ///< Engines of the service, as reported by gateways.
 
-  bool is_engine_call_pending; ///< A report or an order is pending.
+  bool is_engine_call_pending;   ///< A report or an order is pending.
+  uint32_t polled_broken_starts; ///< Broken starts when a report was asked for
+                                 ///< last.
   bool has_report;
   msg_engine_condition_t condition;
   inc_t engine_incarnation; ///< Its id is empty until it is known.
@@ -108,6 +110,8 @@
 /// @return  The service of this engine; NULL before a configuration arrived.
 const svc_service_t *scr_own_service (const scr_sidecar_t *s);
 void scr_grant (scr_sidecar_t *s, const adm_request_t *request);
+/// Report that a request whose place was granted alone starts alone no more.
+void scr_report_joined (scr_sidecar_t *s, const adm_request_t *request);
 void scr_decline (scr_sidecar_t *s, kb_slice_t peer, uint64_t id,
                   const char *reason, uint64_t retry_after_ms);
 
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -179,6 +179,8 @@
                             process_queue_on_timer, s);
           return;
         case ADM_ACTION_GRANT:
+          if (action.joined != NULL)
+            scr_report_joined (s, action.joined);
           scr_grant (s, action.request);
           scr_state_changed (s);
           break;
@@ -325,6 +327,7 @@
     s->engine_incarnation.born_ms = report->born_ms;
   s->has_report = true;
   s->report_failures = 0;
+  aln_confirm_alive (&s->table.alone, s->polled_broken_starts);
   s->seq = report->seq;
   s->is_engine_busy = report->is_busy;
   s->is_model_held = report->model_count > 0;
@@ -386,5 +389,6 @@
   if (s->is_engine_call_pending)
     return;
   s->is_engine_call_pending = true;
+  s->polled_broken_starts = s->table.alone.broken_starts;
   s->engine->vtable->report (s->engine, report_done, s);
 }
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -165,11 +165,21 @@
                     .load_us = load_us,
                     .instance = kb_slice_str (s->engine_incarnation.id),
                     .born_ms = s->engine_incarnation.born_ms,
-                    .is_alone = request->alone.is_alone } };
+                    .is_alone = aln_is_still_alone (&request->alone) } };
   scr_send (s, gateway, &msg);
   MET_INC ("knapweedbay_places_granted_total", "");
 }
 
+void
+scr_report_joined (scr_sidecar_t *s, const adm_request_t *request)
+{
+  const scr_gateway_t *gateway = scr_gateway_find (s, request->owner);
+  msg_t msg
+      = { .type = MSG_PLACE_JOINED, .place_joined = { .id = request->id } };
+  if (gateway != NULL)
+    scr_send (s, gateway, &msg);
+}
+
 /// Compare the places that a gateway has open with those known here, because a
 /// message lost with its connection must not leave a place occupied or a
 /// request waiting. Messages of a connection stay in order: a place that the
@@ -278,6 +288,17 @@
   log_end (&line);
 }
 
+static aln_request_t
+alone_of_level (uint64_t level)
+{
+  bool is_alone = level > 0;
+  uint64_t patience = is_alone ? level - 1 : 0;
+  return (aln_request_t){ .is_alone = is_alone,
+                          .patience = patience < ALN_MAX_PATIENCE
+                                          ? (uint32_t)patience
+                                          : ALN_MAX_PATIENCE };
+}
+
 static void
 handle_place_request (scr_sidecar_t *s, kb_slice_t peer,
                       const msg_place_request_t *msg)
@@ -294,7 +315,7 @@
           .owner = scr_name_id (peer),
           .priority = (uint32_t)msg->priority,
           .decline_count = (uint32_t)msg->decline_count,
-          .alone.is_alone = msg->is_alone != 0,
+          .alone = alone_of_level (msg->alone_level),
           .kv_tokens_needed
           = (uint32_t)(msg->prompt_tokens + msg->output_tokens),
           .prompt_tokens = (uint32_t)msg->prompt_tokens,
--- /dev/null
+++ b/test/relay/innocent_failure_test.cc
@@ -0,0 +1,168 @@
+// Requests that merely share targets with whatever ends them. None of them may
+// be held in quarantine, however its target ended.
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include "load.h"
+
+namespace relay
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Time between a target's end and the next attempt: the end is then known.
+constexpr int kEndKnownMs = 700;
+
+/// Time to the first event of a slow start.
+constexpr int kFirstEventMs = 4000;
+
+Call
+innocent_stream (int attempt)
+{
+  // It runs once, at one engine.
+  Call call = stream_call ("innocent" + std::to_string (attempt), "", false);
+  call.path = "/once/innocent";
+  return call;
+}
+
+Call
+other_stream (const std::string &id)
+{
+  Call call = stream_call (id, "", false);
+  call.path = "/once/" + id;
+  return call;
+}
+
+/// A request that is being sent.
+class Sending
+{
+public:
+  Sending (const Gateway &gateway, const Call &call)
+      : thread_ (
+          [this, &gateway, call] { answer = send_call (gateway, call); })
+  {
+  }
+  ~Sending () { join (); }
+  void
+  join ()
+  {
+    if (thread_.joinable ())
+      thread_.join ();
+  }
+  Message answer;
+
+private:
+  std::thread thread_;
+};
+
+bool
+wait_until_run (Site &site, const std::string &id)
+{
+  return Site::wait_for ([&] { return site.runs_of (id) > 0; });
+}
+
+void
+exit_and_restart (Site &site, Target &target)
+{
+  target.simulate_exit ();
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  site.restart_ended_targets ();
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+}
+
+/// End the only engine twice while the innocent request starts there, so that
+/// it has to start alone from now on.
+void
+make_suspect (Site &site)
+{
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = kFirstEventMs;
+  for (int attempt = 0; attempt < 2; attempt++)
+    {
+      Sending innocent (site.gateways[0], innocent_stream (attempt));
+      ASSERT_TRUE (
+          wait_until_run (site, "innocent" + std::to_string (attempt)));
+      exit_and_restart (site, engine);
+    }
+}
+
+/// The innocent request is served once nothing else ends its engine.
+void
+expect_served (Site &site, Call (*call_of) (int))
+{
+  for (const Engine &engine : site.engines)
+    engine.target->event_ms = 2;
+  Message answer;
+  int attempt = 1000;
+  EXPECT_TRUE (Site::wait_for ([&] {
+    answer = send_call (site.gateways.back (), call_of (attempt++));
+    return answer.status == 200 || answer.body == "quarantined";
+  }));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+}
+
+// Guards against a request that counts as the cause of an end because it
+// started alone, although others were let in after it had blocked them for the
+// longest time allowed.
+TEST (Innocent, SlowStartIsNotAloneOnceOthersStart)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Sending innocent (site.gateways[0], innocent_stream (2));
+  ASSERT_TRUE (wait_until_run (site, "innocent2"));
+  Sending other (site.gateways[0], other_stream ("other"));
+  ASSERT_TRUE (wait_until_run (site, "other"));
+  exit_and_restart (site, *site.engines[0].target);
+  expect_served (site, innocent_stream);
+}
+
+// Guards against the same when a sidecar has restarted since, which does not
+// know what its predecessor let start.
+TEST (Innocent, StartBeforeARestartOfTheSidecarIsNotAlone)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Sending innocent (site.gateways[0], innocent_stream (2));
+  ASSERT_TRUE (wait_until_run (site, "innocent2"));
+  site.restart (&site.engines[0].sidecar, SIGKILL);
+  std::vector<std::unique_ptr<Sending>> others;
+  ASSERT_TRUE (Site::wait_for ([&] {
+    std::string id = "other" + std::to_string (others.size ());
+    others.push_back (
+        std::make_unique<Sending> (site.gateways[0], other_stream (id)));
+    std::this_thread::sleep_for (milliseconds (100));
+    return site.runs_of (id) > 0;
+  }));
+  exit_and_restart (site, *site.engines[0].target);
+  expect_served (site, innocent_stream);
+}
+
+// Guards against a request that counts as the cause of an end because it
+// started alone at an engine that another one had just hung.
+TEST (Innocent, StartAtAnEngineThatHangsIsNotAlone)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.fail_next ({ Fault::RESET_BEFORE_ANSWER });
+  {
+    Sending fatal (site.gateways[0], other_stream ("fatal"));
+    fatal.join ();
+    engine.is_hung = true;
+    Sending innocent (site.gateways[0], innocent_stream (2));
+    std::this_thread::sleep_for (milliseconds (400));
+    engine.simulate_exit ();
+    engine.is_hung = false;
+  }
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  site.restart_ended_targets ();
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  expect_served (site, innocent_stream);
+}
+
+} // namespace
+} // namespace relay
--- a/test/relay/repeat_failure_test.cc
+++ b/test/relay/repeat_failure_test.cc
@@ -105,6 +105,26 @@
   expect_few_after_third (site, fatal_stream, 6);
 }
 
+Call
+unique_stream (const std::string &id)
+{
+  Call call = stream_call (id, "");
+  call.path = "/resume/" + id;
+  return call;
+}
+
+// Guards against a request that is never alone at the engines that it ends,
+// because it takes longer than others are kept waiting for it.
+TEST (Repeat, SlowFatalRequestReachesFewBusyEnginesAfterTheThirdEnd)
+{
+  Site site (6, 0, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  for (const Engine &engine : site.engines)
+    engine.target->crash_delay_ms = 1500;
+  Load load (&site, unique_stream, 6, 10);
+  expect_few_after_third (site, fatal_stream, 8);
+}
+
 // The same with a plain service, whose targets have no sidecar: only gateways
 // can detect what ended them.
 TEST (Repeat, FatalRequestReachesFewPlainTargetsAfterTheThirdEnd)
--- a/test/unit/alone_test.cc
+++ b/test/unit/alone_test.cc
@@ -84,4 +84,77 @@
   EXPECT_FALSE (aln_is_refused (&gate_, &next, 3500));
 }
 
+// Guards against a request that is taken for the cause of an end, although
+// others were let in before its first byte.
+TEST_F (AloneTest, StartIsAloneUntilAnotherOneJoins)
+{
+  aln_request_t request = suspect ();
+  EXPECT_EQ (aln_started (&gate_, &request, 1000), nullptr);
+  EXPECT_TRUE (aln_is_still_alone (&request));
+  ASSERT_TRUE (aln_may_start (&gate_, &other_, 2000));
+  EXPECT_EQ (aln_started (&gate_, &other_, 2000), &request);
+  EXPECT_FALSE (aln_is_still_alone (&request));
+  aln_request_t third = {};
+  EXPECT_EQ (aln_started (&gate_, &third, 2001), nullptr);
+  // The next attempt is a new start.
+  aln_ended (&gate_, &request);
+  aln_first_byte (&gate_, &other_, 2100);
+  aln_first_byte (&gate_, &third, 2100);
+  aln_started (&gate_, &request, 3000);
+  EXPECT_TRUE (aln_is_still_alone (&request));
+}
+
+// Guards against a start alone at a target that the request before has ended.
+TEST_F (AloneTest, NothingStartsAloneAfterABrokenStartUntilTheTargetAnswers)
+{
+  aln_started (&gate_, &other_, 1000);
+  uint32_t before = gate_.broken_starts;
+  aln_ended (&gate_, &other_);
+  aln_request_t request = suspect ();
+  EXPECT_FALSE (aln_may_start (&gate_, &request, 1400));
+  aln_request_t third = {};
+  EXPECT_TRUE (aln_may_start (&gate_, &third, 1400));
+  // An answer to an earlier question proves nothing.
+  aln_confirm_alive (&gate_, before);
+  EXPECT_FALSE (aln_may_start (&gate_, &request, 1400));
+  aln_confirm_alive (&gate_, gate_.broken_starts);
+  EXPECT_TRUE (aln_may_start (&gate_, &request, 1400));
+}
+
+TEST_F (AloneTest, AnsweredRequestsBreakNoStart)
+{
+  aln_started (&gate_, &other_, 1000);
+  aln_answered (&gate_, &other_);
+  aln_ended (&gate_, &other_);
+  aln_request_t request = suspect ();
+  EXPECT_EQ (gate_.starting, 0u);
+  EXPECT_TRUE (aln_may_start (&gate_, &request, 1400));
+}
+
+// Guards against a start alone beside one that an earlier process admitted.
+TEST_F (AloneTest, NothingStartsAloneJustAfterARestart)
+{
+  aln_gate_init_running (&gate_, 1000);
+  aln_request_t request = suspect ();
+  EXPECT_TRUE (aln_is_refused (&gate_, &request, 1999));
+  EXPECT_FALSE (aln_is_refused (&gate_, &request, 2000));
+  EXPECT_FALSE (aln_is_refused (&gate_, &other_, 1000));
+}
+
+// Guards against a request that ends targets so late that others always join
+// it before.
+TEST_F (AloneTest, PatienceProlongsTheBlock)
+{
+  aln_request_t request = suspect ();
+  request.patience = 2;
+  aln_started (&gate_, &request, 1000);
+  EXPECT_FALSE (aln_may_start (&gate_, &other_, 4999));
+  EXPECT_TRUE (aln_may_start (&gate_, &other_, 5000));
+  aln_ended (&gate_, &request);
+  request.patience = 100;
+  aln_started (&gate_, &request, 10000);
+  EXPECT_TRUE (
+      aln_may_start (&gate_, &other_, 10000 + (1000 << ALN_MAX_PATIENCE)));
+}
+
 } // namespace
