fix(gateway): count an end for the incarnation that a request was sent to

While the list named an incarnation that was known to have ended, each reset at the next one counted as that end at once, without any proof that the next one had ended. A request that was reset at three engines which were listed late was held; all three were alive.

Fix: a break that was sent later than the proved end waits for a proof of its own. It is booked to the incarnation that granted the place, and moves to that incarnation when the list names it. So two ends of one listed target also count as two.

Test: ResetsAtIncarnationsListedLateAreNoEnds, held on.

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -258,10 +258,11 @@
   uint64_t fingerprints[GTW_SCOPE_COUNT];
   uint64_t caller; ///< Hash of its workspace or address.
   uint64_t at_ms;
-  uint64_t place_id; ///< At an engine.
-  bool is_plain;     ///< The target is not an engine.
-  bool is_isolated;  ///< This gateway had no other request there.
-  bool is_alone;     ///< gtw_request_t.is_alone_attempt, or isolated.
+  uint64_t incarnation; ///< Hash of the incarnation that it was sent to.
+  uint64_t place_id;    ///< At an engine.
+  bool is_plain;        ///< The target is not an engine.
+  bool is_isolated;     ///< This gateway had no other request there.
+  bool is_alone;        ///< gtw_request_t.is_alone_attempt, or isolated.
 } gtw_broken_attempt_t;
 
 /// Writes records of requests during which targets ended to the platform's
@@ -599,6 +600,11 @@
 /// has restarted or cannot be reached.
 void gtw_quarantine_forget_alone (gtw_gateway_t *gateway,
                                   const gtw_target_t *target);
+/// Move the breaks of requests that were sent to an incarnation before the
+/// list named it.
+void gtw_quarantine_move_breaks (gtw_gateway_t *gateway,
+                                 const gtw_target_t *from,
+                                 const gtw_target_t *to);
 /// @return  Whether attempts broke off at a target that may have ended, which
 ///          is not proved yet.
 bool gtw_quarantine_awaits_evidence (const gtw_gateway_t *gateway,
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -175,10 +175,30 @@
 
 /// @return  Equal at all gateways.
 static uint64_t
-incarnation_hash (const gtw_target_t *target)
+incarnation_hash (const char *id, uint64_t born_ms)
 {
-  const char *id = target->list_entry.identity.id;
-  return kb_hash (id, strlen (id), target->known_birth.born_ms) | 1;
+  return kb_hash (id, strlen (id), born_ms) | 1;
+}
+
+static uint64_t
+listed_incarnation (const gtw_target_t *target)
+{
+  return incarnation_hash (target->list_entry.identity.id,
+                           target->known_birth.born_ms);
+}
+
+/// @return  The incarnation that a request was sent to, which the list may not
+///          name yet.
+static uint64_t
+recipient_incarnation (const gtw_request_t *r)
+{
+  const inc_t *recipient = gtw_request_recipient (r);
+  bool is_listed
+      = strcmp (recipient->id, r->target->list_entry.identity.id) == 0
+        && (recipient->born_ms == 0
+            || recipient == &r->target->list_entry.identity);
+  return is_listed ? listed_incarnation (r->target)
+                   : incarnation_hash (recipient->id, recipient->born_ms);
 }
 
 static void
@@ -210,7 +230,7 @@
 record_suspect (gtw_gateway_t *gateway, const gtw_target_t *target,
                 const gtw_broken_attempt_t *broken, bool is_alone)
 {
-  qrt_end_t end = { .target = incarnation_hash (target),
+  qrt_end_t end = { .target = broken->incarnation,
                     .caller = broken->caller,
                     .is_alone = is_alone };
   bool is_new = false;
@@ -300,10 +320,13 @@
                                   const char *evidence)
 {
   // A target that is leaving is expected to end.
-  if (target->ended_ms > 0 || gtw_target_is_leaving (target))
+  if (gtw_target_is_leaving (target))
     return;
-  target->ended_ms = gtw_now_ms (gateway);
+  // Another incarnation may have been used since, and have ended as well.
   uint32_t count = record_suspects (gateway, target);
+  if (target->ended_ms > 0 && count == 0)
+    return;
+  target->ended_ms = gtw_now_ms (gateway);
   MET_INC ("knapweedbay_targets_ended_total", "");
   log_line_t line;
   if (!log_begin (&line, LOG_WARN, "gateway", "target_ended"))
@@ -338,6 +361,7 @@
       = { .target = target->key,
           .caller = hash_caller (r),
           .at_ms = gtw_now_ms (gateway),
+          .incarnation = recipient_incarnation (r),
           .place_id = r->place_id,
           .is_plain = !r->is_engine,
           .is_isolated = is_isolated,
@@ -345,8 +369,9 @@
                                   : r->is_alone_attempt };
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
     broken.fingerprints[scope] = gtw_request_fingerprint (r, scope);
-  // The end was proved before; its other suspects are recorded already.
-  if (target->ended_ms > 0)
+  // The end was proved before; its other suspects are recorded already. What
+  // was sent later broke off for another reason, or with the next incarnation.
+  if (target->ended_ms > 0 && r->sent_ms <= target->ended_ms)
     {
       record_suspect (gateway, target, &broken,
                       broken.is_alone && !broken.is_plain);
@@ -380,6 +405,19 @@
       r->is_alone_attempt = false;
 }
 
+void
+gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
+                            const gtw_target_t *to)
+{
+  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+    {
+      gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
+      if (broken->target == from->key
+          && broken->incarnation == listed_incarnation (to))
+        broken->target = to->key;
+    }
+}
+
 /// A target that answers has not ended: earlier breaks had another cause.
 static void
 forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target)
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -171,6 +171,7 @@
       if (t == next || t->address_hash != next->address_hash)
         continue;
       gtw_backpressure_inherit (next, t);
+      gtw_quarantine_move_breaks (gateway, t, next);
       gtw_quarantine_record_target_end (gateway, t, "replaced");
     }
 }
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -164,5 +164,37 @@
   expect_served (site, innocent_stream);
 }
 
+// Guards against resets that count as ends of engines because an earlier
+// incarnation at the same address had ended, which the list still names.
+TEST (Innocent, ResetsAtIncarnationsListedLateAreNoEnds)
+{
+  Site site (3, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  for (Engine &engine : site.engines)
+    {
+      engine.target->restart (engine.target->id () + "-new");
+      ASSERT_TRUE (Site::wait_for ([&] {
+        return !Site::log_lines (engine.sidecar,
+                                 { "engine_identified", engine.target->id () })
+                    .empty ();
+      }));
+    }
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  for (int attempt = 0; attempt < 3; attempt++)
+    {
+      // The attempt is reset by whichever engine gets it, and by no other.
+      size_t reset = (size_t)attempt;
+      for (size_t i = 0; i < site.engines.size (); i++)
+        site.engines[i].target->set_leaving (i != reset);
+      std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+      site.engines[reset].target->fail_next ({ Fault::RESET_BEFORE_ANSWER });
+      send_call (site.gateways[0], innocent_stream (attempt));
+    }
+  for (Engine &engine : site.engines)
+    engine.target->set_leaving (false);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  expect_served (site, innocent_stream);
+}
+
 } // namespace
 } // namespace relay
