fix(gateway): send suspects only to plain targets that are proved alive

Cause: at a plain target a gateway judges by its own requests. A request of another gateway had ended the target; a proxy went on accepting connections for it, so what was sent there next broke off, as its gateway's only one, and counted as alone when the end was proved by the next incarnation.

Without a health path nothing changes. Ruled out: dropping the claim of requests that only broke off before; while ends await proof these claims are what holds a fatal request.

Test: RequestsToAnEndedPlainTargetAreNotAlone, held on.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -98,6 +98,12 @@
     gtw_request_resume (r);
 }
 
+static void
+gateway_retry_waiting (void *arg)
+{
+  gtw_requests_retry_waiting (arg);
+}
+
 static void
 gateway_tick (void *arg)
 {
@@ -173,7 +179,8 @@
                               .deployment = deployment,
                               .dialect = deployment->dialect,
                               .gateway_count = 1,
-                              .on_decided = gateway_resume_decided };
+                              .on_decided = gateway_resume_decided,
+                              .on_liveness = gateway_retry_waiting };
   plc_costs_default (&gateway->costs);
   qrt_table_init (&gateway->quarantine);
   if (hst_host_init (&gateway->host, &gateway_role, gateway, path,
--- a/src/gateway/gateway_alone.c
+++ b/src/gateway/gateway_alone.c
@@ -78,7 +78,5 @@
   else if (r->is_complete)
     aln_answered (&target->alone, &r->alone);
   aln_ended (&target->alone, &r->alone);
-  // Nothing shows here whether a plain target is alive.
-  aln_confirm_alive (&target->alone, target->alone.broken_starts);
   r->alone.waiting_since_ms = 0;
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -117,6 +117,9 @@
   uint64_t ended_ms; ///< When its process was found ended; zero: not ended.
   bool is_probed;    ///< A test connection to find out whether it has ended is
                      ///< under way.
+  bool is_health_requested; ///< A health request is under way.
+  uint64_t alive_ms;        ///< Last answer to a health request; zero: never.
+  uint64_t unhealthy_ms;    ///< Last failure of one; zero: never.
 } gtw_target_t;
 
 /// Stage of a request.
@@ -185,8 +188,10 @@
   /// At an engine: targets ended during it, so it has to start alone, and the
   /// place was granted so. At a plain target: an earlier attempt broke off.
   bool is_alone_attempt;
-  aln_request_t alone;   ///< At a plain target.
-  bool is_declined_late; ///< An engine declined it after its objective.
+  aln_request_t alone;        ///< At a plain target.
+  uint64_t liveness_since_ms; ///< Since when it waits for a proof that its
+                              ///< plain target is alive; zero: it does not.
+  bool is_declined_late;      ///< An engine declined it after its objective.
   uint32_t granted_version;
   inc_t granted_engine; ///< Incarnation of the engine that granted the place;
                         ///< empty id: the listed one.
@@ -321,6 +326,8 @@
   gtw_charge_t *decided;        ///< Charges that no longer wait for credit.
   tmr_fn_t on_decided;          ///< Resumes the requests of those charges.
   tmr_timer_t decided_timer;
+  tmr_fn_t on_liveness;        ///< Retries the requests that wait for proof
+                               ///< that their target is alive.
   uint64_t last_unlink_ms;     ///< When a link to a sidecar was closed last;
                                ///< boot clock.
   uint64_t last_no_contact_ms; ///< When this gateway last had contact with no
@@ -469,6 +476,17 @@
 /// End the use of the current target.
 void gtw_alone_leave (gtw_request_t *r);
 
+// gateway_liveness.c
+typedef enum
+{
+  GTW_LIVENESS_PROVED,    ///< The target is alive, or no proof is needed.
+  GTW_LIVENESS_REQUESTED, ///< The request is resumed when the result is known.
+  GTW_LIVENESS_FAILED,    ///< The target did not answer.
+} gtw_liveness_t;
+/// Check whether the plain target of a suspected request is proved to be
+/// alive, and request a proof if not.
+gtw_liveness_t gtw_liveness_check (gtw_request_t *r);
+
 // gateway_access.c
 /// Check the key of a request, and apply the settings of its workspace.
 gtw_refusal_t gtw_access_check (gtw_request_t *r, const svc_route_t *route);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -211,6 +211,7 @@
   gtw_place_release (r);
   gtw_quota_release_charge (&r->permit, !r->is_permit_used);
   gtw_alone_leave (r);
+  r->liveness_since_ms = 0;
   if (r->target != NULL)
     r->target->active--;
   r->target = NULL;
@@ -454,16 +455,22 @@
 }
 
 /// Send to a plain target; a request that has to start alone waits until the
-/// target is idle.
+/// target is idle, and a suspected one until the target is proved to be alive.
 static void
 request_start_plain (gtw_request_t *r)
 {
-  if (gtw_alone_has_timed_out (r))
+  gtw_liveness_t liveness = gtw_liveness_check (r);
+  if (liveness == GTW_LIVENESS_FAILED)
+    {
+      r->reason = "target_silent";
+      gtw_request_exclude_target (r);
+    }
+  if (liveness == GTW_LIVENESS_FAILED || gtw_alone_has_timed_out (r))
     {
       gtw_request_release_target (r);
       gtw_request_dispatch (r);
     }
-  else if (gtw_alone_start (r))
+  else if (liveness == GTW_LIVENESS_PROVED && gtw_alone_start (r))
     gtw_attempt_send (r);
   else
     r->stage = GTW_STAGE_WAITING_TO_BE_ALONE;
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -28,6 +28,12 @@
   return call;
 }
 
+Call
+innocent_plain (int attempt)
+{
+  return plain_call ("innocent" + std::to_string (attempt), "/plain/innocent");
+}
+
 Call
 other_stream (const std::string &id)
 {
@@ -196,5 +202,27 @@
   expect_served (site, innocent_stream);
 }
 
+// Guards against a request that counts as the cause of an end because it was
+// sent to a plain target that had already ended, behind a proxy that accepts
+// connections for it.
+TEST (Innocent, RequestsToAnEndedPlainTargetAreNotAlone)
+{
+  Proxies proxies;
+  Site site (1, 1, 2, &proxies);
+  ASSERT_TRUE (site.wait_ready ());
+  for (int life = 0; life < 3; life++)
+    {
+      site.plain[0]->simulate_exit ();
+      for (int i = 0; i < 4; i++)
+        {
+          send_call (site.gateways.back (), innocent_plain (10 * life + i));
+          std::this_thread::sleep_for (milliseconds (120));
+        }
+      site.restart_ended_targets ();
+      std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+    }
+  expect_served (site, innocent_plain);
+}
+
 } // namespace
 } // namespace relay
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -350,6 +350,28 @@
                                  + " requests are served");
 }
 
+/// Requests that merely shared plain targets with one that crashed them are
+/// served once the targets are back.
+void
+Soak::check_innocent_requests ()
+{
+  for (const char *path : { "/plain/x", "/unsafe/x" })
+    {
+      int good = 0;
+      std::string id = "innocent";
+      for (int i = 0; i < kRecoveryCalls; i++)
+        good += send_with_kept_key (
+                    i, plain_call (id + path + std::to_string (i), path))
+                    .status
+                == 200;
+      if (good < kMinRecovered)
+        add_violation (id + path + "0",
+                       "of requests with the path " + std::string (path) + " "
+                           + std::to_string (good) + " of "
+                           + std::to_string (kRecoveryCalls) + " are served");
+    }
+}
+
 void
 Soak::check_configuration ()
 {
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -125,6 +125,7 @@
   check_engines ();
   check_repeats ();
   check_recovery ();
+  check_innocent_requests ();
   check_configuration ();
   check_version ();
   check_leaving ();
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -94,6 +94,7 @@
   void check_engines ();
   void check_repeats ();
   void check_recovery ();
+  void check_innocent_requests ();
   void check_configuration ();
   void check_version ();
   void check_leaving ();
