--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -121,11 +121,13 @@
     return listed;
   // Gateways reach the sidecar at the listed IP address and the inner port.
   std::string outer = proxy_ip (ip);
+  // First, since the other proxy gets any port that is free there.
+  auto inner = std::make_unique<Proxy> (outer, inner_port, ip, inner_port);
   all.push_back (std::make_unique<Proxy> (outer, 0, ip,
                                           atoi (port_of (address).c_str ())));
   listed = outer + ":" + std::to_string (all.back ()->port ());
-  all.push_back (std::make_unique<Proxy> (outer, inner_port, ip, inner_port));
-  agents.push_back (all.back ().get ());
+  agents.push_back (inner.get ());
+  all.push_back (std::move (inner));
   return listed;
 }
 
