fix(agent): ask for the engine's list when a start alone waits for it

The gate shared by both interfaces lets nothing start alone after a broken start until the target has answered. An agent asks for its engine's list each second, while a request that has to start alone is refused after half a second; it asks at once now.

--- a/src/coordination/alone.c
+++ b/src/coordination/alone.c
@@ -27,6 +27,12 @@
   gate->confirmed_starts = broken_starts;
 }
 
+bool
+aln_awaits_answer (const aln_gate_t *gate)
+{
+  return gate->confirmed_starts != gate->broken_starts;
+}
+
 bool
 aln_is_still_alone (const aln_request_t *request)
 {
@@ -53,8 +59,8 @@
 {
   if (aln_is_exclusive (gate, now_ms))
     return false;
-  bool is_confirmed = gate->confirmed_starts == gate->broken_starts;
-  if (!request->is_alone || (is_confirmed && is_none_starting (gate, now_ms)))
+  if (!request->is_alone
+      || (!aln_awaits_answer (gate) && is_none_starting (gate, now_ms)))
     return true;
   if (request->waiting_since_ms == 0)
     request->waiting_since_ms = now_ms;
--- a/src/coordination/alone.h
+++ b/src/coordination/alone.h
@@ -55,6 +55,8 @@
 /// The target has answered a question that was asked when the gate had this
 /// many broken starts.
 void aln_confirm_alive (aln_gate_t *gate, uint32_t broken_starts);
+/// @return  Whether nothing starts alone until the target answers.
+bool aln_awaits_answer (const aln_gate_t *gate);
 /// @return  Whether a request started alone and no other one has started there
 ///          before its first byte.
 bool aln_is_still_alone (const aln_request_t *request);
--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -57,8 +57,14 @@
       if (action.kind == SCH_RUN)
         {
           agt_request_t *r = (agt_request_t *)action.item;
-          if (!aln_may_start (&agent->alone, &r->alone, tmr_now_ms ())
-              || is_deferred_by_target (agent))
+          if (!aln_may_start (&agent->alone, &r->alone, tmr_now_ms ()))
+            {
+              if (aln_awaits_answer (&agent->alone)
+                  && agent->lists_pending == 0)
+                agt_engine_poll (agent);
+              break;
+            }
+          if (is_deferred_by_target (agent))
             break;
           agt_run_start (agent, r);
           continue;
--- a/test/system/repeat_test.cc
+++ b/test/system/repeat_test.cc
@@ -90,6 +90,43 @@
   EXPECT_EQ (other.status, 200) << other.body;
 }
 
+// Guards against a request that counts as the cause of an end because it
+// started alone, although others were let in after it had blocked them for the
+// longest time allowed.
+TEST (RepeatedEnd, SlowStartIsNotAloneOnceOthersStart)
+{
+  ClusterOptions options;
+  options.engines = 1;
+  Cluster c (options);
+  c.start ();
+  c.complete (0, "a1@1", "warm");
+  for (int end = 1; end <= 3; end++)
+    {
+      for (auto &t : c.targets)
+        if (!t.is_plain)
+          c.fault (t.fake, "{\"step_ms\":1500,\"end_on\":\"fatal\"}");
+      std::thread innocent (
+          [&] { c.complete (0, "a1@1", "innocent", {}, 2); });
+      // The third one has to start alone and blocks others for 1 s.
+      std::this_thread::sleep_for (
+          std::chrono::milliseconds (end == 3 ? 1400 : 300));
+      // Each is another request, which has ended nothing before.
+      c.complete (0, "a1@1", "fatal " + std::to_string (end), {}, 2);
+      innocent.join ();
+      ASSERT_EQ (c.stat_sum ("ends"), end);
+      std::this_thread::sleep_for (std::chrono::milliseconds (kPropagationMs));
+    }
+  for (auto &t : c.targets)
+    if (!t.is_plain)
+      c.fault (t.fake, "{\"step_ms\":1}");
+  Answer answer;
+  EXPECT_TRUE (Cluster::wait_until ([&] {
+    answer = c.complete (0, "a1@1", "innocent", {}, 2);
+    return answer.status == 200 || is_quarantined (answer);
+  }));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+}
+
 // A restarted entry must receive the quarantine records from other processes
 // and refuse the request without ending another engine.
 TEST (RepeatedEnd, QuarantineSurvivesEntryRestart)
