--- a/src/coordination/alone.c
+++ b/src/coordination/alone.c
@@ -36,7 +36,7 @@
 bool
 aln_is_still_alone (const aln_request_t *request)
 {
-  return request->is_alone && !request->has_company;
+  return request->is_alone && !request->is_joined;
 }
 
 bool
@@ -105,9 +105,9 @@
 exclusive_join (aln_gate_t *gate)
 {
   aln_request_t *joined = gate->exclusive;
-  if (joined == NULL || joined->has_company)
+  if (joined == NULL || joined->is_joined)
     return NULL;
-  joined->has_company = true;
+  joined->is_joined = true;
   return joined;
 }
 
@@ -117,7 +117,7 @@
   aln_request_t *joined = exclusive_join (gate);
   gate->starting++;
   request->is_starting = true;
-  request->has_company = false;
+  request->is_joined = false;
   if (!request->is_alone)
     return joined;
   gate->exclusive = request;
--- a/src/coordination/alone.h
+++ b/src/coordination/alone.h
@@ -31,7 +31,7 @@
   bool is_alone;             ///< Must start alone.
   uint32_t patience;         ///< How often the time for which it may block
                              ///< others is doubled.
-  bool has_company;          ///< Another one started before its first byte.
+  bool is_joined;            ///< Another one started before its first byte.
   bool is_starting;          ///< Started, no byte of its answer received.
   uint64_t waiting_since_ms; ///< When it began to block others; zero: not.
 } aln_request_t;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -188,7 +188,7 @@
   /// At an engine: targets ended during it, so it has to start alone, and the
   /// place was granted so. At a plain target: an earlier attempt broke off.
   bool is_alone_attempt;
-  aln_request_t alone;        ///< At a plain target.
+  aln_request_t alone; ///< At a plain target; its patience at an engine, too.
   uint64_t liveness_since_ms; ///< Since when it waits for a proof that its
                               ///< plain target is alive; zero: it does not.
   bool is_declined_late;      ///< An engine declined it after its objective.
