test(fakes): end only streams that have begun when an engine ends

The fake engine died for good when the run that ends it was a stream: it ended a stream whose head was never sent, and all its counters read 0 afterwards. Found while a system test was written (504 from the entry, 0 runs counted). Test: RepeatedEnd.StreamThatEndsItsEngineIsCounted fails with the old fake.

--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -28,6 +28,7 @@
   uint32_t tokens;
   uint32_t sent;
   bool is_stream;
+  bool has_begun; ///< The head of its answer was sent, if it is a stream.
   tmr_timer_t timer;
   struct run *next;
 } run_t;
@@ -222,6 +223,7 @@
     }
   if (run->is_stream)
     hts_stream_begin (http, 200, "text/event-stream");
+  run->has_begun = true;
   uint64_t delay
       = (uint64_t)faults.step_ms * (run->is_stream ? 1 : run->tokens);
   tmr_start_once (&fk_timers, &run->timer, delay, run_step, run);
@@ -397,7 +399,7 @@
     {
       run_t *run = runs;
       hts_request_t *http = run->http;
-      bool is_streaming = run->is_stream && !faults.is_hung;
+      bool is_streaming = run->is_stream && run->has_begun;
       run->http = NULL;
       run_free (run);
       if (is_streaming)
--- a/test/system/repeat_test.cc
+++ b/test/system/repeat_test.cc
@@ -90,6 +90,17 @@
   EXPECT_EQ (other.status, 200) << other.body;
 }
 
+// Guards against a fake engine that dies for good when a stream ends it: its
+// counters would be lost.
+TEST (RepeatedEnd, StreamThatEndsItsEngineIsCounted)
+{
+  Cluster c (ClusterOptions{});
+  c.start ();
+  set_fatal_text (c, "fatal");
+  c.complete (0, "a1@1", "fatal prompt", {}, 8, true);
+  EXPECT_GE (c.stat_sum ("ends"), 1);
+}
+
 // Guards against a request that counts as the cause of an end because it
 // started alone, although others were let in after it had blocked them for the
 // longest time allowed.
