test(relay): abort the requests of a plain target when it exits

simulate_exit only shut down the reading side, and a plain target that worked on a request answered it after the next incarnation had begun to listen, if it took longer than the restart. Such a request now breaks off with the exit, as one that crashes the target already did.

ends_after_health widens the moment between a health response and the next request: the target resets whatever comes after its next health response.

--- a/test/relay/http_peer.cc
+++ b/test/relay/http_peer.cc
@@ -306,6 +306,7 @@
   std::lock_guard<std::mutex> lock (state_mutex_);
   if (has_exited_.exchange (true))
     return;
+  exit_count_++;
   shutdown (listener_, SHUT_RDWR);
   acceptor_.join ();
   close (listener_);
--- a/test/relay/http_peer.h
+++ b/test/relay/http_peer.h
@@ -107,6 +107,12 @@
   {
     return has_exited_;
   }
+  /// Number of simulated exits.
+  int
+  exit_count () const
+  {
+    return exit_count_;
+  }
 
 protected:
   /// Start accepting connections.
@@ -123,6 +129,7 @@
   std::string ip_;
   int port_ = 0;
   std::atomic<bool> has_exited_{ false };
+  std::atomic<int> exit_count_{ 0 };
   std::mutex state_mutex_;
   int listener_ = -1;
   std::thread acceptor_;
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -96,6 +96,7 @@
   born_ms_ = wall_ms () + clock_step_ms_;
   adapters_.clear ();
   has_model_ = false;
+  is_ending_ = false;
   seq_ = 0;
   restarts_.push_back (Clock::now ());
   announces_leaving = false;
@@ -381,6 +382,18 @@
   return connection.write ("0\r\n\r\n");
 }
 
+/// Work on a request of a plain target.
+/// @return  False: the process has exited since, which aborts it.
+bool
+Target::work (int duration_ms)
+{
+  int exits_before = exit_count ();
+  auto end = Clock::now () + std::chrono::milliseconds (duration_ms);
+  while (Clock::now () < end && exit_count () == exits_before)
+    sleep_ms (1);
+  return exit_count () == exits_before;
+}
+
 bool
 Target::run (Connection &connection, const Message &request, Fault fault)
 {
@@ -441,10 +454,7 @@
       count_adapter_stream (request, -1);
       return is_kept;
     }
-  int crash_count_before = crash_count;
-  sleep_ms (answer_ms);
-  // A crash aborts all requests that run in the process.
-  if (has_exited () || crash_count_before != crash_count)
+  if (!work (answer_ms))
     return false;
   connection.write (make_response (200, head, body));
   if (fault == Fault::EXTRA_AFTER)
@@ -452,16 +462,28 @@
   return true;
 }
 
+bool
+Target::serve_health (Connection &connection)
+{
+  is_ending_ = ends_after_health.exchange (false);
+  return connection.write (
+      make_response (200, "X-Knapweedbay-Instance-Id: " + id () + "\r\n", ""));
+}
+
 bool
 Target::serve (Connection &connection, const Message &request)
 {
   while (is_hung && !is_stopping_)
     sleep_ms (10);
+  if (is_ending_)
+    {
+      connection.reset ();
+      return false;
+    }
   if (request.target () == "/report")
     return connection.write (json_response (report ()));
   if (request.target () == "/health")
-    return connection.write (make_response (
-        200, "X-Knapweedbay-Instance-Id: " + id () + "\r\n", ""));
+    return serve_health (connection);
   if (request.target () == "/order")
     return serve_order (connection, request);
   Fault fault = Fault::NONE;
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -81,6 +81,9 @@
   std::atomic<bool> is_hung{ false };
   /// Time between the start of such a request and the crash.
   std::atomic<int> crash_delay_ms{ 20 };
+  /// The process ends after its next health response: it resets all later
+  /// requests, until it restarts.
+  std::atomic<bool> ends_after_health{ false };
   /// Set the count of orders accepted so far, which orders are checked
   /// against.
   void set_seq (int64_t seq);
@@ -135,9 +138,11 @@
   };
   static int64_t wall_ms ();
   bool serve (Connection &connection, const Message &request) override;
+  bool serve_health (Connection &connection);
   bool serve_order (Connection &connection, const Message &request);
   int execute_order (const std::string &body);
   std::string report ();
+  bool work (int duration_ms);
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
   void count_adapter_stream (const Message &request, int change);
@@ -160,6 +165,7 @@
   std::set<std::string> order_issuers_;
   std::vector<Fault> faults_;
   std::string crash_path_;
+  std::atomic<bool> is_ending_{ false };
   void announce_limit_locked (double per_s);
   std::vector<LimitSpan> announced_limits_;
   std::vector<std::chrono::steady_clock::time_point> restarts_;
