fix(gateway): accept a health response only from the listed incarnation

Cause: before a suspect is sent to a plain target, the target has to answer a health request. Any incarnation at its address could answer, and an answer counted for 50 ms. While the list named an incarnation that was known to have ended, the next one answered for it; when that one ended, the request broke off and was recorded as alone at the end of the former, which the list proved a moment later.

It had shared two ends before, so it was held.

Fix: the response has to name the incarnation that is listed, where it names one; another name proves that the listed one has ended, and nothing suspected is sent there. No more than 20 health requests a second as before. A break after a known end of a plain target is no proof of being alone, also where there is no health path.

Tests: RequestsToAnEndedIncarnationThatIsStillListedAreNotAlone ("quarantined" before), HealthResponseBeforeABreakProvesNothing (sent before).

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -117,9 +117,12 @@
   uint64_t ended_ms; ///< When its process was found ended; zero: not ended.
   bool is_probed;    ///< A test connection to find out whether it has ended is
                      ///< under way.
-  bool is_health_requested; ///< A health request is under way.
-  uint64_t alive_ms;        ///< Last answer to a health request; zero: never.
-  uint64_t unhealthy_ms;    ///< Last failure of one; zero: never.
+  bool is_health_requested;     ///< A health request is under way.
+  uint64_t health_requested_ms; ///< When the last one was sent; zero: never.
+  uint64_t health_requests;     ///< Number of them.
+  uint64_t alive_request;       ///< Number of the last one that this
+                                ///< incarnation answered; zero: none.
+  uint64_t failed_request;      ///< Number of the last other one; zero: none.
 } gtw_target_t;
 
 /// Stage of a request.
@@ -189,9 +192,10 @@
   /// place was granted so. At a plain target: an earlier attempt broke off.
   bool is_alone_attempt;
   aln_request_t alone; ///< At a plain target; its patience at an engine, too.
-  uint64_t liveness_since_ms; ///< Since when it waits for a proof that its
-                              ///< plain target is alive; zero: it does not.
-  bool is_declined_late;      ///< An engine declined it after its objective.
+  /// Number of the health request whose result decides whether it may start
+  /// at its plain target; zero: none.
+  uint64_t awaited_health_request;
+  bool is_declined_late; ///< An engine declined it after its objective.
   uint32_t granted_version;
   inc_t granted_engine; ///< Incarnation of the engine that granted the place;
                         ///< empty id: the listed one.
--- a/src/gateway/gateway_liveness.c
+++ b/src/gateway/gateway_liveness.c
@@ -1,9 +1,10 @@
 /// @file gateway_liveness.c
 /// Health requests that prove that a plain target is alive before a suspected
 /// request is sent there. The target may have ended under a request of another
-/// gateway while a proxy still accepts connections for it; the suspected
-/// request would break off there and be taken for the cause. At engines the
-/// sidecar's reports are this proof.
+/// gateway while a proxy still accepts connections for it, or another
+/// incarnation answers at its address; the suspected request would break off
+/// there and be taken for the cause. At engines the sidecar's reports are this
+/// proof.
 #include <stdlib.h>
 
 #include "gateway/gateway_defs.h"
@@ -11,8 +12,8 @@
 
 enum
 {
-  /// How long an answer counts as proof.
-  MAX_PROOF_AGE_MS = 50,
+  /// Shortest interval of the health requests to a target.
+  MIN_INTERVAL_MS = 50,
   HEALTH_TIMEOUT_MS = 400,
 };
 
@@ -20,43 +21,67 @@
 {
   cal_call_t call;
   gtw_gateway_t *gateway;
-  uint64_t target_key;    ///< The target may be freed meanwhile.
+  uint64_t target_key; ///< The target may be freed meanwhile.
+  uint64_t number;
   uint32_t broken_starts; ///< Of its gate when it was asked.
 } health_request_t;
 
+/// Apply the result of a health request to the target that it was sent to.
+static void
+apply_health (gtw_gateway_t *gateway, gtw_target_t *target,
+              const health_request_t *health, const cal_result_t *result)
+{
+  kb_slice_t instance = result->instance;
+  bool is_named = instance.len_bytes > 0;
+  bool is_same = kb_slice_equal (
+      instance, kb_slice_str (target->list_entry.identity.id));
+  target->is_health_requested = false;
+  // Whatever its status, only a process that is alive answers.
+  if (result->status == KB_OK && (is_same || !is_named))
+    {
+      target->alive_request = health->number;
+      aln_confirm_alive (&target->alone, health->broken_starts);
+      if (is_same)
+        target->ended_ms = 0;
+      return;
+    }
+  target->failed_request = health->number;
+  if (result->status == KB_OK)
+    gtw_quarantine_record_target_end (gateway, target, "misdirected");
+}
+
 static void
 health_on_done (void *arg, const cal_result_t *result)
 {
   health_request_t *health = arg;
   gtw_gateway_t *gateway = health->gateway;
   gtw_target_t *target = kb_map_get (&gateway->targets, health->target_key);
-  uint32_t broken_starts = health->broken_starts;
-  // Whatever its status, only a process that is alive answers.
-  bool is_alive = result->status == KB_OK;
+  if (target != NULL)
+    apply_health (gateway, target, health, result);
   free (health);
-  if (target == NULL)
-    return;
-  target->is_health_requested = false;
-  if (is_alive)
-    {
-      target->alive_ms = gtw_now_ms (gateway);
-      aln_confirm_alive (&target->alone, broken_starts);
-    }
-  else
-    target->unhealthy_ms = gtw_now_ms (gateway);
-  gateway->on_liveness (gateway);
+  if (target != NULL)
+    gateway->on_liveness (gateway);
 }
 
 static void
 health_request (gtw_gateway_t *gateway, gtw_target_t *target, const char *path)
 {
+  uint64_t now_ms = gtw_now_ms (gateway);
+  if (target->is_health_requested
+      || now_ms - target->health_requested_ms < MIN_INTERVAL_MS)
+    return;
   health_request_t *health = kb_alloc (sizeof *health);
   *health = (health_request_t){ .gateway = gateway,
                                 .target_key = target->key,
+                                .number = ++target->health_requests,
                                 .broken_starts = target->alone.broken_starts };
   cal_request_t request
-      = { .method = "GET", .path = path, .timeout_ms = HEALTH_TIMEOUT_MS };
+      = { .method = "GET",
+          .path = path,
+          .timeout_ms = HEALTH_TIMEOUT_MS,
+          .instance_header = gateway->dialect->instance_header };
   target->is_health_requested = true;
+  target->health_requested_ms = now_ms;
   cal_call_start (&health->call, &target->peer, &request, health_on_done,
                   health);
 }
@@ -77,14 +102,17 @@
       aln_confirm_alive (&target->alone, target->alone.broken_starts);
       return GTW_LIVENESS_PROVED;
     }
-  uint64_t now_ms = gtw_now_ms (gateway);
-  if (target->alive_ms > 0 && now_ms - target->alive_ms <= MAX_PROOF_AGE_MS)
-    return GTW_LIVENESS_PROVED;
-  if (r->liveness_since_ms > 0 && target->unhealthy_ms >= r->liveness_since_ms)
+  if (r->awaited_health_request == 0)
+    r->awaited_health_request = target->health_requests + 1;
+  if (target->failed_request >= r->awaited_health_request)
     return GTW_LIVENESS_FAILED;
-  if (r->liveness_since_ms == 0)
-    r->liveness_since_ms = now_ms;
-  if (!target->is_health_requested)
-    health_request (gateway, target, service->health_path);
+  if (target->alive_request >= r->awaited_health_request)
+    {
+      if (!aln_awaits_answer (&target->alone))
+        return GTW_LIVENESS_PROVED;
+      // A start has broken off since.
+      r->awaited_health_request = target->health_requests + 1;
+    }
+  health_request (gateway, target, service->health_path);
   return GTW_LIVENESS_REQUESTED;
 }
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -377,6 +377,9 @@
                       broken.is_alone && !broken.is_plain);
       return;
     }
+  // The next proof of an end may be another one of the end that is known.
+  if (broken.is_plain && target->ended_ms > 0)
+    broken.is_alone = false;
   gateway->broken_attempts[gateway->broken_attempt_count++
                            % GTW_MAX_BROKEN_ATTEMPTS]
       = broken;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -211,7 +211,7 @@
   gtw_place_release (r);
   gtw_quota_release_charge (&r->permit, !r->is_permit_used);
   gtw_alone_leave (r);
-  r->liveness_since_ms = 0;
+  r->awaited_health_request = 0;
   if (r->target != NULL)
     r->target->active--;
   r->target = NULL;
@@ -473,7 +473,12 @@
   else if (liveness == GTW_LIVENESS_PROVED && gtw_alone_start (r))
     gtw_attempt_send (r);
   else
-    r->stage = GTW_STAGE_WAITING_TO_BE_ALONE;
+    {
+      // A proof holds for a start at once.
+      if (liveness == GTW_LIVENESS_PROVED)
+        r->awaited_health_request = 0;
+      r->stage = GTW_STAGE_WAITING_TO_BE_ALONE;
+    }
 }
 
 /// Send to a plain target once its rate limit permits.
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -73,6 +73,8 @@
 /// Codec for the message heads of a deployment.
 typedef struct
 {
+  /// Field of a health response that names the incarnation that sent it.
+  const char *instance_header;
   /// Decode the head of a caller's request.
   /// @return  KB_OK, or KB_EINVAL when a field is invalid or a required one is
   ///          missing.
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -19,6 +19,9 @@
 /// Time to the first event of a slow start.
 constexpr int kFirstEventMs = 4000;
 
+/// Time that a plain target works on a request that its end breaks off.
+constexpr int kAnswerMs = 1500;
+
 Call
 innocent_stream (int attempt)
 {
@@ -34,6 +37,19 @@
   return plain_call ("innocent" + std::to_string (attempt), "/plain/innocent");
 }
 
+Call
+innocent_unsafe (int attempt)
+{
+  return plain_call ("innocent" + std::to_string (attempt),
+                     "/unsafe/innocent");
+}
+
+Call
+other_unsafe (const std::string &id)
+{
+  return plain_call (id, "/unsafe/" + id);
+}
+
 Call
 other_stream (const std::string &id)
 {
@@ -96,6 +112,26 @@
     }
 }
 
+/// End the only plain target while the innocent request and another one run
+/// there.
+void
+make_plain_suspect (Site &site, int ends)
+{
+  ASSERT_TRUE (site.wait_ready ());
+  Target &target = *site.plain[0];
+  for (int attempt = 0; attempt < ends; attempt++)
+    {
+      target.answer_ms = kAnswerMs;
+      int runs = target.runs ();
+      Sending innocent (site.gateways[0], innocent_unsafe (attempt));
+      Sending other (site.gateways[0], other_unsafe ("other"));
+      ASSERT_TRUE (
+          Site::wait_for ([&] { return target.runs () == runs + 2; }));
+      exit_and_restart (site, target);
+    }
+  target.answer_ms = 0;
+}
+
 /// The innocent request is served once nothing else ends its engine.
 void
 expect_served (Site &site, Call (*call_of) (int))
@@ -224,5 +260,39 @@
   expect_served (site, innocent_plain);
 }
 
+// Guards against a request that counts as the cause of the end of a plain
+// target that had ended before, because another incarnation, which the list
+// does not name yet, answered the health request at its address.
+TEST (Innocent, RequestsToAnEndedIncarnationThatIsStillListedAreNotAlone)
+{
+  Proxies proxies;
+  Site site (1, 1, 1, &proxies);
+  make_plain_suspect (site, 2);
+  Target &target = *site.plain[0];
+  std::string listed_id = target.id ();
+  target.restart ("i-unlisted");
+  // The gateway learns that the listed incarnation has ended.
+  EXPECT_EQ (send_call (site.gateways[0], other_unsafe ("third")).status, 503);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  target.ends_after_health = true;
+  send_call (site.gateways[0], innocent_unsafe (2));
+  site.remove ("servers/" + listed_id);
+  exit_and_restart (site, target);
+  expect_served (site, innocent_unsafe);
+}
+
+// Guards against a health response that still counts as a proof after a
+// request has broken off at the plain target.
+TEST (Innocent, HealthResponseBeforeABreakProvesNothing)
+{
+  Proxies proxies;
+  Site site (1, 1, 1, &proxies);
+  make_plain_suspect (site, 1);
+  site.plain[0]->ends_after_health = true;
+  EXPECT_EQ (send_call (site.gateways[0], innocent_unsafe (2)).body, "reset");
+  EXPECT_EQ (send_call (site.gateways[0], innocent_unsafe (3)).body,
+             "target_silent");
+}
+
 } // namespace
 } // namespace relay
