test: end the daemons of a test program that is killed

A test program that was ended by a signal left its daemons running, with their addresses and ports, beside the next run (three each of two repeat_failure_test). PR_SET_PDEATHSIG alone would follow the thread that forked, and the soak restarts daemons from short threads; so one thread that lives as long as the process forks all of them.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -1,5 +1,7 @@
 #include "site.h"
 
+#include "launcher.h"
+
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/wait.h>
@@ -222,18 +224,16 @@
 void
 Site::start (Daemon *daemon, int stdout_fd)
 {
-  daemon->pid = fork ();
-  if (daemon->pid != 0)
-    return;
-  int log
-      = open (daemon->log_path.c_str (), O_CREAT | O_WRONLY | O_APPEND, 0600);
-  dup2 (stdout_fd >= 0 ? stdout_fd : log, STDOUT_FILENO);
-  dup2 (log, STDERR_FILENO);
-  for (int fd = 3; fd < 512; fd++)
-    close (fd);
-  execl (binary ().c_str (), "knapweedbayd", daemon->settings_path.c_str (),
-         nullptr);
-  _exit (127);
+  daemon->pid = launch_process ([daemon, stdout_fd] {
+    int log = open (daemon->log_path.c_str (), O_CREAT | O_WRONLY | O_APPEND,
+                    0600);
+    dup2 (stdout_fd >= 0 ? stdout_fd : log, STDOUT_FILENO);
+    dup2 (log, STDERR_FILENO);
+    for (int fd = 3; fd < 512; fd++)
+      close (fd);
+    execl (binary ().c_str (), "knapweedbayd", daemon->settings_path.c_str (),
+           nullptr);
+  });
 }
 
 void
--- /dev/null
+++ b/test/support/launcher.cc
@@ -0,0 +1,76 @@
+#include "launcher.h"
+
+#include <signal.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include <future>
+#include <mutex>
+#include <thread>
+
+namespace
+{
+
+constexpr int kExitCode = 127;
+
+/// The kernel signals a child when the thread that forked it ends, so a thread
+/// that lives as long as the process forks all of them.
+class Launcher
+{
+public:
+  Launcher ()
+  {
+    std::thread ([this] { loop (); }).detach ();
+  }
+  pid_t
+  launch (const std::function<void ()> &run)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    std::promise<pid_t> pid;
+    std::future<pid_t> result = pid.get_future ();
+    request_.set_value ({ &run, &pid });
+    return result.get ();
+  }
+
+private:
+  struct Request
+  {
+    const std::function<void ()> *run;
+    std::promise<pid_t> *pid;
+  };
+  [[noreturn]] void
+  loop ()
+  {
+    for (;;)
+      {
+        Request request = request_.get_future ().get ();
+        request_ = std::promise<Request> ();
+        request.pid->set_value (fork_child (*request.run));
+      }
+  }
+  static pid_t
+  fork_child (const std::function<void ()> &run)
+  {
+    pid_t parent = getpid ();
+    pid_t pid = fork ();
+    if (pid != 0)
+      return pid;
+    prctl (PR_SET_PDEATHSIG, SIGKILL);
+    // The parent may have ended before that.
+    if (getppid () == parent)
+      run ();
+    _exit (kExitCode);
+  }
+  std::mutex mutex_;
+  std::promise<Request> request_;
+};
+
+} // namespace
+
+pid_t
+launch_process (const std::function<void ()> &run)
+{
+  // Never destroyed: its thread uses it until the process ends.
+  static Launcher *launcher = new Launcher ();
+  return launcher->launch (run);
+}
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -1,5 +1,7 @@
 #include "cluster.h"
 
+#include "launcher.h"
+
 #include <curl/curl.h>
 #include <fcntl.h>
 #include <openssl/sha.h>
@@ -178,22 +180,19 @@
   int out[2];
   if (pipe (out) != 0)
     throw std::runtime_error ("pipe");
-  pid_t pid = fork ();
-  if (pid == 0)
-    {
-      dup2 (out[1], STDOUT_FILENO);
-      int log = open ((dir + "/" + name + ".err").c_str (),
-                      O_CREAT | O_WRONLY | O_APPEND, 0600);
-      dup2 (log, STDERR_FILENO);
-      for (int fd = 3; fd < 256; fd++)
-        close (fd);
-      std::vector<char *> argv;
-      for (const auto &arg : args)
-        argv.push_back (const_cast<char *> (arg.c_str ()));
-      argv.push_back (nullptr);
-      execv (argv[0], argv.data ());
-      _exit (127);
-    }
+  pid_t pid = launch_process ([&] {
+    dup2 (out[1], STDOUT_FILENO);
+    int log = open ((dir + "/" + name + ".err").c_str (),
+                    O_CREAT | O_WRONLY | O_APPEND, 0600);
+    dup2 (log, STDERR_FILENO);
+    for (int fd = 3; fd < 256; fd++)
+      close (fd);
+    std::vector<char *> argv;
+    for (const auto &arg : args)
+      argv.push_back (const_cast<char *> (arg.c_str ()));
+    argv.push_back (nullptr);
+    execv (argv[0], argv.data ());
+  });
   close (out[1]);
   process.pid = pid;
   // Log lines may precede the line with the ports.
