fix(coordination): hold a request at plain targets for two ends alone

Cause: a gateway knows only its own requests at a plain target. Its claim that a request was alone there was taken for a proof, as that of a sidecar is at an engine; a request of another gateway, or anything else, may have ended the target meanwhile. One such end after two that were shared held the request.

Fix: at plain targets a request is held after three ends at two of which it was alone. Records and messages stay as they are; the gateway knows from the route which rule applies.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -24,15 +24,6 @@
   kb_map_finish (&table->entries);
 }
 
-static bool
-has_end_alone (const qrt_record_t *record, uint64_t caller)
-{
-  for (uint32_t i = 0; i < record->end_count; i++)
-    if (record->ends[i].is_alone && record->ends[i].caller == caller)
-      return true;
-  return false;
-}
-
 /// @return  Whether there are enough ends, with two callers alone at one each.
 static bool
 is_proven_for_all (const qrt_record_t *record)
@@ -44,13 +35,19 @@
   return false;
 }
 
+/// @param min_alone  Ends at which it has to have been alone.
 static bool
-is_proven_for (const qrt_record_t *record, uint64_t caller)
+is_proven_for (const qrt_record_t *record, uint64_t caller, uint32_t min_alone)
 {
   uint32_t ends = 0;
+  uint32_t alone = 0;
   for (uint32_t i = 0; i < record->end_count; i++)
-    ends += record->ends[i].caller == caller;
-  return ends >= QRT_ENDS_HELD && has_end_alone (record, caller);
+    {
+      bool is_callers = record->ends[i].caller == caller;
+      ends += is_callers;
+      alone += is_callers && record->ends[i].is_alone;
+    }
+  return ends >= QRT_ENDS_HELD && alone >= min_alone;
 }
 
 /// @return  Whether the ends suffice to hold the request for any caller.
@@ -60,7 +57,8 @@
   if (is_proven_for_all (record))
     return true;
   for (uint32_t i = 0; i < record->end_count; i++)
-    if (is_proven_for (record, record->ends[i].caller))
+    if (is_proven_for (record, record->ends[i].caller,
+                       QRT_MIN_ALONE_AT_ENGINE))
       return true;
   return false;
 }
@@ -90,7 +88,7 @@
 
 qrt_verdict_t
 qrt_judge (const qrt_table_t *table, uint64_t request, uint64_t caller,
-           uint64_t now_ms, uint64_t *hold_ms)
+           uint32_t min_alone, uint64_t now_ms, uint64_t *hold_ms)
 {
   const qrt_entry_t *entry = kb_map_get (&table->entries, request);
   if (entry == NULL)
@@ -99,7 +97,8 @@
   uint64_t age_ms = age_ms_of (entry, now_ms);
   if (age_ms >= expiry_ms_of (record) || record->end_count < QRT_ENDS_ALONE)
     return QRT_FREE;
-  bool is_held = is_proven_for_all (record) || is_proven_for (record, caller);
+  bool is_held = is_proven_for_all (record)
+                 || is_proven_for (record, caller, min_alone);
   if (!is_held || age_ms >= hold_ms_of (record))
     return QRT_ALONE;
   if (hold_ms != NULL)
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -12,8 +12,8 @@
 /// - after two ends, a request starts alone: while it starts, no other request
 ///   starts at that target. A request that merely shared targets is served
 ///   this way, and its record is cleared;
-/// - after three ends, in at least one of which it was alone, the request is
-///   held: refused for a time that doubles with each further end.
+/// - after three ends, in enough of which it was alone, the request is held:
+///   refused for a time that doubles with each further end.
 ///
 /// Ends during requests of one caller hold the request for that caller only.
 /// It is held for all callers when each of two callers was alone at an end, so
@@ -37,6 +37,11 @@
   /// Ends from which on a request starts alone, and from which on it is held.
   QRT_ENDS_ALONE = 2,
   QRT_ENDS_HELD = 3,
+  /// Ends at which a request has to have been alone to be held. The process
+  /// that starts requests at an engine knows all of them. A gateway knows only
+  /// its own requests at a plain target, which another one's may have ended.
+  QRT_MIN_ALONE_AT_ENGINE = 1,
+  QRT_MIN_ALONE_AT_PLAIN = 2,
   /// Ends kept for one request. Those beyond QRT_ENDS_HELD prolong the hold.
   QRT_MAX_ENDS = 6,
   QRT_MAX_ENTRIES = 256,
@@ -87,9 +92,11 @@
 
 void qrt_table_init (qrt_table_t *table);
 void qrt_table_finish (qrt_table_t *table);
-/// @param hold_ms  Set to the remaining hold time when held; may be NULL.
+/// @param min_alone  Ends at which it has to have been alone to be held.
+/// @param hold_ms     Set to the remaining hold time when held; may be NULL.
 qrt_verdict_t qrt_judge (const qrt_table_t *table, uint64_t request,
-                         uint64_t caller, uint64_t now_ms, uint64_t *hold_ms);
+                         uint64_t caller, uint32_t min_alone, uint64_t now_ms,
+                         uint64_t *hold_ms);
 /// @return  Number of recorded ends of a request.
 uint32_t qrt_count_ends (const qrt_table_t *table, uint64_t request);
 /// @return  Number of ends beyond QRT_ENDS_ALONE: starts that were to be alone
@@ -126,7 +133,8 @@
 uint64_t qrt_digest (const qrt_table_t *table);
 /// Removes expired records.
 void qrt_expire (qrt_table_t *table, uint64_t now_ms);
-/// @return  Number of requests that are held, for one caller or for all.
+/// @return  Number of requests that are held, for one caller or for all; at
+///          plain targets, also those that were alone at one end only.
 uint32_t qrt_count_held (const qrt_table_t *table, uint64_t now_ms);
 
 #endif
--- a/src/daemon/entry_quarantine.c
+++ b/src/daemon/entry_quarantine.c
@@ -24,8 +24,9 @@
 ent_quarantine_judge (ent_request_t *r, uint64_t *hold_ms)
 {
   uint64_t caller = kb_hash (r->workspace, strlen (r->workspace), 0) | 1;
+  // One agent starts all requests at a target, also at a plain one.
   return qrt_judge (&r->entry->quarantine, fingerprint_of (r), caller,
-                    tmr_now_ms (), hold_ms);
+                    QRT_MIN_ALONE_AT_ENGINE, tmr_now_ms (), hold_ms);
 }
 
 void
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -32,6 +32,13 @@
   return kb_hash (caller, strlen (caller), has_workspace) | 1;
 }
 
+/// @return  Ends at which a request has to have been alone to be held.
+static uint32_t
+min_alone (bool is_plain)
+{
+  return is_plain ? QRT_MIN_ALONE_AT_PLAIN : QRT_MIN_ALONE_AT_ENGINE;
+}
+
 qrt_verdict_t
 gtw_quarantine_check (gtw_request_t *r, uint64_t *hold_ms)
 {
@@ -42,9 +49,9 @@
   qrt_verdict_t worst = QRT_FREE;
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
     {
-      qrt_verdict_t verdict
-          = qrt_judge (table, gtw_request_fingerprint (r, scope),
-                       hash_caller (r), gtw_now_ms (r->gateway), hold_ms);
+      qrt_verdict_t verdict = qrt_judge (
+          table, gtw_request_fingerprint (r, scope), hash_caller (r),
+          min_alone (!r->is_engine), gtw_now_ms (r->gateway), hold_ms);
       if (verdict > worst)
         worst = verdict;
     }
@@ -207,9 +214,9 @@
 {
   uint64_t hold_ms = 0;
   uint64_t request = broken->fingerprints[GTW_SCOPE_ANY_ADAPTER];
-  qrt_verdict_t verdict
-      = qrt_judge (&gateway->quarantine, request, broken->caller,
-                   gtw_now_ms (gateway), &hold_ms);
+  qrt_verdict_t verdict = qrt_judge (
+      &gateway->quarantine, request, broken->caller,
+      min_alone (broken->is_plain), gtw_now_ms (gateway), &hold_ms);
   static const char *const names[] = { "free", "alone", "held" };
   log_line_t line;
   if (!log_begin (&line, verdict == QRT_HELD ? LOG_WARN : LOG_INFO, "gateway",
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -294,5 +294,25 @@
              "target_silent");
 }
 
+// Guards against a request that counts as the cause of the end of a plain
+// target because it was alone there among the requests of its gateway.
+TEST (Innocent, OneEndOfAPlainTargetAloneAtOneGatewayProvesNothing)
+{
+  Proxies proxies;
+  Site site (1, 1, 2, &proxies);
+  make_plain_suspect (site, 2);
+  Target &target = *site.plain[0];
+  target.answer_ms = kAnswerMs;
+  target.crash_on_path ("/fatal");
+  {
+    Sending innocent (site.gateways[0], innocent_unsafe (2));
+    ASSERT_TRUE (wait_until_run (site, "innocent2"));
+    send_call (site.gateways[1], plain_call ("fatal", "/unsafe/fatal"));
+    exit_and_restart (site, target);
+  }
+  target.answer_ms = 0;
+  expect_served (site, innocent_unsafe);
+}
+
 } // namespace
 } // namespace relay
--- a/test/unit/quarantine_test.cc
+++ b/test/unit/quarantine_test.cc
@@ -37,7 +37,8 @@
   qrt_verdict_t
   judge (uint64_t caller = kCaller, uint64_t request = kRequest)
   {
-    return qrt_judge (&table_, request, caller, now_ms_, &hold_ms_);
+    return qrt_judge (&table_, request, caller, min_alone_, now_ms_,
+                      &hold_ms_);
   }
   /// Merges all shared records of one table into the other.
   bool
@@ -53,6 +54,7 @@
   qrt_table_t peer_;
   uint64_t now_ms_ = 1000000;
   uint64_t hold_ms_ = 0;
+  uint32_t min_alone_ = QRT_MIN_ALONE_AT_ENGINE;
 };
 
 TEST_F (QuarantineTest, OneEndChangesNothing)
@@ -71,6 +73,19 @@
   EXPECT_EQ (hold_ms_, (uint64_t)QRT_HOLD_MS);
 }
 
+// Guards against a hold for one end at a plain target, which the request of
+// another gateway may have caused.
+TEST_F (QuarantineTest, AtPlainTargetsItIsHeldAfterTwoEndsAlone)
+{
+  min_alone_ = QRT_MIN_ALONE_AT_PLAIN;
+  end (1);
+  end (2);
+  end (3, true);
+  EXPECT_EQ (judge (), QRT_ALONE);
+  end (4, true);
+  EXPECT_EQ (judge (), QRT_HELD);
+}
+
 // A request repeatedly shares targets with the one that ends them. It must not
 // be refused for that.
 TEST_F (QuarantineTest, SharingTargetsThatEndHoldsNothing)
