test(relay): answer a watch with all changes up to its revision

The stand-in for the store took the list of changes before its last wait. A change made after the wait had timed out raised the revision that the answer states, but was not in it: the reader never learned of it. In a run of FatalRequestReachesFewLoadedPlainTargetsAfterTheThirdEnd one gateway kept a target that had been removed for 9 s and did not list its next incarnation ("store_read", behind 9, as_of 9, no changes), and 600 requests of others were refused after the fatal one was held. A fault of the test, as the real store states no revision without its changes.

--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -233,10 +233,9 @@
   int64_t stall_count_before = stall_count_;
   auto end = std::chrono::steady_clock::now ()
              + std::chrono::milliseconds (atoi (query.at ("WaitMs").c_str ()));
-  std::string list;
   if (mode_ == NO_WAIT)
     end = std::chrono::steady_clock::now ();
-  while ((list = changes (query.at ("Prefix"), after)).empty ()
+  while (changes (query.at ("Prefix"), after).empty ()
          && disconnect_count_before == disconnect_count_
          && stall_count_before == stall_count_ && !is_stopping_
          && changed_.wait_until (lock, end) != std::cv_status::timeout)
@@ -251,7 +250,9 @@
     return connection.write (make_response (410, "", "{}"));
   if (disconnect_count_before != disconnect_count_)
     return false;
-  std::string reply_body = "{\"events\":[" + list
+  // A change may have been made after the wait had timed out.
+  std::string reply_body = "{\"events\":["
+                           + changes (query.at ("Prefix"), after)
                            + "],\"AsOf\":" + std::to_string (revision_) + "}";
   lock.unlock ();
   return deliver (connection, json_response (reply_body));
