fix(coordination): remember a request among many suspects of its caller

Callers saw plain targets end again and again under one request: 4 to 11 ends more, 3 s after the third, where 3 are allowed.

Cause: a gateway remembers 32 requests of one caller at most. Where the caller always has many others at the targets that its request ends, each end brings 12 to 30 new entries, and the oldest make room: the first end of the request was forgotten before the next one, so it was never suspected.

Fix: a caller may have 192 of the 256 entries. In a full table the caller with most entries makes room, if it has more than 32, so that no caller loses entries to one with more. Memory and messages are bounded as before.

Tests: RepeatedEndIsFoundAmongManySuspectsOfItsCaller and InAFullTableTheCallerWithMostEntriesMakesRoom, both fail with a bound of 32.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -155,6 +155,51 @@
   return is_proven (record) ? 2 : is_shared (record);
 }
 
+static uint32_t
+count_entries_of (const qrt_table_t *table, uint64_t first_caller)
+{
+  uint32_t count = 0;
+  uint32_t at = 0;
+  for (const qrt_entry_t *e = next_entry (table, &at); e != NULL;
+       e = next_entry (table, &at))
+    count += e->record.first_caller == first_caller;
+  return count;
+}
+
+static int
+compare_callers (const void *a, const void *b)
+{
+  uint64_t left = *(const uint64_t *)a;
+  uint64_t right = *(const uint64_t *)b;
+  return (left > right) - (left < right);
+}
+
+/// @return  The caller with most entries, if these are more than its fair
+///          share of a full table; zero: none.
+static uint64_t
+oversized_caller (const qrt_table_t *table)
+{
+  uint64_t callers[QRT_MAX_ENTRIES];
+  uint32_t len = 0;
+  uint32_t at = 0;
+  for (const qrt_entry_t *e = next_entry (table, &at);
+       e != NULL && len < QRT_MAX_ENTRIES; e = next_entry (table, &at))
+    callers[len++] = e->record.first_caller;
+  qsort (callers, len, sizeof *callers, compare_callers);
+  uint64_t largest = 0;
+  uint32_t max_count = QRT_FAIR_ENTRIES_PER_CALLER;
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < len; i++)
+    {
+      count = i > 0 && callers[i] == callers[i - 1] ? count + 1 : 1;
+      if (count <= max_count)
+        continue;
+      max_count = count;
+      largest = callers[i];
+    }
+  return largest;
+}
+
 /// @param first_caller  Consider only entries of this caller; zero: all.
 /// @return              The least important entry, the oldest of those.
 static qrt_entry_t *
@@ -177,26 +222,16 @@
   return best;
 }
 
-static uint32_t
-count_entries_of (const qrt_table_t *table, uint64_t first_caller)
-{
-  uint32_t count = 0;
-  uint32_t at = 0;
-  for (const qrt_entry_t *e = next_entry (table, &at); e != NULL;
-       e = next_entry (table, &at))
-    count += e->record.first_caller == first_caller;
-  return count;
-}
-
-/// Adds an entry. A caller's own entries make room first, so that one that
-/// sends thousands of such requests cannot evict the entries of others.
+/// Adds an entry. In a full table the entries of a caller with very many make
+/// room, so that one that sends thousands of such requests cannot evict the
+/// entries of others.
 static qrt_entry_t *
 entry_add (qrt_table_t *table, uint64_t request, uint64_t first_caller)
 {
   if (count_entries_of (table, first_caller) >= QRT_MAX_ENTRIES_PER_CALLER)
     entry_drop (table, eviction_candidate (table, first_caller));
   if (table->entries.len >= QRT_MAX_ENTRIES)
-    entry_drop (table, eviction_candidate (table, 0));
+    entry_drop (table, eviction_candidate (table, oversized_caller (table)));
   qrt_entry_t *entry = kb_alloc (sizeof *entry);
   *entry = (qrt_entry_t){ .record = { .request = request,
                                       .first_caller = first_caller } };
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -46,7 +46,9 @@
   QRT_MAX_ENDS = 6,
   QRT_MAX_ENTRIES = 256,
   /// Entries whose first end was during a request of the same caller.
-  QRT_MAX_ENTRIES_PER_CALLER = 32,
+  QRT_MAX_ENTRIES_PER_CALLER = 192,
+  /// When the table is full, a caller with more than this many makes room.
+  QRT_FAIR_ENTRIES_PER_CALLER = 32,
   /// Hold time after QRT_ENDS_HELD ends; doubles with each further end.
   /// Records of requests that are not held expire after this time without
   /// another end.
--- a/test/unit/quarantine_test.cc
+++ b/test/unit/quarantine_test.cc
@@ -183,6 +183,42 @@
   EXPECT_EQ (judge (kOther), QRT_HELD);
 }
 
+// Guards against a request that ends targets at which its caller always has
+// many others: its first end must be remembered until the next one.
+TEST_F (QuarantineTest, RepeatedEndIsFoundAmongManySuspectsOfItsCaller)
+{
+  constexpr uint64_t kOthers = 150;
+  end (1);
+  for (uint64_t request = 1000; request < 1000 + kOthers; request++)
+    {
+      now_ms_++;
+      end (1, false, kCaller, request);
+    }
+  end (2);
+  EXPECT_EQ (judge (), QRT_ALONE);
+}
+
+// Guards against two callers with very many suspects that evict the entries of
+// a third one.
+TEST_F (QuarantineTest, InAFullTableTheCallerWithMostEntriesMakesRoom)
+{
+  constexpr uint64_t kThird = 7;
+  for (uint64_t request = 1; request <= QRT_FAIR_ENTRIES_PER_CALLER; request++)
+    end (request, false, kThird, request);
+  for (uint64_t request = 1000; request < 2000; request++)
+    {
+      now_ms_++;
+      for (uint64_t target : { 1, 2, 3 })
+        {
+          end (target, true, kCaller, request);
+          end (target, true, kOther, 10000 + request);
+        }
+    }
+  EXPECT_EQ (table_.entries.len, (uint32_t)QRT_MAX_ENTRIES);
+  for (uint64_t request = 1; request <= QRT_FAIR_ENTRIES_PER_CALLER; request++)
+    EXPECT_EQ (qrt_count_ends (&table_, request), 1u);
+}
+
 TEST_F (QuarantineTest, EntriesAreBoundedAndHeldRequestsAreEvictedLast)
 {
   end (1, true);
