refactor(gateway): give suspected requests a header of their own

Test: HealthResponseOfAnotherIncarnationProvesAnEnd, without the health request's identity no end is recorded.

--- a/src/gateway/gateway_alone.c
+++ b/src/gateway/gateway_alone.c
@@ -1,7 +1,7 @@
 /// @file gateway_alone.c
 /// Requests that have to start alone at a plain target, among the requests of
 /// this gateway (coordination/alone.h). At engines the sidecar enforces this.
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 
 enum
 {
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -4,7 +4,7 @@
 /// certainly belong to this request are relayed.
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 #include "transport/sse.h"
--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -3,7 +3,7 @@
 /// the last report of its sidecar.
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "relay/turn.h"
 
 enum
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -2,7 +2,7 @@
 /// Connections of callers: size and time limits, and one request at a time.
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -4,7 +4,7 @@
 /// store.
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "relay/forward.h"
 #include "relay/turn.h"
 #include "transport/log.h"
--- a/src/gateway/gateway_liveness.c
+++ b/src/gateway/gateway_liveness.c
@@ -7,7 +7,7 @@
 /// proof.
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "transport/call.h"
 
 enum
@@ -28,8 +28,8 @@
 
 /// Apply the result of a health request to the target that it was sent to.
 static void
-apply_health (gtw_gateway_t *gateway, gtw_target_t *target,
-              const health_request_t *health, const cal_result_t *result)
+apply_health (gtw_target_t *target, const health_request_t *health,
+              const cal_result_t *result)
 {
   kb_slice_t instance = result->instance;
   bool is_named = instance.len_bytes > 0;
@@ -46,8 +46,7 @@
       return;
     }
   target->failed_request = health->number;
-  if (result->status == KB_OK)
-    gtw_quarantine_record_target_end (gateway, target, "misdirected");
+  target->is_replaced = result->status == KB_OK;
 }
 
 static void
@@ -57,7 +56,7 @@
   gtw_gateway_t *gateway = health->gateway;
   gtw_target_t *target = kb_map_get (&gateway->targets, health->target_key);
   if (target != NULL)
-    apply_health (gateway, target, health, result);
+    apply_health (target, health, result);
   free (health);
   if (target != NULL)
     gateway->on_liveness (gateway);
@@ -105,7 +104,7 @@
   if (r->awaited_health_request == 0)
     r->awaited_health_request = target->health_requests + 1;
   if (target->failed_request >= r->awaited_health_request)
-    return GTW_LIVENESS_FAILED;
+    return target->is_replaced ? GTW_LIVENESS_REPLACED : GTW_LIVENESS_FAILED;
   if (target->alive_request >= r->awaited_health_request)
     {
       if (!aln_awaits_answer (&target->alone))
--- a/src/gateway/gateway_probe.c
+++ b/src/gateway/gateway_probe.c
@@ -4,7 +4,7 @@
 /// since links and targets that go on also reset connections.
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 
 enum
 {
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -4,7 +4,7 @@
 /// other daemons.
 #include "coordination/alone.h"
 #include "coordination/quarantine.h"
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "relay/fingerprint.h"
 #include "relay/forward.h"
 #include "transport/log.h"
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "relay/fingerprint.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -460,12 +460,16 @@
 request_start_plain (gtw_request_t *r)
 {
   gtw_liveness_t liveness = gtw_liveness_check (r);
-  if (liveness == GTW_LIVENESS_FAILED)
+  bool has_failed
+      = liveness == GTW_LIVENESS_FAILED || liveness == GTW_LIVENESS_REPLACED;
+  if (liveness == GTW_LIVENESS_REPLACED)
+    gtw_quarantine_record_target_end (r->gateway, r->target, "misdirected");
+  if (has_failed)
     {
       r->reason = "target_silent";
       gtw_request_exclude_target (r);
     }
-  if (liveness == GTW_LIVENESS_FAILED || gtw_alone_has_timed_out (r))
+  if (has_failed || gtw_alone_has_timed_out (r))
     {
       gtw_request_release_target (r);
       gtw_request_dispatch (r);
--- /dev/null
+++ b/src/gateway/gateway_suspects.h
@@ -0,0 +1,82 @@
+/// @file gateway_suspects.h
+/// Requests that may end targets: which are suspected and why, and how they
+/// are started.
+#ifndef KB_GATEWAY_GATEWAY_SUSPECTS_H
+#define KB_GATEWAY_GATEWAY_SUSPECTS_H
+
+#include "gateway/gateway_defs.h"
+
+// gateway_alone.c
+/// @return  Whether a request may use a target now: no other request starts
+///          alone there or has reserved it.
+bool gtw_alone_can_use (const gtw_request_t *r, const gtw_target_t *target);
+/// @return  Whether that excludes it from some target of its service.
+bool gtw_alone_is_blocking_any (const gtw_request_t *r);
+/// Start at the current target, which is plain.
+/// @return  False: it has to start alone and must wait; the target is reserved
+///          for it.
+bool gtw_alone_start (gtw_request_t *r);
+/// @return  Whether it has waited too long and has to use another target.
+bool gtw_alone_has_timed_out (const gtw_request_t *r);
+/// End the use of the current target.
+void gtw_alone_leave (gtw_request_t *r);
+
+// gateway_liveness.c
+typedef enum
+{
+  GTW_LIVENESS_PROVED,    ///< The target is alive, or no proof is needed.
+  GTW_LIVENESS_REQUESTED, ///< The request is resumed when the result is known.
+  GTW_LIVENESS_FAILED,    ///< The target did not answer.
+  GTW_LIVENESS_REPLACED,  ///< Another incarnation answered: it has ended.
+} gtw_liveness_t;
+/// Check whether the plain target of a suspected request is proved to be
+/// alive, and request a proof if not.
+gtw_liveness_t gtw_liveness_check (gtw_request_t *r);
+
+// gateway_quarantine.c
+/// @param hold_ms  Receives the remaining time for which it is held.
+qrt_verdict_t gtw_quarantine_check (gtw_request_t *r, uint64_t *hold_ms);
+/// @return  For a request that has to start alone: aln_request_t.patience.
+uint32_t gtw_quarantine_patience (gtw_request_t *r);
+/// @return  Whether an earlier attempt broke off while it was starting at a
+///          target, as far as this gateway knows.
+bool gtw_quarantine_has_earlier_break (gtw_request_t *r);
+/// Refuse a request that is held in quarantine.
+void gtw_quarantine_refuse (gtw_request_t *r, uint64_t hold_ms);
+/// Record that an attempt broke off: the connection to the target broke, the
+/// target is silent, or the caller left.
+void gtw_quarantine_record_break (gtw_request_t *r);
+/// Another request has joined the one that started alone with this place.
+void gtw_quarantine_record_joined (gtw_gateway_t *gateway, uint64_t place_id);
+/// Whether requests at an engine are alone is not known any more: its sidecar
+/// has restarted or cannot be reached.
+void gtw_quarantine_forget_alone (gtw_gateway_t *gateway,
+                                  const gtw_target_t *target);
+/// Move the breaks of requests that were sent to an incarnation before the
+/// list named it.
+void gtw_quarantine_move_breaks (gtw_gateway_t *gateway,
+                                 const gtw_target_t *from,
+                                 const gtw_target_t *to);
+/// @return  Whether attempts broke off at a target that may have ended, which
+///          is not proved yet.
+bool gtw_quarantine_awaits_evidence (const gtw_gateway_t *gateway,
+                                     const gtw_target_t *target);
+/// Record that the process of a target has ended.
+/// @param evidence  How that was detected, for the log.
+void gtw_quarantine_record_target_end (gtw_gateway_t *gateway,
+                                       gtw_target_t *target,
+                                       const char *evidence);
+/// Record that a target answered a request completely.
+void gtw_quarantine_record_served (gtw_request_t *r);
+/// Merge quarantine entries received from a sidecar.
+void gtw_quarantine_merge_records (gtw_gateway_t *gateway, kb_slice_t records);
+/// Send a sidecar the quarantine entries that it lacks.
+void gtw_quarantine_sync_sidecar (gtw_gateway_t *gateway,
+                                  const gtw_target_t *target);
+
+// gateway_probe.c
+/// Open a test connection to a target, to find out whether its process has
+/// ended.
+void gtw_probe_start (gtw_gateway_t *gateway, gtw_target_t *target);
+
+#endif
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -281,6 +281,24 @@
   expect_served (site, innocent_unsafe);
 }
 
+// Guards against a target that counts as listed and alive after another
+// incarnation has answered a health request at its address.
+TEST (Innocent, HealthResponseOfAnotherIncarnationProvesAnEnd)
+{
+  Proxies proxies;
+  Site site (1, 1, 1, &proxies);
+  make_plain_suspect (site, 1);
+  std::string listed_id = site.plain[0]->id ();
+  site.plain[0]->restart ("i-unlisted");
+  EXPECT_EQ (send_call (site.gateways[0], innocent_unsafe (1)).body,
+             "target_silent");
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon,
+                             { "target_ended", listed_id, "misdirected" })
+                .empty ();
+  }));
+}
+
 // Guards against a health response that still counts as a proof after a
 // request has broken off at the plain target.
 TEST (Innocent, HealthResponseBeforeABreakProvesNothing)
