test: kill the program of launcher_test once its child runs

The child then ends by itself, with an exit code, as its parent has gone; the test expected a signal.

--- a/test/support/launcher_test.cc
+++ b/test/support/launcher_test.cc
@@ -13,16 +13,18 @@
 namespace
 {
 
-/// Launch a child from a thread that ends at once, report its id and wait.
+/// Launch a child from a thread that ends at once. The child reports its id
+/// once it runs.
 [[noreturn]] void
 run_program (int report_fd)
 {
-  pid_t child = 0;
-  std::thread ([&child] {
-    child = launch_process ([] { pause (); });
+  std::thread ([report_fd] {
+    launch_process ([report_fd] {
+      pid_t child = getpid ();
+      if (write (report_fd, &child, sizeof child) == sizeof child)
+        pause ();
+    });
   }).join ();
-  if (write (report_fd, &child, sizeof child) != sizeof child)
-    _exit (1);
   for (;;)
     pause ();
 }
