test(soak): count only tokens that ran against a quota

The check for a key taken away still counts every request that reaches a target, and so do the tests of quotas.

--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -177,6 +177,20 @@
   return requests_;
 }
 
+void
+Target::record_refusal (const Message &request)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  refused_.push_back (request);
+}
+
+std::vector<Message>
+Target::refused ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return refused_;
+}
+
 std::vector<Message>
 Target::refused_with_pause ()
 {
@@ -501,6 +515,7 @@
     {
       std::lock_guard<std::mutex> lock (mutex_);
       refused_with_pause_.push_back (request);
+      refused_.push_back (request);
     }
   if (requested_s >= 0)
     return connection.write (make_response (
@@ -509,11 +524,17 @@
             + std::to_string (requested_s) + "\r\n" + announcement_headers (),
         "later"));
   if (refuse (connection, request))
-    return true;
+    {
+      record_refusal (request);
+      return true;
+    }
   if (fault == Fault::NOT_RUN)
-    return connection.write (make_response (
-        503, "X-Knapweedbay-Not-Executed: 1\r\n" + announcement_headers (),
-        "full"));
+    {
+      record_refusal (request);
+      return connection.write (make_response (
+          503, "X-Knapweedbay-Not-Executed: 1\r\n" + announcement_headers (),
+          "full"));
+    }
   return run (connection, request, fault);
 }
 
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -93,6 +93,9 @@
   std::vector<Message> requests ();
   /// Those of requests () that were refused with a pause.
   std::vector<Message> refused_with_pause ();
+  /// Those of requests () that were refused, for whatever reason, and did not
+  /// run.
+  std::vector<Message> refused ();
   /// Adapter loads that were executed.
   int loads ();
   /// Largest number of adapters held at one time.
@@ -174,6 +177,8 @@
   std::map<std::string, int> runs_;
   std::vector<Message> requests_;
   std::vector<Message> refused_with_pause_;
+  void record_refusal (const Message &request);
+  std::vector<Message> refused_;
 };
 
 } // namespace relay
--- a/test/relay/workspaces.cc
+++ b/test/relay/workspaces.cc
@@ -46,18 +46,19 @@
   return atoi (stated.c_str ()) + atoi (stated.c_str () + comma + 1);
 }
 
-std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
-tokens_of (Site &site, const std::string &workspace)
+/// @param excluded  Requests of a target that do not count.
+static std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
+tokens_except (Site &site, const std::string &workspace,
+               std::vector<Message> (Target::*excluded) ())
 {
   std::vector<std::pair<std::chrono::steady_clock::time_point, int>> found;
   auto add = [&] (Target &target) {
-    // Requests that were refused with a pause have not run.
-    std::set<std::chrono::steady_clock::time_point> refused_with_pause;
-    for (const Message &request : target.refused_with_pause ())
-      refused_with_pause.insert (request.received_at);
+    std::set<std::chrono::steady_clock::time_point> excluded_moments;
+    for (const Message &request : (target.*excluded) ())
+      excluded_moments.insert (request.received_at);
     for (const Message &request : target.requests ())
       if (request.header ("x-knapweedbay-tenant") == workspace
-          && refused_with_pause.count (request.received_at) == 0)
+          && excluded_moments.count (request.received_at) == 0)
         found.emplace_back (request.received_at, tokens_in (request));
   };
   for (Engine &engine : site.engines)
@@ -68,6 +69,18 @@
   return found;
 }
 
+std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
+tokens_of (Site &site, const std::string &workspace)
+{
+  return tokens_except (site, workspace, &Target::refused_with_pause);
+}
+
+std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
+run_tokens_of (Site &site, const std::string &workspace)
+{
+  return tokens_except (site, workspace, &Target::refused);
+}
+
 int
 max_tokens_in_window (
     const std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
--- a/test/relay/workspaces.h
+++ b/test/relay/workspaces.h
@@ -18,10 +18,14 @@
 void set_workspaces (Site *site, const std::vector<std::string> &workspaces);
 /// The header line that carries a key.
 std::string key_line (const std::string &key);
-/// Tokens that targets ran for a workspace, ordered by the arrival time of
-/// their requests.
+/// Tokens of the requests of a workspace that reached targets, without those
+/// refused with a pause, ordered by arrival time.
 std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
 tokens_of (Site &site, const std::string &workspace);
+/// Tokens that targets ran for a workspace, each attempt counted, ordered by
+/// the arrival time of their requests.
+std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
+run_tokens_of (Site &site, const std::string &workspace);
 /// Largest number of tokens in any window of `window_s`.
 int max_tokens_in_window (
     const std::vector<std::pair<std::chrono::steady_clock::time_point, int>>
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -245,7 +245,7 @@
                       * (1 + kQuotaOvershoot))
                 + kQuotaSlack;
   int max_tokens
-      = max_tokens_in_window (tokens_of (site_, "red"), kQuotaWindowS);
+      = max_tokens_in_window (run_tokens_of (site_, "red"), kQuotaWindowS);
   printf ("quota: %d of %d in a window\n", max_tokens, allowed);
   if (max_tokens > allowed)
     add_violation ("", "a workspace ran " + std::to_string (max_tokens)
