test(relay): say why a proxy cannot listen

The failure of a soak after 41 ms ("proxy cannot listen on 127.184.77.1") is not explained: in a trial 2,000 sites of three engines were opened beside soaks and tests, and none failed. Its message now has the port and the error.

--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -95,7 +95,7 @@
 void qrt_table_init (qrt_table_t *table);
 void qrt_table_finish (qrt_table_t *table);
 /// @param min_alone  Ends at which it has to have been alone to be held.
-/// @param hold_ms     Set to the remaining hold time when held; may be NULL.
+/// @param hold_ms    Set to the remaining hold time when held; may be NULL.
 qrt_verdict_t qrt_judge (const qrt_table_t *table, uint64_t request,
                          uint64_t caller, uint32_t min_alone, uint64_t now_ms,
                          uint64_t *hold_ms);
--- a/test/relay/proxy.cc
+++ b/test/relay/proxy.cc
@@ -7,7 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <stdexcept>
+#include <cerrno>
+#include <system_error>
 #include <vector>
 
 namespace relay
@@ -40,7 +41,9 @@
   sockaddr_in address = make_address (listen_ip, listen_port);
   if (bind (listener_, (sockaddr *)&address, sizeof address) != 0
       || listen (listener_, 128) != 0)
-    throw std::runtime_error ("proxy cannot listen on " + listen_ip);
+    throw std::system_error (errno, std::generic_category (),
+                             "proxy cannot listen on " + listen_ip + ":"
+                                 + std::to_string (listen_port));
   socklen_t size = sizeof address;
   getsockname (listener_, (sockaddr *)&address, &size);
   port_ = ntohs (address.sin_port);
