test: list a sidecar that keeps the identity of an earlier incarnation

Callers see an engine that refuses every stream: its sidecar grants places for an incarnation that has ended, and the engine answers 421, until it restarts again.

Cause: after a restart the sidecar asks the engine for its id. If the engine restarts again before the answer arrives, the id is cleared, and then the answer of the earlier incarnation sets it; an engine with an id is not asked again. Lines of the test: engine_restarted i-e0, ready, engine_restarted, ready, engine_identified i-a, while i-b runs.

--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -594,6 +594,31 @@
   }));
 }
 
+// Guards against an engine that refuses everything as misdirected, because
+// its sidecar took a late answer of an earlier incarnation for its identity.
+TEST (Relay, AnIdentityOfAnEarlierIncarnationIsNotKept)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  auto count_ready = [&] {
+    return Site::log_lines (site.engines[0].sidecar, { "\"to\":\"ready\"" })
+        .size ();
+  };
+  ASSERT_TRUE (Site::wait_for ([&] { return count_ready () == 1; }));
+  engine.health_delay_ms = 700;
+  engine.restart ("i-a");
+  // The sidecar asks for the identity as soon as the engine is ready.
+  ASSERT_TRUE (Site::wait_for ([&] { return count_ready () == 2; }));
+  engine.restart ("i-b");
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  engine.health_delay_ms = 0;
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("after", "")).status
+           == 200;
+  }));
+}
+
 TEST (Relay, AKilledSidecarIsReplacedWithoutLosingStreams)
 {
   Site site (1, 0);
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -480,8 +480,10 @@
 Target::serve_health (Connection &connection)
 {
   is_ending_ = ends_after_health.exchange (false);
-  return connection.write (
-      make_response (200, "X-Knapweedbay-Instance-Id: " + id () + "\r\n", ""));
+  std::string running_id = id ();
+  sleep_ms (health_delay_ms);
+  return connection.write (make_response (
+      200, "X-Knapweedbay-Instance-Id: " + running_id + "\r\n", ""));
 }
 
 bool
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -81,6 +81,9 @@
   std::atomic<bool> is_hung{ false };
   /// Time between the start of such a request and the crash.
   std::atomic<int> crash_delay_ms{ 20 };
+  /// Delay of health responses, which name the incarnation that was running
+  /// when the request arrived.
+  std::atomic<int> health_delay_ms{ 0 };
   /// The process ends after its next health response: it resets all later
   /// requests, until it restarts.
   std::atomic<bool> ends_after_health{ false };
