feat(gateway): log each retry with the budget behind the decision

Neither logs nor metrics could tell a budget that a restart gives anew from one that is divided by a wrong number of gateways, or from retries that take no budget: no line said what was left, by how many gateways it was divided, or how old the process was. The line is written for refusals as well.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -475,9 +475,8 @@
       gtw_quarantine_refuse (r, hold_ms);
       return;
     }
-  if (r->send_count > 0 && !gtw_budget_take_retry (gateway, r->service))
+  if (r->send_count > 0 && !gtw_budget_take_retry (r))
     {
-      MET_INC ("knapweedbay_retries_out_of_budget_total", "");
       gtw_request_release_target (r);
       request_give_up (r, "retry_budget");
       return;
--- a/src/gateway/gateway_budget.c
+++ b/src/gateway/gateway_budget.c
@@ -1,6 +1,8 @@
 /// @file gateway_budget.c
 /// Retry budgets, one per service.
 #include "gateway/gateway_defs.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
 
 static bud_budget_t *
 budget_of (gtw_gateway_t *gateway, const char *service)
@@ -31,9 +33,41 @@
   bud_record_request (budget_of (gateway, service), gtw_now_ms (gateway));
 }
 
+/// Log a retry, or its refusal, with the values behind the decision.
+static void
+log_retry (const gtw_request_t *r, bool is_allowed, double remaining)
+{
+  enum
+  {
+    MILLI = 1000,
+  };
+  const gtw_gateway_t *gateway = r->gateway;
+  log_line_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", "retry"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "service", r->service);
+  log_int (&line, "is_allowed", is_allowed);
+  log_int (&line, "budget_milli", (int64_t)(remaining * MILLI));
+  log_int (&line, "gateways", gateway->gateway_count);
+  log_int (&line, "sends", r->send_count);
+  log_int (&line, "uptime_ms",
+           (int64_t)(tmr_boottime_ms () - gateway->started_boot_ms));
+  log_end (&line);
+}
+
 bool
-gtw_budget_take_retry (gtw_gateway_t *gateway, const char *service)
+gtw_budget_take_retry (const gtw_request_t *r)
 {
-  return bud_take_retry (budget_of (gateway, service), gateway->gateway_count,
-                         gtw_now_ms (gateway));
+  gtw_gateway_t *gateway = r->gateway;
+  bud_budget_t *budget = budget_of (gateway, r->service);
+  uint64_t now_ms = gtw_now_ms (gateway);
+  double remaining = bud_remaining (budget, gateway->gateway_count, now_ms);
+  bool is_allowed = bud_take_retry (budget, gateway->gateway_count, now_ms);
+  log_retry (r, is_allowed, remaining);
+  if (is_allowed)
+    MET_INC ("knapweedbay_retries_total", "");
+  else
+    MET_INC ("knapweedbay_retries_out_of_budget_total", "");
+  return is_allowed;
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -540,8 +540,9 @@
 // gateway_budget.c
 /// Record the first attempt of a request.
 void gtw_budget_record_first (gtw_gateway_t *gateway, const char *service);
-/// @return  Whether the retry budget of a service allows one more attempt.
-bool gtw_budget_take_retry (gtw_gateway_t *gateway, const char *service);
+/// Take one more attempt of a request from the retry budget of its service.
+/// @return  False if the budget is used up.
+bool gtw_budget_take_retry (const gtw_request_t *r);
 
 // gateway_metrics.c
 void gtw_metrics_observe_end (const gtw_request_t *r, int http_status);
