--- /dev/null
+++ b/test/relay/budget_failure_test.cc
@@ -0,0 +1,126 @@
+// The retry budget of a service, over all gateways, while gateways restart.
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include "load.h"
+
+namespace relay
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Defaults of the settings: retries in a window of 10 s.
+constexpr double kRatio = 0.2;
+constexpr int kSlack = 50;
+constexpr int kWindowMs = 10000;
+
+Call
+stream (const std::string &id)
+{
+  return stream_call (id, "");
+}
+
+Call
+plain (const std::string &id)
+{
+  return plain_call (id);
+}
+
+/// Arrivals beyond the first of each request, over all targets.
+int
+count_repeats (Site &site)
+{
+  std::map<std::string, int> arrivals;
+  for (const Engine &engine : site.engines)
+    for (const Message &request : engine.target->requests ())
+      arrivals[request.header ("x-knapweedbay-attempt-id")]++;
+  for (const auto &target : site.plain)
+    for (const Message &request : target->requests ())
+      arrivals[request.header ("x-knapweedbay-attempt-id")]++;
+  int repeats = 0;
+  for (const auto &[id, count] : arrivals)
+    repeats += count - 1;
+  return repeats;
+}
+
+/// Let all targets refuse all requests.
+void
+refuse_all (Site &site)
+{
+  std::vector<Fault> faults (20000, Fault::NOT_RUN);
+  for (const Engine &engine : site.engines)
+    engine.target->fail_next (faults);
+  for (const auto &target : site.plain)
+    target->fail_next (faults);
+}
+
+/// Load a site in which all requests are refused, and disturb all gateways
+/// several times within one window of the budget.
+void
+expect_budget_holds (Site &site, Call (*call_of) (const std::string &),
+                     const std::function<void (Daemon *)> &disturb)
+{
+  constexpr int rounds = 7;
+  Moment began = std::chrono::steady_clock::now ();
+  Load load (&site, call_of, 2, 60);
+  for (int i = 0; i < rounds; i++)
+    {
+      std::this_thread::sleep_for (milliseconds (1100));
+      for (Gateway &gateway : site.gateways)
+        disturb (&gateway.daemon);
+    }
+  std::this_thread::sleep_for (milliseconds (900));
+  Load::Counts counts = load.stop ();
+  ASSERT_LT (std::chrono::steady_clock::now () - began,
+             milliseconds (kWindowMs));
+  int requests = counts.answered + counts.refused + counts.other;
+  int allowed = (int)(kRatio * requests) + kSlack;
+  int repeats = count_repeats (site);
+  printf ("%d repeats for %d requests, %d allowed\n", repeats, requests,
+          allowed);
+  EXPECT_LE (repeats, allowed);
+}
+
+// Guards against a restart that grants the retries of the window again.
+TEST (Budget, HoldsThoughGatewaysRestart)
+{
+  for (auto call_of : { stream, plain })
+    {
+      Site site (3, 3, 2);
+      ASSERT_TRUE (site.wait_ready ());
+      refuse_all (site);
+      expect_budget_holds (site, call_of, [&] (Daemon *gateway) {
+        site.restart (gateway, SIGKILL);
+      });
+    }
+}
+
+// Guards against settings that are read again and grant the retries of the
+// window again.
+TEST (Budget, HoldsThoughSettingsAreReadAgain)
+{
+  Site site (1, 3, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  refuse_all (site);
+  expect_budget_holds (site, plain,
+                       [] (Daemon *gateway) { kill (gateway->pid, SIGHUP); });
+}
+
+// Guards against gateways that take the whole budget each because they have
+// heard of no other one since their start.
+TEST (Budget, HoldsThoughGatewaysKnowOfNoOther)
+{
+  Site site (1, 3, 5);
+  ASSERT_TRUE (site.wait_ready ());
+  refuse_all (site);
+  site.stop (&site.engines[0].sidecar, SIGKILL);
+  for (Gateway &gateway : site.gateways)
+    site.restart (&gateway.daemon, SIGKILL);
+  expect_budget_holds (site, plain, [] (Daemon *) {});
+}
+
+} // namespace
+} // namespace relay
