--- a/test/relay/budget_failure_test.cc
+++ b/test/relay/budget_failure_test.cc
@@ -119,8 +119,29 @@
   site.stop (&site.engines[0].sidecar, SIGKILL);
   for (Gateway &gateway : site.gateways)
     site.restart (&gateway.daemon, SIGKILL);
+  // What a gateway saves while it has no requests is available at once.
+  std::this_thread::sleep_for (milliseconds (kWindowMs));
   expect_budget_holds (site, plain, [] (Daemon *) {});
 }
 
+// Guards against settings that are read again and take away what a gateway has
+// saved for a request that fails.
+TEST (Budget, IsKeptWhenSettingsAreReadAgain)
+{
+  Site site (1, 3, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  std::this_thread::sleep_for (milliseconds (kWindowMs / 2));
+  ASSERT_EQ (send_call (site.gateways[0], plain ("before")).status, 200);
+  kill (site.gateways[0].daemon.pid, SIGHUP);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.gateways[0].daemon, { "\"reload\"" })
+                .empty ();
+  }));
+  for (const auto &target : site.plain)
+    target->fail_next ({ Fault::NOT_RUN });
+  EXPECT_EQ (send_call (site.gateways[0], plain ("after")).status, 503);
+  EXPECT_EQ (count_repeats (site), 2);
+}
+
 } // namespace
 } // namespace relay
