fix(coordination): grant no retry of the slack anew when a gateway restarts

Cause: a gateway kept what it had spent of a window in its memory alone, and began each life with its whole part of the slack: 8 of 58 at five gateways, 39 for a restart of all. The margin of three tenths covers one of these at 1,000 requests a window, and none at 400.

Fix: the slack is a token bucket that is empty at a start. What a gateway may save (0.4 of its share) and what it earns in a window (0.5) add up to less than the share, so no sequence of restarts exceeds it, with the store away, without a message, and also when everything loses power. A retry takes from the ratio of the requests first, which was never at fault: a restart forgets the requests together with their retries.

--- a/src/coordination/budget.c
+++ b/src/coordination/budget.c
@@ -2,14 +2,21 @@
 
 #include <string.h>
 
-/// Fraction of the budget that is used. The bound is checked at the targets,
-/// which count requests slightly later, and gateways differ in their share.
-static const double USABLE_FRACTION = 0.7;
+/// Fraction of the ratio that is used. The bound is checked at the targets,
+/// which count requests slightly later.
+static const double USABLE_RATIO = 0.7;
+
+/// Parts of a gateway's share of the slack: saved at most, and refilled in one
+/// window. Their sum is what any window may contain; the rest is for gateways
+/// that are not counted yet.
+static const double SLACK_BURST = 0.4;
+static const double SLACK_REFILL = 0.5;
 
 void
-bud_budget_init (bud_budget_t *budget, const bud_options_t *options)
+bud_budget_init (bud_budget_t *budget, const bud_options_t *options,
+                 uint64_t now_ms)
 {
-  *budget = (bud_budget_t){ .options = *options };
+  *budget = (bud_budget_t){ .options = *options, .refilled_ms = now_ms };
 }
 
 static void
@@ -27,6 +34,20 @@
     }
 }
 
+static void
+refill_slack (bud_budget_t *budget, uint32_t gateway_count, uint64_t now_ms)
+{
+  double elapsed_windows = (double)(now_ms - budget->refilled_ms)
+                           / (double)budget->options.window_ms;
+  budget->refilled_ms = now_ms;
+  if (gateway_count == 0)
+    return;
+  double share = budget->options.slack / gateway_count;
+  budget->slack += SLACK_REFILL * share * elapsed_windows;
+  if (budget->slack > SLACK_BURST * share)
+    budget->slack = SLACK_BURST * share;
+}
+
 void
 bud_record_request (bud_budget_t *budget, uint64_t now_ms)
 {
@@ -34,21 +55,23 @@
   budget->requests[budget->bucket % BUD_BUCKETS]++;
 }
 
+/// @return  Retries that the requests of the window allow, less those taken.
+static double
+remaining_of_ratio (const bud_budget_t *budget)
+{
+  double remaining = 0;
+  for (uint32_t i = 0; i < BUD_BUCKETS; i++)
+    remaining += USABLE_RATIO * budget->options.ratio * budget->requests[i]
+                 - budget->retries[i];
+  return remaining > 0 ? remaining : 0;
+}
+
 double
 bud_remaining (bud_budget_t *budget, uint32_t gateway_count, uint64_t now_ms)
 {
   budget_advance (budget, now_ms);
-  double requests = 0;
-  double retries = 0;
-  for (uint32_t i = 0; i < BUD_BUCKETS; i++)
-    {
-      requests += budget->requests[i];
-      retries += budget->retries[i];
-    }
-  double slack
-      = budget->options.slack / (gateway_count > 0 ? gateway_count : 1);
-  return USABLE_FRACTION * (budget->options.ratio * requests + slack)
-         - retries;
+  refill_slack (budget, gateway_count, now_ms);
+  return remaining_of_ratio (budget) + budget->slack;
 }
 
 bool
@@ -56,6 +79,10 @@
 {
   if (bud_remaining (budget, gateway_count, now_ms) < 1)
     return false;
-  budget->retries[budget->bucket % BUD_BUCKETS]++;
+  double of_ratio = remaining_of_ratio (budget);
+  if (of_ratio > 1)
+    of_ratio = 1;
+  budget->retries[budget->bucket % BUD_BUCKETS] += of_ratio;
+  budget->slack -= 1 - of_ratio;
   return true;
 }
--- a/src/gateway/gateway_budget.c
+++ b/src/gateway/gateway_budget.c
@@ -23,7 +23,7 @@
           .slack = s->retry_slack,
           .window_ms = (uint32_t)(s->retry_window_s * MS_PER_S) };
   kb_slice_copy (kb_slice_str (service), item->service, sizeof item->service);
-  bud_budget_init (&item->budget, &options);
+  bud_budget_init (&item->budget, &options, gateway->started_ms);
   return &item->budget;
 }
 
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -338,10 +338,11 @@
                                ///< boot clock.
   uint64_t last_no_contact_ms; ///< When this gateway last had contact with no
                                ///< sidecar at all; boot clock.
-  uint64_t started_boot_ms;    ///< By the boot clock.
-  double reachable_share;      ///< Share of the listed sidecars in contact.
-  qgw_peak_t gateway_peak;     ///< Peak number of gateways, from sidecars.
-  kb_map_t requests_by_place;  ///< By place id.
+  uint64_t started_ms;
+  uint64_t started_boot_ms;   ///< By the boot clock.
+  double reachable_share;     ///< Share of the listed sidecars in contact.
+  qgw_peak_t gateway_peak;    ///< Peak number of gateways, from sidecars.
+  kb_map_t requests_by_place; ///< By place id.
   uint64_t next_place_id;
   gtw_budget_t budgets[GTW_MAX_BUDGETS];
   uint32_t budget_count;
