fix(gateway): keep what was spent of the retry budget when settings are read again

Seen: 351 repeats in a window, 162 allowed, where gateways get SIGHUP seven times in 8 s; with a slack that is saved up, still 175 of 163.

Cause: the budgets of all services were dropped with the settings, and began anew with what a gateway may save.

Fix: changed settings are applied to the budgets that exist. What was spent remains spent, and what was saved is not lost; only another window begins an empty budget.

--- a/src/coordination/budget.c
+++ b/src/coordination/budget.c
@@ -19,6 +19,16 @@
   *budget = (bud_budget_t){ .options = *options, .refilled_ms = now_ms };
 }
 
+void
+bud_set_options (bud_budget_t *budget, const bud_options_t *options,
+                 uint64_t now_ms)
+{
+  // The buckets of another window have another width.
+  if (options->window_ms != budget->options.window_ms)
+    bud_budget_init (budget, options, now_ms);
+  budget->options = *options;
+}
+
 static void
 budget_advance (bud_budget_t *budget, uint64_t now_ms)
 {
--- a/src/coordination/budget.h
+++ b/src/coordination/budget.h
@@ -36,6 +36,10 @@
 
 void bud_budget_init (bud_budget_t *budget, const bud_options_t *options,
                       uint64_t now_ms);
+/// Change the options. Unless the window changes, what was spent in it remains
+/// spent; else the budget begins anew, empty.
+void bud_set_options (bud_budget_t *budget, const bud_options_t *options,
+                      uint64_t now_ms);
 void bud_record_request (bud_budget_t *budget, uint64_t now_ms);
 /// Spend one retry of the budget.
 /// @param gateway_count  Gateways that share the slack; zero: unknown, which
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -141,8 +141,7 @@
 static void
 gateway_on_reload (hst_host_t *host)
 {
-  gtw_gateway_t *gateway = (gtw_gateway_t *)host;
-  gateway->budget_count = 0;
+  gtw_budgets_apply_settings ((gtw_gateway_t *)host);
 }
 
 static void
--- a/src/gateway/gateway_budget.c
+++ b/src/gateway/gateway_budget.c
@@ -4,6 +4,20 @@
 #include "transport/log.h"
 #include "transport/metrics.h"
 
+static bud_options_t
+budget_options (const gtw_gateway_t *gateway)
+{
+  enum
+  {
+    MS_PER_S = 1000,
+  };
+  const set_settings_t *s = &gateway->host.settings;
+  return (bud_options_t){ .ratio = s->retry_ratio,
+                          .slack = s->retry_slack,
+                          .window_ms
+                          = (uint32_t)(s->retry_window_s * MS_PER_S) };
+}
+
 static bud_budget_t *
 budget_of (gtw_gateway_t *gateway, const char *service)
 {
@@ -12,21 +26,22 @@
       return &gateway->budgets[i].budget;
   if (gateway->budget_count == GTW_MAX_BUDGETS)
     return &gateway->budgets[GTW_MAX_BUDGETS - 1].budget;
-  enum
-  {
-    MS_PER_S = 1000,
-  };
-  const set_settings_t *s = &gateway->host.settings;
   gtw_budget_t *item = &gateway->budgets[gateway->budget_count++];
-  bud_options_t options
-      = { .ratio = s->retry_ratio,
-          .slack = s->retry_slack,
-          .window_ms = (uint32_t)(s->retry_window_s * MS_PER_S) };
+  bud_options_t options = budget_options (gateway);
   kb_slice_copy (kb_slice_str (service), item->service, sizeof item->service);
   bud_budget_init (&item->budget, &options, gateway->started_ms);
   return &item->budget;
 }
 
+void
+gtw_budgets_apply_settings (gtw_gateway_t *gateway)
+{
+  bud_options_t options = budget_options (gateway);
+  for (uint32_t i = 0; i < gateway->budget_count; i++)
+    bud_set_options (&gateway->budgets[i].budget, &options,
+                     gtw_now_ms (gateway));
+}
+
 void
 gtw_budget_record_first (gtw_gateway_t *gateway, const char *service)
 {
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -539,6 +539,8 @@
                                    const gtw_target_t *target);
 
 // gateway_budget.c
+/// Apply changed settings to all retry budgets; what was spent remains spent.
+void gtw_budgets_apply_settings (gtw_gateway_t *gateway);
 /// Record the first attempt of a request.
 void gtw_budget_record_first (gtw_gateway_t *gateway, const char *service);
 /// Take one more attempt of a request from the retry budget of its service.
--- a/test/unit/budget_test.cc
+++ b/test/unit/budget_test.cc
@@ -80,6 +80,26 @@
   EXPECT_GT (bud_remaining (&budget, 5, 11 * kWindowMs), 1);
 }
 
+// Guards against settings that are read again and grant what was spent again,
+// or take away what is left.
+TEST (Budget, ChangedOptionsKeepWhatWasSpent)
+{
+  bud_budget_t budget = budget_of (0.2, 50);
+  for (int i = 0; i < 100; i++)
+    bud_record_request (&budget, kWindowMs);
+  while (bud_take_retry (&budget, 1, kWindowMs))
+    ;
+  bud_options_t options = budget.options;
+  bud_set_options (&budget, &options, kWindowMs);
+  EXPECT_FALSE (bud_take_retry (&budget, 1, kWindowMs));
+  options.ratio = 0.4;
+  bud_set_options (&budget, &options, kWindowMs);
+  EXPECT_TRUE (bud_take_retry (&budget, 1, kWindowMs));
+  options.window_ms = kWindowMs / 2;
+  bud_set_options (&budget, &options, kWindowMs);
+  EXPECT_FALSE (bud_take_retry (&budget, 1, kWindowMs));
+}
+
 /// Gateways that repeat whatever their budget allows, and restart at random.
 /// @return  The most repeats in any window, beyond the ratio of its requests.
 double
