fix(gateway): divide the slack of the retry budget by the peak number of gateways

Seen: five gateways that have heard of no sidecar since their start send 409 repeats in a window, 334 allowed.

Cause: the slack was divided by the number that the last sidecar reported, and by 1 before any had. A sidecar counts from zero after its own start, and a gateway that reaches plain targets alone hears of none.

Fix: the peak of the last minute, which daemons exchange for quotas already, divides the slack; while it is unknown there is no slack. The ratio of the requests is each gateway's own and remains.

budget_failure_test HoldsThoughGatewaysKnowOfNoOther: 409 before, 199 now.

--- a/src/gateway/gateway_budget.c
+++ b/src/gateway/gateway_budget.c
@@ -48,6 +48,15 @@
   bud_record_request (budget_of (gateway, service), gtw_now_ms (gateway));
 }
 
+/// @return  Number of gateways that share the budgets; zero while this one has
+///          heard of none, itself included. The peak counts, since a sidecar
+///          that has just started knows only some of them.
+static uint32_t
+sharing_gateways (const gtw_gateway_t *gateway)
+{
+  return gateway->gateway_peak.count;
+}
+
 /// Log a retry, or its refusal, with the values behind the decision.
 static void
 log_retry (const gtw_request_t *r, bool is_allowed, double remaining)
@@ -64,7 +73,7 @@
   log_text (&line, "service", r->service);
   log_int (&line, "is_allowed", is_allowed);
   log_int (&line, "budget_milli", (int64_t)(remaining * MILLI));
-  log_int (&line, "gateways", gateway->gateway_count);
+  log_int (&line, "gateways", sharing_gateways (gateway));
   log_int (&line, "sends", r->send_count);
   log_int (&line, "uptime_ms",
            (int64_t)(tmr_boottime_ms () - gateway->started_boot_ms));
@@ -77,8 +86,9 @@
   gtw_gateway_t *gateway = r->gateway;
   bud_budget_t *budget = budget_of (gateway, r->service);
   uint64_t now_ms = gtw_now_ms (gateway);
-  double remaining = bud_remaining (budget, gateway->gateway_count, now_ms);
-  bool is_allowed = bud_take_retry (budget, gateway->gateway_count, now_ms);
+  uint32_t gateway_count = sharing_gateways (gateway);
+  double remaining = bud_remaining (budget, gateway_count, now_ms);
+  bool is_allowed = bud_take_retry (budget, gateway_count, now_ms);
   log_retry (r, is_allowed, remaining);
   if (is_allowed)
     MET_INC ("knapweedbay_retries_total", "");
