feat(gateway): log the software version of targets and streams that callers continue

Neither logs nor metrics could tell a stream that is resumed in its answer at another software version from one that its caller continues through another gateway: no line named a target's version, nor that a request continues a stream, nor the attempt that began it.

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -497,6 +497,8 @@
 /// Log the end of a request and update its metrics.
 void gtw_log_request_end (const gtw_request_t *r, const char *outcome,
                           int http_status);
+/// Log that a caller continues a stream of an earlier attempt.
+void gtw_log_continuation (const gtw_request_t *r);
 /// Log an intermediate event of a request.
 void gtw_log_request_event (const gtw_request_t *r, const char *event,
                             const char *reason);
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -38,6 +38,8 @@
   log_int (&line, "version", r->granted_version);
   log_text (&line, "target",
             r->target == NULL ? "" : r->target->list_entry.identity.id);
+  log_text (&line, "software",
+            r->target == NULL ? "" : r->target->list_entry.software);
   log_int (&line, "sends", r->send_count);
   log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
   log_int (&line, "first_ms",
@@ -65,6 +67,19 @@
   return true;
 }
 
+void
+gtw_log_continuation (const gtw_request_t *r)
+{
+  log_line_t line;
+  if (!log_begin (&line, LOG_INFO, "gateway", "stream_continued"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_slice (&line, "resumes", r->parsed_head.resumes);
+  log_int (&line, "last_event", (int64_t)r->parsed_head.resume_after_event_id);
+  log_text (&line, "service", r->service);
+  log_end (&line);
+}
+
 void
 gtw_log_request_event (const gtw_request_t *r, const char *event,
                        const char *reason)
@@ -86,6 +101,8 @@
   log_int (&line, "send", r->send_count);
   log_int (&line, "runs", r->possible_runs);
   log_int (&line, "last_event", (int64_t)r->last_event_id);
+  log_text (&line, "software",
+            r->target == NULL ? "" : r->target->list_entry.software);
   uint64_t now_ms = gtw_now_ms (r->gateway);
   log_int (&line, "begun_ms",
            r->is_begun ? (int64_t)(now_ms - r->begun_ms) : -1);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -181,7 +181,11 @@
     return r;
   gtw_refusal_t refusal = request_route (r);
   if (refusal.http_status == 0)
-    return r;
+    {
+      if (r->kind == SVC_KIND_STREAM && parsed.is_resume)
+        gtw_log_continuation (r);
+      return r;
+    }
   gtw_request_end (r);
   return refuse_head (client, refusal.http_status, refusal.reason);
 }
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -154,6 +154,7 @@
   log_int (&line, "born", (int64_t)target->known_birth.born_ms);
   log_text (&line, "service", target->list_entry.service);
   log_text (&line, "failure_domain", target->list_entry.domain);
+  log_text (&line, "software", target->list_entry.software);
   log_int (&line, "active", target->active);
   log_end (&line);
 }
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -21,6 +21,7 @@
   inc_t identity;
   char service[SRC_NAME_BYTES];
   char domain[SRC_NAME_BYTES];
+  char software[SRC_NAME_BYTES]; ///< Version of the target's software.
   struct sockaddr_in address;
   uint32_t slots;
   bool is_leaving;
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -22,6 +22,8 @@
   uint32_t output_tokens_hint; ///< Caller's estimate; zero: none.
   bool is_resume; ///< Continues a stream after an event already received.
   uint64_t resume_after_event_id;
+  kb_slice_t resumes; ///< Attempt that brought the first event of that stream;
+                      ///< empty: not given.
 } rly_request_t;
 
 /// Fields that the gateway adds to a request for a target.
