--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -302,8 +302,8 @@
           int64_t born_shift_ms)
 {
   return "{\"Service\":\"" + service + "\",\"Address\":\"" + address
-         + "\",\"Zone\":\"d1\",\"Version\":\"v1\",\"Slots\":"
-         + std::to_string (slots) + ",\"State\":\"" + state
+         + "\",\"Zone\":\"d1\",\"Version\":\"" + target.software ()
+         + "\",\"Slots\":" + std::to_string (slots) + ",\"State\":\"" + state
          + "\",\"ColdLeftMs\":0,\"Seq\":1,\"born\":"
          + std::to_string (target.born_ms () + born_shift_ms) + "}";
 }
@@ -523,4 +523,29 @@
   return ids;
 }
 
+std::set<std::string>
+event_versions (const std::string &body)
+{
+  static const std::string mark = "\n: ";
+  std::set<std::string> versions;
+  for (size_t at = body.find (mark); at != std::string::npos;
+       at = body.find (mark, at + 1))
+    {
+      size_t from = at + mark.size ();
+      versions.insert (body.substr (from, body.find ('\n', from) - from));
+    }
+  return versions;
+}
+
+Call
+continued (Call call, const std::string &id, int last_event,
+           const std::string &resumes)
+{
+  call.id = id;
+  call.headers += "Last-Event-Id: " + std::to_string (last_event) + "\r\n";
+  if (!resumes.empty ())
+    call.headers += "Resumes: " + resumes + "\r\n";
+  return call;
+}
+
 } // namespace relay
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -163,6 +163,12 @@
 std::vector<int> ids_up_to (int last);
 /// Ids of the events in a body, in order.
 std::vector<int> event_ids (const std::string &body);
+/// Software versions that the events in a body name.
+std::set<std::string> event_versions (const std::string &body);
+/// The request by which a caller continues a stream.
+/// @param resumes  Attempt that brought its first event; empty: not named.
+Call continued (Call call, const std::string &id, int last_event,
+                const std::string &resumes);
 
 } // namespace relay
 
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -104,6 +104,20 @@
   announce_limit_locked (-1);
 }
 
+void
+Target::set_software (const std::string &version)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  software_ = version;
+}
+
+std::string
+Target::software ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return software_;
+}
+
 size_t
 Target::incarnation_at (Clock::time_point moment)
 {
@@ -374,6 +388,7 @@
                     + "Content-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n");
   int from = atoi (request.header ("last-event-id").c_str ());
+  std::string version = software ();
   for (int i = from + 1; i <= events; i++)
     {
       sleep_ms (event_ms);
@@ -382,8 +397,8 @@
           abandoned_streams++;
           return false;
         }
-      std::string event = "id: " + std::to_string (i) + "\ndata: e"
-                          + std::to_string (i) + "\n\n";
+      std::string event = "id: " + std::to_string (i) + "\n: " + version
+                          + "\ndata: e" + std::to_string (i) + "\n\n";
       if (fault == Fault::CUT_WITHIN_EVENT && i == from + 3)
         {
           connection.write (chunk (event.substr (0, event.size () / 2)));
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -60,6 +60,10 @@
   /// id: it holds no model or adapter and announces no limit, pause or
   /// leaving.
   void restart (const std::string &id);
+  /// Set the version of the software that this incarnation runs. Each event of
+  /// a stream names it, in a comment line.
+  void set_software (const std::string &version);
+  std::string software ();
   /// Birth time of the present incarnation, in Unix milliseconds.
   int64_t born_ms ();
   /// Number of restarts before a moment: identifies the incarnation that was
@@ -159,6 +163,7 @@
   double requested_pause_s (const Message &request);
   std::mutex mutex_;
   std::string id_;
+  std::string software_ = "v1";
   bool is_engine_;
   bool is_leaving_ = false;
   std::map<std::string, Adapter> adapters_;
