fix(gateway): resume a broken stream only at the software version that began it

Cause: the version in a target's entry was checked and dropped. Whatever engine was best resumed a stream, also one that had just restarted and was still listed as its earlier incarnation.

Fix: the list entry keeps the version. The first event of a stream fixes what began it, by the incarnation that the request was sent to; from then on only targets of that version are chosen, and a grant of an incarnation that the list doesn't name is not used. If no target of the version is left, the answer is cut at once instead of being held.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -4,6 +4,7 @@
 /// certainly belong to this request are relayed.
 #include <stdlib.h>
 
+#include "gateway/gateway_origin.h"
 #include "gateway/gateway_suspects.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -206,7 +207,10 @@
     }
   r->is_begun = true;
   if (r->first_event_ms == 0)
-    r->first_event_ms = now_ms;
+    {
+      r->first_event_ms = now_ms;
+      gtw_origin_record (r);
+    }
   else
     {
       r->gap_count += events;
--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -3,6 +3,7 @@
 /// the last report of its sidecar.
 #include <stdlib.h>
 
+#include "gateway/gateway_origin.h"
 #include "gateway/gateway_suspects.h"
 #include "relay/turn.h"
 
@@ -60,7 +61,7 @@
 {
   if (!target->is_listed || gtw_target_is_leaving (target)
       || is_excluded (r, target) || gtw_target_pause_ms (target) > 0
-      || !gtw_alone_can_use (r, target))
+      || !gtw_alone_can_use (r, target) || !gtw_origin_allows (r, target))
     return false;
   return !r->is_engine
          || (target->is_linked && target->condition == MSG_ENGINE_READY);
@@ -84,7 +85,8 @@
        t = kb_map_next (&gateway->targets, &at))
     if (r->is_engine && t->is_listed && !gtw_target_is_leaving (t)
         && strcmp (t->list_entry.service, r->service) == 0
-        && !is_excluded (r, t) && !is_usable (r, t))
+        && !is_excluded (r, t) && !is_usable (r, t)
+        && gtw_origin_can_become_allowed (r, t))
       return true;
   return false;
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -6,6 +6,7 @@
 #include "coordination/alone.h"
 #include "coordination/backpressure.h"
 #include "coordination/budget.h"
+#include "coordination/origins.h"
 #include "coordination/place.h"
 #include "coordination/quarantine.h"
 #include "gateway/gateway.h"
@@ -26,6 +27,7 @@
   GTW_ID_BYTES = 64,
   GTW_MAX_BUDGETS = 16, ///< Services; further ones share the last budget.
   GTW_MAX_BROKEN_ATTEMPTS = 256,
+  GTW_MAX_SOFTWARE = 256, ///< Software versions of all services.
   GTW_MAX_QUEUED_RECORDS = 32,
   /// Two heartbeat intervals of a sidecar plus some delay. After a longer
   /// silence the engine may have died.
@@ -66,6 +68,9 @@
   inc_tracker_t known_birth; ///< Identifies the incarnation.
   uint64_t key;          ///< Unique per incarnation; a later one's is larger.
   uint64_t address_hash; ///< The same after a restart of the target.
+  uint64_t service_key;  ///< gtw_service_key of its service.
+  uint64_t software_key; ///< Hash of its software version; zero: unknown.
+  uint64_t instance_key; ///< Hash of the listed incarnation.
   xch_peer_t peer;
   bool is_listed;
   uint64_t unlisted_ms; ///< When its entry disappeared; zero: it is listed, or
@@ -204,6 +209,8 @@
   uint64_t excluded_targets[GTW_MAX_EXCLUDED_TARGETS]; ///< Keys of targets not
                                                        ///< to try again.
   uint32_t excluded_target_count;
+  /// What began the stream that it receives or continues; zero: a new request.
+  org_origin_t origin;
   uint32_t possible_runs; ///< Attempts in which a target may have begun it.
   uint32_t send_count;    ///< Times it was sent.
   uint64_t sent_ms;       ///< When it was sent last.
@@ -289,6 +296,14 @@
   tmr_timer_t timer;
 } gtw_record_writer_t;
 
+/// Software version that targets of a service run.
+typedef struct
+{
+  uint64_t service;   ///< gtw_service_key
+  uint64_t software;  ///< gtw_target_t.software_key
+  uint64_t listed_ms; ///< When a target of it was last listed.
+} gtw_software_t;
+
 /// The request for store changes that is pending at a sidecar.
 typedef struct
 {
@@ -346,6 +361,8 @@
   uint64_t next_place_id;
   gtw_budget_t budgets[GTW_MAX_BUDGETS];
   uint32_t budget_count;
+  gtw_software_t software[GTW_MAX_SOFTWARE];
+  uint32_t software_count;
   plc_costs_t costs;
   uint32_t engine_requests; ///< Requests for engines since `rate_updated_ms`.
   double engine_requests_per_s; ///< Moving average.
@@ -420,6 +437,13 @@
   return kb_hash (name.ptr, name.len_bytes, 0) | 1;
 }
 
+/// @return  The key by which a service is compared.
+static inline uint64_t
+gtw_service_key (const char *service)
+{
+  return kb_hash (service, strlen (service), 0) | 1;
+}
+
 // gateway_client.c
 kb_status_t gtw_listen (gtw_gateway_t *gateway, kb_error_t *error);
 /// Finish the current answer and continue with the next request.
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -284,8 +284,10 @@
     return target;
   src_target_t listing = target->list_entry;
   listing.identity.born_ms = state->born_ms;
-  // The next incarnation's list entry and sidecar state whether it leaves.
+  // The next incarnation's list entry names its software, and that or its
+  // sidecar says whether it leaves.
   listing.is_leaving = false;
+  listing.software[0] = '\0';
   switch (inc_observe_birth (&target->known_birth, state->born_ms))
     {
     case INC_STALE:
--- /dev/null
+++ b/src/gateway/gateway_origin.h
@@ -0,0 +1,36 @@
+/// @file gateway_origin.h
+/// Streams go on only at the software version that began them.
+#ifndef KB_GATEWAY_GATEWAY_ORIGIN_H
+#define KB_GATEWAY_GATEWAY_ORIGIN_H
+
+#include "gateway/gateway_defs.h"
+
+// gateway_software.c
+/// Set what identifies the incarnation and the software of a target, from its
+/// list entry.
+void gtw_software_identify (gtw_target_t *target);
+/// Record which versions the listed targets of each service run.
+void gtw_software_tick (gtw_gateway_t *gateway);
+/// @return  Whether targets of several versions serve a service, or did so
+///          while a stream that is still open may have begun.
+bool gtw_software_is_mixed (const gtw_gateway_t *gateway, uint64_t service);
+
+// gateway_origin.c
+/// Record what began the stream that a request receives: its target has sent
+/// the first event.
+void gtw_origin_record (gtw_request_t *r);
+/// @return  Whether a request may be sent to a target: it is new, or the
+///          target runs the version that began its stream.
+bool gtw_origin_allows (const gtw_request_t *r, const gtw_target_t *target);
+/// @return  Whether a target may continue the stream of a request, now or once
+///          the list names its incarnation.
+bool gtw_origin_can_become_allowed (const gtw_request_t *r,
+                                    const gtw_target_t *target);
+/// @return  Whether the incarnation that granted a place to a request may run
+///          it. It may have restarted since it was chosen.
+bool gtw_origin_allows_recipient (const gtw_request_t *r);
+/// @return  Whether no target that could continue the stream of a request is
+///          listed any more.
+bool gtw_origin_is_gone (const gtw_request_t *r);
+
+#endif
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -1,7 +1,7 @@
 /// @file gateway_place.c
 /// Places at engines: request, grant, decline, release, and loss together with
 /// the sidecar.
-#include "gateway/gateway_defs.h"
+#include "gateway/gateway_origin.h"
 
 enum
 {
@@ -126,6 +126,13 @@
                  sizeof r->granted_engine.id);
   r->granted_engine.born_ms = grant->born_ms;
   r->load_us += grant->load_us;
+  if (!gtw_origin_allows_recipient (r))
+    {
+      gtw_request_exclude_target (r);
+      gtw_request_release_target (r);
+      gtw_request_dispatch (r);
+      return;
+    }
   gtw_attempt_send (r);
 }
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "gateway/gateway_origin.h"
 #include "gateway/gateway_suspects.h"
 #include "relay/fingerprint.h"
 #include "transport/log.h"
@@ -368,6 +369,11 @@
 static void
 request_handle_no_target (gtw_request_t *r)
 {
+  if (gtw_origin_is_gone (r))
+    {
+      gtw_request_refuse (r, "version_gone", outage_retry_after_ms (r));
+      return;
+    }
   if (can_resume_later (r))
     {
       request_wait_for_target (r, r->reason);
--- /dev/null
+++ b/src/gateway/gateway_software.c
@@ -0,0 +1,78 @@
+/// @file gateway_software.c
+/// Software versions of the targets of each service.
+#include "gateway/gateway_origin.h"
+
+enum
+{
+  /// Without a route of streams.
+  DEFAULT_STREAM_MS = 60000,
+};
+
+void
+gtw_software_identify (gtw_target_t *target)
+{
+  const src_target_t *entry = &target->list_entry;
+  const char *id = entry->identity.id;
+  const char *software = entry->software;
+  target->instance_key
+      = kb_hash (id, strlen (id), entry->identity.born_ms) | 1;
+  target->software_key
+      = software[0] == '\0' ? 0 : kb_hash (software, strlen (software), 0) | 1;
+  target->service_key = gtw_service_key (entry->service);
+}
+
+/// @return  How long a stream that has begun may be continued.
+static uint64_t
+longest_stream_ms (const gtw_gateway_t *gateway)
+{
+  uint64_t longest_ms = gateway->config == NULL
+                            ? 0
+                            : svc_config_longest_stream_ms (gateway->config);
+  return longest_ms > 0 ? longest_ms : DEFAULT_STREAM_MS;
+}
+
+static gtw_software_t *
+find_or_add (gtw_gateway_t *gateway, uint64_t service, uint64_t software)
+{
+  gtw_software_t *oldest = &gateway->software[0];
+  for (uint32_t i = 0; i < gateway->software_count; i++)
+    {
+      gtw_software_t *item = &gateway->software[i];
+      if (item->service == service && item->software == software)
+        return item;
+      if (item->listed_ms < oldest->listed_ms)
+        oldest = item;
+    }
+  gtw_software_t *item = gateway->software_count < GTW_MAX_SOFTWARE
+                             ? &gateway->software[gateway->software_count++]
+                             : oldest;
+  *item = (gtw_software_t){ .service = service, .software = software };
+  return item;
+}
+
+void
+gtw_software_tick (gtw_gateway_t *gateway)
+{
+  uint64_t now_ms = gtw_now_ms (gateway);
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    if (t->is_listed && t->software_key != 0)
+      find_or_add (gateway, t->service_key, t->software_key)->listed_ms
+          = now_ms;
+  uint64_t max_age_ms = longest_stream_ms (gateway);
+  for (uint32_t i = 0; i < gateway->software_count;)
+    if (now_ms - gateway->software[i].listed_ms > max_age_ms)
+      gateway->software[i] = gateway->software[--gateway->software_count];
+    else
+      i++;
+}
+
+bool
+gtw_software_is_mixed (const gtw_gateway_t *gateway, uint64_t service)
+{
+  uint32_t versions = 0;
+  for (uint32_t i = 0; i < gateway->software_count; i++)
+    versions += gateway->software[i].service == service;
+  return versions > 1;
+}
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "gateway/gateway_origin.h"
 #include "gateway/gateway_suspects.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -188,6 +189,7 @@
                             .address_hash = address_key (&listing->address),
                             .condition = MSG_ENGINE_DOWN,
                             .is_listed = true };
+  gtw_software_identify (target);
   xch_peer_init (&target->peer, &gateway->host.pool, &listing->address,
                  MAX_IDLE_CONNECTIONS);
   kb_map_put (&gateway->targets, target->key, target);
@@ -219,6 +221,7 @@
   if (listing->is_leaving && !target->list_entry.is_leaving)
     gtw_target_log_event (target, "target_leaving");
   target->list_entry = *listing;
+  gtw_software_identify (target);
   target->is_listed = true;
   target->unlisted_ms = 0;
   gtw_target_open_link (gateway, target);
@@ -350,6 +353,7 @@
 {
   uint64_t now_ms = gtw_now_ms (gateway);
   gtw_choose_update_rate (gateway, now_ms);
+  gtw_software_tick (gateway);
   free_unused (gateway);
   uint32_t at = 0;
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
--- a/src/state/service.c
+++ b/src/state/service.c
@@ -183,3 +183,16 @@
     }
   return min_gap_ms;
 }
+
+uint32_t
+svc_config_longest_stream_ms (const svc_config_t *config)
+{
+  uint32_t longest_ms = 0;
+  for (uint32_t i = 0; i < config->route_count; i++)
+    {
+      const svc_route_t *route = &config->routes[i];
+      if (route->kind == SVC_KIND_STREAM && route->timeout_ms > longest_ms)
+        longest_ms = route->timeout_ms;
+    }
+  return longest_ms;
+}
--- a/src/state/service.h
+++ b/src/state/service.h
@@ -126,4 +126,7 @@
 uint32_t svc_service_gap_target_ms (const svc_config_t *config,
                                     const char *service);
 
+/// @return  The longest timeout of a route of streams; zero: there is none.
+uint32_t svc_config_longest_stream_ms (const svc_config_t *config);
+
 #endif
--- a/test/relay/pause_failure_test.cc
+++ b/test/relay/pause_failure_test.cc
@@ -75,6 +75,7 @@
                     Call (*call_of) (const std::string &))
 {
   ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (8);
   int before = (int)pausing.requests ().size ();
   pausing.pause_s = kPauseS;
   Load load (&site, call_of, 4, 10);
--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -150,6 +150,7 @@
 {
   Site site;
   ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (8);
   int resumed = 0;
   for (int i = 0; i < 8; i++)
     {
@@ -219,6 +220,7 @@
 {
   Site site (2, 0);
   ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (8);
   site.engines[0].target->fail_next (std::vector<Fault> (8, Fault::ERROR_500));
   int failed = 0;
   for (int i = 0; i < 8; i++)
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -417,6 +417,17 @@
   return true;
 }
 
+void
+Site::wait_for_retries (int count)
+{
+  // Half of the default slack of 50 in a window of 10 s, over all gateways.
+  constexpr int per_retry_ms = 10000 / 25;
+  std::this_thread::sleep_until (
+      started_
+      + std::chrono::milliseconds ((count + 1) * (int)gateways.size ()
+                                   * per_retry_ms));
+}
+
 std::vector<std::string>
 Site::log_lines (const Daemon &daemon, const std::vector<std::string> &texts)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -108,6 +108,8 @@
   void crash_on_path (const std::string &text);
   void stop (Daemon *daemon, int signal);
   bool wait_ready ();
+  /// Wait until each gateway has saved up this many retries since its start.
+  void wait_for_retries (int count);
   int ready_status (size_t gateway = 0);
   /// Lines of a daemon's log that contain all of the texts.
   static std::vector<std::string>
@@ -134,6 +136,8 @@
   void write_settings (const Daemon &daemon, const std::string &members,
                        const Store &store);
   void restart_target (Target *target);
+  std::chrono::steady_clock::time_point started_
+      = std::chrono::steady_clock::now ();
   int inner_port_;
   Proxies *proxies_;
   int incarnations_ = 0;
