fix(gateway): continue a caller's stream only at the software version that began it

Cause: nobody knew what began a stream. Its caller names the attempt (Resumes), which nothing read, and often comes back to a gateway that never saw it, or to one that has restarted since.

Fix: a gateway remembers what began the streams of its callers until their deadline. While a service has targets of several versions, two sidecars, by rank of the stream, remember it as well; they get what is open when the second version is first listed, and again when they have restarted. What nobody knows is refused at once while several versions serve, and goes on where there is but one. A stream whose version has left is refused at once.

Ruled out: remembering at the engine's own sidecar alone, which a gateway that never saw the stream can't find without asking all of them.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -110,6 +110,7 @@
   gtw_gateway_t *gateway = arg;
   gtw_clients_check_timeouts (gateway);
   qrt_expire (&gateway->quarantine, gtw_now_ms (gateway));
+  org_expire (&gateway->origins, gtw_now_ms (gateway));
   gtw_targets_tick (gateway);
   gtw_quotas_tick (gateway);
   gtw_requests_retry_waiting (gateway);
@@ -179,9 +180,10 @@
                               .dialect = deployment->dialect,
                               .gateway_count = 1,
                               .on_decided = gateway_resume_decided,
-                              .on_liveness = gateway_retry_waiting };
+                              .on_retry = gateway_retry_waiting };
   plc_costs_default (&gateway->costs);
   qrt_table_init (&gateway->quarantine);
+  org_table_init (&gateway->origins);
   if (hst_host_init (&gateway->host, &gateway_role, gateway, path,
                      settings->name, error)
       != KB_OK)
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -27,6 +27,7 @@
   GTW_ID_BYTES = 64,
   GTW_MAX_BUDGETS = 16, ///< Services; further ones share the last budget.
   GTW_MAX_BROKEN_ATTEMPTS = 256,
+  GTW_MAX_ORIGIN_ASKED = 8,
   GTW_MAX_SOFTWARE = 256, ///< Software versions of all services.
   GTW_MAX_QUEUED_RECORDS = 32,
   /// Two heartbeat intervals of a sidecar plus some delay. After a longer
@@ -114,6 +115,7 @@
   rct_adapters_t recent_adapters; ///< Adapters that it held recently.
   inc_t reported_engine; ///< Engine that the sidecar's last report was about.
   uint64_t quarantine_stamp; ///< Of the sidecar's quarantine table.
+  kb_buf_t unsent_origins;   ///< Packed, for its sidecar.
 
   gtw_advertised_t advertised;
   aln_gate_t alone;     ///< Of a plain target, for this gateway's requests.
@@ -136,6 +138,8 @@
 typedef enum
 {
   GTW_STAGE_READING_BODY,        ///< The body is not complete.
+  GTW_STAGE_WAITING_FOR_ORIGIN,  ///< For what began the stream that it
+                                 ///< continues.
   GTW_STAGE_WAITING_FOR_TARGET,  ///< For a configuration or a usable target.
   GTW_STAGE_WAITING_FOR_CREDIT,  ///< For credit of a quota.
   GTW_STAGE_WAITING_FOR_PLACE,   ///< For a place at an engine.
@@ -211,10 +215,16 @@
   uint32_t excluded_target_count;
   /// What began the stream that it receives or continues; zero: a new request.
   org_origin_t origin;
-  uint32_t possible_runs; ///< Attempts in which a target may have begun it.
-  uint32_t send_count;    ///< Times it was sent.
-  uint64_t sent_ms;       ///< When it was sent last.
-  uint64_t sent_boot_ms;  ///< The same by the boot clock.
+  bool is_origin_sought; ///< It continues a stream whose origin is unknown.
+  uint64_t origin_asked[GTW_MAX_ORIGIN_ASKED]; ///< Keys of targets whose
+                                               ///< sidecars were asked.
+  uint32_t origin_asked_count;
+  uint32_t origin_reply_count;
+  uint64_t origin_sought_ms; ///< When the first one was asked; zero: none.
+  uint32_t possible_runs;    ///< Attempts in which a target may have begun it.
+  uint32_t send_count;       ///< Times it was sent.
+  uint64_t sent_ms;          ///< When it was sent last.
+  uint64_t sent_boot_ms;     ///< The same by the boot clock.
   bool is_permit_used;
   gtw_charge_t permit;       ///< Of the rate limit of a plain target.
   uint32_t pauses_requested; ///< Targets that refused it and requested a
@@ -347,8 +357,7 @@
   gtw_charge_t *decided;        ///< Charges that no longer wait for credit.
   tmr_fn_t on_decided;          ///< Resumes the requests of those charges.
   tmr_timer_t decided_timer;
-  tmr_fn_t on_liveness;        ///< Retries the requests that wait for proof
-                               ///< that their target is alive.
+  tmr_fn_t on_retry;           ///< Retries the requests that wait.
   uint64_t last_unlink_ms;     ///< When a link to a sidecar was closed last;
                                ///< boot clock.
   uint64_t last_no_contact_ms; ///< When this gateway last had contact with no
@@ -363,6 +372,7 @@
   uint32_t budget_count;
   gtw_software_t software[GTW_MAX_SOFTWARE];
   uint32_t software_count;
+  org_table_t origins; ///< Of streams that this gateway began or continued.
   plc_costs_t costs;
   uint32_t engine_requests; ///< Requests for engines since `rate_updated_ms`.
   double engine_requests_per_s; ///< Moving average.
@@ -609,6 +619,13 @@
 /// Free unlisted idle targets, and keep the links to sidecars alive.
 void gtw_targets_tick (gtw_gateway_t *gateway);
 
+// gateway_receivers.c
+/// @param rank  Set to the rank of the result; UINT64_MAX for the first call.
+/// @return      The sidecar in contact that ranks next for a subject that
+///              several gateways share through sidecars; NULL: none.
+gtw_target_t *gtw_target_next_receiver (const gtw_gateway_t *gateway,
+                                        uint64_t subject, uint64_t *rank);
+
 // gateway_records.c
 void gtw_records_init (gtw_gateway_t *gateway);
 /// Queue a record of a request's quarantine state to be written to the
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -4,6 +4,7 @@
 /// store.
 #include <stdlib.h>
 
+#include "gateway/gateway_origin.h"
 #include "gateway/gateway_suspects.h"
 #include "relay/forward.h"
 #include "relay/turn.h"
@@ -357,7 +358,10 @@
   apply_engine_instance (target, state);
   apply_adapter_list (target, state);
   if (is_first || is_restarted)
-    gtw_send_gateway_state (gateway, target);
+    {
+      gtw_send_gateway_state (gateway, target);
+      gtw_origin_share_with (gateway, target);
+    }
   sync_sidecar (gateway, target);
   if (is_restarted)
     gtw_places_reroute (gateway, target, "sidecar_lost");
@@ -415,6 +419,9 @@
     case MSG_QUARANTINE:
       gtw_quarantine_merge_records (gateway, msg->quarantine.records);
       break;
+    case MSG_ORIGIN_REPLY:
+      gtw_origin_receive_reply (gateway, &msg->origin_reply);
+      break;
     case MSG_DOCUMENT:
       apply_document (gateway, &msg->document, target->link);
       break;
--- a/src/gateway/gateway_liveness.c
+++ b/src/gateway/gateway_liveness.c
@@ -59,7 +59,7 @@
     apply_health (target, health, result);
   free (health);
   if (target != NULL)
-    gateway->on_liveness (gateway);
+    gateway->on_retry (gateway);
 }
 
 static void
--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -3,6 +3,21 @@
 /// continue it.
 #include "gateway/gateway_origin.h"
 
+enum
+{
+  /// Beyond the caller's deadline, for the time that its requests are on their
+  /// way.
+  CONTINUATION_MARGIN_MS = 1000,
+};
+
+/// @return  The key of a stream that an attempt of the same workspace began.
+static uint64_t
+stream_key (const gtw_request_t *r, kb_slice_t attempt)
+{
+  uint64_t seed = kb_hash (r->workspace, strlen (r->workspace), 0);
+  return kb_hash (attempt.ptr, attempt.len_bytes, seed) | 1;
+}
+
 /// @return  The software of the incarnation that a request is sent to; zero:
 ///          the list doesn't name it yet.
 static uint64_t
@@ -16,11 +31,24 @@
   return is_listed ? r->target->software_key : 0;
 }
 
-void
-gtw_origin_record (gtw_request_t *r)
+/// Remember, here and at sidecars, what began the stream that a caller may
+/// continue under the name of an attempt.
+static void
+remember (gtw_request_t *r, kb_slice_t attempt)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  uint64_t now_ms = gtw_now_ms (gateway);
+  uint64_t ttl_ms
+      = gtw_remaining_ms (r->deadline_ms, now_ms) + CONTINUATION_MARGIN_MS;
+  uint64_t stream = stream_key (r, attempt);
+  org_put (&gateway->origins, stream, &r->origin, ttl_ms, now_ms);
+  if (gtw_software_is_mixed (gateway, r->origin.service))
+    gtw_origin_share (gateway, stream, &r->origin, ttl_ms);
+}
+
+static void
+set_origin (gtw_request_t *r)
 {
-  if (r->origin.service != 0)
-    return;
   const inc_t *recipient = gtw_request_recipient (r);
   r->origin = (org_origin_t){
     .service = gtw_service_key (r->service),
@@ -30,6 +58,18 @@
   };
 }
 
+void
+gtw_origin_record (gtw_request_t *r)
+{
+  if (r->origin.service == 0)
+    set_origin (r);
+  if (!r->is_resumable)
+    return;
+  remember (r, kb_slice_str (r->attempt_id));
+  if (r->parsed_head.resumes.len_bytes > 0)
+    remember (r, r->parsed_head.resumes);
+}
+
 /// @return  The software that began the stream; zero: unknown. An incarnation
 ///          that was not listed when it began the stream may be listed now.
 static uint64_t
@@ -99,3 +139,56 @@
       return false;
   return true;
 }
+
+void
+gtw_origin_seek (gtw_request_t *r)
+{
+  r->is_origin_sought = r->kind == SVC_KIND_STREAM && r->parsed_head.is_resume
+                        && r->parsed_head.resume_after_event_id > 0;
+}
+
+/// Continue a stream at the service that began it. If the operator has moved
+/// the route to another service, it goes on there, at any version.
+static void
+adopt_origin (gtw_request_t *r, const org_origin_t *origin)
+{
+  const svc_config_t *config = r->gateway->config;
+  const h1_head_t *head = &r->client->conn.head;
+  const svc_route_t *route = svc_route_find (
+      config, h1_head_get (head, "host"), h1_head_target (head));
+  for (uint32_t i = 0; route != NULL && i < route->share_count; i++)
+    {
+      const char *name = route->shares[i].service;
+      if (gtw_service_key (name) != origin->service)
+        continue;
+      const svc_service_t *service = svc_service_find (config, name);
+      kb_slice_copy (kb_slice_str (name), r->service, sizeof r->service);
+      r->is_engine = service != NULL && service->is_engine;
+      r->origin = *origin;
+      return;
+    }
+}
+
+gtw_origin_verdict_t
+gtw_origin_resolve (gtw_request_t *r)
+{
+  if (!r->is_origin_sought)
+    return GTW_ORIGIN_RESOLVED;
+  const gtw_gateway_t *gateway = r->gateway;
+  org_origin_t origin;
+  uint64_t stream = stream_key (r, r->parsed_head.resumes);
+  if (org_get (&gateway->origins, stream, gtw_now_ms (gateway), &origin) > 0)
+    {
+      adopt_origin (r, &origin);
+      r->is_origin_sought = false;
+      return GTW_ORIGIN_RESOLVED;
+    }
+  bool can_be_asked = r->parsed_head.resumes.len_bytes > 0;
+  if (!gateway->has_target_list
+      || (can_be_asked && gtw_origin_ask (r, stream)))
+    return GTW_ORIGIN_AWAITED;
+  if (gtw_software_is_mixed (gateway, gtw_service_key (r->service)))
+    return GTW_ORIGIN_UNKNOWN;
+  r->is_origin_sought = false;
+  return GTW_ORIGIN_RESOLVED;
+}
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -10,12 +10,37 @@
 /// list entry.
 void gtw_software_identify (gtw_target_t *target);
 /// Record which versions the listed targets of each service run.
-void gtw_software_tick (gtw_gateway_t *gateway);
+/// @return  Whether some service has targets of several versions since then.
+bool gtw_software_tick (gtw_gateway_t *gateway);
 /// @return  Whether targets of several versions serve a service, or did so
 ///          while a stream that is still open may have begun.
 bool gtw_software_is_mixed (const gtw_gateway_t *gateway, uint64_t service);
 
+// gateway_origin_peers.c
+/// Have a few sidecars remember what began a stream.
+void gtw_origin_share (gtw_gateway_t *gateway, uint64_t stream,
+                       const org_origin_t *origin, uint64_t ttl_ms);
+/// Have sidecars remember the streams of all services with several versions.
+void gtw_origin_share_all (gtw_gateway_t *gateway);
+/// Have a sidecar that has just started remember its part of the streams.
+void gtw_origin_share_with (gtw_gateway_t *gateway, gtw_target_t *target);
+/// Ask sidecars what began the stream that a request continues.
+/// @return  Whether a reply is awaited.
+bool gtw_origin_ask (gtw_request_t *r, uint64_t stream);
+void gtw_origin_receive_reply (gtw_gateway_t *gateway,
+                               const msg_origin_reply_t *reply);
+
 // gateway_origin.c
+typedef enum
+{
+  GTW_ORIGIN_RESOLVED,
+  GTW_ORIGIN_AWAITED, ///< The request is resumed when a reply arrives.
+  GTW_ORIGIN_UNKNOWN, ///< Several versions serve, and any may have begun it.
+} gtw_origin_verdict_t;
+/// Find out whether a request continues a stream, once it is routed.
+void gtw_origin_seek (gtw_request_t *r);
+/// Find out what began the stream that a request continues.
+gtw_origin_verdict_t gtw_origin_resolve (gtw_request_t *r);
 /// Record what began the stream that a request receives: its target has sent
 /// the first event.
 void gtw_origin_record (gtw_request_t *r);
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -116,29 +116,6 @@
     send_all_records (gateway, target);
 }
 
-/// @return  The sidecar in contact that ranks highest for a request below
-///          `*rank`, which is set to its rank; NULL: none.
-static const gtw_target_t *
-next_receiver (const gtw_gateway_t *gateway, uint64_t request, uint64_t *rank)
-{
-  const gtw_target_t *best = NULL;
-  uint64_t best_rank = 0;
-  uint32_t at = 0;
-  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
-       t = kb_map_next (&gateway->targets, &at))
-    {
-      uint64_t own_rank
-          = kb_hash (&t->address_hash, sizeof t->address_hash, request);
-      if (!gtw_target_is_in_contact (gateway, t) || own_rank >= *rank
-          || own_rank <= best_rank)
-        continue;
-      best = t;
-      best_rank = own_rank;
-    }
-  *rank = best_rank;
-  return best;
-}
-
 /// Send the record of a request to a few sidecars at once. All gateways send
 /// to the same ones, so that these can merge the records of all gateways, and
 /// send them to every gateway once they matter.
@@ -150,9 +127,10 @@
   qrt_pack_one (&gateway->quarantine, request, gtw_now_ms (gateway), &records);
   uint32_t sent_count = 0;
   uint64_t rank = UINT64_MAX;
-  for (const gtw_target_t *t = next_receiver (gateway, request, &rank);
+  for (const gtw_target_t *t
+       = gtw_target_next_receiver (gateway, request, &rank);
        t != NULL && sent_count < IMMEDIATE_RECEIVERS;
-       t = next_receiver (gateway, request, &rank))
+       t = gtw_target_next_receiver (gateway, request, &rank))
     {
       fwd_send_quarantine (&gateway->host, t->link, &records);
       sent_count++;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -115,6 +115,7 @@
   r->revision = config->revision;
   r->first_event_due_ms = gtw_request_caller_timeout_ms (r, r->arrived_ms);
   r->is_routed = true;
+  gtw_origin_seek (r);
   return gtw_access_check (r, route);
 }
 
@@ -457,7 +458,8 @@
   for (gtw_request_t *r = gateway->requests; r != NULL; r = next)
     {
       next = r->next;
-      if (r->stage == GTW_STAGE_WAITING_FOR_TARGET)
+      if (r->stage == GTW_STAGE_WAITING_FOR_TARGET
+          || r->stage == GTW_STAGE_WAITING_FOR_ORIGIN)
         gtw_request_dispatch (r);
       else if (r->stage == GTW_STAGE_WAITING_TO_BE_ALONE)
         gtw_request_resume (r);
@@ -533,6 +535,25 @@
     }
 }
 
+/// @return  Whether the target of a request can be chosen: it continues no
+///          stream, or what began that is known.
+static bool
+request_resolve_origin (gtw_request_t *r)
+{
+  switch (gtw_origin_resolve (r))
+    {
+    case GTW_ORIGIN_RESOLVED:
+      return true;
+    case GTW_ORIGIN_AWAITED:
+      r->stage = GTW_STAGE_WAITING_FOR_ORIGIN;
+      return false;
+    case GTW_ORIGIN_UNKNOWN:
+      gtw_request_refuse (r, "origin_unknown", outage_retry_after_ms (r));
+      return false;
+    }
+  return false;
+}
+
 void
 gtw_request_dispatch (gtw_request_t *r)
 {
@@ -545,6 +566,8 @@
     }
   if (!r->is_routed && !request_route_deferred (r))
     return;
+  if (!request_resolve_origin (r))
+    return;
   uint64_t hold_ms = 0;
   qrt_verdict_t verdict = gtw_quarantine_check (r, &hold_ms);
   if (verdict == QRT_HELD)
--- a/src/gateway/gateway_software.c
+++ b/src/gateway/gateway_software.c
@@ -50,22 +50,34 @@
   return item;
 }
 
-void
+/// @return  Whether its service has several versions since then.
+static bool
+record_listed (gtw_gateway_t *gateway, const gtw_target_t *target,
+               uint64_t now_ms)
+{
+  bool was_mixed = gtw_software_is_mixed (gateway, target->service_key);
+  find_or_add (gateway, target->service_key, target->software_key)->listed_ms
+      = now_ms;
+  return !was_mixed && gtw_software_is_mixed (gateway, target->service_key);
+}
+
+bool
 gtw_software_tick (gtw_gateway_t *gateway)
 {
+  bool is_newly_mixed = false;
   uint64_t now_ms = gtw_now_ms (gateway);
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
     if (t->is_listed && t->software_key != 0)
-      find_or_add (gateway, t->service_key, t->software_key)->listed_ms
-          = now_ms;
+      is_newly_mixed |= record_listed (gateway, t, now_ms);
   uint64_t max_age_ms = longest_stream_ms (gateway);
   for (uint32_t i = 0; i < gateway->software_count;)
     if (now_ms - gateway->software[i].listed_ms > max_age_ms)
       gateway->software[i] = gateway->software[--gateway->software_count];
     else
       i++;
+  return is_newly_mixed;
 }
 
 bool
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -286,6 +286,7 @@
   xch_peer_finish (&target->peer);
   free (target->adapters);
   rct_adapters_finish (&target->recent_adapters);
+  kb_buf_finish (&target->unsent_origins);
   free (target);
 }
 
@@ -353,7 +354,8 @@
 {
   uint64_t now_ms = gtw_now_ms (gateway);
   gtw_choose_update_rate (gateway, now_ms);
-  gtw_software_tick (gateway);
+  if (gtw_software_tick (gateway))
+    gtw_origin_share_all (gateway);
   free_unused (gateway);
   uint32_t at = 0;
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -48,6 +48,9 @@
   MSG_QUOTA_REQUEST,
   MSG_QUOTA_GRANT,
   MSG_PLACE_JOINED,
+  MSG_ORIGINS,
+  MSG_ORIGIN_REQUEST,
+  MSG_ORIGIN_REPLY,
   MSG_TYPE_END,
 } msg_type_t;
 
@@ -540,6 +543,26 @@
   kb_slice_t ledger; ///< Packed, see coordination/quota_ledger.h.
 } msg_quota_grant_t;
 
+/// A gateway has a sidecar remember what began streams.
+typedef struct
+{
+  kb_slice_t records; ///< Packed, see coordination/origins.h.
+} msg_origins_t;
+
+/// A gateway asks what began a stream that a caller continues.
+typedef struct
+{
+  uint64_t id;     ///< Repeated in the reply.
+  uint64_t stream; ///< See coordination/origins.h.
+} msg_origin_request_t;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t stream;
+  kb_slice_t records; ///< Packed as in msg_origins_t; empty: not known.
+} msg_origin_reply_t;
+
 /// Any message.
 typedef struct
 {
@@ -574,6 +597,9 @@
     msg_place_release_t place_release;
     msg_place_begun_t place_begun;
     msg_place_joined_t place_joined;
+    msg_origins_t origins;
+    msg_origin_request_t origin_request;
+    msg_origin_reply_t origin_reply;
     msg_document_t document;
     msg_adapter_version_t adapter_version;
     msg_changes_request_t changes_request;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -50,6 +50,7 @@
       *gateway = s->gateways[--s->gateway_count];
     }
   qrt_expire (&s->quarantine, now_ms);
+  org_expire (&s->origins, now_ms);
   if (now_ms - s->state_sent_ms >= TRN_HEARTBEAT_MS)
     scr_send_state (s, NULL);
   scr_process_queue (s);
@@ -119,6 +120,7 @@
                             .max_loads_in_progress = MAX_LOADING };
   adm_table_init (&s->table, &options);
   qrt_table_init (&s->quarantine);
+  org_table_init (&s->origins);
   rto_init (&s->order_timeout, ORDER_TIMEOUT_MIN_MS, ORDER_TIMEOUT_MAX_MS);
   // Gateways identify a sidecar by the address of its VM alone.
   char link_name[SET_TEXT_BYTES + 16];
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -5,6 +5,7 @@
 
 #include "coordination/admit.h"
 #include "coordination/lateorder.h"
+#include "coordination/origins.h"
 #include "coordination/quarantine.h"
 #include "coordination/quota_lend.h"
 #include "coordination/rto.h"
@@ -39,6 +40,7 @@
   adm_table_t table; ///< Requests, places and adapters.
   ver_table_t versions;
   qrt_table_t quarantine;     ///< Kept for gateways that restart.
+  org_table_t origins;        ///< Kept for gateways that restart.
   qln_lender_t lender;        ///< Lends workspaces' quotas.
   qln_lender_t target_limits; ///< Lends the limits of plain targets.
   qgw_table_t lender_role;    ///< Part of the quotas that it may lend.
@@ -129,6 +131,13 @@
                                   const scr_gateway_t *gateway,
                                   uint64_t stamp);
 
+// sidecar_origins.c
+/// Remember what began streams.
+void scr_origins_receive (scr_sidecar_t *s, kb_slice_t records);
+/// Handle the question of what began a stream.
+void scr_origins_handle_request (scr_sidecar_t *s, kb_slice_t peer,
+                                 const msg_origin_request_t *request);
+
 // sidecar_quota.c
 void scr_quota_init (scr_sidecar_t *s);
 /// @param gateway  Id of the sender.
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -419,6 +419,12 @@
     case MSG_QUARANTINE:
       scr_quarantine_receive (s, msg->quarantine.records);
       break;
+    case MSG_ORIGINS:
+      scr_origins_receive (s, msg->origins.records);
+      break;
+    case MSG_ORIGIN_REQUEST:
+      scr_origins_handle_request (s, peer, &msg->origin_request);
+      break;
     case MSG_DOCUMENT:
       apply_document (s, &msg->document);
       scr_process_queue (s);
