test(soak): two software versions, continued streams, and the retry budget by window

Seeds above 500 restart engines at another software version, listed late, and their callers continue streams that break off through any gateway, naming the attempt that began them. No stream may hold events of two versions; after the faults, with two versions in service, a gateway is killed and at least half of the streams of its callers go on. Plans of older seeds stay as they were.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -534,6 +534,13 @@
   return ids;
 }
 
+std::string
+complete_events (const std::string &body)
+{
+  size_t end = body.rfind ("\n\n");
+  return end == std::string::npos ? "" : body.substr (0, end + 2);
+}
+
 std::set<std::string>
 event_versions (const std::string &body)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -167,6 +167,8 @@
 std::vector<int> ids_up_to (int last);
 /// Ids of the events in a body, in order.
 std::vector<int> event_ids (const std::string &body);
+/// @return  A body without what follows its last complete event.
+std::string complete_events (const std::string &body);
 /// Software versions that the events in a body name.
 std::set<std::string> event_versions (const std::string &body);
 /// The request by which a caller continues a stream.
--- a/test/relay/software_failure_test.cc
+++ b/test/relay/software_failure_test.cc
@@ -90,8 +90,7 @@
 {
   for (Stream &stream : streams)
     {
-      size_t end = stream.events.rfind ("\n\n");
-      stream.events.resize (end == std::string::npos ? 0 : end + 2);
+      stream.events = complete_events (stream.events);
       stream.connection.reset ();
     }
 }
@@ -330,8 +329,7 @@
   ASSERT_TRUE (site.wait_ready ());
   // The other engine of the earlier version is the only one that can resume.
   Target &restarted = *site.engines[1].target;
-  restarted.restart ("i-next");
-  restarted.set_software ("v2");
+  restarted.restart ("i-next", "v2");
   ASSERT_TRUE (Site::wait_for ([&] {
     return !Site::log_lines (site.engines[1].sidecar,
                              { "engine_identified", "i-next" })
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -89,10 +89,12 @@
 }
 
 void
-Target::restart (const std::string &id)
+Target::restart (const std::string &id, const std::string &software)
 {
   std::lock_guard<std::mutex> lock (mutex_);
   id_ = id;
+  if (!software.empty ())
+    software_ = software;
   born_ms_ = wall_ms () + clock_step_ms_;
   adapters_.clear ();
   has_model_ = false;
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -59,7 +59,8 @@
   /// Become a new incarnation with a new birth time, possibly under the same
   /// id: it holds no model or adapter and announces no limit, pause or
   /// leaving.
-  void restart (const std::string &id);
+  /// @param software  Version that it runs; empty: the same as before.
+  void restart (const std::string &id, const std::string &software = "");
   /// Set the version of the software that this incarnation runs. Each event of
   /// a stream names it, in a comment line.
   void set_software (const std::string &version);
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -5,6 +5,8 @@
 
 #include <signal.h>
 
+#include <algorithm>
+
 namespace relay
 {
 
@@ -28,6 +30,8 @@
 constexpr int kLimitEffectiveAfterMs = 3000;
 constexpr int kLimitWindowMs = 4000;
 constexpr int kLimitSlack = 5;
+constexpr int kContactMs = 3000;
+constexpr int kContinuedStreams = 16;
 
 bool
 is_not_executed_status (int status)
@@ -305,24 +309,134 @@
     }
 }
 
+/// In any window of a service, arrivals beyond the first of each request stay
+/// within the budget of the first ones, which are those of the same window,
+/// the one before or the one half a window before.
 void
 Soak::check_repeats ()
 {
-  std::map<std::string, int> arrivals;
-  for (int i = 0; i < size_.engines + size_.plain; i++)
-    for (const Message &request : target_at (i).requests ())
-      arrivals[request.header ("x-knapweedbay-attempt-id")]++;
-  double repeats = 0;
-  for (const auto &[id, count] : arrivals)
-    repeats += count - 1;
-  int length_ms = plan_.empty () ? 0 : plan_.back ().at_ms;
-  double windows = 2 + length_ms / kRetryWindowMs;
-  // Two services have a retry budget each.
-  double max_repeats
-      = kRetryRatio * (double)records_.size () + 2 * kRetrySlack * windows;
-  if (repeats > max_repeats)
-    add_violation ("", std::to_string (repeats) + " repeats of "
-                           + std::to_string (arrivals.size ()) + " requests");
+  for (bool is_engine : { true, false })
+    {
+      std::vector<Moment> all;
+      std::map<std::string, Moment> first;
+      int from = is_engine ? 0 : size_.engines;
+      int to = is_engine ? size_.engines : size_.engines + size_.plain;
+      for (int i = from; i < to; i++)
+        for (const Message &request : target_at (i).requests ())
+          {
+            std::string id = request.header ("x-knapweedbay-attempt-id");
+            auto it = first.insert ({ id, request.received_at }).first;
+            it->second = std::min (it->second, request.received_at);
+            all.push_back (request.received_at);
+          }
+      std::vector<Moment> firsts;
+      for (const auto &[id, moment] : first)
+        firsts.push_back (moment);
+      std::sort (all.begin (), all.end ());
+      std::sort (firsts.begin (), firsts.end ());
+      check_repeats_of (is_engine ? "models" : "maps", all, firsts);
+    }
+}
+
+static long
+count_from (const std::vector<Moment> &moments, Moment from)
+{
+  auto begin = std::lower_bound (moments.begin (), moments.end (), from);
+  auto end
+      = std::upper_bound (begin, moments.end (),
+                          from + std::chrono::milliseconds (kRetryWindowMs));
+  return end - begin;
+}
+
+void
+Soak::check_repeats_of (const std::string &service,
+                        const std::vector<Moment> &all,
+                        const std::vector<Moment> &firsts)
+{
+  using std::chrono::milliseconds;
+  for (Moment from : all)
+    {
+      long repeats = count_from (all, from) - count_from (firsts, from);
+      long requests = std::max (
+          { count_from (firsts, from),
+            count_from (firsts, from - milliseconds (kRetryWindowMs / 2)),
+            count_from (firsts, from - milliseconds (kRetryWindowMs)) });
+      if ((double)repeats <= kRetryRatio * (double)requests + kRetrySlack)
+        continue;
+      add_violation ("", service + ": " + std::to_string (repeats)
+                             + " repeats of " + std::to_string (requests)
+                             + " requests in a window");
+      return;
+    }
+}
+
+/// A stream holds events of one software version, in one answer and over its
+/// caller's tries.
+void
+Soak::check_versions ()
+{
+  for (const Record &record : records_)
+    if (event_versions (record.answer.body).size () > 1)
+      add_violation (record.id, "events of two software versions");
+  for (const Continuation &stream : continuations_)
+    {
+      if (event_versions (stream.events).size () > 1)
+        add_violation (stream.first_id, "continued at another version");
+      std::vector<int> ids = event_ids (stream.events);
+      if (ids != ids_up_to ((int)ids.size ()))
+        add_violation (stream.first_id, "continued with other events");
+      if (stream.is_complete && (int)ids.size () != kEventsPerStream)
+        add_violation (stream.first_id, "continued to an early end");
+    }
+}
+
+/// After the faults, while two versions serve, a gateway is killed: of the
+/// streams that its callers continue, at least half as many go on as new ones
+/// begin, each at its version.
+void
+Soak::check_continuation ()
+{
+  for (int i = 0; i < 2; i++)
+    {
+      site_.remove ("servers/" + site_.engines[(size_t)i].target->id ());
+      site_.engines[(size_t)i].target->restart (
+          "i-new" + std::to_string (++incarnation_), i == 0 ? "v1" : "v2");
+      site_.list_engine ((size_t)i);
+    }
+  if (site_.gateways[0].daemon.pid == 0)
+    site_.start (&site_.gateways[0].daemon);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kContactMs));
+  for (auto &e : site_.engines)
+    e.target->event_ms = 60;
+  std::vector<std::future<Message>> begun;
+  for (int i = 0; i < kContinuedStreams; i++)
+    begun.push_back (std::async (std::launch::async, [this, i] {
+      return send_with_kept_key (
+          0, stream_call ("begun" + std::to_string (i), ""));
+    }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (300));
+  site_.stop (&site_.gateways[0].daemon, SIGKILL);
+  int begun_count = 0;
+  int continued_count = 0;
+  for (auto &stream : begun)
+    {
+      Message first = stream.get ();
+      std::string events = complete_events (first.body);
+      std::vector<int> ids = event_ids (events);
+      if (ids.empty ())
+        continue;
+      begun_count++;
+      std::string id = first.header ("x-knapweedbay-attempt-id");
+      Message next = send_with_kept_key (
+          1, continued (stream_call ("", ""), id + ".0", ids.back (), id));
+      continued_count += next.status == 200 && next.is_complete;
+      if (event_versions (events + next.body).size () > 1)
+        add_violation (id, "continued at another version");
+    }
+  if (2 * continued_count < begun_count)
+    add_violation ("", std::to_string (continued_count) + " of "
+                           + std::to_string (begun_count)
+                           + " streams were continued");
 }
 
 /// Send a request with a key that is never revoked.
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -38,9 +38,11 @@
   { "stated_limit", 0, 0 },
   { "stated_leaving", 0, 0 },
   { "stated_pause", 200, 1500 },
+  { "software_change", 50, 1500 },
 };
 constexpr int kInitialKinds = 15;
 constexpr int kKindsWithoutAnnouncements = 19;
+constexpr int kKindsWithOneVersion = 22;
 constexpr int kMinGapMs = 20;
 constexpr int kMaxGapMs = 350;
 
@@ -55,6 +57,8 @@
   };
   std::vector<FaultStep> plan;
   int kinds = (int)std::size (kKinds);
+  if (seed <= kLastSeedWithOneVersion)
+    kinds = kKindsWithOneVersion;
   if (seed <= kLastSeedWithoutAnnouncements)
     kinds = kKindsWithoutAnnouncements;
   if (seed <= kLastSeedWithInitialKinds)
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -35,6 +35,7 @@
   ANNOUNCED_LIMIT,        ///< In a target's answers, until it restarts.
   ANNOUNCED_LEAVING,      ///< In a target's answers, until it restarts.
   REQUESTED_PAUSE, ///< A target refuses all requests and asks for a pause.
+  SOFTWARE_CHANGE, ///< An engine restarts at a version, and is listed late.
 };
 
 struct FaultStep
@@ -51,6 +52,7 @@
 constexpr uint64_t kLastSeedWithInitialKinds = 2;
 constexpr uint64_t kLastSeedWithoutWorkspaces = 300;
 constexpr uint64_t kLastSeedWithoutAnnouncements = 400;
+constexpr uint64_t kLastSeedWithOneVersion = 500;
 
 /// @param length_ms  All faults begin and end within this time.
 std::vector<FaultStep> draw_plan (uint64_t seed, int length_ms);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -25,6 +25,9 @@
 /// rest.
 constexpr int kPauseEffectiveAfterMs = 500;
 constexpr int kMaxDuringPause = 2;
+/// Time between events of streams that are to be continued.
+constexpr int kContinuedEventMs = 12;
+constexpr int kMaxContinuations = 2;
 
 void
 sleep_until_offset (std::chrono::steady_clock::time_point start, int at_ms)
@@ -102,6 +105,9 @@
   bool has_fatal_caller = seed_ > kLastSeedWithInitialKinds;
   if (has_fatal_caller)
     threads.emplace_back ([this] { fatal_request_loop (); });
+  if (seed_ > kLastSeedWithOneVersion)
+    for (const Engine &engine : site_.engines)
+      engine.target->event_ms = kContinuedEventMs;
   inject ();
   heal ();
   std::this_thread::sleep_for (std::chrono::seconds (3));
@@ -124,12 +130,15 @@
     check_record (record);
   check_engines ();
   check_repeats ();
+  check_versions ();
   check_recovery ();
   check_innocent_requests ();
   check_configuration ();
   check_version ();
   check_leaving ();
   check_graceful_stop ();
+  if (seed_ > kLastSeedWithOneVersion)
+    check_continuation ();
   return violations_;
 }
 
@@ -263,6 +272,9 @@
       target_at (fault_step.subject).pause_s
           = 0.5 + 0.5 * (fault_step.variant % 6);
       break;
+    case FaultKind::SOFTWARE_CHANGE:
+      change_software (fault_step);
+      break;
     }
 }
 
@@ -292,6 +304,9 @@
     case FaultKind::INVALID_ENTRY:
       list_target (fault_step.subject, 0);
       break;
+    case FaultKind::SOFTWARE_CHANGE:
+      list_target (fault_step.subject % size_.engines, 0);
+      break;
     case FaultKind::REQUESTED_PAUSE:
       target_at (fault_step.subject).pause_s = -1;
       break;
@@ -375,6 +390,19 @@
   site_.list_engine (at);
 }
 
+/// Half of these restarts change the version; the entry of the earlier
+/// incarnation may stay until the new one is listed.
+void
+Soak::change_software (const FaultStep &fault_step)
+{
+  Target &target
+      = *site_.engines[(size_t)(fault_step.subject % size_.engines)].target;
+  if (fault_step.variant % 3 > 0)
+    site_.remove ("servers/" + target.id ());
+  target.restart ("i-new" + std::to_string (++incarnation_),
+                  fault_step.variant % 2 == 0 ? "v1" : "v2");
+}
+
 void
 Soak::list_target (int subject, int64_t born_shift_ms)
 {
@@ -468,11 +496,42 @@
                            && record.answer.header ("connection") != "close";
       if (!is_kept_alive)
         connection.reset ();
+      if (seed_ > kLastSeedWithOneVersion && record.is_stream
+          && record.is_repeatable && record.answer.status == 200
+          && !record.answer.is_complete)
+        continue_stream (record, random ());
       std::lock_guard<std::mutex> lock (mutex_);
       records_.push_back (record);
     }
 }
 
+void
+Soak::continue_stream (const Record &record, uint64_t random)
+{
+  Continuation result;
+  result.first_id = record.id;
+  result.events = complete_events (record.answer.body);
+  for (int i = 0; i < kMaxContinuations && !result.is_complete; i++)
+    {
+      std::vector<int> ids = event_ids (result.events);
+      if (ids.empty ())
+        return;
+      const Gateway &gateway
+          = site_.gateways[(random + (uint64_t)i) % site_.gateways.size ()];
+      Call call = continued (stream_call ("", record.adapter),
+                             record.id + "." + std::to_string (i), ids.back (),
+                             record.id);
+      call.headers += key_line_;
+      Message answer = send_call (gateway, call);
+      if (answer.status == 200)
+        result.events += complete_events (answer.body);
+      result.is_complete = answer.status == 200 && answer.is_complete;
+      std::this_thread::sleep_for (std::chrono::milliseconds (30));
+    }
+  std::lock_guard<std::mutex> lock (mutex_);
+  continuations_.push_back (result);
+}
+
 /// Two requests that crash each target that begins to run them are sent
 /// repeatedly through any gateway; crashed targets restart after a short time.
 void
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -29,6 +29,14 @@
   bool can_lose_key = false; ///< Its key is revoked during the run.
 };
 
+/// A stream whose caller continued it after it broke off.
+struct Continuation
+{
+  std::string first_id; ///< Attempt that brought its first event.
+  std::string events;   ///< Complete events of all attempts, in order.
+  bool is_complete = false;
+};
+
 struct Violation
 {
   std::string attempt_id; ///< Empty: not about a single request.
@@ -63,6 +71,9 @@
   void publish_adapter_version (int adapter);
   void inject_target_failures (const FaultStep &fault_step);
   void restart_engine (int subject);
+  void change_software (const FaultStep &fault_step);
+  /// Continue a stream that broke off, through any gateway.
+  void continue_stream (const Record &record, uint64_t random);
   /// List a target with its current or an earlier start time.
   void list_target (int subject, int64_t born_shift_ms);
   void write_invalid_entry (const FaultStep &fault_step);
@@ -93,6 +104,12 @@
   void check_stream (const Record &record);
   void check_engines ();
   void check_repeats ();
+  void check_repeats_of (
+      const std::string &service,
+      const std::vector<std::chrono::steady_clock::time_point> &all,
+      const std::vector<std::chrono::steady_clock::time_point> &firsts);
+  void check_versions ();
+  void check_continuation ();
   void check_recovery ();
   void check_innocent_requests ();
   void check_configuration ();
@@ -109,6 +126,7 @@
   std::atomic<bool> is_done_{ false };
   std::mutex mutex_; ///< Guards the members below.
   std::vector<Record> records_;
+  std::vector<Continuation> continuations_;
   std::vector<Violation> violations_;
   std::set<Daemon *> restarting_;
   std::vector<std::future<void>> restarts_;
