fix(sidecar): drop an identity that was asked for before the engine restarted

Seen: an engine that restarts while its sidecar's health request is open is named by its earlier incarnation from then on, and refuses all streams as misdirected.

Cause: the answer was taken whenever it came, and nothing asks again once an identity is known.

Fix: an answer counts only if no restart was noticed since the question.

--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -58,7 +58,9 @@
   msg_engine_condition_t condition;
   inc_t engine_incarnation; ///< Its id is empty until it is known.
   bool is_identifying;
-  uint64_t identify_sent_ms; ///< Last request for the incarnation.
+  uint64_t identify_sent_ms;  ///< Last request for the incarnation.
+  uint64_t engine_restarts;   ///< Restarts of the engine that were noticed.
+  uint64_t identify_restarts; ///< The same when the last request was sent.
   uint64_t seq; ///< Orders accepted by the engine since its start.
   bool is_model_held;
   bool is_engine_busy;
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -253,7 +253,9 @@
 {
   scr_sidecar_t *s = arg;
   s->is_identifying = false;
-  if (instance.len_bytes == 0)
+  // Whatever it names has ended if the engine has restarted meanwhile.
+  bool is_outdated = s->identify_restarts != s->engine_restarts;
+  if (instance.len_bytes == 0 || is_outdated)
     return;
   kb_slice_copy (instance, s->engine_incarnation.id,
                  sizeof s->engine_incarnation.id);
@@ -279,6 +281,7 @@
     return;
   s->is_identifying = true;
   s->identify_sent_ms = now_ms;
+  s->identify_restarts = s->engine_restarts;
   s->engine->vtable->identify (s->engine, identity_done, s);
 }
 
@@ -295,6 +298,7 @@
   s->model_ordered_ms = 0;
   s->engine_incarnation = (inc_t){ 0 };
   s->identify_sent_ms = 0;
+  s->engine_restarts++;
   lto_restarted (&s->late_orders);
   adm_handle_engine_restart (&s->table);
   bkp_limit_t no_limit = { .at_ms = tmr_boottime_ms () };
