fix(gateway): know the versions of a service from the moment its list is read

A request that continues a stream could be placed at any version in the 0.1 s between the list and the next tick, and was held to its deadline while the gateway had no list. Found by reading; versions are recorded with each entry now, and a request without a list waits as others do.

--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -184,8 +184,9 @@
       return GTW_ORIGIN_RESOLVED;
     }
   bool can_be_asked = r->parsed_head.resumes.len_bytes > 0;
-  if (!gateway->has_target_list
-      || (can_be_asked && gtw_origin_ask (r, stream)))
+  if (!gateway->has_target_list)
+    return GTW_ORIGIN_NO_LIST;
+  if (can_be_asked && gtw_origin_ask (r, stream))
     return GTW_ORIGIN_AWAITED;
   if (gtw_software_is_mixed (gateway, gtw_service_key (r->service)))
     return GTW_ORIGIN_UNKNOWN;
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -9,8 +9,12 @@
 /// Set what identifies the incarnation and the software of a target, from its
 /// list entry.
 void gtw_software_identify (gtw_target_t *target);
-/// Record which versions the listed targets of each service run.
-/// @return  Whether some service has targets of several versions since then.
+/// Record the version of a listed target.
+/// @return  Whether its service has several versions since then.
+bool gtw_software_record (gtw_gateway_t *gateway, const gtw_target_t *target);
+/// Record the versions of all listed targets, and forget those that were last
+/// listed before any open stream began.
+/// @return  Whether some service has several versions since then.
 bool gtw_software_tick (gtw_gateway_t *gateway);
 /// @return  Whether targets of several versions serve a service, or did so
 ///          while a stream that is still open may have begun.
@@ -34,6 +38,7 @@
 typedef enum
 {
   GTW_ORIGIN_RESOLVED,
+  GTW_ORIGIN_NO_LIST, ///< Which versions serve is not known yet.
   GTW_ORIGIN_AWAITED, ///< The request is resumed when a reply arrives.
   GTW_ORIGIN_UNKNOWN, ///< Several versions serve, and any may have begun it.
 } gtw_origin_verdict_t;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -544,6 +544,9 @@
     {
     case GTW_ORIGIN_RESOLVED:
       return true;
+    case GTW_ORIGIN_NO_LIST:
+      request_wait_for_target (r, "no_target");
+      return false;
     case GTW_ORIGIN_AWAITED:
       r->stage = GTW_STAGE_WAITING_FOR_ORIGIN;
       return false;
--- a/src/gateway/gateway_software.c
+++ b/src/gateway/gateway_software.c
@@ -50,14 +50,14 @@
   return item;
 }
 
-/// @return  Whether its service has several versions since then.
-static bool
-record_listed (gtw_gateway_t *gateway, const gtw_target_t *target,
-               uint64_t now_ms)
+bool
+gtw_software_record (gtw_gateway_t *gateway, const gtw_target_t *target)
 {
+  if (!target->is_listed || target->software_key == 0)
+    return false;
   bool was_mixed = gtw_software_is_mixed (gateway, target->service_key);
   find_or_add (gateway, target->service_key, target->software_key)->listed_ms
-      = now_ms;
+      = gtw_now_ms (gateway);
   return !was_mixed && gtw_software_is_mixed (gateway, target->service_key);
 }
 
@@ -69,8 +69,7 @@
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
-    if (t->is_listed && t->software_key != 0)
-      is_newly_mixed |= record_listed (gateway, t, now_ms);
+    is_newly_mixed |= gtw_software_record (gateway, t);
   uint64_t max_age_ms = longest_stream_ms (gateway);
   for (uint32_t i = 0; i < gateway->software_count;)
     if (now_ms - gateway->software[i].listed_ms > max_age_ms)
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -225,6 +225,8 @@
   target->is_listed = true;
   target->unlisted_ms = 0;
   gtw_target_open_link (gateway, target);
+  if (gtw_software_record (gateway, target))
+    gtw_origin_share_all (gateway);
 }
 
 void
