perf(gateway): ask for the origin of a stream only where it can matter

A gateway that has run since before any open stream began, and has seen one version, asks nobody. Only one that has just started waits for its links: with a dead sidecar each continued stream waited 1 s for a contact that doesn't come, by reading.

--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -183,12 +183,15 @@
       r->is_origin_sought = false;
       return GTW_ORIGIN_RESOLVED;
     }
-  bool can_be_asked = r->parsed_head.resumes.len_bytes > 0;
   if (!gateway->has_target_list)
     return GTW_ORIGIN_NO_LIST;
-  if (can_be_asked && gtw_origin_ask (r, stream))
+  bool is_mixed
+      = gtw_software_is_mixed (gateway, gtw_service_key (r->service));
+  bool is_asked = r->parsed_head.resumes.len_bytes > 0
+                  && (is_mixed || !gtw_software_has_seen_all (gateway));
+  if (is_asked && gtw_origin_ask (r, stream))
     return GTW_ORIGIN_AWAITED;
-  if (gtw_software_is_mixed (gateway, gtw_service_key (r->service)))
+  if (is_mixed)
     return GTW_ORIGIN_UNKNOWN;
   r->is_origin_sought = false;
   return GTW_ORIGIN_RESOLVED;
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -19,6 +19,8 @@
 /// @return  Whether targets of several versions serve a service, or did so
 ///          while a stream that is still open may have begun.
 bool gtw_software_is_mixed (const gtw_gateway_t *gateway, uint64_t service);
+/// @return  Whether this gateway has run since before any open stream began.
+bool gtw_software_has_seen_all (const gtw_gateway_t *gateway);
 
 // gateway_origin_peers.c
 /// Have a few sidecars remember what began a stream.
--- a/src/gateway/gateway_origin_peers.c
+++ b/src/gateway/gateway_origin_peers.c
@@ -11,9 +11,10 @@
   /// Sidecars that are asked: those that remember it rank further back when
   /// others have come since.
   ASKED = 4,
-  /// Longest wait for replies, and for links of a gateway that has just
-  /// started.
+  /// Longest wait for replies.
   MAX_WAIT_MS = 1000,
+  /// Until then a gateway that has just started waits for its links.
+  START_MS = 2000,
   MAX_MESSAGE_BYTES = 32768,
 };
 
@@ -117,10 +118,13 @@
     r->origin_asked[r->origin_asked_count++] = target->key;
 }
 
-/// @return  Whether sidecars are listed with which there is no contact.
+/// @return  Whether this gateway has just started and has no contact yet with
+///          some of the listed sidecars.
 static bool
-lacks_contacts (const gtw_gateway_t *gateway)
+is_connecting (const gtw_gateway_t *gateway)
 {
+  if (gtw_now_ms (gateway) - gateway->started_ms >= START_MS)
+    return false;
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
@@ -150,7 +154,7 @@
   if (now_ms - r->origin_sought_ms >= MAX_WAIT_MS)
     return false;
   return r->origin_reply_count < r->origin_asked_count
-         || lacks_contacts (gateway);
+         || is_connecting (gateway);
 }
 
 void
--- a/src/gateway/gateway_software.c
+++ b/src/gateway/gateway_software.c
@@ -87,3 +87,10 @@
     versions += gateway->software[i].service == service;
   return versions > 1;
 }
+
+bool
+gtw_software_has_seen_all (const gtw_gateway_t *gateway)
+{
+  return gtw_now_ms (gateway) - gateway->started_ms
+         > longest_stream_ms (gateway);
+}
