--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -128,7 +128,9 @@
 gtw_origin_is_gone (const gtw_request_t *r)
 {
   const gtw_gateway_t *gateway = r->gateway;
-  if (r->origin.service == 0 || !gateway->has_target_list)
+  // Targets of a service with one version may come back.
+  if (r->origin.service == 0 || !gateway->has_target_list
+      || !gtw_software_is_mixed (gateway, r->origin.service))
     return false;
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -61,8 +61,8 @@
 /// @return  Whether the incarnation that granted a place to a request may run
 ///          it. It may have restarted since it was chosen.
 bool gtw_origin_allows_recipient (const gtw_request_t *r);
-/// @return  Whether no target that could continue the stream of a request is
-///          listed any more.
+/// @return  Whether the version that began the stream of a request has left:
+///          no target of it is listed any more, but others are.
 bool gtw_origin_is_gone (const gtw_request_t *r);
 
 #endif
