--- a/test/relay/budget_failure_test.cc
+++ b/test/relay/budget_failure_test.cc
@@ -143,5 +143,87 @@
   EXPECT_EQ (count_repeats (site), 2);
 }
 
+/// A plain target that is listed for a service of its own.
+struct OwnService
+{
+  OwnService (Site &site, const std::string &name, const std::string &id)
+      : name (name), target (site.gateways[0].address.substr (
+                                 0, site.gateways[0].address.find (':')),
+                             "i-" + id, false)
+  {
+    site.put ("servers/" + target.id (),
+              "{\"Service\":\"" + name + "\",\"Address\":\""
+                  + target.address ()
+                  + "\",\"Zone\":\"d1\",\"Version\":\"v1\",\"Slots\":6,"
+                    "\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":1,\"born\":"
+                  + std::to_string (target.born_ms ()) + "}");
+  }
+  std::string name;
+  Target target;
+};
+
+/// Configure services beside those of the site, each with a route.
+void
+configure_services (Site &site, const std::vector<std::string> &names)
+{
+  std::string routes;
+  std::string services;
+  for (const std::string &name : names)
+    {
+      routes += ",{\"Name\":\"" + name
+                + "\",\"Host\":\"a.example\",\"Prefix\":\"/" + name
+                + "/\",\"Kind\":\"safe\",\"TimeoutMs\":2000,"
+                  "\"TargetLatencyMs\":150,\"Priority\":2,\"Service\":\""
+                + name + "\",\"MaxAttempts\":2}";
+      services += "{\"Name\":\"" + name
+                  + "\",\"HealthPath\":\"/health\",\"MaxConns\":100},";
+    }
+  site.write_config (2, routes);
+  const std::string mark = "\"Services\":[";
+  site.config.insert (site.config.find (mark) + mark.size (), services);
+  site.put ("op/config", site.config);
+}
+
+// Guards against a service that is sent what the requests of another allow,
+// where a deployment has many.
+TEST (Budget, IsOfEachServiceHoweverMany)
+{
+  Site site (1, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  std::vector<std::string> names;
+  for (int i = 0; i < 22; i++)
+    names.push_back ("s" + std::to_string (i));
+  configure_services (site, names);
+  std::vector<std::unique_ptr<OwnService>> services;
+  for (const std::string &name : names)
+    services.push_back (std::make_unique<OwnService> (site, name, name));
+  OwnService second (site, "s21", "other");
+  second.target.fail_next (std::vector<Fault> (2000, Fault::NOT_RUN));
+  services.back ()->target.fail_next (
+      std::vector<Fault> (2000, Fault::NOT_RUN));
+  auto send = [&] (const std::string &name, int i) {
+    return send_call (
+               site.gateways[0],
+               plain_call (name + "-" + std::to_string (i), "/" + name + "/x"))
+        .status;
+  };
+  names.pop_back ();
+  for (const std::string &name : names)
+    {
+      ASSERT_TRUE (Site::wait_for ([&] { return send (name, 0) == 200; }))
+          << name;
+    }
+  for (int i = 1; i < 1500; i++)
+    send ("s20", i);
+  constexpr int requests = 120;
+  for (int i = 0; i < requests; i++)
+    send ("s21", i);
+  int repeats = (int)(second.target.requests ().size ()
+                      + services.back ()->target.requests ().size ())
+                - requests;
+  printf ("%d repeats for %d requests\n", repeats, requests);
+  EXPECT_LE (repeats, (int)(kRatio * requests) + kSlack);
+}
+
 } // namespace
 } // namespace relay
