fix(gateway): keep a retry budget for each service, however many there are

Seen: a service among 22 is sent 120 repeats for 120 requests, 74 allowed.

Cause: a gateway had 16 budgets, and the services beyond shared the last one, so that one of them was sent what the requests of another allow.

Fix: a budget for each service that is configured and got requests; those of services that are no longer configured are dropped. A budget that is added after that has saved nothing from before, so that a service which leaves and returns gets nothing twice.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -195,7 +195,7 @@
   if (gateway->source == NULL || open_ready_page (gateway, error) != KB_OK
       || gtw_listen (gateway, error) != KB_OK)
     return NULL;
-  gateway->started_ms = gtw_now_ms (gateway);
+  gateway->started_ms = gateway->budgets_since_ms = gtw_now_ms (gateway);
   gateway->started_boot_ms = gateway->last_no_contact_ms = tmr_boottime_ms ();
   gtw_peers_init (gateway);
   gtw_records_init (gateway);
--- a/src/gateway/gateway_budget.c
+++ b/src/gateway/gateway_budget.c
@@ -24,12 +24,13 @@
   for (uint32_t i = 0; i < gateway->budget_count; i++)
     if (strcmp (gateway->budgets[i].service, service) == 0)
       return &gateway->budgets[i].budget;
-  if (gateway->budget_count == GTW_MAX_BUDGETS)
-    return &gateway->budgets[GTW_MAX_BUDGETS - 1].budget;
+  gateway->budgets
+      = kb_realloc (gateway->budgets,
+                    (gateway->budget_count + 1) * sizeof *gateway->budgets);
   gtw_budget_t *item = &gateway->budgets[gateway->budget_count++];
   bud_options_t options = budget_options (gateway);
   kb_slice_copy (kb_slice_str (service), item->service, sizeof item->service);
-  bud_budget_init (&item->budget, &options, gateway->started_ms);
+  bud_budget_init (&item->budget, &options, gateway->budgets_since_ms);
   return &item->budget;
 }
 
@@ -42,6 +43,20 @@
                      gtw_now_ms (gateway));
 }
 
+void
+gtw_budgets_apply_config (gtw_gateway_t *gateway)
+{
+  for (uint32_t i = 0; i < gateway->budget_count;)
+    if (svc_service_find (gateway->config, gateway->budgets[i].service)
+        == NULL)
+      {
+        gateway->budgets[i] = gateway->budgets[--gateway->budget_count];
+        gateway->budgets_since_ms = gtw_now_ms (gateway);
+      }
+    else
+      i++;
+}
+
 void
 gtw_budget_record_first (gtw_gateway_t *gateway, const char *service)
 {
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -25,7 +25,6 @@
   /// the retry.
   GTW_STOP_RETRY_AFTER_MS = 100,
   GTW_ID_BYTES = 64,
-  GTW_MAX_BUDGETS = 16, ///< Services; further ones share the last budget.
   GTW_MAX_BROKEN_ATTEMPTS = 256,
   GTW_MAX_ORIGIN_ASKED = 8,
   GTW_MAX_SOFTWARE = 256, ///< Software versions of all services.
@@ -368,8 +367,10 @@
   qgw_peak_t gateway_peak;    ///< Peak number of gateways, from sidecars.
   kb_map_t requests_by_place; ///< By place id.
   uint64_t next_place_id;
-  gtw_budget_t budgets[GTW_MAX_BUDGETS];
+  gtw_budget_t *budgets; ///< Of configured services that got requests.
   uint32_t budget_count;
+  uint64_t budgets_since_ms; ///< Since when none has been dropped; a budget
+                             ///< that is added was unused since then.
   gtw_software_t software[GTW_MAX_SOFTWARE];
   uint32_t software_count;
   org_table_t origins; ///< Of streams that this gateway began or continued.
@@ -577,6 +578,8 @@
 // gateway_budget.c
 /// Apply changed settings to all retry budgets; what was spent remains spent.
 void gtw_budgets_apply_settings (gtw_gateway_t *gateway);
+/// Drop the budgets of services that are no longer configured.
+void gtw_budgets_apply_config (gtw_gateway_t *gateway);
 /// Record the first attempt of a request.
 void gtw_budget_record_first (gtw_gateway_t *gateway, const char *service);
 /// Take one more attempt of a request from the retry budget of its service.
