feat(gateway): log whether an answer ended with its connection

Without it the log of a target that ends while an answer without a length is under way is that of one that answered.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -347,6 +347,7 @@
       return;
     }
   r->http_status = conn->parser.status_code;
+  r->is_close_delimited = xch_is_close_delimited (x);
   gtw_backpressure_apply_answer (r, &answer);
   if (answer.is_not_run && r->http_status >= 400)
     {
@@ -505,6 +506,7 @@
   r->sent_boot_ms = tmr_boottime_ms ();
   r->possible_runs++;
   r->is_begun = false;
+  r->is_close_delimited = false;
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
   kb_buf_finish (&head);
   arm_silence_timer (r);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -237,6 +237,7 @@
   // The answer.
   int http_status;
   bool is_stream_answer;
+  bool is_close_delimited; ///< It ends with the connection to the target.
   bool is_head_written;
   bool is_begun;     ///< The current target has sent an event.
   uint64_t begun_ms; ///< When it sent the first one.
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -41,6 +41,7 @@
   log_text (&line, "software",
             r->target == NULL ? "" : r->target->list_entry.software);
   log_int (&line, "sends", r->send_count);
+  log_int (&line, "close_delimited", r->is_close_delimited);
   log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
   log_int (&line, "first_ms",
            r->first_event_ms == 0
@@ -101,6 +102,7 @@
   log_int (&line, "send", r->send_count);
   log_int (&line, "runs", r->possible_runs);
   log_int (&line, "last_event", (int64_t)r->last_event_id);
+  log_int (&line, "close_delimited", r->is_close_delimited);
   log_text (&line, "software",
             r->target == NULL ? "" : r->target->list_entry.software);
   uint64_t now_ms = gtw_now_ms (r->gateway);
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -99,15 +99,22 @@
   return advertised_ms > IDLE_MARGIN_MS ? advertised_ms - IDLE_MARGIN_MS : 0;
 }
 
+/// @return  Whether the response has a body that ends with the connection.
+static bool
+pooled_is_close_delimited (const xch_pooled_t *pooled)
+{
+  const h1_conn_t *conn = &pooled->conn;
+  return !pooled->is_head_method && h1_body_is_close_delimited (conn)
+         && conn->parser.status_code != 204 && conn->parser.status_code != 304;
+}
+
 static bool
 pooled_is_reusable (const xch_pooled_t *pooled)
 {
   const h1_conn_t *conn = &pooled->conn;
-  bool is_framed = pooled->is_head_method || !h1_body_is_close_delimited (conn)
-                   || conn->parser.status_code == 204
-                   || conn->parser.status_code == 304;
-  return !conn->is_ended && is_framed && conn->unsent_bytes == 0
-         && conn->pipelined.len_bytes == 0 && conn->parser.http_minor >= 1
+  return !conn->is_ended && !pooled_is_close_delimited (pooled)
+         && conn->unsent_bytes == 0 && conn->pipelined.len_bytes == 0
+         && conn->parser.http_minor >= 1
          && !h1_value_has_token (h1_head_get (&conn->head, "connection"),
                                  "close")
          && pooled->peer->idle_count < pooled->peer->max_idle;
@@ -353,3 +360,9 @@
 {
   return &x->pooled->conn;
 }
+
+bool
+xch_is_close_delimited (const xch_t *x)
+{
+  return pooled_is_close_delimited (x->pooled);
+}
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -108,5 +108,8 @@
 }
 /// @return  The connection in use. Valid only within on_head and on_body.
 const h1_conn_t *xch_conn (const xch_t *x);
+/// @return  Whether the response ends with its connection, so that its last
+///          byte does not show that it is complete. Valid as xch_conn.
+bool xch_is_close_delimited (const xch_t *x);
 
 #endif
