--- a/test/relay/repeat_failure_test.cc
+++ b/test/relay/repeat_failure_test.cc
@@ -4,6 +4,7 @@
 
 #include <signal.h>
 
+#include "fatal.h"
 #include "load.h"
 
 namespace relay
@@ -11,78 +12,12 @@
 namespace
 {
 
-/// By then the records of a gateway are known to all that reach the platform.
-constexpr int kPropagationMs = 3000;
-/// Targets that may still end after the third end and kPropagationMs.
-constexpr int kMaxEndsAfterThird = 3;
-
-Call
-fatal_stream (int attempt)
-{
-  Call call = stream_call ("fatal" + std::to_string (attempt), "a1");
-  call.path = "/resume/fatal";
-  return call;
-}
-
-Call
-fatal_plain (int attempt)
-{
-  return plain_call ("fatal" + std::to_string (attempt), "/plain/fatal");
-}
-
 Call
 fatal_unsafe (int attempt)
 {
   return plain_call ("fatal" + std::to_string (attempt), "/unsafe/fatal");
 }
 
-/// Send until a number of targets have ended.
-/// @param call_of  The call for an attempt.
-/// @return         The next attempt's number.
-int
-send_until_ends (Site &site, Call (*call_of) (int), int ends)
-{
-  int attempt = 0;
-  while (site.crash_count () < ends && attempt < 30)
-    {
-      send_call (site.gateways[attempt % site.gateways.size ()],
-                 call_of (attempt));
-      attempt++;
-      site.restart_ended_targets ();
-      std::this_thread::sleep_for (std::chrono::milliseconds (150));
-    }
-  return attempt;
-}
-
-/// Send through all gateways in turn.
-/// @return  Number of targets that ended.
-int
-send_more (Site &site, Call (*call_of) (int), int attempt, int count)
-{
-  int before = site.crash_count ();
-  for (int i = 0; i < count; i++)
-    {
-      send_call (site.gateways[i % site.gateways.size ()],
-                 call_of (attempt + i));
-      site.restart_ended_targets ();
-      std::this_thread::sleep_for (std::chrono::milliseconds (300));
-    }
-  return site.crash_count () - before;
-}
-
-/// Send a request that has ended three targets, after all gateways have had
-/// time to learn of it.
-void
-expect_few_after_third (Site &site, Call (*call_of) (int), int sends)
-{
-  ASSERT_TRUE (site.wait_ready ());
-  site.crash_on_path ("/fatal");
-  int attempt = send_until_ends (site, call_of, 3);
-  ASSERT_GE (site.crash_count (), 3);
-  std::this_thread::sleep_for (std::chrono::milliseconds (kPropagationMs));
-  EXPECT_LE (send_more (site, call_of, attempt, sends), kMaxEndsAfterThird);
-}
-
 // A caller sends one request repeatedly through any gateway. Each engine that
 // begins to run it ends, with the streams of all other callers there; dozens
 // of engines ended within seconds: 24 ends by 12 sends, two each. Each send
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -7,6 +7,9 @@
 
 using Clock = std::chrono::steady_clock;
 
+/// Body of a plain target's answers.
+static const std::string plain_body = "{\"map\":\"a body of some length\"}";
+
 static void
 sleep_ms (int ms)
 {
@@ -383,14 +386,38 @@
     adapters_.erase (it);
 }
 
+/// @return  An event of a stream, which names the software version.
+std::string
+Target::event (int number)
+{
+  std::string text = std::to_string (number);
+  return "id: " + text + "\n: " + software () + "\ndata: e" + text + "\n\n";
+}
+
+/// Send what a request that crashes this process has received by then.
+void
+Target::answer_crash (Connection &connection, const std::string &head)
+{
+  if (crash_answer == CrashAnswer::NONE)
+    return;
+  std::string whole = is_engine_ ? event (1) : plain_body;
+  std::string sent = crash_answer == CrashAnswer::HEAD ? ""
+                     : crash_answer == CrashAnswer::HALF
+                         ? whole.substr (0, whole.size () / 2)
+                         : whole;
+  connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n" + sent);
+  connection.close ();
+}
+
 bool
 Target::stream (Connection &connection, const Message &request, Fault fault)
 {
+  bool has_chunks = !is_unframed;
   connection.write ("HTTP/1.1 200 OK\r\n" + head_of (request, true)
                     + "Content-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n");
+                    + (has_chunks ? "Transfer-Encoding: chunked\r\n" : "")
+                    + "\r\n");
   int from = atoi (request.header ("last-event-id").c_str ());
-  std::string version = software ();
   for (int i = from + 1; i <= events; i++)
     {
       sleep_ms (event_ms);
@@ -399,18 +426,18 @@
           abandoned_streams++;
           return false;
         }
-      std::string event = "id: " + std::to_string (i) + "\n: " + version
-                          + "\ndata: e" + std::to_string (i) + "\n\n";
+      std::string text = event (i);
       if (fault == Fault::CUT_WITHIN_EVENT && i == from + 3)
         {
-          connection.write (chunk (event.substr (0, event.size () / 2)));
+          text = text.substr (0, text.size () / 2);
+          connection.write (has_chunks ? chunk (text) : text);
           sleep_ms (20);
           connection.reset ();
           return false;
         }
-      connection.write (chunk (event));
+      connection.write (has_chunks ? chunk (text) : text);
     }
-  return connection.write ("0\r\n\r\n");
+  return has_chunks && connection.write ("0\r\n\r\n");
 }
 
 /// Work on a request of a plain target.
@@ -428,7 +455,6 @@
 bool
 Target::run (Connection &connection, const Message &request, Fault fault)
 {
-  static const std::string body = "{\"map\":\"a body of some length\"}";
   std::string head = head_of (request, fault != Fault::NO_SEAL);
   {
     std::lock_guard<std::mutex> lock (mutex_);
@@ -440,6 +466,7 @@
       crash_count++;
       if (!hangs_on_crash)
         {
+          answer_crash (connection, head);
           simulate_exit ();
           return false;
         }
@@ -469,9 +496,9 @@
     case Fault::CUT_UNFRAMED:
     case Fault::END_UNFRAMED:
       connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n"
-                        + body.substr (0, fault == Fault::END_UNFRAMED
-                                              ? body.size ()
-                                              : body.size () / 2));
+                        + plain_body.substr (0, fault == Fault::END_UNFRAMED
+                                                    ? plain_body.size ()
+                                                    : plain_body.size () / 2));
       if (fault == Fault::CUT_UNFRAMED)
         connection.reset ();
       return false;
@@ -487,7 +514,12 @@
     }
   if (!work (answer_ms))
     return false;
-  connection.write (make_response (200, head, body));
+  if (is_unframed)
+    {
+      connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n" + plain_body);
+      return false;
+    }
+  connection.write (make_response (200, head, plain_body));
   if (fault == Fault::EXTRA_AFTER)
     connection.write (make_response (200, head, "a second answer"));
   return true;
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -29,6 +29,16 @@
   EXTRA_AFTER, ///< A second answer follows the right one.
 };
 
+/// What a request that crashes its target has received by then. All but NONE
+/// are answers without a length, whose connection is closed orderly.
+enum class CrashAnswer
+{
+  NONE, ///< Nothing; the connection is reset.
+  HEAD,
+  HALF,  ///< Half a body, or half an event.
+  WHOLE, ///< A whole body, or a whole event.
+};
+
 /// A rate limit and the period for which a target announced it.
 struct LimitSpan
 {
@@ -86,6 +96,9 @@
   std::atomic<bool> is_hung{ false };
   /// Time between the start of such a request and the crash.
   std::atomic<int> crash_delay_ms{ 20 };
+  std::atomic<CrashAnswer> crash_answer{ CrashAnswer::NONE };
+  /// Answers have neither a length nor chunks.
+  std::atomic<bool> is_unframed{ false };
   /// Delay of health responses, which name the incarnation that was running
   /// when the request arrived.
   std::atomic<int> health_delay_ms{ 0 };
@@ -156,6 +169,8 @@
   bool work (int duration_ms);
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
+  std::string event (int number);
+  void answer_crash (Connection &connection, const std::string &head);
   void count_adapter_stream (const Message &request, int change);
   std::string announcement_headers ();
   std::string head_of (const Message &request, bool has_seal);
