fix(gateway): an answer that ends with its connection is whole only if its target lives on

Cause: the end of a connection was read as the end of an answer. A target that ends while an answer with neither length nor chunks is under way closes its connections in order; no break was noted, and the record of the request was cleared at every gateway, as if it had been served. Class: a result concluded before what proves it can be known.

Such an answer is now kept as a possible break until its target is known to have lived on: an answer's head to a request sent later, an event, a health answer or the sidecar's report, of the same incarnation and at least the time later for which a request counts as starting. Only then it clears the request; if the target has ended, it is a suspect like any other that broke off. Plain targets are asked by a health request, once a second at most, where nothing else shows it. A stream that ends with its connection before its first event, or within one, is broken, and recorded so.

A record is still cleared by a sound answer of this kind (two tests).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "gateway/gateway_defs.h"
+#include "gateway/gateway_suspects.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -112,6 +113,7 @@
   qrt_expire (&gateway->quarantine, gtw_now_ms (gateway));
   org_expire (&gateway->origins, gtw_now_ms (gateway));
   gtw_targets_tick (gateway);
+  gtw_quarantine_tick (gateway);
   gtw_quotas_tick (gateway);
   gtw_requests_retry_waiting (gateway);
 }
--- a/src/gateway/gateway_alone.c
+++ b/src/gateway/gateway_alone.c
@@ -72,10 +72,12 @@
     return;
   if (target->reserved_by == r->number)
     target->reserved_until_ms = 0;
-  // Other requests may use the target as soon as this one is answered.
-  if (r->is_complete && r->alone.is_alone)
+  // Other requests may use the target as soon as this one is answered. An
+  // answer that ended with its connection may have ended with its target.
+  bool is_answered = r->is_complete && !r->is_close_delimited;
+  if (is_answered && r->alone.is_alone)
     aln_first_byte (&target->alone, &r->alone, gtw_now_ms (r->gateway));
-  else if (r->is_complete)
+  else if (is_answered)
     aln_answered (&target->alone, &r->alone);
   aln_ended (&target->alone, &r->alone);
   r->alone.waiting_since_ms = 0;
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -264,6 +264,7 @@
   if (at > from)
     {
       record_relayed_events (r, events);
+      gtw_quarantine_confirm_recipient (r, r->relayed_ms);
       relay_bytes (r, (kb_slice_t){ pending.ptr + from, at - from });
       arm_silence_timer (r);
     }
@@ -359,6 +360,7 @@
       attempt_handle_broken (r, true, "unsound_answer");
       return;
     }
+  gtw_quarantine_confirm_recipient (r, r->sent_ms);
   bool is_good = r->http_status >= HTTP_OK && r->http_status < HTTP_REDIRECT;
   if (r->is_head_written && !is_good)
     {
@@ -397,7 +399,9 @@
     h1_conn_write (&client->conn, last_chunk, sizeof last_chunk - 1);
   gtw_target_record_result (r->gateway, r->target,
                             r->http_status < HTTP_SERVER_ERROR);
-  if (r->http_status < HTTP_SERVER_ERROR)
+  if (r->is_close_delimited)
+    gtw_quarantine_record_closed_answer (r);
+  else if (r->http_status < HTTP_SERVER_ERROR)
     gtw_quarantine_record_served (r);
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
   gtw_log_request_end (r, "answered", r->http_status);
@@ -406,6 +410,17 @@
   gtw_client_finish_answer (client, true);
 }
 
+/// @return  Whether a stream that has ended is incomplete: it ended within an
+///          event, or with its connection before the first one.
+static bool
+is_cut_stream (const gtw_request_t *r)
+{
+  if (!r->is_stream_answer)
+    return false;
+  return r->pending_answer.len_bytes > 0
+         || (r->is_close_delimited && !r->is_begun);
+}
+
 static void
 answer_on_done (xch_t *x)
 {
@@ -427,9 +442,9 @@
       gtw_request_dispatch (r);
       return;
     }
-  if (r->is_stream_answer && r->pending_answer.len_bytes > 0)
+  if (is_cut_stream (r))
     {
-      // It ended within an event: the stream is incomplete.
+      gtw_quarantine_record_break (r);
       attempt_handle_broken (r, true, "cut_event");
       return;
     }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -26,6 +26,8 @@
   GTW_STOP_RETRY_AFTER_MS = 100,
   GTW_ID_BYTES = 64,
   GTW_MAX_BROKEN_ATTEMPTS = 256,
+  GTW_MAX_CLOSED_ANSWERS = 256,
+  GTW_MAX_SUSPECT_ATTEMPTS = GTW_MAX_BROKEN_ATTEMPTS + GTW_MAX_CLOSED_ANSWERS,
   GTW_MAX_ORIGIN_ASKED = 8,
   GTW_MAX_SOFTWARE = 256, ///< Software versions of all services.
   GTW_MAX_QUEUED_RECORDS = 32,
@@ -279,7 +281,9 @@
 } gtw_budget_t;
 
 /// An attempt that broke off while the request was starting at a target. If
-/// the target has ended, the request may be the cause.
+/// the target has ended, the request may be the cause. Also an attempt whose
+/// answer ended with its connection: that answer is whole if the target lives
+/// on.
 typedef struct
 {
   uint64_t target; ///< Key of the target; zero: unused entry.
@@ -291,6 +295,8 @@
   bool is_plain;        ///< The target is not an engine.
   bool is_isolated;     ///< This gateway had no other request there.
   bool is_alone;        ///< gtw_request_t.is_alone_attempt, or isolated.
+  bool is_closed;       ///< Answered; the answer ended with its connection.
+  bool is_starting;     ///< It may have ended the target.
 } gtw_broken_attempt_t;
 
 /// Writes records of requests during which targets ended to the platform's
@@ -340,10 +346,12 @@
   ver_table_t versions;
   qrt_table_t quarantine;
   gtw_record_writer_t record_writer;
-  gtw_broken_attempt_t
-      broken_attempts[GTW_MAX_BROKEN_ATTEMPTS]; ///< Ring of the newest.
-  uint32_t broken_attempt_count;                ///< Total ever recorded.
-  kb_map_t targets;                             ///< By key, all incarnations.
+  /// A ring of the newest that broke off, then a ring of closed answers.
+  gtw_broken_attempt_t broken_attempts[GTW_MAX_SUSPECT_ATTEMPTS];
+  uint32_t broken_attempt_count; ///< Total ever recorded.
+  uint32_t closed_answer_count;  ///< Total ever recorded.
+  uint64_t closed_answer_ms;     ///< When the last one was recorded.
+  kb_map_t targets;              ///< By key, all incarnations.
   kb_map_t newest_targets; ///< By hash of the id, newest incarnation of each.
   kb_map_t links;          ///< Targets by hash of the sidecar's name.
   bool has_target_list;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -16,6 +16,9 @@
   /// By then a gateway of the sidecar's own failure domain has had two turns
   /// (relay/turn.h) to send it a configuration.
   REMOTE_DOMAIN_DELAY_MS = 1000,
+  /// A sidecar may report an engine as ready for this long after its end: two
+  /// polls have to fail, and the report may be queued.
+  MAX_REPORT_LAG_MS = 1500,
 };
 
 static uint64_t
@@ -335,7 +338,11 @@
   if (!is_first && !is_restarted && reports_engine_ended (target, state))
     gtw_quarantine_record_target_end (gateway, target, "sidecar");
   else if (reports_engine_alive (target, state))
-    target->ended_ms = 0;
+    {
+      target->ended_ms = 0;
+      gtw_quarantine_confirm_listed (gateway, target,
+                                     gtw_now_ms (gateway) - MAX_REPORT_LAG_MS);
+    }
   target->sidecar_incarnation = state->incarnation;
   target->sidecar_revision = state->revision;
   target->sidecar_versions = state->versions_known;
--- a/src/gateway/gateway_liveness.c
+++ b/src/gateway/gateway_liveness.c
@@ -14,6 +14,8 @@
 {
   /// Shortest interval of the health requests to a target.
   MIN_INTERVAL_MS = 50,
+  /// The same after answers that ended with their connection.
+  ASK_INTERVAL_MS = 1000,
   HEALTH_TIMEOUT_MS = 400,
 };
 
@@ -31,6 +33,7 @@
 apply_health (gtw_target_t *target, const health_request_t *health,
               const cal_result_t *result)
 {
+  gtw_gateway_t *gateway = health->gateway;
   kb_slice_t instance = result->instance;
   bool is_named = instance.len_bytes > 0;
   bool is_same = kb_slice_equal (
@@ -42,11 +45,17 @@
       target->alive_request = health->number;
       aln_confirm_alive (&target->alone, health->broken_starts);
       if (is_same)
-        target->ended_ms = 0;
+        {
+          target->ended_ms = 0;
+          gtw_quarantine_confirm_listed (gateway, target,
+                                         target->health_requested_ms);
+        }
       return;
     }
   target->failed_request = health->number;
   target->is_replaced = result->status == KB_OK;
+  if (gtw_quarantine_awaits_evidence (gateway, target))
+    gtw_probe_start (gateway, target);
 }
 
 static void
@@ -85,6 +94,23 @@
                   health);
 }
 
+void
+gtw_liveness_ask (gtw_gateway_t *gateway, gtw_target_t *target)
+{
+  uint64_t now_ms = gtw_now_ms (gateway);
+  if (now_ms - target->health_requested_ms < ASK_INTERVAL_MS)
+    return;
+  const svc_service_t *service
+      = svc_service_find (gateway->config, target->list_entry.service);
+  if (service != NULL && service->health_path[0] == '/')
+    {
+      health_request (gateway, target, service->health_path);
+      return;
+    }
+  target->health_requested_ms = now_ms;
+  gtw_probe_start (gateway, target);
+}
+
 gtw_liveness_t
 gtw_liveness_check (gtw_request_t *r)
 {
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -246,7 +246,7 @@
 gtw_quarantine_awaits_evidence (const gtw_gateway_t *gateway,
                                 const gtw_target_t *target)
 {
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     if (is_recent_break (gateway, &gateway->broken_attempts[i], target))
       return true;
   return false;
@@ -266,10 +266,13 @@
 {
   if (!broken->is_plain || !broken->is_alone || broken->is_isolated)
     return broken->is_alone;
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       const gtw_broken_attempt_t *other = &gateway->broken_attempts[i];
-      if (is_recent_break (gateway, other, target)
+      // Answers that closed earlier were sent by a live target.
+      bool is_earlier = other->is_closed
+                        && other->at_ms + SAME_END_WINDOW_MS < broken->at_ms;
+      if (is_recent_break (gateway, other, target) && !is_earlier
           && other->fingerprints[GTW_SCOPE_ANY_ADAPTER]
                  != broken->fingerprints[GTW_SCOPE_ANY_ADAPTER]
           && other->at_ms <= broken->at_ms + SAME_END_WINDOW_MS)
@@ -285,16 +288,16 @@
 record_suspects (gtw_gateway_t *gateway, const gtw_target_t *target)
 {
   uint32_t count = 0;
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       const gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (!is_recent_break (gateway, broken, target))
+      if (!is_recent_break (gateway, broken, target) || !broken->is_starting)
         continue;
       record_suspect (gateway, target, broken,
                       was_alone (gateway, target, broken));
       count++;
     }
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     if (gateway->broken_attempts[i].target == target->key)
       gateway->broken_attempts[i].target = 0;
   return count;
@@ -334,32 +337,54 @@
          || gtw_now_ms (r->gateway) - r->begun_ms <= ALN_STARTUP_MS;
 }
 
-void
-gtw_quarantine_record_break (gtw_request_t *r)
+static gtw_broken_attempt_t
+describe_attempt (gtw_request_t *r)
 {
-  gtw_gateway_t *gateway = r->gateway;
-  if (!is_starting (r))
-    return;
-  gtw_target_t *target = r->target;
   bool is_isolated = r->alone.is_alone;
-  gtw_broken_attempt_t broken
-      = { .target = target->key,
+  gtw_broken_attempt_t attempt
+      = { .target = r->target->key,
           .caller = hash_caller (r),
-          .at_ms = gtw_now_ms (gateway),
+          .at_ms = gtw_now_ms (r->gateway),
           .incarnation = recipient_incarnation (r),
           .place_id = r->place_id,
           .is_plain = !r->is_engine,
           .is_isolated = is_isolated,
-          .is_alone = is_isolated ? aln_is_still_alone (&r->alone)
-                                  : r->is_alone_attempt };
+          .is_alone
+          = is_isolated ? aln_is_still_alone (&r->alone) : r->is_alone_attempt,
+          .is_starting = is_starting (r) };
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-    broken.fingerprints[scope] = gtw_request_fingerprint (r, scope);
-  // The end was proved before; its other suspects are recorded already. What
-  // was sent later broke off for another reason, or with the next incarnation.
-  if (target->ended_ms > 0 && r->sent_ms <= target->ended_ms)
+    attempt.fingerprints[scope] = gtw_request_fingerprint (r, scope);
+  return attempt;
+}
+
+/// @return  Whether the end of a target was proved after a request had been
+///          sent there. Its other suspects are recorded then. What was sent
+///          later broke off for another reason, or with the next incarnation.
+static bool
+was_sent_before_end (const gtw_request_t *r)
+{
+  return r->target->ended_ms > 0 && r->sent_ms <= r->target->ended_ms;
+}
+
+static void
+record_late_suspect (const gtw_request_t *r,
+                     const gtw_broken_attempt_t *attempt)
+{
+  record_suspect (r->gateway, r->target, attempt,
+                  attempt->is_alone && !attempt->is_plain);
+}
+
+void
+gtw_quarantine_record_break (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  if (!is_starting (r))
+    return;
+  gtw_target_t *target = r->target;
+  gtw_broken_attempt_t broken = describe_attempt (r);
+  if (was_sent_before_end (r))
     {
-      record_suspect (gateway, target, &broken,
-                      broken.is_alone && !broken.is_plain);
+      record_late_suspect (r, &broken);
       return;
     }
   // The next proof of an end may be another one of the end that is known.
@@ -372,13 +397,32 @@
     gtw_probe_start (gateway, target);
 }
 
+void
+gtw_quarantine_record_closed_answer (gtw_request_t *r)
+{
+  gtw_gateway_t *gateway = r->gateway;
+  gtw_broken_attempt_t closed = describe_attempt (r);
+  closed.is_closed = true;
+  if (was_sent_before_end (r))
+    {
+      if (closed.is_starting)
+        record_late_suspect (r, &closed);
+      return;
+    }
+  gateway->closed_answer_ms = closed.at_ms;
+  gateway->broken_attempts[GTW_MAX_BROKEN_ATTEMPTS
+                           + gateway->closed_answer_count++
+                                 % GTW_MAX_CLOSED_ANSWERS]
+      = closed;
+}
+
 void
 gtw_quarantine_record_joined (gtw_gateway_t *gateway, uint64_t place_id)
 {
   gtw_request_t *r = kb_map_get (&gateway->requests_by_place, place_id);
   if (r != NULL)
     r->is_alone_attempt = false;
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     if (gateway->broken_attempts[i].place_id == place_id)
       gateway->broken_attempts[i].is_alone = false;
 }
@@ -397,7 +441,7 @@
 gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
                             const gtw_target_t *to)
 {
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
       if (broken->target == from->key
@@ -411,12 +455,21 @@
 forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target)
 {
   uint64_t now_ms = gtw_now_ms (gateway);
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     if (gateway->broken_attempts[i].target == target->key
         && now_ms - gateway->broken_attempts[i].at_ms > SAME_END_WINDOW_MS)
       gateway->broken_attempts[i].target = 0;
 }
 
+/// Clear the record of a request that was served.
+static void
+mark_served (gtw_gateway_t *gateway, uint64_t request)
+{
+  uint32_t ends = qrt_count_ends (&gateway->quarantine, request);
+  if (qrt_mark_served (&gateway->quarantine, request, gtw_now_ms (gateway)))
+    publish_request (gateway, request, ends >= QRT_ENDS_ALONE);
+}
+
 void
 gtw_quarantine_record_served (gtw_request_t *r)
 {
@@ -428,11 +481,69 @@
   if (gateway->quarantine.entries.len == 0)
     return;
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
+    mark_served (gateway, gtw_request_fingerprint (r, scope));
+}
+
+/// @return  Whether a closed answer may be unconfirmed.
+static bool
+has_closed_answers (const gtw_gateway_t *gateway)
+{
+  return gateway->closed_answer_count > 0
+         && gtw_now_ms (gateway) - gateway->closed_answer_ms
+                <= END_EVIDENCE_TIMEOUT_MS;
+}
+
+void
+gtw_quarantine_confirm_alive (gtw_gateway_t *gateway,
+                              const gtw_target_t *target, uint64_t instance,
+                              uint64_t alive_ms)
+{
+  if (!has_closed_answers (gateway))
+    return;
+  for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
-      uint64_t request = gtw_request_fingerprint (r, scope);
-      uint32_t ends = qrt_count_ends (&gateway->quarantine, request);
-      if (qrt_mark_served (&gateway->quarantine, request,
-                           gtw_now_ms (gateway)))
-        publish_request (gateway, request, ends >= QRT_ENDS_ALONE);
+      gtw_broken_attempt_t *closed = &gateway->broken_attempts[i];
+      if (closed->target != target->key || closed->incarnation != instance
+          || closed->at_ms + ALN_STARTUP_MS > alive_ms)
+        continue;
+      closed->target = 0;
+      for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
+        mark_served (gateway, closed->fingerprints[scope]);
+    }
+}
+
+void
+gtw_quarantine_confirm_recipient (const gtw_request_t *r, uint64_t alive_ms)
+{
+  if (has_closed_answers (r->gateway))
+    gtw_quarantine_confirm_alive (r->gateway, r->target,
+                                  recipient_incarnation (r), alive_ms);
+}
+
+void
+gtw_quarantine_confirm_listed (gtw_gateway_t *gateway,
+                               const gtw_target_t *target, uint64_t alive_ms)
+{
+  gtw_quarantine_confirm_alive (gateway, target, listed_incarnation (target),
+                                alive_ms);
+}
+
+void
+gtw_quarantine_tick (gtw_gateway_t *gateway)
+{
+  if (!has_closed_answers (gateway))
+    return;
+  uint64_t now_ms = gtw_now_ms (gateway);
+  for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
+    {
+      const gtw_broken_attempt_t *closed = &gateway->broken_attempts[i];
+      uint64_t age_ms = now_ms - closed->at_ms;
+      gtw_target_t *target
+          = closed->target == 0 || !closed->is_plain
+                ? NULL
+                : kb_map_get (&gateway->targets, closed->target);
+      if (target != NULL && age_ms >= ALN_STARTUP_MS
+          && age_ms <= END_EVIDENCE_TIMEOUT_MS)
+        gtw_liveness_ask (gateway, target);
     }
 }
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -32,6 +32,9 @@
 /// Check whether the plain target of a suspected request is proved to be
 /// alive, and request a proof if not.
 gtw_liveness_t gtw_liveness_check (gtw_request_t *r);
+/// Ask a plain target whether it is alive after it closed the connection of an
+/// answer without a length; nothing if it was asked recently.
+void gtw_liveness_ask (gtw_gateway_t *gateway, gtw_target_t *target);
 
 // gateway_quarantine.c
 /// @param hold_ms  Receives the remaining time for which it is held.
@@ -68,6 +71,28 @@
                                        const char *evidence);
 /// Record that a target answered a request completely.
 void gtw_quarantine_record_served (gtw_request_t *r);
+/// Record that an answer ended with its connection. The request counts as
+/// served once the target is known to have lived on, and as a suspect if the
+/// target has ended.
+void gtw_quarantine_record_closed_answer (gtw_request_t *r);
+/// Count requests as served whose answers ended with their connections at a
+/// target that lived on.
+/// @param instance  Hash of the incarnation that was alive.
+/// @param alive_ms  A moment at which it was.
+void gtw_quarantine_confirm_alive (gtw_gateway_t *gateway,
+                                   const gtw_target_t *target,
+                                   uint64_t instance, uint64_t alive_ms);
+/// The same for the target of a request that has received an answer's head or
+/// an event.
+/// @param alive_ms  A moment not later than when it was sent.
+void gtw_quarantine_confirm_recipient (const gtw_request_t *r,
+                                       uint64_t alive_ms);
+/// The same for the listed incarnation of a target.
+void gtw_quarantine_confirm_listed (gtw_gateway_t *gateway,
+                                    const gtw_target_t *target,
+                                    uint64_t alive_ms);
+/// Ask plain targets whether they lived on.
+void gtw_quarantine_tick (gtw_gateway_t *gateway);
 /// Merge quarantine entries received from a sidecar.
 void gtw_quarantine_merge_records (gtw_gateway_t *gateway, kb_slice_t records);
 /// Send a sidecar the quarantine entries that it lacks.
