fix(agent): an answer that ends with its connection is whole only if its target lives on

Streams of engines have their end mark and other model answers are parsed, so that only plain targets are concerned; a model answer that is cut this way counts as a broken run now.

The agent keeps such a run as a possible cause, says so in the end message (is_unconfirmed), and opens test connections 0.2 s later, as it now does after runs that broke off: refused twice, the target has ended and the run is a suspect; accepted, the entries learn that the run is confirmed and clear the request.

--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -62,6 +62,7 @@
   uint64_t seq;
   bool has_end_mark; ///< The stream has delivered its [DONE] event.
   bool is_wrong_model;
+  bool is_close_delimited; ///< The answer ends with its connection.
   uint32_t reruns; ///< Requeues because the engine did not know the adapter.
   uint64_t arrived_us;
   uint64_t arrived_wall_us;
@@ -72,6 +73,20 @@
   uint64_t not_resident_since_us; ///< Zero: not waiting for a load.
 } agt_request_t;
 
+/// Test connections that show whether a plain target lives on.
+typedef struct
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  tmr_timer_t timer;
+  uint64_t began_ms; ///< Of the current connection.
+  uint32_t refusals; ///< In a row.
+  bool is_active;
+  bool is_refused; ///< The current connection.
+  bool is_open;    ///< The current connection was accepted.
+  bool is_wanted;  ///< Another one is due when this one is over.
+} agt_probe_t;
+
 /// Name of an adapter; elsewhere adapters are identified by its hash.
 typedef struct
 {
@@ -107,6 +122,7 @@
   uint64_t caller;  ///< Hash of the workspace.
   uint64_t at_ms;
   bool is_alone;
+  bool is_closed; ///< Answered; the answer ended with its connection.
 } agt_broken_run_t;
 
 struct agt_agent
@@ -128,8 +144,9 @@
       broken_runs[AGT_MAX_BROKEN_RUNS]; ///< The newest, in a ring.
   uint32_t broken_run_count;
   uint32_t target_end_count; ///< Times the target was seen to end.
-  kb_map_t requests;         ///< agt_request_t by attempt.
-  kb_map_t models;           ///< agt_model_t by adapter hash.
+  agt_probe_t probe;
+  kb_map_t requests; ///< agt_request_t by attempt.
+  kb_map_t models;   ///< agt_model_t by adapter hash.
   agt_peer_t peers[AGT_MAX_PEERS];
   uint32_t peer_count;
   msg_state_t state;
@@ -225,6 +242,11 @@
 /// Record that the connection of a run broke while the run was starting, and
 /// poll the engine to find out whether the target has ended.
 void agt_quarantine_record_broken_run (agt_request_t *r);
+/// The same for a run of a plain target whose answer ended with its
+/// connection: it counts as served once the target is known to have lived on.
+void agt_quarantine_record_closed_run (agt_request_t *r);
+/// The target was alive at a moment: tell entries which runs are confirmed.
+void agt_quarantine_confirm_alive (agt_agent_t *agent, uint64_t alive_ms);
 /// The target has ended: suspect the requests whose runs broke recently.
 void agt_quarantine_record_target_end (agt_agent_t *agent);
 /// Send the whole quarantine table to an entry.
@@ -233,6 +255,10 @@
 /// (coordination/alone.h).
 void agt_quarantine_refuse_blocked (agt_agent_t *agent);
 
+// agent_probe.c
+/// Find out by test connections whether a plain target lives on.
+void agt_probe_start (agt_agent_t *agent);
+
 // agent_engine.c
 /// Store the name of an adapter that holds a slot or has requests.
 /// @return  Its hash.
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -25,8 +25,9 @@
   return kb_hash (incarnation, strlen (incarnation), own) | 1;
 }
 
-void
-agt_quarantine_record_broken_run (agt_request_t *r)
+/// Record a run that may have ended the target.
+static void
+record_run (agt_request_t *r, bool is_closed)
 {
   agt_agent_t *agent = r->agent;
   uint64_t now_ms = tmr_now_ms ();
@@ -36,12 +37,52 @@
       = (agt_broken_run_t){ .request = r->fingerprint,
                             .caller = r->item.workspace | 1,
                             .at_ms = now_ms,
-                            .is_alone = aln_is_still_alone (&r->alone) };
+                            .is_alone = aln_is_still_alone (&r->alone),
+                            .is_closed = is_closed };
+  if (agt_is_plain (agent))
+    agt_probe_start (agent);
+}
+
+void
+agt_quarantine_record_broken_run (agt_request_t *r)
+{
+  agt_agent_t *agent = r->agent;
+  record_run (r, false);
   // The list is asked for once this start counts as broken.
   aln_ended (&agent->alone, &r->alone);
   agt_engine_poll (agent);
 }
 
+void
+agt_quarantine_record_closed_run (agt_request_t *r)
+{
+  record_run (r, true);
+}
+
+/// Tell all entries that a request was served.
+static void
+send_confirmed (agt_agent_t *agent, uint64_t request)
+{
+  msg_t msg = { .type = MSG_RUN_CONFIRMED };
+  msg.run_confirmed.request = request;
+  for (uint32_t i = 0; i < agent->peer_count; i++)
+    dmn_send (agent->daemon, agent->peers[i].name, &msg);
+}
+
+void
+agt_quarantine_confirm_alive (agt_agent_t *agent, uint64_t alive_ms)
+{
+  for (uint32_t i = 0; i < AGT_MAX_BROKEN_RUNS; i++)
+    {
+      agt_broken_run_t *run = &agent->broken_runs[i];
+      if (run->request == 0 || !run->is_closed
+          || run->at_ms + ALN_STARTUP_MS > alive_ms)
+        continue;
+      send_confirmed (agent, run->request);
+      run->request = 0;
+    }
+}
+
 void
 agt_quarantine_send (agt_agent_t *agent, const agt_peer_t *peer)
 {
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -145,6 +145,14 @@
               outcome);
 }
 
+/// @return  Whether the answer ended with its connection and its content does
+///          not show whether it is whole.
+static bool
+is_unconfirmed (const agt_request_t *r)
+{
+  return r->is_close_delimited && (r->flags & MSG_FLAG_PLAIN) != 0;
+}
+
 /// Send the end message of an attempt and free it. The attempt must have been
 /// removed from the queue.
 static void
@@ -170,6 +178,7 @@
                          .load_us = r->load_us,
                          .run_us = r->started_us ? now_us - r->started_us : 0,
                          .version = r->version,
+                         .is_unconfirmed = is_unconfirmed (r),
                          .adapter = kb_slice_str (r->model),
                          .reason = kb_slice_str (reason) };
   agt_end_fill_load (agent, r->item.adapter, &msg.end);
@@ -213,6 +222,7 @@
 {
   agt_request_t *r = arg;
   r->http_status = head->http_status;
+  r->is_close_delimited = head->is_close_delimited;
   kb_slice_copy (head->content_type, r->content_type, sizeof r->content_type);
   agt_backpressure_apply_head (r, head);
 }
@@ -361,6 +371,8 @@
       = (r->flags & MSG_FLAG_PLAIN) == 0 && r->http_status == 200;
   if (is_model_answer && oai_answer_check (answer, r->model) != KB_OK)
     {
+      if (r->is_close_delimited)
+        agt_quarantine_record_broken_run (r);
       run_fail (r, MSG_OUTCOME_RAN_FAILED,
                 "the engine's answer is cut or names another model");
       return;
@@ -370,6 +382,8 @@
   if (r->claim_key != 0 && r->http_status == 200)
     clm_runner_cache_answer (&agent->claims, r->attempt, r->content_type,
                              answer);
+  if (is_unconfirmed (r))
+    agt_quarantine_record_closed_run (r);
   bool is_done = r->http_status < 500;
   request_end (r, is_done ? MSG_OUTCOME_DONE : MSG_OUTCOME_RAN_FAILED,
                is_done ? "" : "the target answered with an error", 0);
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -80,6 +80,9 @@
     case MSG_QUARANTINE:
       ent_quarantine_merge (entry, msg->quarantine.records);
       break;
+    case MSG_RUN_CONFIRMED:
+      ent_quarantine_confirm (entry, msg->run_confirmed.request);
+      break;
     case MSG_REVOKED:
       ent_request_on_revoked (entry, &msg->revoked);
       break;
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -249,6 +249,8 @@
 qrt_verdict_t ent_quarantine_judge (ent_request_t *r, uint64_t *hold_ms);
 /// Record that the request was answered completely.
 void ent_quarantine_mark_served (ent_request_t *r);
+/// The target of a request lived on after it had answered it.
+void ent_quarantine_confirm (ent_entry_t *entry, uint64_t request);
 
 // entry_request.c, for entry_keyed.c
 /// End a request that has no complete answer, and free it.
--- a/src/daemon/entry_quarantine.c
+++ b/src/daemon/entry_quarantine.c
@@ -43,3 +43,9 @@
 {
   qrt_mark_served (&r->entry->quarantine, fingerprint_of (r), tmr_now_ms ());
 }
+
+void
+ent_quarantine_confirm (ent_entry_t *entry, uint64_t request)
+{
+  qrt_mark_served (&entry->quarantine, request, tmr_now_ms ());
+}
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -441,13 +441,15 @@
     }
 }
 
+/// @param end  The end message of the attempt that answered.
 static void
-request_finish_done (ent_request_t *r)
+request_finish_done (ent_request_t *r, const msg_end_t *end)
 {
   MET_INC ("knapweedbay_requests_total", "outcome=\"done\"");
   if (r->is_claimed)
     ent_claim_report_outcome (r, CLM_DONE);
-  ent_quarantine_mark_served (r);
+  if (end->is_unconfirmed == 0)
+    ent_quarantine_mark_served (r);
   request_export_trace (r, "done");
   hts_request_t *http = r->http;
   if (http != NULL && r->is_stream_started)
@@ -512,7 +514,7 @@
   if (r->stage == ENT_STAGE_FETCHING)
     {
       if (end->outcome == MSG_OUTCOME_DONE && is_complete)
-        request_finish_done (r);
+        request_finish_done (r, end);
       else
         ent_request_fail (r, 410, "done",
                           "it ran; its answer is no longer kept", 0);
@@ -522,7 +524,7 @@
     {
     case MSG_OUTCOME_DONE:
       if (is_complete)
-        request_finish_done (r);
+        request_finish_done (r, end);
       else
         ent_request_handle_unknown (r, "part of the answer was lost", true);
       break;
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -56,14 +56,15 @@
         BYTES (part, content_type), BYTES (part, data) } },
   [MSG_END]
   = { "end",
-      18,
+      19,
       { UINT (end, attempt), UINT (end, seq), UINT (end, outcome),
         UINT (end, http_status), UINT (end, retry_after_ms),
         UINT (end, queue_len), UINT (end, running),
         UINT (end, expected_wait_ms), UINT (end, demand_permille),
         UINT (end, is_resident), UINT (end, queue_us), UINT (end, load_us),
         UINT (end, run_us), UINT (end, revision), UINT (end, state),
-        UINT (end, version), BYTES (end, adapter), BYTES (end, reason) } },
+        UINT (end, version), UINT (end, is_unconfirmed), BYTES (end, adapter),
+        BYTES (end, reason) } },
   [MSG_CANCEL] = { "cancel", 1, { UINT (cancel, attempt) } },
   [MSG_REVOKE] = { "revoke",
                    3,
@@ -199,6 +200,8 @@
       { UINT (changes, id), UINT (changes, status), UINT (changes, as_of),
         UINT (changes, began_before_ms), UINT (changes, began_after_ms),
         UINT (changes, config_revision), BYTES (changes, changes) } },
+  [MSG_RUN_CONFIRMED]
+  = { "run_confirmed", 1, { UINT (run_confirmed, request) } },
   [MSG_QUARANTINE] = { "quarantine", 1, { BYTES (quarantine, records) } },
   [MSG_QUOTA_REQUEST]
   = { "quota_ask",
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -51,6 +51,7 @@
   MSG_ORIGINS,
   MSG_ORIGIN_REQUEST,
   MSG_ORIGIN_REPLY,
+  MSG_RUN_CONFIRMED,
   MSG_TYPE_END,
 } msg_type_t;
 
@@ -174,6 +175,9 @@
   uint64_t revision;
   uint64_t state;
   uint64_t version;
+  /// The answer ended with its connection; a msg_run_confirmed_t follows if
+  /// the target is known to have lived on.
+  uint64_t is_unconfirmed;
   kb_slice_t adapter;
   kb_slice_t reason;
 } msg_end_t;
@@ -494,6 +498,12 @@
   kb_slice_t changes; ///< Packed, see relay/changes.h.
 } msg_changes_t;
 
+/// The target lived on after an answer that ended with its connection.
+typedef struct
+{
+  uint64_t request; ///< Its fingerprint.
+} msg_run_confirmed_t;
+
 /// What one daemon knows of requests during which targets ended.
 typedef struct
 {
@@ -605,6 +615,7 @@
     msg_changes_request_t changes_request;
     msg_changes_t changes;
     msg_quarantine_t quarantine;
+    msg_run_confirmed_t run_confirmed;
     msg_quota_request_t quota_request;
     msg_quota_grant_t quota_grant;
   };
--- a/src/transport/engine.h
+++ b/src/transport/engine.h
@@ -30,6 +30,8 @@
 {
   int http_status;
   kb_slice_t content_type;
+  /// The answer has neither a length nor chunks and ends with its connection.
+  bool is_close_delimited;
   /// Requests per second that the target accepts; negative: no limit given.
   double limit_per_s;
   bool is_limit_malformed;
