feat(gateway): log the parts of the prompts of attempts that broke off

Shows whether one part is common to the requests that were beginning at ended engines, which no line told. The last part is the request's own and is left out; what a target receives is unchanged.

--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -113,6 +113,7 @@
   char fingerprint[FPR_TEXT_BYTES];
   fpr_format (gtw_request_fingerprint (r, GTW_SCOPE_ANY_ADAPTER), fingerprint);
   log_text (&line, "fingerprint", fingerprint);
+  log_slice (&line, "prompt_parts", r->parsed_head.prompt_parts);
   log_end (&line);
 }
 
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -22,6 +22,9 @@
   uint32_t output_tokens_hint; ///< Caller's estimate; zero: none.
   bool is_resume; ///< Continues a stream after an event already received.
   uint64_t resume_after_event_id;
+  /// Ids of the parts of its prompt that other requests may share, each with
+  /// its length: "ID:TOKENS,ID:TOKENS"; empty: none given.
+  kb_slice_t prompt_parts;
   kb_slice_t resumes; ///< Attempt that brought the first event of that stream;
                       ///< empty: not given.
 } rly_request_t;
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -371,6 +371,9 @@
   EXPECT_EQ (std::string (parsed_request.attempt_id.ptr,
                           parsed_request.attempt_id.len_bytes),
              "9c41");
+  EXPECT_EQ (std::string (parsed_request.prompt_parts.ptr,
+                          parsed_request.prompt_parts.len_bytes),
+             "5c:800,91:410");
   EXPECT_EQ (
       std::string (parsed_request.model.ptr, parsed_request.model.len_bytes),
       "m");
