--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -341,6 +341,13 @@
   target->is_hung = false;
 }
 
+void
+Site::restart_engine (size_t at)
+{
+  restart_target (engines[at].target.get ());
+  list_engine (at);
+}
+
 void
 Site::restart_ended_targets ()
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -98,6 +98,8 @@
   /// Restart the targets that crashed or hang as new incarnations and list
   /// them.
   void restart_ended_targets ();
+  /// Restart one engine that crashed.
+  void restart_engine (size_t at);
   /// Time between the removal of ended targets' entries and the entries of
   /// their next incarnations.
   int relist_delay_ms = 0;
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -62,12 +62,41 @@
   return is_paused_path ? pause_path_s_ : (double)pause_s;
 }
 
+void
+Target::crash_on_part (const std::string &part)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  crash_part_ = part;
+}
+
+/// Whether a part is in a prompt, other than the last one.
+static bool
+has_part (const Message &request, const std::string &part)
+{
+  std::string parts = "," + request.header ("x-knapweedbay-prompt-prefix");
+  return parts.substr (0, parts.rfind (',')).find ("," + part + ":")
+         != std::string::npos;
+}
+
+std::vector<Message>
+Target::requests_with_part (const std::string &part)
+{
+  std::vector<Message> found;
+  for (const Message &request : requests ())
+    if (has_part (request, part))
+      found.push_back (request);
+  return found;
+}
+
 bool
 Target::is_fatal (const Message &request)
 {
   std::lock_guard<std::mutex> lock (mutex_);
-  return !crash_path_.empty ()
-         && request.target ().find (crash_path_) != std::string::npos;
+  bool is_fatal_path
+      = !crash_path_.empty ()
+        && request.target ().find (crash_path_) != std::string::npos;
+  return is_fatal_path
+         || (!crash_part_.empty () && has_part (request, crash_part_));
 }
 
 int64_t
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -86,6 +86,11 @@
   /// Requests whose path contains this text crash the process `crash_delay_ms`
   /// after they begin to run; empty: none does.
   void crash_on_path (const std::string &text);
+  /// The same for requests with this part in their prompts, other than the
+  /// last one; empty: none does.
+  void crash_on_part (const std::string &part);
+  /// Requests with this part in their prompts that reached this target.
+  std::vector<Message> requests_with_part (const std::string &part);
   /// Requests whose path contains this text are refused with a pause.
   void pause_on_path (const std::string &text, double seconds);
   /// Times that a request crashed the target, or hung it.
@@ -192,6 +197,7 @@
   std::set<std::string> order_issuers_;
   std::vector<Fault> faults_;
   std::string crash_path_;
+  std::string crash_part_;
   std::atomic<bool> is_ending_{ false };
   void announce_limit_locked (double per_s);
   std::vector<LimitSpan> announced_limits_;
