refactor(gateway): split the quarantine, share test connections with the agent

The agent's test connections had repeated those of the gateway; both use transport/probe. No decision changes.

--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -10,6 +10,7 @@
 #include "coordination/sched.h"
 #include "daemon/daemon.h"
 #include "transport/engine.h"
+#include "transport/probe.h"
 #include "transport/trace.h"
 
 enum
@@ -73,18 +74,16 @@
   uint64_t not_resident_since_us; ///< Zero: not waiting for a load.
 } agt_request_t;
 
-/// Test connections that show whether a plain target lives on.
+/// Test connections that show whether a plain target lives on after a run that
+/// broke off, or whose answer ended with its connection.
 typedef struct
 {
-  uv_tcp_t tcp;
-  uv_connect_t connect;
+  prb_probe_t connection; ///< First.
+  agt_agent_t *agent;
   tmr_timer_t timer;
-  uint64_t began_ms; ///< Of the current connection.
-  uint32_t refusals; ///< In a row.
+  uint64_t began_ms;
   bool is_active;
-  bool is_refused; ///< The current connection.
-  bool is_open;    ///< The current connection was accepted.
-  bool is_wanted;  ///< Another one is due when this one is over.
+  bool is_wanted; ///< Another one is due when this one is over.
 } agt_probe_t;
 
 /// Name of an adapter; elsewhere adapters are identified by its hash.
@@ -245,8 +244,6 @@
 /// The same for a run of a plain target whose answer ended with its
 /// connection: it counts as served once the target is known to have lived on.
 void agt_quarantine_record_closed_run (agt_request_t *r);
-/// The target was alive at a moment: tell entries which runs are confirmed.
-void agt_quarantine_confirm_alive (agt_agent_t *agent, uint64_t alive_ms);
 /// The target has ended: suspect the requests whose runs broke recently.
 void agt_quarantine_record_target_end (agt_agent_t *agent);
 /// Send the whole quarantine table to an entry.
@@ -255,10 +252,6 @@
 /// (coordination/alone.h).
 void agt_quarantine_refuse_blocked (agt_agent_t *agent);
 
-// agent_probe.c
-/// Find out by test connections whether a plain target lives on.
-void agt_probe_start (agt_agent_t *agent);
-
 // agent_engine.c
 /// Store the name of an adapter that holds a slot or has requests.
 /// @return  Its hash.
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -12,6 +12,8 @@
   /// ended. An engine's list is requested at once; a plain target refuses the
   /// next connection.
   MAX_BREAK_TO_END_MS = 5000,
+  /// A target that ends with a run has ended by then.
+  PROBE_DELAY_MS = ALN_STARTUP_MS + 50,
 };
 
 /// @return  A non-zero hash, constant within an incarnation of the target.
@@ -25,6 +27,74 @@
   return kb_hash (incarnation, strlen (incarnation), own) | 1;
 }
 
+/// Tell all entries that a request was served.
+static void
+send_confirmed (agt_agent_t *agent, uint64_t request)
+{
+  msg_t msg = { .type = MSG_RUN_CONFIRMED };
+  msg.run_confirmed.request = request;
+  for (uint32_t i = 0; i < agent->peer_count; i++)
+    dmn_send (agent->daemon, agent->peers[i].name, &msg);
+}
+
+/// The target was alive at a moment, after it had closed connections.
+static void
+confirm_alive (agt_agent_t *agent, uint64_t alive_ms)
+{
+  for (uint32_t i = 0; i < AGT_MAX_BROKEN_RUNS; i++)
+    {
+      agt_broken_run_t *run = &agent->broken_runs[i];
+      if (run->request == 0 || !run->is_closed
+          || run->at_ms + ALN_STARTUP_MS > alive_ms)
+        continue;
+      send_confirmed (agent, run->request);
+      run->request = 0;
+    }
+}
+
+static void probe_start (agt_agent_t *agent);
+
+static void
+probe_on_result (prb_probe_t *connection, prb_result_t result)
+{
+  agt_probe_t *probe = (agt_probe_t *)connection;
+  agt_agent_t *agent = probe->agent;
+  probe->is_active = false;
+  if (result == PRB_ACCEPTED)
+    confirm_alive (agent, probe->began_ms);
+  else if (result == PRB_REFUSED)
+    agt_quarantine_record_target_end (agent);
+  if (probe->is_wanted)
+    probe_start (agent);
+}
+
+static const prb_events_t probe_events = { probe_on_result };
+
+static void
+probe_connect (void *arg)
+{
+  agt_agent_t *agent = arg;
+  struct sockaddr_in address;
+  uv_ip4_addr (agent->engine.address, agent->engine.port, &address);
+  agent->probe.began_ms = tmr_now_ms ();
+  prb_probe_start (&agent->probe.connection, &probe_events,
+                   &agent->daemon->loop, &agent->daemon->timers, &address);
+}
+
+/// Find out whether a plain target lives on. An engine's list shows that.
+static void
+probe_start (agt_agent_t *agent)
+{
+  agt_probe_t *probe = &agent->probe;
+  probe->is_wanted = probe->is_active;
+  if (probe->is_active)
+    return;
+  probe->is_active = true;
+  probe->agent = agent;
+  tmr_start_once (&agent->daemon->timers, &probe->timer, PROBE_DELAY_MS,
+                  probe_connect, agent);
+}
+
 /// Record a run that may have ended the target.
 static void
 record_run (agt_request_t *r, bool is_closed)
@@ -40,7 +110,7 @@
                             .is_alone = aln_is_still_alone (&r->alone),
                             .is_closed = is_closed };
   if (agt_is_plain (agent))
-    agt_probe_start (agent);
+    probe_start (agent);
 }
 
 void
@@ -59,30 +129,6 @@
   record_run (r, true);
 }
 
-/// Tell all entries that a request was served.
-static void
-send_confirmed (agt_agent_t *agent, uint64_t request)
-{
-  msg_t msg = { .type = MSG_RUN_CONFIRMED };
-  msg.run_confirmed.request = request;
-  for (uint32_t i = 0; i < agent->peer_count; i++)
-    dmn_send (agent->daemon, agent->peers[i].name, &msg);
-}
-
-void
-agt_quarantine_confirm_alive (agt_agent_t *agent, uint64_t alive_ms)
-{
-  for (uint32_t i = 0; i < AGT_MAX_BROKEN_RUNS; i++)
-    {
-      agt_broken_run_t *run = &agent->broken_runs[i];
-      if (run->request == 0 || !run->is_closed
-          || run->at_ms + ALN_STARTUP_MS > alive_ms)
-        continue;
-      send_confirmed (agent, run->request);
-      run->request = 0;
-    }
-}
-
 void
 agt_quarantine_send (agt_agent_t *agent, const agt_peer_t *peer)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -113,7 +113,7 @@
   qrt_expire (&gateway->quarantine, gtw_now_ms (gateway));
   org_expire (&gateway->origins, gtw_now_ms (gateway));
   gtw_targets_tick (gateway);
-  gtw_quarantine_tick (gateway);
+  gtw_liveness_tick (gateway);
   gtw_quotas_tick (gateway);
   gtw_requests_retry_waiting (gateway);
 }
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -492,7 +492,7 @@
   if (gtw_quarantine_check (r, &hold_ms) == QRT_HELD)
     {
       gtw_request_release_target (r);
-      gtw_quarantine_refuse (r, hold_ms);
+      gtw_request_refuse_held (r, hold_ms);
       return;
     }
   if (r->send_count > 0 && !gtw_budget_take_retry (r))
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -501,6 +501,9 @@
                          uint64_t retry_after_ms);
 /// Exclude the current target from further attempts of a request.
 void gtw_request_exclude_target (gtw_request_t *r);
+/// Refuse a request that is held in quarantine.
+void gtw_request_refuse_held (gtw_request_t *r, uint64_t hold_ms);
+// gateway_fingerprint.c
 /// @param r      A request whose body is complete.
 /// @param scope  GTW_SCOPE_ANY_ADAPTER or GTW_SCOPE_ONE_ADAPTER.
 /// @return       Its fingerprint, the same for each attempt and retry.
--- a/src/gateway/gateway_liveness.c
+++ b/src/gateway/gateway_liveness.c
@@ -94,8 +94,9 @@
                   health);
 }
 
-void
-gtw_liveness_ask (gtw_gateway_t *gateway, gtw_target_t *target)
+/// Ask a target whether it is alive, unless it was asked recently.
+static void
+ask_target (gtw_gateway_t *gateway, gtw_target_t *target)
 {
   uint64_t now_ms = gtw_now_ms (gateway);
   if (now_ms - target->health_requested_ms < ASK_INTERVAL_MS)
@@ -111,6 +112,15 @@
   gtw_probe_start (gateway, target);
 }
 
+void
+gtw_liveness_tick (gtw_gateway_t *gateway)
+{
+  uint32_t at = 0;
+  for (gtw_target_t *t = gtw_quarantine_next_unconfirmed (gateway, &at);
+       t != NULL; t = gtw_quarantine_next_unconfirmed (gateway, &at))
+    ask_target (gateway, t);
+}
+
 gtw_liveness_t
 gtw_liveness_check (gtw_request_t *r)
 {
--- a/src/gateway/gateway_quarantine.c
+++ b/src/gateway/gateway_quarantine.c
@@ -1,7 +1,7 @@
 /// @file gateway_quarantine.c
-/// Requests during which targets ended (coordination/quarantine.h): which were
-/// starting at a target when it ended, and the records that are shared with
-/// other daemons.
+/// Quarantine of requests during which targets ended
+/// (coordination/quarantine.h), and the records that are shared with other
+/// daemons.
 #include "coordination/alone.h"
 #include "coordination/quarantine.h"
 #include "gateway/gateway_suspects.h"
@@ -12,20 +12,12 @@
 
 enum
 {
-  /// Longest time from a broken connection to the proof that the target has
-  /// ended. A sidecar's report or refused connections prove it within a
-  /// second; where a proxy still accepts connections for the target, only the
-  /// next incarnation proves it, some seconds later.
-  END_EVIDENCE_TIMEOUT_MS = 5000,
-  /// All connections of a process break within this time when it ends.
-  SAME_END_WINDOW_MS = 100,
   /// Sidecars that get a record at once and merge those of all gateways.
   IMMEDIATE_RECEIVERS = 3,
 };
 
-/// @return  Hash of its workspace, or without one of its connection's address.
-static uint64_t
-hash_caller (const gtw_request_t *r)
+uint64_t
+gtw_quarantine_caller (const gtw_request_t *r)
 {
   bool has_workspace = r->workspace[0] != '\0';
   const char *caller = has_workspace ? r->workspace : r->client->caller;
@@ -39,6 +31,14 @@
   return is_plain ? QRT_MIN_ALONE_AT_PLAIN : QRT_MIN_ALONE_AT_ENGINE;
 }
 
+qrt_verdict_t
+gtw_quarantine_judge (const gtw_gateway_t *gateway, uint64_t request,
+                      uint64_t caller, bool is_plain, uint64_t *hold_ms)
+{
+  return qrt_judge (&gateway->quarantine, request, caller,
+                    min_alone (is_plain), gtw_now_ms (gateway), hold_ms);
+}
+
 qrt_verdict_t
 gtw_quarantine_check (gtw_request_t *r, uint64_t *hold_ms)
 {
@@ -49,9 +49,9 @@
   qrt_verdict_t worst = QRT_FREE;
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
     {
-      qrt_verdict_t verdict = qrt_judge (
-          table, gtw_request_fingerprint (r, scope), hash_caller (r),
-          min_alone (!r->is_engine), gtw_now_ms (r->gateway), hold_ms);
+      qrt_verdict_t verdict = gtw_quarantine_judge (
+          r->gateway, gtw_request_fingerprint (r, scope),
+          gtw_quarantine_caller (r), !r->is_engine, hold_ms);
       if (verdict > worst)
         worst = verdict;
     }
@@ -72,33 +72,6 @@
   return patience;
 }
 
-bool
-gtw_quarantine_has_earlier_break (gtw_request_t *r)
-{
-  const gtw_gateway_t *gateway = r->gateway;
-  if (gateway->quarantine.entries.len == 0
-      && gateway->broken_attempt_count == 0)
-    return false;
-  uint64_t request = gtw_request_fingerprint (r, GTW_SCOPE_ANY_ADAPTER);
-  if (qrt_count_ends (&gateway->quarantine, request) > 0)
-    return true;
-  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
-    if (gateway->broken_attempts[i].target != 0
-        && gateway->broken_attempts[i].fingerprints[GTW_SCOPE_ANY_ADAPTER]
-               == request
-        && gtw_now_ms (gateway) - gateway->broken_attempts[i].at_ms
-               <= END_EVIDENCE_TIMEOUT_MS)
-      return true;
-  return false;
-}
-
-void
-gtw_quarantine_refuse (gtw_request_t *r, uint64_t hold_ms)
-{
-  MET_INC ("knapweedbay_requests_held_total", "");
-  gtw_request_refuse (r, "quarantined", hold_ms);
-}
-
 static void
 send_all_records (gtw_gateway_t *gateway, const gtw_target_t *target)
 {
@@ -139,11 +112,9 @@
   return sent_count;
 }
 
-/// Share a record that has changed. Most requests are suspected once and never
-/// again; the platform keeps only those that may be held, unless there is no
-/// sidecar to inform the other gateways.
-static void
-publish_request (gtw_gateway_t *gateway, uint64_t request, bool may_be_held)
+void
+gtw_quarantine_publish (gtw_gateway_t *gateway, uint64_t request,
+                        bool may_be_held)
 {
   if (send_to_receivers (gateway, request) == 0 || may_be_held)
     gtw_records_enqueue (gateway, request);
@@ -158,392 +129,10 @@
   log_write (LOG_WARN, "gateway", "Ignored malformed quarantine records.");
 }
 
-/// @return  Equal at all gateways.
-static uint64_t
-incarnation_hash (const char *id, uint64_t born_ms)
-{
-  return kb_hash (id, strlen (id), born_ms) | 1;
-}
-
-static uint64_t
-listed_incarnation (const gtw_target_t *target)
-{
-  return incarnation_hash (target->list_entry.identity.id,
-                           target->known_birth.born_ms);
-}
-
-/// @return  The incarnation that a request was sent to, which the list may not
-///          name yet.
-static uint64_t
-recipient_incarnation (const gtw_request_t *r)
-{
-  const inc_t *recipient = gtw_request_recipient (r);
-  bool is_listed
-      = strcmp (recipient->id, r->target->list_entry.identity.id) == 0
-        && (recipient->born_ms == 0
-            || recipient == &r->target->list_entry.identity);
-  return is_listed ? listed_incarnation (r->target)
-                   : incarnation_hash (recipient->id, recipient->born_ms);
-}
-
-static void
-log_suspect (const gtw_gateway_t *gateway, const gtw_target_t *target,
-             const gtw_broken_attempt_t *broken, bool is_alone)
-{
-  uint64_t hold_ms = 0;
-  uint64_t request = broken->fingerprints[GTW_SCOPE_ANY_ADAPTER];
-  qrt_verdict_t verdict = qrt_judge (
-      &gateway->quarantine, request, broken->caller,
-      min_alone (broken->is_plain), gtw_now_ms (gateway), &hold_ms);
-  static const char *const names[] = { "free", "alone", "held" };
-  log_line_t line;
-  if (!log_begin (&line, verdict == QRT_HELD ? LOG_WARN : LOG_INFO, "gateway",
-                  "request_suspected"))
-    return;
-  char fingerprint[FPR_TEXT_BYTES];
-  fpr_format (request, fingerprint);
-  log_text (&line, "fingerprint", fingerprint);
-  log_text (&line, "target", target->list_entry.identity.id);
-  log_int (&line, "was_alone", is_alone);
-  log_text (&line, "verdict", names[verdict]);
-  log_int (&line, "hold_ms", (int64_t)hold_ms);
-  log_end (&line);
-}
-
-/// Record that a target ended while this request was starting there.
-static void
-record_suspect (gtw_gateway_t *gateway, const gtw_target_t *target,
-                const gtw_broken_attempt_t *broken, bool is_alone)
-{
-  qrt_end_t end = { .target = broken->incarnation,
-                    .caller = broken->caller,
-                    .is_alone = is_alone };
-  bool is_new = false;
-  for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-    {
-      uint64_t request = broken->fingerprints[scope];
-      if (!qrt_add_end (&gateway->quarantine, request, &end,
-                        gtw_now_ms (gateway)))
-        continue;
-      is_new = true;
-      uint32_t ends = qrt_count_ends (&gateway->quarantine, request);
-      publish_request (gateway, request, ends >= QRT_ENDS_ALONE);
-    }
-  if (is_new)
-    log_suspect (gateway, target, broken, is_alone);
-}
-
-static bool
-is_recent_break (const gtw_gateway_t *gateway,
-                 const gtw_broken_attempt_t *broken,
-                 const gtw_target_t *target)
-{
-  return broken->target == target->key
-         && gtw_now_ms (gateway) - broken->at_ms <= END_EVIDENCE_TIMEOUT_MS;
-}
-
-bool
-gtw_quarantine_awaits_evidence (const gtw_gateway_t *gateway,
-                                const gtw_target_t *target)
-{
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    if (is_recent_break (gateway, &gateway->broken_attempts[i], target))
-      return true;
-  return false;
-}
-
-/// Whether a request was alone at a target when the target ended. A sidecar
-/// lets requests start alone at its engine; a plain target has no sidecar. A
-/// request counts as alone there if this gateway kept its other requests away,
-/// or if it had broken off before and was this gateway's only request there:
-/// others may have been there through other gateways, but not repeatedly. A
-/// request that is sent all the time is at several targets that end at the
-/// same moment; it had not broken off before any of them. Requests that break
-/// off later do so because the target has ended.
-static bool
-was_alone (const gtw_gateway_t *gateway, const gtw_target_t *target,
-           const gtw_broken_attempt_t *broken)
-{
-  if (!broken->is_plain || !broken->is_alone || broken->is_isolated)
-    return broken->is_alone;
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    {
-      const gtw_broken_attempt_t *other = &gateway->broken_attempts[i];
-      // Answers that closed earlier were sent by a live target.
-      bool is_earlier = other->is_closed
-                        && other->at_ms + SAME_END_WINDOW_MS < broken->at_ms;
-      if (is_recent_break (gateway, other, target) && !is_earlier
-          && other->fingerprints[GTW_SCOPE_ANY_ADAPTER]
-                 != broken->fingerprints[GTW_SCOPE_ANY_ADAPTER]
-          && other->at_ms <= broken->at_ms + SAME_END_WINDOW_MS)
-        return false;
-    }
-  return true;
-}
-
-/// Record all requests that may have caused the end of a target, once the end
-/// is certain.
-/// @return  Number of suspects.
-static uint32_t
-record_suspects (gtw_gateway_t *gateway, const gtw_target_t *target)
-{
-  uint32_t count = 0;
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    {
-      const gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (!is_recent_break (gateway, broken, target) || !broken->is_starting)
-        continue;
-      record_suspect (gateway, target, broken,
-                      was_alone (gateway, target, broken));
-      count++;
-    }
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    if (gateway->broken_attempts[i].target == target->key)
-      gateway->broken_attempts[i].target = 0;
-  return count;
-}
-
 void
-gtw_quarantine_record_target_end (gtw_gateway_t *gateway, gtw_target_t *target,
-                                  const char *evidence)
-{
-  // A target that is leaving is expected to end.
-  if (gtw_target_is_leaving (target))
-    return;
-  // Another incarnation may have been used since, and have ended as well.
-  uint32_t count = record_suspects (gateway, target);
-  if (target->ended_ms > 0 && count == 0)
-    return;
-  target->ended_ms = gtw_now_ms (gateway);
-  MET_INC ("knapweedbay_targets_ended_total", "");
-  log_line_t line;
-  if (!log_begin (&line, LOG_WARN, "gateway", "target_ended"))
-    return;
-  log_text (&line, "target", target->list_entry.identity.id);
-  log_text (&line, "evidence", evidence);
-  log_int (&line, "suspects", count);
-  log_end (&line);
-}
-
-/// Whether a request was starting at its target. Requests that have run there
-/// for a while merely shared it.
-static bool
-is_starting (const gtw_request_t *r)
-{
-  bool is_sent = r->stage == GTW_STAGE_SENT || r->stage == GTW_STAGE_RELAYING;
-  if (!is_sent || r->target == NULL)
-    return false;
-  return !r->is_begun
-         || gtw_now_ms (r->gateway) - r->begun_ms <= ALN_STARTUP_MS;
-}
-
-static gtw_broken_attempt_t
-describe_attempt (gtw_request_t *r)
-{
-  bool is_isolated = r->alone.is_alone;
-  gtw_broken_attempt_t attempt
-      = { .target = r->target->key,
-          .caller = hash_caller (r),
-          .at_ms = gtw_now_ms (r->gateway),
-          .incarnation = recipient_incarnation (r),
-          .place_id = r->place_id,
-          .is_plain = !r->is_engine,
-          .is_isolated = is_isolated,
-          .is_alone
-          = is_isolated ? aln_is_still_alone (&r->alone) : r->is_alone_attempt,
-          .is_starting = is_starting (r) };
-  for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-    attempt.fingerprints[scope] = gtw_request_fingerprint (r, scope);
-  return attempt;
-}
-
-/// @return  Whether the end of a target was proved after a request had been
-///          sent there. Its other suspects are recorded then. What was sent
-///          later broke off for another reason, or with the next incarnation.
-static bool
-was_sent_before_end (const gtw_request_t *r)
-{
-  return r->target->ended_ms > 0 && r->sent_ms <= r->target->ended_ms;
-}
-
-static void
-record_late_suspect (const gtw_request_t *r,
-                     const gtw_broken_attempt_t *attempt)
-{
-  record_suspect (r->gateway, r->target, attempt,
-                  attempt->is_alone && !attempt->is_plain);
-}
-
-void
-gtw_quarantine_record_break (gtw_request_t *r)
-{
-  gtw_gateway_t *gateway = r->gateway;
-  if (!is_starting (r))
-    return;
-  gtw_target_t *target = r->target;
-  gtw_broken_attempt_t broken = describe_attempt (r);
-  if (was_sent_before_end (r))
-    {
-      record_late_suspect (r, &broken);
-      return;
-    }
-  // The next proof of an end may be another one of the end that is known.
-  if (broken.is_plain && target->ended_ms > 0)
-    broken.is_alone = false;
-  gateway->broken_attempts[gateway->broken_attempt_count++
-                           % GTW_MAX_BROKEN_ATTEMPTS]
-      = broken;
-  if (broken.is_plain)
-    gtw_probe_start (gateway, target);
-}
-
-void
-gtw_quarantine_record_closed_answer (gtw_request_t *r)
-{
-  gtw_gateway_t *gateway = r->gateway;
-  gtw_broken_attempt_t closed = describe_attempt (r);
-  closed.is_closed = true;
-  if (was_sent_before_end (r))
-    {
-      if (closed.is_starting)
-        record_late_suspect (r, &closed);
-      return;
-    }
-  gateway->closed_answer_ms = closed.at_ms;
-  gateway->broken_attempts[GTW_MAX_BROKEN_ATTEMPTS
-                           + gateway->closed_answer_count++
-                                 % GTW_MAX_CLOSED_ANSWERS]
-      = closed;
-}
-
-void
-gtw_quarantine_record_joined (gtw_gateway_t *gateway, uint64_t place_id)
-{
-  gtw_request_t *r = kb_map_get (&gateway->requests_by_place, place_id);
-  if (r != NULL)
-    r->is_alone_attempt = false;
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    if (gateway->broken_attempts[i].place_id == place_id)
-      gateway->broken_attempts[i].is_alone = false;
-}
-
-void
-gtw_quarantine_forget_alone (gtw_gateway_t *gateway,
-                             const gtw_target_t *target)
-{
-  for (gtw_request_t *r = gateway->requests; r != NULL; r = r->next)
-    if (r->is_engine && r->has_place
-        && strcmp (r->target->link, target->link) == 0)
-      r->is_alone_attempt = false;
-}
-
-void
-gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
-                            const gtw_target_t *to)
-{
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    {
-      gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (broken->target == from->key
-          && broken->incarnation == listed_incarnation (to))
-        broken->target = to->key;
-    }
-}
-
-/// A target that answers has not ended: earlier breaks had another cause.
-static void
-forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target)
-{
-  uint64_t now_ms = gtw_now_ms (gateway);
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    if (gateway->broken_attempts[i].target == target->key
-        && now_ms - gateway->broken_attempts[i].at_ms > SAME_END_WINDOW_MS)
-      gateway->broken_attempts[i].target = 0;
-}
-
-/// Clear the record of a request that was served.
-static void
-mark_served (gtw_gateway_t *gateway, uint64_t request)
+gtw_quarantine_mark_served (gtw_gateway_t *gateway, uint64_t request)
 {
   uint32_t ends = qrt_count_ends (&gateway->quarantine, request);
   if (qrt_mark_served (&gateway->quarantine, request, gtw_now_ms (gateway)))
-    publish_request (gateway, request, ends >= QRT_ENDS_ALONE);
-}
-
-void
-gtw_quarantine_record_served (gtw_request_t *r)
-{
-  gtw_gateway_t *gateway = r->gateway;
-  // It answers, so it has not ended.
-  r->target->ended_ms = 0;
-  if (gateway->broken_attempt_count > 0)
-    forget_breaks (gateway, r->target);
-  if (gateway->quarantine.entries.len == 0)
-    return;
-  for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-    mark_served (gateway, gtw_request_fingerprint (r, scope));
-}
-
-/// @return  Whether a closed answer may be unconfirmed.
-static bool
-has_closed_answers (const gtw_gateway_t *gateway)
-{
-  return gateway->closed_answer_count > 0
-         && gtw_now_ms (gateway) - gateway->closed_answer_ms
-                <= END_EVIDENCE_TIMEOUT_MS;
-}
-
-void
-gtw_quarantine_confirm_alive (gtw_gateway_t *gateway,
-                              const gtw_target_t *target, uint64_t instance,
-                              uint64_t alive_ms)
-{
-  if (!has_closed_answers (gateway))
-    return;
-  for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    {
-      gtw_broken_attempt_t *closed = &gateway->broken_attempts[i];
-      if (closed->target != target->key || closed->incarnation != instance
-          || closed->at_ms + ALN_STARTUP_MS > alive_ms)
-        continue;
-      closed->target = 0;
-      for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-        mark_served (gateway, closed->fingerprints[scope]);
-    }
-}
-
-void
-gtw_quarantine_confirm_recipient (const gtw_request_t *r, uint64_t alive_ms)
-{
-  if (has_closed_answers (r->gateway))
-    gtw_quarantine_confirm_alive (r->gateway, r->target,
-                                  recipient_incarnation (r), alive_ms);
-}
-
-void
-gtw_quarantine_confirm_listed (gtw_gateway_t *gateway,
-                               const gtw_target_t *target, uint64_t alive_ms)
-{
-  gtw_quarantine_confirm_alive (gateway, target, listed_incarnation (target),
-                                alive_ms);
-}
-
-void
-gtw_quarantine_tick (gtw_gateway_t *gateway)
-{
-  if (!has_closed_answers (gateway))
-    return;
-  uint64_t now_ms = gtw_now_ms (gateway);
-  for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    {
-      const gtw_broken_attempt_t *closed = &gateway->broken_attempts[i];
-      uint64_t age_ms = now_ms - closed->at_ms;
-      gtw_target_t *target
-          = closed->target == 0 || !closed->is_plain
-                ? NULL
-                : kb_map_get (&gateway->targets, closed->target);
-      if (target != NULL && age_ms >= ALN_STARTUP_MS
-          && age_ms <= END_EVIDENCE_TIMEOUT_MS)
-        gtw_liveness_ask (gateway, target);
-    }
+    gtw_quarantine_publish (gateway, request, ends >= QRT_ENDS_ALONE);
 }
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -192,23 +192,6 @@
   return refuse_head (client, refusal.http_status, refusal.reason);
 }
 
-uint64_t
-gtw_request_fingerprint (gtw_request_t *r, int scope)
-{
-  if (r->fingerprints[scope] != 0)
-    return r->fingerprints[scope];
-  const h1_conn_t *conn = &r->client->conn;
-  const char *adapter = scope == GTW_SCOPE_ONE_ADAPTER ? r->adapter_name : "";
-  fpr_request_t parts
-      = { .host = h1_head_get (&conn->head, "host"),
-          .method = kb_slice_str (http_method_str (conn->parser.method)),
-          .path = h1_head_target (&conn->head),
-          .adapter = kb_slice_str (adapter),
-          .body = kb_buf_slice (&r->body) };
-  r->fingerprints[scope] = fpr_compute (&parts);
-  return r->fingerprints[scope];
-}
-
 void
 gtw_request_release_target (gtw_request_t *r)
 {
@@ -290,6 +273,13 @@
   request_answer_error (r, HTTP_UNAVAILABLE, reason, retry_after_ms);
 }
 
+void
+gtw_request_refuse_held (gtw_request_t *r, uint64_t hold_ms)
+{
+  MET_INC ("knapweedbay_requests_held_total", "");
+  gtw_request_refuse (r, "quarantined", hold_ms);
+}
+
 static void
 request_on_expiry (void *arg)
 {
@@ -575,7 +565,7 @@
   qrt_verdict_t verdict = gtw_quarantine_check (r, &hold_ms);
   if (verdict == QRT_HELD)
     {
-      gtw_quarantine_refuse (r, hold_ms);
+      gtw_request_refuse_held (r, hold_ms);
       return;
     }
   if (!request_acquire_credit (r))
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -32,20 +32,39 @@
 /// Check whether the plain target of a suspected request is proved to be
 /// alive, and request a proof if not.
 gtw_liveness_t gtw_liveness_check (gtw_request_t *r);
-/// Ask a plain target whether it is alive after it closed the connection of an
-/// answer without a length; nothing if it was asked recently.
-void gtw_liveness_ask (gtw_gateway_t *gateway, gtw_target_t *target);
+/// Ask plain targets whether they lived on after they closed the connection of
+/// an answer without a length.
+void gtw_liveness_tick (gtw_gateway_t *gateway);
 
 // gateway_quarantine.c
 /// @param hold_ms  Receives the remaining time for which it is held.
 qrt_verdict_t gtw_quarantine_check (gtw_request_t *r, uint64_t *hold_ms);
 /// @return  For a request that has to start alone: aln_request_t.patience.
 uint32_t gtw_quarantine_patience (gtw_request_t *r);
+/// Decide whether a request of a caller may start at a kind of target.
+/// @param hold_ms  Receives the remaining time for which it is held.
+qrt_verdict_t gtw_quarantine_judge (const gtw_gateway_t *gateway,
+                                    uint64_t request, uint64_t caller,
+                                    bool is_plain, uint64_t *hold_ms);
+/// @return  Hash of its workspace, or without one of its connection's address.
+uint64_t gtw_quarantine_caller (const gtw_request_t *r);
+/// Share a record that has changed. Most requests are suspected once and never
+/// again; the platform keeps only those that may be held, unless there is no
+/// sidecar to inform the other gateways.
+void gtw_quarantine_publish (gtw_gateway_t *gateway, uint64_t request,
+                             bool may_be_held);
+/// Clear the record of a request that was served.
+void gtw_quarantine_mark_served (gtw_gateway_t *gateway, uint64_t request);
+/// Merge quarantine entries received from a sidecar.
+void gtw_quarantine_merge_records (gtw_gateway_t *gateway, kb_slice_t records);
+/// Send a sidecar the quarantine entries that it lacks.
+void gtw_quarantine_sync_sidecar (gtw_gateway_t *gateway,
+                                  const gtw_target_t *target);
+
+// gateway_breaks.c
 /// @return  Whether an earlier attempt broke off while it was starting at a
 ///          target, as far as this gateway knows.
 bool gtw_quarantine_has_earlier_break (gtw_request_t *r);
-/// Refuse a request that is held in quarantine.
-void gtw_quarantine_refuse (gtw_request_t *r, uint64_t hold_ms);
 /// Record that an attempt broke off: the connection to the target broke, the
 /// target is silent, or the caller left.
 void gtw_quarantine_record_break (gtw_request_t *r);
@@ -91,13 +110,12 @@
 void gtw_quarantine_confirm_listed (gtw_gateway_t *gateway,
                                     const gtw_target_t *target,
                                     uint64_t alive_ms);
-/// Ask plain targets whether they lived on.
-void gtw_quarantine_tick (gtw_gateway_t *gateway);
-/// Merge quarantine entries received from a sidecar.
-void gtw_quarantine_merge_records (gtw_gateway_t *gateway, kb_slice_t records);
-/// Send a sidecar the quarantine entries that it lacks.
-void gtw_quarantine_sync_sidecar (gtw_gateway_t *gateway,
-                                  const gtw_target_t *target);
+/// @param at  Position of the search; zero for the first call.
+/// @return    A plain target that closed the connection of an answer and is
+/// not
+///            known to have lived on; NULL: no more.
+gtw_target_t *gtw_quarantine_next_unconfirmed (const gtw_gateway_t *gateway,
+                                               uint32_t *at);
 
 // gateway_probe.c
 /// Open a test connection to a target, to find out whether its process has
