fix(gateway): don't retry a suspect at once that broke off while it started alone

Seen as 4 ends of plain targets after the third, 3 allowed, in the listed test: 16 of 42 beside load, 5 of 8 alone, once more today. A request that has ended two targets starts alone, so that its next end proves it; its retry went to the next target before that end was proved, so that each send ended two. Class: a decision repeated before the result of the first is known. A suspect that breaks off while it starts is now answered with that failure; its caller's next try finds it held, or cleared.

Ruled out: waiting for the proof in the gateway; a caller would wait up to 5 s to be refused.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -100,6 +100,14 @@
     r->execution_state = GTW_EXECUTION_UNKNOWN;
   else
     r->possible_runs--;
+  // Whether a suspect has ended its target is known only later; a retry at
+  // once would end the next one.
+  if (was_sent && gtw_quarantine_is_suspect_starting (r))
+    {
+      gtw_request_release_target (r);
+      request_give_up (r, reason);
+      return;
+    }
   attempt_retry (r, reason);
 }
 
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -217,6 +217,13 @@
          || gtw_now_ms (r->gateway) - r->begun_ms <= ALN_STARTUP_MS;
 }
 
+bool
+gtw_quarantine_is_suspect_starting (const gtw_request_t *r)
+{
+  bool is_suspect = r->is_engine ? r->is_alone_attempt : r->alone.is_alone;
+  return is_suspect && is_starting (r);
+}
+
 static gtw_broken_attempt_t
 describe_attempt (gtw_request_t *r)
 {
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -65,6 +65,9 @@
 /// @return  Whether an earlier attempt broke off while it was starting at a
 ///          target, as far as this gateway knows.
 bool gtw_quarantine_has_earlier_break (gtw_request_t *r);
+/// @return  Whether a request that has to start alone is starting at its
+///          target.
+bool gtw_quarantine_is_suspect_starting (const gtw_request_t *r);
 /// Record that an attempt broke off: the connection to the target broke, the
 /// target is silent, or the caller left.
 void gtw_quarantine_record_break (gtw_request_t *r);
