fix(gateway): confirm closed answers by later ones, and only good ones

A later whole answer confirms the earlier ones now, and a server error clears nothing, as with other framings.

--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -10,6 +10,7 @@
 
 enum
 {
+  HTTP_SERVER_ERROR = 500,
   /// Longest time from a broken connection to the proof that the target has
   /// ended. A sidecar's report or refused connections prove it within a
   /// second; where a proxy still accepts connections for the target, only the
@@ -290,6 +291,7 @@
   gtw_gateway_t *gateway = r->gateway;
   gtw_broken_attempt_t closed = describe_attempt (r);
   closed.is_closed = true;
+  closed.is_served = r->http_status < HTTP_SERVER_ERROR;
   if (was_sent_before_end (r))
     {
       if (closed.is_starting)
@@ -342,7 +344,7 @@
 forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target)
 {
   uint64_t now_ms = gtw_now_ms (gateway);
-  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
+  for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
     if (gateway->broken_attempts[i].target == target->key
         && now_ms - gateway->broken_attempts[i].at_ms > SAME_END_WINDOW_MS)
       gateway->broken_attempts[i].target = 0;
@@ -356,6 +358,7 @@
   r->target->ended_ms = 0;
   if (gateway->broken_attempt_count > 0)
     forget_breaks (gateway, r->target);
+  gtw_quarantine_confirm_recipient (r, gtw_now_ms (gateway));
   if (gateway->quarantine.entries.len == 0)
     return;
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
@@ -385,6 +388,8 @@
           || closed->at_ms + ALN_STARTUP_MS > alive_ms)
         continue;
       closed->target = 0;
+      if (!closed->is_served)
+        continue;
       for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
         gtw_quarantine_mark_served (gateway, closed->fingerprints[scope]);
     }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -297,6 +297,7 @@
   bool is_alone;        ///< gtw_request_t.is_alone_attempt, or isolated.
   bool is_closed;       ///< Answered; the answer ended with its connection.
   bool is_starting;     ///< It may have ended the target.
+  bool is_served;       ///< Closed; not an error of the target.
 } gtw_broken_attempt_t;
 
 /// Writes records of requests during which targets ended to the platform's
