fix(gateway): hold the part of a prompt with which engines end

Cause: ends were counted by request only, by fingerprint, and what the requests share was never read. Class: harm that is bounded for one subject, while the cause is another one.

Ends are put down to the parts of the requests that were starting, but for those that were served within 10 s before; a served part is cleared at any gateway. A suspect is tried alone, at one engine for the fleet, and held after three ends with proof (docs/design/prompt-parts.md). Records, messages, digest and store records are those of requests, with bounds of their own.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -24,9 +24,8 @@
   kb_map_finish (&table->entries);
 }
 
-/// @return  Whether there are enough ends, with two callers alone at one each.
-static bool
-is_proven_for_all (const qrt_record_t *record)
+bool
+qrt_is_proven_for_all (const qrt_record_t *record)
 {
   for (uint32_t i = 1; i < record->end_count; i++)
     if (record->ends[i].is_alone && record->ends[0].is_alone
@@ -45,7 +44,7 @@
     {
       bool is_callers = record->ends[i].caller == caller;
       ends += is_callers;
-      alone += is_callers && record->ends[i].is_alone;
+      alone += is_callers && record->ends[i].is_alone != QRT_AMONG_OTHERS;
     }
   return ends >= QRT_ENDS_HELD && alone >= min_alone;
 }
@@ -54,7 +53,7 @@
 static bool
 is_proven (const qrt_record_t *record)
 {
-  if (is_proven_for_all (record))
+  if (qrt_is_proven_for_all (record))
     return true;
   for (uint32_t i = 0; i < record->end_count; i++)
     if (is_proven_for (record, record->ends[i].caller,
@@ -63,13 +62,17 @@
   return false;
 }
 
+uint64_t
+qrt_hold_ms (uint32_t end_count)
+{
+  uint32_t extra = end_count > QRT_ENDS_HELD ? end_count - QRT_ENDS_HELD : 0;
+  return (uint64_t)QRT_HOLD_MS << extra;
+}
+
 static uint64_t
 hold_ms_of (const qrt_record_t *record)
 {
-  uint32_t extra = record->end_count > QRT_ENDS_HELD
-                       ? record->end_count - QRT_ENDS_HELD
-                       : 0;
-  return (uint64_t)QRT_HOLD_MS << extra;
+  return qrt_hold_ms (record->end_count);
 }
 
 /// After a hold the request starts alone for the same time again, before it is
@@ -97,7 +100,7 @@
   uint64_t age_ms = age_ms_of (entry, now_ms);
   if (age_ms >= expiry_ms_of (record) || record->end_count < QRT_ENDS_ALONE)
     return QRT_FREE;
-  bool is_held = is_proven_for_all (record)
+  bool is_held = qrt_is_proven_for_all (record)
                  || is_proven_for (record, caller, min_alone);
   if (!is_held || age_ms >= hold_ms_of (record))
     return QRT_ALONE;
@@ -106,6 +109,18 @@
   return QRT_HELD;
 }
 
+bool
+qrt_read (const qrt_table_t *table, uint64_t subject, uint64_t now_ms,
+          qrt_record_t *out)
+{
+  const qrt_entry_t *entry = kb_map_get (&table->entries, subject);
+  if (entry == NULL)
+    return false;
+  *out = entry->record;
+  out->age_ms = age_ms_of (entry, now_ms);
+  return out->age_ms < expiry_ms_of (&entry->record);
+}
+
 uint32_t
 qrt_count_ends (const qrt_table_t *table, uint64_t request)
 {
@@ -148,21 +163,55 @@
   return record->end_count >= QRT_ENDS_ALONE || record->generation > 0;
 }
 
-/// @return  Importance of a record; the lowest is evicted first.
+/// Subjects of parts have this bit and are even.
+static const uint64_t part_bit = (uint64_t)1 << 63;
+
+uint64_t
+qrt_part_subject (uint64_t hash)
+{
+  return (hash | part_bit) & ~(uint64_t)1;
+}
+
+static bool
+is_part (uint64_t subject)
+{
+  return (subject & (part_bit | 1)) == part_bit;
+}
+
+/// @return  Importance of a record; the lowest is evicted first. A part that
+///          was served matters less than one that may be bad.
 static int
 eviction_rank (const qrt_record_t *record)
 {
-  return is_proven (record) ? 2 : is_shared (record);
+  if (is_part (record->request) && record->end_count == 0)
+    return 0;
+  int rank = is_proven (record) ? 2 : is_shared (record);
+  return is_part (record->request) ? rank + 1 : rank;
+}
+
+/// Entries of one kind, of one caller or of all.
+typedef struct
+{
+  bool is_part;
+  uint64_t first_caller; ///< Zero: all.
+} group_t;
+
+static bool
+is_in_group (const qrt_entry_t *entry, const group_t *group)
+{
+  return is_part (entry->record.request) == group->is_part
+         && (group->first_caller == 0
+             || entry->record.first_caller == group->first_caller);
 }
 
 static uint32_t
-count_entries_of (const qrt_table_t *table, uint64_t first_caller)
+count_entries_of (const qrt_table_t *table, const group_t *group)
 {
   uint32_t count = 0;
   uint32_t at = 0;
   for (const qrt_entry_t *e = next_entry (table, &at); e != NULL;
        e = next_entry (table, &at))
-    count += e->record.first_caller == first_caller;
+    count += is_in_group (e, group);
   return count;
 }
 
@@ -174,17 +223,19 @@
   return (left > right) - (left < right);
 }
 
-/// @return  The caller with most entries, if these are more than its fair
-///          share of a full table; zero: none.
+/// @param all  All entries of a kind.
+/// @return     The caller with most of them, if these are more than its fair
+///             share of a full table; zero: none.
 static uint64_t
-oversized_caller (const qrt_table_t *table)
+oversized_caller (const qrt_table_t *table, const group_t *all)
 {
   uint64_t callers[QRT_MAX_ENTRIES];
   uint32_t len = 0;
   uint32_t at = 0;
   for (const qrt_entry_t *e = next_entry (table, &at);
        e != NULL && len < QRT_MAX_ENTRIES; e = next_entry (table, &at))
-    callers[len++] = e->record.first_caller;
+    if (is_in_group (e, all))
+      callers[len++] = e->record.first_caller;
   qsort (callers, len, sizeof *callers, compare_callers);
   uint64_t largest = 0;
   uint32_t max_count = QRT_FAIR_ENTRIES_PER_CALLER;
@@ -200,17 +251,16 @@
   return largest;
 }
 
-/// @param first_caller  Consider only entries of this caller; zero: all.
-/// @return              The least important entry, the oldest of those.
+/// @return  The least important entry of a group, the oldest of those.
 static qrt_entry_t *
-eviction_candidate (const qrt_table_t *table, uint64_t first_caller)
+eviction_candidate (const qrt_table_t *table, const group_t *group)
 {
   qrt_entry_t *best = NULL;
   uint32_t at = 0;
   for (qrt_entry_t *e = next_entry (table, &at); e != NULL;
        e = next_entry (table, &at))
     {
-      if (first_caller != 0 && e->record.first_caller != first_caller)
+      if (!is_in_group (e, group))
         continue;
       int rank = eviction_rank (&e->record);
       int best_rank = best == NULL ? 0 : eviction_rank (&best->record);
@@ -228,10 +278,15 @@
 static qrt_entry_t *
 entry_add (qrt_table_t *table, uint64_t request, uint64_t first_caller)
 {
-  if (count_entries_of (table, first_caller) >= QRT_MAX_ENTRIES_PER_CALLER)
-    entry_drop (table, eviction_candidate (table, first_caller));
-  if (table->entries.len >= QRT_MAX_ENTRIES)
-    entry_drop (table, eviction_candidate (table, oversized_caller (table)));
+  group_t group = { .is_part = is_part (request) };
+  group_t callers = { group.is_part, first_caller };
+  if (count_entries_of (table, &callers) >= QRT_MAX_ENTRIES_PER_CALLER)
+    entry_drop (table, eviction_candidate (table, &callers));
+  if (count_entries_of (table, &group) >= QRT_MAX_ENTRIES)
+    {
+      callers.first_caller = oversized_caller (table, &group);
+      entry_drop (table, eviction_candidate (table, &callers));
+    }
   qrt_entry_t *entry = kb_alloc (sizeof *entry);
   *entry = (qrt_entry_t){ .record = { .request = request,
                                       .first_caller = first_caller } };
@@ -320,11 +375,13 @@
   if (record->request == 0 || record->end_count > QRT_MAX_ENDS
       || (record->end_count == 0 && record->generation == 0))
     return false;
+  uint64_t max_proof
+      = is_part (record->request) ? QRT_WAS_SOLE : QRT_WAS_ALONE;
   for (uint32_t i = 0; i < record->end_count; i++)
     {
       const qrt_end_t *end = &record->ends[i];
       bool is_in_order = i == 0 || is_before (&record->ends[i - 1], end);
-      if (end->target == 0 || end->is_alone > 1 || !is_in_order)
+      if (end->target == 0 || end->is_alone > max_proof || !is_in_order)
         return false;
     }
   return true;
@@ -373,7 +430,7 @@
 {
   uint32_t count = records.len_bytes / (uint32_t)sizeof (qrt_record_t);
   if (records.len_bytes % sizeof (qrt_record_t) != 0
-      || count > QRT_MAX_ENTRIES)
+      || count > 2 * QRT_MAX_ENTRIES)
     return false;
   qrt_record_t record;
   for (uint32_t i = 0; i < count; i++)
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -23,6 +23,9 @@
 /// generation that grows when the record is cleared; merging is commutative
 /// and idempotent. The number of records is bounded, in total and per caller,
 /// and records expire.
+///
+/// The same records are kept of parts of prompts (coordination/parts.h), with
+/// bounds of their own; qrt_part_subject tells them from requests.
 #ifndef KB_COORDINATION_QUARANTINE_H
 #define KB_COORDINATION_QUARANTINE_H
 
@@ -44,8 +47,9 @@
   QRT_MIN_ALONE_AT_PLAIN = 2,
   /// Ends kept for one request. Those beyond QRT_ENDS_HELD prolong the hold.
   QRT_MAX_ENDS = 6,
-  QRT_MAX_ENTRIES = 256,
-  /// Entries whose first end was during a request of the same caller.
+  QRT_MAX_ENTRIES
+  = 256, ///< Of each kind.
+         /// Entries whose first end was during a request of the same caller.
   QRT_MAX_ENTRIES_PER_CALLER = 192,
   /// When the table is full, a caller with more than this many makes room.
   QRT_FAIR_ENTRIES_PER_CALLER = 32,
@@ -55,23 +59,31 @@
   QRT_HOLD_MS = 600000,
 };
 
+/// What qrt_end_t.is_alone says of an end.
+enum
+{
+  QRT_AMONG_OTHERS,
+  QRT_WAS_ALONE, ///< No other request was starting there.
+  QRT_WAS_SOLE,  ///< The same, and no other part can be the cause.
+};
+
 /// A target ended while the request was starting there.
 typedef struct
 {
   uint64_t target;   ///< Hash of its incarnation; not zero.
   uint64_t caller;   ///< Hash of the sender.
-  uint64_t is_alone; ///< No other request was starting there.
+  uint64_t is_alone; ///< QRT_AMONG_OTHERS to QRT_WAS_SOLE.
 } qrt_end_t;
 
 /// Record of one request, as kept and as sent in messages.
 typedef struct
 {
-  uint64_t request;      ///< Its fingerprint; not zero.
+  uint64_t request;      ///< Its fingerprint, or a part; not zero.
   uint64_t first_caller; ///< Caller of the first end.
   uint64_t age_ms;       ///< Since the last end, or since it was cleared.
   uint32_t generation;
   uint32_t end_count;
-  qrt_end_t ends[QRT_MAX_ENDS]; ///< Sorted: alone first, then by target.
+  qrt_end_t ends[QRT_MAX_ENDS]; ///< By `is_alone`, falling, then by target.
 } qrt_record_t;
 
 typedef struct
@@ -92,6 +104,9 @@
   QRT_HELD,
 } qrt_verdict_t;
 
+/// @return  The subject of records of a part, by its hash. A fingerprint of a
+///          request is odd.
+uint64_t qrt_part_subject (uint64_t hash);
 void qrt_table_init (qrt_table_t *table);
 void qrt_table_finish (qrt_table_t *table);
 /// @param min_alone  Ends at which it has to have been alone to be held.
@@ -101,6 +116,15 @@
                          uint64_t *hold_ms);
 /// @return  Number of recorded ends of a request.
 uint32_t qrt_count_ends (const qrt_table_t *table, uint64_t request);
+/// Reads the record of a subject, with its present age.
+/// @return  False when there is none, or it has expired.
+bool qrt_read (const qrt_table_t *table, uint64_t subject, uint64_t now_ms,
+               qrt_record_t *out);
+/// @return  Hold time after a number of ends.
+uint64_t qrt_hold_ms (uint32_t end_count);
+/// @return  Whether two callers' requests were alone at an end each, and there
+///          are enough ends to hold the subject for all callers.
+bool qrt_is_proven_for_all (const qrt_record_t *record);
 /// @return  Number of ends beyond QRT_ENDS_ALONE: starts that were to be alone
 ///          and proved nothing.
 uint32_t qrt_patience (const qrt_table_t *table, uint64_t request);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -47,6 +47,7 @@
 source_on_record (void *owner, const src_record_t *record)
 {
   gtw_records_receive (owner, record);
+  gtw_parts_clear_served (owner);
 }
 
 static void
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -273,6 +273,7 @@
     {
       record_relayed_events (r, events);
       gtw_quarantine_confirm_recipient (r, r->relayed_ms);
+      gtw_parts_record_progress (r);
       relay_bytes (r, (kb_slice_t){ pending.ptr + from, at - from });
       arm_silence_timer (r);
     }
@@ -414,6 +415,8 @@
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
   gtw_log_request_end (r, "answered", r->http_status);
   r->is_complete = true;
+  if (!r->is_close_delimited)
+    gtw_parts_record_progress (r);
   gtw_request_end (r);
   gtw_client_finish_answer (client, true);
 }
@@ -503,6 +506,22 @@
       gtw_request_refuse_held (r, hold_ms);
       return;
     }
+  prt_judgement_t parts = gtw_parts_judge (r);
+  if (parts.verdict == PRT_HELD)
+    {
+      gtw_request_release_target (r);
+      gtw_request_refuse_held (r, parts.hold_ms);
+      return;
+    }
+  // Suspected since the target was chosen.
+  bool is_trial_here = parts.verdict == PRT_TRIAL && r->is_trial
+                       && r->trial_target == r->target->key;
+  if (parts.verdict != PRT_FREE && !is_trial_here)
+    {
+      gtw_request_release_target (r);
+      gtw_request_dispatch (r);
+      return;
+    }
   if (r->send_count > 0 && !gtw_budget_take_retry (r))
     {
       gtw_request_release_target (r);
@@ -529,6 +548,7 @@
   r->sent_boot_ms = tmr_boottime_ms ();
   r->possible_runs++;
   r->is_begun = false;
+  r->are_parts_served = false;
   r->is_close_delimited = false;
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
   kb_buf_finish (&head);
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -172,7 +172,10 @@
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       const gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (!is_recent_break (gateway, broken, target) || !broken->is_starting)
+      if (!is_recent_break (gateway, broken, target))
+        continue;
+      gtw_parts_blame (gateway, target, broken, broken->is_alone);
+      if (!broken->is_starting)
         continue;
       record_suspect (gateway, target, broken,
                       was_alone (gateway, target, broken));
@@ -240,6 +243,7 @@
           .is_alone
           = is_isolated ? aln_is_still_alone (&r->alone) : r->is_alone_attempt,
           .is_starting = is_starting (r) };
+  gtw_parts_describe (r, &attempt);
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
     attempt.fingerprints[scope] = gtw_request_fingerprint (r, scope);
   return attempt;
@@ -258,15 +262,17 @@
 record_late_suspect (const gtw_request_t *r,
                      const gtw_broken_attempt_t *attempt)
 {
-  record_suspect (r->gateway, r->target, attempt,
-                  attempt->is_alone && !attempt->is_plain);
+  gtw_parts_blame (r->gateway, r->target, attempt, attempt->is_alone);
+  if (attempt->is_starting)
+    record_suspect (r->gateway, r->target, attempt,
+                    attempt->is_alone && !attempt->is_plain);
 }
 
 void
 gtw_quarantine_record_break (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
-  if (!is_starting (r))
+  if (!is_starting (r) && !gtw_parts_are_starting (r))
     return;
   gtw_target_t *target = r->target;
   gtw_broken_attempt_t broken = describe_attempt (r);
@@ -294,8 +300,7 @@
   closed.is_served = r->http_status < HTTP_SERVER_ERROR;
   if (was_sent_before_end (r))
     {
-      if (closed.is_starting)
-        record_late_suspect (r, &closed);
+      record_late_suspect (r, &closed);
       return;
     }
   gateway->closed_answer_ms = closed.at_ms;
@@ -390,6 +395,7 @@
       closed->target = 0;
       if (!closed->is_served)
         continue;
+      gtw_parts_record_served (gateway, &closed->parts);
       for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
         gtw_quarantine_mark_served (gateway, closed->fingerprints[scope]);
     }
--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -61,6 +61,7 @@
 {
   if (!target->is_listed || gtw_target_is_leaving (target)
       || is_excluded (r, target) || gtw_target_pause_ms (target) > 0
+      || (r->trial_target != 0 && r->trial_target != target->key)
       || !gtw_alone_can_use (r, target) || !gtw_origin_allows (r, target))
     return false;
   return !r->is_engine
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -7,6 +7,7 @@
 #include "coordination/backpressure.h"
 #include "coordination/budget.h"
 #include "coordination/origins.h"
+#include "coordination/parts.h"
 #include "coordination/place.h"
 #include "coordination/quarantine.h"
 #include "gateway/gateway.h"
@@ -99,6 +100,7 @@
                                     ///< configuration; zero: it has it.
   uint64_t sidecar_versions;
   msg_engine_condition_t condition;
+  uint64_t ready_ms; ///< When it was last reported ready; zero: never.
   uint32_t slots;
   uint32_t granted;
   uint32_t waiting;
@@ -203,6 +205,12 @@
   /// At an engine: targets ended during it, so it has to start alone, and the
   /// place was granted so. At a plain target: an earlier attempt broke off.
   bool is_alone_attempt;
+  uint64_t trial_target; ///< Key of the only engine where it may start, to try
+                         ///< a part of its prompt; zero: any.
+  prt_list_t parts;      ///< Of its prompt, once they are known.
+  bool is_trial;         ///< It was to start at `trial_target`, alone.
+  bool are_parts_known;
+  bool are_parts_served; ///< In this attempt.
   aln_request_t alone; ///< At a plain target; its patience at an engine, too.
   /// Number of the health request whose result decides whether it may start
   /// at its plain target; zero: none.
@@ -298,6 +306,9 @@
   bool is_closed;       ///< Answered; the answer ended with its connection.
   bool is_starting;     ///< It may have ended the target.
   bool is_served;       ///< Closed; not an error of the target.
+  prt_list_t parts;     ///< Of its prompt.
+  uint64_t parts_caller;
+  bool are_parts_starting; ///< They may have ended the target.
 } gtw_broken_attempt_t;
 
 /// Writes records of requests during which targets ended to the platform's
@@ -345,7 +356,8 @@
   svc_config_t *config;
   kb_buf_t config_document;
   ver_table_t versions;
-  qrt_table_t quarantine;
+  qrt_table_t quarantine; ///< Of requests and of parts of prompts.
+  prt_served_t served_parts;
   gtw_record_writer_t record_writer;
   /// A ring of the newest that broke off, then a ring of closed answers.
   gtw_broken_attempt_t broken_attempts[GTW_MAX_SUSPECT_ATTEMPTS];
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -350,6 +350,8 @@
   qgw_peak_merge (&gateway->gateway_peak, (uint32_t)state->gateway_peak,
                   state->gateway_peak_age_ms, tmr_boottime_ms ());
   target->condition = (msg_engine_condition_t)state->condition;
+  if (target->condition == MSG_ENGINE_READY)
+    target->ready_ms = target->last_contact_ms;
   target->slots = (uint32_t)state->slots;
   target->granted = (uint32_t)state->granted;
   target->waiting = (uint32_t)state->waiting;
@@ -426,6 +428,7 @@
       break;
     case MSG_QUARANTINE:
       gtw_quarantine_merge_records (gateway, msg->quarantine.records);
+      gtw_parts_clear_served (gateway);
       break;
     case MSG_ORIGIN_REPLY:
       gtw_origin_receive_reply (gateway, &msg->origin_reply);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -568,11 +568,23 @@
       gtw_request_refuse_held (r, hold_ms);
       return;
     }
+  prt_judgement_t parts = gtw_parts_judge (r);
+  if (parts.verdict == PRT_HELD)
+    {
+      gtw_request_refuse_held (r, parts.hold_ms);
+      return;
+    }
+  if (parts.verdict == PRT_WAIT)
+    {
+      request_wait_for_target (r, "part_suspected");
+      return;
+    }
   if (!request_acquire_credit (r))
     return;
+  r->is_trial = parts.verdict == PRT_TRIAL;
   r->alone.is_alone = !r->is_engine && verdict == QRT_ALONE;
   r->alone.patience = verdict == QRT_ALONE ? gtw_quarantine_patience (r) : 0;
-  r->is_alone_attempt = r->is_engine ? verdict == QRT_ALONE
+  r->is_alone_attempt = r->is_engine ? verdict == QRT_ALONE || r->is_trial
                                      : gtw_quarantine_has_earlier_break (r);
   gtw_target_t *target = r->excluded_target_count < GTW_MAX_EXCLUDED_TARGETS
                              ? gtw_target_choose (gateway, r)
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -120,6 +120,25 @@
 gtw_target_t *gtw_quarantine_next_unconfirmed (const gtw_gateway_t *gateway,
                                                uint32_t *at);
 
+// gateway_parts.c
+/// @return  Whether a part of its prompt may end its engine now.
+bool gtw_parts_are_starting (gtw_request_t *r);
+/// Add its parts to the description of an attempt.
+void gtw_parts_describe (gtw_request_t *r, gtw_broken_attempt_t *attempt);
+/// Put the end of a target down to the parts of an attempt.
+/// @param is_alone  No other request was starting there.
+void gtw_parts_blame (gtw_gateway_t *gateway, const gtw_target_t *target,
+                      const gtw_broken_attempt_t *attempt, bool is_alone);
+/// Record that parts were served, and clear their records.
+void gtw_parts_record_served (gtw_gateway_t *gateway, const prt_list_t *parts);
+/// The same for those of a request, once it has received events for long
+/// enough or its whole answer.
+void gtw_parts_record_progress (gtw_request_t *r);
+/// Clear the records, learned from others, of parts that were served here.
+void gtw_parts_clear_served (gtw_gateway_t *gateway);
+/// Decide whether a request may start, and set the target of a trial.
+prt_judgement_t gtw_parts_judge (gtw_request_t *r);
+
 // gateway_probe.c
 /// Open a test connection to a target, to find out whether its process has
 /// ended.
