test(soak): a bad part of prompts and answers without a length, from seed 601 on

Such seeds send a stream with one part that crashes engines each 250 ms, no two alike, beside the callers whose first part it shares; half of the targets answer without a length, and crashes end such an answer before, within or after its first event. After the faults at most three more of these may reach engines.

A connection that has lost bytes is reset now when more bytes or its end would pass, in that direction only.

--- a/test/relay/proxy.cc
+++ b/test/relay/proxy.cc
@@ -111,14 +111,18 @@
   int from = is_forward ? pair->client_fd : pair->upstream_fd;
   int to = is_forward ? pair->upstream_fd : pair->client_fd;
   ssize_t n = recv (from, bytes, sizeof bytes, MSG_DONTWAIT);
-  if (n <= 0)
+  Path path = path_;
+  bool is_lost = pair->is_silent || path == Path::SILENT
+                 || (path == Path::ONE_WAY && !is_forward);
+  // A connection that has lost bytes can neither go on nor end orderly.
+  bool *has_lost_bytes = &pair->has_lost_bytes[is_forward];
+  if (n <= 0 || (*has_lost_bytes && !is_lost))
     {
-      close_pair (pair, n < 0);
+      close_pair (pair, n < 0 || *has_lost_bytes);
       return false;
     }
-  Path path = path_;
-  if (pair->is_silent || path == Path::SILENT
-      || (path == Path::ONE_WAY && !is_forward))
+  *has_lost_bytes = is_lost;
+  if (is_lost)
     return true;
   int delay_ms = delay_ms_;
   if (delay_ms > 0)
--- a/test/relay/proxy.h
+++ b/test/relay/proxy.h
@@ -53,6 +53,7 @@
     int client_fd;
     int upstream_fd;
     bool is_silent;
+    bool has_lost_bytes[2] = {}; ///< Sent by upstream, by the client.
   };
   void loop ();
   void accept_one ();
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -25,6 +25,10 @@
 /// A request that has crashed this many targets may crash at most as many more
 /// once all gateways are connected.
 constexpr int kMaxFatalEnds = 3;
+/// Requests with a bad part that may have reached engines before it is to be
+/// held, and that may reach them then.
+constexpr size_t kMinBadPartArrivals = 5;
+constexpr size_t kMaxBadPartArrivals = 3;
 constexpr int kFatalCheckMs = 2500;
 /// When and over which window an announced limit of a target is checked.
 constexpr int kLimitEffectiveAfterMs = 3000;
@@ -128,6 +132,26 @@
           more_engines, plain, more_plain);
 }
 
+void
+Soak::check_bad_part (const std::string &part)
+{
+  auto arrivals = [&] {
+    size_t sum = 0;
+    for (const Engine &engine : site_.engines)
+      sum += engine.target->requests_with_part (part).size ();
+    return sum;
+  };
+  size_t before = arrivals ();
+  std::this_thread::sleep_for (std::chrono::milliseconds (kFatalCheckMs));
+  size_t more = arrivals () - before;
+  if (before >= kMinBadPartArrivals && more > kMaxBadPartArrivals)
+    add_violation ("", "requests with a part that had reached engines "
+                           + std::to_string (before) + " times reached "
+                           + std::to_string (more) + " more");
+  printf ("requests with the bad part at engines: %zu and %zu\n", before,
+          more);
+}
+
 /// Applies to all gateways, partitioned and restarted ones included.
 void
 Soak::check_revoked_key ()
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -53,6 +53,7 @@
 constexpr uint64_t kLastSeedWithoutWorkspaces = 300;
 constexpr uint64_t kLastSeedWithoutAnnouncements = 400;
 constexpr uint64_t kLastSeedWithOneVersion = 500;
+constexpr uint64_t kLastSeedWithFramedAnswers = 600;
 
 /// @param length_ms  All faults begin and end within this time.
 std::vector<FaultStep> draw_plan (uint64_t seed, int length_ms);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -16,6 +16,9 @@
 constexpr int kFatalIntervalMs = 200;
 constexpr int kDownIntervals = 4;
 constexpr int kFatalTimeoutMs = 1000;
+/// Part of prompts that crashes engines, and the interval of such requests.
+const char kBadPart[] = "bad0";
+constexpr int kBadPartIntervalMs = 250;
 /// The key is revoked after 1/n of the time of the faults.
 constexpr int kKeyRevokedAfterDivisor = 3;
 constexpr int kWorkspaceCallers = 3;
@@ -105,6 +108,12 @@
   bool has_fatal_caller = seed_ > kLastSeedWithInitialKinds;
   if (has_fatal_caller)
     threads.emplace_back ([this] { fatal_request_loop (); });
+  bool has_bad_part = seed_ > kLastSeedWithFramedAnswers;
+  if (has_bad_part)
+    {
+      vary_framing ();
+      threads.emplace_back ([this] { bad_part_loop (); });
+    }
   if (seed_ > kLastSeedWithOneVersion)
     for (const Engine &engine : site_.engines)
       engine.target->event_ms = kContinuedEventMs;
@@ -113,6 +122,8 @@
   std::this_thread::sleep_for (std::chrono::seconds (3));
   if (has_fatal_caller)
     check_fatal_requests ();
+  if (has_bad_part)
+    check_bad_part (kBadPart);
   is_done_ = true;
   for (auto &thread : threads)
     thread.join ();
@@ -560,6 +571,48 @@
   site_.restart_ended_targets ();
 }
 
+/// Some targets answer without a length, and all end such an answer when a
+/// request crashes them.
+void
+Soak::vary_framing ()
+{
+  static const CrashAnswer answers[]
+      = { CrashAnswer::NONE, CrashAnswer::HEAD, CrashAnswer::HALF,
+          CrashAnswer::WHOLE };
+  for (int i = 0; i < size_.engines + size_.plain; i++)
+    {
+      target_at (i).is_unframed = (seed_ + (uint64_t)i) % 2 == 0;
+      target_at (i).crash_answer = answers[seed_ % std::size (answers)];
+    }
+}
+
+/// No two of these requests are alike; sound ones share their first part.
+void
+Soak::bad_part_loop ()
+{
+  std::mt19937_64 random (seed_ + 1);
+  for (const Engine &engine : site_.engines)
+    engine.target->crash_on_part (kBadPart);
+  for (int n = 0; !is_done_; n++)
+    {
+      std::string id = "part" + std::to_string (n);
+      Call call = stream_call (id, "a" + std::to_string (n % kAdapters));
+      call.path = "/resume/" + id;
+      call.headers = "X-Knapweedbay-Model: m\r\nX-Knapweedbay-Prompt-Prefix: "
+                     "aa:50,"
+                     + std::string (kBadPart) + ":40," + id + ":20\r\n"
+                     + key_line_;
+      auto connection
+          = dial (site_.gateways[random () % site_.gateways.size ()].address);
+      if (connection != nullptr && connection->write (call.text ()))
+        connection->read_response (kFatalTimeoutMs);
+      std::this_thread::sleep_for (
+          std::chrono::milliseconds (kBadPartIntervalMs));
+    }
+  for (const Engine &engine : site_.engines)
+    engine.target->crash_on_part ("");
+}
+
 /// One workspace is unlimited, one reaches its quota, one loses its only key.
 void
 Soak::begin_workspaces ()
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -83,6 +83,8 @@
   void call_loop (int caller);
   void config_probe_loop ();
   void fatal_request_loop ();
+  void bad_part_loop ();
+  void vary_framing ();
   void begin_workspaces ();
   void revoke_key ();
   void workspace_loop (int caller);
@@ -94,6 +96,7 @@
   void add_violation (const std::string &attempt_id, const std::string &text);
   Message send_with_kept_key (int gateway, Call call);
   void check_fatal_requests ();
+  void check_bad_part (const std::string &part);
   void check_revoked_key ();
   void check_limits ();
   void check_announcement (const std::string &event, int effective_after_ms,
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -25,8 +25,9 @@
   // crash of a plain target hid which request had been alone there. 301: the
   // first seed with workspaces. 402: a request that crashes plain targets was
   // never alone at one, because others were always running there. 501: the
-  // first seed with two software versions.
-  std::vector<uint64_t> list = { 1, 2, 212, 218, 231, 301, 402, 501 };
+  // first seed with two software versions. 601: the first seed with a bad part
+  // of prompts and with answers that end with their connection.
+  std::vector<uint64_t> list = { 1, 2, 212, 218, 231, 301, 402, 501, 601 };
   const char *text = getenv ("KB_SOAK_SEEDS");
   if (text == nullptr)
     return list;
