--- a/test/relay/parts_failure_test.cc
+++ b/test/relay/parts_failure_test.cc
@@ -29,6 +29,7 @@
 
 const std::string kShared = "5c1e";
 const std::string kBad = "bad0";
+const std::string kOtherBad = "bad1";
 
 /// A request whose prompt has these parts, and one of its own.
 Call
@@ -168,6 +169,23 @@
                       { kShared, kBad, middle_part (number) });
 }
 
+/// The same with one of two bad parts.
+Call
+either_poisoned_call (int number)
+{
+  return prompt_call (
+      "f" + std::to_string (number),
+      { kShared, number % 2 == 0 ? kBad : kOtherBad, middle_part (number) });
+}
+
+/// The same with a part that no other request has, before its last one.
+Call
+poisoned_session_call (int number)
+{
+  return prompt_call ("f" + std::to_string (number),
+                      { kShared, kBad, "5e55" + std::to_string (number) });
+}
+
 /// The same with the bad part first, so that nobody shares it.
 Call
 poisoned_first_call (int number)
@@ -194,6 +212,8 @@
   int gateways = 4;
   CrashAnswer crash_answer = CrashAnswer::NONE;
   Call (*call_of) (int) = poisoned_call;
+  int interval_ms = 250;
+  int relist_delay_ms = 0;
   bool has_sound = true;
   std::function<void (Site &)> disturb;
 };
@@ -219,8 +239,9 @@
                                        : 0;
   for (const Engine &engine : site.engines)
     engine.target->crash_on_part (kBad);
+  site.relist_delay_ms = options.relist_delay_ms;
   Restarts restarts (&site);
-  Poison poison (&site, options.call_of, 250);
+  Poison poison (&site, options.call_of, options.interval_ms);
   ASSERT_TRUE (restarts.wait_for_crashes (3, 8000));
   if (options.disturb)
     options.disturb (site);
@@ -302,5 +323,62 @@
   expect_bounds (options);
 }
 
+// Guards against a bad part that is never the only one to blame.
+TEST (Parts, BadPartBesideUniquePartsReachesFewEngines)
+{
+  Options options;
+  options.call_of = poisoned_session_call;
+  expect_bounds (options);
+}
+
+// Guards against requests that end all engines before one of them is known.
+TEST (Parts, FrequentRequestsWithABadPartReachFewEngines)
+{
+  Options options;
+  options.interval_ms = 60;
+  expect_bounds (options);
+}
+
+// Guards against proofs that are lost with the sidecars that made them.
+TEST (Parts, BadPartReachesFewEnginesWithRestartedSidecars)
+{
+  Options options;
+  options.disturb = [] (Site &site) {
+    for (Engine &engine : site.engines)
+      site.restart (&engine.sidecar, SIGKILL);
+  };
+  expect_bounds (options);
+}
+
+// Guards against ends that are put down to nobody while the entries of the
+// next incarnations are late.
+TEST (Parts, BadPartReachesFewEnginesThatAreListedLate)
+{
+  Options options;
+  options.relist_delay_ms = 400;
+  expect_bounds (options);
+}
+
+// Guards against a bad part that is hidden by another one.
+TEST (Parts, TwoBadPartsReachFewEngines)
+{
+  Site site (8, 0, 4);
+  ASSERT_TRUE (site.wait_ready ());
+  Load sound (&site, sound_call, 4, 60);
+  std::this_thread::sleep_for (milliseconds (500));
+  for (const Engine &engine : site.engines)
+    engine.target->crash_on_part (kBad.substr (0, 3));
+  Restarts restarts (&site);
+  Poison poison (&site, either_poisoned_call, 125);
+  ASSERT_TRUE (restarts.wait_for_crashes (5, 8000));
+  std::this_thread::sleep_for (milliseconds (2 * kContactMs));
+  auto from = steady_clock::now ();
+  int answered = sound.counts ().answered;
+  std::this_thread::sleep_for (milliseconds (6000));
+  EXPECT_LE (arrivals_after (site, kBad, from), kMaxArrivals);
+  EXPECT_LE (arrivals_after (site, kOtherBad, from), kMaxArrivals);
+  EXPECT_GT (sound.counts ().answered, answered);
+}
+
 } // namespace
 } // namespace relay
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -345,6 +345,7 @@
 Site::restart_engine (size_t at)
 {
   restart_target (engines[at].target.get ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (relist_delay_ms));
   list_engine (at);
 }
 
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -69,12 +69,12 @@
   crash_part_ = part;
 }
 
-/// Whether a part is in a prompt, other than the last one.
+/// Whether a prompt has a part, other than the last one, whose id begins so.
 static bool
 has_part (const Message &request, const std::string &part)
 {
   std::string parts = "," + request.header ("x-knapweedbay-prompt-prefix");
-  return parts.substr (0, parts.rfind (',')).find ("," + part + ":")
+  return parts.substr (0, parts.rfind (',')).find ("," + part)
          != std::string::npos;
 }
 
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -86,8 +86,8 @@
   /// Requests whose path contains this text crash the process `crash_delay_ms`
   /// after they begin to run; empty: none does.
   void crash_on_path (const std::string &text);
-  /// The same for requests with this part in their prompts, other than the
-  /// last one; empty: none does.
+  /// The same for requests with a part in their prompts, other than the last
+  /// one, whose id begins with this text; empty: none does.
   void crash_on_part (const std::string &part);
   /// Requests with this part in their prompts that reached this target.
   std::vector<Message> requests_with_part (const std::string &part);
