fix(entry): hold the part of a prompt with which engines end

Its requests name the parts that others may share in X-Prompt-Parts. A dispatch carries them, the agent puts the end of its engine down to those of the runs that were starting, and entries decide with the same rules as gateways (coordination/parts.h): what an entry served it clears, a suspect runs alone at the target that ranks highest for it, and is not retried.

An entry tells the others nothing of what it served, as with requests.

--- a/src/coordination/parts.c
+++ b/src/coordination/parts.c
@@ -20,6 +20,12 @@
   out->count = 0;
   while (text.len_bytes > 0 && out->count < PRT_MAX_PARTS)
     {
+      if (*text.ptr == ' ')
+        {
+          text.ptr++;
+          text.len_bytes--;
+          continue;
+        }
       const char *comma = memchr (text.ptr, ',', text.len_bytes);
       uint32_t item_bytes
           = comma == NULL ? text.len_bytes : (uint32_t)(comma - text.ptr);
@@ -68,6 +74,21 @@
   list->count = kept;
 }
 
+uint32_t
+prt_find_served (const qrt_table_t *table, const prt_served_t *served,
+                 uint64_t now_ms, uint64_t *out)
+{
+  uint32_t count = 0;
+  uint32_t at = 0;
+  for (const qrt_entry_t *e = kb_map_next (&table->entries, &at);
+       e != NULL && count < QRT_MAX_ENTRIES;
+       e = kb_map_next (&table->entries, &at))
+    if (e->record.end_count > 0
+        && prt_served_contains (served, e->record.request, now_ms))
+      out[count++] = e->record.request;
+  return count;
+}
+
 uint64_t
 prt_proof_of (const prt_list_t *blamed, bool is_alone)
 {
--- a/src/coordination/parts.h
+++ b/src/coordination/parts.h
@@ -80,6 +80,11 @@
 /// Removes the parts that are no cause of an end, because they were served.
 void prt_list_remove_served (prt_list_t *list, const prt_served_t *served,
                              uint64_t at_ms);
+/// Finds the records, learned from others, of parts that were served here.
+/// @param out  Receives at most QRT_MAX_ENTRIES parts.
+/// @return     Their number.
+uint32_t prt_find_served (const qrt_table_t *table, const prt_served_t *served,
+                          uint64_t now_ms, uint64_t *out);
 /// @return  qrt_end_t.is_alone of an end with these parts to blame.
 uint64_t prt_proof_of (const prt_list_t *blamed, bool is_alone);
 /// Decides whether a request with these parts may start.
--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -32,6 +32,16 @@
   agt_count_outcome (outcome);
 }
 
+static void
+copy_parts (kb_slice_t packed, prt_list_t *out)
+{
+  out->count = packed.len_bytes / (uint32_t)sizeof *out->keys;
+  if (out->count > PRT_MAX_PARTS)
+    out->count = PRT_MAX_PARTS;
+  if (out->count > 0)
+    memcpy (out->keys, packed.ptr, out->count * sizeof *out->keys);
+}
+
 static agt_request_t *
 request_new (agt_agent_t *agent, agt_peer_t *peer,
              const msg_dispatch_t *dispatch)
@@ -46,6 +56,7 @@
   snprintf (r->peer_name, sizeof r->peer_name, "%s", peer->name);
   r->version = dispatch->version;
   r->fingerprint = dispatch->fingerprint;
+  copy_parts (dispatch->parts, &r->parts);
   r->alone.is_alone = (dispatch->flags & MSG_FLAG_ALONE) != 0;
   r->alone.patience = qrt_patience (&agent->quarantine, r->fingerprint);
   if ((dispatch->flags & MSG_FLAG_PLAIN) == 0)
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -6,6 +6,7 @@
 #include "coordination/alone.h"
 #include "coordination/backpressure.h"
 #include "coordination/claim_runner.h"
+#include "coordination/parts.h"
 #include "coordination/quarantine.h"
 #include "coordination/sched.h"
 #include "daemon/daemon.h"
@@ -53,6 +54,7 @@
   char traceparent[TRC_TRACEPARENT_BYTES];
   uint64_t version;
   uint64_t fingerprint;
+  prt_list_t parts; ///< Of its prompt.
   aln_request_t alone;
 
   eng_run_t *run;
@@ -121,7 +123,10 @@
   uint64_t caller;  ///< Hash of the workspace.
   uint64_t at_ms;
   bool is_alone;
-  bool is_closed; ///< Answered; the answer ended with its connection.
+  bool is_closed;   ///< Answered; the answer ended with its connection.
+  bool is_starting; ///< The request may have ended the target; else only a
+                    ///< part of its prompt.
+  prt_list_t parts;
 } agt_broken_run_t;
 
 struct agt_agent
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -101,14 +101,19 @@
 {
   agt_agent_t *agent = r->agent;
   uint64_t now_ms = tmr_now_ms ();
-  if (r->first_byte_ms > 0 && now_ms - r->first_byte_ms > ALN_STARTUP_MS)
+  uint64_t since_begun_ms
+      = r->first_byte_ms > 0 ? now_ms - r->first_byte_ms : 0;
+  bool is_starting = since_begun_ms <= ALN_STARTUP_MS;
+  if (!is_starting && (r->parts.count == 0 || since_begun_ms > PRT_STARTUP_MS))
     return;
   agent->broken_runs[agent->broken_run_count++ % AGT_MAX_BROKEN_RUNS]
       = (agt_broken_run_t){ .request = r->fingerprint,
                             .caller = r->item.workspace | 1,
                             .at_ms = now_ms,
                             .is_alone = aln_is_still_alone (&r->alone),
-                            .is_closed = is_closed };
+                            .is_closed = is_closed,
+                            .is_starting = is_starting,
+                            .parts = r->parts };
   if (agt_is_plain (agent))
     probe_start (agent);
 }
@@ -142,15 +147,24 @@
   kb_buf_finish (&packed);
 }
 
-/// Record a request as a suspect of the target's end.
-/// @return  Whether the end was not yet known.
+/// Record a request and the parts of its prompt as suspects of the target's
+/// end. Which parts were served is known to the entries.
+/// @return  Whether one of these ends was not yet known.
 static bool
 add_suspect (agt_agent_t *agent, const agt_broken_run_t *run)
 {
+  uint64_t now_ms = tmr_now_ms ();
   qrt_end_t end = { .target = incarnation_hash (agent),
                     .caller = run->caller,
                     .is_alone = run->is_alone };
-  return qrt_add_end (&agent->quarantine, run->request, &end, tmr_now_ms ());
+  bool is_new
+      = run->is_starting
+        && qrt_add_end (&agent->quarantine, run->request, &end, now_ms);
+  end.is_alone = prt_proof_of (&run->parts, run->is_alone && run->is_starting);
+  for (uint32_t i = 0; i < run->parts.count; i++)
+    is_new = qrt_add_end (&agent->quarantine, run->parts.keys[i], &end, now_ms)
+             || is_new;
+  return is_new;
 }
 
 void
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -79,6 +79,7 @@
       break;
     case MSG_QUARANTINE:
       ent_quarantine_merge (entry, msg->quarantine.records);
+      ent_parts_clear_served (entry);
       break;
     case MSG_RUN_CONFIRMED:
       ent_quarantine_confirm (entry, msg->run_confirmed.request);
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -6,6 +6,7 @@
 #include "coordination/claim_owner.h"
 #include "coordination/gate.h"
 #include "coordination/member.h"
+#include "coordination/parts.h"
 #include "coordination/quarantine.h"
 #include "coordination/route.h"
 #include "daemon/daemon.h"
@@ -86,6 +87,10 @@
   uint64_t fingerprint; ///< Zero: not computed yet.
   /// Targets ended during it, so no other request may start at the same time.
   bool is_alone_attempt;
+  prt_list_t parts; ///< Of its prompt, once they are known.
+  bool are_parts_known;
+  bool are_parts_served;  ///< In this attempt.
+  uint64_t first_part_ms; ///< When its answer began; zero: not yet.
   uint64_t flags;
   uint64_t priority_class;
   uint32_t weight;
@@ -191,7 +196,8 @@
   kb_map_t requests_by_attempt;
   kb_map_t workspaces;
   lim_retry_budget_t retry_budget;
-  qrt_table_t quarantine;
+  qrt_table_t quarantine; ///< Of requests and of parts of prompts.
+  prt_served_t served_parts;
   gat_gate_t gate;
   ent_config_t config;
 
@@ -252,6 +258,18 @@
 /// The target of a request lived on after it had answered it.
 void ent_quarantine_confirm (ent_entry_t *entry, uint64_t request);
 
+// entry_parts.c
+/// Decide whether a request may start, by the parts of its prompt.
+prt_judgement_t ent_parts_judge (ent_request_t *r);
+/// @return  The target at which all entries try a part, or RT_NONE.
+uint16_t ent_parts_trial_route (const ent_request_t *r, uint64_t part);
+/// Record that the parts of a request were served.
+void ent_parts_record_served (ent_request_t *r);
+/// The same once it has received its answer for long enough.
+void ent_parts_record_progress (ent_request_t *r);
+/// Clear the records, learned from agents, of parts that were served here.
+void ent_parts_clear_served (ent_entry_t *entry);
+
 // entry_request.c, for entry_keyed.c
 /// End a request that has no complete answer, and free it.
 void ent_request_fail (ent_request_t *r, int http_status, const char *outcome,
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -215,8 +215,9 @@
 void
 ent_request_handle_unknown (ent_request_t *r, const char *reason, bool has_run)
 {
+  // Whether a suspect has ended its target is known only later.
   bool can_retry = r->http != NULL && request_is_repeatable (r)
-                   && !request_is_past_deadline (r)
+                   && !r->is_alone_attempt && !request_is_past_deadline (r)
                    && r->attempt_count < ENT_MAX_ATTEMPTS
                    && lim_retry_take (&r->entry->retry_budget);
   if (!can_retry)
@@ -263,6 +264,8 @@
     .max_tokens = r->max_tokens,
     .incarnation = r->vm_incarnation,
     .fingerprint = r->fingerprint,
+    .parts = { (const char *)r->parts.keys,
+               r->parts.count * (uint32_t)sizeof *r->parts.keys },
     .workspace = kb_slice_str (r->workspace),
     .adapter = kb_slice_str (r->adapter),
     .source = kb_slice_str (r->source == NULL ? "" : r->source),
@@ -306,8 +309,21 @@
                                 hold_ms);
       return;
     }
-  r->is_alone_attempt = verdict == QRT_ALONE;
-  uint16_t route = rt_choose (&entry->routes, r->service_id, r->adapter_id,
+  prt_judgement_t parts = ent_parts_judge (r);
+  if (parts.verdict == PRT_HELD || parts.verdict == PRT_WAIT)
+    {
+      MET_INC ("knapweedbay_requests_held_total", "");
+      ent_request_fail_not_run (r, "targets ended under a part of the prompt",
+                                parts.hold_ms);
+      return;
+    }
+  bool is_trial = parts.verdict == PRT_TRIAL;
+  r->is_alone_attempt = verdict == QRT_ALONE || is_trial;
+  r->first_part_ms = 0;
+  r->are_parts_served = false;
+  uint16_t route
+      = is_trial ? ent_parts_trial_route (r, parts.suspect)
+                 : rt_choose (&entry->routes, r->service_id, r->adapter_id,
                               r->excluded_routes, r->excluded_count,
                               tmr_now_ms (), dmn_random ());
   if (route == RT_NONE)
@@ -416,6 +432,7 @@
       return;
     }
   r->next_seq++;
+  ent_parts_record_progress (r);
   if (part->http_status != 0)
     {
       r->http_status = (int)part->http_status;
@@ -449,7 +466,10 @@
   if (r->is_claimed)
     ent_claim_report_outcome (r, CLM_DONE);
   if (end->is_unconfirmed == 0)
-    ent_quarantine_mark_served (r);
+    {
+      ent_quarantine_mark_served (r);
+      ent_parts_record_served (r);
+    }
   request_export_trace (r, "done");
   hts_request_t *http = r->http;
   if (http != NULL && r->is_stream_started)
--- a/src/gateway/gateway_parts.c
+++ b/src/gateway/gateway_parts.c
@@ -122,18 +122,10 @@
 void
 gtw_parts_clear_served (gtw_gateway_t *gateway)
 {
-  uint64_t now_ms = gtw_now_ms (gateway);
-  uint64_t served[2 * QRT_MAX_ENTRIES];
-  uint32_t count = 0;
-  uint32_t at = 0;
-  // Clearing a record may move the others.
-  for (const qrt_entry_t *e = kb_map_next (&gateway->quarantine.entries, &at);
-       e != NULL && count < 2 * QRT_MAX_ENTRIES;
-       e = kb_map_next (&gateway->quarantine.entries, &at))
-    if (e->record.end_count > 0
-        && prt_served_contains (&gateway->served_parts, e->record.request,
-                                now_ms))
-      served[count++] = e->record.request;
+  uint64_t served[QRT_MAX_ENTRIES];
+  uint32_t count
+      = prt_find_served (&gateway->quarantine, &gateway->served_parts,
+                         gtw_now_ms (gateway), served);
   for (uint32_t i = 0; i < count; i++)
     gtw_quarantine_mark_served (gateway, served[i]);
 }
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -137,6 +137,7 @@
   uint64_t max_tokens;
   uint64_t incarnation; ///< Incarnation of the agent that is addressed.
   uint64_t fingerprint; ///< Identical for each re-send of a request.
+  kb_slice_t parts;     ///< Keys of prt_list_t.
   kb_slice_t workspace;
   kb_slice_t adapter;
   kb_slice_t source;
