perf(gateway): look for unconfirmed answers only at targets that have some

Each event and each head of an answer looked through all 256 entries for 5 s after an answer that ended with its connection, 80 KB at each event. A target now says whether it has any, until the last one is confirmed.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -513,7 +513,7 @@
       gtw_request_refuse_held (r, parts.hold_ms);
       return;
     }
-  // Suspected since the target was chosen.
+  // A part became a suspect while the request waited for its place.
   bool is_trial_here = parts.verdict == PRT_TRIAL && r->is_trial
                        && r->trial_target == r->target->key;
   if (parts.verdict != PRT_FREE && !is_trial_here)
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -304,6 +304,7 @@
       return;
     }
   gateway->closed_answer_ms = closed.at_ms;
+  r->target->has_unconfirmed = true;
   gateway->broken_attempts[GTW_MAX_BROKEN_ATTEMPTS
                            + gateway->closed_answer_count++
                                  % GTW_MAX_CLOSED_ANSWERS]
@@ -333,8 +334,9 @@
 
 void
 gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
-                            const gtw_target_t *to)
+                            gtw_target_t *to)
 {
+  to->has_unconfirmed = to->has_unconfirmed || from->has_unconfirmed;
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
@@ -380,18 +382,23 @@
 }
 
 void
-gtw_quarantine_confirm_alive (gtw_gateway_t *gateway,
-                              const gtw_target_t *target, uint64_t instance,
-                              uint64_t alive_ms)
+gtw_quarantine_confirm_alive (gtw_gateway_t *gateway, gtw_target_t *target,
+                              uint64_t instance, uint64_t alive_ms)
 {
-  if (!has_closed_answers (gateway))
+  if (!target->has_unconfirmed)
     return;
+  target->has_unconfirmed = false;
   for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       gtw_broken_attempt_t *closed = &gateway->broken_attempts[i];
-      if (closed->target != target->key || closed->incarnation != instance
-          || closed->at_ms + ALN_STARTUP_MS > alive_ms)
+      if (closed->target != target->key)
         continue;
+      if (closed->incarnation != instance
+          || closed->at_ms + ALN_STARTUP_MS > alive_ms)
+        {
+          target->has_unconfirmed = true;
+          continue;
+        }
       closed->target = 0;
       if (!closed->is_served)
         continue;
@@ -404,14 +411,14 @@
 void
 gtw_quarantine_confirm_recipient (const gtw_request_t *r, uint64_t alive_ms)
 {
-  if (has_closed_answers (r->gateway))
+  if (r->target->has_unconfirmed)
     gtw_quarantine_confirm_alive (r->gateway, r->target,
                                   recipient_incarnation (r), alive_ms);
 }
 
 void
-gtw_quarantine_confirm_listed (gtw_gateway_t *gateway,
-                               const gtw_target_t *target, uint64_t alive_ms)
+gtw_quarantine_confirm_listed (gtw_gateway_t *gateway, gtw_target_t *target,
+                               uint64_t alive_ms)
 {
   gtw_quarantine_confirm_alive (gateway, target, listed_incarnation (target),
                                 alive_ms);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -134,7 +134,9 @@
   uint64_t alive_request;       ///< Number of the last one that this
                                 ///< incarnation answered; zero: none.
   uint64_t failed_request;      ///< Number of the last other one; zero: none.
-  bool is_replaced; ///< Another incarnation answered `failed_request`.
+  bool is_replaced;     ///< Another incarnation answered `failed_request`.
+  bool has_unconfirmed; ///< Answers that ended with their connections, and are
+                        ///< not known to be whole.
 } gtw_target_t;
 
 /// Stage of a request.
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -80,8 +80,7 @@
 /// Move the breaks of requests that were sent to an incarnation before the
 /// list named it.
 void gtw_quarantine_move_breaks (gtw_gateway_t *gateway,
-                                 const gtw_target_t *from,
-                                 const gtw_target_t *to);
+                                 const gtw_target_t *from, gtw_target_t *to);
 /// @return  Whether attempts broke off at a target that may have ended, which
 ///          is not proved yet.
 bool gtw_quarantine_awaits_evidence (const gtw_gateway_t *gateway,
@@ -102,8 +101,8 @@
 /// @param instance  Hash of the incarnation that was alive.
 /// @param alive_ms  A moment at which it was.
 void gtw_quarantine_confirm_alive (gtw_gateway_t *gateway,
-                                   const gtw_target_t *target,
-                                   uint64_t instance, uint64_t alive_ms);
+                                   gtw_target_t *target, uint64_t instance,
+                                   uint64_t alive_ms);
 /// The same for the target of a request that has received an answer's head or
 /// an event.
 /// @param alive_ms  A moment not later than when it was sent.
@@ -111,8 +110,7 @@
                                        uint64_t alive_ms);
 /// The same for the listed incarnation of a target.
 void gtw_quarantine_confirm_listed (gtw_gateway_t *gateway,
-                                    const gtw_target_t *target,
-                                    uint64_t alive_ms);
+                                    gtw_target_t *target, uint64_t alive_ms);
 /// @param at  Position of the search; zero for the first call.
 /// @return    A plain target that closed the connection of an answer and is
 /// not
