fix(protocol): take ends and dispatches of daemons that lack the newest fields

New fields stand at the end, and a layout says how many an older sender may omit. The test fails without.

--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -10,6 +10,7 @@
   const char *name;
   uint8_t len;
   int16_t fields[24];
+  uint8_t optional; ///< Fields at the end that an older sender omits: zero.
 } msg_layout_t;
 
 #define UINT(member, field) (int16_t) offsetof (msg_t, member.field) // NOLINT
@@ -45,11 +46,12 @@
         UINT (dispatch, priority_class), UINT (dispatch, weight),
         UINT (dispatch, revision),       UINT (dispatch, version),
         UINT (dispatch, max_tokens),     UINT (dispatch, incarnation),
-        UINT (dispatch, fingerprint),    BYTES (dispatch, parts),
-        BYTES (dispatch, workspace),     BYTES (dispatch, adapter),
-        BYTES (dispatch, source),        BYTES (dispatch, method),
-        BYTES (dispatch, path),          BYTES (dispatch, body),
-        BYTES (dispatch, traceparent) } },
+        UINT (dispatch, fingerprint),    BYTES (dispatch, workspace),
+        BYTES (dispatch, adapter),       BYTES (dispatch, source),
+        BYTES (dispatch, method),        BYTES (dispatch, path),
+        BYTES (dispatch, body),          BYTES (dispatch, traceparent),
+        BYTES (dispatch, parts) },
+      1 },
   [MSG_PART]
   = { "part",
       5,
@@ -64,8 +66,9 @@
         UINT (end, expected_wait_ms), UINT (end, demand_permille),
         UINT (end, is_resident), UINT (end, queue_us), UINT (end, load_us),
         UINT (end, run_us), UINT (end, revision), UINT (end, state),
-        UINT (end, version), UINT (end, is_unconfirmed), BYTES (end, adapter),
-        BYTES (end, reason) } },
+        UINT (end, version), BYTES (end, adapter), BYTES (end, reason),
+        UINT (end, is_unconfirmed) },
+      1 },
   [MSG_CANCEL] = { "cancel", 1, { UINT (cancel, attempt) } },
   [MSG_REVOKE] = { "revoke",
                    3,
@@ -308,10 +311,11 @@
   if (array->ptr[0].via.u64 == 0 || type < MSG_HELLO || type >= MSG_TYPE_END)
     return KB_EINVAL;
   const msg_layout_t *layout = &layouts[type];
-  if (array->size < (uint32_t)layout->len + 2)
+  uint32_t sent = array->size - 2;
+  if (sent + layout->optional < layout->len)
     return KB_EINVAL;
   out->type = (msg_type_t)type;
-  for (uint8_t i = 0; i < layout->len; i++)
+  for (uint8_t i = 0; i < layout->len && i < sent; i++)
     {
       kb_status_t status
           = field_read (&array->ptr[i + 2], layout->fields[i], out);
--- a/test/unit/document_test.cc
+++ b/test/unit/document_test.cc
@@ -334,6 +334,29 @@
   kb_buf_finish (&out);
 }
 
+// Guards against attempts whose ends are dropped while agents of an earlier
+// build, which send fewer fields, are still running.
+TEST (Msg, FieldsThatAnOlderSenderOmitsAreZero)
+{
+  msg_t msg = {};
+  msg.type = MSG_END;
+  msg.end.attempt = 7;
+  msg.end.adapter = kb_slice_str ("fish");
+  kb_buf_t out = {};
+  msg_encode (&msg, &out);
+  // The header of an array of more than 15 elements has the count in its third
+  // byte; the last field, zero, takes one byte.
+  ASSERT_EQ ((uint8_t)out.ptr[0], 0xdc);
+  out.ptr[2]--;
+  out.len_bytes--;
+  msg_t back;
+  ASSERT_EQ (msg_decode (kb_buf_slice (&out), &back), KB_OK);
+  EXPECT_EQ (back.end.attempt, 7u);
+  EXPECT_TRUE (kb_slice_equal (back.end.adapter, kb_slice_str ("fish")));
+  EXPECT_EQ (back.end.is_unconfirmed, 0u);
+  kb_buf_finish (&out);
+}
+
 TEST (ShardMap, RoundTrip)
 {
   static shm_shard_t shards[SHM_SHARDS];
