--- a/test/relay/parts_failure_test.cc
+++ b/test/relay/parts_failure_test.cc
@@ -359,6 +359,34 @@
   expect_bounds (options);
 }
 
+// Guards against a sound part that is held for the ends of one request that is
+// sent repeatedly, while nothing else with that part is served.
+TEST (Parts, RequestThatEndsEnginesHoldsNoPartThatItShares)
+{
+  Site site (5, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  // By then no part counts as served recently.
+  std::this_thread::sleep_for (std::chrono::seconds (11));
+  site.crash_on_path ("/fatal");
+  Message answer;
+  for (int i = 0; i < 20 && answer.body != "quarantined"; i++)
+    {
+      Call call = prompt_call ("own", { kShared });
+      call.id = "fatal" + std::to_string (i);
+      call.path = "/resume/fatal";
+      answer = send_call (site.gateways[0], call);
+      site.restart_ended_targets ();
+      std::this_thread::sleep_for (milliseconds (500));
+    }
+  EXPECT_EQ (answer.body, "quarantined");
+  site.crash_on_path ("");
+  EXPECT_TRUE (Site::wait_for ([&] {
+    answer = send_call (site.gateways[0], sound_call ("sound"));
+    return answer.status == 200 || answer.body == "quarantined";
+  }));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+}
+
 // Guards against a bad part that is hidden by another one.
 TEST (Parts, TwoBadPartsReachFewEngines)
 {
