fix(gateway): put the ends of a request that is sent again down to itself

A request that ends engines starts alone, which proved the part that it shares with all others, if that was not served within 10 s before; a held part is never served, so nothing cleared it. Class: a proof that counts for two subjects where one explains it.

A request under which a target had ended before is a suspect itself, so that its further ends no longer count for its parts. In the own interface an entry sends no parts along with a suspect.

--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -87,6 +87,7 @@
   uint64_t fingerprint; ///< Zero: not computed yet.
   /// Targets ended during it, so no other request may start at the same time.
   bool is_alone_attempt;
+  bool is_suspect;  ///< The same, because of ends under this very request.
   prt_list_t parts; ///< Of its prompt, once they are known.
   bool are_parts_known;
   bool are_parts_served;  ///< In this attempt.
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -241,6 +241,14 @@
   ent_request_begin_attempt (r);
 }
 
+/// @return  Size of the parts that an agent is to blame if its target ends;
+///          none if the request is a suspect itself.
+static uint32_t
+blamable_parts_bytes (const ent_request_t *r)
+{
+  return r->is_suspect ? 0 : r->parts.count * (uint32_t)sizeof *r->parts.keys;
+}
+
 void
 ent_request_dispatch (ent_request_t *r)
 {
@@ -264,8 +272,7 @@
     .max_tokens = r->max_tokens,
     .incarnation = r->vm_incarnation,
     .fingerprint = r->fingerprint,
-    .parts = { (const char *)r->parts.keys,
-               r->parts.count * (uint32_t)sizeof *r->parts.keys },
+    .parts = { (const char *)r->parts.keys, blamable_parts_bytes (r) },
     .workspace = kb_slice_str (r->workspace),
     .adapter = kb_slice_str (r->adapter),
     .source = kb_slice_str (r->source == NULL ? "" : r->source),
@@ -318,7 +325,8 @@
       return;
     }
   bool is_trial = parts.verdict == PRT_TRIAL;
-  r->is_alone_attempt = verdict == QRT_ALONE || is_trial;
+  r->is_suspect = verdict == QRT_ALONE;
+  r->is_alone_attempt = r->is_suspect || is_trial;
   r->first_part_ms = 0;
   r->are_parts_served = false;
   uint16_t route
--- a/src/gateway/gateway_parts.c
+++ b/src/gateway/gateway_parts.c
@@ -75,7 +75,10 @@
 gtw_parts_blame (gtw_gateway_t *gateway, const gtw_target_t *target,
                  const gtw_broken_attempt_t *attempt, bool is_alone)
 {
-  if (!attempt->are_parts_starting)
+  // A request that had ended a target before is a suspect itself.
+  uint64_t request = attempt->fingerprints[GTW_SCOPE_ANY_ADAPTER];
+  if (!attempt->are_parts_starting
+      || qrt_count_ends (&gateway->quarantine, request) > 0)
     return;
   prt_list_t blamed = attempt->parts;
   prt_list_remove_served (&blamed, &gateway->served_parts, attempt->at_ms);
