--- a/src/coordination/parts.c
+++ b/src/coordination/parts.c
@@ -15,7 +15,7 @@
 } part_state_t;
 
 void
-prt_list_parse (kb_slice_t text, uint64_t scope, prt_list_t *out)
+prt_list_parse (kb_slice_t text, prt_list_t *out)
 {
   out->count = 0;
   while (text.len_bytes > 0 && out->count < PRT_MAX_PARTS)
@@ -34,7 +34,7 @@
           = colon == NULL ? item_bytes : (uint32_t)(colon - text.ptr);
       if (id_bytes > 0)
         out->keys[out->count++]
-            = qrt_part_subject (kb_hash (text.ptr, id_bytes, scope));
+            = qrt_part_subject (kb_hash (text.ptr, id_bytes, 0));
       uint32_t used_bytes = item_bytes + (comma != NULL);
       text.ptr += used_bytes;
       text.len_bytes -= used_bytes;
--- a/src/coordination/parts.h
+++ b/src/coordination/parts.h
@@ -69,8 +69,7 @@
 } prt_judgement_t;
 
 /// Parses "ID:TOKENS,ID:TOKENS"; an item without an id is skipped.
-/// @param scope  Parts of different scopes are different parts.
-void prt_list_parse (kb_slice_t text, uint64_t scope, prt_list_t *out);
+void prt_list_parse (kb_slice_t text, prt_list_t *out);
 /// Records that a part was served.
 void prt_served_add (prt_served_t *served, uint64_t part, uint64_t now_ms);
 /// @return  Whether it was served less than PRT_SERVED_MS before a moment, or
--- a/src/daemon/entry_parts.c
+++ b/src/daemon/entry_parts.c
@@ -9,7 +9,7 @@
   if (!r->are_parts_known && r->http != NULL)
     {
       r->are_parts_known = true;
-      prt_list_parse (hts_request_header (r->http, "x-prompt-parts"), 0,
+      prt_list_parse (hts_request_header (r->http, "x-prompt-parts"),
                       &r->parts);
     }
   return &r->parts;
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -381,9 +381,13 @@
                 <= END_EVIDENCE_TIMEOUT_MS;
 }
 
-void
-gtw_quarantine_confirm_alive (gtw_gateway_t *gateway, gtw_target_t *target,
-                              uint64_t instance, uint64_t alive_ms)
+/// Count requests as served whose answers ended with their connections at a
+/// target that lived on.
+/// @param instance  Hash of the incarnation that was alive.
+/// @param alive_ms  A moment at which it was.
+static void
+confirm_alive (gtw_gateway_t *gateway, gtw_target_t *target, uint64_t instance,
+               uint64_t alive_ms)
 {
   if (!target->has_unconfirmed)
     return;
@@ -412,16 +416,14 @@
 gtw_quarantine_confirm_recipient (const gtw_request_t *r, uint64_t alive_ms)
 {
   if (r->target->has_unconfirmed)
-    gtw_quarantine_confirm_alive (r->gateway, r->target,
-                                  recipient_incarnation (r), alive_ms);
+    confirm_alive (r->gateway, r->target, recipient_incarnation (r), alive_ms);
 }
 
 void
 gtw_quarantine_confirm_listed (gtw_gateway_t *gateway, gtw_target_t *target,
                                uint64_t alive_ms)
 {
-  gtw_quarantine_confirm_alive (gateway, target, listed_incarnation (target),
-                                alive_ms);
+  confirm_alive (gateway, target, listed_incarnation (target), alive_ms);
 }
 
 gtw_target_t *
--- a/src/gateway/gateway_parts.c
+++ b/src/gateway/gateway_parts.c
@@ -23,7 +23,7 @@
 parts_of (gtw_request_t *r)
 {
   if (!r->are_parts_known)
-    prt_list_parse (r->parsed_head.prompt_parts, 0, &r->parts);
+    prt_list_parse (r->parsed_head.prompt_parts, &r->parts);
   r->are_parts_known = true;
   return &r->parts;
 }
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -96,15 +96,8 @@
 /// served once the target is known to have lived on, and as a suspect if the
 /// target has ended.
 void gtw_quarantine_record_closed_answer (gtw_request_t *r);
-/// Count requests as served whose answers ended with their connections at a
-/// target that lived on.
-/// @param instance  Hash of the incarnation that was alive.
-/// @param alive_ms  A moment at which it was.
-void gtw_quarantine_confirm_alive (gtw_gateway_t *gateway,
-                                   gtw_target_t *target, uint64_t instance,
-                                   uint64_t alive_ms);
-/// The same for the target of a request that has received an answer's head or
-/// an event.
+/// Count requests as served whose answers ended with their connections at the
+/// target of a request, which has sent that one an answer's head or an event.
 /// @param alive_ms  A moment not later than when it was sent.
 void gtw_quarantine_confirm_recipient (const gtw_request_t *r,
                                        uint64_t alive_ms);
--- a/test/unit/parts_model_test.cc
+++ b/test/unit/parts_model_test.cc
@@ -143,7 +143,7 @@
   parse (const std::string &text)
   {
     prt_list_t out;
-    prt_list_parse ({ text.data (), (uint32_t)text.size () }, 0, &out);
+    prt_list_parse ({ text.data (), (uint32_t)text.size () }, &out);
     return out;
   }
 
--- a/test/unit/parts_test.cc
+++ b/test/unit/parts_test.cc
@@ -23,7 +23,7 @@
   list (const std::string &text)
   {
     prt_list_t out;
-    prt_list_parse ({ text.data (), (uint32_t)text.size () }, 0, &out);
+    prt_list_parse ({ text.data (), (uint32_t)text.size () }, &out);
     return out;
   }
   /// A target ends while only these parts are to blame.
