fix(gateway,daemon): end a pause no earlier than the target asked for

Callers saw nothing. A target that refused a request with 503 and Retry-After got the next one up to 0.9 ms before the end of that time: the end was computed from a clock that is rounded down to milliseconds.

The same clock is used at the own interface's agents, changed too.

--- a/src/daemon/agent_backpressure.c
+++ b/src/daemon/agent_backpressure.c
@@ -35,7 +35,8 @@
 static void
 apply_pause (agt_agent_t *agent, uint64_t pause_ms)
 {
-  uint64_t until_ms = tmr_now_ms () + pause_ms;
+  // The clock is rounded down to whole milliseconds.
+  uint64_t until_ms = tmr_now_ms () + 1 + pause_ms;
   if (until_ms <= agent->paused_until_ms)
     return;
   agent->paused_until_ms = until_ms;
--- a/src/gateway/gateway_backpressure.c
+++ b/src/gateway/gateway_backpressure.c
@@ -121,7 +121,8 @@
 apply_pause (const gtw_request_t *r, gtw_advertised_t *stated,
              uint64_t pause_ms)
 {
-  uint64_t until_ms = tmr_boottime_ms () + pause_ms;
+  // The clock is rounded down to whole milliseconds.
+  uint64_t until_ms = tmr_boottime_ms () + 1 + pause_ms;
   if (until_ms <= stated->paused_until_ms)
     return;
   stated->paused_until_ms = until_ms;
--- a/test/relay/pause_failure_test.cc
+++ b/test/relay/pause_failure_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <sstream>
 
 #include "load.h"
 
@@ -69,6 +70,43 @@
   return (int)most;
 }
 
+/// What a pausing target received, in ms since its first refusal, and what the
+/// gateways logged about its pauses.
+std::string
+describe_pauses (Site &site, Target &target)
+{
+  std::ostringstream out;
+  std::vector<Message> refused = target.refused_with_pause ();
+  if (refused.empty ())
+    return "no pause was requested";
+  auto add_times
+      = [&] (const std::string &title, const std::vector<Message> &requests) {
+          for (const auto &[gateway, moments] : arrivals_by_gateway (requests))
+            {
+              out << title << " of " << gateway << " at ms:";
+              for (Moment at : moments)
+                out << ' '
+                    << std::chrono::duration<double, std::milli> (
+                           at - refused[0].received_at)
+                           .count ();
+              out << '\n';
+            }
+        };
+  add_times ("refused", refused);
+  std::vector<Message> arrived;
+  for (const Message &request : target.requests ())
+    if (request.received_at >= refused[0].received_at)
+      arrived.push_back (request);
+  add_times ("arrived", arrived);
+  for (const Gateway &gateway : site.gateways)
+    for (const char *event :
+         { "target_paused", "sidecar_lost", "target_listed", "target_gone" })
+      for (const std::string &line :
+           site.log_lines (gateway.daemon, { event }))
+        out << line << '\n';
+  return out.str ();
+}
+
 /// Load a service in which one target refuses all requests.
 void
 expect_pauses_kept (Site &site, Target &pausing,
@@ -81,7 +119,8 @@
   Load load (&site, call_of, 4, 10);
   std::this_thread::sleep_for (milliseconds (2 * kPauseMs + 1000));
   Load::Counts counts = load.stop ();
-  EXPECT_LE (max_within_pause (pausing), kMaxWithinPause);
+  EXPECT_LE (max_within_pause (pausing), kMaxWithinPause)
+      << describe_pauses (site, pausing);
   // It is tried again after each pause.
   EXPECT_GE ((int)pausing.requests ().size () - before, 2);
   EXPECT_EQ (counts.refused + counts.other, 0);
@@ -101,6 +140,27 @@
   expect_pauses_kept (site, *site.plain[0], plain);
 }
 
+// Guards against a pause that ends a fraction of a millisecond early.
+TEST (Pause, IsNotShorterThanRequested)
+{
+  constexpr int short_pause_ms = 100;
+  Site site (1, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &target = *site.plain[0];
+  target.pause_s = short_pause_ms / 1000.0;
+  Load load (&site, plain, 1, 0);
+  std::this_thread::sleep_for (milliseconds (5000));
+  load.stop ();
+  std::vector<Moment> arrivals = arrivals_at (target);
+  ASSERT_GE (arrivals.size (), 10);
+  for (size_t i = 1; i < arrivals.size (); i++)
+    {
+      auto gap = std::chrono::duration_cast<std::chrono::microseconds> (
+          arrivals[i] - arrivals[i - 1]);
+      EXPECT_GE (gap.count (), short_pause_ms * 1000);
+    }
+}
+
 // Guards against callers that wait, or get no retry-after time, while all
 // targets pause.
 TEST (Pause, RefusedAtOnceWithRetryAfterWhenAllTargetsPause)
