--- a/test/relay/software_failure_test.cc
+++ b/test/relay/software_failure_test.cc
@@ -59,6 +59,34 @@
   }
 };
 
+/// A site with two engines, one of which restarts with another version that
+/// the list doesn't name yet.
+struct RestartedSite : Site
+{
+  explicit RestartedSite (int gateway_count) : Site (2, 1, gateway_count)
+  {
+    for (const Engine &engine : engines)
+      {
+        engine.target->events = 60;
+        engine.target->event_ms = 20;
+      }
+  }
+  /// @return  Whether the sidecar has reported the restarted engine.
+  bool
+  wait_restarted ()
+  {
+    if (!wait_ready ())
+      return false;
+    engines[1].target->restart ("i-next", "v2");
+    bool is_identified = wait_for ([this] {
+      return !log_lines (engines[1].sidecar, { "engine_identified", "i-next" })
+                  .empty ();
+    });
+    std::this_thread::sleep_for (milliseconds (500));
+    return is_identified;
+  }
+};
+
 /// Begin streams at a gateway, and read their first events.
 std::vector<Stream>
 begin_streams (Site &site, size_t gateway, int count, const std::string &name)
@@ -320,22 +348,10 @@
 // its earlier incarnation until the list names the new one.
 TEST (Software, StreamIsNotResumedAtARestartedEngineOfUnknownVersion)
 {
-  Site site (2, 1, 1);
-  for (const Engine &engine : site.engines)
-    {
-      engine.target->events = 60;
-      engine.target->event_ms = 20;
-    }
-  ASSERT_TRUE (site.wait_ready ());
+  RestartedSite site (1);
+  ASSERT_TRUE (site.wait_restarted ());
   // The other engine of the earlier version is the only one that can resume.
   Target &restarted = *site.engines[1].target;
-  restarted.restart ("i-next", "v2");
-  ASSERT_TRUE (Site::wait_for ([&] {
-    return !Site::log_lines (site.engines[1].sidecar,
-                             { "engine_identified", "i-next" })
-                .empty ();
-  }));
-  std::this_thread::sleep_for (milliseconds (500));
   for (int i = 0; i < 12; i++)
     {
       site.engines[0].target->fail_next ({ Fault::CUT_WITHIN_EVENT });
@@ -346,5 +362,55 @@
     }
 }
 
+// Guards against a stream of an incarnation that the list doesn't name yet,
+// which is resumed in its answer at another version.
+TEST (Software, StreamOfAnUnlistedIncarnationIsNotResumedAtAnotherVersion)
+{
+  RestartedSite site (1);
+  ASSERT_TRUE (site.wait_restarted ());
+  int begun_unlisted = 0;
+  for (int i = 0; i < 12; i++)
+    {
+      site.engines[0].target->fail_next ({});
+      site.engines[1].target->fail_next ({ Fault::CUT_WITHIN_EVENT });
+      Message answer = send_call (site.gateways[0],
+                                  stream_call ("s" + std::to_string (i), ""));
+      auto versions = event_versions (answer.body);
+      EXPECT_LE (versions.size (), 1u) << i;
+      begun_unlisted += versions.count ("v2") > 0;
+      // A stream that waits for the list must not be the last one.
+      if (begun_unlisted > 0)
+        break;
+    }
+  EXPECT_GT (begun_unlisted, 0);
+}
+
+// Guards against the same when the caller continues the stream, through the
+// gateway that began it or another one.
+TEST (Software, CallerContinuesAStreamOfAnUnlistedIncarnationAtItsVersion)
+{
+  for (size_t second : { 0, 1 })
+    {
+      RestartedSite site (2);
+      ASSERT_TRUE (site.wait_restarted ());
+      auto streams = begin_streams (site, 0, 24, "a");
+      if (second != 0)
+        site.stop (&site.gateways[0].daemon, SIGKILL);
+      end_streams (streams);
+      int of_v2 = 0;
+      for (const Stream &stream : streams)
+        of_v2 += stream.version () == "v2";
+      EXPECT_GT (of_v2, 0);
+      std::thread listing ([&] {
+        std::this_thread::sleep_for (milliseconds (800));
+        site.list_engine (1);
+      });
+      Continuations result = continue_streams (site, second, streams);
+      listing.join ();
+      EXPECT_EQ (result.mixed, 0);
+      EXPECT_GE (result.continued, result.begun * 3 / 4);
+    }
+}
+
 } // namespace
 } // namespace relay
