fix(gateway,sidecar,daemon): start no suspect alone at an engine that may have ended

What callers saw: a request that ended nothing was refused for ten minutes.

Cause: a fatal request ends an engine just after its first event, and its answer ends with the connection. The sidecar's next report is up to 300 ms away. A suspect is granted there alone, is reset behind a proxy that still accepts, and is taken for the cause. A start that ended before its first byte was followed by a proof that the engine lives, one that ended soon after it was not.

The message that returns a place says that the engine is in doubt, in a new field at its end that older daemons omit. So that suspects don't wait for the next report, the sidecar asks for one, every 25 ms at most, while one waits. Agents of the own interface count such ends too.

--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -277,6 +277,17 @@
   adm_saturation_update (&table->load_saturation, is_timely, fits, now_ms);
 }
 
+bool
+adm_awaits_proof (const adm_table_t *table)
+{
+  if (!aln_awaits_answer (&table->alone))
+    return false;
+  for (const adm_request_t *r = table->first; r != NULL; r = r->next)
+    if (r->alone.waiting_since_ms > 0)
+      return true;
+  return false;
+}
+
 static adm_request_t *
 request_of_alone (aln_request_t *alone)
 {
--- a/src/coordination/alone.c
+++ b/src/coordination/alone.c
@@ -154,6 +154,12 @@
   request->is_starting = false;
 }
 
+void
+aln_broke_after_first_byte (aln_gate_t *gate)
+{
+  gate->broken_starts++;
+}
+
 void
 aln_ended (aln_gate_t *gate, aln_request_t *request)
 {
--- a/src/coordination/alone.h
+++ b/src/coordination/alone.h
@@ -9,9 +9,10 @@
 /// followed by a cooldown of a multiple of its duration, so that a caller who
 /// keeps sending such requests blocks others for a small part of the time.
 ///
-/// A start that ends without a first byte may have ended the target, or may
-/// still go on there. Until the target has proved that it is alive since, no
-/// request starts alone: it would be taken for the cause.
+/// A start that ends without a first byte, or soon after it without proof that
+/// the target lives, may have ended the target, or may still go on there.
+/// Until the target has proved that it is alive since, no request starts
+/// alone: it would be taken for the cause.
 #ifndef KB_COORDINATION_ALONE_H
 #define KB_COORDINATION_ALONE_H
 
@@ -45,7 +46,7 @@
   uint64_t blocked_since_ms;  ///< When it began to block others.
   uint64_t blocked_until_ms;  ///< No other request starts before this.
   uint64_t cooldown_until_ms; ///< No other one starts alone before this.
-  uint32_t broken_starts;     ///< Starts that ended without a first byte.
+  uint32_t broken_starts;     ///< Starts that may have ended the target.
   uint32_t confirmed_starts;  ///< Those after which it was alive.
 } aln_gate_t;
 
@@ -78,6 +79,9 @@
 /// A request that started among others was answered; its first byte was not
 /// reported.
 void aln_answered (aln_gate_t *gate, aln_request_t *request);
+/// A request ended soon after its first byte, and its target may have ended
+/// with it: it broke off, or its answer ended with its connection.
+void aln_broke_after_first_byte (aln_gate_t *gate);
 /// Call this at each end, also of a request that was still waiting.
 void aln_ended (aln_gate_t *gate, aln_request_t *request);
 
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -114,6 +114,8 @@
                             .is_closed = is_closed,
                             .is_starting = is_starting,
                             .parts = r->parts };
+  if (is_starting && r->first_byte_ms > 0)
+    aln_broke_after_first_byte (&agent->alone);
   if (agt_is_plain (agent))
     probe_start (agent);
 }
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -548,6 +548,7 @@
   r->sent_boot_ms = tmr_boottime_ms ();
   r->possible_runs++;
   r->is_begun = false;
+  r->is_target_in_doubt = false;
   r->are_parts_served = false;
   r->is_close_delimited = false;
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -276,6 +276,7 @@
     return;
   gtw_target_t *target = r->target;
   gtw_broken_attempt_t broken = describe_attempt (r);
+  r->is_target_in_doubt = r->is_begun && broken.is_starting;
   if (was_sent_before_end (r))
     {
       record_late_suspect (r, &broken);
@@ -298,6 +299,7 @@
   gtw_broken_attempt_t closed = describe_attempt (r);
   closed.is_closed = true;
   closed.is_served = r->http_status < HTTP_SERVER_ERROR;
+  r->is_target_in_doubt = r->is_begun && closed.is_starting;
   if (was_sent_before_end (r))
     {
       record_late_suspect (r, &closed);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -236,6 +236,8 @@
   uint32_t send_count;       ///< Times it was sent.
   uint64_t sent_ms;          ///< When it was sent last.
   uint64_t sent_boot_ms;     ///< The same by the boot clock.
+  bool is_target_in_doubt;   ///< It has ended soon after its first event, and
+                             ///< its target may have.
   bool is_permit_used;
   gtw_charge_t permit;       ///< Of the rate limit of a plain target.
   uint32_t pauses_requested; ///< Targets that refused it and requested a
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -181,9 +181,11 @@
         BYTES (place_decline, reason) } },
   [MSG_PLACE_RELEASE]
   = { "place_release",
-      3,
+      4,
       { UINT (place_release, id), UINT (place_release, gaps),
-        UINT (place_release, gaps_ms) } },
+        UINT (place_release, gaps_ms),
+        UINT (place_release, is_engine_in_doubt) },
+      .optional = 1 },
   [MSG_PLACE_BEGUN] = { "place_begun", 1, { UINT (place_begun, id) } },
   [MSG_DOCUMENT]
   = { "document", 2, { UINT (document, revision), BYTES (document, data) } },
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -435,6 +435,8 @@
   uint64_t id;
   uint64_t gaps;    ///< Gaps between stream events; zero: incomplete stream.
   uint64_t gaps_ms; ///< Time from the first event to the last.
+  uint64_t is_engine_in_doubt; ///< The engine may have ended soon after the
+                               ///< request's first event.
 } msg_place_release_t;
 
 /// The first event has arrived, so the prefill has ended.
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -52,6 +52,7 @@
   uint32_t engine_count; ///< Engines of the service, as reported by gateways.
 
   bool is_engine_call_pending;   ///< A report or an order is pending.
+  uint64_t polled_ms;            ///< When a report was asked for last.
   uint32_t polled_broken_starts; ///< Broken starts when a report was asked for
                                  ///< last.
   bool has_report;
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -13,6 +13,8 @@
   POLL_LOADING_MS = 25,
   POLL_BUSY_MS = 150,
   POLL_IDLE_MS = 300,
+  /// While a request waits for the proof that the engine is alive.
+  POLL_PROOF_MS = 25,
   /// Consecutive failed reports until the engine counts as down.
   MAX_REPORT_FAILURES = 2,
   /// Keeps the model fetches of all engines together far below the rate limit
@@ -156,6 +158,15 @@
   scr_process_queue (arg);
 }
 
+/// Ask the engine for the proof that a request waits for.
+static void
+seek_proof (scr_sidecar_t *s)
+{
+  if (adm_awaits_proof (&s->table)
+      && scr_now_ms (s) - s->polled_ms >= POLL_PROOF_MS)
+    scr_poll_engine (s);
+}
+
 /// Grant and decline places and order the engine, as far as possible now.
 void
 scr_process_queue (scr_sidecar_t *s)
@@ -177,6 +188,7 @@
           if (s->table.waiting > 0)
             tmr_start_once (&s->host.timers, &s->queue_timer, QUEUE_RETRY_MS,
                             process_queue_on_timer, s);
+          seek_proof (s);
           return;
         case ADM_ACTION_GRANT:
           if (action.joined != NULL)
@@ -393,6 +405,7 @@
   if (s->is_engine_call_pending)
     return;
   s->is_engine_call_pending = true;
+  s->polled_ms = scr_now_ms (s);
   s->polled_broken_starts = s->table.alone.broken_starts;
   s->engine->vtable->report (s->engine, report_done, s);
 }
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -16,6 +16,9 @@
 /// Time between a target's end and the next attempt: the end is then known.
 constexpr int kEndKnownMs = 700;
 
+/// Time for which no request starts alone after the first event of another.
+constexpr int kStartMs = 160;
+
 /// Time to the first event of a slow start.
 constexpr int kFirstEventMs = 4000;
 
@@ -206,6 +209,32 @@
   expect_served (site, innocent_stream);
 }
 
+// Guards against the same at an engine that another one has just ended, where
+// its answer ended with its connection, behind a proxy.
+TEST (Innocent, StartAtAnEngineThatHasEndedIsNotAlone)
+{
+  Proxies proxies;
+  Site site (1, 0, 1, &proxies);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.crash_on_path ("/once/fatal");
+  for (int attempt = 2; attempt < 6; attempt++)
+    {
+      // No start is in doubt, and the engine has been asked for its state.
+      std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+      engine.crash_answer = CrashAnswer::WHOLE;
+      send_call (site.gateways[0], other_stream ("fatal"));
+      std::this_thread::sleep_for (milliseconds (kStartMs));
+      Message answer = send_call (site.gateways[0], innocent_stream (attempt));
+      EXPECT_NE (answer.body, "quarantined");
+      std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+      site.restart_ended_targets ();
+      std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+    }
+  expect_served (site, innocent_stream);
+}
+
 // Guards against resets that count as ends of engines because an earlier
 // incarnation at the same address had ended, which the list still names.
 TEST (Innocent, ResetsAtIncarnationsListedLateAreNoEnds)
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -612,6 +612,19 @@
   EXPECT_EQ (next (1450).kind, ADM_ACTION_GRANT);
 }
 
+TEST_F (AdmitTest, ASuspectAwaitsTheProofThatTheEngineIsAlive)
+{
+  add_request (1, "", 1000);
+  adm_request_remove (&table, next (1000).request);
+  EXPECT_FALSE (adm_awaits_proof (&table)) << "no suspect waits";
+  add_request (2, "", 1000, 0)->alone.is_alone = true;
+  EXPECT_EQ (next (1200).kind, ADM_ACTION_NONE);
+  EXPECT_TRUE (adm_awaits_proof (&table));
+  aln_confirm_alive (&table.alone, table.alone.broken_starts);
+  EXPECT_FALSE (adm_awaits_proof (&table));
+  EXPECT_EQ (next (1201).kind, ADM_ACTION_GRANT);
+}
+
 TEST_F (AdmitTest, AnEndedSuspectUnblocksOthers)
 {
   adm_request_t *suspect = add_request (1, "", 1000);
--- a/test/unit/alone_test.cc
+++ b/test/unit/alone_test.cc
@@ -121,6 +121,18 @@
   EXPECT_TRUE (aln_may_start (&gate_, &request, 1400));
 }
 
+TEST_F (AloneTest, EndsSoonAfterTheFirstByteAwaitTheTarget)
+{
+  aln_started (&gate_, &other_, 1000);
+  aln_first_byte (&gate_, &other_, 1050);
+  aln_broke_after_first_byte (&gate_);
+  aln_ended (&gate_, &other_);
+  aln_request_t request = suspect ();
+  EXPECT_FALSE (aln_may_start (&gate_, &request, 1400));
+  aln_confirm_alive (&gate_, gate_.broken_starts);
+  EXPECT_TRUE (aln_may_start (&gate_, &request, 1400));
+}
+
 TEST_F (AloneTest, AnsweredRequestsBreakNoStart)
 {
   aln_started (&gate_, &other_, 1000);
