fix(gateway): confirm closed answers of incarnations the list doesn't name

What callers saw: a request that ended nothing was refused for twenty minutes.

Cause: an answer that ends with its connection counts as whole once reports show that its engine lived on. Reports confirmed only the incarnation that the list names. With the list late, a whole answer stayed unconfirmed, and when the list at last named a later incarnation it counted as broken off.

--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -428,6 +428,14 @@
   confirm_alive (gateway, target, listed_incarnation (target), alive_ms);
 }
 
+void
+gtw_quarantine_confirm_reported (gtw_gateway_t *gateway, gtw_target_t *target,
+                                 const inc_t *engine, uint64_t alive_ms)
+{
+  confirm_alive (gateway, target,
+                 incarnation_hash (engine->id, engine->born_ms), alive_ms);
+}
+
 gtw_target_t *
 gtw_quarantine_next_unconfirmed (const gtw_gateway_t *gateway, uint32_t *at)
 {
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -320,6 +320,18 @@
   target->list_stamp = stamp == state->list_stamp ? stamp : 0;
 }
 
+/// The sidecar reports that its engine lives, an incarnation which the list
+/// doesn't name yet.
+static void
+confirm_unlisted (gtw_gateway_t *gateway, gtw_target_t *target,
+                  const msg_engine_state_t *state)
+{
+  inc_t engine = { .born_ms = state->born_ms };
+  kb_slice_copy (state->instance, engine.id, sizeof engine.id);
+  gtw_quarantine_confirm_reported (gateway, target, &engine,
+                                   gtw_now_ms (gateway) - MAX_REPORT_LAG_MS);
+}
+
 static void
 apply_engine_state (gtw_gateway_t *gateway, gtw_target_t *target,
                     const msg_engine_state_t *state)
@@ -343,6 +355,8 @@
       gtw_quarantine_confirm_listed (gateway, target,
                                      gtw_now_ms (gateway) - MAX_REPORT_LAG_MS);
     }
+  else if (state->condition == MSG_ENGINE_READY)
+    confirm_unlisted (gateway, target, state);
   target->sidecar_incarnation = state->incarnation;
   target->sidecar_revision = state->revision;
   target->sidecar_versions = state->versions_known;
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -104,6 +104,10 @@
 /// The same for the listed incarnation of a target.
 void gtw_quarantine_confirm_listed (gtw_gateway_t *gateway,
                                     gtw_target_t *target, uint64_t alive_ms);
+/// The same of the engine that its sidecar reports.
+void gtw_quarantine_confirm_reported (gtw_gateway_t *gateway,
+                                      gtw_target_t *target,
+                                      const inc_t *engine, uint64_t alive_ms);
 /// @param at  Position of the search; zero for the first call.
 /// @return    A plain target that closed the connection of an answer and is
 /// not
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -235,6 +235,30 @@
   expect_served (site, innocent_stream);
 }
 
+// Guards against an answer without a length that is never confirmed because
+// the list doesn't name the incarnation that gave it, and counts as broken off
+// when that one ends later.
+TEST (Innocent, ClosedAnswerOfAnUnlistedIncarnationIsConfirmed)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.is_unframed = true;
+  engine.restart ("i-unlisted");
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.engines[0].sidecar,
+                             { "engine_identified", "i-unlisted" })
+                .empty ();
+  }));
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
+  // Reports may be late, and show only then that the engine lives on.
+  std::this_thread::sleep_for (milliseconds (4 * kEndKnownMs));
+  exit_and_restart (site, engine);
+  expect_served (site, innocent_stream);
+}
+
 // Guards against resets that count as ends of engines because an earlier
 // incarnation at the same address had ended, which the list still names.
 TEST (Innocent, ResetsAtIncarnationsListedLateAreNoEnds)
