--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -408,20 +408,45 @@
   return connection->read_response (1000).status;
 }
 
+void
+Site::print_logs (size_t max_lines)
+{
+  std::vector<const Daemon *> daemons;
+  for (const Gateway &gateway : gateways)
+    daemons.push_back (&gateway.daemon);
+  for (const Engine &engine : engines)
+    daemons.push_back (&engine.sidecar);
+  for (const Daemon *daemon : daemons)
+    {
+      auto lines = log_lines (*daemon, {});
+      size_t from = lines.size () > max_lines ? lines.size () - max_lines : 0;
+      fprintf (stderr, "%s: process %d, %zu lines\n", daemon->name.c_str (),
+               (int)daemon->pid, lines.size ());
+      for (size_t i = from; i < lines.size (); i++)
+        fprintf (stderr, "  %s\n", lines[i].c_str ());
+    }
+}
+
 bool
 Site::wait_ready ()
 {
+  int status = 0;
+  auto fail = [&] (const char *what, size_t gateway) {
+    fprintf (stderr, "gateway %zu %s: status %d\n", gateway, what, status);
+    print_logs (20);
+    return false;
+  };
   for (size_t i = 0; i < gateways.size (); i++)
-    if (!wait_for ([&] { return ready_status (i) == 200; }))
-      return false;
+    if (!wait_for ([&] { return (status = ready_status (i)) == 200; }))
+      return fail ("is not ready", i);
   // Each gateway must have served a stream, so that its links to the sidecars
   // are up.
   for (size_t i = 0; !engines.empty () && i < gateways.size (); i++)
     if (!wait_for ([&] {
-          return send_call (gateways[i], stream_call ("warm", "")).status
-                 == 200;
+          status = send_call (gateways[i], stream_call ("warm", "")).status;
+          return status == 200;
         }))
-      return false;
+      return fail ("serves no stream", i);
   return true;
 }
 
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -109,7 +109,10 @@
   /// empty: none does.
   void crash_on_path (const std::string &text);
   void stop (Daemon *daemon, int signal);
+  /// Wait until all gateways serve; print why when they don't.
   bool wait_ready ();
+  /// Print the last lines of each daemon's log.
+  void print_logs (size_t max_lines);
   /// Wait until each gateway has saved up this many retries since its start.
   void wait_for_retries (int count);
   int ready_status (size_t gateway = 0);
