fix(coordination): rest after a broken start alone as long as it blocked others

Cause: the cooldown is four times the block, and was set for the longest block when the start began; only a first byte corrected it. A start that broke off after 50 ms was followed by the cooldown of 1 to 8 s.

--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -227,9 +227,8 @@
 /// Delay the next order for an adapter, after one that failed or has not taken
 /// effect yet.
 void adm_delay_order (adm_adapter_t *adapter, uint64_t now_ms);
-/// @return  Whether a request waits to start alone until the engine proves
-/// that
-///          it is alive (coordination/alone.h).
+/// @return  Whether a request waits to start alone until the engine has proved
+///          that it lives (coordination/alone.h).
 bool adm_awaits_proof (const adm_table_t *table);
 /// Choose the next action. A grant takes effect within the call. The caller
 /// removes a declined request after it has notified the gateway, and records
--- a/src/coordination/alone.c
+++ b/src/coordination/alone.c
@@ -90,6 +90,14 @@
     gate->cooldown_until_ms = cooldown_until_ms;
 }
 
+/// The block ends earlier than the cooldown assumed.
+static void
+cooldown_restart (aln_gate_t *gate, uint64_t blocked_until_ms)
+{
+  gate->cooldown_until_ms = 0;
+  cooldown_extend (gate, gate->blocked_since_ms, blocked_until_ms);
+}
+
 /// A request that ends targets only after a long time would otherwise be
 /// joined by others each time.
 static uint64_t
@@ -143,8 +151,7 @@
   if (now_ms >= gate->blocked_until_ms)
     return;
   gate->blocked_until_ms = now_ms + ALN_STARTUP_MS;
-  gate->cooldown_until_ms = 0;
-  cooldown_extend (gate, gate->blocked_since_ms, gate->blocked_until_ms);
+  cooldown_restart (gate, gate->blocked_until_ms);
 }
 
 void
@@ -154,6 +161,14 @@
   request->is_starting = false;
 }
 
+void
+aln_block_ended (aln_gate_t *gate, const aln_request_t *request,
+                 uint64_t now_ms)
+{
+  if (gate->exclusive == request && now_ms < gate->blocked_until_ms)
+    cooldown_restart (gate, now_ms);
+}
+
 void
 aln_broke_after_first_byte (aln_gate_t *gate)
 {
--- a/src/coordination/alone.h
+++ b/src/coordination/alone.h
@@ -82,6 +82,11 @@
 /// A request ended soon after its first byte, and its target may have ended
 /// with it: it broke off, or its answer ended with its connection.
 void aln_broke_after_first_byte (aln_gate_t *gate);
+/// A request ended that may have started alone and received no first byte: the
+/// cooldown follows from the time for which it blocked others. Call it before
+/// aln_ended().
+void aln_block_ended (aln_gate_t *gate, const aln_request_t *request,
+                      uint64_t now_ms);
 /// Call this at each end, also of a request that was still waiting.
 void aln_ended (aln_gate_t *gate, aln_request_t *request);
 
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -126,6 +126,7 @@
   agt_agent_t *agent = r->agent;
   record_run (r, false);
   // The list is asked for once this start counts as broken.
+  aln_block_ended (&agent->alone, &r->alone, tmr_now_ms ());
   aln_ended (&agent->alone, &r->alone);
   agt_engine_poll (agent);
 }
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -113,6 +113,7 @@
   agt_peer_t *peer = peer_of (r);
   if (peer != NULL && peer->inflight > 0)
     peer->inflight--;
+  aln_block_ended (&r->agent->alone, &r->alone, tmr_now_ms ());
   aln_ended (&r->agent->alone, &r->alone);
   kb_map_remove (&r->agent->requests, r->attempt);
   free (r->source);
@@ -329,6 +330,7 @@
 {
   agt_agent_t *agent = r->agent;
   run_record_end (r);
+  aln_block_ended (&agent->alone, &r->alone, tmr_now_ms ());
   aln_ended (&agent->alone, &r->alone);
   slt_slot_t *slot = slt_find (&agent->slots, r->item.adapter);
   if (slot != NULL && slot->pins == 0 && slot->state == SLT_RESIDENT)
--- a/src/gateway/gateway_alone.c
+++ b/src/gateway/gateway_alone.c
@@ -79,6 +79,7 @@
     aln_first_byte (&target->alone, &r->alone, gtw_now_ms (r->gateway));
   else if (is_answered)
     aln_answered (&target->alone, &r->alone);
+  aln_block_ended (&target->alone, &r->alone, gtw_now_ms (r->gateway));
   aln_ended (&target->alone, &r->alone);
   r->alone.waiting_since_ms = 0;
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -332,7 +332,7 @@
 typedef struct
 {
   uint64_t service;   ///< gtw_service_key
-  uint64_t software;  ///< gtw_target_t.software_key, or unlisted ones.
+  uint64_t software;  ///< gtw_target_t.software_key, or all unlisted ones.
   uint64_t listed_ms; ///< When a target of it was last listed.
 } gtw_software_t;
 
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -362,6 +362,7 @@
   pce_record_stream (&s->table.prefill.pace, (uint32_t)msg->gaps, msg->gaps_ms,
                      scr_now_ms (s));
   adm_request_record_hold_time (&s->table, request, scr_now_ms (s));
+  aln_block_ended (&s->table.alone, &request->alone, scr_now_ms (s));
   if (msg->is_engine_in_doubt != 0 && !request->is_first_event_pending)
     aln_broke_after_first_byte (&s->table.alone);
   adm_request_remove (&s->table, request);
--- a/test/unit/alone_test.cc
+++ b/test/unit/alone_test.cc
@@ -69,6 +69,19 @@
   EXPECT_FALSE (aln_is_refused (&gate_, &other_, over_ms));
 }
 
+// Guards against a target that lets no suspect start for seconds after one
+// that broke off at once.
+TEST_F (AloneTest, CooldownAfterABrokenStartIsFourTimesTheBlock)
+{
+  aln_request_t request = suspect ();
+  aln_started (&gate_, &request, 1000);
+  aln_block_ended (&gate_, &request, 1050);
+  aln_ended (&gate_, &request);
+  aln_request_t next = suspect ();
+  EXPECT_TRUE (aln_is_refused (&gate_, &next, 1050 + 4 * 50 - 1));
+  EXPECT_FALSE (aln_is_refused (&gate_, &next, 1050 + 4 * 50));
+}
+
 // A request that hangs before its first byte keeps a suspect waiting. Without
 // a cooldown each new suspect would block the others for another 500 ms.
 TEST_F (AloneTest, UnsuccessfulWaitIsFollowedByCooldown)
