--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -42,7 +42,7 @@
       = gtw_remaining_ms (r->deadline_ms, now_ms) + CONTINUATION_MARGIN_MS;
   uint64_t stream = stream_key (r, attempt);
   org_put (&gateway->origins, stream, &r->origin, ttl_ms, now_ms);
-  if (gtw_origin_is_shared (gateway, &r->origin))
+  if (gtw_software_is_ambiguous (gateway, &r->origin))
     gtw_origin_share (gateway, stream, &r->origin, ttl_ms);
 }
 
@@ -58,13 +58,6 @@
   };
 }
 
-bool
-gtw_origin_is_shared (const gtw_gateway_t *gateway, const org_origin_t *origin)
-{
-  return origin->software == 0
-         || gtw_software_is_mixed (gateway, origin->service);
-}
-
 void
 gtw_origin_record (gtw_request_t *r)
 {
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -30,6 +30,10 @@
 ///          restarted, or its sidecar was silent.
 bool gtw_software_has_unlisted (const gtw_gateway_t *gateway,
                                 uint64_t service);
+/// @return  Whether a gateway that doesn't know a stream of this origin can't
+///          tell the version that may continue it.
+bool gtw_software_is_ambiguous (const gtw_gateway_t *gateway,
+                                const org_origin_t *origin);
 /// @return  Whether this gateway has run since before any open stream began.
 bool gtw_software_has_seen_all (const gtw_gateway_t *gateway);
 
@@ -37,7 +41,7 @@
 /// Have a few sidecars remember what began a stream.
 void gtw_origin_share (gtw_gateway_t *gateway, uint64_t stream,
                        const org_origin_t *origin, uint64_t ttl_ms);
-/// Have sidecars remember all streams that gtw_origin_is_shared() names.
+/// Have sidecars remember all streams of ambiguous versions.
 void gtw_origin_share_all (gtw_gateway_t *gateway);
 /// Have a sidecar that has just started remember its part of the streams.
 void gtw_origin_share_with (gtw_gateway_t *gateway, gtw_target_t *target);
@@ -59,10 +63,6 @@
 void gtw_origin_seek (gtw_request_t *r);
 /// Find out what began the stream that a request continues.
 gtw_origin_verdict_t gtw_origin_resolve (gtw_request_t *r);
-/// @return  Whether sidecars remember a stream: it may be continued at a
-///          gateway which can't tell what version that takes.
-bool gtw_origin_is_shared (const gtw_gateway_t *gateway,
-                           const org_origin_t *origin);
 /// Record what began the stream that a request receives: its target has sent
 /// the first event.
 void gtw_origin_record (gtw_request_t *r);
--- a/src/gateway/gateway_origin_peers.c
+++ b/src/gateway/gateway_origin_peers.c
@@ -80,7 +80,7 @@
               uint64_t ttl_ms)
 {
   const selection_t *selection = arg;
-  if (gtw_origin_is_shared (selection->gateway, origin))
+  if (gtw_software_is_ambiguous (selection->gateway, origin))
     add_stream (selection->gateway, selection->only, stream, origin, ttl_ms);
 }
 
--- a/src/gateway/gateway_software.c
+++ b/src/gateway/gateway_software.c
@@ -140,6 +140,14 @@
   return false;
 }
 
+bool
+gtw_software_is_ambiguous (const gtw_gateway_t *gateway,
+                           const org_origin_t *origin)
+{
+  return origin->software == 0
+         || gtw_software_is_mixed (gateway, origin->service);
+}
+
 bool
 gtw_software_has_seen_all (const gtw_gateway_t *gateway)
 {
