fix(test): choose no port twice for the daemons of a site

A site of four gateways tries about a dozen pairs. "The site did not start" in the soak may have been this; it is not shown.

--- a/test/relay/http_peer.cc
+++ b/test/relay/http_peer.cc
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <cstring>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <stdexcept>
 
 namespace relay
@@ -370,16 +372,31 @@
   return size + bytes + "\r\n";
 }
 
+/// A port that a socket doesn't hold may be chosen again, and the daemons of a
+/// site would share it.
+static bool
+claim_port (int port)
+{
+  static std::mutex mutex;
+  static std::set<int> claimed;
+  std::lock_guard<std::mutex> lock (mutex);
+  return claimed.insert (port).second;
+}
+
 int
 free_port (const std::string &ip)
 {
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = parse_address (ip, 0);
-  bind (fd, (sockaddr *)&address, sizeof address);
-  socklen_t size = sizeof address;
-  getsockname (fd, (sockaddr *)&address, &size);
-  close (fd);
-  return ntohs (address.sin_port);
+  for (;;)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      sockaddr_in address = parse_address (ip, 0);
+      bind (fd, (sockaddr *)&address, sizeof address);
+      socklen_t size = sizeof address;
+      getsockname (fd, (sockaddr *)&address, &size);
+      close (fd);
+      if (claim_port (ntohs (address.sin_port)))
+        return ntohs (address.sin_port);
+    }
 }
 
 } // namespace relay
--- a/test/relay/http_peer.h
+++ b/test/relay/http_peer.h
@@ -144,7 +144,8 @@
 std::string json_response (const std::string &body);
 /// @return  One chunk of a chunked body.
 std::string chunk (const std::string &bytes);
-/// @return  A TCP port that is unused on this address.
+/// @return  A TCP port that is unused on this address and was not returned by
+///          an earlier call.
 int free_port (const std::string &ip);
 
 } // namespace relay
