--- a/src/gateway/gateway_liveness.c
+++ b/src/gateway/gateway_liveness.c
@@ -34,7 +34,7 @@
               const cal_result_t *result)
 {
   gtw_gateway_t *gateway = health->gateway;
-  kb_slice_t instance = result->instance;
+  kb_slice_t instance = result->header;
   bool is_named = instance.len_bytes > 0;
   bool is_same = kb_slice_equal (
       instance, kb_slice_str (target->list_entry.identity.id));
@@ -87,7 +87,7 @@
       = { .method = "GET",
           .path = path,
           .timeout_ms = HEALTH_TIMEOUT_MS,
-          .instance_header = gateway->dialect->instance_header };
+          .returned_header = gateway->dialect->instance_header };
   target->is_health_requested = true;
   target->health_requested_ms = now_ms;
   cal_call_start (&health->call, &target->peer, &request, health_on_done,
--- a/src/transport/call.c
+++ b/src/transport/call.c
@@ -21,7 +21,8 @@
                           .http_status = call->http_status,
                           .body = kb_buf_slice (&body),
                           .first_byte_ms = call->first_byte_ms,
-                          .instance = kb_slice_str (call->instance) };
+                          .header = kb_slice_str (call->header),
+                          .header_count = call->header_count };
   call->done (call->arg, &result);
   kb_buf_finish (&body);
 }
@@ -57,9 +58,12 @@
   call->http_status = conn->parser.status_code;
   call->first_byte_ms
       = (int64_t)(uv_now (call->timers->loop) - call->began_ms);
-  if (call->instance_header != NULL)
-    kb_slice_copy (h1_head_get (&conn->head, call->instance_header),
-                   call->instance, sizeof call->instance);
+  if (call->returned_header != NULL)
+    {
+      kb_slice_copy (h1_head_get (&conn->head, call->returned_header),
+                     call->header, sizeof call->header);
+      call->header_count = h1_head_count (&conn->head, call->returned_header);
+    }
   call_extend_timeout (call);
 }
 
@@ -95,7 +99,7 @@
 {
   kb_buf_finish (&call->body);
   *call = (cal_call_t){ .timers = peer->pool->timers,
-                        .instance_header = request->instance_header,
+                        .returned_header = request->returned_header,
                         .began_ms = uv_now (peer->pool->loop),
                         .stall_timeout_ms = request->stall_timeout_ms,
                         .total_timeout_ms = request->total_timeout_ms,
--- a/src/transport/call.h
+++ b/src/transport/call.h
@@ -20,7 +20,10 @@
   /// Time from the start of the call to the head of the response; negative
   /// when there was none.
   int64_t first_byte_ms;
-  kb_slice_t instance; ///< Value of cal_request_t.instance_header, or empty.
+  /// Value of the first cal_request_t.returned_header, or empty; set when the
+  /// head of the response arrived, whatever `status` is.
+  kb_slice_t header;
+  uint32_t header_count; ///< How often the response has that header.
 } cal_result_t;
 
 typedef void (*cal_done_t) (void *arg, const cal_result_t *result);
@@ -32,8 +35,9 @@
   tmr_timer_t timer;
   tmr_service_t *timers;
   kb_buf_t body;
-  char instance[64];
-  const char *instance_header;
+  char header[64];
+  uint32_t header_count;
+  const char *returned_header;
   int http_status;
   uint64_t began_ms;
   uint64_t stall_timeout_ms; ///< See cal_request_t.
@@ -58,7 +62,7 @@
   uint64_t stall_timeout_ms;
   /// Longest duration of the whole call if `stall_timeout_ms` is set.
   uint64_t total_timeout_ms;
-  const char *instance_header; ///< Response header to return, or NULL.
+  const char *returned_header; ///< Response header to return, or NULL.
 } cal_request_t;
 
 /// Start a call. `done` is called once, never from within this function.
