test(relay): play a store that comes back from an older copy

The stand-in takes a copy, comes back from it with an era that is one higher and gives revisions out again.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -98,6 +98,19 @@
   mirror_store.remove (key);
 }
 
+std::array<Store::Copy, 2>
+Site::copy_stores ()
+{
+  return { store.copy (), mirror_store.copy () };
+}
+
+void
+Site::restore_stores (const std::array<Store::Copy, 2> &copies)
+{
+  store.restore (copies[0]);
+  mirror_store.restore (copies[1]);
+}
+
 static Daemon
 make_daemon (const std::string &dir, const std::string &name)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -5,6 +5,7 @@
 #ifndef KB_TEST_RELAY_SITE_H
 #define KB_TEST_RELAY_SITE_H
 
+#include <array>
 #include <memory>
 
 #include "proxy.h"
@@ -76,6 +77,10 @@
   /// Write a key to both stores.
   void put (const std::string &key, const std::string &value);
   void remove (const std::string &key);
+  /// Copies of both stores, for restore_stores.
+  std::array<Store::Copy, 2> copy_stores ();
+  /// Both stores come back from copies.
+  void restore_stores (const std::array<Store::Copy, 2> &copies);
   ~Site ();
   /// Poll until a condition holds.
   /// @return  False after the time-out.
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -89,13 +89,13 @@
 {
   writes++;
   if (request.target () == "/kv-lease")
-    return connection.write (json_response ("{\"Lease\":7,\"TtlMs\":600000}"));
+    return reply (connection, 200, "{\"Lease\":7,\"TtlMs\":600000}");
   std::string key = text_member (request.body, "Key");
   std::string value = unbase64 (text_member (request.body, "Value"));
   put (key, value);
   if (mirror_ != nullptr)
     mirror_->put (key, value);
-  return connection.write (json_response ("{\"Revision\":2}"));
+  return reply (connection, 200, "{\"Revision\":2}");
 }
 
 void
@@ -125,6 +125,39 @@
   changed_.notify_all ();
 }
 
+Store::Copy
+Store::copy ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return { items_, revision_ };
+}
+
+void
+Store::restore (const Copy &copy)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  items_ = copy.items;
+  revision_ = compacted_ = copy.revision;
+  history_.clear ();
+  era_++;
+  disconnect_count_++;
+  changed_.notify_all ();
+}
+
+std::string
+Store::era_headers ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return is_era_stated ? "Store-Era: " + std::to_string (era_) + "\r\n" : "";
+}
+
+bool
+Store::reply (Connection &connection, int status, const std::string &body)
+{
+  std::string headers = "Content-Type: application/json\r\n" + era_headers ();
+  return deliver (connection, make_response (status, headers, body));
+}
+
 void
 Store::stall_reads (const std::string &prefix)
 {
@@ -246,8 +279,11 @@
       lock.unlock ();
       return hold_until_closed (connection);
     }
-  if (after < compacted_)
-    return connection.write (make_response (410, "", "{}"));
+  if (after < compacted_ || after > revision_)
+    {
+      lock.unlock ();
+      return reply (connection, 410, "{}");
+    }
   if (disconnect_count_before != disconnect_count_)
     return false;
   // A change may have been made after the wait had timed out.
@@ -255,7 +291,7 @@
                            + changes (query.at ("Prefix"), after)
                            + "],\"AsOf\":" + std::to_string (revision_) + "}";
   lock.unlock ();
-  return deliver (connection, json_response (reply_body));
+  return reply (connection, 200, reply_body);
 }
 
 bool
@@ -279,7 +315,7 @@
       return false;
     }
   if (mode == BUSY)
-    return connection.write (make_response (503, "", "{}"));
+    return reply (connection, 503, "{}");
   if (mode == FOREIGN_BODY)
     return connection.write (json_response ("{\"map\":\"a body\"}"));
   if (request.method () == "POST")
@@ -300,7 +336,7 @@
     std::lock_guard<std::mutex> lock (mutex_);
     body = range (query);
   }
-  return deliver (connection, json_response (body));
+  return reply (connection, 200, body);
 }
 
 } // namespace relay
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -5,6 +5,7 @@
 #define KB_TEST_RELAY_STORE_STANDIN_H
 
 #include <condition_variable>
+#include <map>
 
 #include "http_peer.h"
 
@@ -13,7 +14,20 @@
 
 class Store : public Server
 {
+  struct Item
+  {
+    std::string value;
+    int64_t revision = 0;
+    bool is_gone = false;
+  };
+
 public:
+  /// The content at one moment, from which a store can come back.
+  struct Copy
+  {
+    std::map<std::string, Item> items;
+    int64_t revision = 0;
+  };
   enum Mode
   {
     HEALTHY,
@@ -35,6 +49,14 @@
   /// Drop the history: watches behind the present revision get 410, and the
   /// connections of waiting ones are closed.
   void compact ();
+  Copy copy ();
+  /// Come back from a copy: what was written since is lost, its revisions are
+  /// given out again, and the era rises by one. The history begins at the
+  /// copy.
+  void restore (const Copy &copy);
+  /// Header lines that state the era; empty: the store states none.
+  std::string era_headers ();
+  std::atomic<bool> is_era_stated{ true };
   /// Never answer the reads on a prefix that are waiting now, nor those that
   /// arrive until end_read_stall (): their connections stay open and silent,
   /// even after the stall has ended.
@@ -52,16 +74,12 @@
   std::atomic<int> page_items{ 3 };
 
 private:
-  struct Item
-  {
-    std::string value;
-    int64_t revision = 0;
-    bool is_gone = false;
-  };
   bool serve (Connection &connection, const Message &request) override;
   bool serve_watch (Connection &connection,
                     const std::map<std::string, std::string> &query);
   bool serve_write (Connection &connection, const Message &request);
+  /// Send an answer with the era.
+  bool reply (Connection &connection, int status, const std::string &body);
   std::string range (const std::map<std::string, std::string> &query);
   std::string changes (const std::string &prefix, int64_t after);
   bool has_stalled_prefix (const std::string &prefix) const;
@@ -76,6 +94,7 @@
   std::vector<std::pair<std::string, Item>> history_; ///< Ordered by revision.
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
+  int64_t era_ = 1;
   int64_t disconnect_count_ = 0;
   int64_t stall_count_ = 0;
   std::string stalled_prefix_; ///< Prefix of the last stall_reads ().
