fix(platform,coordination): follow a restored store by its era

Cause: a configuration whose store revision was not above that of the last one was taken for known, and watches went on from revisions that the restored store had not given out yet or had given out again. Class: a number that another process gives out is taken to last.

Each answer is judged by the era that the store states, or, where it states none, by a revision that went back. Sidecars cache one era, and messages between daemons carry it as an optional field: daemons of the earlier release state none and read the store directly.

Ruled out: news that did not come (each gateway read each change within 3 ms), and a document that could not be decoded (no such line).

--- a/src/coordination/follow.c
+++ b/src/coordination/follow.c
@@ -138,6 +138,7 @@
   else
     return false;
   r->is_reading = true;
+  r->sent_revision = f->era.revision;
   r->began_ms = now_ms;
   r->timeout_ms = out->timeout_ms;
   return true;
@@ -157,7 +158,7 @@
 reader_restart (flw_reader_t *r, uint64_t now_ms)
 {
   r->due_ms = now_ms;
-  r->is_cancel_due = r->is_reading;
+  r->is_cancel_due = r->is_cancel_due || r->is_reading;
   r->is_reading = false;
 }
 
@@ -178,6 +179,38 @@
   return batch->failed_since_ms > 0 && batch->consecutive_timeouts > 0;
 }
 
+/// Extend the time for which missing targets are retained.
+/// @param earliest_return_ms  The store was back at this time at the earliest.
+static void
+retain_after (flw_follower_t *f, uint64_t earliest_return_ms)
+{
+  uint64_t until_ms
+      = earliest_return_ms + RECOVERY_BOUND_MS - REMOVAL_MARGIN_MS;
+  if (until_ms > f->retain_until_ms)
+    f->retain_until_ms = until_ms;
+}
+
+/// The store was restored after the newest answered batch read had begun, and
+/// after the newest unanswered one.
+static void
+restart_after_restore (flw_follower_t *f, uint64_t now_ms)
+{
+  flw_reader_t *batch = &f->readers[FLW_BATCH];
+  flw_reader_t *direct = &f->readers[FLW_DIRECT];
+  f->restore_count++;
+  f->is_copy_due = true;
+  f->rewritten_ms = now_ms + RECOVERY_MS;
+  retain_after (f, f->known_ms > f->last_unanswered_ms
+                       ? f->known_ms
+                       : f->last_unanswered_ms);
+  batch->as_of = 0;
+  reader_restart (batch, now_ms);
+  direct->as_of = 0;
+  reader_restart (direct, now_ms);
+  // Continues from the batch reader's range.
+  direct->due_ms = UINT64_MAX;
+}
+
 /// Make the direct reader send a range read of the operator's keys, unless it
 /// already does.
 static void
@@ -231,8 +264,7 @@
   f->known_ms = batch->began_ms;
   f->is_store_read_due = false;
   if (is_gap)
-    f->retain_until_ms
-        = f->last_unanswered_ms + RECOVERY_BOUND_MS - REMOVAL_MARGIN_MS;
+    retain_after (f, f->last_unanswered_ms);
   if (is_gap || is_first)
     {
       f->recovery_until_ms = now_ms + RECOVERY_MS;
@@ -260,11 +292,42 @@
   return pause_ms;
 }
 
-void
-flw_answered (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
-              uint64_t as_of, uint64_t config_revision, uint32_t random)
+/// @return  Whether an answer is to be applied, by its era.
+static flw_verdict_t
+judge_answer (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
+              const flw_answer_t *answer, uint32_t random)
+{
+  flw_reader_t *r = &f->readers[which];
+  bool is_batch_range = which == FLW_BATCH && r->as_of == 0;
+  era_answer_t observed = { .era = answer->era,
+                            .as_of = answer->as_of,
+                            .known_revision = r->sent_revision };
+  switch (era_observe (&f->era, &observed))
+    {
+    case ERA_STALE:
+      flw_failed (f, which, now_ms, FLW_NO_ANSWER, random);
+      return FLW_DISCARD;
+    case ERA_RESTORED:
+      r->is_reading = false;
+      restart_after_restore (f, now_ms);
+      if (!is_batch_range)
+        return FLW_DISCARD;
+      break;
+    case ERA_CURRENT:
+      break;
+    }
+  if (!is_batch_range || !f->is_copy_due)
+    return FLW_APPLY;
+  f->is_copy_due = false;
+  return FLW_APPLY_COPY;
+}
+
+static void
+apply_answer (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
+              const flw_answer_t *answer, uint32_t random)
 {
   flw_reader_t *r = &f->readers[which];
+  uint64_t as_of = answer->as_of;
   bool is_first = r->as_of == 0;
   // The batch reader pauses after each answer in any case.
   bool is_early = which == FLW_DIRECT && as_of <= r->as_of
@@ -281,7 +344,7 @@
   r->due_ms = is_early ? now_ms + backoff_ms (r, random) : now_ms;
   if (which == FLW_BATCH)
     {
-      batch_answered (f, now_ms, is_first, config_revision, random);
+      batch_answered (f, now_ms, is_first, answer->config_revision, random);
       return;
     }
   r->failed_since_ms = 0;
@@ -289,6 +352,32 @@
     batch_restart (f, now_ms);
 }
 
+flw_verdict_t
+flw_answered (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
+              const flw_answer_t *answer, uint32_t random)
+{
+  flw_verdict_t verdict = judge_answer (f, which, now_ms, answer, random);
+  if (verdict != FLW_DISCARD)
+    apply_answer (f, which, now_ms, answer, random);
+  return verdict;
+}
+
+void
+flw_hint_era (flw_follower_t *f, uint64_t era, uint64_t now_ms)
+{
+  flw_reader_t *batch = &f->readers[FLW_BATCH];
+  if (era <= f->era.era || batch->as_of == 0)
+    return;
+  f->is_store_read_due = true;
+  reader_restart (batch, now_ms);
+}
+
+bool
+flw_is_confirmed (const flw_follower_t *f)
+{
+  return f->known_ms >= f->rewritten_ms;
+}
+
 /// @return  Pause after a failed read.
 static uint64_t
 failure_pause_ms (flw_reader_t *r, uint64_t duration_ms, bool is_timeout,
@@ -385,6 +474,8 @@
   // newer knowledge is kept.
   if (as_of > batch->as_of)
     batch->as_of = as_of;
+  if (as_of > f->era.revision)
+    f->era.revision = as_of;
   const flw_reader_t *direct = &f->readers[FLW_DIRECT];
   if (direct->as_of == 0 || config_revision > direct->as_of)
     direct_restart (f, now_ms);
--- a/src/coordination/follow.h
+++ b/src/coordination/follow.h
@@ -22,12 +22,19 @@
 /// several gateways (share.h). A peer's answer is only as good as the start
 /// time of the read behind it: a peer that is silent, late, or no fresher than
 /// the local state costs a fraction of a pause, and the store is read next.
+///
+/// When the store comes back from an older copy (era.h), both readers start
+/// over with a range read. Targets that the copy lacks are retained as after
+/// an outage, and knowledge counts as confirmed again once the store's writers
+/// have had time to write again what the copy lacks.
 #ifndef KB_COORDINATION_FOLLOW_H
 #define KB_COORDINATION_FOLLOW_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/era.h"
+
 typedef enum
 {
   FLW_BATCH,
@@ -53,6 +60,25 @@
   uint64_t pause_ms;     ///< Shared reads: interval of the own reads.
 } flw_read_t;
 
+/// An answered read.
+typedef struct
+{
+  uint64_t as_of; ///< All changes up to this revision are known.
+  uint64_t era;   ///< As the answer states it; zero: not stated.
+  /// Newest change of the configuration in the answer; zero: none.
+  uint64_t config_revision;
+} flw_answer_t;
+
+/// What to do with the items of an answer.
+typedef enum
+{
+  FLW_APPLY,
+  /// Apply a range that was read from an older copy: it may lack confirmed
+  /// changes, which remain in force.
+  FLW_APPLY_COPY,
+  FLW_DISCARD,
+} flw_verdict_t;
+
 typedef struct
 {
   uint64_t as_of; ///< All changes up to this revision are known; zero: none.
@@ -61,6 +87,7 @@
   uint64_t began_ms;        ///< When the pending read was sent.
   uint64_t timeout_ms;      ///< Of the pending read.
   uint64_t due_ms;          ///< When the next read is to be sent.
+  uint64_t sent_revision;   ///< Highest known when the pending read was sent.
   uint64_t answered_ms;     ///< Last answer; the start before the first one.
   uint64_t failed_since_ms; ///< Start of the first failed read, or zero.
   uint64_t retry_ms;        ///< Backoff after the next refusal.
@@ -73,6 +100,12 @@
   uint64_t pause_ms;      ///< Regular interval of the batch reader.
   uint64_t next_pause_ms; ///< Current interval, shorter during recovery.
   uint64_t known_ms;      ///< Start of the newest answered batch read.
+  era_tracker_t era;
+  uint32_t restore_count; ///< Changes of the era so far.
+  bool is_copy_due; ///< The store was restored and not read completely since.
+  /// Until then the store's writers may still lack time to write again what a
+  /// restore has lost; zero: they don't.
+  uint64_t rewritten_ms;
   bool is_store_read_due; ///< A peer failed; the next read goes to the store.
   flw_reader_t readers[FLW_READERS];
   bool is_reachable;
@@ -95,12 +128,10 @@
 ///          The next read is due then.
 bool flw_take_cancellation (flw_follower_t *f, flw_reader_id_t which);
 /// A read was answered. Call before its changes are applied.
-/// @param as_of            All changes up to this revision are known.
-/// @param config_revision  Newest change of the configuration in the answer;
-///                         zero: none.
-/// @param random           Any number, for jitter.
-void flw_answered (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
-                   uint64_t as_of, uint64_t config_revision, uint32_t random);
+/// @param random  Any number, for jitter.
+flw_verdict_t flw_answered (flw_follower_t *f, flw_reader_id_t which,
+                            uint64_t now_ms, const flw_answer_t *answer,
+                            uint32_t random);
 void flw_failed (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
                  flw_failure_t failure, uint32_t random);
 /// A peer answered. Call before its changes are applied.
@@ -112,6 +143,12 @@
                           uint64_t config_revision, uint32_t random);
 /// A peer gave no usable answer.
 void flw_shared_failed (flw_follower_t *f, uint64_t now_ms);
+/// An answer without changes, or a peer, stated an era. If it is later than
+/// the known one, the batch reader reads the store at once.
+void flw_hint_era (flw_follower_t *f, uint64_t era, uint64_t now_ms);
+/// @return  Whether the newest answered batch read shows everything that was
+///          confirmed by its start. For a while after a restore it may not.
+bool flw_is_confirmed (const flw_follower_t *f);
 /// A new target was listed: others may follow.
 void flw_record_new_target (flw_follower_t *f);
 /// @return  Time until which targets that are no longer listed are retained,
--- a/src/coordination/share.c
+++ b/src/coordination/share.c
@@ -39,6 +39,23 @@
   items_clear (cache);
 }
 
+/// Clear the cache. Gateways that need older changes must read the store.
+/// @param as_of  Zero: it restarts at the revision of the next request.
+static void
+cache_reset (shr_cache_t *cache, uint64_t era, uint64_t as_of)
+{
+  items_clear (cache);
+  if (era != cache->era)
+    cache->config_revision = 0;
+  cache->era = era;
+  cache->floor_revision = as_of;
+  cache->as_of = as_of;
+  // Earlier reads do not cover the revision from which the next request
+  // starts.
+  if (as_of == 0)
+    cache->read_began_ms = 0;
+}
+
 bool
 shr_request_add (shr_cache_t *cache, const shr_request_t *request)
 {
@@ -51,11 +68,11 @@
   if (at == cache->request_count)
     cache->request_count++;
   cache->requests[at] = *request;
-  if (cache->as_of == 0)
-    {
-      cache->as_of = request->after;
-      cache->floor_revision = request->after;
-    }
+  // A read that is under way is answered for the cache as it is.
+  if (request->era > cache->era && !cache->is_reading)
+    cache_reset (cache, request->era, 0);
+  if (cache->as_of == 0 && request->era >= cache->era)
+    cache_reset (cache, request->era, request->after);
   return true;
 }
 
@@ -78,6 +95,9 @@
 request_resolve (const shr_cache_t *cache, const shr_request_t *request,
                  uint64_t now_ms, shr_status_t *status)
 {
+  *status = SHR_TOO_OLD;
+  if (request->era != cache->era)
+    return true;
   *status = SHR_READ_FAILED;
   if (request->is_read_failed)
     return true;
@@ -155,33 +175,31 @@
   kb_buf_append (&item->value, change->value.ptr, change->value.len_bytes);
 }
 
-/// Clear the cache. Gateways that need older changes must read the store.
-static void
-cache_reset (shr_cache_t *cache, uint64_t as_of)
+/// @return  Whether the store was restored since the last answer.
+static bool
+is_other_era (const shr_cache_t *cache, const shr_answer_t *answer)
 {
-  items_clear (cache);
-  cache->floor_revision = as_of;
-  cache->as_of = as_of;
-  // Earlier reads do not cover the revision from which the next request
-  // starts.
-  if (as_of == 0)
-    cache->read_began_ms = 0;
+  return answer->era != cache->era || answer->as_of < cache->as_of;
 }
 
 void
-shr_read_answered (shr_cache_t *cache, const shr_change_t *changes,
-                   uint32_t count, uint64_t as_of, uint64_t config_revision)
+shr_read_answered (shr_cache_t *cache, const shr_answer_t *answer)
 {
+  if (is_other_era (cache, answer))
+    {
+      cache_reset (cache, answer->era, 0);
+      shr_read_failed (cache, true);
+      return;
+    }
   cache->is_reading = false;
   cache->read_began_ms = cache->reading_since_ms;
-  for (uint32_t i = 0; i < count; i++)
-    change_apply (cache, &changes[i]);
-  if (as_of > cache->as_of)
-    cache->as_of = as_of;
-  if (config_revision > cache->config_revision)
-    cache->config_revision = config_revision;
+  for (uint32_t i = 0; i < answer->change_count; i++)
+    change_apply (cache, &answer->changes[i]);
+  cache->as_of = answer->as_of;
+  if (answer->config_revision > cache->config_revision)
+    cache->config_revision = answer->config_revision;
   if (cache->items.len > SHR_MAX_ITEMS)
-    cache_reset (cache, cache->as_of);
+    cache_reset (cache, cache->era, cache->as_of);
 }
 
 void
@@ -192,7 +210,7 @@
     cache->requests[i].is_read_failed = true;
   // Restarts at the revision of the next request.
   if (is_history_gone)
-    cache_reset (cache, 0);
+    cache_reset (cache, cache->era, 0);
 }
 
 const shr_item_t *
--- a/src/coordination/share.h
+++ b/src/coordination/share.h
@@ -9,6 +9,9 @@
 /// the start time of the read behind it, from which the receiver computes its
 /// age; the time at which an answer arrives is no evidence of freshness.
 ///
+/// The cache holds changes of one era of the store (era.h), and answers
+/// requests of that era only.
+///
 /// No I/O. Time is an argument, from a clock that also counts while the VM is
 /// suspended; otherwise a read from before a suspension would look fresh.
 #ifndef KB_COORDINATION_SHARE_H
@@ -55,6 +58,7 @@
 {
   char gateway[SHR_NAME_BYTES];
   uint64_t id;
+  uint64_t era;   ///< Era of the store that it follows; zero: not stated.
   uint64_t after; ///< The gateway knows all changes up to this revision.
   uint64_t known_age_ms; ///< Age of its state when the request arrived.
   uint64_t pause_ms;     ///< Interval at which it would read the store itself.
@@ -65,13 +69,15 @@
 typedef enum
 {
   SHR_CHANGES_KNOWN, ///< Answer with the changes known here.
-  SHR_TOO_OLD,       ///< The requested revision precedes the cache.
+  SHR_TOO_OLD,       ///< The requested revision precedes the cache, or is of
+                     ///< another era.
   SHR_READ_FAILED,   ///< The read of the store failed.
 } shr_status_t;
 
 typedef struct
 {
   kb_map_t items;           ///< shr_item_t by the hash of their key.
+  uint64_t era;             ///< Era of the store; zero: not stated.
   uint64_t floor_revision;  ///< Changes after this revision are cached.
   uint64_t as_of;           ///< Up to this revision; zero: the cache is empty.
   uint64_t config_revision; ///< Newest change of the configuration, or zero.
@@ -97,10 +103,19 @@
 /// @param after  Set to the revision after which to read.
 /// @return       Whether a read is due; it then counts as sent.
 bool shr_read_begin (shr_cache_t *cache, uint64_t now_ms, uint64_t *after);
-/// @param config_revision  Newest change of the configuration in it, or zero.
-void shr_read_answered (shr_cache_t *cache, const shr_change_t *changes,
-                        uint32_t count, uint64_t as_of,
-                        uint64_t config_revision);
+/// An answered read of the store.
+typedef struct
+{
+  const shr_change_t *changes;
+  uint32_t change_count;
+  uint64_t era;             ///< Zero: not stated.
+  uint64_t as_of;           ///< Includes all changes up to this revision.
+  uint64_t config_revision; ///< Newest change of the configuration, or zero.
+} shr_answer_t;
+
+/// An answer of another era, or with a lower revision than before, clears the
+/// cache: the store was restored from an older copy.
+void shr_read_answered (shr_cache_t *cache, const shr_answer_t *answer);
 /// @param is_history_gone  The store has compacted the changes after `as_of`.
 void shr_read_failed (shr_cache_t *cache, bool is_history_gone);
 /// Iterate over the changes after a revision, starting with `*at` = 0. Each
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -342,7 +342,8 @@
   src_peers_t peers; ///< First.
   gtw_gateway_t *gateway;
   uint64_t last_id;
-  uint64_t id; ///< Zero: none is pending.
+  uint64_t id;  ///< Zero: none is pending.
+  uint64_t era; ///< Of the store, as the query states it.
   uint64_t link_key;
   uint64_t requested_ms;
   tmr_timer_t timer;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -142,6 +142,7 @@
   gtw_gateway_t *gateway = peers->gateway;
   const gtw_target_t *target = choose_peer (gateway);
   peers->id = ++peers->last_id;
+  peers->era = query->era;
   peers->requested_ms = gtw_now_ms (gateway);
   peers->link_key = 0;
   bool is_sent = false;
@@ -153,6 +154,7 @@
           = { .type = MSG_CHANGES_REQUEST,
               .changes_request = { .id = peers->id,
                                    .store = kb_hash (store, strlen (store), 0),
+                                   .era = query->era,
                                    .after = query->after,
                                    .known_age_ms = query->known_age_ms,
                                    .pause_ms = query->pause_ms } };
@@ -211,11 +213,15 @@
   uint32_t count = 0;
   if (answer->status != MSG_CHANGES_AVAILABLE)
     query_fail (peers, "store_silent");
+  // A sidecar of the earlier release states no era.
+  else if (answer->era != peers->era)
+    query_fail (peers, "other_era");
   else if (!unpack_changes (answer->changes, &changes, &count))
     query_fail (peers, "malformed");
   else
     {
-      src_changes_t known = { .as_of = answer->as_of,
+      src_changes_t known = { .era = answer->era,
+                              .as_of = answer->as_of,
                               .began_ms = read_began_ms (peers, answer),
                               .config_revision = answer->config_revision,
                               .changes = changes,
@@ -225,8 +231,16 @@
   free (changes);
 }
 
+static void
+peers_cancel (src_peers_t *base)
+{
+  gtw_peers_t *peers = (gtw_peers_t *)base;
+  tmr_cancel (&peers->gateway->host.timers, &peers->timer);
+  peers->id = 0;
+}
+
 static const src_peers_vtable_t peers_vtable
-    = { peers_has_usable, peers_query };
+    = { peers_has_usable, peers_query, peers_cancel };
 
 void
 gtw_peers_init (gtw_gateway_t *gateway)
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -39,6 +39,7 @@
 /// Request for the changes that a gateway lacks.
 typedef struct
 {
+  uint64_t era;          ///< Era of the store; zero: not stated.
   uint64_t after;        ///< Last revision that is known.
   uint64_t known_age_ms; ///< Age of that knowledge.
   uint64_t pause_ms;     ///< Interval between two reads of the store.
@@ -48,6 +49,7 @@
 /// Changes that a peer read for several gateways.
 typedef struct
 {
+  uint64_t era;             ///< Era of the store that they are of.
   uint64_t as_of;           ///< Revision up to which they are complete.
   uint64_t began_ms;        ///< Latest possible start of the read, loop time.
   uint64_t config_revision; ///< Of the newest configuration that the peer saw;
@@ -67,6 +69,8 @@
   /// within this call.
   void (*request_changes) (src_peers_t *peers,
                            const src_changes_request_t *request);
+  /// Abandon the pending query; on_changes is not called for it.
+  void (*cancel_request) (src_peers_t *peers);
 } src_peers_vtable_t;
 
 struct src_peers
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -196,16 +196,19 @@
         BYTES (adapter_version, adapter) } },
   [MSG_CHANGES_REQUEST]
   = { "changes_ask",
-      5,
+      6,
       { UINT (changes_request, id), UINT (changes_request, store),
         UINT (changes_request, after), UINT (changes_request, known_age_ms),
-        UINT (changes_request, pause_ms) } },
+        UINT (changes_request, pause_ms), UINT (changes_request, era) },
+      1 },
   [MSG_CHANGES]
   = { "changes",
-      7,
+      8,
       { UINT (changes, id), UINT (changes, status), UINT (changes, as_of),
         UINT (changes, began_before_ms), UINT (changes, began_after_ms),
-        UINT (changes, config_revision), BYTES (changes, changes) } },
+        UINT (changes, config_revision), BYTES (changes, changes),
+        UINT (changes, era) },
+      1 },
   [MSG_RUN_CONFIRMED]
   = { "run_confirmed", 1, { UINT (run_confirmed, request) } },
   [MSG_QUARANTINE] = { "quarantine", 1, { BYTES (quarantine, records) } },
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -476,6 +476,7 @@
   uint64_t after;        ///< Revision up to which the gateway is complete.
   uint64_t known_age_ms; ///< Age of that state.
   uint64_t pause_ms;     ///< Interval between two reads of the store.
+  uint64_t era;          ///< Era of the store (era.h); optional.
 } msg_changes_request_t;
 
 /// Status of the answer to msg_changes_request_t.
@@ -499,6 +500,7 @@
   /// Revision of a configuration it saw; `changes` contains none.
   uint64_t config_revision;
   kb_slice_t changes; ///< Packed, see relay/changes.h.
+  uint64_t era;       ///< Era of the store (era.h); optional.
 } msg_changes_t;
 
 /// The target lived on after an answer that ended with its connection.
--- a/src/relay/reader.h
+++ b/src/relay/reader.h
@@ -15,10 +15,7 @@
   /// KB_OK; KB_ENOTFOUND: the store no longer has the history after the
   /// revision; any other value: no answer.
   kb_status_t status;
-  const shr_change_t *changes; ///< Valid during the callback.
-  uint32_t change_count;
-  uint64_t as_of;           ///< Includes all changes up to this revision.
-  uint64_t config_revision; ///< Of a configuration in `changes`, or zero.
+  shr_answer_t answer; ///< Changes are valid during the callback.
 } rdr_result_t;
 
 typedef void (*rdr_done_t) (void *arg, const rdr_result_t *result);
--- a/src/sidecar/sidecar_share.c
+++ b/src/sidecar/sidecar_share.c
@@ -73,7 +73,8 @@
                              .began_before_ms = is_known ? before_ms : 0,
                              .began_after_ms = is_known ? after_ms : 0,
                              .config_revision = cache->config_revision,
-                             .changes = kb_buf_slice (&changes) } };
+                             .changes = kb_buf_slice (&changes),
+                             .era = cache->era } };
   if (hst_send (&s->host, request->gateway, &msg) != KB_OK)
     MET_INC ("knapweedbay_gateway_unreached_total", "");
   kb_buf_finish (&changes);
@@ -86,8 +87,7 @@
   if (result->status == KB_OK)
     {
       MET_INC ("knapweedbay_shared_reads_total", "result=\"ok\"");
-      shr_read_answered (s->share_cache, result->changes, result->change_count,
-                         result->as_of, result->config_revision);
+      shr_read_answered (s->share_cache, &result->answer);
     }
   else
     {
@@ -166,6 +166,7 @@
                           const msg_changes_request_t *msg)
 {
   shr_request_t request = { .id = msg->id,
+                            .era = msg->era,
                             .after = msg->after,
                             .known_age_ms = msg->known_age_ms,
                             .pause_ms = msg->pause_ms,
--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -1,11 +1,13 @@
 /// Fuzzes the decoders of the platform's documents: for any bytes from the
 /// store or an engine, decoding must end with a value or an error.
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "document.h"
 #include "engine.h"
+#include "store.h"
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
@@ -28,6 +30,27 @@
     abort ();
 }
 
+/// Parse the header that states the store's era. Its decimal form must be the
+/// header's, without leading zeros.
+static void
+parse_era (kb_slice_t text)
+{
+  uint64_t era = sto_parse_era (text, 1);
+  if (sto_parse_era (text, 0) != 0 || sto_parse_era (text, 2) != 0)
+    abort ();
+  if (era == 0)
+    return;
+  while (*text.ptr == '0')
+    {
+      text.ptr++;
+      text.len_bytes--;
+    }
+  char digits[24];
+  snprintf (digits, sizeof digits, "%llu", (unsigned long long)era);
+  if (!kb_slice_equal (text, kb_slice_str (digits)))
+    abort ();
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -35,6 +58,7 @@
   {
     DOCUMENT_KINDS = 4,
     HAS_ID = 0x80,
+    IS_ERA = 0x40,
     MAX_ID_BYTES = 200,
   };
   if (size == 0)
@@ -49,6 +73,11 @@
       decode_target_with_id (text, MAX_ID_BYTES);
       return 0;
     }
+  if (data[0] >= IS_ERA)
+    {
+      parse_era (text);
+      return 0;
+    }
   switch (data[0] % DOCUMENT_KINDS)
     {
     case 0:
--- a/test/model/gateway.cc
+++ b/test/model/gateway.cc
@@ -241,8 +241,15 @@
 Gateway::apply_answer (flw_reader_id_t reader, const Answer &answer,
                        uint64_t now_ms)
 {
-  flw_answered (&follower_, reader, now_ms, answer.as_of,
-                operator_revision (answer.items), (uint32_t)random_ ());
+  flw_answer_t read
+      = { answer.as_of, answer.era, operator_revision (answer.items) };
+  uint32_t restore_count = follower_.restore_count;
+  flw_verdict_t verdict
+      = flw_answered (&follower_, reader, now_ms, &read, (uint32_t)random_ ());
+  if (restore_count != follower_.restore_count)
+    config_revision_ = 0;
+  if (verdict == FLW_DISCARD)
+    return;
   for (const Item &item : answer.items)
     if (item.key == "op/config")
       config_revision_ = std::max (config_revision_, item.revision);
@@ -259,6 +266,7 @@
 Gateway::apply_reply (const SidecarReply &reply, uint64_t now_ms)
 {
   bool is_known = reply.status == SHR_CHANGES_KNOWN
+                  && reply.era == follower_.era.era
                   && reply.config_revision <= config_revision_;
   uint64_t began_ms
       = reads_[FLW_BATCH].sent_ms + (uint64_t)reply.read_start_offset_ms;
@@ -310,6 +318,7 @@
 {
   shr_request_t shared_request = {};
   shared_request.id = ++request_id_;
+  shared_request.era = follower_.era.era;
   shared_request.after = read.after;
   shared_request.known_age_ms
       = planted_fault_ == PlantedFault::SIDECAR_REPLY_IS_FRESH
--- a/test/model/sidecar.cc
+++ b/test/model/sidecar.cc
@@ -66,8 +66,13 @@
       changes.push_back (change);
       items_[item.key] = item;
     }
-  shr_read_answered (&cache_, changes.data (), (uint32_t)changes.size (),
-                     answer.as_of, config_revision);
+  shr_answer_t read = {};
+  read.changes = changes.data ();
+  read.change_count = (uint32_t)changes.size ();
+  read.era = answer.era;
+  read.as_of = answer.as_of;
+  read.config_revision = config_revision;
+  shr_read_answered (&cache_, &read);
 }
 
 void
@@ -107,6 +112,7 @@
   reply.id = shared_request.id;
   reply.arrival_ms = now_ms + 1;
   reply.status = status;
+  reply.era = cache_.era;
   reply.as_of = cache_.as_of;
   reply.read_start_offset_ms
       = (int64_t)cache_.read_began_ms - (int64_t)shared_request.arrived_ms;
--- a/test/model/sidecar.h
+++ b/test/model/sidecar.h
@@ -25,6 +25,7 @@
   uint64_t id = 0;
   uint64_t arrival_ms = 0;
   shr_status_t status = SHR_READ_FAILED;
+  uint64_t era = 0;
   uint64_t as_of = 0;
   int64_t read_start_offset_ms
       = 0; ///< From the request's arrival to the start of the read.
--- a/test/model/store.cc
+++ b/test/model/store.cc
@@ -57,6 +57,22 @@
   history_.clear ();
 }
 
+void
+Store::save ()
+{
+  saved_items_ = items_;
+  saved_revision_ = revision;
+}
+
+void
+Store::restore ()
+{
+  items_ = saved_items_;
+  revision = compacted_revision_ = saved_revision_;
+  history_.clear ();
+  era++;
+}
+
 bool
 Store::is_visible (const Item &item, bool is_operator_only)
 {
@@ -70,7 +86,7 @@
     return true;
   if (are_watches_silent)
     return false;
-  if (after < compacted_revision_)
+  if (after < compacted_revision_ || after > revision)
     return true;
   for (auto it = history_.rbegin ();
        it != history_.rend () && it->revision > after; ++it)
@@ -84,8 +100,9 @@
 {
   Answer out;
   out.as_of = revision;
+  out.era = is_era_stated ? era : 0;
   out.is_range = after == 0;
-  if (after > 0 && after < compacted_revision_)
+  if (after > 0 && (after < compacted_revision_ || after > revision))
     {
       out.kind = Answer::HISTORY_GONE;
       return out;
--- a/test/model/store.h
+++ b/test/model/store.h
@@ -47,6 +47,7 @@
       = OK;
   bool is_range = false;
   uint64_t as_of = 0;
+  uint64_t era = 0;
   std::vector<Item> items;
 };
 
@@ -59,10 +60,16 @@
   const Item *find (const std::string &key) const;
   /// Drop the history of all changes so far.
   void compact ();
+  /// Keep a copy of the present content.
+  void save ();
+  /// Come back from the copy, in a new era.
+  void restore ();
   /// @return  Whether a read can be answered now.
   bool has_answer (bool is_operator_only, uint64_t after) const;
   Answer answer (bool is_operator_only, uint64_t after) const;
   uint64_t revision = 1;
+  uint64_t era = 1;
+  bool is_era_stated = true;
   StoreFault fault = StoreFault::NONE;
   bool are_watches_silent
       = false; ///< Watches receive nothing; a compaction follows.
@@ -71,6 +78,8 @@
   static bool is_visible (const Item &item, bool is_operator_only);
   std::vector<Item> items_;
   std::vector<Item> history_;
+  std::vector<Item> saved_items_;
+  uint64_t saved_revision_ = 1;
   uint64_t compacted_revision_ = 0;
 };
 
--- a/test/unit/follow_test.cc
+++ b/test/unit/follow_test.cc
@@ -12,6 +12,15 @@
 namespace
 {
 
+/// An answer of a store that states no era.
+flw_verdict_t
+answer (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
+        uint64_t as_of, uint64_t config_revision, uint32_t random)
+{
+  flw_answer_t answer = { as_of, 0, config_revision };
+  return flw_answered (f, which, now_ms, &answer, random);
+}
+
 /// A store that answers in `delay_ms`. During an outage it accepts reads and
 /// never answers them, nor those already pending. During a stall long polls
 /// get no answer; at its end they are interrupted, and the history is
@@ -144,8 +153,8 @@
         return;
       }
     bool has_config = config_revision > r.read.after;
-    flw_answered (&f, which, now_ms, revision,
-                  has_config ? config_revision : 0, random_ ());
+    answer (&f, which, now_ms, revision, has_config ? config_revision : 0,
+            random_ ());
     if (has_config && config_revision > known_config)
       {
         known_config = config_revision;
@@ -344,7 +353,7 @@
   flw_init (&f, 700, 0);
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 0, &read));
   EXPECT_FALSE (flw_begin (&f, FLW_DIRECT, false, 0, &read));
-  flw_answered (&f, FLW_BATCH, 4, 10, 5, 0);
+  answer (&f, FLW_BATCH, 4, 10, 5, 0);
   ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, 4, &read));
   EXPECT_EQ (read.after, 10u);
   flw_failed (&f, FLW_DIRECT, 20, FLW_HISTORY_GONE, 0);
@@ -353,7 +362,7 @@
   flw_failed (&f, FLW_BATCH, 710, FLW_HISTORY_GONE, 0);
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 710, &read));
   EXPECT_EQ (read.after, 0u);
-  flw_answered (&f, FLW_BATCH, 714, 30, 25, 0);
+  answer (&f, FLW_BATCH, 714, 30, 25, 0);
   ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, 714, &read));
   EXPECT_EQ (read.after, 30u);
 }
@@ -367,10 +376,10 @@
   flw_read_t read;
   flw_init (&f, 700, 0);
   flw_begin (&f, FLW_BATCH, false, 0, &read);
-  flw_answered (&f, FLW_BATCH, 4, 5, 0, 0);
+  answer (&f, FLW_BATCH, 4, 5, 0, 0);
   *now_ms = 5000;
   EXPECT_TRUE (flw_begin (&f, FLW_BATCH, false, *now_ms, &read));
-  flw_answered (&f, FLW_BATCH, *now_ms + 4, 10, 0, 0);
+  answer (&f, FLW_BATCH, *now_ms + 4, 10, 0, 0);
   *now_ms += 4;
   return f;
 }
@@ -408,7 +417,7 @@
   flw_failed (&f, FLW_BATCH, 6775, FLW_NO_ANSWER, 0);
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 7000, &read));
   EXPECT_FALSE (read.is_shared);
-  flw_answered (&f, FLW_BATCH, 7004, 20, 0, 0);
+  answer (&f, FLW_BATCH, 7004, 20, 0, 0);
   // After a gap targets are listed again one by one: peers also use short
   // pauses.
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 7010, &read));
@@ -463,4 +472,144 @@
   EXPECT_EQ (read.after, 14u);
 }
 
+/// An answer of a store that states its era.
+flw_verdict_t
+answer_of_era (flw_follower_t *f, flw_reader_id_t which, uint64_t now_ms,
+               uint64_t era, uint64_t as_of)
+{
+  flw_answer_t answer = { as_of, era, 0 };
+  return flw_answered (f, which, now_ms, &answer, 0);
+}
+
+/// @return  A follower that has read revision 100 of era 3 at 5,000 ms, and
+///          whose direct reader is waiting.
+flw_follower_t
+follower_of_era_3 ()
+{
+  flw_follower_t f;
+  flw_read_t read;
+  flw_init (&f, 700, 0);
+  EXPECT_TRUE (flw_begin (&f, FLW_BATCH, false, 5000, &read));
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5004, 3, 100), FLW_APPLY);
+  EXPECT_TRUE (flw_begin (&f, FLW_DIRECT, false, 5004, &read));
+  return f;
+}
+
+// Guards against a change that lies behind both readers' revisions, because
+// the store was restored and has passed them.
+TEST (Follow, RestoredStoreIsReadCompletely)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  EXPECT_EQ (read.after, 100u);
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5708, 4, 130), FLW_DISCARD);
+  EXPECT_TRUE (flw_take_cancellation (&f, FLW_DIRECT));
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5708, &read));
+  EXPECT_EQ (read.after, 0u);
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5712, 4, 131), FLW_APPLY_COPY);
+  ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, 5712, &read));
+  EXPECT_EQ (read.after, 131u);
+}
+
+// The store is away, and its range read after that is the first answer of the
+// new era.
+TEST (Follow, RangeAfterAnOutageIsAppliedAsACopy)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  flw_failed (&f, FLW_BATCH, 5710, FLW_HISTORY_GONE, 0);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5710, &read));
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5714, 4, 61), FLW_APPLY_COPY);
+  EXPECT_TRUE (flw_take_cancellation (&f, FLW_DIRECT));
+  ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, 5714, &read));
+  EXPECT_EQ (read.after, 61u);
+}
+
+// A range read that is not the first of its era is no copy.
+TEST (Follow, RangeOfTheKnownEraIsNoCopy)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  flw_failed (&f, FLW_BATCH, 5710, FLW_HISTORY_GONE, 0);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5710, &read));
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5714, 3, 110), FLW_APPLY);
+  EXPECT_TRUE (flw_is_confirmed (&f));
+}
+
+// The direct reader sees the new era first, and the batch reader's read of the
+// earlier era is given up.
+TEST (Follow, DirectReaderDetectsARestore)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 5010, &read));
+  EXPECT_EQ (answer_of_era (&f, FLW_DIRECT, 5100, 4, 130), FLW_DISCARD);
+  EXPECT_TRUE (flw_take_cancellation (&f, FLW_BATCH));
+  EXPECT_FALSE (flw_begin (&f, FLW_DIRECT, false, 5100, &read));
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 5100, &read));
+  EXPECT_EQ (read.after, 0u);
+  EXPECT_FALSE (read.is_shared);
+}
+
+TEST (Follow, HintOfALaterEraIsFollowedByAReadOfTheStore)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 5010, &read));
+  flw_hint_era (&f, 3, 5020);
+  EXPECT_FALSE (flw_take_cancellation (&f, FLW_BATCH));
+  flw_hint_era (&f, 4, 5020);
+  EXPECT_TRUE (flw_take_cancellation (&f, FLW_BATCH));
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 5020, &read));
+  EXPECT_FALSE (read.is_shared);
+}
+
+// Guards against live targets that are dropped because the copy lacks them:
+// they are listed again within 2 s of the store's return.
+TEST (Follow, TargetsAreRetainedAfterARestore)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  answer_of_era (&f, FLW_BATCH, 5708, 4, 130);
+  // The return was after 5,000 ms, the start of the last read of era 3.
+  EXPECT_EQ (flw_retain_until_ms (&f), 5000u + 3000 - 100);
+}
+
+// Guards against knowledge that looks fresh although the copy lacks what was
+// confirmed before the restore, such as the removal of a key.
+TEST (Follow, RestoredStateIsUnconfirmedUntilItsWritersHadTime)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  EXPECT_TRUE (flw_is_confirmed (&f));
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  answer_of_era (&f, FLW_BATCH, 5708, 4, 130);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5708, &read));
+  answer_of_era (&f, FLW_BATCH, 5712, 4, 131);
+  EXPECT_FALSE (flw_is_confirmed (&f));
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 7000, &read));
+  answer_of_era (&f, FLW_BATCH, 7004, 4, 140);
+  EXPECT_FALSE (flw_is_confirmed (&f));
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 8300, &read));
+  answer_of_era (&f, FLW_BATCH, 8304, 4, 150);
+  EXPECT_TRUE (flw_is_confirmed (&f));
+}
+
+// A late answer of the earlier era counts as no answer.
+TEST (Follow, StaleEraIsRetried)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5708, 2, 130), FLW_DISCARD);
+  EXPECT_EQ (f.readers[FLW_BATCH].as_of, 100u);
+  EXPECT_EQ (f.known_ms, 5000u);
+  EXPECT_FALSE (flw_begin (&f, FLW_BATCH, false, 5708, &read));
+  EXPECT_TRUE (flw_begin (&f, FLW_BATCH, false, 6000, &read));
+}
+
 } // namespace
--- a/test/unit/peers_test.cc
+++ b/test/unit/peers_test.cc
@@ -143,4 +143,25 @@
   EXPECT_FALSE (recorder.has_changes);
 }
 
+// A sidecar of the earlier release states no era: its changes may be of the
+// store before a restore.
+TEST_F (Peers, AnswerOfAnotherEraFailsTheQuery)
+{
+  gateway->peers.era = 4;
+  msg_changes_t answer = make_answer ();
+  for (uint64_t era : { 0, 3 })
+    {
+      gateway->peers.id = 5;
+      recorder.calls = 0;
+      answer.era = era;
+      gtw_peers_receive_changes (gateway.get (), &sidecar, &answer);
+      EXPECT_EQ (recorder.calls, 1);
+      EXPECT_FALSE (recorder.has_changes);
+    }
+  gateway->peers.id = 5;
+  answer.era = 4;
+  gtw_peers_receive_changes (gateway.get (), &sidecar, &answer);
+  EXPECT_TRUE (recorder.has_changes);
+}
+
 } // namespace
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -572,6 +572,22 @@
   EXPECT_EQ (dir_read_pause_ms (60000), 1200u);
 }
 
+// Guards against an era that is taken from a header that other software has
+// joined, repeated or cut.
+TEST (Store, EraIsOnePositiveNumber)
+{
+  auto parse = [] (const char *text, uint32_t count = 1) {
+    return sto_parse_era (kb_slice_str (text), count);
+  };
+  EXPECT_EQ (parse ("7"), 7u);
+  EXPECT_EQ (parse ("007"), 7u);
+  EXPECT_EQ (parse ("7", 2), 0u);
+  EXPECT_EQ (parse ("7", 0), 0u);
+  for (const char *text : { "", "0", "-7", "+7", "7, 8", "7 8", "0x7", "seven",
+                            "7.5", "9999999999999999999" })
+    EXPECT_EQ (parse (text), 0u) << text;
+}
+
 class DirectoryTest : public ::testing::Test
 {
 protected:
--- a/test/unit/share_test.cc
+++ b/test/unit/share_test.cc
@@ -51,19 +51,25 @@
 
   bool
   request (const char *gateway, uint64_t after, uint64_t known_age_ms,
-           uint64_t now_ms)
+           uint64_t now_ms, uint64_t era = 0)
   {
     shr_request_t a = request_of (gateway, after, known_age_ms, now_ms);
+    a.era = era;
     return shr_request_add (&cache, &a);
   }
 
   void
-  read (uint64_t now_ms, std::vector<shr_change_t> changes, uint64_t as_of)
+  read (uint64_t now_ms, std::vector<shr_change_t> changes, uint64_t as_of,
+        uint64_t era = 0)
   {
     uint64_t after;
     ASSERT_TRUE (shr_read_begin (&cache, now_ms, &after));
-    shr_read_answered (&cache, changes.data (), (uint32_t)changes.size (),
-                       as_of, 0);
+    shr_answer_t answer = {};
+    answer.changes = changes.data ();
+    answer.change_count = (uint32_t)changes.size ();
+    answer.era = era;
+    answer.as_of = as_of;
+    shr_read_answered (&cache, &answer);
   }
 
   /// Revisions of the changes sent to a gateway that knows `after`.
@@ -264,4 +270,58 @@
   kb_buf_finish (&packed);
 }
 
+// Guards against changes of two eras in one cache: a gateway would miss those
+// at revisions that were given out again.
+TEST_F (Share, RestoreClearsTheCache)
+{
+  request ("a", 10, 700, 1000, 3);
+  read (1000, { change_of ("k", 11, "1") }, 12, 3);
+  ASSERT_TRUE (shr_request_pop (&cache, 1004, &out, &status));
+  EXPECT_EQ (status, SHR_CHANGES_KNOWN);
+  request ("a", 12, 0, 1010, 3);
+  read (1800, { change_of ("k", 15, "2") }, 20, 4);
+  ASSERT_TRUE (shr_request_pop (&cache, 1804, &out, &status));
+  EXPECT_EQ (status, SHR_TOO_OLD);
+  EXPECT_TRUE (changes_after (0).empty ());
+  EXPECT_EQ (shr_due_ms (&cache), UINT64_MAX);
+  // A gateway that has read the restored store is served from there.
+  request ("a", 8, 700, 1900, 4);
+  read (1900, { change_of ("k", 9, "3") }, 9, 4);
+  ASSERT_TRUE (shr_request_pop (&cache, 1904, &out, &status));
+  EXPECT_EQ (status, SHR_CHANGES_KNOWN);
+  EXPECT_EQ (changes_after (8), (std::vector<uint64_t>{ 9 }));
+}
+
+// Some gateways know of the restore, others don't yet, and those of the
+// earlier release state no era.
+TEST_F (Share, RequestsOfOtherErasAreNotServed)
+{
+  request ("a", 8, 700, 1000, 4);
+  read (1000, { change_of ("k", 9, "1") }, 9, 4);
+  ASSERT_TRUE (shr_request_pop (&cache, 1004, &out, &status));
+  for (uint64_t era : { 0, 3 })
+    {
+      request ("b", 100, 700, 1010, era);
+      ASSERT_TRUE (shr_request_pop (&cache, 1010, &out, &status));
+      EXPECT_EQ (status, SHR_TOO_OLD);
+    }
+  EXPECT_EQ (changes_after (0), (std::vector<uint64_t>{ 9 }));
+  EXPECT_EQ (shr_due_ms (&cache), UINT64_MAX);
+  request ("c", 4, 700, 1020, 5);
+  EXPECT_TRUE (changes_after (0).empty ());
+}
+
+// The store states no era, but its revision went back.
+TEST_F (Share, LowerRevisionClearsTheCache)
+{
+  request ("a", 10, 700, 1000);
+  read (1000, { change_of ("k", 11, "1") }, 12);
+  ASSERT_TRUE (shr_request_pop (&cache, 1004, &out, &status));
+  request ("a", 12, 0, 1010);
+  read (1800, {}, 6);
+  ASSERT_TRUE (shr_request_pop (&cache, 1804, &out, &status));
+  EXPECT_EQ (status, SHR_READ_FAILED);
+  EXPECT_TRUE (changes_after (0).empty ());
+}
+
 } // namespace
