fix(platform,coordination): take nothing back from an older copy of the list

The first complete reads of a new era may be of the copy: known leaving, gone and later incarnations hold until an entry is written again, which a live target does within 2 s.

--- a/src/coordination/follow.c
+++ b/src/coordination/follow.c
@@ -199,7 +199,6 @@
   flw_reader_t *direct = &f->readers[FLW_DIRECT];
   f->restore_count++;
   f->is_copy_due = true;
-  f->rewritten_ms = now_ms + RECOVERY_MS;
   retain_after (f, f->known_ms > f->last_unanswered_ms
                        ? f->known_ms
                        : f->last_unanswered_ms);
@@ -316,8 +315,11 @@
     case ERA_CURRENT:
       break;
     }
-  if (!is_batch_range || !f->is_copy_due)
+  bool may_be_copy = f->is_copy_due || r->began_ms < f->rewritten_ms;
+  if (!is_batch_range || !may_be_copy)
     return FLW_APPLY;
+  if (f->is_copy_due)
+    f->rewritten_ms = now_ms + RECOVERY_MS;
   f->is_copy_due = false;
   return FLW_APPLY_COPY;
 }
@@ -375,7 +377,7 @@
 bool
 flw_is_confirmed (const flw_follower_t *f)
 {
-  return f->known_ms >= f->rewritten_ms;
+  return !f->is_copy_due && f->known_ms >= f->rewritten_ms;
 }
 
 /// @return  Pause after a failed read.
--- a/src/coordination/roster.c
+++ b/src/coordination/roster.c
@@ -13,6 +13,9 @@
   MASS_LOSS_RETAIN_MS = 800,
   MASS_LOSS_RETAIN_PERCENT = 40,
   MIN_MASS_LOSS = 3,
+  /// How long a removed target is remembered. The store comes back from a copy
+  /// that is some seconds old.
+  GONE_MEMORY_MS = 60000,
 };
 
 static uint64_t
@@ -53,8 +56,57 @@
   return entry == NULL || !entry->has_birth_time || incarnation->born_ms > 0;
 }
 
+static void
+record_gone (ros_roster_t *roster, const ros_entry_t *entry, uint64_t now_ms)
+{
+  ros_gone_t *gone = &roster->gone[roster->gone_count++ % ROS_MAX_GONE];
+  *gone
+      = (ros_gone_t){ .identity.born_ms = entry->born_ms, .gone_ms = now_ms };
+  snprintf (gone->identity.id, sizeof gone->identity.id, "%s", entry->id);
+}
+
+static bool
+is_known_gone (const ros_roster_t *roster, const inc_t *incarnation,
+               uint64_t now_ms)
+{
+  for (uint32_t i = 0; i < ROS_MAX_GONE; i++)
+    {
+      const ros_gone_t *gone = &roster->gone[i];
+      if (strcmp (gone->identity.id, incarnation->id) == 0
+          && now_ms - gone->gone_ms < GONE_MEMORY_MS
+          && incarnation->born_ms <= gone->identity.born_ms)
+        return true;
+    }
+  return false;
+}
+
+bool
+ros_accept_copy (const ros_roster_t *roster, const inc_t *incarnation,
+                 uint64_t now_ms, bool *is_leaving)
+{
+  const ros_entry_t *entry
+      = kb_map_get (&roster->entries, entry_key (incarnation->id));
+  if (entry == NULL)
+    return !is_known_gone (roster, incarnation, now_ms);
+  bool is_removed = entry->remove_at_ms > 0;
+  if (is_removed || incarnation->born_ms < entry->born_ms)
+    return false;
+  if (incarnation->born_ms == entry->born_ms && entry->is_leaving)
+    *is_leaving = true;
+  return true;
+}
+
+/// Forget that a target is gone, since a new entry lists it.
+static void
+clear_gone (ros_roster_t *roster, const char *id)
+{
+  for (uint32_t i = 0; i < ROS_MAX_GONE; i++)
+    if (strcmp (roster->gone[i].identity.id, id) == 0)
+      roster->gone[i].identity.id[0] = '\0';
+}
+
 bool
-ros_list (ros_roster_t *roster, const inc_t *incarnation)
+ros_list (ros_roster_t *roster, const inc_t *incarnation, bool is_leaving)
 {
   uint64_t key = entry_key (incarnation->id);
   ros_entry_t *entry = kb_map_get (&roster->entries, key);
@@ -65,10 +117,13 @@
       *entry = (ros_entry_t){ 0 };
       snprintf (entry->id, sizeof entry->id, "%s", incarnation->id);
       kb_map_put (&roster->entries, key, entry);
+      clear_gone (roster, entry->id);
     }
   entry->has_birth_time = entry->has_birth_time || incarnation->born_ms > 0;
   entry->remove_at_ms = 0;
   entry->range_mark = roster->range_count;
+  entry->born_ms = incarnation->born_ms;
+  entry->is_leaving = is_leaving;
   return is_new;
 }
 
@@ -129,6 +184,7 @@
       if (entry->remove_at_ms == 0 || entry->remove_at_ms > now_ms)
         continue;
       snprintf (id, INC_ID_BYTES, "%s", entry->id);
+      record_gone (roster, entry, now_ms);
       kb_map_remove (&roster->entries, entry_key (entry->id));
       free (entry);
       return true;
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -2,7 +2,9 @@
 /// Set of listed targets, derived from a list that may be wrong for a while:
 /// leases of live targets expire while the store is unreachable, and several
 /// entries may disappear at once. Targets whose entries disappear are
-/// therefore retained for some time. No I/O; time is an argument.
+/// therefore retained for some time. A list that was read from an older copy
+/// of the store does not bring back what is known to be gone. No I/O; time is
+/// an argument.
 #ifndef KB_COORDINATION_ROSTER_H
 #define KB_COORDINATION_ROSTER_H
 
@@ -12,6 +14,11 @@
 #include "state/incarnation.h"
 #include "state/map.h"
 
+enum
+{
+  ROS_MAX_GONE = 1024,
+};
+
 /// A target id that is listed, or was listed until recently.
 typedef struct
 {
@@ -19,14 +26,25 @@
   uint64_t range_mark;   ///< Number of the last full range with this id.
   uint64_t remove_at_ms; ///< Zero: still listed.
   bool has_birth_time;   ///< Its entries must state the birth time.
+  uint64_t born_ms;      ///< Of the last entry.
+  bool is_leaving;       ///< As the last entry said.
 } ros_entry_t;
 
+/// A target that was removed from the list.
+typedef struct
+{
+  inc_t identity;
+  uint64_t gone_ms;
+} ros_gone_t;
+
 typedef struct
 {
   kb_map_t entries;
   uint64_t range_count;
   uint64_t
       mass_loss_retain_ms; ///< Retention of targets that disappear at once.
+  ros_gone_t gone[ROS_MAX_GONE]; ///< Ring; an empty id: none.
+  uint32_t gone_count;           ///< Total ever recorded.
 } ros_roster_t;
 
 /// @param leave_bound_ms  A leaving target gets no new request after this.
@@ -34,7 +52,14 @@
 void ros_finish (ros_roster_t *roster);
 /// Add the target of an entry.
 /// @return  Whether its id is new.
-bool ros_list (ros_roster_t *roster, const inc_t *incarnation);
+bool ros_list (ros_roster_t *roster, const inc_t *incarnation,
+               bool is_leaving);
+/// Judge an entry that was read from an older copy of the list.
+/// @param is_leaving  Set if the target is known to be leaving.
+/// @return            False: the target is known to be gone, or a later
+///                    incarnation of it is known.
+bool ros_accept_copy (const ros_roster_t *roster, const inc_t *incarnation,
+                      uint64_t now_ms, bool *is_leaving);
 /// @return  Whether an entry is acceptable: once a target has stated its birth
 ///          time, each of its entries must.
 bool ros_can_list (const ros_roster_t *roster, const inc_t *incarnation);
--- a/test/model/gateway.cc
+++ b/test/model/gateway.cc
@@ -165,7 +165,7 @@
   inc_t who = {};
   snprintf (who.id, sizeof who.id, "%s", id.c_str ());
   who.born_ms = item.value.born_ms;
-  if (ros_list (&roster_, &who))
+  if (ros_list (&roster_, &who, false))
     flw_record_new_target (&follower_);
   inc_tracker_t &belief = beliefs_[id];
   inc_tracker_t before = belief;
--- a/test/relay/restore_failure_test.cc
+++ b/test/relay/restore_failure_test.cc
@@ -102,5 +102,107 @@
   expect_new_route (site, "n");
 }
 
+/// Send plain requests through all gateways for a while, so many at a time
+/// that each target in use gets some.
+/// @return  How many of them a target ran.
+int
+runs_of_target (Site &site, size_t plain, int duration_ms)
+{
+  constexpr int kCallers = 8;
+  int before = site.plain[plain]->runs ();
+  auto end = std::chrono::steady_clock::now () + milliseconds (duration_ms);
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; caller++)
+    callers.emplace_back ([&, caller] {
+      std::string id = "r" + std::to_string (caller) + "-";
+      for (int i = 0; std::chrono::steady_clock::now () < end; i++)
+        {
+          size_t g = (size_t)(caller + i) % site.gateways.size ();
+          Call call = plain_call (id + std::to_string (i));
+          EXPECT_EQ (send_call (site.gateways[g], call).status, 200);
+          sleep_ms (1);
+        }
+    });
+  for (std::thread &caller : callers)
+    caller.join ();
+  return site.plain[plain]->runs () - before;
+}
+
+// The copy says that a target is ready which had said that it leaves.
+TEST (Restore, LeavingTargetStaysUnused)
+{
+  Site site (1, 2, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  auto copies = site.copy_stores ();
+  write_unused (site, 5);
+  site.list_plain (1, "draining");
+  sleep_ms (1500);
+  EXPECT_EQ (runs_of_target (site, 1, 200), 0);
+  restore (site, copies, 1000, [] {});
+  EXPECT_EQ (runs_of_target (site, 1, 3000), 0);
+}
+
+// The copy lists a target that is gone.
+TEST (Restore, GoneTargetStaysUnused)
+{
+  Site site (1, 2, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  auto copies = site.copy_stores ();
+  write_unused (site, 5);
+  site.remove ("servers/" + site.plain[1]->id ());
+  sleep_ms (1500);
+  EXPECT_EQ (runs_of_target (site, 1, 200), 0);
+  restore (site, copies, 1000, [] {});
+  EXPECT_EQ (runs_of_target (site, 1, 3000), 0);
+}
+
+// The copy lists a target that is gone, and it comes back: its entry is
+// written again.
+TEST (Restore, EntryThatIsWrittenLaterCounts)
+{
+  Site site (1, 2, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  auto copies = site.copy_stores ();
+  write_unused (site, 5);
+  site.remove ("servers/" + site.plain[1]->id ());
+  sleep_ms (1500);
+  restore (site, copies, 1000, [] {});
+  sleep_ms (1500);
+  site.list_plain (1);
+  sleep_ms (1500);
+  EXPECT_GT (runs_of_target (site, 1, 1000), 0);
+}
+
+// The only target was listed after the copy was made, and writes its entry
+// again 1.8 s after the store's return: it serves all the time.
+TEST (Restore, TargetThatTheCopyLacksStaysInUse)
+{
+  Site site (1, 1, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  site.remove ("servers/" + site.plain[0]->id ());
+  auto copies = site.copy_stores ();
+  site.list_plain (0);
+  sleep_ms (1500);
+  restore (site, copies, 1000, [] {});
+  runs_of_target (site, 0, 1800);
+  site.list_plain (0);
+  runs_of_target (site, 0, 3000);
+}
+
+// The only target was listed after the copy was made, and is gone with it.
+TEST (Restore, TargetThatStaysMissingIsDropped)
+{
+  Site site (1, 2, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  site.remove ("servers/" + site.plain[1]->id ());
+  auto copies = site.copy_stores ();
+  site.list_plain (1);
+  sleep_ms (1500);
+  EXPECT_GT (runs_of_target (site, 1, 500), 0);
+  restore (site, copies, 1000, [] {});
+  sleep_ms (3000);
+  EXPECT_EQ (runs_of_target (site, 1, 1000), 0);
+}
+
 } // namespace
 } // namespace relay
