fix(gateway,platform): write records again that a restore of the store has lost

After a restore the store held none of the records that gateways had written since the copy; a loss of all daemons would have let a request that had ended three targets end three more. Two tests failed before (no record after 4 and 6 s). The gateway that wrote a record writes it again first, the others later if it is still missing, each at the revision that was read: one succeeds.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -50,6 +50,12 @@
   gtw_parts_clear_served (owner);
 }
 
+static void
+source_on_restored (void *owner)
+{
+  gtw_records_handle_restore (owner);
+}
+
 static void
 source_on_targets_known (void *owner)
 {
@@ -73,6 +79,7 @@
   .on_target_removed = source_on_target_gone,
   .on_version = source_on_version,
   .on_record = source_on_record,
+  .on_restored = source_on_restored,
   .on_target_list_complete = source_on_targets_known,
   .on_reachable = source_on_reachable,
 };
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -14,6 +14,7 @@
 #include "gateway/gateway_quota.h"
 #include "gateway/recent.h"
 #include "gateway/source.h"
+#include "coordination/rewrite.h"
 #include "relay/host.h"
 #include "relay/versions.h"
 #include "transport/relay.h"
@@ -323,8 +324,12 @@
   uint64_t queue[GTW_MAX_QUEUED_RECORDS]; ///< Fingerprints, oldest first.
   uint32_t queue_count;
   uint64_t writing_fingerprint; ///< Zero: no write under way.
-  uint64_t retry_pause_ms;      ///< Before the next try; zero: the last one
-                                ///< succeeded.
+  uint64_t writing_stamp;
+  bool is_rewriting; ///< The write repeats one that a restore has lost.
+  rwr_table_t stored;
+  tmr_timer_t rewrite_timer;
+  uint64_t retry_pause_ms; ///< Before the next try; zero: the last one
+                           ///< succeeded.
   tmr_timer_t timer;
 } gtw_record_writer_t;
 
@@ -666,6 +671,9 @@
 void gtw_records_enqueue (gtw_gateway_t *gateway, uint64_t fingerprint);
 /// Apply a record that was read from the platform's store.
 void gtw_records_receive (gtw_gateway_t *gateway, const src_record_t *stored);
+/// The store was restored, and the records of its copy are received next:
+/// those that it lacks are written again (coordination/rewrite.h).
+void gtw_records_handle_restore (gtw_gateway_t *gateway);
 
 // gateway_peers.c
 void gtw_peers_init (gtw_gateway_t *gateway);
--- a/src/gateway/gateway_records.c
+++ b/src/gateway/gateway_records.c
@@ -44,76 +44,142 @@
   gateway->record_writer.gateway = gateway;
 }
 
+/// @return  A number that grows with the content of a record.
+static uint64_t
+stamp_of (const qrt_record_t *record)
+{
+  return ((uint64_t)record->generation << 32) + record->end_count + 1;
+}
+
 static void
-on_record_done (void *arg, bool is_stored)
+on_rewrite_timer (void *arg)
 {
   gtw_record_writer_t *writer = arg;
-  uint64_t fingerprint = writer->writing_fingerprint;
-  writer->writing_fingerprint = 0;
-  if (is_stored)
-    {
-      writer->retry_pause_ms = 0;
-      write_next (writer);
-      return;
-    }
+  if (writer->retry_pause_ms == 0)
+    write_next (writer);
+}
+
+static void
+schedule_rewrite (gtw_record_writer_t *writer)
+{
+  uint64_t due_ms = rwr_due_ms (&writer->stored);
+  uint64_t now_ms = gtw_now_ms (writer->gateway);
+  if (due_ms != UINT64_MAX)
+    tmr_start_once (&writer->gateway->host.timers, &writer->rewrite_timer,
+                    due_ms > now_ms ? due_ms - now_ms : 0, on_rewrite_timer,
+                    writer);
+}
+
+/// Pause after a failed write, and then write the record again.
+static void
+retry_later (gtw_record_writer_t *writer, uint64_t fingerprint)
+{
   MET_INC ("knapweedbay_records_failed_total", "");
   writer->retry_pause_ms = writer->retry_pause_ms == 0
                                ? MIN_RETRY_PAUSE_MS
                                : 2 * writer->retry_pause_ms;
   if (writer->retry_pause_ms > MAX_RETRY_PAUSE_MS)
     writer->retry_pause_ms = MAX_RETRY_PAUSE_MS;
-  gtw_records_enqueue (writer->gateway, fingerprint);
+  if (writer->is_rewriting)
+    rwr_retry (&writer->stored, fingerprint, gtw_now_ms (writer->gateway));
+  else
+    gtw_records_enqueue (writer->gateway, fingerprint);
   tmr_start_once (&writer->gateway->host.timers, &writer->timer,
                   writer->retry_pause_ms, on_retry_timer, writer);
 }
 
+static void
+on_record_done (void *arg, src_record_result_t result)
+{
+  gtw_record_writer_t *writer = arg;
+  uint64_t fingerprint = writer->writing_fingerprint;
+  writer->writing_fingerprint = 0;
+  if (result == SRC_RECORD_FAILED)
+    {
+      retry_later (writer, fingerprint);
+      return;
+    }
+  if (result == SRC_RECORD_STORED)
+    rwr_written (&writer->stored, fingerprint, writer->writing_stamp);
+  else
+    rwr_retry (&writer->stored, fingerprint, gtw_now_ms (writer->gateway));
+  writer->retry_pause_ms = 0;
+  write_next (writer);
+}
+
 /// @return  False: the quarantine has no entry of the request any more.
 static bool
 make_record (const gtw_gateway_t *gateway, uint64_t fingerprint, record_t *out)
 {
-  kb_buf_t packed = { 0 };
-  qrt_pack_one (&gateway->quarantine, fingerprint, gtw_now_ms (gateway),
-                &packed);
-  bool is_known = packed.len_bytes == sizeof out->entry;
-  if (is_known)
-    {
-      memcpy (&out->entry, packed.ptr, sizeof out->entry);
-      out->format = RECORD_FORMAT;
-      out->ended_ms = tmr_wall_ms () - out->entry.age_ms;
-    }
-  kb_buf_finish (&packed);
-  return is_known;
+  if (!qrt_read (&gateway->quarantine, fingerprint, gtw_now_ms (gateway),
+                 &out->entry))
+    return false;
+  out->format = RECORD_FORMAT;
+  out->ended_ms = tmr_wall_ms () - out->entry.age_ms;
+  return true;
+}
+
+/// Take the next record to be written, the oldest queued one first.
+/// @return  False: none is to be written now.
+static bool
+take_next (gtw_record_writer_t *writer, uint64_t *fingerprint,
+           uint64_t *revision)
+{
+  writer->is_rewriting = writer->queue_count == 0;
+  if (writer->is_rewriting)
+    return rwr_pop_due (&writer->stored, gtw_now_ms (writer->gateway),
+                        fingerprint, revision);
+  *fingerprint = writer->queue[0];
+  writer->queue_count--;
+  memmove (&writer->queue[0], &writer->queue[1],
+           writer->queue_count * sizeof writer->queue[0]);
+  return true;
 }
 
-/// Write the oldest queued record; one at a time.
 static void
-write_next (gtw_record_writer_t *writer)
+write_record (gtw_record_writer_t *writer, uint64_t fingerprint,
+              const record_t *value, uint64_t revision)
 {
   gtw_gateway_t *gateway = writer->gateway;
+  char digits[FPR_TEXT_BYTES];
+  fpr_format (fingerprint, digits);
+  char key[sizeof KEY_PREFIX + FPR_TEXT_BYTES];
+  snprintf (key, sizeof key, KEY_PREFIX "%s", digits);
+  src_record_t record = { .key = kb_slice_str (key),
+                          .value = { (const char *)value, sizeof *value },
+                          .revision = revision,
+                          .is_conditional = writer->is_rewriting };
+  writer->writing_fingerprint = fingerprint;
+  writer->writing_stamp = stamp_of (&value->entry);
+  MET_INC ("knapweedbay_records_written_total", "");
+  gateway->source->vtable->store_record (
+      gateway->source, &record,
+      qrt_remaining_ms (&gateway->quarantine, fingerprint,
+                        gtw_now_ms (gateway)),
+      on_record_done, writer);
+}
+
+/// Write the next record; one at a time.
+static void
+write_next (gtw_record_writer_t *writer)
+{
   record_t value;
-  while (writer->writing_fingerprint == 0 && writer->queue_count > 0)
-    {
-      uint64_t fingerprint = writer->queue[0];
-      writer->queue_count--;
-      memmove (&writer->queue[0], &writer->queue[1],
-               writer->queue_count * sizeof writer->queue[0]);
-      if (!make_record (gateway, fingerprint, &value))
-        continue;
-      char digits[FPR_TEXT_BYTES];
-      fpr_format (fingerprint, digits);
-      char key[sizeof KEY_PREFIX + FPR_TEXT_BYTES];
-      snprintf (key, sizeof key, KEY_PREFIX "%s", digits);
-      src_record_t record
-          = { .key = kb_slice_str (key),
-              .value = { (const char *)&value, sizeof value } };
-      writer->writing_fingerprint = fingerprint;
-      MET_INC ("knapweedbay_records_written_total", "");
-      gateway->source->vtable->store_record (
-          gateway->source, &record,
-          qrt_remaining_ms (&gateway->quarantine, fingerprint,
-                            gtw_now_ms (gateway)),
-          on_record_done, writer);
-    }
+  uint64_t fingerprint;
+  uint64_t revision = 0;
+  while (writer->writing_fingerprint == 0
+         && take_next (writer, &fingerprint, &revision))
+    if (make_record (writer->gateway, fingerprint, &value))
+      write_record (writer, fingerprint, &value, revision);
+  schedule_rewrite (writer);
+}
+
+void
+gtw_records_handle_restore (gtw_gateway_t *gateway)
+{
+  gtw_record_writer_t *writer = &gateway->record_writer;
+  rwr_restored (&writer->stored, gtw_now_ms (gateway),
+                (uint32_t)gateway->gateway_count, (uint32_t)rand ());
+  schedule_rewrite (writer);
 }
 
 void
@@ -152,7 +218,11 @@
       = is_good && record.format == RECORD_FORMAT
         && qrt_merge (&gateway->quarantine, entry, gtw_now_ms (gateway), NULL);
   if (is_good)
-    return;
+    {
+      rwr_listed (&gateway->record_writer.stored, record.entry.request,
+                  stored->revision, stamp_of (&record.entry));
+      return;
+    }
   MET_INC ("knapweedbay_entries_ignored_total", "reason=\"record\"");
   log_line_t line;
   if (!log_begin (&line, LOG_WARN, "store", "entry_ignored"))
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -92,11 +92,20 @@
 {
   kb_slice_t key;
   kb_slice_t value;
+  /// Of the store, which a conditional write expects; zero: it has no such
+  /// record.
+  uint64_t revision;
+  bool is_conditional; ///< To be written only at that revision.
 } src_record_t;
 
-/// @param is_stored  False: the record was not written, or the result is
-///                   unknown.
-typedef void (*src_record_done_t) (void *arg, bool is_stored);
+typedef enum
+{
+  SRC_RECORD_STORED,
+  SRC_RECORD_CONFLICT, ///< The store has another revision; not written.
+  SRC_RECORD_FAILED,   ///< Not written, or the result is unknown.
+} src_record_result_t;
+
+typedef void (*src_record_done_t) (void *arg, src_record_result_t result);
 
 typedef struct
 {
@@ -108,6 +117,8 @@
   void (*on_version) (void *owner, const src_version_t *version);
   /// A record was read, of this gateway or another one.
   void (*on_record) (void *owner, const src_record_t *record);
+  /// The store came back from an older copy, whose content is reported next.
+  void (*on_restored) (void *owner);
   /// All currently listed targets have been reported.
   void (*on_target_list_complete) (void *owner);
   void (*on_reachable) (void *owner, bool is_reachable);
--- a/test/relay/restore_failure_test.cc
+++ b/test/relay/restore_failure_test.cc
@@ -1,9 +1,11 @@
 // The store is away for a moment and comes back from an older copy.
 #include <gtest/gtest.h>
 
+#include <signal.h>
+
 #include <thread>
 
-#include "site.h"
+#include "fatal.h"
 
 namespace relay
 {
@@ -204,5 +206,58 @@
   EXPECT_EQ (runs_of_target (site, 1, 1000), 0);
 }
 
+const char kRecords[] = "knapweedbay/";
+
+/// Have a request end three targets through the first gateway, and wait until
+/// all its records are in the store.
+/// @return  How many.
+int
+write_records (Site &site)
+{
+  site.crash_on_path ("/fatal");
+  for (int i = 0; site.crash_count () < 3 && i < 30; i++)
+    {
+      send_call (site.gateways[0], fatal_plain (i));
+      site.restart_ended_targets ();
+    }
+  EXPECT_TRUE (Site::wait_for (
+      [&] { return site.store.count_written (kRecords) > 0; }));
+  sleep_ms (2000);
+  return site.store.count_written (kRecords);
+}
+
+// Records that the copy lacks are written again, each by one gateway only.
+TEST (Restore, RecordsAreWrittenAgainOnce)
+{
+  Site site (0, 6, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  site.stop (&site.gateways[2].daemon, SIGKILL); // Of another store.
+  auto copies = site.copy_stores ();
+  int records = write_records (site);
+  ASSERT_GT (records, 0);
+  restore (site, copies, 1000, [] {});
+  EXPECT_TRUE (Site::wait_for (
+      [&] { return site.store.count_written (kRecords) == records; }, 4000));
+  sleep_ms (5000);
+  EXPECT_EQ (site.store.count_written (kRecords), records);
+  EXPECT_EQ (site.store.max_writes (kRecords), 1);
+}
+
+// The gateway that wrote the records is gone: another one writes them again.
+TEST (Restore, RecordsOfAGoneWriterAreWrittenAgain)
+{
+  Site site (0, 6, 3);
+  ASSERT_TRUE (site.wait_ready ());
+  site.stop (&site.gateways[2].daemon, SIGKILL);
+  auto copies = site.copy_stores ();
+  int records = write_records (site);
+  ASSERT_GT (records, 0);
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  restore (site, copies, 1000, [] {});
+  EXPECT_TRUE (Site::wait_for (
+      [&] { return site.store.count_written (kRecords) == records; }, 6000));
+  EXPECT_EQ (site.store.max_writes (kRecords), 1);
+}
+
 } // namespace
 } // namespace relay
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -1,6 +1,7 @@
 #include "store_standin.h"
 
 #include <openssl/evp.h>
+#include <string.h>
 
 namespace relay
 {
@@ -62,6 +63,12 @@
 Store::put (const std::string &key, const std::string &value)
 {
   std::lock_guard<std::mutex> lock (mutex_);
+  put_locked (key, value);
+}
+
+void
+Store::put_locked (const std::string &key, const std::string &value)
+{
   items_[key] = { value, ++revision_, false };
   history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
@@ -83,6 +90,32 @@
   return count;
 }
 
+int
+Store::max_writes (const std::string &prefix)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  int most = 0;
+  for (const auto &[key, count] : writes_of_)
+    if (key.compare (0, prefix.size (), prefix) == 0)
+      most = std::max (most, count);
+  return most;
+}
+
+bool
+Store::is_expected (const std::string &body)
+{
+  const std::string start = "\"Expected\":[";
+  size_t at = body.find (start);
+  if (at == std::string::npos || body[at + start.size ()] == ']')
+    return true;
+  std::string row = body.substr (at, body.find (']', at) - at);
+  auto item = items_.find (text_member (row, "Key"));
+  bool exists = item != items_.end () && !item->second.is_gone;
+  size_t revision = row.find ("\"Revision\":") + strlen ("\"Revision\":");
+  return atoll (row.c_str () + revision)
+         == (exists ? item->second.revision : 0);
+}
+
 /// Leases never expire here; a transaction writes one value.
 bool
 Store::serve_write (Connection &connection, const Message &request)
@@ -90,9 +123,21 @@
   writes++;
   if (request.target () == "/kv-lease")
     return reply (connection, 200, "{\"Lease\":7,\"TtlMs\":600000}");
-  std::string key = text_member (request.body, "Key");
-  std::string value = unbase64 (text_member (request.body, "Value"));
-  put (key, value);
+  std::string puts = request.body.substr (request.body.find ("\"Puts\""));
+  std::string key = text_member (puts, "Key");
+  std::string value = unbase64 (text_member (puts, "Value"));
+  bool is_written;
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    is_written = is_expected (request.body);
+    if (is_written)
+      {
+        writes_of_[key]++;
+        put_locked (key, value);
+      }
+  }
+  if (!is_written)
+    return reply (connection, 412, "{\"items\":[]}");
   if (mirror_ != nullptr)
     mirror_->put (key, value);
   return reply (connection, 200, "{\"Revision\":2}");
@@ -139,6 +184,7 @@
   items_ = copy.items;
   revision_ = compacted_ = copy.revision;
   history_.clear ();
+  writes_of_.clear ();
   era_++;
   disconnect_count_++;
   changed_.notify_all ();
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -68,6 +68,9 @@
   void mirror_to (Store *other);
   /// Number of keys under a prefix that exist now.
   int count_written (const std::string &prefix);
+  /// Number of writes of the key under a prefix that daemons wrote most often
+  /// since the last restore.
+  int max_writes (const std::string &prefix);
   std::atomic<int> calls{ 0 };
   /// Those of `calls` that are writes.
   std::atomic<int> writes{ 0 };
@@ -77,7 +80,10 @@
   bool serve (Connection &connection, const Message &request) override;
   bool serve_watch (Connection &connection,
                     const std::map<std::string, std::string> &query);
+  /// @return  Whether the conditions of a transaction hold.
+  bool is_expected (const std::string &body);
   bool serve_write (Connection &connection, const Message &request);
+  void put_locked (const std::string &key, const std::string &value);
   /// Send an answer with the era.
   bool reply (Connection &connection, int status, const std::string &body);
   std::string range (const std::map<std::string, std::string> &query);
@@ -92,6 +98,7 @@
   std::condition_variable changed_;
   std::map<std::string, Item> items_; ///< Includes tombstones of removed keys.
   std::vector<std::pair<std::string, Item>> history_; ///< Ordered by revision.
+  std::map<std::string, int> writes_of_; ///< Of daemons since the restore.
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
   int64_t era_ = 1;
