fix(platform): let knowledge age on until a restored store is written again

A key whose removal had been acknowledged was admitted again, at once after the store had come back from a copy that still had it.

--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -140,8 +140,9 @@
   /// time; `done` is called exactly once, never from within this call.
   void (*store_record) (src_source_t *source, const src_record_t *record,
                         uint64_t ttl_ms, src_record_done_t done, void *arg);
-  /// @return  When the newest answered read of the store began, by the clock
-  ///          of tmr_boottime_ms; zero: none was answered.
+  /// @return  Start of the newest answered read of the store that shows all
+  ///          that was confirmed before it, by the clock of tmr_boottime_ms;
+  ///          zero: none was answered.
   uint64_t (*last_read_boot_ms) (const src_source_t *source);
   /// Update the gauges of the metrics page.
   void (*set_gauges) (src_source_t *source);
--- a/test/relay/workspace_test.cc
+++ b/test/relay/workspace_test.cc
@@ -292,6 +292,30 @@
   EXPECT_TRUE (Site::wait_for ([&] { return status_of (0, "k2") == 200; }));
 }
 
+// The store acknowledges that a key is removed while a gateway can't reach it,
+// and comes back from a copy that has the key. The gateway must not take the
+// copy for fresh; the operator writes the removal again 1.5 s later.
+TEST_F (TakenAway, AKeyThatARestoreBringsBackIsRefused)
+{
+  ASSERT_TRUE (site_.wait_ready ());
+  ASSERT_EQ (status_of (1, "k1"), 200);
+  auto copies = site_.copy_stores ();
+  site_.mirror_store.set_mode (Store::RESET);
+  auto acknowledged = revoke_k1 ();
+  std::this_thread::sleep_until (
+      acknowledged + std::chrono::milliseconds (kRevokeBoundMs + 20));
+  ASSERT_EQ (status_of (1, "k1"), 503);
+  site_.mirror_store.restore (copies[1]);
+  site_.mirror_store.set_mode (Store::HEALTHY);
+  auto end
+      = std::chrono::steady_clock::now () + std::chrono::milliseconds (1500);
+  while (std::chrono::steady_clock::now () < end)
+    ASSERT_NE (status_of (1, "k1"), 200);
+  site_.mirror_store.put ("op/config", site_.config);
+  EXPECT_TRUE (Site::wait_for ([&] { return status_of (1, "k2") == 200; }));
+  EXPECT_EQ (status_of (1, "k1"), 401);
+}
+
 // A valid key must not be refused because the store did not answer its gateway
 // for a short time.
 TEST_F (TakenAway, AValidKeyIsAcceptedDuringAShortStoreStall)
