fix(coordination): treat what was read from a copy as such for its whole era

Items up to the revision of the first complete read are of the copy. Knowledge counts as confirmed 2 s after that read, and the first read then is not delayed.

--- a/src/coordination/follow.c
+++ b/src/coordination/follow.c
@@ -39,6 +39,8 @@
   /// Live targets whose leases expired in an outage are listed again within
   /// about 2 s.
   RECOVERY_MS = 2500,
+  /// After a restore, what it has lost is written again within this time.
+  REWRITE_MS = 2000,
   /// A daemon must be up to date this long after the store recovers, which
   /// happens at the start of the last failed read at the earliest.
   RECOVERY_BOUND_MS = 3000,
@@ -109,7 +111,8 @@
 {
   const flw_reader_t *batch = &f->readers[FLW_BATCH];
   return !batch->is_reading && batch->as_of > 0 && batch->failed_since_ms == 0
-         && !f->is_store_read_due && now_ms < f->known_ms + f->next_pause_ms;
+         && !f->is_store_read_due && flw_is_confirmed (f)
+         && now_ms < f->known_ms + f->next_pause_ms;
 }
 
 static flw_read_t
@@ -246,7 +249,12 @@
   bool is_recovering = now_ms < f->recovery_until_ms
                        && f->idle_batches <= RECOVERY_IDLE_BATCHES;
   uint64_t short_ms = RECOVERY_PAUSE_MS + random % RECOVERY_PAUSE_MS;
-  return is_recovering && f->pause_ms > short_ms ? short_ms : f->pause_ms;
+  uint64_t pause_ms
+      = is_recovering && f->pause_ms > short_ms ? short_ms : f->pause_ms;
+  // The first read that counts as confirmed is not delayed by a pause.
+  bool is_confirmed_in_pause
+      = now_ms < f->rewritten_ms && f->rewritten_ms < now_ms + pause_ms;
+  return is_confirmed_in_pause ? f->rewritten_ms - now_ms : pause_ms;
 }
 
 static void
@@ -315,13 +323,13 @@
     case ERA_CURRENT:
       break;
     }
-  bool may_be_copy = f->is_copy_due || r->began_ms < f->rewritten_ms;
-  if (!is_batch_range || !may_be_copy)
-    return FLW_APPLY;
-  if (f->is_copy_due)
-    f->rewritten_ms = now_ms + RECOVERY_MS;
-  f->is_copy_due = false;
-  return FLW_APPLY_COPY;
+  if (is_batch_range && f->is_copy_due)
+    {
+      f->is_copy_due = false;
+      f->copy_revision = answer->as_of;
+      f->rewritten_ms = now_ms + REWRITE_MS;
+    }
+  return FLW_APPLY;
 }
 
 static void
--- a/src/coordination/follow.h
+++ b/src/coordination/follow.h
@@ -73,9 +73,6 @@
 typedef enum
 {
   FLW_APPLY,
-  /// Apply a range that was read from an older copy: it may lack confirmed
-  /// changes, which remain in force.
-  FLW_APPLY_COPY,
   FLW_DISCARD,
 } flw_verdict_t;
 
@@ -103,6 +100,9 @@
   era_tracker_t era;
   uint32_t restore_count; ///< Changes of the era so far.
   bool is_copy_due; ///< The store was restored and not read completely since.
+  /// Items up to this revision may be of the copy that the store came back
+  /// from: they undo nothing that was confirmed. Zero: none are.
+  uint64_t copy_revision;
   /// Until then the store's writers may still lack time to write again what a
   /// restore has lost; zero: they don't.
   uint64_t rewritten_ms;
--- a/src/coordination/roster.c
+++ b/src/coordination/roster.c
@@ -60,24 +60,19 @@
 record_gone (ros_roster_t *roster, const ros_entry_t *entry, uint64_t now_ms)
 {
   ros_gone_t *gone = &roster->gone[roster->gone_count++ % ROS_MAX_GONE];
-  *gone
-      = (ros_gone_t){ .identity.born_ms = entry->born_ms, .gone_ms = now_ms };
-  snprintf (gone->identity.id, sizeof gone->identity.id, "%s", entry->id);
+  *gone = (ros_gone_t){ .latest_born_ms = entry->latest_born_ms,
+                        .gone_ms = now_ms };
+  snprintf (gone->id, sizeof gone->id, "%s", entry->id);
 }
 
-static bool
-is_known_gone (const ros_roster_t *roster, const inc_t *incarnation,
-               uint64_t now_ms)
+/// @return  NULL: the target is not known to be gone.
+static const ros_gone_t *
+find_gone (const ros_roster_t *roster, const char *id)
 {
   for (uint32_t i = 0; i < ROS_MAX_GONE; i++)
-    {
-      const ros_gone_t *gone = &roster->gone[i];
-      if (strcmp (gone->identity.id, incarnation->id) == 0
-          && now_ms - gone->gone_ms < GONE_MEMORY_MS
-          && incarnation->born_ms <= gone->identity.born_ms)
-        return true;
-    }
-  return false;
+    if (strcmp (roster->gone[i].id, id) == 0)
+      return &roster->gone[i];
+  return NULL;
 }
 
 bool
@@ -87,22 +82,31 @@
   const ros_entry_t *entry
       = kb_map_get (&roster->entries, entry_key (incarnation->id));
   if (entry == NULL)
-    return !is_known_gone (roster, incarnation, now_ms);
-  bool is_removed = entry->remove_at_ms > 0;
-  if (is_removed || incarnation->born_ms < entry->born_ms)
+    {
+      const ros_gone_t *gone = find_gone (roster, incarnation->id);
+      return gone == NULL || now_ms - gone->gone_ms >= GONE_MEMORY_MS
+             || incarnation->born_ms > gone->latest_born_ms;
+    }
+  if (entry->remove_at_ms > 0)
     return false;
-  if (incarnation->born_ms == entry->born_ms && entry->is_leaving)
-    *is_leaving = true;
+  if (incarnation->born_ms != entry->born_ms)
+    return incarnation->born_ms > entry->latest_born_ms;
+  *is_leaving = *is_leaving || entry->is_leaving;
   return true;
 }
 
 /// Forget that a target is gone, since a new entry lists it.
-static void
-clear_gone (ros_roster_t *roster, const char *id)
+/// @return  Latest birth that its earlier entries stated.
+static uint64_t
+take_gone (ros_roster_t *roster, const char *id)
 {
   for (uint32_t i = 0; i < ROS_MAX_GONE; i++)
-    if (strcmp (roster->gone[i].identity.id, id) == 0)
-      roster->gone[i].identity.id[0] = '\0';
+    if (strcmp (roster->gone[i].id, id) == 0)
+      {
+        roster->gone[i].id[0] = '\0';
+        return roster->gone[i].latest_born_ms;
+      }
+  return 0;
 }
 
 bool
@@ -117,12 +121,14 @@
       *entry = (ros_entry_t){ 0 };
       snprintf (entry->id, sizeof entry->id, "%s", incarnation->id);
       kb_map_put (&roster->entries, key, entry);
-      clear_gone (roster, entry->id);
+      entry->latest_born_ms = take_gone (roster, entry->id);
     }
   entry->has_birth_time = entry->has_birth_time || incarnation->born_ms > 0;
   entry->remove_at_ms = 0;
   entry->range_mark = roster->range_count;
   entry->born_ms = incarnation->born_ms;
+  if (entry->born_ms > entry->latest_born_ms)
+    entry->latest_born_ms = entry->born_ms;
   entry->is_leaving = is_leaving;
   return is_new;
 }
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -27,13 +27,16 @@
   uint64_t remove_at_ms; ///< Zero: still listed.
   bool has_birth_time;   ///< Its entries must state the birth time.
   uint64_t born_ms;      ///< Of the last entry.
-  bool is_leaving;       ///< As the last entry said.
+  /// Of all entries. The target's clock may have been stepped back since.
+  uint64_t latest_born_ms;
+  bool is_leaving; ///< As the last entry said.
 } ros_entry_t;
 
 /// A target that was removed from the list.
 typedef struct
 {
-  inc_t identity;
+  char id[INC_ID_BYTES];
+  uint64_t latest_born_ms; ///< Of all its entries.
   uint64_t gone_ms;
 } ros_gone_t;
 
--- a/test/model/gateway.cc
+++ b/test/model/gateway.cc
@@ -77,6 +77,7 @@
   finish ();
   config = 0;
   config_revision_ = 0;
+  confirmed_ms_ = 0;
   forwarded_config_ms_ = 0;
   sidecar_backoff_until_ms_ = 0;
   beliefs_.clear ();
@@ -102,7 +103,9 @@
 bool
 Gateway::admits_keys (uint64_t now_ms) const
 {
-  uint64_t known_ms = follower_.known_ms;
+  uint64_t known_ms = planted_fault_ == PlantedFault::COPY_IS_FRESH
+                          ? follower_.known_ms
+                          : confirmed_ms_;
   if (planted_fault_ == PlantedFault::FORWARDED_CONFIG_IS_FRESH)
     known_ms = std::max (known_ms, forwarded_config_ms_);
   acc_request_t request = { 1, kDigest, false };
@@ -157,7 +160,7 @@
 }
 
 bool
-Gateway::apply_target (const Item &item)
+Gateway::apply_target (const Item &item, uint64_t now_ms)
 {
   std::string id = id_of (item);
   if (item.value.is_malformed)
@@ -165,7 +168,12 @@
   inc_t who = {};
   snprintf (who.id, sizeof who.id, "%s", id.c_str ());
   who.born_ms = item.value.born_ms;
-  if (ros_list (&roster_, &who, false))
+  bool is_leaving = false;
+  bool is_copy = item.revision <= follower_.copy_revision
+                 && planted_fault_ != PlantedFault::COPY_IS_APPLIED;
+  if (is_copy && !ros_accept_copy (&roster_, &who, now_ms, &is_leaving))
+    return true;
+  if (ros_list (&roster_, &who, is_leaving))
     flw_record_new_target (&follower_);
   inc_tracker_t &belief = beliefs_[id];
   inc_tracker_t before = belief;
@@ -194,7 +202,7 @@
     }
   if (item.is_gone)
     ros_unlist (&roster_, id_of (item).c_str (), remove_at_ms);
-  else if (!apply_target (item))
+  else if (!apply_target (item, now_ms))
     {
       ros_unlist (&roster_, id_of (item).c_str (), now_ms);
       return false;
@@ -237,12 +245,21 @@
   return newest;
 }
 
+void
+Gateway::record_answered ()
+{
+  if (flw_is_confirmed (&follower_))
+    confirmed_ms_ = follower_.known_ms;
+}
+
 void
 Gateway::apply_answer (flw_reader_id_t reader, const Answer &answer,
                        uint64_t now_ms)
 {
   flw_answer_t read
       = { answer.as_of, answer.era, operator_revision (answer.items) };
+  if (planted_fault_ == PlantedFault::RESTORE_IS_IGNORED)
+    read.era = 0, follower_.readers[reader].sent_revision = 0;
   uint32_t restore_count = follower_.restore_count;
   flw_verdict_t verdict
       = flw_answered (&follower_, reader, now_ms, &read, (uint32_t)random_ ());
@@ -253,6 +270,7 @@
   for (const Item &item : answer.items)
     if (item.key == "op/config")
       config_revision_ = std::max (config_revision_, item.revision);
+  record_answered ();
   bool is_list = answer.is_range && reader == FLW_BATCH;
   if (is_list)
     ros_range_begin (&roster_);
@@ -278,6 +296,7 @@
                                 operator_revision (reply.items),
                                 (uint32_t)random_ ()))
     {
+      record_answered ();
       apply_items (reply.items, now_ms);
       shared_reads++;
       return true;
--- a/test/model/gateway.h
+++ b/test/model/gateway.h
@@ -37,6 +37,9 @@
   SIDECAR_REPLY_IS_FRESH, ///< A reply's data counts as read when it arrives.
   FORWARDED_CONFIG_IS_FRESH, ///< A forwarded configuration counts as just
                              ///< read.
+  RESTORE_IS_IGNORED, ///< Eras and revisions that went back are ignored.
+  COPY_IS_APPLIED,    ///< A copy counts as the current list.
+  COPY_IS_FRESH,      ///< Reading a copy shows all that was confirmed.
 };
 
 class Gateway
@@ -56,6 +59,12 @@
   void apply_forwarded_config (uint64_t revision, uint64_t now_ms);
   /// @return  Whether a request with a key known here is admitted.
   bool admits_keys (uint64_t now_ms) const;
+  /// @return  Whether the store has answered a read since the start.
+  bool
+  has_read () const
+  {
+    return follower_.known_ms > 0;
+  }
   void apply_version (uint32_t version);
   uint32_t version () const;
   /// @return  Start time of the incarnation in use; empty: target unused.
@@ -96,14 +105,16 @@
   void apply_items (const std::vector<Item> &items, uint64_t now_ms);
   void serve_read (PendingRead &r, flw_reader_id_t reader, const Store &store,
                    uint64_t now_ms);
+  void record_answered ();
   void apply_answer (flw_reader_id_t reader, const Answer &answer,
                      uint64_t now_ms);
   bool apply_item (const Item &item, uint64_t remove_at_ms, uint64_t now_ms);
-  bool apply_target (const Item &item);
+  bool apply_target (const Item &item, uint64_t now_ms);
   void remove_expired_targets (uint64_t now_ms);
   PlantedFault planted_fault_;
   size_t index_;
   uint64_t request_id_ = 0;
+  uint64_t confirmed_ms_ = 0; ///< Start of the newest confirmed read.
   uint64_t sidecar_backoff_until_ms_ = 0; ///< Set when the sidecar fails.
   uint64_t config_revision_
       = 0; ///< The store's revision of the configuration, as read.
--- a/test/model/model_test.cc
+++ b/test/model/model_test.cc
@@ -22,11 +22,12 @@
 /// @return  The first seed that violates a promise, or zero.
 uint32_t
 first_failing_seed (PlantedFault planted_fault, uint32_t schedules,
-                    std::string *what, std::set<uint64_t> *state_hashes)
+                    bool has_restores, std::string *what,
+                    std::set<uint64_t> *state_hashes)
 {
   for (uint32_t seed = 1; seed <= schedules; seed++)
     {
-      World world (seed, planted_fault);
+      World world (seed, planted_fault, has_restores);
       *what = world.run ();
       if (state_hashes != nullptr)
         state_hashes->insert (world.state_hashes.begin (),
@@ -40,7 +41,8 @@
   return 0;
 }
 
-TEST (Model, PromisesHoldOverAllSchedules)
+void
+expect_promises_hold (bool has_restores)
 {
   std::string what;
   std::set<uint64_t> state_hashes;
@@ -49,8 +51,8 @@
   if (range != nullptr)
     schedules = (uint32_t)atoi (range);
   auto begin = std::chrono::steady_clock::now ();
-  uint32_t seed = first_failing_seed (PlantedFault::NONE, schedules, &what,
-                                      &state_hashes);
+  uint32_t seed = first_failing_seed (PlantedFault::NONE, schedules,
+                                      has_restores, &what, &state_hashes);
   std::chrono::duration<double> took
       = std::chrono::steady_clock::now () - begin;
   EXPECT_EQ (seed, 0u) << "seed " << seed << ": " << what;
@@ -58,14 +60,23 @@
           schedules, state_hashes.size (), schedules / took.count () * 60);
 }
 
+TEST (Model, PromisesHoldOverAllSchedules) { expect_promises_hold (false); }
+
+// The same, with a store that comes back from older copies.
+TEST (Model, PromisesHoldOverAllSchedulesWithRestores)
+{
+  expect_promises_hold (true);
+}
+
 /// A planted fault must be found by the promise it breaks; other promises that
 /// it breaks as well do not count.
 void
-expect_fault_found (PlantedFault planted_fault, const std::string &promise)
+expect_fault_found (PlantedFault planted_fault, const std::string &promise,
+                    bool has_restores = false)
 {
   for (uint32_t seed = 1; seed <= PLANTED_SCHEDULES; seed++)
     {
-      World world (seed, planted_fault);
+      World world (seed, planted_fault, has_restores);
       std::string what = world.run (promise);
       if (what.empty ())
         continue;
@@ -139,5 +150,24 @@
                       "lapsed with the store");
 }
 
+// Gateways watch from revisions of the store before it was restored.
+TEST (Model, FindsAnIgnoredRestore)
+{
+  expect_fault_found (PlantedFault::RESTORE_IS_IGNORED,
+                      "a confirmed configuration is not in force", true);
+}
+
+TEST (Model, FindsACopyThatBringsTargetsBack)
+{
+  expect_fault_found (PlantedFault::COPY_IS_APPLIED,
+                      "is gone and brought back", true);
+}
+
+TEST (Model, FindsACopyThatCountsAsFresh)
+{
+  expect_fault_found (PlantedFault::COPY_IS_FRESH,
+                      "a key that was taken away is let in", true);
+}
+
 } // namespace
 } // namespace model
--- a/test/model/sidecar.cc
+++ b/test/model/sidecar.cc
@@ -33,6 +33,8 @@
                       uint64_t arrival_ms)
 {
   shr_request_t sent = shared_request;
+  if (is_earlier_release)
+    sent.era = 0;
   snprintf (sent.gateway, sizeof sent.gateway, "%zu", gateway);
   requests_.emplace_back (arrival_ms, sent);
 }
@@ -69,7 +71,7 @@
   shr_answer_t read = {};
   read.changes = changes.data ();
   read.change_count = (uint32_t)changes.size ();
-  read.era = answer.era;
+  read.era = is_earlier_release ? 0 : answer.era;
   read.as_of = answer.as_of;
   read.config_revision = config_revision;
   shr_read_answered (&cache_, &read);
--- a/test/model/sidecar.h
+++ b/test/model/sidecar.h
@@ -50,6 +50,7 @@
   std::deque<SidecarReply> replies[2];
 
   bool is_frozen = false;
+  bool is_earlier_release = false; ///< It knows no era.
   bool is_store_unreachable
       = false; ///< Its requests to the store get no answer.
   uint64_t store_calls = 0;
--- a/test/model/store.cc
+++ b/test/model/store.cc
@@ -58,17 +58,10 @@
 }
 
 void
-Store::save ()
+Store::restore (const Copy &copy)
 {
-  saved_items_ = items_;
-  saved_revision_ = revision;
-}
-
-void
-Store::restore ()
-{
-  items_ = saved_items_;
-  revision = compacted_revision_ = saved_revision_;
+  items_ = copy.items;
+  revision = compacted_revision_ = copy.revision;
   history_.clear ();
   era++;
 }
--- a/test/model/store.h
+++ b/test/model/store.h
@@ -60,10 +60,19 @@
   const Item *find (const std::string &key) const;
   /// Drop the history of all changes so far.
   void compact ();
-  /// Keep a copy of the present content.
-  void save ();
-  /// Come back from the copy, in a new era.
-  void restore ();
+  /// The content at one moment.
+  struct Copy
+  {
+    std::vector<Item> items;
+    uint64_t revision = 1;
+  };
+  Copy
+  copy () const
+  {
+    return { items_, revision };
+  }
+  /// Come back from a copy, in a new era.
+  void restore (const Copy &copy);
   /// @return  Whether a read can be answered now.
   bool has_answer (bool is_operator_only, uint64_t after) const;
   Answer answer (bool is_operator_only, uint64_t after) const;
@@ -78,8 +87,6 @@
   static bool is_visible (const Item &item, bool is_operator_only);
   std::vector<Item> items_;
   std::vector<Item> history_;
-  std::vector<Item> saved_items_;
-  uint64_t saved_revision_ = 1;
   uint64_t compacted_revision_ = 0;
 };
 
--- a/test/model/world.cc
+++ b/test/model/world.cc
@@ -16,6 +16,9 @@
   MAX_VERSION_DELAY_MS = 5000,
   MAX_REMOVAL_DELAY_MS = 2000,
   MAX_REVOKE_DELAY_MS = 5000,
+  /// After a restore: from the first read of the copy, for which a gateway has
+  /// MAX_RECOVERY_MS, until the store's writers have written again.
+  MAX_CONFIRM_DELAY_MS = 2000,
   /// Covers the pause between batches, the answer, and the evidence that
   /// a returning target gives.
   MAX_USE_DELAY_MS = 1500,
@@ -64,7 +67,8 @@
 static const char kConfigKey[] = "op/config";
 static const char kVersionKey[] = "op/version/m.a1";
 
-World::World (uint32_t seed, PlantedFault planted_fault) : random_ (seed)
+World::World (uint32_t seed, PlantedFault planted_fault, bool has_restores)
+    : random_ (seed)
 {
   for (int i = 0; i < GATEWAYS; i++)
     {
@@ -81,6 +85,167 @@
       targets_.push_back (target);
     }
   draw_schedule ();
+  if (has_restores)
+    draw_restores (seed);
+}
+
+/// Restores have a source of randomness of their own, so that the rest of a
+/// schedule is the same with and without them.
+void
+World::draw_restores (uint32_t seed)
+{
+  restore_random_.seed (seed + 77777);
+  auto draw = [&] (uint64_t from, uint64_t to) {
+    return from + restore_random_ () % (to - from + 1);
+  };
+  sidecar_.is_earlier_release = draw (0, 3) == 0;
+  uint64_t at_ms = draw (2000, 12000);
+  for (uint64_t i = draw (1, 3); i > 0; i--)
+    {
+      restores_.push_back ({ at_ms, draw (0, 2500), draw (100, 9000),
+                             draw (0, 1800), draw (0, 1) == 0,
+                             draw (0, 1) == 0 });
+      if (draw (0, 1) == 0)
+        cut_gateway_before (restores_.back ());
+      at_ms += draw (500, 9000);
+    }
+}
+
+/// A gateway is cut off until the store is back, and a configuration that is
+/// acknowledged meanwhile is lost.
+void
+World::cut_gateway_before (Restore &restore)
+{
+  uint64_t ahead_ms = 2000 + restore_random_ () % 4000;
+  if (restore.at_ms < ahead_ms)
+    return;
+  uint64_t from_ms = restore.at_ms - ahead_ms;
+  uint64_t duration_ms = ahead_ms + restore.away_ms + restore_random_ () % 800;
+  size_t gateway = restore_random_ ();
+  restore.copy_age_ms = ahead_ms + 100;
+  events_.push_back (
+      { from_ms, GATEWAY_LOSES_REQUESTS, duration_ms, gateway });
+  events_.push_back ({ from_ms, GATEWAY_LOSES_SIDECAR, duration_ms, gateway });
+  events_.push_back ({ from_ms + 100, CONFIG_CHANGES, 0, 0 });
+}
+
+/// What the copy says of a target, which writes its entry again within 1.8 s.
+void
+World::restore_target (Target &target)
+{
+  const Item *item = store_.find ("servers/" + target.id);
+  if (!target.is_alive)
+    {
+      target.is_brought_back = item != nullptr;
+      // Leases begin anew.
+      target.last_heartbeat_ms = now_ms_;
+      return;
+    }
+  target.is_missing_in_copy = item == nullptr;
+  target.removed_ms = 0;
+  target.valid_since_ms = item != nullptr
+                                  && item->value.born_ms == target.born_ms
+                                  && !item->value.is_malformed
+                              ? now_ms_
+                              : UINT64_MAX;
+  target.last_heartbeat_ms = now_ms_;
+  target.has_expired_in_outage = false;
+  target.next_heartbeat_ms = now_ms_ + restore_random_ () % 1800;
+}
+
+void
+World::rewrite_operator_values ()
+{
+  operator_rewrites_ms_ = 0;
+  operator_rewrote_ms_ = now_ms_;
+  Value value;
+  value.config = config_;
+  store_.put (kConfigKey, value);
+  value = Value ();
+  value.version = version_;
+  if (version_ > 0)
+    store_.put (kVersionKey, value);
+}
+
+void
+World::restore_store (const Restore &restore)
+{
+  uint64_t copy_ms = restore.at_ms > restore.copy_age_ms
+                         ? restore.at_ms - restore.copy_age_ms
+                         : 0;
+  Store::Copy copy = copies_.front ().second;
+  for (const auto &[at_ms, kept] : copies_)
+    if (at_ms <= copy_ms)
+      copy = kept;
+  uint64_t lost_revision = store_.revision;
+  store_.restore (copy);
+  restored_ms_ = store_disturbed_ms_ = store_unavailable_ms_ = now_ms_;
+  operator_rewrites_ms_ = now_ms_ + restore.operator_ms;
+  for (ObservedGateway &o : gateways_)
+    {
+      o.unused_at_restore.clear ();
+      o.knows_copy_only = !o.gateway->has_read ();
+      for (const Target &target : targets_)
+        if (o.known.count ({ target.id, target.born_ms }) > 0
+            && target.removed_ms > 0 && !o.gateway->used_born_ms (target.id))
+          o.unused_at_restore.insert (target.id);
+    }
+  for (Target &target : targets_)
+    restore_target (target);
+  if (!restore.is_busy)
+    return;
+  // All of it lies behind the watches of before.
+  rewrite_operator_values ();
+  write_operator_change (false);
+  Value other;
+  while (store_.revision <= lost_revision)
+    store_.put ("other/item", other);
+}
+
+void
+World::step_restores ()
+{
+  if (restores_.empty ())
+    return;
+  if (now_ms_ % 100 == 0)
+    copies_.emplace_back (now_ms_, store_.copy ());
+  for (const Restore &restore : restores_)
+    {
+      if (restore.at_ms / STEP_MS == now_ms_ / STEP_MS)
+        {
+          begin_store_fault (
+              { now_ms_, restore.is_silent ? STORE_SILENT : STORE_REFUSES,
+                restore.away_ms, 1 });
+          store_disturbed_ms_ = store_unavailable_ms_ = now_ms_;
+        }
+      if ((restore.at_ms + restore.away_ms) / STEP_MS == now_ms_ / STEP_MS)
+        restore_store (restore);
+    }
+  bool has_to_write = operator_rewrites_ms_ > 0
+                      && now_ms_ >= operator_rewrites_ms_
+                      && is_store_serving ();
+  if (!has_to_write)
+    return;
+  rewrite_operator_values ();
+}
+
+/// What holds of a target after a restore, at a gateway that was undisturbed
+/// since before it.
+std::string
+World::check_restored (ObservedGateway &o, const Target &target)
+{
+  std::optional<uint64_t> born = o.gateway->used_born_ms (target.id);
+  if (born)
+    o.known.insert ({ target.id, *born });
+  bool was_calm = restored_ms_ > 0
+                  && o.last_disturbed_ms + MAX_RECOVERY_MS < restored_ms_
+                  && !o.gateway->is_frozen;
+  if (!was_calm)
+    return "";
+  if (target.is_brought_back && born
+      && o.unused_at_restore.count (target.id) > 0)
+    return target.id + " is gone and brought back by a copy";
+  return "";
 }
 
 uint64_t
@@ -176,6 +341,9 @@
       break;
     case GATEWAY_RESTARTS:
       o.gateway->restart (now_ms_);
+      o.knows_copy_only = restored_ms_ > 0;
+      o.known.clear ();
+      o.unused_at_restore.clear ();
       o.last_config = 0;
       o.last_version = 0;
       o.last_disturbed_ms = now_ms_;
@@ -289,6 +457,13 @@
       {
         store_.put (item.key, item.value);
         at_ms = UINT64_MAX;
+        // A late write lists a target that the copy has brought back.
+        for (Target &target : targets_)
+          if (item.key == "servers/" + target.id && target.is_brought_back)
+            {
+              target.is_brought_back = false;
+              target.removed_ms = 0;
+            }
         for (Target &target : targets_)
           if (item.key == "servers/" + target.id
               && item.value.born_ms != target.born_ms)
@@ -311,6 +486,8 @@
   target.latest_born_ms = std::max (target.latest_born_ms, target.born_ms);
   target.last_heartbeat_ms = now_ms_;
   target.removed_ms = 0;
+  target.is_missing_in_copy = false;
+  target.is_brought_back = false;
   target.has_expired_in_outage = false;
   if (target.valid_since_ms == 0 || target.valid_since_ms == UINT64_MAX)
     target.valid_since_ms = now_ms_;
@@ -334,6 +511,7 @@
         {
           store_.remove ("servers/" + target.id);
           target.removed_ms = now_ms_;
+          target.is_brought_back = false;
           target.was_removed_undisturbed
               = now_ms_ - store_disturbed_ms_ >= MAX_RECOVERY_MS;
           target.has_expired_in_outage = do_leases_expire_early
@@ -383,6 +561,10 @@
       if (*born != target.born_ms)
         return target.id + " is taken for an earlier incarnation";
     }
+  // A gateway that did not know that it is gone believes the copy, until its
+  // entry expires there.
+  if (target.is_brought_back && o.unused_at_restore.count (target.id) == 0)
+    return "";
   bool is_gone = target.removed_ms > 0 && target.was_removed_undisturbed
                  && now_ms_ - target.removed_ms >= MAX_REMOVAL_DELAY_MS;
   if (is_gone && born)
@@ -424,6 +606,12 @@
 {
   if (o.gateway->is_frozen || !o.gateway->admits_keys (now_ms_))
     return "";
+  // A gateway that starts in between knows the copy, until the operator has
+  // written again.
+  bool has_rewritten = operator_rewrites_ms_ == 0
+                       && now_ms_ - operator_rewrote_ms_ >= MAX_RECOVERY_MS;
+  if (o.knows_copy_only && !has_rewritten)
+    return "";
   for (const ConfigAck &ack : config_acks_)
     if (now_ms_ > ack.at_ms + MAX_REVOKE_DELAY_MS
         && o.gateway->config < ack.revision)
@@ -435,6 +623,12 @@
 std::string
 World::check_valid_key (const ObservedGateway &o) const
 {
+  // What is known after a restore counts as confirmed once the operator has
+  // had time to write again.
+  uint64_t last_fault_ms = std::max (o.last_disturbed_ms, store_disturbed_ms_);
+  if (restored_ms_ > 0
+      && now_ms_ - last_fault_ms < MAX_RECOVERY_MS + MAX_CONFIRM_DELAY_MS)
+    return "";
   return o.gateway->admits_keys (now_ms_) ? "" : "a valid key is refused";
 }
 
@@ -474,6 +668,8 @@
   for (const Target &target : targets_)
     {
       std::string violation = check_retained (o, target);
+      if (violation.empty ())
+        violation = check_restored (o, target);
       if (!violation.empty ())
         return violation;
     }
@@ -500,6 +696,7 @@
   for (const Event &event : events_)
     if (event.at_ms / STEP_MS == now_ms_ / STEP_MS)
       begin_event (event);
+  step_restores ();
   step_store ();
   step_targets ();
   sidecar_.is_frozen = now_ms_ < sidecar_frozen_ms_;
@@ -538,6 +735,10 @@
            + std::to_string (e.duration_ms) + " at "
            + std::to_string (e.subject % GATEWAYS) + "/"
            + std::to_string (e.subject % TARGETS) + "\n";
+  for (const Restore &r : restores_)
+    out += std::to_string (r.at_ms) + " store away for "
+           + std::to_string (r.away_ms) + ", back from a copy "
+           + std::to_string (r.copy_age_ms) + " older\n";
   return out;
 }
 
--- a/test/model/world.h
+++ b/test/model/world.h
@@ -5,6 +5,7 @@
 #ifndef KB_TEST_MODEL_WORLD_H
 #define KB_TEST_MODEL_WORLD_H
 
+#include <deque>
 #include <memory>
 #include <set>
 
@@ -33,12 +34,16 @@
   uint64_t latest_born_ms = 0; ///< Newest incarnation written so far.
   bool is_backdated
       = false; ///< Its incarnation is older than one written before.
+  bool is_missing_in_copy = false; ///< Lives, and the copy lacks it; until it
+                                   ///< writes its entry again.
+  bool is_brought_back = false;    ///< Gone, and listed by the copy.
 };
 
 class World
 {
 public:
-  World (uint32_t seed, PlantedFault planted_fault);
+  /// @param has_restores  The store comes back from older copies as well.
+  World (uint32_t seed, PlantedFault planted_fault, bool has_restores = false);
   /// Run the schedule.
   /// @param promise_filter  Text that a violation must contain; empty: any.
   /// @return                The first violation, or empty.
@@ -70,6 +75,23 @@
     uint64_t last_config = 0;
     uint32_t last_version = 0;
     std::map<std::string, bool> was_used; ///< Before its entry expired.
+    /// It started after the last restore, or had read nothing before it.
+    bool knows_copy_only = false;
+    /// Incarnations that were used since its start, by id and birth.
+    std::set<std::pair<std::string, uint64_t>> known;
+    /// Known targets that were not used when the store was restored.
+    std::set<std::string> unused_at_restore;
+  };
+
+  /// The store goes away and comes back from a copy.
+  struct Restore
+  {
+    uint64_t at_ms;
+    uint64_t away_ms;
+    uint64_t copy_age_ms; ///< When it goes away.
+    uint64_t operator_ms; ///< Until the operator has written again.
+    bool is_silent;       ///< While away; otherwise it refuses.
+    bool is_busy;         ///< Writes follow at once, past old revisions.
   };
 
   void draw_schedule ();
@@ -77,6 +99,13 @@
   void begin_store_fault (const Event &event);
   void step ();
   void step_store ();
+  void draw_restores (uint32_t seed);
+  void cut_gateway_before (Restore &restore);
+  void step_restores ();
+  void restore_store (const Restore &restore);
+  void restore_target (Target &target);
+  void rewrite_operator_values ();
+  std::string check_restored (ObservedGateway &o, const Target &target);
   void step_targets ();
   void write_heartbeat (Target &target);
   void write_operator_change (bool is_version);
@@ -105,6 +134,12 @@
   uint64_t store_recovered_ms_ = 0;
   bool do_leases_expire_early_ = false;
   std::vector<Event> events_;
+  std::vector<Restore> restores_;
+  std::mt19937 restore_random_;
+  std::deque<std::pair<uint64_t, Store::Copy>> copies_; ///< By time.
+  uint64_t restored_ms_ = 0;          ///< Last return from a copy; zero: none.
+  uint64_t operator_rewrote_ms_ = 0;  ///< When it last did.
+  uint64_t operator_rewrites_ms_ = 0; ///< When the operator writes again.
   std::vector<ObservedGateway> gateways_;
   Sidecar sidecar_;
   uint64_t sidecar_frozen_ms_ = 0;
--- a/test/unit/follow_test.cc
+++ b/test/unit/follow_test.cc
@@ -507,7 +507,8 @@
   EXPECT_TRUE (flw_take_cancellation (&f, FLW_DIRECT));
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5708, &read));
   EXPECT_EQ (read.after, 0u);
-  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5712, 4, 131), FLW_APPLY_COPY);
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5712, 4, 131), FLW_APPLY);
+  EXPECT_EQ (f.copy_revision, 131u);
   ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, 5712, &read));
   EXPECT_EQ (read.after, 131u);
 }
@@ -521,7 +522,8 @@
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
   flw_failed (&f, FLW_BATCH, 5710, FLW_HISTORY_GONE, 0);
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5710, &read));
-  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5714, 4, 61), FLW_APPLY_COPY);
+  EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5714, 4, 61), FLW_APPLY);
+  EXPECT_EQ (f.copy_revision, 61u);
   EXPECT_TRUE (flw_take_cancellation (&f, FLW_DIRECT));
   ASSERT_TRUE (flw_begin (&f, FLW_DIRECT, false, 5714, &read));
   EXPECT_EQ (read.after, 61u);
@@ -536,9 +538,27 @@
   flw_failed (&f, FLW_BATCH, 5710, FLW_HISTORY_GONE, 0);
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5710, &read));
   EXPECT_EQ (answer_of_era (&f, FLW_BATCH, 5714, 3, 110), FLW_APPLY);
+  EXPECT_EQ (f.copy_revision, 0u);
   EXPECT_TRUE (flw_is_confirmed (&f));
 }
 
+// Guards against a copy that counts as current because it is read again, after
+// the history was compacted.
+TEST (Follow, CopyIsReadAgainAsACopy)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  flw_failed (&f, FLW_BATCH, 5710, FLW_HISTORY_GONE, 0);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5710, &read));
+  answer_of_era (&f, FLW_BATCH, 5714, 4, 61);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 9000, &read));
+  flw_failed (&f, FLW_BATCH, 9004, FLW_HISTORY_GONE, 0);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 9004, &read));
+  answer_of_era (&f, FLW_BATCH, 9008, 4, 90);
+  EXPECT_EQ (f.copy_revision, 61u);
+}
+
 // The direct reader sees the new era first, and the batch reader's read of the
 // earlier era is given up.
 TEST (Follow, DirectReaderDetectsARestore)
@@ -594,8 +614,13 @@
   ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 7000, &read));
   answer_of_era (&f, FLW_BATCH, 7004, 4, 140);
   EXPECT_FALSE (flw_is_confirmed (&f));
-  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 8300, &read));
-  answer_of_era (&f, FLW_BATCH, 8304, 4, 150);
+  // 2 s after the copy was read, without a pause before.
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 7500, &read));
+  EXPECT_FALSE (read.is_shared);
+  answer_of_era (&f, FLW_BATCH, 7504, 4, 145);
+  EXPECT_FALSE (flw_is_confirmed (&f));
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, true, 7712, &read));
+  answer_of_era (&f, FLW_BATCH, 7716, 4, 150);
   EXPECT_TRUE (flw_is_confirmed (&f));
 }
 
--- a/test/unit/roster_test.cc
+++ b/test/unit/roster_test.cc
@@ -89,6 +89,21 @@
   EXPECT_TRUE (accept_copy ("a", 200));
 }
 
+// The target restarted after its clock had been stepped back: its earlier
+// incarnation, which the copy lists, has a later birth.
+TEST_F (Roster, CopyDoesNotBringBackAnIncarnationFromBeforeAClockStep)
+{
+  list ("a", 600);
+  list ("a", 200);
+  EXPECT_FALSE (accept_copy ("a", 600));
+  EXPECT_TRUE (accept_copy ("a", 200));
+  remove ("a", 900);
+  EXPECT_FALSE (accept_copy ("a", 600));
+  list ("a", 250);
+  EXPECT_FALSE (accept_copy ("a", 600));
+  EXPECT_TRUE (accept_copy ("a", 601));
+}
+
 TEST_F (Roster, CopyDoesNotBringBackALeavingTarget)
 {
   list ("a", 100, true);
