--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -66,9 +66,52 @@
   put_locked (key, value);
 }
 
+void
+Store::keep_copy_locked ()
+{
+  constexpr auto kCopyInterval = std::chrono::milliseconds (100);
+  constexpr size_t kMaxCopies = 100;
+  auto now = std::chrono::steady_clock::now ();
+  if (!copies_.empty () && now - copies_.back ().first < kCopyInterval)
+    return;
+  copies_.emplace_back (now, Copy{ items_, revision_ });
+  if (copies_.size () > kMaxCopies)
+    copies_.pop_front ();
+}
+
+std::vector<std::string>
+Store::keys (const std::string &prefix)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::vector<std::string> found;
+  for (const auto &[key, item] : items_)
+    if (key.compare (0, prefix.size (), prefix) == 0 && !item.is_gone)
+      found.push_back (key);
+  return found;
+}
+
+void
+Store::restore_older (int age_ms)
+{
+  Copy older;
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    auto at = std::chrono::steady_clock::now ()
+              - std::chrono::milliseconds (age_ms);
+    if (copies_.empty ())
+      return;
+    older = copies_.front ().second;
+    for (const auto &[time, kept] : copies_)
+      if (time <= at)
+        older = kept;
+  }
+  restore (older);
+}
+
 void
 Store::put_locked (const std::string &key, const std::string &value)
 {
+  keep_copy_locked ();
   items_[key] = { value, ++revision_, false };
   history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
@@ -314,7 +357,7 @@
              + std::chrono::milliseconds (atoi (query.at ("WaitMs").c_str ()));
   if (mode_ == NO_WAIT)
     end = std::chrono::steady_clock::now ();
-  while (changes (query.at ("Prefix"), after).empty ()
+  while (after <= revision_ && changes (query.at ("Prefix"), after).empty ()
          && disconnect_count_before == disconnect_count_
          && stall_count_before == stall_count_ && !is_stopping_
          && changed_.wait_until (lock, end) != std::cv_status::timeout)
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -5,6 +5,7 @@
 #define KB_TEST_RELAY_STORE_STANDIN_H
 
 #include <condition_variable>
+#include <deque>
 #include <map>
 
 #include "http_peer.h"
@@ -54,6 +55,10 @@
   /// given out again, and the era rises by one. The history begins at the
   /// copy.
   void restore (const Copy &copy);
+  /// Come back from a copy that is about this old, if the store is.
+  void restore_older (int age_ms);
+  /// Keys under a prefix that exist now.
+  std::vector<std::string> keys (const std::string &prefix);
   /// Header lines that state the era; empty: the store states none.
   std::string era_headers ();
   std::atomic<bool> is_era_stated{ true };
@@ -98,6 +103,9 @@
   std::condition_variable changed_;
   std::map<std::string, Item> items_; ///< Includes tombstones of removed keys.
   std::vector<std::pair<std::string, Item>> history_; ///< Ordered by revision.
+  void keep_copy_locked ();
+  /// Copies by time, at most one for each kCopyInterval.
+  std::deque<std::pair<std::chrono::steady_clock::time_point, Copy>> copies_;
   std::map<std::string, int> writes_of_; ///< Of daemons since the restore.
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -286,6 +286,9 @@
     case FaultKind::SOFTWARE_CHANGE:
       change_software (fault_step);
       break;
+    case FaultKind::RESTORE_STORE:
+      restore_store (fault_step);
+      break;
     }
 }
 
@@ -321,6 +324,9 @@
     case FaultKind::REQUESTED_PAUSE:
       target_at (fault_step.subject).pause_s = -1;
       break;
+    case FaultKind::RESTORE_STORE:
+      rewrite_store ();
+      break;
     default:
       break;
     }
@@ -375,9 +381,55 @@
   std::string name = "a" + std::to_string (adapter);
   for (auto &e : site_.engines)
     e.target->newest_version = version;
-  site_.put ("op/version/m." + name,
-             "{\"Model\":\"m\",\"Adapter\":\"" + name
-                 + "\",\"Version\":" + std::to_string (version) + "}");
+  std::string key = "op/version/m." + name;
+  published_versions_[key] = "{\"Model\":\"m\",\"Adapter\":\"" + name
+                             + "\",\"Version\":" + std::to_string (version)
+                             + "}";
+  site_.put (key, published_versions_[key]);
+}
+
+/// What is written to the store until it has come back is lost.
+void
+Soak::restore_store (const FaultStep &fault_step)
+{
+  constexpr int kMaxAwayMs = 800;
+  constexpr int kMaxCopyAgeMs = 4000;
+  std::vector<Store *> stores;
+  if (fault_step.subject % 3 != 1)
+    stores.push_back (&site_.store);
+  if (fault_step.subject % 3 != 0)
+    stores.push_back (&site_.mirror_store);
+  Store::Mode mode = fault_step.variant % 2 == 0 ? Store::RESET : Store::BUSY;
+  int away_ms = fault_step.variant / 2 % kMaxAwayMs;
+  int copy_age_ms = fault_step.subject / 3 % kMaxCopyAgeMs;
+  for (Store *store : stores)
+    store->set_mode (mode);
+  std::lock_guard<std::mutex> lock (mutex_);
+  restarts_.push_back (std::async (std::launch::async, [=] {
+    std::this_thread::sleep_for (std::chrono::milliseconds (away_ms));
+    for (Store *store : stores)
+      {
+        store->restore_older (copy_age_ms);
+        store->set_mode (Store::HEALTHY);
+      }
+  }));
+}
+
+void
+Soak::rewrite_store ()
+{
+  std::set<std::string> listed;
+  for (int i = 0; i < size_.engines + size_.plain; i++)
+    listed.insert ("servers/" + target_at (i).id ());
+  for (Store *store : { &site_.store, &site_.mirror_store })
+    for (const std::string &key : store->keys ("servers/"))
+      if (listed.count (key) == 0)
+        site_.remove (key);
+  for (int i = 0; i < size_.engines + size_.plain; i++)
+    list_target (i, 0);
+  site_.put ("op/config", site_.config);
+  for (const auto &[key, text] : published_versions_)
+    site_.put (key, text);
 }
 
 void
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -69,6 +69,9 @@
   void signal_to (Daemon &daemon, int signal);
   void write_config ();
   void publish_adapter_version (int adapter);
+  void restore_store (const FaultStep &fault_step);
+  /// The operator and the targets write again what a restore may have lost.
+  void rewrite_store ();
   void inject_target_failures (const FaultStep &fault_step);
   void restart_engine (int subject);
   void change_software (const FaultStep &fault_step);
@@ -139,6 +142,7 @@
   std::chrono::steady_clock::time_point key_revoked_at_;
   int config_version_ = 10;
   int adapter_version_ = 1;
+  std::map<std::string, std::string> published_versions_; ///< By key.
   int incarnation_ = 0;
 };
 
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -26,8 +26,10 @@
   // first seed with workspaces. 402: a request that crashes plain targets was
   // never alone at one, because others were always running there. 501: the
   // first seed with two software versions. 601: the first seed with a bad part
-  // of prompts and with answers that end with their connection.
-  std::vector<uint64_t> list = { 1, 2, 212, 218, 231, 301, 402, 501, 601 };
+  // of prompts and with answers that end with their connection. 701: the first
+  // seed with stores that come back from older copies.
+  std::vector<uint64_t> list
+      = { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701 };
   const char *text = getenv ("KB_SOAK_SEEDS");
   if (text == nullptr)
     return list;
