--- a/src/coordination/follow.c
+++ b/src/coordination/follow.c
@@ -267,6 +267,9 @@
   bool is_gap
       = batch->failed_since_ms > 0 && now_ms - batch->failed_since_ms > GAP_MS;
   bool is_failure_over = batch->failed_since_ms > 0;
+  // The store's writers could not write again either.
+  if (is_failure_over && batch->failed_since_ms < f->rewritten_ms)
+    f->rewritten_ms = now_ms + REWRITE_MS;
   batch->failed_since_ms = 0;
   f->known_ms = batch->began_ms;
   f->is_store_read_due = false;
--- a/test/unit/follow_test.cc
+++ b/test/unit/follow_test.cc
@@ -624,6 +624,25 @@
   EXPECT_TRUE (flw_is_confirmed (&f));
 }
 
+// The store is away again before its writers had time.
+TEST (Follow, OutageAfterARestoreDelaysConfirmation)
+{
+  flw_follower_t f = follower_of_era_3 ();
+  flw_read_t read;
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5704, &read));
+  answer_of_era (&f, FLW_BATCH, 5708, 4, 130);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 5708, &read));
+  answer_of_era (&f, FLW_BATCH, 5712, 4, 131);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 6500, &read));
+  flw_failed (&f, FLW_BATCH, 6504, FLW_NO_ANSWER, 0);
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 9000, &read));
+  answer_of_era (&f, FLW_BATCH, 9004, 4, 131);
+  EXPECT_FALSE (flw_is_confirmed (&f));
+  ASSERT_TRUE (flw_begin (&f, FLW_BATCH, false, 11004, &read));
+  answer_of_era (&f, FLW_BATCH, 11008, 4, 140);
+  EXPECT_TRUE (flw_is_confirmed (&f));
+}
+
 // A late answer of the earlier era counts as no answer.
 TEST (Follow, StaleEraIsRetried)
 {
