--- a/test/model/world.h
+++ b/test/model/world.h
@@ -105,6 +105,7 @@
   void restore_store (const Restore &restore);
   void restore_target (Target &target);
   void rewrite_operator_values ();
+  bool has_operator_rewritten () const;
   std::string check_restored (ObservedGateway &o, const Target &target);
   void step_targets ();
   void write_heartbeat (Target &target);
