fix(daemon,transport): follow the shard map of a restored service

Entries compared revisions of two lives of the service, as the relay did. A restored service is known by its cluster or by a revision that went back; known epochs are merged into the map that is read, and written again.

--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -205,6 +205,8 @@
   clm_owner_t claim_owner;
   shm_shard_t shard_map[CLM_SHARDS];
   uint64_t shard_map_mod_revision;
+  uint32_t shard_map_restore_count; ///< kvc_client_t.restore_count then.
+  bool is_shard_map_outdated; ///< The service lacks takeovers that are known.
   bool is_map_known;
   bool is_map_call_pending;
   uint64_t last_map_read_ms;
--- a/src/daemon/entry_shards.c
+++ b/src/daemon/entry_shards.c
@@ -76,11 +76,15 @@
 void
 ent_claims_apply_map_item (ent_entry_t *entry, const kvc_item_t *item)
 {
-  if (item->mod_revision == 0
-      || item->mod_revision <= entry->shard_map_mod_revision)
-    return;
-  if (!shm_parse (item->value, entry->shard_map))
+  uint32_t restore_count = entry->daemon->kv.restore_count;
+  bool is_known = item->mod_revision <= entry->shard_map_mod_revision
+                  && restore_count == entry->shard_map_restore_count;
+  shm_shard_t read[CLM_SHARDS];
+  if (item->mod_revision == 0 || is_known || !shm_parse (item->value, read))
     return;
+  entry->shard_map_restore_count = restore_count;
+  entry->is_shard_map_outdated = shm_merge (read, entry->shard_map);
+  memcpy (entry->shard_map, read, sizeof read);
   entry->shard_map_mod_revision = item->mod_revision;
   entry->is_map_known = true;
   uint32_t lost_count = 0;
@@ -220,7 +224,7 @@
       new_map[s].epoch++;
       vacant_count++;
     }
-  if (vacant_count == 0)
+  if (vacant_count == 0 && !entry->is_shard_map_outdated)
     {
       entry->vacant_since_ms = 0;
       return;
--- a/src/protocol/shardmap.c
+++ b/src/protocol/shardmap.c
@@ -6,6 +6,19 @@
 
 #include "protocol/json.h"
 
+bool
+shm_merge (shm_shard_t read[SHM_SHARDS], const shm_shard_t known[SHM_SHARDS])
+{
+  bool is_outdated = false;
+  for (uint32_t i = 0; i < SHM_SHARDS; i++)
+    if (known[i].epoch > read[i].epoch)
+      {
+        read[i] = known[i];
+        is_outdated = true;
+      }
+  return is_outdated;
+}
+
 void
 shm_write (const shm_shard_t shards[SHM_SHARDS], kb_buf_t *out)
 {
--- a/src/protocol/shardmap.h
+++ b/src/protocol/shardmap.h
@@ -26,6 +26,12 @@
   uint64_t epoch; ///< Increases with every takeover.
 } shm_shard_t;
 
+/// Merge what is known into a map that was read. Epochs only rise: a shard
+/// whose known epoch is higher keeps its known owner, because the service lost
+/// the takeover when it came back from an older copy.
+/// @return  Whether the map lacked any, and is to be written again.
+bool shm_merge (shm_shard_t read[SHM_SHARDS],
+                const shm_shard_t known[SHM_SHARDS]);
 /// Append the map as JSON.
 void shm_write (const shm_shard_t shards[SHM_SHARDS], kb_buf_t *out);
 /// @return  False if the text is not a valid map; `out` may then be partly
--- a/src/transport/kv.c
+++ b/src/transport/kv.c
@@ -23,6 +23,7 @@
   void *arg;
   kb_buf_t response;
   bool is_cas;
+  uint64_t sent_revision; ///< Highest known when the call was sent.
 } kv_call_t;
 
 struct kvc_watch
@@ -143,6 +144,31 @@
   free (items);
 }
 
+/// Read the header of a response: another cluster, or a revision below the one
+/// known when the call was sent, is that of a restored service.
+static void
+client_observe_header (kv_call_t *call, struct json_object *header)
+{
+  kvc_client_t *client = call->client;
+  uint64_t revision = kv_json_u64 (header, "revision");
+  uint64_t cluster_id = kv_json_u64 (header, "cluster_id");
+  if (revision == 0)
+    return;
+  bool is_other = client->cluster_id != 0 && cluster_id != 0
+                  && cluster_id != client->cluster_id;
+  if (is_other || revision < call->sent_revision)
+    {
+      log_write (LOG_WARN, "kv", "The service came back from an older copy.");
+      MET_INC ("knapweedbay_store_restores_total", "");
+      client->restore_count++;
+      client->revision = revision;
+    }
+  if (cluster_id != 0)
+    client->cluster_id = cluster_id;
+  if (revision > client->revision)
+    client->revision = revision;
+}
+
 static void
 call_report (kv_call_t *call, int http_status)
 {
@@ -157,6 +183,7 @@
                   0);
       return;
     }
+  client_observe_header (call, jsn_get (doc, "header"));
   if (call->is_cas)
     call->done (call->arg,
                 jsn_bool (doc, "succeeded", false) ? KB_OK : KB_ECONFLICT,
@@ -218,6 +245,7 @@
   call->done = done;
   call->arg = arg;
   call->is_cas = is_cas;
+  call->sent_revision = client->revision;
   htc_call_start (client->http, &call_events, call, client->address,
                   client->port, "POST", path,
                   "content-type: application/json\r\n", kb_buf_slice (body),
--- a/src/transport/kv.h
+++ b/src/transport/kv.h
@@ -3,6 +3,9 @@
 /// Supports reads, single-key writes, single-key compare-and-swap and watches.
 /// Calls are counted by kind, and the calls of the process are rate-limited. A
 /// watch counts as one call, however long it stays open.
+///
+/// The service may come back from an older copy. Revisions then go back and
+/// are given out again, so that those of before mean nothing any more.
 #ifndef KB_TRANSPORT_KV_H
 #define KB_TRANSPORT_KV_H
 
@@ -21,6 +24,9 @@
   uint16_t port;
   uint64_t timeout_ms;
   lim_bucket_t bucket;
+  uint64_t revision;      ///< Highest that the service stated.
+  uint64_t cluster_id;    ///< Changes with a restore; zero: not stated.
+  uint32_t restore_count; ///< Restores seen; counted before a call completes.
 } kvc_client_t;
 
 typedef struct
--- a/test/fakes/fake_kv.c
+++ b/test/fakes/fake_kv.c
@@ -43,6 +43,9 @@
 static kv_item_t *items;
 static uint32_t item_count;
 static uint64_t revision = 1;
+static kv_item_t *saved_items; ///< Copy from which the service comes back.
+static uint32_t saved_count;
+static uint64_t saved_revision;
 static watch_t watches[KV_MAX_WATCHES];
 static uint64_t reads;
 static uint64_t writes;
@@ -290,15 +293,49 @@
       }
 }
 
+static kv_item_t *
+copy_items (const kv_item_t *from, uint32_t count)
+{
+  kv_item_t *out = kb_alloc ((count + 1) * sizeof *out);
+  for (uint32_t i = 0; i < count; i++)
+    out[i] = (kv_item_t){ .key = kb_strdup (from[i].key),
+                          .value64 = kb_strdup (from[i].value64),
+                          .mod_revision = from[i].mod_revision };
+  return out;
+}
+
+static void
+save_copy (void)
+{
+  saved_items = copy_items (items, item_count);
+  saved_count = item_count;
+  saved_revision = revision;
+}
+
+static void
+restore_copy (void)
+{
+  items = copy_items (saved_items, saved_count);
+  item_count = saved_count;
+  revision = saved_revision;
+}
+
 static void
 kv_fault (struct json_object *f)
 {
+  if (jsn_bool (f, "save_copy", false))
+    save_copy ();
+  // Watches end, and what was written since is lost.
+  bool is_restored = jsn_bool (f, "restore_copy", false);
+  if (is_restored)
+    restore_copy ();
   faults.latency_ms = jsn_int (f, "latency_ms", faults.latency_ms);
   faults.lose_cas = jsn_int (f, "lose_cas", faults.lose_cas);
   faults.is_down = jsn_bool (f, "down", faults.is_down);
   // Muted watches stay open and receive nothing more.
   bool is_mute = jsn_bool (f, "mute_watches", false);
-  if (!jsn_bool (f, "drop_watches", false) && !faults.is_down && !is_mute)
+  if (!jsn_bool (f, "drop_watches", false) && !faults.is_down && !is_mute
+      && !is_restored)
     return;
   for (int i = 0; i < KV_MAX_WATCHES; i++)
     {
--- a/test/system/claim_failure_test.cc
+++ b/test/system/claim_failure_test.cc
@@ -208,3 +208,32 @@
   Cluster::kill_process (other_kv, SIGKILL);
   Cluster::kill_process (other_list, SIGKILL);
 }
+
+// Guards against shards that nobody takes over after the key-value service
+// came back from an older copy: the revisions of the shard map went back.
+TEST (ClaimFailure, ShardsAreTakenOverAfterARestore)
+{
+  ClusterOptions o = short_window_options (60000);
+  o.entries = 3;
+  Cluster c (o);
+  c.start ();
+  ASSERT_TRUE (Cluster::wait_until ([&] {
+    int owned = 0;
+    for (auto &entry : c.entries)
+      owned += c.status_int (entry.process, "shards_owned");
+    return owned == 64;
+  }));
+  c.fault (c.kv, "{\"save_copy\":true}");
+  kill_and_unlist_entry0 (c);
+  auto owned_by_others = [&] {
+    return c.status_int (c.entries[1].process, "shards_owned")
+           + c.status_int (c.entries[2].process, "shards_owned");
+  };
+  ASSERT_TRUE (Cluster::wait_until ([&] { return owned_by_others () == 64; }));
+  c.fault (c.kv, "{\"restore_copy\":true}");
+  std::this_thread::sleep_for (std::chrono::seconds (3));
+  EXPECT_EQ (owned_by_others (), 64);
+  Cluster::kill_process (c.entries[1].process, SIGKILL);
+  c.publish ({}, { "entry0", "entry1" });
+  EXPECT_TRUE (wait_owns_all_shards (c, 2));
+}
