--- a/test/relay/restore_failure_test.cc
+++ b/test/relay/restore_failure_test.cc
@@ -71,9 +71,11 @@
 
 // A configuration whose revision had been given out before the restore, to an
 // older one, is taken for known.
-TEST (Restore, ConfigurationAtAReusedRevisionApplies)
+void
+expect_reused_revision_applies (bool is_era_stated)
 {
   Site site (1, 1, 3);
+  site.store.is_era_stated = site.mirror_store.is_era_stated = is_era_stated;
   ASSERT_TRUE (site.wait_ready ());
   auto copies = site.copy_stores ();
   write_unused (site, 40);
@@ -86,6 +88,17 @@
   expect_new_route (site, "n");
 }
 
+TEST (Restore, ConfigurationAtAReusedRevisionApplies)
+{
+  expect_reused_revision_applies (true);
+}
+
+// The same at a store that states no era: its revision went back.
+TEST (Restore, ConfigurationAtAReusedRevisionAppliesWithoutAnEra)
+{
+  expect_reused_revision_applies (false);
+}
+
 // The store has passed the old revision before it is read again: only its era
 // shows that it was restored, and the change lies behind the watches.
 TEST (Restore, ConfigurationBehindTheWatchesApplies)
