--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -109,7 +109,7 @@
   std::map<std::string, int> writes_of_; ///< Of daemons since the restore.
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
-  int64_t era_ = 1;
+  int64_t era_ = 0;
   int64_t disconnect_count_ = 0;
   int64_t stall_count_ = 0;
   std::string stalled_prefix_; ///< Prefix of the last stall_reads ().
