feat(gateway): log what the end of an attempt counts as

An attempt's line says how it ended, not whether that was kept as a possible cause of its target's end, and there is none where a caller leaves or the time is up.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -386,6 +386,7 @@
 answer_on_body (xch_t *x, kb_slice_t bytes)
 {
   gtw_request_t *r = x->owner;
+  r->received_bytes += bytes.len_bytes;
   kb_buf_append (&r->pending_answer, bytes.ptr, bytes.len_bytes);
   if (r->is_stream_answer)
     relay_events (r);
@@ -548,6 +549,8 @@
   r->sent_boot_ms = tmr_boottime_ms ();
   r->possible_runs++;
   r->is_begun = false;
+  r->received_bytes = 0;
+  r->evidence = "none";
   r->is_target_in_doubt = false;
   r->are_parts_served = false;
   r->is_close_delimited = false;
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -276,6 +276,7 @@
     return;
   gtw_target_t *target = r->target;
   gtw_broken_attempt_t broken = describe_attempt (r);
+  r->evidence = "break";
   r->is_target_in_doubt = r->is_begun && broken.is_starting;
   if (was_sent_before_end (r))
     {
@@ -298,6 +299,7 @@
   gtw_gateway_t *gateway = r->gateway;
   gtw_broken_attempt_t closed = describe_attempt (r);
   closed.is_closed = true;
+  r->evidence = "closed";
   closed.is_served = r->http_status < HTTP_SERVER_ERROR;
   r->is_target_in_doubt = r->is_begun && closed.is_starting;
   if (was_sent_before_end (r))
@@ -365,6 +367,7 @@
   gtw_gateway_t *gateway = r->gateway;
   // It answers, so it has not ended.
   r->target->ended_ms = 0;
+  r->evidence = "served";
   if (gateway->broken_attempt_count > 0)
     forget_breaks (gateway, r->target);
   gtw_quarantine_confirm_recipient (r, gtw_now_ms (gateway));
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -139,6 +139,8 @@
   if (client->request != NULL)
     {
       gtw_quarantine_record_break (client->request);
+      if (client->request->target != NULL)
+        gtw_log_attempt (client->request, "attempt_broken", "caller_left");
       gtw_request_end (client->request);
       client->request = NULL;
     }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -237,6 +237,9 @@
   uint32_t send_count;       ///< Times it was sent.
   uint64_t sent_ms;          ///< When it was sent last.
   uint64_t sent_boot_ms;     ///< The same by the boot clock.
+  uint64_t received_bytes;   ///< Of the answer's body, in this attempt.
+  const char *evidence;      ///< What the end of this attempt counts as, for
+                             ///< the log.
   bool is_target_in_doubt;   ///< It has ended soon after its first event, and
                              ///< its target may have.
   bool is_permit_used;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -142,6 +142,7 @@
                         .client = client,
                         .number = ++gateway->last_request_number,
                         .arrived_ms = gtw_now_ms (gateway),
+                        .evidence = "none",
                         .reason = "" };
   request_copy_head (r, parsed);
   request_list_insert (gateway, r);
@@ -290,6 +291,7 @@
       return;
     }
   gtw_quarantine_record_break (r);
+  gtw_log_attempt (r, "attempt_broken", "timeout");
   gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
 }
 
