--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -423,18 +423,71 @@
   return "id: " + text + "\n: " + version + "\ndata: e" + text + "\n\n";
 }
 
+/// Send a head, then the same bytes again and again, for a time or until the
+/// peer closes.
+void
+Target::send_endless (Connection &connection, const std::string &head,
+                      const std::string &repeated)
+{
+  std::string block;
+  while (block.size () < 16384)
+    block += repeated;
+  auto end = Clock::now () + std::chrono::milliseconds (endless_ms);
+  if (!connection.write (head))
+    return;
+  while (Clock::now () < end && !is_stopping_ && connection.write (block))
+    sleep_ms (1);
+}
+
 /// Send what a request that crashes this process has received by then.
 void
-Target::answer_crash (Connection &connection, const std::string &head)
+Target::answer_crash (Connection &connection, const Message &request)
 {
-  if (crash_answer == CrashAnswer::NONE)
-    return;
+  static const std::string ok = "HTTP/1.1 200 OK\r\n";
+  static const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  std::string head = head_of (request, true);
   std::string whole = is_engine_ ? event (1, software ()) : plain_body;
-  std::string sent = crash_answer == CrashAnswer::HEAD ? ""
-                     : crash_answer == CrashAnswer::HALF
-                         ? whole.substr (0, whole.size () / 2)
-                         : whole;
-  connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n" + sent);
+  switch (crash_answer)
+    {
+    case CrashAnswer::NONE:
+      return;
+    case CrashAnswer::NOT_HTTP:
+      connection.write ("these bytes are not HTTP\r\n\r\n");
+      return;
+    case CrashAnswer::BAD_CHUNK:
+      connection.write (ok + head + chunked + "\r\nno size\r\n" + whole);
+      return;
+    case CrashAnswer::ENDLESS_BYTES:
+      send_endless (connection, "", "no HTTP ");
+      return;
+    case CrashAnswer::ENDLESS_HEAD:
+      send_endless (connection, ok + head, "Field: value\r\n");
+      return;
+    case CrashAnswer::ENDLESS_BODY:
+      send_endless (connection, ok + head + chunked + "\r\n",
+                    chunk ("no event "));
+      return;
+    case CrashAnswer::ERROR_500:
+      connection.write (make_response (500, head, "failed"));
+      return;
+    case CrashAnswer::BARE_503:
+      connection.write (make_response (503, head, "busy"));
+      return;
+    case CrashAnswer::NO_SEAL:
+      connection.write (
+          make_response (200, head_of (request, false), whole));
+      return;
+    case CrashAnswer::HEAD:
+      connection.write (ok + head + "\r\n");
+      break;
+    case CrashAnswer::HALF:
+      connection.write (ok + head + "\r\n"
+                        + whole.substr (0, whole.size () / 2));
+      break;
+    case CrashAnswer::WHOLE:
+      connection.write (ok + head + "\r\n" + whole);
+      break;
+    }
   connection.close ();
 }
 
@@ -496,7 +549,7 @@
       crash_count++;
       if (!hangs_on_crash)
         {
-          answer_crash (connection, head);
+          answer_crash (connection, request);
           simulate_exit ();
           return false;
         }
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -29,14 +29,24 @@
   EXTRA_AFTER, ///< A second answer follows the right one.
 };
 
-/// What a request that crashes its target has received by then. All but NONE
-/// are answers without a length, whose connection is closed orderly.
+/// What a request that crashes its target has received by then.
 enum class CrashAnswer
 {
   NONE, ///< Nothing; the connection is reset.
+  // Answers without a length, whose connection is closed orderly.
   HEAD,
   HALF,  ///< Half a body, or half an event.
   WHOLE, ///< A whole body, or a whole event.
+  // Bytes that are not an answer.
+  NOT_HTTP,
+  BAD_CHUNK,     ///< A head, then a chunk whose size is not a number.
+  ENDLESS_BYTES, ///< No HTTP, for `endless_ms`.
+  ENDLESS_HEAD,  ///< Header fields for `endless_ms`.
+  ENDLESS_BODY,  ///< Chunks that are no events, for `endless_ms`.
+  // Whole answers with a length that are not the request's.
+  ERROR_500,
+  BARE_503, ///< It does not say that the request was not executed.
+  NO_SEAL,
 };
 
 /// A rate limit and the period for which a target announced it.
@@ -102,6 +112,8 @@
   /// Time between the start of such a request and the crash.
   std::atomic<int> crash_delay_ms{ 20 };
   std::atomic<CrashAnswer> crash_answer{ CrashAnswer::NONE };
+  /// Time for which endless bytes are sent, unless the peer closes.
+  std::atomic<int> endless_ms{ 1000 };
   /// Answers have neither a length nor chunks.
   std::atomic<bool> is_unframed{ false };
   /// Delay of health responses, which name the incarnation that was running
@@ -175,7 +187,9 @@
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
   static std::string event (int number, const std::string &version);
-  void answer_crash (Connection &connection, const std::string &head);
+  void answer_crash (Connection &connection, const Message &request);
+  void send_endless (Connection &connection, const std::string &head,
+                     const std::string &repeated);
   void count_adapter_stream (const Message &request, int change);
   std::string announcement_headers ();
   std::string head_of (const Message &request, bool has_seal);
