fix(gateway,daemon): let each end of an attempt count by one table

Callers saw a request go on ending targets after the third end. Each way in which an attempt ended decided by itself whether it was evidence: a reset was, bytes that are no HTTP, an answer without a seal, a bare 503 and a whole error were not, so the proved end of their target had no suspect.

One table now names all ends and what each proves, one function a daemon acts on it. A suspect whose answer is an error is no longer sent on at once, its caller gets that answer. In the agent the same held for errors, wrong answers, oversized ones, silence and cancelled runs; and an answer that ended with its connection confirmed its request though it was an error.

Ruled out: records lost with the store (none was ever made, and shows the same), proofs that come late (one or two ends, not twenty).

--- a/src/coordination/ending.c
+++ b/src/coordination/ending.c
@@ -30,8 +30,7 @@
 const char *
 end_proof_name (end_proof_t proof)
 {
-  static const char *const names[]
-      = { "nothing", "served", "served_if_alive", "suspect_unless_alive",
-          "suspect" };
+  static const char *const names[] = { "nothing", "served", "served_if_alive",
+                                       "suspect_unless_alive", "suspect" };
   return names[proof];
 }
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -6,6 +6,7 @@
 #include "coordination/alone.h"
 #include "coordination/backpressure.h"
 #include "coordination/claim_runner.h"
+#include "coordination/ending.h"
 #include "coordination/parts.h"
 #include "coordination/quarantine.h"
 #include "coordination/sched.h"
@@ -115,17 +116,18 @@
   char gate[AGT_NAME_BYTES];
 } agt_load_permit_t;
 
-/// A run whose connection broke while the run was starting. If the target has
-/// ended, this request may be the cause.
+/// A run that ended while it was starting. If the target has ended, this
+/// request may be the cause.
 typedef struct
 {
   uint64_t request; ///< Fingerprint; zero: unused entry.
   uint64_t caller;  ///< Hash of the workspace.
   uint64_t at_ms;
   bool is_alone;
-  bool is_closed;   ///< Answered; the answer ended with its connection.
-  bool is_starting; ///< The request may have ended the target; else only a
-                    ///< part of its prompt.
+  bool is_unconfirmed; ///< It is a suspect unless the target has lived on.
+  bool is_served;      ///< It was served if the target has lived on.
+  bool is_starting;    ///< The request may have ended the target; else only a
+                       ///< part of its prompt.
   prt_list_t parts;
 } agt_broken_run_t;
 
@@ -138,6 +140,7 @@
   clm_runner_t claims;
   aln_gate_t alone;
   uint32_t lists_pending; ///< Requests for the engine's list without answer.
+  uint64_t listed_ms;     ///< When the oldest of them was sent.
   uint32_t listed_broken_starts; ///< Broken starts when the oldest of them was
                                  ///< sent.
   bkp_meter_t meter;        ///< Enforces the target's stated request rate.
@@ -243,12 +246,11 @@
 void agt_backpressure_reset (agt_agent_t *agent);
 
 // agent_quarantine.c
-/// Record that the connection of a run broke while the run was starting, and
-/// poll the engine to find out whether the target has ended.
-void agt_quarantine_record_broken_run (agt_request_t *r);
-/// The same for a run of a plain target whose answer ended with its
-/// connection: it counts as served once the target is known to have lived on.
-void agt_quarantine_record_closed_run (agt_request_t *r);
+/// Record what the end of a run proves, and find out whether the target has
+/// ended. Call it at each end of a run.
+void agt_quarantine_record_end (agt_request_t *r, end_kind_t kind);
+/// The engine was alive at a moment, in the incarnation that is known.
+void agt_quarantine_confirm_alive (agt_agent_t *agent, uint64_t alive_ms);
 /// The target has ended: suspect the requests whose runs broke recently.
 void agt_quarantine_record_target_end (agt_agent_t *agent);
 /// Send the whole quarantine table to an entry.
--- a/src/daemon/agent_engine.c
+++ b/src/daemon/agent_engine.c
@@ -208,6 +208,8 @@
       agt_backpressure_reset (agent);
       agt_quarantine_record_target_end (agent);
     }
+  else
+    agt_quarantine_confirm_alive (agent, agent->listed_ms);
   snprintf (agent->engine_incarnation, sizeof agent->engine_incarnation, "%s",
             incarnation);
   // While an order is in progress, the list may show it half done.
@@ -226,7 +228,10 @@
 {
   // An answer to an earlier request proves nothing about later starts.
   if (agent->lists_pending == 0)
-    agent->listed_broken_starts = agent->alone.broken_starts;
+    {
+      agent->listed_broken_starts = agent->alone.broken_starts;
+      agent->listed_ms = tmr_now_ms ();
+    }
   if (agt_is_plain (agent))
     {
       // A plain target has no list; its refused connections show its end.
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -37,17 +37,17 @@
     dmn_send (agent->daemon, agent->peers[i].name, &msg);
 }
 
-/// The target was alive at a moment, after it had closed connections.
-static void
-confirm_alive (agt_agent_t *agent, uint64_t alive_ms)
+void
+agt_quarantine_confirm_alive (agt_agent_t *agent, uint64_t alive_ms)
 {
   for (uint32_t i = 0; i < AGT_MAX_BROKEN_RUNS; i++)
     {
       agt_broken_run_t *run = &agent->broken_runs[i];
-      if (run->request == 0 || !run->is_closed
+      if (run->request == 0 || !run->is_unconfirmed
           || run->at_ms + ALN_STARTUP_MS > alive_ms)
         continue;
-      send_confirmed (agent, run->request);
+      if (run->is_served)
+        send_confirmed (agent, run->request);
       run->request = 0;
     }
 }
@@ -61,7 +61,7 @@
   agt_agent_t *agent = probe->agent;
   probe->is_active = false;
   if (result == PRB_ACCEPTED)
-    confirm_alive (agent, probe->began_ms);
+    agt_quarantine_confirm_alive (agent, probe->began_ms);
   else if (result == PRB_REFUSED)
     agt_quarantine_record_target_end (agent);
   if (probe->is_wanted)
@@ -97,7 +97,7 @@
 
 /// Record a run that may have ended the target.
 static void
-record_run (agt_request_t *r, bool is_closed)
+record_run (agt_request_t *r, end_proof_t proof)
 {
   agt_agent_t *agent = r->agent;
   uint64_t now_ms = tmr_now_ms ();
@@ -111,7 +111,8 @@
                             .caller = r->item.workspace | 1,
                             .at_ms = now_ms,
                             .is_alone = aln_is_still_alone (&r->alone),
-                            .is_closed = is_closed,
+                            .is_unconfirmed = proof != END_SUSPECT,
+                            .is_served = proof == END_SERVED_IF_ALIVE,
                             .is_starting = is_starting,
                             .parts = r->parts };
   if (is_starting && r->first_byte_ms > 0)
@@ -121,22 +122,21 @@
 }
 
 void
-agt_quarantine_record_broken_run (agt_request_t *r)
+agt_quarantine_record_end (agt_request_t *r, end_kind_t kind)
 {
   agt_agent_t *agent = r->agent;
-  record_run (r, false);
+  end_proof_t proof = end_row (kind)->proof;
+  if (proof == END_PROVES_NOTHING || proof == END_PROVES_SERVED)
+    return;
+  record_run (r, proof);
+  if (proof == END_SERVED_IF_ALIVE)
+    return;
   // The list is asked for once this start counts as broken.
   aln_block_ended (&agent->alone, &r->alone, tmr_now_ms ());
   aln_ended (&agent->alone, &r->alone);
   agt_engine_poll (agent);
 }
 
-void
-agt_quarantine_record_closed_run (agt_request_t *r)
-{
-  record_run (r, true);
-}
-
 void
 agt_quarantine_send (agt_agent_t *agent, const agt_peer_t *peer)
 {
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -316,6 +316,8 @@
   if (!r->is_wrong_model && r->answer.len_bytes <= limit)
     return;
   r->agent->engine.vtable->cancel (&r->agent->engine, r->run);
+  agt_quarantine_record_end (r, r->is_wrong_model ? END_WRONG_ANSWER
+                                                  : END_OVERSIZED);
   run_fail (r, MSG_OUTCOME_RAN_FAILED,
             r->is_wrong_model ? "the engine answered for another model"
                               : "the answer is too large");
@@ -352,7 +354,7 @@
   agt_agent_t *agent = r->agent;
   if (!r->has_end_mark || r->answer.len_bytes > 0)
     {
-      agt_quarantine_record_broken_run (r);
+      agt_quarantine_record_end (r, END_CUT);
       run_fail (r, MSG_OUTCOME_RAN_FAILED, "the engine cut its stream");
       return;
     }
@@ -373,8 +375,8 @@
       = (r->flags & MSG_FLAG_PLAIN) == 0 && r->http_status == 200;
   if (is_model_answer && oai_answer_check (answer, r->model) != KB_OK)
     {
-      if (r->is_close_delimited)
-        agt_quarantine_record_broken_run (r);
+      agt_quarantine_record_end (r, r->is_close_delimited ? END_CUT
+                                                          : END_WRONG_ANSWER);
       run_fail (r, MSG_OUTCOME_RAN_FAILED,
                 "the engine's answer is cut or names another model");
       return;
@@ -384,9 +386,10 @@
   if (r->claim_key != 0 && r->http_status == 200)
     clm_runner_cache_answer (&agent->claims, r->attempt, r->content_type,
                              answer);
-  if (is_unconfirmed (r))
-    agt_quarantine_record_closed_run (r);
   bool is_done = r->http_status < 500;
+  agt_quarantine_record_end (r, !is_done             ? END_FAILED
+                                : is_unconfirmed (r) ? END_CLOSED
+                                                     : END_ANSWERED);
   request_end (r, is_done ? MSG_OUTCOME_DONE : MSG_OUTCOME_RAN_FAILED,
                is_done ? "" : "the target answered with an error", 0);
   agt_schedule_work (agent);
@@ -406,8 +409,8 @@
     }
   if (end != HTC_END_COMPLETE)
     {
-      if (end != HTC_END_TIMEOUT)
-        agt_quarantine_record_broken_run (r);
+      agt_quarantine_record_end (r, end == HTC_END_TIMEOUT ? END_SILENT
+                                                           : END_RESET);
       run_fail (r, MSG_OUTCOME_UNKNOWN,
                 end == HTC_END_TIMEOUT ? "the target is silent"
                                        : "the connection to the target broke");
@@ -465,6 +468,7 @@
   if ((r->flags & MSG_FLAG_IDEMPOTENT) == 0)
     return;
   agent->engine.vtable->cancel (&agent->engine, r->run);
+  agt_quarantine_record_end (r, END_CALLER_LEFT);
   run_fail (r, MSG_OUTCOME_RAN_FAILED, "cancelled by the entry");
 }
 
--- a/src/gateway/gateway_alone.c
+++ b/src/gateway/gateway_alone.c
@@ -72,12 +72,10 @@
     return;
   if (target->reserved_by == r->number)
     target->reserved_until_ms = 0;
-  // Other requests may use the target as soon as this one is answered. An
-  // answer that ended with its connection may have ended with its target.
-  bool is_answered = r->is_complete && !r->is_close_delimited;
-  if (is_answered && r->alone.is_alone)
+  // Other requests may use the target as soon as this one is served.
+  if (r->is_served && r->alone.is_alone)
     aln_first_byte (&target->alone, &r->alone, gtw_now_ms (r->gateway));
-  else if (is_answered)
+  else if (r->is_served)
     aln_answered (&target->alone, &r->alone);
   aln_block_ended (&target->alone, &r->alone, gtw_now_ms (r->gateway));
   aln_ended (&target->alone, &r->alone);
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -46,9 +46,6 @@
   MIN_LOGGED_GAP_MS = 300,
 };
 
-static void attempt_handle_broken (gtw_request_t *r, bool was_sent,
-                                   const char *reason);
-
 static bool
 is_idempotent (const gtw_request_t *r)
 {
@@ -90,25 +87,27 @@
   gtw_request_dispatch (r);
 }
 
-/// Handle an attempt without a complete answer.
+/// Handle an attempt without a usable answer.
 static void
-attempt_handle_broken (gtw_request_t *r, bool was_sent, const char *reason)
+attempt_handle_broken (gtw_request_t *r, end_kind_t kind)
 {
-  gtw_log_attempt (r, "attempt_broken", reason);
+  const end_row_t *end = end_row (kind);
+  gtw_quarantine_record_end (r, kind);
+  gtw_log_attempt (r, "attempt_broken", end->name);
   gtw_target_record_result (r->gateway, r->target, false);
-  if (was_sent)
+  if (end->may_have_run)
     r->execution_state = GTW_EXECUTION_UNKNOWN;
   else
     r->possible_runs--;
   // Whether a suspect has ended its target is known only later; a retry at
   // once would end the next one.
-  if (was_sent && gtw_quarantine_is_suspect_starting (r))
+  if (end->may_have_run && gtw_quarantine_is_suspect_starting (r))
     {
       gtw_request_release_target (r);
-      request_give_up (r, reason);
+      request_give_up (r, end->name);
       return;
     }
-  attempt_retry (r, reason);
+  attempt_retry (r, end->name);
 }
 
 static void attempt_on_silence (void *arg);
@@ -138,8 +137,7 @@
   if (wait_for_live_engine (r))
     return;
   MET_INC ("knapweedbay_silent_targets_total", "");
-  gtw_quarantine_record_break (r);
-  attempt_handle_broken (r, true, "silent_target");
+  attempt_handle_broken (r, END_SILENT);
 }
 
 /// Arm the timer for a target's silence. Only a request that may be sent again
@@ -291,10 +289,13 @@
 static void
 attempt_handle_not_run (gtw_request_t *r, const rly_response_t *answer)
 {
-  gtw_log_attempt (r, "attempt_not_run", "target_refused");
   // Another incarnation answers at the address. An engine sends this status
   // also for an adapter that it does not hold.
-  if (!r->is_engine && r->http_status == HTTP_MISDIRECTED)
+  bool is_misdirected = !r->is_engine && r->http_status == HTTP_MISDIRECTED;
+  gtw_quarantine_record_end (r,
+                             is_misdirected ? END_MISDIRECTED : END_REFUSED);
+  gtw_log_attempt (r, "attempt_not_run", "target_refused");
+  if (is_misdirected)
     gtw_quarantine_record_target_end (r->gateway, r->target, "misdirected");
   MET_INC ("knapweedbay_attempts_not_run_total", "");
   r->possible_runs--;
@@ -366,14 +367,14 @@
     }
   if (!is_valid_answer (r, &answer) || is_not_run_status (r->http_status))
     {
-      attempt_handle_broken (r, true, "unsound_answer");
+      attempt_handle_broken (r, END_UNSOUND);
       return;
     }
   gtw_quarantine_confirm_recipient (r, r->sent_ms);
   bool is_good = r->http_status >= HTTP_OK && r->http_status < HTTP_REDIRECT;
   if (r->is_head_written && !is_good)
     {
-      attempt_handle_broken (r, true, "resume_failed");
+      attempt_handle_broken (r, END_WRONG_ANSWER);
       return;
     }
   if (r->is_head_written)
@@ -398,6 +399,15 @@
     }
 }
 
+/// @return  How an attempt ended whose answer is relayed as complete.
+static end_kind_t
+answer_end_kind (const gtw_request_t *r)
+{
+  if (r->http_status >= HTTP_SERVER_ERROR)
+    return END_FAILED;
+  return r->is_close_delimited ? END_CLOSED : END_ANSWERED;
+}
+
 /// Relay the rest of the answer, and end the request.
 static void
 answer_finish (gtw_request_t *r)
@@ -409,13 +419,12 @@
     h1_conn_write (&client->conn, last_chunk, sizeof last_chunk - 1);
   gtw_target_record_result (r->gateway, r->target,
                             r->http_status < HTTP_SERVER_ERROR);
-  if (r->is_close_delimited)
-    gtw_quarantine_record_closed_answer (r);
-  else if (r->http_status < HTTP_SERVER_ERROR)
-    gtw_quarantine_record_served (r);
+  end_kind_t kind = answer_end_kind (r);
+  gtw_quarantine_record_end (r, kind);
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
   gtw_log_request_end (r, "answered", r->http_status);
   r->is_complete = true;
+  r->is_served = end_row (kind)->proof == END_PROVES_SERVED;
   if (!r->is_close_delimited)
     gtw_parts_record_progress (r);
   gtw_request_end (r);
@@ -439,11 +448,13 @@
   gtw_request_t *r = x->owner;
   bool is_error = r->http_status >= HTTP_SERVER_ERROR;
   bool may_repeat = is_idempotent (r) && r->possible_runs < r->max_attempts
-                    && !r->is_head_written;
+                    && !r->is_head_written
+                    && !gtw_quarantine_is_suspect_starting (r);
   if (is_error && may_repeat)
     {
       // A server error counts as run; an idempotent request may run again.
       r->execution_state = GTW_EXECUTION_UNKNOWN;
+      gtw_quarantine_record_end (r, END_FAILED);
       gtw_log_attempt (r, "attempt_failed", "target_error");
       gtw_target_record_result (r->gateway, r->target, false);
       gtw_request_exclude_target (r);
@@ -456,8 +467,7 @@
     }
   if (is_cut_stream (r))
     {
-      gtw_quarantine_record_break (r);
-      attempt_handle_broken (r, true, "cut_event");
+      attempt_handle_broken (r, END_CUT);
       return;
     }
   answer_finish (r);
@@ -466,10 +476,10 @@
 static void
 answer_on_fail (xch_t *x, xch_failure_t fail)
 {
-  static const char *const names[] = { "not_sent", "reset", "malformed" };
-  if (fail == XCH_RESET)
-    gtw_quarantine_record_break (x->owner);
-  attempt_handle_broken (x->owner, fail != XCH_NOT_SENT, names[fail]);
+  static const end_kind_t kinds[] = { [XCH_NOT_SENT] = END_NOT_SENT,
+                                      [XCH_RESET] = END_RESET,
+                                      [XCH_MALFORMED] = END_MALFORMED };
+  attempt_handle_broken (x->owner, kinds[fail]);
 }
 
 static const xch_events_t answer_events
@@ -550,7 +560,8 @@
   r->possible_runs++;
   r->is_begun = false;
   r->received_bytes = 0;
-  r->evidence = "none";
+  r->end = "";
+  r->evidence = "";
   r->is_target_in_doubt = false;
   r->are_parts_served = false;
   r->is_close_delimited = false;
@@ -560,7 +571,7 @@
 }
 
 void
-gtw_attempt_abort (gtw_request_t *r, const char *reason)
+gtw_attempt_abort (gtw_request_t *r)
 {
-  attempt_handle_broken (r, true, reason);
+  attempt_handle_broken (r, END_REPLACED);
 }
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -1,6 +1,5 @@
 /// @file gateway_breaks.c
-/// Attempts that broke off, or whose answers ended with their connections:
-/// which requests were starting at a target when it ended.
+/// Ends of attempts: which requests were starting at a target when it ended.
 #include "coordination/alone.h"
 #include "coordination/quarantine.h"
 #include "gateway/gateway_suspects.h"
@@ -10,7 +9,6 @@
 
 enum
 {
-  HTTP_SERVER_ERROR = 500,
   /// Longest time from a broken connection to the proof that the target has
   /// ended. A sidecar's report or refused connections prove it within a
   /// second; where a proxy still accepts connections for the target, only the
@@ -150,8 +148,8 @@
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       const gtw_broken_attempt_t *other = &gateway->broken_attempts[i];
-      // Answers that closed earlier were sent by a live target.
-      bool is_earlier = other->is_closed
+      // What ended earlier with an answer was sent by a live target.
+      bool is_earlier = other->is_unconfirmed
                         && other->at_ms + SAME_END_WINDOW_MS < broken->at_ms;
       if (is_recent_break (gateway, other, target) && !is_earlier
           && other->fingerprints[GTW_SCOPE_ANY_ADAPTER]
@@ -268,15 +266,15 @@
                     attempt->is_alone && !attempt->is_plain);
 }
 
-void
-gtw_quarantine_record_break (gtw_request_t *r)
+/// Keep an attempt after which the target may end, or has ended.
+static void
+record_break (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
   if (!is_starting (r) && !gtw_parts_are_starting (r))
     return;
   gtw_target_t *target = r->target;
   gtw_broken_attempt_t broken = describe_attempt (r);
-  r->evidence = "break";
   r->is_target_in_doubt = r->is_begun && broken.is_starting;
   if (was_sent_before_end (r))
     {
@@ -293,26 +291,28 @@
     gtw_probe_start (gateway, target);
 }
 
-void
-gtw_quarantine_record_closed_answer (gtw_request_t *r)
+/// Keep an attempt that is a suspect until its target is known to have lived
+/// on.
+/// @param is_served  It was served if the target has.
+static void
+record_unconfirmed (gtw_request_t *r, bool is_served)
 {
   gtw_gateway_t *gateway = r->gateway;
-  gtw_broken_attempt_t closed = describe_attempt (r);
-  closed.is_closed = true;
-  r->evidence = "closed";
-  closed.is_served = r->http_status < HTTP_SERVER_ERROR;
-  r->is_target_in_doubt = r->is_begun && closed.is_starting;
+  gtw_broken_attempt_t attempt = describe_attempt (r);
+  attempt.is_unconfirmed = true;
+  attempt.is_served = is_served;
+  r->is_target_in_doubt = r->is_begun && attempt.is_starting;
   if (was_sent_before_end (r))
     {
-      record_late_suspect (r, &closed);
+      record_late_suspect (r, &attempt);
       return;
     }
-  gateway->closed_answer_ms = closed.at_ms;
+  gateway->unconfirmed_ms = attempt.at_ms;
   r->target->has_unconfirmed = true;
   gateway->broken_attempts[GTW_MAX_BROKEN_ATTEMPTS
-                           + gateway->closed_answer_count++
-                                 % GTW_MAX_CLOSED_ANSWERS]
-      = closed;
+                           + gateway->unconfirmed_count++
+                                 % GTW_MAX_UNCONFIRMED_ATTEMPTS]
+      = attempt;
 }
 
 void
@@ -361,13 +361,12 @@
       gateway->broken_attempts[i].target = 0;
 }
 
-void
-gtw_quarantine_record_served (gtw_request_t *r)
+static void
+record_served (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
   // It answers, so it has not ended.
   r->target->ended_ms = 0;
-  r->evidence = "served";
   if (gateway->broken_attempt_count > 0)
     forget_breaks (gateway, r->target);
   gtw_quarantine_confirm_recipient (r, gtw_now_ms (gateway));
@@ -377,17 +376,39 @@
     gtw_quarantine_mark_served (gateway, gtw_request_fingerprint (r, scope));
 }
 
-/// @return  Whether a closed answer may be unconfirmed.
+void
+gtw_quarantine_record_end (gtw_request_t *r, end_kind_t kind)
+{
+  end_proof_t proof = end_row (kind)->proof;
+  r->end = end_row (kind)->name;
+  r->evidence = end_proof_name (proof);
+  switch (proof)
+    {
+    case END_PROVES_NOTHING:
+      break;
+    case END_PROVES_SERVED:
+      record_served (r);
+      break;
+    case END_SERVED_IF_ALIVE:
+    case END_SUSPECT_UNLESS_ALIVE:
+      record_unconfirmed (r, proof == END_SERVED_IF_ALIVE);
+      break;
+    case END_SUSPECT:
+      record_break (r);
+      break;
+    }
+}
+
+/// @return  Whether an attempt may be unconfirmed.
 static bool
-has_closed_answers (const gtw_gateway_t *gateway)
+has_unconfirmed_attempts (const gtw_gateway_t *gateway)
 {
-  return gateway->closed_answer_count > 0
-         && gtw_now_ms (gateway) - gateway->closed_answer_ms
+  return gateway->unconfirmed_count > 0
+         && gtw_now_ms (gateway) - gateway->unconfirmed_ms
                 <= END_EVIDENCE_TIMEOUT_MS;
 }
 
-/// Count requests as served whose answers ended with their connections at a
-/// target that lived on.
+/// Settle the attempts after which a target lived on.
 /// @param instance  Hash of the incarnation that was alive.
 /// @param alive_ms  A moment at which it was.
 static void
@@ -399,21 +420,21 @@
   target->has_unconfirmed = false;
   for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
-      gtw_broken_attempt_t *closed = &gateway->broken_attempts[i];
-      if (closed->target != target->key)
+      gtw_broken_attempt_t *attempt = &gateway->broken_attempts[i];
+      if (attempt->target != target->key)
         continue;
-      if (closed->incarnation != instance
-          || closed->at_ms + ALN_STARTUP_MS > alive_ms)
+      if (attempt->incarnation != instance
+          || attempt->at_ms + ALN_STARTUP_MS > alive_ms)
         {
           target->has_unconfirmed = true;
           continue;
         }
-      closed->target = 0;
-      if (!closed->is_served)
+      attempt->target = 0;
+      if (!attempt->is_served)
         continue;
-      gtw_parts_record_served (gateway, &closed->parts);
+      gtw_parts_record_served (gateway, &attempt->parts);
       for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-        gtw_quarantine_mark_served (gateway, closed->fingerprints[scope]);
+        gtw_quarantine_mark_served (gateway, attempt->fingerprints[scope]);
     }
 }
 
@@ -442,18 +463,18 @@
 gtw_target_t *
 gtw_quarantine_next_unconfirmed (const gtw_gateway_t *gateway, uint32_t *at)
 {
-  if (!has_closed_answers (gateway))
+  if (!has_unconfirmed_attempts (gateway))
     return NULL;
   uint64_t now_ms = gtw_now_ms (gateway);
-  while (*at < GTW_MAX_CLOSED_ANSWERS)
+  while (*at < GTW_MAX_UNCONFIRMED_ATTEMPTS)
     {
-      const gtw_broken_attempt_t *closed
+      const gtw_broken_attempt_t *attempt
           = &gateway->broken_attempts[GTW_MAX_BROKEN_ATTEMPTS + (*at)++];
-      uint64_t age_ms = now_ms - closed->at_ms;
-      if (closed->target == 0 || !closed->is_plain || age_ms < ALN_STARTUP_MS
+      uint64_t age_ms = now_ms - attempt->at_ms;
+      if (attempt->target == 0 || !attempt->is_plain || age_ms < ALN_STARTUP_MS
           || age_ms > END_EVIDENCE_TIMEOUT_MS)
         continue;
-      gtw_target_t *target = kb_map_get (&gateway->targets, closed->target);
+      gtw_target_t *target = kb_map_get (&gateway->targets, attempt->target);
       if (target != NULL)
         return target;
     }
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -132,15 +132,22 @@
   gtw_client_finish_answer (client, true);
 }
 
+static void
+request_handle_caller_left (gtw_request_t *r)
+{
+  if (r->stage != GTW_STAGE_SENT && r->stage != GTW_STAGE_RELAYING)
+    return;
+  gtw_quarantine_record_end (r, END_CALLER_LEFT);
+  gtw_log_attempt (r, "attempt_broken", end_row (END_CALLER_LEFT)->name);
+}
+
 static void
 client_on_end (h1_conn_t *conn, h1_end_t end)
 {
   gtw_client_t *client = (gtw_client_t *)conn;
   if (client->request != NULL)
     {
-      gtw_quarantine_record_break (client->request);
-      if (client->request->target != NULL)
-        gtw_log_attempt (client->request, "attempt_broken", "caller_left");
+      request_handle_caller_left (client->request);
       gtw_request_end (client->request);
       client->request = NULL;
     }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -28,8 +28,9 @@
   GTW_STOP_RETRY_AFTER_MS = 100,
   GTW_ID_BYTES = 64,
   GTW_MAX_BROKEN_ATTEMPTS = 256,
-  GTW_MAX_CLOSED_ANSWERS = 256,
-  GTW_MAX_SUSPECT_ATTEMPTS = GTW_MAX_BROKEN_ATTEMPTS + GTW_MAX_CLOSED_ANSWERS,
+  GTW_MAX_UNCONFIRMED_ATTEMPTS = 256,
+  GTW_MAX_SUSPECT_ATTEMPTS
+  = GTW_MAX_BROKEN_ATTEMPTS + GTW_MAX_UNCONFIRMED_ATTEMPTS,
   GTW_MAX_ORIGIN_ASKED = 8,
   GTW_MAX_SOFTWARE = 256, ///< Software versions of all services.
   GTW_MAX_QUEUED_RECORDS = 32,
@@ -136,8 +137,7 @@
                                 ///< incarnation answered; zero: none.
   uint64_t failed_request;      ///< Number of the last other one; zero: none.
   bool is_replaced;     ///< Another incarnation answered `failed_request`.
-  bool has_unconfirmed; ///< Answers that ended with their connections, and are
-                        ///< not known to be whole.
+  bool has_unconfirmed; ///< Attempts are suspects unless it has lived on.
 } gtw_target_t;
 
 /// Stage of a request.
@@ -238,8 +238,8 @@
   uint64_t sent_ms;          ///< When it was sent last.
   uint64_t sent_boot_ms;     ///< The same by the boot clock.
   uint64_t received_bytes;   ///< Of the answer's body, in this attempt.
-  const char *evidence;      ///< What the end of this attempt counts as, for
-                             ///< the log.
+  const char *end;           ///< How this attempt ended, for the log.
+  const char *evidence;      ///< What that counts as, for the log.
   bool is_target_in_doubt;   ///< It has ended soon after its first event, and
                              ///< its target may have.
   bool is_permit_used;
@@ -269,6 +269,7 @@
   uint64_t longest_gap_ms; ///< Between events, for the log.
   uint32_t gap_count;      ///< Events relayed after the first batch.
   bool is_complete;        ///< The whole answer was relayed.
+  bool is_served;          ///< The same, and its target lived on.
   uint64_t retry_after_ms; ///< Longest that a target requested.
   const char *reason;      ///< Of the last failure.
 };
@@ -296,10 +297,8 @@
   bud_budget_t budget;
 } gtw_budget_t;
 
-/// An attempt that broke off while the request was starting at a target. If
-/// the target has ended, the request may be the cause. Also an attempt whose
-/// answer ended with its connection: that answer is whole if the target lives
-/// on.
+/// An attempt that ended while the request was starting at a target. If the
+/// target has ended, the request may be the cause.
 typedef struct
 {
   uint64_t target; ///< Key of the target; zero: unused entry.
@@ -311,9 +310,9 @@
   bool is_plain;        ///< The target is not an engine.
   bool is_isolated;     ///< This gateway had no other request there.
   bool is_alone;        ///< gtw_request_t.is_alone_attempt, or isolated.
-  bool is_closed;       ///< Answered; the answer ended with its connection.
+  bool is_unconfirmed;  ///< It is a suspect unless the target has lived on.
   bool is_starting;     ///< It may have ended the target.
-  bool is_served;       ///< Closed; not an error of the target.
+  bool is_served;       ///< It was served if the target has lived on.
   prt_list_t parts;     ///< Of its prompt.
   uint64_t parts_caller;
   bool are_parts_starting; ///< They may have ended the target.
@@ -372,11 +371,12 @@
   qrt_table_t quarantine; ///< Of requests and of parts of prompts.
   prt_served_t served_parts;
   gtw_record_writer_t record_writer;
-  /// A ring of the newest that broke off, then a ring of closed answers.
+  /// A ring of the newest suspects, then a ring of those that are suspects
+  /// unless their targets have lived on.
   gtw_broken_attempt_t broken_attempts[GTW_MAX_SUSPECT_ATTEMPTS];
   uint32_t broken_attempt_count; ///< Total ever recorded.
-  uint32_t closed_answer_count;  ///< Total ever recorded.
-  uint64_t closed_answer_ms;     ///< When the last one was recorded.
+  uint32_t unconfirmed_count;    ///< Total ever recorded.
+  uint64_t unconfirmed_ms;       ///< When the last one was recorded.
   kb_map_t targets;              ///< By key, all incarnations.
   kb_map_t newest_targets; ///< By hash of the id, newest incarnation of each.
   kb_map_t links;          ///< Targets by hash of the sidecar's name.
@@ -583,8 +583,8 @@
 // gateway_answer.c
 /// Send a request to its current target.
 void gtw_attempt_send (gtw_request_t *r);
-/// Abort an attempt that will not be answered. The target may have run it.
-void gtw_attempt_abort (gtw_request_t *r, const char *reason);
+/// Abort an attempt whose target has been replaced by another incarnation.
+void gtw_attempt_abort (gtw_request_t *r);
 
 // gateway_backpressure.c
 /// Apply the limit, drain and pause that the current target advertises in an
--- a/src/gateway/gateway_incarnations.c
+++ b/src/gateway/gateway_incarnations.c
@@ -56,7 +56,7 @@
           = r->target == target
             && (r->stage == GTW_STAGE_SENT || r->stage == GTW_STAGE_RELAYING);
       if (is_sent_there && since_received_ms (r) > age_ms)
-        gtw_attempt_abort (r, "target_ended");
+        gtw_attempt_abort (r);
     }
 }
 
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -41,6 +41,7 @@
   log_text (&line, "software",
             r->target == NULL ? "" : r->target->list_entry.software);
   log_int (&line, "sends", r->send_count);
+  log_text (&line, "end", r->end);
   log_text (&line, "evidence", r->evidence);
   log_int (&line, "close_delimited", r->is_close_delimited);
   log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
@@ -102,6 +103,7 @@
     return;
   log_int (&line, "send", r->send_count);
   log_int (&line, "runs", r->possible_runs);
+  log_text (&line, "end", r->end);
   log_text (&line, "evidence", r->evidence);
   log_int (&line, "received_bytes", (int64_t)r->received_bytes);
   log_int (&line, "last_event", (int64_t)r->last_event_id);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -142,7 +142,8 @@
                         .client = client,
                         .number = ++gateway->last_request_number,
                         .arrived_ms = gtw_now_ms (gateway),
-                        .evidence = "none",
+                        .end = "",
+                        .evidence = "",
                         .reason = "" };
   request_copy_head (r, parsed);
   request_list_insert (gateway, r);
@@ -290,8 +291,8 @@
       gtw_request_refuse (r, "timeout_unsent", 0);
       return;
     }
-  gtw_quarantine_record_break (r);
-  gtw_log_attempt (r, "attempt_broken", "timeout");
+  gtw_quarantine_record_end (r, END_EXPIRED);
+  gtw_log_attempt (r, "attempt_broken", end_row (END_EXPIRED)->name);
   gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
 }
 
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -4,6 +4,7 @@
 #ifndef KB_GATEWAY_GATEWAY_SUSPECTS_H
 #define KB_GATEWAY_GATEWAY_SUSPECTS_H
 
+#include "coordination/ending.h"
 #include "gateway/gateway_defs.h"
 
 // gateway_alone.c
@@ -68,9 +69,9 @@
 /// @return  Whether a request that has to start alone is starting at its
 ///          target.
 bool gtw_quarantine_is_suspect_starting (const gtw_request_t *r);
-/// Record that an attempt broke off: the connection to the target broke, the
-/// target is silent, or the caller left.
-void gtw_quarantine_record_break (gtw_request_t *r);
+/// Record what the end of an attempt proves. Call it at each end, while the
+/// request still has its target.
+void gtw_quarantine_record_end (gtw_request_t *r, end_kind_t kind);
 /// Another request has joined the one that started alone with this place.
 void gtw_quarantine_record_joined (gtw_gateway_t *gateway, uint64_t place_id);
 /// Whether requests at an engine are alone is not known any more: its sidecar
@@ -90,14 +91,9 @@
 void gtw_quarantine_record_target_end (gtw_gateway_t *gateway,
                                        gtw_target_t *target,
                                        const char *evidence);
-/// Record that a target answered a request completely.
-void gtw_quarantine_record_served (gtw_request_t *r);
-/// Record that an answer ended with its connection. The request counts as
-/// served once the target is known to have lived on, and as a suspect if the
-/// target has ended.
-void gtw_quarantine_record_closed_answer (gtw_request_t *r);
-/// Count requests as served whose answers ended with their connections at the
-/// target of a request, which has sent that one an answer's head or an event.
+/// Settle the attempts that are suspects unless their target has lived on, at
+/// the target of a request, which has sent that one an answer's head or an
+/// event.
 /// @param alive_ms  A moment not later than when it was sent.
 void gtw_quarantine_confirm_recipient (const gtw_request_t *r,
                                        uint64_t alive_ms);
@@ -109,9 +105,8 @@
                                       gtw_target_t *target,
                                       const inc_t *engine, uint64_t alive_ms);
 /// @param at  Position of the search; zero for the first call.
-/// @return    A plain target that closed the connection of an answer and is
-/// not
-///            known to have lived on; NULL: no more.
+/// @return    A plain target with attempts that are suspects unless it has
+///            lived on; NULL: no more.
 gtw_target_t *gtw_quarantine_next_unconfirmed (const gtw_gateway_t *gateway,
                                                uint32_t *at);
 
--- a/test/relay/endings_failure_test.cc
+++ b/test/relay/endings_failure_test.cc
@@ -4,6 +4,11 @@
 
 #include "fatal.h"
 
+extern "C"
+{
+#include "coordination/ending.h"
+}
+
 namespace relay
 {
 namespace
@@ -65,5 +70,228 @@
       return std::string (info.param.name);
     });
 
+/// A way in which an attempt of one of the site's requests ends.
+struct Row
+{
+  end_kind_t kind;
+  void (*provoke) (Site &site, const std::string &id);
+};
+
+Call
+unsafe_call (const std::string &id, int deadline_ms = 6000)
+{
+  Call call = plain_call (id, "/unsafe/" + id);
+  call.deadline_ms = deadline_ms;
+  return call;
+}
+
+Call
+unresumable_stream (const std::string &id)
+{
+  Call call = stream_call (id, "", false);
+  call.path = "/once/" + id;
+  return call;
+}
+
+void
+fail_plain (Site &site, const std::string &id, Fault fault)
+{
+  site.plain[0]->fail_next ({ fault });
+  send_call (site.gateways[0], unsafe_call (id));
+}
+
+/// Each stream runs at either engine.
+void
+fail_stream (Site &site, const Call &call, const std::vector<Fault> &faults)
+{
+  for (const Engine &engine : site.engines)
+    engine.target->fail_next (faults);
+  send_call (site.gateways[0], call);
+  for (const Engine &engine : site.engines)
+    engine.target->fail_next ({});
+}
+
+void
+restart_plain (Site &site, bool is_listed)
+{
+  site.plain[0]->restart (site.plain[0]->id () + "x");
+  if (is_listed)
+    site.list_plain (0);
+}
+
+/// Let the list catch up with a target that has ended.
+void
+replace_plain (Site &site)
+{
+  site.restart_ended_targets ();
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+}
+
+const Row rows[] = {
+  { END_ANSWERED,
+    [] (Site &site, const std::string &id) {
+      send_call (site.gateways[0], unsafe_call (id));
+    } },
+  { END_CLOSED,
+    [] (Site &site, const std::string &id) {
+      fail_plain (site, id, Fault::END_UNFRAMED);
+    } },
+  { END_FAILED,
+    [] (Site &site, const std::string &id) {
+      fail_plain (site, id, Fault::ERROR_500);
+    } },
+  { END_UNSOUND,
+    [] (Site &site, const std::string &id) {
+      fail_plain (site, id, Fault::NO_SEAL);
+    } },
+  { END_MALFORMED,
+    [] (Site &site, const std::string &id) {
+      fail_plain (site, id, Fault::NOT_HTTP);
+    } },
+  { END_REFUSED,
+    [] (Site &site, const std::string &id) {
+      fail_plain (site, id, Fault::NOT_RUN);
+    } },
+  { END_RESET,
+    [] (Site &site, const std::string &id) {
+      fail_plain (site, id, Fault::RESET_BEFORE_ANSWER);
+    } },
+  { END_SILENT,
+    [] (Site &site, const std::string &id) {
+      site.plain[0]->fail_next ({ Fault::HANG });
+      send_call (site.gateways[0], plain_call (id));
+    } },
+  { END_EXPIRED,
+    [] (Site &site, const std::string &id) {
+      site.plain[0]->fail_next ({ Fault::HANG });
+      send_call (site.gateways[0], unsafe_call (id, 400));
+    } },
+  { END_CALLER_LEFT,
+    [] (Site &site, const std::string &id) {
+      site.plain[0]->fail_next ({ Fault::HANG });
+      auto connection = dial (site.gateways[0].address);
+      connection->write (unsafe_call (id).text ());
+      Site::wait_for ([&] { return site.runs_of (id) > 0; });
+    } },
+  { END_OVERSIZED,
+    [] (Site &site, const std::string &id) {
+      fail_stream (site, unresumable_stream (id), { Fault::ENDLESS_EVENT });
+    } },
+  { END_CUT,
+    [] (Site &site, const std::string &id) {
+      fail_stream (site, unresumable_stream (id), { Fault::END_WITHIN_EVENT });
+    } },
+  { END_WRONG_ANSWER,
+    [] (Site &site, const std::string &id) {
+      site.engines[0].target->events = 4000;
+      site.engines[1].target->events = 4000;
+      Call call = stream_call (id, "");
+      auto connection = dial (site.gateways[0].address);
+      connection->write (call.text ());
+      Site::wait_for ([&] { return site.runs_of (id) > 0; });
+      std::this_thread::sleep_for (std::chrono::milliseconds (300));
+      bool is_first = site.engines[0].target->runs_of (id) > 0;
+      site.engines[is_first].target->fail_next ({ Fault::ERROR_500 });
+      site.engines[!is_first].target->simulate_exit ();
+      connection->read_response (2000);
+      site.restart_ended_targets ();
+    } },
+  { END_REPLACED,
+    [] (Site &site, const std::string &id) {
+      site.plain[0]->fail_next ({ Fault::HANG });
+      std::thread caller (
+          [&] { send_call (site.gateways[0], unsafe_call (id)); });
+      Site::wait_for ([&] { return site.runs_of (id) > 0; });
+      std::this_thread::sleep_for (std::chrono::milliseconds (1200));
+      site.plain[0]->restart (site.plain[0]->id ());
+      site.list_plain (0);
+      caller.join ();
+    } },
+  { END_MISDIRECTED,
+    [] (Site &site, const std::string &id) {
+      restart_plain (site, false);
+      send_call (site.gateways[0], unsafe_call (id));
+      restart_plain (site, true);
+      std::this_thread::sleep_for (std::chrono::milliseconds (500));
+    } },
+  { END_NOT_SENT,
+    [] (Site &site, const std::string &id) {
+      site.plain[0]->simulate_exit ();
+      send_call (site.gateways[0], unsafe_call (id));
+      replace_plain (site);
+    } },
+};
+
+// Guards against an end of an attempt that counts as something else than its
+// row of the table says.
+TEST (EndingRows, EachEndCountsAsItsRowSays)
+{
+  Site site (2, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (4);
+  std::set<end_kind_t> seen;
+  for (const Row &row : rows)
+    {
+      const end_row_t *expected = end_row (row.kind);
+      std::string id = std::string ("row-") + expected->name;
+      row.provoke (site, id);
+      std::string evidence = std::string ("\"evidence\":\"")
+                             + end_proof_name (expected->proof) + "\"";
+      EXPECT_TRUE (Site::wait_for (
+          [&] {
+            return !Site::log_lines (
+                        site.gateways[0].daemon,
+                        { "\"id\":\"" + id + "\"", evidence,
+                          "\"end\":\"" + std::string (expected->name) + "\"" })
+                        .empty ();
+          },
+          3000))
+          << id << " counted as something else than " << evidence;
+      seen.insert (row.kind);
+    }
+  EXPECT_EQ (seen.size (), (size_t)END_COUNT) << "an end is not provoked";
+}
+
+// Guards against a request that is taken for the cause of an end, because its
+// target had sent it bytes that are no answer long before.
+TEST (Endings, RequestOfATargetThatLivedOnIsNotHeld)
+{
+  Site site (1, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Call plain = plain_call ("", "/unsafe/innocent");
+  Call stream = stream_call ("", "", false);
+  stream.path = "/once/innocent";
+  for (int round = 0; round < 4; round++)
+    {
+      for (const auto &fault : { Fault::NOT_HTTP, Fault::ERROR_500 })
+        {
+          std::string name
+              = std::to_string (round) + "-" + std::to_string ((int)fault);
+          plain.id = "p" + name;
+          stream.id = "s" + name;
+          site.plain[0]->fail_next ({ fault });
+          site.engines[0].target->fail_next ({ fault });
+          send_call (site.gateways[0], plain);
+          send_call (site.gateways[0], stream);
+        }
+      std::this_thread::sleep_for (std::chrono::milliseconds (2500));
+      site.plain[0]->simulate_exit ();
+      site.engines[0].target->simulate_exit ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (700));
+      site.restart_ended_targets ();
+      std::this_thread::sleep_for (std::chrono::milliseconds (700));
+    }
+  EXPECT_TRUE (
+      Site::log_lines (site.gateways[0].daemon, { "request_suspected" })
+          .empty ());
+  EXPECT_GE (
+      Site::log_lines (site.gateways[0].daemon, { "target_ended" }).size (),
+      4U);
+  plain.id = "plain-last";
+  stream.id = "stream-last";
+  EXPECT_EQ (send_call (site.gateways[0], plain).status, 200);
+  EXPECT_EQ (send_call (site.gateways[0], stream).status, 200);
+}
+
 } // namespace
 } // namespace relay
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -474,8 +474,7 @@
       connection.write (make_response (503, head, "busy"));
       return;
     case CrashAnswer::NO_SEAL:
-      connection.write (
-          make_response (200, head_of (request, false), whole));
+      connection.write (make_response (200, head_of (request, false), whole));
       return;
     case CrashAnswer::HEAD:
       connection.write (ok + head + "\r\n");
@@ -566,6 +565,17 @@
     case Fault::HANG:
       connection.peer_has_closed (10000);
       return false;
+    case Fault::NOT_HTTP:
+      connection.write ("these bytes are not HTTP\r\n\r\n");
+      return false;
+    case Fault::END_WITHIN_EVENT:
+      connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n"
+                        + event (1, software ()).substr (0, 6));
+      return false;
+    case Fault::ENDLESS_EVENT:
+      send_endless (connection, "HTTP/1.1 200 OK\r\n" + head + "\r\n",
+                    "data: more\n");
+      return false;
     case Fault::BARE_503:
       return connection.write (make_response (503, head, "busy"));
     case Fault::ERROR_500:
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -27,6 +27,9 @@
   NO_SEAL,
   HANG,
   EXTRA_AFTER, ///< A second answer follows the right one.
+  NOT_HTTP,
+  END_WITHIN_EVENT, ///< A stream without a length; closed orderly in an event.
+  ENDLESS_EVENT,    ///< A stream whose first event has no end.
 };
 
 /// What a request that crashes its target has received by then.
--- a/test/system/unframed_test.cc
+++ b/test/system/unframed_test.cc
@@ -1,5 +1,6 @@
-// Answers of a plain target that have neither a length nor chunks and end with
-// their connection, through the entries and agents.
+// Answers of a plain target that do not show whether it lived on: they have
+// neither a length nor chunks, or are an error, through the entries and
+// agents.
 #include <gtest/gtest.h>
 #include <signal.h>
 
@@ -20,21 +21,25 @@
 /// Further ends allowed once the third end has reached all entries.
 constexpr int kMaxEndsAfterThird = 3;
 
-/// A plain target whose answers have no length. A request with the body
-/// "fatal" crashes it after its answer.
+/// A plain target whose answers have no length, or are errors. A request with
+/// the body "fatal" crashes it after its answer.
 class ClosingTarget : public relay::Server
 {
 public:
   ClosingTarget () : Server ("127.0.0.1") { start (); }
   ~ClosingTarget () override { stop (); }
   std::atomic<bool> crashes{ true };
+  std::atomic<bool> answers_error{ false };
 
 private:
   bool
   serve (relay::Connection &connection, const relay::Message &request) override
   {
-    connection.write ("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
-                      "an answer");
+    if (answers_error)
+      connection.write (relay::make_response (500, "", "failed"));
+    else
+      connection.write ("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+                        "an answer");
     if (request.body != "fatal" || !crashes)
       return false;
     connection.close ();
@@ -105,11 +110,9 @@
   }
 };
 
-// Guards against a request that ends target after target, because the end of
-// its connection counts as the end of its answer.
-TEST (Unframed, FatalRequestReachesFewPlainTargetsAfterTheThirdEnd)
+void
+expect_few_after_third (Site &site)
 {
-  Site site;
   for (int i = 0; i < 12 && site.ends () < 3; i++)
     site.send_and_restart (i % 2, "fatal");
   ASSERT_GE (site.ends (), 3);
@@ -120,6 +123,24 @@
   EXPECT_LE (site.ends () - before, kMaxEndsAfterThird);
 }
 
+// Guards against a request that ends target after target, because the end of
+// its connection counts as the end of its answer.
+TEST (Unframed, FatalRequestReachesFewPlainTargetsAfterTheThirdEnd)
+{
+  Site site;
+  expect_few_after_third (site);
+}
+
+// Guards against the same of a request that is answered with an error before
+// its target ends.
+TEST (Unframed, FatalRequestThatGetsAnErrorReachesFewPlainTargets)
+{
+  Site site;
+  for (ClosingTarget &t : site.targets)
+    t.answers_error = true;
+  expect_few_after_third (site);
+}
+
 // Guards against a record that no answer of this kind clears.
 TEST (Unframed, AnswersOfTargetsThatLiveOnClearARequest)
 {
