fix(gateway,transport): bound what a target sends without end

A target may send bytes without end until its caller closes. An event was kept until its end and searched from the beginning with each read, so eight streams took 60 MB in 1.5 s, or the loop had no time to answer anybody. Small chunks to a caller who does not read were queued one by one, 250 bytes for each. Lists, orders and key-value answers of the own interface were read on beyond their limit, each part restarting the timer: ten open lists and 37 MB after 9 s.

Events are limited to 128 KB and searched once, queued bytes of a connection are one buffer, comments are no progress of a stream, reports, orders and health answers have limits, calls of the own interface end at their limit or total time.

--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -17,6 +17,7 @@
   MAX_RERUNS = 3,
   REFUSAL_RETRY_MS = 1000,
   HTTP_NOT_FOUND = 404,
+  US_PER_MS = 1000,
 };
 
 bool
@@ -441,13 +442,18 @@
   r->started_us = now_us;
   r->first_byte_ms = 0;
   aln_started (&agent->alone, &r->alone, now_us / 1000);
+  uint64_t idle_timeout_ms
+      = (uint64_t)agent->daemon->settings.engine_idle_timeout_ms;
+  uint64_t left_us
+      = r->item.deadline_us > now_us ? r->item.deadline_us - now_us : 0;
   eng_run_request_t request
       = { .method = r->method,
           .path = r->path,
           .body = kb_buf_slice (&r->body),
           .traceparent = r->traceparent,
-          .idle_timeout_ms
-          = (uint64_t)agent->daemon->settings.engine_idle_timeout_ms };
+          .idle_timeout_ms = idle_timeout_ms,
+          // What may not be repeated runs on for a resend of its caller.
+          .total_timeout_ms = left_us / US_PER_MS + idle_timeout_ms };
   r->run
       = agent->engine.vtable->run (&agent->engine, &request, &run_events, r);
 }
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -26,6 +26,8 @@
   /// Answers up to this size are relayed only once they are complete, so that
   /// a request whose answer breaks off can still be retried.
   MAX_BUFFERED_BYTES = 65536,
+  /// Longest event of a stream; events are relayed whole.
+  MAX_EVENT_BYTES = 131072,
   /// Unsent bytes to a slow caller above which reading from the target pauses.
   MAX_UNSENT_BYTES = 262144,
   /// Silence, in objectives, after which an attempt of a safe request is given
@@ -71,6 +73,7 @@
   gtw_request_exclude_target (r);
   gtw_request_release_target (r);
   kb_buf_clear (&r->pending_answer);
+  r->scanned_bytes = 0;
   r->reason = reason;
   if (!r->is_head_written)
     kb_buf_clear (&r->head);
@@ -226,20 +229,26 @@
   r->relayed_ms = now_ms;
 }
 
-/// Check whether an event of a resumed stream was relayed in an earlier
-/// attempt, and record a new one as the last.
-/// @return  Whether it is a duplicate.
-static bool
-check_duplicate_event (gtw_request_t *r, kb_slice_t event)
+/// What an event in an answer is.
+typedef enum
+{
+  EVENT_NEW,
+  EVENT_DUPLICATE, ///< Of a resumed stream, relayed in an earlier attempt.
+  EVENT_COMMENT,   ///< Relayed, but no progress of the stream.
+} event_kind_t;
+
+/// Classify an event, and record a new one as the last.
+static event_kind_t
+classify_event (gtw_request_t *r, kb_slice_t event)
 {
   uint64_t id;
   if (!sse_event_id (event, &id))
-    return false;
+    return sse_event_is_comment (event) ? EVENT_COMMENT : EVENT_NEW;
   if (r->has_event && id <= r->last_event_id)
-    return true;
+    return EVENT_DUPLICATE;
   r->has_event = true;
   r->last_event_id = id;
-  return false;
+  return EVENT_NEW;
 }
 
 /// Relay all complete events. A target may stop within an event; the rest of
@@ -255,27 +264,32 @@
   for (;;)
     {
       kb_slice_t rest = { pending.ptr + at, pending.len_bytes - at };
-      uint32_t len_bytes = sse_event_length (rest);
+      uint32_t len_bytes
+          = sse_event_length (rest, at == 0 ? r->scanned_bytes : 0);
       if (len_bytes == 0)
         break;
-      bool is_new
-          = !check_duplicate_event (r, (kb_slice_t){ rest.ptr, len_bytes });
-      if (!is_new && at > from)
+      event_kind_t kind
+          = classify_event (r, (kb_slice_t){ rest.ptr, len_bytes });
+      bool is_duplicate = kind == EVENT_DUPLICATE;
+      if (is_duplicate && at > from)
         relay_bytes (r, (kb_slice_t){ pending.ptr + from, at - from });
       at += len_bytes;
-      events += is_new;
-      if (!is_new)
+      events += kind == EVENT_NEW;
+      if (is_duplicate)
         from = at;
     }
-  if (at > from)
+  if (events > 0)
     {
       record_relayed_events (r, events);
       gtw_quarantine_confirm_recipient (r, r->relayed_ms);
       gtw_parts_record_progress (r);
-      relay_bytes (r, (kb_slice_t){ pending.ptr + from, at - from });
-      arm_silence_timer (r);
     }
+  if (at > from)
+    relay_bytes (r, (kb_slice_t){ pending.ptr + from, at - from });
+  if (events > 0)
+    arm_silence_timer (r);
   kb_buf_consume (&r->pending_answer, at);
+  r->scanned_bytes = (uint32_t)r->pending_answer.len_bytes;
 }
 
 static bool
@@ -390,7 +404,11 @@
   r->received_bytes += bytes.len_bytes;
   kb_buf_append (&r->pending_answer, bytes.ptr, bytes.len_bytes);
   if (r->is_stream_answer)
-    relay_events (r);
+    {
+      relay_events (r);
+      if (r->pending_answer.len_bytes > MAX_EVENT_BYTES)
+        attempt_handle_broken (r, END_OVERSIZED);
+    }
   else if (r->is_head_written
            || r->pending_answer.len_bytes > MAX_BUFFERED_BYTES)
     {
@@ -460,6 +478,7 @@
       gtw_request_exclude_target (r);
       gtw_request_release_target (r);
       kb_buf_clear (&r->pending_answer);
+      r->scanned_bytes = 0;
       kb_buf_clear (&r->head);
       r->reason = "target_error";
       gtw_request_dispatch (r);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -262,6 +262,7 @@
   bool is_chunked;
   kb_buf_t head;
   kb_buf_t pending_answer; ///< Not relayed yet: a partial event or body.
+  uint32_t scanned_bytes;  ///< Of these, searched for the end of an event.
   uint64_t last_event_id;
   bool has_event;
   uint64_t first_event_ms;
--- a/src/gateway/gateway_liveness.c
+++ b/src/gateway/gateway_liveness.c
@@ -17,6 +17,7 @@
   /// The same after answers that ended with their connection.
   ASK_INTERVAL_MS = 1000,
   HEALTH_TIMEOUT_MS = 400,
+  MAX_HEALTH_BYTES = 65536,
 };
 
 typedef struct
@@ -87,6 +88,7 @@
       = { .method = "GET",
           .path = path,
           .timeout_ms = HEALTH_TIMEOUT_MS,
+          .max_response_bytes = MAX_HEALTH_BYTES,
           .returned_header = gateway->dialect->instance_header };
   target->is_health_requested = true;
   target->health_requested_ms = now_ms;
--- a/src/transport/call.c
+++ b/src/transport/call.c
@@ -5,7 +5,7 @@
 enum
 {
   /// A page of the store is about 1 MB.
-  MAX_RESPONSE_BYTES = 8 << 20,
+  DEFAULT_MAX_RESPONSE_BYTES = 8 << 20,
   CONNECT_TIMEOUT_MS = 1000,
 };
 
@@ -71,11 +71,13 @@
 call_on_body (xch_t *x, kb_slice_t bytes)
 {
   cal_call_t *call = x->owner;
+  if (call->body.len_bytes + bytes.len_bytes > call->max_response_bytes)
+    {
+      call_finish (call, KB_ELIMIT);
+      return;
+    }
   kb_buf_append (&call->body, bytes.ptr, bytes.len_bytes);
-  if (call->body.len_bytes > MAX_RESPONSE_BYTES)
-    call_finish (call, KB_ELIMIT);
-  else
-    call_extend_timeout (call);
+  call_extend_timeout (call);
 }
 
 static void
@@ -103,6 +105,9 @@
                         .began_ms = uv_now (peer->pool->loop),
                         .stall_timeout_ms = request->stall_timeout_ms,
                         .total_timeout_ms = request->total_timeout_ms,
+                        .max_response_bytes = request->max_response_bytes > 0
+                                                  ? request->max_response_bytes
+                                                  : DEFAULT_MAX_RESPONSE_BYTES,
                         .first_byte_ms = -1,
                         .done = done,
                         .arg = arg,
--- a/src/transport/call.h
+++ b/src/transport/call.h
@@ -42,7 +42,8 @@
   uint64_t began_ms;
   uint64_t stall_timeout_ms; ///< See cal_request_t.
   uint64_t total_timeout_ms; ///< See cal_request_t.
-  int64_t first_byte_ms;     ///< See cal_result_t.
+  uint32_t max_response_bytes;
+  int64_t first_byte_ms; ///< See cal_result_t.
   cal_done_t done;
   void *arg;
   bool is_active;
@@ -63,6 +64,9 @@
   /// Longest duration of the whole call if `stall_timeout_ms` is set.
   uint64_t total_timeout_ms;
   const char *returned_header; ///< Response header to return, or NULL.
+  /// Longest body of the response; a longer one fails the call with KB_ELIMIT.
+  /// Zero: that of a page of the store.
+  uint32_t max_response_bytes;
 } cal_request_t;
 
 /// Start a call. `done` is called once, never from within this function.
--- a/src/transport/engine.c
+++ b/src/transport/engine.c
@@ -51,6 +51,8 @@
   engine_call_t *call = http->owner;
   if (call->response.len_bytes + bytes.len_bytes < ENG_MAX_RESPONSE_BYTES)
     kb_buf_append (&call->response, bytes.ptr, bytes.len_bytes);
+  else
+    htc_call_abort (http);
 }
 
 static kb_status_t
@@ -98,9 +100,10 @@
             "content-type: application/json\r\nx-fencing-number: %" PRIu64
             "\r\nauthorization: Bearer %s\r\n",
             fence, engine->order_token);
-  htc_call_start (engine->http, &order_events, call, engine->address,
-                  engine->port, "POST", path, headers, kb_buf_slice (body),
-                  engine->load_timeout_ms);
+  htc_call_t *http = htc_call_start (
+      engine->http, &order_events, call, engine->address, engine->port, "POST",
+      path, headers, kb_buf_slice (body), engine->load_timeout_ms);
+  htc_call_limit_time (http, engine->load_timeout_ms);
   kb_buf_finish (body);
 }
 
@@ -174,9 +177,10 @@
   call->engine = engine;
   call->list_done = done;
   call->arg = arg;
-  htc_call_start (engine->http, &list_events, call, engine->address,
-                  engine->port, "GET", "/v1/models", "", (kb_slice_t){ "", 0 },
-                  ENG_LIST_TIMEOUT_MS);
+  htc_call_t *http = htc_call_start (
+      engine->http, &list_events, call, engine->address, engine->port, "GET",
+      "/v1/models", "", (kb_slice_t){ "", 0 }, ENG_LIST_TIMEOUT_MS);
+  htc_call_limit_time (http, ENG_LIST_TIMEOUT_MS);
 }
 
 static void
@@ -264,6 +268,7 @@
       = htc_call_start (engine->http, &run_events, run, engine->address,
                         engine->port, request->method, request->path, headers,
                         request->body, request->idle_timeout_ms);
+  htc_call_limit_time (run->call, request->total_timeout_ms);
   return run;
 }
 
--- a/src/transport/engine.h
+++ b/src/transport/engine.h
@@ -57,6 +57,7 @@
   kb_slice_t body;
   const char *traceparent;
   uint64_t idle_timeout_ms;
+  uint64_t total_timeout_ms; ///< Longest duration of the run.
 } eng_run_request_t;
 
 /// Operations of an engine protocol.
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -372,25 +372,57 @@
 {
   uv_write_t req;
   h1_conn_t *conn;
-  size_t len_bytes;
-  char bytes[];
+  kb_buf_t bytes;
 } h1_write_t;
 
+static void conn_write_queued (h1_conn_t *conn);
+
+static void
+write_free (h1_write_t *write)
+{
+  kb_buf_finish (&write->bytes);
+  free (write);
+}
+
 static void
 conn_written (uv_write_t *req, int status)
 {
   h1_write_t *write = (h1_write_t *)req;
   h1_conn_t *conn = write->conn;
-  conn->unsent_bytes -= write->len_bytes;
-  free (write);
+  conn->unsent_bytes -= write->bytes.len_bytes;
+  conn->is_writing = false;
+  write_free (write);
   if (conn->is_closing)
     return;
   if (status != 0)
     conn_end (conn, H1_END_RESET);
+  else if (conn->queued.len_bytes > 0)
+    conn_write_queued (conn);
   else if (conn->unsent_bytes == 0 && conn->events->on_drained != NULL)
     conn->events->on_drained (conn);
 }
 
+/// Hand all queued bytes to libuv as one write.
+static void
+conn_write_queued (h1_conn_t *conn)
+{
+  if (conn->queued.len_bytes == 0)
+    return;
+  h1_write_t *write = kb_alloc (sizeof *write);
+  write->conn = conn;
+  kb_buf_swap (&write->bytes, &conn->queued);
+  uv_buf_t buf
+      = uv_buf_init (write->bytes.ptr, (unsigned)write->bytes.len_bytes);
+  if (uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written)
+      == 0)
+    {
+      conn->is_writing = true;
+      return;
+    }
+  conn->unsent_bytes -= write->bytes.len_bytes;
+  write_free (write);
+}
+
 bool
 h1_conn_write (h1_conn_t *conn, const void *bytes, size_t len_bytes)
 {
@@ -408,19 +440,12 @@
     }
   if (done == len_bytes)
     return true;
-  size_t left = len_bytes - done;
-  h1_write_t *write = kb_alloc (sizeof *write + left);
-  write->conn = conn;
-  write->len_bytes = left;
-  memcpy (write->bytes, (const char *)bytes + done, left);
-  uv_buf_t buf = uv_buf_init (write->bytes, (unsigned)left);
-  conn->unsent_bytes += left;
-  if (uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written)
-      == 0)
-    return true;
-  conn->unsent_bytes -= left;
-  free (write);
-  return false;
+  // Many small writes to a slow peer are queued as one.
+  kb_buf_append (&conn->queued, (const char *)bytes + done, len_bytes - done);
+  conn->unsent_bytes += len_bytes - done;
+  if (!conn->is_writing)
+    conn_write_queued (conn);
+  return conn->unsent_bytes > 0;
 }
 
 bool
@@ -473,6 +498,7 @@
     return;
   conn->is_lingering = true;
   conn->is_ended = false;
+  conn_write_queued (conn);
   uv_shutdown_t *req = kb_alloc (sizeof *req);
   if (uv_shutdown (req, (uv_stream_t *)&conn->tcp, linger_shutdown_done) != 0)
     free (req);
@@ -485,6 +511,7 @@
   h1_conn_t *conn = handle->data;
   kb_buf_finish (&conn->head.bytes);
   kb_buf_finish (&conn->pipelined);
+  kb_buf_finish (&conn->queued);
   conn->events->on_closed (conn);
 }
 
@@ -510,6 +537,7 @@
         uv_close ((uv_handle_t *)&conn->tcp, conn_closed);
       return;
     }
+  conn_write_queued (conn);
   if (conn->unsent_bytes > 0)
     {
       uv_shutdown_t *req = kb_alloc (sizeof *req);
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -81,6 +81,7 @@
   h1_head_t head;
   kb_buf_t pipelined;        ///< Received after the current message, unparsed.
   uint32_t max_header_bytes; ///< Zero: unlimited.
+  kb_buf_t queued;           ///< To be written after the write in progress.
   size_t unsent_bytes;       ///< Queued, not yet handed to the kernel.
   uint64_t began_ms;         ///< Loop time of the first byte of the message.
   bool is_client;
@@ -88,6 +89,7 @@
   bool is_message_complete; ///< Parsing stops until h1_conn_next_message.
   bool is_in_message; ///< Between the first byte of a message and its end.
   bool is_parsing;
+  bool is_writing; ///< A write is in progress.
   bool is_closing;
   bool is_ended;          ///< on_end was called.
   bool is_head_method;    ///< Client side: the request is a HEAD.
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -82,7 +82,16 @@
 static void
 call_restart_idle_timer (htc_call_t *call)
 {
-  tmr_start_once (call->client->timers, &call->timer, call->idle_timeout_ms,
+  uint64_t timeout_ms = call->idle_timeout_ms;
+  if (call->ends_at_ms > 0)
+    {
+      uint64_t now_ms = uv_now (call->client->loop);
+      uint64_t left_ms
+          = call->ends_at_ms > now_ms ? call->ends_at_ms - now_ms : 0;
+      if (left_ms < timeout_ms)
+        timeout_ms = left_ms;
+    }
+  tmr_start_once (call->client->timers, &call->timer, timeout_ms,
                   call_on_idle_timeout, call);
 }
 
@@ -110,6 +119,11 @@
       call_free (call);
       return -1;
     }
+  if (call->is_aborted)
+    {
+      call_end (call, HTC_END_INCOMPLETE);
+      return -1;
+    }
   if (errstr == h2o_http1client_error_is_eos)
     call_end (call, HTC_END_COMPLETE);
   return 0;
@@ -214,6 +228,20 @@
   return call;
 }
 
+void
+htc_call_limit_time (htc_call_t *call, uint64_t total_timeout_ms)
+{
+  call->ends_at_ms = uv_now (call->client->loop) + total_timeout_ms;
+  if (!call->is_ended)
+    call_restart_idle_timer (call);
+}
+
+void
+htc_call_abort (htc_call_t *call)
+{
+  call->is_aborted = true;
+}
+
 void
 htc_call_cancel (htc_call_t *call)
 {
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -20,7 +20,8 @@
   HTC_END_COMPLETE,   ///< The complete response arrived.
   HTC_END_NOT_SENT,   ///< No connection was made.
   HTC_END_INCOMPLETE, ///< Sent, but the response is missing or truncated.
-  HTC_END_TIMEOUT,    ///< Sent; nothing was received for idle_timeout_ms.
+  HTC_END_TIMEOUT,    ///< Sent; nothing was received for idle_timeout_ms, or
+                      ///< the total time is up.
 } htc_end_t;
 
 /// Callbacks of one call.
@@ -45,12 +46,14 @@
   void *iovec; ///< The request as h2o_iovec_t.
   tmr_timer_t timer;
   uint64_t idle_timeout_ms;
+  uint64_t ends_at_ms; ///< Loop time at which it ends; zero: never.
   int http_status;
   bool is_sent;
   bool is_ended;
   bool is_starting;
   bool is_in_callback;
   bool is_cancelled;
+  bool is_aborted; ///< See htc_call_abort.
 };
 
 struct htc_client
@@ -74,6 +77,11 @@
                             const char *method, const char *path,
                             const char *extra_headers, kb_slice_t body,
                             uint64_t idle_timeout_ms);
+/// Limit the duration of a call, however often a part of its response arrives.
+void htc_call_limit_time (htc_call_t *call, uint64_t total_timeout_ms);
+/// End a call from within on_body: its response is longer than its owner can
+/// use. on_end reports HTC_END_INCOMPLETE.
+void htc_call_abort (htc_call_t *call);
 /// @return  Value of a response header, or an empty slice. Valid only within
 ///          on_head.
 kb_slice_t htc_call_header (const htc_call_t *call, const char *name);
--- a/src/transport/kv.c
+++ b/src/transport/kv.c
@@ -204,6 +204,8 @@
   kv_call_t *call = http->owner;
   if (call->response.len_bytes + bytes.len_bytes < KVC_RESPONSE_MAX_BYTES)
     kb_buf_append (&call->response, bytes.ptr, bytes.len_bytes);
+  else
+    htc_call_abort (http);
 }
 
 static void
@@ -246,10 +248,11 @@
   call->arg = arg;
   call->is_cas = is_cas;
   call->sent_revision = client->revision;
-  htc_call_start (client->http, &call_events, call, client->address,
-                  client->port, "POST", path,
-                  "content-type: application/json\r\n", kb_buf_slice (body),
-                  client->timeout_ms);
+  htc_call_t *http = htc_call_start (
+      client->http, &call_events, call, client->address, client->port, "POST",
+      path, "content-type: application/json\r\n", kb_buf_slice (body),
+      client->timeout_ms);
+  htc_call_limit_time (http, client->timeout_ms);
   kb_buf_finish (body);
 }
 
@@ -354,6 +357,8 @@
                          (kb_slice_t){ watch->line.ptr, (uint32_t)len });
       kb_buf_consume (&watch->line, len + 1);
     }
+  if (watch->line.len_bytes > KVC_RESPONSE_MAX_BYTES)
+    htc_call_abort (call);
 }
 
 static void
--- a/src/transport/plist.c
+++ b/src/transport/plist.c
@@ -29,6 +29,8 @@
   list_call_t *call = http->owner;
   if (call->response.len_bytes + bytes.len_bytes < PLS_MAX_RESPONSE_BYTES)
     kb_buf_append (&call->response, bytes.ptr, bytes.len_bytes);
+  else
+    htc_call_abort (http);
 }
 
 static void
@@ -90,6 +92,8 @@
   list_call_t *call = kb_alloc (sizeof *call);
   call->done = done;
   call->arg = arg;
-  htc_call_start (http, &list_events, call, address, port, "GET", "/v1/vms",
-                  "", (kb_slice_t){ "", 0 }, timeout_ms);
+  htc_call_t *sent
+      = htc_call_start (http, &list_events, call, address, port, "GET",
+                        "/v1/vms", "", (kb_slice_t){ "", 0 }, timeout_ms);
+  htc_call_limit_time (sent, timeout_ms);
 }
--- a/src/transport/sse.c
+++ b/src/transport/sse.c
@@ -4,9 +4,10 @@
 #include <string.h>
 
 uint32_t
-sse_event_length (kb_slice_t bytes)
+sse_event_length (kb_slice_t bytes, uint32_t scanned_bytes)
 {
-  for (uint32_t i = 1; i < bytes.len_bytes; i++)
+  for (uint32_t i = scanned_bytes > 1 ? scanned_bytes : 1; i < bytes.len_bytes;
+       i++)
     {
       if (bytes.ptr[i] != '\n')
         continue;
@@ -18,6 +19,20 @@
   return 0;
 }
 
+bool
+sse_event_is_comment (kb_slice_t event)
+{
+  bool is_line_start = true;
+  for (uint32_t i = 0; i < event.len_bytes; i++)
+    {
+      char c = event.ptr[i];
+      if (is_line_start && c != ':' && c != '\r' && c != '\n')
+        return false;
+      is_line_start = c == '\n';
+    }
+  return true;
+}
+
 bool
 sse_event_id (kb_slice_t event, uint64_t *out)
 {
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -439,6 +439,53 @@
     sleep_ms (1);
 }
 
+void
+Target::send_form (Connection &connection, const Message &request,
+                   Endless form)
+{
+  static const std::string ok = "HTTP/1.1 200 OK\r\n";
+  static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  std::string head = ok + head_of (request, true);
+  auto end = Clock::now () + std::chrono::milliseconds (endless_ms);
+  switch (form)
+    {
+    case Endless::BYTES:
+      send_endless (connection, "", "no HTTP ");
+      return;
+    case Endless::FIELDS:
+      send_endless (connection, head, "Field: value\r\n");
+      return;
+    case Endless::FIELD:
+      send_endless (connection, head + "Field: ", "value ");
+      return;
+    case Endless::INTERIM:
+      send_endless (connection, "", "HTTP/1.1 100 Continue\r\n\r\n");
+      return;
+    case Endless::BODY:
+      send_endless (connection, head + "\r\n", "bytes ");
+      return;
+    case Endless::CHUNKS:
+      send_endless (connection, head + chunked, chunk ("bytes "));
+      return;
+    case Endless::EXTENSION:
+      send_endless (connection, head + chunked + "1;", "name=value;");
+      return;
+    case Endless::EVENT:
+      send_endless (connection, head + chunked, chunk ("data: more\n"));
+      return;
+    case Endless::COMMENTS:
+      send_endless (connection, head + chunked, chunk (": comment\n\n"));
+      return;
+    case Endless::DRIP:
+      connection.write (head + "Field: ");
+      while (Clock::now () < end && !is_stopping_ && connection.write ("x"))
+        sleep_ms (10);
+      return;
+    case Endless::NONE:
+      return;
+    }
+}
+
 /// Send what a request that crashes this process has received by then.
 void
 Target::answer_crash (Connection &connection, const Message &request)
@@ -638,6 +685,21 @@
       connection.reset ();
       return false;
     }
+  bool is_page = request.target () == "/report"
+                 || request.target () == "/health"
+                 || request.target () == "/order";
+  if (is_page && endless_page != Endless::NONE)
+    {
+      send_form (connection, request, endless_page);
+      return false;
+    }
+  size_t mark = request.target ().find ("/endless-");
+  if (mark != std::string::npos)
+    {
+      send_form (connection, request,
+                 (Endless)atoi (request.target ().c_str () + mark + 9));
+      return false;
+    }
   if (request.target () == "/report")
     return connection.write (json_response (report ()));
   if (request.target () == "/health")
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -52,6 +52,22 @@
   NO_SEAL,
 };
 
+/// Bytes that a target sends until its peer closes.
+enum class Endless
+{
+  BYTES, ///< No HTTP.
+  FIELDS,
+  FIELD,     ///< One header field.
+  INTERIM,   ///< Interim responses.
+  BODY,      ///< Without a length.
+  CHUNKS,    ///< Whose bytes are no events.
+  EXTENSION, ///< Of a chunk.
+  EVENT,     ///< One event.
+  COMMENTS,  ///< Comments of an event stream.
+  DRIP,      ///< A head, a byte at a time.
+  NONE,
+};
+
 /// A rate limit and the period for which a target announced it.
 struct LimitSpan
 {
@@ -115,6 +131,9 @@
   /// Time between the start of such a request and the crash.
   std::atomic<int> crash_delay_ms{ 20 };
   std::atomic<CrashAnswer> crash_answer{ CrashAnswer::NONE };
+  /// What requests with "/endless-N" in their paths get, by number, is sent
+  /// until the peer closes; and what reports, health and order requests get.
+  std::atomic<Endless> endless_page{ Endless::NONE };
   /// Time for which endless bytes are sent, unless the peer closes.
   std::atomic<int> endless_ms{ 1000 };
   /// Answers have neither a length nor chunks.
@@ -193,6 +212,8 @@
   void answer_crash (Connection &connection, const Message &request);
   void send_endless (Connection &connection, const std::string &head,
                      const std::string &repeated);
+  void send_form (Connection &connection, const Message &request,
+                  Endless form);
   void count_adapter_stream (const Message &request, int change);
   std::string announcement_headers ();
   std::string head_of (const Message &request, bool has_seal);
--- a/test/unit/sse_test.cc
+++ b/test/unit/sse_test.cc
@@ -14,7 +14,7 @@
 uint32_t
 length (const std::string &bytes)
 {
-  return sse_event_length ({ bytes.data (), (uint32_t)bytes.size () });
+  return sse_event_length ({ bytes.data (), (uint32_t)bytes.size () }, 0);
 }
 
 int64_t
@@ -51,4 +51,28 @@
 // More digits of the id may still arrive.
 TEST (Sse, UnterminatedLineHasNoId) { EXPECT_EQ (id_of ("id: 7"), -1); }
 
+// Guards against an end that is missed because it stands across the place up
+// to which the bytes had been searched.
+TEST (Sse, SearchGoesOnWhereItStopped)
+{
+  for (const std::string &event : { std::string ("id: 1\ndata: a\n\n"),
+                                    std::string ("id: 1\r\ndata: a\r\n\r\n") })
+    for (uint32_t scanned = 0; scanned < event.size (); scanned++)
+      EXPECT_EQ (sse_event_length ({ event.data (), (uint32_t)event.size () },
+                                   scanned),
+                 event.size ())
+          << scanned;
+}
+
+TEST (Sse, CommentsAreToldFromEvents)
+{
+  auto is_comment = [] (const std::string &event) {
+    return sse_event_is_comment ({ event.data (), (uint32_t)event.size () });
+  };
+  EXPECT_TRUE (is_comment (": a\n\n"));
+  EXPECT_TRUE (is_comment (": a\r\n: b\r\n\r\n"));
+  EXPECT_FALSE (is_comment (": a\ndata: b\n\n"));
+  EXPECT_FALSE (is_comment ("data: b\n\n"));
+}
+
 } // namespace
