--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -117,6 +117,7 @@
 gateway_tick (void *arg)
 {
   gtw_gateway_t *gateway = arg;
+  gtw_load_record_tick (gateway);
   gtw_clients_check_timeouts (gateway);
   qrt_expire (&gateway->quarantine, gtw_now_ms (gateway));
   org_expire (&gateway->origins, gtw_now_ms (gateway));
@@ -207,6 +208,7 @@
     return NULL;
   gateway->started_ms = gateway->budgets_since_ms = gtw_now_ms (gateway);
   gateway->started_boot_ms = gateway->last_no_contact_ms = tmr_boottime_ms ();
+  gtw_load_init (gateway);
   gtw_peers_init (gateway);
   gtw_records_init (gateway);
   gateway->source->vtable->set_peers (gateway->source, &gateway->peers.peers);
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -238,6 +238,7 @@
     client->next->prev = client;
   gateway->clients = client;
   gateway->client_count++;
+  gateway->load.accepted++;
   if (accepted != KB_OK)
     h1_conn_close (&client->conn, false);
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -357,6 +357,15 @@
   tmr_timer_t timer;
 } gtw_peers_t;
 
+/// What the gateway had to carry since its last report of it.
+typedef struct
+{
+  uint64_t tick_ms;        ///< Moment of the last tick.
+  uint64_t longest_lag_ms; ///< Lateness of a tick.
+  uint64_t accepted;       ///< Connections of callers.
+  tmr_timer_t timer;
+} gtw_load_t;
+
 struct gtw_gateway
 {
   hst_host_t host; ///< First.
@@ -416,6 +425,7 @@
   uint64_t rate_updated_ms;
   uint32_t gateway_count; ///< As reported by sidecars.
   uint64_t stop_began_ms; ///< When the stop began; zero: running.
+  gtw_load_t load;
   tmr_timer_t tick;
   tmr_timer_t exit_timer;
 };
@@ -581,6 +591,12 @@
 /// Log the choice of a target with the state that it was based on.
 void gtw_log_choice (const gtw_request_t *r);
 
+// gateway_load.c
+/// Start to report the load.
+void gtw_load_init (gtw_gateway_t *gateway);
+/// Measure how late a tick is.
+void gtw_load_record_tick (gtw_gateway_t *gateway);
+
 // gateway_answer.c
 /// Send a request to its current target.
 void gtw_attempt_send (gtw_request_t *r);
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -67,6 +67,7 @@
   tmr_cancel (pooled->peer->pool->timers, &pooled->timer);
   kb_buf_finish (&pooled->queued_request);
   pooled->peer->open_count--;
+  pooled->peer->pool->open_count--;
   free (pooled);
 }
 
@@ -284,6 +285,7 @@
   x->pooled = pooled;
   peer->open_count++;
   peer->pool->opened_total++;
+  peer->pool->open_count++;
   kb_buf_append (&pooled->queued_request, request->head.ptr,
                  request->head.len_bytes);
   kb_buf_append (&pooled->queued_request, request->body.ptr,
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -19,6 +19,7 @@
   uv_loop_t *loop;
   tmr_service_t *timers;
   uint64_t opened_total; ///< Connections opened, for the metrics.
+  uint32_t open_count;   ///< Connections that are open.
 } xch_pool_t;
 
 /// A remote address and the connections to it.
