test(relay): an entry that is short of processor or descriptors

A balancer sends 0.9 of new connections, 360 a second, to a gateway that runs 1 ms of each 100. With 400 descriptors it accepts all callers and has none left for targets: 381 of 400 get 503, none is served; a caller that keeps 400 idle connections leaves 0 of 50 served.

--- /dev/null
+++ b/test/relay/overload.cc
@@ -0,0 +1,307 @@
+#include "overload.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace relay
+{
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+/// Time for which a caller waits for an answer.
+constexpr int kDeadlineMs = 3000;
+/// Time for which it waits for a connection.
+constexpr int kConnectMs = 1000;
+constexpr int kMaxTries = 4;
+
+static int
+since_ms (Clock::time_point from)
+{
+  return (int)std::chrono::duration_cast<milliseconds> (Clock::now () - from)
+      .count ();
+}
+
+static bool
+is_whole (const std::string &response)
+{
+  size_t head_end = response.find ("\r\n\r\n");
+  if (head_end == std::string::npos)
+    return false;
+  size_t at = response.find ("Content-Length: ");
+  if (at != std::string::npos && at < head_end)
+    return response.size ()
+           >= head_end + 4 + (size_t)atoi (response.c_str () + at + 16);
+  static const std::string last = "\r\n0\r\n\r\n";
+  return response.size () >= last.size ()
+         && response.compare (response.size () - last.size (), last.size (),
+                              last)
+                == 0;
+}
+
+struct Balancer::Request
+{
+  Call call;
+  Outcome outcome{};
+  size_t gateway = 0;
+  int fd = -1;
+  bool is_connected = false;
+  bool is_over = false;
+  Clock::time_point began;
+  Clock::time_point try_began;
+  std::string received;
+};
+
+size_t
+Balancer::choose (double share, size_t avoid)
+{
+  size_t count = site_->gateways.size ();
+  std::vector<size_t> usable;
+  for (size_t i = 0; i < count; i++)
+    if (misses_[i] < 2)
+      usable.push_back (i);
+  // Under half in rotation: all are used.
+  if (usable.size () * 2 < count)
+    {
+      usable.resize (count);
+      for (size_t i = 0; i < count; i++)
+        usable[i] = i;
+    }
+  bool has_first = std::count (usable.begin (), usable.end (), 0) > 0;
+  if (avoid == SIZE_MAX && has_first && drand48 () < share)
+    return 0;
+  std::vector<size_t> others;
+  for (size_t i : usable)
+    if (i != avoid && (avoid != SIZE_MAX || i != 0 || !has_first))
+      others.push_back (i);
+  return others.empty () ? usable[0]
+                         : others[(size_t)lrand48 () % others.size ()];
+}
+
+void
+Balancer::open (Request *request)
+{
+  request->outcome.tries++;
+  request->try_began = Clock::now ();
+  request->is_connected = false;
+  request->received.clear ();
+  const std::string &address = site_->gateways[request->gateway].address;
+  size_t colon = address.find (':');
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons ((uint16_t)atoi (address.c_str () + colon + 1));
+  inet_pton (AF_INET, address.substr (0, colon).c_str (), &to.sin_addr);
+  request->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  if (connect (request->fd, (sockaddr *)&to, sizeof to) != 0
+      && errno != EINPROGRESS)
+    retry (request);
+}
+
+void
+Balancer::end (Request *request, int status)
+{
+  if (request->fd >= 0)
+    close (request->fd);
+  request->fd = -1;
+  request->is_over = true;
+  request->outcome.status = status;
+  if (request->outcome.first_read_status < 0)
+    request->outcome.first_read_status = status;
+  outcomes_.push_back (request->outcome);
+}
+
+/// The connection was refused, or reset without an answer.
+void
+Balancer::retry (Request *request)
+{
+  close (request->fd);
+  request->fd = -1;
+  if (request->outcome.tries >= kMaxTries)
+    {
+      end (request, 0);
+      return;
+    }
+  request->gateway = choose (0, request->gateway);
+  open (request);
+}
+
+void
+Balancer::advance (Request *request)
+{
+  if (request->is_over)
+    return;
+  if (since_ms (request->began) >= kDeadlineMs)
+    {
+      end (request, 0);
+      return;
+    }
+  pollfd p{ request->fd, (short)(request->is_connected ? POLLIN : POLLOUT),
+            0 };
+  if (poll (&p, 1, 0) == 0)
+    {
+      if (!request->is_connected
+          && since_ms (request->try_began) >= kConnectMs)
+        retry (request);
+      return;
+    }
+  if (!request->is_connected)
+    {
+      std::string text = request->call.text ();
+      if (send (request->fd, text.data (), text.size (), MSG_NOSIGNAL)
+          != (ssize_t)text.size ())
+        retry (request);
+      else
+        request->is_connected = true;
+      return;
+    }
+  char bytes[4096];
+  ssize_t count = recv (request->fd, bytes, sizeof bytes, 0);
+  if (count <= 0 && request->received.empty ())
+    {
+      retry (request);
+      return;
+    }
+  if (count <= 0)
+    {
+      end (request, 0);
+      return;
+    }
+  if (request->received.empty ())
+    request->outcome.first_ms = since_ms (request->try_began);
+  request->received.append (bytes, (size_t)count);
+  if (is_whole (request->received))
+    end (request, atoi (request->received.c_str () + 9));
+}
+
+void
+Balancer::ask_readiness (int second)
+{
+  for (size_t i = 0; i < misses_.size (); i++)
+    {
+      auto connection = dial (site_->gateways[i].ready);
+      bool is_ready
+          = connection != nullptr
+            && connection->write ("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            && connection->read_response (900).status == 200;
+      misses_[i] = is_ready ? 0 : misses_[i] + 1;
+    }
+  if (misses_[0] >= 2)
+    out_of_rotation.insert (second);
+}
+
+void
+Balancer::run (int seconds, const std::function<double (int)> &share)
+{
+  srand48 (58);
+  began_ = Clock::now ();
+  std::atomic<bool> is_over{ false };
+  std::thread readiness ([&] {
+    while (!is_over)
+      {
+        auto began = Clock::now ();
+        ask_readiness (since_ms (began_) / 1000);
+        int left_ms = 1000 - since_ms (began);
+        if (left_ms > 0)
+          std::this_thread::sleep_for (milliseconds (left_ms));
+      }
+  });
+  std::vector<std::unique_ptr<Request>> open_requests;
+  int total = seconds * per_s_;
+  for (int sent = 0; sent < total || !open_requests.empty ();)
+    {
+      int now_ms = since_ms (began_);
+      for (; sent < total && sent * 1000 / per_s_ <= now_ms; sent++)
+        {
+          auto request = std::make_unique<Request> ();
+          request->call = call_of_ ("o" + std::to_string (sent));
+          request->outcome.second = sent / per_s_;
+          request->outcome.first_ms = -1;
+          request->outcome.first_read_status = -1;
+          request->began = Clock::now ();
+          request->gateway
+              = choose (share (request->outcome.second), SIZE_MAX);
+          open (request.get ());
+          open_requests.push_back (std::move (request));
+        }
+      for (auto &request : open_requests)
+        advance (request.get ());
+      open_requests.erase (
+          std::remove_if (open_requests.begin (), open_requests.end (),
+                          [] (const auto &r) { return r->is_over; }),
+          open_requests.end ());
+      std::this_thread::sleep_for (milliseconds (1));
+    }
+  is_over = true;
+  readiness.join ();
+}
+
+Shares
+Balancer::shares (int from_second, int to_second) const
+{
+  Shares sum;
+  int served = 0;
+  int served_first = 0;
+  for (const Outcome &outcome : outcomes_)
+    {
+      if (outcome.second < from_second || outcome.second >= to_second)
+        continue;
+      sum.requests++;
+      served += outcome.status == 200;
+      served_first += outcome.first_read_status == 200;
+    }
+  if (sum.requests > 0)
+    {
+      sum.served = (double)served / sum.requests;
+      sum.served_first_read = (double)served_first / sum.requests;
+    }
+  return sum;
+}
+
+void
+Balancer::print () const
+{
+  std::map<int, std::map<std::string, int>> counts;
+  for (const Outcome &outcome : outcomes_)
+    {
+      auto &second = counts[outcome.second];
+      second[outcome.status == 0 ? "none" : std::to_string (outcome.status)]++;
+      second["tries"] += outcome.tries;
+    }
+  for (const auto &[second, ends] : counts)
+    {
+      printf ("second %2d%s:", second,
+              out_of_rotation.count (second) ? " (out)" : "");
+      for (const auto &[name, count] : ends)
+        printf (" %s %d", name.c_str (), count);
+      printf ("\n");
+    }
+}
+
+Throttle::Throttle (pid_t pid, int run_ms) : pid_ (pid)
+{
+  thread_ = std::thread ([this, run_ms] {
+    while (!is_stopped_)
+      {
+        kill (pid_, SIGCONT);
+        std::this_thread::sleep_for (milliseconds (run_ms));
+        kill (pid_, SIGSTOP);
+        std::this_thread::sleep_for (milliseconds (100 - run_ms));
+      }
+    kill (pid_, SIGCONT);
+  });
+}
+
+Throttle::~Throttle ()
+{
+  is_stopped_ = true;
+  thread_.join ();
+}
+
+} // namespace relay
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -244,6 +245,12 @@
     dup2 (log, STDERR_FILENO);
     for (int fd = 3; fd < 512; fd++)
       close (fd);
+    if (daemon->max_descriptors > 0)
+      {
+        rlimit limit{ (rlim_t)daemon->max_descriptors,
+                      (rlim_t)daemon->max_descriptors };
+        setrlimit (RLIMIT_NOFILE, &limit);
+      }
     execl (binary ().c_str (), "knapweedbayd", daemon->settings_path.c_str (),
            nullptr);
   });
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -31,6 +31,7 @@
   std::string settings_path;
   std::string log_path;
   pid_t pid = 0;
+  int max_descriptors = 0; ///< Zero: as this process.
 };
 
 struct Engine
