fix(gateway,daemon): accept new connections only when there is nothing else to do

Class: admission without a bound, where what is admitted last delays what was admitted first.

New connections are accepted only in a moment in which the loop has handled all that was ready, at a limited rate once new connections to targets take 0.1 s longer than usual, and while there are descriptors and memory for a request each. What waited for 0.25 s is turned away unread, all at once, by closing the socket; callers try elsewhere at once. An entry that does so for a second says that it is not ready. Idle connections make room where there is none.

Ruled out: memory (26 of 160 MB), shares of budgets (refusals of retry_budget follow from connections that time out).

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -131,7 +131,8 @@
     reply_text (request, 200, "ok\n");
   else if (path_equals (request, "/readyz"))
     {
-      bool is_ready = !daemon->is_draining && daemon->role->is_ready (daemon);
+      bool is_ready = !daemon->is_draining && daemon->role->is_ready (daemon)
+                      && !itk_is_short (&daemon->accept.intake, tmr_now_ms ());
       reply_text (request, is_ready ? 200 : 503,
                   is_ready ? "ready\n" : "not ready\n");
     }
@@ -240,7 +241,9 @@
           .key_file = s->tls_key_file,
           .max_body_bytes = (uint64_t)s->max_body_bytes,
           .read_timeout_ms = (uint64_t)s->request_read_timeout_ms,
-          .max_connections = (uint64_t)s->max_connections };
+          .max_connections = (uint64_t)s->max_connections,
+          .policy = &daemon->accept.policy };
+  acc_init (&daemon->accept);
   status = hts_server_init (&daemon->server, &daemon->loop, &daemon->timers,
                             &server_events, daemon, &http_options, error);
   if (status != KB_OK)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #define KB_DAEMON_DAEMON_H
 
 #include "protocol/settings.h"
+#include "relay/accept.h"
 #include "transport/httpd.h"
 #include "transport/kv.h"
 #include "transport/link.h"
@@ -44,6 +45,7 @@
   tmr_service_t timers;
   htc_client_t http;
   hts_server_t server;
+  acc_accept_t accept; ///< Of callers' connections.
   lnk_link_t link;
   kvc_client_t kv;
   uint16_t inner_port;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -85,10 +85,11 @@
 };
 
 static bool
-is_ready (const gtw_gateway_t *gateway)
+is_ready (gtw_gateway_t *gateway)
 {
   return gateway->config != NULL && gateway->has_target_list
-         && gateway->stop_began_ms == 0;
+         && gateway->stop_began_ms == 0
+         && !itk_is_short (&gateway->accept.intake, tmr_now_ms ());
 }
 
 static int
@@ -119,6 +120,8 @@
   gtw_gateway_t *gateway = arg;
   gtw_load_record_tick (gateway);
   gtw_clients_check_timeouts (gateway);
+  if (!gateway->accept.intake.has_room)
+    gtw_clients_make_room (gateway);
   qrt_expire (&gateway->quarantine, gtw_now_ms (gateway));
   org_expire (&gateway->origins, gtw_now_ms (gateway));
   gtw_targets_tick (gateway);
@@ -159,7 +162,7 @@
 static void
 gateway_on_metrics (hst_host_t *host)
 {
-  const gtw_gateway_t *gateway = (const gtw_gateway_t *)host;
+  gtw_gateway_t *gateway = (gtw_gateway_t *)host;
   gtw_metrics_set_gauges (gateway, is_ready (gateway));
   gateway->source->vtable->set_gauges (gateway->source);
 }
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -15,6 +15,10 @@
   HTTP_HEADER_TOO_LARGE = 431,
   /// Limit before the first configuration is known.
   DEFAULT_MAX_HEADER_BYTES = 16384,
+  /// Idle connections that are closed in a tick while new ones wait and there
+  /// is no room for them, and how long they have been idle at least.
+  MAX_CLOSED_FOR_ROOM = 8,
+  MIN_IDLE_MS = 1000,
 };
 
 static void
@@ -209,15 +213,9 @@
 }
 
 static void
-gateway_on_connection (uv_stream_t *listener, int status)
+client_accept (void *owner, uv_stream_t *listener)
 {
-  gtw_gateway_t *gateway = listener->data;
-  if (status != 0)
-    {
-      log_write (LOG_WARN, "gateway", "Failed to accept a connection: %s.",
-                 uv_strerror (status));
-      return;
-    }
+  gtw_gateway_t *gateway = owner;
   gtw_client_t *client = kb_alloc (sizeof *client);
   uint32_t max_header_bytes = gateway->config == NULL
                                   ? DEFAULT_MAX_HEADER_BYTES
@@ -298,16 +296,52 @@
     }
 }
 
+static bool
+client_is_idle (const gtw_client_t *client)
+{
+  return client->request == NULL && !client->conn.is_in_message
+         && !client->conn.is_lingering && !client->conn.is_closing;
+}
+
 void
 gtw_clients_close_idle (gtw_gateway_t *gateway)
 {
   for (gtw_client_t *client = gateway->clients; client != NULL;
        client = client->next)
-    if (client->request == NULL && !client->conn.is_in_message
-        && !client->conn.is_lingering)
+    if (client_is_idle (client))
       h1_conn_linger (&client->conn);
 }
 
+/// @return  The client that is idle for the longest, MIN_IDLE_MS at least, or
+///          NULL.
+static gtw_client_t *
+find_longest_idle (const gtw_gateway_t *gateway)
+{
+  gtw_client_t *found = NULL;
+  uint64_t since_ms = gtw_now_ms (gateway) - MIN_IDLE_MS;
+  for (gtw_client_t *client = gateway->clients; client != NULL;
+       client = client->next)
+    if (client_is_idle (client) && client->last_progress_ms < since_ms)
+      {
+        found = client;
+        since_ms = client->last_progress_ms;
+      }
+  return found;
+}
+
+void
+gtw_clients_make_room (gtw_gateway_t *gateway)
+{
+  for (int i = 0; i < MAX_CLOSED_FOR_ROOM; i++)
+    {
+      gtw_client_t *client = find_longest_idle (gateway);
+      if (client == NULL)
+        return;
+      MET_INC ("knapweedbay_idle_callers_closed_total", "");
+      h1_conn_close (&client->conn, false);
+    }
+}
+
 kb_status_t
 gtw_listen (gtw_gateway_t *gateway, kb_error_t *error)
 {
@@ -317,6 +351,11 @@
     return kb_error_set (error, KB_EINVAL,
                          "\"public_address\": \"%s\" is not \"ip:port\"",
                          s->public_address);
-  return h1_listen (&gateway->host.loop, &gateway->listener, &address,
-                    LISTEN_BACKLOG, gateway_on_connection, gateway, error);
+  acc_init (&gateway->accept);
+  gateway->listener = (lsn_listener_t){ .accept = client_accept,
+                                        .owner = gateway,
+                                        .policy = &gateway->accept.policy };
+  return lsn_listener_init (&gateway->listener, &gateway->host.loop,
+                            &gateway->host.timers, &address, LISTEN_BACKLOG,
+                            error);
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -15,6 +15,7 @@
 #include "gateway/recent.h"
 #include "gateway/source.h"
 #include "coordination/rewrite.h"
+#include "relay/accept.h"
 #include "relay/host.h"
 #include "relay/versions.h"
 #include "transport/relay.h"
@@ -363,6 +364,9 @@
   uint64_t tick_ms;        ///< Moment of the last tick.
   uint64_t longest_lag_ms; ///< Lateness of a tick.
   uint64_t accepted;       ///< Connections of callers.
+  uint32_t max_descriptors;
+  bool is_memory_short;
+  bool was_short;
   tmr_timer_t timer;
 } gtw_load_t;
 
@@ -373,7 +377,8 @@
   const rly_dialect_t *dialect;
   src_source_t *source;
   gtw_peers_t peers;
-  uv_tcp_t listener;
+  lsn_listener_t listener;
+  acc_accept_t accept;
   pgs_server_t ready_page;
   svc_config_t *config;
   kb_buf_t config_document;
@@ -511,6 +516,8 @@
 bool gtw_client_is_last_answer (gtw_client_t *client);
 /// Close connections whose caller exceeds a time limit.
 void gtw_clients_check_timeouts (gtw_gateway_t *gateway);
+/// Close the connections that are idle for the longest.
+void gtw_clients_make_room (gtw_gateway_t *gateway);
 /// Close idle connections while stopping.
 void gtw_clients_close_idle (gtw_gateway_t *gateway);
 
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -22,6 +22,7 @@
   xch_pooled_t *next;      ///< Next in the idle list.
   kb_buf_t queued_request; ///< Held until connected.
   tmr_timer_t timer;       ///< Connect timeout, or deferred failure report.
+  uint64_t opened_us;
   uint64_t idle_since_ms;
   uint64_t lifetime_ms;
   bool is_sent;
@@ -183,10 +184,20 @@
     h1_conn_pause (&pooled->conn);
 }
 
+static void
+pool_report_path (const xch_pooled_t *pooled)
+{
+  const xch_pool_t *pool = pooled->peer->pool;
+  if (pool->on_path != NULL)
+    pool->on_path (pool->path_owner, tmr_now_us () - pooled->opened_us);
+}
+
 static void
 pooled_on_connect (h1_conn_t *conn, bool is_connected)
 {
   xch_pooled_t *pooled = (xch_pooled_t *)conn;
+  if (is_connected)
+    pool_report_path (pooled);
   tmr_cancel (pooled->peer->pool->timers, &pooled->timer);
   if (!is_connected)
     {
@@ -210,6 +221,7 @@
 static void
 pooled_on_connect_timeout (void *arg)
 {
+  pool_report_path (arg);
   pooled_fail (arg, XCH_NOT_SENT);
 }
 
@@ -281,6 +293,7 @@
   xch_pooled_t *pooled = kb_alloc (sizeof *pooled);
   *pooled = (xch_pooled_t){ .peer = peer,
                             .x = x,
+                            .opened_us = tmr_now_us (),
                             .is_head_method = request->is_head_method };
   x->pooled = pooled;
   peer->open_count++;
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -20,6 +20,10 @@
   tmr_service_t *timers;
   uint64_t opened_total; ///< Connections opened, for the metrics.
   uint32_t open_count;   ///< Connections that are open.
+  /// Called with the time that a connection took to be established, or after
+  /// which it was given up; NULL: not called.
+  void (*on_path) (void *path_owner, uint64_t took_us);
+  void *path_owner;
 } xch_pool_t;
 
 /// A remote address and the connections to it.
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -21,7 +21,7 @@
   h2o_globalconf_t config;
   h2o_context_t ctx;
   h2o_accept_ctx_t accept_ctx;
-  uv_tcp_t listener;
+  lsn_listener_t listener;
   uint64_t max_connections;
   uint64_t connections;
 } server_impl_t;
@@ -156,11 +156,9 @@
 }
 
 static void
-on_accept (uv_stream_t *listener, int status)
+on_accept (void *owner, uv_stream_t *listener)
 {
-  if (status != 0)
-    return;
-  server_impl_t *impl = listener->data;
+  server_impl_t *impl = owner;
   uv_tcp_t *conn = h2o_mem_alloc (sizeof *conn);
   uv_tcp_init (listener->loop, conn);
   if (uv_accept (listener, (uv_stream_t *)conn) != 0)
@@ -242,17 +240,14 @@
   if (uv_ip4_addr (options->address, options->port, &addr) != 0)
     return kb_error_set (error, KB_EINVAL, "\"%s\" is not an IPv4 address",
                          options->address);
-  uv_tcp_init (loop, &impl->listener);
-  impl->listener.data = impl;
-  int code = uv_tcp_bind (&impl->listener, (struct sockaddr *)&addr, 0);
-  if (code == 0)
-    code = uv_listen ((uv_stream_t *)&impl->listener, HTS_BACKLOG, on_accept);
-  if (code != 0)
-    return kb_error_set (error, KB_ESYS, "cannot listen on %s:%u: %s",
-                         options->address, options->port, uv_strerror (code));
-  int size = sizeof addr;
-  uv_tcp_getsockname (&impl->listener, (struct sockaddr *)&addr, &size);
-  server->port = ntohs (addr.sin_port);
+  impl->listener = (lsn_listener_t){ .accept = on_accept,
+                                     .owner = impl,
+                                     .policy = options->policy };
+  kb_status_t status = lsn_listener_init (&impl->listener, loop, timers, &addr,
+                                          HTS_BACKLOG, error);
+  if (status != KB_OK)
+    return status;
+  server->port = lsn_listener_port (&impl->listener);
   return KB_OK;
 }
 
@@ -260,8 +255,7 @@
 hts_server_stop (hts_server_t *server)
 {
   server_impl_t *impl = server->impl;
-  if (!uv_is_closing ((uv_handle_t *)&impl->listener))
-    uv_close ((uv_handle_t *)&impl->listener, NULL);
+  lsn_listener_stop (&impl->listener);
 }
 
 uint32_t
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -8,6 +8,7 @@
 
 #include "state/buf.h"
 #include "state/status.h"
+#include "transport/listener.h"
 #include "transport/timer.h"
 
 typedef struct hts_server hts_server_t;
@@ -33,6 +34,8 @@
   uint64_t max_body_bytes;
   uint64_t read_timeout_ms;
   uint64_t max_connections;
+  lsn_policy_t
+      *policy; ///< Of new connections; NULL: all are accepted at once.
 } hts_options_t;
 
 struct hts_server
