--- a/test/relay/overload.cc
+++ b/test/relay/overload.cc
@@ -29,16 +29,29 @@
       .count ();
 }
 
+std::vector<BalancedEntry>
+balanced_entries (const Site &site)
+{
+  std::vector<BalancedEntry> entries;
+  for (const Gateway &gateway : site.gateways)
+    entries.push_back ({ gateway.address, gateway.ready, "/ready" });
+  return entries;
+}
+
 static bool
 is_whole (const std::string &response)
 {
   size_t head_end = response.find ("\r\n\r\n");
   if (head_end == std::string::npos)
     return false;
-  size_t at = response.find ("Content-Length: ");
-  if (at != std::string::npos && at < head_end)
-    return response.size ()
-           >= head_end + 4 + (size_t)atoi (response.c_str () + at + 16);
+  for (const std::string name : { "Content-Length: ", "content-length: " })
+    {
+      size_t at = response.find (name);
+      if (at < head_end)
+        return response.size ()
+               >= head_end + 4
+                      + (size_t)atoi (response.c_str () + at + name.size ());
+    }
   static const std::string last = "\r\n0\r\n\r\n";
   return response.size () >= last.size ()
          && response.compare (response.size () - last.size (), last.size (),
@@ -48,7 +61,7 @@
 
 struct Balancer::Request
 {
-  Call call;
+  std::string text;
   Outcome outcome{};
   size_t gateway = 0;
   int fd = -1;
@@ -62,7 +75,7 @@
 size_t
 Balancer::choose (double share, size_t avoid)
 {
-  size_t count = site_->gateways.size ();
+  size_t count = entries_.size ();
   std::vector<size_t> usable;
   for (size_t i = 0; i < count; i++)
     if (misses_[i] < 2)
@@ -92,7 +105,7 @@
   request->try_began = Clock::now ();
   request->is_connected = false;
   request->received.clear ();
-  const std::string &address = site_->gateways[request->gateway].address;
+  const std::string &address = entries_[request->gateway].address;
   size_t colon = address.find (':');
   sockaddr_in to{};
   to.sin_family = AF_INET;
@@ -153,9 +166,9 @@
     }
   if (!request->is_connected)
     {
-      std::string text = request->call.text ();
-      if (send (request->fd, text.data (), text.size (), MSG_NOSIGNAL)
-          != (ssize_t)text.size ())
+      if (send (request->fd, request->text.data (), request->text.size (),
+                MSG_NOSIGNAL)
+          != (ssize_t)request->text.size ())
         retry (request);
       else
         request->is_connected = true;
@@ -185,11 +198,11 @@
 {
   for (size_t i = 0; i < misses_.size (); i++)
     {
-      auto connection = dial (site_->gateways[i].ready);
-      bool is_ready
-          = connection != nullptr
-            && connection->write ("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-            && connection->read_response (900).status == 200;
+      auto connection = dial (entries_[i].ready);
+      bool is_ready = connection != nullptr
+                      && connection->write ("GET " + entries_[i].ready_path
+                                            + " HTTP/1.1\r\nHost: x\r\n\r\n")
+                      && connection->read_response (900).status == 200;
       misses_[i] = is_ready ? 0 : misses_[i] + 1;
     }
   if (misses_[0] >= 2)
@@ -220,7 +233,7 @@
       for (; sent < total && sent * 1000 / per_s_ <= now_ms; sent++)
         {
           auto request = std::make_unique<Request> ();
-          request->call = call_of_ ("o" + std::to_string (sent));
+          request->text = text_of_ ("o" + std::to_string (sent));
           request->outcome.second = sent / per_s_;
           request->outcome.first_ms = -1;
           request->outcome.first_read_status = -1;
@@ -248,6 +261,7 @@
   Shares sum;
   int served = 0;
   int served_first = 0;
+  int unanswered = 0;
   for (const Outcome &outcome : outcomes_)
     {
       if (outcome.second < from_second || outcome.second >= to_second)
@@ -255,11 +269,13 @@
       sum.requests++;
       served += outcome.status == 200;
       served_first += outcome.first_read_status == 200;
+      unanswered += outcome.status == 0;
     }
   if (sum.requests > 0)
     {
       sum.served = (double)served / sum.requests;
       sum.served_first_read = (double)served_first / sum.requests;
+      sum.unanswered = (double)unanswered / sum.requests;
     }
   return sum;
 }
--- a/test/relay/overload.h
+++ b/test/relay/overload.h
@@ -27,15 +27,29 @@
   int requests = 0;
   double served = 0;            ///< Whichever try.
   double served_first_read = 0; ///< At the first try that was read.
+  double unanswered = 0;
 };
 
+/// An entry to which the balancer sends connections.
+struct BalancedEntry
+{
+  std::string address;
+  std::string ready;      ///< Address that answers whether it is ready.
+  std::string ready_path; ///< And the path there.
+};
+
+std::vector<BalancedEntry> balanced_entries (const Site &site);
+
 class Balancer
 {
 public:
-  /// @param per_s  Requests in a second.
-  Balancer (Site *site, Call (*call_of) (const std::string &id), int per_s)
-      : site_ (site), call_of_ (call_of), per_s_ (per_s),
-        misses_ (site->gateways.size (), 0)
+  /// @param text_of  Makes the request with an id.
+  /// @param per_s    Requests in a second.
+  Balancer (const std::vector<BalancedEntry> &entries,
+            std::function<std::string (const std::string &id)> text_of,
+            int per_s)
+      : entries_ (entries), text_of_ (text_of), per_s_ (per_s),
+        misses_ (entries.size (), 0)
   {
   }
   /// Send requests for some seconds, and wait for their ends.
@@ -56,8 +70,8 @@
   void advance (Request *request);
   void end (Request *request, int status);
   void retry (Request *request);
-  Site *site_;
-  Call (*call_of_) (const std::string &id);
+  std::vector<BalancedEntry> entries_;
+  std::function<std::string (const std::string &id)> text_of_;
   int per_s_;
   std::vector<int> misses_;
   std::vector<Outcome> outcomes_;
--- a/test/relay/overload_failure_test.cc
+++ b/test/relay/overload_failure_test.cc
@@ -15,16 +15,18 @@
 constexpr double kMinServedFirstRead = 0.75;
 /// Share that is served once the connections are spread again.
 constexpr double kMinServedAfterwards = 0.98;
+/// Share that gets no answer at all, of whatever try.
+constexpr double kMaxUnanswered = 0.01;
 constexpr int kFirstSecond = 3;
 constexpr int kLastSecond = 11;
 
-Call
+std::string
 mixed_call (const std::string &id)
 {
   bool is_plain = atoi (id.c_str () + 1) % 3 == 0;
   Call call = is_plain ? plain_call (id) : stream_call (id, "");
   call.deadline_ms = 3000;
-  return call;
+  return call.text ();
 }
 
 /// Most new connections go to the first gateway for some seconds.
@@ -41,7 +43,7 @@
   Site site (8, 4, 4);
   ASSERT_TRUE (site.wait_ready ());
   Throttle throttle (site.gateways[0].daemon.pid, 1);
-  Balancer balancer (&site, mixed_call, 400);
+  Balancer balancer (balanced_entries (site), mixed_call, 400);
   balancer.run (15, share_of_first);
   balancer.print ();
   Shares before = balancer.shares (0, kFirstSecond);
@@ -52,6 +54,7 @@
           after.served);
   EXPECT_GE (before.served, kMinServedAfterwards);
   EXPECT_GE (during.served_first_read, kMinServedFirstRead);
+  EXPECT_LE (during.unanswered, kMaxUnanswered);
   EXPECT_GE (after.served, kMinServedAfterwards);
 }
 
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -40,11 +40,13 @@
   { "stated_pause", 200, 1500 },
   { "software_change", 50, 1500 },
   { "restore_store", 900, 1800 },
+  { "throttle", 300, 2500 },
 };
 constexpr int kInitialKinds = 15;
 constexpr int kKindsWithoutAnnouncements = 19;
 constexpr int kKindsWithOneVersion = 22;
 constexpr int kKindsWithoutRestores = 23;
+constexpr int kKindsWithoutOverload = 24;
 constexpr int kMinGapMs = 20;
 constexpr int kMaxGapMs = 350;
 
@@ -59,6 +61,8 @@
   };
   std::vector<FaultStep> plan;
   int kinds = (int)std::size (kKinds);
+  if (seed <= kLastSeedWithoutOverload)
+    kinds = kKindsWithoutOverload;
   if (seed <= kLastSeedWithoutRestores)
     kinds = kKindsWithoutRestores;
   if (seed <= kLastSeedWithOneVersion)
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -37,6 +37,7 @@
   REQUESTED_PAUSE, ///< A target refuses all requests and asks for a pause.
   SOFTWARE_CHANGE, ///< An engine restarts at a version, and is listed late.
   RESTORE_STORE,   ///< A store is away, and comes back from an older copy.
+  THROTTLE,        ///< A process runs for a part of each tenth of a second.
 };
 
 struct FaultStep
@@ -56,6 +57,7 @@
 constexpr uint64_t kLastSeedWithOneVersion = 500;
 constexpr uint64_t kLastSeedWithFramedAnswers = 600;
 constexpr uint64_t kLastSeedWithoutRestores = 700;
+constexpr uint64_t kLastSeedWithoutOverload = 800;
 
 /// @param length_ms  All faults begin and end within this time.
 std::vector<FaultStep> draw_plan (uint64_t seed, int length_ms);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -289,6 +289,9 @@
     case FaultKind::RESTORE_STORE:
       restore_store (fault_step);
       break;
+    case FaultKind::THROTTLE:
+      throttle (fault_step);
+      break;
     }
 }
 
@@ -360,6 +363,26 @@
     kill (daemon.pid, signal);
 }
 
+/// Let a process run for 3 to 30 ms of each tenth of a second.
+void
+Soak::throttle (const FaultStep &fault_step)
+{
+  Daemon &daemon = daemon_at (fault_step.subject);
+  std::chrono::milliseconds run (3 + fault_step.variant % 28);
+  auto end = std::chrono::steady_clock::now ()
+             + std::chrono::milliseconds (fault_step.duration_ms);
+  restarts_.push_back (std::async (std::launch::async, [=, this, &daemon] {
+    while (std::chrono::steady_clock::now () < end)
+      {
+        signal_to (daemon, SIGCONT);
+        std::this_thread::sleep_for (run);
+        signal_to (daemon, SIGSTOP);
+        std::this_thread::sleep_for (std::chrono::milliseconds (100) - run);
+      }
+    signal_to (daemon, SIGCONT);
+  }));
+}
+
 /// Each configuration adds a route and keeps all earlier ones.
 void
 Soak::write_config ()
@@ -631,10 +654,16 @@
   static const CrashAnswer answers[]
       = { CrashAnswer::NONE, CrashAnswer::HEAD, CrashAnswer::HALF,
           CrashAnswer::WHOLE };
+  static const CrashAnswer spoiled[]
+      = { CrashAnswer::NOT_HTTP, CrashAnswer::BAD_CHUNK,
+          CrashAnswer::ERROR_500, CrashAnswer::NO_SEAL };
   for (int i = 0; i < size_.engines + size_.plain; i++)
     {
       target_at (i).is_unframed = (seed_ + (uint64_t)i) % 2 == 0;
       target_at (i).crash_answer = answers[seed_ % std::size (answers)];
+      if (seed_ > kLastSeedWithoutOverload)
+        target_at (i).crash_answer
+            = spoiled[(seed_ + (uint64_t)i) % std::size (spoiled)];
     }
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -67,6 +67,7 @@
   void end_fault (const FaultStep &fault_step);
   void restart (Daemon &daemon, int signal);
   void signal_to (Daemon &daemon, int signal);
+  void throttle (const FaultStep &fault_step);
   void write_config ();
   void publish_adapter_version (int adapter);
   void restore_store (const FaultStep &fault_step);
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -27,9 +27,11 @@
   // never alone at one, because others were always running there. 501: the
   // first seed with two software versions. 601: the first seed with a bad part
   // of prompts and with answers that end with their connection. 701: the first
-  // seed with stores that come back from older copies.
+  // seed with stores that come back from older copies. 801: the first seed
+  // with throttled processes, and with fatal requests that get bytes which are
+  // no answer.
   std::vector<uint64_t> list
-      = { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701 };
+      = { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701, 801 };
   const char *text = getenv ("KB_SOAK_SEEDS");
   if (text == nullptr)
     return list;
