fix(coordination): cut the rate of admissions from the rate that made the way slow

A limit was cut from what had been accepted under it, which is little while connections are turned away for other reasons, and lifted after 2 s without effect, also while the entry was out of rotation: it fell to the trickle or admitted a burst again.

--- a/src/coordination/intake.c
+++ b/src/coordination/intake.c
@@ -17,7 +17,7 @@
   /// were accepted before take some seconds to end.
   REDUCE_INTERVAL_MS = 2000,
   /// A limit without effect for this long is lifted.
-  UNUSED_LIMIT_MS = 2000,
+  UNUSED_LIMIT_MS = 10000,
   /// New connections are refused for this long while the way is slow.
   REFUSE_MS = 100,
   MS_PER_S = 1000,
@@ -89,27 +89,34 @@
   return count[0] > count[1] ? count[0] : count[1];
 }
 
+static bool
+has_recovered (const itk_intake_t *intake)
+{
+  return intake->rate_per_s >= careful_share * intake->reduced_from_per_s;
+}
+
 static void
 reduce_rate (itk_intake_t *intake, uint64_t now_ms)
 {
   if (now_ms - intake->reduced_ms < REDUCE_INTERVAL_MS)
     return;
-  double rate_per_s = accepted_per_s (intake);
-  if (intake->rate_per_s > 0 && intake->rate_per_s < rate_per_s)
-    rate_per_s = intake->rate_per_s;
-  intake->reduced_from_per_s = rate_per_s;
+  // What was accepted under a limit may be little for other reasons.
+  double rate_per_s
+      = intake->rate_per_s > 0 ? intake->rate_per_s : accepted_per_s (intake);
+  // A limit that had not recovered yet was not what made the way slow.
+  if (intake->rate_per_s <= 0 || has_recovered (intake))
+    intake->reduced_from_per_s = rate_per_s;
   rate_per_s *= reduction;
   intake->rate_per_s
       = rate_per_s > min_rate_per_s ? rate_per_s : min_rate_per_s;
   intake->reduced_ms = now_ms;
+  intake->limited_ms = now_ms;
 }
 
 static void
 raise_rate (itk_intake_t *intake, uint64_t now_ms)
 {
-  bool is_careful
-      = intake->rate_per_s >= careful_share * intake->reduced_from_per_s;
-  intake->rate_per_s *= is_careful ? careful_growth : growth;
+  intake->rate_per_s *= has_recovered (intake) ? careful_growth : growth;
   if (now_ms - intake->limited_ms >= UNUSED_LIMIT_MS)
     intake->rate_per_s = 0;
 }
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -57,7 +57,7 @@
   double tokens;             ///< Connections that the limit permits now.
   uint64_t tokens_ms;        ///< When `tokens` was computed.
   uint64_t reduced_ms;       ///< When the limit was reduced last.
-  double reduced_from_per_s; ///< What was accepted before that.
+  double reduced_from_per_s; ///< Rate that made the way slow.
   uint64_t limited_ms;       ///< When the limit had an effect last.
   uint64_t second_began_ms;
   uint32_t accepted_count[2];    ///< In the present and in the last second.
