--- a/test/relay/endings_failure_test.cc
+++ b/test/relay/endings_failure_test.cc
@@ -26,15 +26,6 @@
   return out << c.name;
 }
 
-void
-set_crash_answer (Site &site, CrashAnswer answer)
-{
-  for (const Engine &engine : site.engines)
-    engine.target->crash_answer = answer;
-  for (const auto &target : site.plain)
-    target->crash_answer = answer;
-}
-
 class Endings : public testing::TestWithParam<Case>
 {
 };
--- a/test/relay/endless_failure_test.cc
+++ b/test/relay/endless_failure_test.cc
@@ -1,8 +1,7 @@
 // Targets that send bytes without end, until the gateway closes.
 #include <gtest/gtest.h>
 
-#include <fstream>
-
+#include "launcher.h"
 #include "site.h"
 
 namespace relay
@@ -19,18 +18,6 @@
 /// Memory that one request with bytes without end may take.
 constexpr long kMaxRequestKb = 768;
 
-long
-resident_kb (pid_t pid)
-{
-  std::ifstream status ("/proc/" + std::to_string (pid) + "/status");
-  std::string word;
-  long kb = 0;
-  while (status >> word)
-    if (word == "VmRSS:")
-      status >> kb;
-  return kb;
-}
-
 void
 make_endless (Site &site)
 {
--- a/test/relay/fatal.cc
+++ b/test/relay/fatal.cc
@@ -19,6 +19,15 @@
   return plain_call ("fatal" + std::to_string (attempt), "/plain/fatal");
 }
 
+void
+set_crash_answer (Site &site, CrashAnswer answer)
+{
+  for (const Engine &engine : site.engines)
+    engine.target->crash_answer = answer;
+  for (const auto &target : site.plain)
+    target->crash_answer = answer;
+}
+
 int
 send_until_ends (Site &site, Call (*call_of) (int), int ends)
 {
--- a/test/relay/fatal.h
+++ b/test/relay/fatal.h
@@ -19,6 +19,8 @@
 /// @param attempt  Number of the attempt, for its id.
 Call fatal_stream (int attempt);
 Call fatal_plain (int attempt);
+/// Set what fatal requests get before their targets end.
+void set_crash_answer (Site &site, CrashAnswer answer);
 /// Send until a number of targets have ended.
 /// @param call_of  The call for an attempt.
 /// @return         The next attempt's number.
--- a/test/relay/overload.cc
+++ b/test/relay/overload.cc
@@ -1,5 +1,7 @@
 #include "overload.h"
 
+#include <gtest/gtest.h>
+
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -300,6 +302,32 @@
     }
 }
 
+void
+expect_served_while_skewed (Balancer &balancer, const Skew &skew)
+{
+  /// Share of the requests that is served at the first try that was read.
+  constexpr double kMinServedFirstRead = 0.75;
+  /// Share that is served while the connections are spread.
+  constexpr double kMinServed = 0.98;
+  /// Share that gets no answer at all, of whatever try.
+  constexpr double kMaxUnanswered = 0.01;
+  balancer.run (skew.seconds, [&] (int second) {
+    bool is_skewed = second >= skew.first_second && second < skew.last_second;
+    return is_skewed ? skew.share : skew.usual_share;
+  });
+  balancer.print ();
+  Shares before = balancer.shares (0, skew.first_second);
+  Shares during = balancer.shares (skew.first_second, skew.last_second);
+  Shares after = balancer.shares (skew.last_second + 1, skew.seconds);
+  printf ("served before %.3f, during %.3f (first read %.3f), after %.3f\n",
+          before.served, during.served, during.served_first_read,
+          after.served);
+  EXPECT_GE (before.served, kMinServed);
+  EXPECT_GE (during.served_first_read, kMinServedFirstRead);
+  EXPECT_LE (during.unanswered, kMaxUnanswered);
+  EXPECT_GE (after.served, kMinServed);
+}
+
 Throttle::Throttle (pid_t pid, int run_ms) : pid_ (pid)
 {
   thread_ = std::thread ([this, run_ms] {
--- a/test/relay/overload.h
+++ b/test/relay/overload.h
@@ -79,6 +79,20 @@
   std::chrono::steady_clock::time_point began_;
 };
 
+/// Phases of a run in which most connections go to one entry.
+struct Skew
+{
+  int first_second;
+  int last_second; ///< First second after it.
+  int seconds;     ///< Of the whole run.
+  double share;    ///< Of the first entry, while it lasts.
+  double usual_share;
+};
+
+/// Run such a load, and expect that what was read was served, and everything
+/// once the connections are spread again.
+void expect_served_while_skewed (Balancer &balancer, const Skew &skew);
+
 /// Runs a process for a part of each tenth of a second.
 class Throttle
 {
--- a/test/relay/overload_failure_test.cc
+++ b/test/relay/overload_failure_test.cc
@@ -11,15 +11,6 @@
 namespace
 {
 
-/// Share of the requests that is served at the first try that was read.
-constexpr double kMinServedFirstRead = 0.75;
-/// Share that is served once the connections are spread again.
-constexpr double kMinServedAfterwards = 0.98;
-/// Share that gets no answer at all, of whatever try.
-constexpr double kMaxUnanswered = 0.01;
-constexpr int kFirstSecond = 3;
-constexpr int kLastSecond = 11;
-
 std::string
 mixed_call (const std::string &id)
 {
@@ -29,13 +20,6 @@
   return call.text ();
 }
 
-/// Most new connections go to the first gateway for some seconds.
-double
-share_of_first (int second)
-{
-  return second >= kFirstSecond && second < kLastSecond ? 0.9 : 0.05;
-}
-
 // Guards against an entry that reads more than its processor can serve, so
 // that almost nothing is served in time.
 TEST (Overload, EntryShortOfProcessorServesWhatItReads)
@@ -44,18 +28,12 @@
   ASSERT_TRUE (site.wait_ready ());
   Throttle throttle (site.gateways[0].daemon.pid, 1);
   Balancer balancer (balanced_entries (site), mixed_call, 400);
-  balancer.run (15, share_of_first);
-  balancer.print ();
-  Shares before = balancer.shares (0, kFirstSecond);
-  Shares during = balancer.shares (kFirstSecond, kLastSecond);
-  Shares after = balancer.shares (kLastSecond + 1, 15);
-  printf ("served before %.3f, during %.3f (first read %.3f), after %.3f\n",
-          before.served, during.served, during.served_first_read,
-          after.served);
-  EXPECT_GE (before.served, kMinServedAfterwards);
-  EXPECT_GE (during.served_first_read, kMinServedFirstRead);
-  EXPECT_LE (during.unanswered, kMaxUnanswered);
-  EXPECT_GE (after.served, kMinServedAfterwards);
+  Skew skew{ .first_second = 3,
+             .last_second = 11,
+             .seconds = 15,
+             .share = 0.9,
+             .usual_share = 0.05 };
+  expect_served_while_skewed (balancer, skew);
 }
 
 // Guards against an entry that accepts callers until it has no descriptor left
--- a/test/relay/unframed_failure_test.cc
+++ b/test/relay/unframed_failure_test.cc
@@ -11,15 +11,6 @@
 
 using std::chrono::milliseconds;
 
-void
-set_crash_answer (Site &site, CrashAnswer answer)
-{
-  for (const Engine &engine : site.engines)
-    engine.target->crash_answer = answer;
-  for (const auto &target : site.plain)
-    target->crash_answer = answer;
-}
-
 void
 expect_few_engines (CrashAnswer answer)
 {
--- a/test/support/launcher.cc
+++ b/test/support/launcher.cc
@@ -4,8 +4,10 @@
 #include <sys/prctl.h>
 #include <unistd.h>
 
+#include <fstream>
 #include <future>
 #include <mutex>
+#include <string>
 #include <thread>
 
 namespace
@@ -74,3 +76,15 @@
   static Launcher *launcher = new Launcher ();
   return launcher->launch (run);
 }
+
+long
+resident_kb (pid_t pid)
+{
+  std::ifstream status ("/proc/" + std::to_string (pid) + "/status");
+  std::string word;
+  long kb = 0;
+  while (status >> word)
+    if (word == "VmRSS:")
+      status >> kb;
+  return kb;
+}
--- a/test/support/launcher.h
+++ b/test/support/launcher.h
@@ -1,5 +1,6 @@
 /// @file launcher.h
-/// Starts child processes that end with the test program, however it ends.
+/// Starts child processes that end with the test program, however it ends, and
+/// measures them.
 #ifndef KB_TEST_SUPPORT_LAUNCHER_H
 #define KB_TEST_SUPPORT_LAUNCHER_H
 
@@ -12,5 +13,7 @@
 /// @param run  Called in the child, which exits if it returns.
 /// @return     Id of the child; negative: fork failed.
 pid_t launch_process (const std::function<void ()> &run);
+/// @return  Resident memory of a process, in KiB; zero: it has ended.
+long resident_kb (pid_t pid);
 
 #endif
--- a/test/system/endless_test.cc
+++ b/test/system/endless_test.cc
@@ -3,11 +3,11 @@
 
 #include <signal.h>
 
-#include <fstream>
 #include <thread>
 
 #include "cluster.h"
 #include "http_peer.h"
+#include "launcher.h"
 
 using kb::Cluster;
 using kb::ClusterOptions;
@@ -50,18 +50,6 @@
   }
 };
 
-long
-resident_kb (pid_t pid)
-{
-  std::ifstream status ("/proc/" + std::to_string (pid) + "/status");
-  std::string word;
-  long kb = 0;
-  while (status >> word)
-    if (word == "VmRSS:")
-      status >> kb;
-  return kb;
-}
-
 void
 expect_asked_again (bool drips)
 {
--- a/test/system/overload_test.cc
+++ b/test/system/overload_test.cc
@@ -11,15 +11,6 @@
 namespace
 {
 
-/// Share of the requests that is served at the first try that was read.
-constexpr double kMinServedFirstRead = 0.75;
-/// Share that is served once the connections are spread again.
-constexpr double kMinServedAfterwards = 0.98;
-/// Share that gets no answer at all, of whatever try.
-constexpr double kMaxUnanswered = 0.01;
-constexpr int kFirstSecond = 2;
-constexpr int kLastSecond = 9;
-
 std::string
 call_text (const std::string &id)
 {
@@ -29,12 +20,6 @@
          + std::to_string (id.size ()) + "\r\n\r\n" + id;
 }
 
-double
-share_of_first (int second)
-{
-  return second >= kFirstSecond && second < kLastSecond ? 0.9 : 0.1;
-}
-
 // Guards against an entry that reads more than its processor can serve, so
 // that almost nothing is served in time.
 TEST (Overload, EntryShortOfProcessorServesWhatItReads)
@@ -54,18 +39,12 @@
     }
   relay::Throttle throttle (cluster.entries[0].process.pid, 1);
   relay::Balancer balancer (entries, call_text, 400);
-  balancer.run (12, share_of_first);
-  balancer.print ();
-  relay::Shares before = balancer.shares (0, kFirstSecond);
-  relay::Shares during = balancer.shares (kFirstSecond, kLastSecond);
-  relay::Shares after = balancer.shares (kLastSecond + 1, 12);
-  printf ("served before %.3f, during %.3f (first read %.3f), after %.3f\n",
-          before.served, during.served, during.served_first_read,
-          after.served);
-  EXPECT_GE (before.served, kMinServedAfterwards);
-  EXPECT_GE (during.served_first_read, kMinServedFirstRead);
-  EXPECT_LE (during.unanswered, kMaxUnanswered);
-  EXPECT_GE (after.served, kMinServedAfterwards);
+  relay::Skew skew{ .first_second = 2,
+                    .last_second = 9,
+                    .seconds = 12,
+                    .share = 0.9,
+                    .usual_share = 0.1 };
+  relay::expect_served_while_skewed (balancer, skew);
 }
 
 } // namespace
