test(relay): new connections beside targets that send without end

What callers saw: requests on new connections were not answered while targets of the same entry sent comments without end at full speed.

The test's callers gain ids of their own flood, and take a refused connection for one that was turned away: dial returned none and the test crashed.

--- a/test/relay/endless_failure_test.cc
+++ b/test/relay/endless_failure_test.cc
@@ -36,7 +36,7 @@
   {
     for (int i = 0; i < kCallers; i++)
       threads_.emplace_back ([&gateway, call, i, reads, this] () mutable {
-        call.id = "e" + std::to_string (i);
+        call.id += "e" + std::to_string (i);
         run (gateway, call, reads);
       });
   }
@@ -63,6 +63,8 @@
     do
       {
         connection = dial (gateway.address);
+        if (connection == nullptr)
+          continue;
         connection->write (call.text ());
         first = connection->read_some (kDeadlineMs + kMarginMs);
       }
@@ -183,6 +185,37 @@
                                    + form_names[(int)info.param.form];
                           });
 
+// Guards against new connections that are turned away unread while targets
+// keep the event loop busy.
+TEST (EndlessNeighbours, NewConnectionsAreServed)
+{
+  constexpr int kFloods = 2;
+  Site site (2, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  make_endless (site);
+  std::vector<std::unique_ptr<Callers>> floods;
+  for (int i = 0; i < kFloods; i++)
+    {
+      Call call = EndlessBytes::call_of ({ "resume", Endless::COMMENTS });
+      call.id = std::to_string (i);
+      floods.push_back (
+          std::make_unique<Callers> (site.gateways[0], call, true));
+    }
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  int not_served = 0;
+  auto end = Clock::now () + std::chrono::milliseconds (kDeadlineMs - 700);
+  for (int i = 0; Clock::now () < end; i++)
+    {
+      Message answer = send_call (site.gateways[0],
+                                  plain_call ("n" + std::to_string (i)));
+      not_served += answer.status != 200;
+      std::this_thread::sleep_for (std::chrono::milliseconds (20));
+    }
+  for (auto &flood : floods)
+    flood->join ();
+  EXPECT_EQ (not_served, 0);
+}
+
 // Guards against a report or health answer without end that takes ever more
 // memory, or after which the target is never asked again.
 TEST (EndlessPages, ReportsAndHealthAnswersTakeBoundedMemory)
