fix(transport): read bulk only when the event loop has nothing else to do

What callers saw: no answer on new connections of an entry some of whose targets sent comments without end at full speed.

Cause: a connection was read until nothing was left, 64 KB at a time, up to 2 MB in a round of the loop. New connections are accepted when the loop is idle, which such peers never let it be; one connection in 0.1 s was left.

Now a connection that brought 64 KB in 0.1 s waits in a queue, which gives a turn when no event is ready, and once in 10 ms in any case. What a listener and the queue take for ready must not include handles that were just stopped: libuv disarms these in its next poll, so both let one pass first. A poll that finds only such events would go on to wait; the listener no longer lets it.

Ruled out: a slow way to the targets (is_path_slow 0), the machine (fails alone).

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -223,6 +223,7 @@
   kb_status_t accepted
       = h1_conn_accept (&client->conn, &gateway->host.loop, listener,
                         &client_events, client, max_header_bytes);
+  h1_conn_share_loop (&client->conn, &gateway->host.bulk);
   client->gateway = gateway;
   client->request = NULL;
   client_set_caller_address (client);
--- a/src/relay/host.c
+++ b/src/relay/host.c
@@ -163,7 +163,10 @@
   apply_log_settings (host);
   uv_loop_init (&host->loop);
   tmr_service_init (&host->timers, &host->loop);
-  host->pool = (xch_pool_t){ .loop = &host->loop, .timers = &host->timers };
+  blk_queue_init (&host->bulk, &host->loop);
+  host->pool = (xch_pool_t){ .loop = &host->loop,
+                             .timers = &host->timers,
+                             .bulk = &host->bulk };
   uv_random (NULL, NULL, &host->incarnation, sizeof host->incarnation, 0,
              NULL);
   srand ((unsigned)host->incarnation);
--- a/src/relay/host.h
+++ b/src/relay/host.h
@@ -31,6 +31,7 @@
   set_settings_t settings;
   uv_loop_t loop;
   tmr_service_t timers;
+  blk_queue_t bulk;
   xch_pool_t pool;
   plk_link_t link;
   pgs_server_t metrics;
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -306,6 +306,7 @@
   kb_status_t status = h1_conn_connect (&pooled->conn, peer->pool->loop,
                                         &peer->address, &pooled_events, NULL);
   pooled->conn.is_head_method = request->is_head_method;
+  h1_conn_share_loop (&pooled->conn, peer->pool->bulk);
   // A connection attempt that fails at once is reported from the event loop,
   // as all failures are.
   uint64_t timeout_ms = status == KB_OK ? request->connect_timeout_ms : 0;
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -18,6 +18,7 @@
 {
   uv_loop_t *loop;
   tmr_service_t *timers;
+  blk_queue_t *bulk;     ///< Of the connections; NULL: they share nothing.
   uint64_t opened_total; ///< Connections opened, for the metrics.
   uint32_t open_count;   ///< Connections that are open.
   /// Called with the time that a connection took to be established, or after
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -234,10 +234,10 @@
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
 }
 
+/// Handle what a read returned.
 static void
-conn_read (uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+conn_handle_read (h1_conn_t *conn, ssize_t nread, const uv_buf_t *buf)
 {
-  h1_conn_t *conn = stream->data;
   bool is_reset
       = nread < 0 && (nread != UV_EOF || conn_has_pending_error (conn));
   if (is_reset)
@@ -257,13 +257,52 @@
     conn_parse (conn, buf->base, (size_t)nread);
 }
 
+static void
+conn_read (uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+  h1_conn_t *conn = stream->data;
+  uint64_t now_ms = uv_now (stream->loop);
+  if (conn->bulk != NULL && nread > 0)
+    blk_reader_record (&conn->reader, (size_t)nread, now_ms);
+  conn_handle_read (conn, nread, buf);
+  // The callbacks may have paused or closed it, or let it wait already.
+  if (!conn->is_reading || conn->reader.queue != NULL
+      || !blk_reader_must_wait (&conn->reader, now_ms))
+    return;
+  uv_read_stop (stream);
+  blk_reader_wait (&conn->reader, conn->bulk);
+}
+
+static void
+conn_start_reading (h1_conn_t *conn)
+{
+  uv_read_start ((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+}
+
+static void
+conn_on_turn (blk_reader_t *reader)
+{
+  conn_start_reading (
+      (h1_conn_t *)((char *)reader - offsetof (h1_conn_t, reader)));
+}
+
+void
+h1_conn_share_loop (h1_conn_t *conn, blk_queue_t *bulk)
+{
+  conn->bulk = bulk;
+  conn->reader.on_turn = conn_on_turn;
+}
+
 void
 h1_conn_pause (h1_conn_t *conn)
 {
   if (!conn->is_reading)
     return;
   conn->is_reading = false;
-  uv_read_stop ((uv_stream_t *)&conn->tcp);
+  if (conn->reader.queue != NULL)
+    blk_reader_cancel (&conn->reader);
+  else
+    uv_read_stop ((uv_stream_t *)&conn->tcp);
 }
 
 void
@@ -272,7 +311,10 @@
   if (conn->is_reading || conn->is_closing || conn->is_ended)
     return;
   conn->is_reading = true;
-  uv_read_start ((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+  if (blk_reader_must_wait (&conn->reader, uv_now (conn->tcp.loop)))
+    blk_reader_wait (&conn->reader, conn->bulk);
+  else
+    conn_start_reading (conn);
 }
 
 /// A network path can fail without any error on the socket. Keep-alive probes
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -12,6 +12,7 @@
 
 #include "state/buf.h"
 #include "state/status.h"
+#include "transport/bulk.h"
 
 enum
 {
@@ -77,6 +78,8 @@
   void *owner;
   uv_tcp_t tcp;
   uv_connect_t connect;
+  blk_reader_t reader;
+  blk_queue_t *bulk; ///< Where it waits when it brings much; NULL: nowhere.
   http_parser parser;
   h1_head_t head;
   kb_buf_t pipelined;        ///< Received after the current message, unparsed.
@@ -111,6 +114,9 @@
 kb_status_t h1_conn_accept (h1_conn_t *conn, uv_loop_t *loop,
                             uv_stream_t *listener, const h1_events_t *events,
                             void *owner, uint32_t max_header_bytes);
+/// Share the event loop with the other connections of a queue. Without a call,
+/// a connection is read as long as there is something to read.
+void h1_conn_share_loop (h1_conn_t *conn, blk_queue_t *bulk);
 /// Connect to a peer; on_connect reports the result.
 /// @return  KB_OK, or KB_EUNAVAIL when the attempt could not be started.
 kb_status_t h1_conn_connect (h1_conn_t *conn, uv_loop_t *loop,
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -1,9 +1,9 @@
 #include "transport/listener.h"
 
 #include <stdlib.h>
-#include <sys/epoll.h>
 
 #include "state/buf.h"
+#include "transport/bulk.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -100,14 +100,6 @@
                     listener_reopen, listener);
 }
 
-/// @return  Whether an event other than a deferred connection is ready.
-static bool
-loop_has_events (uv_loop_t *loop)
-{
-  struct epoll_event event;
-  return epoll_wait (uv_backend_fd (loop), &event, 1, 0) > 0;
-}
-
 static void
 poll_again (uv_idle_t *handle)
 {
@@ -136,7 +128,8 @@
       listener_poll_accepted (listener);
       return;
     }
-  if (!loop_has_events (listener->loop))
+  bool is_idle = !blk_loop_has_events (listener->loop);
+  if (is_idle)
     {
       listener->has_accepted = false;
       policy->vtable->on_idle (policy);
@@ -145,6 +138,9 @@
     }
   if (!listener->is_deferred)
     return;
+  // Events of handles that were stopped do not end a poll that waits.
+  if (!is_idle)
+    uv_idle_start (&listener->poll_again, poll_again);
   if (policy->vtable->may_accept (policy))
     {
       listener->is_deferred = false;
