fix(daemon): ask an engine for its list once at a time

What users saw: an engine that answered runs with errors got a request for its list for each of them, up to 159 of 160 open at once, beside its work.

Cause: an end that leaves a run a suspect asks for the list, and agt_engine_poll sent one whether or not another was under way. Resets did the same before; the table of ends made it each error, wrong answer and cancelled run.

A list that is asked for while another is open is asked for once that one is there, since the open one proves nothing about later starts. Runs that began too long ago to have ended the engine ask only if their connection broke.

EngineList failed in 5 of 5 runs (158, 159 open), passes in 4 of 4 with one. unframed, endless, repeat and parts system tests pass.

--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -59,8 +59,7 @@
           agt_request_t *r = (agt_request_t *)action.item;
           if (!aln_may_start (&agent->alone, &r->alone, tmr_now_ms ()))
             {
-              if (aln_awaits_answer (&agent->alone)
-                  && agent->lists_pending == 0)
+              if (aln_awaits_answer (&agent->alone) && !agent->is_list_pending)
                 agt_engine_poll (agent);
               break;
             }
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -139,10 +139,10 @@
   sch_queue_t queue;
   clm_runner_t claims;
   aln_gate_t alone;
-  uint32_t lists_pending; ///< Requests for the engine's list without answer.
-  uint64_t listed_ms;     ///< When the oldest of them was sent.
-  uint32_t listed_broken_starts; ///< Broken starts when the oldest of them was
-                                 ///< sent.
+  bool is_list_pending;          ///< The engine's list was asked for.
+  bool is_list_wanted;           ///< It is asked for again once it is there.
+  uint64_t listed_ms;            ///< When it was asked for.
+  uint32_t listed_broken_starts; ///< Broken starts at that time.
   bkp_meter_t meter;        ///< Enforces the target's stated request rate.
   uint64_t paused_until_ms; ///< End of the pause the target requested.
   tmr_timer_t meter_timer;
--- a/src/daemon/agent_engine.c
+++ b/src/daemon/agent_engine.c
@@ -184,11 +184,9 @@
 }
 
 static void
-poll_done (void *arg, kb_status_t status, const char *const *models,
-           uint32_t count, const char *incarnation)
+handle_list (agt_agent_t *agent, kb_status_t status, const char *const *models,
+             uint32_t count, const char *incarnation)
 {
-  agt_agent_t *agent = arg;
-  agent->lists_pending--;
   if (status != KB_OK)
     {
       if (agent->is_engine_up)
@@ -223,15 +221,26 @@
   agt_schedule_work (agent);
 }
 
+static void
+poll_done (void *arg, kb_status_t status, const char *const *models,
+           uint32_t count, const char *incarnation)
+{
+  agt_agent_t *agent = arg;
+  agent->is_list_pending = false;
+  handle_list (agent, status, models, count, incarnation);
+  if (agent->is_list_wanted)
+    agt_engine_poll (agent);
+}
+
 void
 agt_engine_poll (agt_agent_t *agent)
 {
-  // An answer to an earlier request proves nothing about later starts.
-  if (agent->lists_pending == 0)
-    {
-      agent->listed_broken_starts = agent->alone.broken_starts;
-      agent->listed_ms = tmr_now_ms ();
-    }
+  // The list under way proves nothing about starts after its request.
+  agent->is_list_wanted = agent->is_list_pending;
+  if (agent->is_list_pending)
+    return;
+  agent->listed_broken_starts = agent->alone.broken_starts;
+  agent->listed_ms = tmr_now_ms ();
   if (agt_is_plain (agent))
     {
       // A plain target has no list; its refused connections show its end.
@@ -240,7 +249,7 @@
       aln_confirm_alive (&agent->alone, agent->listed_broken_starts);
       return;
     }
-  agent->lists_pending++;
+  agent->is_list_pending = true;
   agent->engine.vtable->list (&agent->engine, poll_done, agent);
 }
 
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -96,7 +96,8 @@
 }
 
 /// Record a run that may have ended the target.
-static void
+/// @return  False: it had begun too long ago for that.
+static bool
 record_run (agt_request_t *r, end_proof_t proof)
 {
   agt_agent_t *agent = r->agent;
@@ -105,7 +106,7 @@
       = r->first_byte_ms > 0 ? now_ms - r->first_byte_ms : 0;
   bool is_starting = since_begun_ms <= ALN_STARTUP_MS;
   if (!is_starting && (r->parts.count == 0 || since_begun_ms > PRT_STARTUP_MS))
-    return;
+    return false;
   agent->broken_runs[agent->broken_run_count++ % AGT_MAX_BROKEN_RUNS]
       = (agt_broken_run_t){ .request = r->fingerprint,
                             .caller = r->item.workspace | 1,
@@ -119,6 +120,7 @@
     aln_broke_after_first_byte (&agent->alone);
   if (agt_is_plain (agent))
     probe_start (agent);
+  return true;
 }
 
 void
@@ -128,13 +130,14 @@
   end_proof_t proof = end_row (kind)->proof;
   if (proof == END_PROVES_NOTHING || proof == END_PROVES_SERVED)
     return;
-  record_run (r, proof);
+  bool is_recorded = record_run (r, proof);
   if (proof == END_SERVED_IF_ALIVE)
     return;
   // The list is asked for once this start counts as broken.
   aln_block_ended (&agent->alone, &r->alone, tmr_now_ms ());
   aln_ended (&agent->alone, &r->alone);
-  agt_engine_poll (agent);
+  if (is_recorded || kind == END_RESET || kind == END_CUT)
+    agt_engine_poll (agent);
 }
 
 void
