test(relay): a fatal request among many that fail

What users saw: a request that ends its engine is never held while others' requests end with errors at the same entry.

The lines target_ended say suspects 0 for each end.

--- a/test/relay/endings_failure_test.cc
+++ b/test/relay/endings_failure_test.cc
@@ -61,6 +61,45 @@
       return std::string (info.param.name);
     });
 
+/// Callers whose requests all end with errors.
+class FailingCallers
+{
+public:
+  explicit FailingCallers (const Site &site)
+  {
+    for (int i = 0; i < 8; i++)
+      threads_.emplace_back ([this, &site, i] {
+        for (int k = 0; !is_done_; k++)
+          {
+            std::string name = std::to_string (i) + "-" + std::to_string (k);
+            send_call (site.gateways[(size_t)k % site.gateways.size ()],
+                       plain_call ("f" + name, "/unsafe/error-" + name));
+          }
+      });
+  }
+  ~FailingCallers ()
+  {
+    is_done_ = true;
+    for (std::thread &thread : threads_)
+      thread.join ();
+  }
+
+private:
+  std::atomic<bool> is_done_{ false };
+  std::vector<std::thread> threads_;
+};
+
+// Guards against a fatal request that is forgotten, because many others fail
+// before its target is known to have ended.
+TEST (Endings, ErrorsOfOthersHideNoFatalRequest)
+{
+  Site site (6, 2, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  set_crash_answer (site, CrashAnswer::ERROR_500);
+  FailingCallers others (site);
+  expect_few_after_third (site, fatal_stream, 12);
+}
+
 /// A way in which an attempt of one of the site's requests ends.
 struct Row
 {
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -734,6 +734,8 @@
       record_refusal (request);
       return true;
     }
+  if (request.target ().find ("/error-") != std::string::npos)
+    fault = Fault::ERROR_500;
   if (fault == Fault::NOT_RUN)
     {
       record_refusal (request);
