fix(gateway,daemon): let nobody's failed attempts push out those of others

What callers saw: a request that ends its engine was never held while other callers' requests ended with errors at the same entry.

Cause: attempts that are suspects until their target is known to have lived on were a ring of the newest 256 (64 runs at an agent), whether or not older entries were still of use. Errors of any caller at any target pushed out the fatal attempt before its engine was known to have ended.

coordination/replace chooses the entry that makes place: one without use, else the oldest of the workspace with the most entries at the target with the most, where the new one counts too. A target that has ended gets no new entries, so its own stay.

--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -147,9 +147,7 @@
   uint64_t paused_until_ms; ///< End of the pause the target requested.
   tmr_timer_t meter_timer;
   qrt_table_t quarantine; ///< Requests during which this target ended.
-  agt_broken_run_t
-      broken_runs[AGT_MAX_BROKEN_RUNS]; ///< The newest, in a ring.
-  uint32_t broken_run_count;
+  agt_broken_run_t broken_runs[AGT_MAX_BROKEN_RUNS];
   uint32_t target_end_count; ///< Times the target was seen to end.
   agt_probe_t probe;
   kb_map_t requests; ///< agt_request_t by attempt.
--- a/src/daemon/agent_quarantine.c
+++ b/src/daemon/agent_quarantine.c
@@ -2,6 +2,7 @@
 /// Requests during which this agent's target ended
 /// (coordination/quarantine.h): recorded when the runs break, and reported to
 /// entries.
+#include "coordination/replace.h"
 #include "daemon/agent_defs.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -95,6 +96,21 @@
                   probe_connect, agent);
 }
 
+/// Keep a run until it is known whether the target has ended.
+static void
+keep_run (agt_agent_t *agent, const agt_broken_run_t *run)
+{
+  rpl_entry_t entries[AGT_MAX_BROKEN_RUNS];
+  agt_broken_run_t *kept = agent->broken_runs;
+  for (uint32_t i = 0; i < AGT_MAX_BROKEN_RUNS; i++)
+    entries[i]
+        = (rpl_entry_t){ .caller = kept[i].caller,
+                         .at_ms = kept[i].request == 0 ? 0 : kept[i].at_ms };
+  rpl_entry_t added = { .caller = run->caller, .at_ms = run->at_ms };
+  kept[rpl_choose (entries, AGT_MAX_BROKEN_RUNS, &added, MAX_BREAK_TO_END_MS)]
+      = *run;
+}
+
 /// Record a run that may have ended the target.
 /// @return  False: it had begun too long ago for that.
 static bool
@@ -107,15 +123,15 @@
   bool is_starting = since_begun_ms <= ALN_STARTUP_MS;
   if (!is_starting && (r->parts.count == 0 || since_begun_ms > PRT_STARTUP_MS))
     return false;
-  agent->broken_runs[agent->broken_run_count++ % AGT_MAX_BROKEN_RUNS]
-      = (agt_broken_run_t){ .request = r->fingerprint,
-                            .caller = r->item.workspace | 1,
-                            .at_ms = now_ms,
-                            .is_alone = aln_is_still_alone (&r->alone),
-                            .is_unconfirmed = proof != END_SUSPECT,
-                            .is_served = proof == END_SERVED_IF_ALIVE,
-                            .is_starting = is_starting,
-                            .parts = r->parts };
+  agt_broken_run_t run = { .request = r->fingerprint,
+                           .caller = r->item.workspace | 1,
+                           .at_ms = now_ms,
+                           .is_alone = aln_is_still_alone (&r->alone),
+                           .is_unconfirmed = proof != END_SUSPECT,
+                           .is_served = proof == END_SERVED_IF_ALIVE,
+                           .is_starting = is_starting,
+                           .parts = r->parts };
+  keep_run (agent, &run);
   if (is_starting && r->first_byte_ms > 0)
     aln_broke_after_first_byte (&agent->alone);
   if (agt_is_plain (agent))
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -2,6 +2,7 @@
 /// Ends of attempts: which requests were starting at a target when it ended.
 #include "coordination/alone.h"
 #include "coordination/quarantine.h"
+#include "coordination/replace.h"
 #include "gateway/gateway_suspects.h"
 #include "relay/fingerprint.h"
 #include "transport/log.h"
@@ -22,8 +23,7 @@
 gtw_quarantine_has_earlier_break (gtw_request_t *r)
 {
   const gtw_gateway_t *gateway = r->gateway;
-  if (gateway->quarantine.entries.len == 0
-      && gateway->broken_attempt_count == 0)
+  if (gateway->quarantine.entries.len == 0 && !gateway->has_broken_attempts)
     return false;
   uint64_t request = gtw_request_fingerprint (r, GTW_SCOPE_ANY_ADAPTER);
   if (qrt_count_ends (&gateway->quarantine, request) > 0)
@@ -266,6 +266,27 @@
                     attempt->is_alone && !attempt->is_plain);
 }
 
+/// Keep an attempt until it is known whether its target has ended.
+/// @param first  First entry of the part of the table that it belongs to.
+/// @param count  Size of that part, at most GTW_MAX_BROKEN_ATTEMPTS.
+static void
+keep_attempt (gtw_gateway_t *gateway, uint32_t first, uint32_t count,
+              const gtw_broken_attempt_t *attempt)
+{
+  rpl_entry_t entries[GTW_MAX_BROKEN_ATTEMPTS];
+  gtw_broken_attempt_t *kept = &gateway->broken_attempts[first];
+  for (uint32_t i = 0; i < count; i++)
+    entries[i]
+        = (rpl_entry_t){ .group = kept[i].target,
+                         .caller = kept[i].caller,
+                         .at_ms = kept[i].target == 0 ? 0 : kept[i].at_ms };
+  rpl_entry_t added = { .group = attempt->target,
+                        .caller = attempt->caller,
+                        .at_ms = attempt->at_ms };
+  kept[rpl_choose (entries, count, &added, END_EVIDENCE_TIMEOUT_MS)]
+      = *attempt;
+}
+
 /// Keep an attempt after which the target may end, or has ended.
 static void
 record_break (gtw_request_t *r)
@@ -284,9 +305,8 @@
   // The next proof of an end may be another one of the end that is known.
   if (broken.is_plain && target->ended_ms > 0)
     broken.is_alone = false;
-  gateway->broken_attempts[gateway->broken_attempt_count++
-                           % GTW_MAX_BROKEN_ATTEMPTS]
-      = broken;
+  gateway->has_broken_attempts = true;
+  keep_attempt (gateway, 0, GTW_MAX_BROKEN_ATTEMPTS, &broken);
   if (broken.is_plain)
     gtw_probe_start (gateway, target);
 }
@@ -309,10 +329,8 @@
     }
   gateway->unconfirmed_ms = attempt.at_ms;
   r->target->has_unconfirmed = true;
-  gateway->broken_attempts[GTW_MAX_BROKEN_ATTEMPTS
-                           + gateway->unconfirmed_count++
-                                 % GTW_MAX_UNCONFIRMED_ATTEMPTS]
-      = attempt;
+  keep_attempt (gateway, GTW_MAX_BROKEN_ATTEMPTS, GTW_MAX_UNCONFIRMED_ATTEMPTS,
+                &attempt);
 }
 
 void
@@ -367,7 +385,7 @@
   gtw_gateway_t *gateway = r->gateway;
   // It answers, so it has not ended.
   r->target->ended_ms = 0;
-  if (gateway->broken_attempt_count > 0)
+  if (gateway->has_broken_attempts)
     forget_breaks (gateway, r->target);
   gtw_quarantine_confirm_recipient (r, gtw_now_ms (gateway));
   if (gateway->quarantine.entries.len == 0)
@@ -403,7 +421,7 @@
 static bool
 has_unconfirmed_attempts (const gtw_gateway_t *gateway)
 {
-  return gateway->unconfirmed_count > 0
+  return gateway->unconfirmed_ms > 0
          && gtw_now_ms (gateway) - gateway->unconfirmed_ms
                 <= END_EVIDENCE_TIMEOUT_MS;
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -29,7 +29,7 @@
   GTW_STOP_RETRY_AFTER_MS = 100,
   GTW_ID_BYTES = 64,
   GTW_MAX_BROKEN_ATTEMPTS = 256,
-  GTW_MAX_UNCONFIRMED_ATTEMPTS = 256,
+  GTW_MAX_UNCONFIRMED_ATTEMPTS = GTW_MAX_BROKEN_ATTEMPTS,
   GTW_MAX_SUSPECT_ATTEMPTS
   = GTW_MAX_BROKEN_ATTEMPTS + GTW_MAX_UNCONFIRMED_ATTEMPTS,
   GTW_MAX_ORIGIN_ASKED = 8,
@@ -386,15 +386,15 @@
   qrt_table_t quarantine; ///< Of requests and of parts of prompts.
   prt_served_t served_parts;
   gtw_record_writer_t record_writer;
-  /// A ring of the newest suspects, then a ring of those that are suspects
-  /// unless their targets have lived on.
+  /// Suspects, then those that are suspects unless their targets have lived
+  /// on.
   gtw_broken_attempt_t broken_attempts[GTW_MAX_SUSPECT_ATTEMPTS];
-  uint32_t broken_attempt_count; ///< Total ever recorded.
-  uint32_t unconfirmed_count;    ///< Total ever recorded.
-  uint64_t unconfirmed_ms;       ///< When the last one was recorded.
-  kb_map_t targets;              ///< By key, all incarnations.
-  kb_map_t newest_targets; ///< By hash of the id, newest incarnation of each.
-  kb_map_t links;          ///< Targets by hash of the sidecar's name.
+  bool has_broken_attempts; ///< There was a suspect of the first kind.
+  uint64_t unconfirmed_ms;  ///< When the last one of the second kind was
+                            ///< recorded; zero: never.
+  kb_map_t targets;         ///< By key, all incarnations.
+  kb_map_t newest_targets;  ///< By hash of the id, newest incarnation of each.
+  kb_map_t links;           ///< Targets by hash of the sidecar's name.
   bool has_target_list;
   gtw_client_t *clients;
   uint32_t client_count;
