test(relay): trials of a suspected request in quick succession

What users saw: a request under which three plain targets had ended was sent to four and more others.

Two ends alone are needed for a hold. Gateway 1 sent its second trial while its first was open.

Hypotheses: (a) a gateway sends again before the outcome of its own trial; (b) a gateway has not heard of another's; (c) an end is not recorded. (c) is ruled out: each end has its line request_suspected.

--- a/test/relay/endings_failure_test.cc
+++ b/test/relay/endings_failure_test.cc
@@ -61,6 +61,31 @@
       return std::string (info.param.name);
     });
 
+// Guards against trials of a suspected request that follow each other before
+// it is known whether the last one ended its target.
+TEST (Endings, TrialsWaitForTheOutcomeOfTheLastOne)
+{
+  Site site (0, 6, 1);
+  set_crash_answer (site, CrashAnswer::NOT_HTTP);
+  ASSERT_TRUE (site.wait_ready ());
+  site.crash_on_path ("/fatal");
+  int attempt = send_until_ends (site, fatal_plain, 3);
+  ASSERT_GE (site.crash_count (), 3);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kPropagationMs));
+  int before = site.crash_count ();
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 10; i++)
+    {
+      callers.emplace_back (
+          [&, i] { send_call (site.gateways[0], fatal_plain (attempt + i)); });
+      std::this_thread::sleep_for (std::chrono::milliseconds (60));
+      site.restart_ended_targets ();
+    }
+  for (std::thread &caller : callers)
+    caller.join ();
+  EXPECT_LE (site.crash_count () - before, kMaxEndsAfterThird);
+}
+
 /// Callers whose requests all end with errors.
 class FailingCallers
 {
