fix(gateway): settle a trial of a suspected request before the next one

What callers saw: a request under which three plain targets had ended reached four to six more.

Cause: a suspected request starts alone at its target, but nothing kept the same gateway from starting it at the next one, before the list, a report or a refused connection showed that the first had ended; this takes 0.6 to 1.2 s.

A request that has to start alone at a plain target waits while an earlier trial of its caller is unsettled, 2 s at the most, also after one that ended its target, since the trials of other gateways are known by then. Attempts that were no trials don't count, so that the requests of a lost zone start anew at once.

Ruled out: ends that are not recorded.

--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -17,6 +17,9 @@
   END_EVIDENCE_TIMEOUT_MS = 5000,
   /// All connections of a process break within this time when it ends.
   SAME_END_WINDOW_MS = 100,
+  /// The list names the next incarnation, or the target is asked whether it
+  /// lives, and other gateways learn of it, within this time.
+  UNSETTLED_MS = 2000,
 };
 
 bool
@@ -38,6 +41,31 @@
   return false;
 }
 
+/// @return  Whether a target has ended with an attempt, or may have.
+static bool
+is_unsettled (const gtw_broken_attempt_t *attempt)
+{
+  return attempt->target != 0 || attempt->has_ended;
+}
+
+bool
+gtw_quarantine_has_unsettled_trial (gtw_request_t *r)
+{
+  const gtw_gateway_t *gateway = r->gateway;
+  uint64_t request = gtw_request_fingerprint (r, GTW_SCOPE_ANY_ADAPTER);
+  uint64_t caller = gtw_quarantine_caller (r);
+  for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
+    {
+      const gtw_broken_attempt_t *attempt = &gateway->broken_attempts[i];
+      if (attempt->is_isolated && attempt->is_starting
+          && is_unsettled (attempt) && attempt->caller == caller
+          && attempt->fingerprints[GTW_SCOPE_ANY_ADAPTER] == request
+          && gtw_now_ms (gateway) - attempt->at_ms <= UNSETTLED_MS)
+        return true;
+    }
+  return false;
+}
+
 /// @return  Equal at all gateways.
 static uint64_t
 incarnation_hash (const char *id, uint64_t born_ms)
@@ -180,8 +208,13 @@
       count++;
     }
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
-    if (gateway->broken_attempts[i].target == target->key)
-      gateway->broken_attempts[i].target = 0;
+    {
+      gtw_broken_attempt_t *attempt = &gateway->broken_attempts[i];
+      if (attempt->target != target->key)
+        continue;
+      attempt->target = 0;
+      attempt->has_ended = true;
+    }
   return count;
 }
 
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -315,6 +315,7 @@
   bool is_unconfirmed;  ///< It is a suspect unless the target has lived on.
   bool is_starting;     ///< It may have ended the target.
   bool is_served;       ///< It was served if the target has lived on.
+  bool has_ended;       ///< The target has ended; `target` is zero.
   prt_list_t parts;     ///< Of its prompt.
   uint64_t parts_caller;
   bool are_parts_starting; ///< They may have ended the target.
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -571,6 +571,13 @@
       gtw_request_refuse_held (r, hold_ms);
       return;
     }
+  // Further trials would end more targets before the first one counts.
+  if (verdict == QRT_ALONE && !r->is_engine
+      && gtw_quarantine_has_unsettled_trial (r))
+    {
+      request_wait_for_target (r, "suspected");
+      return;
+    }
   prt_judgement_t parts = gtw_parts_judge (r);
   if (parts.verdict == PRT_HELD)
     {
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -66,6 +66,10 @@
 /// @return  Whether an earlier attempt broke off while it was starting at a
 ///          target, as far as this gateway knows.
 bool gtw_quarantine_has_earlier_break (gtw_request_t *r);
+/// @return  Whether a target has ended a moment ago, or may have, with an
+///          earlier attempt of a request that started alone there, for the
+///          same caller.
+bool gtw_quarantine_has_unsettled_trial (gtw_request_t *r);
 /// @return  Whether a request that has to start alone is starting at its
 ///          target.
 bool gtw_quarantine_is_suspect_starting (const gtw_request_t *r);
