--- a/src/coordination/replace.c
+++ b/src/coordination/replace.c
@@ -38,7 +38,8 @@
   counts->callers[caller_bucket (entry)]++;
 }
 
-/// Whom an entry belongs to. Of equals, the new entry's own come first.
+/// Order of replacement: the entry with the largest counts, then the oldest.
+/// Of equal counts, the new entry's own group and caller come first.
 typedef struct
 {
   uint32_t group;
--- a/src/coordination/replace.h
+++ b/src/coordination/replace.h
@@ -1,6 +1,6 @@
 /// @file replace.h
 /// Choice of the entry of a full table that makes place for a new one, so that
-/// whoever adds many entries loses his own. No I/O.
+/// whoever adds many entries loses their own. No I/O.
 #ifndef KB_COORDINATION_REPLACE_H
 #define KB_COORDINATION_REPLACE_H
 
