--- a/test/relay/relay_failure_test.cc
+++ b/test/relay/relay_failure_test.cc
@@ -776,5 +776,40 @@
           .empty ());
 }
 
+// Guards against places of a gateway that has ended, for which the streams of
+// others wait past their deadlines.
+TEST (Relay, PlacesOfAnEndedGatewayAreFreeAtOnce)
+{
+  constexpr int kPlaces = 16;
+  Site site (1, 0, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &engine = *site.engines[0].target;
+  engine.events = 200;
+  engine.event_ms = 50;
+  std::vector<std::unique_ptr<Connection>> streams;
+  for (int i = 0; i < kPlaces; i++)
+    {
+      streams.push_back (dial (site.gateways[0].address));
+      streams.back ()->write (
+          stream_call ("a" + std::to_string (i), "").text ());
+    }
+  for (const auto &stream : streams)
+    EXPECT_FALSE (stream->read_some (4000).empty ());
+  engine.events = 10;
+  engine.event_ms = 2;
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  std::atomic<int> served{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kPlaces / 2; i++)
+    callers.emplace_back ([&, i] {
+      Call call = stream_call ("b" + std::to_string (i), "");
+      call.deadline_ms = 2500;
+      served += send_call (site.gateways[1], call).status == 200;
+    });
+  for (std::thread &caller : callers)
+    caller.join ();
+  EXPECT_EQ (served, kPlaces / 2);
+}
+
 } // namespace
 } // namespace relay
