fix(sidecar): take the places of a gateway back once its connection is gone

What callers saw: after the end of a gateway, streams through the others were refused or late for up to 5 s at engines whose places it had.

Cause: places come back when a gateway has been silent for 5 s, since a silent one may live behind a slow link. A connection that has closed was treated as silence.

A gateway without a connection for 0.7 s is lost. A live one connects again after 50 ms, then 100 ms and so on.

Ruled out: an engine that goes on with the streams of the killed gateway; with nothing but the places changed all are served.

--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -10,6 +10,9 @@
 enum
 {
   GATEWAY_TIMEOUT_MS = 5000,
+  /// A gateway whose connection has closed connects again well within this
+  /// time, unless its process has ended.
+  GATEWAY_CLOSED_MS = 700,
   DEFAULT_SLOTS = 16,
   DEFAULT_ADAPTER_SLOTS = 8,
   /// An engine fetches at most four adapters at a time. One slot is reserved
@@ -24,6 +27,16 @@
   ORDER_TIMEOUT_MAX_MS = 400,
 };
 
+static bool
+is_gateway_lost (const scr_sidecar_t *s, scr_gateway_t *gateway,
+                 uint64_t now_ms)
+{
+  if (plk_link_is_connected (&s->host.link, kb_slice_str (gateway->name)))
+    gateway->connected_ms = now_ms;
+  return now_ms - gateway->connected_ms >= GATEWAY_CLOSED_MS
+         || now_ms - gateway->last_contact_ms >= GATEWAY_TIMEOUT_MS;
+}
+
 /// Remove gateways that stopped responding, and send the heartbeat.
 static void
 check_gateways (void *arg)
@@ -33,7 +46,7 @@
   for (uint32_t i = 0; i < s->gateway_count;)
     {
       scr_gateway_t *gateway = &s->gateways[i];
-      if (now_ms - gateway->last_contact_ms < GATEWAY_TIMEOUT_MS)
+      if (!is_gateway_lost (s, gateway, now_ms))
         {
           i++;
           continue;
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -30,6 +30,7 @@
   uint64_t versions_known; ///< Change count of its adapter versions.
   uint64_t list_stamp;     ///< Of the last adapter list sent to it.
   uint64_t last_contact_ms;
+  uint64_t connected_ms; ///< When its connection was last seen established.
 } scr_gateway_t;
 
 struct scr_sidecar
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -129,7 +129,8 @@
       return NULL;
     }
   scr_gateway_t *gateway = &s->gateways[s->gateway_count++];
-  *gateway = (scr_gateway_t){ .id = scr_name_id (name) };
+  *gateway = (scr_gateway_t){ .id = scr_name_id (name),
+                              .connected_ms = scr_now_ms (s) };
   kb_slice_copy (name, gateway->name, sizeof gateway->name);
   return gateway;
 }
--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -192,6 +192,12 @@
     dialer_free (dialer);
 }
 
+bool
+plk_link_is_connected (const plk_link_t *link, kb_slice_t peer)
+{
+  return kb_map_get (&link->peers, plk_name_key (peer)) != NULL;
+}
+
 kb_status_t
 plk_link_send (plk_link_t *link, kb_slice_t peer, const msg_t *msg)
 {
--- a/src/transport/peerlink.h
+++ b/src/transport/peerlink.h
@@ -69,6 +69,8 @@
 /// @return  KB_EINVAL: the address is not valid.
 kb_status_t plk_link_connect (plk_link_t *link, const char *address);
 void plk_link_disconnect (plk_link_t *link, const char *address);
+/// @return  Whether there is an established connection to a peer.
+bool plk_link_is_connected (const plk_link_t *link, kb_slice_t peer);
 /// Queues a message.
 /// @return  KB_EUNAVAIL: the message was not queued and will not be sent.
 ///          KB_OK does not guarantee delivery.
