--- a/test/relay/overload_failure_test.cc
+++ b/test/relay/overload_failure_test.cc
@@ -20,12 +20,10 @@
   return call.text ();
 }
 
-// Guards against an entry that reads more than its processor can serve, so
-// that almost nothing is served in time.
-TEST (Overload, EntryShortOfProcessorServesWhatItReads)
+/// A balancer prefers an entry whose processor is slow.
+void
+expect_slow_entry_serves (Site &site)
 {
-  Site site (8, 4, 4);
-  ASSERT_TRUE (site.wait_ready ());
   Throttle throttle (site.gateways[0].daemon.pid, 1);
   Balancer balancer (balanced_entries (site), mixed_call, 400);
   Skew skew{ .first_second = 3,
@@ -36,6 +34,25 @@
   expect_served_while_skewed (balancer, skew);
 }
 
+// Guards against an entry that reads more than its processor can serve, so
+// that almost nothing is served in time.
+TEST (Overload, EntryShortOfProcessorServesWhatItReads)
+{
+  Site site (8, 4, 4);
+  ASSERT_TRUE (site.wait_ready ());
+  expect_slow_entry_serves (site);
+}
+
+// Guards against the same while its requests to the store fail.
+TEST (Overload, EntryShortOfProcessorServesWhileTheStoreIsAway)
+{
+  Site site (8, 4, 4);
+  ASSERT_TRUE (site.wait_ready ());
+  site.store.set_mode (Store::RESET);
+  site.mirror_store.set_mode (Store::RESET);
+  expect_slow_entry_serves (site);
+}
+
 // Guards against an entry that accepts callers until it has no descriptor left
 // for the targets of their requests.
 TEST (Overload, EntryShortOfDescriptorsServesWhatItAccepts)
