feat(gateway): log when callers left and how far their requests were

The logs could not tell a request that was sent after its caller had left from one whose caller left later: only requests that had been sent had a line (attempt_broken), and none said when the close came. A line caller_left now names the step, the age of the close by the kernel (POLLRDHUP, TCP_INFO) and the time since the last send, and a counter counts by step. No decision changes.

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -136,23 +136,14 @@
   gtw_client_finish_answer (client, true);
 }
 
-static void
-request_handle_caller_left (gtw_request_t *r)
-{
-  if (r->stage != GTW_STAGE_SENT && r->stage != GTW_STAGE_RELAYING)
-    return;
-  gtw_quarantine_record_end (r, END_CALLER_LEFT);
-  gtw_log_attempt (r, "attempt_broken", end_row (END_CALLER_LEFT)->name);
-}
-
 static void
 client_on_end (h1_conn_t *conn, h1_end_t end)
 {
   gtw_client_t *client = (gtw_client_t *)conn;
   if (client->request != NULL)
     {
-      request_handle_caller_left (client->request);
-      gtw_request_end (client->request);
+      gtw_caller_handle_left (client->request, "read",
+                              h1_conn_query_peer (conn));
       client->request = NULL;
     }
   bool is_answerable = !conn->is_lingering && !conn->is_message_complete;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -654,6 +654,12 @@
 void gtw_metrics_observe_grant (const gtw_request_t *r);
 void gtw_metrics_set_gauges (const gtw_gateway_t *gateway, bool is_ready);
 
+// gateway_caller.c
+/// End the request of a caller who has left, without an answer.
+/// @param found  How that was found out, for the log.
+void gtw_caller_handle_left (gtw_request_t *r, const char *found,
+                             prs_presence_t presence);
+
 // gateway_incarnations.c
 /// Replace a target by another incarnation with its id. State of the previous
 /// one is dropped, and attempts under way there are aborted.
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -293,6 +293,15 @@
   conn->reader.on_turn = conn_on_turn;
 }
 
+prs_presence_t
+h1_conn_query_peer (const h1_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
+    fd = -1;
+  return prs_query (fd);
+}
+
 void
 h1_conn_pause (h1_conn_t *conn)
 {
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -13,6 +13,7 @@
 #include "state/buf.h"
 #include "state/status.h"
 #include "transport/bulk.h"
+#include "transport/presence.h"
 
 enum
 {
@@ -130,6 +131,9 @@
 bool h1_conn_write_chunk (h1_conn_t *conn, kb_slice_t bytes);
 /// Continue with the next message, parsing what is already buffered.
 void h1_conn_next_message (h1_conn_t *conn);
+/// @return  Whether the peer is still there now, also when its close has not
+///          been read.
+prs_presence_t h1_conn_query_peer (const h1_conn_t *conn);
 /// Stop reading from the socket.
 void h1_conn_pause (h1_conn_t *conn);
 /// Resume reading from the socket.
