--- /dev/null
+++ b/test/relay/leavers.cc
@@ -0,0 +1,133 @@
+#include "leavers.h"
+
+#include <gtest/gtest.h>
+
+namespace relay
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+Leavers::Leavers (const std::string &address,
+                  std::function<std::string (const std::string &id)> text_of,
+                  int count)
+    : address_ (address), text_of_ (std::move (text_of)),
+      callers_ ((size_t)count)
+{
+  static int series = 0;
+  series++;
+  for (int i = 0; i < count; i++)
+    callers_[(size_t)i].id
+        = "l" + std::to_string (series) + "-" + std::to_string (i);
+}
+
+void
+Leavers::connect ()
+{
+  for (Caller &caller : callers_)
+    {
+      caller.connection = dial (address_);
+      ASSERT_NE (caller.connection, nullptr);
+    }
+}
+
+void
+Leavers::connect_served (
+    const std::function<std::string (const std::string &id)> &text_of)
+{
+  connect ();
+  for (Caller &caller : callers_)
+    ASSERT_TRUE (caller.connection->write (text_of (caller.id + "-first")));
+  for (Caller &caller : callers_)
+    {
+      Message answer = caller.connection->read_response ();
+      ASSERT_EQ (answer.status, 200) << answer.start << answer.body;
+    }
+}
+
+void
+Leavers::send ()
+{
+  for (Caller &caller : callers_)
+    caller.connection->write (text_of_ (caller.id));
+}
+
+void
+Leavers::leave (Departure departure, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      Caller &caller = callers_[i];
+      if (departure == Departure::CLOSE_AFTER_NEXT)
+        caller.connection->write (text_of_ (caller.id + "-next"));
+      caller.has_left = true;
+      caller.left_at = std::chrono::steady_clock::now ();
+      if (departure == Departure::RESET)
+        caller.connection->reset ();
+      else
+        caller.connection->close ();
+    }
+  left_at = std::chrono::steady_clock::now ();
+}
+
+void
+Leavers::expect_the_rest_served ()
+{
+  int stayed = 0;
+  int served = 0;
+  for (Caller &caller : callers_)
+    if (!caller.has_left)
+      {
+        Message answer = caller.connection->read_response ();
+        stayed++;
+        served += answer.status == 200;
+        if (answer.status != 200)
+          printf ("%s: %s %s\n", caller.id.c_str (), answer.start.c_str (),
+                  answer.body.c_str ());
+      }
+  EXPECT_EQ (served, stayed) << "callers who stayed were taken for gone";
+}
+
+int
+Leavers::count_late (const std::multimap<std::string, Moment> &arrivals) const
+{
+  int after = 0;
+  int late = 0;
+  int64_t latest_ms = 0;
+  for (const Caller &caller : callers_)
+    for (const std::string &id : { caller.id, caller.id + "-next" })
+      {
+        auto [at, end] = arrivals.equal_range (id);
+        for (; caller.has_left && at != end; ++at)
+          {
+            int64_t late_ms
+                = duration_cast<milliseconds> (at->second - caller.left_at)
+                      .count ();
+            after += late_ms > 0;
+            late += late_ms > kLeaveBoundMs;
+            latest_ms = std::max (latest_ms, late_ms);
+          }
+      }
+  printf ("%zu callers, %d requests reached a target after their callers had "
+          "left, %d of them over %d ms after, the latest %d ms\n",
+          callers_.size (), after, late, kLeaveBoundMs, (int)latest_ms);
+  return late;
+}
+
+std::multimap<std::string, Moment>
+arrivals_of (const Site &site)
+{
+  std::multimap<std::string, Moment> arrivals;
+  auto add = [&] (Target &target) {
+    for (const Message &request : target.requests ())
+      arrivals.emplace (request.header ("x-knapweedbay-attempt-id"),
+                        request.received_at);
+  };
+  for (const Engine &engine : site.engines)
+    add (*engine.target);
+  for (const auto &target : site.plain)
+    add (*target);
+  return arrivals;
+}
+
+} // namespace relay
