fix(gateway): ask whether a caller is still there before its request is sent

Callers who had left had their requests run: up to 30 of 30 in each case of gone_failure_test, over 0.5 s after their close.

Cause: a request is sent from the bytes of one read of its connection, while the end of the connection is the next read, a turn of the event loop later. An entry that is late or was frozen reads both long after the close, sends the request at once where it needs no turn (an idle connection, a granted place, a resumed stream) and cancels it a moment later. The log said so before the fix: closed_ms 656, sent_ms 0 to 2.

The kernel knows of the close, also where unread bytes hide it. It is now asked (poll with POLLRDHUP, one system call) at the steps that give a target work: before a place is requested, before each send, whether first, retry, after a grant, a wait, a suspect's turn or for a resumed stream, and again once the connection to the target was made. A request whose caller has left ends there without an answer; its place, permit and charge are given back. An attempt that is cancelled before anything was sent no longer counts for quarantine.

Who closes the sending side only counts as gone, as before: the kernel shows both alike, and the end of the read was taken so already.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -501,8 +501,18 @@
   attempt_handle_broken (x->owner, kinds[fail]);
 }
 
-static const xch_events_t answer_events
-    = { answer_on_head, answer_on_body, answer_on_done, answer_on_fail };
+/// The caller may have left while the connection to the target was made.
+static void
+attempt_on_connect (xch_t *x)
+{
+  gtw_caller_check (x->owner);
+}
+
+static const xch_events_t answer_events = { .on_connect = attempt_on_connect,
+                                            .on_head = answer_on_head,
+                                            .on_body = answer_on_body,
+                                            .on_done = answer_on_done,
+                                            .on_fail = answer_on_fail };
 
 static void
 describe_forward (const gtw_request_t *r, rly_forward_t *out)
@@ -528,6 +538,8 @@
 gtw_attempt_send (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
+  if (!gtw_caller_check (r))
+    return;
   // Targets may have ended during another attempt while it waited for a place.
   uint64_t hold_ms = 0;
   if (gtw_quarantine_check (r, &hold_ms) == QRT_HELD)
--- a/src/gateway/gateway_caller.c
+++ b/src/gateway/gateway_caller.c
@@ -4,13 +4,14 @@
 #include "transport/log.h"
 #include "transport/metrics.h"
 
-/// How far a request had come, by its stage: name for the log, label for the
-/// metrics.
-static const struct
+/// How far a request had come: name for the log, label for the metrics.
+typedef struct
 {
   const char *name;
   const char *label;
-} steps[] = {
+} caller_step_t;
+
+static const caller_step_t stage_steps[] = {
   [GTW_STAGE_READING_BODY] = { "body", "step=\"body\"" },
   [GTW_STAGE_WAITING_FOR_ORIGIN] = { "origin", "step=\"origin\"" },
   [GTW_STAGE_WAITING_FOR_TARGET] = { "target", "step=\"target\"" },
@@ -21,6 +22,25 @@
   [GTW_STAGE_RELAYING] = { "relaying", "step=\"relaying\"" },
 };
 
+static const caller_step_t retry_step = { "retry", "step=\"retry\"" };
+
+/// @return  Whether a target may be at work on a request.
+static bool
+is_at_target (const gtw_request_t *r)
+{
+  return (r->stage == GTW_STAGE_SENT || r->stage == GTW_STAGE_RELAYING)
+         && xch_is_sent (&r->exchange);
+}
+
+static const caller_step_t *
+step_of (const gtw_request_t *r)
+{
+  bool is_between_attempts
+      = (r->stage == GTW_STAGE_SENT || r->stage == GTW_STAGE_RELAYING)
+        && !xch_is_active (&r->exchange);
+  return is_between_attempts ? &retry_step : &stage_steps[r->stage];
+}
+
 static void
 log_caller_left (const gtw_request_t *r, const char *found, int64_t closed_ms)
 {
@@ -29,7 +49,7 @@
     return;
   uint64_t now_ms = gtw_now_ms (r->gateway);
   log_text (&line, "id", r->attempt_id);
-  log_text (&line, "step", steps[r->stage].name);
+  log_text (&line, "step", step_of (r)->name);
   log_text (&line, "found", found);
   log_int (&line, "closed_ms", closed_ms);
   log_int (&line, "sent_ms",
@@ -45,14 +65,26 @@
 gtw_caller_handle_left (gtw_request_t *r, const char *found,
                         prs_presence_t presence)
 {
-  met_add (
-      met_counter ("knapweedbay_callers_left_total", steps[r->stage].label),
-      1);
+  met_add (met_counter ("knapweedbay_callers_left_total", step_of (r)->label),
+           1);
   log_caller_left (r, found, presence.closed_ms);
-  if (r->stage == GTW_STAGE_SENT || r->stage == GTW_STAGE_RELAYING)
+  if (is_at_target (r))
     {
       gtw_quarantine_record_end (r, END_CALLER_LEFT);
       gtw_log_attempt (r, "attempt_broken", end_row (END_CALLER_LEFT)->name);
     }
   gtw_request_end (r);
 }
+
+bool
+gtw_caller_check (gtw_request_t *r)
+{
+  gtw_client_t *client = r->client;
+  prs_presence_t presence = h1_conn_query_peer (&client->conn);
+  if (!presence.has_left)
+    return true;
+  gtw_caller_handle_left (r, "asked", presence);
+  client->request = NULL;
+  h1_conn_close (&client->conn, false);
+  return false;
+}
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -659,6 +659,10 @@
 /// @param found  How that was found out, for the log.
 void gtw_caller_handle_left (gtw_request_t *r, const char *found,
                              prs_presence_t presence);
+/// Check that a caller is still there, right before a step that gives a target
+/// work for it.
+/// @return  False: it has left, and its request was ended.
+bool gtw_caller_check (gtw_request_t *r);
 
 // gateway_incarnations.c
 /// Replace a target by another incarnation with its id. State of the previous
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -45,6 +45,8 @@
 gtw_place_request (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
+  if (!gtw_caller_check (r))
+    return;
   uint64_t now_ms = gtw_now_ms (gateway);
   r->stage = GTW_STAGE_WAITING_FOR_PLACE;
   r->place_id = ++gateway->next_place_id;
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -204,6 +204,11 @@
       pooled_fail (pooled, XCH_NOT_SENT);
       return;
     }
+  xch_t *x = pooled->x;
+  if (x != NULL && x->events->on_connect != NULL)
+    x->events->on_connect (x);
+  if (conn->is_closing)
+    return;
   pooled_send (pooled, kb_buf_slice (&pooled->queued_request));
   kb_buf_finish (&pooled->queued_request);
   kb_buf_init (&pooled->queued_request);
@@ -371,6 +376,12 @@
     h1_conn_resume (&x->pooled->conn);
 }
 
+bool
+xch_is_sent (const xch_t *x)
+{
+  return x->pooled != NULL && x->pooled->is_sent;
+}
+
 const h1_conn_t *
 xch_conn (const xch_t *x)
 {
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -58,6 +58,9 @@
   void (*on_done) (xch_t *x);
   /// No complete response. Last callback.
   void (*on_fail) (xch_t *x, xch_failure_t fail);
+  /// The connection that the request waited for was made, and the request is
+  /// sent next unless the callback calls xch_cancel. NULL: not called.
+  void (*on_connect) (xch_t *x);
 } xch_events_t;
 
 /// An exchange, allocated by the caller.
@@ -112,6 +115,8 @@
 {
   return x->pooled != NULL;
 }
+/// @return  Whether the peer may have received any byte of the request.
+bool xch_is_sent (const xch_t *x);
 /// @return  The connection in use. Valid only within on_head and on_body.
 const h1_conn_t *xch_conn (const xch_t *x);
 /// @return  Whether the response ends with its connection, so that its last
