fix(transport): read the close of a caller whose request is in progress at once

Work at targets went on for callers who had sent large requests and left: a connection that brings 64 KB in 0.1 s waits for its turn to be read, and its close waits with it.

A caller whose request is in progress no longer waits: it can bring 64 KB of pipelined requests at most before its connection is ended, so the wait guarded against nothing.

The stand-in records when the connection of a run is closed; its work lasts as long as before.

--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -257,6 +257,16 @@
     conn_parse (conn, buf->base, (size_t)nread);
 }
 
+/// @return  Whether reading waits for its turn. A peer whose request is in
+///          progress does not wait: it can bring H1_MAX_PIPELINED_BYTES at
+///          most, and its close has to be seen at once.
+static bool
+conn_must_wait (const h1_conn_t *conn, uint64_t now_ms)
+{
+  bool is_request_open = !conn->is_client && conn->is_message_complete;
+  return !is_request_open && blk_reader_must_wait (&conn->reader, now_ms);
+}
+
 static void
 conn_read (uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
 {
@@ -267,7 +277,7 @@
   conn_handle_read (conn, nread, buf);
   // The callbacks may have paused or closed it, or let it wait already.
   if (!conn->is_reading || conn->reader.queue != NULL
-      || !blk_reader_must_wait (&conn->reader, now_ms))
+      || !conn_must_wait (conn, now_ms))
     return;
   uv_read_stop (stream);
   blk_reader_wait (&conn->reader, conn->bulk);
@@ -320,7 +330,7 @@
   if (conn->is_reading || conn->is_closing || conn->is_ended)
     return;
   conn->is_reading = true;
-  if (blk_reader_must_wait (&conn->reader, uv_now (conn->tcp.loop)))
+  if (conn_must_wait (conn, uv_now (conn->tcp.loop)))
     blk_reader_wait (&conn->reader, conn->bulk);
   else
     conn_start_reading (conn);
--- a/test/relay/gone_failure_test.cc
+++ b/test/relay/gone_failure_test.cc
@@ -376,6 +376,59 @@
   expect_work_stops (1);
 }
 
+/// A request whose body is as large as what a connection may bring without
+/// waiting for its turn.
+std::string
+large_text (const std::string &id)
+{
+  Call call = plain_call (id, "/plain/" + id);
+  call.method = "POST";
+  call.body = std::string (65536, 'x');
+  return call.text ();
+}
+
+// Guards against a close that is read late because the connection has brought
+// much and waits for its turn to be read.
+TEST (Gone, WorkStopsForCallersOfLargeRequestsBesideBusyTargets)
+{
+  constexpr int kFloods = 3;
+  constexpr int kLargeCallers = 100;
+  Site site (2, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  for (const Engine &engine : site.engines)
+    engine.target->endless_ms = 8000;
+  for (const auto &target : site.plain)
+    target->answer_ms = 3000;
+  Leavers leavers (site.gateways[0].address, large_text, kLargeCallers);
+  ASSERT_NO_FATAL_FAILURE (leavers.connect ());
+  std::vector<std::thread> floods;
+  for (int i = 0; i < kFloods; i++)
+    floods.emplace_back ([&site, i] {
+      Call call = stream_call ("flood" + std::to_string (i), "");
+      call.path = "/resume/endless-" + std::to_string ((int)Endless::COMMENTS);
+      auto connection = dial (site.gateways[0].address);
+      if (connection == nullptr || !connection->write (call.text ()))
+        return;
+      auto end = std::chrono::steady_clock::now ()
+                 + std::chrono::milliseconds (4000);
+      while (std::chrono::steady_clock::now () < end)
+        connection->read_some (10);
+    });
+  sleep_ms (500);
+  leavers.send ();
+  auto runs = [&] { return site.plain[0]->runs () + site.plain[1]->runs (); };
+  EXPECT_TRUE (Site::wait_for ([&] { return runs () == kLargeCallers; }, 2000))
+      << runs ();
+  {
+    Throttle throttle (site.gateways[0].daemon.pid, 10);
+    leavers.leave (Departure::CLOSE, kLargeCallers);
+    sleep_ms (kSettleMs);
+  }
+  EXPECT_EQ (leavers.count_worked_for (site), 0);
+  for (std::thread &flood : floods)
+    flood.join ();
+}
+
 // Guards against callers who are present and taken for gone.
 TEST (Gone, CallersOfOldProtocolsAreServed)
 {
--- a/test/relay/leavers.cc
+++ b/test/relay/leavers.cc
@@ -67,7 +67,6 @@
       else
         caller.connection->close ();
     }
-  left_at = std::chrono::steady_clock::now ();
 }
 
 void
@@ -114,6 +113,33 @@
   return late;
 }
 
+int
+Leavers::count_worked_for (const Site &site) const
+{
+  std::map<std::string, Moment> closed;
+  for (const auto &target : site.plain)
+    closed.merge (target->closed_runs ());
+  int late = 0;
+  int64_t latest_ms = 0;
+  for (const Caller &caller : callers_)
+    {
+      if (!caller.has_left || closed.count (caller.id) == 0)
+        {
+          late += caller.has_left;
+          continue;
+        }
+      int64_t late_ms
+          = duration_cast<milliseconds> (closed[caller.id] - caller.left_at)
+                .count ();
+      late += late_ms > kLeaveBoundMs;
+      latest_ms = std::max (latest_ms, late_ms);
+    }
+  printf ("%zu callers, work for %d of them over %d ms after they left, the "
+          "latest known end after %d ms\n",
+          callers_.size (), late, kLeaveBoundMs, (int)latest_ms);
+  return late;
+}
+
 std::multimap<std::string, Moment>
 arrivals_of (const Site &site)
 {
--- a/test/relay/leavers.h
+++ b/test/relay/leavers.h
@@ -45,7 +45,9 @@
   /// left; the latest such time is printed.
   /// @param arrivals  Moments at which each request reached a target.
   int count_late (const std::multimap<std::string, Moment> &arrivals) const;
-  Moment left_at;
+  /// Of the callers who left, those for whom a plain target was at work over
+  /// kLeaveBoundMs later; the latest end of work is printed.
+  int count_worked_for (const Site &site) const;
 
 private:
   struct Caller
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -569,18 +569,34 @@
   return has_chunks && connection.write ("0\r\n\r\n");
 }
 
-/// Work on a request of a plain target.
+/// Work on a request of a plain target, to its end also if the peer closes.
 /// @return  False: the process has exited since, which aborts it.
 bool
-Target::work (int duration_ms)
+Target::work (Connection &connection, const Message &request)
 {
   int exits_before = exit_count ();
-  auto end = Clock::now () + std::chrono::milliseconds (duration_ms);
+  auto end = Clock::now () + std::chrono::milliseconds (answer_ms);
+  bool is_closed = false;
   while (Clock::now () < end && exit_count () == exits_before)
-    sleep_ms (1);
+    {
+      sleep_ms (1);
+      if (is_closed || !connection.peer_has_closed (0))
+        continue;
+      is_closed = true;
+      std::lock_guard<std::mutex> lock (mutex_);
+      closed_runs_[request.header ("x-knapweedbay-attempt-id")]
+          = Clock::now ();
+    }
   return exit_count () == exits_before;
 }
 
+std::map<std::string, Clock::time_point>
+Target::closed_runs ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return closed_runs_;
+}
+
 bool
 Target::run (Connection &connection, const Message &request, Fault fault)
 {
@@ -652,7 +668,7 @@
       count_adapter_stream (request, -1);
       return is_kept;
     }
-  if (!work (answer_ms))
+  if (!work (connection, request))
     return false;
   if (is_unframed)
     {
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -188,6 +188,9 @@
   std::atomic<int> pending_orders{ 0 };
   /// Streams that stopped because the peer closed the connection.
   std::atomic<int> abandoned_streams{ 0 };
+  /// Moments at which the peer closed the connections of requests that a plain
+  /// target was working on, by attempt id.
+  std::map<std::string, std::chrono::steady_clock::time_point> closed_runs ();
   /// Streams continue to their end after the peer closed the connection.
   std::atomic<bool> ignores_close{ false };
 
@@ -205,7 +208,7 @@
   bool serve_order (Connection &connection, const Message &request);
   int execute_order (const std::string &body);
   std::string report ();
-  bool work (int duration_ms);
+  bool work (Connection &connection, const Message &request);
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
   static std::string event (int number, const std::string &version);
@@ -243,6 +246,7 @@
   std::string pause_path_;
   double pause_path_s_ = 0;
   std::map<std::string, int> runs_;
+  std::map<std::string, std::chrono::steady_clock::time_point> closed_runs_;
   std::vector<Message> requests_;
   std::vector<Message> refused_with_pause_;
   void record_refusal (const Message &request);
