--- a/test/relay/gone_failure_test.cc
+++ b/test/relay/gone_failure_test.cc
@@ -2,8 +2,6 @@
 // answered their requests.
 #include <gtest/gtest.h>
 
-#include <signal.h>
-
 #include "leavers.h"
 #include "overload.h"
 
@@ -48,25 +46,6 @@
   return call.text ();
 }
 
-/// A process that does not run until the end of the scope or go_on().
-class Frozen
-{
-public:
-  explicit Frozen (const Daemon &daemon) : pid_ (daemon.pid)
-  {
-    kill (pid_, SIGSTOP);
-  }
-  ~Frozen () { go_on (); }
-  void
-  go_on ()
-  {
-    kill (pid_, SIGCONT);
-  }
-
-private:
-  pid_t pid_;
-};
-
 enum class Callers
 {
   KEPT, ///< On connections that have served a request.
@@ -88,7 +67,7 @@
     {
       ASSERT_NO_FATAL_FAILURE (leavers.connect_served (plain_text));
     }
-  Frozen entry (site.gateways[0].daemon);
+  Frozen entry (site.gateways[0].daemon.pid);
   if (callers == Callers::NEW)
     {
       ASSERT_NO_FATAL_FAILURE (leavers.connect ());
@@ -188,7 +167,7 @@
   int before = runs ();
   leavers.send ();
   ASSERT_TRUE (Site::wait_for ([&] { return runs () == before + 20; }));
-  Frozen entry (site.gateways[0].daemon);
+  Frozen entry (site.gateways[0].daemon.pid);
   site.plain[0]->simulate_exit ();
   sleep_ms (50);
   leavers.leave (Departure::CLOSE, 20);
@@ -216,7 +195,7 @@
   ASSERT_NO_FATAL_FAILURE (leavers.connect ());
   leavers.send ();
   sleep_ms (60);
-  Frozen entry (site.gateways[0].daemon);
+  Frozen entry (site.gateways[0].daemon.pid);
   sleep_ms (200);
   leavers.leave (Departure::CLOSE, 20);
   sleep_ms (kFrozenMs);
@@ -246,7 +225,7 @@
   ASSERT_NO_FATAL_FAILURE (leavers.connect ());
   leavers.send ();
   sleep_ms (60);
-  Frozen entry (site.gateways[0].daemon);
+  Frozen entry (site.gateways[0].daemon.pid);
   sleep_ms (200);
   leavers.leave (Departure::CLOSE, 2);
   sleep_ms (kFrozenMs);
@@ -271,7 +250,7 @@
   ASSERT_NO_FATAL_FAILURE (leavers.connect ());
   leavers.send ();
   sleep_ms (500);
-  Frozen entry (site.gateways[0].daemon);
+  Frozen entry (site.gateways[0].daemon.pid);
   site.engines[0].target->simulate_exit ();
   sleep_ms (100);
   leavers.leave (Departure::CLOSE, 10);
@@ -424,7 +403,7 @@
     leavers.leave (Departure::CLOSE, kLargeCallers);
     sleep_ms (kSettleMs);
   }
-  EXPECT_EQ (leavers.count_worked_for (site), 0);
+  EXPECT_EQ (leavers.count_worked_for (ended_work_of (site)), 0);
   for (std::thread &flood : floods)
     flood.join ();
 }
--- a/test/relay/leavers.cc
+++ b/test/relay/leavers.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <signal.h>
+
 namespace relay
 {
 
@@ -114,22 +116,22 @@
 }
 
 int
-Leavers::count_worked_for (const Site &site) const
+Leavers::count_worked_for (const std::map<std::string, Moment> &ends) const
 {
-  std::map<std::string, Moment> closed;
-  for (const auto &target : site.plain)
-    closed.merge (target->closed_runs ());
   int late = 0;
   int64_t latest_ms = 0;
   for (const Caller &caller : callers_)
     {
-      if (!caller.has_left || closed.count (caller.id) == 0)
+      auto end = ends.find (caller.id);
+      if (!caller.has_left)
+        continue;
+      if (end == ends.end ())
         {
-          late += caller.has_left;
+          late++;
           continue;
         }
       int64_t late_ms
-          = duration_cast<milliseconds> (closed[caller.id] - caller.left_at)
+          = duration_cast<milliseconds> (end->second - caller.left_at)
                 .count ();
       late += late_ms > kLeaveBoundMs;
       latest_ms = std::max (latest_ms, late_ms);
@@ -156,4 +158,21 @@
   return arrivals;
 }
 
+std::map<std::string, Moment>
+ended_work_of (const Site &site)
+{
+  std::map<std::string, Moment> ends;
+  for (const auto &target : site.plain)
+    ends.merge (target->closed_runs ());
+  return ends;
+}
+
+Frozen::Frozen (pid_t pid) : pid_ (pid) { kill (pid_, SIGSTOP); }
+
+void
+Frozen::go_on ()
+{
+  kill (pid_, SIGCONT);
+}
+
 } // namespace relay
--- a/test/relay/leavers.h
+++ b/test/relay/leavers.h
@@ -45,9 +45,10 @@
   /// left; the latest such time is printed.
   /// @param arrivals  Moments at which each request reached a target.
   int count_late (const std::multimap<std::string, Moment> &arrivals) const;
-  /// Of the callers who left, those for whom a plain target was at work over
+  /// Of the callers who left, those for whom a target was at work over
   /// kLeaveBoundMs later; the latest end of work is printed.
-  int count_worked_for (const Site &site) const;
+  /// @param ends  Moments at which the work for a request ended.
+  int count_worked_for (const std::map<std::string, Moment> &ends) const;
 
 private:
   struct Caller
@@ -64,6 +65,20 @@
 
 /// Moments at which requests reached the targets of a site, by attempt id.
 std::multimap<std::string, Moment> arrivals_of (const Site &site);
+/// Moments at which work of the plain targets ended early, by attempt id.
+std::map<std::string, Moment> ended_work_of (const Site &site);
+
+/// A process that does not run until the end of the scope or go_on().
+class Frozen
+{
+public:
+  explicit Frozen (pid_t pid);
+  ~Frozen () { go_on (); }
+  void go_on ();
+
+private:
+  pid_t pid_;
+};
 
 } // namespace relay
 
--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -292,6 +292,24 @@
   e.process = spawn (e.name, { bin_dir () + "/knapweedbayd", path });
 }
 
+void
+Cluster::use_stand_in (Target &target, const std::string &address)
+{
+  kill_process (target.agent, SIGKILL);
+  target.fake.http_port
+      = atoi (address.substr (address.find (':') + 1).c_str ());
+  start_agent (target);
+}
+
+Target *
+Cluster::find_target (bool is_plain)
+{
+  for (Target &target : targets)
+    if (target.is_plain == is_plain)
+      return &target;
+  return nullptr;
+}
+
 void
 Cluster::publish (const std::vector<std::string> &leaving,
                   const std::vector<std::string> &missing)
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -109,6 +109,11 @@
   void start_entry (EntryNode &entry, int http_port = 0, int inner_port = 0);
   void start_agent (Target &target, int inner_port = 0);
   void start_fake (Target &target, int port = 0);
+  /// Let the agent of a target serve a stand-in in place of the fake target.
+  /// @param address  Of the stand-in, as "ip:port".
+  void use_stand_in (Target &target, const std::string &address);
+  /// @return  The first target of a kind; NULL: there is none.
+  Target *find_target (bool is_plain);
   /// Publish the platform list of VMs.
   /// @param leaving  Names to list in the state "leaving".
   /// @param missing  Names to omit.
--- a/test/system/endless_test.cc
+++ b/test/system/endless_test.cc
@@ -59,15 +59,8 @@
   cluster.start ();
   EndlessEngine engine;
   engine.drips = drips;
-  kb::Target *target = nullptr;
-  for (kb::Target &t : cluster.targets)
-    if (!t.is_plain)
-      target = &t;
-  Cluster::kill_process (target->agent, SIGKILL);
-  std::string address = engine.address ();
-  target->fake.http_port
-      = atoi (address.substr (address.find (':') + 1).c_str ());
-  cluster.start_agent (*target);
+  kb::Target *target = cluster.find_target (false);
+  cluster.use_stand_in (*target, engine.address ());
   ASSERT_TRUE (Cluster::wait_until ([&] { return engine.lists > 0; }));
   long before_kb = resident_kb (target->agent.pid);
   long peak_kb = before_kb;
--- a/test/system/engine_list_test.cc
+++ b/test/system/engine_list_test.cc
@@ -57,15 +57,8 @@
   Cluster cluster (options);
   cluster.start ();
   FailingEngine engine;
-  kb::Target *target = nullptr;
-  for (kb::Target &t : cluster.targets)
-    if (!t.is_plain)
-      target = &t;
-  Cluster::kill_process (target->agent, SIGKILL);
-  std::string address = engine.address ();
-  target->fake.http_port
-      = atoi (address.substr (address.find (':') + 1).c_str ());
-  cluster.start_agent (*target);
+  kb::Target *target = cluster.find_target (false);
+  cluster.use_stand_in (*target, engine.address ());
   cluster.publish ();
   ASSERT_TRUE (cluster.wait_ready ());
   std::vector<std::thread> callers;
--- a/test/system/unframed_test.cc
+++ b/test/system/unframed_test.cc
@@ -58,15 +58,8 @@
     cluster.start ();
     int at = 0;
     for (kb::Target &t : cluster.targets)
-      {
-        if (!t.is_plain)
-          continue;
-        Cluster::kill_process (t.agent, SIGKILL);
-        std::string address = targets[at++].address ();
-        t.fake.http_port
-            = atoi (address.substr (address.find (':') + 1).c_str ());
-        cluster.start_agent (t);
-      }
+      if (t.is_plain)
+        cluster.use_stand_in (t, targets[at++].address ());
     cluster.publish ();
     cluster.wait_ready ();
   }
