--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -505,7 +505,8 @@
 static void
 attempt_on_connect (xch_t *x)
 {
-  gtw_caller_check (x->owner);
+  gtw_request_t *r = x->owner;
+  gtw_client_check_present (r->client);
 }
 
 static const xch_events_t answer_events = { .on_connect = attempt_on_connect,
@@ -538,7 +539,7 @@
 gtw_attempt_send (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
-  if (!gtw_caller_check (r))
+  if (!gtw_client_check_present (r->client))
     return;
   // Targets may have ended during another attempt while it waited for a place.
   uint64_t hold_ms = 0;
--- a/src/gateway/gateway_caller.c
+++ b/src/gateway/gateway_caller.c
@@ -1,5 +1,5 @@
 /// @file gateway_caller.c
-/// Callers who leave before their answer.
+/// Record of callers who leave before their answer.
 #include "gateway/gateway_suspects.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -62,7 +62,7 @@
 }
 
 void
-gtw_caller_handle_left (gtw_request_t *r, const char *found,
+gtw_caller_record_left (gtw_request_t *r, const char *found,
                         prs_presence_t presence)
 {
   met_add (met_counter ("knapweedbay_callers_left_total", step_of (r)->label),
@@ -73,18 +73,4 @@
       gtw_quarantine_record_end (r, END_CALLER_LEFT);
       gtw_log_attempt (r, "attempt_broken", end_row (END_CALLER_LEFT)->name);
     }
-  gtw_request_end (r);
-}
-
-bool
-gtw_caller_check (gtw_request_t *r)
-{
-  gtw_client_t *client = r->client;
-  prs_presence_t presence = h1_conn_query_peer (&client->conn);
-  if (!presence.has_left)
-    return true;
-  gtw_caller_handle_left (r, "asked", presence);
-  client->request = NULL;
-  h1_conn_close (&client->conn, false);
-  return false;
 }
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -136,16 +136,32 @@
   gtw_client_finish_answer (client, true);
 }
 
+/// End the request of a caller who has left, without an answer.
+static void
+client_abandon (gtw_client_t *client, const char *found)
+{
+  gtw_caller_record_left (client->request, found,
+                          h1_conn_query_peer (&client->conn));
+  gtw_request_end (client->request);
+  client->request = NULL;
+}
+
+bool
+gtw_client_check_present (gtw_client_t *client)
+{
+  if (!h1_conn_query_peer (&client->conn).has_left)
+    return true;
+  client_abandon (client, "asked");
+  h1_conn_close (&client->conn, false);
+  return false;
+}
+
 static void
 client_on_end (h1_conn_t *conn, h1_end_t end)
 {
   gtw_client_t *client = (gtw_client_t *)conn;
   if (client->request != NULL)
-    {
-      gtw_caller_handle_left (client->request, "read",
-                              h1_conn_query_peer (conn));
-      client->request = NULL;
-    }
+    client_abandon (client, "read");
   bool is_answerable = !conn->is_lingering && !conn->is_message_complete;
   if (end == H1_END_MALFORMED && is_answerable)
     client_refuse_and_close (client, HTTP_BAD_REQUEST,
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -515,6 +515,10 @@
 /// @return  Whether the answer about to be written is the last one on its
 ///          connection.
 bool gtw_client_is_last_answer (gtw_client_t *client);
+/// Check that the caller of a request is still there, right before a step that
+/// gives a target work for it.
+/// @return  False: it has left, and the request was ended.
+bool gtw_client_check_present (gtw_client_t *client);
 /// Close connections whose caller exceeds a time limit.
 void gtw_clients_check_timeouts (gtw_gateway_t *gateway);
 /// Close the connections that are idle for the longest.
@@ -655,14 +659,10 @@
 void gtw_metrics_set_gauges (const gtw_gateway_t *gateway, bool is_ready);
 
 // gateway_caller.c
-/// End the request of a caller who has left, without an answer.
-/// @param found  How that was found out, for the log.
-void gtw_caller_handle_left (gtw_request_t *r, const char *found,
+/// Log and count that the caller of a request has left, which is ended next.
+/// @param found  How that was found out.
+void gtw_caller_record_left (gtw_request_t *r, const char *found,
                              prs_presence_t presence);
-/// Check that a caller is still there, right before a step that gives a target
-/// work for it.
-/// @return  False: it has left, and its request was ended.
-bool gtw_caller_check (gtw_request_t *r);
 
 // gateway_incarnations.c
 /// Replace a target by another incarnation with its id. State of the previous
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -45,7 +45,7 @@
 gtw_place_request (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
-  if (!gtw_caller_check (r))
+  if (!gtw_client_check_present (r->client))
     return;
   uint64_t now_ms = gtw_now_ms (gateway);
   r->stage = GTW_STAGE_WAITING_FOR_PLACE;
