--- a/test/relay/gone_failure_test.cc
+++ b/test/relay/gone_failure_test.cc
@@ -345,7 +345,7 @@
   Throttle throttle (site.gateways[0].daemon.pid, run_ms);
   sleep_ms (200);
   leavers.leave (Departure::CLOSE, 10);
-  sleep_ms (kLeaveBoundMs);
+  sleep_ms (kGoneBoundMs);
   int stopped = abandoned ();
   printf ("%d of %d streams were stopped\n", stopped, working);
   EXPECT_GE (4 * stopped, 3 * working);
@@ -410,6 +410,32 @@
     flood.join ();
 }
 
+// Guards against work of many callers whose closes wait behind one another.
+TEST (Gone, EntryShortOfProcessorStopsWorkForManyOfTheGone)
+{
+  constexpr int kMany = 100;
+  Site site (1, 4, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  for (const auto &target : site.plain)
+    target->answer_ms = 3000;
+  Leavers leavers (site.gateways[0].address, plain_text, kMany);
+  ASSERT_NO_FATAL_FAILURE (leavers.connect ());
+  leavers.send ();
+  auto runs = [&] {
+    int sum = 0;
+    for (const auto &target : site.plain)
+      sum += target->runs ();
+    return sum;
+  };
+  ASSERT_TRUE (Site::wait_for ([&] { return runs () == kMany; }, 1500));
+  {
+    Throttle throttle (site.gateways[0].daemon.pid, 3);
+    leavers.leave (Departure::CLOSE, kMany);
+    sleep_ms (kSettleMs);
+  }
+  EXPECT_LE (4 * leavers.count_worked_for (ended_work_of (site)), kMany);
+}
+
 // Guards against a request that runs though nobody can be told of it.
 TEST (Gone, RequestOfACallerThatClosesItsSendingSideDoesNotRun)
 {
--- a/test/relay/leavers.cc
+++ b/test/relay/leavers.cc
@@ -105,13 +105,13 @@
                 = duration_cast<milliseconds> (at->second - caller.left_at)
                       .count ();
             after += late_ms > 0;
-            late += late_ms > kLeaveBoundMs;
+            late += late_ms > kGoneBoundMs;
             latest_ms = std::max (latest_ms, late_ms);
           }
       }
   printf ("%zu callers, %d requests reached a target after their callers had "
           "left, %d of them over %d ms after, the latest %d ms\n",
-          callers_.size (), after, late, kLeaveBoundMs, (int)latest_ms);
+          callers_.size (), after, late, kGoneBoundMs, (int)latest_ms);
   return late;
 }
 
@@ -133,12 +133,12 @@
       int64_t late_ms
           = duration_cast<milliseconds> (end->second - caller.left_at)
                 .count ();
-      late += late_ms > kLeaveBoundMs;
+      late += late_ms > kGoneBoundMs;
       latest_ms = std::max (latest_ms, late_ms);
     }
   printf ("%zu callers, work for %d of them over %d ms after they left, the "
           "latest known end after %d ms\n",
-          callers_.size (), late, kLeaveBoundMs, (int)latest_ms);
+          callers_.size (), late, kGoneBoundMs, (int)latest_ms);
   return late;
 }
 
--- a/test/relay/leavers.h
+++ b/test/relay/leavers.h
@@ -18,7 +18,7 @@
 
 /// Time after a caller has left within which its request may still reach a
 /// target, and within which work for it ends.
-constexpr int kLeaveBoundMs = 500;
+constexpr int kGoneBoundMs = 500;
 
 /// Callers at one address, each with a connection of its own.
 class Leavers
@@ -41,12 +41,12 @@
   void leave (Departure departure, size_t count);
   /// Expect an answer with status 200 for each caller who stays.
   void expect_the_rest_served ();
-  /// Requests that reached a target over kLeaveBoundMs after their callers had
+  /// Requests that reached a target over kGoneBoundMs after their callers had
   /// left; the latest such time is printed.
   /// @param arrivals  Moments at which each request reached a target.
   int count_late (const std::multimap<std::string, Moment> &arrivals) const;
   /// Of the callers who left, those for whom a target was at work over
-  /// kLeaveBoundMs later; the latest end of work is printed.
+  /// kGoneBoundMs later; the latest end of work is printed.
   /// @param ends  Moments at which the work for a request ended.
   int count_worked_for (const std::map<std::string, Moment> &ends) const;
 
--- a/test/relay/proxy.cc
+++ b/test/relay/proxy.cc
@@ -59,6 +59,45 @@
   close (listener_);
 }
 
+void
+Proxy::set_path (Path path)
+{
+  path_ = path;
+  record_harm ();
+}
+
+void
+Proxy::set_delay_ms (int delay_ms)
+{
+  delay_ms_ = delay_ms;
+  record_harm ();
+}
+
+void
+Proxy::record_harm ()
+{
+  constexpr auto kOpen = std::chrono::steady_clock::time_point::max ();
+  std::lock_guard<std::mutex> lock (harms_mutex_);
+  bool is_harmed = path_ != Path::OPEN || delay_ms_ > 0;
+  bool was_harmed = !harms_.empty () && harms_.back ()[1] == kOpen;
+  auto now = std::chrono::steady_clock::now ();
+  if (is_harmed && !was_harmed)
+    harms_.push_back ({ now, kOpen });
+  else if (!is_harmed && was_harmed)
+    harms_.back ()[1] = now;
+}
+
+bool
+Proxy::was_harmed (std::chrono::steady_clock::time_point from,
+                   std::chrono::steady_clock::time_point to)
+{
+  std::lock_guard<std::mutex> lock (harms_mutex_);
+  for (const auto &harm : harms_)
+    if (harm[0] <= to && harm[1] >= from)
+      return true;
+  return false;
+}
+
 void
 Proxy::reset_all ()
 {
--- a/test/relay/proxy.h
+++ b/test/relay/proxy.h
@@ -4,11 +4,14 @@
 #ifndef KB_TEST_RELAY_PROXY_H
 #define KB_TEST_RELAY_PROXY_H
 
+#include <array>
 #include <atomic>
+#include <chrono>
 #include <list>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace relay
 {
@@ -26,17 +29,13 @@
   Proxy (const std::string &listen_ip, int listen_port,
          const std::string &target_ip, int target_port);
   ~Proxy ();
-  void
-  set_path (Path path)
-  {
-    path_ = path;
-  }
+  void set_path (Path path);
   /// Delay the forwarding of each read by this time.
-  void
-  set_delay_ms (int delay_ms)
-  {
-    delay_ms_ = delay_ms;
-  }
+  void set_delay_ms (int delay_ms);
+  /// @return  Whether the path was not open, or delayed, at any time in a
+  /// span.
+  bool was_harmed (std::chrono::steady_clock::time_point from,
+                   std::chrono::steady_clock::time_point to);
   /// Reset every connection now.
   void reset_all ();
   /// Existing connections stay open and forward nothing more; new ones work.
@@ -55,6 +54,7 @@
     bool is_silent;
     bool has_lost_bytes[2] = {}; ///< Sent by upstream, by the client.
   };
+  void record_harm ();
   void loop ();
   void accept_one ();
   bool pump (Pair *pair, bool is_forward);
@@ -68,6 +68,9 @@
   std::atomic<bool> is_stopping_{ false };
   std::atomic<bool> is_reset_requested_{ false };
   std::atomic<bool> is_silence_requested_{ false };
+  /// Spans in which it was harmed; the last one may be open.
+  std::vector<std::array<std::chrono::steady_clock::time_point, 2>> harms_;
+  std::mutex harms_mutex_;
   std::list<Pair> pairs_;
   std::thread thread_;
 };
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -142,6 +142,7 @@
   all.push_back (std::make_unique<Proxy> (outer, 0, ip,
                                           atoi (port_of (address).c_str ())));
   listed = outer + ":" + std::to_string (all.back ()->port ());
+  proxies_by_address_[address] = all.back ().get ();
   agents.push_back (inner.get ());
   all.push_back (std::move (inner));
   return listed;
@@ -158,10 +159,17 @@
       all.push_back (std::make_unique<Proxy> (
           outer, 0, ip, atoi (port_of (address).c_str ())));
       listed = outer + ":" + std::to_string (all.back ()->port ());
+      proxies_by_address_[address] = all.back ().get ();
     }
   return listed;
 }
 
+Proxy *
+Proxies::in_front_of (const std::string &address)
+{
+  return proxies_by_address_.at (address);
+}
+
 std::string
 Proxies::store (const std::string &address)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -59,11 +59,14 @@
                       int inner_port);
   std::string plain (const std::string &address);
   std::string store (const std::string &address);
+  /// @return  The proxy in front of a target.
+  Proxy *in_front_of (const std::string &address);
   std::vector<std::unique_ptr<Proxy>> all;
   std::vector<Proxy *> agents; ///< Proxies of the inner links to the sidecars.
 
 private:
   std::map<std::string, std::string> by_address_;
+  std::map<std::string, Proxy *> proxies_by_address_;
 };
 
 class Site
