test(soak): callers who give up, beside frozen gateways

Above seed 900, 24 callers give up on connections that have served a request, before or after sending one more, by a close or a reset; gateways are frozen for 0.8 s beside the plan. More than three requests that reach a target over 0.5 s after their callers had left are a violation, except where the link to the target was harmed in the 3 s before.

--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -58,6 +58,7 @@
 constexpr uint64_t kLastSeedWithFramedAnswers = 600;
 constexpr uint64_t kLastSeedWithoutRestores = 700;
 constexpr uint64_t kLastSeedWithoutOverload = 800;
+constexpr uint64_t kLastSeedWithPatientCallers = 900;
 
 /// @param length_ms  All faults begin and end within this time.
 std::vector<FaultStep> draw_plan (uint64_t seed, int length_ms);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -22,6 +22,7 @@
 /// The key is revoked after 1/n of the time of the faults.
 constexpr int kKeyRevokedAfterDivisor = 3;
 constexpr int kWorkspaceCallers = 3;
+constexpr int kImpatientCallers = 24;
 /// Bound in the settings of the daemons.
 constexpr int kLeaveBoundMs = 2000;
 /// A gateway may miss this much of a pause, and send this many requests in the
@@ -104,6 +105,12 @@
       threads.emplace_back ([this, caller] { workspace_loop (caller); });
   for (int i = 0; i < size_.callers; i++)
     threads.emplace_back ([this, i] { call_loop (i); });
+  if (seed_ > kLastSeedWithPatientCallers)
+    {
+      threads.emplace_back ([this] { freeze_gateways (); });
+      for (int i = 0; i < kImpatientCallers; i++)
+        threads.emplace_back ([this, i] { impatient_loop (i); });
+    }
   threads.emplace_back ([this] { config_probe_loop (); });
   bool has_fatal_caller = seed_ > kLastSeedWithInitialKinds;
   if (has_fatal_caller)
@@ -139,6 +146,7 @@
                       kMaxDuringPause);
   for (const auto &record : records_)
     check_record (record);
+  check_abandoned ();
   check_engines ();
   check_repeats ();
   check_versions ();
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -37,6 +37,13 @@
   bool is_complete = false;
 };
 
+/// A request whose caller gave up.
+struct Abandoned
+{
+  std::string id;
+  std::chrono::steady_clock::time_point left_at;
+};
+
 struct Violation
 {
   std::string attempt_id; ///< Empty: not about a single request.
@@ -92,6 +99,16 @@
   void begin_workspaces ();
   void revoke_key ();
   void workspace_loop (int caller);
+  // impatient.cc
+  Call own_call (const std::string &id, uint64_t random);
+  void impatient_loop (int caller);
+  std::unique_ptr<Connection> connect_served (uint64_t random,
+                                              const std::string &id);
+  void leave (std::unique_ptr<Connection> connection, const std::string &id,
+              uint64_t random);
+  void freeze_gateways ();
+  void check_abandoned ();
+
   Daemon &daemon_at (int subject);
   Target &target_at (int subject);
   Proxy &proxy_at (int subject);
@@ -134,6 +151,7 @@
   std::mutex mutex_; ///< Guards the members below.
   std::vector<Record> records_;
   std::vector<Continuation> continuations_;
+  std::vector<Abandoned> abandoned_;
   std::vector<Violation> violations_;
   std::set<Daemon *> restarting_;
   std::vector<std::future<void>> restarts_;
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -29,9 +29,9 @@
   // of prompts and with answers that end with their connection. 701: the first
   // seed with stores that come back from older copies. 801: the first seed
   // with throttled processes, and with fatal requests that get bytes which are
-  // no answer.
+  // no answer. 901: the first seed with callers who give up.
   std::vector<uint64_t> list
-      = { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701, 801 };
+      = { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701, 801, 901 };
   const char *text = getenv ("KB_SOAK_SEEDS");
   if (text == nullptr)
     return list;
