--- a/test/relay/leavers.cc
+++ b/test/relay/leavers.cc
@@ -10,6 +10,15 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+namespace
+{
+
+/// Time for which callers who are refused come back.
+constexpr milliseconds kComeBack{ 5000 };
+constexpr milliseconds kComeBackPause{ 100 };
+
+} // namespace
+
 Leavers::Leavers (const std::string &address,
                   std::function<std::string (const std::string &id)> text_of,
                   int count)
@@ -43,6 +52,16 @@
   for (Caller &caller : callers_)
     {
       Message answer = caller.connection->read_response ();
+      auto end = std::chrono::steady_clock::now () + kComeBack;
+      while (answer.status == 503 && std::chrono::steady_clock::now () < end)
+        {
+          std::this_thread::sleep_for (kComeBackPause);
+          if (answer.header ("connection") == "close")
+            caller.connection = dial (address_);
+          ASSERT_NE (caller.connection, nullptr);
+          caller.connection->write (text_of (caller.id + "-first"));
+          answer = caller.connection->read_response ();
+        }
       ASSERT_EQ (answer.status, 200) << answer.start << answer.body;
     }
 }
--- a/test/relay/leavers.h
+++ b/test/relay/leavers.h
@@ -30,7 +30,8 @@
            int count);
   /// Open the connections.
   void connect ();
-  /// Open the connections, and get one answer on each of them.
+  /// Open the connections, and get one answer on each of them. Callers who are
+  /// refused come back.
   /// @param text_of  Makes the request with an id.
   void connect_served (
       const std::function<std::string (const std::string &id)> &text_of);
