--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -22,6 +22,9 @@
 /// Time to the first event of a slow start.
 constexpr int kFirstEventMs = 4000;
 
+/// Lines of each daemon's log that a failure prints.
+constexpr size_t kLogLines = 100;
+
 /// Time that a plain target works on a request that its end breaks off.
 constexpr int kAnswerMs = 1500;
 
@@ -175,13 +178,16 @@
   ASSERT_TRUE (wait_until_run (site, "innocent2"));
   site.restart (&site.engines[0].sidecar, SIGKILL);
   std::vector<std::unique_ptr<Sending>> others;
-  ASSERT_TRUE (Site::wait_for ([&] {
+  bool has_other_started = Site::wait_for ([&] {
     std::string id = "other" + std::to_string (others.size ());
     others.push_back (
         std::make_unique<Sending> (site.gateways[0], other_stream (id)));
     std::this_thread::sleep_for (milliseconds (100));
     return site.runs_of (id) > 0;
-  }));
+  });
+  if (!has_other_started)
+    site.print_logs (kLogLines);
+  ASSERT_TRUE (has_other_started);
   exit_and_restart (site, *site.engines[0].target);
   expect_served (site, innocent_stream);
 }
