--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -602,18 +602,30 @@
   return end == std::string::npos ? "" : body.substr (0, end + 2);
 }
 
-std::set<std::string>
-event_versions (const std::string &body)
+/// @return  What follows a mark in the events of a stream, to the line's end.
+static std::set<std::string>
+values_after (const std::string &body, const std::string &mark)
 {
-  static const std::string mark = "\n: ";
-  std::set<std::string> versions;
+  std::set<std::string> values;
   for (size_t at = body.find (mark); at != std::string::npos;
        at = body.find (mark, at + 1))
     {
       size_t from = at + mark.size ();
-      versions.insert (body.substr (from, body.find ('\n', from) - from));
+      values.insert (body.substr (from, body.find ('\n', from) - from));
     }
-  return versions;
+  return values;
+}
+
+std::set<std::string>
+event_versions (const std::string &body)
+{
+  return values_after (body, "\n: ");
+}
+
+std::set<std::string>
+event_adapter_versions (const std::string &body)
+{
+  return values_after (body, "\nadapter: ");
 }
 
 Call
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -185,6 +185,8 @@
 std::string complete_events (const std::string &body);
 /// Software versions that the events in a body name.
 std::set<std::string> event_versions (const std::string &body);
+/// @return  Versions of the adapter that the events of a stream name.
+std::set<std::string> event_adapter_versions (const std::string &body);
 /// The request by which a caller continues a stream.
 /// @param resumes  Attempt that brought its first event; empty: not named.
 Call continued (Call call, const std::string &id, int last_event,
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -487,12 +487,32 @@
     adapters_.erase (it);
 }
 
-/// @return  An event of a stream, which names the software version.
+/// @return  Version of the adapter that a request names; 0: it names none, or
+///          one that is not held.
+int
+Target::adapter_version (const Message &request)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  std::string model = request.header ("x-knapweedbay-model");
+  size_t slash = model.find ('/');
+  auto it = slash == std::string::npos
+                ? adapters_.end ()
+                : adapters_.find (model.substr (slash + 1));
+  return it == adapters_.end () ? 0 : it->second.version;
+}
+
+/// @return  An event of a stream, which names the software version, and the
+///          adapter's version if there is one.
 std::string
-Target::event (int number, const std::string &version)
+Target::event (int number, const std::string &version, int adapter_version)
 {
   std::string text = std::to_string (number);
-  return "id: " + text + "\n: " + version + "\ndata: e" + text + "\n\n";
+  std::string adapter
+      = adapter_version > 0
+            ? "adapter: " + std::to_string (adapter_version) + "\n"
+            : "";
+  return "id: " + text + "\n: " + version + "\n" + adapter + "data: e" + text
+         + "\n\n";
 }
 
 /// Send a head, then the same bytes again and again, for a time or until the
@@ -619,6 +639,7 @@
                     + "\r\n");
   int from = atoi (request.header ("last-event-id").c_str ());
   std::string version = software ();
+  int adapter = adapter_version (request);
   for (int i = from + 1; i <= events; i++)
     {
       sleep_ms (event_ms);
@@ -627,7 +648,7 @@
           abandoned_streams++;
           return false;
         }
-      std::string text = event (i, version);
+      std::string text = event (i, version, adapter);
       if (fault == Fault::CUT_WITHIN_EVENT && i == from + 3)
         {
           text = text.substr (0, text.size () / 2);
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -224,7 +224,9 @@
   bool work (Connection &connection, const Message &request);
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
-  static std::string event (int number, const std::string &version);
+  int adapter_version (const Message &request);
+  static std::string event (int number, const std::string &version,
+                            int adapter_version = 0);
   void answer_crash (Connection &connection, const Message &request);
   void send_endless (Connection &connection, const std::string &head,
                      const std::string &repeated);
