fix(gateway,transport): close no connection as idle on which a request has arrived

It judged by what it had read; the request was then discarded by the lingering close.

The same question is asked where an idle connection makes room or times out. A connection that libuv has accepted for a deferred listener counts as waiting at exit, by reading.

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -280,7 +280,8 @@
   bool is_in_message = client->conn.is_in_message;
   if (!is_in_message || client->conn.is_lingering)
     {
-      h1_conn_close (&client->conn, false);
+      if (client->conn.is_lingering || !h1_conn_has_unread (&client->conn))
+        h1_conn_close (&client->conn, false);
       return;
     }
   if (client->request != NULL)
@@ -314,9 +315,10 @@
 void
 gtw_clients_close_idle (gtw_gateway_t *gateway)
 {
+  // A request that has arrived is answered, though it is not read yet.
   for (gtw_client_t *client = gateway->clients; client != NULL;
        client = client->next)
-    if (client_is_idle (client))
+    if (client_is_idle (client) && !h1_conn_has_unread (&client->conn))
       h1_conn_linger (&client->conn);
 }
 
@@ -329,7 +331,8 @@
   uint64_t since_ms = gtw_now_ms (gateway) - MIN_IDLE_MS;
   for (gtw_client_t *client = gateway->clients; client != NULL;
        client = client->next)
-    if (client_is_idle (client) && client->last_progress_ms < since_ms)
+    if (client_is_idle (client) && client->last_progress_ms < since_ms
+        && !h1_conn_has_unread (&client->conn))
       {
         found = client;
         since_ms = client->last_progress_ms;
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -312,6 +312,15 @@
   return prs_query (fd);
 }
 
+bool
+h1_conn_has_unread (const h1_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void
 h1_conn_pause (h1_conn_t *conn)
 {
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -198,6 +198,9 @@
 lsn_listener_has_waiting (const lsn_listener_t *listener)
 {
   uv_os_fd_t fd;
+  // libuv holds a connection that was deferred; the kernel has the others.
+  if (listener->is_deferred)
+    return true;
   if (listener->socket == NULL
       || uv_fileno ((const uv_handle_t *)listener->socket, &fd) != 0)
     return false;
--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -66,7 +66,7 @@
                                kb_error_t *error);
 /// Stop listening; connections that wait are turned away.
 void lsn_listener_stop (lsn_listener_t *listener);
-/// @return  Whether a connection waits in the kernel to be accepted.
+/// @return  Whether a connection waits to be accepted.
 bool lsn_listener_has_waiting (const lsn_listener_t *listener);
 /// @return  The port that it listens on, also when any was asked for.
 uint16_t lsn_listener_port (const lsn_listener_t *listener);
