--- a/src/transport/timer.c
+++ b/src/transport/timer.c
@@ -58,11 +58,29 @@
 }
 
 static void service_rearm (tmr_service_t *s);
+static void service_after_poll (uv_check_t *check);
 
+static void
+service_keep_polling (uv_idle_t *idle)
+{
+}
+
+/// Input is handled before the timers that are due: a loop that is late must
+/// not take what has arrived for missing.
 static void
 service_on_timeout (uv_timer_t *uv_timer)
 {
   tmr_service_t *s = uv_timer->data;
+  uv_idle_start (&s->idle, service_keep_polling);
+  uv_check_start (&s->check, service_after_poll);
+}
+
+static void
+service_after_poll (uv_check_t *check)
+{
+  tmr_service_t *s = check->data;
+  uv_check_stop (&s->check);
+  uv_idle_stop (&s->idle);
   uint64_t now = uv_now (s->loop);
   while (s->len > 0 && s->heap[0]->due_ms <= now)
     {
@@ -95,6 +113,9 @@
   *service = (tmr_service_t){ .loop = loop };
   uv_timer_init (loop, &service->uv_timer);
   service->uv_timer.data = service;
+  uv_check_init (loop, &service->check);
+  service->check.data = service;
+  uv_idle_init (loop, &service->idle);
 }
 
 void
@@ -102,6 +123,8 @@
 {
   uv_timer_stop (&service->uv_timer);
   uv_close ((uv_handle_t *)&service->uv_timer, NULL);
+  uv_close ((uv_handle_t *)&service->check, NULL);
+  uv_close ((uv_handle_t *)&service->idle, NULL);
   free (service->heap);
   service->heap = NULL;
   service->len = 0;
--- a/src/transport/timer.h
+++ b/src/transport/timer.h
@@ -1,5 +1,6 @@
 /// @file timer.h
-/// Periodic and one-shot timers of an event loop. The caller owns the memory
+/// Periodic and one-shot timers of an event loop. They fire after the input
+/// that had arrived when they were due. The caller owns the memory
 /// of a timer, which must stay valid until the timer has fired for the last
 /// time or tmr_cancel returned.
 #ifndef KB_TRANSPORT_TIMER_H
@@ -27,6 +28,8 @@
 {
   uv_loop_t *loop;
   uv_timer_t uv_timer;
+  uv_check_t check;   ///< Active while timers are due.
+  uv_idle_t idle;     ///< Keeps the loop from blocking meanwhile.
   tmr_timer_t **heap; ///< Binary min-heap ordered by due time.
   uint32_t len;
   uint32_t cap;
