test(relay): break the order and the end of streams in ways an engine can

The stand-in engine plays scripted streams: each chunk, each split of the bytes, the end and a second answer.

Callers get, as complete streams: 1 to 5 and 8 to 10 behind a continuation with a gap; events twice where an engine begins again, or sends no ids; a stream that ends at 5 though its continuation ended at 3; streams without the events whose id is empty, no number, repeated or lower, and without all events behind an id of -1 or above 64 bits.

Not seen: a trailer, a pause in front of a close without the last chunk, an answer without a length, each split of the bytes, a slow caller, SIGTERM within the last event, HEAD, a second answer at once or late, a stream that returns to an engine that ran it.

--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -73,6 +73,20 @@
   continuation_cut_ = cut;
 }
 
+void
+Target::plan_streams (StreamPlan plan)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  stream_plan_ = std::move (plan);
+}
+
+std::optional<StreamScript>
+Target::script_of (const Message &request)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return stream_plan_ ? stream_plan_ (request) : std::nullopt;
+}
+
 Cut
 Target::cut_of (const Message &request, bool is_page)
 {
@@ -629,9 +643,69 @@
   connection.close ();
 }
 
+/// Send a scripted stream.
+bool
+Target::play (Connection &connection, const Message &request,
+              const StreamScript &script)
+{
+  std::string head
+      = "HTTP/1.1 200 OK\r\n" + head_of (request, true)
+        + "Content-Type: text/event-stream\r\n"
+        + (script.has_chunks ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+  if (request.method () == "HEAD")
+    return connection.write (head);
+  std::vector<std::string> writes = { head };
+  for (const std::string &piece : script.pieces)
+    writes.push_back (script.has_chunks ? chunk (piece) : piece);
+  bool is_whole
+      = script.end != StreamEnd::RESET && script.end != StreamEnd::CLOSE;
+  std::string tail;
+  if (script.has_chunks && is_whole)
+    tail = script.end == StreamEnd::TRAILER
+               ? "0\r\nX-Sum: 1\r\nConnection: close\r\n\r\n"
+               : "0\r\n\r\n";
+  std::string whole;
+  for (const std::string &bytes : writes)
+    whole += bytes;
+  whole += tail;
+  if (script.end == StreamEnd::TWICE)
+    tail += whole;
+  if (!script.splits.empty ())
+    {
+      writes.clear ();
+      size_t from = 0;
+      for (size_t split : script.splits)
+        {
+          split = std::min (split, whole.size ());
+          writes.push_back (whole.substr (from, split - from));
+          from = split;
+        }
+      tail = whole.substr (from);
+    }
+  for (const std::string &bytes : writes)
+    {
+      if (!connection.write (bytes))
+        return false;
+      sleep_ms (script.piece_ms);
+    }
+  sleep_ms (script.before_end_ms);
+  if (script.end == StreamEnd::RESET)
+    connection.reset ();
+  if (script.end == StreamEnd::LATE_TWICE)
+    {
+      std::lock_guard<std::mutex> lock (mutex_);
+      late_answers_[peer_port (connection)] = whole;
+    }
+  return is_whole && (tail.empty () || connection.write (tail))
+         && script.has_chunks;
+}
+
 bool
 Target::stream (Connection &connection, const Message &request, Fault fault)
 {
+  std::optional<StreamScript> script = script_of (request);
+  if (script)
+    return play (connection, request, *script);
   bool has_chunks = !is_unframed;
   connection.write ("HTTP/1.1 200 OK\r\n" + head_of (request, true)
                     + "Content-Type: text/event-stream\r\n"
@@ -695,13 +769,17 @@
 {
   std::string head = head_of (request, fault != Fault::NO_SEAL);
   bool is_extra_due;
+  std::string late_answer;
   {
     std::lock_guard<std::mutex> lock (mutex_);
     runs_[request.header ("x-knapweedbay-attempt-id")]++;
     is_extra_due = extra_answer_ports_.erase (peer_port (connection)) > 0;
+    late_answer.swap (late_answers_[peer_port (connection)]);
   }
   if (is_extra_due)
     connection.write (rejected_health);
+  late_answer_count += !late_answer.empty ();
+  connection.write (late_answer);
   if (is_fatal (request) && !is_hung)
     {
       sleep_ms (crash_delay_ms);
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "cut_answer.h"
+#include "stream_script.h"
 
 namespace relay
 {
@@ -98,6 +99,13 @@
   void cut_answers (const Cut &cut);
   void cut_pages (const Cut &cut);
   void cut_continuations (const Cut &cut);
+  /// Answers streams by scripts: called with each request for one; without a
+  /// script it is answered as usual.
+  using StreamPlan
+      = std::function<std::optional<StreamScript> (const Message &request)>;
+  void plan_streams (StreamPlan plan);
+  /// Second answers that were sent in front of the next one.
+  std::atomic<int> late_answer_count{ 0 };
   /// @return  A whole answer of this framing to a request.
   std::string whole_answer (Framing framing, const std::string &attempt_id);
   /// Answers that were cut.
@@ -224,6 +232,9 @@
   bool work (Connection &connection, const Message &request);
   bool run (Connection &connection, const Message &request, Fault fault);
   bool stream (Connection &connection, const Message &request, Fault fault);
+  std::optional<StreamScript> script_of (const Message &request);
+  bool play (Connection &connection, const Message &request,
+             const StreamScript &script);
   int adapter_version (const Message &request);
   static std::string event (int number, const std::string &version,
                             int adapter_version = 0);
@@ -261,6 +272,9 @@
   /// Ports of the peers of connections that get a second answer.
   std::set<int> extra_answer_ports_;
   Cut continuation_cut_;
+  StreamPlan stream_plan_;
+  /// Second answers that are due, by the peer's port.
+  std::map<int, std::string> late_answers_;
   std::string crash_path_;
   std::string crash_part_;
   std::atomic<bool> is_ending_{ false };
