fix(transport): take only whole numbers for the ids of events

What callers saw: streams that were complete without some of their events. An event whose id was empty, a space, a word or 0x6 was left out; behind an id of -1, 2^64 or 26 digits all further events were.

Cause: the id was read by strtoull, which skips spaces and line ends, takes a sign, returns 0 for no number and the maximum for one that is too large. Both ends of the range then compared as relayed, or as behind all others. Class: an accident of a conversion taken for a value.

Now an id is a whole number of 64 bits, or invalid; an event with an invalid id is relayed like one without. Of several id fields the last counts, as in the specification of event streams.

Before: EventOrder.IdsThatAreNoNumbersLeaveNothingOut fails for 7 of 10 ids. Now: passes; sse_test 9 of 9.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -249,7 +249,7 @@
 classify_event (gtw_request_t *r, kb_slice_t event)
 {
   uint64_t id;
-  if (!sse_event_id (event, &id))
+  if (sse_event_id (event, &id) != SSE_ID_NUMBER)
     return sse_event_is_comment (event) ? EVENT_COMMENT : EVENT_NEW;
   if (r->has_event && id <= r->last_event_id)
     return EVENT_DUPLICATE;
--- a/src/transport/sse.c
+++ b/src/transport/sse.c
@@ -1,6 +1,5 @@
 #include "transport/sse.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 uint32_t
@@ -33,25 +32,61 @@
   return true;
 }
 
-bool
+/// @return  The value of a line with an id field, without the spaces around
+///          it; a NULL pointer for another line.
+static kb_slice_t
+line_id (kb_slice_t line)
+{
+  static const char field[] = "id";
+  const uint32_t field_bytes = sizeof field - 1;
+  kb_slice_t none = { NULL, 0 };
+  if (line.len_bytes < field_bytes
+      || memcmp (line.ptr, field, field_bytes) != 0)
+    return none;
+  // A field without a colon has an empty value.
+  if (line.len_bytes > field_bytes && line.ptr[field_bytes] != ':')
+    return none;
+  uint32_t from = field_bytes + (line.len_bytes > field_bytes);
+  uint32_t to = line.len_bytes;
+  while (from < to && (line.ptr[from] == ' ' || line.ptr[from] == '\t'))
+    from++;
+  while (to > from && (line.ptr[to - 1] == ' ' || line.ptr[to - 1] == '\t'))
+    to--;
+  return (kb_slice_t){ line.ptr + from, to - from };
+}
+
+static bool
+parse_id (kb_slice_t text, uint64_t *out)
+{
+  uint64_t number = 0;
+  for (uint32_t i = 0; i < text.len_bytes; i++)
+    {
+      uint64_t digit = (uint64_t)(text.ptr[i] - '0');
+      if (text.ptr[i] < '0' || digit > 9 || number > (UINT64_MAX - digit) / 10)
+        return false;
+      number = number * 10 + digit;
+    }
+  *out = number;
+  return text.len_bytes > 0;
+}
+
+sse_id_t
 sse_event_id (kb_slice_t event, uint64_t *out)
 {
-  static const char field[] = "id:";
-  const size_t len_bytes = sizeof field - 1;
+  sse_id_t kind = SSE_ID_NONE;
   const char *at = event.ptr;
   const char *end = event.ptr + event.len_bytes;
   while (at < end)
     {
       const char *line_end = memchr (at, '\n', (size_t)(end - at));
       if (line_end == NULL)
-        return false;
-      if ((size_t)(line_end - at) > len_bytes
-          && memcmp (at, field, len_bytes) == 0)
-        {
-          *out = strtoull (at + len_bytes, NULL, 10);
-          return true;
-        }
+        break;
+      uint32_t len_bytes = (uint32_t)(line_end - at);
+      len_bytes -= len_bytes > 0 && line_end[-1] == '\r';
+      kb_slice_t id = line_id ((kb_slice_t){ at, len_bytes });
+      if (id.ptr != NULL)
+        kind = parse_id (id, out) ? SSE_ID_NUMBER : SSE_ID_INVALID;
       at = line_end + 1;
     }
-  return false;
+  return kind;
 }
--- a/src/transport/sse.h
+++ b/src/transport/sse.h
@@ -15,9 +15,16 @@
 uint32_t sse_event_length (kb_slice_t bytes, uint32_t scanned_bytes);
 /// @return  Whether a complete event holds nothing but comments.
 bool sse_event_is_comment (kb_slice_t event);
-/// Read the "id:" line of a complete event.
-/// @param out  Receives the id.
-/// @return     Whether the event has such a line.
-bool sse_event_id (kb_slice_t event, uint64_t *out);
+/// What the id of an event is.
+typedef enum
+{
+  SSE_ID_NONE,    ///< It has no id field.
+  SSE_ID_INVALID, ///< Not a whole number of 64 bits.
+  SSE_ID_NUMBER,
+} sse_id_t;
+
+/// Read the id of a complete event, from its last id field.
+/// @param out  Receives a number.
+sse_id_t sse_event_id (kb_slice_t event, uint64_t *out);
 
 #endif
