--- a/test/relay/event_order_failure_test.cc
+++ b/test/relay/event_order_failure_test.cc
@@ -349,16 +349,18 @@
 {
   stream ("s-begun");
   plan (site, whole ({}), whole ({}));
+  int round = 0;
   for (const char *id : { "5 ", "5\t", "1000000000000000000" })
     {
-      size_t before
-          = Site::log_lines (site.gateways[0].daemon, { "stream_continued" })
-                .size ();
-      EXPECT_EQ (continue_after ("s-form", id).status, 200);
-      EXPECT_EQ (
-          Site::log_lines (site.gateways[0].daemon, { "stream_continued" })
-              .size (),
-          before + 1)
+      std::string attempt = "s-form-" + std::to_string (round++);
+      EXPECT_EQ (continue_after (attempt, id).status, 200);
+      EXPECT_TRUE (Site::wait_for (
+          [&] {
+            return !Site::log_lines (site.gateways[0].daemon,
+                                     { "stream_continued", attempt })
+                        .empty ();
+          },
+          1500))
           << '"' << id << '"';
     }
 }
