fix(gateway): relay the events of a stream in their order only

What callers saw, as complete streams: 1 to 5 and 8 to 10 behind a continuation with a gap, in one answer and where they continued themselves; 1 to 10 after they had named event 5; a stream that ended at 5 though its continuation had ended at 3; streams without events whose number was repeated or lower; an event without an id twice, or one that they had, in front of a continuation; 1 to 4 and 1 to 10 of a stream without ids. Nothing was logged.

Cause: an event was judged by its id alone. At or below the last relayed one it was dropped, whether its answer continued a stream or not; above it, it was relayed, however far; without an id, always. What a caller had named was not part of the state, nor was what the answer had been asked for. Class: a decision on one message that needs the state of the conversation.

Now eventseq judges each event against what the caller has. An answer that breaks the order ends its attempt as out_of_order: the stream goes on elsewhere if it may and otherwise ends broken, never as complete. Events that a continuation repeats are left out and counted. Increasing ids are never cut, even ones or not; only between two answers a longer step than a service has shown 256 times in a row is a gap. Each kind has a log line, once an answer, and a counter.

Ruled out by stream_end_failure_test: second answers, false ends, splits.

In event_order_failure_test the script of an odd last event id reads it with 64 bits now: as an int, 10^15 was negative and the stand-in began again, which no longer is an answer to it.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -1,7 +1,7 @@
 /// @file gateway_answer.c
 /// Attempts of a request at a target: sending it, relaying the answer, and
 /// handling incomplete answers. Only complete events, or a complete body, that
-/// certainly belong to this request are relayed.
+/// certainly belong to this request are relayed, the events in their order.
 #include <stdlib.h>
 
 #include "gateway/gateway_origin.h"
@@ -222,6 +222,7 @@
       r->begun_ms = now_ms;
     }
   r->is_begun = true;
+  r->has_event = true;
   if (r->first_event_ms == 0)
     {
       r->first_event_ms = now_ms;
@@ -236,37 +237,18 @@
   r->relayed_ms = now_ms;
 }
 
-/// What an event in an answer is.
-typedef enum
-{
-  EVENT_NEW,
-  EVENT_DUPLICATE, ///< Of a resumed stream, relayed in an earlier attempt.
-  EVENT_COMMENT,   ///< Relayed, but no progress of the stream.
-} event_kind_t;
-
-/// Classify an event, and record a new one as the last.
-static event_kind_t
-classify_event (gtw_request_t *r, kb_slice_t event)
-{
-  uint64_t id;
-  if (sse_event_id (event, &id) != SSE_ID_NUMBER)
-    return sse_event_is_comment (event) ? EVENT_COMMENT : EVENT_NEW;
-  if (r->has_event && id <= r->last_event_id)
-    return EVENT_DUPLICATE;
-  r->has_event = true;
-  r->last_event_id = id;
-  return EVENT_NEW;
-}
-
-/// Relay all complete events. A target may stop within an event; the rest of
-/// the stream then comes from another target, which starts with a complete
-/// one.
-static void
+/// Relay the complete events in the pending answer, without those that the
+/// caller has received. A target may stop within an event; the rest of the
+/// stream then comes from another target, which starts with a complete one.
+/// @return  False: an event broke the order, and nothing is relayed from it
+/// on.
+static bool
 relay_events (gtw_request_t *r)
 {
   uint32_t at = 0;
   uint32_t from = 0;
   uint32_t events = 0;
+  bool is_sound = true;
   kb_slice_t pending = kb_buf_slice (&r->pending_answer);
   for (;;)
     {
@@ -275,14 +257,19 @@
           = sse_event_length (rest, at == 0 ? r->scanned_bytes : 0);
       if (len_bytes == 0)
         break;
-      event_kind_t kind
-          = classify_event (r, (kb_slice_t){ rest.ptr, len_bytes });
-      bool is_duplicate = kind == EVENT_DUPLICATE;
-      if (is_duplicate && at > from)
+      kb_slice_t event = { rest.ptr, len_bytes };
+      bool is_comment = sse_event_is_comment (event);
+      esq_verdict_t verdict
+          = is_comment ? ESQ_NEW : gtw_events_judge (r, event);
+      is_sound = !esq_verdict_is_unsound (verdict);
+      if (!is_sound)
+        break;
+      bool is_new = esq_verdict_is_new (verdict);
+      if (!is_new && at > from)
         relay_bytes (r, (kb_slice_t){ pending.ptr + from, at - from });
       at += len_bytes;
-      events += kind == EVENT_NEW;
-      if (is_duplicate)
+      events += is_new && !is_comment;
+      if (!is_new)
         from = at;
     }
   if (events > 0)
@@ -297,6 +284,7 @@
     arm_silence_timer (r);
   kb_buf_consume (&r->pending_answer, at);
   r->scanned_bytes = (uint32_t)r->pending_answer.len_bytes;
+  return is_sound;
 }
 
 static bool
@@ -412,8 +400,9 @@
   kb_buf_append (&r->pending_answer, bytes.ptr, bytes.len_bytes);
   if (r->is_stream_answer)
     {
-      relay_events (r);
-      if (r->pending_answer.len_bytes > MAX_EVENT_BYTES)
+      if (!relay_events (r))
+        attempt_handle_broken (r, END_DISORDERED);
+      else if (r->pending_answer.len_bytes > MAX_EVENT_BYTES)
         attempt_handle_broken (r, END_OVERSIZED);
     }
   else if (r->is_head_written
@@ -496,6 +485,11 @@
       attempt_handle_broken (r, END_CUT);
       return;
     }
+  if (r->is_stream_answer && esq_verdict_is_unsound (gtw_events_judge_end (r)))
+    {
+      attempt_handle_broken (r, END_DISORDERED);
+      return;
+    }
   answer_finish (r);
 }
 
@@ -536,8 +530,8 @@
     .workspace = kb_slice_str (r->workspace),
     .adapter_version = r->granted_version,
     .priority = r->is_engine ? (int32_t)priority : -1,
-    .is_resume = r->has_event,
-    .resume_after_event_id = r->last_event_id,
+    .is_resume = r->events.has_relayed && r->events.has_last_id,
+    .resume_after_event_id = r->events.last_id,
     .body_bytes = r->body.len_bytes,
   };
 }
@@ -580,6 +574,7 @@
     }
   if (r->send_count == 0)
     gtw_budget_record_first (gateway, r->service);
+  gtw_events_begin (r);
   rly_forward_t forward;
   describe_forward (r, &forward);
   kb_buf_t head = { 0 };
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -6,6 +6,7 @@
 #include "coordination/alone.h"
 #include "coordination/backpressure.h"
 #include "coordination/budget.h"
+#include "coordination/eventseq.h"
 #include "coordination/origins.h"
 #include "coordination/software.h"
 #include "coordination/parts.h"
@@ -36,6 +37,7 @@
   GTW_MAX_ORIGIN_ASKED = 8,
   /// Services whose streams may be continued; with that many, all count.
   GTW_MAX_STREAMED_SERVICES = 64,
+  GTW_MAX_EVENT_STEPS = 64,
   GTW_MAX_QUEUED_RECORDS = 32,
   /// Two heartbeat intervals of a sidecar plus some delay. After a longer
   /// silence the engine may have died.
@@ -269,8 +271,9 @@
   kb_buf_t head;
   kb_buf_t pending_answer; ///< Not relayed yet: a partial event or body.
   uint32_t scanned_bytes;  ///< Of these, searched for the end of an event.
-  uint64_t last_event_id;
-  bool has_event;
+  esq_stream_t events;
+  uint32_t logged_verdicts; ///< On events of this answer, a bit each.
+  bool has_event;           ///< An event was relayed.
   uint64_t first_event_ms;
   uint64_t relayed_ms;     ///< When events were last relayed.
   uint64_t longest_gap_ms; ///< Between events, for the log.
@@ -326,6 +329,13 @@
   bool are_parts_starting; ///< They may have ended the target.
 } gtw_broken_attempt_t;
 
+/// Steps between the ids of events of one service.
+typedef struct
+{
+  uint64_t service; ///< gtw_service_key; zero: unused entry.
+  esq_steps_t steps;
+} gtw_steps_t;
+
 /// Writes records of requests during which targets ended to the platform's
 /// store, where they survive a power loss of all daemons.
 typedef struct
@@ -432,6 +442,7 @@
   gtw_software_writer_t software_writer;
   uint64_t streamed_services[GTW_MAX_STREAMED_SERVICES]; ///< gtw_service_key
   uint32_t streamed_count;
+  gtw_steps_t event_steps[GTW_MAX_EVENT_STEPS]; ///< By hash of the service.
   org_table_t origins; ///< Of streams that this gateway began or continued.
   plc_costs_t costs;
   uint32_t engine_requests; ///< Requests for engines since `rate_updated_ms`.
@@ -607,7 +618,20 @@
 void gtw_places_reroute (gtw_gateway_t *gateway, gtw_target_t *target,
                          const char *reason);
 
+// gateway_events.c
+/// Begin an answer to a request for a stream.
+void gtw_events_begin (gtw_request_t *r);
+/// Judge a complete event of the answer that is no comment, and log what is
+/// irregular.
+esq_verdict_t gtw_events_judge (gtw_request_t *r, kb_slice_t event);
+/// Judge the end of the answer; as gtw_events_judge.
+esq_verdict_t gtw_events_judge_end (gtw_request_t *r);
+
 // gateway_log.c
+/// Log an irregular event, or end, of the current answer.
+/// @param event_id  Zero: none.
+void gtw_log_irregular_event (const gtw_request_t *r, esq_verdict_t verdict,
+                              uint64_t event_id);
 /// Log the end of a request and update its metrics.
 void gtw_log_request_end (const gtw_request_t *r, const char *outcome,
                           int http_status);
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -106,7 +106,7 @@
   log_text (&line, "end", r->end);
   log_text (&line, "evidence", r->evidence);
   log_int (&line, "received_bytes", (int64_t)r->received_bytes);
-  log_int (&line, "last_event", (int64_t)r->last_event_id);
+  log_int (&line, "last_event", (int64_t)r->events.last_id);
   log_int (&line, "close_delimited", r->is_close_delimited);
   log_text (&line, "software",
             r->target == NULL ? "" : r->target->list_entry.software);
@@ -122,6 +122,28 @@
   log_end (&line);
 }
 
+void
+gtw_log_irregular_event (const gtw_request_t *r, esq_verdict_t verdict,
+                         uint64_t event_id)
+{
+  bool is_unsound = esq_verdict_is_unsound (verdict);
+  log_line_t line;
+  if (!log_begin (&line, is_unsound ? LOG_WARN : LOG_INFO, "gateway",
+                  "irregular_event"))
+    return;
+  log_text (&line, "id", r->attempt_id);
+  log_text (&line, "kind", esq_verdict_name (verdict));
+  log_int (&line, "event", (int64_t)event_id);
+  log_int (&line, "last_event",
+           r->events.has_last_id ? (int64_t)r->events.last_id : -1);
+  log_int (&line, "is_continuation", r->events.is_continuation);
+  log_int (&line, "send", r->send_count);
+  log_text (&line, "target", r->target->list_entry.identity.id);
+  log_text (&line, "software", r->target->list_entry.software);
+  log_text (&line, "service", r->service);
+  log_end (&line);
+}
+
 void
 gtw_log_choice (const gtw_request_t *r)
 {
--- a/test/relay/endings_failure_test.cc
+++ b/test/relay/endings_failure_test.cc
@@ -236,6 +236,19 @@
     [] (Site &site, const std::string &id) {
       fail_stream (site, unresumable_stream (id), { Fault::END_WITHIN_EVENT });
     } },
+  { END_DISORDERED,
+    [] (Site &site, const std::string &id) {
+      StreamScript script;
+      script.pieces = numbered_events (1, 3);
+      script.pieces.push_back (numbered_event ("2", "e2"));
+      for (Engine &engine : site.engines)
+        engine.target->plan_streams ([&] (const Message &) {
+          return std::optional<StreamScript> (script);
+        });
+      send_call (site.gateways[0], unresumable_stream (id));
+      for (Engine &engine : site.engines)
+        engine.target->plan_streams (nullptr);
+    } },
   { END_WRONG_ANSWER,
     [] (Site &site, const std::string &id) {
       site.engines[0].target->events = 4000;
--- a/test/relay/event_order_failure_test.cc
+++ b/test/relay/event_order_failure_test.cc
@@ -11,10 +11,10 @@
 /// Number of events of a whole stream here.
 constexpr int kEvents = 10;
 
-int
+long long
 last_event_of (const Message &request)
 {
-  return atoi (request.header ("last-event-id").c_str ());
+  return atoll (request.header ("last-event-id").c_str ());
 }
 
 /// Events 1 to `last`, then a reset.
