--- a/test/system/cluster.cc
+++ b/test/system/cluster.cc
@@ -320,6 +320,11 @@
   std::ostringstream s;
   s << "{\"vms\":[";
   bool first = true;
+  for (const std::string &entry : odd_entries)
+    {
+      s << (first ? "" : ",") << entry;
+      first = false;
+    }
   auto add = [&] (const std::string &name, const char *role,
                   const std::string &domain, int port) {
     if (has (missing, name) || port == 0)
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -100,6 +100,8 @@
   std::vector<EntryNode> entries;
   std::string dir;        ///< Temporary directory of this cluster.
   std::string config_dir; ///< Configuration directory for `knapweedbay apply`.
+  /// Raw entries that stand in front of the true ones in the list of VMs.
+  std::vector<std::string> odd_entries;
 
   /// Start all processes and wait until the cluster is ready.
   void start ();
