--- a/src/protocol/json_scan.c
+++ b/src/protocol/json_scan.c
@@ -61,3 +61,27 @@
   advance (c, 1);
   return (kb_slice_t){ c->text.ptr + start, (uint32_t)(end - start) };
 }
+
+bool
+jsc_skip_value (jsc_cursor_t *c)
+{
+  uint32_t depth = 0;
+  while (!jsc_is_at_end (c))
+    {
+      char byte = jsc_byte (c);
+      bool is_closing = byte == '}' || byte == ']';
+      if (depth == 0 && (is_closing || byte == ','))
+        return true;
+      if (byte == '"')
+        jsc_read_string (c);
+      else if (jsc_is_comment (c))
+        jsc_skip_comment (c);
+      else
+        {
+          depth += byte == '{' || byte == '[';
+          depth -= is_closing;
+          c->at++;
+        }
+    }
+  return depth == 0;
+}
--- a/src/protocol/json_scan.h
+++ b/src/protocol/json_scan.h
@@ -38,5 +38,9 @@
 /// Skip the string literal that starts at the cursor.
 /// @return  Its content, with escapes not decoded.
 kb_slice_t jsc_read_string (jsc_cursor_t *c);
+/// Skip the value at the cursor, up to the comma or closing bracket that
+/// follows it, or to the end.
+/// @return  False if the text ends within the value's brackets.
+bool jsc_skip_value (jsc_cursor_t *c);
 
 #endif
--- a/src/protocol/json_walk.c
+++ b/src/protocol/json_walk.c
@@ -4,31 +4,6 @@
 
 #include "protocol/json_scan.h"
 
-/// Skip the value at the cursor, up to the comma or closing bracket that
-/// follows it, or to the end.
-static void
-skip_value (jsc_cursor_t *c)
-{
-  uint32_t depth = 0;
-  while (!jsc_is_at_end (c))
-    {
-      char byte = jsc_byte (c);
-      bool is_closing = byte == '}' || byte == ']';
-      if (depth == 0 && (is_closing || byte == ','))
-        return;
-      if (byte == '"')
-        jsc_read_string (c);
-      else if (jsc_is_comment (c))
-        jsc_skip_comment (c);
-      else
-        {
-          depth += byte == '{' || byte == '[';
-          depth -= is_closing;
-          c->at++;
-        }
-    }
-}
-
 /// Find the list that is the member `key` of the document.
 /// @param open   Receives the offset of its opening bracket.
 /// @param close  Receives the offset of its closing bracket.
@@ -54,7 +29,7 @@
       jsc_skip_space (&c);
       *open = c.at;
       bool is_list = jsc_byte (&c) == '[';
-      skip_value (&c);
+      jsc_skip_value (&c);
       // White space and comments may follow the value.
       *close = c.at;
       while (*close > *open && text.ptr[*close - 1] != ']')
@@ -70,14 +45,23 @@
   return false;
 }
 
-/// @param position  One-based index of the element, for messages.
+/// Parses each element and passes it on.
+typedef struct
+{
+  const char *name;
+  const char *key;
+  jsn_on_element_t on_element;
+  void *arg;
+} element_parser_t;
+
 static kb_status_t
-walk_element (const char *name, const char *key, uint32_t position,
-              kb_slice_t text, jsn_on_element_t on_element, void *arg,
-              kb_error_t *error)
+parse_element (void *arg, uint32_t position, kb_slice_t text,
+               kb_error_t *error)
 {
+  const element_parser_t *parser = arg;
   char location[96];
-  snprintf (location, sizeof location, "%s, %s %u", name, key, position);
+  snprintf (location, sizeof location, "%s, %s %u", parser->name, parser->key,
+            position);
   struct json_object *element = NULL;
   kb_status_t status = jsn_parse_text (location, text, &element, error);
   if (status != KB_OK)
@@ -88,14 +72,14 @@
       return kb_error_set (error, KB_EINVAL, "%s: must be an object",
                            location);
     }
-  status = on_element (arg, element, error);
+  status = parser->on_element (parser->arg, element, error);
   json_object_put (element);
   return status;
 }
 
 static kb_status_t
 walk_elements (const char *name, const char *key, kb_slice_t list,
-               jsn_on_element_t on_element, void *arg, kb_error_t *error)
+               jsn_on_text_t on_text, void *arg, kb_error_t *error)
 {
   jsc_cursor_t c = { .text = list };
   jsc_skip_space (&c);
@@ -104,14 +88,14 @@
   for (uint32_t position = 1;; position++)
     {
       size_t start = c.at;
-      skip_value (&c);
+      bool is_whole = jsc_skip_value (&c);
       size_t end = c.at < list.len_bytes ? c.at : list.len_bytes;
       kb_slice_t text = { list.ptr + start, (uint32_t)(end - start) };
-      kb_status_t status
-          = walk_element (name, key, position, text, on_element, arg, error);
-      if (status != KB_OK || jsc_is_at_end (&c))
+      kb_status_t status = on_text (arg, position, text, error);
+      bool is_last = jsc_is_at_end (&c);
+      if (status != KB_OK || (is_last && is_whole))
         return status;
-      if (jsc_byte (&c) != ',')
+      if (is_last || jsc_byte (&c) != ',')
         return kb_error_set (error, KB_EINVAL,
                              "%s, %s %u: brackets do not match", name, key,
                              position);
@@ -120,9 +104,9 @@
 }
 
 kb_status_t
-jsn_walk_list (const char *name, kb_slice_t text, const char *key,
-               struct json_object **rest, jsn_on_element_t on_element,
-               void *arg, kb_error_t *error)
+jsn_walk_texts (const char *name, kb_slice_t text, const char *key,
+                struct json_object **rest, jsn_on_text_t on_text, void *arg,
+                kb_error_t *error)
 {
   size_t open;
   size_t close;
@@ -137,10 +121,19 @@
   if (status != KB_OK)
     return status;
   kb_slice_t list = { text.ptr + open + 1, (uint32_t)(close - open - 1) };
-  status = walk_elements (name, key, list, on_element, arg, error);
+  status = walk_elements (name, key, list, on_text, arg, error);
   if (status == KB_OK)
     return KB_OK;
   json_object_put (*rest);
   *rest = NULL;
   return status;
 }
+
+kb_status_t
+jsn_walk_list (const char *name, kb_slice_t text, const char *key,
+               struct json_object **rest, jsn_on_element_t on_element,
+               void *arg, kb_error_t *error)
+{
+  element_parser_t parser = { name, key, on_element, arg };
+  return jsn_walk_texts (name, text, key, rest, parse_element, &parser, error);
+}
--- a/src/protocol/json_walk.h
+++ b/src/protocol/json_walk.h
@@ -26,4 +26,16 @@
                            jsn_on_element_t on_element, void *arg,
                            kb_error_t *error);
 
+/// @param position  One-based index of the element.
+/// @param text      The element, not parsed.
+/// @return          A status other than KB_OK ends the walk.
+typedef kb_status_t (*jsn_on_text_t) (void *arg, uint32_t position,
+                                      kb_slice_t text, kb_error_t *error);
+
+/// As jsn_walk_list, but elements are passed on as text, so that one that
+/// cannot be parsed does not end the walk.
+kb_status_t jsn_walk_texts (const char *name, kb_slice_t text, const char *key,
+                            struct json_object **rest, jsn_on_text_t on_text,
+                            void *arg, kb_error_t *error);
+
 #endif
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -158,7 +158,6 @@
 {
   ROW_COUNT = sizeof rows / sizeof rows[0],
   COMPARED_NAME_MAX_BYTES = 64, ///< Prefix compared for the nearest name.
-  DAEMON_NAME_MAX_BYTES = 47,
 };
 
 static uint32_t
@@ -293,6 +292,20 @@
   return KB_OK;
 }
 
+bool
+set_name_is_valid (kb_slice_t name)
+{
+  if (name.len_bytes == 0 || name.len_bytes > SET_NAME_MAX_BYTES)
+    return false;
+  for (uint32_t i = 0; i < name.len_bytes; i++)
+    {
+      unsigned char c = (unsigned char)name.ptr[i];
+      if (c <= ' ' || c == 0x7f || c == '"' || c == '\\' || c == '/')
+        return false;
+    }
+  return true;
+}
+
 static kb_status_t
 settings_validate (const char *file, set_settings_t *s, kb_error_t *error)
 {
@@ -305,12 +318,11 @@
                          "%s: \"role\" must be \"entry\" or \"agent\"", file);
   if (s->name[0] == '\0')
     return kb_error_set (error, KB_EINVAL, "%s: \"name\" is required", file);
-  if (strlen (s->name) > DAEMON_NAME_MAX_BYTES
-      || strpbrk (s->name, "\"\\/ ") != NULL)
+  if (!set_name_is_valid (kb_slice_str (s->name)))
     return kb_error_set (error, KB_EINVAL,
                          "%s: \"name\" must be at most %d bytes without "
-                         "quotes, slashes or blanks",
-                         file, DAEMON_NAME_MAX_BYTES);
+                         "quotes, slashes, blanks or control characters",
+                         file, SET_NAME_MAX_BYTES);
   if (s->failure_domain[0] == '\0')
     return kb_error_set (error, KB_EINVAL,
                          "%s: \"failure_domain\" is required", file);
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -12,7 +12,8 @@
 
 enum
 {
-  SET_TEXT_BYTES = 160
+  SET_TEXT_BYTES = 160,
+  SET_NAME_MAX_BYTES = 47, ///< Length of a daemon's name.
 };
 
 typedef enum
@@ -111,6 +112,8 @@
 /// @param name  Name of the source, used in messages.
 kb_status_t set_load_text (const char *name, kb_slice_t text,
                            set_settings_t *out, kb_error_t *error);
+/// @return  Whether a daemon may have this name.
+bool set_name_is_valid (kb_slice_t name);
 /// Append the settings reference as a Markdown table.
 void set_write_reference (kb_buf_t *out);
 /// @return  The known name nearest to `name` by edit distance, or NULL.
