fix(member): let an odd entry of the list cost that entry alone

What callers saw: one entry nested 40 or 100,000 deep, or with a key twice, and no entry gateway read the list any more: 9 of 24 requests reached a VM that was listed as leaving, a new VM got none, a removed one was never gone.

Cause: the list was parsed as one document. The class is missing knowledge taken for knowledge: a document without a list counted as a list of no VMs (a VM that was down was called gone), ports were cut to an int before they were checked, an address could be a name that ZeroMQ would look up, names were cut and then compared with the whole, an unknown state was live, an unknown role an agent, and of two entries with one name both were connected in turn. Ruled out: no process ended in any form.

Now the list is read by vmlist. A VM whose entry cannot be read stays as it was known and is not absent; a document without a list, and one that is in part not JSON, make no VM absent. Each odd entry is logged once (entry_ignored), a failed read too (list_unread), and knapweedbay_list_entries_ignored counts those of the last read.

--- a/src/coordination/member.c
+++ b/src/coordination/member.c
@@ -32,6 +32,12 @@
     vm->absent_ms = now_ms;
 }
 
+void
+mem_vm_set_listed_unreadable (mem_vm_t *vm)
+{
+  vm->absent_ms = 0;
+}
+
 void
 mem_vm_record_message (mem_vm_t *vm, mem_reported_t reported, uint64_t now_ms)
 {
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -52,6 +52,9 @@
 mem_state_t mem_vm_state (const mem_vm_t *vm, const mem_options_t *options,
                           uint64_t now_ms);
 void mem_vm_set_listed (mem_vm_t *vm, mem_listed_t listed, uint64_t now_ms);
+/// The list has an entry of the VM that cannot be read: it is not absent, and
+/// what was known of it stays.
+void mem_vm_set_listed_unreadable (mem_vm_t *vm);
 /// @return  Whether the incarnation differs from the previous one.
 bool mem_vm_record_hello (mem_vm_t *vm, uint64_t incarnation,
                           mem_reported_t reported, uint64_t now_ms);
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -13,6 +13,7 @@
 #include "protocol/cfgdoc.h"
 #include "protocol/openai.h"
 #include "protocol/shardmap.h"
+#include "transport/plist.h"
 #include "transport/trace.h"
 
 enum
@@ -40,9 +41,10 @@
   uint16_t route; ///< Index in the routing table, or RT_NONE.
   uint64_t revision;
   uint64_t memory_since_wall_ms;
-  uint64_t down_since_ms; ///< Zero: it isn't down.
-  uint64_t last_ping_ms;  ///< When the last ping was sent.
-  uint32_t inflight;      ///< Attempts of this entry at the VM.
+  uint64_t down_since_ms;   ///< Zero: it isn't down.
+  uint64_t last_ping_ms;    ///< When the last ping was sent.
+  uint32_t inflight;        ///< Attempts of this entry at the VM.
+  uint64_t list_read_count; ///< ent_entry_t.list_read_count when listed last.
   msg_pong_t last_pong;
 } ent_vm_t;
 
@@ -193,6 +195,8 @@
   kb_map_t vms; ///< ent_vm_t by id.
   kb_map_t vms_by_address;
   mem_options_t member_options;
+  pls_reader_t list;
+  uint64_t list_read_count; ///< Lists of VMs read so far.
   ent_request_t *requests;
   uint32_t request_count;
   kb_map_t requests_by_attempt;
--- a/src/daemon/entry_members.c
+++ b/src/daemon/entry_members.c
@@ -6,7 +6,6 @@
 #include "daemon/entry_defs.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
-#include "transport/plist.h"
 
 enum
 {
@@ -189,13 +188,13 @@
 /// with the smaller name does, since two connections under one name would
 /// conflict.
 static bool
-is_initiator_for (const ent_entry_t *entry, const pls_vm_t *vm, bool is_entry)
+is_initiator_for (const ent_entry_t *entry, const vml_vm_t *vm)
 {
-  return !is_entry || strcmp (entry->daemon->settings.name, vm->name) < 0;
+  return !vm->is_entry || strcmp (entry->daemon->settings.name, vm->name) < 0;
 }
 
 static void
-vm_connect (ent_entry_t *entry, ent_vm_t *vm, const pls_vm_t *listed)
+vm_connect (ent_entry_t *entry, ent_vm_t *vm, const vml_vm_t *listed)
 {
   const set_settings_t *s = &entry->daemon->settings;
   if (vm->is_initiator && strcmp (vm->address, listed->address) == 0)
@@ -214,72 +213,88 @@
               kb_hash (vm->address, strlen (vm->address), 0) | 1, vm);
 }
 
+/// Apply an entry of which only the name is known, and perhaps that it says
+/// that the VM is leaving.
 static void
-apply_listed_vm (ent_entry_t *entry, const pls_vm_t *listed)
+apply_unreadable_vm (ent_entry_t *entry, ent_vm_t *vm, bool is_leaving)
+{
+  mem_vm_set_listed_unreadable (&vm->member);
+  if (is_leaving)
+    mem_vm_set_listed (&vm->member, MEM_LISTED_LEAVING, tmr_now_ms ());
+  ent_vm_update_state (entry, vm);
+}
+
+static void
+apply_listed_vm (ent_entry_t *entry, const vml_vm_t *listed)
 {
   if (is_self (entry, listed->name))
     return;
   ent_vm_t *vm = vm_find_or_add (entry, kb_slice_str (listed->name));
-  bool is_entry = strcmp (listed->role, "entry") == 0;
-  vm->is_entry = is_entry;
+  vm->list_read_count = entry->list_read_count;
+  if (!listed->is_readable)
+    {
+      apply_unreadable_vm (entry, vm, listed->is_leaving);
+      return;
+    }
+  vm->is_entry = listed->is_entry;
   if (vm->domain[0] == '\0')
     snprintf (vm->domain, sizeof vm->domain, "%s", listed->failure_domain);
   mem_vm_set_listed (&vm->member,
                      listed->is_leaving ? MEM_LISTED_LEAVING : MEM_LISTED_LIVE,
                      tmr_now_ms ());
-  if (is_initiator_for (entry, listed, is_entry))
+  if (is_initiator_for (entry, listed))
     vm_connect (entry, vm, listed);
   ent_vm_update_state (entry, vm);
 }
 
-static bool
-list_has (const pls_vm_t *vms, uint32_t count, const char *name)
+static void
+apply_absent_vms (ent_entry_t *entry)
 {
-  for (uint32_t i = 0; i < count; i++)
-    if (strcmp (vms[i].name, name) == 0)
-      return true;
-  return false;
+  uint32_t at = 0;
+  ent_vm_t *vm;
+  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
+    if (vm->list_read_count != entry->list_read_count)
+      {
+        mem_vm_set_listed (&vm->member, MEM_LISTED_ABSENT, tmr_now_ms ());
+        ent_vm_update_state (entry, vm);
+      }
 }
 
 static void
-on_list_read (void *arg, const pls_vm_t *vms, uint32_t count)
+on_list_read (void *arg, const vml_list_t *list)
 {
   ent_entry_t *entry = arg;
-  if (vms == NULL)
+  if (list == NULL)
     {
       // A failed read says nothing about the state of any VM.
       MET_INC ("knapweedbay_list_failures_total", "");
       return;
     }
+  entry->list_read_count++;
+  for (uint32_t i = 0; i < list->count; i++)
+    apply_listed_vm (entry, &list->vms[i]);
+  if (!list->is_complete)
+    return;
   entry->is_list_known = true;
-  for (uint32_t i = 0; i < count; i++)
-    apply_listed_vm (entry, &vms[i]);
-  uint32_t at = 0;
-  ent_vm_t *vm;
-  while ((vm = kb_map_next (&entry->vms, &at)) != NULL)
-    if (!list_has (vms, count, vm->name))
-      {
-        mem_vm_set_listed (&vm->member, MEM_LISTED_ABSENT, tmr_now_ms ());
-        ent_vm_update_state (entry, vm);
-      }
+  apply_absent_vms (entry);
 }
 
 static void
 read_list (void *arg)
 {
   ent_entry_t *entry = arg;
-  const set_settings_t *s = &entry->daemon->settings;
-  pls_read (&entry->daemon->http, s->list_address, (uint16_t)s->list_port,
-            (uint64_t)s->kv_timeout_ms, on_list_read, entry);
+  pls_read (&entry->list, on_list_read, entry);
 }
 
 void
 ent_members_start (ent_entry_t *entry)
 {
+  const set_settings_t *s = &entry->daemon->settings;
+  pls_reader_init (&entry->list, &entry->daemon->http, s->list_address,
+                   (uint16_t)s->list_port, (uint64_t)s->kv_timeout_ms);
   read_list (entry);
   tmr_start_periodic (&entry->daemon->timers, &entry->list_poll_timer,
-                      (uint64_t)entry->daemon->settings.list_poll_ms,
-                      read_list, entry);
+                      (uint64_t)s->list_poll_ms, read_list, entry);
 }
 
 static void
--- a/src/protocol/vmlist.c
+++ b/src/protocol/vmlist.c
@@ -205,54 +205,52 @@
 static bool
 is_json (kb_slice_t text)
 {
+  // A number ends with the byte after it.
+  char *copy = kb_slice_dup (text);
   struct json_tokener *tok = json_tokener_new_ex (VALIDATE_DEPTH);
   struct json_object *value
-      = json_tokener_parse_ex (tok, text.ptr, (int)text.len_bytes);
+      = json_tokener_parse_ex (tok, copy, (int)text.len_bytes + 1);
   enum json_tokener_error error = json_tokener_get_error (tok);
   jsc_cursor_t rest = { .text = text, .at = json_tokener_get_parse_end (tok) };
   json_tokener_free (tok);
   json_object_put (value);
+  free (copy);
   jsc_skip_space (&rest);
   return error == json_tokener_error_depth
          || (error == json_tokener_success && jsc_is_at_end (&rest));
 }
 
-static bool
-is_blank (kb_slice_t text)
-{
-  jsc_cursor_t c = { .text = text };
-  jsc_skip_space (&c);
-  return jsc_is_at_end (&c);
-}
-
 static kb_status_t
 on_entry (void *arg, uint32_t position, kb_slice_t text, kb_error_t *error)
 {
   decoder_t *d = arg;
-  if (is_blank (text))
+  jsc_cursor_t start = { .text = text };
+  jsc_skip_space (&start);
+  if (jsc_is_at_end (&start))
     return KB_OK;
-  struct json_object *entry = NULL;
-  kb_error_t reason = { 0 };
   vml_vm_t vm = { 0 };
-  if (jsn_parse_text ("entry", text, &entry, &reason) == KB_OK)
+  kb_error_t reason = { 0 };
+  struct json_object *entry = NULL;
+  const char *fault = NULL;
+  bool is_parsed = jsn_parse_text ("entry", text, &entry, &reason) == KB_OK;
+  if (is_parsed)
+    fault = decode_vm (entry, &vm);
+  else
+    fault = jsc_byte (&start) == '{' ? reason.message : "not an object";
+  json_object_put (entry);
+  if (fault == NULL)
     {
-      const char *fault = decode_vm (entry, &vm);
-      json_object_put (entry);
-      if (fault == NULL)
-        {
-          add_vm (d, &vm, text);
-          return KB_OK;
-        }
-      bool is_new;
-      if (vm.name[0] != '\0')
-        find_or_add (d, vm.name, &is_new);
-      record_fault (d->list, text, vm.name, fault);
+      add_vm (d, &vm, text);
       return KB_OK;
     }
-  add_unreadable (d, text, vm.name);
-  if (!is_json (text))
+  bool is_new;
+  if (!is_parsed)
+    add_unreadable (d, text, vm.name);
+  else if (vm.name[0] != '\0')
+    find_or_add (d, vm.name, &is_new);
+  if (!is_parsed && !is_json (text))
     d->list->is_complete = false;
-  record_fault (d->list, text, vm.name, reason.message);
+  record_fault (d->list, text, vm.name, fault);
   return KB_OK;
 }
 
--- a/test/system/odd_entry_failure_test.cc
+++ b/test/system/odd_entry_failure_test.cc
@@ -3,7 +3,6 @@
 #include <signal.h>
 
 #include <fstream>
-#include <sstream>
 #include <thread>
 
 #include "cluster.h"
@@ -44,13 +43,21 @@
          + repeat ("[", depth) + repeat ("]", depth) + "}";
 }
 
+int
+log_count (const kb::Process &process, const std::string &text)
+{
+  std::ifstream file (process.log_path);
+  std::string line;
+  int count = 0;
+  while (std::getline (file, line))
+    count += line.find (text) != std::string::npos;
+  return count;
+}
+
 bool
 log_has (const kb::Process &process, const std::string &text)
 {
-  std::ifstream file (process.log_path);
-  std::stringstream content;
-  content << file.rdbuf ();
-  return content.str ().find (text) != std::string::npos;
+  return log_count (process, text) > 0;
 }
 
 void
@@ -133,6 +140,76 @@
     }
 }
 
+// Guards against a VM taken for gone because its own entry cannot be read.
+TEST (OddEntries, VmWhoseEntryCannotBeReadIsNotGone)
+{
+  Cluster c (two_engines ());
+  c.start ();
+  kb::Target &target = c.targets[1];
+  c.odd_entries = { "{\"name\":\"" + target.name + "\",\"port\":70000}" };
+  c.publish ({}, { target.name });
+  sleep_for_ms (kListBoundMs);
+  Cluster::kill_process (target.agent, SIGKILL);
+  sleep_for_ms (kGoneAfterMs + kListBoundMs);
+  for (kb::EntryNode &entry : c.entries)
+    EXPECT_FALSE (log_has (entry.process, target.name + " is gone."));
+  c.start_agent (target, target.agent.inner_port);
+  int before = c.runs_at (target);
+  EXPECT_TRUE (Cluster::wait_until (
+      [&] {
+        send_requests (c);
+        return c.runs_at (target) > before;
+      },
+      kListBoundMs + 5000));
+}
+
+// Guards against VMs taken for gone because the document has no list.
+TEST (OddEntries, DocumentWithoutAListMakesNoVmGone)
+{
+  Cluster c (two_engines ());
+  c.start ();
+  std::string name = c.targets[1].name;
+  for (const char *document : { "{}", "{\"vms\":{}}", "{\"vms\":null}" })
+    {
+      kb::http_call ("POST", c.list.http_port, "/v1/vms", document);
+      sleep_for_ms (kListBoundMs);
+      if (c.targets[1].agent.pid != 0)
+        Cluster::kill_process (c.targets[1].agent, SIGKILL);
+      sleep_for_ms (kGoneAfterMs + kListBoundMs);
+      for (kb::EntryNode &entry : c.entries)
+        EXPECT_FALSE (log_has (entry.process, name + " is gone.")) << document;
+    }
+  c.publish ({}, { name });
+  for (kb::EntryNode &entry : c.entries)
+    EXPECT_TRUE (Cluster::wait_until (
+        [&] { return log_has (entry.process, name + " is gone."); },
+        kGoneAfterMs + kListBoundMs));
+}
+
+// Guards against a line in the log and an end of the process at each read.
+TEST (OddEntries, EachIsLoggedOnceWithItsReason)
+{
+  Cluster c (two_engines ());
+  c.start ();
+  c.odd_entries = { nested (100000), "{\"name\":\"a\",\"port\":65536}",
+                    "{\"name\":\"b\",\"port\":1,\"address\":\"host\"}", "7" };
+  c.publish ();
+  sleep_for_ms (kListBoundMs);
+  EXPECT_EQ (send_requests (c), 0);
+  for (kb::EntryNode &entry : c.entries)
+    {
+      EXPECT_EQ (log_count (entry.process, "entry_ignored"), 4);
+      EXPECT_EQ (c.metric (entry.process, "knapweedbay_list_entries_ignored"),
+                 4);
+      EXPECT_EQ (Cluster::wait_exit (entry.process, 0), -1);
+    }
+  c.odd_entries.clear ();
+  c.publish ();
+  sleep_for_ms (kListBoundMs);
+  EXPECT_EQ (
+      c.metric (c.entries[0].process, "knapweedbay_list_entries_ignored"), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P (
     Forms, OddEntry,
     testing::Values (OddForm{ "NoMembers", "{}" },
--- a/test/unit/vmlist_test.cc
+++ b/test/unit/vmlist_test.cc
@@ -165,6 +165,7 @@
       expect_good (list);
       EXPECT_EQ (list.list.count, 1u);
       EXPECT_EQ (list.list.fault_count, 1u);
+      EXPECT_TRUE (list.list.is_complete);
     }
   List longest
       = List::of ("{\"name\":\"" + repeat ("n", 47) + "\",\"port\":1}");
