--- a/test/relay/event_order_failure_test.cc
+++ b/test/relay/event_order_failure_test.cc
@@ -264,6 +264,22 @@
   EXPECT_TRUE (is_sound (stream ("s-plain")));
 }
 
+// Guards against work for a stream that can't go on: without the id of its
+// last event no target knows where.
+TEST_F (EventOrder, StreamBrokenBehindAnEventWithoutIdIsNotSentAgain)
+{
+  StreamScript first = whole (plain_events (1, 4));
+  first.end = StreamEnd::RESET;
+  first.before_end_ms = 20;
+  plan (site, first);
+  EXPECT_TRUE (is_sound (stream ("s-plain")));
+  EXPECT_EQ (site.runs_of ("s-plain"), 1);
+  first.pieces.insert (first.pieces.begin (), numbered_event ("1", "e0"));
+  plan (site, first);
+  EXPECT_TRUE (is_sound (stream ("s-mixed"), 0));
+  EXPECT_EQ (site.runs_of ("s-mixed"), 1);
+}
+
 // Guards against streams without ids that are cut.
 TEST_F (EventOrder, StreamWithoutIdsIsRelayed)
 {
