fix(gateway): send no stream again that broke off behind an event without id

What callers saw, as a complete stream: e0 to e4 and e2 to e10, where only e0 had an id. A stream without any id was sent again in vain, and given up after a pause of 2 s.

Cause: whether a stream may be sent again was decided by its route alone. The id behind which it would go on is not that of the last event the caller has.

Now a stream may go on elsewhere only if the last relayed event has an id, or none was relayed. The timer for silence, which exists to continue elsewhere, is cancelled as soon as the stream can't; it would cut a stream that pauses.

Before: StreamBrokenBehindAnEventWithoutIdIsNotSentAgain fails; without the cancelled timer PausedStreamWithoutIdsIsNotCut fails for both its streams.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -50,11 +50,13 @@
   MIN_LOGGED_GAP_MS = 300,
 };
 
+/// @return  Whether a request may be sent again though it may have run.
 static bool
-is_idempotent (const gtw_request_t *r)
+is_repeatable (const gtw_request_t *r)
 {
   return r->kind == SVC_KIND_SAFE
-         || (r->kind == SVC_KIND_STREAM && r->is_resumable);
+         || (r->kind == SVC_KIND_STREAM && r->is_resumable
+             && esq_stream_can_continue (&r->events));
 }
 
 /// End a request that will not be retried: refuse it if it has certainly not
@@ -80,7 +82,7 @@
   if (!r->is_head_written)
     kb_buf_clear (&r->head);
   bool may_run
-      = r->execution_state == GTW_EXECUTION_NOT_RUN || is_idempotent (r);
+      = r->execution_state == GTW_EXECUTION_NOT_RUN || is_repeatable (r);
   if (!may_run
       || r->possible_runs
              >= r->max_attempts
@@ -155,7 +157,8 @@
 static void
 arm_silence_timer (gtw_request_t *r)
 {
-  if (!is_idempotent (r) || r->possible_runs >= r->max_attempts)
+  tmr_cancel (&r->gateway->host.timers, &r->silence_timer);
+  if (!is_repeatable (r) || r->possible_runs >= r->max_attempts)
     return;
   uint64_t limit_ms = MAX_STREAM_SILENCE_MS;
   if (r->kind == SVC_KIND_SAFE)
@@ -461,7 +464,7 @@
 {
   gtw_request_t *r = x->owner;
   bool is_error = r->http_status >= HTTP_SERVER_ERROR;
-  bool may_repeat = is_idempotent (r) && r->possible_runs < r->max_attempts
+  bool may_repeat = is_repeatable (r) && r->possible_runs < r->max_attempts
                     && !r->is_head_written
                     && !gtw_quarantine_is_suspect_starting (r);
   if (is_error && may_repeat)
@@ -583,7 +586,7 @@
       = { .head = kb_buf_slice (&head),
           .body = kb_buf_slice (&r->body),
           .max_idle_ms
-          = is_idempotent (r) ? XCH_ANY_IDLE_MS : MAX_IDLE_NON_IDEMPOTENT_MS,
+          = is_repeatable (r) ? XCH_ANY_IDLE_MS : MAX_IDLE_NON_IDEMPOTENT_MS,
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
           .is_head_method = r->client->conn.parser.method == HTTP_HEAD };
   r->stage = r->is_head_written ? GTW_STAGE_RELAYING : GTW_STAGE_SENT;
--- a/test/relay/event_order_failure_test.cc
+++ b/test/relay/event_order_failure_test.cc
@@ -280,6 +280,21 @@
   EXPECT_EQ (site.runs_of ("s-mixed"), 1);
 }
 
+// Guards against a stream that is given up for a pause though no other target
+// can continue it.
+TEST_F (EventOrder, PausedStreamWithoutIdsIsNotCut)
+{
+  for (int numbered : { 0, 3 })
+    {
+      StreamScript paused = whole (numbered_events (1, numbered));
+      for (const std::string &event : plain_events (numbered + 1, kEvents))
+        paused.pieces.push_back (event);
+      paused.before_end_ms = 2800;
+      plan (site, paused);
+      EXPECT_TRUE (is_whole (stream ("s-pause-" + std::to_string (numbered))));
+    }
+}
+
 // Guards against streams without ids that are cut.
 TEST_F (EventOrder, StreamWithoutIdsIsRelayed)
 {
