fix(gateway): learn the steps of ids by model

The steps that tell a gap were learned per service. Models of one service may number differently; 256 steps of one would make a sound continuation of another a gap.

--- a/src/coordination/eventseq.h
+++ b/src/coordination/eventseq.h
@@ -1,8 +1,8 @@
 /// @file eventseq.h
 /// Order of the events of a stream that one or several answers of targets
 /// bring: judges each event against those that its caller has received. Ids
-/// increase and need not be consecutive; the step between them is learned per
-/// service. No I/O.
+/// increase and need not be consecutive; the step between them is learned from
+/// the answers of each model. No I/O.
 #ifndef KB_COORDINATION_EVENTSEQ_H
 #define KB_COORDINATION_EVENTSEQ_H
 
@@ -15,7 +15,7 @@
   ESQ_MIN_EVEN_STEPS = 256,
 };
 
-/// Steps between the ids within answers of a service.
+/// Steps between the ids within answers of a model.
 typedef struct
 {
   uint64_t step;  ///< The last one; zero: none was shown.
@@ -27,7 +27,7 @@
 {
   ESQ_NEW,
   ESQ_NO_ID,    ///< New, but the stream can't be continued behind it.
-  ESQ_JUMP,     ///< New, further on than the even step of its service.
+  ESQ_JUMP,     ///< New, further on than the even step of its model.
   ESQ_REPEATED, ///< Sent again by a continuation that began earlier.
   // The answer is unsound.
   ESQ_BACK,     ///< Its id is not above that of the event before it.
@@ -59,7 +59,7 @@
 /// Begin the next answer.
 void esq_answer_begin (esq_stream_t *stream);
 /// Judge the next event of the answer, and record it unless it is unsound.
-/// @param steps  Of the service; steps that the answer shows are recorded.
+/// @param steps  Of the model; steps that the answer shows are recorded.
 /// @param id     NULL: the event has none.
 esq_verdict_t esq_event_judge (esq_stream_t *stream, esq_steps_t *steps,
                                const uint64_t *id);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -329,10 +329,10 @@
   bool are_parts_starting; ///< They may have ended the target.
 } gtw_broken_attempt_t;
 
-/// Steps between the ids of events of one service.
+/// Steps between the ids of events of one model of a service.
 typedef struct
 {
-  uint64_t service; ///< gtw_service_key; zero: unused entry.
+  uint64_t key; ///< Hash of service and model; zero: unused entry.
   esq_steps_t steps;
 } gtw_steps_t;
 
@@ -442,7 +442,7 @@
   gtw_software_writer_t software_writer;
   uint64_t streamed_services[GTW_MAX_STREAMED_SERVICES]; ///< gtw_service_key
   uint32_t streamed_count;
-  gtw_steps_t event_steps[GTW_MAX_EVENT_STEPS]; ///< By hash of the service.
+  gtw_steps_t event_steps[GTW_MAX_EVENT_STEPS]; ///< By hash of the key.
   org_table_t origins; ///< Of streams that this gateway began or continued.
   plc_costs_t costs;
   uint32_t engine_requests; ///< Requests for engines since `rate_updated_ms`.
--- a/src/gateway/gateway_events.c
+++ b/src/gateway/gateway_events.c
@@ -5,15 +5,17 @@
 #include "transport/metrics.h"
 #include "transport/sse.h"
 
-/// @return  The steps that a service has shown. Services that share an entry
-///          take it from each other.
+/// @return  The steps that streams of the same service and model have shown.
+///          Models that share an entry take it from each other.
 static esq_steps_t *
-steps_of (gtw_gateway_t *gateway, const char *service)
+steps_of (const gtw_request_t *r)
 {
-  uint64_t key = gtw_service_key (service);
-  gtw_steps_t *entry = &gateway->event_steps[key / 2 % GTW_MAX_EVENT_STEPS];
-  if (entry->service != key)
-    *entry = (gtw_steps_t){ .service = key };
+  kb_slice_t model = r->parsed_head.model;
+  uint64_t service = gtw_service_key (r->service);
+  uint64_t key = kb_hash (model.ptr, model.len_bytes, service) | 1;
+  gtw_steps_t *entry = &r->gateway->event_steps[key / 2 % GTW_MAX_EVENT_STEPS];
+  if (entry->key != key)
+    *entry = (gtw_steps_t){ .key = key };
   return &entry->steps;
 }
 
@@ -53,9 +55,8 @@
 {
   uint64_t id = 0;
   sse_id_t kind = sse_event_id (event, &id);
-  esq_verdict_t verdict
-      = esq_event_judge (&r->events, steps_of (r->gateway, r->service),
-                         kind == SSE_ID_NUMBER ? &id : NULL);
+  esq_verdict_t verdict = esq_event_judge (&r->events, steps_of (r),
+                                           kind == SSE_ID_NUMBER ? &id : NULL);
   // Streams without any id are regular.
   bool is_regular
       = verdict == ESQ_NO_ID && kind == SSE_ID_NONE && !r->events.has_last_id;
