test(relay): continue streams while a version of their adapter is declared

Callers saw streams whose events two versions of an adapter wrote: a resumption, in one answer or by its caller, asks for the newest version, and what began a stream does not include the version of its adapter.

The stand-in carries out load orders that name a version with that version, as the protocol says, not with its newest one.

--- a/test/relay/streams.cc
+++ b/test/relay/streams.cc
@@ -25,7 +25,8 @@
 }
 
 std::vector<Stream>
-begin_streams (Site &site, size_t gateway, int count, const std::string &name)
+begin_streams (Site &site, size_t gateway, int count, const std::string &name,
+               const std::string &adapter)
 {
   std::vector<Stream> streams;
   for (int i = 0; i < count; i++)
@@ -34,7 +35,7 @@
       stream.id = name + std::to_string (i);
       stream.connection = dial (site.gateways[gateway].address);
       if (stream.connection != nullptr)
-        stream.connection->write (stream_call (stream.id, "").text ());
+        stream.connection->write (stream_call (stream.id, adapter).text ());
       streams.push_back (std::move (stream));
     }
   for (Stream &stream : streams)
@@ -61,7 +62,7 @@
 Continuations
 continue_streams (Site &site, size_t gateway,
                   const std::vector<Stream> &streams, bool names_origin,
-                  const std::string &again)
+                  const std::string &again, const std::string &adapter)
 {
   Continuations result;
   std::mutex mutex;
@@ -71,16 +72,18 @@
       Moment began = std::chrono::steady_clock::now ();
       Message answer = send_call (
           site.gateways[gateway],
-          continued (stream_call ("", ""), again + stream.id,
+          continued (stream_call ("", adapter), again + stream.id,
                      stream.last_event (), names_origin ? stream.id : ""));
       int took_ms
           = (int)std::chrono::duration_cast<std::chrono::milliseconds> (
                 std::chrono::steady_clock::now () - began)
                 .count ();
-      auto versions = event_versions (stream.events + answer.body);
+      std::string events = stream.events + answer.body;
+      bool is_mixed = event_versions (events).size () > 1
+                      || event_adapter_versions (events).size () > 1;
       std::lock_guard<std::mutex> lock (mutex);
       result.begun += stream.last_event () > 0;
-      result.mixed += versions.size () > 1;
+      result.mixed += is_mixed;
       result.continued += answer.status == 200 && answer.is_complete;
       result.refused += answer.status == 503;
       if (answer.status == 503)
--- a/test/relay/streams.h
+++ b/test/relay/streams.h
@@ -24,8 +24,10 @@
 void set_version (Site &site, size_t engine, const std::string &version);
 
 /// Begin streams at a gateway, and read their first events.
+/// @param adapter  Empty: the base model.
 std::vector<Stream> begin_streams (Site &site, size_t gateway, int count,
-                                   const std::string &name);
+                                   const std::string &name,
+                                   const std::string &adapter = "");
 
 /// Close the connections, and drop what follows the last complete event.
 void end_streams (std::vector<Stream> &streams);
@@ -39,18 +41,20 @@
   int begun = 0;
   int continued = 0; ///< Complete.
   int refused = 0;
-  int mixed = 0; ///< Hold events of two versions.
+  int mixed = 0; ///< Hold events of two versions, software or adapter.
   int max_refusal_ms = 0;
 };
 
 /// Continue streams at a gateway, all at once.
 /// @param names_origin  Whether callers name the attempt that brought the
 ///   first event.
-/// @param again  Begin of the ids of these attempts.
+/// @param again    Begin of the ids of these attempts.
+/// @param adapter  Empty: the base model.
 Continuations continue_streams (Site &site, size_t gateway,
                                 const std::vector<Stream> &streams,
                                 bool names_origin = true,
-                                const std::string &again = "again-");
+                                const std::string &again = "again-",
+                                const std::string &adapter = "");
 
 } // namespace relay
 
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -391,7 +391,9 @@
       adapters_.erase (name);
       return 200;
     }
-  adapters_[name].version = newest_version;
+  std::string version = member (body, "Version");
+  adapters_[name].version
+      = version.empty () ? newest_version.load () : atoi (version.c_str ());
   adapters_[name].ready = Clock::now () + std::chrono::milliseconds (load_ms);
   loads_++;
   max_adapters_held_ = std::max (max_adapters_held_, adapters_.size ());
