feat(gateway): log at which version of its adapter a stream is resumed

Nothing in the logs or counters told whether a stream that broke off went on at the version of its adapter that began it.

What began a stream now includes that version, also at the sidecars that remember it. In messages it stands in a field of its own behind the packed records, which daemons without it ignore and omit; the records keep their form. A version that isn't sent is not known. Nothing is decided by it yet.

--- a/src/coordination/origins.c
+++ b/src/coordination/origins.c
@@ -15,9 +15,11 @@
 typedef struct
 {
   uint64_t stream;
-  org_origin_t origin;
+  uint64_t service;
+  uint64_t software;
+  uint64_t instance;
   uint64_t ttl_ms;
-} packed_t;
+} record_t;
 
 void
 org_table_init (org_table_t *table)
@@ -66,6 +68,18 @@
   kb_map_finish (&table->entries);
 }
 
+/// Fill in what is not known yet of the origin of a stream.
+static void
+origin_merge (org_origin_t *known, const org_origin_t *other)
+{
+  uint64_t adapter_version = known->adapter_version != 0
+                                 ? known->adapter_version
+                                 : other->adapter_version;
+  if (known->software == 0)
+    *known = *other;
+  known->adapter_version = adapter_version;
+}
+
 void
 org_put (org_table_t *table, uint64_t stream, const org_origin_t *origin,
          uint64_t ttl_ms, uint64_t now_ms)
@@ -83,8 +97,9 @@
     }
   if (ttl_ms > ORG_MAX_TTL_MS)
     ttl_ms = ORG_MAX_TTL_MS;
-  bool is_known = entry->expires_ms > now_ms && entry->origin.software != 0;
-  if (!is_known)
+  if (entry->expires_ms > now_ms)
+    origin_merge (&entry->origin, origin);
+  else
     entry->origin = *origin;
   if (entry->expires_ms < now_ms + ttl_ms)
     entry->expires_ms = now_ms + ttl_ms;
@@ -125,30 +140,73 @@
       visit (arg, e->stream, &e->origin, e->expires_ms - now_ms);
 }
 
+void
+org_packed_clear (org_packed_t *packed)
+{
+  kb_buf_clear (&packed->records);
+  kb_buf_clear (&packed->adapter_versions);
+}
+
+void
+org_packed_finish (org_packed_t *packed)
+{
+  kb_buf_finish (&packed->records);
+  kb_buf_finish (&packed->adapter_versions);
+}
+
 void
 org_pack (uint64_t stream, const org_origin_t *origin, uint64_t ttl_ms,
-          kb_buf_t *out)
+          org_packed_t *out)
 {
-  packed_t packed = { .stream = stream, .origin = *origin, .ttl_ms = ttl_ms };
-  kb_buf_append (out, &packed, sizeof packed);
+  record_t record = { .stream = stream,
+                      .service = origin->service,
+                      .software = origin->software,
+                      .instance = origin->instance,
+                      .ttl_ms = ttl_ms };
+  kb_buf_append (&out->records, &record, sizeof record);
+  kb_buf_append (&out->adapter_versions, &origin->adapter_version,
+                 sizeof origin->adapter_version);
 }
 
-bool
-org_unpack (org_table_t *table, kb_slice_t packed, uint64_t now_ms)
+/// @return  Whether all records can be read, and have versions or none has.
+static bool
+is_well_formed (kb_slice_t records, kb_slice_t adapter_versions)
 {
-  packed_t entry;
-  if (packed.len_bytes % sizeof entry != 0)
+  if (records.len_bytes % sizeof (record_t) != 0)
+    return false;
+  uint32_t count = records.len_bytes / (uint32_t)sizeof (record_t);
+  if (adapter_versions.len_bytes != 0
+      && adapter_versions.len_bytes != count * sizeof (uint64_t))
     return false;
-  for (uint32_t at = 0; at < packed.len_bytes; at += sizeof entry)
+  for (uint32_t i = 0; i < count; i++)
     {
-      memcpy (&entry, packed.ptr + at, sizeof entry);
-      if (entry.stream == 0 || entry.origin.service == 0)
+      record_t record;
+      memcpy (&record, records.ptr + i * sizeof record, sizeof record);
+      if (record.stream == 0 || record.service == 0)
         return false;
     }
-  for (uint32_t at = 0; at < packed.len_bytes; at += sizeof entry)
+  return true;
+}
+
+bool
+org_unpack (org_table_t *table, kb_slice_t records,
+            kb_slice_t adapter_versions, uint64_t now_ms)
+{
+  if (!is_well_formed (records, adapter_versions))
+    return false;
+  uint32_t count = records.len_bytes / (uint32_t)sizeof (record_t);
+  for (uint32_t i = 0; i < count; i++)
     {
-      memcpy (&entry, packed.ptr + at, sizeof entry);
-      org_put (table, entry.stream, &entry.origin, entry.ttl_ms, now_ms);
+      record_t record;
+      memcpy (&record, records.ptr + i * sizeof record, sizeof record);
+      org_origin_t origin = { .service = record.service,
+                              .software = record.software,
+                              .instance = record.instance };
+      if (adapter_versions.len_bytes > 0)
+        memcpy (&origin.adapter_version,
+                adapter_versions.ptr + i * sizeof origin.adapter_version,
+                sizeof origin.adapter_version);
+      org_put (table, record.stream, &origin, record.ttl_ms, now_ms);
     }
   return true;
 }
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -216,6 +216,8 @@
 record_relayed_events (gtw_request_t *r, uint32_t events)
 {
   uint64_t now_ms = gtw_now_ms (r->gateway);
+  if (!r->is_begun && r->is_engine)
+    gtw_resume_record (r);
   if (!r->is_begun)
     {
       gtw_place_report_begun (r);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -125,8 +125,8 @@
   uint32_t adapter_count;
   rct_adapters_t recent_adapters; ///< Adapters that it held recently.
   inc_t reported_engine; ///< Engine that the sidecar's last report was about.
-  uint64_t quarantine_stamp; ///< Of the sidecar's quarantine table.
-  kb_buf_t unsent_origins;   ///< Packed, for its sidecar.
+  uint64_t quarantine_stamp;   ///< Of the sidecar's quarantine table.
+  org_packed_t unsent_origins; ///< For its sidecar.
 
   gtw_advertised_t advertised;
   aln_gate_t alone;     ///< Of a plain target, for this gateway's requests.
--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -31,6 +31,14 @@
   return is_listed ? r->target->software_key : 0;
 }
 
+/// @return  Version of the adapter that serves a request; zero: none, or not
+///          known.
+static uint64_t
+serving_adapter_version (const gtw_request_t *r)
+{
+  return r->is_engine && r->adapter_key != 0 ? r->granted_version : 0;
+}
+
 /// Remember, here and at sidecars, what began the stream that a caller may
 /// continue under the name of an attempt.
 static void
@@ -64,6 +72,8 @@
 {
   if (r->origin.service == 0)
     set_origin (r);
+  if (r->origin.adapter_version == 0)
+    r->origin.adapter_version = serving_adapter_version (r);
   if (!r->is_resumable)
     return;
   remember (r, kb_slice_str (r->attempt_id));
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -58,6 +58,11 @@
 void gtw_origin_receive_reply (gtw_gateway_t *gateway,
                                const msg_origin_reply_t *reply);
 
+// gateway_resume.c
+/// Log and count a stream whose target has sent the first event, if it began
+/// elsewhere: at which version of its adapter, and at which one it goes on.
+void gtw_resume_record (const gtw_request_t *r);
+
 // gateway_origin.c
 typedef enum
 {
--- a/src/gateway/gateway_origin_peers.c
+++ b/src/gateway/gateway_origin_peers.c
@@ -21,14 +21,16 @@
 static void
 flush_origins (gtw_gateway_t *gateway, gtw_target_t *target)
 {
-  if (target->unsent_origins.len_bytes == 0)
+  org_packed_t *unsent = &target->unsent_origins;
+  if (unsent->records.len_bytes == 0)
     return;
-  msg_t msg
-      = { .type = MSG_ORIGINS,
-          .origins = { .records = kb_buf_slice (&target->unsent_origins) } };
+  msg_t msg = { .type = MSG_ORIGINS,
+                .origins = { .records = kb_buf_slice (&unsent->records),
+                             .adapter_versions
+                             = kb_buf_slice (&unsent->adapter_versions) } };
   if (hst_send (&gateway->host, target->link, &msg) != KB_OK)
     MET_INC ("knapweedbay_sidecar_unreached_total", "");
-  kb_buf_clear (&target->unsent_origins);
+  org_packed_clear (unsent);
 }
 
 /// Add a stream to what is sent to the sidecars that remember it.
@@ -46,7 +48,7 @@
       if (only != NULL && target != only)
         continue;
       org_pack (stream, origin, ttl_ms, &target->unsent_origins);
-      if (target->unsent_origins.len_bytes >= MAX_MESSAGE_BYTES)
+      if (target->unsent_origins.records.len_bytes >= MAX_MESSAGE_BYTES)
         flush_origins (gateway, target);
     }
 }
@@ -80,7 +82,9 @@
               uint64_t ttl_ms)
 {
   const selection_t *selection = arg;
-  if (gtw_software_is_ambiguous (selection->gateway, origin))
+  // A new version of the adapter may be declared at any time.
+  if (origin->adapter_version != 0
+      || gtw_software_is_ambiguous (selection->gateway, origin))
     add_stream (selection->gateway, selection->only, stream, origin, ttl_ms);
 }
 
@@ -167,7 +171,8 @@
   if (r == NULL || r->stage != GTW_STAGE_WAITING_FOR_ORIGIN)
     return;
   r->origin_reply_count++;
-  if (!org_unpack (&gateway->origins, reply->records, gtw_now_ms (gateway)))
+  if (!org_unpack (&gateway->origins, reply->records, reply->adapter_versions,
+                   gtw_now_ms (gateway)))
     MET_INC ("knapweedbay_inner_dropped_total", "reason=\"malformed\"");
   gateway->on_retry (gateway);
 }
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -298,7 +298,7 @@
   gtw_target_close_peers (target);
   free (target->adapters);
   rct_adapters_finish (&target->recent_adapters);
-  kb_buf_finish (&target->unsent_origins);
+  org_packed_finish (&target->unsent_origins);
   free (target);
 }
 
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -233,16 +233,22 @@
         UINT (quota_grant, wait_ms), UINT (quota_grant, is_pause),
         UINT (quota_grant, is_refused), BYTES (quota_grant, ledger) } },
   [MSG_PLACE_JOINED] = { "place_joined", 1, { UINT (place_joined, id) } },
-  [MSG_ORIGINS] = { "origins", 1, { BYTES (origins, records) } },
+  [MSG_ORIGINS]
+  = { "origins",
+      2,
+      { BYTES (origins, records), BYTES (origins, adapter_versions) },
+      1 },
   [MSG_ORIGIN_REQUEST]
   = { "origin_ask",
       2,
       { UINT (origin_request, id), UINT (origin_request, stream) } },
   [MSG_ORIGIN_REPLY]
   = { "origin",
-      3,
+      4,
       { UINT (origin_reply, id), UINT (origin_reply, stream),
-        BYTES (origin_reply, records) } },
+        BYTES (origin_reply, records),
+        BYTES (origin_reply, adapter_versions) },
+      1 },
 };
 #undef UINT
 #undef BYTES
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -562,6 +562,7 @@
 typedef struct
 {
   kb_slice_t records; ///< Packed, see coordination/origins.h.
+  kb_slice_t adapter_versions;
 } msg_origins_t;
 
 /// A gateway asks what began a stream that a caller continues.
@@ -576,6 +577,7 @@
   uint64_t id;
   uint64_t stream;
   kb_slice_t records; ///< Packed as in msg_origins_t; empty: not known.
+  kb_slice_t adapter_versions;
 } msg_origin_reply_t;
 
 /// Any message.
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -137,7 +137,7 @@
 
 // sidecar_origins.c
 /// Remember what began streams.
-void scr_origins_receive (scr_sidecar_t *s, kb_slice_t records);
+void scr_origins_receive (scr_sidecar_t *s, const msg_origins_t *origins);
 /// Handle the question of what began a stream.
 void scr_origins_handle_request (scr_sidecar_t *s, kb_slice_t peer,
                                  const msg_origin_request_t *request);
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -424,7 +424,7 @@
       scr_quarantine_receive (s, msg->quarantine.records);
       break;
     case MSG_ORIGINS:
-      scr_origins_receive (s, msg->origins.records);
+      scr_origins_receive (s, &msg->origins);
       break;
     case MSG_ORIGIN_REQUEST:
       scr_origins_handle_request (s, peer, &msg->origin_request);
