test(relay): resume streams once gateways know the newer version

AdapterVersion.NewStreamsGetTheNewestVersion guards against new streams that get none because streams of an older version were taken up again. In two of its runs on a trial of the fix the callers came back 2 ms before their gateway heard of the declaration: the streams went on at the then newest version at all engines, as streams that never broke off would, and 0 of 8 new ones were served for their 1.2 s. That is another case than the one that it names. It now waits until all gateways know the version; what it expects is unchanged.

--- a/test/relay/adapter_version_failure_test.cc
+++ b/test/relay/adapter_version_failure_test.cc
@@ -88,6 +88,18 @@
     declare ();
     pause_ms (moment == Declared::BEFORE ? 1200 : 50);
   }
+  /// Wait until all gateways know version 2.
+  bool
+  wait_declared ()
+  {
+    return wait_for ([this] {
+      for (const Gateway &gateway : gateways)
+        if (log_lines (gateway.daemon, { "adapter_version", "\"version\":2" })
+                .empty ())
+          return false;
+      return true;
+    });
+  }
   /// Requests for the older version that an engine got.
   int
   requests_for_older ()
@@ -282,6 +294,7 @@
   site.set_pace (60, 20);
   auto streams = begin_streams (site, 0, kStreams, "a", "a1");
   site.declare ();
+  ASSERT_TRUE (site.wait_declared ());
   end_streams (streams);
   std::thread continuing (
       [&] { continue_streams (site, 1, streams, true, "again-", "a1"); });
