fix(gateway): resume a stream only at the version of its adapter that began it

Callers got one text whose events two versions of an adapter wrote, answered 200 and whole, when a stream broke off after a newer version was declared.

Cause: a resumption, in one answer or by its caller, asked for the newest version. Ruled out: a request sent to an engine that holds another version than granted (it names the granted one, and the engine rejects it).

A resumption now asks for exactly the version that began the stream (`exact_version`, an optional field that older sidecars ignore; the gateway compares the grant). A sidecar grants it only while its engine holds that version and is not replacing it, and declines at once otherwise. An older version is resumed for half of `version_bound_ms` after the start of the newest read of the store that did not show the newer one, as the gateway may have learned late; then it is refused as not run (503, version_gone), or its answer ends broken. What isn't known proves nothing: the newest version counts for it once all streams of older ones must have ended. If all engines hold the older version, one is spared for the newest, since a run of the older one delays its load.

--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -118,6 +118,28 @@
              && adapter->version >= adapter->min_version);
 }
 
+bool
+adm_request_is_servable (const adm_request_t *request)
+{
+  const adm_adapter_t *adapter = request->adapter;
+  if (adapter == NULL || request->exact_version == 0)
+    return adm_adapter_is_servable (adapter);
+  return adapter->state == ADM_HELD && !adapter->is_replacing
+         && adapter->version == request->exact_version;
+}
+
+bool
+adm_request_is_outdated (const adm_request_t *request)
+{
+  const adm_adapter_t *adapter = request->adapter;
+  if (adapter == NULL || request->exact_version == 0
+      || adm_request_is_servable (request))
+    return false;
+  bool is_newer_held = adapter->state == ADM_HELD
+                       && adapter->version > request->exact_version;
+  return is_newer_held || request->exact_version < adapter->min_version;
+}
+
 static uint64_t
 owned_request_key (uint64_t owner, uint64_t id)
 {
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -60,6 +60,7 @@
   uint64_t id;            ///< Assigned by the gateway.
   uint64_t owner;         ///< Hash of the gateway's name.
   adm_adapter_t *adapter; ///< NULL: the base model.
+  uint32_t exact_version; ///< Only this version may serve; zero: the newest.
   uint32_t priority;      ///< Priority class; lower is more urgent.
   uint32_t decline_count; ///< Engines that already declined it.
   uint32_t kv_tokens_needed;
@@ -241,5 +242,11 @@
 /// @return         Whether a request for it can start now: it is held, at a
 ///                 version that may serve.
 bool adm_adapter_is_servable (const adm_adapter_t *adapter);
+/// @return  Whether a request can start now as far as its adapter goes: the
+///          version that may serve it is held.
+bool adm_request_is_servable (const adm_request_t *request);
+/// @return  Whether a request needs a version of its adapter that is not held
+///          and will not be loaded again, or that is being replaced.
+bool adm_request_is_outdated (const adm_request_t *request);
 
 #endif
--- a/src/coordination/admit_forecast.c
+++ b/src/coordination/admit_forecast.c
@@ -105,7 +105,7 @@
   uint32_t count = 0;
   for (const adm_request_t *other = table->first; other != NULL;
        other = other->next)
-    count += other != request && adm_adapter_is_servable (other->adapter)
+    count += other != request && adm_request_is_servable (other)
              && adm_is_before (table, other, request, now_ms);
   return count;
 }
@@ -151,7 +151,7 @@
               uint64_t now_ms)
 {
   adm_forecast_t forecast = { 0 };
-  if (request->adapter != NULL)
+  if (request->adapter != NULL && !adm_request_is_servable (request))
     forecast.load_ms = adm_load_wait_ms (table, request->adapter, now_ms);
   double rate = table->prefill.tokens_per_ms;
   double pace = rate * pce_fraction (&table->prefill.pace);
@@ -169,6 +169,8 @@
 adm_refusal_reason (const adm_table_t *table, const adm_request_t *request,
                     const adm_forecast_t *forecast, uint64_t now_ms)
 {
+  if (adm_request_is_outdated (request))
+    return "version_replaced";
   bool can_be_timely = request->objective_ms > now_ms;
   uint64_t limit_ms
       = (can_be_timely ? request->objective_ms : request->deadline_ms);
--- a/src/coordination/admit_next.c
+++ b/src/coordination/admit_next.c
@@ -40,7 +40,7 @@
   for (adm_request_t *request = table->first; request != NULL;
        request = request->next)
     {
-      if (!adm_adapter_is_servable (request->adapter)
+      if (!adm_request_is_servable (request)
           || (must_fit && !has_capacity (table, request, now_ms)))
         continue;
       if (best == NULL || !adm_is_before (table, best, request, now_ms))
@@ -57,7 +57,7 @@
   for (adm_request_t *request = table->first; request != NULL;
        request = request->next)
     if (request->priority > first->priority
-        && adm_adapter_is_servable (request->adapter)
+        && adm_request_is_servable (request)
         && adm_is_timely (table, request, now_ms))
       return request;
   return NULL;
@@ -134,7 +134,7 @@
 {
   if (adm_is_timely (table, request, now_ms))
     return false;
-  if (adm_adapter_is_servable (request->adapter))
+  if (adm_request_is_servable (request))
     return adm_saturation_is_sustained (&table->grant_saturation, now_ms);
   return request->adapter->state == ADM_ABSENT
          && adm_saturation_is_sustained (&table->load_saturation, now_ms);
@@ -154,7 +154,11 @@
     return "others_begin";
   if (request->adapter != NULL && table->options.adapter_slots == 0)
     return "no_adapter_room";
-  return is_stale_in_use (request->adapter) ? "version_changes" : NULL;
+  if (adm_request_is_outdated (request))
+    return "version_replaced";
+  bool is_blocked = is_stale_in_use (request->adapter)
+                    && !adm_request_is_servable (request);
+  return is_blocked ? "version_changes" : NULL;
 }
 
 static bool
@@ -189,7 +193,8 @@
        request = request->next)
     {
       adm_adapter_t *a = request->adapter;
-      if (a == best || !needs_load (a, now_ms)
+      if (a == best || adm_request_is_servable (request)
+          || !needs_load (a, now_ms)
           || (must_fit && !can_start_load (table, a)))
         continue;
       if (must_fit && !adm_is_cold_load (a))
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -134,6 +134,7 @@
 {
   gtw_gateway_t *gateway = arg;
   gtw_load_record_tick (gateway);
+  gtw_resume_tick (gateway);
   gtw_clients_check_timeouts (gateway);
   if (!gateway->accept.intake.has_room)
     gtw_clients_make_room (gateway);
--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -108,7 +108,7 @@
 
 static plc_holding_t
 adapter_holding (const gtw_request_t *r, const gtw_target_t *target,
-                 uint32_t newest)
+                 uint32_t wanted)
 {
   if (r->adapter_key == 0)
     return PLC_NOT_NEEDED;
@@ -121,9 +121,9 @@
         return PLC_LOADING;
       if (a->state == MSG_ADAPTER_PENDING)
         return PLC_PENDING;
-      return a->version >= newest ? PLC_HELD : PLC_ABSENT;
+      return a->version >= wanted ? PLC_HELD : PLC_ABSENT;
     }
-  return rct_was_held (&target->recent_adapters, r->adapter_key, newest)
+  return rct_was_held (&target->recent_adapters, r->adapter_key, wanted)
              ? PLC_WARM
              : PLC_ABSENT;
 }
@@ -151,11 +151,11 @@
 
 static void
 describe_target (const gtw_gateway_t *gateway, const gtw_request_t *r,
-                 const gtw_target_t *target, uint32_t newest,
+                 const gtw_target_t *target, uint32_t wanted,
                  plc_candidate_t *out)
 {
   plc_holding_t holding
-      = r->is_engine ? adapter_holding (r, target, newest) : PLC_NOT_NEEDED;
+      = r->is_engine ? adapter_holding (r, target, wanted) : PLC_NOT_NEEDED;
   *out = (plc_candidate_t){
     .key = target->address_hash,
     .is_usable = is_usable (r, target) && is_load_worthwhile (r, holding),
@@ -185,7 +185,9 @@
   static gtw_target_t *targets[MAX_CANDIDATES];
   uint32_t count = 0;
   gateway->engine_requests += r->is_engine;
-  uint32_t newest = ver_newest (&gateway->versions, r->adapter_key);
+  uint32_t wanted = gtw_resume_version (r);
+  if (wanted == 0)
+    wanted = ver_newest (&gateway->versions, r->adapter_key);
   uint32_t at = 0;
   for (gtw_target_t *t = kb_map_next (&gateway->targets, &at);
        t != NULL && count < MAX_CANDIDATES;
@@ -193,9 +195,10 @@
     {
       if (strcmp (t->list_entry.service, r->service) != 0 || !t->is_listed)
         continue;
-      describe_target (gateway, r, t, newest, &views[count]);
+      describe_target (gateway, r, t, wanted, &views[count]);
       targets[count++] = t;
     }
+  gtw_resume_spare_one (r, targets, views, count);
   uint64_t key = r->adapter_key != 0 ? r->adapter_key : (uint64_t)rand ();
   plc_load_t load = { .own_requests_per_s = gateway->engine_requests_per_s,
                       .gateway_count = gateway->gateway_count,
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -388,6 +388,9 @@
   svc_config_t *config;
   kb_buf_t config_document;
   ver_table_t versions;
+  /// Start of the newest read of the store that was answered before the last
+  /// tick, boot clock: it showed no version that was learned since.
+  uint64_t read_before_tick_ms;
   qrt_table_t quarantine; ///< Of requests and of parts of prompts.
   prt_served_t served_parts;
   gtw_record_writer_t record_writer;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -200,10 +200,11 @@
 gtw_apply_adapter_version (gtw_gateway_t *gateway, kb_slice_t model,
                            kb_slice_t adapter, uint32_t version)
 {
-  const ver_item_t *item
+  ver_item_t *item
       = ver_table_update (&gateway->versions, model, adapter, version);
   if (item == NULL)
     return;
+  gtw_resume_record_version (gateway, item);
   log_line_t line;
   if (log_begin (&line, LOG_INFO, "config", "adapter_version"))
     {
--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -100,14 +100,18 @@
 gtw_origin_can_become_allowed (const gtw_request_t *r,
                                const gtw_target_t *target)
 {
+  if (!gtw_resume_allows (r, target))
+    return false;
   if (r->origin.service == 0 || !gtw_software_is_listed (target))
     return true;
   uint64_t software = origin_software (r);
   return software == 0 || software == target->software_key;
 }
 
-bool
-gtw_origin_allows (const gtw_request_t *r, const gtw_target_t *target)
+/// @return  Whether a target runs the software that began the stream of a
+///          request.
+static bool
+allows_software (const gtw_request_t *r, const gtw_target_t *target)
 {
   if (r->origin.service == 0)
     return true;
@@ -116,25 +120,51 @@
          && origin_software (r) == target->software_key;
 }
 
+bool
+gtw_origin_allows (const gtw_request_t *r, const gtw_target_t *target)
+{
+  return allows_software (r, target) && gtw_resume_allows (r, target);
+}
+
 bool
 gtw_origin_allows_recipient (const gtw_request_t *r)
 {
-  return gtw_origin_allows (r, r->target)
-         && (r->origin.service == 0 || recipient_software (r) != 0);
+  uint32_t version = gtw_resume_version (r);
+  return allows_software (r, r->target)
+         && (r->origin.service == 0 || recipient_software (r) != 0)
+         && (version == 0 || r->granted_version == version)
+         && !gtw_resume_is_late (r);
+}
+
+/// @return  Whether a newer version of the adapter is known than the one that
+///          began the stream of a request.
+static bool
+is_adapter_outdated (const gtw_request_t *r)
+{
+  uint32_t version = gtw_resume_version (r);
+  return version != 0
+         && version < ver_newest (&r->gateway->versions, r->adapter_key);
 }
 
 bool
 gtw_origin_is_gone (const gtw_request_t *r)
 {
   const gtw_gateway_t *gateway = r->gateway;
-  // Targets of a service with one version may come back.
-  if (r->origin.service == 0 || !gateway->has_target_list
-      || !sfw_is_mixed (&gateway->software, r->origin.service))
+  if (gtw_resume_is_late (r))
+    return true;
+  // Targets of a service with one version may come back, and engines may load
+  // the newest version of an adapter.
+  bool is_software_mixed
+      = r->origin.service != 0
+        && sfw_is_mixed (&gateway->software, r->origin.service);
+  if (!gateway->has_target_list
+      || !(is_software_mixed || is_adapter_outdated (r)))
     return false;
+  uint64_t service = gtw_service_key (r->service);
   uint32_t at = 0;
   for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
        t = kb_map_next (&gateway->targets, &at))
-    if (gtw_target_is_staying (t) && t->service_key == r->origin.service
+    if (gtw_target_is_staying (t) && t->service_key == service
         && (gtw_origin_allows (r, t) || gtw_origin_can_become_allowed (r, t)))
       return false;
   return true;
@@ -148,7 +178,7 @@
 }
 
 /// Continue a stream at the service that began it. If the operator has moved
-/// the route to another service, it goes on there, at any version.
+/// the route to another service, it goes on there, at any software version.
 static void
 adopt_origin (gtw_request_t *r, const org_origin_t *origin)
 {
@@ -156,6 +186,7 @@
   const h1_head_t *head = &r->client->conn.head;
   const svc_route_t *route = svc_route_find (
       config, h1_head_get (head, "host"), h1_head_target (head));
+  r->origin.adapter_version = origin->adapter_version;
   for (uint32_t i = 0; route != NULL && i < route->share_count; i++)
     {
       const char *name = route->shares[i].service;
@@ -170,6 +201,16 @@
     }
 }
 
+/// The software that began a stream is known, as far as it has to be.
+static gtw_origin_verdict_t
+settle (gtw_request_t *r)
+{
+  if (!gtw_resume_settle_version (r))
+    return GTW_ORIGIN_UNKNOWN;
+  r->is_origin_sought = false;
+  return GTW_ORIGIN_RESOLVED;
+}
+
 gtw_origin_verdict_t
 gtw_origin_resolve (gtw_request_t *r)
 {
@@ -181,8 +222,7 @@
   if (org_get (&gateway->origins, stream, gtw_now_ms (gateway), &origin) > 0)
     {
       adopt_origin (r, &origin);
-      r->is_origin_sought = false;
-      return GTW_ORIGIN_RESOLVED;
+      return settle (r);
     }
   if (!gateway->has_target_list)
     return GTW_ORIGIN_NO_LIST;
@@ -198,6 +238,5 @@
   uint64_t software = sfw_only (&gateway->software, service);
   if (software != 0)
     r->origin = (org_origin_t){ .service = service, .software = software };
-  r->is_origin_sought = false;
-  return GTW_ORIGIN_RESOLVED;
+  return settle (r);
 }
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -59,6 +59,31 @@
                                const msg_origin_reply_t *reply);
 
 // gateway_resume.c
+/// Record when a version of an adapter was learned.
+void gtw_resume_record_version (gtw_gateway_t *gateway, ver_item_t *item);
+/// Record which read of the store was answered last. Call it each tick.
+void gtw_resume_tick (gtw_gateway_t *gateway);
+/// Find out which version of its adapter may continue the stream of a request
+/// whose origin has been sought.
+/// @return  Whether one may: false if several may have begun it.
+bool gtw_resume_settle_version (gtw_request_t *r);
+/// @return  The version of its adapter that has to continue the stream of a
+///          request; zero: the newest.
+uint32_t gtw_resume_version (const gtw_request_t *r);
+/// @return  Whether the version of the adapter that began the stream of a
+///          request may begin nothing any more.
+bool gtw_resume_is_late (const gtw_request_t *r);
+/// @return  Whether a target may serve a request as far as the version of its
+///          adapter goes: it is new, or the target holds the version that
+///          began its stream, or can load it.
+bool gtw_resume_allows (const gtw_request_t *r, const gtw_target_t *target);
+/// Spare one engine for the newest version if all hold the older one that a
+/// request continues at: they can't replace it while it is in use. The last
+/// usable one is not spared.
+/// @param views  Of the targets, in the same order.
+void gtw_resume_spare_one (const gtw_request_t *r,
+                           gtw_target_t *const *targets,
+                           plc_candidate_t *views, uint32_t count);
 /// Log and count a stream whose target has sent the first event, if it began
 /// elsewhere: at which version of its adapter, and at which one it goes on.
 void gtw_resume_record (const gtw_request_t *r);
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -59,6 +59,7 @@
                         ? gtw_request_caller_timeout_ms (r, r->relayed_ms)
                         : r->first_event_due_ms;
   uint64_t objective_ms = r->has_event ? due_ms : r->objective_ms;
+  uint32_t exact_version = gtw_resume_version (r);
   msg_t msg
       = { .type = MSG_PLACE_REQUEST,
           .place_request
@@ -68,12 +69,15 @@
               .output_tokens = expected_output_tokens (&r->parsed_head),
               .left_ms = gtw_remaining_ms (due_ms, now_ms),
               .objective_ms = gtw_remaining_ms (objective_ms, now_ms),
-              .version = ver_newest (&gateway->versions, r->adapter_key),
+              .version = exact_version != 0
+                             ? exact_version
+                             : ver_newest (&gateway->versions, r->adapter_key),
               .decline_count = r->excluded_target_count,
               .alone_level = r->is_alone_attempt ? 1 + r->alone.patience : 0,
               .model = r->parsed_head.model,
               .adapter = r->parsed_head.adapter,
-              .attempt = kb_slice_str (r->attempt_id) } };
+              .attempt = kb_slice_str (r->attempt_id),
+              .exact_version = exact_version } };
   r->target->requests_since_report++;
   r->target->tokens_since_report += r->parsed_head.prompt_tokens;
   if (hst_send (&gateway->host, r->target->link, &msg) == KB_OK)
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -160,14 +160,15 @@
                            UINT (engine_state, start_every_ms) } },
   [MSG_PLACE_REQUEST]
   = { "place_ask",
-      12,
+      13,
       { UINT (place_request, id), UINT (place_request, priority),
         UINT (place_request, prompt_tokens),
         UINT (place_request, output_tokens), UINT (place_request, left_ms),
         UINT (place_request, objective_ms), UINT (place_request, version),
         UINT (place_request, decline_count), UINT (place_request, alone_level),
         BYTES (place_request, model), BYTES (place_request, adapter),
-        BYTES (place_request, attempt) } },
+        BYTES (place_request, attempt), UINT (place_request, exact_version) },
+      1 },
   [MSG_PLACE_GRANT]
   = { "place_grant",
       6,
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -409,6 +409,8 @@
   kb_slice_t model;
   kb_slice_t adapter; ///< Empty: the base model.
   kb_slice_t attempt; ///< The caller's id of the request, for logging.
+  /// Only this adapter version may serve it; zero: `version` or a newer one.
+  uint64_t exact_version;
 } msg_place_request_t;
 
 typedef struct
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -137,6 +137,9 @@
   ROW_INT (revoke_bound_ms, 0, 0, 3600000,
            "relay entry: nothing runs with a key this long after it was taken "
            "away, also where the store can not be reached; 0: no bound"),
+  ROW_INT (version_bound_ms, 5000, 500, 3600000,
+           "relay entry: nothing begins on an older version of an adapter "
+           "this long after a newer one was confirmed"),
   ROW_NUM (quota_window_s, 10, 0.1, 3600,
            "relay: window in which the use of a quota is judged, s"),
   ROW_NUM (quota_overshoot, 0.1, 0, 10,
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -89,6 +89,7 @@
   double grace_s;
   int64_t leave_bound_ms;
   int64_t revoke_bound_ms;
+  int64_t version_bound_ms;
   double quota_window_s;
   double quota_overshoot;
   double quota_slack;
--- a/src/relay/versions.c
+++ b/src/relay/versions.c
@@ -21,7 +21,7 @@
   return egn_adapter_key (kb_slice_str (name));
 }
 
-const ver_item_t *
+ver_item_t *
 ver_table_update (ver_table_t *table, kb_slice_t model, kb_slice_t adapter,
                   uint32_t version)
 {
@@ -39,13 +39,20 @@
   if (version <= item->version)
     return NULL;
   table->version_sum += version - item->version;
+  item->previous_version = item->version;
   item->version = version;
   return item;
 }
 
+const ver_item_t *
+ver_find (const ver_table_t *table, uint64_t key)
+{
+  return kb_map_get (&table->items, key);
+}
+
 uint32_t
 ver_newest (const ver_table_t *table, uint64_t key)
 {
-  const ver_item_t *item = kb_map_get (&table->items, key);
+  const ver_item_t *item = ver_find (table, key);
   return item == NULL ? 0 : item->version;
 }
--- a/src/relay/versions.h
+++ b/src/relay/versions.h
@@ -12,6 +12,9 @@
 {
   uint64_t key; ///< egn_adapter_key
   uint32_t version;
+  uint32_t previous_version; ///< The newest one before; zero: none was known.
+  uint64_t unconfirmed_ms;   ///< See rsm_versions_t.
+  uint64_t learned_ms;
   char model[EGN_NAME_BYTES];
   char adapter[EGN_NAME_BYTES];
 } ver_item_t;
@@ -25,8 +28,10 @@
 void ver_table_finish (ver_table_t *table);
 /// Record a version.
 /// @return  The item if the version is newer than the known one, or NULL.
-const ver_item_t *ver_table_update (ver_table_t *table, kb_slice_t model,
-                                    kb_slice_t adapter, uint32_t version);
+ver_item_t *ver_table_update (ver_table_t *table, kb_slice_t model,
+                              kb_slice_t adapter, uint32_t version);
+/// @return  NULL when no version is known.
+const ver_item_t *ver_find (const ver_table_t *table, uint64_t key);
 /// @return  Zero when no version is known.
 uint32_t ver_newest (const ver_table_t *table, uint64_t key);
 /// @param name  Receives the full name, "model/adapter".
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -316,6 +316,7 @@
           .owner = scr_name_id (peer),
           .priority = (uint32_t)msg->priority,
           .decline_count = (uint32_t)msg->decline_count,
+          .exact_version = (uint32_t)msg->exact_version,
           .alone = alone_of_level (msg->alone_level),
           .kv_tokens_needed
           = (uint32_t)(msg->prompt_tokens + msg->output_tokens),
@@ -332,7 +333,7 @@
       adm_adapter_require_version (request.adapter,
                                    ver_newest (&s->versions, key));
       adm_adapter_require_version (request.adapter, (uint32_t)msg->version);
-      if (!adm_adapter_is_servable (request.adapter))
+      if (!adm_request_is_servable (&request))
         request.load_wait_start_ms = now_ms;
     }
   adm_forecast_t forecast = adm_forecast (&s->table, &request, now_ms);
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -68,6 +68,27 @@
       adm_adapter_record_request (given.adapter, now_ms);
     return adm_request_add (&table, &given);
   }
+  /// Add a request that only one version may serve.
+  adm_request_t *
+  add_exact (uint64_t id, const std::string &name, uint32_t version)
+  {
+    adm_request_t *request = add_request (id, name);
+    request->exact_version = version;
+    return request;
+  }
+  /// @return  Why such a request is declined when it arrives; NULL: it is not.
+  const char *
+  refusal_of_exact (const std::string &name, uint32_t version)
+  {
+    adm_request_t given = {};
+    given.adapter = adapter (name);
+    given.exact_version = version;
+    given.prompt_tokens = 100;
+    given.deadline_ms = 100000;
+    given.objective_ms = 800;
+    adm_forecast_t forecast = adm_forecast (&table, &given, 0);
+    return adm_refusal_reason (&table, &given, &forecast, 0);
+  }
   /// Apply an engine report of held adapters (name and version) and loading
   /// ones.
   void
@@ -115,6 +136,65 @@
   EXPECT_EQ (table.granted, 0u);
 }
 
+// Guards against a stream that goes on at a newer version of its adapter, or
+// starts the load that replaces its own.
+TEST_F (AdmitTest, AnExactVersionIsGrantedThoughANewerOneIsRequired)
+{
+  report ({ { "m/a", 1 } });
+  adm_adapter_require_version (adapter ("m/a"), 2);
+  table.options.slots = 1;
+  add_request (1, "");
+  ASSERT_EQ (next ().kind, ADM_ACTION_GRANT);
+  add_exact (2, "m/a", 1);
+  EXPECT_EQ (next ().kind, ADM_ACTION_NONE);
+  table.options.slots = 2;
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_ACTION_GRANT);
+  EXPECT_EQ (action.request->id, 2u);
+}
+
+// Guards against a stream that waits until its deadline for a version that is
+// not loaded again.
+TEST_F (AdmitTest, AnExactVersionThatIsGoneIsDeclinedAtOnce)
+{
+  report ({ { "m/a", 2 } });
+  add_exact (1, "m/a", 1);
+  EXPECT_STREQ (next ().reason, "version_replaced");
+  EXPECT_STREQ (refusal_of_exact ("m/a", 1), "version_replaced");
+  // Held by no engine yet, and outdated.
+  adm_adapter_require_version (adapter ("m/b"), 3);
+  EXPECT_STREQ (refusal_of_exact ("m/b", 2), "version_replaced");
+  EXPECT_EQ (refusal_of_exact ("m/b", 3), nullptr);
+}
+
+// Guards against a grant for an adapter whose replacement has been ordered.
+TEST_F (AdmitTest, AnExactVersionThatIsBeingReplacedIsDeclined)
+{
+  report ({ { "m/a", 1 } });
+  adm_adapter_require_version (adapter ("m/a"), 2);
+  add_request (1, "m/a");
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_ACTION_LOAD);
+  adm_record_load_started (&table, action.adapter, 0);
+  add_exact (2, "m/a", 1);
+  EXPECT_STREQ (next ().reason, "version_replaced");
+}
+
+// Guards against a stream that is not continued where its version, the newest
+// one, is not held yet.
+TEST_F (AdmitTest, AnExactVersionThatIsTheNewestIsLoaded)
+{
+  report ({ { "m/a", 1 } });
+  adm_adapter_require_version (adapter ("m/a"), 2);
+  add_exact (1, "m/a", 2);
+  adm_action_t action = next ();
+  ASSERT_EQ (action.kind, ADM_ACTION_LOAD);
+  adm_record_load_started (&table, action.adapter, 0);
+  EXPECT_EQ (next ().kind, ADM_ACTION_NONE);
+  report ({ { "m/a", 2 } }, {}, 250);
+  EXPECT_EQ (next (250).kind, ADM_ACTION_GRANT);
+}
+
 TEST_F (AdmitTest, LoadsARequestedAdapterThenGrants)
 {
   add_request (1, "m/a");
