--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -127,8 +127,8 @@
   uint32_t adapter_count;
   rct_adapters_t recent_adapters; ///< Adapters that it held recently.
   inc_t reported_engine; ///< Engine that the sidecar's last report was about.
-  uint64_t quarantine_stamp; ///< Of the sidecar's quarantine table.
-  kb_buf_t unsent_origins;   ///< Packed, for its sidecar.
+  uint64_t quarantine_stamp;   ///< Of the sidecar's quarantine table.
+  org_packed_t unsent_origins; ///< For its sidecar.
 
   gtw_advertised_t advertised;
   aln_gate_t alone;     ///< Of a plain target, for this gateway's requests.
@@ -398,6 +398,9 @@
   svc_config_t *config;
   kb_buf_t config_document;
   ver_table_t versions;
+  /// Start of the newest read of the store that was answered before the last
+  /// tick, boot clock: it showed no version that was learned since.
+  uint64_t read_before_tick_ms;
   qrt_table_t quarantine; ///< Of requests and of parts of prompts.
   prt_served_t served_parts;
   gtw_record_writer_t record_writer;
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -160,14 +160,15 @@
                            UINT (engine_state, start_every_ms) } },
   [MSG_PLACE_REQUEST]
   = { "place_ask",
-      12,
+      13,
       { UINT (place_request, id), UINT (place_request, priority),
         UINT (place_request, prompt_tokens),
         UINT (place_request, output_tokens), UINT (place_request, left_ms),
         UINT (place_request, objective_ms), UINT (place_request, version),
         UINT (place_request, decline_count), UINT (place_request, alone_level),
         BYTES (place_request, model), BYTES (place_request, adapter),
-        BYTES (place_request, attempt) } },
+        BYTES (place_request, attempt), UINT (place_request, exact_version) },
+      1 },
   [MSG_PLACE_GRANT]
   = { "place_grant",
       6,
@@ -233,16 +234,22 @@
         UINT (quota_grant, wait_ms), UINT (quota_grant, is_pause),
         UINT (quota_grant, is_refused), BYTES (quota_grant, ledger) } },
   [MSG_PLACE_JOINED] = { "place_joined", 1, { UINT (place_joined, id) } },
-  [MSG_ORIGINS] = { "origins", 1, { BYTES (origins, records) } },
+  [MSG_ORIGINS]
+  = { "origins",
+      2,
+      { BYTES (origins, records), BYTES (origins, adapter_versions) },
+      1 },
   [MSG_ORIGIN_REQUEST]
   = { "origin_ask",
       2,
       { UINT (origin_request, id), UINT (origin_request, stream) } },
   [MSG_ORIGIN_REPLY]
   = { "origin",
-      3,
+      4,
       { UINT (origin_reply, id), UINT (origin_reply, stream),
-        BYTES (origin_reply, records) } },
+        BYTES (origin_reply, records),
+        BYTES (origin_reply, adapter_versions) },
+      1 },
 };
 #undef UINT
 #undef BYTES
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -409,6 +409,8 @@
   kb_slice_t model;
   kb_slice_t adapter; ///< Empty: the base model.
   kb_slice_t attempt; ///< The caller's id of the request, for logging.
+  /// Only this adapter version may serve it; zero: `version` or a newer one.
+  uint64_t exact_version;
 } msg_place_request_t;
 
 typedef struct
@@ -562,6 +564,7 @@
 typedef struct
 {
   kb_slice_t records; ///< Packed, see coordination/origins.h.
+  kb_slice_t adapter_versions;
 } msg_origins_t;
 
 /// A gateway asks what began a stream that a caller continues.
@@ -576,6 +579,7 @@
   uint64_t id;
   uint64_t stream;
   kb_slice_t records; ///< Packed as in msg_origins_t; empty: not known.
+  kb_slice_t adapter_versions;
 } msg_origin_reply_t;
 
 /// Any message.
