fix(transport): read a range of the key-value service item by item

What callers saw: nothing yet; a key of 160 bytes and more was cut and so named another item, one item that could not be decoded failed its whole range at each read, an answer that was none (no header, no list) counted as one without the key, and a revision that was no number could wrap. So a key could be taken for absent that was not read.

Now a key that cannot be ours (empty, a zero byte, too long) costs itself alone, a value that cannot be decoded is empty, which no reader takes for a record, and an answer without a revision, or with a key that is not base64, is a failed read. Each reason is logged once in a minute; knapweedbay_entries_ignored_total{reason="key"} and knapweedbay_kv_failures_total count. Writes are told from reads, as their answers have no items.

--- a/src/transport/kv.c
+++ b/src/transport/kv.c
@@ -15,6 +15,13 @@
   KVC_WATCH_IDLE_TIMEOUT_MS = 86400000
 };
 
+typedef enum
+{
+  CALL_READ,
+  CALL_PUT,
+  CALL_CAS,
+} call_kind_t;
+
 /// A call in progress.
 typedef struct
 {
@@ -22,7 +29,7 @@
   kvc_done_t done;
   void *arg;
   kb_buf_t response;
-  bool is_cas;
+  call_kind_t kind;
   uint64_t sent_revision; ///< Highest known when the call was sent.
 } kv_call_t;
 
@@ -58,27 +65,6 @@
   free (text);
 }
 
-static bool
-append_from_base64 (kb_buf_t *out, const char *text)
-{
-  size_t len = strlen (text);
-  if (len % 4 != 0)
-    return false;
-  unsigned char *bytes = kb_alloc (len / 4 * 3 + 1);
-  int decoded_bytes
-      = EVP_DecodeBlock (bytes, (const unsigned char *)text, (int)len);
-  if (decoded_bytes >= 0)
-    {
-      if (len > 0 && text[len - 1] == '=')
-        decoded_bytes--;
-      if (len > 1 && text[len - 2] == '=')
-        decoded_bytes--;
-      kb_buf_append (out, bytes, (size_t)decoded_bytes);
-    }
-  free (bytes);
-  return decoded_bytes >= 0;
-}
-
 static void
 append_base64_member (kb_buf_t *out, const char *name, kb_slice_t bytes)
 {
@@ -100,58 +86,13 @@
   append_base64_member (out, "range_end", kb_slice_str (end));
 }
 
-static uint64_t
-kv_json_u64 (struct json_object *obj, const char *key)
-{
-  struct json_object *value = jsn_get (obj, key);
-  return value == NULL ? 0
-                       : strtoull (json_object_get_string (value), NULL, 10);
-}
-
-/// Parses one kv object; its value is decoded into `value`.
-static bool
-item_parse (struct json_object *kv, kvc_item_t *out, kb_buf_t *value)
-{
-  kb_buf_t key;
-  kb_buf_init (&key);
-  bool is_valid = append_from_base64 (&key, jsn_str (kv, "key", ""))
-                  && append_from_base64 (value, jsn_str (kv, "value", ""));
-  *out = (kvc_item_t){ .mod_revision = kv_json_u64 (kv, "mod_revision") };
-  if (is_valid)
-    kb_slice_copy (kb_buf_slice (&key), out->key, sizeof out->key);
-  out->value = kb_buf_slice (value);
-  kb_buf_finish (&key);
-  return is_valid;
-}
-
-static void
-call_report_items (kv_call_t *call, struct json_object *kvs)
-{
-  uint32_t count = json_object_is_type (kvs, json_type_array)
-                       ? (uint32_t)json_object_array_length (kvs)
-                       : 0;
-  kvc_item_t *items = kb_alloc (count * sizeof *items);
-  kb_buf_t *values = kb_alloc (count * sizeof *values);
-  kb_status_t status = KB_OK;
-  for (uint32_t i = 0; i < count; i++)
-    if (!item_parse (json_object_array_get_idx (kvs, i), &items[i],
-                     &values[i]))
-      status = KB_EINVAL;
-  call->done (call->arg, status, items, status == KB_OK ? count : 0);
-  for (uint32_t i = 0; i < count; i++)
-    kb_buf_finish (&values[i]);
-  free (values);
-  free (items);
-}
-
-/// Read the header of a response: another cluster, or a revision below the one
-/// known when the call was sent, is that of a restored service.
+/// Record the header of a response: another cluster, or a revision below the
+/// one known when the call was sent, is that of a restored service.
+/// @param cluster_id  Zero: not stated.
 static void
-client_observe_header (kv_call_t *call, struct json_object *header)
+client_observe_header (kv_call_t *call, uint64_t revision, uint64_t cluster_id)
 {
   kvc_client_t *client = call->client;
-  uint64_t revision = kv_json_u64 (header, "revision");
-  uint64_t cluster_id = kv_json_u64 (header, "cluster_id");
   if (revision == 0)
     return;
   bool is_other = client->cluster_id != 0 && cluster_id != 0
@@ -170,27 +111,66 @@
 }
 
 static void
-call_report (kv_call_t *call, int http_status)
+log_unread (kvc_client_t *client, const char *reason)
+{
+  uint64_t hash = kb_hash (reason, strlen (reason), 0) | 1;
+  if (sen_is_new (&client->seen, hash, tmr_now_ms ()))
+    log_write (LOG_WARN, "kv", "Answer or item not read: %s.", reason);
+}
+
+static void
+call_report_range (kv_call_t *call)
+{
+  kb_error_t error = { 0 };
+  kvd_range_t range;
+  if (kvd_range_decode (kb_buf_slice (&call->response), &range, &error)
+      != KB_OK)
+    {
+      MET_INC ("knapweedbay_kv_failures_total", "");
+      log_unread (call->client, error.message);
+      call->done (call->arg, KB_EUNAVAIL, NULL, 0);
+      return;
+    }
+  if (range.ignored_count > 0)
+    {
+      MET_INC ("knapweedbay_entries_ignored_total", "reason=\"key\"");
+      log_unread (call->client, "a key that is empty, too long or has a zero");
+    }
+  client_observe_header (call, range.revision, range.cluster_id);
+  call->done (call->arg, KB_OK, range.items, range.count);
+  kvd_range_finish (&range);
+}
+
+static void
+call_report_write (kv_call_t *call)
 {
-  struct json_object *doc = NULL;
-  if (http_status == 200)
-    jsn_parse_text ("kv", kb_buf_slice (&call->response), &doc, NULL);
-  if (doc == NULL)
+  struct json_object *doc;
+  if (jsn_parse_text ("kv", kb_buf_slice (&call->response), &doc, NULL)
+      != KB_OK)
     {
-      // A missing or malformed response does not show whether the write was
-      // executed.
-      call->done (call->arg, call->is_cas ? KB_EUNKNOWN : KB_EUNAVAIL, NULL,
-                  0);
+      // A malformed response does not show whether the write was executed.
+      call->done (call->arg,
+                  call->kind == CALL_CAS ? KB_EUNKNOWN : KB_EUNAVAIL, NULL, 0);
       return;
     }
-  client_observe_header (call, jsn_get (doc, "header"));
-  if (call->is_cas)
-    call->done (call->arg,
-                jsn_bool (doc, "succeeded", false) ? KB_OK : KB_ECONFLICT,
+  struct json_object *header = jsn_get (doc, "header");
+  client_observe_header (call, kvd_json_u64 (header, "revision"),
+                         kvd_json_u64 (header, "cluster_id"));
+  bool is_done = call->kind == CALL_PUT || jsn_bool (doc, "succeeded", false);
+  json_object_put (doc);
+  call->done (call->arg, is_done ? KB_OK : KB_ECONFLICT, NULL, 0);
+}
+
+static void
+call_report (kv_call_t *call, int http_status)
+{
+  if (http_status != 200)
+    call->done (call->arg, call->kind == CALL_CAS ? KB_EUNKNOWN : KB_EUNAVAIL,
                 NULL, 0);
+  else if (call->kind == CALL_READ)
+    call_report_range (call);
   else
-    call_report_items (call, jsn_get (doc, "kvs"));
-  json_object_put (doc);
+    call_report_write (call);
 }
 
 static void
@@ -217,7 +197,7 @@
   else
     {
       MET_INC ("knapweedbay_kv_failures_total", "");
-      bool is_unknown = call->is_cas && end != HTC_END_NOT_SENT;
+      bool is_unknown = call->kind == CALL_CAS && end != HTC_END_NOT_SENT;
       call->done (call->arg, is_unknown ? KB_EUNKNOWN : KB_EUNAVAIL, NULL, 0);
     }
   kb_buf_finish (&call->response);
@@ -229,7 +209,7 @@
 
 static void
 call_start (kvc_client_t *client, const char *path, kb_buf_t *body,
-            bool is_cas, kvc_done_t done, void *arg)
+            call_kind_t kind, kvc_done_t done, void *arg)
 {
   uint64_t retry_after_ms;
   if (!lim_bucket_take (&client->bucket, tmr_now_ms (), &retry_after_ms))
@@ -246,7 +226,7 @@
   call->client = client;
   call->done = done;
   call->arg = arg;
-  call->is_cas = is_cas;
+  call->kind = kind;
   call->sent_revision = client->revision;
   htc_call_t *http = htc_call_start (
       client->http, &call_events, call, client->address, client->port, "POST",
@@ -264,7 +244,7 @@
   kb_buf_append_str (&body, "{");
   append_base64_member (&body, "key", kb_slice_str (key));
   kb_buf_append_str (&body, "}");
-  call_start (client, "/v3/kv/range", &body, false, done, arg);
+  call_start (client, "/v3/kv/range", &body, CALL_READ, done, arg);
 }
 
 void
@@ -276,7 +256,7 @@
   kb_buf_append_str (&body, "{");
   append_prefix_range (&body, prefix);
   kb_buf_append_str (&body, "}");
-  call_start (client, "/v3/kv/range", &body, false, done, arg);
+  call_start (client, "/v3/kv/range", &body, CALL_READ, done, arg);
 }
 
 void
@@ -290,7 +270,7 @@
   kb_buf_append_str (&body, ",");
   append_base64_member (&body, "value", value);
   kb_buf_append_str (&body, "}");
-  call_start (client, "/v3/kv/put", &body, false, done, arg);
+  call_start (client, "/v3/kv/put", &body, CALL_PUT, done, arg);
 }
 
 void
@@ -309,7 +289,7 @@
   kb_buf_append_str (&body, ",");
   append_base64_member (&body, "value", value);
   kb_buf_append_str (&body, "}}],\"failure\":[]}");
-  call_start (client, "/v3/kv/txn", &body, true, done, arg);
+  call_start (client, "/v3/kv/txn", &body, CALL_CAS, done, arg);
 }
 
 static void
@@ -318,7 +298,7 @@
   kvc_item_t item;
   kb_buf_t value;
   kb_buf_init (&value);
-  if (item_parse (jsn_get (event, "kv"), &item, &value))
+  if (kvd_item_decode (jsn_get (event, "kv"), &item, &value))
     {
       if (strcmp (jsn_str (event, "type", "PUT"), "DELETE") == 0)
         item.mod_revision = 0;
--- a/src/transport/kv.h
+++ b/src/transport/kv.h
@@ -10,12 +10,9 @@
 #define KB_TRANSPORT_KV_H
 
 #include "state/limit.h"
+#include "state/seen.h"
 #include "transport/httpc.h"
-
-enum
-{
-  KVC_KEY_BYTES = 160,
-};
+#include "transport/kv_decode.h"
 
 typedef struct
 {
@@ -26,16 +23,10 @@
   lim_bucket_t bucket;
   uint64_t revision;      ///< Highest that the service stated.
   uint64_t cluster_id;    ///< Changes with a restore; zero: not stated.
+  sen_table_t seen;       ///< Faults of answers, to log each once.
   uint32_t restore_count; ///< Restores seen; counted before a call completes.
 } kvc_client_t;
 
-typedef struct
-{
-  char key[KVC_KEY_BYTES];
-  kb_slice_t value;
-  uint64_t mod_revision; ///< For kvc_cas; 0: the key is absent.
-} kvc_item_t;
-
 /// Completion callback of a call. A compare-and-swap completes with KB_OK,
 /// KB_ECONFLICT, KB_EUNAVAIL (it was not executed) or KB_EUNKNOWN (the
 /// response was lost, so that it may have been executed).
