fix(claims): take no record of the roster that cannot be read for none

What callers saw: an agent that restarted over such a record stated that its claim history was complete since ever (memory_since 0), so that a takeover would free keys that had run there. A fencing number of 2^63 - 1 or more was the same for every later incarnation, a negative one became 0. An agent that had stalled took a record that it could not read for one with the number 0 and went on, though a successor may own its target. A key on the roster that is no agent's name made all new keys unknown (504) for a claim window after a takeover.

Cause: four places parsed the record without a look at the result; the class is what cannot be read taken for absent or zero.

Decided for a record that cannot be read: an agent that registers replaces it by compare-and-swap, by a number not below the wall clock, and counts the history as lost. To refuse instead would keep a target out of service until an operator came, for one stray write. An agent that has stalled registers again with a number above its own and gives no orders until then; if a successor's record stands there by then, it drains. Of two, the engine refuses the lower number. An agent that leaves writes nothing over it. In a rebuild its agent counts as one that has not left; keys that no agent can have are ignored.

--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -165,8 +165,9 @@
   uint32_t target_count; ///< Engines in the region, as reported by entries.
   uint64_t fence;
   uint64_t fence_mod_revision;
-  bool is_registered;       ///< The roster entry is written.
-  bool is_fence_unverified; ///< The process stalled; no orders until checked.
+  bool is_registered;        ///< The roster entry is written.
+  bool is_registering_again; ///< Its record on the roster was damaged.
+  bool is_fence_unverified;  ///< The process stalled; no orders until checked.
   uint64_t memory_since_wall_ms; ///< The claim history is complete since.
   uint64_t revision;             ///< Highest configuration revision reported.
   uint64_t revision_since_ms;
--- a/src/daemon/agent_fence.c
+++ b/src/daemon/agent_fence.c
@@ -9,7 +9,7 @@
 #include <stdio.h>
 
 #include "daemon/agent_defs.h"
-#include "protocol/json.h"
+#include "protocol/fence.h"
 #include "protocol/shardmap.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
@@ -23,17 +23,30 @@
 static void
 fence_key (const agt_agent_t *agent, char *out, size_t out_bytes)
 {
-  snprintf (out, out_bytes, "kb/roster/%s", agent->daemon->settings.name);
+  snprintf (out, out_bytes, FNC_KEY_PREFIX "%s", agent->daemon->settings.name);
 }
 
 static void
-fence_value (const agt_agent_t *agent, const char *state, kb_buf_t *out)
+fence_value (const agt_agent_t *agent, bool has_left, kb_buf_t *out)
 {
-  kb_buf_printf (out,
-                 "{\"fence\":%" PRIu64 ",\"incarnation\":\"%016" PRIx64
-                 "\",\"state\":\"%s\",\"memory_since\":%" PRIu64 "}",
-                 agent->fence, agent->daemon->incarnation, state,
-                 agent->memory_since_wall_ms);
+  fnc_record_t record = { .fence = agent->fence,
+                          .incarnation = agent->daemon->incarnation,
+                          .memory_since_wall_ms = agent->memory_since_wall_ms,
+                          .has_left = has_left };
+  fnc_record_write (&record, out);
+}
+
+/// @return  Whether the record can be read.
+static bool
+parse_record (kb_slice_t value, fnc_record_t *out)
+{
+  if (fnc_record_parse (value, out))
+    return true;
+  MET_INC ("knapweedbay_entries_ignored_total", "reason=\"roster\"");
+  log_write (LOG_WARN, "fence",
+             "This target's record on the roster cannot be read; replacing "
+             "it.");
+  return false;
 }
 
 static void read_fence (void *arg);
@@ -66,6 +79,12 @@
   for (uint32_t s = 0; count > 0 && s < SHM_SHARDS; s++)
     clm_runner_raise_epoch (&agent->claims, s, shards[s].epoch);
   agent->is_registered = true;
+  if (agent->is_registering_again)
+    {
+      agent->is_registering_again = false;
+      agent->is_fence_unverified = false;
+      agt_schedule_work (agent);
+    }
   log_write (LOG_INFO, "fence", "Registered with fencing number %" PRIu64 ".",
              agent->fence);
 }
@@ -89,13 +108,22 @@
 ///          incarnation that left gracefully handed its claim records to
 ///          entries, so its history continues.
 static uint64_t
-inherit_memory_since (struct json_object *former, uint64_t now_wall_ms)
+inherit_memory_since (bool has_former, const fnc_record_t *former)
 {
-  if (former == NULL)
+  if (!has_former)
     return 0; // No incarnation ran here before.
-  if (strcmp (jsn_str (former, "state", ""), "left") == 0)
-    return (uint64_t)jsn_int (former, "memory_since", 0);
-  return now_wall_ms;
+  return former != NULL && former->has_left ? former->memory_since_wall_ms
+                                            : tmr_wall_ms ();
+}
+
+static void
+leave_to_successor (agt_agent_t *agent)
+{
+  log_write (
+      LOG_ERROR, "fence",
+      "An agent with a newer fencing number owns this target; draining.");
+  MET_INC ("knapweedbay_fence_lost_total", "");
+  dmn_drain (agent->daemon);
 }
 
 static void
@@ -108,27 +136,27 @@
       retry_read_fence (agent);
       return;
     }
-  struct json_object *former = NULL;
-  if (count > 0)
-    jsn_parse_text ("roster", items[0].value, &former, NULL);
-  char own[20];
-  snprintf (own, sizeof own, "%016" PRIx64, agent->daemon->incarnation);
-  if (strcmp (jsn_str (former, "incarnation", ""), own) == 0)
+  fnc_record_t former = { 0 };
+  bool is_readable = count > 0 && parse_record (items[0].value, &former);
+  if (is_readable && former.incarnation == agent->daemon->incarnation)
     {
-      agent->fence = (uint64_t)jsn_int (former, "fence", 0);
-      json_object_put (former);
+      agent->fence = former.fence;
       kvc_get (&agent->daemon->kv, SHM_KEY, on_epochs_read, agent);
       return;
     }
-  uint64_t last = (uint64_t)jsn_int (former, "fence", 0);
-  agent->memory_since_wall_ms = inherit_memory_since (former, tmr_wall_ms ());
-  if (agent->fence <= last)
-    agent->fence = last + 1;
-  json_object_put (former);
+  if (is_readable && agent->is_registering_again && !former.has_left)
+    {
+      leave_to_successor (agent);
+      return;
+    }
+  agent->memory_since_wall_ms
+      = inherit_memory_since (count > 0, is_readable ? &former : NULL);
+  if (agent->fence <= former.fence)
+    agent->fence = former.fence + 1;
   char key[KVC_KEY_BYTES];
   fence_key (agent, key, sizeof key);
   kb_buf_t value = { 0 };
-  fence_value (agent, "live", &value);
+  fence_value (agent, false, &value);
   kvc_cas (&agent->daemon->kv, key, count > 0 ? items[0].mod_revision : 0,
            kb_buf_slice (&value), on_fence_written, agent);
   kb_buf_finish (&value);
@@ -151,29 +179,40 @@
   read_fence (agent);
 }
 
+/// Register once more, with a higher number: a successor may have registered
+/// before the record was damaged. No orders until that is done.
+static void
+register_again (agt_agent_t *agent)
+{
+  uint64_t wall_ms = tmr_wall_ms ();
+  agent->fence = agent->fence < wall_ms ? wall_ms : agent->fence + 1;
+  agent->is_registered = false;
+  agent->is_registering_again = true;
+  read_fence (agent);
+}
+
 static void
 on_fence_checked (void *arg, kb_status_t status, const kvc_item_t *items,
                   uint32_t count)
 {
   agt_agent_t *agent = arg;
+  fnc_record_t record;
+  bool is_read = status == KB_OK && count > 0;
+  if (is_read && !parse_record (items[0].value, &record))
+    {
+      register_again (agent);
+      return;
+    }
   agent->is_fence_unverified = false;
-  if (status != KB_OK || count == 0)
+  if (!is_read)
     {
       // During an outage no other agent can have registered either.
       agt_schedule_work (agent);
       return;
     }
-  struct json_object *record = NULL;
-  jsn_parse_text ("roster", items[0].value, &record, NULL);
-  bool is_newer = (uint64_t)jsn_int (record, "fence", 0) > agent->fence;
-  json_object_put (record);
-  if (is_newer)
+  if (record.fence > agent->fence)
     {
-      log_write (
-          LOG_ERROR, "fence",
-          "An agent with a newer fencing number owns this target; draining.");
-      MET_INC ("knapweedbay_fence_lost_total", "");
-      dmn_drain (agent->daemon);
+      leave_to_successor (agent);
       return;
     }
   agt_schedule_work (agent);
@@ -182,6 +221,8 @@
 void
 agt_fence_check (agt_agent_t *agent)
 {
+  if (agent->is_registering_again)
+    return;
   agent->is_fence_unverified = true;
   char key[KVC_KEY_BYTES];
   fence_key (agent, key, sizeof key);
@@ -207,11 +248,10 @@
       on_leave_written (agent, status, NULL, 0);
       return;
     }
-  struct json_object *record = NULL;
-  jsn_parse_text ("roster", items[0].value, &record, NULL);
-  bool is_own = (uint64_t)jsn_int (record, "fence", 0) == agent->fence;
-  json_object_put (record);
-  if (!is_own)
+  // The successor of one that cannot be read counts the history as lost.
+  fnc_record_t record;
+  if (!fnc_record_parse (items[0].value, &record)
+      || record.fence != agent->fence)
     {
       on_leave_written (agent, KB_ECONFLICT, NULL, 0);
       return;
@@ -219,7 +259,7 @@
   char key[KVC_KEY_BYTES];
   fence_key (agent, key, sizeof key);
   kb_buf_t value = { 0 };
-  fence_value (agent, "left", &value);
+  fence_value (agent, true, &value);
   kvc_cas (&agent->daemon->kv, key, items[0].mod_revision,
            kb_buf_slice (&value), on_leave_written, agent);
   kb_buf_finish (&value);
--- a/src/daemon/entry_shards.c
+++ b/src/daemon/entry_shards.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "daemon/entry_defs.h"
+#include "protocol/fence.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -274,15 +275,24 @@
   snprintf (source->name, sizeof source->name, "%s", name);
 }
 
+/// An agent whose record cannot be read is one that has not left.
 static void
 rebuild_read_roster_item (ent_entry_t *entry, const kvc_item_t *item)
 {
-  struct json_object *record = NULL;
-  jsn_parse_text ("roster", item->value, &record, NULL);
-  const char *name = item->key + strlen ("kb/roster/");
-  bool has_left = strcmp (jsn_str (record, "state", ""), "left") == 0;
-  rebuild_add_source (&entry->rebuild, name, false, has_left);
-  json_object_put (record);
+  const char *name = item->key + strlen (FNC_KEY_PREFIX);
+  if (!set_name_is_valid (kb_slice_str (name)))
+    {
+      MET_INC ("knapweedbay_entries_ignored_total", "reason=\"roster\"");
+      return;
+    }
+  fnc_record_t record = { 0 };
+  if (!fnc_record_parse (item->value, &record))
+    {
+      MET_INC ("knapweedbay_entries_ignored_total", "reason=\"roster\"");
+      log_write (LOG_WARN, "claims",
+                 "The record of %s on the roster cannot be read.", name);
+    }
+  rebuild_add_source (&entry->rebuild, name, false, record.has_left);
 }
 
 static void
@@ -328,7 +338,7 @@
   b->id = dmn_random () | 1;
   b->started_ms = tmr_now_ms ();
   b->last_request_ms = b->started_ms;
-  kvc_range (&entry->daemon->kv, "kb/roster/", on_roster_read, entry);
+  kvc_range (&entry->daemon->kv, FNC_KEY_PREFIX, on_roster_read, entry);
 }
 
 /// @return  True if the source can send no more records.
@@ -373,7 +383,8 @@
       if (now - b->last_request_ms > REBUILD_RETRY_MS)
         {
           b->last_request_ms = now;
-          kvc_range (&entry->daemon->kv, "kb/roster/", on_roster_read, entry);
+          kvc_range (&entry->daemon->kv, FNC_KEY_PREFIX, on_roster_read,
+                     entry);
         }
       return;
     }
