fix(claims): replace a map of shards that cannot be read

What callers saw: after any odd value under kb/w/claims each compare-and-swap of the map conflicted for ever: shards of an entry that ended stayed without an owner, and entries that restarted refused all keys. A map with one odd element was worse: an epoch that could not be read counted as 0, by which a restarted agent would take a former owner's grant.

Cause: the map was ignored without a word, its revision too; elements were read with defaults. Now a map is valid only as a whole, with epochs below 2^53. One that is not is treated like one that lost takeovers with an older copy of the service: an entry writes the map that it knows again, by compare-and-swap, and those that know later takeovers merge them. Nothing is taken over for 10 s, so that all of them have. If by then no entry has written one, none knows it: all shards are vacant, with epochs from the wall clock, above any that counts takeovers; the usual rebuild asks the agents.

--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -213,6 +213,8 @@
   uint32_t shard_map_restore_count; ///< kvc_client_t.restore_count then.
   bool is_shard_map_outdated; ///< The service lacks takeovers that are known.
   bool is_map_known;
+  bool is_map_damaged;     ///< The stored map cannot be read.
+  uint64_t map_damaged_ms; ///< Since when, last time; zero: never.
   bool is_map_call_pending;
   uint64_t last_map_read_ms;
   uint64_t vacant_since_ms; ///< Since when a shard lacks an owner; zero: none.
--- a/src/daemon/entry_shards.c
+++ b/src/daemon/entry_shards.c
@@ -19,6 +19,9 @@
   MAP_READ_INTERVAL_MS = 200,
   ASSIGNER_SEED = 0x61737369, ///< Key by which the assigner is chosen.
   ASSIGNER_TIMEOUT_MS = 3000,
+  /// Until each entry that knows takeovers has written them again to a map
+  /// that was damaged; no takeovers until then.
+  MAP_SETTLE_MS = 2 * ASSIGNER_TIMEOUT_MS + 4000,
 };
 
 _Static_assert((int)SHM_SHARDS == (int)CLM_SHARDS,
@@ -74,6 +77,42 @@
   return true;
 }
 
+static bool
+map_is_settling (const ent_entry_t *entry, uint64_t now)
+{
+  return entry->map_damaged_ms != 0
+         && now - entry->map_damaged_ms < MAP_SETTLE_MS;
+}
+
+/// Replace a stored map that cannot be read by the one that is known, as after
+/// the loss of takeovers. If no entry has written one in time, none knows it:
+/// all shards are vacant then, at epochs above the former ones, which count
+/// takeovers.
+static void
+map_replace_damaged (ent_entry_t *entry, const kvc_item_t *item)
+{
+  uint64_t now = tmr_now_ms ();
+  if (!entry->is_map_damaged)
+    {
+      entry->is_map_damaged = true;
+      entry->map_damaged_ms = now;
+      MET_INC ("knapweedbay_entries_ignored_total", "reason=\"shard_map\"");
+      log_write (LOG_ERROR, "claims",
+                 "The stored map of shards cannot be read.");
+    }
+  if (!entry->is_map_known)
+    {
+      if (map_is_settling (entry, now))
+        return;
+      for (uint32_t s = 0; s < CLM_SHARDS; s++)
+        entry->shard_map[s] = (shm_shard_t){ .epoch = tmr_wall_ms () };
+      entry->is_map_known = true;
+    }
+  entry->shard_map_restore_count = entry->daemon->kv.restore_count;
+  entry->shard_map_mod_revision = item->mod_revision;
+  entry->is_shard_map_outdated = true;
+}
+
 void
 ent_claims_apply_map_item (ent_entry_t *entry, const kvc_item_t *item)
 {
@@ -81,8 +120,14 @@
   bool is_known = item->mod_revision <= entry->shard_map_mod_revision
                   && restore_count == entry->shard_map_restore_count;
   shm_shard_t read[CLM_SHARDS];
-  if (item->mod_revision == 0 || is_known || !shm_parse (item->value, read))
+  if (item->mod_revision == 0 || is_known)
     return;
+  if (!shm_parse (item->value, read))
+    {
+      map_replace_damaged (entry, item);
+      return;
+    }
+  entry->is_map_damaged = false;
   entry->shard_map_restore_count = restore_count;
   entry->is_shard_map_outdated = shm_merge (read, entry->shard_map);
   memcpy (entry->shard_map, read, sizeof read);
@@ -215,9 +260,10 @@
   shm_shard_t new_map[CLM_SHARDS];
   memcpy (new_map, entry->shard_map, sizeof new_map);
   uint32_t vacant_count = 0;
+  bool can_take_over = !map_is_settling (entry, now);
   for (uint32_t s = 0; s < CLM_SHARDS; s++)
     {
-      if (!owner_is_gone (entry, &entry->shard_map[s], now))
+      if (!can_take_over || !owner_is_gone (entry, &entry->shard_map[s], now))
         continue;
       const char *new_owner = ent_members_choose_entry (entry, s + 1, true);
       snprintf (new_map[s].owner, sizeof new_map[s].owner, "%s", new_owner);
--- a/src/protocol/shardmap.c
+++ b/src/protocol/shardmap.c
@@ -31,6 +31,23 @@
   kb_buf_append_str (out, "]}");
 }
 
+/// @return  False if the element is not one that shm_write writes.
+static bool
+parse_shard (struct json_object *item, shm_shard_t *out)
+{
+  const char *owner = jsn_str (item, "o", NULL);
+  const char *incarnation = jsn_str (item, "i", "");
+  int64_t epoch = jsn_int (item, "e", -1);
+  if (owner == NULL || strlen (owner) >= sizeof out->owner || epoch < 0
+      || epoch >= SHM_MAX_EPOCH || strlen (incarnation) != 16
+      || strspn (incarnation, "0123456789abcdef") != 16)
+    return false;
+  *out = (shm_shard_t){ .incarnation = strtoull (incarnation, NULL, 16),
+                        .epoch = (uint64_t)epoch };
+  snprintf (out->owner, sizeof out->owner, "%s", owner);
+  return true;
+}
+
 bool
 shm_parse (kb_slice_t text, shm_shard_t out[SHM_SHARDS])
 {
@@ -41,13 +58,7 @@
   bool is_valid = json_object_is_type (list, json_type_array)
                   && json_object_array_length (list) == SHM_SHARDS;
   for (uint32_t s = 0; is_valid && s < SHM_SHARDS; s++)
-    {
-      struct json_object *item = json_object_array_get_idx (list, s);
-      snprintf (out[s].owner, sizeof out[s].owner, "%s",
-                jsn_str (item, "o", ""));
-      out[s].incarnation = strtoull (jsn_str (item, "i", "0"), NULL, 16);
-      out[s].epoch = (uint64_t)jsn_int (item, "e", 0);
-    }
+    is_valid = parse_shard (json_object_array_get_idx (list, s), &out[s]);
   json_object_put (doc);
   return is_valid;
 }
--- a/src/protocol/shardmap.h
+++ b/src/protocol/shardmap.h
@@ -18,6 +18,9 @@
 /// Key of the map in the key-value service.
 #define SHM_KEY "kb/w/claims"
 
+/// Largest number that each JSON parser reads exactly.
+#define SHM_MAX_EPOCH ((int64_t)1 << 53)
+
 /// Owner of one shard.
 typedef struct
 {
@@ -34,8 +37,9 @@
                 const shm_shard_t known[SHM_SHARDS]);
 /// Append the map as JSON.
 void shm_write (const shm_shard_t shards[SHM_SHARDS], kb_buf_t *out);
-/// @return  False if the text is not a valid map; `out` may then be partly
-///          filled.
+/// @return  False if any part of the text is not that of a valid map; `out`
+/// may
+///          then be partly filled.
 bool shm_parse (kb_slice_t text, shm_shard_t out[SHM_SHARDS]);
 
 #endif
--- a/test/unit/fence_test.cc
+++ b/test/unit/fence_test.cc
@@ -1,4 +1,4 @@
-// Records in the key-value service that decide who owns a target.
+// Records in the key-value service that decide who owns a target or a shard.
 #include <gtest/gtest.h>
 
 #include <string>
@@ -6,6 +6,7 @@
 extern "C"
 {
 #include "protocol/fence.h"
+#include "protocol/shardmap.h"
 }
 
 namespace
@@ -82,4 +83,36 @@
     }
 }
 
+/// @return  A map whose first shard is this element.
+std::string
+map_with (const std::string &element)
+{
+  std::string text = "{\"shards\":[" + element;
+  for (int s = 1; s < SHM_SHARDS; s++)
+    text += ",{\"o\":\"e\",\"i\":\"0123456789abcdef\",\"e\":3}";
+  return text + "]}";
+}
+
+// Guards against an epoch that cannot be read and counts as zero.
+TEST (ShardMap, OneOddElementSpoilsTheMap)
+{
+  shm_shard_t read[SHM_SHARDS];
+  const std::string i = "\"i\":\"0123456789abcdef\"";
+  ASSERT_TRUE (shm_parse (
+      slice_of (map_with ("{\"o\":\"\"," + i + ",\"e\":0}")), read));
+  EXPECT_EQ (read[1].epoch, 3u);
+  EXPECT_EQ (read[1].incarnation, 0x123456789abcdefu);
+  for (const std::string &form :
+       { std::string ("7"), std::string ("{}"), "{\"o\":\"e\"," + i + "}",
+         "{\"o\":\"e\"," + i + ",\"e\":-1}",
+         "{\"o\":\"e\"," + i + ",\"e\":\"3\"}",
+         "{\"o\":\"e\"," + i + ",\"e\":1e400}",
+         "{\"o\":\"e\"," + i + ",\"e\":9223372036854775807}",
+         "{\"o\":\"" + std::string (48, 'e') + "\"," + i + ",\"e\":3}",
+         "{\"o\":7," + i + ",\"e\":3}",
+         std::string ("{\"o\":\"e\",\"i\":\"x\",\"e\":3}"),
+         std::string ("{\"o\":\"e\",\"e\":3}") })
+    EXPECT_FALSE (shm_parse (slice_of (map_with (form)), read)) << form;
+}
+
 } // namespace
