--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -213,6 +213,8 @@
   uint32_t shard_map_restore_count; ///< kvc_client_t.restore_count then.
   bool is_shard_map_outdated; ///< The service lacks takeovers that are known.
   bool is_map_known;
+  bool is_map_damaged;     ///< The stored map cannot be read.
+  uint64_t map_damaged_ms; ///< Since when, last time; zero: never.
   bool is_map_call_pending;
   uint64_t last_map_read_ms;
   uint64_t vacant_since_ms; ///< Since when a shard lacks an owner; zero: none.
@@ -237,6 +239,17 @@
 // entry_http.c
 void ent_http_handle_request (ent_entry_t *entry, hts_request_t *http);
 
+// entry_rebuild.c
+/// Rebuild shards that this entry owns now.
+/// @param epochs  By shard; zero: not this one.
+void ent_rebuild_start (ent_entry_t *entry, const uint64_t *epochs);
+/// Ask for records again, or end the rebuild once all sources are settled.
+void ent_rebuild_check_progress (ent_entry_t *entry, uint64_t now);
+void ent_rebuild_receive_records (ent_entry_t *entry, kb_slice_t from,
+                                  const msg_records_t *records);
+/// Merge packed records into the shards that are being rebuilt.
+void ent_rebuild_merge (ent_entry_t *entry, kb_slice_t records);
+
 // entry_request.c
 /// Start a validated request.
 void ent_request_start (ent_request_t *r);
