--- a/src/gateway/gateway_resume.c
+++ b/src/gateway/gateway_resume.c
@@ -164,7 +164,7 @@
   log_int (&line, "began_version", (int64_t)r->origin.adapter_version);
   log_int (&line, "version", r->granted_version);
   log_int (&line, "is_same_answer", r->first_event_ms != 0);
-  log_int (&line, "last_event", (int64_t)r->last_event_id);
+  log_int (&line, "last_event", (int64_t)r->events.last_id);
   log_text (&line, "target", r->target->list_entry.identity.id);
   log_end (&line);
 }
