--- a/test/unit/json_walk_test.cc
+++ b/test/unit/json_walk_test.cc
@@ -189,4 +189,42 @@
       << error.message;
 }
 
+kb_status_t
+collect_text (void *arg, uint32_t, kb_slice_t text, kb_error_t *)
+{
+  static_cast<std::vector<std::string> *> (arg)->emplace_back (text.ptr,
+                                                               text.len_bytes);
+  return KB_OK;
+}
+
+// Guards against a walk that ends at an element that cannot be parsed.
+TEST (JsonWalk, TextsGoOnAfterAnElementThatCannotBeParsed)
+{
+  std::string text = "{\"a\":1,\"Routes\":[{\"x\":[}],7e,{\"y\":2}]}";
+  struct json_object *rest = nullptr;
+  kb_error_t error = {};
+  std::vector<std::string> texts;
+  EXPECT_EQ (jsn_walk_texts ("t", slice_of (text), "Routes", &rest,
+                             collect_text, &texts, &error),
+             KB_OK)
+      << error.message;
+  EXPECT_EQ (texts,
+             (std::vector<std::string>{ "{\"x\":[}]", "7e", "{\"y\":2}" }));
+  EXPECT_NE (rest, nullptr);
+  json_object_put (rest);
+}
+
+// Guards against elements that a bracket left open swallows without a word.
+TEST (JsonWalk, TextsEndWithAnErrorWithinAnElement)
+{
+  std::string text = "{\"Routes\":[{\"x\":[[},{\"y\":2}]}";
+  struct json_object *rest = nullptr;
+  kb_error_t error = {};
+  std::vector<std::string> texts;
+  EXPECT_EQ (jsn_walk_texts ("t", slice_of (text), "Routes", &rest,
+                             collect_text, &texts, &error),
+             KB_EINVAL);
+  EXPECT_EQ (rest, nullptr);
+}
+
 } // namespace
