--- a/src/daemon/entry_rebuild.c
+++ b/src/daemon/entry_rebuild.c
@@ -110,7 +110,8 @@
 {
   if (source->has_replied || source->has_left)
     return true;
-  ent_vm_t *vm = ent_vm_find (entry, kb_slice_str (source->name));
+  ent_vm_t *vm
+      = kb_map_get (&entry->vms, dmn_name_id (kb_slice_str (source->name)));
   bool is_gone = vm == NULL ? entry->is_list_known
                                   && now - entry->rebuild.started_ms
                                          > entry->member_options.gone_after_ms
