test(relay): show that one odd item blinds all readers of the store

The stand-in store can answer with an item whose JSON is any text.

Seen on: behind one item nested 40 deep in a watch's answer, the removal of a plain target is unnoticed in 16 of 16 cases, 12 of 12 requests reach it 2 s later; daemons that start beside such items answer 503 for good. No process ended.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -99,6 +99,13 @@
   mirror_store.remove (key);
 }
 
+void
+Site::put_raw (const std::string &key, const std::string &json)
+{
+  store.put_raw (key, json);
+  mirror_store.put_raw (key, json);
+}
+
 std::array<Store::Copy, 2>
 Site::copy_stores ()
 {
@@ -275,6 +282,25 @@
   daemon->pid = 0;
 }
 
+bool
+Site::are_daemons_running () const
+{
+  auto has_ended = [] (const Daemon &daemon) {
+    siginfo_t info = {};
+    return daemon.pid == 0
+           || waitid (P_PID, (id_t)daemon.pid, &info,
+                      WEXITED | WNOHANG | WNOWAIT)
+                  != 0
+           || info.si_pid != 0;
+  };
+  bool is_any_ended = false;
+  for (const Gateway &gateway : gateways)
+    is_any_ended = is_any_ended || has_ended (gateway.daemon);
+  for (const Engine &engine : engines)
+    is_any_ended = is_any_ended || has_ended (engine.sidecar);
+  return !is_any_ended;
+}
+
 void
 Site::restart (Daemon *daemon, int signal)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -81,6 +81,8 @@
   /// Write a key to both stores.
   void put (const std::string &key, const std::string &value);
   void remove (const std::string &key);
+  /// Write an item to both stores whose JSON in answers is this text.
+  void put_raw (const std::string &key, const std::string &json);
   /// Copies of both stores, for restore_stores.
   std::array<Store::Copy, 2> copy_stores ();
   /// Both stores come back from copies.
@@ -118,6 +120,8 @@
   /// empty: none does.
   void crash_on_path (const std::string &text);
   void stop (Daemon *daemon, int signal);
+  /// @return  Whether no daemon ended by itself since it was started.
+  bool are_daemons_running () const;
   /// Wait until all gateways serve; print why when they don't.
   bool wait_ready ();
   /// Print the last lines of each daemon's log.
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -112,7 +112,7 @@
 Store::put_locked (const std::string &key, const std::string &value)
 {
   keep_copy_locked ();
-  items_[key] = { value, ++revision_, false };
+  items_[key] = { value, ++revision_, false, "" };
   history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
 }
@@ -190,7 +190,17 @@
 Store::remove (const std::string &key)
 {
   std::lock_guard<std::mutex> lock (mutex_);
-  items_[key] = { "", ++revision_, true };
+  items_[key] = { "", ++revision_, true, "" };
+  history_.emplace_back (key, items_[key]);
+  changed_.notify_all ();
+}
+
+void
+Store::put_raw (const std::string &key, const std::string &json)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  keep_copy_locked ();
+  items_[key] = { "", ++revision_, false, json };
   history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
 }
@@ -233,6 +243,13 @@
   changed_.notify_all ();
 }
 
+std::string
+Store::as_of ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return std::to_string (revision_);
+}
+
 std::string
 Store::era_headers ()
 {
@@ -303,6 +320,8 @@
 std::string
 Store::item_json (const std::string &key, const Item &item)
 {
+  if (!item.raw.empty ())
+    return item.raw;
   std::string head = "{\"Key\":\"" + key
                      + "\",\"Revision\":" + std::to_string (item.revision);
   if (item.is_gone)
@@ -407,6 +426,8 @@
     return reply (connection, 503, "{}");
   if (mode == FOREIGN_BODY)
     return connection.write (json_response ("{\"map\":\"a body\"}"));
+  if (mode == NO_LIST)
+    return reply (connection, 200, "{\"AsOf\":" + as_of () + "}");
   if (request.method () == "POST")
     return serve_write (connection, request);
   auto query = parse_query (request.target ());
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -20,6 +20,7 @@
     std::string value;
     int64_t revision = 0;
     bool is_gone = false;
+    std::string raw; ///< Its JSON as written; empty: made of the others.
   };
 
 public:
@@ -37,6 +38,7 @@
     SILENT,       ///< No answer.
     FOREIGN_BODY, ///< 200 with the body of another service.
     NO_WAIT,      ///< Watches return at once, even without changes.
+    NO_LIST,      ///< 200 without items or events.
   };
   explicit Store (const std::string &ip) : Server (ip) { start (); }
   ~Store () override
@@ -46,6 +48,8 @@
   }
   void put (const std::string &key, const std::string &value);
   void remove (const std::string &key);
+  /// Write an item whose JSON in answers is this text.
+  void put_raw (const std::string &key, const std::string &json);
   void set_mode (Mode mode);
   /// Drop the history: watches behind the present revision get 410, and the
   /// connections of waiting ones are closed.
@@ -88,6 +92,7 @@
   /// @return  Whether the conditions of a transaction hold.
   bool is_expected (const std::string &body);
   bool serve_write (Connection &connection, const Message &request);
+  std::string as_of ();
   void put_locked (const std::string &key, const std::string &value);
   /// Send an answer with the era.
   bool reply (Connection &connection, int status, const std::string &body);
