--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -42,6 +42,21 @@
   return json.substr (at, json.find ('"', at) - at);
 }
 
+static std::string
+percent_decoded (const std::string &text)
+{
+  std::string out;
+  for (size_t i = 0; i < text.size (); i++)
+    if (text[i] == '%' && i + 2 < text.size ())
+      {
+        out += (char)strtol (text.substr (i + 1, 2).c_str (), nullptr, 16);
+        i += 2;
+      }
+    else
+      out += text[i];
+  return out;
+}
+
 static std::map<std::string, std::string>
 parse_query (const std::string &target)
 {
@@ -53,7 +68,8 @@
       std::string pair = target.substr (
           at + 1, end == std::string::npos ? end : end - at - 1);
       size_t equals = pair.find ('=');
-      query[pair.substr (0, equals)] = pair.substr (equals + 1);
+      query[pair.substr (0, equals)]
+          = percent_decoded (pair.substr (equals + 1));
       at = end;
     }
   return query;
@@ -333,7 +349,8 @@
 Store::range (const std::map<std::string, std::string> &query)
 {
   const std::string &prefix = query.at ("Prefix");
-  std::string after = query.count ("after") > 0 ? query.at ("after") : "";
+  bool is_later_page = query.count ("after") > 0 && mode_ != REPEATED_PAGES;
+  std::string after = is_later_page ? query.at ("after") : "";
   std::string list;
   int count = 0;
   bool is_truncated = false;
@@ -426,8 +443,6 @@
     return reply (connection, 503, "{}");
   if (mode == FOREIGN_BODY)
     return connection.write (json_response ("{\"map\":\"a body\"}"));
-  if (mode == NO_LIST)
-    return reply (connection, 200, "{\"AsOf\":" + as_of () + "}");
   if (request.method () == "POST")
     return serve_write (connection, request);
   auto query = parse_query (request.target ());
@@ -441,6 +456,8 @@
   }
   if (request.target ().compare (0, 9, "/kv-watch") == 0)
     return serve_watch (connection, query);
+  if (mode == NO_LIST)
+    return reply (connection, 200, "{\"AsOf\":" + as_of () + "}");
   std::string body;
   {
     std::lock_guard<std::mutex> lock (mutex_);
--- a/test/relay/store_standin.h
+++ b/test/relay/store_standin.h
@@ -33,12 +33,13 @@
   enum Mode
   {
     HEALTHY,
-    BUSY,         ///< Answers 503.
-    RESET,        ///< Connections are reset.
-    SILENT,       ///< No answer.
-    FOREIGN_BODY, ///< 200 with the body of another service.
-    NO_WAIT,      ///< Watches return at once, even without changes.
-    NO_LIST,      ///< 200 without items or events.
+    BUSY,           ///< Answers 503.
+    RESET,          ///< Connections are reset.
+    SILENT,         ///< No answer.
+    FOREIGN_BODY,   ///< 200 with the body of another service.
+    NO_WAIT,        ///< Watches return at once, even without changes.
+    NO_LIST,        ///< Ranges: 200 without items.
+    REPEATED_PAGES, ///< Each page of a range is the first one.
   };
   explicit Store (const std::string &ip) : Server (ip) { start (); }
   ~Store () override
