fix(platform,protocol): decode the store's answers item by item

What callers saw: after one item that json-c refuses (nested over 32 deep, a key twice) all reads of the list failed. Removals went unnoticed, requests reached targets that were gone, daemons that started answered 503 for good. A range without its list was taken for an empty one: all targets were removed.

Cause: the answer was parsed as one document, so one bad item cost all, and a list that could not be found was taken for an absent one. Ruled out: the end of a process or a limit of the stack (none ended, with 300,000 levels).

Items are now split lexically and decoded one by one. Of an item that cannot be parsed, the members that are used are read by themselves. Elements with open strings or brackets are refused by the walk, which the configuration uses too.

--- a/Makefile
+++ b/Makefile
@@ -38,11 +38,12 @@
 
 fuzz: setup
 	@cmake -S . -B build-fuzz -G Ninja -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ -DKB_FUZZ=ON > /dev/null
-	@cmake --build build-fuzz -j $(JOBS) --target fuzz_msg fuzz_settings fuzz_platform
-	@mkdir -p build-fuzz/corpus-msg build-fuzz/corpus-settings build-fuzz/corpus-platform
+	@cmake --build build-fuzz -j $(JOBS) --target fuzz_msg fuzz_settings fuzz_platform fuzz_page
+	@mkdir -p build-fuzz/corpus-msg build-fuzz/corpus-settings build-fuzz/corpus-platform build-fuzz/corpus-page
 	@./build-fuzz/bin/fuzz_msg -seed=1 -runs=200000 -max_len=512 build-fuzz/corpus-msg test/fuzz/corpus-msg
 	@./build-fuzz/bin/fuzz_settings -seed=1 -runs=100000 -max_len=512 build-fuzz/corpus-settings test/fuzz/corpus-settings
 	@./build-fuzz/bin/fuzz_platform -seed=1 -runs=100000 -max_len=1024 build-fuzz/corpus-platform test/fuzz/corpus-platform
+	@./build-fuzz/bin/fuzz_page -seed=1 -runs=100000 -max_len=2048 build-fuzz/corpus-page test/fuzz/corpus-page
 
 # Seeds 1 to SEEDS, or FIRST to SEEDS, each with SECONDS of faults.
 FIRST ?= 1
--- a/src/protocol/json_walk.c
+++ b/src/protocol/json_walk.c
@@ -6,7 +6,8 @@
 
 /// Skip the value at the cursor, up to the comma or closing bracket that
 /// follows it, or to the end.
-static void
+/// @return  Whether its brackets and strings are closed.
+static bool
 skip_value (jsc_cursor_t *c)
 {
   uint32_t depth = 0;
@@ -15,9 +16,13 @@
       char byte = jsc_byte (c);
       bool is_closing = byte == '}' || byte == ']';
       if (depth == 0 && (is_closing || byte == ','))
-        return;
+        return true;
       if (byte == '"')
-        jsc_read_string (c);
+        {
+          kb_slice_t string = jsc_read_string (c);
+          if (string.ptr + string.len_bytes == c->text.ptr + c->at)
+            return false;
+        }
       else if (jsc_is_comment (c))
         jsc_skip_comment (c);
       else
@@ -27,6 +32,52 @@
           c->at++;
         }
     }
+  return depth == 0;
+}
+
+/// Read the member that follows the opening brace or comma at the cursor.
+/// @return  False if there is none.
+static bool
+read_member (jsc_cursor_t *c, kb_slice_t *name, kb_slice_t *value)
+{
+  c->at++;
+  jsc_skip_space (c);
+  if (jsc_byte (c) != '"')
+    return false;
+  *name = jsc_read_string (c);
+  jsc_skip_space (c);
+  if (jsc_byte (c) != ':')
+    return false;
+  c->at++;
+  jsc_skip_space (c);
+  size_t start = c->at;
+  if (!skip_value (c))
+    return false;
+  *value = (kb_slice_t){ c->text.ptr + start, (uint32_t)(c->at - start) };
+  return true;
+}
+
+bool
+jsn_find_member (kb_slice_t text, const char *key, kb_slice_t *value)
+{
+  jsc_cursor_t c = { .text = text };
+  jsc_skip_space (&c);
+  if (jsc_byte (&c) != '{')
+    return false;
+  uint32_t count = 0;
+  kb_slice_t name;
+  kb_slice_t other;
+  do
+    {
+      if (!read_member (&c, &name, &other))
+        break;
+      if (!kb_slice_equal (name, kb_slice_str (key)))
+        continue;
+      *value = other;
+      count++;
+    }
+  while (jsc_byte (&c) == ',');
+  return count == 1;
 }
 
 /// Find the list that is the member `key` of the document.
@@ -42,27 +93,18 @@
     return false;
   do
     {
-      c.at++;
-      jsc_skip_space (&c);
-      if (jsc_byte (&c) != '"')
-        return false;
-      kb_slice_t name = jsc_read_string (&c);
-      jsc_skip_space (&c);
-      if (jsc_byte (&c) != ':')
+      kb_slice_t name;
+      kb_slice_t value;
+      if (!read_member (&c, &name, &value))
         return false;
-      c.at++;
-      jsc_skip_space (&c);
-      *open = c.at;
-      bool is_list = jsc_byte (&c) == '[';
-      skip_value (&c);
       // White space and comments may follow the value.
-      *close = c.at;
-      while (*close > *open && text.ptr[*close - 1] != ']')
-        (*close)--;
-      if (is_list && *close > *open
+      while (value.len_bytes > 0 && value.ptr[value.len_bytes - 1] != ']')
+        value.len_bytes--;
+      if (value.len_bytes > 1 && value.ptr[0] == '['
           && kb_slice_equal (name, kb_slice_str (key)))
         {
-          (*close)--;
+          *open = (size_t)(value.ptr - text.ptr);
+          *close = *open + value.len_bytes - 1;
           return true;
         }
     }
@@ -70,14 +112,24 @@
   return false;
 }
 
+/// What jsn_walk_list walks for.
+typedef struct
+{
+  const char *name;
+  const char *key;
+  jsn_on_element_t on_element;
+  void *arg;
+} walk_t;
+
 /// @param position  One-based index of the element, for messages.
 static kb_status_t
-walk_element (const char *name, const char *key, uint32_t position,
-              kb_slice_t text, jsn_on_element_t on_element, void *arg,
-              kb_error_t *error)
+walk_parse_element (void *arg, uint32_t position, kb_slice_t text,
+                    kb_error_t *error)
 {
+  const walk_t *walk = arg;
   char location[96];
-  snprintf (location, sizeof location, "%s, %s %u", name, key, position);
+  snprintf (location, sizeof location, "%s, %s %u", walk->name, walk->key,
+            position);
   struct json_object *element = NULL;
   kb_status_t status = jsn_parse_text (location, text, &element, error);
   if (status != KB_OK)
@@ -88,14 +140,14 @@
       return kb_error_set (error, KB_EINVAL, "%s: must be an object",
                            location);
     }
-  status = on_element (arg, element, error);
+  status = walk->on_element (walk->arg, element, error);
   json_object_put (element);
   return status;
 }
 
 static kb_status_t
 walk_elements (const char *name, const char *key, kb_slice_t list,
-               jsn_on_element_t on_element, void *arg, kb_error_t *error)
+               jsn_on_text_t on_text, void *arg, kb_error_t *error)
 {
   jsc_cursor_t c = { .text = list };
   jsc_skip_space (&c);
@@ -104,14 +156,14 @@
   for (uint32_t position = 1;; position++)
     {
       size_t start = c.at;
-      skip_value (&c);
+      bool is_closed = skip_value (&c);
       size_t end = c.at < list.len_bytes ? c.at : list.len_bytes;
       kb_slice_t text = { list.ptr + start, (uint32_t)(end - start) };
-      kb_status_t status
-          = walk_element (name, key, position, text, on_element, arg, error);
-      if (status != KB_OK || jsc_is_at_end (&c))
+      kb_status_t status = on_text (arg, position, text, error);
+      bool is_last = jsc_is_at_end (&c) && is_closed;
+      if (status != KB_OK || is_last)
         return status;
-      if (jsc_byte (&c) != ',')
+      if (!is_closed || jsc_byte (&c) != ',')
         return kb_error_set (error, KB_EINVAL,
                              "%s, %s %u: brackets do not match", name, key,
                              position);
@@ -120,9 +172,9 @@
 }
 
 kb_status_t
-jsn_walk_list (const char *name, kb_slice_t text, const char *key,
-               struct json_object **rest, jsn_on_element_t on_element,
-               void *arg, kb_error_t *error)
+jsn_walk_texts (const char *name, kb_slice_t text, const char *key,
+                struct json_object **rest, jsn_on_text_t on_text, void *arg,
+                kb_error_t *error)
 {
   size_t open;
   size_t close;
@@ -137,10 +189,21 @@
   if (status != KB_OK)
     return status;
   kb_slice_t list = { text.ptr + open + 1, (uint32_t)(close - open - 1) };
-  status = walk_elements (name, key, list, on_element, arg, error);
+  status = walk_elements (name, key, list, on_text, arg, error);
   if (status == KB_OK)
     return KB_OK;
   json_object_put (*rest);
   *rest = NULL;
   return status;
 }
+
+kb_status_t
+jsn_walk_list (const char *name, kb_slice_t text, const char *key,
+               struct json_object **rest, jsn_on_element_t on_element,
+               void *arg, kb_error_t *error)
+{
+  walk_t walk
+      = { .name = name, .key = key, .on_element = on_element, .arg = arg };
+  return jsn_walk_texts (name, text, key, rest, walk_parse_element, &walk,
+                         error);
+}
--- a/src/protocol/json_walk.h
+++ b/src/protocol/json_walk.h
@@ -25,5 +25,20 @@
                            struct json_object **rest,
                            jsn_on_element_t on_element, void *arg,
                            kb_error_t *error);
+/// @param position  One-based index of the element.
+/// @param element   Its text; not checked.
+/// @return          A status other than KB_OK ends the walk.
+typedef kb_status_t (*jsn_on_text_t) (void *arg, uint32_t position,
+                                      kb_slice_t element, kb_error_t *error);
+
+/// As jsn_walk_list, but elements are passed on as text: what is invalid
+/// within one is left to the receiver.
+kb_status_t jsn_walk_texts (const char *name, kb_slice_t text, const char *key,
+                            struct json_object **rest, jsn_on_text_t on_text,
+                            void *arg, kb_error_t *error);
+/// Find a member of an object without parsing the object.
+/// @param value  Receives the text of the member's value.
+/// @return       False unless the object has the member exactly once.
+bool jsn_find_member (kb_slice_t text, const char *key, kb_slice_t *value);
 
 #endif
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -809,7 +809,7 @@
   EXPECT_EQ (reported_events, (std::vector<std::string>{ "+i-1" }));
   clear_batch ();
   add_entry ("i-1", "");
-  items.back ().is_unreadable = true;
+  items.back ().fault = "the value is not valid base64";
   apply_batch ();
   EXPECT_EQ (reported_events, (std::vector<std::string>{ "-i-1" }));
 }
