--- a/test/unit/page_test.cc
+++ b/test/unit/page_test.cc
@@ -145,6 +145,24 @@
     }
 }
 
+// Guards against an odd revision that hides all later changes of its item.
+TEST (Page, RevisionIsWithinThatOfTheAnswer)
+{
+  for (const char *revision :
+       { "0", "-1", "10", "1e400", "\"7\"", "null", "[7]",
+         "99999999999999999999", "9223372036854775807" })
+    {
+      SCOPED_TRACE (revision);
+      Page page (R"({"Key":"k","Revision":)" + std::string (revision)
+                 + R"(,"Value":"dg=="})");
+      ASSERT_EQ (page.status, KB_OK);
+      ASSERT_EQ (page.page.item_count, 1u);
+      EXPECT_EQ (page.page.items[0].revision, 9u);
+    }
+  Page page (kBefore + std::string ("null"));
+  EXPECT_EQ (page.page.items[0].revision, 3u);
+}
+
 // Guards against a page that goes on behind the wrong key.
 TEST (Page, LastKeyIsTheLastThatCanBeRead)
 {
