fix(platform,coordination,gateway): hold a target whose entry cannot be read

What callers saw: a value of another writer in place of a live target's entry (nested, a port or number out of range, no JSON) removed the target at once: 0 of 6 served where it was the only one, also for an engine whose sidecar reported that it was well.

Cause: what could not be read was taken for a deletion. So what was read last now holds for 10 s, then for as long as a sidecar's reports name this incarnation and its engine is ready; else the target is removed. A valid entry or the deletion ends the hold at once, and a State of draining in an odd document counts. Of targets that are missing from a range, no more are held than items whose key cannot be read.

--- a/src/coordination/roster.c
+++ b/src/coordination/roster.c
@@ -16,6 +16,9 @@
   /// How long a removed target is remembered. The store comes back from a copy
   /// that is some seconds old.
   GONE_MEMORY_MS = 60000,
+  /// A live target writes its entry about every second, and the store removes
+  /// that of a silent one after a few.
+  HOLD_MS = 10000,
 };
 
 static uint64_t
@@ -125,6 +128,7 @@
     }
   entry->has_birth_time = entry->has_birth_time || incarnation->born_ms > 0;
   entry->remove_at_ms = 0;
+  entry->held_until_ms = 0;
   entry->range_mark = roster->range_count;
   entry->born_ms = incarnation->born_ms;
   if (entry->born_ms > entry->latest_born_ms)
@@ -147,8 +151,55 @@
 ros_unlist (ros_roster_t *roster, const char *id, uint64_t remove_at_ms)
 {
   ros_entry_t *entry = kb_map_get (&roster->entries, entry_key (id));
-  if (entry != NULL && entry->remove_at_ms == 0)
-    entry->remove_at_ms = remove_at_ms;
+  if (entry == NULL || entry->remove_at_ms > 0)
+    return;
+  entry->held_until_ms = 0;
+  entry->remove_at_ms = remove_at_ms;
+}
+
+static void
+entry_hold (ros_entry_t *entry, uint64_t now_ms)
+{
+  if (entry->held_until_ms == 0)
+    entry->held_until_ms = now_ms + HOLD_MS;
+}
+
+void
+ros_hold (ros_roster_t *roster, const char *id, bool is_leaving,
+          uint64_t now_ms)
+{
+  ros_entry_t *entry = kb_map_get (&roster->entries, entry_key (id));
+  if (entry == NULL || entry->remove_at_ms > 0)
+    return;
+  entry->range_mark = roster->range_count;
+  entry->is_leaving = entry->is_leaving || is_leaving;
+  entry_hold (entry, now_ms);
+}
+
+bool
+ros_pop_held (ros_roster_t *roster, uint64_t now_ms, char id[INC_ID_BYTES])
+{
+  uint32_t at = 0;
+  for (ros_entry_t *entry = kb_map_next (&roster->entries, &at); entry != NULL;
+       entry = kb_map_next (&roster->entries, &at))
+    if (entry->held_until_ms > 0 && entry->held_until_ms <= now_ms)
+      {
+        entry->held_until_ms = 0;
+        snprintf (id, INC_ID_BYTES, "%s", entry->id);
+        return true;
+      }
+  return false;
+}
+
+uint32_t
+ros_held_count (const ros_roster_t *roster)
+{
+  uint32_t count = 0;
+  uint32_t at = 0;
+  for (const ros_entry_t *entry = kb_map_next (&roster->entries, &at);
+       entry != NULL; entry = kb_map_next (&roster->entries, &at))
+    count += entry->held_until_ms > 0;
+  return count;
 }
 
 void
@@ -164,7 +215,8 @@
 }
 
 void
-ros_range_end (ros_roster_t *roster, uint64_t retain_until_ms, uint64_t now_ms)
+ros_range_end (ros_roster_t *roster, uint32_t unnamed_count,
+               uint64_t retain_until_ms, uint64_t now_ms)
 {
   uint32_t missing_count = 0;
   uint32_t at = 0;
@@ -176,8 +228,13 @@
   at = 0;
   for (ros_entry_t *entry = kb_map_next (&roster->entries, &at); entry != NULL;
        entry = kb_map_next (&roster->entries, &at))
-    if (is_missing (roster, entry))
-      entry->remove_at_ms = remove_at_ms;
+    if (is_missing (roster, entry) && missing_count <= unnamed_count)
+      entry_hold (entry, now_ms);
+    else if (is_missing (roster, entry))
+      {
+        entry->held_until_ms = 0;
+        entry->remove_at_ms = remove_at_ms;
+      }
 }
 
 bool
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -2,9 +2,10 @@
 /// Set of listed targets, derived from a list that may be wrong for a while:
 /// leases of live targets expire while the store is unreachable, and several
 /// entries may disappear at once. Targets whose entries disappear are
-/// therefore retained for some time. A list that was read from an older copy
-/// of the store does not bring back what is known to be gone. No I/O; time is
-/// an argument.
+/// therefore retained for some time. A target whose entry cannot be read is
+/// neither gone nor confirmed: it is held for a limited time. A list that was
+/// read from an older copy of the store does not bring back what is known to
+/// be gone. No I/O; time is an argument.
 #ifndef KB_COORDINATION_ROSTER_H
 #define KB_COORDINATION_ROSTER_H
 
@@ -30,6 +31,9 @@
   /// Of all entries. The target's clock may have been stepped back since.
   uint64_t latest_born_ms;
   bool is_leaving; ///< As the last entry said.
+  /// Its entry cannot be read, and what was read last holds until then; zero:
+  /// it can.
+  uint64_t held_until_ms;
 } ros_entry_t;
 
 /// A target that was removed from the list.
@@ -73,10 +77,26 @@
                          uint64_t retain_until_ms, uint64_t now_ms);
 /// An entry was deleted or no longer has a target. Ignores unknown ids.
 void ros_unlist (ros_roster_t *roster, const char *id, uint64_t remove_at_ms);
+/// The entry of a target cannot be read: what it said last holds for a while.
+/// Ignores unknown ids and targets whose entry was deleted.
+/// @param is_leaving  Whether the entry says that the target is leaving.
+void ros_hold (ros_roster_t *roster, const char *id, bool is_leaving,
+               uint64_t now_ms);
+/// Take one target that was held for long. It counts as readable until it is
+/// held again.
+/// @param id  Set to its id.
+/// @return    False if there is none.
+bool ros_pop_held (ros_roster_t *roster, uint64_t now_ms,
+                   char id[INC_ID_BYTES]);
+/// @return  How many targets are held.
+uint32_t ros_held_count (const ros_roster_t *roster);
 /// A full range follows: ids that are not listed by its end are missing.
 void ros_range_begin (ros_roster_t *roster);
-void ros_range_end (ros_roster_t *roster, uint64_t retain_until_ms,
-                    uint64_t now_ms);
+/// @param unnamed_count  Items of the range that may be entries, but whose key
+///                       cannot be read. No more ids than that are held rather
+///                       than missing.
+void ros_range_end (ros_roster_t *roster, uint32_t unnamed_count,
+                    uint64_t retain_until_ms, uint64_t now_ms);
 /// Remove one target whose retention has expired.
 /// @param id  Set to its id.
 /// @return    False if there is none.
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -36,6 +36,18 @@
   gtw_target_remove_listing (owner, id);
 }
 
+static void
+source_on_target_leaving (void *owner, kb_slice_t id)
+{
+  gtw_target_set_leaving (owner, id);
+}
+
+static bool
+source_is_target_alive (void *owner, kb_slice_t id)
+{
+  return gtw_target_is_confirmed (owner, id);
+}
+
 static void
 source_on_version (void *owner, const src_version_t *version)
 {
@@ -91,6 +103,8 @@
   .on_config = source_on_config,
   .on_target = source_on_target,
   .on_target_removed = source_on_target_gone,
+  .on_target_leaving = source_on_target_leaving,
+  .is_target_alive = source_is_target_alive,
   .on_version = source_on_version,
   .on_record = source_on_record,
   .on_record_removed = source_on_record_removed,
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -708,6 +708,12 @@
 void gtw_target_apply_listing (gtw_gateway_t *gateway,
                                const src_target_t *listing);
 void gtw_target_remove_listing (gtw_gateway_t *gateway, kb_slice_t id);
+/// Its entry says that a target is leaving, and no more can be read of it.
+void gtw_target_set_leaving (gtw_gateway_t *gateway, kb_slice_t id);
+/// @return  Whether a recent report of its sidecar names this incarnation of
+/// an
+///          engine and says that it is ready.
+bool gtw_target_is_confirmed (const gtw_gateway_t *gateway, kb_slice_t id);
 /// @return  Whether a recent report of an engine's sidecar says that the
 ///          engine is ready.
 bool gtw_target_is_alive (const gtw_gateway_t *gateway,
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -251,6 +251,26 @@
   gtw_target_close_peers (target);
 }
 
+void
+gtw_target_set_leaving (gtw_gateway_t *gateway, kb_slice_t id)
+{
+  gtw_target_t *target = kb_map_get (&gateway->newest_targets, id_key (id));
+  if (target == NULL || !target->is_listed || target->list_entry.is_leaving)
+    return;
+  target->list_entry.is_leaving = true;
+  gtw_target_log_event (target, "target_leaving");
+}
+
+bool
+gtw_target_is_confirmed (const gtw_gateway_t *gateway, kb_slice_t id)
+{
+  const gtw_target_t *target
+      = kb_map_get (&gateway->newest_targets, id_key (id));
+  return target != NULL && target->is_listed
+         && gtw_target_is_alive (gateway, target)
+         && kb_slice_equal (id, kb_slice_str (target->reported_engine.id));
+}
+
 uint32_t
 gtw_targets_count (const gtw_gateway_t *gateway, const char *service)
 {
--- a/src/gateway/source.h
+++ b/src/gateway/source.h
@@ -114,6 +114,10 @@
   void (*on_config) (void *owner, svc_config_t *config, kb_slice_t document);
   void (*on_target) (void *owner, const src_target_t *target);
   void (*on_target_removed) (void *owner, kb_slice_t id);
+  /// The entry of a target says that it is leaving, and no more can be read.
+  void (*on_target_leaving) (void *owner, kb_slice_t id);
+  /// @return  Whether the target is heard from, apart from its entry.
+  bool (*is_target_alive) (void *owner, kb_slice_t id);
   void (*on_version) (void *owner, const src_version_t *version);
   /// A record was read, of this gateway or another one.
   void (*on_record) (void *owner, const src_record_t *record);
--- a/test/unit/roster_test.cc
+++ b/test/unit/roster_test.cc
@@ -132,4 +132,54 @@
   EXPECT_FALSE (accept_copy ("x0", 100, 1001));
 }
 
+// Guards against a held target that stays for ever, or is removed at once.
+TEST_F (Roster, UnreadableEntryHoldsATargetForALimitedTime)
+{
+  char id[INC_ID_BYTES];
+  list ("a", 100);
+  ros_hold (roster.get (), "a", false, 1000);
+  ros_hold (roster.get (), "a", false, 6000);
+  ros_hold (roster.get (), "unknown", false, 1000);
+  EXPECT_EQ (ros_held_count (roster.get ()), 1u);
+  EXPECT_FALSE (ros_pop_held (roster.get (), 10999, id));
+  ASSERT_TRUE (ros_pop_held (roster.get (), 11000, id));
+  EXPECT_STREQ (id, "a");
+  EXPECT_FALSE (ros_pop_held (roster.get (), 11000, id));
+}
+
+// Guards against a hold that outlives a valid entry or a deletion, and against
+// one that brings a removed target back.
+TEST_F (Roster, HoldEndsWithAnEntryOrItsDeletion)
+{
+  char id[INC_ID_BYTES];
+  list ("a", 100);
+  ros_hold (roster.get (), "a", false, 1000);
+  list ("a", 100);
+  EXPECT_EQ (ros_held_count (roster.get ()), 0u);
+  ros_hold (roster.get (), "a", false, 1000);
+  ros_unlist (roster.get (), "a", 2000);
+  EXPECT_EQ (ros_held_count (roster.get ()), 0u);
+  ros_hold (roster.get (), "a", false, 1500);
+  EXPECT_EQ (ros_held_count (roster.get ()), 0u);
+  EXPECT_TRUE (ros_pop_expired (roster.get (), 2000, id));
+}
+
+// Guards against a live target that vanishes because its item in a range has
+// no key that can be read, and against removals that such items hide.
+TEST_F (Roster, NoMoreMissingTargetsAreHeldThanUnnamedItems)
+{
+  char id[INC_ID_BYTES];
+  list ("a", 100);
+  list ("b", 100);
+  ros_range_begin (roster.get ());
+  list ("a", 100);
+  ros_range_end (roster.get (), 1, 0, 1000);
+  EXPECT_EQ (ros_held_count (roster.get ()), 1u);
+  EXPECT_FALSE (ros_pop_expired (roster.get (), 1000, id));
+  ros_range_begin (roster.get ());
+  ros_range_end (roster.get (), 1, 0, 1000);
+  EXPECT_TRUE (ros_pop_expired (roster.get (), 1000, id));
+  EXPECT_TRUE (ros_pop_expired (roster.get (), 1000, id));
+}
+
 } // namespace
