--- a/test/relay/odd_items_failure_test.cc
+++ b/test/relay/odd_items_failure_test.cc
@@ -305,5 +305,30 @@
   EXPECT_TRUE (Site::wait_for ([&] { return served (site, "t", 1) == 1; }));
 }
 
+// Guards against daemons that end, or serve nothing, because of odd values in
+// the records that they keep in the store.
+TEST (OddItems, OddRecordsOfOursDoNoHarm)
+{
+  Site site (1, 1, 2);
+  ASSERT_TRUE (site.wait_ready ());
+  int number = 0;
+  std::vector<std::string> values = odd_values ();
+  for (size_t bytes : { 47, 48, 72, 100, 5000 })
+    for (char byte : { '\0', '\1', '\xff' })
+      values.push_back (std::string (bytes, byte));
+  for (const std::string &value : values)
+    for (const char *prefix :
+         { "knapweedbay/ends/", "knapweedbay/software/", "knapweedbay/",
+           "knapweedbay/software/0000000000000001-000000000000000" })
+      site.put (prefix + std::to_string (number++ % 10), value);
+  std::this_thread::sleep_for (milliseconds (1500));
+  EXPECT_EQ (served (site, "b", 6), 6);
+  EXPECT_TRUE (site.are_daemons_running ());
+  restart_all (site);
+  ASSERT_TRUE (site.wait_ready ());
+  EXPECT_EQ (served (site, "a", 6), 6);
+  EXPECT_TRUE (site.are_daemons_running ());
+}
+
 } // namespace
 } // namespace relay
