--- a/src/protocol/json_scan.c
+++ b/src/protocol/json_scan.c
@@ -73,7 +73,11 @@
       if (depth == 0 && (is_closing || byte == ','))
         return true;
       if (byte == '"')
-        jsc_read_string (c);
+        {
+          kb_slice_t string = jsc_read_string (c);
+          if (string.ptr + string.len_bytes == c->text.ptr + c->at)
+            return false;
+        }
       else if (jsc_is_comment (c))
         jsc_skip_comment (c);
       else
--- a/src/protocol/json_walk.c
+++ b/src/protocol/json_walk.c
@@ -4,6 +4,51 @@
 
 #include "protocol/json_scan.h"
 
+/// Read the member that follows the opening brace or comma at the cursor.
+/// @return  False if there is none.
+static bool
+read_member (jsc_cursor_t *c, kb_slice_t *name, kb_slice_t *value)
+{
+  c->at++;
+  jsc_skip_space (c);
+  if (jsc_byte (c) != '"')
+    return false;
+  *name = jsc_read_string (c);
+  jsc_skip_space (c);
+  if (jsc_byte (c) != ':')
+    return false;
+  c->at++;
+  jsc_skip_space (c);
+  size_t start = c->at;
+  if (!jsc_skip_value (c))
+    return false;
+  *value = (kb_slice_t){ c->text.ptr + start, (uint32_t)(c->at - start) };
+  return true;
+}
+
+bool
+jsn_find_member (kb_slice_t text, const char *key, kb_slice_t *value)
+{
+  jsc_cursor_t c = { .text = text };
+  jsc_skip_space (&c);
+  if (jsc_byte (&c) != '{')
+    return false;
+  uint32_t count = 0;
+  kb_slice_t name;
+  kb_slice_t other;
+  do
+    {
+      if (!read_member (&c, &name, &other))
+        break;
+      if (!kb_slice_equal (name, kb_slice_str (key)))
+        continue;
+      *value = other;
+      count++;
+    }
+  while (jsc_byte (&c) == ',');
+  return count == 1;
+}
+
 /// Find the list that is the member `key` of the document.
 /// @param open   Receives the offset of its opening bracket.
 /// @param close  Receives the offset of its closing bracket.
@@ -17,27 +62,18 @@
     return false;
   do
     {
-      c.at++;
-      jsc_skip_space (&c);
-      if (jsc_byte (&c) != '"')
+      kb_slice_t name;
+      kb_slice_t value;
+      if (!read_member (&c, &name, &value))
         return false;
-      kb_slice_t name = jsc_read_string (&c);
-      jsc_skip_space (&c);
-      if (jsc_byte (&c) != ':')
-        return false;
-      c.at++;
-      jsc_skip_space (&c);
-      *open = c.at;
-      bool is_list = jsc_byte (&c) == '[';
-      jsc_skip_value (&c);
       // White space and comments may follow the value.
-      *close = c.at;
-      while (*close > *open && text.ptr[*close - 1] != ']')
-        (*close)--;
-      if (is_list && *close > *open
+      while (value.len_bytes > 0 && value.ptr[value.len_bytes - 1] != ']')
+        value.len_bytes--;
+      if (value.len_bytes > 1 && value.ptr[0] == '['
           && kb_slice_equal (name, kb_slice_str (key)))
         {
-          (*close)--;
+          *open = (size_t)(value.ptr - text.ptr);
+          *close = *open + value.len_bytes - 1;
           return true;
         }
     }
--- a/test/relay/store_standin.cc
+++ b/test/relay/store_standin.cc
@@ -42,6 +42,21 @@
   return json.substr (at, json.find ('"', at) - at);
 }
 
+static std::string
+percent_decoded (const std::string &text)
+{
+  std::string out;
+  for (size_t i = 0; i < text.size (); i++)
+    if (text[i] == '%' && i + 2 < text.size ())
+      {
+        out += (char)strtol (text.substr (i + 1, 2).c_str (), nullptr, 16);
+        i += 2;
+      }
+    else
+      out += text[i];
+  return out;
+}
+
 static std::map<std::string, std::string>
 parse_query (const std::string &target)
 {
@@ -53,7 +68,8 @@
       std::string pair = target.substr (
           at + 1, end == std::string::npos ? end : end - at - 1);
       size_t equals = pair.find ('=');
-      query[pair.substr (0, equals)] = pair.substr (equals + 1);
+      query[pair.substr (0, equals)]
+          = percent_decoded (pair.substr (equals + 1));
       at = end;
     }
   return query;
@@ -112,7 +128,7 @@
 Store::put_locked (const std::string &key, const std::string &value)
 {
   keep_copy_locked ();
-  items_[key] = { value, ++revision_, false };
+  items_[key] = { value, ++revision_, false, "" };
   history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
 }
@@ -190,7 +206,17 @@
 Store::remove (const std::string &key)
 {
   std::lock_guard<std::mutex> lock (mutex_);
-  items_[key] = { "", ++revision_, true };
+  items_[key] = { "", ++revision_, true, "" };
+  history_.emplace_back (key, items_[key]);
+  changed_.notify_all ();
+}
+
+void
+Store::put_raw (const std::string &key, const std::string &json)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  keep_copy_locked ();
+  items_[key] = { "", ++revision_, false, json };
   history_.emplace_back (key, items_[key]);
   changed_.notify_all ();
 }
@@ -233,6 +259,13 @@
   changed_.notify_all ();
 }
 
+std::string
+Store::as_of ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return std::to_string (revision_);
+}
+
 std::string
 Store::era_headers ()
 {
@@ -303,6 +336,8 @@
 std::string
 Store::item_json (const std::string &key, const Item &item)
 {
+  if (!item.raw.empty ())
+    return item.raw;
   std::string head = "{\"Key\":\"" + key
                      + "\",\"Revision\":" + std::to_string (item.revision);
   if (item.is_gone)
@@ -314,7 +349,8 @@
 Store::range (const std::map<std::string, std::string> &query)
 {
   const std::string &prefix = query.at ("Prefix");
-  std::string after = query.count ("after") > 0 ? query.at ("after") : "";
+  bool is_later_page = query.count ("after") > 0 && mode_ != REPEATED_PAGES;
+  std::string after = is_later_page ? query.at ("after") : "";
   std::string list;
   int count = 0;
   bool is_truncated = false;
@@ -420,6 +456,8 @@
   }
   if (request.target ().compare (0, 9, "/kv-watch") == 0)
     return serve_watch (connection, query);
+  if (mode == NO_LIST)
+    return reply (connection, 200, "{\"AsOf\":" + as_of () + "}");
   std::string body;
   {
     std::lock_guard<std::mutex> lock (mutex_);
