test(relay): let stand-ins fix a stream's versions when they accept it

The soak is to check each event of each stream for the version that wrote it, so a stand-in must never mix versions by itself. It read the versions after it had accepted the request, and a store entry read the id and the software one after the other, while another thread restarted the target.

- What serves a stream is read under the lock that accepts it.
- An entry states one incarnation, read at one moment.
- The newest version can be set for one adapter alone: a load took the version that was declared last for any adapter.
- Events can name their request; running streams can be broken off at once, within an event, with bytes unread or between two; a stream can be sent twice.
- The number of slots of engines can be set.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -312,7 +312,9 @@
            + plain_route ("plain", "safe", 2) + ","
            + plain_route ("unsafe", "unsafe", 1) + extra_route
            + "],\"Services\":[{\"Name\":\"models\",\"HealthPath\":\"/health\","
-             "\"MaxConns\":100,\"Engine\":{\"Slots\":8,\"KvCapacity\":100000,"
+             "\"MaxConns\":100,\"Engine\":{\"Slots\":"
+           + std::to_string (engine_slots)
+           + ",\"KvCapacity\":100000,"
              "\"Models\":[{\"Name\":\"m\",\"WeightsMb\":100,\"LoadTimeS\":0.1,"
              "\"AdapterSizeMb\":1}],\"WeightsMb\":200,\"AdapterSlots\":4,"
              "\"LoadsPerS\":4}},{\"Name\":\"maps\",\"HealthPath\":\"/health\","
@@ -325,15 +327,15 @@
 
 /// Store entry of a target, in the format that targets write.
 static std::string
-entry_of (Target &target, const std::string &service,
+entry_of (const Incarnation &target, const std::string &service,
           const std::string &address, int slots, const std::string &state,
           int64_t born_shift_ms)
 {
   return "{\"Service\":\"" + service + "\",\"Address\":\"" + address
-         + "\",\"Zone\":\"d1\",\"Version\":\"" + target.software ()
+         + "\",\"Zone\":\"d1\",\"Version\":\"" + target.software
          + "\",\"Slots\":" + std::to_string (slots) + ",\"State\":\"" + state
          + "\",\"ColdLeftMs\":0,\"Seq\":1,\"born\":"
-         + std::to_string (target.born_ms () + born_shift_ms) + "}";
+         + std::to_string (target.born_ms + born_shift_ms) + "}";
 }
 
 void
@@ -345,8 +347,10 @@
             ? target.address ()
             : proxies_->engine (engines[at].ip, target.address (),
                                 inner_port_);
-  put ("servers/" + target.id (),
-       entry_of (target, "models", address, 8, state, born_shift_ms));
+  Incarnation incarnation = target.incarnation ();
+  put ("servers/" + incarnation.id,
+       entry_of (incarnation, "models", address, engine_slots, state,
+                 born_shift_ms));
 }
 
 void
@@ -356,8 +360,9 @@
   std::string address = proxies_ == nullptr
                             ? target.address ()
                             : proxies_->plain (target.address ());
-  put ("servers/" + target.id (),
-       entry_of (target, "maps", address, 6, state, born_shift_ms));
+  Incarnation incarnation = target.incarnation ();
+  put ("servers/" + incarnation.id,
+       entry_of (incarnation, "maps", address, 6, state, born_shift_ms));
 }
 
 void
@@ -628,6 +633,12 @@
   return values_after (body, "\nadapter: ");
 }
 
+std::set<std::string>
+event_requests (const std::string &body)
+{
+  return values_after (body, "\nrequest: ");
+}
+
 Call
 continued (Call call, const std::string &id, int last_event,
            const std::string &resumes)
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -135,6 +135,7 @@
     return inner_port_;
   }
 
+  int engine_slots = 8; ///< In the documents and entries that follow.
   std::string dir;
   std::string config; ///< The document that was written last.
   /// Additional members of the configuration documents that follow, each after
@@ -187,6 +188,8 @@
 std::set<std::string> event_versions (const std::string &body);
 /// @return  Versions of the adapter that the events of a stream name.
 std::set<std::string> event_adapter_versions (const std::string &body);
+/// @return  Bodies of the requests that the events of a stream name.
+std::set<std::string> event_requests (const std::string &body);
 /// The request by which a caller continues a stream.
 /// @param resumes  Attempt that brought its first event; empty: not named.
 Call continued (Call call, const std::string &id, int last_event,
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -87,7 +87,7 @@
 std::string
 Target::body_of_answer ()
 {
-  return is_engine_ ? event (1, software ()) : plain_body;
+  return is_engine_ ? event (1, { software () }) : plain_body;
 }
 
 bool
@@ -197,6 +197,9 @@
 {
   std::lock_guard<std::mutex> lock (mutex_);
   id_ = id;
+  if (!next_software_.empty ())
+    software_ = next_software_;
+  next_software_.clear ();
   if (!software.empty ())
     software_ = software;
   born_ms_ = wall_ms () + clock_step_ms_;
@@ -224,6 +227,34 @@
   return software_;
 }
 
+void
+Target::set_next_software (const std::string &version)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  next_software_ = version;
+}
+
+Incarnation
+Target::incarnation ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return { id_, software_, born_ms_ };
+}
+
+void
+Target::declare_adapter (const std::string &name, int version)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  declared_versions_[name] = version;
+}
+
+void
+Target::break_streams (StreamBreak how)
+{
+  stream_break_ = how;
+  stream_breaks_++;
+}
+
 size_t
 Target::incarnation_at (Clock::time_point moment)
 {
@@ -391,7 +422,10 @@
       adapters_.erase (name);
       return 200;
     }
-  adapters_[name].version = newest_version;
+  auto declared = declared_versions_.find (name);
+  adapters_[name].version = declared == declared_versions_.end ()
+                                ? (int)newest_version
+                                : declared->second;
   adapters_[name].ready = Clock::now () + std::chrono::milliseconds (load_ms);
   loads_++;
   max_adapters_held_ = std::max (max_adapters_held_, adapters_.size ());
@@ -438,9 +472,11 @@
 
 /// Refuse a request for another incarnation, or for an adapter or adapter
 /// version that is not loaded.
+/// @param serving  Receives what serves it, unless it was refused.
 /// @return  Whether it was refused.
 bool
-Target::refuse (Connection &connection, const Message &request)
+Target::refuse (Connection &connection, const Message &request,
+                Serving *serving)
 {
   std::string expected = request.header ("x-knapweedbay-expect-instance");
   std::string model = request.header ("x-knapweedbay-model");
@@ -457,7 +493,10 @@
                      || it->second.ready > Clock::now ()
                      || (!version.empty ()
                          && atoi (version.c_str ()) != it->second.version);
+        if (it != adapters_.end ())
+          serving->adapter_version = it->second.version;
       }
+    serving->software = software_;
     is_refused = is_refused || (is_engine_ && !has_model_);
   }
   if (is_refused)
@@ -487,32 +526,20 @@
     adapters_.erase (it);
 }
 
-/// @return  Version of the adapter that a request names; 0: it names none, or
-///          one that is not held.
-int
-Target::adapter_version (const Message &request)
-{
-  std::lock_guard<std::mutex> lock (mutex_);
-  std::string model = request.header ("x-knapweedbay-model");
-  size_t slash = model.find ('/');
-  auto it = slash == std::string::npos
-                ? adapters_.end ()
-                : adapters_.find (model.substr (slash + 1));
-  return it == adapters_.end () ? 0 : it->second.version;
-}
-
+/// @param request_body  Named by the event; empty: not.
 /// @return  An event of a stream, which names the software version, and the
 ///          adapter's version if there is one.
 std::string
-Target::event (int number, const std::string &version, int adapter_version)
+Target::event (int number, const Serving &serving,
+               const std::string &request_body)
 {
   std::string text = std::to_string (number);
-  std::string adapter
-      = adapter_version > 0
-            ? "adapter: " + std::to_string (adapter_version) + "\n"
-            : "";
-  return "id: " + text + "\n: " + version + "\n" + adapter + "data: e" + text
-         + "\n\n";
+  std::string out = "id: " + text + "\n: " + serving.software + "\n";
+  if (serving.adapter_version > 0)
+    out += "adapter: " + std::to_string (serving.adapter_version) + "\n";
+  if (!request_body.empty ())
+    out += "request: " + request_body + "\n";
+  return out + "data: e" + text + "\n\n";
 }
 
 /// Send a head, then the same bytes again and again, for a time or until the
@@ -585,7 +612,7 @@
   static const std::string ok = "HTTP/1.1 200 OK\r\n";
   static const std::string chunked = "Transfer-Encoding: chunked\r\n";
   std::string head = head_of (request, true);
-  std::string whole = is_engine_ ? event (1, software ()) : plain_body;
+  std::string whole = is_engine_ ? event (1, { software () }) : plain_body;
   switch (crash_answer)
     {
     case CrashAnswer::NONE:
@@ -629,17 +656,37 @@
   connection.close ();
 }
 
+/// @param text  The stream's next event.
+void
+Target::break_off (Connection &connection, const std::string &text,
+                   bool has_chunks)
+{
+  std::string half = text.substr (0, text.size () / 2);
+  StreamBreak how = stream_break_;
+  if (how == StreamBreak::BETWEEN && has_chunks)
+    {
+      connection.close ();
+      return;
+    }
+  if (how == StreamBreak::UNREAD)
+    connection.write (has_chunks ? chunk (text) : text);
+  connection.write (has_chunks ? chunk (half) : half);
+  if (how == StreamBreak::WITHIN_EVENT)
+    sleep_ms (20);
+  connection.reset ();
+}
+
 bool
-Target::stream (Connection &connection, const Message &request, Fault fault)
+Target::stream (Connection &connection, const Message &request, Fault fault,
+                const Serving &serving)
 {
+  int breaks_before = stream_breaks_;
   bool has_chunks = !is_unframed;
   connection.write ("HTTP/1.1 200 OK\r\n" + head_of (request, true)
                     + "Content-Type: text/event-stream\r\n"
                     + (has_chunks ? "Transfer-Encoding: chunked\r\n" : "")
                     + "\r\n");
   int from = atoi (request.header ("last-event-id").c_str ());
-  std::string version = software ();
-  int adapter = adapter_version (request);
   for (int i = from + 1; i <= events; i++)
     {
       sleep_ms (event_ms);
@@ -648,7 +695,13 @@
           abandoned_streams++;
           return false;
         }
-      std::string text = event (i, version, adapter);
+      std::string text
+          = event (i, serving, names_requests ? request.body : "");
+      if (stream_breaks_ != breaks_before)
+        {
+          break_off (connection, text, has_chunks);
+          return false;
+        }
       if (fault == Fault::CUT_WITHIN_EVENT && i == from + 3)
         {
           text = text.substr (0, text.size () / 2);
@@ -691,7 +744,8 @@
 }
 
 bool
-Target::run (Connection &connection, const Message &request, Fault fault)
+Target::run (Connection &connection, const Message &request, Fault fault,
+             const Serving &serving)
 {
   std::string head = head_of (request, fault != Fault::NO_SEAL);
   bool is_extra_due;
@@ -732,7 +786,7 @@
       return false;
     case Fault::END_WITHIN_EVENT:
       connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n"
-                        + event (1, software ()).substr (0, 6));
+                        + event (1, serving).substr (0, 6));
       return false;
     case Fault::ENDLESS_EVENT:
       send_endless (connection, "HTTP/1.1 200 OK\r\n" + head + "\r\n",
@@ -763,7 +817,9 @@
   if (is_engine_)
     {
       count_adapter_stream (request, 1);
-      bool is_kept = stream (connection, request, fault);
+      bool is_kept = stream (connection, request, fault, serving);
+      if (is_kept && fault == Fault::STREAM_TWICE)
+        is_kept = stream (connection, request, Fault::NONE, serving);
       count_adapter_stream (request, -1);
       return is_kept;
     }
@@ -855,7 +911,8 @@
         "X-Knapweedbay-Not-Executed: 1\r\nRetry-After: "
             + std::to_string (requested_s) + "\r\n" + announcement_headers (),
         "later"));
-  if (refuse (connection, request))
+  Serving serving;
+  if (refuse (connection, request, &serving))
     {
       record_refusal (request);
       return true;
@@ -869,7 +926,7 @@
           503, "X-Knapweedbay-Not-Executed: 1\r\n" + announcement_headers (),
           "full"));
     }
-  return run (connection, request, fault);
+  return run (connection, request, fault, serving);
 }
 
 } // namespace relay
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -30,6 +30,23 @@
   NOT_HTTP,
   END_WITHIN_EVENT, ///< A stream without a length; closed orderly in an event.
   ENDLESS_EVENT,    ///< A stream whose first event has no end.
+  STREAM_TWICE,     ///< The whole stream follows again.
+};
+
+/// How a target breaks off the streams that it runs.
+enum class StreamBreak
+{
+  WITHIN_EVENT, ///< Half an event, later a reset.
+  UNREAD,       ///< Two events and a half, and a reset at once.
+  BETWEEN,      ///< An orderly close, of streams in chunks only.
+};
+
+/// What a store entry states of an incarnation.
+struct Incarnation
+{
+  std::string id;
+  std::string software;
+  int64_t born_ms;
 };
 
 /// What a request that crashes its target has received by then.
@@ -113,6 +130,16 @@
   /// a stream names it, in a comment line.
   void set_software (const std::string &version);
   std::string software ();
+  /// Set the version of the software that the next incarnation runs.
+  void set_next_software (const std::string &version);
+  /// The present incarnation, read at one moment.
+  Incarnation incarnation ();
+  /// Set the newest version of one adapter, in place of `newest_version`.
+  void declare_adapter (const std::string &name, int version);
+  /// Break off the streams that run now, at their next events.
+  void break_streams (StreamBreak how);
+  /// Events of streams name the body of their request.
+  std::atomic<bool> names_requests{ false };
   /// Birth time of the present incarnation, in Unix milliseconds.
   int64_t born_ms ();
   /// Number of restarts before a moment: identifies the incarnation that was
@@ -222,11 +249,20 @@
   int execute_order (const std::string &body);
   std::string report ();
   bool work (Connection &connection, const Message &request);
-  bool run (Connection &connection, const Message &request, Fault fault);
-  bool stream (Connection &connection, const Message &request, Fault fault);
-  int adapter_version (const Message &request);
-  static std::string event (int number, const std::string &version,
-                            int adapter_version = 0);
+  /// What serves a request, as it was when the request was accepted.
+  struct Serving
+  {
+    std::string software;
+    int adapter_version = 0; ///< 0: the request names no adapter.
+  };
+  bool run (Connection &connection, const Message &request, Fault fault,
+            const Serving &serving);
+  bool stream (Connection &connection, const Message &request, Fault fault,
+               const Serving &serving);
+  void break_off (Connection &connection, const std::string &text,
+                  bool has_chunks);
+  static std::string event (int number, const Serving &serving,
+                            const std::string &request_body = "");
   void answer_crash (Connection &connection, const Message &request);
   void send_endless (Connection &connection, const std::string &head,
                      const std::string &repeated);
@@ -239,12 +275,17 @@
   bool cut (Connection &connection, const Cut &which, const Message &request);
   Cut cut_of (const Message &request, bool is_page);
   std::string body_of_answer ();
-  bool refuse (Connection &connection, const Message &request);
+  bool refuse (Connection &connection, const Message &request,
+               Serving *serving);
   bool is_fatal (const Message &request);
   double requested_pause_s (const Message &request);
   std::mutex mutex_;
   std::string id_;
   std::string software_ = "v1";
+  std::string next_software_;
+  std::map<std::string, int> declared_versions_; ///< By adapter.
+  std::atomic<int> stream_breaks_{ 0 };
+  std::atomic<StreamBreak> stream_break_{ StreamBreak::WITHIN_EVENT };
   bool is_engine_;
   bool is_leaving_ = false;
   std::map<std::string, Adapter> adapters_;
