test(soak): signal only the process that a restart stops

Cause: a step at a daemon that is being restarted sends its signal to that daemon's process as well, to one that is still stopping. Between its start and the end of the restart that is the new process, which nobody starts again. So faults that hit a daemon twice could take it away to the end of a run, which the checks after the faults then judge. Ruled out: an end by itself (status 9, and the log goes on without a line of an error).

The signal now goes to the process that the restart stops alone. Nothing is checked less strictly, and plans are as before.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -361,9 +361,11 @@
 Soak::restart (Daemon &daemon, int signal)
 {
   std::lock_guard<std::mutex> lock (mutex_);
-  if (!restarting_.insert (&daemon).second)
+  auto [restarting, is_first] = restarting_.insert ({ &daemon, daemon.pid });
+  if (!is_first)
     {
-      if (daemon.pid > 0)
+      // Not the process that takes its place, which nobody would restart.
+      if (daemon.pid > 0 && daemon.pid == restarting->second)
         kill (daemon.pid, signal);
       return;
     }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -156,7 +156,7 @@
   std::vector<Continuation> continuations_;
   std::vector<Abandoned> abandoned_;
   std::vector<Violation> violations_;
-  std::set<Daemon *> restarting_;
+  std::map<Daemon *, pid_t> restarting_; ///< With the process that stops.
   std::vector<std::future<void>> restarts_;
   std::string probe_routes_;
   std::string
