test(soak): check each event of each stream over all tries of its caller

Streams out of order were reported, and no test could tell which part of the order broke: callers looked at the ids of one answer and at the software.

Seeds above 1200 add callers (24 a gateway, KB_SOAK_STREAMS) that continue each stream at any gateway until it is complete, or break it off themselves. An event must have the next id and name the software version, the version of the adapter and the request of its stream; an answer may be complete after the last event only. A stream that is refused or ends broken is in order.

New steps, which overlap with the old ones: versions of an adapter in series, a release of some or all engines, maybe with the loss of all gateways in it, crashes of engines, streams broken within an event, with bytes unread or between two events, and streams that are sent twice. Another writer's odd entries come among those of the replicas, also in place of a live one's; sixteen stay in the list for the checks after the faults, and no daemon may end by itself.

Seeds up to 1200 keep their plans and checks.

Order.EachFaultIsFound shows that the check finds each fault.

--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -4,6 +4,7 @@
 #include "load.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <algorithm>
 
@@ -36,6 +37,7 @@
 constexpr int kLimitSlack = 5;
 constexpr int kContactMs = 3000;
 constexpr int kContinuedStreams = 16;
+constexpr size_t kMaxPrinted = 40; ///< Violations in a report.
 
 bool
 is_not_executed_status (int status)
@@ -61,8 +63,9 @@
   if (violations_.empty ())
     return text;
   const Violation &first = violations_.front ();
-  text += std::to_string (violations_.size ()) + " violations, the first: "
-          + first.attempt_id + " " + first.text + "\n";
+  text += std::to_string (violations_.size ()) + " violations:\n";
+  for (size_t i = 0; i < violations_.size () && i < kMaxPrinted; i++)
+    text += violations_[i].attempt_id + " " + violations_[i].text + "\n";
   if (first.attempt_id.empty ())
     return text;
   std::vector<const Daemon *> daemons;
@@ -105,6 +108,33 @@
     add_violation (record.id, "a truncated body looks complete: " + m.body);
 }
 
+/// No daemon ends but by a signal of the plan. Called between the steps.
+void
+Soak::check_processes ()
+{
+  std::vector<Daemon *> daemons;
+  for (int i = 0; i < size_.engines + size_.gateways; i++)
+    daemons.push_back (&daemon_at (i));
+  std::vector<std::string> ended;
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    for (Daemon *daemon : daemons)
+      {
+        siginfo_t info = {};
+        if (daemon->pid <= 0 || restarting_.count (daemon) > 0
+            || waitid (P_PID, (id_t)daemon->pid, &info,
+                       WEXITED | WNOHANG | WNOWAIT)
+                   != 0
+            || info.si_pid == 0 || !ended_.insert (daemon->pid).second)
+          continue;
+        ended.push_back (daemon->name + " ended by itself, status "
+                         + std::to_string (info.si_status));
+      }
+  }
+  for (const std::string &text : ended)
+    add_violation ("", text);
+}
+
 /// Called after a period without faults, before the callers stop.
 void
 Soak::check_fatal_requests ()
@@ -412,12 +442,21 @@
 Soak::check_versions ()
 {
   for (const Record &record : records_)
-    if (event_versions (record.answer.body).size () > 1)
-      add_violation (record.id, "events of two software versions");
+    {
+      if (event_versions (record.answer.body).size () > 1)
+        add_violation (record.id, "events of two software versions");
+      if (seed_ > kLastSeedWithoutOrder
+          && event_adapter_versions (record.answer.body).size () > 1)
+        add_violation (record.id, "events of two versions of an adapter");
+    }
   for (const Continuation &stream : continuations_)
     {
       if (event_versions (stream.events).size () > 1)
         add_violation (stream.first_id, "continued at another version");
+      if (seed_ > kLastSeedWithoutOrder
+          && event_adapter_versions (stream.events).size () > 1)
+        add_violation (stream.first_id,
+                       "continued at another version of its adapter");
       std::vector<int> ids = event_ids (stream.events);
       if (ids != ids_up_to ((int)ids.size ()))
         add_violation (stream.first_id, "continued with other events");
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -43,6 +43,12 @@
   { "throttle", 300, 2500 },
   { "lose_daemons", 0, 0 },
   { "passing_version", 1500, 3500 },
+  { "version_series", 300, 2000 },
+  { "release", 300, 2000 },
+  { "crash_engine", 0, 0 },
+  { "break_streams", 0, 0 },
+  { "stream_twice", 0, 0 },
+  { "odd_entry", 200, 2000 },
 };
 constexpr int kInitialKinds = 15;
 constexpr int kKindsWithoutAnnouncements = 19;
@@ -50,13 +56,44 @@
 constexpr int kKindsWithoutRestores = 23;
 constexpr int kKindsWithoutOverload = 24;
 constexpr int kKindsWithoutLosses = 25;
+constexpr int kKindsWithoutOrder = 27;
 constexpr int kMinGapMs = 20;
 constexpr int kMaxGapMs = 350;
+constexpr int kMinSeries = 3;
+constexpr int kMaxSeries = 6;
+constexpr int kPartialReleases = 4; ///< One in so many changes some engines.
+
+/// Add the single steps of a step that stands for several.
+void
+add_series (const FaultStep &series, int engines, std::vector<FaultStep> *plan)
+{
+  int count = kMinSeries + series.variant % (kMaxSeries - kMinSeries + 1);
+  bool is_release = series.kind == FaultKind::RELEASE;
+  if (is_release && series.variant % kPartialReleases != 0)
+    count = engines;
+  for (int i = 0; i < count; i++)
+    {
+      FaultStep step = series;
+      step.at_ms += series.duration_ms * i / count;
+      step.kind = is_release ? FaultKind::SOFTWARE_CHANGE
+                             : FaultKind::ADAPTER_VERSION;
+      step.duration_ms = is_release ? series.duration_ms / count : 0;
+      step.subject += is_release ? i : 0;
+      plan->push_back (step);
+    }
+  if (!is_release || series.subject % 2 == 0)
+    return;
+  FaultStep loss = series;
+  loss.kind = FaultKind::LOSE_DAEMONS;
+  loss.at_ms += series.duration_ms * (series.variant % 100) / 100;
+  loss.duration_ms = 0;
+  plan->push_back (loss);
+}
 
 } // namespace
 
 std::vector<FaultStep>
-draw_plan (uint64_t seed, int length_ms)
+draw_plan (uint64_t seed, int length_ms, int engines)
 {
   std::mt19937_64 random (seed);
   auto draw = [&] (int low, int high) {
@@ -64,6 +101,8 @@
   };
   std::vector<FaultStep> plan;
   int kinds = (int)std::size (kKinds);
+  if (seed <= kLastSeedWithoutOrder)
+    kinds = kKindsWithoutOrder;
   if (seed <= kLastSeedWithoutLosses)
     kinds = kKindsWithoutLosses;
   if (seed <= kLastSeedWithoutOverload)
@@ -89,7 +128,11 @@
       fault_step.variant = draw (0, 1 << 20);
       if (at_ms + fault_step.duration_ms > length_ms)
         return plan;
-      plan.push_back (fault_step);
+      if (fault_step.kind == FaultKind::VERSION_SERIES
+          || fault_step.kind == FaultKind::RELEASE)
+        add_series (fault_step, engines, &plan);
+      else
+        plan.push_back (fault_step);
     }
 }
 
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -41,6 +41,15 @@
   LOSE_DAEMONS,    ///< All gateways, or all daemons, are killed at once.
   PASSING_VERSION, ///< An engine serves at another version for a while, in
                    ///< which a store turns its gateway away.
+  VERSION_SERIES,  ///< Several versions of one adapter, one after the other.
+  RELEASE,         ///< Several engines change their software, one after the
+                   ///< other; all gateways may be lost meanwhile.
+  CRASH_ENGINE,    ///< Its connections are reset; it restarts, maybe at
+                   ///< another version.
+  BREAK_STREAMS,   ///< An engine breaks off all streams that it runs.
+  STREAM_TWICE,    ///< An engine sends whole streams twice.
+  ODD_ENTRY,       ///< By another writer: entries that no target would write,
+                   ///< maybe one in place of a live target's.
 };
 
 struct FaultStep
@@ -63,9 +72,12 @@
 constexpr uint64_t kLastSeedWithoutOverload = 800;
 constexpr uint64_t kLastSeedWithPatientCallers = 900;
 constexpr uint64_t kLastSeedWithoutLosses = 1100;
+constexpr uint64_t kLastSeedWithoutOrder = 1200;
 
 /// @param length_ms  All faults begin and end within this time.
-std::vector<FaultStep> draw_plan (uint64_t seed, int length_ms);
+/// @param engines    Number of engines, which a whole release changes.
+std::vector<FaultStep> draw_plan (uint64_t seed, int length_ms,
+                                  int engines = 3);
 std::string describe (const FaultStep &fault_step);
 std::string describe (const std::vector<FaultStep> &plan);
 
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -32,6 +32,11 @@
 /// Time between events of streams that are to be continued.
 constexpr int kContinuedEventMs = 12;
 constexpr int kMaxContinuations = 2;
+/// Streams whose order is checked run for longer, and many at once.
+constexpr int kOrderedEventMs = 50;
+constexpr int kOrderedSlots = 32;
+/// Adapters whose versions are declared in series.
+constexpr int kSeriesAdapters = 3;
 
 void
 sleep_until_offset (std::chrono::steady_clock::time_point start, int at_ms)
@@ -83,7 +88,7 @@
 
 Soak::Soak (uint64_t seed, int length_ms, const SoakSize &size)
     : seed_ (seed), length_ms_ (length_ms), size_ (size),
-      plan_ (draw_plan (seed, length_ms)),
+      plan_ (draw_plan (seed, length_ms, size.engines)),
       site_ (size.engines, size.plain, size.gateways, &proxies_)
 {
 }
@@ -111,6 +116,13 @@
       for (int i = 0; i < kImpatientCallers; i++)
         threads.emplace_back ([this, i] { impatient_loop (i); });
     }
+  bool has_order = seed_ > kLastSeedWithoutOrder;
+  if (has_order)
+    {
+      begin_order ();
+      for (int i = 0; i < size_.streams; i++)
+        threads.emplace_back ([this, i] { ordered_loop (i); });
+    }
   threads.emplace_back ([this] { config_probe_loop (); });
   bool has_fatal_caller = seed_ > kLastSeedWithInitialKinds;
   if (has_fatal_caller)
@@ -123,7 +135,8 @@
     }
   if (seed_ > kLastSeedWithOneVersion)
     for (const Engine &engine : site_.engines)
-      engine.target->event_ms = kContinuedEventMs;
+      engine.target->event_ms
+          = has_order ? kOrderedEventMs : kContinuedEventMs;
   inject ();
   heal ();
   std::this_thread::sleep_for (std::chrono::seconds (3));
@@ -150,6 +163,8 @@
   check_engines ();
   check_repeats ();
   check_versions ();
+  if (has_order)
+    check_order ();
   check_recovery ();
   check_innocent_requests ();
   check_configuration ();
@@ -158,9 +173,25 @@
   check_graceful_stop ();
   if (seed_ > kLastSeedWithOneVersion)
     check_continuation ();
+  if (has_order)
+    check_processes ();
   return violations_;
 }
 
+/// Let engines run many streams at once, whose events name their requests.
+void
+Soak::begin_order ()
+{
+  site_.engine_slots = kOrderedSlots;
+  write_config ();
+  for (size_t i = 0; i < site_.engines.size (); i++)
+    {
+      site_.engines[i].target->names_requests = true;
+      site_.engines[i].target->newest_version = 1;
+      site_.list_engine (i);
+    }
+}
+
 /// Apply the plan; lasting faults overlap with later ones.
 void
 Soak::inject ()
@@ -180,6 +211,8 @@
   for (const auto &[at_ms, timeline_entry] : timeline)
     {
       sleep_until_offset (start, at_ms);
+      if (seed_ > kLastSeedWithoutOrder)
+        check_processes ();
       if (timeline_entry.first == nullptr)
         revoke_key ();
       else
@@ -257,7 +290,9 @@
       write_config ();
       break;
     case FaultKind::ADAPTER_VERSION:
-      publish_adapter_version (fault_step.subject % kAdapters);
+      publish_adapter_version (
+          fault_step.subject
+          % (seed_ > kLastSeedWithoutOrder ? kSeriesAdapters : kAdapters));
       break;
     case FaultKind::FAILING_TARGET:
       inject_target_failures (fault_step);
@@ -308,6 +343,22 @@
           fault_step.variant % 2 == 0 ? Store::BUSY : Store::SILENT);
       move_engine (fault_step, "v3");
       break;
+    case FaultKind::VERSION_SERIES:
+    case FaultKind::RELEASE:
+      break; // The plan holds their single steps.
+    case FaultKind::CRASH_ENGINE:
+      crash_engine (fault_step);
+      break;
+    case FaultKind::BREAK_STREAMS:
+      break_streams (fault_step);
+      break;
+    case FaultKind::STREAM_TWICE:
+      site_.engines[(size_t)(fault_step.subject % size_.engines)]
+          .target->fail_next ({ Fault::STREAM_TWICE, Fault::STREAM_TWICE });
+      break;
+    case FaultKind::ODD_ENTRY:
+      write_odd_entries (fault_step);
+      break;
     }
 }
 
@@ -335,6 +386,7 @@
           .end_read_stall ();
       break;
     case FaultKind::INVALID_ENTRY:
+    case FaultKind::ODD_ENTRY:
       list_target (fault_step.subject, 0);
       break;
     case FaultKind::SOFTWARE_CHANGE:
@@ -425,7 +477,10 @@
   int version = ++adapter_version_;
   std::string name = "a" + std::to_string (adapter);
   for (auto &e : site_.engines)
-    e.target->newest_version = version;
+    if (seed_ > kLastSeedWithoutOrder)
+      e.target->declare_adapter (name, version);
+    else
+      e.target->newest_version = version;
   std::string key = "op/version/m." + name;
   published_versions_[key] = "{\"Model\":\"m\",\"Adapter\":\"" + name
                              + "\",\"Version\":" + std::to_string (version)
@@ -507,16 +562,42 @@
       = *site_.engines[(size_t)(fault_step.subject % size_.engines)].target;
   if (fault_step.variant % 3 > 0)
     site_.remove ("servers/" + target.id ());
+  if (seed_ > kLastSeedWithoutOrder)
+    break_streams (fault_step);
   target.restart ("i-new" + std::to_string (++incarnation_),
                   fault_step.variant % 2 == 0 ? "v1" : "v2");
 }
 
+/// What ends there restarts within a second, under another id.
+void
+Soak::crash_engine (const FaultStep &fault_step)
+{
+  Target &target
+      = *site_.engines[(size_t)(fault_step.subject % size_.engines)].target;
+  target.simulate_exit ();
+  if (fault_step.variant % 3 == 0)
+    target.set_next_software (fault_step.variant % 2 == 0 ? "v1" : "v2");
+}
+
+void
+Soak::break_streams (const FaultStep &fault_step)
+{
+  static const StreamBreak kinds[]
+      = { StreamBreak::WITHIN_EVENT, StreamBreak::UNREAD,
+          StreamBreak::BETWEEN };
+  site_.engines[(size_t)(fault_step.subject % size_.engines)]
+      .target->break_streams (
+          kinds[(size_t)fault_step.variant / 4 % std::size (kinds)]);
+}
+
 void
 Soak::move_engine (const FaultStep &fault_step, const std::string &version)
 {
   size_t at = (size_t)(fault_step.subject % size_.engines);
   Target &target = *site_.engines[at].target;
   site_.remove ("servers/" + target.id ());
+  if (seed_ > kLastSeedWithoutOrder)
+    break_streams (fault_step);
   target.restart ("i-new" + std::to_string (++incarnation_), version);
   site_.list_engine (at);
 }
@@ -575,6 +656,8 @@
 Soak::heal ()
 {
   clear_announcements ();
+  if (seed_ > kLastSeedWithoutOrder)
+    keep_odd_entries ();
   site_.store.set_mode (Store::HEALTHY);
   site_.mirror_store.set_mode (Store::HEALTHY);
   site_.store.end_read_stall ();
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -37,6 +37,42 @@
   bool is_complete = false;
 };
 
+/// One answer to the caller of a stream.
+struct Piece
+{
+  std::string id;      ///< Of the attempt.
+  std::string gateway; ///< Name of the gateway.
+  int status = 0;      ///< Zero: no answer.
+  std::string events;  ///< Complete events.
+  std::string rest;    ///< What followed them.
+  bool is_complete = false;
+};
+
+/// A stream that its caller continues until it is complete.
+struct OrderedStream
+{
+  std::string request; ///< Its body, which its events name.
+  std::string adapter; ///< Empty: none.
+  std::vector<Piece> pieces;
+  bool is_complete = false;
+  int last_event () const;
+  /// @return  Attempt that brought the first event; empty: none did.
+  std::string first_id () const;
+};
+
+enum class OrderFault
+{
+  JOINED_SOFTWARE,
+  JOINED_ADAPTER,
+  MISSING,
+  REPEATED,
+  EARLY_END,
+  FOREIGN, ///< Events of another request.
+};
+
+/// @return  What is out of order in a stream; empty: nothing.
+std::vector<OrderFault> order_faults_of (const OrderedStream &stream);
+
 /// A request whose caller gave up.
 struct Abandoned
 {
@@ -56,6 +92,7 @@
   int plain = 2;
   int gateways = 2;
   int callers = 8;
+  int streams = 48; ///< Callers who check the order of their streams.
 };
 
 class Soak
@@ -91,6 +128,12 @@
   /// List a target with its current or an earlier start time.
   void list_target (int subject, int64_t born_shift_ms);
   void write_invalid_entry (const FaultStep &fault_step);
+  void begin_order ();
+  void crash_engine (const FaultStep &fault_step);
+  void break_streams (const FaultStep &fault_step);
+  // odd_entries.cc
+  void write_odd_entries (const FaultStep &fault_step);
+  void keep_odd_entries ();
   /// Restart targets with announcements, which end with the incarnation.
   void clear_announcements ();
   void heal ();
@@ -111,6 +154,11 @@
               uint64_t random);
   void freeze_gateways ();
   void check_abandoned ();
+  // ordered.cc
+  Piece try_stream (const OrderedStream &stream, uint64_t random,
+                    int max_events);
+  void ordered_loop (int caller);
+  void check_order ();
 
   Daemon &daemon_at (int subject);
   Target &target_at (int subject);
@@ -119,6 +167,7 @@
   // checks.cc
   void add_violation (const std::string &attempt_id, const std::string &text);
   Message send_with_kept_key (int gateway, Call call);
+  void check_processes ();
   void check_fatal_requests ();
   void check_bad_part (const std::string &part);
   void check_revoked_key ();
@@ -155,6 +204,8 @@
   std::vector<Record> records_;
   std::vector<Continuation> continuations_;
   std::vector<Abandoned> abandoned_;
+  std::vector<OrderedStream> streams_;
+  std::set<pid_t> ended_; ///< Daemons that ended by themselves.
   std::vector<Violation> violations_;
   std::map<Daemon *, pid_t> restarting_; ///< With the process that stops.
   std::vector<std::future<void>> restarts_;
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -2,10 +2,13 @@
 // from outside, and promises checked from what callers and targets observe.
 //
 // KB_SOAK_SEEDS ("7" or "1-50") and KB_SOAK_S (seconds of faults per seed)
-// select the runs, KB_SOAK_ENGINES the size; by default a short run with fixed
-// seeds is made.
+// select the runs, KB_SOAK_ENGINES, KB_SOAK_GATEWAYS and KB_SOAK_STREAMS
+// (streams at once whose order is checked) the size; by default a short run
+// with fixed seeds is made.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "soak.h"
 
 namespace relay
@@ -58,7 +61,9 @@
   SoakSize size;
   size.engines = number_from ("KB_SOAK_ENGINES", size.engines);
   size.gateways = size.engines > 6 ? size.engines / 3 : size.gateways;
+  size.gateways = number_from ("KB_SOAK_GATEWAYS", size.gateways);
   size.callers = 4 * size.gateways;
+  size.streams = number_from ("KB_SOAK_STREAMS", 24 * size.gateways);
   for (uint64_t seed : seeds ())
     {
       Soak soak (seed, 1000 * number_from ("KB_SOAK_S", 6), size);
@@ -75,6 +80,69 @@
   EXPECT_NE (describe (draw_plan (7, 6000)), describe (draw_plan (8, 6000)));
 }
 
+/// A stream of request r that arrived whole, in two answers.
+static OrderedStream
+stream_in_order ()
+{
+  OrderedStream stream;
+  stream.request = "r";
+  stream.adapter = "a";
+  for (int first : { 1, 6 })
+    {
+      Piece piece;
+      piece.status = 200;
+      for (int id = first; id < first + 5; id++)
+        piece.events += "id: " + std::to_string (id)
+                        + "\n: v1\nadapter: 2\nrequest: r\ndata: e\n\n";
+      stream.pieces.push_back (piece);
+    }
+  stream.pieces.back ().is_complete = true;
+  return stream;
+}
+
+static void
+replace_in (Piece *piece, const std::string &from, const std::string &to)
+{
+  size_t at = piece->events.rfind (from);
+  ASSERT_NE (at, std::string::npos);
+  piece->events.replace (at, from.size (), to);
+}
+
+// Guards against a check that takes a stream out of order for one in order.
+TEST (Order, EachFaultIsFound)
+{
+  using Faults = std::vector<OrderFault>;
+  EXPECT_EQ (order_faults_of (stream_in_order ()), Faults{});
+  struct
+  {
+    const char *from;
+    const char *to;
+    OrderFault fault;
+  } cases[] = { { ": v1", ": v2", OrderFault::JOINED_SOFTWARE },
+                { "adapter: 2", "adapter: 3", OrderFault::JOINED_ADAPTER },
+                { "request: r", "request: s", OrderFault::FOREIGN },
+                { "id: 10", "id: 9", OrderFault::REPEATED },
+                { "id: 10", "id: 11", OrderFault::MISSING } };
+  for (const auto &c : cases)
+    {
+      OrderedStream stream = stream_in_order ();
+      replace_in (&stream.pieces.back (), c.from, c.to);
+      Faults faults = order_faults_of (stream);
+      EXPECT_NE (std::find (faults.begin (), faults.end (), c.fault),
+                 faults.end ())
+          << c.to;
+    }
+  OrderedStream early = stream_in_order ();
+  early.pieces.front ().is_complete = true;
+  EXPECT_EQ (order_faults_of (early), Faults{ OrderFault::EARLY_END });
+  OrderedStream broken = stream_in_order ();
+  broken.pieces.pop_back ();
+  EXPECT_EQ (order_faults_of (broken), Faults{});
+  early = stream_in_order ();
+  early.pieces.back ().rest = "id: 1";
+  EXPECT_EQ (order_faults_of (early), Faults{ OrderFault::EARLY_END });
+}
+
 // Checks that the soak can find a fault. The daemon of this test treats every
 // request as repeatable, so a request that a target ran and did not answer
 // runs again at another target.
