--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -17,6 +17,9 @@
 constexpr int kSoakQuotaRate = 150;
 constexpr int kSoakQuotaBurst = 150;
 
+/// @return  The route that a configuration adds.
+std::string probe_path (int version);
+
 /// What a caller observed of one request.
 struct Record
 {
@@ -107,6 +110,18 @@
 private:
   // soak.cc
   void inject ();
+  void begin_order ();
+  void call_loop (int caller);
+  /// Continue a stream that broke off, through any gateway.
+  void continue_stream (const Record &record, uint64_t random);
+  void config_probe_loop ();
+  void fatal_request_loop ();
+  void bad_part_loop ();
+  void vary_framing ();
+  void begin_workspaces ();
+  void revoke_key ();
+  void workspace_loop (int caller);
+  // faults.cc
   void begin_fault (const FaultStep &fault_step);
   void end_fault (const FaultStep &fault_step);
   void restart (Daemon &daemon, int signal);
@@ -123,28 +138,17 @@
   void lose_daemons (const FaultStep &fault_step);
   /// An engine starts again at a version, and is listed.
   void move_engine (const FaultStep &fault_step, const std::string &version);
-  /// Continue a stream that broke off, through any gateway.
-  void continue_stream (const Record &record, uint64_t random);
   /// List a target with its current or an earlier start time.
   void list_target (int subject, int64_t born_shift_ms);
   void write_invalid_entry (const FaultStep &fault_step);
-  void begin_order ();
   void crash_engine (const FaultStep &fault_step);
   void break_streams (const FaultStep &fault_step);
-  // odd_entries.cc
-  void write_odd_entries (const FaultStep &fault_step);
-  void keep_odd_entries ();
   /// Restart targets with announcements, which end with the incarnation.
   void clear_announcements ();
   void heal ();
-  void call_loop (int caller);
-  void config_probe_loop ();
-  void fatal_request_loop ();
-  void bad_part_loop ();
-  void vary_framing ();
-  void begin_workspaces ();
-  void revoke_key ();
-  void workspace_loop (int caller);
+  // odd_entries.cc
+  void write_odd_entries (const FaultStep &fault_step);
+  void keep_odd_entries ();
   // impatient.cc
   Call own_call (const std::string &id, uint64_t random);
   void impatient_loop (int caller);
