test(soak): judge the order of streams by a test of its own

StreamsAreInOrder plays one seed of the new kind, or those of KB_SOAK_SEEDS, and judges the order alone; nothing is taken out of the other test.

--- a/test/soak/ordered.cc
+++ b/test/soak/ordered.cc
@@ -233,6 +233,7 @@
       for (OrderFault fault : order_faults_of (stream))
         {
           counts[(size_t)fault]++;
+          order_faults_++;
           add_violation (stream.first_id (), std::string (names[(size_t)fault])
                                                  + ": " + describe (stream));
         }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -104,8 +104,14 @@
   Soak (uint64_t seed, int length_ms, const SoakSize &size = {});
   /// @return  Violations, in the order in which they were found.
   const std::vector<Violation> &run ();
-  /// @return  Seed, plan, first violation, and the log lines of its request.
+  /// @return  Seed, plan, violations, and the log lines of the first one.
   std::string report () const;
+  /// @return  Streams that were out of order, once for each way.
+  size_t
+  order_faults () const
+  {
+    return order_faults_;
+  }
 
 private:
   // soak.cc
@@ -209,6 +215,7 @@
   std::vector<Continuation> continuations_;
   std::vector<Abandoned> abandoned_;
   std::vector<OrderedStream> streams_;
+  size_t order_faults_ = 0;
   std::set<pid_t> ended_; ///< Daemons that ended by themselves.
   std::vector<Violation> violations_;
   std::map<Daemon *, pid_t> restarting_; ///< With the process that stops.
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -16,6 +16,22 @@
 namespace
 {
 
+/// @return  The seeds that the environment selects, otherwise the usual ones.
+std::vector<uint64_t>
+seeds_or (std::vector<uint64_t> list)
+{
+  const char *text = getenv ("KB_SOAK_SEEDS");
+  if (text == nullptr)
+    return list;
+  uint64_t first = strtoull (text, nullptr, 10);
+  const char *dash = strchr (text, '-');
+  uint64_t last = dash == nullptr ? first : strtoull (dash + 1, nullptr, 10);
+  list.clear ();
+  for (uint64_t seed = first; seed <= last; seed++)
+    list.push_back (seed);
+  return list;
+}
+
 std::vector<uint64_t>
 seeds ()
 {
@@ -35,18 +51,8 @@
   // no answer. 901: the first seed with callers who give up. 1101: the first
   // seed with the loss of all gateways, and with versions that come and leave
   // while a store turns a gateway away.
-  std::vector<uint64_t> list
-      = { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701, 801, 901, 1101 };
-  const char *text = getenv ("KB_SOAK_SEEDS");
-  if (text == nullptr)
-    return list;
-  uint64_t first = strtoull (text, nullptr, 10);
-  const char *dash = strchr (text, '-');
-  uint64_t last = dash == nullptr ? first : strtoull (dash + 1, nullptr, 10);
-  list.clear ();
-  for (uint64_t seed = first; seed <= last; seed++)
-    list.push_back (seed);
-  return list;
+  return seeds_or (
+      { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701, 801, 901, 1101 });
 }
 
 int
@@ -56,7 +62,8 @@
   return text == nullptr ? fallback : atoi (text);
 }
 
-TEST (Soak, PromisesHoldUnderFaults)
+SoakSize
+soak_size ()
 {
   SoakSize size;
   size.engines = number_from ("KB_SOAK_ENGINES", size.engines);
@@ -64,9 +71,20 @@
   size.gateways = number_from ("KB_SOAK_GATEWAYS", size.gateways);
   size.callers = 4 * size.gateways;
   size.streams = number_from ("KB_SOAK_STREAMS", 24 * size.gateways);
+  return size;
+}
+
+int
+length_ms ()
+{
+  return 1000 * number_from ("KB_SOAK_S", 6);
+}
+
+TEST (Soak, PromisesHoldUnderFaults)
+{
   for (uint64_t seed : seeds ())
     {
-      Soak soak (seed, 1000 * number_from ("KB_SOAK_S", 6), size);
+      Soak soak (seed, length_ms (), soak_size ());
       bool has_no_violations = soak.run ().empty ();
       printf ("seed %llu %s\n", (unsigned long long)seed,
               has_no_violations ? "clean" : "FAILED");
@@ -74,6 +92,17 @@
     }
 }
 
+// Guards against streams with events missing, twice, or of two versions.
+TEST (Soak, StreamsAreInOrder)
+{
+  for (uint64_t seed : seeds_or ({ 1201 }))
+    {
+      Soak soak (seed, length_ms (), soak_size ());
+      soak.run ();
+      EXPECT_EQ (soak.order_faults (), 0u) << soak.report ();
+    }
+}
+
 TEST (Soak, TheSameSeedGivesTheSamePlan)
 {
   EXPECT_EQ (describe (draw_plan (7, 6000)), describe (draw_plan (7, 6000)));
