test(relay): hand no descriptors of the test program on to daemons

A daemon that is started in the middle of a run closed the descriptors below 512 that it got from the test program. A soak of 9 engines and 5 gateways has over 1,300 open: the connections from 512 on stayed open in daemons after their callers, proxies or targets had closed or reset them, so that a gateway could not see that a caller had left, nor an engine's end.

At the usual size the highest descriptor was 415. Suspected, not shown: part of the requests that were "sent on after their callers had left" at large sizes.

--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <climits>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -251,8 +252,7 @@
                     0600);
     dup2 (stdout_fd >= 0 ? stdout_fd : log, STDOUT_FILENO);
     dup2 (log, STDERR_FILENO);
-    for (int fd = 3; fd < 512; fd++)
-      close (fd);
+    close_range (3, UINT_MAX, 0);
     if (daemon->max_descriptors > 0)
       {
         rlimit limit{ (rlim_t)daemon->max_descriptors,
