--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -127,8 +127,10 @@
                    != 0
             || info.si_pid == 0 || !ended_.insert (daemon->pid).second)
           continue;
-        ended.push_back (daemon->name + " ended by itself, status "
-                         + std::to_string (info.si_status));
+        ended.push_back (
+            daemon->name + " ended by itself, "
+            + (info.si_code == CLD_EXITED ? "exit status " : "signal ")
+            + std::to_string (info.si_status));
       }
   }
   for (const std::string &text : ended)
