--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -17,6 +17,9 @@
 constexpr int kSoakQuotaRate = 150;
 constexpr int kSoakQuotaBurst = 150;
 
+/// @return  The route that a configuration adds.
+std::string probe_path (int version);
+
 /// What a caller observed of one request.
 struct Record
 {
@@ -37,6 +40,42 @@
   bool is_complete = false;
 };
 
+/// One answer to the caller of a stream.
+struct Piece
+{
+  std::string id;      ///< Of the attempt.
+  std::string gateway; ///< Name of the gateway.
+  int status = 0;      ///< Zero: no answer.
+  std::string events;  ///< Complete events.
+  std::string rest;    ///< What followed them.
+  bool is_complete = false;
+};
+
+/// A stream that its caller continues until it is complete.
+struct OrderedStream
+{
+  std::string request; ///< Its body, which its events name.
+  std::string adapter; ///< Empty: none.
+  std::vector<Piece> pieces;
+  bool is_complete = false;
+  int last_event () const;
+  /// @return  Attempt that brought the first event; empty: none did.
+  std::string first_id () const;
+};
+
+enum class OrderFault
+{
+  JOINED_SOFTWARE,
+  JOINED_ADAPTER,
+  MISSING,
+  REPEATED,
+  EARLY_END,
+  FOREIGN, ///< Events of another request.
+};
+
+/// @return  What is out of order in a stream; empty: nothing.
+std::vector<OrderFault> order_faults_of (const OrderedStream &stream);
+
 /// A request whose caller gave up.
 struct Abandoned
 {
@@ -56,6 +95,7 @@
   int plain = 2;
   int gateways = 2;
   int callers = 8;
+  int streams = 48; ///< Callers who check the order of their streams.
 };
 
 class Soak
@@ -64,12 +104,30 @@
   Soak (uint64_t seed, int length_ms, const SoakSize &size = {});
   /// @return  Violations, in the order in which they were found.
   const std::vector<Violation> &run ();
-  /// @return  Seed, plan, first violation, and the log lines of its request.
+  /// @return  Seed, plan, violations, and the log lines of the first one.
   std::string report () const;
+  /// @return  Streams that were out of order, once for each way.
+  size_t
+  order_faults () const
+  {
+    return order_faults_;
+  }
 
 private:
   // soak.cc
   void inject ();
+  void begin_order ();
+  void call_loop (int caller);
+  /// Continue a stream that broke off, through any gateway.
+  void continue_stream (const Record &record, uint64_t random);
+  void config_probe_loop ();
+  void fatal_request_loop ();
+  void bad_part_loop ();
+  void vary_framing ();
+  void begin_workspaces ();
+  void revoke_key ();
+  void workspace_loop (int caller);
+  // faults.cc
   void begin_fault (const FaultStep &fault_step);
   void end_fault (const FaultStep &fault_step);
   void restart (Daemon &daemon, int signal);
@@ -86,22 +144,17 @@
   void lose_daemons (const FaultStep &fault_step);
   /// An engine starts again at a version, and is listed.
   void move_engine (const FaultStep &fault_step, const std::string &version);
-  /// Continue a stream that broke off, through any gateway.
-  void continue_stream (const Record &record, uint64_t random);
   /// List a target with its current or an earlier start time.
   void list_target (int subject, int64_t born_shift_ms);
   void write_invalid_entry (const FaultStep &fault_step);
+  void crash_engine (const FaultStep &fault_step);
+  void break_streams (const FaultStep &fault_step);
   /// Restart targets with announcements, which end with the incarnation.
   void clear_announcements ();
   void heal ();
-  void call_loop (int caller);
-  void config_probe_loop ();
-  void fatal_request_loop ();
-  void bad_part_loop ();
-  void vary_framing ();
-  void begin_workspaces ();
-  void revoke_key ();
-  void workspace_loop (int caller);
+  // odd_entries.cc
+  void write_odd_entries (const FaultStep &fault_step);
+  void keep_odd_entries ();
   // impatient.cc
   Call own_call (const std::string &id, uint64_t random);
   void impatient_loop (int caller);
@@ -111,6 +164,11 @@
               uint64_t random);
   void freeze_gateways ();
   void check_abandoned ();
+  // ordered.cc
+  Piece try_stream (const OrderedStream &stream, uint64_t random,
+                    int max_events, int left_ms);
+  void ordered_loop (int caller);
+  void check_order ();
 
   Daemon &daemon_at (int subject);
   Target &target_at (int subject);
@@ -119,6 +177,7 @@
   // checks.cc
   void add_violation (const std::string &attempt_id, const std::string &text);
   Message send_with_kept_key (int gateway, Call call);
+  void check_processes ();
   void check_fatal_requests ();
   void check_bad_part (const std::string &part);
   void check_revoked_key ();
@@ -155,8 +214,11 @@
   std::vector<Record> records_;
   std::vector<Continuation> continuations_;
   std::vector<Abandoned> abandoned_;
+  std::vector<OrderedStream> streams_;
+  size_t order_faults_ = 0;
+  std::set<pid_t> ended_; ///< Daemons that ended by themselves.
   std::vector<Violation> violations_;
-  std::set<Daemon *> restarting_;
+  std::map<Daemon *, pid_t> restarting_; ///< With the process that stops.
   std::vector<std::future<void>> restarts_;
   std::string probe_routes_;
   std::string
