--- a/test/relay/adapter_version_failure_test.cc
+++ b/test/relay/adapter_version_failure_test.cc
@@ -223,6 +223,30 @@
     }
 }
 
+// Guards against refusals after each start of the gateways, for callers who
+// name no attempt, while one version of the adapter was ever declared.
+TEST (AdapterVersion, CallersWhoNameNoAttemptGoOnAfterAStart)
+{
+  AdapterSite site;
+  ASSERT_TRUE (site.wait_held ());
+  site.declare ();
+  ASSERT_TRUE (site.wait_declared ());
+  site.set_pace (150, 20);
+  auto streams = begin_streams (site, 0, kStreams, "a", "a1");
+  for (size_t i : { 0, 1 })
+    site.stop (&site.gateways[i].daemon, SIGKILL);
+  for (size_t i : { 0, 1 })
+    site.start (&site.gateways[i].daemon);
+  end_streams (streams);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return site.ready_status (0) == 200 && site.ready_status (1) == 200;
+  }));
+  Continuations result
+      = continue_streams (site, 1, streams, false, "again-", "a1");
+  expect_not_joined (result);
+  expect_continued (result, 75);
+}
+
 // Guards against a stream that its gateway resumes, in one answer, at a newer
 // version.
 TEST (AdapterVersion, BrokenStreamIsResumedAtItsVersion)
--- a/test/unit/resume_test.cc
+++ b/test/unit/resume_test.cc
@@ -82,6 +82,16 @@
   EXPECT_EQ (result.version, 2u);
 }
 
+// Guards against refusals after each start of a process: of the version that
+// it finds there, no age is known.
+TEST (Resume, AnUnknownVersionIsTheOnlyOneThatWasThereAtTheStart)
+{
+  Judgement result = judge ({ 2, 0, 0, 100700 }, 0, 100700);
+  EXPECT_EQ (result.verdict, RSM_EXACT);
+  EXPECT_EQ (result.version, 2u);
+  EXPECT_EQ (judge ({ 3, 2, 0, 100700 }, 0, 100700).verdict, RSM_UNKNOWN);
+}
+
 // Guards against refusals for adapters of which no version was declared.
 TEST (Resume, AnUnknownVersionOfAnUndeclaredAdapterIsAny)
 {
