fix(protocol): take an odd entry that says leaving at its word

Own interface: a VM whose entry was odd elsewhere (port out of range, a key twice) stayed as it was known, although the entry said that it leaves.

--- a/src/protocol/vmlist.c
+++ b/src/protocol/vmlist.c
@@ -220,6 +220,17 @@
          || (error == json_tokener_success && jsc_is_at_end (&rest));
 }
 
+/// @return  Whether an entry that cannot be read says that its VM leaves.
+static bool
+says_leaving (kb_slice_t entry)
+{
+  static const char word[] = "\"leaving\"";
+  kb_slice_t state;
+  return jsn_find_member (entry, "state", &state)
+         && state.len_bytes >= sizeof word - 1
+         && memcmp (state.ptr, word, sizeof word - 1) == 0;
+}
+
 static kb_status_t
 on_entry (void *arg, uint32_t position, kb_slice_t text, kb_error_t *error)
 {
@@ -243,11 +254,14 @@
       add_vm (d, &vm, text);
       return KB_OK;
     }
-  bool is_new;
   if (!is_parsed)
     add_unreadable (d, text, vm.name);
-  else if (vm.name[0] != '\0')
-    find_or_add (d, vm.name, &is_new);
+  if (vm.name[0] != '\0')
+    {
+      bool is_new;
+      vml_vm_t *listed = find_or_add (d, vm.name, &is_new);
+      listed->is_leaving = listed->is_leaving || says_leaving (text);
+    }
   if (!is_parsed && !is_json (text))
     d->list->is_complete = false;
   record_fault (d->list, text, vm.name, fault);
--- a/test/unit/vmlist_test.cc
+++ b/test/unit/vmlist_test.cc
@@ -246,4 +246,18 @@
   EXPECT_EQ (list.list.fault_count, 1000u);
 }
 
+// Guards against requests to a VM whose odd entry says that it leaves.
+TEST (VmList, AnOddEntryThatSaysSoMakesItsVmLeave)
+{
+  for (const char *odd :
+       { "{\"name\":\"a\",\"port\":99999,\"state\":\"leaving\"}",
+         "{\"name\":\"a\",\"port\":1,\"port\":2,\"state\": \"leaving\" }" })
+    {
+      List list = List::of (odd);
+      ASSERT_NE (list.find ("a"), nullptr) << odd;
+      EXPECT_FALSE (list.find ("a")->is_readable) << odd;
+      EXPECT_TRUE (list.find ("a")->is_leaving) << odd;
+    }
+}
+
 } // namespace
