fix(gateway): learn the steps of ids by software version

Two versions may number their events differently, and a continuation of one was judged by the steps of the other. Found by the review, by reading; no run shows it.

--- a/src/gateway/gateway_events.c
+++ b/src/gateway/gateway_events.c
@@ -5,14 +5,16 @@
 #include "transport/metrics.h"
 #include "transport/sse.h"
 
-/// @return  The steps that streams of the same service and model have shown.
-///          Models that share an entry take it from each other.
+/// @return  The steps that streams of the same software and model have shown.
+///          Those that share an entry take it from each other.
 static esq_steps_t *
 steps_of (const gtw_request_t *r)
 {
   kb_slice_t model = r->parsed_head.model;
-  uint64_t service = gtw_service_key (r->service);
-  uint64_t key = kb_hash (model.ptr, model.len_bytes, service) | 1;
+  uint64_t software[2]
+      = { gtw_service_key (r->service), r->target->software_key };
+  uint64_t seed = kb_hash (software, sizeof software, 0);
+  uint64_t key = kb_hash (model.ptr, model.len_bytes, seed) | 1;
   gtw_steps_t *entry = &r->gateway->event_steps[key / 2 % GTW_MAX_EVENT_STEPS];
   if (entry->key != key)
     *entry = (gtw_steps_t){ .key = key };
