--- a/src/coordination/resume.c
+++ b/src/coordination/resume.c
@@ -21,15 +21,11 @@
 }
 
 /// @return  Whether the newest version began all streams that can still be
-///          continued, as far as is known.
+///          continued.
 static bool
 is_settled (const rsm_versions_t *versions, const rsm_bounds_t *bounds,
             uint64_t now_ms)
 {
-  // It was there when this process started, and no other one was seen. Streams
-  // go on after each start; who began them is asked for first.
-  if (versions->previous == 0 && versions->unconfirmed_ms == 0)
-    return true;
   return now_ms > versions->learned_ms + bounds->version_bound_ms
                       + bounds->longest_stream_ms;
 }
@@ -51,3 +47,10 @@
     return RSM_EXACT;
   return RSM_GONE;
 }
+
+bool
+rsm_is_only_version (const rsm_versions_t *versions)
+{
+  return versions->newest != 0 && versions->previous == 0
+         && versions->unconfirmed_ms == 0;
+}
--- a/src/coordination/resume.h
+++ b/src/coordination/resume.h
@@ -5,6 +5,7 @@
 #ifndef KB_COORDINATION_RESUME_H
 #define KB_COORDINATION_RESUME_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef enum
@@ -39,5 +40,8 @@
 rsm_verdict_t rsm_judge (const rsm_versions_t *versions,
                          const rsm_bounds_t *bounds, uint32_t began,
                          uint64_t now_ms, uint32_t *out);
+/// @return  Whether the newest version was there when this process started,
+///          and it has seen no other one. Its age isn't known then.
+bool rsm_is_only_version (const rsm_versions_t *versions);
 
 #endif
--- a/src/gateway/gateway_resume.c
+++ b/src/gateway/gateway_resume.c
@@ -20,18 +20,24 @@
   item->learned_ms = tmr_boottime_ms ();
 }
 
+static rsm_versions_t
+versions_of (const gtw_request_t *r)
+{
+  const ver_item_t *item = ver_find (&r->gateway->versions, r->adapter_key);
+  if (item == NULL)
+    return (rsm_versions_t){ 0 };
+  return (rsm_versions_t){ .newest = item->version,
+                           .previous = item->previous_version,
+                           .unconfirmed_ms = item->unconfirmed_ms,
+                           .learned_ms = item->learned_ms };
+}
+
 /// @param began  Version that began the stream; zero: not known.
 static rsm_verdict_t
 judge (const gtw_request_t *r, uint32_t began, uint32_t *version)
 {
   const gtw_gateway_t *gateway = r->gateway;
-  const ver_item_t *item = ver_find (&gateway->versions, r->adapter_key);
-  rsm_versions_t versions = { 0 };
-  if (item != NULL)
-    versions = (rsm_versions_t){ .newest = item->version,
-                                 .previous = item->previous_version,
-                                 .unconfirmed_ms = item->unconfirmed_ms,
-                                 .learned_ms = item->learned_ms };
+  rsm_versions_t versions = versions_of (r);
   rsm_bounds_t bounds
       = { .version_bound_ms
           = (uint64_t)gateway->host.settings.version_bound_ms,
@@ -46,8 +52,15 @@
     return true;
   uint32_t version = 0;
   rsm_verdict_t verdict = judge (r, 0, &version);
-  r->origin.adapter_version = verdict == RSM_EXACT ? version : 0;
-  return verdict != RSM_UNKNOWN;
+  rsm_versions_t versions = versions_of (r);
+  // Nobody can be asked about callers that name no attempt; they go on at the
+  // only version that is known, as with software.
+  bool is_named = r->parsed_head.resumes.len_bytes > 0;
+  bool goes_on = verdict == RSM_EXACT
+                 || (verdict == RSM_UNKNOWN && !is_named
+                     && rsm_is_only_version (&versions));
+  r->origin.adapter_version = goes_on ? version : 0;
+  return goes_on || verdict != RSM_UNKNOWN;
 }
 
 uint32_t
