--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -345,7 +345,9 @@
              "\"AdapterSizeMb\":1}],\"WeightsMb\":200,\"AdapterSlots\":4,"
              "\"LoadsPerS\":4}},{\"Name\":\"maps\",\"HealthPath\":\"/health\","
              "\"MaxConns\":100}],\"Limits\":{\"MaxHeaderBytes\":4096,"
-             "\"MaxBodyBytes\":65536,\"HeaderTimeoutMs\":600,"
+             "\"MaxBodyBytes\":"
+           + std::to_string (max_body_bytes)
+           + ",\"HeaderTimeoutMs\":600,"
              "\"IdleTimeoutMs\":3000}"
            + config_members + "}";
   put ("op/config", config);
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -139,7 +139,8 @@
     return inner_port_;
   }
 
-  int engine_slots = 8; ///< In the documents and entries that follow.
+  int engine_slots = 8;       ///< In the documents and entries that follow.
+  int max_body_bytes = 65536; ///< In the documents that follow.
   std::string dir;
   std::string config; ///< The document that was written last.
   /// Additional members of the configuration documents that follow, each after
