fix(gateway): bound what all callers together make a gateway hold

What callers saw: a gateway grew by 2 MB for each client that stopped short of the end of its body and was killed by its machine: 262 MB with 128 clients and a limit of 2 MB, each time, where 48 MB are allowed.

Cause: each body, head, answer and backlog has its limit, their sum has none. The load check looks at the resident size once a second and only stops accepting; what was accepted goes on filling.

Fix: buffers charge an account (kb_account_t) with their capacity. After each read that leaves the sum over the limit, the caller with the largest product of bytes and time is refused as not run, or reset if it takes too little of its answer, until the sum fits. Requests at a target are not ended. Large buffers grow by a quarter, not twofold.

Weighed: a reservation of the largest body for each caller bounds memory without shedding, but lets 32 silent callers keep all others out.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -150,6 +150,7 @@
   gtw_load_record_tick (gateway);
   gtw_resume_tick (gateway);
   gtw_clients_check_timeouts (gateway);
+  gtw_memory_relieve (gateway);
   if (!gateway->accept.intake.has_room)
     gtw_clients_make_room (gateway);
   qrt_expire (&gateway->quarantine, gtw_now_ms (gateway));
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -186,7 +186,6 @@
         kb_buf_append (&r->head, "\r\n", 2);
       h1_conn_write (&client->conn, r->head.ptr, r->head.len_bytes);
       kb_buf_finish (&r->head);
-      kb_buf_init (&r->head);
     }
   else if (r->is_chunked)
     h1_conn_write_chunk (&client->conn, bytes);
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -44,16 +44,26 @@
     }
 }
 
+void
+gtw_client_refuse_unfinished (gtw_client_t *client, int http_status,
+                              const char *reason, uint64_t retry_after_ms)
+{
+  if (client->request != NULL)
+    gtw_request_end (client->request);
+  client->request = NULL;
+  client->is_last = true;
+  client->last_progress_ms = gtw_now_ms (client->gateway);
+  client_write_refusal (client, http_status, reason, retry_after_ms);
+  h1_conn_linger (&client->conn);
+}
+
 /// Refuse and close the connection: further input cannot be parsed as a
 /// request.
 static void
 client_refuse_and_close (gtw_client_t *client, int http_status,
                          const char *reason)
 {
-  client->is_last = true;
-  client->last_progress_ms = gtw_now_ms (client->gateway);
-  client_write_refusal (client, http_status, reason, 0);
-  h1_conn_linger (&client->conn);
+  gtw_client_refuse_unfinished (client, http_status, reason, 0);
 }
 
 bool
@@ -112,8 +122,6 @@
   kb_buf_append (&r->body, bytes.ptr, bytes.len_bytes);
   if (r->body.len_bytes <= gtw_max_body_bytes (client->gateway))
     return;
-  gtw_request_end (r);
-  client->request = NULL;
   client_refuse_and_close (client, HTTP_TOO_LARGE, "the body is too large");
 }
 
@@ -146,6 +154,14 @@
   client->request = NULL;
 }
 
+void
+gtw_client_cut (gtw_client_t *client, const char *found)
+{
+  if (client->request != NULL)
+    client_abandon (client, found);
+  h1_conn_close (&client->conn, true);
+}
+
 bool
 gtw_client_check_present (gtw_client_t *client)
 {
@@ -185,6 +201,7 @@
   if (client->next != NULL)
     client->next->prev = client->prev;
   gateway->client_count--;
+  gateway->releasing_bytes -= client->releasing_bytes;
   free (client);
 }
 
@@ -196,6 +213,12 @@
     xch_resume (&client->request->exchange);
 }
 
+static void
+client_on_over_limit (h1_conn_t *conn)
+{
+  gtw_memory_relieve (((gtw_client_t *)conn)->gateway);
+}
+
 static const h1_events_t client_events = {
   .on_head = client_on_head,
   .on_body = client_on_body,
@@ -203,6 +226,7 @@
   .on_end = client_on_end,
   .on_closed = client_on_closed,
   .on_drained = client_on_drained,
+  .on_over_limit = client_on_over_limit,
 };
 
 /// Store the caller's address at once: it is not available after a reset of
@@ -231,6 +255,7 @@
       = h1_conn_accept (&client->conn, &gateway->host.loop, listener,
                         &client_events, client, max_header_bytes);
   h1_conn_share_loop (&client->conn, &gateway->host.bulk);
+  h1_conn_set_account (&client->conn, &gateway->host.memory);
   client->gateway = gateway;
   client->request = NULL;
   client_set_caller_address (client);
@@ -284,11 +309,6 @@
         h1_conn_close (&client->conn, false);
       return;
     }
-  if (client->request != NULL)
-    {
-      gtw_request_end (client->request);
-      client->request = NULL;
-    }
   client_refuse_and_close (client, HTTP_TIMEOUT,
                            "the request did not arrive in time");
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -29,6 +29,7 @@
   /// Retry-After of a stopping gateway: short, since another gateway serves
   /// the retry.
   GTW_STOP_RETRY_AFTER_MS = 100,
+  GTW_HTTP_UNAVAILABLE = 503,
   GTW_ID_BYTES = 64,
   GTW_MAX_BROKEN_ATTEMPTS = 256,
   GTW_MAX_UNCONFIRMED_ATTEMPTS = GTW_MAX_BROKEN_ATTEMPTS,
@@ -298,6 +299,7 @@
   bool is_last; ///< The connection closes after the current answer.
   uint64_t last_progress_ms; ///< Last head or body bytes received, or answer
                              ///< sent.
+  uint64_t releasing_bytes; ///< Given up, and freed once it is closed.
 };
 
 /// Retry budget of one service.
@@ -418,6 +420,7 @@
   uint64_t list_gap_ms;    ///< When the list was last too old; zero: never.
   gtw_client_t *clients;
   uint32_t client_count;
+  uint64_t releasing_bytes; ///< Of all clients.
   gtw_request_t *requests;
   uint32_t request_count;
   uint64_t last_request_number; ///< Of the newest request.
@@ -548,6 +551,14 @@
 /// gives a target work for it.
 /// @return  False: it has left, and the request was ended.
 bool gtw_client_check_present (gtw_client_t *client);
+/// Refuse a request that has not arrived completely, and close its
+/// connection.
+void gtw_client_refuse_unfinished (gtw_client_t *client, int http_status,
+                                   const char *reason,
+                                   uint64_t retry_after_ms);
+/// Reset the connection of a client and end its request without an answer.
+/// @param found  Why, for the log.
+void gtw_client_cut (gtw_client_t *client, const char *found);
 /// Close connections whose caller exceeds a time limit.
 void gtw_clients_check_timeouts (gtw_gateway_t *gateway);
 /// Close the connections that are idle for the longest.
@@ -555,6 +566,10 @@
 /// Close idle connections while stopping.
 void gtw_clients_close_idle (gtw_gateway_t *gateway);
 
+// gateway_memory.c
+/// Refuse callers until all of them hold no more than the limit.
+void gtw_memory_relieve (gtw_gateway_t *gateway);
+
 // gateway_request.c
 /// @return  Maximum length of a request body, in bytes.
 uint64_t gtw_max_body_bytes (const gtw_gateway_t *gateway);
--- a/src/gateway/gateway_load.c
+++ b/src/gateway/gateway_load.c
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_defs.h"
 #include "transport/log.h"
+#include "transport/memlimit.h"
 #include "transport/metrics.h"
 
 enum
@@ -119,10 +120,8 @@
   if (gateway->client_count < MIN_CALLERS_FOR_MEMORY
       || uv_resident_set_memory (&resident_bytes) != 0)
     return;
-  uint64_t max_bytes = uv_get_constrained_memory ();
-  uint64_t total_bytes = uv_get_total_memory ();
-  if (max_bytes == 0 || max_bytes > total_bytes)
-    max_bytes = total_bytes;
+  uint64_t max_bytes
+      = mlm_machine_bytes ((uint64_t)gateway->host.settings.memory_mb);
   gateway->load.is_memory_short
       = resident_bytes > max_bytes / PERCENT * MAX_RESIDENT_PERCENT;
 }
@@ -150,6 +149,12 @@
   itk_record_path (&gateway->accept.intake, took_us, tmr_now_ms ());
 }
 
+static void
+pool_on_over_limit (void *owner)
+{
+  gtw_memory_relieve (owner);
+}
+
 void
 gtw_load_init (gtw_gateway_t *gateway)
 {
@@ -158,7 +163,8 @@
   if (getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < UINT32_MAX)
     gateway->load.max_descriptors = (uint32_t)limit.rlim_cur;
   gateway->host.pool.on_path = pool_on_path;
-  gateway->host.pool.path_owner = gateway;
+  gateway->host.pool.on_over_limit = pool_on_over_limit;
+  gateway->host.pool.owner = gateway;
   gateway->accept.has_room = has_room;
   gateway->accept.owner = gateway;
   tmr_start_periodic (&gateway->host.timers, &gateway->load.timer,
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -145,6 +145,9 @@
                         .end = "",
                         .evidence = "",
                         .reason = "" };
+  kb_buf_set_account (&r->body, &gateway->host.memory);
+  kb_buf_set_account (&r->head, &gateway->host.memory);
+  kb_buf_set_account (&r->pending_answer, &gateway->host.memory);
   request_copy_head (r, parsed);
   request_list_insert (gateway, r);
   return r;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -73,6 +73,9 @@
   ROW_INT (request_read_timeout_ms, 10000, 100, 600000,
            "time for a caller to send its request, ms"),
   ROW_INT (max_connections, 8192, 1, 1000000, "caller connections"),
+  ROW_INT (memory_mb, 0, 0, 16777216,
+           "memory of this VM for the daemon, MB; callers and peers may fill "
+           "half of it; 0: what the system reports"),
   ROW_INT (max_inflight, 20000, 1, 1000000,
            "requests an entry holds at one time"),
   ROW_INT (default_deadline_ms, 60000, 1, 86400000,
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -50,6 +50,7 @@
   int64_t max_body_bytes;
   int64_t request_read_timeout_ms;
   int64_t max_connections;
+  int64_t memory_mb;
   int64_t max_inflight;
   int64_t default_deadline_ms;
   int64_t max_deadline_ms;
--- a/src/relay/host.c
+++ b/src/relay/host.c
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 
 #include "transport/log.h"
+#include "transport/memlimit.h"
 #include "transport/metrics.h"
 
 enum
@@ -21,6 +22,13 @@
   host->role->on_message (host, peer, msg);
 }
 
+static void
+apply_memory_settings (hst_host_t *host)
+{
+  host->memory.limit_bytes
+      = mlm_peer_limit_bytes ((uint64_t)host->settings.memory_mb);
+}
+
 static const plk_events_t link_events = { link_on_message };
 
 static uint64_t
@@ -61,6 +69,7 @@
     }
   host->settings = reloaded;
   apply_log_settings (host);
+  apply_memory_settings (host);
   log_line_t line;
   if (log_begin (&line, LOG_INFO, "daemon", "reload"))
     {
@@ -161,12 +170,14 @@
   host->settings_path = settings_path;
   host->settings_stamp = file_stamp (settings_path);
   apply_log_settings (host);
+  apply_memory_settings (host);
   uv_loop_init (&host->loop);
   tmr_service_init (&host->timers, &host->loop);
   blk_queue_init (&host->bulk, &host->loop);
   host->pool = (xch_pool_t){ .loop = &host->loop,
                              .timers = &host->timers,
-                             .bulk = &host->bulk };
+                             .bulk = &host->bulk,
+                             .account = &host->memory };
   uv_random (NULL, NULL, &host->incarnation, sizeof host->incarnation, 0,
              NULL);
   srand ((unsigned)host->incarnation);
--- a/src/relay/host.h
+++ b/src/relay/host.h
@@ -35,6 +35,7 @@
   xch_pool_t pool;
   plk_link_t link;
   pgs_server_t metrics;
+  kb_account_t memory; ///< Of what callers and peers make this process hold.
   uv_signal_t signals[3];
   tmr_timer_t flush_timer;
   tmr_timer_t reload_timer;
--- a/src/state/buf.c
+++ b/src/state/buf.c
@@ -7,7 +7,11 @@
 
 enum
 {
-  BUF_MIN_BYTES = 256
+  BUF_MIN_BYTES = 256,
+  /// Buffers from this size on grow by a quarter: the system moves their pages
+  /// instead of copying them.
+  BUF_LARGE_BYTES = 65536,
+  BUF_LARGE_GROWTH = 4,
 };
 
 void *
@@ -60,11 +64,27 @@
   *buf = (kb_buf_t){ 0 };
 }
 
+static void
+account_change (kb_account_t *account, size_t from_bytes, size_t to_bytes)
+{
+  if (account != NULL)
+    account->held_bytes += to_bytes - from_bytes;
+}
+
 void
 kb_buf_finish (kb_buf_t *buf)
 {
+  account_change (buf->account, buf->cap_bytes, 0);
   free (buf->ptr);
-  kb_buf_init (buf);
+  *buf = (kb_buf_t){ .account = buf->account };
+}
+
+void
+kb_buf_set_account (kb_buf_t *buf, kb_account_t *account)
+{
+  account_change (buf->account, buf->cap_bytes, 0);
+  account_change (account, 0, buf->cap_bytes);
+  buf->account = account;
 }
 
 void
@@ -80,8 +100,9 @@
     return;
   size_t cap = buf->cap_bytes == 0 ? BUF_MIN_BYTES : buf->cap_bytes;
   while (cap < need_bytes)
-    cap *= 2;
+    cap += cap < BUF_LARGE_BYTES ? cap : cap / BUF_LARGE_GROWTH;
   buf->ptr = kb_realloc (buf->ptr, cap);
+  account_change (buf->account, buf->cap_bytes, cap);
   buf->cap_bytes = cap;
 }
 
@@ -137,6 +158,38 @@
   *b = saved;
 }
 
+void
+kb_buf_move (kb_buf_t *from, kb_buf_t *to)
+{
+  *to = *from;
+  *from = (kb_buf_t){ .account = to->account };
+}
+
+kb_shared_t *
+kb_shared_create (kb_account_t *account)
+{
+  kb_shared_t *shared = kb_alloc (sizeof *shared);
+  *shared = (kb_shared_t){ .buf.account = account, .owner_count = 1 };
+  return shared;
+}
+
+kb_shared_t *
+kb_shared_ref (kb_shared_t *shared)
+{
+  if (shared != NULL)
+    shared->owner_count++;
+  return shared;
+}
+
+void
+kb_shared_unref (kb_shared_t *shared)
+{
+  if (shared == NULL || --shared->owner_count > 0)
+    return;
+  kb_buf_finish (&shared->buf);
+  free (shared);
+}
+
 kb_slice_t
 kb_buf_slice (const kb_buf_t *buf)
 {
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -189,7 +189,7 @@
 {
   const xch_pool_t *pool = pooled->peer->pool;
   if (pool->on_path != NULL)
-    pool->on_path (pool->path_owner, tmr_now_us () - pooled->opened_us);
+    pool->on_path (pool->owner, tmr_now_us () - pooled->opened_us);
 }
 
 static void
@@ -211,7 +211,14 @@
     return;
   pooled_send (pooled, kb_buf_slice (&pooled->queued_request));
   kb_buf_finish (&pooled->queued_request);
-  kb_buf_init (&pooled->queued_request);
+}
+
+static void
+pooled_on_over_limit (h1_conn_t *conn)
+{
+  const xch_pool_t *pool = ((xch_pooled_t *)conn)->peer->pool;
+  if (pool->on_over_limit != NULL)
+    pool->on_over_limit (pool->owner);
 }
 
 static const h1_events_t pooled_events = {
@@ -221,6 +228,7 @@
   .on_end = pooled_on_end,
   .on_connect = pooled_on_connect,
   .on_closed = pooled_on_closed,
+  .on_over_limit = pooled_on_over_limit,
 };
 
 static void
@@ -304,6 +312,7 @@
   peer->open_count++;
   peer->pool->opened_total++;
   peer->pool->open_count++;
+  kb_buf_set_account (&pooled->queued_request, peer->pool->account);
   kb_buf_append (&pooled->queued_request, request->head.ptr,
                  request->head.len_bytes);
   kb_buf_append (&pooled->queued_request, request->body.ptr,
@@ -312,6 +321,7 @@
                                         &peer->address, &pooled_events, NULL);
   pooled->conn.is_head_method = request->is_head_method;
   h1_conn_share_loop (&pooled->conn, peer->pool->bulk);
+  h1_conn_set_account (&pooled->conn, peer->pool->account);
   // A connection attempt that fails at once is reported from the event loop,
   // as all failures are.
   uint64_t timeout_ms = status == KB_OK ? request->connect_timeout_ms : 0;
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -23,8 +23,11 @@
   uint32_t open_count;   ///< Connections that are open.
   /// Called with the time that a connection took to be established, or after
   /// which it was given up; NULL: not called.
-  void (*on_path) (void *path_owner, uint64_t took_us);
-  void *path_owner;
+  void (*on_path) (void *owner, uint64_t took_us);
+  kb_account_t *account; ///< Of the connections; NULL: none is charged.
+  /// Called when the account is over its limit after a read; NULL: not called.
+  void (*on_over_limit) (void *owner);
+  void *owner;
 } xch_pool_t;
 
 /// A remote address and the connections to it.
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -275,6 +275,9 @@
   if (conn->bulk != NULL && nread > 0)
     blk_reader_record (&conn->reader, (size_t)nread, now_ms);
   conn_handle_read (conn, nread, buf);
+  if (conn->account != NULL && conn->events->on_over_limit != NULL
+      && conn->account->held_bytes > conn->account->limit_bytes)
+    conn->events->on_over_limit (conn);
   // The callbacks may have paused or closed it, or let it wait already.
   if (!conn->is_reading || conn->reader.queue != NULL
       || !conn_must_wait (conn, now_ms))
@@ -303,6 +306,24 @@
   conn->reader.on_turn = conn_on_turn;
 }
 
+void
+h1_conn_set_account (h1_conn_t *conn, kb_account_t *account)
+{
+  conn->account = account;
+  kb_buf_set_account (&conn->head.bytes, account);
+  kb_buf_set_account (&conn->pipelined, account);
+  kb_buf_set_account (&conn->queued, account);
+}
+
+size_t
+h1_conn_held_bytes (const h1_conn_t *conn)
+{
+  // The queued bytes are a part of the unsent ones.
+  size_t in_write_bytes = conn->unsent_bytes - conn->queued.len_bytes;
+  return conn->head.bytes.cap_bytes + conn->pipelined.cap_bytes
+         + conn->queued.cap_bytes + in_write_bytes;
+}
+
 prs_presence_t
 h1_conn_query_peer (const h1_conn_t *conn)
 {
@@ -480,7 +501,7 @@
     return;
   h1_write_t *write = kb_alloc (sizeof *write);
   write->conn = conn;
-  kb_buf_swap (&write->bytes, &conn->queued);
+  kb_buf_move (&conn->queued, &write->bytes);
   uv_buf_t buf
       = uv_buf_init (write->bytes.ptr, (unsigned)write->bytes.len_bytes);
   if (uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written)
@@ -549,8 +570,8 @@
   http_parser_pause (&conn->parser, 0);
   if (conn->pipelined.len_bytes == 0)
     return;
-  kb_buf_t bytes = { 0 };
-  kb_buf_swap (&bytes, &conn->pipelined);
+  kb_buf_t bytes;
+  kb_buf_move (&conn->pipelined, &bytes);
   conn_parse (conn, bytes.ptr, bytes.len_bytes);
   kb_buf_finish (&bytes);
 }
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -71,6 +71,9 @@
   void (*on_closed) (h1_conn_t *conn);
   /// All queued bytes were handed to the kernel; may be NULL.
   void (*on_drained) (h1_conn_t *conn);
+  /// The account of the connection is over its limit after a read. The
+  /// callback may close any connection; may be NULL.
+  void (*on_over_limit) (h1_conn_t *conn);
 } h1_events_t;
 
 struct h1_conn
@@ -83,6 +86,7 @@
   blk_queue_t *bulk; ///< Where it waits when it brings much; NULL: nowhere.
   http_parser parser;
   h1_head_t head;
+  kb_account_t *account;     ///< Of its buffers; NULL: none is charged.
   kb_buf_t pipelined;        ///< Received after the current message, unparsed.
   uint32_t max_header_bytes; ///< Zero: unlimited.
   kb_buf_t queued;           ///< To be written after the write in progress.
@@ -118,6 +122,10 @@
 /// Share the event loop with the other connections of a queue. Without a call,
 /// a connection is read as long as there is something to read.
 void h1_conn_share_loop (h1_conn_t *conn, blk_queue_t *bulk);
+/// Charge the buffers of a connection to an account.
+void h1_conn_set_account (h1_conn_t *conn, kb_account_t *account);
+/// @return  Bytes of the buffers of a connection.
+size_t h1_conn_held_bytes (const h1_conn_t *conn);
 /// Connect to a peer; on_connect reports the result.
 /// @return  KB_OK, or KB_EUNAVAIL when the attempt could not be started.
 kb_status_t h1_conn_connect (h1_conn_t *conn, uv_loop_t *loop,
--- /dev/null
+++ b/src/transport/memlimit.c
@@ -0,0 +1,27 @@
+#include "transport/memlimit.h"
+
+#include <uv.h>
+
+enum
+{
+  PEER_PERCENT = 50,
+  PERCENT = 100,
+  BYTES_PER_MB = 1 << 20,
+};
+
+uint64_t
+mlm_machine_bytes (uint64_t memory_mb)
+{
+  if (memory_mb > 0)
+    return memory_mb * BYTES_PER_MB;
+  uint64_t total_bytes = uv_get_total_memory ();
+  uint64_t limit_bytes = uv_get_constrained_memory ();
+  return limit_bytes == 0 || limit_bytes > total_bytes ? total_bytes
+                                                       : limit_bytes;
+}
+
+uint64_t
+mlm_peer_limit_bytes (uint64_t memory_mb)
+{
+  return mlm_machine_bytes (memory_mb) / PERCENT * PEER_PERCENT;
+}
--- a/test/relay/crowd.cc
+++ b/test/relay/crowd.cc
@@ -12,6 +12,7 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -169,29 +170,49 @@
   return count;
 }
 
+/// @return  Inodes of the sockets of a process.
+static std::set<std::string>
+sockets_of (pid_t pid)
+{
+  std::set<std::string> inodes;
+  std::error_code error;
+  std::filesystem::directory_iterator all (
+      "/proc/" + std::to_string (pid) + "/fd", error);
+  for (const auto &entry : all)
+    {
+      std::string link
+          = std::filesystem::read_symlink (entry.path (), error).string ();
+      size_t open = link.find ("socket:[");
+      if (open == 0)
+        inodes.insert (link.substr (8, link.size () - 9));
+    }
+  return inodes;
+}
+
 long
-unread_kb (const std::string &address)
+unread_kb (pid_t pid, const std::string &address)
 {
   constexpr int kListening = 0x0A;
   sockaddr_in local = parse (address);
   char wanted[32];
   snprintf (wanted, sizeof wanted, "%08X:%04X", local.sin_addr.s_addr,
             ntohs (local.sin_port));
+  std::set<std::string> own = sockets_of (pid);
   std::ifstream table ("/proc/net/tcp");
   std::string line;
   long bytes = 0;
   while (std::getline (table, line))
     {
       std::istringstream in (line);
-      std::string row;
-      std::string here;
-      std::string peer;
-      std::string state;
-      std::string queues;
-      in >> row >> here >> peer >> state >> queues;
-      if (here == wanted && std::stol (state, nullptr, 16) != kListening)
-        bytes
-            += std::stol (queues.substr (queues.find (':') + 1), nullptr, 16);
+      std::string row, here, peer, state, queues, timer, retries, user,
+          timeout, inode;
+      in >> row >> here >> peer >> state >> queues >> timer >> retries >> user
+          >> timeout >> inode;
+      bool waits = here == wanted && inode == "0";
+      if (row == "sl" || std::stol (state, nullptr, 16) == kListening
+          || (!waits && own.count (inode) == 0))
+        continue;
+      bytes += std::stol (queues.substr (queues.find (':') + 1), nullptr, 16);
     }
   return bytes / 1024;
 }
@@ -205,8 +226,8 @@
   std::thread watch ([&] {
     while (!is_over)
       {
-        most.memory_kb = std::max (most.memory_kb,
-                                   resident_kb (pid) + unread_kb (address));
+        most.memory_kb = std::max (
+            most.memory_kb, resident_kb (pid) + unread_kb (pid, address));
         most.descriptors = std::max (most.descriptors, descriptor_count (pid));
         std::this_thread::sleep_for (std::chrono::milliseconds (kWatchMs));
       }
--- a/test/relay/crowd.h
+++ b/test/relay/crowd.h
@@ -63,9 +63,9 @@
 };
 
 int descriptor_count (pid_t pid);
-/// @return  Bytes that sockets of a local address have received and not read,
-///          in KiB.
-long unread_kb (const std::string &address);
+/// @return  Bytes that the sockets of a process, and those that wait to be
+///          accepted at `address`, have received and not read, in KiB.
+long unread_kb (pid_t pid, const std::string &address);
 /// Let a crowd press while a process is watched.
 /// @param pid      The process that serves `address`.
 Held press_and_watch (Crowd *crowd, pid_t pid, const std::string &address,
--- a/test/relay/crowd_failure_test.cc
+++ b/test/relay/crowd_failure_test.cc
@@ -14,7 +14,8 @@
 constexpr int kCrowd = 128;
 /// Limit of a body in the configuration.
 constexpr int kMaxBodyBytes = 2 << 20;
-/// Memory of a daemon's machine, with what its sockets have not read.
+/// Memory of a daemon's machine; it counts with what its sockets have not
+/// read.
 constexpr long kMachineKb = 48 << 10;
 /// Descriptors of a daemon: a connection to a target for each client, and its
 /// own.
@@ -68,6 +69,7 @@
   {
     site.max_body_bytes = kMaxBodyBytes;
     site.write_config (2);
+    site.limit_memory (kMachineKb / 1024);
   }
 
   Gateway &
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -282,6 +282,26 @@
   daemon->pid = 0;
 }
 
+void
+Site::limit_memory (int memory_mb)
+{
+  std::vector<Daemon *> daemons;
+  for (Gateway &gateway : gateways)
+    daemons.push_back (&gateway.daemon);
+  for (Engine &engine : engines)
+    daemons.push_back (&engine.sidecar);
+  for (Daemon *daemon : daemons)
+    {
+      std::ifstream in (daemon->settings_path);
+      std::string text ((std::istreambuf_iterator<char> (in)),
+                        std::istreambuf_iterator<char> ());
+      text.insert (text.find ('{') + 1,
+                   "\"memory_mb\":" + std::to_string (memory_mb) + ",");
+      std::ofstream (daemon->settings_path) << text;
+      restart (daemon, SIGKILL);
+    }
+}
+
 bool
 Site::are_daemons_running () const
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -120,6 +120,8 @@
   /// empty: none does.
   void crash_on_path (const std::string &text);
   void stop (Daemon *daemon, int signal);
+  /// Restart all daemons as if their VMs had this much memory.
+  void limit_memory (int memory_mb);
   /// @return  Whether no daemon ended by itself since it was started.
   bool are_daemons_running () const;
   /// Wait until all gateways serve; print why when they don't.
