fix(transport): give connections fixed receive buffers

What was seen: with bodies bounded, a gateway under 128 clients still held 49 to 75 MB where 48 are allowed; 61 MB with chunks of one byte, of which 7 MB were its own. The rest lay in the kernel, received and not read: it lets each buffer grow to some MB while its connection waits for its turn. Such bytes count as the process's memory.

Fix: SO_RCVBUF, 32 KB for accepted connections (set on the listener, so it costs no call for each of them), 64 KB for connections to targets and the store. A window of 32 KB holds the largest request of the sites (28 KB).

--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -16,6 +16,10 @@
   KEEPALIVE_IDLE_S = 2,
   KEEPALIVE_INTERVAL_S = 1,
   KEEPALIVE_PROBES = 2,
+  /// Receive buffers in the kernel, which otherwise grow to some MB for each
+  /// connection that is not read. Callers are more and send less.
+  CALLER_RECEIVE_BYTES = 32768,
+  TARGET_RECEIVE_BYTES = 65536,
 };
 
 /// Shared by all connections: there is one event loop on one thread, and each
@@ -386,6 +390,11 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
               sizeof timeout_ms);
+  int receive_bytes = TARGET_RECEIVE_BYTES;
+  // Accepted connections have the buffer of their listener.
+  if (conn->is_client)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                sizeof receive_bytes);
 }
 
 static void
@@ -401,6 +410,18 @@
   conn->parser.data = conn;
 }
 
+int
+h1_bind (uv_tcp_t *socket, const struct sockaddr_in *address)
+{
+  uv_os_fd_t fd;
+  int receive_bytes = CALLER_RECEIVE_BYTES;
+  int code = uv_tcp_bind (socket, (const struct sockaddr *)address, 0);
+  if (code == 0 && uv_fileno ((uv_handle_t *)socket, &fd) == 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                sizeof receive_bytes);
+  return code;
+}
+
 kb_status_t
 h1_listen (uv_loop_t *loop, uv_tcp_t *listener,
            const struct sockaddr_in *address, int backlog,
@@ -408,7 +429,7 @@
 {
   uv_tcp_init (loop, listener);
   listener->data = data;
-  int code = uv_tcp_bind (listener, (const struct sockaddr *)address, 0);
+  int code = h1_bind (listener, address);
   if (code == 0)
     code = uv_listen ((uv_stream_t *)listener, backlog, on_connection);
   if (code == 0)
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -106,6 +106,10 @@
   bool is_lingering;      ///< Received bytes are discarded.
 };
 
+/// Bind a socket that will listen for callers, and limit the receive buffers
+/// of its connections.
+/// @return  Zero, or an error code of libuv.
+int h1_bind (uv_tcp_t *socket, const struct sockaddr_in *address);
 /// Open a listening socket.
 /// @param data   Stored as the `data` of the handle that `on_connection` gets.
 /// @param error  Describes a failure.
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -5,6 +5,7 @@
 
 #include "state/buf.h"
 #include "transport/bulk.h"
+#include "transport/h1.h"
 #include "transport/log.h"
 #include "transport/metrics.h"
 
@@ -62,8 +63,7 @@
   uv_tcp_t *socket = kb_alloc (sizeof *socket);
   uv_tcp_init (listener->loop, socket);
   socket->data = listener;
-  int code
-      = uv_tcp_bind (socket, (const struct sockaddr *)&listener->address, 0);
+  int code = h1_bind (socket, &listener->address);
   if (code == 0)
     code = uv_listen ((uv_stream_t *)socket, listener->backlog,
                       listener_on_connection);
--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -147,8 +147,7 @@
   uv_tcp_init (link->loop, &link->listener);
   link->listener.data = link;
   link->is_listening = true;
-  int error_code = uv_tcp_bind (&link->listener,
-                                (const struct sockaddr *)&listen_addr, 0);
+  int error_code = h1_bind (&link->listener, &listen_addr);
   if (error_code == 0)
     error_code = uv_listen ((uv_stream_t *)&link->listener, LISTEN_BACKLOG,
                             listener_on_connection);
