perf(gateway): send a body without copying it

A body at a target was held up to three times: by its request, in the copy with the head that waited for the connection, and in what the socket had not taken. Requests at a target are not refused for memory, so these copies came on top of what the account allows to be read.

The body is now a buffer with owners: request and write refer to the same bytes, and retries send them again. Heads are still copied.

CrowdOfClients.WholeBodiesForATargetThatReadsNothing is new. It passes before as well (32,336 and 33,672 kB held; 33,448 now): of a crowd that comes at once, those that are refused make room for the copies of the rest.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -536,7 +536,7 @@
     .priority = r->is_engine ? (int32_t)priority : -1,
     .is_resume = r->events.has_relayed && r->events.has_last_id,
     .resume_after_event_id = r->events.last_id,
-    .body_bytes = r->body.len_bytes,
+    .body_bytes = r->body->buf.len_bytes,
   };
 }
 
@@ -585,7 +585,7 @@
   gateway->dialect->write_request (&r->client->conn, &forward, &head);
   xch_request_t request
       = { .head = kb_buf_slice (&head),
-          .body = kb_buf_slice (&r->body),
+          .body = r->body,
           .max_idle_ms
           = is_repeatable (r) ? XCH_ANY_IDLE_MS : MAX_IDLE_NON_IDEMPOTENT_MS,
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -119,8 +119,8 @@
   if (r == NULL || conn->is_lingering)
     return;
   client->last_progress_ms = gtw_now_ms (client->gateway);
-  kb_buf_append (&r->body, bytes.ptr, bytes.len_bytes);
-  if (r->body.len_bytes <= gtw_max_body_bytes (client->gateway))
+  kb_buf_append (&r->body->buf, bytes.ptr, bytes.len_bytes);
+  if (r->body->buf.len_bytes <= gtw_max_body_bytes (client->gateway))
     return;
   client_refuse_and_close (client, HTTP_TOO_LARGE, "the body is too large");
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -201,7 +201,7 @@
   rly_request_t parsed_head;
   char adapter_name[EGN_KEY_BYTES];
   uint64_t adapter_key; ///< Zero: none.
-  kb_buf_t body;
+  kb_shared_t *body;
   uint64_t fingerprints[GTW_SCOPE_COUNT]; ///< Zero: not computed yet.
   uint64_t arrived_ms;
   uint64_t deadline_ms;        ///< Moment of the caller's deadline.
@@ -299,7 +299,7 @@
   bool is_last; ///< The connection closes after the current answer.
   uint64_t last_progress_ms; ///< Last head or body bytes received, or answer
                              ///< sent.
-  uint64_t releasing_bytes; ///< Given up, and freed once it is closed.
+  uint64_t releasing_bytes;  ///< Given up, and freed once it is closed.
 };
 
 /// Retry budget of one service.
--- a/src/gateway/gateway_fingerprint.c
+++ b/src/gateway/gateway_fingerprint.c
@@ -15,7 +15,7 @@
           .method = kb_slice_str (http_method_str (conn->parser.method)),
           .path = h1_head_target (&conn->head),
           .adapter = kb_slice_str (adapter),
-          .body = kb_buf_slice (&r->body) };
+          .body = kb_buf_slice (&r->body->buf) };
   r->fingerprints[scope] = fpr_compute (&parts);
   return r->fingerprints[scope];
 }
--- a/src/gateway/gateway_memory.c
+++ b/src/gateway/gateway_memory.c
@@ -26,7 +26,7 @@
   const gtw_request_t *r = client->request;
   size_t held_bytes = h1_conn_held_bytes (&client->conn);
   if (r != NULL)
-    held_bytes += r->body.cap_bytes + r->pending_answer.cap_bytes;
+    held_bytes += r->body->buf.cap_bytes + r->pending_answer.cap_bytes;
   return held_bytes;
 }
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -145,7 +145,7 @@
                         .end = "",
                         .evidence = "",
                         .reason = "" };
-  kb_buf_set_account (&r->body, &gateway->host.memory);
+  r->body = kb_shared_create (&gateway->host.memory);
   kb_buf_set_account (&r->head, &gateway->host.memory);
   kb_buf_set_account (&r->pending_answer, &gateway->host.memory);
   request_copy_head (r, parsed);
@@ -220,7 +220,7 @@
   gtw_request_release_target (r);
   tmr_cancel (&gateway->host.timers, &r->expiry_timer);
   request_list_remove (gateway, r);
-  kb_buf_finish (&r->body);
+  kb_shared_unref (r->body);
   kb_buf_finish (&r->head);
   kb_buf_finish (&r->pending_answer);
   free (r);
--- a/src/transport/call.c
+++ b/src/transport/call.c
@@ -127,8 +127,8 @@
   else if (request->method[0] != 'G')
     kb_buf_append_str (&head, "Content-Length: 0\r\n");
   kb_buf_append_str (&head, "\r\n");
+  kb_buf_append (&head, request->json_body.ptr, request->json_body.len_bytes);
   xch_request_t sent = { .head = kb_buf_slice (&head),
-                         .body = request->json_body,
                          .max_idle_ms = XCH_ANY_IDLE_MS,
                          .connect_timeout_ms = CONNECT_TIMEOUT_MS };
   xch_start (&call->exchange, peer, &call_events, call, &sent);
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -18,10 +18,11 @@
 {
   h1_conn_t conn; ///< Must be first: callbacks cast it to this type.
   xch_peer_t *peer;
-  xch_t *x;                ///< The exchange in progress; NULL when idle.
-  xch_pooled_t *next;      ///< Next in the idle list.
-  kb_buf_t queued_request; ///< Held until connected.
-  tmr_timer_t timer;       ///< Connect timeout, or deferred failure report.
+  xch_t *x;                 ///< The exchange in progress; NULL when idle.
+  xch_pooled_t *next;       ///< Next in the idle list.
+  kb_buf_t queued_head;     ///< Held until connected.
+  kb_shared_t *queued_body; ///< The same; NULL: none.
+  tmr_timer_t timer;        ///< Connect timeout, or deferred failure report.
   uint64_t opened_us;
   uint64_t idle_since_ms;
   uint64_t lifetime_ms;
@@ -61,12 +62,20 @@
       }
 }
 
+static void
+pooled_drop_queued (xch_pooled_t *pooled)
+{
+  kb_buf_finish (&pooled->queued_head);
+  kb_shared_unref (pooled->queued_body);
+  pooled->queued_body = NULL;
+}
+
 static void
 pooled_on_closed (h1_conn_t *conn)
 {
   xch_pooled_t *pooled = (xch_pooled_t *)conn;
   tmr_cancel (pooled->peer->pool->timers, &pooled->timer);
-  kb_buf_finish (&pooled->queued_request);
+  pooled_drop_queued (pooled);
   pooled->peer->open_count--;
   pooled->peer->pool->open_count--;
   free (pooled);
@@ -177,10 +186,10 @@
 }
 
 static void
-pooled_send (xch_pooled_t *pooled, kb_slice_t bytes)
+pooled_send (xch_pooled_t *pooled, kb_slice_t head, kb_shared_t *body)
 {
   pooled->is_sent = true;
-  if (!h1_conn_write (&pooled->conn, bytes.ptr, bytes.len_bytes))
+  if (!h1_conn_write_message (&pooled->conn, head, body))
     h1_conn_pause (&pooled->conn);
 }
 
@@ -209,8 +218,9 @@
     x->events->on_connect (x);
   if (conn->is_closing)
     return;
-  pooled_send (pooled, kb_buf_slice (&pooled->queued_request));
-  kb_buf_finish (&pooled->queued_request);
+  pooled_send (pooled, kb_buf_slice (&pooled->queued_head),
+               pooled->queued_body);
+  pooled_drop_queued (pooled);
 }
 
 static void
@@ -312,11 +322,10 @@
   peer->open_count++;
   peer->pool->opened_total++;
   peer->pool->open_count++;
-  kb_buf_set_account (&pooled->queued_request, peer->pool->account);
-  kb_buf_append (&pooled->queued_request, request->head.ptr,
+  kb_buf_set_account (&pooled->queued_head, peer->pool->account);
+  kb_buf_append (&pooled->queued_head, request->head.ptr,
                  request->head.len_bytes);
-  kb_buf_append (&pooled->queued_request, request->body.ptr,
-                 request->body.len_bytes);
+  pooled->queued_body = kb_shared_ref (request->body);
   kb_status_t status = h1_conn_connect (&pooled->conn, peer->pool->loop,
                                         &peer->address, &pooled_events, NULL);
   pooled->conn.is_head_method = request->is_head_method;
@@ -348,11 +357,7 @@
   pooled->is_head_method = request->is_head_method;
   pooled->conn.is_head_method = request->is_head_method;
   h1_conn_next_message (&pooled->conn);
-  kb_buf_t bytes = { 0 };
-  kb_buf_append (&bytes, request->head.ptr, request->head.len_bytes);
-  kb_buf_append (&bytes, request->body.ptr, request->body.len_bytes);
-  pooled_send (pooled, kb_buf_slice (&bytes));
-  kb_buf_finish (&bytes);
+  pooled_send (pooled, request->head, request->body);
 }
 
 void
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -78,8 +78,8 @@
 /// A request and the limits on its connection.
 typedef struct
 {
-  kb_slice_t head; ///< Start line and fields, with the blank line.
-  kb_slice_t body;
+  kb_slice_t head;   ///< Start line and fields, with the blank line.
+  kb_shared_t *body; ///< NULL: none. It is not copied.
   /// A connection that has been idle for longer is not reused: the peer may
   /// have closed it, and a request that is lost on it may have run. Zero
   /// always opens a new connection.
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -1,5 +1,6 @@
 #include "transport/h1.h"
 
+#include <assert.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -485,6 +486,8 @@
   uv_write_t req;
   h1_conn_t *conn;
   kb_buf_t bytes;
+  kb_shared_t *body; ///< After `bytes`; NULL: none.
+  size_t unsent_bytes;
 } h1_write_t;
 
 static void conn_write_queued (h1_conn_t *conn);
@@ -493,6 +496,7 @@
 write_free (h1_write_t *write)
 {
   kb_buf_finish (&write->bytes);
+  kb_shared_unref (write->body);
   free (write);
 }
 
@@ -501,7 +505,7 @@
 {
   h1_write_t *write = (h1_write_t *)req;
   h1_conn_t *conn = write->conn;
-  conn->unsent_bytes -= write->bytes.len_bytes;
+  conn->unsent_bytes -= write->unsent_bytes;
   conn->is_writing = false;
   write_free (write);
   if (conn->is_closing)
@@ -514,6 +518,19 @@
     conn->events->on_drained (conn);
 }
 
+static void
+conn_submit (h1_conn_t *conn, h1_write_t *write, const uv_buf_t *bufs,
+             unsigned count)
+{
+  conn->is_writing = uv_write (&write->req, (uv_stream_t *)&conn->tcp, bufs,
+                               count, conn_written)
+                     == 0;
+  if (conn->is_writing)
+    return;
+  conn->unsent_bytes -= write->unsent_bytes;
+  write_free (write);
+}
+
 /// Hand all queued bytes to libuv as one write.
 static void
 conn_write_queued (h1_conn_t *conn)
@@ -523,16 +540,10 @@
   h1_write_t *write = kb_alloc (sizeof *write);
   write->conn = conn;
   kb_buf_move (&conn->queued, &write->bytes);
+  write->unsent_bytes = write->bytes.len_bytes;
   uv_buf_t buf
       = uv_buf_init (write->bytes.ptr, (unsigned)write->bytes.len_bytes);
-  if (uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written)
-      == 0)
-    {
-      conn->is_writing = true;
-      return;
-    }
-  conn->unsent_bytes -= write->bytes.len_bytes;
-  write_free (write);
+  conn_submit (conn, write, &buf, 1);
 }
 
 bool
@@ -560,6 +571,42 @@
   return conn->unsent_bytes > 0;
 }
 
+bool
+h1_conn_write_message (h1_conn_t *conn, kb_slice_t head, kb_shared_t *body)
+{
+  assert (conn->unsent_bytes == 0);
+  if (conn->is_closing)
+    return false;
+  size_t body_bytes = body == NULL ? 0 : body->buf.len_bytes;
+  unsigned count = body_bytes > 0 ? 2 : 1;
+  uv_buf_t bufs[2] = { uv_buf_init ((char *)head.ptr, head.len_bytes) };
+  if (count > 1)
+    bufs[1] = uv_buf_init (body->buf.ptr, (unsigned)body_bytes);
+  int nwritten = uv_try_write ((uv_stream_t *)&conn->tcp, bufs, count);
+  if (nwritten < 0 && nwritten != UV_EAGAIN)
+    return false;
+  size_t done = nwritten < 0 ? 0 : (size_t)nwritten;
+  if (done == head.len_bytes + body_bytes)
+    return true;
+  h1_write_t *write = kb_alloc (sizeof *write);
+  write->conn = conn;
+  write->unsent_bytes = head.len_bytes + body_bytes - done;
+  conn->unsent_bytes = write->unsent_bytes;
+  if (count > 1)
+    write->body = kb_shared_ref (body);
+  size_t head_done = done < head.len_bytes ? done : head.len_bytes;
+  kb_buf_append (&write->bytes, head.ptr + head_done,
+                 head.len_bytes - head_done);
+  bufs[0] = uv_buf_init (write->bytes.ptr, (unsigned)write->bytes.len_bytes);
+  if (count > 1)
+    {
+      bufs[1].base += done - head_done;
+      bufs[1].len -= done - head_done;
+    }
+  conn_submit (conn, write, bufs, count);
+  return conn->is_writing;
+}
+
 bool
 h1_conn_write_chunk (h1_conn_t *conn, kb_slice_t bytes)
 {
--- a/test/relay/crowd_failure_test.cc
+++ b/test/relay/crowd_failure_test.cc
@@ -1,7 +1,10 @@
 // Clients that make a gateway or a sidecar hold as much as it accepts.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "crowd.h"
 #include "site.h"
@@ -229,6 +232,66 @@
   expect_borne ({ .first = whole_request ("/resume/x") });
 }
 
+/// A plain target whose process hangs: it accepts no connection, so nothing
+/// that is sent to it is read.
+class HungTarget
+{
+public:
+  explicit HungTarget (Site *site) : site_ (site)
+  {
+    std::string other = site->plain[0]->address ();
+    std::string ip = other.substr (0, other.find (':'));
+    int port = free_port (ip);
+    fd_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons ((uint16_t)port);
+    inet_pton (AF_INET, ip.c_str (), &address.sin_addr);
+    EXPECT_EQ (bind (fd_, (sockaddr *)&address, sizeof address), 0);
+    EXPECT_EQ (listen (fd_, 2 * kCrowd), 0);
+    site->remove ("servers/" + site->plain[0]->id ());
+    site->put ("servers/i-hung",
+               "{\"Service\":\"maps\",\"Address\":\"" + ip + ":"
+                   + std::to_string (port)
+                   + "\",\"Zone\":\"d1\",\"Version\":\"v1\",\"Slots\":6,"
+                     "\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":1,"
+                     "\"born\":"
+                   + std::to_string (site->plain[0]->born_ms ()) + "}");
+  }
+  ~HungTarget ()
+  {
+    site_->remove ("servers/i-hung");
+    site_->list_plain (0);
+    close (fd_);
+  }
+  bool
+  is_listed () const
+  {
+    return !Site::log_lines (site_->gateways[0].daemon,
+                             { "target_listed", "i-hung" })
+                .empty ();
+  }
+
+private:
+  Site *site_;
+  int fd_ = -1;
+};
+
+// Guards against copies of whole bodies for a target that reads nothing.
+TEST_F (CrowdOfClients, WholeBodiesForATargetThatReadsNothing)
+{
+  ASSERT_NO_FATAL_FAILURE (start ());
+  {
+    HungTarget target (&site);
+    ASSERT_TRUE (Site::wait_for ([&] { return target.is_listed (); }));
+    Crowd crowd (gateway ().address, kCrowd,
+                 { .first = whole_request ("/unsafe/x") });
+    expect_bounded (press_and_watch (&crowd, gateway ().daemon.pid,
+                                     gateway ().address, kPressMs));
+  }
+  expect_served ("after the crowd");
+}
+
 // Guards against bodies that add up before the first configuration.
 TEST_F (CrowdOfClients, UnfinishedChunksBeforeTheConfiguration)
 {
