fix(transport): read no further requests from a peer that takes no answers

What was seen: 128 clients that send requests for a page without reading the answers made a sidecar hold 120 MB (each time). On the public port, refusals of pipelined requests grew without end: 33 MB by 8 clients in 2 s.

Cause: requests that are answered at once were parsed one after the other whatever was still unsent, and each from within the callback of the one before: 64 KB of short requests were some thousand nested calls, each with its own copy of the rest.

Fix: messages are parsed in one loop; h1_conn_next_message lets it go on. While more than 64 KB of earlier answers are unsent, the next request is neither read nor parsed; reading goes on once they are sent.

A connection to a target that has bytes behind an answer is not used again, as before: the loop tells by has_more.

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -305,7 +305,8 @@
   bool is_in_message = client->conn.is_in_message;
   if (!is_in_message || client->conn.is_lingering)
     {
-      if (client->conn.is_lingering || !h1_conn_has_unread (&client->conn))
+      if (client->conn.is_lingering || client->conn.is_clogged
+          || !h1_conn_has_unread (&client->conn))
         h1_conn_close (&client->conn, false);
       return;
     }
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -10,6 +10,8 @@
 enum
 {
   READ_BUFFER_BYTES = 65536,
+  /// Answers that a peer has not taken, above which its next request waits.
+  MAX_UNSENT_BYTES = 65536,
   /// A connection ends when sent data or probes stay unacknowledged for this
   /// long. Round trips take a few ms, and a few lost packets are retransmitted
   /// within 1 s.
@@ -178,23 +180,20 @@
   .on_message_complete = parse_message_end,
 };
 
-/// Parse `bytes`. Bytes after the end of a message are buffered for
-/// h1_conn_next_message.
-static void
+/// Parse up to the end of a message.
+/// @return  Number of bytes that were used.
+static size_t
 conn_parse (h1_conn_t *conn, const char *bytes, size_t len_bytes)
 {
-  conn->is_parsing = true;
   size_t used
       = http_parser_execute (&conn->parser, &parse_settings, bytes, len_bytes);
-  conn->is_parsing = false;
   if (conn->is_closing || conn->is_ended)
-    return;
+    return used;
   if (conn->is_message_complete)
     {
-      if (used < len_bytes)
-        kb_buf_append (&conn->pipelined, bytes + used, len_bytes - used);
+      conn->has_more = used < len_bytes;
       conn->events->on_message (conn);
-      return;
+      return used;
     }
   bool is_head_open = conn->is_in_message && !conn->head.is_complete;
   if (conn->is_head_oversized || (is_head_open && head_is_too_long (conn)))
@@ -202,6 +201,56 @@
   else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK
            || conn->parser.upgrade != 0)
     conn_end (conn, H1_END_MALFORMED);
+  return used;
+}
+
+/// @return  Whether a peer takes too little of the answers to its earlier
+///          requests for another one to be read.
+static bool
+conn_is_clogged (const h1_conn_t *conn)
+{
+  return !conn->is_client && !conn->is_message_complete
+         && conn->unsent_bytes > MAX_UNSENT_BYTES;
+}
+
+static bool
+conn_is_over (const h1_conn_t *conn)
+{
+  return conn->is_closing || conn->is_ended || conn->is_lingering;
+}
+
+/// Parse messages as long as the owner goes on with the next one at once. The
+/// rest is buffered for h1_conn_next_message.
+static void
+conn_parse_all (h1_conn_t *conn, const char *bytes, size_t len_bytes)
+{
+  size_t at = 0;
+  conn->is_parsing = true;
+  while (at < len_bytes && !conn_is_over (conn) && !conn->is_message_complete
+         && !conn_is_clogged (conn))
+    at += conn_parse (conn, bytes + at, len_bytes - at);
+  conn->is_parsing = false;
+  if (conn_is_over (conn))
+    return;
+  if (at < len_bytes)
+    kb_buf_append (&conn->pipelined, bytes + at, len_bytes - at);
+  if (conn_is_clogged (conn))
+    {
+      conn->is_clogged = true;
+      h1_conn_pause (conn);
+    }
+}
+
+static void
+conn_parse_pipelined (h1_conn_t *conn)
+{
+  kb_buf_t bytes;
+  // The loop that called the owner parses the rest.
+  if (conn->is_parsing)
+    return;
+  kb_buf_move (&conn->pipelined, &bytes);
+  conn_parse_all (conn, bytes.ptr, bytes.len_bytes);
+  kb_buf_finish (&bytes);
 }
 
 static void
@@ -259,7 +308,7 @@
         conn_end (conn, H1_END_MALFORMED);
     }
   else if (nread > 0)
-    conn_parse (conn, buf->base, (size_t)nread);
+    conn_parse_all (conn, buf->base, (size_t)nread);
 }
 
 /// @return  Whether reading waits for its turn. A peer whose request is in
@@ -500,6 +549,19 @@
   free (write);
 }
 
+/// All queued bytes were handed to the kernel.
+static void
+conn_drained (h1_conn_t *conn)
+{
+  if (conn->events->on_drained != NULL)
+    conn->events->on_drained (conn);
+  if (!conn->is_clogged || conn_is_over (conn))
+    return;
+  conn->is_clogged = false;
+  h1_conn_resume (conn);
+  conn_parse_pipelined (conn);
+}
+
 static void
 conn_written (uv_write_t *req, int status)
 {
@@ -514,8 +576,8 @@
     conn_end (conn, H1_END_RESET);
   else if (conn->queued.len_bytes > 0)
     conn_write_queued (conn);
-  else if (conn->unsent_bytes == 0 && conn->events->on_drained != NULL)
-    conn->events->on_drained (conn);
+  else if (conn->unsent_bytes == 0)
+    conn_drained (conn);
 }
 
 static void
@@ -636,12 +698,7 @@
     return;
   conn->is_message_complete = false;
   http_parser_pause (&conn->parser, 0);
-  if (conn->pipelined.len_bytes == 0)
-    return;
-  kb_buf_t bytes;
-  kb_buf_move (&conn->pipelined, &bytes);
-  conn_parse (conn, bytes.ptr, bytes.len_bytes);
-  kb_buf_finish (&bytes);
+  conn_parse_pipelined (conn);
 }
 
 static void
@@ -657,6 +714,7 @@
     return;
   conn->is_lingering = true;
   conn->is_ended = false;
+  kb_buf_finish (&conn->pipelined);
   conn_write_queued (conn);
   uv_shutdown_t *req = kb_alloc (sizeof *req);
   if (uv_shutdown (req, (uv_stream_t *)&conn->tcp, linger_shutdown_done) != 0)
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -96,8 +96,10 @@
   bool is_reading;
   bool is_message_complete; ///< Parsing stops until h1_conn_next_message.
   bool is_in_message; ///< Between the first byte of a message and its end.
-  bool is_parsing;
-  bool is_writing; ///< A write is in progress.
+  bool is_parsing;    ///< Messages are being parsed.
+  bool has_more;      ///< Within on_message: bytes follow the message.
+  bool is_clogged;    ///< Reading waits until queued answers are sent.
+  bool is_writing;    ///< A write is in progress.
   bool is_closing;
   bool is_ended;          ///< on_end was called.
   bool is_head_method;    ///< Client side: the request is a HEAD.
