fix(transport): keep 32 connections to a page at the most

What was seen: 600 connections to the page of readiness that never ask took all 512 descriptors of a gateway, and no ordinary request was answered beside them, for as long as they stayed (each time).

Cause: the pages accept without limit and have no time-out. Connections of callers and the store share their descriptors.

Fix: of more than 32 connections the one that has asked for nothing for the longest is closed, so a probe that asks keeps its connection and a new one is always answered. The platform's probes and the metrics need two.

--- a/src/transport/pages.c
+++ b/src/transport/pages.c
@@ -6,13 +6,50 @@
 {
   BACKLOG = 64,
   MAX_HEADER_BYTES = 8192,
+  /// Beyond it, the connection that has asked for nothing for the longest is
+  /// closed.
+  MAX_CLIENTS = 32,
 };
 
-typedef struct
+struct pgs_client
 {
   h1_conn_t conn; ///< Must be first: the callbacks cast it to this type.
   pgs_server_t *server;
-} pgs_client_t;
+  pgs_client_t *prev;
+  pgs_client_t *next;
+};
+
+/// Add a client as the one that has asked last.
+static void
+client_link (pgs_client_t *client)
+{
+  pgs_server_t *server = client->server;
+  client->prev = server->last;
+  client->next = NULL;
+  *(server->last == NULL ? &server->first : &server->last->next) = client;
+  server->last = client;
+  server->client_count++;
+}
+
+static void
+client_unlink (pgs_client_t *client)
+{
+  pgs_server_t *server = client->server;
+  *(client->prev == NULL ? &server->first : &client->prev->next)
+      = client->next;
+  *(client->next == NULL ? &server->last : &client->next->prev) = client->prev;
+  server->client_count--;
+}
+
+/// Close the connection of a client. It counts no more.
+static void
+client_close (pgs_client_t *client, bool is_abort)
+{
+  if (client->conn.is_closing)
+    return;
+  client_unlink (client);
+  h1_conn_close (&client->conn, is_abort);
+}
 
 static void
 client_on_head (h1_conn_t *conn)
@@ -28,6 +65,8 @@
 client_on_message (h1_conn_t *conn)
 {
   pgs_client_t *client = (pgs_client_t *)conn;
+  client_unlink (client);
+  client_link (client);
   kb_buf_t body = { 0 };
   kb_buf_t response = { 0 };
   int http_status = client->server->handler (
@@ -44,7 +83,7 @@
   kb_buf_finish (&body);
   kb_buf_finish (&response);
   if (closes_connection)
-    h1_conn_close (conn, false);
+    client_close (client, false);
   else
     h1_conn_next_message (conn);
 }
@@ -52,7 +91,7 @@
 static void
 client_on_end (h1_conn_t *conn, h1_end_t end)
 {
-  h1_conn_close (conn, false);
+  client_close ((pgs_client_t *)conn, false);
 }
 
 static void
@@ -80,8 +119,11 @@
       = h1_conn_accept (&client->conn, server->loop, listener, &client_events,
                         client, MAX_HEADER_BYTES);
   client->server = server;
+  client_link (client);
   if (accepted != KB_OK)
-    h1_conn_close (&client->conn, false);
+    client_close (client, false);
+  else if (server->client_count > MAX_CLIENTS)
+    client_close (server->first, true);
 }
 
 kb_status_t
--- a/src/transport/pages.h
+++ b/src/transport/pages.h
@@ -6,6 +6,7 @@
 #include "transport/h1.h"
 
 typedef struct pgs_server pgs_server_t;
+typedef struct pgs_client pgs_client_t;
 
 /// Handle one request.
 /// @param body  Receives the body of the response.
@@ -18,6 +19,9 @@
   uv_tcp_t listener;
   pgs_handler_t handler;
   void *owner;
+  pgs_client_t *first; ///< The one that has asked for nothing the longest.
+  pgs_client_t *last;
+  uint32_t client_count;
 };
 
 /// Listen and serve.
