fix(transport): limit what peers hold of a sidecar

What was seen, each time: 128 peers that begin a frame of 8 MB and stop made a sidecar hold 269 MB, whether they had said who they are or not; 600 idle connections to its ports took all 512 descriptors.

Cause: a frame may have 8 MB for any peer, also the first one, which only holds a name; there is no sum, and connections are accepted without limit.

Fix: the first frame of a peer is as long as a name needs. Incomplete frames of the peers that opened their connections charge an account of 24 MB, three frames of the largest kind; beyond it the largest is dropped with its connection. Peers may take a quarter of the descriptors (1,024 of 4,096; the two-year size has 410 daemons); beyond it those without a name are closed first, then the most silent: gateways send at least a state each heartbeat. Connections that the process opened itself are not touched.

Not covered: a stranger on the inner network who takes the name of a gateway.

--- a/src/transport/peerlink.c
+++ b/src/transport/peerlink.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include "transport/h1.h"
 #include "transport/metrics.h"
@@ -10,6 +11,11 @@
 enum
 {
   LISTEN_BACKLOG = 512,
+  /// Part of the descriptors that peers may take.
+  DESCRIPTOR_PARTS = 4,
+  /// Incomplete frames of all peers. A frame is up to 8 MB, for a page of the
+  /// store; few are under way at the same time.
+  MAX_PARTIAL_BYTES = 24 << 20,
   RECONNECT_MIN_MS = 50,
   RECONNECT_MAX_MS = 1000,
 };
@@ -34,10 +40,14 @@
   if (status != 0)
     return;
   plk_conn_t *conn = plk_conn_create (link);
+  conn->is_accepted = true;
+  link->accepted_count++;
+  kb_buf_set_account (&conn->partial_frame, &link->partial_frames);
   if (uv_accept (listener, (uv_stream_t *)&conn->tcp) == 0)
     plk_conn_start_read (conn);
   else
     plk_conn_close (conn);
+  plk_conns_limit (link);
 }
 
 /// The connection of a dialer was closed: reconnects with exponential backoff.
@@ -94,6 +104,15 @@
   plk_conn_close (conn);
 }
 
+static uint32_t
+max_accepted (void)
+{
+  struct rlimit limit;
+  bool is_known
+      = getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < UINT32_MAX;
+  return is_known ? (uint32_t)limit.rlim_cur / DESCRIPTOR_PARTS : UINT32_MAX;
+}
+
 void
 plk_link_init (plk_link_t *link, uv_loop_t *loop, tmr_service_t *timers,
                const plk_events_t *events, void *owner, const char *name)
@@ -102,6 +121,8 @@
                         .owner = owner,
                         .loop = loop,
                         .timers = timers,
+                        .max_accepted = max_accepted (),
+                        .partial_frames.limit_bytes = MAX_PARTIAL_BYTES,
                         .read_buffer = kb_alloc (PLK_READ_BYTES) };
   snprintf (link->name, sizeof link->name, "%s", name);
 }
--- a/src/transport/peerlink.h
+++ b/src/transport/peerlink.h
@@ -45,12 +45,15 @@
   char name[PLK_NAME_BYTES];
   uv_tcp_t listener;
   bool is_listening;
-  kb_map_t peers;    ///< Established plk_conn_t, by peer name.
-  kb_map_t dialers;  ///< plk_dialer_t, by address.
-  plk_conn_t *conns; ///< All connections that are not closing,
-                     ///< including those that are still opening.
-  char *read_buffer; ///< Shared by all connections: reads are
-                     ///< processed immediately.
+  kb_map_t peers;          ///< Established plk_conn_t, by peer name.
+  kb_map_t dialers;        ///< plk_dialer_t, by address.
+  plk_conn_t *conns;       ///< All connections that are not closing,
+                           ///< including those that are still opening.
+  uint32_t accepted_count; ///< Of those, connections that peers opened.
+  uint32_t max_accepted;
+  kb_account_t partial_frames; ///< Of peers that opened their connections.
+  char *read_buffer;           ///< Shared by all connections: reads are
+                               ///< processed immediately.
   kb_buf_t scratch;
 };
 
--- a/src/transport/peerlink_conn.c
+++ b/src/transport/peerlink_conn.c
@@ -27,6 +27,11 @@
 /// Start of the hello frame; the name follows.
 static const char hello_prefix[] = "knapweedbay-peer/1 ";
 
+enum
+{
+  MAX_HELLO_BYTES = sizeof hello_prefix + PLK_NAME_BYTES,
+};
+
 /// Bytes that the kernel did not accept immediately.
 typedef struct
 {
@@ -59,6 +64,7 @@
     link->conns = conn->next;
   if (conn->next != NULL)
     conn->next->prev = conn->prev;
+  link->accepted_count -= conn->is_accepted;
   if (conn->on_close != NULL)
     conn->on_close (conn);
   uv_close ((uv_handle_t *)&conn->tcp, conn_on_closed);
@@ -74,7 +80,9 @@
 plk_conn_create (plk_link_t *link)
 {
   plk_conn_t *conn = kb_alloc (sizeof *conn);
-  *conn = (plk_conn_t){ .link = link, .next = link->conns };
+  *conn = (plk_conn_t){ .link = link,
+                        .next = link->conns,
+                        .read_ms = uv_now (link->loop) };
   if (link->conns != NULL)
     link->conns->prev = conn;
   link->conns = conn;
@@ -85,6 +93,57 @@
   return conn;
 }
 
+/// @return  Whether `a` is closed rather than `b`.
+static bool
+conn_is_less_useful (const plk_conn_t *a, const plk_conn_t *b)
+{
+  bool is_known = a->name[0] != '\0';
+  if (is_known != (b->name[0] != '\0'))
+    return !is_known;
+  return a->read_ms < b->read_ms;
+}
+
+static plk_conn_t *
+find_least_useful (const plk_link_t *link)
+{
+  plk_conn_t *found = NULL;
+  for (plk_conn_t *conn = link->conns; conn != NULL; conn = conn->next)
+    if (conn->is_accepted
+        && (found == NULL || conn_is_less_useful (conn, found)))
+      found = conn;
+  return found;
+}
+
+static plk_conn_t *
+find_largest_frame (const plk_link_t *link)
+{
+  plk_conn_t *found = NULL;
+  for (plk_conn_t *conn = link->conns; conn != NULL; conn = conn->next)
+    if (conn->is_accepted
+        && (found == NULL
+            || conn->partial_frame.cap_bytes > found->partial_frame.cap_bytes))
+      found = conn;
+  return found;
+}
+
+static void
+conn_drop (plk_conn_t *conn)
+{
+  MET_INC ("knapweedbay_inner_peers_dropped_total", "");
+  plk_conn_close (conn);
+  // Not within plk_conn_close: a frame of the buffer may be in use there.
+  kb_buf_finish (&conn->partial_frame);
+}
+
+void
+plk_conns_limit (plk_link_t *link)
+{
+  while (link->accepted_count > link->max_accepted)
+    conn_drop (find_least_useful (link));
+  while (link->partial_frames.held_bytes > link->partial_frames.limit_bytes)
+    conn_drop (find_largest_frame (link));
+}
+
 static void
 conn_set_options (plk_conn_t *conn)
 {
@@ -239,7 +298,9 @@
   while (!conn->is_closing && len_bytes - offset >= FRAME_LENGTH_BYTES)
     {
       uint32_t frame_bytes = frame_read_length (bytes + offset);
-      if (frame_bytes > MAX_FRAME_BYTES)
+      uint32_t max_bytes
+          = conn->name[0] == '\0' ? MAX_HELLO_BYTES : MAX_FRAME_BYTES;
+      if (frame_bytes > max_bytes)
         {
           MET_INC ("knapweedbay_inner_dropped_total", "reason=\"too_long\"");
           plk_conn_close (conn);
@@ -289,7 +350,11 @@
   if (nread < 0)
     plk_conn_close (conn);
   else if (nread > 0)
-    conn_receive_bytes (conn, buffer->base, (size_t)nread);
+    {
+      conn->read_ms = uv_now (conn->link->loop);
+      conn_receive_bytes (conn, buffer->base, (size_t)nread);
+      plk_conns_limit (conn->link);
+    }
 }
 
 void
--- a/src/transport/peerlink_conn.h
+++ b/src/transport/peerlink_conn.h
@@ -20,6 +20,8 @@
   char name[PLK_NAME_BYTES]; ///< Name of the peer; empty until it is known.
   kb_buf_t partial_frame;    ///< Received part of an incomplete frame.
   tmr_timer_t open_timer;
+  uint64_t read_ms; ///< When something was received last, or it was opened.
+  bool is_accepted; ///< The peer has opened it.
   bool is_closing;
   void (*on_close) (plk_conn_t *conn); ///< May be NULL.
   void *owner;                         ///< Context for on_close.
@@ -35,6 +37,10 @@
 /// Creates a connection that is not open yet. It is closed if
 /// plk_conn_set_name is not called within a timeout.
 plk_conn_t *plk_conn_create (plk_link_t *link);
+/// Closes connections that peers have opened, while there are too many or
+/// their incomplete frames take too much memory. Peers that have not said who
+/// they are go first, then the most silent, or the largest frames.
+void plk_conns_limit (plk_link_t *link);
 /// Starts reading; the socket must be open.
 void plk_conn_start_read (plk_conn_t *conn);
 /// Closes the connection. It is freed once the loop has closed its handle.
