fix(gateway): end the time for a body with the time for its request

What was seen: a client that sends a byte of its body now and then stayed open for ever, also long after its own deadline; before the first configuration a silent one did, too.

Cause: any byte begins the idle time anew, and the timer for the deadline and for the route's timeout starts only with the whole body. Without a configuration there was no time limit at all.

Fix: the timer starts with the head. A body that is not complete then is refused with 408: it cannot be served in time any more, and did not run. A client within the limits meets nothing new, as it has left by then or would be refused (no_time_left). Without a configuration a head has 10 s, a pause 60 s, a request 60 s.

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -13,8 +13,10 @@
   HTTP_TIMEOUT = 408,
   HTTP_TOO_LARGE = 413,
   HTTP_HEADER_TOO_LARGE = 431,
-  /// Limit before the first configuration is known.
+  // Limits before the first configuration is known.
   DEFAULT_MAX_HEADER_BYTES = 16384,
+  DEFAULT_HEADER_TIMEOUT_MS = 10000,
+  DEFAULT_IDLE_TIMEOUT_MS = 60000,
   /// Idle connections that are closed in a tick while new ones wait and there
   /// is no room for them, and how long they have been idle at least.
   MAX_CLOSED_FOR_ROOM = 8,
@@ -133,7 +135,7 @@
     return;
   if (client->request != NULL)
     {
-      gtw_request_start (client->request);
+      gtw_request_dispatch (client->request);
       return;
     }
   bool may_come_back = client->refusal.http_status == 503;
@@ -287,13 +289,19 @@
   const h1_conn_t *conn = &client->conn;
   if (conn->is_lingering)
     return client->last_progress_ms + DRAIN_MS;
-  if (config == NULL || conn->is_message_complete)
+  if (conn->is_message_complete)
     return 0;
+  uint64_t header_timeout_ms = DEFAULT_HEADER_TIMEOUT_MS;
+  uint64_t idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
+  if (config != NULL)
+    {
+      header_timeout_ms = config->limits.header_timeout_ms;
+      idle_timeout_ms = config->limits.idle_timeout_ms;
+    }
   bool is_head_open = conn->is_in_message && client->request == NULL
                       && client->refusal.http_status == 0;
-  return is_head_open
-             ? conn->began_ms + config->limits.header_timeout_ms
-             : client->last_progress_ms + config->limits.idle_timeout_ms;
+  return is_head_open ? conn->began_ms + header_timeout_ms
+                      : client->last_progress_ms + idle_timeout_ms;
 }
 
 static void
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -576,8 +576,6 @@
 /// Create a request from the client's complete head.
 /// @return  NULL when it is refused, with the reason in `client->refusal`.
 gtw_request_t *gtw_request_create (gtw_client_t *client);
-/// Start a request whose body is complete.
-void gtw_request_start (gtw_request_t *r);
 /// Release everything that a request holds, and free it.
 void gtw_request_end (gtw_request_t *r);
 /// Choose a target, then request a place there or send.
--- a/src/gateway/gateway_memory.c
+++ b/src/gateway/gateway_memory.c
@@ -90,7 +90,7 @@
                (int64_t)gateway->host.memory.limit_bytes);
       log_end (&line);
     }
-  if (r != NULL && r->stage != GTW_STAGE_READING_BODY
+  if (r != NULL && client->conn.is_message_complete
       && r->stage != GTW_STAGE_RELAYING)
     {
       gtw_request_refuse (r, "short_of_memory", MIN_RETRY_AFTER_MS);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -14,6 +14,7 @@
 {
   HTTP_BAD_REQUEST = 400,
   HTTP_NOT_FOUND = 404,
+  HTTP_TIMEOUT = 408,
   HTTP_TOO_LARGE = 413,
   HTTP_TOO_MANY = 429,
   HTTP_BAD_GATEWAY = 502,
@@ -127,7 +128,8 @@
   uint64_t deadline_ms
       = parsed->deadline_ms > 0 ? parsed->deadline_ms : DEFAULT_DEADLINE_MS;
   r->deadline_ms = r->arrived_ms + deadline_ms;
-  r->timeout_ms = r->deadline_ms;
+  // Until its route is known.
+  r->timeout_ms = r->arrived_ms + DEFAULT_DEADLINE_MS;
   if (parsed->adapter.len_bytes > 0)
     r->adapter_key = ver_key (parsed->model, parsed->adapter, r->adapter_name,
                               sizeof r->adapter_name);
@@ -160,6 +162,35 @@
                                  : gateway->config->limits.max_body_bytes;
 }
 
+static void
+request_on_expiry (void *arg)
+{
+  gtw_request_t *r = arg;
+  if (!r->client->conn.is_message_complete)
+    {
+      gtw_client_refuse_unfinished (r->client, HTTP_TIMEOUT,
+                                    "the request did not arrive in time", 0);
+      return;
+    }
+  if (r->stage != GTW_STAGE_SENT && r->stage != GTW_STAGE_RELAYING)
+    {
+      gtw_request_refuse (r, "timeout_unsent", 0);
+      return;
+    }
+  gtw_quarantine_record_end (r, END_EXPIRED);
+  gtw_log_attempt (r, "attempt_broken", end_row (END_EXPIRED)->name);
+  gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
+}
+
+static void
+request_arm_expiry (gtw_request_t *r)
+{
+  uint64_t left_ms
+      = gtw_remaining_ms (gtw_request_expiry_ms (r), gtw_now_ms (r->gateway));
+  tmr_start_once (&r->gateway->host.timers, &r->expiry_timer, left_ms,
+                  request_on_expiry, r);
+}
+
 gtw_request_t *
 gtw_request_create (gtw_client_t *client)
 {
@@ -184,11 +215,12 @@
   if (stopped_ms > STOP_REFUSE_MS)
     return refuse_head (client, HTTP_UNAVAILABLE, "this process stops");
   gtw_request_t *r = request_add (client, &parsed);
-  if (gateway->config == NULL)
-    return r;
-  gtw_refusal_t refusal = request_route (r);
+  gtw_refusal_t refusal = { 0 };
+  if (gateway->config != NULL)
+    refusal = request_route (r);
   if (refusal.http_status == 0)
     {
+      request_arm_expiry (r);
       if (r->kind == SVC_KIND_STREAM && parsed.is_resume)
         gtw_log_continuation (r);
       return r;
@@ -285,36 +317,6 @@
   gtw_request_refuse (r, "quarantined", hold_ms);
 }
 
-static void
-request_on_expiry (void *arg)
-{
-  gtw_request_t *r = arg;
-  if (r->stage != GTW_STAGE_SENT && r->stage != GTW_STAGE_RELAYING)
-    {
-      gtw_request_refuse (r, "timeout_unsent", 0);
-      return;
-    }
-  gtw_quarantine_record_end (r, END_EXPIRED);
-  gtw_log_attempt (r, "attempt_broken", end_row (END_EXPIRED)->name);
-  gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
-}
-
-static void
-request_arm_expiry (gtw_request_t *r)
-{
-  uint64_t left_ms
-      = gtw_remaining_ms (gtw_request_expiry_ms (r), gtw_now_ms (r->gateway));
-  tmr_start_once (&r->gateway->host.timers, &r->expiry_timer, left_ms,
-                  request_on_expiry, r);
-}
-
-void
-gtw_request_start (gtw_request_t *r)
-{
-  request_arm_expiry (r);
-  gtw_request_dispatch (r);
-}
-
 void
 gtw_request_exclude_target (gtw_request_t *r)
 {
--- a/test/relay/crowd_failure_test.cc
+++ b/test/relay/crowd_failure_test.cc
@@ -153,6 +153,27 @@
       { .first = chunked_head () + unfinished_body (), .drip = chunk ("x") });
 }
 
+// Guards against a body that never ends because its client stays active.
+TEST_F (CrowdOfClients, DrippingBodyIsGivenUpAtItsDeadline)
+{
+  ASSERT_NO_FATAL_FAILURE (start ());
+  Call call = plain_call ("drip", "/unsafe/x");
+  call.method = "POST";
+  call.deadline_ms = 1000;
+  call.headers = "Transfer-Encoding: chunked\r\n";
+  auto connection = dial (gateway ().address);
+  ASSERT_NE (connection, nullptr);
+  connection->write (call.text ());
+  std::string answer;
+  EXPECT_TRUE (Site::wait_for ([&] {
+    connection->write (chunk ("x"));
+    answer = connection->read_some (kDripMs);
+    return !answer.empty ();
+  })) << "the body is still read";
+  EXPECT_EQ (answer.find ("HTTP/1.1 408"), 0U) << answer;
+  EXPECT_EQ (site.runs_of ("drip"), 0);
+}
+
 // Guards against bodies with a length that lack their last byte.
 TEST_F (CrowdOfClients, BodiesShortOfTheirLength)
 {
