fix(entry): read a completion request without a tree of its values

Cause: the whole body became a json-c tree, some hundred times its size, for three members; it was printed to replace one. Before that all keys of all objects went into a set.

Fix: jsn_walk_members checks the text by RFC 8259 and passes the members of the outermost object on as text. Only model, stream and max_tokens are decoded; the body is copied with the model and the priority replaced. Memory does not depend on the values.

What changes for callers: comments, trailing commas and control characters in strings, which json-c accepts, are refused with 400, place and reason; a request has 1,000 members at the most; a name that stands twice is refused in the outermost object only, also when it is written with escapes, so that the engine cannot read another model than the entry. Numbers and escapes reach the engine as sent. A limit on the number of values was weighed: a prompt of tokens has 100,000, and that many empty objects still take 80 MB.

ModelForms checked that the rewritten body contains the model; it compares the whole body now.

--- a/src/daemon/entry_http.c
+++ b/src/daemon/entry_http.c
@@ -190,27 +190,20 @@
 {
   kb_error_t error = { 0 };
   oai_request_t parsed;
-  struct json_object *doc;
-  if (oai_request_parse (http->body, &parsed, &doc, &error) != KB_OK)
+  if (oai_request_parse (http->body, &parsed, &error) != KB_OK)
     return refuse (refusal, HTTP_BAD_REQUEST, "%s", error.message);
   const cfg_config_t *config = entry->config.current;
   const cfg_adapter_t *adapter
       = cfg_adapter_find (config, kb_slice_str (parsed.adapter));
   if (adapter == NULL)
-    {
-      json_object_put (doc);
-      return refuse (refusal, HTTP_NOT_FOUND, "unknown adapter \"%s\"",
-                     parsed.adapter);
-    }
+    return refuse (refusal, HTTP_NOT_FOUND, "unknown adapter \"%s\"",
+                   parsed.adapter);
   r->version = parsed.version != 0 ? parsed.version : adapter->current;
   const cfg_version_t *version = cfg_version_find (adapter, r->version);
   if (version == NULL)
-    {
-      json_object_put (doc);
-      return refuse (refusal, HTTP_NOT_FOUND,
-                     "adapter \"%s\" has no version %" PRIu32, parsed.adapter,
-                     r->version);
-    }
+    return refuse (refusal, HTTP_NOT_FOUND,
+                   "adapter \"%s\" has no version %" PRIu32, parsed.adapter,
+                   r->version);
   const cfg_service_t *service = &config->services[adapter->service];
   snprintf (r->service, sizeof r->service, "%s", service->name);
   snprintf (r->adapter, sizeof r->adapter, "%s", adapter->name);
@@ -223,8 +216,8 @@
       = cfg_priority_class (config, workspace, kb_slice_str (service->name),
                             kb_slice_str (adapter->name));
   r->flags |= parsed.is_stream ? MSG_FLAG_STREAM : 0;
-  oai_request_rewrite (doc, r->model, r->priority_class, &r->body);
-  json_object_put (doc);
+  oai_request_rewrite (http->body, &parsed, r->model, r->priority_class,
+                       &r->body);
   return read_idempotency (http, service->is_idempotent, r, refusal);
 }
 
--- a/src/protocol/openai.h
+++ b/src/protocol/openai.h
@@ -10,6 +10,7 @@
 enum
 {
   OAI_MODEL_BYTES = 256,
+  OAI_MAX_MEMBERS = 1000,   ///< Of a request.
   OAI_DEFAULT_TOKENS = 128, ///< If a request has no "max_tokens".
 };
 
@@ -19,17 +20,20 @@
   uint32_t version; ///< Zero: the version configured as current.
   bool is_stream;
   uint32_t max_tokens;
+  kb_slice_t model_text;    ///< Of the member in the body.
+  kb_slice_t priority_text; ///< The same; a NULL pointer: it has none.
 } oai_request_t;
 
-/// Parse a completion request. Its model is "NAME" or "NAME@VERSION".
-/// @param doc  Receives the parsed body for oai_request_rewrite, which the
-///             caller releases with json_object_put; NULL on error.
+/// Parse a completion request. Its model is "NAME" or "NAME@VERSION". Only
+/// the members that are needed are decoded; the others are checked.
+/// @param out  Refers to the body.
 /// @return  KB_EINVAL if the body is invalid.
 kb_status_t oai_request_parse (kb_slice_t body, oai_request_t *out,
-                               struct json_object **doc, kb_error_t *error);
+                               kb_error_t *error);
 /// Append the body with its model replaced and its priority set.
-void oai_request_rewrite (struct json_object *doc, const char *model,
-                          uint64_t priority, kb_buf_t *out);
+/// @param parsed  Of this body.
+void oai_request_rewrite (kb_slice_t body, const oai_request_t *parsed,
+                          const char *model, uint64_t priority, kb_buf_t *out);
 /// Check that an answer, or one event of a stream, is from this model.
 /// @return  KB_EINVAL if it is not JSON, KB_ECONFLICT if it names another
 ///          model.
--- a/test/unit/document_test.cc
+++ b/test/unit/document_test.cc
@@ -260,25 +260,20 @@
 TEST (OpenAi, ModelForms)
 {
   oai_request_t r;
-  json_object *doc;
   kb_error_t error = {};
-  ASSERT_EQ (
-      oai_request_parse (slice ("{\"model\":\"a@b@12\",\"stream\":true}"), &r,
-                         &doc, &error),
-      KB_OK);
+  kb_slice_t body = kb_slice_str ("{\"model\":\"a@b@12\",\"stream\":true}");
+  ASSERT_EQ (oai_request_parse (body, &r, &error), KB_OK);
   EXPECT_STREQ (r.adapter, "a@b");
   EXPECT_EQ (r.version, 12u);
   EXPECT_TRUE (r.is_stream);
   kb_buf_t out = {};
-  oai_request_rewrite (doc, "z@1", 3, &out);
-  EXPECT_NE (std::string (out.ptr).find ("\"z@1\""), std::string::npos);
+  oai_request_rewrite (body, &r, "z@1", 3, &out);
+  EXPECT_STREQ (out.ptr, "{\"model\":\"z@1\",\"priority\":3,\"stream\":true}");
   kb_buf_finish (&out);
-  json_object_put (doc);
   for (const char *bad :
        { "{}", "{\"model\":3}", "{\"model\":\"@1\"}", "{\"model\":\"a@0\"}",
          "{\"model\":\"a@\"}", "{\"model\":\"a\",\"max_tokens\":0}" })
-    EXPECT_EQ (oai_request_parse (kb_slice_str (bad), &r, &doc, &error),
-               KB_EINVAL)
+    EXPECT_EQ (oai_request_parse (kb_slice_str (bad), &r, &error), KB_EINVAL)
         << bad;
   EXPECT_EQ (oai_answer_check (slice ("{\"model\":\"a@1\"}"), "a@1"), KB_OK);
   EXPECT_EQ (oai_answer_check (slice ("{\"model\":\"a@2\"}"), "a@1"),
@@ -286,6 +281,62 @@
   EXPECT_EQ (oai_answer_check (slice ("{\"model\":"), "a@1"), KB_EINVAL);
 }
 
+TEST (OpenAi, RewritesNothingElse)
+{
+  struct
+  {
+    const char *before;
+    const char *after;
+  } cases[] = {
+    { " { \"priority\" : 9 , \"x\":[1,{\"model\":\"n\"}], \"model\" : \"a\" "
+      "} ",
+      " { \"priority\" : 3 , \"x\":[1,{\"model\":\"n\"}], \"model\" : \"z@1\" "
+      "} " },
+    { "{\"mod\\u0065l\":\"a\",\"priority\":[1,2]}",
+      "{\"mod\\u0065l\":\"z@1\",\"priority\":3}" },
+    { "{\"a\":\"\\\"\\u00e9\\n\",\"model\":\"a\"}",
+      "{\"a\":\"\\\"\\u00e9\\n\",\"model\":\"z@1\",\"priority\":3}" },
+  };
+  for (const auto &c : cases)
+    {
+      oai_request_t r;
+      kb_error_t error = {};
+      kb_slice_t body = kb_slice_str (c.before);
+      ASSERT_EQ (oai_request_parse (body, &r, &error), KB_OK) << error.message;
+      kb_buf_t out = {};
+      oai_request_rewrite (body, &r, "z@1", 3, &out);
+      EXPECT_STREQ (out.ptr, c.after);
+      kb_buf_finish (&out);
+    }
+}
+
+// Guards against a body of which the entry and the engine read different
+// members.
+TEST (OpenAi, RefusesNamesThatStandTwice)
+{
+  oai_request_t r;
+  for (const char *bad :
+       { "{\"model\":\"a\",\"model\":\"b\"}",
+         "{\"model\":\"a\",\"mod\\u0065l\":\"b\"}",
+         "{\"model\":\"a\",\"x\":1,\"x\":2}",
+         "{\"model\":\"a\",\"priority\":1,\"\\u0070riority\":1}" })
+    {
+      kb_error_t error = {};
+      EXPECT_EQ (oai_request_parse (kb_slice_str (bad), &r, &error), KB_EINVAL)
+          << bad;
+      EXPECT_NE (std::string (error.message).find ("stands twice"),
+                 std::string::npos)
+          << error.message;
+    }
+  std::string many = "{\"model\":\"a\"";
+  for (int i = 0; i < OAI_MAX_MEMBERS; i++)
+    many += ",\"" + std::to_string (i) + "\":0";
+  many += "}";
+  kb_error_t error = {};
+  EXPECT_EQ (oai_request_parse (kb_slice_str (many.c_str ()), &r, &error),
+             KB_EINVAL);
+}
+
 TEST (Message, EveryTypeRoundTrips)
 {
   for (int type = MSG_HELLO; type < MSG_TYPE_END; type++)
