fix(transport): serve HTTP/1.1 alone on the own interface

Cause: h2o takes HTTP/2 in clear text after its preface, 100 streams a connection, each with a body up to the limit. What h2o kept afterwards was not traced: its pools are not entered any more.

Fix: upgrade_to_http2 is off. Over TLS no protocol is negotiated, so HTTP/1.1 was and is spoken there.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -215,6 +215,8 @@
   h2o_config_init (&impl->config);
   impl->config.max_request_entity_size = options->max_body_bytes;
   impl->config.http1.req_timeout = options->read_timeout_ms;
+  // A connection of HTTP/2 would hold as many bodies as it opens streams.
+  impl->config.http1.upgrade_to_http2 = 0;
   impl->config.server_name = h2o_iovec_init (H2O_STRLIT ("knapweedbay"));
   h2o_hostconf_t *host = h2o_config_register_host (
       &impl->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
