fix(entry): bound what all callers together make an entry hold

What was seen, each time: 128 callers that stop short of the end of a body of 2 MB made an entry hold 160 to 178 MB, endless ones 478 MB, whole ones while their target hangs 343 MB; 64 MB are allowed.

Cause: h2o reads a whole body before the entry sees a request, for each of 8,192 connections, so neither max_inflight nor a key bounds it. A request is then held three times, and an answer until its caller takes it, however long.

Fix: one account, half of memory_mb. The server charges it with what h2o holds of requests, found out after each poll, and with answers that are not taken; the entry with bodies, the copies that wait for an agent, and answers. While it is over its limit, connections are shut down: those whose request is not complete, with 503 not_run, or whose callers take too little of their answer, the largest product of bytes and time first. Requests at work are not ended. A complete request is refused (503 not_run) unless two copies of its body fit; an eighth is kept for small ones. A caller that takes nothing of its answer for request_read_timeout_ms is closed by TCP_USER_TIMEOUT.

h2o offers no hook for bytes read; its public buffer tells its capacity, and a socket that was shut down ends the connection in its own way.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -6,6 +6,7 @@
 
 #include "protocol/openai.h"
 #include "transport/log.h"
+#include "transport/memlimit.h"
 #include "transport/metrics.h"
 #include "transport/trace.h"
 
@@ -35,6 +36,22 @@
   return dmn_name_id (kb_slice_str (daemon->settings.name));
 }
 
+bool
+dmn_has_memory (const dmn_daemon_t *daemon, size_t bytes)
+{
+  enum
+  {
+    LARGE_PERCENT = 88,
+    PERCENT = 100,
+    SMALL_BYTES = 65536,
+  };
+  const kb_account_t *memory = &daemon->memory;
+  uint64_t limit_bytes = memory->limit_bytes;
+  if (bytes > SMALL_BYTES)
+    limit_bytes = limit_bytes / PERCENT * LARGE_PERCENT;
+  return memory->held_bytes + bytes <= limit_bytes;
+}
+
 kb_status_t
 dmn_send (dmn_daemon_t *daemon, const char *peer, const msg_t *msg)
 {
@@ -210,6 +227,7 @@
   log_level_set (level);
   trc_configure (s->trace_stdout, s->name);
   signal (SIGPIPE, SIG_IGN);
+  daemon->memory.limit_bytes = mlm_peer_limit_bytes ((uint64_t)s->memory_mb);
   uv_loop_init (&daemon->loop);
   daemon->incarnation = dmn_random () | 1;
   daemon->attempt_base = dmn_random () << 32;
@@ -242,6 +260,7 @@
           .max_body_bytes = (uint64_t)s->max_body_bytes,
           .read_timeout_ms = (uint64_t)s->request_read_timeout_ms,
           .max_connections = (uint64_t)s->max_connections,
+          .memory = &daemon->memory,
           .policy = &daemon->accept.policy };
   acc_init (&daemon->accept);
   status = hts_server_init (&daemon->server, &daemon->loop, &daemon->timers,
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -48,6 +48,7 @@
   acc_accept_t accept; ///< Of callers' connections.
   lnk_link_t link;
   kvc_client_t kv;
+  kb_account_t memory; ///< Of what callers and peers make this process hold.
   uint16_t inner_port;
   uint64_t incarnation;
   uint64_t attempt_base; ///< Random upper half of attempt ids.
@@ -79,6 +80,9 @@
 uint64_t dmn_own_id (const dmn_daemon_t *daemon);
 /// @return  Hash of a daemon's name.
 uint64_t dmn_name_id (kb_slice_t name);
+/// @return  Whether there is memory for that many bytes more of a request.
+///          A part is kept for small requests.
+bool dmn_has_memory (const dmn_daemon_t *daemon, size_t bytes);
 /// Send a message to a peer.
 /// @param peer  Name of the peer.
 kb_status_t dmn_send (dmn_daemon_t *daemon, const char *peer,
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -86,6 +86,7 @@
   char *method;
   char *path;
   kb_buf_t body;
+  size_t queued_bytes;  ///< Charged for the copy that waits to be sent.
   uint64_t fingerprint; ///< Zero: not computed yet.
   /// Targets ended during it, so no other request may start at the same time.
   bool is_alone_attempt;
--- a/src/daemon/entry_http.c
+++ b/src/daemon/entry_http.c
@@ -115,13 +115,21 @@
 
 static bool
 check_limits (ent_entry_t *entry, const cfg_workspace_t *workspace,
-              ent_workspace_t *limits, refusal_t *refusal)
+              ent_workspace_t *limits, uint32_t body_bytes, refusal_t *refusal)
 {
   if (entry->request_count >= (uint32_t)entry->daemon->settings.max_inflight)
     {
       refusal->retry_after_ms = DEFAULT_RETRY_AFTER_MS;
       return refuse (refusal, HTTP_UNAVAILABLE, "the entry is full");
     }
+  // A copy is rewritten, and another one waits to be sent.
+  if (!dmn_has_memory (entry->daemon, 2 * (size_t)body_bytes))
+    {
+      MET_INC ("knapweedbay_callers_shed_total", "");
+      refusal->retry_after_ms = DEFAULT_RETRY_AFTER_MS;
+      return refuse (refusal, HTTP_UNAVAILABLE,
+                     "the entry is short of memory");
+    }
   if (workspace->max_inflight > 0
       && limits->inflight >= workspace->max_inflight)
     {
@@ -319,13 +327,17 @@
     }
   ent_workspace_t *limits
       = workspace == NULL ? NULL : workspace_limits (entry, workspace);
-  if (limits == NULL || !check_limits (entry, workspace, limits, &refusal))
+  if (limits == NULL
+      || !check_limits (entry, workspace, limits, http->body.len_bytes,
+                        &refusal))
     {
       reply_refusal (http, &refusal);
       return;
     }
   ent_request_t *r = kb_alloc (sizeof *r);
   r->entry = entry;
+  kb_buf_set_account (&r->body, &entry->daemon->memory);
+  kb_buf_set_account (&r->answer, &entry->daemon->memory);
   if (!read_request (entry, workspace, http, r, &refusal))
     {
       request_discard (r);
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -54,6 +54,7 @@
   if (r->next != NULL)
     r->next->prev = r->prev;
   entry->request_count--;
+  kb_account_release (&entry->daemon->memory, r->queued_bytes);
   free (r->source);
   free (r->method);
   free (r->path);
@@ -346,6 +347,11 @@
         ent_request_handle_not_run (r, "the target is not reachable", 0);
       return;
     }
+  if (r->queued_bytes == 0)
+    {
+      r->queued_bytes = r->body.len_bytes;
+      kb_account_charge (&entry->daemon->memory, r->queued_bytes);
+    }
   r->sent_us = tmr_now_us ();
   if (r->vm->route != RT_NONE && r->stage == ENT_STAGE_SENT)
     rt_record_sent (&entry->routes, r->vm->route, r->adapter_id);
@@ -499,7 +505,8 @@
     return;
   if (!request_is_streaming (r))
     {
-      if (r->answer.len_bytes + part->data.len_bytes <= MAX_ANSWER_BYTES)
+      if (r->answer.len_bytes + part->data.len_bytes <= MAX_ANSWER_BYTES
+          && dmn_has_memory (entry->daemon, part->data.len_bytes))
         kb_buf_append (&r->answer, part->data.ptr, part->data.len_bytes);
       else
         r->has_gap = true;
--- a/src/state/buf.h
+++ b/src/state/buf.h
@@ -48,6 +48,18 @@
   return (kb_slice_t){ text, (uint32_t)strlen (text) };
 }
 
+/// Charge an account for memory that is not in a buffer of this module.
+static inline void
+kb_account_charge (kb_account_t *account, size_t bytes)
+{
+  account->held_bytes += bytes;
+}
+static inline void
+kb_account_release (kb_account_t *account, size_t bytes)
+{
+  account->held_bytes -= bytes;
+}
+
 static inline bool
 kb_slice_equal (kb_slice_t a, kb_slice_t b)
 {
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -1,10 +1,12 @@
 #include "transport/httpd.h"
 
 #include <h2o.h>
+#include <netinet/tcp.h>
 #include <openssl/ssl.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "transport/httpd_conn.h"
 #include "transport/linger.h"
 #include "transport/metrics.h"
 
@@ -20,8 +22,15 @@
   h2o_context_t ctx;
   h2o_accept_ctx_t accept_ctx;
   lsn_listener_t listener;
+  uv_loop_t *loop;
+  uv_check_t after_poll;
+  kb_account_t *memory;
+  kb_account_t unlimited; ///< If none was given.
   uint64_t max_connections;
-  uint64_t connections;
+  uint64_t connection_count;
+  hsc_conn_t *connections;
+  uint64_t input_bytes; ///< Charged for what h2o holds of requests.
+  uint64_t looked_ms;   ///< When that was found out.
 } server_impl_t;
 
 typedef struct
@@ -54,7 +63,15 @@
 static void
 request_free (hts_request_t *request)
 {
+  server_impl_t *impl = request->server->impl;
+  hsc_conn_t *conn = request->connection;
   prs_peer_unwatch (&request->client);
+  kb_account_release (impl->memory, request->reply_bytes);
+  if (conn != NULL && conn->request == request)
+    {
+      conn->request = NULL;
+      conn->since_ms = uv_now (impl->loop);
+    }
   kb_buf_finish (&request->out);
   kb_buf_finish (&request->sending);
   free (request);
@@ -135,6 +152,16 @@
       &req->pool, sizeof *pool_entry, request_on_dispose);
   pool_entry->request = request;
   request->client.on_left = request_on_client_left;
+  server_impl_t *impl = server->impl;
+  kb_buf_set_account (&request->out, impl->memory);
+  kb_buf_set_account (&request->sending, impl->memory);
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+  if (sock != NULL)
+    {
+      hsc_conn_t *conn = sock->on_close.data;
+      request->connection = conn;
+      conn->request = request;
+    }
   int fd = request_fd (req);
   if (fd >= 0)
     prs_peer_watch (&server->watch, &request->client, fd);
@@ -151,8 +178,45 @@
 static void
 connection_closed (void *data)
 {
-  server_impl_t *impl = data;
-  impl->connections--;
+  hsc_conn_t *conn = data;
+  server_impl_t *impl = conn->owner;
+  if (conn->request != NULL)
+    conn->request->connection = NULL;
+  hsc_conn_unlink (&impl->connections, conn);
+  impl->connection_count--;
+  free (conn);
+}
+
+/// A peer that takes none of its response leaves no other sign.
+static void
+set_write_timeout (const server_impl_t *impl, uv_tcp_t *tcp)
+{
+  uv_os_fd_t fd;
+  unsigned timeout_ms = (unsigned)impl->config.http1.req_timeout;
+  if (uv_fileno ((uv_handle_t *)tcp, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                sizeof timeout_ms);
+}
+
+/// Charge the memory for what h2o holds of requests, and close connections
+/// while it is short. With more connections it is done less often.
+static void
+server_after_poll (uv_check_t *check)
+{
+  enum
+  {
+    CONNECTIONS_PER_MS = 512,
+  };
+  server_impl_t *impl = check->data;
+  uint64_t now_ms = uv_now (check->loop);
+  if (now_ms - impl->looked_ms < impl->connection_count / CONNECTIONS_PER_MS)
+    return;
+  impl->looked_ms = now_ms;
+  uint64_t input_bytes = hsc_conns_input_bytes (impl->connections);
+  kb_account_release (impl->memory, impl->input_bytes);
+  kb_account_charge (impl->memory, input_bytes);
+  impl->input_bytes = input_bytes;
+  hsc_conns_shed (impl->connections, impl->memory, now_ms);
 }
 
 static void
@@ -166,7 +230,7 @@
       uv_close ((uv_handle_t *)conn, listener_closed);
       return;
     }
-  if (impl->connections >= impl->max_connections)
+  if (impl->connection_count >= impl->max_connections)
     {
       MET_INC ("knapweedbay_http_refused_connections_total", "");
       uv_close ((uv_handle_t *)conn, listener_closed);
@@ -175,9 +239,11 @@
   uv_tcp_nodelay (conn, 1);
   h2o_socket_t *sock
       = h2o_uv_socket_create ((uv_stream_t *)conn, (uv_close_cb)free);
-  impl->connections++;
+  set_write_timeout (impl, conn);
   sock->on_close.cb = connection_closed;
-  sock->on_close.data = impl;
+  sock->on_close.data
+      = hsc_conn_create (&impl->connections, sock, impl, uv_now (impl->loop));
+  impl->connection_count++;
   h2o_accept (&impl->accept_ctx, sock);
 }
 
@@ -212,6 +278,13 @@
   server_impl_t *impl = kb_alloc (sizeof *impl);
   server->impl = impl;
   impl->max_connections = options->max_connections;
+  impl->loop = loop;
+  impl->unlimited.limit_bytes = UINT64_MAX;
+  impl->memory = options->memory == NULL ? &impl->unlimited : options->memory;
+  uv_check_init (loop, &impl->after_poll);
+  impl->after_poll.data = impl;
+  uv_check_start (&impl->after_poll, server_after_poll);
+  uv_unref ((uv_handle_t *)&impl->after_poll);
   h2o_config_init (&impl->config);
   impl->config.max_request_entity_size = options->max_body_bytes;
   impl->config.http1.req_timeout = options->read_timeout_ms;
@@ -319,6 +392,9 @@
   prs_peer_unwatch (&request->client);
   response_begin (request, http_status, content_type);
   req->res.content_length = body.len_bytes;
+  request->reply_bytes = body.len_bytes;
+  kb_account_charge (((server_impl_t *)request->server->impl)->memory,
+                     body.len_bytes);
   h2o_send_inline (req, body.ptr, body.len_bytes);
 }
 
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -35,6 +35,8 @@
   uint64_t max_body_bytes;
   uint64_t read_timeout_ms;
   uint64_t max_connections;
+  kb_account_t *memory; ///< Charged with what connections hold; while it is
+                        ///< over its limit, some are closed. NULL: no limit.
   lsn_policy_t
       *policy; ///< Of new connections; NULL: all are accepted at once.
 } hts_options_t;
@@ -58,9 +60,11 @@
   kb_slice_t method;
   kb_slice_t path; ///< Includes the query string.
   kb_slice_t body;
-  kb_buf_t out;     ///< Response data not yet passed to h2o.
-  kb_buf_t sending; ///< In use by h2o until it requests more data.
+  kb_buf_t out;       ///< Response data not yet passed to h2o.
+  kb_buf_t sending;   ///< In use by h2o until it requests more data.
+  size_t reply_bytes; ///< Of a complete response, until h2o releases it.
   prs_peer_t client;
+  void *connection;
   void *generator;
   bool is_streaming;
   bool is_sending;
--- a/test/system/crowd_test.cc
+++ b/test/system/crowd_test.cc
@@ -80,8 +80,10 @@
     ClusterOptions options;
     options.entries = 1;
     options.engines = 1;
-    options.extra_entry
-        = "\"max_body_bytes\":" + std::to_string (kMaxBodyBytes) + ",";
+    options.extra_agent
+        = "\"memory_mb\":" + std::to_string (kMachineKb / 1024) + ",";
+    options.extra_entry = options.extra_agent + "\"max_body_bytes\":"
+                          + std::to_string (kMaxBodyBytes) + ",";
     return options;
   }
 
