fix(agent): bound what entries make an agent hold

Cause: queue_limit counts requests, 2,000 of up to 1 MB, each held twice: in the attempt and in the copy that is sent to the target.

Fix: bodies, copies and answers charge the account of the daemon. An attempt whose body does not fit twice is refused as not run; the entry tries another agent or answers 503.

Not bounded: what ZeroMQ reads ahead (4,000 messages a peer). The agent empties it each turn, so it is full only while the process stands still.

--- a/src/daemon/agent_admit.c
+++ b/src/daemon/agent_admit.c
@@ -66,7 +66,12 @@
   r->source = kb_slice_dup (dispatch->source);
   r->method = kb_slice_dup (dispatch->method);
   r->path = kb_slice_dup (dispatch->path);
+  kb_buf_set_account (&r->body, &agent->daemon->memory);
+  kb_buf_set_account (&r->answer, &agent->daemon->memory);
+  kb_buf_set_account (&r->sent_stream, &agent->daemon->memory);
   kb_buf_append (&r->body, dispatch->body.ptr, dispatch->body.len_bytes);
+  r->copied_bytes = r->body.len_bytes;
+  kb_account_charge (&agent->daemon->memory, r->copied_bytes);
   uint64_t random[2] = { dmn_random (), dmn_random () };
   r->trace = trc_begin (dispatch->traceparent, random);
   trc_format_traceparent (&r->trace, r->traceparent);
@@ -158,6 +163,9 @@
   if (dispatch->revision < agent->revision
       && tmr_now_ms () - agent->revision_since_ms > STALE_REVISION_GRACE_MS)
     return "the entry's configuration is stale";
+  // A copy of the body is sent to the target.
+  if (!dmn_has_memory (agent->daemon, 2 * (size_t)dispatch->body.len_bytes))
+    return "the agent is short of memory";
   if (agent->queue.waiting >= (uint32_t)agent->daemon->settings.queue_limit)
     {
       agt_request_t *displaced
--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -51,6 +51,7 @@
   char *method;
   char *path;
   kb_buf_t body;
+  size_t copied_bytes; ///< Charged for the copy that is sent to the target.
   trc_context_t trace;
   char traceparent[TRC_TRACEPARENT_BYTES];
   uint64_t version;
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -117,6 +117,7 @@
   aln_block_ended (&r->agent->alone, &r->alone, tmr_now_ms ());
   aln_ended (&r->agent->alone, &r->alone);
   kb_map_remove (&r->agent->requests, r->attempt);
+  kb_account_release (&r->agent->daemon->memory, r->copied_bytes);
   free (r->source);
   free (r->method);
   free (r->path);
--- a/test/system/crowd_test.cc
+++ b/test/system/crowd_test.cc
@@ -256,6 +256,45 @@
   expect_served ("after the crowd");
 }
 
+// Guards against bodies that entries with more memory send on to an agent.
+TEST (CrowdBehindALargeEntry, WholeBodiesWhileTheTargetHangs)
+{
+  ClusterOptions options;
+  options.entries = 1;
+  options.engines = 1;
+  options.extra_entry
+      = "\"max_body_bytes\":" + std::to_string (kMaxBodyBytes) + ",";
+  options.extra_agent
+      = "\"memory_mb\":" + std::to_string (kMachineKb / 1024) + ",";
+  Cluster cluster (options);
+  cluster.start ();
+  ASSERT_TRUE (Cluster::wait_until (
+      [&] { return cluster.complete (0, "a1@1", "ordinary").status == 200; }));
+  kb::Target *plain = cluster.find_target (true);
+  cluster.fault (plain->fake, "{\"latency_ms\":4000}");
+  std::string address
+      = "127.0.0.1:" + std::to_string (cluster.entries[0].process.http_port);
+  {
+    Crowd crowd (address, kCrowd,
+                 { .first = with_length (std::string (kMaxBodyBytes, 'x'),
+                                         "/v1/services/map-query/look") });
+    Held held
+        = relay::press_and_watch (&crowd, plain->agent.pid, address, kPressMs);
+    printf ("held %ld kB, %d descriptors\n", held.memory_kb, held.descriptors);
+    EXPECT_LE (held.memory_kb, kMachineKb);
+    EXPECT_LE (held.descriptors, kMaxDescriptors);
+  }
+  cluster.fault (plain->fake, "{\"latency_ms\":0}");
+  EXPECT_TRUE (Cluster::wait_until ([&] {
+    return kb::http_call ("POST", cluster.entries[0].process.http_port,
+                          "/v1/services/map-query/look", "after",
+                          { "Authorization: Bearer kavango-key" })
+               .status
+           == 200;
+  })) << "no ordinary call is answered after the crowd";
+  EXPECT_EQ (Cluster::wait_exit (plain->agent, 0), -1);
+}
+
 /// @return  A frame of HTTP/2.
 std::string
 h2_frame (char type, char flags, uint32_t stream, const std::string &payload)
