--- a/test/relay/crowd.cc
+++ b/test/relay/crowd.cc
@@ -59,6 +59,9 @@
       client.fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       // A full queue of connections delays the next one by a second.
       fcntl (client.fd, F_SETFL, O_NONBLOCK);
+      if (script.receive_bytes > 0)
+        setsockopt (client.fd, SOL_SOCKET, SO_RCVBUF, &script.receive_bytes,
+                    sizeof script.receive_bytes);
       connect (client.fd, (const sockaddr *)&to, sizeof to);
     }
 }
--- a/test/relay/crowd.h
+++ b/test/relay/crowd.h
@@ -21,6 +21,7 @@
   std::string endless; ///< Sent again and again after that; empty: nothing.
   std::string drip;    ///< Sent each `kDripMs` after `first`; empty: nothing.
   bool reads = true;
+  int receive_bytes = 0; ///< Receive buffer of a client; 0: as the system has.
 };
 
 constexpr int kDripMs = 50;
--- a/test/relay/crowd_failure_test.cc
+++ b/test/relay/crowd_failure_test.cc
@@ -8,6 +8,7 @@
 
 #include "crowd.h"
 #include "site.h"
+#include "stream_script.h"
 
 namespace relay
 {
@@ -370,6 +371,42 @@
       { .first = head_of ("GET " + path, fields ("")), .reads = false });
 }
 
+// Guards against unread answers of connections that close behind them.
+TEST_F (CrowdOfClients, UnreadAnswersOfConnectionsThatClose)
+{
+  ASSERT_NO_FATAL_FAILURE (start ());
+  StreamScript answer;
+  for (int i = 1; i <= 5; i++)
+    answer.pieces.push_back (
+        numbered_event (std::to_string (i), std::string (60000, 'x')));
+  answer.piece_ms = 0;
+  site.engines[0].target->plan_streams (
+      [&] (const Message &request) -> std::optional<StreamScript> {
+        if (request.header ("x-large").empty ())
+          return std::nullopt;
+        return answer;
+      });
+  Call call = stream_call ("large", "", false);
+  call.headers += "X-Large: 1\r\nConnection: close\r\n";
+  std::vector<std::unique_ptr<Crowd>> clients;
+  std::vector<Crowd *> all;
+  for (int i = 0; i < kIdleCrowd; i++)
+    {
+      call.id = "large" + std::to_string (i);
+      clients.push_back (std::make_unique<Crowd> (
+          gateway ().address, 1,
+          Script{
+              .first = call.text (), .reads = false, .receive_bytes = 4096 }));
+      all.push_back (clients.back ().get ());
+    }
+  Held held = press_and_watch (all, gateway ().daemon.pid, gateway ().address,
+                               kPressMs);
+  printf ("held %ld kB, %d descriptors\n", held.memory_kb, held.descriptors);
+  EXPECT_LE (held.memory_kb, kMachineKb);
+  expect_served ("beside the crowd");
+  EXPECT_TRUE (site.are_daemons_running ());
+}
+
 // Guards against unfinished bodies that take all descriptors and stay active.
 TEST_F (CrowdOfClients, UnfinishedBodiesThatTakeAllDescriptors)
 {
--- a/test/system/crowd_test.cc
+++ b/test/system/crowd_test.cc
@@ -256,6 +256,42 @@
   expect_served ("after the crowd");
 }
 
+/// A plain service with one large answer.
+class LargeService : public relay::Server
+{
+public:
+  LargeService () : Server ("127.0.0.1") { start (); }
+  ~LargeService () override { stop (); }
+
+private:
+  bool
+  serve (relay::Connection &connection, const relay::Message &request) override
+  {
+    bool is_call = request.target ().find ("/look") != std::string::npos;
+    return connection.write (relay::make_response (
+        200, "", std::string (is_call ? 4 * kMaxBodyBytes : 2, 'x')));
+  }
+};
+
+// Guards against answers that add up for callers who do not read them.
+TEST_F (CrowdOfCallers, UnreadAnswers)
+{
+  LargeService service;
+  cluster.use_stand_in (*cluster.find_target (true), service.address ());
+  cluster.publish ();
+  ASSERT_TRUE (cluster.wait_ready ());
+  std::string path = "/v1/services/map-query/look";
+  ASSERT_TRUE (Cluster::wait_until ([&] {
+    return kb::http_call ("POST", entry ().http_port, path, "before",
+                          { "Authorization: Bearer kavango-key" })
+               .status
+           == 200;
+  }));
+  expect_borne ({ .first = with_length ("x", path),
+                  .reads = false,
+                  .receive_bytes = 4096 });
+}
+
 // Guards against bodies that entries with more memory send on to an agent.
 TEST (CrowdBehindALargeEntry, WholeBodiesWhileTheTargetHangs)
 {
