refactor: keep connections of the server and memory of callers out of rings

The list of connections asks for unsent bytes through a function, and clients report an exceeded limit through one, as requests that wait are retried.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -143,6 +143,12 @@
   gtw_requests_retry_waiting (arg);
 }
 
+static void
+gateway_relieve_memory (void *arg)
+{
+  gtw_memory_relieve (arg);
+}
+
 static void
 gateway_tick (void *arg)
 {
@@ -227,7 +233,8 @@
                               .dialect = deployment->dialect,
                               .gateway_count = 1,
                               .on_decided = gateway_resume_decided,
-                              .on_retry = gateway_retry_waiting };
+                              .on_retry = gateway_retry_waiting,
+                              .on_over_limit = gateway_relieve_memory };
   plc_costs_default (&gateway->costs);
   qrt_table_init (&gateway->quarantine);
   org_table_init (&gateway->origins);
--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -218,7 +218,8 @@
 static void
 client_on_over_limit (h1_conn_t *conn)
 {
-  gtw_memory_relieve (((gtw_client_t *)conn)->gateway);
+  gtw_gateway_t *gateway = ((gtw_client_t *)conn)->gateway;
+  gateway->on_over_limit (gateway);
 }
 
 static const h1_events_t client_events = {
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -430,6 +430,7 @@
   tmr_fn_t on_decided;          ///< Resumes the requests of those charges.
   tmr_timer_t decided_timer;
   tmr_fn_t on_retry;           ///< Retries the requests that wait.
+  tmr_fn_t on_over_limit;      ///< Relieves the memory that callers hold.
   uint64_t last_unlink_ms;     ///< When a link to a sidecar was closed last;
                                ///< boot clock.
   uint64_t last_no_contact_ms; ///< When this gateway last had contact with no
--- a/src/gateway/gateway_load.c
+++ b/src/gateway/gateway_load.c
@@ -149,12 +149,6 @@
   itk_record_path (&gateway->accept.intake, took_us, tmr_now_ms ());
 }
 
-static void
-pool_on_over_limit (void *owner)
-{
-  gtw_memory_relieve (owner);
-}
-
 void
 gtw_load_init (gtw_gateway_t *gateway)
 {
@@ -163,7 +157,7 @@
   if (getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < UINT32_MAX)
     gateway->load.max_descriptors = (uint32_t)limit.rlim_cur;
   gateway->host.pool.on_path = pool_on_path;
-  gateway->host.pool.on_over_limit = pool_on_over_limit;
+  gateway->host.pool.on_over_limit = gateway->on_over_limit;
   gateway->host.pool.owner = gateway;
   gateway->accept.has_room = has_room;
   gateway->accept.owner = gateway;
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -27,8 +27,7 @@
   kb_account_t *memory;
   kb_account_t unlimited; ///< If none was given.
   uint64_t max_connections;
-  uint64_t connection_count;
-  hsc_conn_t *connections;
+  hsc_list_t connections;
   uint64_t input_bytes; ///< Charged for what h2o holds of requests.
   uint64_t looked_ms;   ///< When that was found out.
 } server_impl_t;
@@ -180,11 +179,17 @@
 {
   hsc_conn_t *conn = data;
   server_impl_t *impl = conn->owner;
-  if (conn->request != NULL)
-    conn->request->connection = NULL;
-  hsc_conn_unlink (&impl->connections, conn);
-  impl->connection_count--;
-  free (conn);
+  hts_request_t *request = conn->request;
+  if (request != NULL)
+    request->connection = NULL;
+  hsc_conn_free (&impl->connections, conn);
+}
+
+static size_t
+request_unsent_bytes (const void *arg)
+{
+  const hts_request_t *request = arg;
+  return request->reply_bytes + hts_stream_unsent_bytes (request);
 }
 
 /// A peer that takes none of its response leaves no other sign.
@@ -209,14 +214,14 @@
   };
   server_impl_t *impl = check->data;
   uint64_t now_ms = uv_now (check->loop);
-  if (now_ms - impl->looked_ms < impl->connection_count / CONNECTIONS_PER_MS)
+  if (now_ms - impl->looked_ms < impl->connections.count / CONNECTIONS_PER_MS)
     return;
   impl->looked_ms = now_ms;
-  uint64_t input_bytes = hsc_conns_input_bytes (impl->connections);
+  uint64_t input_bytes = hsc_list_input_bytes (&impl->connections);
   kb_account_release (impl->memory, impl->input_bytes);
   kb_account_charge (impl->memory, input_bytes);
   impl->input_bytes = input_bytes;
-  hsc_conns_shed (impl->connections, impl->memory, now_ms);
+  hsc_list_shed (&impl->connections, impl->memory, now_ms);
 }
 
 static void
@@ -230,7 +235,7 @@
       uv_close ((uv_handle_t *)conn, listener_closed);
       return;
     }
-  if (impl->connection_count >= impl->max_connections)
+  if (impl->connections.count >= impl->max_connections)
     {
       MET_INC ("knapweedbay_http_refused_connections_total", "");
       uv_close ((uv_handle_t *)conn, listener_closed);
@@ -243,7 +248,6 @@
   sock->on_close.cb = connection_closed;
   sock->on_close.data
       = hsc_conn_create (&impl->connections, sock, impl, uv_now (impl->loop));
-  impl->connection_count++;
   h2o_accept (&impl->accept_ctx, sock);
 }
 
@@ -279,6 +283,7 @@
   server->impl = impl;
   impl->max_connections = options->max_connections;
   impl->loop = loop;
+  impl->connections.unsent_bytes = request_unsent_bytes;
   impl->unlimited.limit_bytes = UINT64_MAX;
   impl->memory = options->memory == NULL ? &impl->unlimited : options->memory;
   uv_check_init (loop, &impl->after_poll);
--- a/src/transport/httpd_conn.c
+++ b/src/transport/httpd_conn.c
@@ -7,25 +7,28 @@
 #include "transport/metrics.h"
 
 hsc_conn_t *
-hsc_conn_create (hsc_conn_t **list, h2o_socket_t *sock, void *owner,
+hsc_conn_create (hsc_list_t *list, h2o_socket_t *sock, void *owner,
                  uint64_t now_ms)
 {
   hsc_conn_t *conn = kb_alloc (sizeof *conn);
   *conn = (hsc_conn_t){
-    .sock = sock, .owner = owner, .next = *list, .since_ms = now_ms
+    .sock = sock, .owner = owner, .next = list->first, .since_ms = now_ms
   };
-  if (*list != NULL)
-    (*list)->prev = conn;
-  *list = conn;
+  if (list->first != NULL)
+    list->first->prev = conn;
+  list->first = conn;
+  list->count++;
   return conn;
 }
 
 void
-hsc_conn_unlink (hsc_conn_t **list, hsc_conn_t *conn)
+hsc_conn_free (hsc_list_t *list, hsc_conn_t *conn)
 {
-  *(conn->prev == NULL ? list : &conn->prev->next) = conn->next;
+  *(conn->prev == NULL ? &list->first : &conn->prev->next) = conn->next;
   if (conn->next != NULL)
     conn->next->prev = conn->prev;
+  list->count--;
+  free (conn);
 }
 
 static uint64_t
@@ -37,10 +40,10 @@
 }
 
 uint64_t
-hsc_conns_input_bytes (const hsc_conn_t *list)
+hsc_list_input_bytes (const hsc_list_t *list)
 {
   uint64_t sum_bytes = 0;
-  for (const hsc_conn_t *conn = list; conn != NULL; conn = conn->next)
+  for (const hsc_conn_t *conn = list->first; conn != NULL; conn = conn->next)
     sum_bytes += conn_input_bytes (conn);
   return sum_bytes;
 }
@@ -48,24 +51,23 @@
 /// @return  Bytes that closing a connection would free; zero: its request is
 ///          at work, and its client takes what it gets.
 static uint64_t
-conn_shed_bytes (const hsc_conn_t *conn)
+conn_shed_bytes (const hsc_list_t *list, const hsc_conn_t *conn)
 {
-  const hts_request_t *request = conn->request;
-  if (request == NULL)
+  if (conn->request == NULL)
     return conn_input_bytes (conn);
-  size_t unsent_bytes
-      = request->reply_bytes + hts_stream_unsent_bytes (request);
+  size_t unsent_bytes = list->unsent_bytes (conn->request);
   return unsent_bytes == 0 ? 0 : conn_input_bytes (conn) + unsent_bytes;
 }
 
 static hsc_conn_t *
-find_heaviest (hsc_conn_t *list, uint64_t now_ms)
+find_heaviest (const hsc_list_t *list, uint64_t now_ms)
 {
   hsc_conn_t *heaviest = NULL;
   uint64_t heaviest_weight = 0;
-  for (hsc_conn_t *conn = list; conn != NULL; conn = conn->next)
+  for (hsc_conn_t *conn = list->first; conn != NULL; conn = conn->next)
     {
-      uint64_t weight = conn_shed_bytes (conn) * (now_ms - conn->since_ms + 1);
+      uint64_t weight
+          = conn_shed_bytes (list, conn) * (now_ms - conn->since_ms + 1);
       if (conn->is_shed || weight <= heaviest_weight)
         continue;
       heaviest = conn;
@@ -76,7 +78,7 @@
 
 /// h2o closes the connection when it finds it shut down.
 static void
-conn_shed (hsc_conn_t *conn, uint64_t now_ms)
+conn_shed (hsc_conn_t *conn, uint64_t held_bytes, uint64_t now_ms)
 {
   static const char refusal[]
       = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n"
@@ -87,7 +89,7 @@
   log_line_t line;
   if (log_begin (&line, LOG_WARN, "http", "caller_shed"))
     {
-      log_int (&line, "held_bytes", (int64_t)conn_shed_bytes (conn));
+      log_int (&line, "held_bytes", (int64_t)held_bytes);
       log_int (&line, "held_ms", (int64_t)(now_ms - conn->since_ms));
       log_end (&line);
     }
@@ -98,19 +100,22 @@
 }
 
 void
-hsc_conns_shed (hsc_conn_t *list, const kb_account_t *memory, uint64_t now_ms)
+hsc_list_shed (const hsc_list_t *list, const kb_account_t *memory,
+               uint64_t now_ms)
 {
   uint64_t held_bytes = memory->held_bytes;
-  for (const hsc_conn_t *conn = list;
-       conn != NULL && held_bytes > memory->limit_bytes; conn = conn->next)
+  if (held_bytes <= memory->limit_bytes)
+    return;
+  for (const hsc_conn_t *conn = list->first; conn != NULL; conn = conn->next)
     if (conn->is_shed)
-      held_bytes -= conn_shed_bytes (conn);
+      held_bytes -= conn_shed_bytes (list, conn);
   while (held_bytes > memory->limit_bytes)
     {
       hsc_conn_t *conn = find_heaviest (list, now_ms);
       if (conn == NULL)
         return;
-      held_bytes -= conn_shed_bytes (conn);
-      conn_shed (conn, now_ms);
+      uint64_t shed_bytes = conn_shed_bytes (list, conn);
+      conn_shed (conn, shed_bytes, now_ms);
+      held_bytes -= shed_bytes;
     }
 }
