fix(gateway): read few refused clients on

What was seen, three of three, with clients that come back at once when they are refused: 758 to 783 descriptors of a gateway, 320 allowed, and 53 to 55 MB held, 48 allowed.

Cause: a client that is refused within its request is read on for a second, so that the refusal is not lost to a reset. Callers that are shed for memory come back within milliseconds, so some hundred were read on at the same time, each with a descriptor and what the kernel has received.

Fix: beyond 64 the one that was refused first is closed.

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -21,6 +21,9 @@
   /// is no room for them, and how long they have been idle at least.
   MAX_CLOSED_FOR_ROOM = 8,
   MIN_IDLE_MS = 1000,
+  /// Refused clients whose input is discarded, so that the refusal is not lost
+  /// to a reset.
+  MAX_REFUSED = 64,
 };
 
 static void
@@ -46,6 +49,41 @@
     }
 }
 
+/// Count a client as refused, or no more.
+static void
+client_set_refused (gtw_client_t *client, bool is_refused)
+{
+  gtw_gateway_t *gateway = client->gateway;
+  gateway->refused_count += is_refused;
+  gateway->refused_count -= client->is_refused;
+  client->is_refused = is_refused;
+}
+
+static gtw_client_t *
+find_first_refused (const gtw_gateway_t *gateway)
+{
+  gtw_client_t *first = NULL;
+  for (gtw_client_t *client = gateway->clients; client != NULL;
+       client = client->next)
+    if (client->is_refused
+        && (first == NULL
+            || client->last_progress_ms <= first->last_progress_ms))
+      first = client;
+  return first;
+}
+
+/// Close the client that was refused first, while there are too many.
+static void
+limit_refused (gtw_gateway_t *gateway)
+{
+  while (gateway->refused_count > MAX_REFUSED)
+    {
+      gtw_client_t *client = find_first_refused (gateway);
+      client_set_refused (client, false);
+      h1_conn_close (&client->conn, true);
+    }
+}
+
 void
 gtw_client_refuse_unfinished (gtw_client_t *client, int http_status,
                               const char *reason, uint64_t retry_after_ms)
@@ -57,6 +95,8 @@
   client->last_progress_ms = gtw_now_ms (client->gateway);
   client_write_refusal (client, http_status, reason, retry_after_ms);
   h1_conn_linger (&client->conn);
+  client_set_refused (client, true);
+  limit_refused (client->gateway);
 }
 
 /// Refuse and close the connection: further input cannot be parsed as a
@@ -204,6 +244,7 @@
     client->next->prev = client->prev;
   gateway->client_count--;
   gateway->releasing_bytes -= client->releasing_bytes;
+  client_set_refused (client, false);
   free (client);
 }
 
@@ -265,6 +306,7 @@
   client->refusal.http_status = 0;
   client->refusal_id[0] = '\0';
   client->is_last = false;
+  client->is_refused = false;
   client->last_progress_ms = gtw_now_ms (gateway);
   client->prev = NULL;
   client->next = gateway->clients;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -300,6 +300,8 @@
   uint64_t last_progress_ms; ///< Last head or body bytes received, or answer
                              ///< sent.
   uint64_t releasing_bytes;  ///< Given up, and freed once it is closed.
+  bool is_refused; ///< Its request did not arrive completely; what still
+                   ///< arrives is discarded.
 };
 
 /// Retry budget of one service.
@@ -421,6 +423,7 @@
   gtw_client_t *clients;
   uint32_t client_count;
   uint64_t releasing_bytes; ///< Of all clients.
+  uint32_t refused_count;   ///< Clients that are refused.
   gtw_request_t *requests;
   uint32_t request_count;
   uint64_t last_request_number; ///< Of the newest request.
--- a/test/relay/crowd.cc
+++ b/test/relay/crowd.cc
@@ -51,33 +51,41 @@
 } // namespace
 
 Crowd::Crowd (const std::string &address, int count, const Script &script)
-    : script_ (script), clients_ ((size_t)count)
+    : address_ (address), script_ (script), clients_ ((size_t)count)
 {
-  sockaddr_in to = parse (address);
   for (Client &client : clients_)
-    {
-      client.fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      // A full queue of connections delays the next one by a second.
-      fcntl (client.fd, F_SETFL, O_NONBLOCK);
-      if (script.receive_bytes > 0)
-        setsockopt (client.fd, SOL_SOCKET, SO_RCVBUF, &script.receive_bytes,
-                    sizeof script.receive_bytes);
-      connect (client.fd, (const sockaddr *)&to, sizeof to);
-    }
+    open (&client);
 }
 
 Crowd::~Crowd ()
 {
+  is_over_ = true;
   for (Client &client : clients_)
     end (&client);
 }
 
+void
+Crowd::open (Client *client)
+{
+  sockaddr_in to = parse (address_);
+  *client = Client ();
+  client->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // A full queue of connections delays the next one by a second.
+  fcntl (client->fd, F_SETFL, O_NONBLOCK);
+  if (script_.receive_bytes > 0)
+    setsockopt (client->fd, SOL_SOCKET, SO_RCVBUF, &script_.receive_bytes,
+                sizeof script_.receive_bytes);
+  connect (client->fd, (const sockaddr *)&to, sizeof to);
+}
+
 void
 Crowd::end (Client *client)
 {
   if (!client->is_ended)
     close (client->fd);
   client->is_ended = true;
+  if (script_.returns && !is_over_)
+    open (client);
 }
 
 /// @return  What a client sends now; NULL: nothing.
--- a/test/relay/crowd.h
+++ b/test/relay/crowd.h
@@ -21,6 +21,7 @@
   std::string endless; ///< Sent again and again after that; empty: nothing.
   std::string drip;    ///< Sent each `kDripMs` after `first`; empty: nothing.
   bool reads = true;
+  bool returns = false;  ///< Connects again when it was closed.
   int receive_bytes = 0; ///< Receive buffer of a client; 0: as the system has.
 };
 
@@ -47,12 +48,15 @@
     bool is_first = true; ///< `first` is not sent yet.
     bool is_ended = false;
   };
+  void open (Client *client);
   void send (Client *client);
   void receive (Client *client);
   void end (Client *client);
   const std::string *next_text (const Client &client) const;
+  std::string address_;
   Script script_;
   std::vector<Client> clients_;
+  bool is_over_ = false;
   long dripped_ms_ = 0;
 };
 
--- a/test/relay/crowd_failure_test.cc
+++ b/test/relay/crowd_failure_test.cc
@@ -139,6 +139,25 @@
   expect_borne ({ .first = chunked_head () + unfinished_body () });
 }
 
+// Guards against the same of clients that come back when they are refused.
+TEST_F (CrowdOfClients, UnfinishedChunksOfClientsThatReturn)
+{
+  ASSERT_NO_FATAL_FAILURE (start ());
+  Crowd crowd (
+      gateway ().address, kCrowd,
+      { .first = chunked_head () + unfinished_body (), .returns = true });
+  expect_bounded (press_and_watch (&crowd, gateway ().daemon.pid,
+                                   gateway ().address, kPressMs));
+  std::atomic<bool> is_over{ false };
+  std::thread ordinary ([&] {
+    expect_served ("beside the crowd");
+    is_over = true;
+  });
+  while (!is_over)
+    crowd.press (kDripMs);
+  ordinary.join ();
+}
+
 // Guards against the same on a route whose streams are resumed.
 TEST_F (CrowdOfClients, UnfinishedChunksOfStreams)
 {
--- a/test/system/crowd_test.cc
+++ b/test/system/crowd_test.cc
@@ -153,6 +153,23 @@
   expect_borne ({ .first = chunked_head () + unfinished_body () });
 }
 
+// Guards against the same of callers that come back when they are refused.
+TEST_F (CrowdOfCallers, UnfinishedChunksOfCallersThatReturn)
+{
+  Crowd crowd (
+      address (), kCrowd,
+      { .first = chunked_head () + unfinished_body (), .returns = true });
+  expect_bounded (press (&crowd));
+  std::atomic<bool> is_over{ false };
+  std::thread ordinary ([&] {
+    expect_served ("beside the crowd");
+    is_over = true;
+  });
+  while (!is_over)
+    crowd.press (kPressMs / 20);
+  ordinary.join ();
+}
+
 // Guards against unfinished bodies whose callers stay active.
 TEST_F (CrowdOfCallers, DrippingChunks)
 {
