fix(entry): keep memory for answers beside a crowd

By reading: connections filled the whole limit before one was closed, so parts of answers over 64 KB found no room beside a crowd, and an ordinary request that had run would have failed. Connections may fill 88 % of the limit now; answers and small requests share the rest.

--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -503,10 +503,11 @@
     }
   if (r->http == NULL || r->has_gap)
     return;
+  const kb_account_t *memory = &entry->daemon->memory;
   if (!request_is_streaming (r))
     {
       if (r->answer.len_bytes + part->data.len_bytes <= MAX_ANSWER_BYTES
-          && dmn_has_memory (entry->daemon, part->data.len_bytes))
+          && memory->held_bytes + part->data.len_bytes <= memory->limit_bytes)
         kb_buf_append (&r->answer, part->data.ptr, part->data.len_bytes);
       else
         r->has_gap = true;
--- a/src/transport/httpd_conn.c
+++ b/src/transport/httpd_conn.c
@@ -6,6 +6,14 @@
 #include "transport/log.h"
 #include "transport/metrics.h"
 
+enum
+{
+  /// Share of the limit that connections may fill. The rest is for small
+  /// requests and for answers.
+  CONNECTION_PERCENT = 88,
+  PERCENT = 100,
+};
+
 hsc_conn_t *
 hsc_conn_create (hsc_list_t *list, h2o_socket_t *sock, void *owner,
                  uint64_t now_ms)
@@ -104,12 +112,13 @@
                uint64_t now_ms)
 {
   uint64_t held_bytes = memory->held_bytes;
-  if (held_bytes <= memory->limit_bytes)
+  uint64_t limit_bytes = memory->limit_bytes / PERCENT * CONNECTION_PERCENT;
+  if (held_bytes <= limit_bytes)
     return;
   for (const hsc_conn_t *conn = list->first; conn != NULL; conn = conn->next)
     if (conn->is_shed)
       held_bytes -= conn_shed_bytes (list, conn);
-  while (held_bytes > memory->limit_bytes)
+  while (held_bytes > limit_bytes)
     {
       hsc_conn_t *conn = find_heaviest (list, now_ms);
       if (conn == NULL)
--- a/src/transport/httpd_conn.h
+++ b/src/transport/httpd_conn.h
@@ -37,7 +37,7 @@
 void hsc_conn_free (hsc_list_t *list, hsc_conn_t *conn);
 /// @return  Bytes that h2o holds of the requests of all connections.
 uint64_t hsc_list_input_bytes (const hsc_list_t *list);
-/// Close connections while an account is over its limit: first the one with
+/// Close connections while an account is near its limit: first the one with
 /// the largest product of bytes and time, of those whose request is not
 /// complete, or whose client takes too little of its response. A request that
 /// is not complete is refused as not run.
