fix(transport): drop no frame of a connection that is closing already

By reading: incomplete frames are charged until their connection is freed, so the sum can exceed its limit while no open connection holds one, and the search for the largest found none.

An entry's write time-out is 3 s at the least, also where request_read_timeout_ms is shorter: a lost packet takes that long.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -13,6 +13,8 @@
 enum
 {
   HTS_BACKLOG = 1024,
+  /// A packet that is lost is sent again within this time.
+  MIN_WRITE_TIMEOUT_MS = 3000,
   HTTP_TOO_LARGE = 413,
 };
 
@@ -198,6 +200,8 @@
 {
   uv_os_fd_t fd;
   unsigned timeout_ms = (unsigned)impl->config.http1.req_timeout;
+  if (timeout_ms < MIN_WRITE_TIMEOUT_MS)
+    timeout_ms = MIN_WRITE_TIMEOUT_MS;
   if (uv_fileno ((uv_handle_t *)tcp, &fd) == 0)
     setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
                 sizeof timeout_ms);
--- a/src/transport/peerlink_conn.c
+++ b/src/transport/peerlink_conn.c
@@ -141,7 +141,13 @@
   while (link->accepted_count > link->max_accepted)
     conn_drop (find_least_useful (link));
   while (link->partial_frames.held_bytes > link->partial_frames.limit_bytes)
-    conn_drop (find_largest_frame (link));
+    {
+      plk_conn_t *largest = find_largest_frame (link);
+      // Frames of connections that are closing are freed with them.
+      if (largest == NULL)
+        return;
+      conn_drop (largest);
+    }
 }
 
 static void
--- a/test/relay/crowd_failure_test.cc
+++ b/test/relay/crowd_failure_test.cc
@@ -546,5 +546,24 @@
   })) << "no stream is served beside the crowd";
 }
 
+// Guards against a sum of frames that no open connection holds: a peer takes
+// the name of one that is being closed.
+TEST_F (CrowdOfClients, UnfinishedFramesOfPeersThatShareAName)
+{
+  ASSERT_NO_FATAL_FAILURE (start ());
+  Engine &engine = site.engines[0];
+  std::string inner = engine.ip + ":" + std::to_string (site.inner_port ());
+  std::string hello = "knapweedbay-peer/1 peer";
+  Crowd peers (inner, kCrowd,
+               { .first = frame_start (hello.size (), hello)
+                          + frame_start (8 << 20, std::string (8 << 20, 'x')),
+                 .returns = true });
+  expect_bounded (
+      press_and_watch (&peers, engine.sidecar.pid, inner, kPressMs));
+  EXPECT_TRUE (Site::wait_for ([&] {
+    return send_call (gateway (), stream_call ("after", "")).status == 200;
+  })) << "no stream is served beside the crowd";
+}
+
 } // namespace
 } // namespace relay
