refactor(transport): state the part of the memory that is kept for small requests once

The share of 88 % and the size of a small request stood in gateway_memory, daemon and httpd_conn. memlimit has them now. Behaviour is the same.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -39,16 +39,10 @@
 bool
 dmn_has_memory (const dmn_daemon_t *daemon, size_t bytes)
 {
-  enum
-  {
-    LARGE_PERCENT = 88,
-    PERCENT = 100,
-    SMALL_BYTES = 65536,
-  };
   const kb_account_t *memory = &daemon->memory;
-  uint64_t limit_bytes = memory->limit_bytes;
-  if (bytes > SMALL_BYTES)
-    limit_bytes = limit_bytes / PERCENT * LARGE_PERCENT;
+  uint64_t limit_bytes = bytes > MLM_SMALL_BYTES
+                             ? mlm_large_limit_bytes (memory)
+                             : memory->limit_bytes;
   return memory->held_bytes + bytes <= limit_bytes;
 }
 
--- a/src/gateway/gateway_memory.c
+++ b/src/gateway/gateway_memory.c
@@ -6,16 +6,11 @@
 
 #include "gateway/gateway_defs.h"
 #include "transport/log.h"
+#include "transport/memlimit.h"
 #include "transport/metrics.h"
 
 enum
 {
-  /// Share of the limit that callers with large requests may fill together.
-  /// The rest is kept for small ones.
-  LARGE_PERCENT = 88,
-  PERCENT = 100,
-  /// A caller that holds no more than this is a small one.
-  SMALL_BYTES = 65536,
   /// Retry-After, which is spread over as much again.
   MIN_RETRY_AFTER_MS = 1000,
 };
@@ -122,10 +117,11 @@
 gtw_memory_relieve (gtw_gateway_t *gateway)
 {
   uint64_t limit_bytes = gateway->host.memory.limit_bytes;
-  uint64_t large_bytes = limit_bytes / PERCENT * LARGE_PERCENT;
+  uint64_t large_bytes = mlm_large_limit_bytes (&gateway->host.memory);
   while (held_bytes (gateway) > large_bytes)
     {
-      size_t min_bytes = held_bytes (gateway) > limit_bytes ? 0 : SMALL_BYTES;
+      size_t min_bytes
+          = held_bytes (gateway) > limit_bytes ? 0 : MLM_SMALL_BYTES;
       gtw_client_t *client = find_heaviest (gateway, min_bytes);
       if (client == NULL)
         return;
--- a/src/transport/httpd_conn.c
+++ b/src/transport/httpd_conn.c
@@ -4,16 +4,9 @@
 #include <sys/socket.h>
 
 #include "transport/log.h"
+#include "transport/memlimit.h"
 #include "transport/metrics.h"
 
-enum
-{
-  /// Share of the limit that connections may fill. The rest is for small
-  /// requests and for answers.
-  CONNECTION_PERCENT = 88,
-  PERCENT = 100,
-};
-
 hsc_conn_t *
 hsc_conn_create (hsc_list_t *list, h2o_socket_t *sock, void *owner,
                  uint64_t now_ms)
@@ -112,7 +105,7 @@
                uint64_t now_ms)
 {
   uint64_t held_bytes = memory->held_bytes;
-  uint64_t limit_bytes = memory->limit_bytes / PERCENT * CONNECTION_PERCENT;
+  uint64_t limit_bytes = mlm_large_limit_bytes (memory);
   if (held_bytes <= limit_bytes)
     return;
   for (const hsc_conn_t *conn = list->first; conn != NULL; conn = conn->next)
--- a/src/transport/memlimit.c
+++ b/src/transport/memlimit.c
@@ -5,6 +5,7 @@
 enum
 {
   PEER_PERCENT = 50,
+  LARGE_PERCENT = 88,
   PERCENT = 100,
   BYTES_PER_MB = 1 << 20,
 };
@@ -25,3 +26,9 @@
 {
   return mlm_machine_bytes (memory_mb) / PERCENT * PEER_PERCENT;
 }
+
+uint64_t
+mlm_large_limit_bytes (const kb_account_t *account)
+{
+  return account->limit_bytes / PERCENT * LARGE_PERCENT;
+}
