--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -174,6 +174,7 @@
 relay_bytes (gtw_request_t *r, kb_slice_t bytes)
 {
   gtw_client_t *client = r->client;
+  r->relayed_bytes += bytes.len_bytes;
   if (!r->is_head_written)
     {
       r->is_head_written = true;
@@ -355,6 +356,17 @@
   r->gateway->dialect->write_response (conn, &framing, &r->head);
 }
 
+static const char *
+framing_name (const gtw_request_t *r, const h1_conn_t *conn)
+{
+  if (r->is_close_delimited)
+    return "close";
+  if (h1_head_count (&conn->head, "content-length") > 0)
+    return "length";
+  return h1_head_count (&conn->head, "transfer-encoding") > 0 ? "chunked"
+                                                              : "none";
+}
+
 static void
 answer_on_head (xch_t *x)
 {
@@ -372,6 +384,7 @@
     }
   r->http_status = conn->parser.status_code;
   r->is_close_delimited = xch_is_close_delimited (x);
+  r->framing = framing_name (r, conn);
   gtw_backpressure_apply_answer (r, &answer);
   if (answer.is_not_run && r->http_status >= 400)
     {
@@ -464,6 +477,7 @@
 answer_on_done (xch_t *x)
 {
   gtw_request_t *r = x->owner;
+  r->surplus_bytes = x->surplus.len_bytes;
   bool is_error = r->http_status >= HTTP_SERVER_ERROR;
   bool may_repeat = is_repeatable (r) && r->possible_runs < r->max_attempts
                     && !r->is_head_written
@@ -598,6 +612,8 @@
   r->possible_runs++;
   r->is_begun = false;
   r->received_bytes = 0;
+  r->surplus_bytes = 0;
+  r->framing = "";
   r->end = "";
   r->evidence = "";
   r->is_target_in_doubt = false;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -247,6 +247,9 @@
   uint64_t sent_ms;          ///< When it was sent last.
   uint64_t sent_boot_ms;     ///< The same by the boot clock.
   uint64_t received_bytes;   ///< Of the answer's body, in this attempt.
+  uint64_t relayed_bytes;    ///< Of the answer's body, to the caller.
+  uint64_t surplus_bytes;    ///< Read behind the answer, in this attempt.
+  const char *framing;       ///< Of the answer, for the log; empty: no head.
   const char *end;           ///< How this attempt ended, for the log.
   const char *evidence;      ///< What that counts as, for the log.
   bool is_target_in_doubt;   ///< It has ended soon after its first event, and
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -14,6 +14,16 @@
   return (int64_t)(gtw_now_ms (r->gateway) - r->target->last_contact_ms);
 }
 
+/// Log how long the answer of the last attempt is and what that rests on.
+static void
+log_answer_size (log_line_t *line, const gtw_request_t *r)
+{
+  log_int (line, "close_delimited", r->is_close_delimited);
+  log_text (line, "framing", r->framing);
+  log_int (line, "received_bytes", (int64_t)r->received_bytes);
+  log_int (line, "surplus_bytes", (int64_t)r->surplus_bytes);
+}
+
 void
 gtw_log_request_end (const gtw_request_t *r, const char *outcome,
                      int http_status)
@@ -43,7 +53,8 @@
   log_int (&line, "sends", r->send_count);
   log_text (&line, "end", r->end);
   log_text (&line, "evidence", r->evidence);
-  log_int (&line, "close_delimited", r->is_close_delimited);
+  log_answer_size (&line, r);
+  log_int (&line, "relayed_bytes", (int64_t)r->relayed_bytes);
   log_int (&line, "ms", (int64_t)(now_ms - r->arrived_ms));
   log_int (&line, "first_ms",
            r->first_event_ms == 0
@@ -105,9 +116,8 @@
   log_int (&line, "runs", r->possible_runs);
   log_text (&line, "end", r->end);
   log_text (&line, "evidence", r->evidence);
-  log_int (&line, "received_bytes", (int64_t)r->received_bytes);
   log_int (&line, "last_event", (int64_t)r->events.last_id);
-  log_int (&line, "close_delimited", r->is_close_delimited);
+  log_answer_size (&line, r);
   log_text (&line, "software",
             r->target == NULL ? "" : r->target->list_entry.software);
   uint64_t now_ms = gtw_now_ms (r->gateway);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -144,6 +144,7 @@
                         .client = client,
                         .number = ++gateway->last_request_number,
                         .arrived_ms = gtw_now_ms (gateway),
+                        .framing = "",
                         .end = "",
                         .evidence = "",
                         .reason = "" };
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -124,7 +124,7 @@
 {
   const h1_conn_t *conn = &pooled->conn;
   return !conn->is_ended && !pooled_is_close_delimited (pooled)
-         && conn->unsent_bytes == 0 && !conn->has_more
+         && conn->unsent_bytes == 0 && conn->surplus.len_bytes == 0
          && conn->parser.http_minor >= 1
          && !h1_value_has_token (h1_head_get (&conn->head, "connection"),
                                  "close")
@@ -178,6 +178,7 @@
       return;
     }
   x->pooled = NULL;
+  x->surplus = conn->surplus;
   if (pooled_is_reusable (pooled))
     pooled_return_to_idle (pooled);
   else
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -73,6 +73,7 @@
   void *owner;
   xch_pooled_t *pooled; ///< NULL when the exchange is not in progress.
   bool is_discarding;   ///< See xch_discard_response.
+  kb_slice_t surplus;   ///< Within on_done: bytes read behind the response.
 };
 
 /// A request and the limits on its connection.
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -191,7 +191,8 @@
     return used;
   if (conn->is_message_complete)
     {
-      conn->has_more = used < len_bytes;
+      conn->surplus
+          = (kb_slice_t){ bytes + used, (uint32_t)(len_bytes - used) };
       conn->events->on_message (conn);
       return used;
     }
@@ -261,6 +262,7 @@
   if (conn->is_in_message && !conn->is_message_complete)
     {
       http_parser_execute (&conn->parser, &parse_settings, NULL, 0);
+      conn->surplus = (kb_slice_t){ 0 };
       if (conn->is_message_complete)
         conn->events->on_message (conn);
     }
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -97,7 +97,7 @@
   bool is_message_complete; ///< Parsing stops until h1_conn_next_message.
   bool is_in_message; ///< Between the first byte of a message and its end.
   bool is_parsing;    ///< Messages are being parsed.
-  bool has_more;      ///< Within on_message: bytes follow the message.
+  kb_slice_t surplus; ///< Within on_message: bytes read behind the message.
   bool is_clogged;    ///< Reading waits until queued answers are sent.
   bool is_writing;    ///< A write is in progress.
   bool is_closing;
