test(relay): show answers that hold bytes of two answers or two runs

Scripted targets behind one gateway. A second answer behind a body without a length, or within any body, is served as a part of it; a safe request whose answer above 64 KB broke off is sent again, and the bytes of the second run follow those of the first.

--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -87,6 +87,38 @@
   return stream_plan_ ? stream_plan_ (request) : std::nullopt;
 }
 
+void
+Target::plan_answers (AnswerPlan plan)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  answer_plan_ = std::move (plan);
+}
+
+std::optional<AnswerScript>
+Target::answer_script_of (const Message &request)
+{
+  std::string fields = head_of (request, true);
+  std::lock_guard<std::mutex> lock (mutex_);
+  return answer_plan_ ? answer_plan_ (request, fields) : std::nullopt;
+}
+
+/// Send a scripted answer.
+/// @return  Whether the connection is kept.
+static bool
+send_script (Connection &connection, const AnswerScript &script)
+{
+  for (const AnswerWrite &write : script.writes)
+    {
+      if (!connection.write (write.bytes))
+        return false;
+      if (write.pause_ms > 0)
+        sleep_ms (write.pause_ms);
+    }
+  if (script.end == AnswerEnd::RESET)
+    connection.reset ();
+  return script.end == AnswerEnd::KEEP;
+}
+
 Cut
 Target::cut_of (const Message &request, bool is_page)
 {
@@ -853,6 +885,8 @@
     }
   if (cut (connection, cut_of (request, false), request))
     return false;
+  if (std::optional<AnswerScript> script = answer_script_of (request))
+    return send_script (connection, *script);
   switch (fault)
     {
     case Fault::RESET_BEFORE_ANSWER:
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <set>
 
+#include "answer_script.h"
 #include "cut_answer.h"
 #include "stream_script.h"
 
@@ -121,6 +122,11 @@
   using StreamPlan
       = std::function<std::optional<StreamScript> (const Message &request)>;
   void plan_streams (StreamPlan plan);
+  /// Answers requests by scripts: called with each request and the header
+  /// lines of its answer; without a script it is answered as usual.
+  using AnswerPlan = std::function<std::optional<AnswerScript> (
+      const Message &request, const std::string &fields)>;
+  void plan_answers (AnswerPlan plan);
   /// Second answers that were sent in front of the next one.
   std::atomic<int> late_answer_count{ 0 };
   /// @return  A whole answer of this framing to a request.
@@ -268,6 +274,7 @@
   bool stream (Connection &connection, const Message &request, Fault fault,
                const Serving &serving);
   std::optional<StreamScript> script_of (const Message &request);
+  std::optional<AnswerScript> answer_script_of (const Message &request);
   bool play (Connection &connection, const Message &request,
              const StreamScript &script);
   void break_off (Connection &connection, const std::string &text,
@@ -314,6 +321,7 @@
   std::set<int> extra_answer_ports_;
   Cut continuation_cut_;
   StreamPlan stream_plan_;
+  AnswerPlan answer_plan_;
   /// Second answers that are due, by the peer's port.
   std::map<int, std::string> late_answers_;
   std::string crash_path_;
