fix(gateway): append no second run to a begun answer

What callers saw: an answer above 64 KB that looked complete and held the first bytes of one run and the last of another. Cause: a safe request could be sent again as long as its answer was not whole, also when bytes of it had been relayed; the head of the second answer was left out and its body appended. No fault of the target was needed: the timer for silence went on during a body, so that one that took longer than three objectives was given up while its bytes arrived.

A safe request is repeatable until the first byte is relayed; then its answer ends broken. The timer for silence ends there.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -51,11 +51,12 @@
   MIN_LOGGED_GAP_MS = 300,
 };
 
-/// @return  Whether a request may be sent again though it may have run.
+/// @return  Whether a request may be sent again though it may have run. The
+///          body of another run cannot continue a body that was begun.
 static bool
 is_repeatable (const gtw_request_t *r)
 {
-  return r->kind == SVC_KIND_SAFE
+  return (r->kind == SVC_KIND_SAFE && !r->is_head_written)
          || (r->kind == SVC_KIND_STREAM && r->is_resumable
              && esq_stream_can_continue (&r->events));
 }
@@ -180,6 +181,8 @@
     {
       r->is_head_written = true;
       r->stage = GTW_STAGE_RELAYING;
+      if (!r->is_stream_answer)
+        arm_silence_timer (r);
       // Head and first bytes in one packet.
       if (r->is_chunked && bytes.len_bytes > 0)
         kb_buf_printf (&r->head, "%x\r\n", bytes.len_bytes);
--- a/test/relay/second_answer_failure_test.cc
+++ b/test/relay/second_answer_failure_test.cc
@@ -437,5 +437,31 @@
   EXPECT_EQ (sums.wrong, 0);
 }
 
+// Guards against a begun answer that is given up while its bytes arrive,
+// though it can't be sent again.
+TEST (SecondRun, DoesNotReplaceASlowAnswer)
+{
+  Site site (1, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (3);
+  std::string body = body_of (200000);
+  FirstTime slow (
+      site,
+      [&] (const std::string &, const std::string &fields) {
+        std::string answer = answer_of (Framing::LENGTH, fields, body);
+        AnswerScript script{ {}, AnswerEnd::KEEP };
+        for (size_t at = 0; at < answer.size (); at += 20000)
+          script.writes.push_back ({ answer.substr (at, 20000), 80 });
+        return script;
+      },
+      body);
+  Sums sums;
+  for (const char *id : { "s0", "s1" })
+    sums.add (send_call (site.gateways[0], call_of (id, true)), body, id);
+  print ("slow", sums);
+  EXPECT_EQ (sums.wrong, 0);
+  EXPECT_EQ (sums.served, sums.calls);
+}
+
 } // namespace
 } // namespace relay
