fix(transport): send a request on another connection if none of it was written

What callers saw: 504 at the route's timeout, though a target was free. A gateway that stands still for a moment finds the next request of a caller before the reset of the idle connection it is written to. The write failed, the connection was paused, and nobody reported that; the failed write had also taken the error of the socket, so that a read would have found an orderly close, and a body without a length whole.

Not a byte of such a request has left, so it goes to the next idle connection or to a new one; a new connection that is reset before the request is written ends the exchange as not sent.

--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -189,11 +189,23 @@
 }
 
 static void
-pooled_send (xch_pooled_t *pooled, kb_slice_t head, kb_shared_t *body)
+pooled_on_unwritten (void *arg)
 {
-  pooled->is_sent = true;
-  if (!h1_conn_write_message (&pooled->conn, head, body))
-    h1_conn_pause (&pooled->conn);
+  pooled_fail (arg, XCH_NOT_SENT);
+}
+
+static void
+pooled_send_queued (xch_pooled_t *pooled)
+{
+  pooled->is_sent = h1_conn_write_message (
+      &pooled->conn, kb_buf_slice (&pooled->queued_head), pooled->queued_body);
+  if (pooled->is_sent)
+    return;
+  // The failed write has taken the error of the socket: a read would find an
+  // orderly close.
+  h1_conn_pause (&pooled->conn);
+  tmr_start_once (pooled->peer->pool->timers, &pooled->timer, 0,
+                  pooled_on_unwritten, pooled);
 }
 
 static void
@@ -221,8 +233,7 @@
     x->events->on_connect (x);
   if (conn->is_closing)
     return;
-  pooled_send (pooled, kb_buf_slice (&pooled->queued_head),
-               pooled->queued_body);
+  pooled_send_queued (pooled);
   pooled_drop_queued (pooled);
 }
 
@@ -357,15 +368,19 @@
   if (peer->sweep.heap_position == 0)
     tmr_start_once (peer->pool->timers, &peer->sweep, IDLE_SWEEP_INTERVAL_MS,
                     peer_sweep, peer);
-  xch_pooled_t *pooled = peer_take_idle (peer, request->max_idle_ms);
-  if (pooled == NULL)
+  xch_pooled_t *pooled;
+  while ((pooled = peer_take_idle (peer, request->max_idle_ms)) != NULL)
     {
-      pooled_open (peer, x, request);
-      return;
+      pooled_begin (pooled, x, request);
+      h1_conn_next_message (&pooled->conn);
+      pooled->is_sent = h1_conn_write_message (&pooled->conn, request->head,
+                                               request->body);
+      if (pooled->is_sent)
+        return;
+      // The peer has reset it, and not a byte of the request has left.
+      pooled_close (pooled, true);
     }
-  pooled_begin (pooled, x, request);
-  h1_conn_next_message (&pooled->conn);
-  pooled_send (pooled, request->head, request->body);
+  pooled_open (peer, x, request);
 }
 
 void
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -668,7 +668,7 @@
       bufs[1].len -= done - head_done;
     }
   conn_submit (conn, write, bufs, count);
-  return conn->is_writing;
+  return conn->is_writing || done > 0;
 }
 
 bool
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -143,7 +143,8 @@
 /// Write a message, or queue what the kernel does not take now: a copy of the
 /// head, and the body itself. Nothing may be queued yet.
 /// @param body  NULL: none. It is not changed any more.
-/// @return      As h1_conn_write.
+/// @return      False when not a byte of it was written or queued: the
+///              connection no longer accepts data.
 bool h1_conn_write_message (h1_conn_t *conn, kb_slice_t head,
                             kb_shared_t *body);
 /// Write one chunk of a chunked body.
