fix(transport): reuse no idle connection whose close or bytes are unread

What callers saw: 502 to requests that may not be repeated, because a gateway that had stood still wrote them to kept connections that their targets had closed meanwhile; and a late second answer that lay unread on such a connection was in front of the right one. A connection is asked for what has arrived before it is reused.

--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -262,6 +262,15 @@
   pooled_fail (arg, XCH_NOT_SENT);
 }
 
+static xch_pooled_t *
+peer_pop_idle (xch_peer_t *peer)
+{
+  xch_pooled_t *pooled = peer->idle;
+  peer->idle = pooled->next;
+  peer->idle_count--;
+  return pooled;
+}
+
 /// Close idle connections whose lifetime has expired.
 static void
 peer_sweep (void *arg)
@@ -300,12 +309,7 @@
 {
   tmr_cancel (peer->pool->timers, &peer->sweep);
   while (peer->idle != NULL)
-    {
-      xch_pooled_t *pooled = peer->idle;
-      peer->idle = pooled->next;
-      peer->idle_count--;
-      pooled_close (pooled, false);
-    }
+    pooled_close (peer_pop_idle (peer), false);
 }
 
 /// @return  The newest idle connection if its idle time allows reuse, or NULL.
@@ -313,15 +317,18 @@
 peer_take_idle (xch_peer_t *peer, uint64_t max_idle_ms)
 {
   uint64_t now_ms = uv_now (peer->pool->loop);
-  xch_pooled_t *pooled = peer->idle;
-  if (pooled == NULL)
-    return NULL;
-  uint64_t age_ms = now_ms - pooled->idle_since_ms;
-  if (age_ms >= max_idle_ms || age_ms >= pooled->lifetime_ms)
-    return NULL;
-  peer->idle = pooled->next;
-  peer->idle_count--;
-  return pooled;
+  while (peer->idle != NULL)
+    {
+      uint64_t age_ms = now_ms - peer->idle->idle_since_ms;
+      if (age_ms >= max_idle_ms || age_ms >= peer->idle->lifetime_ms)
+        return NULL;
+      xch_pooled_t *pooled = peer_pop_idle (peer);
+      if (h1_conn_is_quiet (&pooled->conn))
+        return pooled;
+      // Its close, or an answer to no request, has arrived unread.
+      pooled_close (pooled, false);
+    }
+  return NULL;
 }
 
 /// Record which request a connection carries next.
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -1,6 +1,7 @@
 #include "transport/h1.h"
 
 #include <assert.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -275,19 +276,27 @@
   *buf = uv_buf_init (read_buffer, sizeof read_buffer);
 }
 
+/// @return  As recv of a byte that stays unread; -1 also without a socket.
+static ssize_t
+conn_peek (const h1_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+  errno = 0;
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+             ? recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+             : -1;
+}
+
 /// Distinguishes a reset from an orderly close. When a hang-up is polled
 /// together with the last bytes, libuv reports EOF even if the hang-up was a
 /// reset. A close-delimited response whose sender crashed would then look
 /// complete. A read from the socket still returns the pending error instead of
 /// zero bytes.
 static bool
-conn_has_pending_error (h1_conn_t *conn)
+conn_has_pending_error (const h1_conn_t *conn)
 {
-  uv_os_fd_t fd;
-  char byte;
-  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0)
-    return true;
-  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+  return conn_peek (conn) != 0;
 }
 
 /// Handle what a read returned.
@@ -392,10 +401,13 @@
 bool
 h1_conn_has_unread (const h1_conn_t *conn)
 {
-  uv_os_fd_t fd;
-  char byte;
-  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
-         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  return conn_peek (conn) > 0;
+}
+
+bool
+h1_conn_is_quiet (const h1_conn_t *conn)
+{
+  return conn_peek (conn) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -157,6 +157,9 @@
 prs_presence_t h1_conn_query_peer (const h1_conn_t *conn);
 /// @return  Whether bytes have arrived that were not read yet.
 bool h1_conn_has_unread (const h1_conn_t *conn);
+/// @return  Whether the connection is open and nothing has arrived that was
+///          not read yet, not even its close.
+bool h1_conn_is_quiet (const h1_conn_t *conn);
 /// Stop reading from the socket.
 void h1_conn_pause (h1_conn_t *conn);
 /// Resume reading from the socket.
--- a/test/relay/answer_owner_failure_test.cc
+++ b/test/relay/answer_owner_failure_test.cc
@@ -219,6 +219,41 @@
   EXPECT_EQ (served, kRounds);
 }
 
+// Guards against a request that is written to a kept connection which its
+// target has closed: whether it ran would be open.
+TEST (AnswerOwner, RequestForAConnectionThatWasClosedIsSentOnAnother)
+{
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  constexpr int kRounds = 5;
+  constexpr int kStepMs = 30;
+  site.plain[0]->plan_answers (
+      [&] (const Message &, const std::string &fields) {
+        return AnswerScript{ { { answer_of (Framing::LENGTH, fields, kBody),
+                                 2 * kStepMs } },
+                             AnswerEnd::CLOSE };
+      });
+  int served = 0;
+  for (int i = 0; i < kRounds; i++)
+    {
+      std::string n = std::to_string (i);
+      auto caller = dial (site.gateways[0].address);
+      ASSERT_TRUE (caller->write (unsafe_call ("kept" + n).text ()));
+      ASSERT_EQ (caller->read_response ().status, 200);
+      pid_t gateway = site.gateways[0].daemon.pid;
+      kill (gateway, SIGSTOP);
+      caller->write (unsafe_call ("next" + n).text ());
+      std::this_thread::sleep_for (std::chrono::milliseconds (4 * kStepMs));
+      kill (gateway, SIGCONT);
+      Message answer = caller->read_response ();
+      served += answer.status == 200;
+      printf ("%d %s\n", answer.status, answer.body.c_str ());
+      // Until the connection of this answer is closed as well.
+      std::this_thread::sleep_for (std::chrono::milliseconds (4 * kStepMs));
+    }
+  EXPECT_EQ (served, kRounds);
+}
+
 // Guards against a request that waits for its timeout because its connection
 // was reset before it could be written.
 TEST (AnswerOwner, RequestThatCannotBeWrittenEndsAtOnce)
