fix(gateway,platform): compare the id of an answer whole and without spaces

What callers saw: 504 for a request whose id has 64 bytes or more, or spaces behind it: the right answer was discarded as that to another request. The gateway compared with a copy cut to 63 bytes, and the codec kept the spaces.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -380,7 +380,7 @@
   r->gateway->dialect->read_response (conn, &answer);
   // A late answer to an earlier request on this connection.
   if (answer.attempt_id.len_bytes > 0
-      && !kb_slice_equal (answer.attempt_id, kb_slice_str (r->attempt_id)))
+      && !kb_slice_equal (answer.attempt_id, r->parsed_head.attempt_id))
     {
       MET_INC ("knapweedbay_stray_answers_total", "");
       xch_discard_response (x);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -182,7 +182,7 @@
   uint64_t number; ///< Unique within this gateway.
   gtw_stage_t stage;
   gtw_execution_t execution_state;
-  char attempt_id[GTW_ID_BYTES];
+  char attempt_id[GTW_ID_BYTES]; ///< Truncated; whole in `parsed_head`.
 
   bool is_routed; ///< False only before the first configuration.
   // Copied from the route, which may change during the request.
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -273,7 +273,7 @@
   if (!is_cut)
     {
       rly_refusal_t refusal = { .http_status = http_status,
-                                .attempt_id = kb_slice_str (r->attempt_id),
+                                .attempt_id = r->parsed_head.attempt_id,
                                 .retry_after_ms = retry_after_ms,
                                 .is_last = gtw_client_is_last_answer (client),
                                 .reason = reason };
--- a/src/gateway/gateway_scan.c
+++ b/src/gateway/gateway_scan.c
@@ -13,7 +13,7 @@
 uint64_t
 gtw_scan_tag (const gtw_request_t *r)
 {
-  return id_tag (kb_slice_str (r->attempt_id));
+  return id_tag (r->parsed_head.attempt_id);
 }
 
 static bool
--- a/test/relay/answer_owner_failure_test.cc
+++ b/test/relay/answer_owner_failure_test.cc
@@ -111,6 +111,23 @@
     }
 }
 
+// Guards against spaces behind an id that make it another one.
+TEST (AnswerOwner, SpacesBehindAnIdAreNoPartOfIt)
+{
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.plain[0]->plan_answers ([&] (const Message &, const std::string &) {
+    return AnswerScript{ { { answer_of (Framing::LENGTH,
+                                        "X-Knapweedbay-Attempt-Id: spaces\r\n"
+                                        "X-Knapweedbay-Server-Seal: s\r\n",
+                                        kBody) } },
+                         AnswerEnd::KEEP };
+  });
+  Call call = unsafe_call ("spaces \t");
+  call.path = "/unsafe/spaces";
+  EXPECT_EQ (send_call (site.gateways[0], call).body, kBody);
+}
+
 // Guards against a body that ends with its connection and counts as framed,
 // because it has a transfer coding other than chunks.
 TEST (AnswerOwner, BodyWithAnotherTransferCodingEndsWithItsConnection)
