fix(gateway): assign no answer without an id behind others on a connection

What callers saw: the body of another request's answer. Targets echo the id of a request; an answer without one was taken for that to the request at hand, also on a connection that had carried others, where it may be a late second answer. It is discarded there now, and a connection whose answer bore no id carries no further request, so that targets without ids are served from still. Refusals, which may have no id, end their connection already.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -371,6 +371,18 @@
                                                               : "none";
 }
 
+/// @return  Whether an answer belongs to another request: it bears another id,
+///          or it bears none behind other answers. A refusal never has one,
+///          and its connection carries no further request.
+static bool
+is_stray_answer (const xch_t *x, const rly_response_t *answer)
+{
+  const gtw_request_t *r = x->owner;
+  if (answer->attempt_id.len_bytes > 0)
+    return !kb_slice_equal (answer->attempt_id, r->parsed_head.attempt_id);
+  return x->is_reused && !answer->is_not_run;
+}
+
 static void
 answer_on_head (xch_t *x)
 {
@@ -379,13 +391,15 @@
   rly_response_t answer;
   r->gateway->dialect->read_response (conn, &answer);
   // A late answer to an earlier request on this connection.
-  if (answer.attempt_id.len_bytes > 0
-      && !kb_slice_equal (answer.attempt_id, r->parsed_head.attempt_id))
+  if (is_stray_answer (x, &answer))
     {
       MET_INC ("knapweedbay_stray_answers_total", "");
       xch_discard_response (x);
       return;
     }
+  // A second one could not be told from the next answer.
+  if (answer.attempt_id.len_bytes == 0)
+    xch_close_after (x);
   r->http_status = conn->parser.status_code;
   r->is_close_delimited = xch_is_close_delimited (x);
   r->framing = framing_name (r, conn);
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -122,10 +122,10 @@
 }
 
 static bool
-pooled_is_reusable (const xch_pooled_t *pooled)
+pooled_is_reusable (const xch_pooled_t *pooled, const xch_t *x)
 {
   const h1_conn_t *conn = &pooled->conn;
-  return !conn->is_ended && !pooled_is_close_delimited (pooled)
+  return !conn->is_ended && !x->is_last && !pooled_is_close_delimited (pooled)
          && conn->unsent_bytes == 0 && conn->surplus.len_bytes == 0
          && conn->parser.http_minor >= 1
          && !h1_value_has_token (h1_head_get (&conn->head, "connection"),
@@ -181,7 +181,7 @@
     }
   x->pooled = NULL;
   x->surplus = conn->surplus;
-  if (pooled_is_reusable (pooled))
+  if (pooled_is_reusable (pooled, x))
     pooled_return_to_idle (pooled);
   else
     pooled_close (pooled, false);
@@ -339,6 +339,7 @@
   x->pooled = pooled;
   pooled->is_head_method = request->is_head_method;
   pooled->conn.is_head_method = request->is_head_method;
+  x->is_reused = pooled->request_count > 0;
   pooled->tags[pooled->request_count++ % XCH_KEPT_TAGS] = request->tag;
   memcpy (x->tags, pooled->tags, sizeof x->tags);
 }
@@ -407,6 +408,12 @@
   x->is_discarding = true;
 }
 
+void
+xch_close_after (xch_t *x)
+{
+  x->is_last = true;
+}
+
 void
 xch_pause (xch_t *x)
 {
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -78,6 +78,8 @@
   void *owner;
   xch_pooled_t *pooled; ///< NULL when the exchange is not in progress.
   bool is_discarding;   ///< See xch_discard_response.
+  bool is_reused;       ///< The connection has carried a request before.
+  bool is_last;         ///< See xch_close_after.
   kb_slice_t surplus;   ///< Within on_done: bytes read behind the response.
   /// Of this request and those before it on the connection; zero: none.
   uint64_t tags[XCH_KEPT_TAGS];
@@ -118,6 +120,8 @@
 /// Discard the current response, which belongs to another request, and wait
 /// for the next one.
 void xch_discard_response (xch_t *x);
+/// Close the connection behind the current response.
+void xch_close_after (xch_t *x);
 /// Stop reading the response, for flow control.
 void xch_pause (xch_t *x);
 /// Resume reading the response.
