fix(gateway): ask whether a target still listens when its answer ends with its connection

What callers saw: the first part of a body as a whole answer. A process that is killed while it sends a body without a length has read all that was sent to it, so its kernel closes the connection in order; only a reset counted as a sign that the body is not whole.

The end of such an answer is now held until a new connection to the target is made, which is kept for the next request, as the one of the answer is gone. A target that refuses it twice has ended, and the answer is broken. One that does not answer proves nothing, and one that is leaving is not asked: it may listen no more while it finishes its answers. A whole answer without a length comes 5 ms and one round trip later.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -4,6 +4,7 @@
 /// certainly belong to this request are relayed, the events in their order.
 #include <stdlib.h>
 
+#include "gateway/gateway_ending.h"
 #include "gateway/gateway_origin.h"
 #include "gateway/gateway_scan.h"
 #include "gateway/gateway_suspects.h"
@@ -495,6 +496,18 @@
          || (r->is_close_delimited && !r->is_begun);
 }
 
+static void
+answer_on_checked (gtw_request_t *r, bool is_whole)
+{
+  if (is_whole)
+    {
+      answer_finish (r);
+      return;
+    }
+  gtw_request_arm_expiry (r);
+  attempt_handle_broken (r, END_CUT);
+}
+
 static void
 answer_on_done (xch_t *x)
 {
@@ -535,7 +548,8 @@
       attempt_handle_broken (r, END_DISORDERED);
       return;
     }
-  answer_finish (r);
+  if (!gtw_ending_check (r, answer_on_checked))
+    answer_finish (r);
 }
 
 static void
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -268,6 +268,9 @@
   // The answer.
   int http_status;
   bool is_stream_answer;
+  /// See gateway_ending.h.
+  void (*ending_done) (gtw_request_t *r, bool is_whole);
+  uint32_t ending_refusals;
   bool is_close_delimited; ///< It ends with the connection to the target.
   bool is_head_written;
   bool is_begun;     ///< The current target has sent an event.
@@ -610,6 +613,8 @@
 uint64_t gtw_request_fingerprint (gtw_request_t *r, int scope);
 /// Cancel the current attempt and return its place and permit.
 void gtw_request_release_target (gtw_request_t *r);
+/// End the request at its deadline or timeout.
+void gtw_request_arm_expiry (gtw_request_t *r);
 /// @return  The moment until which a caller waits for the next event, when the
 ///          last one was relayed at `from_ms`.
 uint64_t gtw_request_caller_timeout_ms (const gtw_request_t *r,
--- /dev/null
+++ b/src/gateway/gateway_ending.c
@@ -0,0 +1,72 @@
+/// @file gateway_ending.c
+/// Decides whether an answer that ended with its connection is whole. The
+/// connection that shows that the target still listens is kept for the next
+/// request: the one that carried the answer is gone.
+#include "gateway/gateway_ending.h"
+#include "transport/metrics.h"
+
+enum
+{
+  /// A process that ends closes its sockets one after the other.
+  SETTLE_MS = 5,
+  /// A VM that does not answer within it is not reachable, which proves
+  /// nothing.
+  CONNECT_TIMEOUT_MS = 100,
+  /// A target at its connection limit may refuse one connection.
+  REFUSED_PAUSE_MS = 50,
+  MAX_REFUSALS = 2,
+};
+
+static void ending_connect (void *arg);
+
+static void
+ending_report (gtw_request_t *r, bool is_whole)
+{
+  if (!is_whole)
+    MET_INC ("knapweedbay_answers_of_ended_targets_total", "");
+  r->ending_done (r, is_whole);
+}
+
+static void
+ending_on_connect (xch_t *x)
+{
+  ending_report (x->owner, true);
+}
+
+static void
+ending_on_fail (xch_t *x, xch_failure_t fail)
+{
+  gtw_request_t *r = x->owner;
+  r->ending_refusals += x->is_refused;
+  if (!x->is_refused || r->ending_refusals == MAX_REFUSALS)
+    ending_report (r, !x->is_refused);
+  else
+    tmr_start_once (&r->gateway->host.timers, &r->silence_timer,
+                    REFUSED_PAUSE_MS, ending_connect, r);
+}
+
+static const xch_events_t ending_events
+    = { .on_connect = ending_on_connect, .on_fail = ending_on_fail };
+
+static void
+ending_connect (void *arg)
+{
+  gtw_request_t *r = arg;
+  xch_open_idle (&r->exchange, &r->target->peer, &ending_events, r,
+                 CONNECT_TIMEOUT_MS);
+}
+
+bool
+gtw_ending_check (gtw_request_t *r, gtw_ending_done_t done)
+{
+  // A target that leaves may listen no more while it answers.
+  if (!r->is_close_delimited || gtw_target_is_leaving (r->target))
+    return false;
+  r->ending_done = done;
+  r->ending_refusals = 0;
+  // The answer has come in time.
+  tmr_cancel (&r->gateway->host.timers, &r->expiry_timer);
+  tmr_start_once (&r->gateway->host.timers, &r->silence_timer, SETTLE_MS,
+                  ending_connect, r);
+  return true;
+}
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -183,8 +183,8 @@
   gtw_request_fail (r, HTTP_GATEWAY_TIMEOUT, "timeout");
 }
 
-static void
-request_arm_expiry (gtw_request_t *r)
+void
+gtw_request_arm_expiry (gtw_request_t *r)
 {
   uint64_t left_ms
       = gtw_remaining_ms (gtw_request_expiry_ms (r), gtw_now_ms (r->gateway));
@@ -221,7 +221,7 @@
     refusal = request_route (r);
   if (refusal.http_status == 0)
     {
-      request_arm_expiry (r);
+      gtw_request_arm_expiry (r);
       if (r->kind == SVC_KIND_STREAM && parsed.is_resume)
         gtw_log_continuation (r);
       return r;
@@ -413,7 +413,7 @@
         gtw_request_fail (r, refusal.http_status, refusal.reason);
       return false;
     }
-  request_arm_expiry (r);
+  gtw_request_arm_expiry (r);
   return true;
 }
 
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -30,6 +30,7 @@
   uint32_t request_count;
   bool is_sent;
   bool is_head_method;
+  bool is_for_later; ///< No request is sent once it is connected.
 };
 
 static void
@@ -216,19 +217,40 @@
     pool->on_path (pool->owner, tmr_now_us () - pooled->opened_us);
 }
 
+/// Keep a connection without a request, and report that it was made.
 static void
-pooled_on_connect (h1_conn_t *conn, bool is_connected)
+pooled_keep_unused (xch_pooled_t *pooled)
+{
+  xch_t *x = pooled->x;
+  x->pooled = NULL;
+  h1_conn_hold (&pooled->conn);
+  if (pooled->peer->idle_count < pooled->peer->max_idle)
+    pooled_return_to_idle (pooled);
+  else
+    pooled_close (pooled, false);
+  x->events->on_connect (x);
+}
+
+static void
+pooled_on_connect (h1_conn_t *conn, int status)
 {
   xch_pooled_t *pooled = (xch_pooled_t *)conn;
-  if (is_connected)
+  xch_t *x = pooled->x;
+  if (status == 0)
     pool_report_path (pooled);
   tmr_cancel (pooled->peer->pool->timers, &pooled->timer);
-  if (!is_connected)
+  if (status != 0)
     {
+      if (x != NULL)
+        x->is_refused = status == UV_ECONNREFUSED;
       pooled_fail (pooled, XCH_NOT_SENT);
       return;
     }
-  xch_t *x = pooled->x;
+  if (pooled->is_for_later && x != NULL)
+    {
+      pooled_keep_unused (pooled);
+      return;
+    }
   if (x != NULL && x->events->on_connect != NULL)
     x->events->on_connect (x);
   if (conn->is_closing)
@@ -368,14 +390,20 @@
                   pooled_on_connect_timeout, pooled);
 }
 
-void
-xch_start (xch_t *x, xch_peer_t *peer, const xch_events_t *events, void *owner,
-           const xch_request_t *request)
+static void
+xch_begin (xch_t *x, xch_peer_t *peer, const xch_events_t *events, void *owner)
 {
   *x = (xch_t){ .events = events, .owner = owner };
   if (peer->sweep.heap_position == 0)
     tmr_start_once (peer->pool->timers, &peer->sweep, IDLE_SWEEP_INTERVAL_MS,
                     peer_sweep, peer);
+}
+
+void
+xch_start (xch_t *x, xch_peer_t *peer, const xch_events_t *events, void *owner,
+           const xch_request_t *request)
+{
+  xch_begin (x, peer, events, owner);
   xch_pooled_t *pooled;
   while ((pooled = peer_take_idle (peer, request->max_idle_ms)) != NULL)
     {
@@ -391,6 +419,17 @@
   pooled_open (peer, x, request);
 }
 
+void
+xch_open_idle (xch_t *x, xch_peer_t *peer, const xch_events_t *events,
+               void *owner, uint64_t connect_timeout_ms)
+{
+  xch_request_t none = { .connect_timeout_ms = connect_timeout_ms };
+  xch_begin (x, peer, events, owner);
+  pooled_open (peer, x, &none);
+  x->pooled->is_for_later = true;
+  x->pooled->request_count = 0;
+}
+
 void
 xch_cancel (xch_t *x)
 {
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -80,6 +80,7 @@
   bool is_discarding;   ///< See xch_discard_response.
   bool is_reused;       ///< The connection has carried a request before.
   bool is_last;         ///< See xch_close_after.
+  bool is_refused;      ///< Within on_fail: no process listens there.
   kb_slice_t surplus;   ///< Within on_done: bytes read behind the response.
   /// Of this request and those before it on the connection; zero: none.
   uint64_t tags[XCH_KEPT_TAGS];
@@ -114,6 +115,10 @@
 /// call.
 void xch_start (xch_t *x, xch_peer_t *peer, const xch_events_t *events,
                 void *owner, const xch_request_t *request);
+/// Open a connection to a peer and keep it for a later request. on_connect
+/// reports that it was made, on_fail that it was not, as for xch_start.
+void xch_open_idle (xch_t *x, xch_peer_t *peer, const xch_events_t *events,
+                    void *owner, uint64_t connect_timeout_ms);
 /// Cancel an exchange by resetting its connection, which makes the peer stop.
 /// No callback follows. No effect when the exchange is not in progress.
 void xch_cancel (xch_t *x);
--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -529,7 +529,7 @@
       conn_set_options (conn);
       h1_conn_resume (conn);
     }
-  conn->events->on_connect (conn, status == 0);
+  conn->events->on_connect (conn, status);
 }
 
 kb_status_t
@@ -705,6 +705,12 @@
   return is_queued;
 }
 
+void
+h1_conn_hold (h1_conn_t *conn)
+{
+  conn->is_message_complete = true;
+}
+
 void
 h1_conn_next_message (h1_conn_t *conn)
 {
--- a/src/transport/h1.h
+++ b/src/transport/h1.h
@@ -65,8 +65,9 @@
   void (*on_message) (h1_conn_t *conn);
   /// The connection is unusable; the owner calls h1_conn_close.
   void (*on_end) (h1_conn_t *conn, h1_end_t end);
-  /// Result of h1_conn_connect. Client side only.
-  void (*on_connect) (h1_conn_t *conn, bool is_connected);
+  /// Result of h1_conn_connect: zero, or an error code of libuv. Client side
+  /// only.
+  void (*on_connect) (h1_conn_t *conn, int status);
   /// Last callback; the memory may be freed.
   void (*on_closed) (h1_conn_t *conn);
   /// All queued bytes were handed to the kernel; may be NULL.
@@ -150,6 +151,8 @@
 /// Write one chunk of a chunked body.
 /// @return  As h1_conn_write.
 bool h1_conn_write_chunk (h1_conn_t *conn, kb_slice_t bytes);
+/// Expect no message before h1_conn_next_message.
+void h1_conn_hold (h1_conn_t *conn);
 /// Continue with the next message, parsing what is already buffered.
 void h1_conn_next_message (h1_conn_t *conn);
 /// @return  Whether the peer is still there now, also when its close has not
