test(soak): let targets answer twice, and compare bodies whole

The soak took a body for whole if it contained the end of the right one, so a second answer behind it passed, and no target sent one behind or within a body without a length. Bodies are compared as a whole now, heads of answers within bodies count, and seeds above 1400 have targets that answer twice.

Stricter than before for every seed; no check, bound or seed was taken out.

--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -9,9 +9,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-/// Body of a plain target's answers.
-static const std::string plain_body = "{\"map\":\"a body of some length\"}";
-
 /// Answer to a rejected health check.
 static const std::string rejected_health
     = make_response (503, "X-Knapweedbay-Not-Executed: 1\r\n", "full");
@@ -133,7 +130,7 @@
 std::string
 Target::body_of_answer ()
 {
-  return is_engine_ ? event (1, { software () }) : plain_body;
+  return is_engine_ ? event (1, { software () }) : kPlainBody;
 }
 
 bool
@@ -660,7 +657,7 @@
   static const std::string ok = "HTTP/1.1 200 OK\r\n";
   static const std::string chunked = "Transfer-Encoding: chunked\r\n";
   std::string head = head_of (request, true);
-  std::string whole = is_engine_ ? event (1, { software () }) : plain_body;
+  std::string whole = is_engine_ ? event (1, { software () }) : kPlainBody;
   switch (crash_answer)
     {
     case CrashAnswer::NONE:
@@ -851,6 +848,25 @@
   return closed_runs_;
 }
 
+/// Send an answer without a length, whole or up to the middle of its body, and
+/// then a second one.
+void
+Target::answer_twice (Connection &connection, const Message &request,
+                      bool is_within, const Serving &serving)
+{
+  std::string body = is_engine_ ? "" : kPlainBody;
+  int from = atoi (request.header ("last-event-id").c_str ());
+  for (int i = from + 1; is_engine_ && i <= events; i++)
+    body += event (i, serving, names_requests ? request.body : "");
+  std::string fields = head_of (request, true);
+  std::string first = answer_of (Framing::NONE, fields, body);
+  if (is_within)
+    first.resize (first.size () - body.size () / 2);
+  connection.write (first);
+  sleep_ms (event_ms);
+  connection.write (answer_of (Framing::LENGTH, fields, body));
+}
+
 bool
 Target::run (Connection &connection, const Message &request, Fault fault,
              const Serving &serving)
@@ -895,6 +911,11 @@
     case Fault::HANG:
       connection.peer_has_closed (10000);
       return false;
+    case Fault::ANSWER_TWICE_UNFRAMED:
+    case Fault::ANSWER_TWICE_WITHIN:
+      answer_twice (connection, request, fault == Fault::ANSWER_TWICE_WITHIN,
+                    serving);
+      return false;
     case Fault::NOT_HTTP:
       connection.write ("these bytes are not HTTP\r\n\r\n");
       return false;
@@ -919,9 +940,9 @@
     case Fault::CUT_UNFRAMED:
     case Fault::END_UNFRAMED:
       connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n"
-                        + plain_body.substr (0, fault == Fault::END_UNFRAMED
-                                                    ? plain_body.size ()
-                                                    : plain_body.size () / 2));
+                        + kPlainBody.substr (0, fault == Fault::END_UNFRAMED
+                                                    ? kPlainBody.size ()
+                                                    : kPlainBody.size () / 2));
       if (fault == Fault::CUT_UNFRAMED)
         connection.reset ();
       return false;
@@ -941,10 +962,10 @@
     return false;
   if (is_unframed)
     {
-      connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n" + plain_body);
+      connection.write ("HTTP/1.1 200 OK\r\n" + head + "\r\n" + kPlainBody);
       return false;
     }
-  connection.write (make_response (200, head, plain_body));
+  connection.write (make_response (200, head, kPlainBody));
   if (fault == Fault::EXTRA_AFTER)
     connection.write (make_response (200, head, "a second answer"));
   return true;
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -14,6 +14,9 @@
 namespace relay
 {
 
+/// Body of a plain target's answers.
+inline const std::string kPlainBody = "{\"map\":\"a body of some length\"}";
+
 /// Fault that a target injects into one request.
 enum class Fault
 {
@@ -33,6 +36,9 @@
   END_WITHIN_EVENT, ///< A stream without a length; closed orderly in an event.
   ENDLESS_EVENT,    ///< A stream whose first event has no end.
   STREAM_TWICE,     ///< The whole stream follows again.
+  ANSWER_TWICE_UNFRAMED, ///< A second answer follows one without a length.
+  ANSWER_TWICE_WITHIN,   ///< A second answer begins within the body of one
+                         ///< without a length.
 };
 
 /// How a target breaks off the streams that it runs.
@@ -273,6 +279,8 @@
             const Serving &serving);
   bool stream (Connection &connection, const Message &request, Fault fault,
                const Serving &serving);
+  void answer_twice (Connection &connection, const Message &request,
+                     bool is_within, const Serving &serving);
   std::optional<StreamScript> script_of (const Message &request);
   std::optional<AnswerScript> answer_script_of (const Message &request);
   bool play (Connection &connection, const Message &request,
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -54,6 +54,13 @@
   violations_.push_back ({ attempt_id, text });
 }
 
+void
+Soak::add_mixed (const std::string &attempt_id, const std::string &text)
+{
+  mixed_answers_++;
+  add_violation (attempt_id, text);
+}
+
 std::string
 Soak::report () const
 {
@@ -98,14 +105,15 @@
   if (m.status != 200)
     return;
   if (m.header ("x-knapweedbay-attempt-id") != record.id)
-    add_violation (record.id, "got the answer of another request");
+    add_mixed (record.id, "got the answer of another request");
   if (m.header ("x-knapweedbay-server-seal").empty ())
     add_violation (record.id, "got an answer without the seal of a target");
   if (record.is_stream)
     check_stream (record);
-  else if (m.is_complete
-           && m.body.find ("some length\"}") == std::string::npos)
-    add_violation (record.id, "a truncated body looks complete: " + m.body);
+  else if (m.is_complete && m.body != kPlainBody)
+    add_mixed (record.id, "another body looks complete: " + m.body);
+  if (m.body.find ("HTTP/1.") != std::string::npos)
+    add_mixed (record.id, "got the head of a second answer");
 }
 
 /// No daemon ends but by a signal of the plan. Called between the steps.
@@ -348,7 +356,7 @@
         break;
       }
   if (record.answer.is_complete && (int)ids.size () != kEventsPerStream)
-    add_violation (record.id, "a truncated stream looks complete");
+    add_mixed (record.id, "a truncated stream looks complete");
 }
 
 /// Adapter slots are never exceeded, only one process issues orders under a
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -91,6 +91,9 @@
     case FaultKind::FAILING_TARGET:
       inject_target_failures (fault_step);
       break;
+    case FaultKind::ANSWER_TWICE:
+      answer_twice (fault_step);
+      break;
     case FaultKind::RESTART_ENGINE:
       restart_engine (fault_step.subject);
       break;
@@ -342,6 +345,17 @@
   target_at (fault_step.subject).fail_next (faults);
 }
 
+void
+Soak::answer_twice (const FaultStep &fault_step)
+{
+  std::vector<Fault> faults;
+  for (int i = 0; i <= fault_step.variant % 20; i++)
+    faults.push_back ((fault_step.variant >> i) % 2 == 0
+                          ? Fault::ANSWER_TWICE_UNFRAMED
+                          : Fault::ANSWER_TWICE_WITHIN);
+  target_at (fault_step.subject).fail_next (faults);
+}
+
 void
 Soak::restart_engine (int subject)
 {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -50,6 +50,7 @@
   STREAM_TWICE,    ///< An engine sends whole streams twice.
   ODD_ENTRY,       ///< By another writer: entries that no target would write,
                    ///< maybe one in place of a live target's.
+  ANSWER_TWICE,    ///< A target answers some requests twice, without a length.
 };
 
 struct FaultStep
@@ -73,6 +74,7 @@
 constexpr uint64_t kLastSeedWithPatientCallers = 900;
 constexpr uint64_t kLastSeedWithoutLosses = 1100;
 constexpr uint64_t kLastSeedWithoutOrder = 1200;
+constexpr uint64_t kLastSeedWithSingleAnswers = 1400;
 
 /// @param length_ms  All faults begin and end within this time.
 /// @param engines    Number of engines, which a whole release changes.
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -113,6 +113,13 @@
     return order_faults_;
   }
 
+  /// @return  Answers that looked whole and were not, or another request's.
+  size_t
+  mixed_answers () const
+  {
+    return mixed_answers_;
+  }
+
 private:
   // soak.cc
   void inject ();
@@ -139,6 +146,7 @@
   /// The operator and the targets write again what a restore may have lost.
   void rewrite_store ();
   void inject_target_failures (const FaultStep &fault_step);
+  void answer_twice (const FaultStep &fault_step);
   void restart_engine (int subject);
   void change_software (const FaultStep &fault_step);
   void lose_daemons (const FaultStep &fault_step);
@@ -176,6 +184,8 @@
 
   // checks.cc
   void add_violation (const std::string &attempt_id, const std::string &text);
+  /// The same for an answer that is not one whole answer to its request.
+  void add_mixed (const std::string &attempt_id, const std::string &text);
   Message send_with_kept_key (int gateway, Call call);
   void check_processes ();
   void check_fatal_requests ();
@@ -216,6 +226,7 @@
   std::vector<Abandoned> abandoned_;
   std::vector<OrderedStream> streams_;
   size_t order_faults_ = 0;
+  size_t mixed_answers_ = 0;
   std::set<pid_t> ended_; ///< Daemons that ended by themselves.
   std::vector<Violation> violations_;
   std::map<Daemon *, pid_t> restarting_; ///< With the process that stops.
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -50,9 +50,10 @@
   // with throttled processes, and with fatal requests that get bytes which are
   // no answer. 901: the first seed with callers who give up. 1101: the first
   // seed with the loss of all gateways, and with versions that come and leave
-  // while a store turns a gateway away.
+  // while a store turns a gateway away. 1401: the first seed with second
+  // answers within or behind others.
   return seeds_or (
-      { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701, 801, 901, 1101 });
+      { 1, 2, 212, 218, 231, 301, 402, 501, 601, 701, 801, 901, 1101, 1401 });
 }
 
 int
@@ -103,6 +104,17 @@
     }
 }
 
+// Guards against answers that look whole and hold bytes of others.
+TEST (Soak, AnswersAreWhole)
+{
+  for (uint64_t seed : seeds_or ({ 1401 }))
+    {
+      Soak soak (seed, length_ms (), soak_size ());
+      soak.run ();
+      EXPECT_EQ (soak.mixed_answers (), 0u) << soak.report ();
+    }
+}
+
 TEST (Soak, TheSameSeedGivesTheSamePlan)
 {
   EXPECT_EQ (describe (draw_plan (7, 6000)), describe (draw_plan (7, 6000)));
