test(relay): provoke the end of an attempt by a second answer

endings_failure_test EachEndCountsAsItsRowSays asks for each row of the table; it failed since the row was added (17 of 18), and passes now.

--- a/test/relay/endings_failure_test.cc
+++ b/test/relay/endings_failure_test.cc
@@ -203,6 +203,10 @@
     [] (Site &site, const std::string &id) {
       fail_plain (site, id, Fault::NOT_HTTP);
     } },
+  { END_SECOND,
+    [] (Site &site, const std::string &id) {
+      fail_plain (site, id, Fault::ANSWER_TWICE_UNFRAMED);
+    } },
   { END_REFUSED,
     [] (Site &site, const std::string &id) {
       fail_plain (site, id, Fault::NOT_RUN);
