fix(gateway): serve the last answer of a target that has left the list

What callers saw: 502 cut_event for a whole answer without a length.

The price: a target that is killed within an answer after its entry has gone is not noticed, as one that leaves (AnswerRest.AnswerOfALeavingTargetThatIsKilledIsNotWhole).

--- a/src/gateway/gateway_ending.c
+++ b/src/gateway/gateway_ending.c
@@ -59,8 +59,10 @@
 bool
 gtw_ending_check (gtw_request_t *r, gtw_ending_done_t done)
 {
-  // A target that leaves may listen no more while it answers.
-  if (!r->is_close_delimited || gtw_target_is_leaving (r->target))
+  // A target that leaves, or has left the list, may listen no more while it
+  // answers. One that the list replaced by its next incarnation has ended.
+  if (!r->is_close_delimited || gtw_target_is_leaving (r->target)
+      || r->target->unlisted_ms > 0)
     return false;
   r->ending_done = done;
   r->ending_refusals = 0;
