fix(transport): give up a body behind which a begun head goes on

A head that begins in the body, goes on behind it and has not ended there counts as found. Without a byte behind the body nothing shows it; a body that ends so is served, as it may quote a head.

ResponseScan.SurplusThatEndsWithinAHeadCounts fails without the change.

--- a/src/transport/respscan.c
+++ b/src/transport/respscan.c
@@ -158,8 +158,11 @@
 bool
 rsc_scan_feed_surplus (rsc_scan_t *scan, kb_slice_t bytes)
 {
+  if (bytes.len_bytes == 0)
+    return false;
+  // The rest of a head that is still open comes in a later read.
   if (scan->head_bytes > 0)
-    return rsc_scan_feed (scan, bytes);
+    return rsc_scan_feed (scan, bytes) || rsc_scan_is_open (scan);
   const char *line_end = memchr (bytes.ptr, '\n', bytes.len_bytes);
   size_t line_bytes = line_end == NULL ? bytes.len_bytes
                                        : (size_t)(line_end + 1 - bytes.ptr);
@@ -171,7 +174,8 @@
   bool begins_in_body
       = ends_with_status_line (kb_buf_slice (&line), scan->line.len_bytes);
   kb_buf_finish (&line);
-  return begins_in_body && rsc_scan_feed (scan, bytes);
+  return begins_in_body
+         && (rsc_scan_feed (scan, bytes) || rsc_scan_is_open (scan));
 }
 
 bool
--- a/test/unit/respscan_test.cc
+++ b/test/unit/respscan_test.cc
@@ -144,6 +144,24 @@
   EXPECT_FALSE (scan.surplus (kHead));
 }
 
+// Guards against a body that counts as whole because the head that begins in
+// it comes in several reads.
+TEST (ResponseScan, SurplusThatEndsWithinAHeadCounts)
+{
+  for (size_t n = 9; n + 4 < kHead.size (); n++)
+    {
+      Scan scan;
+      scan.feed (kText + kHead.substr (0, n));
+      EXPECT_TRUE (scan.surplus (kHead.substr (n, 2))) << n;
+    }
+  for (const char *surplus : { "", "\r\n", " is quoted\r\n" })
+    {
+      Scan scan;
+      scan.feed (kText + "HTTP/1.1 200 OK\r\n");
+      EXPECT_FALSE (scan.surplus (surplus)) << surplus;
+    }
+}
+
 // Guards against lines without an end that are held whole.
 TEST (ResponseScan, HoldsLittleOfALongLine)
 {
