fix(transport,gateway): recognize more forms of second answers, and end what cannot be assigned

A whole body without a length whose last line is a status line with figures behind it, as in a log, is served again; three of five such ends still look like the beginning of an answer and stay listed.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -371,16 +371,22 @@
   return (conn->parser.flags & F_CHUNKED) != 0 ? "chunked" : "none";
 }
 
-/// @return  Whether an answer belongs to another request: it bears another id,
-///          or it bears none behind other answers. A refusal never has one,
-///          and its connection carries no further request.
+/// @return  Whether an answer bears the id of another request.
 static bool
-is_stray_answer (const xch_t *x, const rly_response_t *answer)
+is_stray_answer (const gtw_request_t *r, const rly_response_t *answer)
 {
-  const gtw_request_t *r = x->owner;
-  if (answer->attempt_id.len_bytes > 0)
-    return !kb_slice_equal (answer->attempt_id, r->parsed_head.attempt_id);
-  return x->is_reused && !answer->is_not_run;
+  return answer->attempt_id.len_bytes > 0
+         && !kb_slice_equal (answer->attempt_id, r->parsed_head.attempt_id);
+}
+
+/// @return  Whether an answer cannot be assigned: it bears no id behind other
+///          answers on its connection. A refusal may have none, and its
+///          connection carries no further request.
+static bool
+is_unassignable (const xch_t *x, const rly_response_t *answer)
+{
+  return answer->attempt_id.len_bytes == 0 && x->is_reused
+         && !answer->is_not_run;
 }
 
 static void
@@ -391,7 +397,7 @@
   rly_response_t answer;
   r->gateway->dialect->read_response (conn, &answer);
   // A late answer to an earlier request on this connection.
-  if (is_stray_answer (x, &answer))
+  if (is_stray_answer (r, &answer))
     {
       MET_INC ("knapweedbay_stray_answers_total", "");
       xch_discard_response (x);
@@ -409,7 +415,8 @@
       attempt_handle_not_run (r, &answer);
       return;
     }
-  if (!is_valid_answer (r, &answer) || is_not_run_status (r->http_status))
+  if (is_unassignable (x, &answer) || !is_valid_answer (r, &answer)
+      || is_not_run_status (r->http_status))
     {
       attempt_handle_broken (r, END_UNSOUND);
       return;
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -270,7 +270,6 @@
   bool is_stream_answer;
   /// See gateway_ending.h.
   void (*ending_done) (gtw_request_t *r, bool is_whole);
-  uint32_t ending_refusals;
   bool is_close_delimited; ///< It ends with the connection to the target.
   bool is_head_written;
   bool is_begun;     ///< The current target has sent an event.
--- a/src/gateway/gateway_ending.c
+++ b/src/gateway/gateway_ending.c
@@ -12,13 +12,8 @@
   /// A VM that does not answer within it is not reachable, which proves
   /// nothing.
   CONNECT_TIMEOUT_MS = 100,
-  /// A target at its connection limit may refuse one connection.
-  REFUSED_PAUSE_MS = 50,
-  MAX_REFUSALS = 2,
 };
 
-static void ending_connect (void *arg);
-
 static void
 ending_report (gtw_request_t *r, bool is_whole)
 {
@@ -36,13 +31,7 @@
 static void
 ending_on_fail (xch_t *x, xch_failure_t fail)
 {
-  gtw_request_t *r = x->owner;
-  r->ending_refusals += x->is_refused;
-  if (!x->is_refused || r->ending_refusals == MAX_REFUSALS)
-    ending_report (r, !x->is_refused);
-  else
-    tmr_start_once (&r->gateway->host.timers, &r->silence_timer,
-                    REFUSED_PAUSE_MS, ending_connect, r);
+  ending_report (x->owner, !x->is_refused);
 }
 
 static const xch_events_t ending_events
@@ -65,7 +54,6 @@
       || r->target->unlisted_ms > 0)
     return false;
   r->ending_done = done;
-  r->ending_refusals = 0;
   // The answer has come in time.
   tmr_cancel (&r->gateway->host.timers, &r->expiry_timer);
   tmr_start_once (&r->gateway->host.timers, &r->silence_timer, SETTLE_MS,
--- a/src/gateway/gateway_scan.c
+++ b/src/gateway/gateway_scan.c
@@ -16,11 +16,16 @@
   return id_tag (r->parsed_head.attempt_id);
 }
 
+/// Refusals bear no id, and are searched for only where nothing but the end of
+/// the connection ends the body.
 static bool
-is_id_of_connection (void *owner, kb_slice_t name, kb_slice_t value)
+is_field_of_connection (void *owner, kb_slice_t name, kb_slice_t value)
 {
   const gtw_request_t *r = owner;
-  return h1_name_is (name, r->gateway->dialect->attempt_header)
+  const rly_dialect_t *dialect = r->gateway->dialect;
+  if (r->is_close_delimited && h1_name_is (name, dialect->not_run_header))
+    return true;
+  return h1_name_is (name, dialect->attempt_header)
          && xch_has_carried (&r->exchange, id_tag (value));
 }
 
@@ -36,7 +41,8 @@
 gtw_scan_begin (gtw_request_t *r)
 {
   rsc_scan_finish (&r->scan);
-  rsc_scan_init (&r->scan, &r->gateway->host.memory, is_id_of_connection, r);
+  rsc_scan_init (&r->scan, &r->gateway->host.memory, is_field_of_connection,
+                 r);
 }
 
 bool
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -82,6 +82,8 @@
   const char *instance_header;
   /// Header field with the id of the request that a response belongs to.
   const char *attempt_header;
+  /// Field of a response which says that the target did not run the request.
+  const char *not_run_header;
   /// Decode the head of a caller's request.
   /// @return  KB_OK, or KB_EINVAL when a field is invalid or a required one is
   ///          missing.
--- a/src/transport/respscan.c
+++ b/src/transport/respscan.c
@@ -13,20 +13,33 @@
   /// A longer head is not searched to its end.
   MAX_HEAD_BYTES = 65536,
   /// Shortest beginning of a status line that is told from other text: up to
-  /// the space before its code.
-  MIN_STATUS_BYTES = 9,
+  /// the first digit of its code.
+  MIN_STATUS_BYTES = 10,
 };
 
 /// A digit for each '#'.
 static const char status_pattern[] = "HTTP/#.# ###";
 
+/// How the text from a status line on is judged.
+typedef enum
+{
+  STATUS_NONE,
+  STATUS_QUOTED, ///< One that a text is likely to name.
+  STATUS_BEGINS, ///< One with which a response is likely to begin.
+} rsc_status_t;
+
+/// @param at  Behind the first digit of a status code.
+/// @return    Whether the rest of a status line is as targets write it.
 static bool
-is_reason_phrase (const char *at, const char *end)
+is_plain_reason (const char *at, const char *end)
 {
-  if (at < end && *at != ' ' && *at != '\r' && *at != '\n')
-    return false;
+  enum
+  {
+    CODE_REST_BYTES = 2,
+  };
+  at += (end - at) < CODE_REST_BYTES ? end - at : CODE_REST_BYTES;
   for (; at < end; at++)
-    if (!isalnum ((unsigned char)*at) && strchr (" '()-./\r\n", *at) == NULL)
+    if (!isalpha ((unsigned char)*at) && strchr (" '-\r\n", *at) == NULL)
       return false;
   return true;
 }
@@ -45,13 +58,13 @@
                                  : at[i] != status_pattern[i])
       return false;
   return len_bytes <= pattern_bytes
-         || is_reason_phrase (at + pattern_bytes, end);
+         || strchr (" \r\n", at[pattern_bytes]) != NULL;
 }
 
 /// @param from_bytes  The status line begins in these first bytes.
-/// @return  Whether a line ends with a status line.
-static bool
-ends_with_status_line (kb_slice_t line, size_t from_bytes)
+/// @return            How a line ends.
+static rsc_status_t
+judge_status (kb_slice_t line, size_t from_bytes)
 {
   const char *end = line.ptr + line.len_bytes;
   const char *last = line.ptr + from_bytes;
@@ -59,11 +72,13 @@
     {
       at = memchr (at, status_pattern[0], (size_t)(last - at));
       if (at == NULL)
-        return false;
-      if (is_status_line (at, end))
-        return true;
+        return STATUS_NONE;
+      if (!is_status_line (at, end))
+        continue;
+      return is_plain_reason (at + MIN_STATUS_BYTES, end) ? STATUS_BEGINS
+                                                          : STATUS_QUOTED;
     }
-  return false;
+  return STATUS_NONE;
 }
 
 /// Split a header line.
@@ -80,25 +95,37 @@
   return h1_name_is_token (*name);
 }
 
-/// Handle a line with its line end.
+/// Handle a header line, or the rest of one.
 static void
-scan_line (rsc_scan_t *scan, kb_slice_t line)
+scan_field (rsc_scan_t *scan, kb_slice_t line)
 {
   kb_slice_t name;
   kb_slice_t value;
-  bool is_field = !scan->is_line_cut && scan->head_bytes > 0
-                  && split_field (line, &name, &value);
-  if (ends_with_status_line (line, line.len_bytes))
-    scan->head_bytes = line.len_bytes;
-  else if (!is_field)
+  bool is_folded = scan->has_field && (*line.ptr == ' ' || *line.ptr == '\t');
+  bool is_rest = scan->is_line_cut || is_folded;
+  scan->head_bytes += line.len_bytes;
+  scan->has_field = true;
+  if (!is_rest && !split_field (line, &name, &value))
+    scan->head_bytes = 0;
+  else if (!is_rest)
+    scan->is_found = scan->is_own (scan->owner, name, value);
+  if (scan->head_bytes > MAX_HEAD_BYTES)
     scan->head_bytes = 0;
-  else
+}
+
+/// Handle a line with its line end.
+static void
+scan_line (rsc_scan_t *scan, kb_slice_t line)
+{
+  rsc_status_t status = judge_status (line, line.len_bytes);
+  if (status != STATUS_NONE)
     {
-      scan->head_bytes += line.len_bytes;
-      scan->is_found = scan->is_own (scan->owner, name, value);
-      if (scan->head_bytes > MAX_HEAD_BYTES)
-        scan->head_bytes = 0;
+      scan->head_bytes = line.len_bytes;
+      scan->is_likely = status == STATUS_BEGINS;
+      scan->has_field = false;
     }
+  else if (scan->head_bytes > 0)
+    scan_field (scan, line);
   scan->is_line_cut = false;
 }
 
@@ -106,7 +133,17 @@
 static void
 scan_append (rsc_scan_t *scan, const char *bytes, size_t len_bytes)
 {
+  kb_slice_t name;
+  kb_slice_t value;
   bool is_too_long = scan->line.len_bytes + len_bytes > MAX_LINE_BYTES;
+  if (is_too_long && !scan->is_line_cut && scan->head_bytes > 0)
+    {
+      kb_slice_t begin = scan->line.len_bytes > 0
+                             ? kb_buf_slice (&scan->line)
+                             : (kb_slice_t){ bytes, (uint32_t)len_bytes };
+      if (!split_field (begin, &name, &value))
+        scan->head_bytes = 0;
+    }
   if (is_too_long && len_bytes > KEPT_LINE_BYTES)
     {
       kb_buf_clear (&scan->line);
@@ -117,7 +154,6 @@
   if (!is_too_long)
     return;
   kb_buf_consume (&scan->line, scan->line.len_bytes - KEPT_LINE_BYTES);
-  scan->head_bytes = 0;
   scan->is_line_cut = true;
 }
 
@@ -172,7 +208,8 @@
   kb_buf_append (&line, scan->line.ptr, scan->line.len_bytes);
   kb_buf_append (&line, bytes.ptr, line_bytes);
   bool begins_in_body
-      = ends_with_status_line (kb_buf_slice (&line), scan->line.len_bytes);
+      = judge_status (kb_buf_slice (&line), scan->line.len_bytes)
+        == STATUS_BEGINS;
   kb_buf_finish (&line);
   return begins_in_body
          && (rsc_scan_feed (scan, bytes) || rsc_scan_is_open (scan));
@@ -181,7 +218,7 @@
 bool
 rsc_scan_is_open (const rsc_scan_t *scan)
 {
-  return scan->head_bytes > 0
-         || ends_with_status_line (kb_buf_slice (&scan->line),
-                                   scan->line.len_bytes);
+  return (scan->head_bytes > 0 && scan->is_likely)
+         || judge_status (kb_buf_slice (&scan->line), scan->line.len_bytes)
+                == STATUS_BEGINS;
 }
--- a/src/transport/respscan.h
+++ b/src/transport/respscan.h
@@ -19,6 +19,8 @@
   void *owner;
   kb_buf_t line;       ///< Bytes since the last line end.
   uint32_t head_bytes; ///< Of the embedded head so far; zero: none is open.
+  bool is_likely;      ///< The head begins as responses of targets do.
+  bool has_field;      ///< The head has a field already.
   bool is_line_cut;    ///< `line` lacks its beginning.
   bool is_found;
 } rsc_scan_t;
