fix(gateway): answer what is open before the exit, refuse what has no time

Callers of a gateway that stops in calm got no answer to requests that it had passed on, among them requests that may not be repeated.

Cause: the stop knew one bound for new requests, 3 s after SIGTERM, whatever the grace, and none for requests whose body or place came later; at the end of the grace the process exited with whatever was open.

A request is passed on only while its answer can be expected before the exit: its expiry falls before it, or the time that its route has taken at targets (its objective before the first answer) still fits; for one that may not run again with the margin of a timeout, and after 3 s only if its expiry falls before the exit. Others are refused as not run. What is open a sixth of the grace before its end, 0.4 s at most, is answered: 503 if it has certainly not run, else 502 or 504.

Weighed: with a grace of 8 s requests are taken for 3 s as before; more are refused only on routes that take over 4.6 s. Judging by the expiry alone would refuse routes with long timeouts from the first moment.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,17 +7,6 @@
 #include "transport/log.h"
 #include "transport/metrics.h"
 
-enum
-{
-  MS_PER_S = 1000,
-  /// Time left before SIGKILL for an orderly exit.
-  EXIT_RESERVE_MS = 400,
-  /// The load balancer sends no new connections after two failed checks, one
-  /// second apart.
-  MIN_STOP_MS = 2600,
-  STOP_CHECK_MS = 100,
-};
-
 static void
 source_on_config (void *owner, svc_config_t *config, kb_slice_t document)
 {
@@ -167,35 +156,17 @@
   gtw_requests_retry_waiting (gateway);
 }
 
-/// Exit once no client is connected, or shortly before the process is killed.
-static void
-check_stop (void *arg)
-{
-  gtw_gateway_t *gateway = arg;
-  uint64_t stopped_ms = gtw_now_ms (gateway) - gateway->stop_began_ms;
-  uint64_t grace_ms = (uint64_t)(gateway->host.settings.grace_s * MS_PER_S);
-  if (stopped_ms >= MIN_STOP_MS)
-    gtw_clients_close_idle (gateway);
-  // A connection that waits would be reset with its request.
-  bool is_idle = gateway->client_count == 0 && stopped_ms >= MIN_STOP_MS
-                 && !lsn_listener_has_waiting (&gateway->listener);
-  if (is_idle || stopped_ms + EXIT_RESERVE_MS >= grace_ms)
-    hst_host_exit (&gateway->host, 0);
-}
-
 static void
 gateway_on_stop (hst_host_t *host)
 {
-  gtw_gateway_t *gateway = (gtw_gateway_t *)host;
-  gateway->stop_began_ms = gtw_now_ms (gateway);
-  tmr_start_periodic (&host->timers, &gateway->exit_timer, STOP_CHECK_MS,
-                      check_stop, gateway);
+  gtw_stop_begin ((gtw_gateway_t *)host);
 }
 
 static void
 gateway_on_reload (hst_host_t *host)
 {
   gtw_budgets_apply_settings ((gtw_gateway_t *)host);
+  gtw_stop_apply_settings ((gtw_gateway_t *)host);
 }
 
 static void
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -475,6 +475,7 @@
                             r->http_status < HTTP_SERVER_ERROR);
   end_kind_t kind = answer_end_kind (r);
   gtw_quarantine_record_end (r, kind);
+  gtw_grace_record_duration (r);
   MET_INC ("knapweedbay_requests_total", "outcome=\"answered\"");
   gtw_log_request_end (r, "answered", r->http_status);
   r->is_complete = true;
@@ -601,6 +602,12 @@
   gtw_gateway_t *gateway = r->gateway;
   if (!gtw_client_check_present (r->client))
     return;
+  if (!gtw_grace_leaves_time (r))
+    {
+      gtw_request_release_target (r);
+      request_give_up (r, "stopping");
+      return;
+    }
   // Targets may have ended during another attempt while it waited for a place.
   uint64_t hold_ms = 0;
   if (gtw_quarantine_check (r, &hold_ms) == QRT_HELD)
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -17,6 +17,7 @@
 #include "gateway/recent.h"
 #include "gateway/source.h"
 #include "coordination/rewrite.h"
+#include "coordination/rto.h"
 #include "relay/accept.h"
 #include "relay/host.h"
 #include "relay/versions.h"
@@ -40,6 +41,7 @@
   /// Services whose streams may be continued; with that many, all count.
   GTW_MAX_STREAMED_SERVICES = 64,
   GTW_MAX_EVENT_STEPS = 64,
+  GTW_MAX_ROUTE_DURATIONS = 64,
   GTW_MAX_QUEUED_RECORDS = 32,
   /// Two heartbeat intervals of a sidecar plus some delay. After a longer
   /// silence the engine may have died.
@@ -348,6 +350,13 @@
   esq_steps_t steps;
 } gtw_steps_t;
 
+/// How long the requests of one route take at targets.
+typedef struct
+{
+  uint64_t key; ///< Hash of the route's name; zero: unused entry.
+  rto_timeout_t duration;
+} gtw_duration_t;
+
 /// Writes records of requests during which targets ended to the platform's
 /// store, where they survive a power loss of all daemons.
 typedef struct
@@ -460,7 +469,8 @@
   gtw_software_writer_t software_writer;
   uint64_t streamed_services[GTW_MAX_STREAMED_SERVICES]; ///< gtw_service_key
   uint32_t streamed_count;
-  gtw_steps_t event_steps[GTW_MAX_EVENT_STEPS]; ///< By hash of the key.
+  gtw_steps_t event_steps[GTW_MAX_EVENT_STEPS];      ///< By hash of the key.
+  gtw_duration_t durations[GTW_MAX_ROUTE_DURATIONS]; ///< By hash of the key.
   org_table_t origins; ///< Of streams that this gateway began or continued.
   plc_costs_t costs;
   uint32_t engine_requests; ///< Requests for engines since `rate_updated_ms`.
@@ -578,6 +588,27 @@
 /// Close idle connections while stopping.
 void gtw_clients_close_idle (gtw_gateway_t *gateway);
 
+// gateway_grace.c
+/// @return  Time since the stop began.
+uint64_t gtw_stopped_ms (const gtw_gateway_t *gateway);
+/// @return  Time that is kept for the last answers and the exit.
+uint64_t gtw_grace_reserve_ms (const gtw_gateway_t *gateway);
+/// @return  The moment at which what is still open is answered.
+uint64_t gtw_grace_end_ms (const gtw_gateway_t *gateway);
+/// @return  Whether a stop has lasted so long that no request is taken.
+bool gtw_grace_refuses_new (const gtw_gateway_t *gateway);
+/// @return  Whether the answer to a request that is sent now can be expected
+///          before the exit.
+bool gtw_grace_leaves_time (const gtw_request_t *r);
+/// Record how long a request took that its target has answered.
+void gtw_grace_record_duration (const gtw_request_t *r);
+
+// gateway_stop.c
+/// Stop: take and answer requests while there is time, then exit.
+void gtw_stop_begin (gtw_gateway_t *gateway);
+/// Apply a grace that was changed during the stop.
+void gtw_stop_apply_settings (gtw_gateway_t *gateway);
+
 // gateway_memory.c
 /// Refuse callers until all of them hold no more than the limit.
 void gtw_memory_relieve (gtw_gateway_t *gateway);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -22,9 +22,6 @@
   HTTP_GATEWAY_TIMEOUT = 504,
   /// Of a request without a deadline field.
   DEFAULT_DEADLINE_MS = 60000,
-  /// New requests are refused once a stop has lasted this long: one that takes
-  /// longer than this would not end before the process exits.
-  STOP_REFUSE_MS = 3000,
   /// Minimum time left for which an attempt is useful.
   MIN_ATTEMPT_MS = 20,
   /// Minimum Retry-After of a refusal, which is spread over as much again.
@@ -210,15 +207,14 @@
   if (conn->parser.content_length != UINT64_MAX
       && conn->parser.content_length > gtw_max_body_bytes (gateway))
     return refuse_head (client, HTTP_TOO_LARGE, "the body is too large");
-  uint64_t stopped_ms = gateway->stop_began_ms > 0
-                            ? gtw_now_ms (gateway) - gateway->stop_began_ms
-                            : 0;
-  if (stopped_ms > STOP_REFUSE_MS)
+  if (gtw_grace_refuses_new (gateway))
     return refuse_head (client, HTTP_UNAVAILABLE, "this process stops");
   gtw_request_t *r = request_add (client, &parsed);
   gtw_refusal_t refusal = { 0 };
   if (gateway->config != NULL)
     refusal = request_route (r);
+  if (refusal.http_status == 0 && !gtw_grace_leaves_time (r))
+    refusal = (gtw_refusal_t){ HTTP_UNAVAILABLE, "this process stops" };
   if (refusal.http_status == 0)
     {
       gtw_request_arm_expiry (r);
