fix(gateway): leave new connections of a stop the time for their request

Callers that connected late in a stop got no answer: after 2.6 s each look at the connections closed the idle ones, also one that was accepted a moment before and whose request was still on its way. A connection is idle in a stop once nothing has come for 0.5 s; one that was kept idle longer closes at once as before.

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -21,6 +21,8 @@
   /// is no room for them, and how long they have been idle at least.
   MAX_CLOSED_FOR_ROOM = 8,
   MIN_IDLE_MS = 1000,
+  /// Time for the request of a connection that was accepted during a stop.
+  MIN_STOP_IDLE_MS = 500,
   /// Refused clients whose input is discarded, so that the refusal is not lost
   /// to a reset.
   MAX_REFUSED = 64,
@@ -388,9 +390,12 @@
 gtw_clients_close_idle (gtw_gateway_t *gateway)
 {
   // A request that has arrived is answered, though it is not read yet.
+  uint64_t now_ms = gtw_now_ms (gateway);
   for (gtw_client_t *client = gateway->clients; client != NULL;
        client = client->next)
-    if (client_is_idle (client) && !h1_conn_has_unread (&client->conn))
+    if (client_is_idle (client)
+        && now_ms >= client->last_progress_ms + MIN_STOP_IDLE_MS
+        && !h1_conn_has_unread (&client->conn))
       h1_conn_linger (&client->conn);
 }
 
