fix(daemon): answer what is in progress at the drain limit of an entry

Callers of an entry whose drain limit was reached got no answer: it logged how many requests were in progress, and exited.

They are answered now before the exit: 503 if nothing was sent and no earlier attempt with the key is known, else 504 "unknown". Only work that may be repeated is cancelled; a keyed run goes on, and its claim is left as it is, as when its caller leaves. The exit code stays that of the drain limit.

Not tried: streams, requests that wait for a claim, and a re-send of the keyed request at another entry afterwards.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -163,8 +163,19 @@
 exit_timer_on_expire (void *arg)
 {
   ent_entry_t *entry = arg;
-  dmn_exit (entry->daemon,
-            entry->request_count == 0 ? DMN_EXIT_OK : DMN_EXIT_DRAIN_LIMIT);
+  dmn_exit (entry->daemon, entry->is_drain_limit_reached ? DMN_EXIT_DRAIN_LIMIT
+                                                         : DMN_EXIT_OK);
+}
+
+static void
+end_requests (ent_entry_t *entry)
+{
+  ent_request_t *next;
+  for (ent_request_t *r = entry->requests; r != NULL; r = next)
+    {
+      next = r->next;
+      ent_request_end_at_drain_limit (r);
+    }
 }
 
 static void
@@ -181,6 +192,8 @@
     log_write (LOG_ERROR, "daemon",
                "The drain limit is reached with %u requests in progress.",
                entry->request_count);
+  entry->is_drain_limit_reached = entry->request_count > 0;
+  end_requests (entry);
   tmr_start_once (&entry->daemon->timers, &entry->exit_timer, EXIT_FLUSH_MS,
                   exit_timer_on_expire, entry);
 }
--- a/src/daemon/entry_defs.h
+++ b/src/daemon/entry_defs.h
@@ -228,6 +228,7 @@
 
   uint64_t started_ms;
   uint64_t drain_started_ms;
+  bool is_drain_limit_reached; ///< With requests in progress.
   bool is_handover_done;
   bool is_list_known;
   uint64_t tick_count;
@@ -254,6 +255,8 @@
 // entry_request.c
 /// Start a validated request.
 void ent_request_start (ent_request_t *r);
+/// Answer a request that is in progress when this entry has to exit.
+void ent_request_end_at_drain_limit (ent_request_t *r);
 /// Handle a caller's hang-up.
 void ent_request_abort (ent_request_t *r);
 void ent_request_on_part (ent_entry_t *entry, const msg_part_t *part);
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -200,6 +200,24 @@
   request_fail_unknown (r, "the deadline passed while it ran");
 }
 
+void
+ent_request_end_at_drain_limit (ent_request_t *r)
+{
+  // A run without its caller ends by itself; its outcome is kept.
+  if (r->http == NULL)
+    return;
+  if (r->stage == ENT_STAGE_CLAIMING && r->holder_attempt == 0)
+    {
+      ent_request_fail_not_run (r, "this entry is shutting down", 1);
+      return;
+    }
+  if (request_is_repeatable (r))
+    send_cancel (r);
+  MET_INC ("knapweedbay_requests_total", "outcome=\"unknown\"");
+  ent_request_fail (r, HTTP_GATEWAY_TIMEOUT, "unknown",
+                    "this entry is shutting down", 0);
+}
+
 static bool
 request_is_past_deadline (const ent_request_t *r)
 {
