--- a/test/relay/stop_late_failure_test.cc
+++ b/test/relay/stop_late_failure_test.cc
@@ -312,6 +312,45 @@
   EXPECT_EQ (site.runs_of (sent.id), 0);
 }
 
+// Guards against a request that waits for a place when the gateway exits, and
+// is cut with no answer.
+TEST (StopLate, RequestsThatWaitForAPlaceAreRefused)
+{
+  constexpr int kCallers = 6;
+  constexpr int kEventMs = 1000;
+  Site site (1, 0, 1);
+  site.engine_slots = 1;
+  site.write_config (2, "", 20000);
+  site.list_engine (0);
+  set_grace (site, 0, 4);
+  site.restart (&site.gateways[0].daemon, SIGKILL);
+  ASSERT_TRUE (site.wait_ready ());
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return send_call (site.gateways[0], stream_call ("warm", "")).status
+           == 200;
+  }));
+  site.engines[0].target->event_ms = kEventMs;
+  std::vector<Sent> sent (kCallers);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; i++)
+    {
+      Call call = stream_call ("s" + std::to_string (i), "", i % 2 == 0);
+      call.deadline_ms = kDeadlineMs;
+      callers.emplace_back (exchange, dial (site.gateways[0].address), call,
+                            &sent[(size_t)i]);
+    }
+  std::this_thread::sleep_for (milliseconds (500));
+  kill (site.gateways[0].daemon.pid, SIGTERM);
+  for (std::thread &caller : callers)
+    caller.join ();
+  Counts c = count (site, sent);
+  printf ("%d served, %d refused, %d failed, %d begun and cut, %d unheard\n",
+          c.served, c.refused, c.failed, c.cut, c.unheard);
+  EXPECT_GT (c.refused, 0);
+  EXPECT_EQ (c.unheard, 0);
+  EXPECT_EQ (c.refused_and_run, 0);
+}
+
 // Guards against a pipelined request that is passed on behind the last answer
 // of a connection.
 TEST (StopLate, RequestBehindTheLastAnswerIsNotPassedOn)
