fix(gateway): let a refusal bear no id of an earlier request

Callers whose request ended within its head, or was malformed, on a kept connection got a refusal with the id of the request before, which had been answered: the id of a refusal was cleared only when the next head was whole. It is cleared when a request has its answer.

--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -123,6 +123,7 @@
 gtw_client_finish_answer (gtw_client_t *client, bool is_complete)
 {
   client->request = NULL;
+  client->refusal_id[0] = '\0';
   client->last_progress_ms = gtw_now_ms (client->gateway);
   if (!is_complete)
     h1_conn_close (&client->conn, true);
--- a/test/relay/answer_owner_failure_test.cc
+++ b/test/relay/answer_owner_failure_test.cc
@@ -306,5 +306,30 @@
   EXPECT_EQ (timed_out, 0);
 }
 
+// Guards against a refusal of a request whose head is not complete, or is
+// malformed, that bears the id of the request before on its connection.
+TEST (AnswerOwner, RefusalBearsNoIdOfAnEarlierRequest)
+{
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  const std::vector<std::pair<std::string, int>> heads
+      = { { "GET /plain/x HTTP/1.1\r\nHost: a.exa", 408 },
+          { "GET /plain/x HTTP/1.1\r\nHo st: a.example\r\n\r\n", 400 },
+          { "GET /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Long: "
+                + std::string (8192, 'x') + "\r\n\r\n",
+            431 } };
+  for (const auto &[head, status] : heads)
+    {
+      auto connection = dial (site.gateways[0].address);
+      ASSERT_NE (connection, nullptr);
+      connection->write (plain_call ("earlier").text ());
+      ASSERT_EQ (connection->read_response ().status, 200);
+      connection->write (head);
+      Message refusal = connection->read_response ();
+      EXPECT_EQ (refusal.status, status);
+      EXPECT_EQ (refusal.header ("x-knapweedbay-attempt-id"), "");
+    }
+}
+
 } // namespace
 } // namespace relay
