--- a/test/system/drain_limit_failure_test.cc
+++ b/test/system/drain_limit_failure_test.cc
@@ -58,6 +58,15 @@
       EXPECT_EQ (answer.header ("x-knapweedbay-outcome"), "unknown");
     }
   EXPECT_EQ (Cluster::wait_exit (entry), 4);
+  // The keyed run goes on; sent again, the request gets that run's answer.
+  std::string other
+      = "127.0.0.1:" + std::to_string (c.entries[1].process.http_port);
+  EXPECT_TRUE (Cluster::wait_until ([&] {
+    auto again = relay::dial (other);
+    return again != nullptr && again->write (call_text ("open-2", kinds[2]))
+           && again->read_response ().status == 200;
+  }));
+  EXPECT_EQ (c.runs_at (*plain), (int)kinds.size ());
 }
 
 // Guards against a request that is taken while an entry drains.
