--- a/src/gateway/gateway_client.c
+++ b/src/gateway/gateway_client.c
@@ -21,6 +21,8 @@
   /// is no room for them, and how long they have been idle at least.
   MAX_CLOSED_FOR_ROOM = 8,
   MIN_IDLE_MS = 1000,
+  /// Time for the request of a connection that was accepted during a stop.
+  MIN_STOP_IDLE_MS = 500,
   /// Refused clients whose input is discarded, so that the refusal is not lost
   /// to a reset.
   MAX_REFUSED = 64,
@@ -121,6 +123,7 @@
 gtw_client_finish_answer (gtw_client_t *client, bool is_complete)
 {
   client->request = NULL;
+  client->refusal_id[0] = '\0';
   client->last_progress_ms = gtw_now_ms (client->gateway);
   if (!is_complete)
     h1_conn_close (&client->conn, true);
@@ -388,9 +391,12 @@
 gtw_clients_close_idle (gtw_gateway_t *gateway)
 {
   // A request that has arrived is answered, though it is not read yet.
+  uint64_t now_ms = gtw_now_ms (gateway);
   for (gtw_client_t *client = gateway->clients; client != NULL;
        client = client->next)
-    if (client_is_idle (client) && !h1_conn_has_unread (&client->conn))
+    if (client_is_idle (client)
+        && now_ms >= client->last_progress_ms + MIN_STOP_IDLE_MS
+        && !h1_conn_has_unread (&client->conn))
       h1_conn_linger (&client->conn);
 }
 
