fix(transport): take no reset for the end of a body

What callers of the own interface saw: an answer that looked complete and lacked its last bytes. Cause: h2o's client reports the end of a body without a length for every end of its connection, a reset included, and httpc took it for the whole body. The state of the connection tells both apart: after an orderly close the kernel has it as CLOSE_WAIT, after a reset as closed, also when the hang-up was polled together with the last bytes. Bodies with a length or chunks were not concerned: their ends are within them.

Evidence, BrokenOwn.ResetBodyWithoutALengthIsNotWhole (800 B, 100 and 300 KB, reset 0, 1 or 15 ms behind two thirds): 9 of 9 wrong before, 0 of 9 after. Whole bodies without a length are served as before (QuotedInABodyIsAPartOfIt).

--- a/src/transport/engine.c
+++ b/src/transport/engine.c
@@ -213,20 +213,13 @@
   head->retry_after_ms = (uint64_t)(seconds * MS_PER_S);
 }
 
-static bool
-is_close_delimited (const htc_call_t *http)
-{
-  return htc_call_header (http, "content-length").len_bytes == 0
-         && htc_call_header (http, "transfer-encoding").len_bytes == 0;
-}
-
 static void
 run_on_head (htc_call_t *http, int http_status, kb_slice_t content_type)
 {
   eng_run_t *run = http->owner;
   eng_head_t head = { .http_status = http_status,
                       .content_type = content_type,
-                      .is_close_delimited = is_close_delimited (http),
+                      .is_close_delimited = http->is_close_delimited,
                       .limit_per_s = -1 };
   read_limit (http, &head);
   read_retry_after (http, &head);
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -4,6 +4,8 @@
 #include <h2o/http1client.h>
 #include <stdlib.h>
 
+#include "transport/presence.h"
+
 enum
 {
   H2O_IO_TIMEOUT_MS = 3600000
@@ -106,12 +108,23 @@
          && client->sock->bytes_read == 0;
 }
 
+/// h2o also reports the end of a close-delimited body when its connection is
+/// reset.
+static bool
+is_reset_in_body (const htc_call_t *call, const h2o_http1client_t *client,
+                  const char *errstr)
+{
+  return errstr == h2o_http1client_error_is_eos && call->is_close_delimited
+         && !prs_is_closed_in_order (h2o_socket_get_fd (client->sock));
+}
+
 static int
 on_body (h2o_http1client_t *client, const char *errstr)
 {
   htc_call_t *call = client->data;
   bool is_error = errstr != NULL && errstr != h2o_http1client_error_is_eos;
-  if (is_error || is_cut_between_chunks (call, client, errstr))
+  if (is_error || is_cut_between_chunks (call, client, errstr)
+      || is_reset_in_body (call, client, errstr))
     {
       call_end (call, HTC_END_INCOMPLETE);
       return -1;
@@ -169,6 +182,9 @@
   call->headers = headers;
   call->header_count = num_headers;
   call->is_chunked = htc_call_header (call, "transfer-encoding").len_bytes > 0;
+  call->is_close_delimited
+      = !call->is_chunked
+        && htc_call_header (call, "content-length").len_bytes == 0;
   call->is_in_callback = true;
   call->events->on_head (call, status, htc_call_header (call, "content-type"));
   call->is_in_callback = false;
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -48,7 +48,8 @@
   uint64_t idle_timeout_ms;
   uint64_t ends_at_ms; ///< Loop time at which it ends; zero: never.
   int http_status;
-  bool is_chunked; ///< The body ends with its last chunk.
+  bool is_chunked;         ///< The body ends with its last chunk.
+  bool is_close_delimited; ///< The body ends with the connection.
   bool is_sent;
   bool is_ended;
   bool is_starting;
--- a/src/transport/presence.c
+++ b/src/transport/presence.c
@@ -30,6 +30,15 @@
   return presence;
 }
 
+bool
+prs_is_closed_in_order (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+         && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 static void
 watch_on_event (uv_poll_t *poll, int status, int events)
 {
--- a/src/transport/presence.h
+++ b/src/transport/presence.h
@@ -24,6 +24,10 @@
 
 /// @param fd  Descriptor of the connection; negative: it is closed here.
 prs_presence_t prs_query (int fd);
+/// @param fd  Descriptor of a connection that is open on this side.
+/// @return    Whether the peer has ended it with an orderly close, not with a
+///            reset.
+bool prs_is_closed_in_order (int fd);
 
 typedef struct prs_watch prs_watch_t;
 typedef struct prs_peer prs_peer_t;
