fix(transport): take no second response for a part of a body

What callers of the own interface saw: a plain answer that looked complete and held a second answer of its target, head and all, behind or within the first; a stream that went on with a second one behind its end mark. Cause: httpc took the end of a body from its framing alone, as the gateway did.

Each body of a call is now searched for the head of another response (transport/respscan). There is no id here; a head counts as the server's own if it repeats more than half of the field lines of the accepted head, those of the framing and the connection left out (transport/respown): a second response may differ in its date or an id, one that a body quotes is of another server. Where the accepted head has nothing to compare, any head with a field counts. Not chosen: any head behind a body without a length, since that withholds every page that quotes a response. A body without a length that ends within a head is broken. For bodies with a length the bytes behind them are searched where they continue a head that begins within: those that h2o read, and those in the socket. The attempt ends as second_answer; its caller gets an error, or a stream that is cut short.

All requests reached the target.

Not found: a second response whose head shares less with the first one, and a body with a length that is filled up with the first bytes of a second response while the next ones arrive later.

--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -397,6 +397,27 @@
   agt_schedule_work (agent);
 }
 
+/// End an attempt whose answer is not whole.
+static void
+run_handle_broken (agt_request_t *r, htc_end_t end)
+{
+  if (end == HTC_END_TIMEOUT)
+    {
+      agt_quarantine_record_end (r, END_SILENT);
+      run_fail (r, MSG_OUTCOME_UNKNOWN, "the target is silent");
+    }
+  else if (end == HTC_END_SECOND)
+    {
+      agt_quarantine_record_end (r, END_SECOND);
+      run_fail (r, MSG_OUTCOME_UNKNOWN, "the target answered twice");
+    }
+  else
+    {
+      agt_quarantine_record_end (r, END_RESET);
+      run_fail (r, MSG_OUTCOME_UNKNOWN, "the connection to the target broke");
+    }
+}
+
 static void
 run_on_end (void *arg, htc_end_t end)
 {
@@ -411,11 +432,7 @@
     }
   if (end != HTC_END_COMPLETE)
     {
-      agt_quarantine_record_end (r, end == HTC_END_TIMEOUT ? END_SILENT
-                                                           : END_RESET);
-      run_fail (r, MSG_OUTCOME_UNKNOWN,
-                end == HTC_END_TIMEOUT ? "the target is silent"
-                                       : "the connection to the target broke");
+      run_handle_broken (r, end);
       return;
     }
   bool is_unknown_model
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -3,12 +3,16 @@
 #include <h2o.h>
 #include <h2o/http1client.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
+#include "transport/metrics.h"
 #include "transport/presence.h"
 
 enum
 {
-  H2O_IO_TIMEOUT_MS = 3600000
+  H2O_IO_TIMEOUT_MS = 3600000,
+  /// Of the bytes behind a body, more than a status line has.
+  MAX_PEEKED_BYTES = 4096,
 };
 
 typedef struct
@@ -49,6 +53,7 @@
 {
   tmr_cancel (call->client->timers, &call->timer);
   kb_buf_finish (&call->request);
+  rso_search_finish (&call->search);
   free (call->iovec);
   free (call);
 }
@@ -118,6 +123,45 @@
          && !prs_is_closed_in_order (h2o_socket_get_fd (client->sock));
 }
 
+/// Search the bytes behind a body with a length: those that h2o read, which
+/// it leaves behind its input, and those that wait in the socket.
+static bool
+is_second_in_surplus (htc_call_t *call, const h2o_http1client_t *client)
+{
+  const h2o_buffer_t *input = client->sock->input;
+  kb_buf_t surplus = { 0 };
+  if (client->sock->bytes_read > input->size)
+    kb_buf_append (&surplus, input->bytes + input->size,
+                   client->sock->bytes_read - input->size);
+  char waiting[MAX_PEEKED_BYTES];
+  ssize_t waiting_bytes = recv (h2o_socket_get_fd (client->sock), waiting,
+                                sizeof waiting, MSG_PEEK | MSG_DONTWAIT);
+  if (waiting_bytes > 0)
+    kb_buf_append (&surplus, waiting, (size_t)waiting_bytes);
+  bool is_found
+      = surplus.len_bytes > 0
+        && rsc_scan_feed_surplus (&call->search.scan, kb_buf_slice (&surplus));
+  kb_buf_finish (&surplus);
+  return is_found;
+}
+
+/// @return  Whether bytes of the body are those of another response.
+static bool
+is_second_in_body (htc_call_t *call, const h2o_http1client_t *client,
+                   const char *errstr)
+{
+  const h2o_buffer_t *input = client->sock->input;
+  bool is_found = rso_search_feed (
+      &call->search, (kb_slice_t){ input->bytes, (uint32_t)input->size });
+  if (errstr != NULL && !is_found)
+    is_found = call->is_close_delimited
+                   ? rsc_scan_is_open (&call->search.scan)
+                   : !call->is_chunked && is_second_in_surplus (call, client);
+  if (is_found)
+    MET_INC ("knapweedbay_second_answers_total", "");
+  return is_found;
+}
+
 static int
 on_body (h2o_http1client_t *client, const char *errstr)
 {
@@ -129,6 +173,11 @@
       call_end (call, HTC_END_INCOMPLETE);
       return -1;
     }
+  if (is_second_in_body (call, client, errstr))
+    {
+      call_end (call, HTC_END_SECOND);
+      return -1;
+    }
   call_restart_idle_timer (call);
   h2o_buffer_t *input = client->sock->input;
   if (input->size > 0)
@@ -185,6 +234,11 @@
   call->is_close_delimited
       = !call->is_chunked
         && htc_call_header (call, "content-length").len_bytes == 0;
+  for (size_t i = 0; i < num_headers; i++)
+    rso_search_add_field (
+        &call->search,
+        (kb_slice_t){ headers[i].name->base, (uint32_t)headers[i].name->len },
+        (kb_slice_t){ headers[i].value.base, (uint32_t)headers[i].value.len });
   call->is_in_callback = true;
   call->events->on_head (call, status, htc_call_header (call, "content-type"));
   call->is_in_callback = false;
@@ -234,6 +288,7 @@
   call->owner = owner;
   call->client = client;
   call->idle_timeout_ms = idle_timeout_ms;
+  rso_search_init (&call->search);
   kb_buf_printf (&call->request,
                  "%s %s HTTP/1.1\r\nhost: %s:%u\r\nconnection: close\r\n"
                  "content-length: %u\r\n%s\r\n",
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -9,6 +9,7 @@
 
 #include "state/buf.h"
 #include "state/status.h"
+#include "transport/respown.h"
 #include "transport/timer.h"
 
 typedef struct htc_client htc_client_t;
@@ -20,6 +21,7 @@
   HTC_END_COMPLETE,   ///< The complete response arrived.
   HTC_END_NOT_SENT,   ///< No connection was made.
   HTC_END_INCOMPLETE, ///< Sent, but the response is missing or truncated.
+  HTC_END_SECOND,     ///< Another response of the server begins in the body.
   HTC_END_TIMEOUT,    ///< Sent; nothing was received for idle_timeout_ms, or
                       ///< the total time is up.
 } htc_end_t;
@@ -43,7 +45,8 @@
       *headers; ///< h2o_header_t array of the response; set during on_head.
   size_t header_count;
   kb_buf_t request;
-  void *iovec; ///< The request as h2o_iovec_t.
+  void *iovec;         ///< The request as h2o_iovec_t.
+  rso_search_t search; ///< Of the body.
   tmr_timer_t timer;
   uint64_t idle_timeout_ms;
   uint64_t ends_at_ms; ///< Loop time at which it ends; zero: never.
--- a/src/transport/respscan.c
+++ b/src/transport/respscan.c
@@ -89,13 +89,17 @@
   bool is_field = !scan->is_line_cut && scan->head_bytes > 0
                   && split_field (line, &name, &value);
   if (ends_with_status_line (line, line.len_bytes))
-    scan->head_bytes = line.len_bytes;
+    {
+      scan->head_bytes = line.len_bytes;
+      scan->field_count = 0;
+    }
   else if (!is_field)
     scan->head_bytes = 0;
   else
     {
       scan->head_bytes += line.len_bytes;
       scan->is_found = scan->is_own (scan->owner, name, value);
+      scan->field_count++;
       if (scan->head_bytes > MAX_HEAD_BYTES)
         scan->head_bytes = 0;
     }
--- a/src/transport/respscan.h
+++ b/src/transport/respscan.h
@@ -17,9 +17,10 @@
 {
   rsc_is_own_t is_own;
   void *owner;
-  kb_buf_t line;       ///< Bytes since the last line end.
-  uint32_t head_bytes; ///< Of the embedded head so far; zero: none is open.
-  bool is_line_cut;    ///< `line` lacks its beginning.
+  kb_buf_t line;        ///< Bytes since the last line end.
+  uint32_t head_bytes;  ///< Of the embedded head so far; zero: none is open.
+  uint32_t field_count; ///< Of the embedded head so far.
+  bool is_line_cut;     ///< `line` lacks its beginning.
   bool is_found;
 } rsc_scan_t;
 
--- a/test/system/second_answer_test.cc
+++ b/test/system/second_answer_test.cc
@@ -117,6 +117,7 @@
         target.answer ([&] (const std::string &, int) { return c.script; });
         sums.add (look (), c.body, c.what);
       }
+    EXPECT_GE (target.runs, calls_);
     return sums;
   }
   ScriptedTarget target;
@@ -313,6 +314,7 @@
                       name_of (first, second, (int)missing));
           }
   expect_none_wrong ("completions", sums);
+  EXPECT_GE (site.target.runs, sums.calls);
 }
 
 std::string
@@ -351,6 +353,7 @@
           foreign += answer.body.find ("HTTP/1.1") != std::string::npos;
         }
   expect_none_wrong ("streams", sums);
+  EXPECT_GE (site.target.runs, sums.calls);
   EXPECT_EQ (foreign, 0);
 }
 
