fix(transport): take no body whose length is contradicted

What callers of the own interface saw: half of a plain body that looked complete, of an answer with two lengths. Cause: h2o's client takes the last of several lengths, and a length beside a transfer coding (identity), without an error; where such a body ends is not known. httpc now breaks off a call whose head has lengths that differ, or a length and a transfer coding; equal lengths are taken.

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -215,6 +215,28 @@
   return (kb_slice_t){ "", 0 };
 }
 
+/// h2o takes the last one of several lengths, and a length beside a transfer
+/// coding.
+/// @return  Whether the fields of a head contradict each other about where its
+///          body ends.
+static bool
+is_framing_contradictory (const htc_call_t *call)
+{
+  const h2o_header_t *headers = call->headers;
+  const h2o_iovec_t *length = NULL;
+  for (size_t i = 0; i < call->header_count; i++)
+    {
+      if (headers[i].name != &H2O_TOKEN_CONTENT_LENGTH->buf)
+        continue;
+      const h2o_iovec_t *value = &headers[i].value;
+      if (length != NULL
+          && !h2o_memis (value->base, value->len, length->base, length->len))
+        return true;
+      length = value;
+    }
+  return length != NULL && call->is_chunked;
+}
+
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *client, const char *errstr, int minor_version,
          int status, h2o_iovec_t msg, h2o_header_t *headers,
@@ -231,6 +253,11 @@
   call->headers = headers;
   call->header_count = num_headers;
   call->is_chunked = htc_call_header (call, "transfer-encoding").len_bytes > 0;
+  if (is_framing_contradictory (call))
+    {
+      call_end (call, HTC_END_INCOMPLETE);
+      return NULL;
+    }
   call->is_close_delimited
       = !call->is_chunked
         && htc_call_header (call, "content-length").len_bytes == 0;
