fix(agent): ask whether a target still listens when its answer ends with its connection

What callers of the own interface saw: the first part of a plain body without a length as a whole answer.

While the question is open the run has ended: an attempt cannot be cancelled then, and its place is kept.

--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -59,7 +59,7 @@
   prt_list_t parts; ///< Of its prompt.
   aln_request_t alone;
 
-  eng_run_t *run;
+  eng_run_t *run;       ///< NULL: not started, or it has ended.
   kb_buf_t answer;      ///< Whole answer, or the unsplit rest of a stream.
   kb_buf_t sent_stream; ///< Keyed stream: events sent, kept for resends.
   char content_type[64];
@@ -245,6 +245,14 @@
 /// Discard the statements of a former incarnation of the target.
 void agt_backpressure_reset (agt_agent_t *agent);
 
+// agent_ending.c
+/// Called once with the result, unless the request ends before.
+typedef void (*agt_ending_done_t) (agt_request_t *r, bool is_whole);
+/// Ask whether a plain target still listens after an answer that ended with
+/// its connection.
+/// @return  False when there is nothing to ask; `done` is not called then.
+bool agt_ending_check (agt_request_t *r, agt_ending_done_t done);
+
 // agent_quarantine.c
 /// Record what the end of a run proves, and find out whether the target has
 /// ended. Call it at each end of a run.
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -418,11 +418,24 @@
     }
 }
 
+static void
+run_on_ending_checked (agt_request_t *r, bool is_whole)
+{
+  if (is_whole)
+    {
+      run_finish_unary (r);
+      return;
+    }
+  agt_quarantine_record_end (r, END_CUT);
+  run_fail (r, MSG_OUTCOME_UNKNOWN, "the target ended within its answer");
+}
+
 static void
 run_on_end (void *arg, htc_end_t end)
 {
   agt_request_t *r = arg;
   agt_agent_t *agent = r->agent;
+  r->run = NULL;
   if (end == HTC_END_NOT_SENT)
     {
       agent->is_engine_up = false;
@@ -441,7 +454,7 @@
     requeue_after_cold_start (r);
   else if (is_stream_answer (r))
     run_finish_stream (r);
-  else
+  else if (!agt_ending_check (r, run_on_ending_checked))
     run_finish_unary (r);
 }
 
@@ -489,7 +502,7 @@
     }
   // A non-idempotent request must not be stopped half done: it finishes, and
   // its outcome is stored for a resend.
-  if ((r->flags & MSG_FLAG_IDEMPOTENT) == 0)
+  if ((r->flags & MSG_FLAG_IDEMPOTENT) == 0 || r->run == NULL)
     return;
   agent->engine.vtable->cancel (&agent->engine, r->run);
   agt_quarantine_record_end (r, END_CALLER_LEFT);
@@ -565,7 +578,8 @@
       agt_request_t *r;
       while (count < 64 && (r = kb_map_next (&agent->requests, &at)) != NULL)
         if (r->peer == peer
-            && (!r->item.is_running || (r->flags & MSG_FLAG_IDEMPOTENT)))
+            && (!r->item.is_running
+                || ((r->flags & MSG_FLAG_IDEMPOTENT) && r->run != NULL)))
           attempts[count++] = r->attempt;
       for (uint32_t i = 0; i < count; i++)
         agt_run_cancel (agent, attempts[i]);
--- a/test/system/broken_answer_test.cc
+++ b/test/system/broken_answer_test.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <thread>
 
+#include "process_target.h"
 #include "scripted_site.h"
 
 using kb::body_of;
@@ -309,4 +310,79 @@
     }
 }
 
+/// A cluster whose plain target is a process of its own.
+struct ProcessSite
+{
+  ProcessSite () : process ("127.0.0.1", true), cluster (options ())
+  {
+    cluster.start ();
+    use (process);
+  }
+  void
+  use (const relay::ProcessTarget &target)
+  {
+    cluster.use_stand_in (*cluster.find_target (true), target.address ());
+    cluster.publish ();
+    EXPECT_TRUE (cluster.wait_ready ());
+  }
+  kb::Answer
+  look (const std::string &path)
+  {
+    return kb::http_call ("GET", cluster.entries[0].process.http_port,
+                          "/v1/services/map-query" + path, "",
+                          { "Authorization: Bearer kavango-key",
+                            "X-Knapweedbay-Timeout-Ms: 3000" });
+  }
+  static kb::ClusterOptions
+  options ()
+  {
+    kb::ClusterOptions options;
+    options.entries = 1;
+    options.engines = 1;
+    return options;
+  }
+  relay::ProcessTarget process;
+  Cluster cluster;
+};
+
+// Guards against an answer that is served as whole though the process of its
+// target was killed within it.
+TEST (BrokenOwn, AnswerOfAKilledProcessIsNotWhole)
+{
+  ProcessSite site;
+  int whole = 0;
+  int calls = 0;
+  for (const char *path : { "/half", "/half-large" })
+    for (int i = 0; i < 3; i++)
+      {
+        relay::ProcessTarget target ("127.0.0.1", true);
+        site.use (target);
+        std::thread killer ([&] {
+          std::this_thread::sleep_for (std::chrono::milliseconds (150));
+          target.kill ();
+        });
+        kb::Answer answer = site.look (path + std::to_string (i));
+        killer.join ();
+        calls++;
+        whole += answer.status == 200 && answer.is_complete;
+        EXPECT_NE (answer.status, 503) << answer.body;
+      }
+  printf ("killed: %d calls, %d whole\n", calls, whole);
+  EXPECT_EQ (whole, 0);
+}
+
+// Guards against an answer that is withheld though its target lives on.
+TEST (BrokenOwn, AnswersOfALivingProcessAreServed)
+{
+  ProcessSite site;
+  int served = 0;
+  for (int i = 0; i < 20; i++)
+    {
+      kb::Answer answer = site.look ("/whole" + std::to_string (i));
+      served += answer.status == 200 && answer.is_complete
+                && answer.body == relay::ProcessTarget::body;
+    }
+  EXPECT_EQ (served, 20);
+}
+
 } // namespace
