--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -397,11 +397,45 @@
   agt_schedule_work (agent);
 }
 
+/// End an attempt whose answer is not whole.
+static void
+run_handle_broken (agt_request_t *r, htc_end_t end)
+{
+  if (end == HTC_END_TIMEOUT)
+    {
+      agt_quarantine_record_end (r, END_SILENT);
+      run_fail (r, MSG_OUTCOME_UNKNOWN, "the target is silent");
+    }
+  else if (end == HTC_END_SECOND)
+    {
+      agt_quarantine_record_end (r, END_SECOND);
+      run_fail (r, MSG_OUTCOME_UNKNOWN, "the target answered twice");
+    }
+  else
+    {
+      agt_quarantine_record_end (r, END_RESET);
+      run_fail (r, MSG_OUTCOME_UNKNOWN, "the connection to the target broke");
+    }
+}
+
+static void
+run_on_ending_checked (agt_request_t *r, bool is_whole)
+{
+  if (is_whole)
+    {
+      run_finish_unary (r);
+      return;
+    }
+  agt_quarantine_record_end (r, END_CUT);
+  run_fail (r, MSG_OUTCOME_UNKNOWN, "the target ended within its answer");
+}
+
 static void
 run_on_end (void *arg, htc_end_t end)
 {
   agt_request_t *r = arg;
   agt_agent_t *agent = r->agent;
+  r->run = NULL;
   if (end == HTC_END_NOT_SENT)
     {
       agent->is_engine_up = false;
@@ -411,11 +445,7 @@
     }
   if (end != HTC_END_COMPLETE)
     {
-      agt_quarantine_record_end (r, end == HTC_END_TIMEOUT ? END_SILENT
-                                                           : END_RESET);
-      run_fail (r, MSG_OUTCOME_UNKNOWN,
-                end == HTC_END_TIMEOUT ? "the target is silent"
-                                       : "the connection to the target broke");
+      run_handle_broken (r, end);
       return;
     }
   bool is_unknown_model
@@ -424,7 +454,7 @@
     requeue_after_cold_start (r);
   else if (is_stream_answer (r))
     run_finish_stream (r);
-  else
+  else if (!agt_ending_check (r, run_on_ending_checked))
     run_finish_unary (r);
 }
 
@@ -472,7 +502,7 @@
     }
   // A non-idempotent request must not be stopped half done: it finishes, and
   // its outcome is stored for a resend.
-  if ((r->flags & MSG_FLAG_IDEMPOTENT) == 0)
+  if ((r->flags & MSG_FLAG_IDEMPOTENT) == 0 || r->run == NULL)
     return;
   agent->engine.vtable->cancel (&agent->engine, r->run);
   agt_quarantine_record_end (r, END_CALLER_LEFT);
@@ -548,7 +578,8 @@
       agt_request_t *r;
       while (count < 64 && (r = kb_map_next (&agent->requests, &at)) != NULL)
         if (r->peer == peer
-            && (!r->item.is_running || (r->flags & MSG_FLAG_IDEMPOTENT)))
+            && (!r->item.is_running
+                || ((r->flags & MSG_FLAG_IDEMPOTENT) && r->run != NULL)))
           attempts[count++] = r->attempt;
       for (uint32_t i = 0; i < count; i++)
         agt_run_cancel (agent, attempts[i]);
--- a/src/transport/respscan.c
+++ b/src/transport/respscan.c
@@ -101,14 +101,15 @@
 {
   kb_slice_t name;
   kb_slice_t value;
-  bool is_folded = scan->has_field && (*line.ptr == ' ' || *line.ptr == '\t');
+  bool is_folded
+      = scan->field_count > 0 && (*line.ptr == ' ' || *line.ptr == '\t');
   bool is_rest = scan->is_line_cut || is_folded;
   scan->head_bytes += line.len_bytes;
-  scan->has_field = true;
   if (!is_rest && !split_field (line, &name, &value))
     scan->head_bytes = 0;
   else if (!is_rest)
     scan->is_found = scan->is_own (scan->owner, name, value);
+  scan->field_count++;
   if (scan->head_bytes > MAX_HEAD_BYTES)
     scan->head_bytes = 0;
 }
@@ -122,7 +123,7 @@
     {
       scan->head_bytes = line.len_bytes;
       scan->is_likely = status == STATUS_BEGINS;
-      scan->has_field = false;
+      scan->field_count = 0;
     }
   else if (scan->head_bytes > 0)
     scan_field (scan, line);
