fix(gateway): prove a version from a read that began after the request

Callers of streams that had begun at a newer version elsewhere, and broke off, went on at the older version at a gateway that had lost the store less than 2 s before, where no sidecar that it knew remembered the stream: one text of two versions, answered 200.

Cause: a list of at most 2 s counted as proof of what served when the stream began. A version may have come, and begun it, after that list was read. Now the list counts if its read began after the request came, and so after the stream broke; the request waits for that read while the list is at most 2 s old, and is refused at once otherwise, as before.

Ruled out: reads that count by the time at which they are handled after the process stood still (they count from their start, by the boot clock, also those through peers).

--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -238,6 +238,8 @@
   /// What began the stream that it receives or continues; zero: a new request.
   org_origin_t origin;
   bool is_origin_sought; ///< It continues a stream whose origin is unknown.
+  /// When it came, by the boot clock.
+  uint64_t origin_sought_boot_ms;
   uint64_t origin_asked[GTW_MAX_ORIGIN_ASKED]; ///< Keys of targets whose
                                                ///< sidecars were asked.
   uint32_t origin_asked_count;
--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -175,6 +175,7 @@
 {
   r->is_origin_sought = r->kind == SVC_KIND_STREAM && r->parsed_head.is_resume
                         && r->parsed_head.resume_after_event_id > 0;
+  r->origin_sought_boot_ms = tmr_boottime_ms ();
 }
 
 /// Continue a stream at the service that began it. If the operator has moved
@@ -211,6 +212,34 @@
   return GTW_ORIGIN_RESOLVED;
 }
 
+/// Nobody remembers what began the stream of a request, or its caller names no
+/// attempt. Only a version that was listed alone all the time can have begun
+/// it.
+static gtw_origin_verdict_t
+resolve_from_list (gtw_request_t *r)
+{
+  const gtw_gateway_t *gateway = r->gateway;
+  uint64_t service = gtw_service_key (r->service);
+  bool is_named = r->parsed_head.resumes.len_bytes > 0;
+  uint64_t software = sfw_only (&gateway->software, service);
+  if (sfw_is_mixed (&gateway->software, service))
+    return GTW_ORIGIN_UNKNOWN;
+  // Callers that name no attempt do not know of versions.
+  if (is_named)
+    switch (gtw_software_prove (gateway, service, r->origin_sought_boot_ms))
+      {
+      case GTW_SOFTWARE_PROVEN:
+        break;
+      case GTW_SOFTWARE_UNPROVEN:
+        return GTW_ORIGIN_UNKNOWN;
+      case GTW_SOFTWARE_LIST_AWAITED:
+        return GTW_ORIGIN_AWAITED;
+      }
+  if (software != 0)
+    r->origin = (org_origin_t){ .service = service, .software = software };
+  return settle (r);
+}
+
 gtw_origin_verdict_t
 gtw_origin_resolve (gtw_request_t *r)
 {
@@ -226,17 +255,8 @@
     }
   if (!gateway->has_target_list)
     return GTW_ORIGIN_NO_LIST;
-  uint64_t service = gtw_service_key (r->service);
   bool is_named = r->parsed_head.resumes.len_bytes > 0;
   if (is_named && gtw_origin_ask (r, stream))
     return GTW_ORIGIN_AWAITED;
-  // Callers that name no attempt do not know of versions.
-  if (sfw_is_mixed (&gateway->software, service)
-      || (is_named && !gtw_software_is_proven (gateway, service)))
-    return GTW_ORIGIN_UNKNOWN;
-  // Only the one version that was listed all the time can have begun it.
-  uint64_t software = sfw_only (&gateway->software, service);
-  if (software != 0)
-    r->origin = (org_origin_t){ .service = service, .software = software };
-  return settle (r);
+  return resolve_from_list (r);
 }
--- a/src/gateway/gateway_origin.h
+++ b/src/gateway/gateway_origin.h
@@ -31,9 +31,19 @@
                                 const org_origin_t *origin);
 /// Record the version that began a stream; the list need not name it.
 void gtw_software_observe (gtw_gateway_t *gateway, const org_origin_t *origin);
-/// @return  Whether the one version that is known of a service must have begun
-///          each of its open streams: no other can have served unnoticed.
-bool gtw_software_is_proven (const gtw_gateway_t *gateway, uint64_t service);
+typedef enum
+{
+  GTW_SOFTWARE_PROVEN,
+  GTW_SOFTWARE_UNPROVEN,
+  GTW_SOFTWARE_LIST_AWAITED, ///< A read of the list is to show it.
+} gtw_software_proof_t;
+/// Find out whether the one version that is known of a service must have begun
+/// its streams that were open at a time: no other can have served unnoticed.
+/// @param since_boot_ms  That time, by the clock of tmr_boottime_ms. A list
+///                       that was read earlier may lack a version.
+gtw_software_proof_t gtw_software_prove (const gtw_gateway_t *gateway,
+                                         uint64_t service,
+                                         uint64_t since_boot_ms);
 
 // gateway_software_records.c
 /// Write the next record of a version that is due, if no other record is
--- a/src/gateway/gateway_software.c
+++ b/src/gateway/gateway_software.c
@@ -6,8 +6,7 @@
 {
   /// Without a route of streams.
   DEFAULT_STREAM_MS = 60000,
-  /// The list is read several times in this time while the store answers. An
-  /// older one may lack a version that serves.
+  /// The list is read several times in this time while the store answers.
   MAX_LIST_AGE_MS = 2000,
 };
 
@@ -139,10 +138,17 @@
   return false;
 }
 
-bool
-gtw_software_is_proven (const gtw_gateway_t *gateway, uint64_t service)
+gtw_software_proof_t
+gtw_software_prove (const gtw_gateway_t *gateway, uint64_t service,
+                    uint64_t since_boot_ms)
 {
-  return gtw_list_age_ms (gateway) <= MAX_LIST_AGE_MS
-         && !has_unlisted (gateway, service)
-         && sfw_is_witness (&gateway->software, service);
+  uint64_t read_boot_ms
+      = gateway->source->vtable->last_read_boot_ms (gateway->source);
+  if (read_boot_ms < since_boot_ms)
+    return gtw_list_age_ms (gateway) <= MAX_LIST_AGE_MS
+               ? GTW_SOFTWARE_LIST_AWAITED
+               : GTW_SOFTWARE_UNPROVEN;
+  bool is_proven = !has_unlisted (gateway, service)
+                   && sfw_is_witness (&gateway->software, service);
+  return is_proven ? GTW_SOFTWARE_PROVEN : GTW_SOFTWARE_UNPROVEN;
 }
