fix(gateway): record gaps in the reading of the store

A gateway that was cut off from the store, or stood still, while a newer version came, began streams elsewhere and left, continued these streams at the older version once the store had come back from a copy without the record of the newer one. A gateway that started then did the same by the records that the first one wrote: it relied on a witness that was none.

Cause: after a restore a gateway stays a witness of the versions that served if its reading had no gap for as long as a stream lasts. The time of the last gap was asked for and never set, since the records came in. The model of the versions sets its own, so it could not notice. Now the gap is recorded each tick, and when a restore shows, by the read before the last tick: a process that has just been continued may read before it ticks.

--- a/src/gateway/gateway_software.c
+++ b/src/gateway/gateway_software.c
@@ -79,6 +79,15 @@
                    is_streamed (gateway, service), gtw_now_ms (gateway));
 }
 
+/// @return  Whether this gateway may have missed what served since its last
+///          read of the list.
+static bool
+has_list_gap (uint64_t read_boot_ms)
+{
+  uint64_t now_ms = tmr_boottime_ms ();
+  return now_ms > read_boot_ms + MAX_LIST_AGE_MS;
+}
+
 bool
 gtw_software_tick (gtw_gateway_t *gateway)
 {
@@ -88,6 +97,10 @@
        t = kb_map_next (&gateway->targets, &at))
     is_newly_mixed |= gtw_software_record (gateway, t);
   uint64_t now_ms = gtw_now_ms (gateway);
+  if (gateway->has_target_list
+      && has_list_gap (
+          gateway->source->vtable->last_read_boot_ms (gateway->source)))
+    gateway->list_gap_ms = now_ms;
   uint64_t longest_ms = gtw_software_longest_stream_ms (gateway);
   sfw_expire (&gateway->software, now_ms, longest_ms);
   if (gateway->has_target_list
@@ -116,6 +129,9 @@
 gtw_software_handle_restore (gtw_gateway_t *gateway)
 {
   uint64_t now_ms = gtw_now_ms (gateway);
+  // The read that shows the restore counts as the last one already.
+  if (has_list_gap (gateway->read_before_tick_ms))
+    gateway->list_gap_ms = now_ms;
   bool was_current = gateway->list_gap_ms == 0
                      || now_ms - gateway->list_gap_ms
                             > gtw_software_longest_stream_ms (gateway);
--- a/test/relay/out_of_step_failure_test.cc
+++ b/test/relay/out_of_step_failure_test.cc
@@ -150,5 +150,66 @@
     }
 }
 
+/// One gateway is cut off from the store while a newer version comes, begins
+/// streams elsewhere and leaves. The store comes back from an older copy.
+/// @param is_frozen   The gateway stands still as well.
+/// @param is_restart  Callers continue at a gateway that has just started and
+///                    reads what the other one recorded.
+void
+expect_no_proof_after_restore (bool is_frozen, bool is_restart)
+{
+  SCOPED_TRACE (is_frozen);
+  SCOPED_TRACE (is_restart);
+  ReleaseSite site;
+  ASSERT_TRUE (site.wait_ready ());
+  pause_ms (1500);
+  auto copies = site.copy_stores ();
+  pid_t late = site.gateways[1].daemon.pid;
+  site.mirror_store.set_mode (Store::SILENT);
+  pause_ms (400);
+  if (is_frozen)
+    kill (late, SIGSTOP);
+  site.list_newer ();
+  pause_ms (1500);
+  auto streams = begin_streams (site, 0, 24, "a");
+  EXPECT_GE (count_of_version (streams, "v2"), 4);
+  for (size_t i : kNewer)
+    site.unlist (i);
+  site.stop (&site.gateways[0].daemon, SIGKILL);
+  for (size_t i : kNewer)
+    site.stop (&site.engines[i].sidecar, SIGKILL);
+  site.restart_sidecars (0, 1);
+  site.restore_stores (copies);
+  pause_ms (1000);
+  end_streams (streams);
+  site.mirror_store.set_mode (Store::HEALTHY);
+  kill (late, SIGCONT);
+  // What a restored store has lost is written again within 2 s.
+  pause_ms (3000);
+  if (is_restart)
+    {
+      site.start (&site.gateways[0].daemon);
+      ASSERT_TRUE (site.wait_gateways_ready ());
+    }
+  Continuations result = continue_streams (site, is_restart ? 0 : 1, streams);
+  EXPECT_EQ (result.mixed, 0);
+}
+
+// Guards against a gateway that was cut off from the store until this came
+// back from a copy, and takes itself for one that knows all versions that
+// served.
+TEST (OutOfStep, RestoredStoreProvesNothingToAGatewayThatWasCutOff)
+{
+  expect_no_proof_after_restore (false, false);
+  expect_no_proof_after_restore (true, false);
+}
+
+// Guards against a gateway that relies on records of one that was cut off.
+TEST (OutOfStep, RecordsOfAGatewayThatWasCutOffProveNothing)
+{
+  expect_no_proof_after_restore (false, true);
+  expect_no_proof_after_restore (true, true);
+}
+
 } // namespace
 } // namespace relay
