fix(gateway): prove what began a stream whose caller names no attempt

Callers that name no attempt had their streams, begun at a newer version elsewhere, continued at the older one by a gateway that had stood still or lost the store: one known version sufficed, however old the list was.

Now such a stream needs the same proof as one that nobody remembers, where a version is known of its service. The price: while the store doesn't answer a gateway, it refuses all streams that it is to continue for such callers, also where one version serves throughout, as it can't tell the two apart. Services without versions are as before.

--- a/src/gateway/gateway_origin.c
+++ b/src/gateway/gateway_origin.c
@@ -224,8 +224,7 @@
   uint64_t software = sfw_only (&gateway->software, service);
   if (sfw_is_mixed (&gateway->software, service))
     return GTW_ORIGIN_UNKNOWN;
-  // Callers that name no attempt do not know of versions.
-  if (is_named)
+  if (is_named || software != 0)
     switch (gtw_software_prove (gateway, service, r->origin_sought_boot_ms))
       {
       case GTW_SOFTWARE_PROVEN:
--- a/test/relay/out_of_step_failure_test.cc
+++ b/test/relay/out_of_step_failure_test.cc
@@ -96,6 +96,13 @@
     expect_joins_nothing (absence, true);
 }
 
+// Guards against the same where callers do not name the attempt that began.
+TEST (OutOfStep, GatewayThatStoodStillJoinsNoStreamsOfUnnamedOrigin)
+{
+  for (const Absence &absence : kAbsences)
+    expect_joins_nothing (absence, false);
+}
+
 /// The store turns away one gateway, and the sidecars that it knows restart.
 /// A newer version comes and begins streams elsewhere, which nobody remembers.
 void
@@ -127,6 +134,12 @@
   expect_joins_nothing_without_store (true);
 }
 
+// Guards against the same where callers do not name the attempt that began.
+TEST (OutOfStep, GatewayThatHasJustLostTheStoreJoinsNoStreamsOfUnnamedOrigin)
+{
+  expect_joins_nothing_without_store (false);
+}
+
 // Guards against refusals once a gateway that stood still is in step again.
 TEST (OutOfStep, StreamsOfTheOnlyVersionGoOnAtAGatewayThatStoodStill)
 {
