--- a/src/gateway/gateway_software.c
+++ b/src/gateway/gateway_software.c
@@ -6,8 +6,7 @@
 {
   /// Without a route of streams.
   DEFAULT_STREAM_MS = 60000,
-  /// The list is read several times in this time while the store answers. An
-  /// older one may lack a version that serves.
+  /// The list is read several times in this time while the store answers.
   MAX_LIST_AGE_MS = 2000,
 };
 
@@ -80,6 +79,15 @@
                    is_streamed (gateway, service), gtw_now_ms (gateway));
 }
 
+/// @return  Whether this gateway may have missed what served since its last
+///          read of the list.
+static bool
+has_list_gap (uint64_t read_boot_ms)
+{
+  uint64_t now_ms = tmr_boottime_ms ();
+  return now_ms > read_boot_ms + MAX_LIST_AGE_MS;
+}
+
 bool
 gtw_software_tick (gtw_gateway_t *gateway)
 {
@@ -89,6 +97,10 @@
        t = kb_map_next (&gateway->targets, &at))
     is_newly_mixed |= gtw_software_record (gateway, t);
   uint64_t now_ms = gtw_now_ms (gateway);
+  if (gateway->has_target_list
+      && has_list_gap (
+          gateway->source->vtable->last_read_boot_ms (gateway->source)))
+    gateway->list_gap_ms = now_ms;
   uint64_t longest_ms = gtw_software_longest_stream_ms (gateway);
   sfw_expire (&gateway->software, now_ms, longest_ms);
   if (gateway->has_target_list
@@ -117,6 +129,9 @@
 gtw_software_handle_restore (gtw_gateway_t *gateway)
 {
   uint64_t now_ms = gtw_now_ms (gateway);
+  // The read that shows the restore counts as the last one already.
+  if (has_list_gap (gateway->read_before_tick_ms))
+    gateway->list_gap_ms = now_ms;
   bool was_current = gateway->list_gap_ms == 0
                      || now_ms - gateway->list_gap_ms
                             > gtw_software_longest_stream_ms (gateway);
@@ -139,10 +154,17 @@
   return false;
 }
 
-bool
-gtw_software_is_proven (const gtw_gateway_t *gateway, uint64_t service)
+gtw_software_proof_t
+gtw_software_prove (const gtw_gateway_t *gateway, uint64_t service,
+                    uint64_t since_boot_ms)
 {
-  return gtw_list_age_ms (gateway) <= MAX_LIST_AGE_MS
-         && !has_unlisted (gateway, service)
-         && sfw_is_witness (&gateway->software, service);
+  uint64_t read_boot_ms
+      = gateway->source->vtable->last_read_boot_ms (gateway->source);
+  if (read_boot_ms < since_boot_ms)
+    return gtw_list_age_ms (gateway) <= MAX_LIST_AGE_MS
+               ? GTW_SOFTWARE_LIST_AWAITED
+               : GTW_SOFTWARE_UNPROVEN;
+  bool is_proven = !has_unlisted (gateway, service)
+                   && sfw_is_witness (&gateway->software, service);
+  return is_proven ? GTW_SOFTWARE_PROVEN : GTW_SOFTWARE_UNPROVEN;
 }
