test(relay): show what answers without end of many targets make a gateway hold

400 callers at 30 targets, in all forms at once, beside ordinary requests, on a machine of 48 MB. Counted are the resident memory and what the kernel has received and the gateway has not read.

--- a/test/relay/endless_failure_test.cc
+++ b/test/relay/endless_failure_test.cc
@@ -97,8 +97,9 @@
 };
 
 const char *const form_names[]
-    = { "Bytes",  "Fields",    "Field", "Interim",  "Body",
-        "Chunks", "Extension", "Event", "Comments", "Drip" };
+    = { "Bytes",   "Fields",    "Field",    "Interim",  "Body",
+        "Chunks",  "Extension", "Event",    "Comments", "Drip",
+        "Trailer", "Stray",     "HeldHead", "HeldBody", "HeldBoth" };
 
 std::vector<Case>
 all_cases ()
--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -603,6 +603,19 @@
     sleep_ms (1);
 }
 
+/// Send bytes at once, then few again and again, for a time or until the peer
+/// closes.
+void
+Target::send_dripping (Connection &connection, const std::string &first,
+                       const std::string &drop)
+{
+  auto end = Clock::now () + std::chrono::milliseconds (endless_ms);
+  if (!connection.write (first))
+    return;
+  while (Clock::now () < end && !is_stopping_ && connection.write (drop))
+    sleep_ms (10);
+}
+
 void
 Target::send_form (Connection &connection, const Message &request,
                    Endless form)
@@ -610,7 +623,6 @@
   static const std::string ok = "HTTP/1.1 200 OK\r\n";
   static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   std::string head = ok + head_of (request, true);
-  auto end = Clock::now () + std::chrono::milliseconds (endless_ms);
   switch (form)
     {
     case Endless::BYTES:
@@ -641,9 +653,30 @@
       send_endless (connection, head + chunked, chunk (": comment\n\n"));
       return;
     case Endless::DRIP:
-      connection.write (head + "Field: ");
-      while (Clock::now () < end && !is_stopping_ && connection.write ("x"))
-        sleep_ms (10);
+      send_dripping (connection, head + "Field: ");
+      return;
+    case Endless::TRAILER:
+      send_endless (connection, head + chunked + chunk ("bytes ") + "0\r\n",
+                    "Field: value\r\n");
+      return;
+    case Endless::STRAY:
+      send_endless (connection,
+                    ok
+                        + "X-Knapweedbay-Attempt-Id: another\r\n"
+                          "X-Knapweedbay-Server-Seal: s\r\n\r\n",
+                    "bytes ");
+      return;
+    case Endless::HELD_HEAD:
+      send_dripping (connection,
+                     head + "Field: " + std::string (kHeldBytes, 'x'));
+      return;
+    case Endless::HELD_BOTH:
+      head += "Field: " + std::string (kHeldBytes, 'x') + "\r\n";
+      // Fall through.
+    case Endless::HELD_BODY:
+      send_dripping (connection,
+                     head + chunked + chunk (std::string (kHeldBytes, 'x')),
+                     chunk ("x"));
       return;
     case Endless::NONE:
       return;
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -77,6 +77,10 @@
   NO_SEAL,
 };
 
+/// Bytes of a head or body that stops short of its end: less than what a
+/// gateway holds back of an answer, or http_parser allows in a head.
+constexpr size_t kHeldBytes = 60000;
+
 /// Bytes that a target sends until its peer closes.
 enum class Endless
 {
@@ -90,6 +94,11 @@
   EVENT,     ///< One event.
   COMMENTS,  ///< Comments of an event stream.
   DRIP,      ///< A head, a byte at a time.
+  TRAILER,   ///< Fields behind the last chunk.
+  STRAY,     ///< A body without a length, of an answer with another id.
+  HELD_HEAD, ///< A head that stops short of its end, then bytes now and then.
+  HELD_BODY, ///< The same of a body that is too small to be relayed early.
+  HELD_BOTH, ///< The same behind a long head.
   NONE,
 };
 
@@ -290,6 +299,8 @@
   static std::string event (int number, const Serving &serving,
                             const std::string &request_body = "");
   void answer_crash (Connection &connection, const Message &request);
+  void send_dripping (Connection &connection, const std::string &first,
+                      const std::string &drop = "x");
   void send_endless (Connection &connection, const std::string &head,
                      const std::string &repeated);
   void send_form (Connection &connection, const Message &request,
