fix(transport): limit the head of an answer to 32 KB

Callers saw connections turned away unread while targets held back the ends of long heads: the gateway kept up to 84 MB of 48 for 400 requests at 30 targets, and what it could not end it took from others. Heads of requests have a limit; those of answers had only http_parser's own 80 KB, and each is kept twice from its end on: as it was received, and as it is sent on.

--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -11,6 +11,7 @@
   /// the peer's close may already be in flight.
   IDLE_MARGIN_MS = 600,
   IDLE_SWEEP_INTERVAL_MS = 500,
+  MAX_RESPONSE_HEAD_BYTES = 32768,
 };
 
 /// One connection to a peer, in use or idle.
@@ -382,6 +383,7 @@
   pooled->queued_body = kb_shared_ref (request->body);
   kb_status_t status = h1_conn_connect (&pooled->conn, peer->pool->loop,
                                         &peer->address, &pooled_events, NULL);
+  pooled->conn.max_header_bytes = MAX_RESPONSE_HEAD_BYTES;
   pooled_begin (pooled, x, request);
   h1_conn_share_loop (&pooled->conn, peer->pool->bulk);
   h1_conn_set_account (&pooled->conn, peer->pool->account);
