fix(gateway): relay held answers early when memory is short

What callers saw: on a machine of 24 MB, 400 answers that stop short of 64 KB and of their end made the gateway hold 35 MB; it ended idle connections of others instead, since a request at a target is never ended. On 48 MB, bodies without a length took 67 to 74 MB.

Answers up to 64 KB are held until their end so that a request can be sent again, and nothing could take that memory back. And the buffer stayed as large as it had been while an answer was relayed.

Now the buffer is freed with each relay, and over the limit for large requests the longest held answers are relayed first: that takes nothing away but the chance to send a safe request again. A caller that does not take what is relayed can be shed as before. A stream within an event, which is never relayed in part, is ended as oversized.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -79,7 +79,7 @@
 {
   gtw_request_exclude_target (r);
   gtw_request_release_target (r);
-  kb_buf_clear (&r->pending_answer);
+  kb_buf_finish (&r->pending_answer);
   r->scanned_bytes = 0;
   r->reason = reason;
   if (!r->is_head_written)
@@ -456,7 +456,7 @@
            || r->pending_answer.len_bytes > MAX_BUFFERED_BYTES)
     {
       relay_bytes (r, kb_buf_slice (&r->pending_answer));
-      kb_buf_clear (&r->pending_answer);
+      kb_buf_finish (&r->pending_answer);
     }
 }
 
@@ -539,7 +539,7 @@
       gtw_target_record_result (r->gateway, r->target, false);
       gtw_request_exclude_target (r);
       gtw_request_release_target (r);
-      kb_buf_clear (&r->pending_answer);
+      kb_buf_finish (&r->pending_answer);
       r->scanned_bytes = 0;
       kb_buf_clear (&r->head);
       r->reason = "target_error";
@@ -681,6 +681,19 @@
   arm_silence_timer (r);
 }
 
+void
+gtw_attempt_release_answer (gtw_request_t *r)
+{
+  if (r->is_stream_answer)
+    {
+      attempt_handle_broken (r, END_OVERSIZED);
+      return;
+    }
+  MET_INC ("knapweedbay_answers_released_total", "");
+  relay_bytes (r, kb_buf_slice (&r->pending_answer));
+  kb_buf_finish (&r->pending_answer);
+}
+
 void
 gtw_attempt_abort (gtw_request_t *r)
 {
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -716,6 +716,9 @@
 void gtw_attempt_send (gtw_request_t *r);
 /// Abort an attempt whose target has been replaced by another incarnation.
 void gtw_attempt_abort (gtw_request_t *r);
+/// Release what an attempt holds of its answer: relay it before its end, or
+/// end a stream within an event.
+void gtw_attempt_release_answer (gtw_request_t *r);
 
 // gateway_backpressure.c
 /// Apply the limit, drain and pause that the current target advertises in an
--- a/src/gateway/gateway_memory.c
+++ b/src/gateway/gateway_memory.c
@@ -1,7 +1,8 @@
 /// @file gateway_memory.c
 /// Limit on what callers make the gateway hold: heads, bodies, pipelined
-/// requests, and answers that they do not take. Beyond it, callers that hold
-/// much for long are refused first.
+/// requests, and answers that they do not take; and of what answers hold that
+/// are not relayed yet. Beyond it, answers are relayed before their end, then
+/// callers that hold much for long are refused.
 #include <stdlib.h>
 
 #include "gateway/gateway_defs.h"
@@ -13,6 +14,8 @@
 {
   /// Retry-After, which is spread over as much again.
   MIN_RETRY_AFTER_MS = 1000,
+  /// Answers that hold no more are left alone.
+  MIN_ANSWER_BYTES = 4096,
 };
 
 static size_t
@@ -113,11 +116,40 @@
              : 0;
 }
 
+/// @return  The request whose answer, as far as it is not relayed, holds the
+///          most; NULL: none holds much.
+static gtw_request_t *
+find_heaviest_answer (const gtw_gateway_t *gateway)
+{
+  gtw_request_t *heaviest = NULL;
+  size_t heaviest_bytes = MIN_ANSWER_BYTES;
+  for (gtw_client_t *client = gateway->clients; client != NULL;
+       client = client->next)
+    {
+      gtw_request_t *r = client->request;
+      if (client->conn.is_closing || r == NULL
+          || r->pending_answer.len_bytes == 0
+          || r->pending_answer.cap_bytes <= heaviest_bytes)
+        continue;
+      heaviest = r;
+      heaviest_bytes = r->pending_answer.cap_bytes;
+    }
+  return heaviest;
+}
+
 void
 gtw_memory_relieve (gtw_gateway_t *gateway)
 {
   uint64_t limit_bytes = gateway->host.memory.limit_bytes;
   uint64_t large_bytes = mlm_large_limit_bytes (&gateway->host.memory);
+  // Relaying takes nothing away from callers, so it goes first.
+  while (held_bytes (gateway) > large_bytes)
+    {
+      gtw_request_t *r = find_heaviest_answer (gateway);
+      if (r == NULL)
+        break;
+      gtw_attempt_release_answer (r);
+    }
   while (held_bytes (gateway) > large_bytes)
     {
       size_t min_bytes
--- a/test/relay/endless_many_failure_test.cc
+++ b/test/relay/endless_many_failure_test.cc
@@ -19,6 +19,7 @@
 /// Memory of a daemon's machine; it counts with what its sockets have not
 /// read.
 constexpr long kMachineKb = 48 << 10;
+constexpr long kSmallMachineKb = 24 << 10;
 constexpr int kDeadlineMs = 4000;
 constexpr int kPressMs = 2000;
 
@@ -92,9 +93,10 @@
 {
 protected:
   void
-  SetUp () override
+  start (long machine_kb)
   {
-    site.limit_memory (kMachineKb / 1024);
+    machine_kb_ = machine_kb;
+    site.limit_memory ((int)(machine_kb / 1024));
     ASSERT_TRUE (site.wait_ready ());
     for (const Engine &engine : site.engines)
       engine.target->endless_ms = 20000;
@@ -127,7 +129,7 @@
               " %d lost\n",
               held.memory_kb, resident_kb (pid), (int)neighbours.served,
               (int)neighbours.lost);
-      EXPECT_LE (held.memory_kb, kMachineKb);
+      EXPECT_LE (held.memory_kb, machine_kb_);
       EXPECT_GT (neighbours.served, 0);
       EXPECT_EQ (neighbours.lost, 0);
     }
@@ -149,47 +151,64 @@
   }
 
   Site site{ kEngines, kPlain, 1 };
+
+private:
+  long machine_kb_ = 0;
 };
 
 // Guards against answers that are held until their end and add up.
 TEST_F (ManyTargets, HeldBodies)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
+  expect_bounded ({ { "unsafe", Endless::HELD_BODY } });
+}
+
+// Guards against the same where they fill their share of the machine.
+TEST_F (ManyTargets, HeldBodiesOnASmallMachine)
+{
+  ASSERT_NO_FATAL_FAILURE (start (kSmallMachineKb));
   expect_bounded ({ { "unsafe", Endless::HELD_BODY } });
 }
 
 // Guards against the same behind long heads.
 TEST_F (ManyTargets, HeldHeadsAndBodies)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
   expect_bounded ({ { "unsafe", Endless::HELD_BOTH } });
 }
 
 // Guards against bodies without a length that the kernel holds.
 TEST_F (ManyTargets, Bodies)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
   expect_bounded ({ { "unsafe", Endless::BODY } });
 }
 
 // Guards against heads of answers that stop short of their end and add up.
 TEST_F (ManyTargets, HeldHeads)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
   expect_bounded ({ { "unsafe", Endless::HELD_HEAD } });
 }
 
 // Guards against answers of plain targets in all forms at once.
 TEST_F (ManyTargets, AllFormsOfPlainTargets)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
   expect_bounded (all_forms ("unsafe"));
 }
 
 // Guards against the same of streams.
 TEST_F (ManyTargets, AllFormsOfEngines)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
   expect_bounded (all_forms ("once"));
 }
 
 // Guards against the same for callers that do not read.
 TEST_F (ManyTargets, AllFormsForSlowCallers)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
   expect_bounded (all_forms ("unsafe"), false);
 }
 
@@ -197,6 +216,7 @@
 // end.
 TEST_F (ManyTargets, PagesOfAllTargets)
 {
+  ASSERT_NO_FATAL_FAILURE (start (kMachineKb));
   for (size_t i = 0; i < site.engines.size (); i++)
     site.engines[i].target->endless_page = (Endless)(i % kForms);
   for (size_t i = 0; i < site.plain.size (); i++)
