fix(transport): limit the head of an answer in the own interface

h2o's client gives a head to its owner once it is whole, keeps what has arrived until then without a limit, and parses it from the beginning with each read, so its loop has no time left either. Fields that are whole were bounded: 100 at most.

The heads that have not ended are now looked at after each poll, and a call with more than 32 KB is ended; the kernel's receive buffer is limited as in the other interface.

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -3,10 +3,14 @@
 #include <h2o.h>
 #include <h2o/http1client.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 enum
 {
-  H2O_IO_TIMEOUT_MS = 3600000
+  H2O_IO_TIMEOUT_MS = 3600000,
+  MAX_RESPONSE_HEAD_BYTES = 32768,
+  /// Receive buffer in the kernel, which doubles this value.
+  RECEIVE_BYTES = 32768,
 };
 
 typedef struct
@@ -17,6 +21,8 @@
   h2o_timeout_t io_timeout;
 } client_impl_t;
 
+static void check_heads (uv_check_t *check);
+
 void
 htc_client_init (htc_client_t *client, uv_loop_t *loop, tmr_service_t *timers)
 {
@@ -29,6 +35,9 @@
   impl->ctx.getaddr_receiver = &impl->receiver;
   impl->ctx.io_timeout = &impl->io_timeout;
   *client = (htc_client_t){ .loop = loop, .timers = timers, .impl = impl };
+  uv_check_init (loop, &client->check);
+  client->check.data = client;
+  uv_unref ((uv_handle_t *)&client->check);
 }
 
 void
@@ -40,11 +49,37 @@
   h2o_timeout_dispose (client->loop, &impl->io_timeout);
   free (impl);
   client->impl = NULL;
+  uv_close ((uv_handle_t *)&client->check, NULL);
+}
+
+static void
+call_await_head (htc_call_t *call)
+{
+  htc_client_t *client = call->client;
+  if (client->awaiting == NULL)
+    uv_check_start (&client->check, check_heads);
+  call->next_awaiting = client->awaiting;
+  client->awaiting = call;
+}
+
+static void
+call_stop_awaiting (const htc_call_t *call)
+{
+  htc_client_t *client = call->client;
+  htc_call_t **at = &client->awaiting;
+  while (*at != NULL && *at != call)
+    at = &(*at)->next_awaiting;
+  if (*at == NULL)
+    return;
+  *at = call->next_awaiting;
+  if (client->awaiting == NULL)
+    uv_check_stop (&client->check);
 }
 
 static void
 call_free (htc_call_t *call)
 {
+  call_stop_awaiting (call);
   tmr_cancel (call->client->timers, &call->timer);
   kb_buf_finish (&call->request);
   free (call->iovec);
@@ -71,6 +106,34 @@
   call_free (call);
 }
 
+/// @return  A call whose head is too long as far as it has arrived; NULL:
+/// none.
+static htc_call_t *
+find_oversized_head (const htc_client_t *client)
+{
+  for (htc_call_t *call = client->awaiting; call != NULL;
+       call = call->next_awaiting)
+    {
+      const h2o_http1client_t *h2o_client = call->h2o_client;
+      if (h2o_client->sock->input->size > MAX_RESPONSE_HEAD_BYTES)
+        return call;
+    }
+  return NULL;
+}
+
+/// h2o has no limit for a head, and parses it from its beginning with each
+/// read.
+static void
+check_heads (uv_check_t *check)
+{
+  htc_call_t *call;
+  while ((call = find_oversized_head (check->data)) != NULL)
+    {
+      h2o_http1client_cancel (call->h2o_client);
+      call_end (call, HTC_END_INCOMPLETE);
+    }
+}
+
 static void
 call_on_idle_timeout (void *arg)
 {
@@ -159,6 +222,7 @@
          size_t num_headers, int rlen)
 {
   htc_call_t *call = client->data;
+  call_stop_awaiting (call);
   if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
     {
       call_end (call, HTC_END_INCOMPLETE);
@@ -198,6 +262,11 @@
       return NULL;
     }
   call->is_sent = true;
+  call->h2o_client = client;
+  int receive_bytes = RECEIVE_BYTES;
+  setsockopt (h2o_socket_get_fd (client->sock), SOL_SOCKET, SO_RCVBUF,
+              &receive_bytes, sizeof receive_bytes);
+  call_await_head (call);
   h2o_iovec_t *vec = kb_alloc (sizeof *vec);
   *vec = h2o_iovec_init (call->request.ptr, call->request.len_bytes);
   call->iovec = vec;
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -19,7 +19,8 @@
 {
   HTC_END_COMPLETE,   ///< The complete response arrived.
   HTC_END_NOT_SENT,   ///< No connection was made.
-  HTC_END_INCOMPLETE, ///< Sent, but the response is missing or truncated.
+  HTC_END_INCOMPLETE, ///< Sent, but the response is missing or truncated, or
+                      ///< its head is too long.
   HTC_END_TIMEOUT,    ///< Sent; nothing was received for idle_timeout_ms, or
                       ///< the total time is up.
 } htc_end_t;
@@ -39,6 +40,7 @@
   void *owner;
   htc_client_t *client;
   void *h2o_client;
+  htc_call_t *next_awaiting; ///< Next of the calls that wait for a head.
   const void
       *headers; ///< h2o_header_t array of the response; set during on_head.
   size_t header_count;
@@ -62,6 +64,8 @@
   uv_loop_t *loop;
   tmr_service_t *timers;
   void *impl; ///< h2o client context.
+  uv_check_t check;
+  htc_call_t *awaiting; ///< Calls that are sent and wait for a head.
 };
 
 void htc_client_init (htc_client_t *client, uv_loop_t *loop,
