fix(daemon): count answers in an agent's limit of memory

Each answer had a limit of its own, 16 MB, and was charged to the account of the process, but the account only kept new requests out. The sum was the number of runs times 16 MB.

While the account is over its limit for large requests, the run with the longest answer is ended, as one that is over 16 MB is; answers of 64 KB or less are left alone.

--- a/src/daemon/agent_defs.h
+++ b/src/daemon/agent_defs.h
@@ -202,6 +202,11 @@
 void agt_run_accept (agt_agent_t *agent, kb_slice_t peer_name,
                      const msg_dispatch_t *dispatch);
 
+// agent_memory.c
+/// @return  A run to end because the agent holds more than its limit: the one
+///          with the longest answer; NULL: none.
+agt_request_t *agt_memory_find_excess (const agt_agent_t *agent);
+
 // agent_run.c
 /// Fill the load figures that every end message carries.
 void agt_end_fill_load (const agt_agent_t *agent, uint64_t adapter,
--- a/src/daemon/agent_run.c
+++ b/src/daemon/agent_run.c
@@ -299,6 +299,22 @@
   agt_schedule_work (agent);
 }
 
+static void
+run_end_unusable (agt_request_t *r, end_kind_t end, const char *reason)
+{
+  r->agent->engine.vtable->cancel (&r->agent->engine, r->run);
+  agt_quarantine_record_end (r, end);
+  run_fail (r, MSG_OUTCOME_RAN_FAILED, reason);
+}
+
+static void
+agent_relieve_memory (const agt_agent_t *agent)
+{
+  agt_request_t *r;
+  while ((r = agt_memory_find_excess (agent)) != NULL)
+    run_end_unusable (r, END_OVERSIZED, "the agent is short of memory");
+}
+
 static void
 run_on_body (void *arg, kb_slice_t bytes)
 {
@@ -315,14 +331,14 @@
       stream_forward (r);
       limit = MAX_PENDING_STREAM_BYTES;
     }
-  if (!r->is_wrong_model && r->answer.len_bytes <= limit)
-    return;
-  r->agent->engine.vtable->cancel (&r->agent->engine, r->run);
-  agt_quarantine_record_end (r, r->is_wrong_model ? END_WRONG_ANSWER
-                                                  : END_OVERSIZED);
-  run_fail (r, MSG_OUTCOME_RAN_FAILED,
-            r->is_wrong_model ? "the engine answered for another model"
-                              : "the answer is too large");
+  agt_agent_t *agent = r->agent;
+  if (r->is_wrong_model)
+    run_end_unusable (r, END_WRONG_ANSWER,
+                      "the engine answered for another model");
+  else if (r->answer.len_bytes > limit)
+    run_end_unusable (r, END_OVERSIZED, "the answer is too large");
+  else
+    agent_relieve_memory (agent);
 }
 
 /// The engine does not know an adapter that the slot table lists as resident,
