--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -272,7 +272,7 @@
   // The answer.
   int http_status;
   bool is_stream_answer;
-  /// See gateway_ending.h.
+  /// See gateway_ending.h; NULL: its target is not being asked.
   void (*ending_done) (gtw_request_t *r, bool is_whole);
   bool is_close_delimited; ///< It ends with the connection to the target.
   bool is_head_written;
@@ -718,6 +718,9 @@
 void gtw_attempt_send (gtw_request_t *r);
 /// Abort an attempt whose target has been replaced by another incarnation.
 void gtw_attempt_abort (gtw_request_t *r);
+/// Release what an attempt holds of its answer: relay it before its end, or
+/// end a stream within an event.
+void gtw_attempt_release_answer (gtw_request_t *r);
 
 // gateway_backpressure.c
 /// Apply the limit, drain and pause that the current target advertises in an
--- a/src/gateway/gateway_ending.c
+++ b/src/gateway/gateway_ending.c
@@ -17,9 +17,11 @@
 static void
 ending_report (gtw_request_t *r, bool is_whole)
 {
+  gtw_ending_done_t done = r->ending_done;
+  r->ending_done = NULL;
   if (!is_whole)
     MET_INC ("knapweedbay_answers_of_ended_targets_total", "");
-  r->ending_done (r, is_whole);
+  done (r, is_whole);
 }
 
 static void
