test(sidecar): lose orders to load a model

An engine whose order to load its model is lost stays without one for 5 s: MODEL_RETRY_MS paces fetches, and an order that has fetched nothing counts as one.

--- a/test/relay/target_standin.cc
+++ b/test/relay/target_standin.cc
@@ -477,9 +477,38 @@
   return 202;
 }
 
+void
+Target::lose_orders (int count, OrderLoss loss)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  orders_to_lose_ = count;
+  order_loss_ = loss;
+  lost_order_count = 0;
+  order_count = 0;
+}
+
+/// @return  Whether the order was lost.
+bool
+Target::lose_order (Connection &connection)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  order_count++;
+  if (orders_to_lose_ == 0)
+    return false;
+  orders_to_lose_--;
+  lost_order_count++;
+  if (order_loss_ == OrderLoss::ANSWER)
+    seq_++;
+  if (order_loss_ != OrderLoss::SILENCE)
+    connection.reset ();
+  return true;
+}
+
 bool
 Target::serve_order (Connection &connection, const Message &request)
 {
+  if (lose_order (connection))
+    return true;
   int delay_ms = order_delay_ms;
   if (delay_ms == 0)
     return connection.write (
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -102,6 +102,14 @@
   NONE,
 };
 
+/// What becomes of an order that gets no answer.
+enum class OrderLoss
+{
+  RESET,   ///< Not executed; the connection is reset.
+  SILENCE, ///< Not executed; the connection is kept.
+  ANSWER,  ///< Accepted, and a fetch that fails; the connection is reset.
+};
+
 /// A rate limit and the period for which a target announced it.
 struct LimitSpan
 {
@@ -253,6 +261,10 @@
   /// Orders get no answer and are executed after this delay; zero: at once,
   /// with an answer.
   std::atomic<int> order_delay_ms{ 0 };
+  /// Lose the next orders, of either kind.
+  void lose_orders (int count, OrderLoss loss);
+  std::atomic<int> lost_order_count{ 0 };
+  std::atomic<int> order_count{ 0 }; ///< Since the last lose_orders ().
   /// Delayed orders that were received and are not yet executed.
   std::atomic<int> pending_orders{ 0 };
   /// Streams that stopped because the peer closed the connection.
@@ -275,6 +287,7 @@
   bool serve (Connection &connection, const Message &request) override;
   bool serve_health (Connection &connection);
   bool serve_order (Connection &connection, const Message &request);
+  bool lose_order (Connection &connection);
   int execute_order (const std::string &body);
   std::string report ();
   bool work (Connection &connection, const Message &request);
@@ -333,6 +346,8 @@
   int loads_ = 0;
   size_t max_adapters_held_ = 0;
   std::set<std::string> order_issuers_;
+  int orders_to_lose_ = 0;
+  OrderLoss order_loss_ = OrderLoss::RESET;
   std::vector<Fault> faults_;
   Cut cut_;
   Cut page_cut_;
