fix(sidecar): order a model again 1 s after an order that was not accepted

An engine that restarted without its model stayed without it for 5 s after one lost order, 10 s after two, and streams had to go elsewhere or were refused.

Cause: MODEL_RETRY_MS paces fetches from the weight store, but counted orders that were not sent, conflicted or got no answer. They have fetched nothing as long as the engine's count of orders is the expected one. They are now sent again after 1 s, as for cached weights; a late arrival of the first is harmless, because the engine accepts one order for each count. Accepted and refused orders keep the pause.

--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -66,7 +66,10 @@
   uint64_t seq; ///< Orders accepted by the engine since its start.
   bool is_model_held;
   bool is_engine_busy;
-  uint64_t model_ordered_ms; ///< Last order to load a model.
+  uint64_t model_ordered_ms;  ///< Last order to load a model.
+  uint64_t model_ordered_seq; ///< The count of orders that it expected.
+  /// Whether that order was not sent, conflicted, or got no answer.
+  bool is_model_order_in_doubt;
   uint32_t report_failures;
 
   /// The pending order.
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -98,6 +98,8 @@
     lto_record (&s->late_orders, engine_hash (s), s->seq, s->ordered_ms);
   bool is_done
       = outcome == EGN_ORDER_ACCEPTED || outcome == EGN_ORDER_SATISFIED;
+  if (s->order_adapter == 0)
+    s->is_model_order_in_doubt = !is_done && outcome != EGN_ORDER_REFUSED;
   if (is_done)
     s->seq++;
   bool is_unload = s->order_kind == ADM_ACTION_UNLOAD;
@@ -239,6 +241,20 @@
   return is_only_cached ? report->cached_models[0] : NULL;
 }
 
+/// Time between two orders to load a model. One that the engine has not
+/// accepted fetches nothing. Should it still arrive, at most one of the two is
+/// accepted, as both expect the same count.
+static uint64_t
+model_retry_ms (const scr_sidecar_t *s, const egn_report_t *report,
+                const char *model)
+{
+  bool is_not_accepted
+      = s->is_model_order_in_doubt && report->seq == s->model_ordered_seq;
+  return is_not_accepted || is_model_cached (report, model)
+             ? MODEL_RETRY_CACHED_MS
+             : MODEL_RETRY_MS;
+}
+
 /// An engine restarts without its model; only the sidecar makes it load one.
 static void
 order_model (scr_sidecar_t *s, const egn_report_t *report)
@@ -247,12 +263,12 @@
   if (model == NULL || report->is_busy || report->is_leaving
       || s->is_engine_call_pending)
     return;
-  uint64_t pause_ms = is_model_cached (report, model) ? MODEL_RETRY_CACHED_MS
-                                                      : MODEL_RETRY_MS;
+  uint64_t pause_ms = model_retry_ms (s, report, model);
   uint64_t now_ms = scr_now_ms (s);
   if (s->model_ordered_ms > 0 && now_ms - s->model_ordered_ms < pause_ms)
     return;
   s->model_ordered_ms = now_ms;
+  s->model_ordered_seq = s->seq;
   s->order_kind = ADM_ACTION_LOAD;
   s->order_adapter = 0;
   egn_order_t order = { .is_load = true, .model = model };
