test(gateway): close the only engine while a request waits there

Callers get 503 "declined" at once, while those that come after the engine's report wait up to 1.2 s for its return and are served.

--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -311,6 +311,28 @@
   EXPECT_EQ (event_ids (m.body), ids_up_to (10));
 }
 
+// Guards against a request that is refused at once because the only engine
+// closes while it waits there for an adapter, though others wait for it.
+TEST (Relay, RequestsAtAnEngineThatClosesWaitForItsReturn)
+{
+  Site site (1, 0);
+  ASSERT_TRUE (site.wait_ready ());
+  Target &target = *site.engines[0].target;
+  target.load_ms = 700;
+  std::thread engine ([&] {
+    std::this_thread::sleep_for (std::chrono::milliseconds (100));
+    target.set_leaving (true);
+    std::this_thread::sleep_for (std::chrono::milliseconds (200));
+    target.set_leaving (false);
+  });
+  Message m = send_call (site.gateways[0], stream_call ("w3", "a1"));
+  engine.join ();
+  EXPECT_EQ (m.status, 200) << m.body;
+  EXPECT_EQ (event_ids (m.body), ids_up_to (10));
+  if (HasFailure ())
+    site.print_logs (20);
+}
+
 // The wait for an engine is bounded, so that callers can turn to something
 // else when no engine returns.
 TEST (Relay, RequestsAreRefusedWhenNoEngineReturns)
