--- a/test/relay/relay_test.cc
+++ b/test/relay/relay_test.cc
@@ -307,8 +307,10 @@
   });
   Message m = send_call (site.gateways[0], stream_call ("w1", "a1"));
   engine.join ();
-  EXPECT_EQ (m.status, 200);
+  EXPECT_EQ (m.status, 200) << m.body;
   EXPECT_EQ (event_ids (m.body), ids_up_to (10));
+  if (HasFailure ())
+    site.print_logs (20);
 }
 
 // Guards against a request that is refused at once because the only engine
@@ -422,9 +424,11 @@
   });
   Message served = send_call (site.gateways[0], plain_call ("w3"));
   store.join ();
-  EXPECT_EQ (served.status, 200);
+  EXPECT_EQ (served.status, 200) << served.body;
   Message denied = send_call (site.gateways[0], plain_call ("w4", "/other/x"));
   EXPECT_EQ (denied.status, 404);
+  if (HasFailure ())
+    site.print_logs (20);
 }
 
 // Guards against a use after free: requests without a route also wait for the
