fix(gateway): let requests wait for an engine that closed

Callers of a service whose only engine left or went down got 503 "declined" at once if they waited there for a place, or came before its sidecar's next report; later ones wait up to 1.2 s and are served when it returns.

Cause: a decline "engine_closed" counted as that of an engine without room: reason to refuse, target excluded. It now counts as the report that follows it: the engine isn't chosen until the next report. The reported condition is left alone, because quarantine reads ends from its changes.

Before: RequestsAtAnEngineThatClosesWaitForItsReturn failed 3 of 3. After: 0 of 6; relay, relay_failure, leaving_failure and sidecar tests pass, one run each. Not shown to be the cause of RequestsWaitWhileNoEngineIsUp, which stays listed.

--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -65,7 +65,8 @@
       || !gtw_alone_can_use (r, target) || !gtw_origin_allows (r, target))
     return false;
   return !r->is_engine
-         || (target->is_linked && target->condition == MSG_ENGINE_READY);
+         || (target->is_linked && target->condition == MSG_ENGINE_READY
+             && !target->is_closed);
 }
 
 /// @return  Whether a request justifies the load of an adapter. One that was
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -114,6 +114,7 @@
                                     ///< configuration; zero: it has it.
   uint64_t sidecar_versions;
   msg_engine_condition_t condition;
+  bool is_closed;    ///< Its sidecar has said so since its last report.
   uint64_t ready_ms; ///< When it was last reported ready; zero: never.
   uint32_t slots;
   uint32_t granted;
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -366,6 +366,7 @@
   qgw_peak_merge (&gateway->gateway_peak, (uint32_t)state->gateway_peak,
                   state->gateway_peak_age_ms, tmr_boottime_ms ());
   target->condition = (msg_engine_condition_t)state->condition;
+  target->is_closed = false;
   if (target->condition == MSG_ENGINE_READY)
     target->ready_ms = target->last_contact_ms;
   target->slots = (uint32_t)state->slots;
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -145,6 +145,18 @@
   gtw_attempt_send (r);
 }
 
+/// Treat a decline as this engine's answer to the request.
+static void
+place_record_declined (gtw_request_t *r, const msg_place_decline_t *decline)
+{
+  r->reason = "declined";
+  r->is_declined_late
+      = r->is_declined_late || gtw_now_ms (r->gateway) > r->objective_ms;
+  if (decline->retry_after_ms > r->retry_after_ms)
+    r->retry_after_ms = decline->retry_after_ms;
+  gtw_request_exclude_target (r);
+}
+
 void
 gtw_place_on_decline (gtw_gateway_t *gateway,
                       const msg_place_decline_t *decline)
@@ -155,14 +167,13 @@
   char reason[48];
   kb_slice_copy (decline->reason, reason, sizeof reason);
   gtw_log_request_event (r, "place_declined", reason);
-  r->reason = "declined";
-  r->is_declined_late
-      = r->is_declined_late || gtw_now_ms (gateway) > r->objective_ms;
-  if (decline->retry_after_ms > r->retry_after_ms)
-    r->retry_after_ms = decline->retry_after_ms;
+  if (kb_slice_equal (decline->reason, kb_slice_str ("engine_closed")))
+    // Requests wait for its return. Reports are paced, and come later.
+    r->target->is_closed = true;
+  else
+    place_record_declined (r, decline);
   kb_map_remove (&gateway->requests_by_place, r->place_id);
   r->place_id = 0;
-  gtw_request_exclude_target (r);
   gtw_request_release_target (r);
   gtw_request_dispatch (r);
 }
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -53,6 +53,7 @@
 move_engine_state (gtw_target_t *target, gtw_target_t *from)
 {
   target->condition = from->condition;
+  target->is_closed = from->is_closed;
   target->slots = from->slots;
   target->granted = from->granted;
   target->waiting = from->waiting;
