fix(transport): read answers in the own interface with h1

What callers saw: an answer of a target with "Content-Length: 400, 800" ended the process of its agent; all requests at it broke off.

Cause: an assertion of h2o's client (http1client.c:216, !_can_keepalive) that such an answer of HTTP/1.1 reaches. Ruled out: the checks of httpc itself, which are not reached; a check in front, as h2o shows a head only after it has judged it. exchange was considered: its pool and its peers, which outlive the calls, serve nothing here, and it has closed the socket when the bytes behind a body are searched.

httpc calls over h1 with one connection each: same callbacks, ends, time limits and checks, and the same limit of a head, which h1 applies.

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -1,150 +1,68 @@
 #include "transport/httpc.h"
 
-#include <h2o.h>
-#include <h2o/http1client.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 
 #include "transport/metrics.h"
-#include "transport/presence.h"
 
 enum
 {
-  H2O_IO_TIMEOUT_MS = 3600000,
   /// Of the bytes behind a body, more than a status line has.
   MAX_PEEKED_BYTES = 4096,
   MAX_RESPONSE_HEAD_BYTES = 32768,
-  /// Receive buffer in the kernel, which doubles this value.
-  RECEIVE_BYTES = 32768,
+  HTTP_NO_CONTENT = 204,
+  HTTP_NOT_MODIFIED = 304,
 };
 
-typedef struct
-{
-  h2o_http1client_ctx_t ctx;
-  h2o_multithread_queue_t *queue;
-  h2o_multithread_receiver_t receiver;
-  h2o_timeout_t io_timeout;
-} client_impl_t;
-
-static void check_heads (uv_check_t *check);
-
 void
 htc_client_init (htc_client_t *client, uv_loop_t *loop, tmr_service_t *timers)
 {
-  client_impl_t *impl = kb_alloc (sizeof *impl);
-  impl->queue = h2o_multithread_create_queue (loop);
-  h2o_multithread_register_receiver (impl->queue, &impl->receiver,
-                                     h2o_hostinfo_getaddr_receiver);
-  h2o_timeout_init (loop, &impl->io_timeout, H2O_IO_TIMEOUT_MS);
-  impl->ctx.loop = loop;
-  impl->ctx.getaddr_receiver = &impl->receiver;
-  impl->ctx.io_timeout = &impl->io_timeout;
-  *client = (htc_client_t){ .loop = loop, .timers = timers, .impl = impl };
-  uv_check_init (loop, &client->check);
-  client->check.data = client;
-  uv_unref ((uv_handle_t *)&client->check);
-}
-
-void
-htc_client_finish (htc_client_t *client)
-{
-  client_impl_t *impl = client->impl;
-  h2o_multithread_unregister_receiver (impl->queue, &impl->receiver);
-  h2o_multithread_destroy_queue (impl->queue);
-  h2o_timeout_dispose (client->loop, &impl->io_timeout);
-  free (impl);
-  client->impl = NULL;
-  uv_close ((uv_handle_t *)&client->check, NULL);
+  *client = (htc_client_t){ .loop = loop, .timers = timers };
 }
 
 static void
-call_await_head (htc_call_t *call)
+call_drop_request (htc_call_t *call)
 {
-  htc_client_t *client = call->client;
-  if (client->awaiting == NULL)
-    uv_check_start (&client->check, check_heads);
-  call->next_awaiting = client->awaiting;
-  client->awaiting = call;
+  kb_buf_finish (&call->head);
+  kb_shared_unref (call->body);
+  call->body = NULL;
 }
 
 static void
-call_stop_awaiting (const htc_call_t *call)
+call_on_closed (h1_conn_t *conn)
 {
-  htc_client_t *client = call->client;
-  htc_call_t **at = &client->awaiting;
-  while (*at != NULL && *at != call)
-    at = &(*at)->next_awaiting;
-  if (*at == NULL)
-    return;
-  *at = call->next_awaiting;
-  if (client->awaiting == NULL)
-    uv_check_stop (&client->check);
+  htc_call_t *call = (htc_call_t *)conn;
+  call_drop_request (call);
+  rso_search_finish (&call->search);
+  free (call);
 }
 
+/// No callback follows; the call is freed once its connection is closed.
 static void
-call_free (htc_call_t *call)
+call_close (htc_call_t *call, bool is_abort)
 {
-  call_stop_awaiting (call);
+  call->is_ended = true;
   tmr_cancel (call->client->timers, &call->timer);
-  kb_buf_finish (&call->request);
-  rso_search_finish (&call->search);
-  free (call->iovec);
-  free (call);
+  h1_conn_close (&call->conn, is_abort);
 }
 
-/// Report the end of the call and free it. h2o closes the connection itself
-/// after an error or the end of the response.
+/// Close the connection, and report the end of the call.
 static void
 call_end (htc_call_t *call, htc_end_t end)
 {
-  call->is_ended = true;
-  if (call->is_starting)
+  if (call->is_ended)
     return;
+  bool is_whole = end == HTC_END_COMPLETE && call->conn.unsent_bytes == 0;
+  call_close (call, !is_whole);
   call->events->on_end (call, end);
-  call_free (call);
 }
 
 static void
-call_report_not_sent (void *arg)
+call_on_timeout (void *arg)
 {
   htc_call_t *call = arg;
-  call->events->on_end (call, HTC_END_NOT_SENT);
-  call_free (call);
-}
-
-/// @return  A call whose head is too long as far as it has arrived; NULL:
-/// none.
-static htc_call_t *
-find_oversized_head (const htc_client_t *client)
-{
-  for (htc_call_t *call = client->awaiting; call != NULL;
-       call = call->next_awaiting)
-    {
-      const h2o_http1client_t *h2o_client = call->h2o_client;
-      if (h2o_client->sock->input->size > MAX_RESPONSE_HEAD_BYTES)
-        return call;
-    }
-  return NULL;
-}
-
-/// h2o has no limit for a head, and parses it from its beginning with each
-/// read.
-static void
-check_heads (uv_check_t *check)
-{
-  htc_call_t *call;
-  while ((call = find_oversized_head (check->data)) != NULL)
-    {
-      h2o_http1client_cancel (call->h2o_client);
-      call_end (call, HTC_END_INCOMPLETE);
-    }
-}
-
-static void
-call_on_idle_timeout (void *arg)
-{
-  htc_call_t *call = arg;
-  h2o_http1client_cancel (call->h2o_client);
   call_end (call, call->is_sent ? HTC_END_TIMEOUT : HTC_END_NOT_SENT);
 }
 
@@ -161,43 +79,27 @@
         timeout_ms = left_ms;
     }
   tmr_start_once (call->client->timers, &call->timer, timeout_ms,
-                  call_on_idle_timeout, call);
+                  call_on_timeout, call);
 }
 
-/// h2o also reports the end of a chunked body when the connection ends between
-/// two chunks, or within the size of one.
-/// @return  Whether the end of the body was reported without a last chunk.
-static bool
-is_cut_between_chunks (const htc_call_t *call, const h2o_http1client_t *client,
-                       const char *errstr)
-{
-  return errstr == h2o_http1client_error_is_eos && call->is_chunked
-         && client->sock->bytes_read == 0;
-}
-
-/// h2o also reports the end of a close-delimited body when its connection is
-/// reset.
-static bool
-is_reset_in_body (const htc_call_t *call, const h2o_http1client_t *client,
-                  const char *errstr)
+static int
+call_fd (const htc_call_t *call)
 {
-  return errstr == h2o_http1client_error_is_eos && call->is_close_delimited
-         && !prs_is_closed_in_order (h2o_socket_get_fd (client->sock));
+  uv_os_fd_t fd;
+  return uv_fileno ((const uv_handle_t *)&call->conn.tcp, &fd) == 0 ? fd : -1;
 }
 
-/// Search the bytes behind a body with a length: those that h2o read, which
-/// it leaves behind its input, and those that wait in the socket.
+/// Search the bytes behind a body with a length: those that were read, and
+/// those that wait in the socket.
 static bool
-is_second_in_surplus (htc_call_t *call, const h2o_http1client_t *client)
+is_second_in_surplus (htc_call_t *call)
 {
-  const h2o_buffer_t *input = client->sock->input;
   kb_buf_t surplus = { 0 };
-  if (client->sock->bytes_read > input->size)
-    kb_buf_append (&surplus, input->bytes + input->size,
-                   client->sock->bytes_read - input->size);
+  kb_buf_append (&surplus, call->conn.surplus.ptr,
+                 call->conn.surplus.len_bytes);
   char waiting[MAX_PEEKED_BYTES];
-  ssize_t waiting_bytes = recv (h2o_socket_get_fd (client->sock), waiting,
-                                sizeof waiting, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t waiting_bytes = recv (call_fd (call), waiting, sizeof waiting,
+                                MSG_PEEK | MSG_DONTWAIT);
   if (waiting_bytes > 0)
     kb_buf_append (&surplus, waiting, (size_t)waiting_bytes);
   bool is_found
@@ -207,169 +109,180 @@
   return is_found;
 }
 
-/// @return  Whether bytes of the body are those of another response.
+/// @return  Whether another response begins in a body that has ended.
 static bool
-is_second_in_body (htc_call_t *call, const h2o_http1client_t *client,
-                   const char *errstr)
+is_second_at_end (htc_call_t *call)
 {
-  const h2o_buffer_t *input = client->sock->input;
-  bool is_found = rso_search_feed (
-      &call->search, (kb_slice_t){ input->bytes, (uint32_t)input->size });
-  if (errstr != NULL && !is_found)
-    is_found = call->is_close_delimited
-                   ? rsc_scan_is_open (&call->search.scan)
-                   : !call->is_chunked && is_second_in_surplus (call, client);
-  if (is_found)
-    MET_INC ("knapweedbay_second_answers_total", "");
-  return is_found;
+  if (call->is_close_delimited)
+    return rsc_scan_is_open (&call->search.scan);
+  return !call->is_chunked && is_second_in_surplus (call);
 }
 
-static int
-on_body (h2o_http1client_t *client, const char *errstr)
+static void
+call_end_second (htc_call_t *call)
+{
+  MET_INC ("knapweedbay_second_answers_total", "");
+  call_end (call, HTC_END_SECOND);
+}
+
+static void
+call_deliver (htc_call_t *call, kb_slice_t bytes)
 {
-  htc_call_t *call = client->data;
-  bool is_error = errstr != NULL && errstr != h2o_http1client_error_is_eos;
-  if (is_error || is_cut_between_chunks (call, client, errstr)
-      || is_reset_in_body (call, client, errstr))
-    {
-      call_end (call, HTC_END_INCOMPLETE);
-      return -1;
-    }
-  if (is_second_in_body (call, client, errstr))
-    {
-      call_end (call, HTC_END_SECOND);
-      return -1;
-    }
   call_restart_idle_timer (call);
-  h2o_buffer_t *input = client->sock->input;
-  if (input->size > 0)
-    {
-      kb_slice_t bytes = { input->bytes, (uint32_t)input->size };
-      call->is_in_callback = true;
-      call->events->on_body (call, bytes);
-      call->is_in_callback = false;
-      h2o_buffer_consume (&client->sock->input, input->size);
-    }
-  if (call->is_cancelled)
-    {
-      call_free (call);
-      return -1;
-    }
+  if (bytes.len_bytes == 0)
+    return;
+  call->events->on_body (call, bytes);
   if (call->is_aborted)
+    call_end (call, HTC_END_INCOMPLETE);
+}
+
+static void
+call_on_body (h1_conn_t *conn, kb_slice_t bytes)
+{
+  htc_call_t *call = (htc_call_t *)conn;
+  bool is_last = !call->is_chunked && !call->is_close_delimited
+                 && conn->parser.content_length == 0;
+  // The parser reads a body where an interim response has a length.
+  if (!conn->head.is_complete)
+    call_end (call, HTC_END_INCOMPLETE);
+  else if (rso_search_feed (&call->search, bytes))
+    call_end_second (call);
+  else if (is_last)
+    call->last = bytes;
+  else
+    call_deliver (call, bytes);
+}
+
+static void
+call_on_message (h1_conn_t *conn)
+{
+  htc_call_t *call = (htc_call_t *)conn;
+  if (call->is_close_delimited && !prs_is_closed_in_order (call_fd (call)))
     {
       call_end (call, HTC_END_INCOMPLETE);
-      return -1;
+      return;
+    }
+  if (is_second_at_end (call))
+    {
+      call_end_second (call);
+      return;
     }
-  if (errstr == h2o_http1client_error_is_eos)
-    call_end (call, HTC_END_COMPLETE);
-  return 0;
+  call_deliver (call, call->last);
+  call_end (call, HTC_END_COMPLETE);
 }
 
 kb_slice_t
 htc_call_header (const htc_call_t *call, const char *name)
 {
-  const h2o_header_t *headers = call->headers;
-  for (size_t i = 0; i < call->header_count; i++)
-    if (h2o_lcstris (headers[i].name->base, headers[i].name->len, name,
-                     strlen (name)))
-      return (kb_slice_t){ headers[i].value.base,
-                           (uint32_t)headers[i].value.len };
-  return (kb_slice_t){ "", 0 };
+  kb_slice_t value = h1_head_get (&call->conn.head, name);
+  return value.ptr == NULL ? kb_slice_str ("") : kb_slice_trim (value);
 }
 
-/// h2o takes the last one of several lengths, and a length beside a transfer
-/// coding.
-/// @return  Whether the fields of a head contradict each other about where its
-///          body ends.
 static bool
-is_framing_contradictory (const htc_call_t *call)
+are_names_valid (const h1_head_t *head)
 {
-  const h2o_header_t *headers = call->headers;
-  const h2o_iovec_t *length = NULL;
-  for (size_t i = 0; i < call->header_count; i++)
-    {
-      if (headers[i].name != &H2O_TOKEN_CONTENT_LENGTH->buf)
-        continue;
-      const h2o_iovec_t *value = &headers[i].value;
-      if (length != NULL
-          && !h2o_memis (value->base, value->len, length->base, length->len))
-        return true;
-      length = value;
-    }
-  return length != NULL && call->is_chunked;
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (!h1_name_is_token (h1_field_name (head, i)))
+      return false;
+  return true;
 }
 
-static h2o_http1client_body_cb
-on_head (h2o_http1client_t *client, const char *errstr, int minor_version,
-         int status, h2o_iovec_t msg, h2o_header_t *headers,
-         size_t num_headers, int rlen)
+/// The parser takes a body with a transfer coding that it doesn't know, or
+/// with an empty length, for one that ends with its connection.
+/// @return  Whether the head of a response says where its body ends.
+static bool
+is_head_valid (const htc_call_t *call)
+{
+  const h1_conn_t *conn = &call->conn;
+  const h1_head_t *head = &conn->head;
+  uint32_t codings = h1_head_count (head, "transfer-encoding");
+  bool has_length = h1_head_count (head, "content-length") > 0;
+  if (conn->parser.http_major != 1 || codings > 1 || !are_names_valid (head))
+    return false;
+  if (codings == 1)
+    return !has_length
+           && h1_name_is (htc_call_header (call, "transfer-encoding"),
+                          "chunked");
+  return !has_length || (conn->parser.flags & F_CONTENTLENGTH) != 0;
+}
+
+static void
+call_on_head (h1_conn_t *conn)
 {
-  htc_call_t *call = client->data;
-  call_stop_awaiting (call);
-  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+  htc_call_t *call = (htc_call_t *)conn;
+  int http_status = conn->parser.status_code;
+  if (!is_head_valid (call))
     {
       call_end (call, HTC_END_INCOMPLETE);
-      return NULL;
+      return;
     }
   call_restart_idle_timer (call);
-  call->http_status = status;
-  call->headers = headers;
-  call->header_count = num_headers;
-  call->is_chunked = htc_call_header (call, "transfer-encoding").len_bytes > 0;
-  if (is_framing_contradictory (call))
-    {
-      call_end (call, HTC_END_INCOMPLETE);
-      return NULL;
-    }
-  call->is_close_delimited
-      = !call->is_chunked
-        && htc_call_header (call, "content-length").len_bytes == 0;
-  for (size_t i = 0; i < num_headers; i++)
-    rso_search_add_field (
-        &call->search,
-        (kb_slice_t){ headers[i].name->base, (uint32_t)headers[i].name->len },
-        (kb_slice_t){ headers[i].value.base, (uint32_t)headers[i].value.len });
-  call->is_in_callback = true;
-  call->events->on_head (call, status, htc_call_header (call, "content-type"));
-  call->is_in_callback = false;
-  call->headers = NULL;
-  call->header_count = 0;
-  if (call->is_cancelled)
-    {
-      call_free (call);
-      return NULL;
-    }
-  if (errstr == h2o_http1client_error_is_eos)
-    {
-      call_end (call, HTC_END_COMPLETE);
-      return NULL;
-    }
-  return on_body;
+  call->http_status = http_status;
+  call->is_chunked = (conn->parser.flags & F_CHUNKED) != 0;
+  call->is_close_delimited = h1_body_is_close_delimited (conn)
+                             && http_status != HTTP_NO_CONTENT
+                             && http_status != HTTP_NOT_MODIFIED;
+  for (uint32_t i = 0; i < conn->head.field_count; i++)
+    rso_search_add_field (&call->search, h1_field_name (&conn->head, i),
+                          h1_field_value (&conn->head, i));
+  call->events->on_head (call, http_status,
+                         htc_call_header (call, "content-type"));
 }
 
-static h2o_http1client_head_cb
-on_connect (h2o_http1client_t *client, const char *errstr,
-            h2o_iovec_t **reqbufs, size_t *reqbufcnt, int *method_is_head)
+static void
+call_on_conn_end (h1_conn_t *conn, h1_end_t end)
+{
+  call_end ((htc_call_t *)conn, HTC_END_INCOMPLETE);
+}
+
+/// The time limits of the call decide when it is given up, also while its peer
+/// takes nothing of the request.
+static void
+call_drop_path_limits (const htc_call_t *call)
 {
-  htc_call_t *call = client->data;
-  if (errstr != NULL)
+  int fd = call_fd (call);
+  int off = 0;
+  unsigned none_ms = 0;
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &off, sizeof off);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &none_ms, sizeof none_ms);
+}
+
+static void
+call_on_connect (h1_conn_t *conn, int status)
+{
+  htc_call_t *call = (htc_call_t *)conn;
+  if (status == 0)
     {
-      call_end (call, HTC_END_NOT_SENT);
-      return NULL;
+      call_drop_path_limits (call);
+      call->is_sent = h1_conn_write_message (conn, kb_buf_slice (&call->head),
+                                             call->body);
     }
-  call->is_sent = true;
-  call->h2o_client = client;
-  int receive_bytes = RECEIVE_BYTES;
-  setsockopt (h2o_socket_get_fd (client->sock), SOL_SOCKET, SO_RCVBUF,
-              &receive_bytes, sizeof receive_bytes);
-  call_await_head (call);
-  h2o_iovec_t *vec = kb_alloc (sizeof *vec);
-  *vec = h2o_iovec_init (call->request.ptr, call->request.len_bytes);
-  call->iovec = vec;
-  *reqbufs = vec;
-  *reqbufcnt = 1;
-  *method_is_head = 0;
-  return on_head;
+  call_drop_request (call);
+  if (!call->is_sent)
+    call_end (call, HTC_END_NOT_SENT);
+}
+
+static const h1_events_t conn_events = {
+  .on_head = call_on_head,
+  .on_body = call_on_body,
+  .on_message = call_on_message,
+  .on_end = call_on_conn_end,
+  .on_connect = call_on_connect,
+  .on_closed = call_on_closed,
+};
+
+/// @return  KB_OK, or KB_EUNAVAIL when no connection was attempted.
+static kb_status_t
+call_connect (htc_call_t *call, const char *address, uint16_t port)
+{
+  struct sockaddr_in peer;
+  // No peer listens on port 0.
+  if (uv_ip4_addr (address, port, &peer) != 0)
+    peer = (struct sockaddr_in){ .sin_family = AF_INET };
+  kb_status_t status = h1_conn_connect (&call->conn, call->client->loop, &peer,
+                                        &conn_events, NULL);
+  call->conn.max_header_bytes = MAX_RESPONSE_HEAD_BYTES;
+  return status;
 }
 
 htc_call_t *
@@ -384,26 +297,22 @@
   call->client = client;
   call->idle_timeout_ms = idle_timeout_ms;
   rso_search_init (&call->search);
-  kb_buf_printf (&call->request,
+  kb_buf_printf (&call->head,
                  "%s %s HTTP/1.1\r\nhost: %s:%u\r\nconnection: close\r\n"
                  "content-length: %u\r\n%s\r\n",
                  method, path, address, port, body.len_bytes, extra_headers);
-  kb_buf_append (&call->request, body.ptr, body.len_bytes);
-  call_restart_idle_timer (call);
-  client_impl_t *impl = client->impl;
-  h2o_http1client_t *h2o_client = NULL;
-  call->is_starting = true;
-  h2o_http1client_connect (&h2o_client, call, &impl->ctx,
-                           h2o_iovec_init (address, strlen (address)), port, 0,
-                           on_connect);
-  call->h2o_client = h2o_client;
-  call->is_starting = false;
-  // h2o reports a lack of file descriptors from within connect, before the
-  // owner has stored the call. The end is therefore reported from the event
-  // loop.
-  if (call->is_ended)
-    tmr_start_once (client->timers, &call->timer, 0, call_report_not_sent,
-                    call);
+  if (body.len_bytes > 0)
+    {
+      call->body = kb_shared_create (NULL);
+      kb_buf_append (&call->body->buf, body.ptr, body.len_bytes);
+    }
+  // The owner has not stored the call yet. The end is therefore reported from
+  // the event loop.
+  call->is_failed = call_connect (call, address, port) != KB_OK;
+  if (call->is_failed)
+    tmr_start_once (client->timers, &call->timer, 0, call_on_timeout, call);
+  else
+    call_restart_idle_timer (call);
   return call;
 }
 
@@ -411,7 +320,7 @@
 htc_call_limit_time (htc_call_t *call, uint64_t total_timeout_ms)
 {
   call->ends_at_ms = uv_now (call->client->loop) + total_timeout_ms;
-  if (!call->is_ended)
+  if (!call->is_ended && !call->is_failed)
     call_restart_idle_timer (call);
 }
 
@@ -424,11 +333,6 @@
 void
 htc_call_cancel (htc_call_t *call)
 {
-  if (call->is_in_callback)
-    {
-      call->is_cancelled = true;
-      return;
-    }
-  h2o_http1client_cancel (call->h2o_client);
-  call_free (call);
+  if (!call->is_ended)
+    call_close (call, true);
 }
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -1,14 +1,11 @@
 /// @file httpc.h
-/// HTTP/1.1 client calls over h2o. Each call opens its own connection, so that
-/// a failed connect proves that the request was not sent. The failure of a
-/// pooled connection would not prove it.
+/// HTTP/1.1 client calls. Each call opens its own connection, so that a failed
+/// connect proves that the request was not sent. The failure of a pooled
+/// connection would not prove it.
 #ifndef KB_TRANSPORT_HTTPC_H
 #define KB_TRANSPORT_HTTPC_H
 
-#include <uv.h>
-
-#include "state/buf.h"
-#include "state/status.h"
+#include "transport/h1.h"
 #include "transport/respown.h"
 #include "transport/timer.h"
 
@@ -20,8 +17,8 @@
 {
   HTC_END_COMPLETE,   ///< The complete response arrived.
   HTC_END_NOT_SENT,   ///< No connection was made.
-  HTC_END_INCOMPLETE, ///< Sent, but the response is missing or truncated, or
-                      ///< its head is too long.
+  HTC_END_INCOMPLETE, ///< Sent, but the response is missing or truncated,
+                      ///< violates HTTP, or its head is too long.
   HTC_END_SECOND,     ///< Another response of the server begins in the body.
   HTC_END_TIMEOUT,    ///< Sent; nothing was received for idle_timeout_ms, or
                       ///< the total time is up.
@@ -38,17 +35,15 @@
 
 struct htc_call
 {
+  h1_conn_t conn; ///< Must be first: callbacks cast it to this type.
   const htc_events_t *events;
   void *owner;
   htc_client_t *client;
-  void *h2o_client;
-  htc_call_t *next_awaiting; ///< Next of the calls that wait for a head.
-  const void
-      *headers; ///< h2o_header_t array of the response; set during on_head.
-  size_t header_count;
-  kb_buf_t request;
-  void *iovec;         ///< The request as h2o_iovec_t.
-  rso_search_t search; ///< Of the body.
+  kb_buf_t head;       ///< Of the request; held until it is sent.
+  kb_shared_t *body;   ///< The same; NULL: none.
+  rso_search_t search; ///< Of the response's body.
+  kb_slice_t last;     ///< Last bytes of a body with a length; they are
+                       ///< delivered once those behind it are searched.
   tmr_timer_t timer;
   uint64_t idle_timeout_ms;
   uint64_t ends_at_ms; ///< Loop time at which it ends; zero: never.
@@ -56,10 +51,8 @@
   bool is_chunked;         ///< The body ends with its last chunk.
   bool is_close_delimited; ///< The body ends with the connection.
   bool is_sent;
-  bool is_ended;
-  bool is_starting;
-  bool is_in_callback;
-  bool is_cancelled;
+  bool is_failed;  ///< No connection was attempted.
+  bool is_ended;   ///< on_end was called, or never is.
   bool is_aborted; ///< See htc_call_abort.
 };
 
@@ -67,15 +60,12 @@
 {
   uv_loop_t *loop;
   tmr_service_t *timers;
-  void *impl; ///< h2o client context.
-  uv_check_t check;
-  htc_call_t *awaiting; ///< Calls that are sent and wait for a head.
 };
 
 void htc_client_init (htc_client_t *client, uv_loop_t *loop,
                       tmr_service_t *timers);
-void htc_client_finish (htc_client_t *client);
-/// Start a call.
+/// Start a call. Its end is never reported from within this function.
+/// @param address          IPv4 number.
 /// @param extra_headers    Header lines, each ended by CRLF, or "".
 /// @param idle_timeout_ms  Longest time without received data. On expiry the
 ///                         call ends with HTC_END_TIMEOUT, or HTC_END_NOT_SENT
@@ -94,7 +84,7 @@
 /// @return  Value of a response header, or an empty slice. Valid only within
 ///          on_head.
 kb_slice_t htc_call_header (const htc_call_t *call, const char *name);
-/// Cancel a call by closing its connection; on_end is not called.
+/// Cancel a call by resetting its connection; on_end is not called.
 void htc_call_cancel (htc_call_t *call);
 
 #endif
