fix(transport): read no body behind the head of an interim response

What callers saw: 200 with the bytes behind an interim response's head in front of the body. The parser reads a body where an interim response has a length or a transfer coding; h1 handed it on as the body of the answer that follows. An interim response never has one. Found by reading, in the client of the own interface.

--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -135,9 +135,10 @@
 parse_head_end (http_parser *parser)
 {
   h1_conn_t *conn = parser->data;
+  // An interim response has no body, whatever its fields say.
   if (conn->is_client && parser->status_code >= 100
       && parser->status_code < 200)
-    return 0;
+    return 1;
   if (head_is_too_long (conn))
     {
       conn->is_head_oversized = true;
--- a/test/relay/answer_owner_failure_test.cc
+++ b/test/relay/answer_owner_failure_test.cc
@@ -99,6 +99,35 @@
     }
 }
 
+// Guards against bytes behind the head of an interim answer that count as the
+// begin of the body.
+TEST (AnswerOwner, InterimAnswerHasNoBody)
+{
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  int served = 0;
+  for (const char *behind : { "", "hello" })
+    for (const char *framing :
+         { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" })
+      {
+        site.plain[0]->plan_answers ([&] (const Message &,
+                                          const std::string &fields) {
+          return AnswerScript{
+            { { std::string ("HTTP/1.1 103 Early Hints\r\n") + framing + "\r\n"
+                + behind + answer_of (Framing::LENGTH, fields, kBody) } },
+            AnswerEnd::CLOSE
+          };
+        });
+        std::string id
+            = "i" + std::to_string (strlen (behind) * 100 + strlen (framing));
+        Message answer = send_call (site.gateways[0], unsafe_call (id));
+        bool is_whole = answer.status == 200 && answer.is_complete;
+        EXPECT_TRUE (!is_whole || answer.body == kBody) << answer.body;
+        served += is_whole;
+      }
+  EXPECT_EQ (served, 2);
+}
+
 // Guards against the answer to a request with a long id that is taken for the
 // answer to another one.
 TEST (AnswerOwner, AnswerWithALongIdIsTheRequestsOwn)
