--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -403,7 +403,7 @@
       xch_discard_response (x);
       return;
     }
-  // A second one could not be told from the next answer.
+  // A second one could not be distinguished from the next answer.
   if (answer.attempt_id.len_bytes == 0)
     xch_close_after (x);
   r->http_status = conn->parser.status_code;
--- a/src/transport/respscan.c
+++ b/src/transport/respscan.c
@@ -12,7 +12,7 @@
   KEPT_LINE_BYTES = 256,
   /// A longer head is not searched to its end.
   MAX_HEAD_BYTES = 65536,
-  /// Shortest beginning of a status line that is told from other text: up to
+  /// Shortest beginning of a status line that other text rarely has: up to
   /// the first digit of its code.
   MIN_STATUS_BYTES = 10,
 };
