fix(transport): limit the receive buffer before connecting

Cause: SO_RCVBUF was set in the callback of the connect. The window that a connection starts with depends on the buffer at that time, 128 KB by default, and a target fills it before the callback runs. Ruled out: the buffers of accepted connections, which come from their listener.

--- a/src/transport/h1.c
+++ b/src/transport/h1.c
@@ -455,9 +455,15 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
               sizeof timeout_ms);
-  int receive_bytes = TARGET_RECEIVE_BYTES;
-  // Accepted connections have the buffer of their listener.
-  if (conn->is_client)
+}
+
+/// The window that a connection starts with depends on the buffer at that
+/// time: a smaller buffer later does not take back what was offered.
+static void
+socket_set_receive_bytes (const uv_tcp_t *socket, int receive_bytes)
+{
+  uv_os_fd_t fd;
+  if (uv_fileno ((const uv_handle_t *)socket, &fd) == 0)
     setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
                 sizeof receive_bytes);
 }
@@ -469,7 +475,9 @@
   *conn = (h1_conn_t){ .events = events,
                        .owner = owner,
                        .is_client = is_client };
-  uv_tcp_init (loop, &conn->tcp);
+  // A client has its socket before it connects, where one is to be had.
+  if (!is_client || uv_tcp_init_ex (loop, &conn->tcp, AF_INET) != 0)
+    uv_tcp_init (loop, &conn->tcp);
   conn->tcp.data = conn;
   http_parser_init (&conn->parser, is_client ? HTTP_RESPONSE : HTTP_REQUEST);
   conn->parser.data = conn;
@@ -478,12 +486,10 @@
 int
 h1_bind (uv_tcp_t *socket, const struct sockaddr_in *address)
 {
-  uv_os_fd_t fd;
-  int receive_bytes = CALLER_RECEIVE_BYTES;
   int code = uv_tcp_bind (socket, (const struct sockaddr *)address, 0);
-  if (code == 0 && uv_fileno ((uv_handle_t *)socket, &fd) == 0)
-    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-                sizeof receive_bytes);
+  // Accepted connections have the buffer of their listener.
+  if (code == 0)
+    socket_set_receive_bytes (socket, CALLER_RECEIVE_BYTES);
   return code;
 }
 
@@ -539,6 +545,7 @@
                  void *owner)
 {
   conn_init (conn, loop, events, owner, true);
+  socket_set_receive_bytes (&conn->tcp, TARGET_RECEIVE_BYTES);
   conn->connect.data = conn;
   int code = uv_tcp_connect (&conn->connect, &conn->tcp,
                              (const struct sockaddr *)address, conn_connected);
