fix(gateway): await no answer behind one that ends with its connection

An answer that bears the id of another request is discarded, and the request's own one is awaited behind it. Where the discarded one has neither a length nor chunks, it goes on until its connection ends, so none can follow; the caller got 504 when its time was up. Such an attempt ends at once now, as with an unsound answer: a safe request is sent again, another one gets 502.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -400,7 +400,11 @@
   if (is_stray_answer (r, &answer))
     {
       MET_INC ("knapweedbay_stray_answers_total", "");
-      xch_discard_response (x);
+      // One that ends with its connection is followed by none.
+      if (xch_is_close_delimited (x))
+        attempt_handle_broken (r, END_UNSOUND);
+      else
+        xch_discard_response (x);
       return;
     }
   // A second one could not be distinguished from the next answer.
--- a/test/relay/answer_owner_failure_test.cc
+++ b/test/relay/answer_owner_failure_test.cc
@@ -56,6 +56,28 @@
   EXPECT_EQ (foreign, 0);
 }
 
+// Guards against a request that waits for its answer until its time is up,
+// though none can follow on its connection.
+TEST (AnswerOwner, NoAnswerIsAwaitedBehindOneThatEndsWithItsConnection)
+{
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.plain[0]->plan_answers ([&] (const Message &, const std::string &) {
+    return AnswerScript{ { { answer_of (Framing::NONE,
+                                        "X-Knapweedbay-Attempt-Id: other\r\n"
+                                        "X-Knapweedbay-Server-Seal: s\r\n",
+                                        kForeignBody),
+                             4000 } },
+                         AnswerEnd::KEEP };
+  });
+  for (int i = 0; i < 4; i++)
+    {
+      Call call = unsafe_call ("awaits" + std::to_string (i));
+      call.deadline_ms = 2000;
+      EXPECT_EQ (send_call (site.gateways[0], call).status, 502);
+    }
+}
+
 // Guards against a target whose answers bear no ids and is not served from
 // because of that.
 TEST (AnswerOwner, TargetWithoutIdsIsServedFrom)
