--- a/test/unit/engine_control_test.cc
+++ b/test/unit/engine_control_test.cc
@@ -2,15 +2,9 @@
 // is asked.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <map>
-#include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
+
+#include "repeating_peer.h"
 
 extern "C"
 {
@@ -21,105 +15,8 @@
 namespace
 {
 
-std::string
-answer (const std::string &status, const std::string &body,
-        const std::string &fields = "")
-{
-  return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: "
-         + std::to_string (body.size ()) + "\r\n\r\n" + body;
-}
-
-/// An engine whose answers are set by path, and which repeats the latest
-/// answer on a connection in front of the next one there.
-class RepeatingEngine
-{
-public:
-  RepeatingEngine ()
-  {
-    listener_ = socket (AF_INET, SOCK_STREAM, 0);
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    bind (listener_, (sockaddr *)&address, size);
-    listen (listener_, 16);
-    getsockname (listener_, (sockaddr *)&address, &size);
-    thread_ = std::thread ([this] { accept_all (); });
-  }
-  ~RepeatingEngine ()
-  {
-    shutdown (listener_, SHUT_RDWR);
-    thread_.join ();
-    close (listener_);
-    for (int fd : accepted_)
-      shutdown (fd, SHUT_RDWR);
-    for (std::thread &connection : connections_)
-      connection.join ();
-    for (int fd : accepted_)
-      close (fd);
-  }
-  void
-  set_answer (const std::string &path, const std::string &bytes)
-  {
-    std::lock_guard<std::mutex> guard (mutex_);
-    answers_[path] = bytes;
-  }
-  sockaddr_in address{};
-
-private:
-  void
-  accept_all ()
-  {
-    int fd;
-    while ((fd = accept (listener_, nullptr, nullptr)) >= 0)
-      {
-        accepted_.push_back (fd);
-        connections_.emplace_back ([this, fd] { serve (fd); });
-      }
-  }
-  /// @return  The path of the next request; empty at the connection's end.
-  static std::string
-  read_request (int fd)
-  {
-    std::string bytes;
-    char c;
-    while (bytes.find ("\r\n\r\n") == std::string::npos)
-      {
-        if (recv (fd, &c, 1, 0) != 1)
-          return "";
-        bytes += c;
-      }
-    size_t length_at = bytes.find ("Content-Length: ");
-    if (length_at != std::string::npos)
-      for (int left = atoi (bytes.c_str () + length_at + 16); left > 0; left--)
-        if (recv (fd, &c, 1, 0) != 1)
-          return "";
-    size_t begin = bytes.find (' ') + 1;
-    return bytes.substr (begin, bytes.find (' ', begin) - begin);
-  }
-  void
-  serve (int fd)
-  {
-    std::string path;
-    std::string latest;
-    while (!(path = read_request (fd)).empty ())
-      {
-        std::string own;
-        {
-          std::lock_guard<std::mutex> guard (mutex_);
-          own = answers_[path];
-        }
-        std::string bytes = latest + own;
-        send (fd, bytes.data (), bytes.size (), MSG_NOSIGNAL);
-        latest = own;
-      }
-  }
-  std::mutex mutex_;
-  std::map<std::string, std::string> answers_;
-  std::vector<int> accepted_;
-  std::vector<std::thread> connections_;
-  int listener_;
-  std::thread thread_;
-};
+using unit::answer;
+using unit::RepeatingPeer;
 
 const std::string kReport = "{\"State\":\"ready\",\"Running\":3}";
 
@@ -199,7 +96,7 @@
     wait ();
     return instance;
   }
-  RepeatingEngine peer;
+  RepeatingPeer peer;
   uv_loop_t loop;
   tmr_service_t timers;
   xch_pool_t pool;
--- a/test/unit/platform_test.cc
+++ b/test/unit/platform_test.cc
@@ -636,7 +636,7 @@
     for (auto &item : items)
       kb_buf_finish (&item.value);
     directory.source.vtable->stop (&directory.source);
-    xch_peer_finish (&directory.store.peer);
+    sto_client_finish (&directory.store);
     tmr_service_finish (&timers);
     uv_run (&loop, UV_RUN_DEFAULT);
     EXPECT_EQ (uv_loop_close (&loop), 0);
