fix(gateway): count no end of an earlier incarnation for requests to a later one

The list then named one in between; the breaks under the earlier target counted as its ends, whichever incarnation they belonged to. The same happens when the list names an earlier incarnation after a later one, as after a store has come back from a copy: the live one counted as ended.

Breaks of later incarnations than the listed one now move on with it, and an earlier incarnation that is listed proves no end of one that its sidecar reports to be alive.

Ruled out for this case: an end of the engine that answered (it was granted places after that moment), and a start among others.

--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -268,6 +268,7 @@
           .caller = gtw_quarantine_caller (r),
           .at_ms = gtw_now_ms (r->gateway),
           .incarnation = recipient_incarnation (r),
+          .born_ms = gtw_request_recipient (r)->born_ms,
           .place_id = r->place_id,
           .is_plain = !r->is_engine,
           .is_isolated = is_isolated,
@@ -387,6 +388,17 @@
       r->is_alone_attempt = false;
 }
 
+/// @return  Whether an attempt was sent to the listed incarnation of a target,
+///          or to a later one.
+static bool
+is_listed_or_later (const gtw_broken_attempt_t *attempt,
+                    const gtw_target_t *target)
+{
+  uint64_t listed_ms = target->list_entry.identity.born_ms;
+  return attempt->incarnation == listed_incarnation (target)
+         || (listed_ms > 0 && attempt->born_ms > listed_ms);
+}
+
 void
 gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
                             gtw_target_t *to)
@@ -395,8 +407,7 @@
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (broken->target == from->key
-          && broken->incarnation == listed_incarnation (to))
+      if (broken->target == from->key && is_listed_or_later (broken, to))
         broken->target = to->key;
     }
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -332,6 +332,7 @@
   uint64_t caller; ///< Hash of its workspace or address.
   uint64_t at_ms;
   uint64_t incarnation; ///< Hash of the incarnation that it was sent to.
+  uint64_t born_ms;     ///< Of that incarnation; zero: not known.
   uint64_t place_id;    ///< At an engine.
   bool is_plain;        ///< The target is not an engine.
   bool is_isolated;     ///< This gateway had no other request there.
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -83,7 +83,7 @@
 void gtw_quarantine_forget_alone (gtw_gateway_t *gateway,
                                   const gtw_target_t *target);
 /// Move the breaks of requests that were sent to an incarnation before the
-/// list named it.
+/// list named it, or to one that is later still.
 void gtw_quarantine_move_breaks (gtw_gateway_t *gateway,
                                  const gtw_target_t *from, gtw_target_t *to);
 /// @return  Whether attempts broke off at a target that may have ended, which
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -162,6 +162,19 @@
   log_end (&line);
 }
 
+/// @return  Whether the list names an earlier incarnation after a later one,
+///          which its sidecar reports to be alive.
+static bool
+is_listed_late (const gtw_gateway_t *gateway, const gtw_target_t *next,
+                const gtw_target_t *known)
+{
+  uint64_t born_ms = next->list_entry.identity.born_ms;
+  return born_ms > 0 && born_ms < known->known_birth.born_ms
+         && gtw_target_is_alive (gateway, known)
+         && strcmp (known->reported_engine.id, known->list_entry.identity.id)
+                == 0;
+}
+
 /// Another incarnation is listed at an address, so the previous ones have
 /// ended, however short the time between them. One of them may have been used
 /// for requests that the new one answered.
@@ -175,8 +188,10 @@
       if (t == next || t->address_hash != next->address_hash)
         continue;
       gtw_backpressure_inherit (next, t);
+      bool is_late = is_listed_late (gateway, next, t);
       gtw_quarantine_move_breaks (gateway, t, next);
-      gtw_quarantine_record_target_end (gateway, t, "replaced");
+      if (!is_late)
+        gtw_quarantine_record_target_end (gateway, t, "replaced");
     }
 }
 
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -265,6 +265,81 @@
   expect_served (site, innocent_stream);
 }
 
+/// Restart an engine as an incarnation that the list does not name.
+void
+restart_unlisted (Site &site, const std::string &id)
+{
+  site.engines[0].target->restart (id);
+  ASSERT_TRUE (Site::wait_for ([&] {
+    return !Site::log_lines (site.engines[0].sidecar,
+                             { "engine_identified", id })
+                .empty ();
+  }));
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+}
+
+// Guards against a whole answer of an incarnation that counts as broken off
+// because the list names an earlier one then.
+TEST (Innocent, AnswerOfALaterIncarnationThanTheListedOneIsNoEnd)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.is_unframed = true;
+  restart_unlisted (site, "i-first");
+  Incarnation first = engine.incarnation ();
+  restart_unlisted (site, "i-second");
+  EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
+  site.list_incarnation (0, first);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  expect_served (site, innocent_stream);
+}
+
+// Guards against the same when the list names the earlier incarnation after
+// the one that gave the answer.
+TEST (Innocent, AnswerOfAnIncarnationIsNoEndWhenAnEarlierOneIsListed)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.is_unframed = true;
+  restart_unlisted (site, "i-first");
+  Incarnation first = engine.incarnation ();
+  restart_unlisted (site, "i-second");
+  site.list_engine (0);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
+  site.list_incarnation (0, first);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  expect_served (site, innocent_stream);
+}
+
+// Guards against the same when the list names it while the answer is under
+// way.
+TEST (Innocent, AnswerIsNoEndWhenAnEarlierIncarnationIsListedMeanwhile)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.is_unframed = true;
+  restart_unlisted (site, "i-first");
+  Incarnation first = engine.incarnation ();
+  restart_unlisted (site, "i-second");
+  site.list_engine (0);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  engine.event_ms = 2 * kEndKnownMs;
+  engine.events = 1;
+  Sending innocent (site.gateways[0], innocent_stream (2));
+  ASSERT_TRUE (wait_until_run (site, "innocent2"));
+  site.list_incarnation (0, first);
+  innocent.join ();
+  EXPECT_EQ (innocent.answer.status, 200);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  expect_served (site, innocent_stream);
+}
+
 // Guards against resets that count as ends of engines because an earlier
 // incarnation at the same address had ended, which the list still names.
 TEST (Innocent, ResetsAtIncarnationsListedLateAreNoEnds)
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -388,6 +388,14 @@
 
 void
 Site::list_engine (size_t at, const std::string &state, int64_t born_shift_ms)
+{
+  list_incarnation (at, engines[at].target->incarnation (), state,
+                    born_shift_ms);
+}
+
+void
+Site::list_incarnation (size_t at, const Incarnation &incarnation,
+                        const std::string &state, int64_t born_shift_ms)
 {
   Target &target = *engines[at].target;
   std::string address
@@ -395,7 +403,6 @@
             ? target.address ()
             : proxies_->engine (engines[at].ip, target.address (),
                                 inner_port_);
-  Incarnation incarnation = target.incarnation ();
   put ("servers/" + incarnation.id,
        entry_of (incarnation, "models", address, engine_slots, state,
                  born_shift_ms));
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -100,6 +100,10 @@
   /// @param born_shift_ms  Added to the birth time that the entry states.
   void list_engine (size_t at, const std::string &state = "ready",
                     int64_t born_shift_ms = 0);
+  /// The same for an incarnation of it that may be an earlier one.
+  void list_incarnation (size_t at, const Incarnation &incarnation,
+                         const std::string &state = "ready",
+                         int64_t born_shift_ms = 0);
   void list_plain (size_t at, const std::string &state = "ready",
                    int64_t born_shift_ms = 0);
   /// Stop a daemon with a signal and start it again.
