feat(gateway): name the attempt of a suspected request in its log line

request_suspected named the fingerprint only, and an attempt whose whole answer ended with its connection has no line attempt_broken: which attempt counted for an end, and how long it had been over, was in no line. It names the attempt now, and the time since its end.

--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -1,5 +1,7 @@
 /// @file gateway_breaks.c
 /// Ends of attempts: which requests were starting at a target when it ended.
+#include <stdio.h>
+
 #include "coordination/alone.h"
 #include "coordination/quarantine.h"
 #include "coordination/replace.h"
@@ -109,9 +111,11 @@
     return;
   char fingerprint[FPR_TEXT_BYTES];
   fpr_format (request, fingerprint);
+  log_text (&line, "id", broken->attempt_id);
   log_text (&line, "fingerprint", fingerprint);
   log_text (&line, "target", target->list_entry.identity.id);
   log_int (&line, "was_alone", is_alone);
+  log_int (&line, "since_ms", (int64_t)(gtw_now_ms (gateway) - broken->at_ms));
   log_text (&line, "verdict", names[verdict]);
   log_int (&line, "hold_ms", (int64_t)hold_ms);
   log_end (&line);
@@ -275,6 +279,8 @@
           .is_alone
           = is_isolated ? aln_is_still_alone (&r->alone) : r->is_alone_attempt,
           .is_starting = is_starting (r) };
+  snprintf (attempt.attempt_id, sizeof attempt.attempt_id, "%s",
+            r->attempt_id);
   gtw_parts_describe (r, &attempt);
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
     attempt.fingerprints[scope] = gtw_request_fingerprint (r, scope);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -327,7 +327,8 @@
 /// target has ended, the request may be the cause.
 typedef struct
 {
-  uint64_t target; ///< Key of the target; zero: unused entry.
+  uint64_t target;               ///< Key of the target; zero: unused entry.
+  char attempt_id[GTW_ID_BYTES]; ///< Of the caller's attempt.
   uint64_t fingerprints[GTW_SCOPE_COUNT];
   uint64_t caller; ///< Hash of its workspace or address.
   uint64_t at_ms;
