--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -1,5 +1,7 @@
 /// @file gateway_breaks.c
 /// Ends of attempts: which requests were starting at a target when it ended.
+#include <stdio.h>
+
 #include "coordination/alone.h"
 #include "coordination/quarantine.h"
 #include "coordination/replace.h"
@@ -109,9 +111,11 @@
     return;
   char fingerprint[FPR_TEXT_BYTES];
   fpr_format (request, fingerprint);
+  log_text (&line, "id", broken->attempt_id);
   log_text (&line, "fingerprint", fingerprint);
   log_text (&line, "target", target->list_entry.identity.id);
   log_int (&line, "was_alone", is_alone);
+  log_int (&line, "since_ms", (int64_t)(gtw_now_ms (gateway) - broken->at_ms));
   log_text (&line, "verdict", names[verdict]);
   log_int (&line, "hold_ms", (int64_t)hold_ms);
   log_end (&line);
@@ -268,12 +272,15 @@
           .caller = gtw_quarantine_caller (r),
           .at_ms = gtw_now_ms (r->gateway),
           .incarnation = recipient_incarnation (r),
+          .born_ms = gtw_request_recipient (r)->born_ms,
           .place_id = r->place_id,
           .is_plain = !r->is_engine,
           .is_isolated = is_isolated,
           .is_alone
           = is_isolated ? aln_is_still_alone (&r->alone) : r->is_alone_attempt,
           .is_starting = is_starting (r) };
+  snprintf (attempt.attempt_id, sizeof attempt.attempt_id, "%s",
+            r->attempt_id);
   gtw_parts_describe (r, &attempt);
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
     attempt.fingerprints[scope] = gtw_request_fingerprint (r, scope);
@@ -387,6 +394,17 @@
       r->is_alone_attempt = false;
 }
 
+/// @return  Whether an attempt was sent to the listed incarnation of a target,
+///          or to a later one.
+static bool
+is_listed_or_later (const gtw_broken_attempt_t *attempt,
+                    const gtw_target_t *target)
+{
+  uint64_t listed_ms = target->list_entry.identity.born_ms;
+  return attempt->incarnation == listed_incarnation (target)
+         || (listed_ms > 0 && attempt->born_ms > listed_ms);
+}
+
 void
 gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
                             gtw_target_t *to)
@@ -395,8 +413,7 @@
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (broken->target == from->key
-          && broken->incarnation == listed_incarnation (to))
+      if (broken->target == from->key && is_listed_or_later (broken, to))
         broken->target = to->key;
     }
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -327,11 +327,13 @@
 /// target has ended, the request may be the cause.
 typedef struct
 {
-  uint64_t target; ///< Key of the target; zero: unused entry.
+  uint64_t target;               ///< Key of the target; zero: unused entry.
+  char attempt_id[GTW_ID_BYTES]; ///< Of the caller's attempt.
   uint64_t fingerprints[GTW_SCOPE_COUNT];
   uint64_t caller; ///< Hash of its workspace or address.
   uint64_t at_ms;
   uint64_t incarnation; ///< Hash of the incarnation that it was sent to.
+  uint64_t born_ms;     ///< Of that incarnation; zero: not known.
   uint64_t place_id;    ///< At an engine.
   bool is_plain;        ///< The target is not an engine.
   bool is_isolated;     ///< This gateway had no other request there.
