fix(gateway): give up a silent attempt only if another target can be chosen

Callers saw: 502 silent_target (or the same at a paused alternative), though nothing had ended and the answer came well before the route's timeout: a safe request whose only target was slower than three objectives (0.45 s of 2 s in the tests), and a stream whose only engine took longer than 2 s for its first event.

Cause: the timer for silence ended the attempt first and only then looked for another target. Ruled out: the connection's limit of 0.4 s, whose attempts stay NOT_RUN and are refused with 503, never 502.

An attempt without a first byte for its caller is now given up only while another target can be chosen, looked at each 0.1 s until the request's timeout. Suspects and trials are given up as before.

Suspected cause of the single 502 of Relay.RequestsWaitForTheFirstConfiguration and Restore.GoneTargetStaysUnused (one plain target in use each), and of Quota.OtherWorkspacesAreServed (one plain target); their logs weren't kept, so it isn't shown.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -43,7 +43,7 @@
   /// Engines past saturation pause streams for seconds; a stream that is cut
   /// for that finds the next engine equally loaded and is lost.
   RESUME_RESERVE_MS = 500,
-  /// Interval at which a silent stream that can't be resumed is looked at.
+  /// Interval at which a silent attempt that is not given up is looked at.
   RESUME_CHECK_MS = 100,
   /// Maximum silence before the first event of a resumable stream.
   FIRST_EVENT_SILENCE_MS = 2000,
@@ -145,11 +145,26 @@
   return true;
 }
 
+/// Extend the wait for the first byte while no other target can be chosen: to
+/// give the attempt up would only fail the request. Suspects and trials are
+/// given up, as they may have hung their target.
+/// @return  Whether the wait was extended.
+static bool
+wait_for_only_target (gtw_request_t *r)
+{
+  if (r->has_event || r->is_trial || gtw_quarantine_is_suspect_starting (r)
+      || gtw_target_has_other (r->gateway, r))
+    return false;
+  tmr_start_once (&r->gateway->host.timers, &r->silence_timer, RESUME_CHECK_MS,
+                  attempt_on_silence, r);
+  return true;
+}
+
 static void
 attempt_on_silence (void *arg)
 {
   gtw_request_t *r = arg;
-  if (wait_for_live_engine (r))
+  if (wait_for_live_engine (r) || wait_for_only_target (r))
     return;
   MET_INC ("knapweedbay_silent_targets_total", "");
   attempt_handle_broken (r, END_SILENT);
--- a/src/gateway/gateway_choose.c
+++ b/src/gateway/gateway_choose.c
@@ -93,6 +93,18 @@
   return false;
 }
 
+bool
+gtw_target_has_other (const gtw_gateway_t *gateway, const gtw_request_t *r)
+{
+  uint32_t at = 0;
+  for (const gtw_target_t *t = kb_map_next (&gateway->targets, &at); t != NULL;
+       t = kb_map_next (&gateway->targets, &at))
+    if (t != r->target && strcmp (t->list_entry.service, r->service) == 0
+        && is_usable (r, t))
+      return true;
+  return false;
+}
+
 bool
 gtw_target_has_free_place (const gtw_gateway_t *gateway,
                            const gtw_request_t *r)
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -846,6 +846,9 @@
 /// @return  The best target for a request, or NULL.
 gtw_target_t *gtw_target_choose (gtw_gateway_t *gateway,
                                  const gtw_request_t *r);
+/// @return  Whether another target than its own can be chosen for a request.
+bool gtw_target_has_other (const gtw_gateway_t *gateway,
+                           const gtw_request_t *r);
 /// @return  Whether another target than its own has a place for a request now,
 ///          as far as its last report shows.
 bool gtw_target_has_free_place (const gtw_gateway_t *gateway,
--- a/test/relay/silence_failure_test.cc
+++ b/test/relay/silence_failure_test.cc
@@ -18,6 +18,16 @@
 constexpr int kEvents = 40;
 constexpr int kSlots = 8;
 
+/// Over three objectives of a safe request, and within its timeout.
+constexpr int kSlowAnswerMs = 1200;
+/// Over the limit for the first event of a stream.
+constexpr int kSlowFirstEventMs = 2600;
+/// Over three objectives of a safe request, and shorter than its timeout by
+/// more than an answer takes.
+constexpr double kPauseS = 1;
+/// Until another target has answered what was silent for three objectives.
+constexpr int kMaxMoveMs = 1500;
+
 /// The engine of a stream that may be resumed pauses, and the other one is
 /// full.
 /// @param stops  Whether the gateway gets SIGTERM meanwhile.
@@ -81,5 +91,89 @@
   expect_whole_stream (false);
 }
 
+// Guards against a request that fails because its target, the only one, is
+// slower than three objectives.
+TEST (Silence, SafeRequestWaitsForTheOnlyTarget)
+{
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (4);
+  site.plain[0]->answer_ms = kSlowAnswerMs;
+  Message answer = send_call (site.gateways[0], plain_call ("slow"));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+  EXPECT_EQ (site.runs_of ("slow"), 1);
+}
+
+// Guards against the same when the other target is leaving.
+TEST (Silence, SafeRequestWaitsWhileTheOtherTargetLeaves)
+{
+  Site site (0, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (4);
+  site.list_plain (1, "draining");
+  std::this_thread::sleep_for (milliseconds (1500));
+  site.plain[0]->answer_ms = kSlowAnswerMs;
+  Message answer = send_call (site.gateways[0], plain_call ("slow"));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+  EXPECT_EQ (site.runs_of ("slow"), 1);
+}
+
+// Guards against a stream that fails because the only engine needs longer than
+// 2 s for its first event.
+TEST (Silence, StreamWaitsForTheFirstEventOfTheOnlyEngine)
+{
+  Site site (1, 0, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (4);
+  site.engines[0].target->events = 1;
+  site.engines[0].target->event_ms = kSlowFirstEventMs;
+  Message answer = send_call (site.gateways[0], stream_call ("slow", ""));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+  EXPECT_EQ (event_ids (answer.body), ids_up_to (1));
+  EXPECT_EQ (site.runs_of ("slow"), 1);
+}
+
+// Guards against a request that waits for a hung target after the pause of
+// another one has ended.
+TEST (Silence, SafeRequestLeavesAHungTargetOnceThereIsAnother)
+{
+  // Without a sidecar there are hardly any retries.
+  Site site (1, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (8);
+  send_call (site.gateways[0], plain_call ("first"));
+  size_t used = site.plain[0]->runs_of ("first") > 0 ? 0 : 1;
+  Target &other = *site.plain[used];
+  other.pause_s = kPauseS;
+  for (int i = 0; other.refused_with_pause ().empty () && i < 100; i++)
+    send_call (site.gateways[0], plain_call ("warm" + std::to_string (i)));
+  other.pause_s = -1;
+  ASSERT_FALSE (other.refused_with_pause ().empty ());
+  site.plain[1 - used]->is_hung = true;
+  Message answer = send_call (site.gateways[0], plain_call ("hung"));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+  EXPECT_EQ (other.runs_of ("hung"), 1);
+}
+
+// Guards against a request that waits for a hung target though there is
+// another one.
+TEST (Silence, SafeRequestLeavesAHungTargetForAnother)
+{
+  // Without a sidecar there are hardly any retries.
+  Site site (1, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (8);
+  site.plain[0]->is_hung = true;
+  for (int i = 0; i < 6; i++)
+    {
+      auto began = std::chrono::steady_clock::now ();
+      Message answer = send_call (site.gateways[0],
+                                  plain_call ("h" + std::to_string (i)));
+      EXPECT_EQ (answer.status, 200) << answer.body;
+      EXPECT_LT (std::chrono::steady_clock::now () - began,
+                 milliseconds (kMaxMoveMs));
+    }
+}
+
 } // namespace
 } // namespace relay
