test(relay): count any stream that starts after the sidecar's restart

Innocent.StartBeforeARestartOfTheSidecarIsNotAlone sent a stream each 0.1 s and looked at each only once, 0.1 s after it was sent. While the sidecar starts, up to 1.2 s of them wait; on its return these take the engine's 8 places for longer than the test waits, and all later ones are refused (late_under_load). Its preparation then failed though others had started, which is all that it needs.

Now any of these streams counts. The check itself is unchanged: the innocent request must not count as alone once another one has started after the restart.

--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -178,12 +178,17 @@
   ASSERT_TRUE (wait_until_run (site, "innocent2"));
   site.restart (&site.engines[0].sidecar, SIGKILL);
   std::vector<std::unique_ptr<Sending>> others;
+  // Those that wait for the sidecar may take all places, so any of them
+  // counts.
   bool has_other_started = Site::wait_for ([&] {
-    std::string id = "other" + std::to_string (others.size ());
-    others.push_back (
-        std::make_unique<Sending> (site.gateways[0], other_stream (id)));
+    others.push_back (std::make_unique<Sending> (
+        site.gateways[0],
+        other_stream ("other" + std::to_string (others.size ()))));
     std::this_thread::sleep_for (milliseconds (100));
-    return site.runs_of (id) > 0;
+    bool has_any = false;
+    for (size_t i = 0; i < others.size (); i++)
+      has_any = has_any || site.runs_of ("other" + std::to_string (i)) > 0;
+    return has_any;
   });
   if (!has_other_started)
     site.print_logs (kLogLines);
