fix(gateway,transport): wait for what follows a body that ends as a head begins

The end of a body with a length was delivered at once, and the search for a second answer had only what the same read had brought. Of an answer above 64 KB the caller got the last byte before that search, so that what it found broke off an answer that was complete for the caller. Few bytes behind the body (less than "HTTP/1.1 2" with its end) didn't count.

An exchange may now be asked to read on behind a complete response before it reports it. The gateway asks for it where a body with a length ends as a status line begins (two bytes or more) or within a head: for 100 ms, or half of the time left; the deadline and the memory limit end no such answer, and of a large one the last byte is kept back. Any other body is delivered as before.

Ruled out: holding without reading on (the connection was released before the end was reported), and counting such an end as broken, as for bodies without a length, which loses whole answers.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -434,6 +434,21 @@
   build_head (r, conn);
 }
 
+/// Relay the part of a body that has arrived. The caller must not have all of
+/// it while its last bytes may belong to another answer.
+static void
+relay_part (gtw_request_t *r)
+{
+  kb_slice_t part = kb_buf_slice (&r->pending_answer);
+  bool is_held = part.len_bytes > 0 && gtw_scan_may_continue (r);
+  part.len_bytes -= is_held;
+  char last = is_held ? part.ptr[part.len_bytes] : '\0';
+  relay_bytes (r, part);
+  kb_buf_finish (&r->pending_answer);
+  if (is_held)
+    kb_buf_append (&r->pending_answer, &last, 1);
+}
+
 static void
 answer_on_body (xch_t *x, kb_slice_t bytes)
 {
@@ -454,10 +469,15 @@
     }
   else if (r->is_head_written
            || r->pending_answer.len_bytes > MAX_BUFFERED_BYTES)
-    {
-      relay_bytes (r, kb_buf_slice (&r->pending_answer));
-      kb_buf_finish (&r->pending_answer);
-    }
+    relay_part (r);
+}
+
+static uint64_t
+answer_watch_ms (xch_t *x)
+{
+  // Chunks cannot be filled up by another answer.
+  bool is_chunked = (xch_conn (x)->parser.flags & F_CHUNKED) != 0;
+  return is_chunked ? 0 : gtw_ending_watch (x->owner);
 }
 
 /// @return  How an attempt ended whose answer is relayed as complete.
@@ -520,6 +540,9 @@
 answer_on_done (xch_t *x)
 {
   gtw_request_t *r = x->owner;
+  if (r->is_watched)
+    gtw_request_arm_expiry (r);
+  r->is_watched = false;
   r->surplus_bytes = x->surplus.len_bytes;
   if (gtw_scan_end (r, x->surplus))
     {
@@ -580,6 +603,7 @@
 static const xch_events_t answer_events = { .on_connect = attempt_on_connect,
                                             .on_head = answer_on_head,
                                             .on_body = answer_on_body,
+                                            .watch_ms = answer_watch_ms,
                                             .on_done = answer_on_done,
                                             .on_fail = answer_on_fail };
 
@@ -675,6 +699,7 @@
   r->is_target_in_doubt = false;
   r->are_parts_served = false;
   r->is_close_delimited = false;
+  r->is_watched = false;
   r->ending_done = NULL;
   gtw_scan_begin (r);
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
@@ -691,8 +716,7 @@
       return;
     }
   MET_INC ("knapweedbay_answers_released_total", "");
-  relay_bytes (r, kb_buf_slice (&r->pending_answer));
-  kb_buf_finish (&r->pending_answer);
+  relay_part (r);
 }
 
 void
--- a/src/gateway/gateway_ending.c
+++ b/src/gateway/gateway_ending.c
@@ -3,6 +3,7 @@
 /// connection that shows that the target still listens is kept for the next
 /// request: the one that carried the answer is gone.
 #include "gateway/gateway_ending.h"
+#include "gateway/gateway_scan.h"
 #include "transport/metrics.h"
 
 enum
@@ -12,6 +13,8 @@
   /// A VM that does not answer within it is not reachable, which proves
   /// nothing.
   CONNECT_TIMEOUT_MS = 100,
+  /// The rest of a head follows its begin soon, but a busy target may pause.
+  WATCH_MS = 100,
 };
 
 static void
@@ -62,3 +65,17 @@
                   ending_connect, r);
   return true;
 }
+
+uint64_t
+gtw_ending_watch (gtw_request_t *r)
+{
+  if (r->is_close_delimited || !gtw_scan_may_continue (r))
+    return 0;
+  uint64_t left_ms
+      = gtw_remaining_ms (gtw_request_expiry_ms (r), gtw_now_ms (r->gateway));
+  // The answer has come in time.
+  tmr_cancel (&r->gateway->host.timers, &r->expiry_timer);
+  tmr_cancel (&r->gateway->host.timers, &r->silence_timer);
+  r->is_watched = true;
+  return left_ms / 2 < WATCH_MS ? left_ms / 2 : WATCH_MS;
+}
--- a/src/gateway/gateway_ending.h
+++ b/src/gateway/gateway_ending.h
@@ -14,4 +14,9 @@
 /// @return  False when there is nothing to ask; `done` is not called then.
 bool gtw_ending_check (gtw_request_t *r, gtw_ending_done_t done);
 
+/// Begin to withhold the end of an answer whose last bytes may begin another
+/// one, unless it has no length.
+/// @return  For how long, in ms; zero: nothing shows that they may.
+uint64_t gtw_ending_watch (gtw_request_t *r);
+
 #endif
--- a/src/gateway/gateway_scan.c
+++ b/src/gateway/gateway_scan.c
@@ -51,6 +51,12 @@
   return count_if_found (rsc_scan_feed (&r->scan, bytes));
 }
 
+bool
+gtw_scan_may_continue (const gtw_request_t *r)
+{
+  return rsc_scan_may_continue (&r->scan);
+}
+
 bool
 gtw_scan_end (gtw_request_t *r, kb_slice_t surplus)
 {
--- a/src/gateway/gateway_scan.h
+++ b/src/gateway/gateway_scan.h
@@ -12,6 +12,9 @@
 /// Search the next bytes of the answer's body, before they are relayed.
 /// @return  Whether another answer begins in the body.
 bool gtw_scan_body (gtw_request_t *r, kb_slice_t bytes);
+/// @return  Whether bytes behind the body so far may show that its last ones
+///          belong to another answer.
+bool gtw_scan_may_continue (const gtw_request_t *r);
 /// Search the end of the body.
 /// @param surplus  Bytes that were read behind it.
 /// @return         As gtw_scan_body; also whether a body without a length
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -23,7 +23,7 @@
   xch_pooled_t *next;       ///< Next in the idle list.
   kb_buf_t queued_head;     ///< Held until connected.
   kb_shared_t *queued_body; ///< The same; NULL: none.
-  tmr_timer_t timer;        ///< Connect timeout, or deferred failure report.
+  tmr_timer_t timer; ///< Connect timeout, deferred failure report, or watch.
   uint64_t opened_us;
   uint64_t idle_since_ms;
   uint64_t lifetime_ms;
@@ -32,6 +32,7 @@
   bool is_sent;
   bool is_head_method;
   bool is_for_later; ///< No request is sent once it is connected.
+  bool is_watched;   ///< See watch_ms.
 };
 
 static void
@@ -85,21 +86,6 @@
   free (pooled);
 }
 
-static void
-pooled_on_end (h1_conn_t *conn, h1_end_t end)
-{
-  xch_pooled_t *pooled = (xch_pooled_t *)conn;
-  if (pooled->x == NULL)
-    {
-      idle_remove (pooled);
-      pooled_close (pooled, false);
-      return;
-    }
-  pooled_fail (pooled, end == H1_END_EOF || end == H1_END_RESET
-                           ? XCH_RESET
-                           : XCH_MALFORMED);
-}
-
 static uint64_t
 keep_alive_lifetime_ms (const h1_conn_t *conn)
 {
@@ -167,6 +153,78 @@
     pooled->x->events->on_body (pooled->x, bytes);
 }
 
+/// Release the connection of a complete response, and report it.
+/// @param surplus  Bytes that were read behind it.
+static void
+pooled_report_done (xch_pooled_t *pooled, kb_slice_t surplus)
+{
+  xch_t *x = pooled->x;
+  tmr_cancel (pooled->peer->pool->timers, &pooled->timer);
+  pooled->is_watched = false;
+  x->pooled = NULL;
+  x->surplus = surplus;
+  if (pooled_is_reusable (pooled, x))
+    pooled_return_to_idle (pooled);
+  else
+    pooled_close (pooled, false);
+  x->events->on_done (x);
+}
+
+static void
+pooled_on_watched (void *arg)
+{
+  enum
+  {
+    READ_MS = 1,
+  };
+  xch_pooled_t *pooled = arg;
+  // Bytes that came in time may wait to be read.
+  if (h1_conn_has_unread (&pooled->conn))
+    tmr_start_once (pooled->peer->pool->timers, &pooled->timer, READ_MS,
+                    pooled_on_watched, pooled);
+  else
+    pooled_report_done (pooled, (kb_slice_t){ 0 });
+}
+
+/// Wait for bytes behind a complete response, if its owner wants that.
+/// @return  Whether on_done waits.
+static bool
+pooled_watch (xch_pooled_t *pooled)
+{
+  xch_t *x = pooled->x;
+  h1_conn_t *conn = &pooled->conn;
+  if (x->events->watch_ms == NULL || conn->surplus.len_bytes > 0)
+    return false;
+  uint64_t watch_ms = x->events->watch_ms (x);
+  if (watch_ms == 0)
+    return false;
+  pooled->is_watched = true;
+  h1_conn_resume (conn);
+  tmr_start_once (pooled->peer->pool->timers, &pooled->timer, watch_ms,
+                  pooled_on_watched, pooled);
+  return true;
+}
+
+static void
+pooled_on_end (h1_conn_t *conn, h1_end_t end)
+{
+  xch_pooled_t *pooled = (xch_pooled_t *)conn;
+  if (pooled->x == NULL)
+    {
+      idle_remove (pooled);
+      pooled_close (pooled, false);
+      return;
+    }
+  if (pooled->is_watched)
+    {
+      pooled_report_done (pooled, kb_buf_slice (&conn->pipelined));
+      return;
+    }
+  pooled_fail (pooled, end == H1_END_EOF || end == H1_END_RESET
+                           ? XCH_RESET
+                           : XCH_MALFORMED);
+}
+
 static void
 pooled_on_message (h1_conn_t *conn)
 {
@@ -183,13 +241,8 @@
       h1_conn_next_message (conn);
       return;
     }
-  x->pooled = NULL;
-  x->surplus = conn->surplus;
-  if (pooled_is_reusable (pooled, x))
-    pooled_return_to_idle (pooled);
-  else
-    pooled_close (pooled, false);
-  x->events->on_done (x);
+  if (!pooled_watch (pooled))
+    pooled_report_done (pooled, conn->surplus);
 }
 
 static void
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -64,6 +64,10 @@
   /// The connection that the request waited for was made, and the request is
   /// sent next unless the callback calls xch_cancel. NULL: not called.
   void (*on_connect) (xch_t *x);
+  /// The response is complete and nothing was read behind it.
+  /// @return  For how long on_done waits for bytes or the end of the
+  ///          connection, in ms. NULL: not called, as if it returned zero.
+  uint64_t (*watch_ms) (xch_t *x);
 } xch_events_t;
 
 enum
@@ -141,7 +145,8 @@
 bool xch_has_carried (const xch_t *x, uint64_t tag);
 /// @return  Whether the peer may have received any byte of the request.
 bool xch_is_sent (const xch_t *x);
-/// @return  The connection in use. Valid only within on_head and on_body.
+/// @return  The connection in use. Valid only within on_head, on_body and
+///          watch_ms.
 const h1_conn_t *xch_conn (const xch_t *x);
 /// @return  Whether the response ends with its connection, so that its last
 ///          byte does not show that it is complete. Valid as xch_conn.
--- a/src/transport/respscan.c
+++ b/src/transport/respscan.c
@@ -15,6 +15,8 @@
   /// Shortest beginning of a status line that other text rarely has: up to
   /// the first digit of its code.
   MIN_STATUS_BYTES = 10,
+  /// Shortest beginning of a status line behind which its rest is awaited.
+  MIN_AWAITED_BYTES = 2,
 };
 
 /// A digit for each '#'.
@@ -44,14 +46,15 @@
   return true;
 }
 
-/// @return  Whether the rest of a line is a status line, or the beginning of
-///          one.
+/// @param min_bytes  Shortest beginning that counts.
+/// @return           Whether the rest of a line is a status line, or the
+///                   beginning of one.
 static bool
-is_status_line (const char *at, const char *end)
+is_status_line (const char *at, const char *end, size_t min_bytes)
 {
   size_t pattern_bytes = sizeof status_pattern - 1;
   size_t len_bytes = (size_t)(end - at);
-  if (len_bytes < MIN_STATUS_BYTES)
+  if (len_bytes < min_bytes)
     return false;
   for (size_t i = 0; i < pattern_bytes && i < len_bytes; i++)
     if (status_pattern[i] == '#' ? !isdigit ((unsigned char)at[i])
@@ -62,9 +65,10 @@
 }
 
 /// @param from_bytes  The status line begins in these first bytes.
+/// @param min_bytes   Shortest beginning of a status line that counts.
 /// @return            How a line ends.
 static rsc_status_t
-judge_status (kb_slice_t line, size_t from_bytes)
+judge_beginning (kb_slice_t line, size_t from_bytes, size_t min_bytes)
 {
   const char *end = line.ptr + line.len_bytes;
   const char *last = line.ptr + from_bytes;
@@ -73,14 +77,21 @@
       at = memchr (at, status_pattern[0], (size_t)(last - at));
       if (at == NULL)
         return STATUS_NONE;
-      if (!is_status_line (at, end))
+      if (!is_status_line (at, end, min_bytes))
         continue;
-      return is_plain_reason (at + MIN_STATUS_BYTES, end) ? STATUS_BEGINS
-                                                          : STATUS_QUOTED;
+      bool is_plain = end - at < MIN_STATUS_BYTES
+                      || is_plain_reason (at + MIN_STATUS_BYTES, end);
+      return is_plain ? STATUS_BEGINS : STATUS_QUOTED;
     }
   return STATUS_NONE;
 }
 
+static rsc_status_t
+judge_status (kb_slice_t line, size_t from_bytes)
+{
+  return judge_beginning (line, from_bytes, MIN_STATUS_BYTES);
+}
+
 /// Split a header line.
 /// @return  Whether it is one.
 static bool
@@ -209,11 +220,14 @@
   kb_buf_append (&line, scan->line.ptr, scan->line.len_bytes);
   kb_buf_append (&line, bytes.ptr, line_bytes);
   bool begins_in_body
-      = judge_status (kb_buf_slice (&line), scan->line.len_bytes)
+      = judge_beginning (kb_buf_slice (&line), scan->line.len_bytes,
+                         MIN_AWAITED_BYTES)
         == STATUS_BEGINS;
   kb_buf_finish (&line);
-  return begins_in_body
-         && (rsc_scan_feed (scan, bytes) || rsc_scan_is_open (scan));
+  if (!begins_in_body)
+    return false;
+  return line_end == NULL || rsc_scan_feed (scan, bytes)
+         || rsc_scan_is_open (scan);
 }
 
 bool
@@ -223,3 +237,12 @@
          || judge_status (kb_buf_slice (&scan->line), scan->line.len_bytes)
                 == STATUS_BEGINS;
 }
+
+bool
+rsc_scan_may_continue (const rsc_scan_t *scan)
+{
+  return scan->head_bytes > 0
+         || judge_beginning (kb_buf_slice (&scan->line), scan->line.len_bytes,
+                             MIN_AWAITED_BYTES)
+                == STATUS_BEGINS;
+}
--- a/src/transport/respscan.h
+++ b/src/transport/respscan.h
@@ -40,5 +40,9 @@
 /// @return  Whether the body so far ends within what may be the head of
 ///          another response.
 bool rsc_scan_is_open (const rsc_scan_t *scan);
+/// @return  Whether bytes behind the body so far may continue a head that
+///          begins within it. Fewer bytes of one are enough than for
+///          rsc_scan_is_open.
+bool rsc_scan_may_continue (const rsc_scan_t *scan);
 
 #endif
--- a/test/relay/answer_rest_failure_test.cc
+++ b/test/relay/answer_rest_failure_test.cc
@@ -102,6 +102,63 @@
              0);
 }
 
+// Guards against the same where the caller got all but the last bytes before.
+TEST (AnswerRest, SplitHeadThatFillsUpALargeBodyIsNoPartOfIt)
+{
+  constexpr int kPause_ms = 5;
+  constexpr size_t kMissing[] = { 9, 12, 20, 40, 60 };
+  constexpr size_t kBehind[] = { 0, 1, 10, 30 };
+  const std::string body = body_of (100000);
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  EXPECT_EQ (count_wrong (site, "large", 20,
+                          [&] (int n, const std::string &fields) {
+                            size_t missing = kMissing[n / 4];
+                            std::string first
+                                = answer_of (Framing::LENGTH, fields, body);
+                            std::string second = first;
+                            first.resize (first.size () - missing);
+                            size_t at = missing + kBehind[n % 4];
+                            return AnswerScript{
+                              { { first + second.substr (0, at), kPause_ms },
+                                { second.substr (at) } },
+                              AnswerEnd::CLOSE
+                            };
+                          }),
+             0);
+}
+
+// Guards against a whole body with a length that is withheld because it ends
+// as an answer begins.
+TEST (AnswerRest, FramedBodyThatEndsWithAStatusLineIsServed)
+{
+  static const char *const ends[]
+      = { "HT", "HTTP/1.1 ", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" };
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  int n = 0;
+  for (AnswerEnd at_end : { AnswerEnd::KEEP, AnswerEnd::CLOSE })
+    for (size_t size : { 800, 100000 })
+      for (const char *end : ends)
+        {
+          std::string body = body_of (size) + end;
+          site.plain[0]->plan_answers ([&] (const Message &,
+                                            const std::string &fields) {
+            std::string close
+                = at_end == AnswerEnd::CLOSE ? "Connection: close\r\n" : "";
+            return AnswerScript{
+              { { answer_of (Framing::LENGTH, close + fields, body), 10 } },
+              at_end
+            };
+          });
+          Message answer = send_call (
+              site.gateways[0], unsafe_call ("f" + std::to_string (n++)));
+          EXPECT_EQ (answer.status, 200) << end << answer.body;
+          EXPECT_TRUE (answer.body == body) << end;
+        }
+}
+
 // Guards against a refusal without an id that is read as the rest of a body
 // which ends with its connection.
 TEST (AnswerRest, RefusalWithoutAnIdIsNoPartOfABody)
--- a/test/unit/respscan_test.cc
+++ b/test/unit/respscan_test.cc
@@ -45,6 +45,11 @@
     return rsc_scan_feed_surplus (&scan_, slice (text));
   }
   bool
+  may_continue () const
+  {
+    return rsc_scan_may_continue (&scan_);
+  }
+  bool
   is_open () const
   {
     return rsc_scan_is_open (&scan_);
@@ -162,6 +167,45 @@
     }
 }
 
+// Guards against a body whose last bytes are delivered before those behind
+// them show that another response begins there.
+TEST (ResponseScan, MayContinueWithinAHead)
+{
+  size_t id_end = kHead.find ("\r\n\r\n") + 2;
+  for (size_t n = 2; n < id_end; n++)
+    {
+      Scan scan;
+      EXPECT_FALSE (scan.feed (kText + kHead.substr (0, n))) << n;
+      EXPECT_TRUE (scan.may_continue ()) << n;
+      EXPECT_TRUE (scan.surplus (kHead.substr (n))) << n;
+    }
+  for (const char *text :
+       { "", "H", "\n", "HT.", "HTTP/x", "HTTP/1.1 200 OK\"}", "an HTTP\n",
+         "HTTP/1.1 200 OK\r\n\r\n" })
+    {
+      Scan scan;
+      scan.feed (kText + text);
+      EXPECT_FALSE (scan.may_continue ()) << text;
+    }
+}
+
+// Guards against the same where few bytes are read at once.
+TEST (ResponseScan, FewBytesBehindABodyContinueAHead)
+{
+  for (size_t n = 2; n < 10; n++)
+    {
+      Scan scan;
+      scan.feed (kText + kHead.substr (0, n));
+      EXPECT_TRUE (scan.surplus (kHead.substr (n, 1))) << n;
+    }
+  for (const char *surplus : { "", "x", "\r\n", " is a protocol\r\n" })
+    {
+      Scan scan;
+      scan.feed (kText + "HTTP");
+      EXPECT_FALSE (scan.surplus (surplus)) << surplus;
+    }
+}
+
 // Guards against lines without an end that are held whole.
 TEST (ResponseScan, HoldsLittleOfALongLine)
 {
