test(transport): guard reading that is resumed while a connection is made

gtw_client's on_drained resumes the exchange of its request also while the connection to the target is still being made. Suspected by reading: the read is refused then, is_reading stays set, and conn_connected starts none either.

Not a fault: libuv (1.44.2) marks a socket as readable when the connect begins, takes the read and reports bytes behind the connect.

--- /dev/null
+++ b/test/unit/exchange_test.cc
@@ -0,0 +1,168 @@
+// Exchanges whose reading is resumed before their connections are made.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+
+extern "C"
+{
+#include "transport/exchange.h"
+}
+
+namespace
+{
+
+/// A peer that answers one request. Its backlog is full at first: a connection
+/// to it is made when its system sends the first packet again, after 1 s.
+class Peer
+{
+public:
+  Peer ()
+  {
+    listener_ = socket (AF_INET, SOCK_STREAM, 0);
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    bind (listener_, (sockaddr *)&address, size);
+    listen (listener_, 0);
+    getsockname (listener_, (sockaddr *)&address, &size);
+    filler_ = socket (AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ (connect (filler_, (sockaddr *)&address, size), 0);
+  }
+  /// Make room in the backlog, and serve.
+  void
+  start ()
+  {
+    close (accept (listener_, nullptr, nullptr));
+    thread_ = std::thread ([this] { serve (); });
+  }
+  ~Peer ()
+  {
+    shutdown (listener_, SHUT_RDWR);
+    thread_.join ();
+    close (listener_);
+    close (filler_);
+  }
+  sockaddr_in address{};
+
+private:
+  void
+  serve ()
+  {
+    int fd = accept (listener_, nullptr, nullptr);
+    if (fd < 0)
+      return;
+    std::string request;
+    char bytes[4096];
+    ssize_t count;
+    while (request.find ("\r\n\r\n") == std::string::npos
+           && (count = recv (fd, bytes, sizeof bytes, 0)) > 0)
+      request.append (bytes, (size_t)count);
+    static const std::string answer
+        = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    send (fd, answer.data (), answer.size (), MSG_NOSIGNAL);
+    // Until the client closes.
+    while (recv (fd, bytes, sizeof bytes, 0) > 0)
+      ;
+    close (fd);
+  }
+  int listener_;
+  int filler_;
+  std::thread thread_;
+};
+
+/// One exchange, and what it reports.
+class Exchange
+{
+public:
+  explicit Exchange (const Peer &peer)
+  {
+    uv_loop_init (&loop_);
+    tmr_service_init (&timers_, &loop_);
+    pool_ = { .loop = &loop_, .timers = &timers_ };
+    xch_peer_init (&remote_, &pool_, &peer.address, 1);
+    static const char head[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    xch_request_t request = { .head = { head, sizeof head - 1 },
+                              .max_idle_ms = 0,
+                              .connect_timeout_ms = 5000,
+                              .tag = 1 };
+    xch_start (&x, &remote_, &events_, this, &request);
+  }
+  ~Exchange ()
+  {
+    xch_cancel (&x);
+    xch_peer_finish (&remote_);
+    tmr_service_finish (&timers_);
+    uv_run (&loop_, UV_RUN_DEFAULT);
+    EXPECT_EQ (uv_loop_close (&loop_), 0);
+  }
+  void
+  run_for (uint64_t ms)
+  {
+    uv_timer_t limit;
+    uv_timer_init (&loop_, &limit);
+    uv_update_time (&loop_);
+    uv_timer_start (
+        &limit, [] (uv_timer_t *timer) { uv_stop (timer->loop); }, ms, 0);
+    uv_run (&loop_, UV_RUN_DEFAULT);
+    uv_close ((uv_handle_t *)&limit, nullptr);
+    uv_run (&loop_, UV_RUN_NOWAIT);
+  }
+  xch_t x;
+  std::string body;
+  bool is_connected = false;
+  bool is_done = false;
+  bool has_failed = false;
+
+private:
+  static Exchange *
+  of (const xch_t *x)
+  {
+    return (Exchange *)x->owner;
+  }
+  uv_loop_t loop_;
+  tmr_service_t timers_;
+  xch_pool_t pool_;
+  xch_peer_t remote_;
+  const xch_events_t events_ = {
+    .on_head = [] (xch_t *) {},
+    .on_body =
+        [] (xch_t *x, kb_slice_t bytes) {
+          of (x)->body.append (bytes.ptr, bytes.len_bytes);
+        },
+    .on_done =
+        [] (xch_t *x) {
+          of (x)->is_done = true;
+          uv_stop (&of (x)->loop_);
+        },
+    .on_fail =
+        [] (xch_t *x, xch_failure_t) {
+          of (x)->has_failed = true;
+          uv_stop (&of (x)->loop_);
+        },
+    .on_connect = [] (xch_t *x) { of (x)->is_connected = true; },
+  };
+};
+
+// Guards against a connection that is never read because reading was resumed
+// before it was made.
+TEST (Exchange, ResumedWhileConnectingIsRead)
+{
+  Peer peer;
+  Exchange exchange (peer);
+  exchange.run_for (100);
+  EXPECT_FALSE (exchange.is_connected);
+  xch_resume (&exchange.x);
+  exchange.run_for (100);
+  EXPECT_FALSE (exchange.is_connected);
+  peer.start ();
+  exchange.run_for (5000);
+  EXPECT_TRUE (exchange.is_done);
+  EXPECT_EQ (exchange.body, "ok");
+}
+
+} // namespace
