fix(sidecar): void the claim of a start alone once the engine has lived on

A request had started alone, and its whole answer had ended with the connection. The engine ended later, by another request or by the plan. Gateways take reports as up to 1.5 s late, so each end within 1.65 s counted as that request's, alone, though the sidecar knew better 0.3 s after the answer. And another request could begin, and end the engine, within the 0.15 s in which the answer is in doubt.

The sidecar now asks its engine for a report 0.15 s after such an answer, lets nothing else begin until it has come, for 0.25 s at most, and then voids the claim with the message that it has for that. The release of a place says whether the engine ended the answer or the attempt broke off: one that broke off may go on there and stays a suspect. Releases from earlier gateways count as before.

Ruled out: voiding the claim as soon as another request begins. It would void those of requests that did end the engine, before the sidecar notices the end.

--- a/src/coordination/alone.c
+++ b/src/coordination/alone.c
@@ -11,6 +11,9 @@
   /// ones, of which one may hang. After this time it is refused and sent to
   /// another target.
   MAX_WAIT_MS = 500,
+  /// Others are blocked for at most so long after ALN_STARTUP_MS until a
+  /// target answers that has closed a connection. Longer than a report takes.
+  MAX_SETTLE_MS = 100,
   /// Length of the cooldown, in durations of the preceding block.
   COOLDOWN_FACTOR = 4,
 };
@@ -30,7 +33,8 @@
 bool
 aln_awaits_answer (const aln_gate_t *gate)
 {
-  return gate->confirmed_starts != gate->broken_starts;
+  return gate->confirmed_starts != gate->broken_starts
+         || gate->unsettled_until_ms != 0;
 }
 
 bool
@@ -175,6 +179,28 @@
   gate->broken_starts++;
 }
 
+void
+aln_closed_alone (aln_gate_t *gate, uint64_t now_ms)
+{
+  gate->unsettled_until_ms = now_ms + ALN_STARTUP_MS;
+  gate->blocked_until_ms = gate->unsettled_until_ms + MAX_SETTLE_MS;
+  cooldown_extend (gate, gate->blocked_since_ms, gate->blocked_until_ms);
+}
+
+bool
+aln_settle (aln_gate_t *gate, uint64_t asked_ms, uint64_t now_ms)
+{
+  if (gate->unsettled_until_ms == 0 || asked_ms < gate->unsettled_until_ms)
+    return false;
+  gate->unsettled_until_ms = 0;
+  if (now_ms < gate->blocked_until_ms)
+    {
+      gate->blocked_until_ms = now_ms;
+      cooldown_restart (gate, now_ms);
+    }
+  return true;
+}
+
 void
 aln_ended (aln_gate_t *gate, aln_request_t *request)
 {
--- a/src/coordination/alone.h
+++ b/src/coordination/alone.h
@@ -48,6 +48,9 @@
   uint64_t cooldown_until_ms; ///< No other one starts alone before this.
   uint32_t broken_starts;     ///< Starts that may have ended the target.
   uint32_t confirmed_starts;  ///< Those after which it was alive.
+  /// An answer asked for from this moment on shows that the target has not
+  /// ended with the request that started alone last; zero: none is awaited.
+  uint64_t unsettled_until_ms;
 } aln_gate_t;
 
 /// Begin to watch a target at which requests of an earlier process may be
@@ -82,6 +85,16 @@
 /// A request ended soon after its first byte, and its target may have ended
 /// with it: it broke off, or its answer ended with its connection.
 void aln_broke_after_first_byte (aln_gate_t *gate);
+/// The target ended the answer of a request that started alone, soon after its
+/// first byte, and closed the connection: it may end within ALN_STARTUP_MS.
+/// Nothing else starts until it is known whether it has, or for a short time.
+/// Call it besides aln_broke_after_first_byte().
+void aln_closed_alone (aln_gate_t *gate, uint64_t now_ms);
+/// The target has answered a question.
+/// @param asked_ms  When it was asked.
+/// @return          Whether this shows that it lived on after
+///                  aln_closed_alone().
+bool aln_settle (aln_gate_t *gate, uint64_t asked_ms, uint64_t now_ms);
 /// A request ended that may have started alone and received no first byte: the
 /// cooldown follows from the time for which it blocked others. Call it before
 /// aln_ended().
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -672,7 +672,7 @@
   r->framing = "";
   r->end = "";
   r->evidence = "";
-  r->is_target_in_doubt = false;
+  r->target_doubt = MSG_DOUBT_NONE;
   r->are_parts_served = false;
   r->is_close_delimited = false;
   r->ending_done = NULL;
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -336,7 +336,8 @@
     return;
   gtw_target_t *target = r->target;
   gtw_broken_attempt_t broken = describe_attempt (r);
-  r->is_target_in_doubt = r->is_begun && broken.is_starting;
+  r->target_doubt
+      = r->is_begun && broken.is_starting ? MSG_DOUBT_BROKEN : MSG_DOUBT_NONE;
   if (was_sent_before_end (r))
     {
       record_late_suspect (r, &broken);
@@ -361,7 +362,8 @@
   gtw_broken_attempt_t attempt = describe_attempt (r);
   attempt.is_unconfirmed = true;
   attempt.is_served = is_served;
-  r->is_target_in_doubt = r->is_begun && attempt.is_starting;
+  r->target_doubt
+      = r->is_begun && attempt.is_starting ? MSG_DOUBT_CLOSED : MSG_DOUBT_NONE;
   if (was_sent_before_end (r))
     {
       record_late_suspect (r, &attempt);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -258,8 +258,9 @@
   const char *framing;       ///< Of the answer, for the log; empty: no head.
   const char *end;           ///< How this attempt ended, for the log.
   const char *evidence;      ///< What that counts as, for the log.
-  bool is_target_in_doubt;   ///< It has ended soon after its first event, and
-                             ///< its target may have.
+  uint32_t target_doubt;     ///< It has ended soon after its first event, and
+                             ///< its target may have: MSG_DOUBT_NONE to
+                             ///< MSG_DOUBT_CLOSED.
   bool is_permit_used;
   gtw_charge_t permit;       ///< Of the rate limit of a plain target.
   uint32_t pauses_requested; ///< Targets that refused it and requested a
--- a/src/gateway/gateway_place.c
+++ b/src/gateway/gateway_place.c
@@ -15,10 +15,9 @@
   if (r->place_id == 0)
     return;
   kb_map_remove (&r->gateway->requests_by_place, r->place_id);
-  msg_t msg
-      = { .type = MSG_PLACE_RELEASE,
-          .place_release = { .id = r->place_id,
-                             .is_engine_in_doubt = r->is_target_in_doubt } };
+  msg_t msg = { .type = MSG_PLACE_RELEASE,
+                .place_release
+                = { .id = r->place_id, .engine_doubt = r->target_doubt } };
   if (r->is_complete && r->send_count == 1)
     {
       msg.place_release.gaps = r->gap_count;
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -184,8 +184,7 @@
   = { "place_release",
       4,
       { UINT (place_release, id), UINT (place_release, gaps),
-        UINT (place_release, gaps_ms),
-        UINT (place_release, is_engine_in_doubt) },
+        UINT (place_release, gaps_ms), UINT (place_release, engine_doubt) },
       .optional = 1 },
   [MSG_PLACE_BEGUN] = { "place_begun", 1, { UINT (place_begun, id) } },
   [MSG_DOCUMENT]
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -431,14 +431,22 @@
   kb_slice_t reason;
 } msg_place_decline_t;
 
+/// msg_place_release_t.engine_doubt: whether the engine may have ended soon
+/// after the request's first event.
+enum
+{
+  MSG_DOUBT_NONE,
+  MSG_DOUBT_BROKEN, ///< The attempt broke off, and may go on there.
+  MSG_DOUBT_CLOSED, ///< The engine ended the answer; not if it lived on.
+};
+
 /// Releases a place, or withdraws the request for it.
 typedef struct
 {
   uint64_t id;
   uint64_t gaps;    ///< Gaps between stream events; zero: incomplete stream.
   uint64_t gaps_ms; ///< Time from the first event to the last.
-  uint64_t is_engine_in_doubt; ///< The engine may have ended soon after the
-                               ///< request's first event.
+  uint64_t engine_doubt; ///< MSG_DOUBT_NONE to MSG_DOUBT_CLOSED.
 } msg_place_release_t;
 
 /// The first event has arrived, so the prefill has ended.
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -56,6 +56,10 @@
   uint64_t polled_ms;            ///< When a report was asked for last.
   uint32_t polled_broken_starts; ///< Broken starts when a report was asked for
                                  ///< last.
+  /// Place whose request started alone, until the engine is known to have
+  /// lived on after its answer; zero: none.
+  uint64_t unsettled_place;
+  uint64_t unsettled_owner; ///< Id of its gateway.
   bool has_report;
   msg_engine_condition_t condition;
   inc_t engine_incarnation; ///< Its id is empty until it is known.
@@ -88,6 +92,7 @@
   tmr_timer_t state_timer;
   tmr_timer_t heartbeat_timer;
   tmr_timer_t queue_timer;
+  tmr_timer_t settle_timer;
   tmr_timer_t exit_timer;
 };
 
@@ -119,8 +124,9 @@
 /// @return  The service of this engine; NULL before a configuration arrived.
 const svc_service_t *scr_own_service (const scr_sidecar_t *s);
 void scr_grant (scr_sidecar_t *s, const adm_request_t *request);
-/// Report that a request whose place was granted alone starts alone no more.
-void scr_report_joined (scr_sidecar_t *s, const adm_request_t *request);
+/// Report that a request whose place was granted alone starts alone no more,
+/// or that the engine lived on after it: an end of the engine is not its own.
+void scr_report_joined (scr_sidecar_t *s, uint64_t owner, uint64_t place_id);
 void scr_decline (scr_sidecar_t *s, kb_slice_t peer, uint64_t id,
                   const char *reason, uint64_t retry_after_ms);
 
@@ -160,5 +166,8 @@
 /// Request a report from the engine unless a call is pending.
 /// @param arg  The sidecar.
 void scr_poll_engine (void *arg);
+/// Find out whether the engine lives on after the answer of a request that
+/// started alone there.
+void scr_await_settlement (scr_sidecar_t *s, const adm_request_t *request);
 
 #endif
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -194,7 +194,7 @@
           return;
         case ADM_ACTION_GRANT:
           if (action.joined != NULL)
-            scr_report_joined (s, action.joined);
+            scr_report_joined (s, action.joined->owner, action.joined->id);
           scr_grant (s, action.request);
           scr_state_changed (s);
           break;
@@ -324,6 +324,7 @@
       log_end (&line);
     }
   s->model_ordered_ms = 0;
+  s->unsettled_place = 0;
   s->engine_incarnation = (inc_t){ 0 };
   s->identify_sent_ms = 0;
   s->engine_restarts++;
@@ -350,6 +351,28 @@
          || (s->is_model_held && report->model_count == 0);
 }
 
+void
+scr_await_settlement (scr_sidecar_t *s, const adm_request_t *request)
+{
+  s->unsettled_place = request->id;
+  s->unsettled_owner = request->owner;
+  aln_closed_alone (&s->table.alone, scr_now_ms (s));
+  tmr_start_once (&s->host.timers, &s->settle_timer, ALN_STARTUP_MS,
+                  scr_poll_engine, s);
+}
+
+/// The engine has answered a report.
+static void
+settle (scr_sidecar_t *s)
+{
+  aln_confirm_alive (&s->table.alone, s->polled_broken_starts);
+  if (!aln_settle (&s->table.alone, s->polled_ms, scr_now_ms (s)))
+    return;
+  if (s->unsettled_place != 0)
+    scr_report_joined (s, s->unsettled_owner, s->unsettled_place);
+  s->unsettled_place = 0;
+}
+
 static void
 apply_report (scr_sidecar_t *s, const egn_report_t *report)
 {
@@ -363,7 +386,7 @@
     s->engine_incarnation.born_ms = report->born_ms;
   s->has_report = true;
   s->report_failures = 0;
-  aln_confirm_alive (&s->table.alone, s->polled_broken_starts);
+  settle (s);
   s->seq = report->seq;
   s->is_engine_busy = report->is_busy;
   s->is_model_held = report->model_count > 0;
@@ -414,6 +437,8 @@
                       : s->table.granted > 0 || s->table.waiting > 0
                           ? POLL_BUSY_MS
                           : POLL_IDLE_MS;
+  if (s->unsettled_place != 0)
+    pause_ms = POLL_PROOF_MS;
   tmr_start_once (&s->host.timers, &s->poll_timer, pause_ms, scr_poll_engine,
                   s);
 }
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -172,11 +172,10 @@
 }
 
 void
-scr_report_joined (scr_sidecar_t *s, const adm_request_t *request)
+scr_report_joined (scr_sidecar_t *s, uint64_t owner, uint64_t place_id)
 {
-  const scr_gateway_t *gateway = scr_gateway_find (s, request->owner);
-  msg_t msg
-      = { .type = MSG_PLACE_JOINED, .place_joined = { .id = request->id } };
+  const scr_gateway_t *gateway = scr_gateway_find (s, owner);
+  msg_t msg = { .type = MSG_PLACE_JOINED, .place_joined = { .id = place_id } };
   if (gateway != NULL)
     scr_send (s, gateway, &msg);
 }
@@ -365,8 +364,13 @@
                      scr_now_ms (s));
   adm_request_record_hold_time (&s->table, request, scr_now_ms (s));
   aln_block_ended (&s->table.alone, &request->alone, scr_now_ms (s));
-  if (msg->is_engine_in_doubt != 0 && !request->is_first_event_pending)
-    aln_broke_after_first_byte (&s->table.alone);
+  if (msg->engine_doubt != MSG_DOUBT_NONE && !request->is_first_event_pending)
+    {
+      aln_broke_after_first_byte (&s->table.alone);
+      if (msg->engine_doubt == MSG_DOUBT_CLOSED
+          && aln_is_still_alone (&request->alone))
+        scr_await_settlement (s, request);
+    }
   adm_request_remove (&s->table, request);
   scr_process_queue (s);
 }
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -265,6 +265,40 @@
   expect_served (site, innocent_stream);
 }
 
+// Guards against a request that counts as the cause of an end because reports
+// that show that its engine had lived on after its answer may be late.
+TEST (Innocent, EndOfAnEngineThatLivedOnIsNotOfAnEarlierAnswer)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.is_unframed = true;
+  EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  exit_and_restart (site, engine);
+  expect_served (site, innocent_stream);
+}
+
+// Guards against the same when another request ends the engine just after the
+// answer.
+TEST (Innocent, EndByTheNextRequestIsNotOfAnEarlierAnswer)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.is_unframed = true;
+  engine.crash_on_path ("/once/fatal");
+  EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
+  send_call (site.gateways[0], other_stream ("fatal"));
+  EXPECT_EQ (engine.crash_count, 1);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  site.restart_ended_targets ();
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  expect_served (site, innocent_stream);
+}
+
 /// Restart an engine as an incarnation that the list does not name.
 void
 restart_unlisted (Site &site, const std::string &id)
--- a/test/unit/alone_test.cc
+++ b/test/unit/alone_test.cc
@@ -146,6 +146,43 @@
   EXPECT_TRUE (aln_may_start (&gate_, &request, 1400));
 }
 
+// Guards against a request that counts as alone at an end although another one
+// started there after its answer.
+TEST_F (AloneTest, NothingStartsAfterAClosedAnswerUntilTheTargetLivesOn)
+{
+  aln_request_t request = suspect ();
+  aln_started (&gate_, &request, 1000);
+  aln_first_byte (&gate_, &request, 1050);
+  aln_broke_after_first_byte (&gate_);
+  aln_closed_alone (&gate_, 1190);
+  aln_ended (&gate_, &request);
+  EXPECT_FALSE (aln_may_start (&gate_, &other_, 1339));
+  aln_request_t next = suspect ();
+  // Asked too early: it may end later.
+  aln_confirm_alive (&gate_, gate_.broken_starts);
+  EXPECT_FALSE (aln_settle (&gate_, 1339, 1342));
+  EXPECT_FALSE (aln_may_start (&gate_, &other_, 1342));
+  EXPECT_TRUE (aln_settle (&gate_, 1340, 1345));
+  EXPECT_TRUE (aln_may_start (&gate_, &other_, 1345));
+  EXPECT_TRUE (aln_may_start (&gate_, &next, 1345));
+  EXPECT_FALSE (aln_settle (&gate_, 1400, 1402));
+}
+
+TEST_F (AloneTest, OnlyOrdinaryRequestsStartWhenNoAnswerComes)
+{
+  aln_request_t request = suspect ();
+  aln_started (&gate_, &request, 1000);
+  aln_first_byte (&gate_, &request, 1050);
+  aln_broke_after_first_byte (&gate_);
+  aln_closed_alone (&gate_, 1100);
+  aln_ended (&gate_, &request);
+  aln_confirm_alive (&gate_, gate_.broken_starts);
+  aln_request_t next = suspect ();
+  EXPECT_FALSE (aln_may_start (&gate_, &other_, 1349));
+  EXPECT_TRUE (aln_may_start (&gate_, &other_, 1350));
+  EXPECT_FALSE (aln_may_start (&gate_, &next, 1350));
+}
+
 TEST_F (AloneTest, AnsweredRequestsBreakNoStart)
 {
   aln_started (&gate_, &other_, 1000);
