fix(gateway,transport): keep the ends of incarnations that look later, and times of answers

Such a break moves only where the incarnation that it was sent to may live: its sidecar reports it, or it was never the listed one.

An answer that is held because another one may follow counted as a sign of life when it was released, up to 100 ms after its last byte, and cleared an end that was proved meanwhile.

A call that timed out before its connection was made counted as sent, so that an order of which no byte had left was waited for (by reading).

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -719,6 +719,7 @@
   r->are_parts_served = false;
   r->is_close_delimited = false;
   r->is_watched = false;
+  r->watched_ms = 0;
   r->ending_done = NULL;
   gtw_scan_begin (r);
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -396,38 +396,44 @@
       r->is_alone_attempt = false;
 }
 
-/// @return  Whether an attempt was sent to the listed incarnation of a target,
-///          or to a later one.
+/// @return  Whether an attempt was sent to an incarnation that was born later
+///          than the listed one of a target.
 static bool
-is_listed_or_later (const gtw_broken_attempt_t *attempt,
-                    const gtw_target_t *target)
+is_later (const gtw_broken_attempt_t *attempt, const gtw_target_t *target)
 {
   uint64_t listed_ms = target->list_entry.identity.born_ms;
-  return attempt->incarnation == listed_incarnation (target)
-         || (listed_ms > 0 && attempt->born_ms > listed_ms);
+  return listed_ms > 0 && attempt->born_ms > listed_ms;
 }
 
 void
 gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
-                            gtw_target_t *to)
+                            gtw_target_t *to, bool is_from_alive)
 {
   to->has_unconfirmed = to->has_unconfirmed || from->has_unconfirmed;
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (broken->target == from->key && is_listed_or_later (broken, to))
+      if (broken->target != from->key)
+        continue;
+      // The listed incarnation that `to` replaces has ended, also if its clock
+      // makes it look later.
+      bool may_live
+          = is_from_alive || broken->incarnation != listed_incarnation (from);
+      if (broken->incarnation == listed_incarnation (to)
+          || (may_live && is_later (broken, to)))
         broken->target = to->key;
     }
 }
 
 /// A target that answers has not ended: earlier breaks had another cause.
 static void
-forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target)
+forget_breaks (gtw_gateway_t *gateway, const gtw_target_t *target,
+               uint64_t answered_ms)
 {
-  uint64_t now_ms = gtw_now_ms (gateway);
   for (uint32_t i = 0; i < GTW_MAX_BROKEN_ATTEMPTS; i++)
     if (gateway->broken_attempts[i].target == target->key
-        && now_ms - gateway->broken_attempts[i].at_ms > SAME_END_WINDOW_MS)
+        && answered_ms
+               > gateway->broken_attempts[i].at_ms + SAME_END_WINDOW_MS)
       gateway->broken_attempts[i].target = 0;
 }
 
@@ -435,11 +441,14 @@
 record_served (gtw_request_t *r)
 {
   gtw_gateway_t *gateway = r->gateway;
-  // It answers, so it has not ended.
-  r->target->ended_ms = 0;
+  uint64_t answered_ms
+      = r->watched_ms > 0 ? r->watched_ms : gtw_now_ms (gateway);
+  // It has answered, so it had not ended then.
+  if (r->target->ended_ms <= answered_ms)
+    r->target->ended_ms = 0;
   if (gateway->has_broken_attempts)
-    forget_breaks (gateway, r->target);
-  gtw_quarantine_confirm_recipient (r, gtw_now_ms (gateway));
+    forget_breaks (gateway, r->target, answered_ms);
+  gtw_quarantine_confirm_recipient (r, answered_ms);
   if (gateway->quarantine.entries.len == 0)
     return;
   for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -277,7 +277,8 @@
   /// See gateway_ending.h; NULL: its target is not being asked.
   void (*ending_done) (gtw_request_t *r, bool is_whole);
   bool is_close_delimited; ///< It ends with the connection to the target.
-  bool is_watched; ///< It is whole unless bytes behind it show otherwise.
+  bool is_watched;     ///< It is whole unless bytes behind it show otherwise.
+  uint64_t watched_ms; ///< When that began; zero: it has not.
   bool is_head_written;
   bool is_begun;     ///< The current target has sent an event.
   uint64_t begun_ms; ///< When it sent the first one.
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -84,8 +84,10 @@
                                   const gtw_target_t *target);
 /// Move the breaks of requests that were sent to an incarnation before the
 /// list named it, or to one that is later still.
+/// @param is_from_alive  The listed incarnation of `from` has not ended.
 void gtw_quarantine_move_breaks (gtw_gateway_t *gateway,
-                                 const gtw_target_t *from, gtw_target_t *to);
+                                 const gtw_target_t *from, gtw_target_t *to,
+                                 bool is_from_alive);
 /// @return  Whether attempts broke off at a target that may have ended, which
 ///          is not proved yet.
 bool gtw_quarantine_awaits_evidence (const gtw_gateway_t *gateway,
--- a/src/transport/call.c
+++ b/src/transport/call.c
@@ -30,7 +30,9 @@
 static void
 call_on_timeout (void *arg)
 {
-  call_finish (arg, KB_EUNKNOWN);
+  cal_call_t *call = arg;
+  call_finish (call,
+               xch_is_sent (&call->exchange) ? KB_EUNKNOWN : KB_EUNAVAIL);
 }
 
 /// Restart the timer when part of the response arrives, since that shows that
--- a/test/unit/repeating_peer.h
+++ b/test/unit/repeating_peer.h
@@ -24,8 +24,8 @@
          + std::to_string (body.size ()) + "\r\n\r\n" + body;
 }
 
-/// Its answers are set by path, and which repeats the latest
-/// answer on a connection in front of the next one there.
+/// Its answers are set by path. It repeats the latest answer on a connection
+/// in front of the next one there.
 class RepeatingPeer
 {
 public:
