fix(transport): turn away only connections that may have waited for long

Callers saw: connections that were reset unread, one to three times a second at an entry that accepted 9,000 to 13,000 a second with a lag of 0 to 40 ms; once the entry said that it is not ready (entry_short). Quota.OtherWorkspacesAreServed failed by it, as its callers don't dial again.

Cause: the wait was measured as the time since no connection waited. With callers that dial again at once there is always another one, so it grows though each waits for a millisecond. Now those that wait are counted when one is not accepted; once that many have been accepted, whoever waits came after the count. The bound is never shorter than the wait.

Ruled out: the quota, and a 502 of the only plain target (no failed request in the gateways' lines).

--- a/src/coordination/intake.c
+++ b/src/coordination/intake.c
@@ -200,15 +200,28 @@
     intake->allowance--;
   if (intake->tokens >= 1)
     intake->tokens--;
+  // All that waited when they were counted have been accepted.
+  if (intake->counted_left > 0 && --intake->counted_left == 0)
+    intake->waiting_since_ms = intake->counted_ms;
   intake->accepted_count[0]++;
   intake->accepted_ms = now_ms;
   return true;
 }
 
+void
+itk_count_waiting (itk_intake_t *intake, uint32_t waiting, uint64_t now_ms)
+{
+  if (intake->counted_left > 0)
+    return;
+  intake->counted_ms = now_ms;
+  intake->counted_left = waiting;
+}
+
 void
 itk_none_waits (itk_intake_t *intake)
 {
   intake->waiting_since_ms = 0;
+  intake->counted_left = 0;
 }
 
 bool
@@ -228,7 +241,7 @@
   if (!is_series)
     intake->turned_away_since_ms = now_ms;
   intake->turned_away_ms = now_ms;
-  intake->waiting_since_ms = 0;
+  itk_none_waits (intake);
   return itk_is_path_slow (intake, now_ms) ? REFUSE_MS : 0;
 }
 
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -47,8 +47,10 @@
   uint32_t allowance;        ///< Connections that may be accepted now.
   bool has_room;             ///< See itk_set_room.
   uint64_t accepted_ms;      ///< When one was accepted last.
-  uint64_t waiting_since_ms; ///< Since when connections wait without a break;
-                             ///< zero: none does.
+  uint64_t waiting_since_ms; ///< Those that wait came no earlier; zero: none
+                             ///< waits.
+  uint64_t counted_ms;       ///< When those that waited were counted last.
+  uint32_t counted_left;     ///< Of these, not accepted yet.
   itk_period_t recent;       ///< Of the way to the targets.
   itk_period_t usual[2];     ///< The same of two long periods, the present one
                              ///< first.
@@ -76,6 +78,10 @@
 void itk_idle (itk_intake_t *intake);
 /// Decide whether a connection that waits is accepted now.
 bool itk_accept (itk_intake_t *intake, uint64_t now_ms);
+/// State how many connections wait after one was not accepted. They are
+/// accepted in the order in which they came.
+void itk_count_waiting (itk_intake_t *intake, uint32_t waiting,
+                        uint64_t now_ms);
 /// No connection waits any more.
 void itk_none_waits (itk_intake_t *intake);
 /// @return  Whether those that wait are to be turned away now.
--- a/src/relay/accept.c
+++ b/src/relay/accept.c
@@ -17,6 +17,13 @@
   return itk_accept (&((acc_accept_t *)policy)->intake, tmr_now_ms ());
 }
 
+static void
+accept_on_deferred (lsn_policy_t *policy, uint32_t waiting)
+{
+  itk_count_waiting (&((acc_accept_t *)policy)->intake, waiting,
+                     tmr_now_ms ());
+}
+
 static void
 accept_on_none_waits (lsn_policy_t *policy)
 {
@@ -41,6 +48,7 @@
 static const lsn_policy_vtable_t accept_vtable
     = { .on_idle = accept_on_idle,
         .may_accept = accept_may_accept,
+        .on_deferred = accept_on_deferred,
         .on_none_waits = accept_on_none_waits,
         .must_turn_away = accept_must_turn_away,
         .on_turned_away = accept_on_turned_away };
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -1,5 +1,6 @@
 #include "transport/listener.h"
 
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 
@@ -38,6 +39,21 @@
   listener->accept (listener->owner, (uv_stream_t *)listener->socket);
 }
 
+/// @return  Connections that wait while libuv holds one; no fewer.
+static uint32_t
+count_waiting (const lsn_listener_t *listener)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+  uv_os_fd_t fd;
+  bool is_known = uv_fileno ((const uv_handle_t *)listener->socket, &fd) == 0
+                  && getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+  // Of a listening socket, it is the length of the queue.
+  uint32_t queued
+      = is_known ? info.tcpi_unacked : (uint32_t)listener->backlog + 1;
+  return queued + 1;
+}
+
 static void
 listener_on_connection (uv_stream_t *stream, int status)
 {
@@ -52,9 +68,12 @@
   // Without uv_accept, libuv leaves further connections to the kernel.
   lsn_policy_t *policy = listener->policy;
   if (policy == NULL || policy->vtable->may_accept (policy))
-    accept_one (listener);
-  else
-    listener->is_deferred = true;
+    {
+      accept_one (listener);
+      return;
+    }
+  listener->is_deferred = true;
+  policy->vtable->on_deferred (policy, count_waiting (listener));
 }
 
 static int
--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -20,6 +20,9 @@
   void (*on_idle) (lsn_policy_t *policy);
   /// @return  Whether a connection that waits is accepted now.
   bool (*may_accept) (lsn_policy_t *policy);
+  /// One was not accepted.
+  /// @param waiting  Connections that wait now, at least one.
+  void (*on_deferred) (lsn_policy_t *policy, uint32_t waiting);
   /// No connection waits any more.
   void (*on_none_waits) (lsn_policy_t *policy);
   /// @return  Whether those that wait are to be turned away now.
--- a/test/unit/intake_test.cc
+++ b/test/unit/intake_test.cc
@@ -66,6 +66,53 @@
   EXPECT_FALSE (itk_must_turn_away (&intake_, now_ms_));
 }
 
+// Guards against turning away connections that wait for a moment each, because
+// there is always another one.
+TEST_F (IntakeTest, ConnectionsThatFollowEachOtherAreNotTurnedAway)
+{
+  for (int i = 0; i < 20 * ITK_MAX_WAIT_MS; i++)
+    {
+      accept_all ();
+      itk_count_waiting (&intake_, 2 * ITK_BATCH, now_ms_);
+      ASSERT_FALSE (itk_must_turn_away (&intake_, now_ms_)) << i;
+      now_ms_++;
+      itk_idle (&intake_);
+    }
+}
+
+// Guards against connections that wait for too long though others are accepted
+// all the time.
+TEST_F (IntakeTest, ALongQueueIsTurnedAwayWhileItIsAccepted)
+{
+  accept_all ();
+  itk_count_waiting (&intake_, 2 * ITK_BATCH * ITK_MAX_WAIT_MS, now_ms_);
+  for (int i = 0; i < ITK_MAX_WAIT_MS; i++)
+    {
+      ASSERT_FALSE (itk_must_turn_away (&intake_, now_ms_)) << i;
+      now_ms_++;
+      itk_idle (&intake_);
+      accept_all ();
+    }
+  EXPECT_TRUE (itk_must_turn_away (&intake_, now_ms_));
+}
+
+// Guards against a count of earlier connections that is applied to those that
+// came after all had been accepted.
+TEST_F (IntakeTest, ACountEndsWhenNoneWaits)
+{
+  accept_all ();
+  itk_count_waiting (&intake_, 1, now_ms_);
+  itk_idle (&intake_);
+  itk_none_waits (&intake_);
+  now_ms_ += 10 * ITK_MAX_WAIT_MS;
+  accept_all ();
+  EXPECT_FALSE (itk_must_turn_away (&intake_, now_ms_));
+  now_ms_ += ITK_MAX_WAIT_MS - 1;
+  EXPECT_FALSE (itk_must_turn_away (&intake_, now_ms_));
+  now_ms_ += 1;
+  EXPECT_TRUE (itk_must_turn_away (&intake_, now_ms_));
+}
+
 // Guards against an entry that leaves its rotation for a moment of load.
 TEST_F (IntakeTest, OneTimeOfTurningAwayLeavesItReady)
 {
