fix(transport): count the time to connect from its begin, not from the turn's

What callers saw: 502 retry_budget, or a request sent to another target, where an entry was late: a connection was given up before its time was over.

Cause: the delay of a timer counts from the loop time, which stands still while a turn of the loop is handled. In a turn that takes 0.4 s (many requests at an entry that is short of processor, or one that is stopped in the middle) the time to connect was over when the connection began, and it got one poll. The poll comes before the timers, so connections on loopback were mostly made in time; one whose answer takes a while was not.

Ruled out: updating the loop time at each send (a trial): it moves the time within callbacks that have taken it already.

--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -387,10 +387,13 @@
   pooled_begin (pooled, x, request);
   h1_conn_share_loop (&pooled->conn, peer->pool->bulk);
   h1_conn_set_account (&pooled->conn, peer->pool->account);
+  tmr_service_t *timers = peer->pool->timers;
   // A connection attempt that fails at once is reported from the event loop,
   // as all failures are.
-  uint64_t timeout_ms = status == KB_OK ? request->connect_timeout_ms : 0;
-  tmr_start_once (peer->pool->timers, &pooled->timer, timeout_ms,
+  uint64_t timeout_ms
+      = status == KB_OK ? request->connect_timeout_ms + tmr_turn_ms (timers)
+                        : 0;
+  tmr_start_once (timers, &pooled->timer, timeout_ms,
                   pooled_on_connect_timeout, pooled);
 }
 
--- a/src/transport/timer.c
+++ b/src/transport/timer.c
@@ -186,6 +186,14 @@
   return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
+uint64_t
+tmr_turn_ms (const tmr_service_t *service)
+{
+  uint64_t now_ms = tmr_now_ms ();
+  uint64_t began_ms = uv_now (service->loop);
+  return now_ms > began_ms ? now_ms - began_ms : 0;
+}
+
 uint64_t
 tmr_now_us (void)
 {
--- a/src/transport/timer.h
+++ b/src/transport/timer.h
@@ -46,6 +46,9 @@
                      uint64_t delay_ms, tmr_fn_t fn, void *arg);
 /// Disarms the timer; does nothing if it is not armed.
 void tmr_cancel (tmr_service_t *service, tmr_timer_t *timer);
+/// Time for which the present turn of the loop has lasted, in milliseconds. To
+/// be added to the delay of a timer whose time must not begin before the call.
+uint64_t tmr_turn_ms (const tmr_service_t *service);
 /// Monotonic time in microseconds.
 uint64_t tmr_now_us (void);
 /// Monotonic time in milliseconds.
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -1,10 +1,11 @@
-// Exchanges whose reading is resumed before their connections are made.
+// Exchanges while their connections are being made.
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <string>
 #include <thread>
 
@@ -79,16 +80,18 @@
 class Exchange
 {
 public:
-  explicit Exchange (const Peer &peer)
+  /// @param turn_ms  Time that the turn of the loop has taken before.
+  explicit Exchange (const Peer &peer, uint64_t turn_ms = 0)
   {
     uv_loop_init (&loop_);
+    std::this_thread::sleep_for (std::chrono::milliseconds (turn_ms));
     tmr_service_init (&timers_, &loop_);
     pool_ = { .loop = &loop_, .timers = &timers_ };
     xch_peer_init (&remote_, &pool_, &peer.address, 1);
     static const char head[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     xch_request_t request = { .head = { head, sizeof head - 1 },
                               .max_idle_ms = 0,
-                              .connect_timeout_ms = 5000,
+                              .connect_timeout_ms = 4000,
                               .tag = 1 };
     xch_start (&x, &remote_, &events_, this, &request);
   }
@@ -165,4 +168,17 @@
   EXPECT_EQ (exchange.body, "ok");
 }
 
+// Guards against a connection that is given up too early, as its time is
+// counted from the begin of a long turn of the loop.
+TEST (Exchange, HasItsTimeToConnectAfterALongTurn)
+{
+  constexpr uint64_t kTurnMs = 4500;
+  Peer peer;
+  Exchange exchange (peer, kTurnMs);
+  peer.start ();
+  exchange.run_for (5000);
+  EXPECT_TRUE (exchange.is_done);
+  EXPECT_FALSE (exchange.has_failed);
+}
+
 } // namespace
