fix(gateway): count a target's silence from the moment its request is sent

What callers saw, at an entry short of processor: 502 retry_budget and timeout_unsent, and safe requests that ran twice, though their targets answered in time.

Cause: the limit on a target's silence counted from the loop time of the turn in which it was chosen. A turn that handles 200 requests at an entry with 1 ms of each 100 ms lasts some 0.6 s, longer than the limit (0.45 s). And where a new connection is needed, the request is sent only when the loop handles that it was made, a turn later. Now the delay begins when it is armed, and again when the connection is made, which has a limit of its own (0.4 s).

Ruled out: answers that wait unread (timers come after the poll), and targets that are late (250 ms of 450).

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -168,7 +168,8 @@
     limit_ms = SILENCE_OBJECTIVES * (r->objective_ms - r->arrived_ms);
   else if (!r->has_event)
     limit_ms = FIRST_EVENT_SILENCE_MS;
-  tmr_start_once (&r->gateway->host.timers, &r->silence_timer, limit_ms,
+  tmr_service_t *timers = &r->gateway->host.timers;
+  tmr_start_once (timers, &r->silence_timer, limit_ms + tmr_turn_ms (timers),
                   attempt_on_silence, r);
 }
 
@@ -569,12 +570,14 @@
   attempt_handle_broken (x->owner, kinds[fail]);
 }
 
-/// The caller may have left while the connection to the target was made.
+/// The caller may have left while the connection to the target was made. What
+/// that took is not a part of the target's silence.
 static void
 attempt_on_connect (xch_t *x)
 {
   gtw_request_t *r = x->owner;
-  gtw_client_check_present (r->client);
+  if (gtw_client_check_present (r->client))
+    arm_silence_timer (r);
 }
 
 static const xch_events_t answer_events = { .on_connect = attempt_on_connect,
--- a/test/relay/late_entry_failure_test.cc
+++ b/test/relay/late_entry_failure_test.cc
@@ -100,5 +100,29 @@
   expect_answers_delivered (site, { 400, 2200 }, stream_text);
 }
 
+// Guards against limits of a target that are counted from before its request
+// was sent, where an entry takes long for what it has read.
+TEST (LateEntry, GivesTargetsTheirTimeAfterALongTurn)
+{
+  constexpr int kMany = 200;
+  Site site (1, kPlains, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  Leavers callers (site.gateways[0].address, safe_text, kMany);
+  ASSERT_NO_FATAL_FAILURE (callers.connect_served (safe_text));
+  for (const auto &target : site.plain)
+    target->answer_ms = 250;
+  size_t others = arrivals_of (site).size ();
+  {
+    Frozen entry (site.gateways[0].daemon.pid);
+    callers.send ();
+  }
+  {
+    Throttle throttle (site.gateways[0].daemon.pid, 1);
+    sleep_ms (2000);
+  }
+  callers.expect_the_rest_served ();
+  EXPECT_EQ (arrivals_of (site).size () - others, (size_t)kMany);
+}
+
 } // namespace
 } // namespace relay
