fix(gateway): withhold a refusal without an id behind other answers

10 of 10 unsafe requests ran at two targets: on a kept connection, their target sent a refusal without an id in front of the answer. The refusal counted as the request's, which was sent to the other target.

True refusals bear no id either (the users' examples of 503 and 421 have none and don't say that they close their connection), so it can't be turned away. What tells them apart is what follows: nothing, or the answer. On a connection that has carried other requests, a refusal without an id of a request that may run once is now withheld for 10 ms. An answer that follows decides instead; the refusal counts if nothing follows, the connection ends, a second refusal follows, or what follows is no answer. Requests that may be repeated don't wait, nor first ones on connections.

Ruled out: fresh connections for each unsafe request, and believing no such refusal (each unsafe request that meets a full target is lost).

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -6,6 +6,7 @@
 
 #include "gateway/gateway_ending.h"
 #include "gateway/gateway_origin.h"
+#include "gateway/gateway_refusal.h"
 #include "gateway/gateway_scan.h"
 #include "gateway/gateway_suspects.h"
 #include "transport/log.h"
@@ -306,7 +307,7 @@
 
 /// Handle an answer which says that the target did not run the request.
 static void
-attempt_handle_not_run (gtw_request_t *r, const rly_response_t *answer)
+attempt_handle_not_run (gtw_request_t *r, uint64_t retry_after_ms)
 {
   // Another incarnation answers at the address. An engine sends this status
   // also for an adapter that it does not hold.
@@ -318,11 +319,11 @@
     gtw_quarantine_record_target_end (r->gateway, r->target, "misdirected");
   MET_INC ("knapweedbay_attempts_not_run_total", "");
   r->possible_runs--;
-  if (answer->retry_after_ms > r->retry_after_ms)
-    r->retry_after_ms = answer->retry_after_ms;
+  if (retry_after_ms > r->retry_after_ms)
+    r->retry_after_ms = retry_after_ms;
   gtw_target_record_result (r->gateway, r->target, true);
   bool requests_pause
-      = r->http_status == HTTP_UNAVAILABLE && answer->retry_after_ms > 0;
+      = r->http_status == HTTP_UNAVAILABLE && retry_after_ms > 0;
   if (requests_pause && !gtw_backpressure_may_retry (r))
     {
       gtw_request_release_target (r);
@@ -403,6 +404,8 @@
       xch_discard_response (x);
       return;
     }
+  if (gtw_refusal_judge_next (r, &answer))
+    return;
   // A second one could not be distinguished from the next answer.
   if (answer.attempt_id.len_bytes == 0)
     xch_close_after (x);
@@ -412,7 +415,9 @@
   gtw_backpressure_apply_answer (r, &answer);
   if (answer.is_not_run && r->http_status >= 400)
     {
-      attempt_handle_not_run (r, &answer);
+      if (is_repeatable (r)
+          || !gtw_refusal_hold (r, &answer, attempt_handle_not_run))
+        attempt_handle_not_run (r, answer.retry_after_ms);
       return;
     }
   if (is_unassignable (x, &answer) || !is_valid_answer (r, &answer)
@@ -589,6 +594,8 @@
   static const end_kind_t kinds[] = { [XCH_NOT_SENT] = END_NOT_SENT,
                                       [XCH_RESET] = END_RESET,
                                       [XCH_MALFORMED] = END_MALFORMED };
+  if (gtw_refusal_judge_end (x->owner))
+    return;
   attempt_handle_broken (x->owner, kinds[fail]);
 }
 
@@ -700,6 +707,7 @@
   r->are_parts_served = false;
   r->is_close_delimited = false;
   r->is_watched = false;
+  r->refusal_done = NULL;
   r->ending_done = NULL;
   gtw_scan_begin (r);
   xch_start (&r->exchange, &r->target->peer, &answer_events, r, &request);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -277,6 +277,10 @@
   void (*ending_done) (gtw_request_t *r, bool is_whole);
   bool is_close_delimited; ///< It ends with the connection to the target.
   bool is_watched; ///< It is whole unless bytes behind it show otherwise.
+  /// See gateway_refusal.h; NULL: no refusal is withheld.
+  void (*refusal_done) (gtw_request_t *r, uint64_t retry_after_ms);
+  int refusal_status;              ///< Of the one that is withheld.
+  uint64_t refusal_retry_after_ms; ///< The same.
   bool is_head_written;
   bool is_begun;     ///< The current target has sent an event.
   uint64_t begun_ms; ///< When it sent the first one.
--- a/src/transport/exchange.c
+++ b/src/transport/exchange.c
@@ -46,6 +46,8 @@
 pooled_fail (xch_pooled_t *pooled, xch_failure_t fail)
 {
   xch_t *x = pooled->x;
+  if (x != NULL)
+    x->is_begun = pooled->conn.is_in_message && !x->is_discarding;
   tmr_cancel (pooled->peer->pool->timers, &pooled->timer);
   pooled_close (pooled, false);
   if (x == NULL)
@@ -534,6 +536,15 @@
   return false;
 }
 
+bool
+xch_is_receiving (const xch_t *x)
+{
+  const xch_pooled_t *pooled = x->pooled;
+  if (pooled == NULL || x->is_discarding)
+    return false;
+  return pooled->conn.is_in_message || h1_conn_has_unread (&pooled->conn);
+}
+
 bool
 xch_is_sent (const xch_t *x)
 {
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -85,6 +85,8 @@
   bool is_reused;       ///< The connection has carried a request before.
   bool is_last;         ///< See xch_close_after.
   bool is_refused;      ///< Within on_fail: no process listens there.
+  bool is_begun;        ///< Within on_fail: a response had begun that was
+                        ///< not discarded.
   kb_slice_t surplus;   ///< Within on_done: bytes read behind the response.
   /// Of this request and those before it on the connection; zero: none.
   uint64_t tags[XCH_KEPT_TAGS];
@@ -143,6 +145,9 @@
 /// @return  Whether the connection carries the request with this tag, or has
 ///          carried it lately. Valid until the last callback has returned.
 bool xch_has_carried (const xch_t *x, uint64_t tag);
+/// @return  Whether bytes of a response have arrived that is not complete and
+///          not discarded.
+bool xch_is_receiving (const xch_t *x);
 /// @return  Whether the peer may have received any byte of the request.
 bool xch_is_sent (const xch_t *x);
 /// @return  The connection in use. Valid only within on_head, on_body and
--- a/test/relay/answer_rest_failure_test.cc
+++ b/test/relay/answer_rest_failure_test.cc
@@ -288,6 +288,70 @@
   EXPECT_EQ (refused, 0);
 }
 
+/// Send unsafe requests on kept connections, of which the first target that
+/// gets one refuses each.
+/// @return  Requests that were not served in time.
+int
+count_unserved_behind (Site &site, const std::string &name,
+                       const std::string &refusal, AnswerEnd end)
+{
+  constexpr int kRounds = 3;
+  constexpr int kMax_ms = 400;
+  std::mutex mutex;
+  std::map<std::string, int> arrivals;
+  for (auto &target : site.plain)
+    target->plan_answers (
+        [&] (const Message &request, const std::string &fields) {
+          std::string id = request.header ("x-knapweedbay-attempt-id");
+          std::lock_guard<std::mutex> lock (mutex);
+          bool is_refused = ++arrivals[id] == 1 && id.find ("second") == 0;
+          return AnswerScript{
+            { { is_refused ? refusal
+                           : answer_of (Framing::LENGTH, fields, kBody) } },
+            is_refused ? end : AnswerEnd::KEEP
+          };
+        });
+  int unserved = 0;
+  for (int i = 0; i < kRounds; i++)
+    {
+      std::string n = name + std::to_string (i);
+      for (int k = 0; k < 2; k++)
+        send_call (site.gateways[0],
+                   unsafe_call ("first" + n + "-" + std::to_string (k)));
+      auto begin = std::chrono::steady_clock::now ();
+      Message answer
+          = send_call (site.gateways[0], unsafe_call ("second" + n));
+      unserved += answer.status != 200
+                  || std::chrono::steady_clock::now () - begin
+                         > std::chrono::milliseconds (kMax_ms);
+    }
+  for (auto &target : site.plain)
+    target->plan_answers (nullptr);
+  printf ("%s: %d of %d not served in time\n", name.c_str (), unserved,
+          kRounds);
+  return unserved;
+}
+
+// Guards against a true refusal on a kept connection that is not believed, as
+// it bears no id: the request is not sent again, or late.
+TEST (AnswerRest, RefusalsWithoutAnIdOnKeptConnectionsAreSentAgain)
+{
+  constexpr int kRefusals = 12;
+  std::string refusal = refusal_of ("full");
+  std::string cut = refusal.substr (0, refusal.size () - 1);
+  Site site (1, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (kRefusals);
+  EXPECT_EQ (count_unserved_behind (site, "kept", refusal, AnswerEnd::KEEP),
+             0);
+  EXPECT_EQ (count_unserved_behind (site, "closed", refusal, AnswerEnd::CLOSE),
+             0);
+  EXPECT_EQ (count_unserved_behind (site, "twice", refusal + refusal,
+                                    AnswerEnd::KEEP),
+             0);
+  EXPECT_EQ (count_unserved_behind (site, "cut", cut, AnswerEnd::KEEP), 0);
+}
+
 void
 put_entry (Site &site, const std::string &address, const std::string &id,
            const std::string &state)
