test(relay): show what asking a target that leaves would cost

LastAnswerOfALeavingTargetThatListensIsServed: a target that leaves, listens until it exits, and exits behind its whole answer without a length.

--- a/test/relay/answer_rest_failure_test.cc
+++ b/test/relay/answer_rest_failure_test.cc
@@ -596,6 +596,34 @@
   EXPECT_EQ (whole, 0);
 }
 
+// Guards against the last answer of a target that leaves, and exits behind it,
+// that is withheld, as it would be if it were asked whether it listens.
+TEST (AnswerRest, LastAnswerOfALeavingTargetThatListensIsServed)
+{
+  constexpr int kRounds = 4;
+  Site site (0, 1, 1);
+  std::string ip = replace_target (site);
+  int served = 0;
+  for (int i = 0; i < kRounds; i++)
+    {
+      std::string n = std::to_string (i);
+      ProcessTarget process (ip, true);
+      put_entry (site, process.address (), "i-exit" + n, "ready");
+      ASSERT_TRUE (wait_listed (site, "i-exit" + n));
+      auto caller = dial (site.gateways[0].address);
+      Call call = unsafe_call ("x" + n);
+      call.path = "/unsafe/exit" + n;
+      caller->write (call.text ());
+      std::this_thread::sleep_for (std::chrono::milliseconds (50));
+      put_entry (site, process.address (), "i-exit" + n, "draining");
+      Message answer = caller->read_response ();
+      served += answer.status == 200 && answer.body == ProcessTarget::body;
+      site.remove ("servers/i-exit" + n);
+    }
+  printf ("%d of %d served\n", served, kRounds);
+  EXPECT_EQ (served, kRounds);
+}
+
 // Guards against connections that are opened for a question and pile up.
 TEST (AnswerRest, ClosedAnswersKeepFewConnections)
 {
@@ -765,5 +793,54 @@
   printf ("%zu callers left\n", left.size ());
 }
 
+// Guards against faults of a gateway whose callers leave while it waits for
+// what follows an answer or a refusal.
+TEST (AnswerRest, CallersThatLeaveWithinTheWaitCostNothing)
+{
+  constexpr int kCallers = 6;
+  constexpr int kCalls = 40;
+  std::string body = kBody + "HTTP/1.1 200 OK\r\n";
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  std::atomic<int> count{ 0 };
+  site.plain[0]->plan_answers (
+      [&] (const Message &, const std::string &fields) {
+        int n = count++;
+        std::string answer = answer_of (Framing::LENGTH, fields, body);
+        return AnswerScript{ { { n % 3 == 0 ? refusal_of ("full") : answer },
+                               { n % 4 == 0 ? answer : "" } },
+                             AnswerEnd::KEEP };
+      });
+  std::vector<std::thread> callers;
+  for (int c = 0; c < kCallers; c++)
+    callers.emplace_back ([&, c] {
+      for (int i = 0; i < kCalls; i++)
+        {
+          auto caller = dial (site.gateways[0].address);
+          if (caller == nullptr)
+            continue;
+          caller->write (
+              unsafe_call ("c" + std::to_string (c) + "-" + std::to_string (i))
+                  .text ());
+          std::this_thread::sleep_for (
+              std::chrono::microseconds ((c * 7919 + i * 1301) % 40000));
+          if (i % 2 == 0)
+            caller->reset ();
+          else
+            caller->close ();
+        }
+    });
+  for (auto &caller : callers)
+    caller.join ();
+  site.plain[0]->plan_answers (nullptr);
+  EXPECT_EQ (send_call (site.gateways[0], unsafe_call ("after")).status, 200);
+  auto lines
+      = Site::log_lines (site.gateways[0].daemon, { "\"event\":\"start\"" });
+  EXPECT_EQ (lines.size (), 1u);
+  auto left = Site::log_lines (site.gateways[0].daemon, { "caller_left" });
+  printf ("%zu callers left\n", left.size ());
+  EXPECT_GT (left.size (), 0u);
+}
+
 } // namespace
 } // namespace relay
--- a/test/relay/process_target.cc
+++ b/test/relay/process_target.cc
@@ -57,6 +57,16 @@
     body.resize (body.size () / 2);
   if (has (head, "/half-large"))
     body = std::string (ProcessTarget::kLargeBytes, 'b');
+  if (has (head, "/exit"))
+    {
+      size_t half = body.size () / 2;
+      text += body.substr (0, half);
+      send (fd, text.data (), text.size (), MSG_NOSIGNAL);
+      // Long enough for the gateway to learn that the target leaves.
+      usleep (3 * ProcessTarget::kSlowMs * 1000);
+      text.clear ();
+      body = body.substr (half);
+    }
   text += body;
   if (has (head, "/slow"))
     usleep (ProcessTarget::kSlowMs * 1000);
@@ -77,7 +87,7 @@
       if (!head.empty ())
         answer (fd, head);
       close (fd);
-      if (!listens_on && !head.empty ())
+      if ((!listens_on && !head.empty ()) || has (head, "/exit"))
         _exit (0);
     }
 }
--- a/test/relay/process_target.h
+++ b/test/relay/process_target.h
@@ -28,7 +28,8 @@
   static constexpr size_t kLargeBytes = 100000;
   /// The body of a whole answer. Requests with "/half" in their paths get the
   /// first half of it, with "/half-large" `kLargeBytes`, then nothing; those
-  /// with "/slow" wait for it.
+  /// with "/slow" wait for it. Behind a whole one to "/exit", which pauses in
+  /// its middle, the process exits; it listens until then.
   static const std::string body;
 
 private:
