--- a/test/relay/answer_rest_failure_test.cc
+++ b/test/relay/answer_rest_failure_test.cc
@@ -288,6 +288,70 @@
   EXPECT_EQ (refused, 0);
 }
 
+/// Send unsafe requests on kept connections, of which the first target that
+/// gets one refuses each.
+/// @return  Requests that were not served in time.
+int
+count_unserved_behind (Site &site, const std::string &name,
+                       const std::string &refusal, AnswerEnd end)
+{
+  constexpr int kRounds = 3;
+  constexpr int kMax_ms = 400;
+  std::mutex mutex;
+  std::map<std::string, int> arrivals;
+  for (auto &target : site.plain)
+    target->plan_answers (
+        [&] (const Message &request, const std::string &fields) {
+          std::string id = request.header ("x-knapweedbay-attempt-id");
+          std::lock_guard<std::mutex> lock (mutex);
+          bool is_refused = ++arrivals[id] == 1 && id.find ("second") == 0;
+          return AnswerScript{
+            { { is_refused ? refusal
+                           : answer_of (Framing::LENGTH, fields, kBody) } },
+            is_refused ? end : AnswerEnd::KEEP
+          };
+        });
+  int unserved = 0;
+  for (int i = 0; i < kRounds; i++)
+    {
+      std::string n = name + std::to_string (i);
+      for (int k = 0; k < 2; k++)
+        send_call (site.gateways[0],
+                   unsafe_call ("first" + n + "-" + std::to_string (k)));
+      auto begin = std::chrono::steady_clock::now ();
+      Message answer
+          = send_call (site.gateways[0], unsafe_call ("second" + n));
+      unserved += answer.status != 200
+                  || std::chrono::steady_clock::now () - begin
+                         > std::chrono::milliseconds (kMax_ms);
+    }
+  for (auto &target : site.plain)
+    target->plan_answers (nullptr);
+  printf ("%s: %d of %d not served in time\n", name.c_str (), unserved,
+          kRounds);
+  return unserved;
+}
+
+// Guards against a true refusal on a kept connection that is not believed, as
+// it bears no id: the request is not sent again, or late.
+TEST (AnswerRest, RefusalsWithoutAnIdOnKeptConnectionsAreSentAgain)
+{
+  constexpr int kRefusals = 12;
+  std::string refusal = refusal_of ("full");
+  std::string cut = refusal.substr (0, refusal.size () - 1);
+  Site site (1, 2, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  site.wait_for_retries (kRefusals);
+  EXPECT_EQ (count_unserved_behind (site, "kept", refusal, AnswerEnd::KEEP),
+             0);
+  EXPECT_EQ (count_unserved_behind (site, "closed", refusal, AnswerEnd::CLOSE),
+             0);
+  EXPECT_EQ (count_unserved_behind (site, "twice", refusal + refusal,
+                                    AnswerEnd::KEEP),
+             0);
+  EXPECT_EQ (count_unserved_behind (site, "cut", cut, AnswerEnd::KEEP), 0);
+}
+
 void
 put_entry (Site &site, const std::string &address, const std::string &id,
            const std::string &state)
@@ -532,6 +596,34 @@
   EXPECT_EQ (whole, 0);
 }
 
+// Guards against the last answer of a target that leaves, and exits behind it,
+// that is withheld, as it would be if it were asked whether it listens.
+TEST (AnswerRest, LastAnswerOfALeavingTargetThatListensIsServed)
+{
+  constexpr int kRounds = 4;
+  Site site (0, 1, 1);
+  std::string ip = replace_target (site);
+  int served = 0;
+  for (int i = 0; i < kRounds; i++)
+    {
+      std::string n = std::to_string (i);
+      ProcessTarget process (ip, true);
+      put_entry (site, process.address (), "i-exit" + n, "ready");
+      ASSERT_TRUE (wait_listed (site, "i-exit" + n));
+      auto caller = dial (site.gateways[0].address);
+      Call call = unsafe_call ("x" + n);
+      call.path = "/unsafe/exit" + n;
+      caller->write (call.text ());
+      std::this_thread::sleep_for (std::chrono::milliseconds (50));
+      put_entry (site, process.address (), "i-exit" + n, "draining");
+      Message answer = caller->read_response ();
+      served += answer.status == 200 && answer.body == ProcessTarget::body;
+      site.remove ("servers/i-exit" + n);
+    }
+  printf ("%d of %d served\n", served, kRounds);
+  EXPECT_EQ (served, kRounds);
+}
+
 // Guards against connections that are opened for a question and pile up.
 TEST (AnswerRest, ClosedAnswersKeepFewConnections)
 {
@@ -701,5 +793,54 @@
   printf ("%zu callers left\n", left.size ());
 }
 
+// Guards against faults of a gateway whose callers leave while it waits for
+// what follows an answer or a refusal.
+TEST (AnswerRest, CallersThatLeaveWithinTheWaitCostNothing)
+{
+  constexpr int kCallers = 6;
+  constexpr int kCalls = 40;
+  std::string body = kBody + "HTTP/1.1 200 OK\r\n";
+  Site site (0, 1, 1);
+  ASSERT_TRUE (site.wait_ready ());
+  std::atomic<int> count{ 0 };
+  site.plain[0]->plan_answers (
+      [&] (const Message &, const std::string &fields) {
+        int n = count++;
+        std::string answer = answer_of (Framing::LENGTH, fields, body);
+        return AnswerScript{ { { n % 3 == 0 ? refusal_of ("full") : answer },
+                               { n % 4 == 0 ? answer : "" } },
+                             AnswerEnd::KEEP };
+      });
+  std::vector<std::thread> callers;
+  for (int c = 0; c < kCallers; c++)
+    callers.emplace_back ([&, c] {
+      for (int i = 0; i < kCalls; i++)
+        {
+          auto caller = dial (site.gateways[0].address);
+          if (caller == nullptr)
+            continue;
+          caller->write (
+              unsafe_call ("c" + std::to_string (c) + "-" + std::to_string (i))
+                  .text ());
+          std::this_thread::sleep_for (
+              std::chrono::microseconds ((c * 7919 + i * 1301) % 40000));
+          if (i % 2 == 0)
+            caller->reset ();
+          else
+            caller->close ();
+        }
+    });
+  for (auto &caller : callers)
+    caller.join ();
+  site.plain[0]->plan_answers (nullptr);
+  EXPECT_EQ (send_call (site.gateways[0], unsafe_call ("after")).status, 200);
+  auto lines
+      = Site::log_lines (site.gateways[0].daemon, { "\"event\":\"start\"" });
+  EXPECT_EQ (lines.size (), 1u);
+  auto left = Site::log_lines (site.gateways[0].daemon, { "caller_left" });
+  printf ("%zu callers left\n", left.size ());
+  EXPECT_GT (left.size (), 0u);
+}
+
 } // namespace
 } // namespace relay
