fix(gateway): clear a request once its engine has lived on after the answer

Callers of a request that had just been served were refused with 503: it stayed suspected for 1.65 s after an answer that ends with its connection, as reports may be late, and the engines rest after its start alone.

The sidecar's word that the engine lived on after such an answer now says so in place_joined (has_lived_on, an optional field), and the gateway takes the answer as served at once.

--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -478,6 +478,18 @@
                 <= END_EVIDENCE_TIMEOUT_MS;
 }
 
+/// The target of an attempt has lived on.
+static void
+settle_attempt (gtw_gateway_t *gateway, gtw_broken_attempt_t *attempt)
+{
+  attempt->target = 0;
+  if (!attempt->is_served)
+    return;
+  gtw_parts_record_served (gateway, &attempt->parts);
+  for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
+    gtw_quarantine_mark_served (gateway, attempt->fingerprints[scope]);
+}
+
 /// Settle the attempts after which a target lived on.
 /// @param instance  Hash of the incarnation that was alive.
 /// @param alive_ms  A moment at which it was.
@@ -499,12 +511,18 @@
           target->has_unconfirmed = true;
           continue;
         }
-      attempt->target = 0;
-      if (!attempt->is_served)
-        continue;
-      gtw_parts_record_served (gateway, &attempt->parts);
-      for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-        gtw_quarantine_mark_served (gateway, attempt->fingerprints[scope]);
+      settle_attempt (gateway, attempt);
+    }
+}
+
+void
+gtw_quarantine_confirm_place (gtw_gateway_t *gateway, uint64_t place_id)
+{
+  for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
+    {
+      gtw_broken_attempt_t *attempt = &gateway->broken_attempts[i];
+      if (attempt->target != 0 && attempt->place_id == place_id)
+        settle_attempt (gateway, attempt);
     }
 }
 
--- a/src/gateway/gateway_links.c
+++ b/src/gateway/gateway_links.c
@@ -433,6 +433,8 @@
       break;
     case MSG_PLACE_JOINED:
       gtw_quarantine_record_joined (gateway, msg->place_joined.id);
+      if (msg->place_joined.has_lived_on != 0)
+        gtw_quarantine_confirm_place (gateway, msg->place_joined.id);
       break;
     case MSG_PLACE_DECLINE:
       gtw_place_on_decline (gateway, &msg->place_decline);
--- a/src/gateway/gateway_suspects.h
+++ b/src/gateway/gateway_suspects.h
@@ -108,6 +108,8 @@
 void gtw_quarantine_confirm_reported (gtw_gateway_t *gateway,
                                       gtw_target_t *target,
                                       const inc_t *engine, uint64_t alive_ms);
+/// The same for the attempt that had a place at an engine.
+void gtw_quarantine_confirm_place (gtw_gateway_t *gateway, uint64_t place_id);
 /// @param at  Position of the search; zero for the first call.
 /// @return    A plain target with attempts that are suspects unless it has
 ///            lived on; NULL: no more.
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -232,7 +232,11 @@
         UINT (quota_grant, granted_milli), UINT (quota_grant, lasts_ms),
         UINT (quota_grant, wait_ms), UINT (quota_grant, is_pause),
         UINT (quota_grant, is_refused), BYTES (quota_grant, ledger) } },
-  [MSG_PLACE_JOINED] = { "place_joined", 1, { UINT (place_joined, id) } },
+  [MSG_PLACE_JOINED]
+  = { "place_joined",
+      2,
+      { UINT (place_joined, id), UINT (place_joined, has_lived_on) },
+      .optional = 1 },
   [MSG_ORIGINS]
   = { "origins",
       2,
--- a/src/protocol/msg_defs.h
+++ b/src/protocol/msg_defs.h
@@ -460,6 +460,8 @@
 typedef struct
 {
   uint64_t id;
+  uint64_t has_lived_on; ///< No other one started: the engine lived on after
+                         ///< it had ended the answer.
 } msg_place_joined_t;
 
 /// The configuration document, forwarded to daemons that cannot read it
--- a/src/sidecar/sidecar_defs.h
+++ b/src/sidecar/sidecar_defs.h
@@ -124,9 +124,11 @@
 /// @return  The service of this engine; NULL before a configuration arrived.
 const svc_service_t *scr_own_service (const scr_sidecar_t *s);
 void scr_grant (scr_sidecar_t *s, const adm_request_t *request);
-/// Report that a request whose place was granted alone starts alone no more,
-/// or that the engine lived on after it: an end of the engine is not its own.
-void scr_report_joined (scr_sidecar_t *s, uint64_t owner, uint64_t place_id);
+/// Report that a request whose place was granted alone starts alone no more.
+/// @param has_lived_on  Rather that the engine lived on after its answer: an
+///                      end of the engine is not its own.
+void scr_report_joined (scr_sidecar_t *s, uint64_t owner, uint64_t place_id,
+                        bool has_lived_on);
 void scr_decline (scr_sidecar_t *s, kb_slice_t peer, uint64_t id,
                   const char *reason, uint64_t retry_after_ms);
 
--- a/src/sidecar/sidecar_engine.c
+++ b/src/sidecar/sidecar_engine.c
@@ -194,7 +194,8 @@
           return;
         case ADM_ACTION_GRANT:
           if (action.joined != NULL)
-            scr_report_joined (s, action.joined->owner, action.joined->id);
+            scr_report_joined (s, action.joined->owner, action.joined->id,
+                               false);
           scr_grant (s, action.request);
           scr_state_changed (s);
           break;
@@ -369,7 +370,7 @@
   if (!aln_settle (&s->table.alone, s->polled_ms, scr_now_ms (s)))
     return;
   if (s->unsettled_place != 0)
-    scr_report_joined (s, s->unsettled_owner, s->unsettled_place);
+    scr_report_joined (s, s->unsettled_owner, s->unsettled_place, true);
   s->unsettled_place = 0;
 }
 
--- a/src/sidecar/sidecar_links.c
+++ b/src/sidecar/sidecar_links.c
@@ -172,10 +172,13 @@
 }
 
 void
-scr_report_joined (scr_sidecar_t *s, uint64_t owner, uint64_t place_id)
+scr_report_joined (scr_sidecar_t *s, uint64_t owner, uint64_t place_id,
+                   bool has_lived_on)
 {
   const scr_gateway_t *gateway = scr_gateway_find (s, owner);
-  msg_t msg = { .type = MSG_PLACE_JOINED, .place_joined = { .id = place_id } };
+  msg_t msg
+      = { .type = MSG_PLACE_JOINED,
+          .place_joined = { .id = place_id, .has_lived_on = has_lived_on } };
   if (gateway != NULL)
     scr_send (s, gateway, &msg);
 }
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -299,6 +299,21 @@
   expect_served (site, innocent_stream);
 }
 
+// Guards against a request that stays suspected after its answer, and is
+// refused because engines rest after its start alone.
+TEST (Innocent, AnswerClearsOnceItsEngineHasLivedOn)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.is_unframed = true;
+  EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  Message answer = send_call (site.gateways[0], innocent_stream (3));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+}
+
 /// Restart an engine as an incarnation that the list does not name.
 void
 restart_unlisted (Site &site, const std::string &id)
