fix(gateway): judge a break by the target that its incarnation is listed as

Callers of a request that had ended nothing were refused as quarantined for twenty minutes.

The attempt still had the earlier target, which the list had replaced after the request was sent, so it counted as sent before the end. A break now belongs to the next target at the address if that names the incarnation that the request was sent to, or an earlier one.

--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -263,12 +263,44 @@
   return is_suspect && is_starting (r);
 }
 
+/// @return  Whether an incarnation is the listed one of a target, or a later
+///          one.
+static bool
+is_listed_or_later (uint64_t incarnation, uint64_t born_ms,
+                    const gtw_target_t *target)
+{
+  uint64_t listed_ms = target->list_entry.identity.born_ms;
+  return incarnation == listed_incarnation (target)
+         || (listed_ms > 0 && born_ms > listed_ms);
+}
+
+/// @return  The target to which the end of an attempt belongs: its own, or the
+///          next one at the address, if that was listed meanwhile and the
+///          attempt was sent to its incarnation.
+static gtw_target_t *
+target_of_end (const gtw_request_t *r)
+{
+  gtw_target_t *target = r->target;
+  for (;;)
+    {
+      gtw_target_t *next
+          = target->next_key == 0
+                ? NULL
+                : kb_map_get (&r->gateway->targets, target->next_key);
+      if (next == NULL
+          || !is_listed_or_later (recipient_incarnation (r),
+                                  gtw_request_recipient (r)->born_ms, next))
+        return target;
+      target = next;
+    }
+}
+
 static gtw_broken_attempt_t
 describe_attempt (gtw_request_t *r)
 {
   bool is_isolated = r->alone.is_alone;
   gtw_broken_attempt_t attempt
-      = { .target = r->target->key,
+      = { .target = target_of_end (r)->key,
           .caller = gtw_quarantine_caller (r),
           .at_ms = gtw_now_ms (r->gateway),
           .incarnation = recipient_incarnation (r),
@@ -293,7 +325,8 @@
 static bool
 was_sent_before_end (const gtw_request_t *r)
 {
-  return r->target->ended_ms > 0 && r->sent_ms <= r->target->ended_ms;
+  const gtw_target_t *target = target_of_end (r);
+  return target->ended_ms > 0 && r->sent_ms <= target->ended_ms;
 }
 
 static void
@@ -334,7 +367,7 @@
   gtw_gateway_t *gateway = r->gateway;
   if (!is_starting (r) && !gtw_parts_are_starting (r))
     return;
-  gtw_target_t *target = r->target;
+  gtw_target_t *target = target_of_end (r);
   gtw_broken_attempt_t broken = describe_attempt (r);
   r->target_doubt
       = r->is_begun && broken.is_starting ? MSG_DOUBT_BROKEN : MSG_DOUBT_NONE;
@@ -370,7 +403,7 @@
       return;
     }
   gateway->unconfirmed_ms = attempt.at_ms;
-  r->target->has_unconfirmed = true;
+  target_of_end (r)->has_unconfirmed = true;
   keep_attempt (gateway, GTW_MAX_BROKEN_ATTEMPTS, GTW_MAX_UNCONFIRMED_ATTEMPTS,
                 &attempt);
 }
@@ -396,17 +429,6 @@
       r->is_alone_attempt = false;
 }
 
-/// @return  Whether an attempt was sent to the listed incarnation of a target,
-///          or to a later one.
-static bool
-is_listed_or_later (const gtw_broken_attempt_t *attempt,
-                    const gtw_target_t *target)
-{
-  uint64_t listed_ms = target->list_entry.identity.born_ms;
-  return attempt->incarnation == listed_incarnation (target)
-         || (listed_ms > 0 && attempt->born_ms > listed_ms);
-}
-
 void
 gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
                             gtw_target_t *to)
@@ -415,7 +437,8 @@
   for (uint32_t i = 0; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
     {
       gtw_broken_attempt_t *broken = &gateway->broken_attempts[i];
-      if (broken->target == from->key && is_listed_or_later (broken, to))
+      if (broken->target == from->key
+          && is_listed_or_later (broken->incarnation, broken->born_ms, to))
         broken->target = to->key;
     }
 }
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -141,6 +141,7 @@
   uint64_t reserved_until_ms;
 
   uint64_t ended_ms; ///< When its process was found ended; zero: not ended.
+  uint64_t next_key; ///< Of the next incarnation at its address; zero: none.
   bool is_probed;    ///< A test connection to find out whether it has ended is
                      ///< under way.
   bool is_health_requested;     ///< A health request is under way.
--- a/src/gateway/gateway_targets.c
+++ b/src/gateway/gateway_targets.c
@@ -190,6 +190,7 @@
       gtw_backpressure_inherit (next, t);
       bool is_late = is_listed_late (gateway, next, t);
       gtw_quarantine_move_breaks (gateway, t, next);
+      t->next_key = next->key;
       if (!is_late)
         gtw_quarantine_record_target_end (gateway, t, "replaced");
     }
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -389,6 +389,28 @@
   expect_served (site, innocent_stream);
 }
 
+// Guards against a request that counts as the cause of an end because the
+// incarnation that it was sent to was listed while it ran there.
+TEST (Innocent, BreakAtAnIncarnationThatIsListedMeanwhileIsNoEnd)
+{
+  Site site (1, 0, 1);
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  restart_unlisted (site, "i-next");
+  // This gateway has heard of the listed incarnation from the list alone.
+  site.restart (&site.gateways[0].daemon, SIGKILL);
+  ASSERT_TRUE (site.wait_ready ());
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  engine.event_ms = 2 * kEndKnownMs;
+  Sending innocent (site.gateways[0], innocent_stream (2));
+  ASSERT_TRUE (wait_until_run (site, "innocent2"));
+  site.list_engine (0);
+  engine.break_streams (StreamBreak::UNREAD);
+  innocent.join ();
+  expect_served (site, innocent_stream);
+}
+
 // Guards against resets that count as ends of engines because an earlier
 // incarnation at the same address had ended, which the list still names.
 TEST (Innocent, ResetsAtIncarnationsListedLateAreNoEnds)
