--- a/src/gateway/gateway_breaks.c
+++ b/src/gateway/gateway_breaks.c
@@ -263,12 +263,49 @@
   return is_suspect && is_starting (r);
 }
 
+/// @return  Whether an incarnation is the listed one of a target, or a later
+///          one.
+static bool
+is_listed_or_later (uint64_t incarnation, uint64_t born_ms,
+                    const gtw_target_t *target)
+{
+  uint64_t listed_ms = target->list_entry.identity.born_ms;
+  return incarnation == listed_incarnation (target)
+         || (listed_ms > 0 && born_ms > listed_ms);
+}
+
+/// @return  The target to which the end of an attempt belongs: its own, or the
+///          next one at the address, if that was listed meanwhile and the
+///          attempt was sent to its incarnation.
+static gtw_target_t *
+target_of_end (const gtw_request_t *r)
+{
+  gtw_target_t *target = r->target;
+  for (;;)
+    {
+      gtw_target_t *next
+          = target->next_key == 0
+                ? NULL
+                : kb_map_get (&r->gateway->targets, target->next_key);
+      // An incarnation that has ended is not the next one, also if its clock
+      // makes it look later.
+      bool has_ended
+          = target->ended_ms > 0
+            && recipient_incarnation (r) == listed_incarnation (target);
+      if (next == NULL || has_ended
+          || !is_listed_or_later (recipient_incarnation (r),
+                                  gtw_request_recipient (r)->born_ms, next))
+        return target;
+      target = next;
+    }
+}
+
 static gtw_broken_attempt_t
 describe_attempt (gtw_request_t *r)
 {
   bool is_isolated = r->alone.is_alone;
   gtw_broken_attempt_t attempt
-      = { .target = r->target->key,
+      = { .target = target_of_end (r)->key,
           .caller = gtw_quarantine_caller (r),
           .at_ms = gtw_now_ms (r->gateway),
           .incarnation = recipient_incarnation (r),
@@ -293,7 +330,8 @@
 static bool
 was_sent_before_end (const gtw_request_t *r)
 {
-  return r->target->ended_ms > 0 && r->sent_ms <= r->target->ended_ms;
+  const gtw_target_t *target = target_of_end (r);
+  return target->ended_ms > 0 && r->sent_ms <= target->ended_ms;
 }
 
 static void
@@ -334,7 +372,7 @@
   gtw_gateway_t *gateway = r->gateway;
   if (!is_starting (r) && !gtw_parts_are_starting (r))
     return;
-  gtw_target_t *target = r->target;
+  gtw_target_t *target = target_of_end (r);
   gtw_broken_attempt_t broken = describe_attempt (r);
   r->target_doubt
       = r->is_begun && broken.is_starting ? MSG_DOUBT_BROKEN : MSG_DOUBT_NONE;
@@ -370,7 +408,7 @@
       return;
     }
   gateway->unconfirmed_ms = attempt.at_ms;
-  r->target->has_unconfirmed = true;
+  target_of_end (r)->has_unconfirmed = true;
   keep_attempt (gateway, GTW_MAX_BROKEN_ATTEMPTS, GTW_MAX_UNCONFIRMED_ATTEMPTS,
                 &attempt);
 }
@@ -396,15 +434,6 @@
       r->is_alone_attempt = false;
 }
 
-/// @return  Whether an attempt was sent to an incarnation that was born later
-///          than the listed one of a target.
-static bool
-is_later (const gtw_broken_attempt_t *attempt, const gtw_target_t *target)
-{
-  uint64_t listed_ms = target->list_entry.identity.born_ms;
-  return listed_ms > 0 && attempt->born_ms > listed_ms;
-}
-
 void
 gtw_quarantine_move_breaks (gtw_gateway_t *gateway, const gtw_target_t *from,
                             gtw_target_t *to, bool is_from_alive)
@@ -419,8 +448,8 @@
       // makes it look later.
       bool may_live
           = is_from_alive || broken->incarnation != listed_incarnation (from);
-      if (broken->incarnation == listed_incarnation (to)
-          || (may_live && is_later (broken, to)))
+      if (may_live
+          && is_listed_or_later (broken->incarnation, broken->born_ms, to))
         broken->target = to->key;
     }
 }
@@ -487,6 +516,18 @@
                 <= END_EVIDENCE_TIMEOUT_MS;
 }
 
+/// The target of an attempt has lived on.
+static void
+settle_attempt (gtw_gateway_t *gateway, gtw_broken_attempt_t *attempt)
+{
+  attempt->target = 0;
+  if (!attempt->is_served)
+    return;
+  gtw_parts_record_served (gateway, &attempt->parts);
+  for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
+    gtw_quarantine_mark_served (gateway, attempt->fingerprints[scope]);
+}
+
 /// Settle the attempts after which a target lived on.
 /// @param instance  Hash of the incarnation that was alive.
 /// @param alive_ms  A moment at which it was.
@@ -508,12 +549,18 @@
           target->has_unconfirmed = true;
           continue;
         }
-      attempt->target = 0;
-      if (!attempt->is_served)
-        continue;
-      gtw_parts_record_served (gateway, &attempt->parts);
-      for (int scope = 0; scope < GTW_SCOPE_COUNT; scope++)
-        gtw_quarantine_mark_served (gateway, attempt->fingerprints[scope]);
+      settle_attempt (gateway, attempt);
+    }
+}
+
+void
+gtw_quarantine_confirm_place (gtw_gateway_t *gateway, uint64_t place_id)
+{
+  for (uint32_t i = GTW_MAX_BROKEN_ATTEMPTS; i < GTW_MAX_SUSPECT_ATTEMPTS; i++)
+    {
+      gtw_broken_attempt_t *attempt = &gateway->broken_attempts[i];
+      if (attempt->target != 0 && attempt->place_id == place_id)
+        settle_attempt (gateway, attempt);
     }
 }
 
