test(support): make room for descriptors before a test program has threads

Seen beside load (60): some 200 threads of outcome_test waited for 1.3 s at once in the kernel's expand_files, one of them in synchronize_rcu (sampled states of its threads). The kernel enlarges a program's table of descriptors at each power of two, and in a program with several threads waits for a grace period, during which no thread opens one. The simulated targets and callers are such threads, so targets answer late for a reason that no test checks. Relay daemons have one thread and aren't concerned.

A test program now has the room from its start. No check changes.

--- a/test/support/launcher.cc
+++ b/test/support/launcher.cc
@@ -1,5 +1,6 @@
 #include "launcher.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <unistd.h>
@@ -15,6 +16,24 @@
 
 constexpr int kExitCode = 127;
 
+/// Descriptors for which a test program has room from its start.
+constexpr int kDescriptors = 8192;
+
+/// The kernel enlarges the table of descriptors at each power of two. In a
+/// program with several threads all that open one wait for that, at times over
+/// a second on a busy machine, the simulated targets as well.
+bool
+reserve_descriptors ()
+{
+  int fd = fcntl (STDERR_FILENO, F_DUPFD_CLOEXEC, kDescriptors - 1);
+  if (fd < 0)
+    return false;
+  close (fd);
+  return true;
+}
+
+[[maybe_unused]] const bool has_reserved_descriptors = reserve_descriptors ();
+
 /// The kernel signals a child when the thread that forked it ends, so a thread
 /// that lives as long as the process forks all of them.
 class Launcher
