--- a/test/relay/pause_failure_test.cc
+++ b/test/relay/pause_failure_test.cc
@@ -205,7 +205,8 @@
   engine.pause_s = kPauseS;
   std::this_thread::sleep_for (milliseconds (kPauseMs + 2000));
   load.stop ();
-  EXPECT_LE (max_within_pause (engine), kMaxWithinPause);
+  EXPECT_LE (max_within_pause (engine), kMaxWithinPause)
+      << describe_pauses (site, engine);
   EXPECT_FALSE (
       Site::log_lines (site.gateways[0].daemon, { "target_paused" }).empty ());
 }
--- a/test/relay/quota_failure_test.cc
+++ b/test/relay/quota_failure_test.cc
@@ -48,6 +48,7 @@
     int other = 0;
     int without_retry_after = 0; ///< Refused without a retry-after time.
     int max_latency_ms = 0;      ///< Of answered requests.
+    std::string others;          ///< Status, time and reason of each other.
   };
   Callers (Site *site, const std::string &key, int per_gateway,
            int pause_ms = 2)
@@ -106,7 +107,12 @@
     else if (m.status == 429)
       counts_.over_quota++;
     else
-      counts_.other++;
+      {
+        counts_.other++;
+        counts_.others += std::to_string (m.status) + " after "
+                          + std::to_string (latency_ms) + " ms: " + m.body
+                          + "\n";
+      }
     if (m.status == 429 && atof (m.header ("retry-after").c_str ()) <= 0)
       counts_.without_retry_after++;
   }
@@ -211,7 +217,7 @@
   Callers::Counts of_red = red.stop ();
   EXPECT_GT (of_red.over_quota, 10 * of_red.answered);
   EXPECT_GT (of_blue.answered, 0);
-  EXPECT_EQ (of_blue.over_quota + of_blue.other, 0);
+  EXPECT_EQ (of_blue.over_quota + of_blue.other, 0) << of_blue.others;
   for (const Gateway &gateway : site.gateways)
     {
       auto refused
