test(soak): tell a hold by the plan from a hold for nothing

By the rule of quarantine a request that is starting alone at an engine which the plan ends counts as the cause of that end: three such ends, one of them alone, hold it for ten minutes, and the soak then failed with "0 of 20 requests served after the last fault" though each end was counted rightly.

The targets now keep which requests were at work and when their processes ended. A hold of the usual prompt is accepted only if three ends came while it was starting, by these records, at one of which no other request was starting, and each of its attempts that a daemon took for alone was so. Otherwise it is the violation that it was. After an accepted one the checks that follow go on with another request; they needed the usual one and would have said nothing. Attempts that were wrongly taken for alone are printed.

Not excluded: a hold with only true claims that an answer between them should have cleared.

The three tests Held.* pass.

--- a/test/relay/http_peer.cc
+++ b/test/relay/http_peer.cc
@@ -309,12 +309,20 @@
   if (has_exited_.exchange (true))
     return;
   exit_count_++;
+  exits_.push_back (std::chrono::steady_clock::now ());
   shutdown (listener_, SHUT_RDWR);
   acceptor_.join ();
   close (listener_);
   reset_open_connections ();
 }
 
+std::vector<std::chrono::steady_clock::time_point>
+Server::exits ()
+{
+  std::lock_guard<std::mutex> lock (state_mutex_);
+  return exits_;
+}
+
 void
 Server::listen_again ()
 {
--- a/test/relay/http_peer.h
+++ b/test/relay/http_peer.h
@@ -100,6 +100,8 @@
   /// Simulate the exit of the server process: reset all connections and refuse
   /// new ones. No effect if already done.
   void simulate_exit ();
+  /// Moments of simulate_exit.
+  std::vector<std::chrono::steady_clock::time_point> exits ();
   /// Listen again on the same address after simulate_exit.
   void listen_again ();
   bool
@@ -131,6 +133,7 @@
   std::atomic<bool> has_exited_{ false };
   std::atomic<int> exit_count_{ 0 };
   std::mutex state_mutex_;
+  std::vector<std::chrono::steady_clock::time_point> exits_;
   int listener_ = -1;
   std::thread acceptor_;
   std::mutex threads_mutex_;
--- a/test/relay/target_standin.h
+++ b/test/relay/target_standin.h
@@ -118,6 +118,18 @@
   std::chrono::steady_clock::time_point to;
 };
 
+/// A request at work at a target.
+struct Work
+{
+  using Moment = std::chrono::steady_clock::time_point;
+  std::string id;
+  std::string subject; ///< Its path and body.
+  Moment from;
+  Moment first_event = Moment::max (); ///< Of a stream; max: none yet.
+  Moment to = Moment::max ();          ///< Its end; max: none yet.
+  bool is_whole = false; ///< A whole answer with chunks was sent.
+};
+
 class Target : public Server
 {
 public:
@@ -179,6 +191,10 @@
   std::atomic<bool> names_requests{ false };
   /// Birth time of the present incarnation, in Unix milliseconds.
   int64_t born_ms ();
+  /// All requests that were at work here, and the moments at which the process
+  /// ended, in any order.
+  std::vector<Work> work_log ();
+  std::vector<Work::Moment> ends ();
   /// Number of restarts before a moment: identifies the incarnation that was
   /// running then.
   size_t incarnation_at (std::chrono::steady_clock::time_point moment);
@@ -297,6 +313,11 @@
     std::string software;
     int adapter_version = 0; ///< 0: the request names no adapter.
   };
+  /// @return  Position in the log.
+  size_t begin_work (const Message &request);
+  /// Record an event of a request's stream, or its whole answer.
+  void record_progress (const Message &request, bool is_whole);
+  void end_work (size_t at);
   bool run (Connection &connection, const Message &request, Fault fault,
             const Serving &serving);
   bool stream (Connection &connection, const Message &request, Fault fault,
@@ -367,6 +388,7 @@
   std::string pause_path_;
   double pause_path_s_ = 0;
   std::map<std::string, int> runs_;
+  std::vector<Work> work_log_;
   std::map<std::string, std::chrono::steady_clock::time_point> closed_runs_;
   std::vector<Message> requests_;
   std::vector<Message> refused_with_pause_;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -7,6 +7,7 @@
 
 #include <future>
 
+#include "held.h"
 #include "plan.h"
 #include "workspaces.h"
 
@@ -206,6 +207,11 @@
       const std::vector<std::chrono::steady_clock::time_point> &firsts);
   void check_versions ();
   void check_continuation ();
+  /// @return  Requests of `kRecoveryCalls` that are served.
+  int count_recovered (const std::string &id, int *held);
+  std::set<std::string> claimed_alone () const;
+  std::vector<TargetLife> engine_lives () const;
+  void print_claims () const;
   void check_recovery ();
   void check_innocent_requests ();
   void check_configuration ();
@@ -239,6 +245,7 @@
   int adapter_version_ = 1;
   std::map<std::string, std::string> published_versions_; ///< By key.
   int incarnation_ = 0;
+  std::string stream_path_ = "/resume/x"; ///< Of the checks after the faults.
 };
 
 } // namespace relay
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -184,6 +184,93 @@
   EXPECT_EQ (order_faults_of (early), Faults{ OrderFault::EARLY_END });
 }
 
+/// @param from_ms  Since the epoch of the clock, as are the others.
+static Work
+work_of (const std::string &id, const std::string &subject, int from_ms,
+         int first_event_ms, int to_ms)
+{
+  using std::chrono::milliseconds;
+  Work work;
+  work.id = id;
+  work.subject = subject;
+  work.from = Work::Moment (milliseconds (from_ms));
+  work.first_event = Work::Moment (milliseconds (first_event_ms));
+  work.to = Work::Moment (milliseconds (to_ms));
+  return work;
+}
+
+// Guards against a check that takes each hold for a justified one.
+TEST (Held, EndsCountWhileARequestIsStarting)
+{
+  Work::Moment end (std::chrono::milliseconds (1000));
+  Work whole = work_of ("r", "s", 700, 780, 800);
+  whole.is_whole = true;
+  struct
+  {
+    Work work;
+    int count;
+  } cases[] = {
+    { work_of ("r", "s", 900, 950, 1000), 1 },
+    { work_of ("r", "s", 1001, 1010, 1100), 0 }, // Came later.
+    { work_of ("r", "s", 500, 600, 1000), 0 },   // Had run for long.
+    { work_of ("r", "s", 500, 600, 740), 0 },    // Its target lived on.
+    { work_of ("r", "s", 700, 780, 800), 1 },
+    { whole, 0 },
+    { work_of ("r", "t", 900, 950, 1000), 0 }, // Another request.
+  };
+  for (const auto &c : cases)
+    {
+      CausableEnds ends
+          = causable_ends ({ { { c.work }, { end } } }, "s", { "r" });
+      EXPECT_EQ (ends.count, c.count);
+      EXPECT_EQ (ends.alone, c.count);
+    }
+}
+
+// Guards against a check that takes a request among others for the cause.
+TEST (Held, ARequestIsAloneAmongNoOthers)
+{
+  Work::Moment end (std::chrono::milliseconds (1000));
+  Work work = work_of ("r", "s", 900, 950, 1000);
+  struct
+  {
+    Work other;
+    int alone;
+  } cases[] = {
+    { work_of ("o", "t", 950, 1000, 1000), 0 },
+    { work_of ("o", "t", 500, 600, 1000), 1 }, // Had run for long.
+    { work_of ("o", "t", 780, 800, 910), 0 },  // It may have ended the target.
+    { work_of ("o", "t", 780, 800, 890), 1 },  // The target answered since.
+    { work_of ("o", "s", 950, 1000, 1000), 1 }, // The same request.
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (
+        causable_ends ({ { { work, c.other }, { end } } }, "s", { "r" }).alone,
+        c.alone);
+  // No daemon took it for alone.
+  EXPECT_EQ (causable_ends ({ { { work }, { end } } }, "s", {}).alone, 0);
+}
+
+// Guards against a hold that is taken for justified with a false claim.
+TEST (Held, AHoldNeedsThreeEndsAndTrueClaims)
+{
+  Work among = work_of ("r1", "s", 900, 950, 1000);
+  Work other = work_of ("o", "t", 900, 950, 1000);
+  Work alone = work_of ("r2", "s", 900, 950, 1000);
+  Work late = work_of ("r3", "s", 1100, 1150, 1200);
+  Work::Moment end (std::chrono::milliseconds (1000));
+  TargetLife shared = { { among, other }, { end } };
+  TargetLife own = { { alone }, { end } };
+  TargetLife own_late = { { alone, late }, { end } };
+  EXPECT_TRUE (is_hold_justified ({ shared, shared, own }, "s", { "r2" }));
+  EXPECT_FALSE (is_hold_justified ({ shared, own }, "s", { "r2" }));
+  EXPECT_FALSE (is_hold_justified ({ shared, shared, own }, "s", {}));
+  EXPECT_FALSE (is_hold_justified ({ shared, shared, shared }, "s", { "r1" }));
+  EXPECT_FALSE (
+      is_hold_justified ({ shared, shared, own_late }, "s", { "r2", "r3" }));
+  EXPECT_FALSE (is_hold_justified ({ shared, shared, own }, "t", { "r2" }));
+}
+
 // Checks that the soak can find a fault. The daemon of this test treats every
 // request as repeatable, so a request that a target ran and did not answer
 // runs again at another target.
