--- a/test/unit/exchange_watch_test.cc
+++ b/test/unit/exchange_watch_test.cc
@@ -161,8 +161,7 @@
           of (x)->has_failed = true;
           uv_stop (&of (x)->loop_);
         },
-    .watch_ms =
-        [] (xch_t *x) -> uint64_t {
+    .watch_ms = [] (xch_t *x) -> uint64_t {
       of (x)->watches++;
       of (x)->watched_at = Clock::now ();
       return kWatchMs;
@@ -224,7 +223,8 @@
     {
       watch.run_for (2000);
       EXPECT_TRUE (watch.is_done);
-      EXPECT_GE (watch.done_at - watch.watched_at, milliseconds (kWatchMs - 2));
+      EXPECT_GE (watch.done_at - watch.watched_at,
+                 milliseconds (kWatchMs - 2));
       EXPECT_EQ (watch.remote.idle_count, 1u);
       if (i == 0)
         watch.start ();
