--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -502,7 +502,7 @@
 {
   // Chunks cannot be filled up by another answer.
   bool is_chunked = (xch_conn (x)->parser.flags & F_CHUNKED) != 0;
-  return is_chunked ? 0 : gtw_ending_watch (x->owner);
+  return is_chunked ? 0 : gtw_ending_begin_watch (x->owner);
 }
 
 /// @return  How an attempt ended whose answer is relayed as complete.
--- a/src/gateway/gateway_ending.c
+++ b/src/gateway/gateway_ending.c
@@ -1,7 +1,9 @@
 /// @file gateway_ending.c
-/// Decides whether an answer that ended with its connection is whole. The
-/// connection that shows that the target still listens is kept for the next
-/// request: the one that carried the answer is gone.
+/// Decides whether the end of an answer is its own. One that ended with its
+/// connection is whole if its target still listens; the connection that shows
+/// this is kept for the next request, as the one that carried the answer is
+/// gone. One with a length whose last bytes may begin another answer is whole
+/// unless the rest of that one follows.
 #include "gateway/gateway_ending.h"
 #include "gateway/gateway_scan.h"
 #include "transport/metrics.h"
@@ -67,7 +69,7 @@
 }
 
 uint64_t
-gtw_ending_watch (gtw_request_t *r)
+gtw_ending_begin_watch (gtw_request_t *r)
 {
   if (r->is_close_delimited || !gtw_scan_may_continue (r))
     return 0;
--- a/src/gateway/gateway_ending.h
+++ b/src/gateway/gateway_ending.h
@@ -1,5 +1,5 @@
 /// @file gateway_ending.h
-/// Decides whether an answer that ended with its connection is whole.
+/// Decides whether the end of an answer is its own.
 #ifndef KB_GATEWAY_GATEWAY_ENDING_H
 #define KB_GATEWAY_GATEWAY_ENDING_H
 
@@ -17,6 +17,6 @@
 /// Begin to withhold the end of an answer whose last bytes may begin another
 /// one, unless it has no length.
 /// @return  For how long, in ms; zero: nothing shows that they may.
-uint64_t gtw_ending_watch (gtw_request_t *r);
+uint64_t gtw_ending_begin_watch (gtw_request_t *r);
 
 #endif
