--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -72,6 +72,9 @@
 class Site
 {
 public:
+  /// Whether the daemons of later sites write all log lines, without a limit
+  /// on their rate.
+  static inline bool logs_all_lines = false;
   /// With several gateways, the last one reads `mirror_store`, which has the
   /// same content as `store`.
   /// @param proxies  When given, all connections but those of callers go
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Checks read the logs of the daemons.
+[[maybe_unused]] const bool kLogsAllLines = Site::logs_all_lines = true;
+
 constexpr int kAdapters = 12;
 /// Interval between the requests that crash targets, and the number of
 /// intervals that a target stays down.
