refactor(gateway): derive whether the end of an answer is withheld

watched_ms said it already: it is set when the end begins to be withheld and lapses with the attempt, like the target. is_watched, set and cleared beside it, goes.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -565,9 +565,8 @@
 answer_on_done (xch_t *x)
 {
   gtw_request_t *r = x->owner;
-  if (r->is_watched)
+  if (r->watched_ms > 0)
     gtw_request_arm_expiry (r);
-  r->is_watched = false;
   r->surplus_bytes = x->surplus.len_bytes;
   if (gtw_scan_end (r, x->surplus))
     {
@@ -728,8 +727,6 @@
   r->target_doubt = MSG_DOUBT_NONE;
   r->are_parts_served = false;
   r->is_close_delimited = false;
-  r->is_watched = false;
-  r->watched_ms = 0;
   r->refusal_done = NULL;
   r->ending_done = NULL;
   gtw_scan_begin (r);
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -278,8 +278,9 @@
   /// See gateway_ending.h; NULL: its target is not being asked.
   void (*ending_done) (gtw_request_t *r, bool is_whole);
   bool is_close_delimited; ///< It ends with the connection to the target.
-  bool is_watched;     ///< It is whole unless bytes behind it show otherwise.
-  uint64_t watched_ms; ///< When that began; zero: it has not.
+  /// When its end began to be withheld: it is whole unless bytes behind it show
+  /// otherwise. Zero: it is not.
+  uint64_t watched_ms;
   /// See gateway_refusal.h; NULL: no refusal is withheld.
   void (*refusal_done) (gtw_request_t *r, uint64_t retry_after_ms);
   int refusal_status;              ///< Of the one that is withheld.
--- a/src/gateway/gateway_ending.c
+++ b/src/gateway/gateway_ending.c
@@ -78,7 +78,6 @@
   // The answer has come in time.
   tmr_cancel (&r->gateway->host.timers, &r->expiry_timer);
   tmr_cancel (&r->gateway->host.timers, &r->silence_timer);
-  r->is_watched = true;
   r->watched_ms = gtw_now_ms (r->gateway);
   return left_ms / 2 < WATCH_MS ? left_ms / 2 : WATCH_MS;
 }
--- a/src/gateway/gateway_incarnations.c
+++ b/src/gateway/gateway_incarnations.c
@@ -55,7 +55,8 @@
       bool is_sent_there
           = r->target == target
             && (r->stage == GTW_STAGE_SENT || r->stage == GTW_STAGE_RELAYING);
-      if (is_sent_there && !r->is_watched && since_received_ms (r) > age_ms)
+      if (is_sent_there && r->watched_ms == 0
+          && since_received_ms (r) > age_ms)
         gtw_attempt_abort (r);
     }
 }
--- a/src/gateway/gateway_memory.c
+++ b/src/gateway/gateway_memory.c
@@ -129,7 +129,7 @@
       gtw_request_t *r = client->request;
       // One that is whole is released soon.
       if (client->conn.is_closing || r == NULL || r->ending_done != NULL
-          || r->is_watched || r->pending_answer.len_bytes == 0
+          || r->watched_ms > 0 || r->pending_answer.len_bytes == 0
           || r->pending_answer.cap_bytes <= heaviest_bytes)
         continue;
       heaviest = r;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -235,6 +235,7 @@
   gtw_quota_release_charge (&r->permit, !r->is_permit_used);
   gtw_alone_leave (r);
   r->awaited_health_request = 0;
+  r->watched_ms = 0;
   if (r->target != NULL)
     r->target->active--;
   r->target = NULL;
