refactor: name the time before a target is asked whether it listens once

gateway_ending and agent_ending had it as a constant of their own with the same reason; it stands in coordination/ending.h. No change of behaviour.

--- a/src/coordination/ending.h
+++ b/src/coordination/ending.h
@@ -8,6 +8,14 @@
 
 #include <stdbool.h>
 
+enum
+{
+  /// How long after the end of an answer that ended with its connection its
+  /// target is asked whether it still listens: a process that ends closes its
+  /// sockets one after the other.
+  END_SETTLE_MS = 5,
+};
+
 /// How an attempt ended.
 typedef enum
 {
--- a/src/daemon/agent_ending.c
+++ b/src/daemon/agent_ending.c
@@ -7,12 +7,6 @@
 #include "daemon/agent_defs.h"
 #include "transport/metrics.h"
 
-enum
-{
-  /// A process that ends closes its sockets one after the other.
-  SETTLE_MS = 5,
-};
-
 typedef struct
 {
   prb_probe_t connection; ///< First.
@@ -60,7 +54,7 @@
   ending->agent = r->agent;
   ending->attempt = r->attempt;
   ending->done = done;
-  tmr_start_once (&r->agent->daemon->timers, &ending->timer, SETTLE_MS,
+  tmr_start_once (&r->agent->daemon->timers, &ending->timer, END_SETTLE_MS,
                   ending_connect, ending);
   return true;
 }
--- a/src/gateway/gateway_ending.c
+++ b/src/gateway/gateway_ending.c
@@ -5,13 +5,12 @@
 /// gone. One with a length whose last bytes may begin another answer is whole
 /// unless the rest of that one follows.
 #include "gateway/gateway_ending.h"
+#include "coordination/ending.h"
 #include "gateway/gateway_scan.h"
 #include "transport/metrics.h"
 
 enum
 {
-  /// A process that ends closes its sockets one after the other.
-  SETTLE_MS = 5,
   /// A VM that does not answer within it is not reachable, which proves
   /// nothing.
   CONNECT_TIMEOUT_MS = 100,
@@ -63,7 +62,7 @@
   r->ending_done = done;
   // The answer has come in time.
   tmr_cancel (&r->gateway->host.timers, &r->expiry_timer);
-  tmr_start_once (&r->gateway->host.timers, &r->silence_timer, SETTLE_MS,
+  tmr_start_once (&r->gateway->host.timers, &r->silence_timer, END_SETTLE_MS,
                   ending_connect, r);
   return true;
 }
