perf(gateway): relay a body that was begun without a copy

Behind the first 64 KB, each read of a body went into the buffer of pending bytes, was relayed from there, and the buffer was freed: an allocation, a copy and two changes of the account a read, on the path of every large answer. What arrives while nothing is pending is relayed from the read buffer; only a byte that is withheld is kept. The gain was not measured.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -459,12 +459,12 @@
   build_head (r, conn);
 }
 
-/// Relay the part of a body that has arrived. The caller must not have all of
-/// it while its last bytes may belong to another answer.
+/// Relay a part of a body: all that is pending, or what has arrived while
+/// nothing is. The caller must not have all of the body while its last bytes
+/// may belong to another answer.
 static void
-relay_part (gtw_request_t *r)
+relay_part (gtw_request_t *r, kb_slice_t part)
 {
-  kb_slice_t part = kb_buf_slice (&r->pending_answer);
   bool is_held = part.len_bytes > 0 && gtw_scan_may_continue (r);
   part.len_bytes -= is_held;
   char last = is_held ? part.ptr[part.len_bytes] : '\0';
@@ -484,6 +484,12 @@
       attempt_handle_broken (r, END_SECOND);
       return;
     }
+  bool is_body_begun = r->is_head_written && !r->is_stream_answer;
+  if (is_body_begun && r->pending_answer.len_bytes == 0)
+    {
+      relay_part (r, bytes);
+      return;
+    }
   kb_buf_append (&r->pending_answer, bytes.ptr, bytes.len_bytes);
   if (r->is_stream_answer)
     {
@@ -492,9 +498,8 @@
       else if (r->pending_answer.len_bytes > MAX_EVENT_BYTES)
         attempt_handle_broken (r, END_OVERSIZED);
     }
-  else if (r->is_head_written
-           || r->pending_answer.len_bytes > MAX_BUFFERED_BYTES)
-    relay_part (r);
+  else if (is_body_begun || r->pending_answer.len_bytes > MAX_BUFFERED_BYTES)
+    relay_part (r, kb_buf_slice (&r->pending_answer));
 }
 
 static uint64_t
@@ -744,7 +749,7 @@
       return;
     }
   MET_INC ("knapweedbay_answers_released_total", "");
-  relay_part (r);
+  relay_part (r, kb_buf_slice (&r->pending_answer));
 }
 
 void
