refactor(gateway): ask in one way whether a request may run again

gateway_grace had a copy of the question in gateway_answer that left out what has been relayed. It asks only of requests of which nothing has, where both agree. No change of behaviour: stop_failure, stop_late_failure and relay tests pass.

--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -53,16 +53,6 @@
   MIN_LOGGED_GAP_MS = 300,
 };
 
-/// @return  Whether a request may be sent again though it may have run. The
-///          body of another run cannot continue a body that was begun.
-static bool
-is_repeatable (const gtw_request_t *r)
-{
-  return (r->kind == SVC_KIND_SAFE && !r->is_head_written)
-         || (r->kind == SVC_KIND_STREAM && r->is_resumable
-             && esq_stream_can_continue (&r->events));
-}
-
 /// End a request that will not be retried: refuse it if it has certainly not
 /// run, else fail it.
 static void
@@ -85,8 +75,8 @@
   r->reason = reason;
   if (!r->is_head_written)
     kb_buf_clear (&r->head);
-  bool may_run
-      = r->execution_state == GTW_EXECUTION_NOT_RUN || is_repeatable (r);
+  bool may_run = r->execution_state == GTW_EXECUTION_NOT_RUN
+                 || gtw_request_is_repeatable (r);
   if (!may_run
       || r->possible_runs
              >= r->max_attempts
@@ -177,7 +167,7 @@
 arm_silence_timer (gtw_request_t *r)
 {
   tmr_cancel (&r->gateway->host.timers, &r->silence_timer);
-  if (!is_repeatable (r) || r->possible_runs >= r->max_attempts)
+  if (!gtw_request_is_repeatable (r) || r->possible_runs >= r->max_attempts)
     return;
   uint64_t limit_ms = MAX_STREAM_SILENCE_MS;
   if (r->kind == SVC_KIND_SAFE)
@@ -435,7 +425,7 @@
   gtw_backpressure_apply_answer (r, &answer);
   if (answer.is_not_run && r->http_status >= 400)
     {
-      if (is_repeatable (r)
+      if (gtw_request_is_repeatable (r)
           || !gtw_refusal_hold (r, &answer, attempt_handle_not_run))
         attempt_handle_not_run (r, answer.retry_after_ms);
       return;
@@ -579,9 +569,9 @@
       return;
     }
   bool is_error = r->http_status >= HTTP_SERVER_ERROR;
-  bool may_repeat = is_repeatable (r) && r->possible_runs < r->max_attempts
-                    && !r->is_head_written
-                    && !gtw_quarantine_is_suspect_starting (r);
+  bool may_repeat
+      = gtw_request_is_repeatable (r) && r->possible_runs < r->max_attempts
+        && !r->is_head_written && !gtw_quarantine_is_suspect_starting (r);
   if (is_error && may_repeat)
     {
       // A server error counts as run; an idempotent request may run again.
@@ -712,8 +702,9 @@
   xch_request_t request
       = { .head = kb_buf_slice (&head),
           .body = r->body,
-          .max_idle_ms
-          = is_repeatable (r) ? XCH_ANY_IDLE_MS : MAX_IDLE_NON_IDEMPOTENT_MS,
+          .max_idle_ms = gtw_request_is_repeatable (r)
+                             ? XCH_ANY_IDLE_MS
+                             : MAX_IDLE_NON_IDEMPOTENT_MS,
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
           .is_head_method = r->client->conn.parser.method == HTTP_HEAD,
           .tag = gtw_scan_tag (r) };
--- a/src/gateway/gateway_defs.h
+++ b/src/gateway/gateway_defs.h
@@ -278,8 +278,8 @@
   /// See gateway_ending.h; NULL: its target is not being asked.
   void (*ending_done) (gtw_request_t *r, bool is_whole);
   bool is_close_delimited; ///< It ends with the connection to the target.
-  /// When its end began to be withheld: it is whole unless bytes behind it show
-  /// otherwise. Zero: it is not.
+  /// When its end began to be withheld: it is whole unless bytes behind it
+  /// show otherwise. Zero: it is not.
   uint64_t watched_ms;
   /// See gateway_refusal.h; NULL: no refusal is withheld.
   void (*refusal_done) (gtw_request_t *r, uint64_t retry_after_ms);
@@ -536,6 +536,16 @@
   return is_granted ? &r->granted_engine : &r->target->list_entry.identity;
 }
 
+/// @return  Whether a request may be sent again though it may have run. The
+///          body of another run cannot continue a body that was begun.
+static inline bool
+gtw_request_is_repeatable (const gtw_request_t *r)
+{
+  return (r->kind == SVC_KIND_SAFE && !r->is_head_written)
+         || (r->kind == SVC_KIND_STREAM && r->is_resumable
+             && esq_stream_can_continue (&r->events));
+}
+
 /// @return  Whether a target drains, by the target list or by its own answers,
 ///          and accepts no new request.
 static inline bool
--- a/src/gateway/gateway_grace.c
+++ b/src/gateway/gateway_grace.c
@@ -72,13 +72,6 @@
   return &entry->duration;
 }
 
-static bool
-may_run_again (const gtw_request_t *r)
-{
-  return r->kind == SVC_KIND_SAFE
-         || (r->kind == SVC_KIND_STREAM && r->is_resumable);
-}
-
 void
 gtw_grace_record_duration (const gtw_request_t *r)
 {
@@ -93,7 +86,7 @@
   const rto_timeout_t *duration = duration_of (r);
   if (duration->mean_ms <= 0)
     return r->objective_ms - r->arrived_ms;
-  return may_run_again (r)
+  return gtw_request_is_repeatable (r)
              ? (uint64_t)(duration->mean_ms + duration->deviation_ms)
              : rto_ms (duration);
 }
@@ -107,7 +100,7 @@
   uint64_t end_ms = gtw_grace_end_ms (gateway);
   if (gtw_request_expiry_ms (r) <= end_ms)
     return true;
-  if (!may_run_again (r) && gtw_grace_refuses_new (gateway))
+  if (!gtw_request_is_repeatable (r) && gtw_grace_refuses_new (gateway))
     return false;
   return gtw_now_ms (gateway) + expected_duration_ms (r) <= end_ms;
 }
