test(unit): share the loop and the listening socket of tests with peers

exchange_test, exchange_watch_test, httpc_test and the peer of the tests of engines and the store each set up and ended a loop with timers, and a socket on loopback, in the same lines; loopback.h has both.

--- a/test/unit/engine_control_test.cc
+++ b/test/unit/engine_control_test.cc
@@ -20,27 +20,18 @@
 
 const std::string kReport = "{\"State\":\"ready\",\"Running\":3}";
 
-class EngineControl : public testing::Test
+class EngineControl : public testing::Test, protected unit::Loop
 {
 protected:
   EngineControl ()
   {
-    uv_loop_init (&loop);
-    tmr_service_init (&timers, &loop);
-    pool = { .loop = &loop, .timers = &timers };
-    plt_engine_init (&engine, &pool, &peer.address, "holder");
+    plt_engine_init (&engine, &pool, &peer.address (), "holder");
     peer.set_answer ("/report", answer ("200 OK", kReport));
     peer.set_answer ("/health",
                      answer ("200 OK", "",
                              std::string (plt_instance_header) + ": i-1\r\n"));
   }
-  ~EngineControl () override
-  {
-    plt_engine_finish (&engine);
-    tmr_service_finish (&timers);
-    uv_run (&loop, UV_RUN_DEFAULT);
-    EXPECT_EQ (uv_loop_close (&loop), 0);
-  }
+  ~EngineControl () override { plt_engine_finish (&engine); }
   void
   wait ()
   {
@@ -97,9 +88,6 @@
     return instance;
   }
   RepeatingPeer peer;
-  uv_loop_t loop;
-  tmr_service_t timers;
-  xch_pool_t pool;
   plt_engine_t engine;
 
 private:
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -1,18 +1,11 @@
 // Exchanges while their connections are being made.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <chrono>
 #include <string>
 #include <thread>
 
-extern "C"
-{
-#include "transport/exchange.h"
-}
+#include "loopback.h"
 
 namespace
 {
@@ -24,37 +17,35 @@
 public:
   Peer ()
   {
-    listener_ = socket (AF_INET, SOCK_STREAM, 0);
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    bind (listener_, (sockaddr *)&address, size);
-    listen (listener_, 0);
-    getsockname (listener_, (sockaddr *)&address, &size);
     filler_ = socket (AF_INET, SOCK_STREAM, 0);
-    EXPECT_EQ (connect (filler_, (sockaddr *)&address, size), 0);
+    EXPECT_EQ (connect (filler_, (const sockaddr *)&listener_.address,
+                        sizeof listener_.address),
+               0);
   }
   /// Make room in the backlog, and serve.
   void
   start ()
   {
-    close (accept (listener_, nullptr, nullptr));
+    close (listener_.accept_one ());
     thread_ = std::thread ([this] { serve (); });
   }
   ~Peer ()
   {
-    shutdown (listener_, SHUT_RDWR);
+    listener_.end ();
     thread_.join ();
-    close (listener_);
     close (filler_);
   }
-  sockaddr_in address{};
+  const sockaddr_in &
+  address () const
+  {
+    return listener_.address;
+  }
 
 private:
   void
   serve ()
   {
-    int fd = accept (listener_, nullptr, nullptr);
+    int fd = listener_.accept_one ();
     if (fd < 0)
       return;
     std::string request;
@@ -71,23 +62,20 @@
       ;
     close (fd);
   }
-  int listener_;
+  unit::Listener listener_{ 0 };
   int filler_;
   std::thread thread_;
 };
 
 /// One exchange, and what it reports.
-class Exchange
+class Exchange : public unit::Loop
 {
 public:
   /// @param turn_ms  Time that the turn of the loop has taken before.
   explicit Exchange (const Peer &peer, uint64_t turn_ms = 0)
   {
-    uv_loop_init (&loop_);
     std::this_thread::sleep_for (std::chrono::milliseconds (turn_ms));
-    tmr_service_init (&timers_, &loop_);
-    pool_ = { .loop = &loop_, .timers = &timers_ };
-    xch_peer_init (&remote_, &pool_, &peer.address, 1);
+    xch_peer_init (&remote_, &pool, &peer.address (), 1);
     static const char head[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     xch_request_t request = { .head = { head, sizeof head - 1 },
                               .max_idle_ms = 0,
@@ -99,21 +87,6 @@
   {
     xch_cancel (&x);
     xch_peer_finish (&remote_);
-    tmr_service_finish (&timers_);
-    uv_run (&loop_, UV_RUN_DEFAULT);
-    EXPECT_EQ (uv_loop_close (&loop_), 0);
-  }
-  void
-  run_for (uint64_t ms)
-  {
-    uv_timer_t limit;
-    uv_timer_init (&loop_, &limit);
-    uv_update_time (&loop_);
-    uv_timer_start (
-        &limit, [] (uv_timer_t *timer) { uv_stop (timer->loop); }, ms, 0);
-    uv_run (&loop_, UV_RUN_DEFAULT);
-    uv_close ((uv_handle_t *)&limit, nullptr);
-    uv_run (&loop_, UV_RUN_NOWAIT);
   }
   xch_t x;
   std::string body;
@@ -127,9 +100,6 @@
   {
     return (Exchange *)x->owner;
   }
-  uv_loop_t loop_;
-  tmr_service_t timers_;
-  xch_pool_t pool_;
   xch_peer_t remote_;
   const xch_events_t events_ = {
     .on_head = [] (xch_t *) {},
@@ -140,12 +110,12 @@
     .on_done =
         [] (xch_t *x) {
           of (x)->is_done = true;
-          uv_stop (&of (x)->loop_);
+          uv_stop (&of (x)->loop);
         },
     .on_fail =
         [] (xch_t *x, xch_failure_t) {
           of (x)->has_failed = true;
-          uv_stop (&of (x)->loop_);
+          uv_stop (&of (x)->loop);
         },
     .on_connect = [] (xch_t *x) { of (x)->is_connected = true; },
   };
--- a/test/unit/exchange_watch_test.cc
+++ b/test/unit/exchange_watch_test.cc
@@ -1,19 +1,12 @@
 // Exchanges that read on behind a complete response.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <chrono>
 #include <functional>
 #include <string>
 #include <thread>
 
-extern "C"
-{
-#include "transport/exchange.h"
-}
+#include "loopback.h"
 
 namespace
 {
@@ -30,15 +23,8 @@
 public:
   explicit Peer (std::function<void (int)> script) : script_ (script)
   {
-    listener_ = socket (AF_INET, SOCK_STREAM, 0);
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    bind (listener_, (sockaddr *)&address, size);
-    listen (listener_, 4);
-    getsockname (listener_, (sockaddr *)&address, &size);
     thread_ = std::thread ([this] {
-      int fd = accept (listener_, nullptr, nullptr);
+      int fd = listener_.accept_one ();
       if (fd < 0)
         return;
       script_ (fd);
@@ -47,15 +33,18 @@
   }
   ~Peer ()
   {
-    shutdown (listener_, SHUT_RDWR);
+    listener_.end ();
     thread_.join ();
-    close (listener_);
   }
-  sockaddr_in address{};
+  const sockaddr_in &
+  address () const
+  {
+    return listener_.address;
+  }
 
 private:
   std::function<void (int)> script_;
-  int listener_;
+  unit::Listener listener_{ 4 };
   std::thread thread_;
 };
 
@@ -83,15 +72,12 @@
     ;
 }
 
-class Watch
+class Watch : public unit::Loop
 {
 public:
   explicit Watch (const Peer &peer)
   {
-    uv_loop_init (&loop_);
-    tmr_service_init (&timers, &loop_);
-    pool_ = { .loop = &loop_, .timers = &timers };
-    xch_peer_init (&remote, &pool_, &peer.address, 1);
+    xch_peer_init (&remote, &pool, &peer.address (), 1);
     start ();
   }
   void
@@ -109,26 +95,11 @@
   {
     xch_cancel (&x);
     xch_peer_finish (&remote);
-    tmr_service_finish (&timers);
-    uv_run (&loop_, UV_RUN_DEFAULT);
+    drain ();
     EXPECT_EQ (remote.open_count, 0u);
-    EXPECT_EQ (uv_loop_close (&loop_), 0);
-  }
-  void
-  run_for (uint64_t ms)
-  {
-    uv_timer_t limit;
-    uv_timer_init (&loop_, &limit);
-    uv_update_time (&loop_);
-    uv_timer_start (
-        &limit, [] (uv_timer_t *timer) { uv_stop (timer->loop); }, ms, 0);
-    uv_run (&loop_, UV_RUN_DEFAULT);
-    uv_close ((uv_handle_t *)&limit, nullptr);
-    uv_run (&loop_, UV_RUN_NOWAIT);
   }
   xch_t x;
   xch_peer_t remote;
-  tmr_service_t timers;
   int watches = 0;
   int dones = 0;
   bool is_done = false;
@@ -142,8 +113,6 @@
   {
     return (Watch *)x->owner;
   }
-  uv_loop_t loop_;
-  xch_pool_t pool_;
   const xch_events_t events_ = {
     .on_head = [] (xch_t *) {},
     .on_body = [] (xch_t *, kb_slice_t) {},
@@ -154,12 +123,12 @@
           of (x)->done_at = Clock::now ();
           if (x->surplus.len_bytes > 0)
             of (x)->surplus.assign (x->surplus.ptr, x->surplus.len_bytes);
-          uv_stop (&of (x)->loop_);
+          uv_stop (&of (x)->loop);
         },
     .on_fail =
         [] (xch_t *x, xch_failure_t) {
           of (x)->has_failed = true;
-          uv_stop (&of (x)->loop_);
+          uv_stop (&of (x)->loop);
         },
     .watch_ms = [] (xch_t *x) -> uint64_t {
       of (x)->watches++;
--- a/test/unit/httpc_test.cc
+++ b/test/unit/httpc_test.cc
@@ -1,10 +1,6 @@
 // Calls over HTTP/1.1 with one connection each: how they end.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -12,6 +8,8 @@
 #include <thread>
 #include <vector>
 
+#include "loopback.h"
+
 extern "C"
 {
 #include "transport/httpc.h"
@@ -41,23 +39,14 @@
 public:
   explicit Peer (Script script) : script_ (std::move (script))
   {
-    listener_ = socket (AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    bind (listener_, (sockaddr *)&address, size);
-    listen (listener_, 4);
-    getsockname (listener_, (sockaddr *)&address, &size);
-    port = ntohs (address.sin_port);
+    port = ntohs (listener_.address.sin_port);
     thread_ = std::thread ([this] { serve (); });
   }
   ~Peer ()
   {
     is_over_ = true;
-    shutdown (listener_, SHUT_RDWR);
+    listener_.end ();
     thread_.join ();
-    close (listener_);
   }
   uint16_t port;
   std::string request;
@@ -66,7 +55,7 @@
   void
   serve ()
   {
-    int fd = accept (listener_, nullptr, nullptr);
+    int fd = listener_.accept_one ();
     if (fd < 0)
       return;
     char bytes[4096];
@@ -97,26 +86,15 @@
   }
   Script script_;
   std::atomic<bool> is_over_{ false };
-  int listener_;
+  unit::Listener listener_{ 4 };
   std::thread thread_;
 };
 
 /// A client, and what one call reports.
-class Client
+class Client : public unit::Loop
 {
 public:
-  Client ()
-  {
-    uv_loop_init (&loop);
-    tmr_service_init (&timers, &loop);
-    htc_client_init (&client, &loop, &timers);
-  }
-  ~Client ()
-  {
-    tmr_service_finish (&timers);
-    uv_run (&loop, UV_RUN_DEFAULT);
-    EXPECT_EQ (uv_loop_close (&loop), 0);
-  }
+  Client () { htc_client_init (&client, &loop, &timers); }
   htc_call_t *
   start (uint16_t port, const char *address = "127.0.0.1")
   {
@@ -174,8 +152,6 @@
     c.is_over = true;
   }
   static constexpr htc_events_t events = { on_head, on_body, on_end };
-  uv_loop_t loop;
-  tmr_service_t timers;
   htc_client_t client;
   std::function<void (htc_call_t *)> at_head;
   std::function<void (htc_call_t *)> at_body;
--- a/test/unit/repeating_peer.h
+++ b/test/unit/repeating_peer.h
@@ -3,16 +3,14 @@
 #ifndef KB_TEST_UNIT_REPEATING_PEER_H
 #define KB_TEST_UNIT_REPEATING_PEER_H
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <map>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "loopback.h"
+
 namespace unit
 {
 
@@ -31,20 +29,12 @@
 public:
   RepeatingPeer ()
   {
-    listener_ = socket (AF_INET, SOCK_STREAM, 0);
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    bind (listener_, (sockaddr *)&address, size);
-    listen (listener_, 16);
-    getsockname (listener_, (sockaddr *)&address, &size);
     thread_ = std::thread ([this] { accept_all (); });
   }
   ~RepeatingPeer ()
   {
-    shutdown (listener_, SHUT_RDWR);
+    listener_.end ();
     thread_.join ();
-    close (listener_);
     for (int fd : accepted_)
       shutdown (fd, SHUT_RDWR);
     for (std::thread &connection : connections_)
@@ -58,14 +48,18 @@
     std::lock_guard<std::mutex> guard (mutex_);
     answers_[path] = bytes;
   }
-  sockaddr_in address{};
+  const sockaddr_in &
+  address () const
+  {
+    return listener_.address;
+  }
 
 private:
   void
   accept_all ()
   {
     int fd;
-    while ((fd = accept (listener_, nullptr, nullptr)) >= 0)
+    while ((fd = listener_.accept_one ()) >= 0)
       {
         accepted_.push_back (fd);
         connections_.emplace_back ([this, fd] { serve (fd); });
@@ -112,7 +106,7 @@
   std::map<std::string, std::string> answers_;
   std::vector<int> accepted_;
   std::vector<std::thread> connections_;
-  int listener_;
+  Listener listener_{ 16 };
   std::thread thread_;
 };
 
--- a/test/unit/store_test.cc
+++ b/test/unit/store_test.cc
@@ -16,24 +16,18 @@
 using unit::answer;
 using unit::RepeatingPeer;
 
-class Store : public testing::Test
+class Store : public testing::Test, protected unit::Loop
 {
 protected:
   Store ()
   {
-    uv_loop_init (&loop);
-    tmr_service_init (&timers, &loop);
-    pool = { .loop = &loop, .timers = &timers };
-    sto_client_init (&client, &pool, &peer.address);
+    sto_client_init (&client, &pool, &peer.address ());
     peer.set_answer ("/kv-lease", answer ("200 OK", "{\"Lease\":7}"));
   }
   ~Store () override
   {
     sto_put_cancel (&put);
     sto_client_finish (&client);
-    tmr_service_finish (&timers);
-    uv_run (&loop, UV_RUN_DEFAULT);
-    EXPECT_EQ (uv_loop_close (&loop), 0);
   }
   kb_status_t
   write ()
@@ -57,9 +51,6 @@
     return status;
   }
   RepeatingPeer peer;
-  uv_loop_t loop;
-  tmr_service_t timers;
-  xch_pool_t pool;
   sto_client_t client;
   sto_put_t put = {};
 
