--- a/test/system/cut_head_test.cc
+++ b/test/system/cut_head_test.cc
@@ -3,6 +3,7 @@
 
 #include <mutex>
 
+#include "adapter_pages.h"
 #include "cluster.h"
 #include "cut_answer.h"
 
@@ -34,7 +35,7 @@
   {
     bool is_run = is_plain || request.target () == "/v1/completions";
     if (!is_run)
-      return serve_page (connection, request);
+      return pages_.serve (connection, request);
     relay::Cut cut;
     {
       std::lock_guard<std::mutex> lock (mutex_);
@@ -45,7 +46,7 @@
         = is_plain
               ? "{\"map\":1}"
               : "{\"id\":\"c\",\"object\":\"text_completion\",\"model\":\""
-                    + member (request.body, "model")
+                    + kb::text_member (request.body, "model")
                     + "\",\"choices\":[{\"index\":0,\"text\":\"x\","
                       "\"finish_reason\":\"length\"}]}";
     if (cut.after_bytes < 0)
@@ -54,35 +55,9 @@
     relay::send_cut (connection, cut, type, body);
     return false;
   }
-  bool
-  serve_page (relay::Connection &connection, const relay::Message &request)
-  {
-    std::lock_guard<std::mutex> lock (mutex_);
-    std::string loaded = member (request.body, "lora_name");
-    if (!loaded.empty ())
-      adapters_.insert (loaded);
-    std::string list;
-    for (const std::string &name : adapters_)
-      list += (list.empty () ? "" : ",") + ("{\"id\":\"" + name + "\"}");
-    return connection.write (relay::json_response (
-        request.method () == "GET"
-            ? "{\"incarnation\":\"i1\",\"data\":[" + list + "]}"
-            : "{}"));
-  }
-  /// Value of a text member of a flat JSON object.
-  static std::string
-  member (const std::string &json, const std::string &name)
-  {
-    std::string mark = "\"" + name + "\":\"";
-    size_t at = json.find (mark);
-    if (at == std::string::npos)
-      return "";
-    at += mark.size ();
-    return json.substr (at, json.find ('"', at) - at);
-  }
   std::mutex mutex_;
   relay::Cut cut_;
-  std::set<std::string> adapters_;
+  kb::AdapterPages pages_;
 };
 
 /// Beyond the end of all answers here.
--- a/test/system/scripted_target.h
+++ b/test/system/scripted_target.h
@@ -4,6 +4,7 @@
 #ifndef KB_TEST_SYSTEM_SCRIPTED_TARGET_H
 #define KB_TEST_SYSTEM_SCRIPTED_TARGET_H
 
+#include "adapter_pages.h"
 #include "answer_script.h"
 #include "http_peer.h"
 
@@ -37,11 +38,11 @@
   serve (relay::Connection &connection, const relay::Message &request) override
   {
     if (!is_plain_ && request.target () != "/v1/completions")
-      return serve_page (connection, request);
+      return pages_.serve (connection, request);
     relay::AnswerScript script;
     {
       std::lock_guard<std::mutex> lock (mutex_);
-      script = plan_ (member (request.body, "model"), runs++);
+      script = plan_ (text_member (request.body, "model"), runs++);
     }
     for (const relay::AnswerWrite &w : script.writes)
       {
@@ -53,36 +54,10 @@
       connection.reset ();
     return script.end == relay::AnswerEnd::KEEP;
   }
-  bool
-  serve_page (relay::Connection &connection, const relay::Message &request)
-  {
-    std::lock_guard<std::mutex> lock (mutex_);
-    std::string loaded = member (request.body, "lora_name");
-    if (!loaded.empty ())
-      adapters_.insert (loaded);
-    std::string list;
-    for (const std::string &name : adapters_)
-      list += (list.empty () ? "" : ",") + ("{\"id\":\"" + name + "\"}");
-    return connection.write (relay::json_response (
-        request.method () == "GET"
-            ? "{\"incarnation\":\"i1\",\"data\":[" + list + "]}"
-            : "{}"));
-  }
-  /// Value of a text member of a flat JSON object.
-  static std::string
-  member (const std::string &json, const std::string &name)
-  {
-    std::string mark = "\"" + name + "\":\"";
-    size_t at = json.find (mark);
-    if (at == std::string::npos)
-      return "";
-    at += mark.size ();
-    return json.substr (at, json.find ('"', at) - at);
-  }
   bool is_plain_;
   std::mutex mutex_;
   Plan plan_;
-  std::set<std::string> adapters_;
+  AdapterPages pages_;
 };
 
 } // namespace kb
