--- a/test/relay/answer_owner_failure_test.cc
+++ b/test/relay/answer_owner_failure_test.cc
@@ -258,6 +258,26 @@
   std::thread thread_;
 };
 
+/// Send a request on a connection whose gateway stands still, after one whose
+/// answer has left the gateway a kept connection.
+/// @param meanwhile  What happens to that connection before the gateway goes
+///                   on.
+void
+send_while_stopped (Site &site, const std::string &number,
+                    const std::function<void ()> &meanwhile, Message *answer)
+{
+  auto caller = dial (site.gateways[0].address);
+  ASSERT_TRUE (caller->write (unsafe_call ("kept" + number).text ()));
+  ASSERT_EQ (caller->read_response ().status, 200);
+  pid_t gateway = site.gateways[0].daemon.pid;
+  kill (gateway, SIGSTOP);
+  caller->write (unsafe_call ("next" + number).text ());
+  meanwhile ();
+  kill (gateway, SIGCONT);
+  *answer = caller->read_response ();
+  printf ("%d %s\n", answer->status, answer->body.c_str ());
+}
+
 // Guards against a request that is lost because the kept connection that it
 // was to be written to had been reset: not a byte of it has left.
 TEST (AnswerOwner, RequestForAConnectionThatWasResetIsSentOnAnother)
@@ -269,21 +289,16 @@
   constexpr int kRounds = 5;
   for (int i = 0; i < kRounds; i++)
     {
-      std::string n = std::to_string (i);
-      auto caller = dial (site.gateways[0].address);
-      ASSERT_TRUE (caller->write (unsafe_call ("kept" + n).text ()));
-      ASSERT_EQ (caller->read_response ().status, 200);
-      pid_t gateway = site.gateways[0].daemon.pid;
-      kill (gateway, SIGSTOP);
-      caller->write (unsafe_call ("next" + n).text ());
-      std::this_thread::sleep_for (std::chrono::milliseconds (30));
-      target.simulate_exit ();
-      target.listen_again ();
-      std::this_thread::sleep_for (std::chrono::milliseconds (30));
-      kill (gateway, SIGCONT);
-      Message answer = caller->read_response ();
+      auto meanwhile = [&] {
+        std::this_thread::sleep_for (std::chrono::milliseconds (30));
+        target.simulate_exit ();
+        target.listen_again ();
+        std::this_thread::sleep_for (std::chrono::milliseconds (30));
+      };
+      Message answer;
+      ASSERT_NO_FATAL_FAILURE (
+          send_while_stopped (site, std::to_string (i), meanwhile, &answer));
       served += answer.status == 200;
-      printf ("%d %s\n", answer.status, answer.body.c_str ());
       EXPECT_NE (answer.status, 504);
     }
   EXPECT_EQ (served, kRounds);
@@ -306,18 +321,13 @@
   int served = 0;
   for (int i = 0; i < kRounds; i++)
     {
-      std::string n = std::to_string (i);
-      auto caller = dial (site.gateways[0].address);
-      ASSERT_TRUE (caller->write (unsafe_call ("kept" + n).text ()));
-      ASSERT_EQ (caller->read_response ().status, 200);
-      pid_t gateway = site.gateways[0].daemon.pid;
-      kill (gateway, SIGSTOP);
-      caller->write (unsafe_call ("next" + n).text ());
-      std::this_thread::sleep_for (std::chrono::milliseconds (4 * kStepMs));
-      kill (gateway, SIGCONT);
-      Message answer = caller->read_response ();
+      auto meanwhile = [&] {
+        std::this_thread::sleep_for (std::chrono::milliseconds (4 * kStepMs));
+      };
+      Message answer;
+      ASSERT_NO_FATAL_FAILURE (
+          send_while_stopped (site, std::to_string (i), meanwhile, &answer));
       served += answer.status == 200;
-      printf ("%d %s\n", answer.status, answer.body.c_str ());
       // Until the connection of this answer is closed as well.
       std::this_thread::sleep_for (std::chrono::milliseconds (4 * kStepMs));
     }
--- a/test/relay/answer_rest_failure_test.cc
+++ b/test/relay/answer_rest_failure_test.cc
@@ -566,15 +566,18 @@
   EXPECT_EQ (whole, 0);
 }
 
-// Guards against an answer that is served as whole though the process of its
-// target, which was leaving, was killed within it.
-TEST (AnswerRest, AnswerOfALeavingTargetThatIsKilledIsNotWhole)
+/// Send requests to targets that are processes, one after the other, and let
+/// each be listed as leaving while it answers.
+/// @param path       Of the requests; a number follows.
+/// @param meanwhile  Called while the target answers, once that was listed.
+void
+ask_leaving_targets (int count, const std::string &path,
+                     const std::function<void (ProcessTarget &)> &meanwhile,
+                     std::vector<Message> *answers)
 {
-  constexpr int kRounds = 4;
   Site site (0, 1, 1);
   std::string ip = replace_target (site);
-  int whole = 0;
-  for (int i = 0; i < kRounds; i++)
+  for (int i = 0; i < count; i++)
     {
       std::string n = std::to_string (i);
       ProcessTarget process (ip, true);
@@ -582,16 +585,31 @@
       ASSERT_TRUE (wait_listed (site, "i-proc" + n));
       auto caller = dial (site.gateways[0].address);
       Call call = unsafe_call ("k" + n);
-      call.path = "/unsafe/half" + n;
+      call.path = path + n;
       caller->write (call.text ());
       std::this_thread::sleep_for (std::chrono::milliseconds (50));
       put_entry (site, process.address (), "i-proc" + n, "draining");
-      std::this_thread::sleep_for (std::chrono::milliseconds (400));
-      process.kill ();
-      Message answer = caller->read_response ();
-      whole += answer.status == 200 && answer.is_complete;
+      meanwhile (process);
+      answers->push_back (caller->read_response ());
       site.remove ("servers/i-proc" + n);
     }
+}
+
+// Guards against an answer that is served as whole though the process of its
+// target, which was leaving, was killed within it.
+TEST (AnswerRest, AnswerOfALeavingTargetThatIsKilledIsNotWhole)
+{
+  constexpr int kRounds = 4;
+  int whole = 0;
+  auto kill_it = [] (ProcessTarget &process) {
+    std::this_thread::sleep_for (std::chrono::milliseconds (400));
+    process.kill ();
+  };
+  std::vector<Message> answers;
+  ASSERT_NO_FATAL_FAILURE (
+      ask_leaving_targets (kRounds, "/unsafe/half", kill_it, &answers));
+  for (const Message &answer : answers)
+    whole += answer.status == 200 && answer.is_complete;
   printf ("%d of %d looked whole\n", whole, kRounds);
   EXPECT_EQ (whole, 0);
 }
@@ -601,25 +619,12 @@
 TEST (AnswerRest, LastAnswerOfALeavingTargetThatListensIsServed)
 {
   constexpr int kRounds = 4;
-  Site site (0, 1, 1);
-  std::string ip = replace_target (site);
   int served = 0;
-  for (int i = 0; i < kRounds; i++)
-    {
-      std::string n = std::to_string (i);
-      ProcessTarget process (ip, true);
-      put_entry (site, process.address (), "i-exit" + n, "ready");
-      ASSERT_TRUE (wait_listed (site, "i-exit" + n));
-      auto caller = dial (site.gateways[0].address);
-      Call call = unsafe_call ("x" + n);
-      call.path = "/unsafe/exit" + n;
-      caller->write (call.text ());
-      std::this_thread::sleep_for (std::chrono::milliseconds (50));
-      put_entry (site, process.address (), "i-exit" + n, "draining");
-      Message answer = caller->read_response ();
-      served += answer.status == 200 && answer.body == ProcessTarget::body;
-      site.remove ("servers/i-exit" + n);
-    }
+  std::vector<Message> answers;
+  ASSERT_NO_FATAL_FAILURE (ask_leaving_targets (
+      kRounds, "/unsafe/exit", [] (ProcessTarget &) {}, &answers));
+  for (const Message &answer : answers)
+    served += answer.status == 200 && answer.body == ProcessTarget::body;
   printf ("%d of %d served\n", served, kRounds);
   EXPECT_EQ (served, kRounds);
 }
--- a/test/relay/innocent_failure_test.cc
+++ b/test/relay/innocent_failure_test.cc
@@ -118,6 +118,28 @@
     }
 }
 
+/// The same, with an engine whose answers begin at once and end with their
+/// connections.
+/// @return  The engine.
+Target &
+make_suspect_of_closing_engine (Site &site)
+{
+  make_suspect (site);
+  Target &engine = *site.engines[0].target;
+  engine.event_ms = 2;
+  engine.is_unframed = true;
+  return engine;
+}
+
+/// Restart an engine as an incarnation that the list does not name.
+void
+restart_unlisted (Site &site, const std::string &id)
+{
+  site.engines[0].target->restart (id);
+  ASSERT_TRUE (Site::wait_identified (site.engines[0], id));
+  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+}
+
 /// End the only plain target while the innocent request and another one run
 /// there.
 void
@@ -252,17 +274,8 @@
 TEST (Innocent, ClosedAnswerOfAnUnlistedIncarnationIsConfirmed)
 {
   Site site (1, 0, 1);
-  make_suspect (site);
-  Target &engine = *site.engines[0].target;
-  engine.event_ms = 2;
-  engine.is_unframed = true;
-  engine.restart ("i-unlisted");
-  ASSERT_TRUE (Site::wait_for ([&] {
-    return !Site::log_lines (site.engines[0].sidecar,
-                             { "engine_identified", "i-unlisted" })
-                .empty ();
-  }));
-  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
+  Target &engine = make_suspect_of_closing_engine (site);
+  ASSERT_NO_FATAL_FAILURE (restart_unlisted (site, "i-unlisted"));
   EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
   // Reports may be late, and show only then that the engine lives on.
   std::this_thread::sleep_for (milliseconds (4 * kEndKnownMs));
@@ -275,10 +288,7 @@
 TEST (Innocent, EndOfAnEngineThatLivedOnIsNotOfAnEarlierAnswer)
 {
   Site site (1, 0, 1);
-  make_suspect (site);
-  Target &engine = *site.engines[0].target;
-  engine.event_ms = 2;
-  engine.is_unframed = true;
+  Target &engine = make_suspect_of_closing_engine (site);
   EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
   std::this_thread::sleep_for (milliseconds (kEndKnownMs));
   exit_and_restart (site, engine);
@@ -290,10 +300,7 @@
 TEST (Innocent, EndByTheNextRequestIsNotOfAnEarlierAnswer)
 {
   Site site (1, 0, 1);
-  make_suspect (site);
-  Target &engine = *site.engines[0].target;
-  engine.event_ms = 2;
-  engine.is_unframed = true;
+  Target &engine = make_suspect_of_closing_engine (site);
   engine.crash_on_path ("/once/fatal");
   EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
   send_call (site.gateways[0], other_stream ("fatal"));
@@ -309,38 +316,19 @@
 TEST (Innocent, AnswerClearsOnceItsEngineHasLivedOn)
 {
   Site site (1, 0, 1);
-  make_suspect (site);
-  Target &engine = *site.engines[0].target;
-  engine.event_ms = 2;
-  engine.is_unframed = true;
+  make_suspect_of_closing_engine (site);
   EXPECT_EQ (send_call (site.gateways[0], innocent_stream (2)).status, 200);
   std::this_thread::sleep_for (milliseconds (kEndKnownMs));
   Message answer = send_call (site.gateways[0], innocent_stream (3));
   EXPECT_EQ (answer.status, 200) << answer.body;
 }
 
-/// Restart an engine as an incarnation that the list does not name.
-void
-restart_unlisted (Site &site, const std::string &id)
-{
-  site.engines[0].target->restart (id);
-  ASSERT_TRUE (Site::wait_for ([&] {
-    return !Site::log_lines (site.engines[0].sidecar,
-                             { "engine_identified", id })
-                .empty ();
-  }));
-  std::this_thread::sleep_for (milliseconds (kEndKnownMs));
-}
-
 // Guards against a whole answer of an incarnation that counts as broken off
 // because the list names an earlier one then.
 TEST (Innocent, AnswerOfALaterIncarnationThanTheListedOneIsNoEnd)
 {
   Site site (1, 0, 1);
-  make_suspect (site);
-  Target &engine = *site.engines[0].target;
-  engine.event_ms = 2;
-  engine.is_unframed = true;
+  Target &engine = make_suspect_of_closing_engine (site);
   restart_unlisted (site, "i-first");
   Incarnation first = engine.incarnation ();
   restart_unlisted (site, "i-second");
@@ -355,10 +343,7 @@
 TEST (Innocent, AnswerOfAnIncarnationIsNoEndWhenAnEarlierOneIsListed)
 {
   Site site (1, 0, 1);
-  make_suspect (site);
-  Target &engine = *site.engines[0].target;
-  engine.event_ms = 2;
-  engine.is_unframed = true;
+  Target &engine = make_suspect_of_closing_engine (site);
   restart_unlisted (site, "i-first");
   Incarnation first = engine.incarnation ();
   restart_unlisted (site, "i-second");
@@ -425,11 +410,7 @@
   for (Engine &engine : site.engines)
     {
       engine.target->restart (engine.target->id () + "-new");
-      ASSERT_TRUE (Site::wait_for ([&] {
-        return !Site::log_lines (engine.sidecar,
-                                 { "engine_identified", engine.target->id () })
-                    .empty ();
-      }));
+      ASSERT_TRUE (Site::wait_identified (engine, engine.target->id ()));
     }
   std::this_thread::sleep_for (milliseconds (kEndKnownMs));
   for (int attempt = 0; attempt < 3; attempt++)
--- a/test/relay/model_order_failure_test.cc
+++ b/test/relay/model_order_failure_test.cc
@@ -27,50 +27,38 @@
 wait_identified (Site &site, const std::string &id,
                  int timeout_ms = kModelHeldMs)
 {
-  return Site::wait_for (
-      [&] {
-        return !Site::log_lines (site.engines[0].sidecar,
-                                 { "engine_identified", id })
-                    .empty ();
-      },
-      timeout_ms);
+  return Site::wait_identified (site.engines[0], id, timeout_ms);
 }
 
-// Guards against an engine without a model for 5 s after the connection of the
-// order to load it was reset.
-TEST (ModelOrder, LostWithItsConnectionIsSentAgain)
+void
+expect_sent_again (int count, OrderLoss loss, int timeout_ms)
 {
   Site site (1, 0, 1);
   ASSERT_TRUE (site.wait_ready ());
-  std::string id = restart_losing_orders (site, 1, OrderLoss::RESET);
-  EXPECT_TRUE (wait_identified (site, id));
-  EXPECT_EQ (site.engines[0].target->lost_order_count, 1);
-  if (HasFailure ())
+  std::string id = restart_losing_orders (site, count, loss);
+  EXPECT_TRUE (wait_identified (site, id, timeout_ms));
+  EXPECT_EQ (site.engines[0].target->lost_order_count, count);
+  if (testing::Test::HasFailure ())
     site.print_logs (20);
 }
 
+// Guards against an engine without a model for 5 s after the connection of the
+// order to load it was reset.
+TEST (ModelOrder, LostWithItsConnectionIsSentAgain)
+{
+  expect_sent_again (1, OrderLoss::RESET, kModelHeldMs);
+}
+
 // Guards against the same after an order without an answer.
 TEST (ModelOrder, LostWithoutAnAnswerIsSentAgain)
 {
-  Site site (1, 0, 1);
-  ASSERT_TRUE (site.wait_ready ());
-  std::string id = restart_losing_orders (site, 1, OrderLoss::SILENCE);
-  EXPECT_TRUE (wait_identified (site, id));
-  EXPECT_EQ (site.engines[0].target->lost_order_count, 1);
-  if (HasFailure ())
-    site.print_logs (20);
+  expect_sent_again (1, OrderLoss::SILENCE, kModelHeldMs);
 }
 
 // Guards against an engine without a model for 10 s after two lost orders.
 TEST (ModelOrder, LostTwiceIsSentAgain)
 {
-  Site site (1, 0, 1);
-  ASSERT_TRUE (site.wait_ready ());
-  std::string id = restart_losing_orders (site, 2, OrderLoss::RESET);
-  EXPECT_TRUE (wait_identified (site, id, 2 * kModelHeldMs));
-  EXPECT_EQ (site.engines[0].target->lost_order_count, 2);
-  if (HasFailure ())
-    site.print_logs (20);
+  expect_sent_again (2, OrderLoss::RESET, 2 * kModelHeldMs);
 }
 
 // Guards against a second fetch of a model whose order was accepted, though
--- a/test/relay/out_of_step_failure_test.cc
+++ b/test/relay/out_of_step_failure_test.cc
@@ -42,11 +42,7 @@
 {
   bool is_identified = true;
   for (size_t i : kNewer)
-    is_identified &= Site::wait_for ([&] {
-      return !Site::log_lines (site.engines[i].sidecar,
-                               { "engine_identified" })
-                  .empty ();
-    });
+    is_identified &= Site::wait_identified (site.engines[i], "");
   pause_ms (100);
   return is_identified;
 }
--- a/test/relay/pause_failure_test.cc
+++ b/test/relay/pause_failure_test.cc
@@ -236,11 +236,7 @@
   ASSERT_TRUE (site.wait_ready ());
   Target &engine = *site.engines[0].target;
   engine.restart ("i-new");
-  ASSERT_TRUE (Site::wait_for ([&] {
-    return !Site::log_lines (site.engines[0].sidecar,
-                             { "engine_identified", "i-new" })
-                .empty ();
-  }));
+  ASSERT_TRUE (Site::wait_identified (site.engines[0], "i-new"));
   engine.pause_s = long_pause_ms / 1000.0;
   Load load (&site, stream, 16, 5);
   ASSERT_TRUE (
@@ -282,11 +278,7 @@
   ASSERT_TRUE (site.wait_ready ());
   Target &engine = *site.engines[0].target;
   engine.restart ("i-new");
-  ASSERT_TRUE (Site::wait_for ([&] {
-    return !Site::log_lines (site.engines[0].sidecar,
-                             { "engine_identified", "i-new" })
-                .empty ();
-  }));
+  ASSERT_TRUE (Site::wait_identified (site.engines[0], "i-new"));
   engine.pause_s = long_pause_ms / 1000.0;
   Load load (&site, stream, 16, 5);
   ASSERT_TRUE (
--- a/test/relay/silence_failure_test.cc
+++ b/test/relay/silence_failure_test.cc
@@ -91,6 +91,15 @@
   expect_whole_stream (false);
 }
 
+void
+expect_slow_answer (Site &site)
+{
+  site.plain[0]->answer_ms = kSlowAnswerMs;
+  Message answer = send_call (site.gateways[0], plain_call ("slow"));
+  EXPECT_EQ (answer.status, 200) << answer.body;
+  EXPECT_EQ (site.runs_of ("slow"), 1);
+}
+
 // Guards against a request that fails because its target, the only one, is
 // slower than three objectives.
 TEST (Silence, SafeRequestWaitsForTheOnlyTarget)
@@ -98,10 +107,7 @@
   Site site (0, 1, 1);
   ASSERT_TRUE (site.wait_ready ());
   site.wait_for_retries (4);
-  site.plain[0]->answer_ms = kSlowAnswerMs;
-  Message answer = send_call (site.gateways[0], plain_call ("slow"));
-  EXPECT_EQ (answer.status, 200) << answer.body;
-  EXPECT_EQ (site.runs_of ("slow"), 1);
+  expect_slow_answer (site);
 }
 
 // Guards against the same when the other target is leaving.
@@ -112,10 +118,7 @@
   site.wait_for_retries (4);
   site.list_plain (1, "draining");
   std::this_thread::sleep_for (milliseconds (1500));
-  site.plain[0]->answer_ms = kSlowAnswerMs;
-  Message answer = send_call (site.gateways[0], plain_call ("slow"));
-  EXPECT_EQ (answer.status, 200) << answer.body;
-  EXPECT_EQ (site.runs_of ("slow"), 1);
+  expect_slow_answer (site);
 }
 
 // Guards against a stream that fails because the only engine needs longer than
--- a/test/relay/site.cc
+++ b/test/relay/site.cc
@@ -550,6 +550,18 @@
                                    * per_retry_ms));
 }
 
+bool
+Site::wait_identified (const Engine &engine, const std::string &id,
+                       int timeout_ms)
+{
+  return wait_for (
+      [&] {
+        return !log_lines (engine.sidecar, { "engine_identified", id })
+                    .empty ();
+      },
+      timeout_ms);
+}
+
 std::vector<std::string>
 Site::log_lines (const Daemon &daemon, const std::vector<std::string> &texts)
 {
--- a/test/relay/site.h
+++ b/test/relay/site.h
@@ -72,6 +72,7 @@
 class Site
 {
 public:
+  static constexpr int kWaitMs = 8000;
   /// Whether the daemons of later sites write all log lines, without a limit
   /// on their rate.
   static inline bool logs_all_lines = false;
@@ -94,7 +95,12 @@
   /// Poll until a condition holds.
   /// @return  False after the time-out.
   static bool wait_for (const std::function<bool ()> &condition,
-                        int timeout_ms = 8000);
+                        int timeout_ms = kWaitMs);
+  /// Wait until an engine's sidecar has identified an incarnation of it.
+  /// @param id  Empty: any.
+  /// @return    False after the time-out.
+  static bool wait_identified (const Engine &engine, const std::string &id,
+                               int timeout_ms = kWaitMs);
   /// Write the operator's configuration document.
   /// @param extra_route  More routes, each after a comma.
   void write_config (int version, const std::string &extra_route = "",
--- a/test/relay/software_failure_test.cc
+++ b/test/relay/software_failure_test.cc
@@ -50,10 +50,7 @@
     if (!wait_ready ())
       return false;
     engines[1].target->restart ("i-next", "v2");
-    bool is_identified = wait_for ([this] {
-      return !log_lines (engines[1].sidecar, { "engine_identified", "i-next" })
-                  .empty ();
-    });
+    bool is_identified = wait_identified (engines[1], "i-next");
     std::this_thread::sleep_for (milliseconds (500));
     return is_identified;
   }
