review: streams of a killed engine end as complete

An answer that ends with its connection counts as whole without a look at its target when that is leaving. Streams of an engine that is taken away at short notice, and killed, reach their callers as complete with events missing (ORDER). The stand-ins learn to report such a notice.

--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -606,6 +606,8 @@
   std::function<bool (Conn &, const Head &)> handle;
   std::mutex mutex;
   std::map<string, int> runs;
+  /// Milliseconds that remain of a removal at short notice; negative: none.
+  std::atomic<int> remaining_ms{ -1 };
   Replica (const string &its_ip, const string &its_id)
       : Server (its_ip), id (its_id)
   {
@@ -640,7 +642,7 @@
         string json = "Content-Type: application/json\r\n";
         if (target == "/health")
           {
-            if (!send_all (conn.fd, make_answer (200,
+            if (!send_all (conn.fd, make_answer (remaining_ms < 0 ? 200 : 503,
                                                  "X-Knapweedbay-Instance-Id: "
                                                      + id + "\r\n",
                                                  "")))
@@ -652,8 +654,12 @@
                 = "{\"Stage\":\"colocated\",\"Models\":[{\"Name\":\"m\","
                   "\"Version\":1,\"Adapters\":[]}],\"Coming\":[],\"Busy\":"
                   "false,\"Seq\":0,\"Queued\":0,\"Running\":0,\"KvUsed\":0,"
-                  "\"KvTotal\":190000,\"Handles\":0,\"State\":\"ready\","
-                  "\"Runs\":[],\"AtHand\":{\"InMemory\":[\"m\"],\"OnDisk\":"
+                  "\"KvTotal\":190000,\"Handles\":0,"
+                  + string (remaining_ms < 0
+                                ? "\"State\":\"ready\","
+                                : "\"State\":\"draining\",\"RemainingMs\":"
+                                      + std::to_string (remaining_ms) + ",")
+                  + "\"Runs\":[],\"AtHand\":{\"InMemory\":[\"m\"],\"OnDisk\":"
                   "[\"m\"]}}";
             if (!send_all (conn.fd, make_answer (200, json, report)))
               return;
